--- /dev/null
+++ b/cli/src/args.rs
@@ -0,0 +1,277 @@
+//! The command line of `spokelift`.
+
+use argh::FromArgs;
+
+/// Fleet capacity and maintenance manager: publishes configuration, states intents, confirms
+/// plans and watches them.
+#[derive(FromArgs, Debug)]
+pub struct Args {
+    /// address of a daemon for operators, IP:PORT (SPOKELIFT_DAEMON)
+    #[argh(option)]
+    pub daemon: Option<String>,
+
+    /// credential, account:secret (SPOKELIFT_KEY)
+    #[argh(option)]
+    pub key: Option<String>,
+
+    /// print JSON instead of tables
+    #[argh(switch)]
+    pub json: bool,
+
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    Publish(Publish),
+    Intent(Intent),
+    Plan(Plan),
+    Wave(Wave),
+    Status(Status),
+    Pools(Pools),
+    Boxes(Boxes),
+    Jobs(Jobs),
+    Plans(Plans),
+    Counters(Counters),
+    Record(Record),
+    HashKey(HashKey),
+    Trial(Trial),
+}
+
+/// Check a configuration file and publish it.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "publish")]
+pub struct Publish {
+    /// the TOML file
+    #[argh(positional)]
+    pub file: std::path::PathBuf,
+}
+
+/// State an intent; the answer is a plan that changes nothing until it is confirmed.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "intent")]
+pub struct Intent {
+    #[argh(subcommand)]
+    pub kind: IntentKind,
+}
+
+/// What is wanted.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum IntentKind {
+    Resize(Resize),
+    Move(Move),
+    Place(Place),
+    Maintain(Maintain),
+}
+
+/// Bring a pool to a number of boxes, from or to those in no pool.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "resize")]
+pub struct Resize {
+    /// the pool
+    #[argh(option)]
+    pub pool: String,
+    /// how many boxes it should hold
+    #[argh(option)]
+    pub boxes: u32,
+}
+
+/// Move boxes to another pool.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "move")]
+pub struct Move {
+    /// the pool they leave
+    #[argh(option)]
+    pub from: String,
+    /// the pool they join
+    #[argh(option)]
+    pub to: String,
+    /// how many boxes
+    #[argh(option)]
+    pub boxes: u32,
+}
+
+/// Run a service on a number of boxes of its pool; 0 removes it.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "place")]
+pub struct Place {
+    /// the account that owns the service
+    #[argh(option)]
+    pub account: String,
+    /// the service
+    #[argh(option)]
+    pub service: String,
+    /// on how many boxes
+    #[argh(option)]
+    pub replicas: u32,
+}
+
+/// Reboot every box of the pools, within their budgets.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "maintain")]
+pub struct Maintain {
+    /// a pool; may be given several times
+    #[argh(option)]
+    pub pool: Vec<String>,
+}
+
+/// Show, confirm, watch or cancel a plan.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "plan")]
+pub struct Plan {
+    #[argh(subcommand)]
+    pub action: PlanAction,
+}
+
+/// What to do with a plan.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum PlanAction {
+    Show(PlanShow),
+    Confirm(PlanConfirm),
+    Watch(PlanWatch),
+    Cancel(PlanCancel),
+}
+
+/// Show a plan with its steps.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "show")]
+pub struct PlanShow {
+    /// the plan's id
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Put a plan in force.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "confirm")]
+pub struct PlanConfirm {
+    /// the plan's id
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Show a plan's progress until it is over.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "watch")]
+pub struct PlanWatch {
+    /// the plan's id
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Drop a plan that is not confirmed, or abort one that is.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "cancel")]
+pub struct PlanCancel {
+    /// the plan's id
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Pause, resume or abort a confirmed plan.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "wave")]
+pub struct Wave {
+    #[argh(subcommand)]
+    pub action: WaveAction,
+}
+
+/// What to do with a plan under way.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum WaveAction {
+    Pause(WavePause),
+    Resume(WaveResume),
+    Abort(WaveAbort),
+}
+
+/// Start no further step.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "pause")]
+pub struct WavePause {
+    /// the plan's id
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Go on after a pause.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "resume")]
+pub struct WaveResume {
+    /// the plan's id
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Finish the steps begun and start no other.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "abort")]
+pub struct WaveAbort {
+    /// the plan's id
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Show the daemon's own state.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "status")]
+pub struct Status {}
+
+/// List the pools.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "pools")]
+pub struct Pools {}
+
+/// List the boxes that are in a pool.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "boxes")]
+pub struct Boxes {}
+
+/// List the services and where they run.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "jobs")]
+pub struct Jobs {}
+
+/// List the plans.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "plans")]
+pub struct Plans {}
+
+/// List the daemon's counters.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "counters")]
+pub struct Counters {}
+
+/// Ask what became of a change whose outcome was not yet known.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "record")]
+pub struct Record {
+    /// the record's id
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Print the hash of a secret read from standard input, as configuration files take it.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "hash-key")]
+pub struct HashKey {}
+
+/// Run a small site on embedded stand-ins: six daemons, fifty workers, load, a wave, failures.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "trial")]
+pub struct Trial {
+    /// the site: ulaanbaatar or dakar
+    #[argh(option, default = "String::from(\"ulaanbaatar\")")]
+    pub site: String,
+    /// requests a second over all entry boxes, 1 to 2000
+    #[argh(option, default = "300")]
+    pub load: u32,
+    /// print a last line of JSON
+    #[argh(switch)]
+    pub json: bool,
+}
--- /dev/null
+++ b/cli/src/bin/spokeliftd.rs
@@ -0,0 +1,206 @@
+//! `spokeliftd`: the daemon.
+
+#![allow(missing_docs, reason = "a program, not a library")]
+
+use std::io::Write;
+use std::process::ExitCode;
+
+use argh::EarlyExit;
+use argh::FromArgs;
+use miette::Diagnostic;
+use miette::GraphicalReportHandler;
+use spokelift_lib::daemon;
+use spokelift_lib::daemon::Sockets;
+use spokelift_lib::settings::Setting;
+use spokelift_lib::settings::Settings;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+
+/// Exit code for settings or a command line that cannot be used.
+const USAGE: u8 = 2;
+
+/// Serves callers and operators of a site. Each flag is also an environment variable: --max-age-ms
+/// is SPOKELIFT_MAX_AGE_MS. A flag goes before its variable.
+#[derive(FromArgs)]
+struct Args {
+    /// only check the settings
+    #[argh(switch)]
+    check: bool,
+    /// number of this daemon, unique on the site
+    #[argh(option)]
+    id: Option<String>,
+    /// data hall this box stands in
+    #[argh(option)]
+    hall: Option<String>,
+    /// address for callers [127.0.0.1:0]
+    #[argh(option)]
+    call_addr: Option<String>,
+    /// address for operators [127.0.0.1:0]
+    #[argh(option)]
+    operate_addr: Option<String>,
+    /// address for heartbeats and catch-up [127.0.0.1:0]
+    #[argh(option)]
+    peer_addr: Option<String>,
+    /// the other daemons of the site
+    #[argh(option)]
+    peers: Option<String>,
+    /// secret that the daemons share
+    #[argh(option)]
+    peer_secret: Option<String>,
+    /// address of the platform's log
+    #[argh(option)]
+    log: Option<String>,
+    /// address of the platform's box list
+    #[argh(option)]
+    boxes: Option<String>,
+    /// hash of the site operator's secret
+    #[argh(option)]
+    site_key_hash: Option<String>,
+    /// how old the state served by may be [2500]
+    #[argh(option)]
+    max_age_ms: Option<String>,
+    /// time between heartbeats [500]
+    #[argh(option)]
+    heartbeat_ms: Option<String>,
+    /// time between polls of the box list and the boxes [1000]
+    #[argh(option)]
+    poll_ms: Option<String>,
+    /// this daemon's share of the log's rate [12]
+    #[argh(option)]
+    appends_per_s: Option<String>,
+    /// requests of a service that may wait for a slot [128]
+    #[argh(option)]
+    queue_limit: Option<String>,
+    /// how long a request may wait for a slot [500]
+    #[argh(option)]
+    queue_wait_ms: Option<String>,
+    /// how long a request may take in all [30000]
+    #[argh(option)]
+    call_limit_ms: Option<String>,
+    /// largest request body, in bytes [8388608]
+    #[argh(option)]
+    body_limit: Option<String>,
+    /// time between telling the balancer and closing the door [2000]
+    #[argh(option)]
+    stop_delay_ms: Option<String>,
+    /// how long a plan's last steps wait for boxes that are down [30000]
+    #[argh(option)]
+    down_grace_ms: Option<String>,
+    /// address to send metrics to
+    #[argh(option)]
+    statsd: Option<String>,
+}
+
+impl Args {
+    fn flag(&self, name: &str) -> Option<String> {
+        let value = match name {
+            "id" => &self.id,
+            "hall" => &self.hall,
+            "call-addr" => &self.call_addr,
+            "operate-addr" => &self.operate_addr,
+            "peer-addr" => &self.peer_addr,
+            "peers" => &self.peers,
+            "peer-secret" => &self.peer_secret,
+            "log" => &self.log,
+            "boxes" => &self.boxes,
+            "site-key-hash" => &self.site_key_hash,
+            "max-age-ms" => &self.max_age_ms,
+            "heartbeat-ms" => &self.heartbeat_ms,
+            "poll-ms" => &self.poll_ms,
+            "appends-per-s" => &self.appends_per_s,
+            "queue-limit" => &self.queue_limit,
+            "queue-wait-ms" => &self.queue_wait_ms,
+            "call-limit-ms" => &self.call_limit_ms,
+            "body-limit" => &self.body_limit,
+            "stop-delay-ms" => &self.stop_delay_ms,
+            "down-grace-ms" => &self.down_grace_ms,
+            "statsd" => &self.statsd,
+            _ => return None,
+        };
+        value.clone()
+    }
+
+    /// The flag goes before the variable.
+    fn value(&self, setting: &Setting) -> Option<String> {
+        let flag = self.flag(setting.flag);
+        flag.or_else(|| std::env::var(setting.variable()).ok())
+    }
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let args = match read_args() {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    let settings = match Settings::resolve(|setting| args.value(setting)) {
+        Ok(settings) => settings,
+        Err(error) => return fail(&error, USAGE),
+    };
+    if args.check {
+        println!("the settings can be used");
+        return ExitCode::SUCCESS;
+    }
+    run(settings)
+}
+
+fn read_args() -> Result<Args, ExitCode> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    Args::from_args(&["spokeliftd"], &words).map_err(|exit: EarlyExit| match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}", exit.output);
+            ExitCode::from(USAGE)
+        }
+    })
+}
+
+fn fail(error: &dyn Diagnostic, code: u8) -> ExitCode {
+    let mut text = String::new();
+    match GraphicalReportHandler::new().render_report(&mut text, error) {
+        Ok(()) => eprintln!("{text}"),
+        Err(_) => eprintln!("{error}"),
+    }
+    ExitCode::from(code)
+}
+
+fn run(settings: Settings) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let served = match runtime {
+        Ok(runtime) => runtime.block_on(serve(settings)),
+        Err(error) => Err(error.into()),
+    };
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Serves until SIGTERM or SIGINT. Prints the addresses bound as one line of JSON.
+async fn serve(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let sockets = Sockets::bind(&settings).await?;
+    println!("{}", serde_json::to_string(&sockets.addrs()?)?);
+    std::io::stdout().flush()?;
+    let (stop, stopping) = watch::channel(false);
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        let _ = stop.send(true);
+    });
+    daemon::run(settings, sockets, stopping).await?;
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/error.rs
@@ -0,0 +1,125 @@
+//! What can go wrong on the command line: one message, a hint and an exit code each.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use miette::Diagnostic;
+use miette::NamedSource;
+use miette::SourceSpan;
+use spokelift_lib::protocol::api::ApiError;
+use spokelift_lib::state::config::Fault;
+use spokelift_lib::transport::dial::ExchangeError;
+use thiserror::Error;
+
+/// Why a command failed.
+#[derive(Debug, Error, Diagnostic)]
+pub enum Error {
+    /// A setting of the tool is missing.
+    #[error("{what} is not set")]
+    #[diagnostic(help("give --{flag} or set {variable}"))]
+    Missing {
+        what: &'static str,
+        flag: &'static str,
+        variable: &'static str,
+    },
+    /// A value on the command line cannot be used.
+    #[error("{what} is {value:?}")]
+    #[diagnostic(help("accepted: {accepted}"))]
+    Value {
+        what: &'static str,
+        value: String,
+        accepted: &'static str,
+    },
+    /// A file cannot be read.
+    #[error("cannot read {}", path.display())]
+    #[diagnostic(help("check the path and its permissions"))]
+    File {
+        path: PathBuf,
+        #[source]
+        source: std::io::Error,
+    },
+    /// The daemon was not reached, or its answer was cut.
+    #[error("no answer from the daemon at {daemon}")]
+    #[diagnostic(help(
+        "another daemon of the site may answer; a change may have taken effect: look before asking again"
+    ))]
+    Daemon {
+        daemon: SocketAddr,
+        #[source]
+        source: ExchangeError,
+    },
+    /// The daemon's answer cannot be read.
+    #[error("the daemon's answer cannot be read")]
+    #[diagnostic(help("the daemon may be of another version"))]
+    Answer(#[from] serde_json::Error),
+    /// The configuration file has faults.
+    #[error("{} has {} fault(s); nothing was published", path.display(), faults.len())]
+    #[diagnostic(help("mend the file and publish it again"))]
+    Config {
+        path: PathBuf,
+        #[related]
+        faults: Vec<FileFault>,
+    },
+    /// The daemon turned the request down.
+    #[error("{error}")]
+    #[diagnostic(help("{}", hint(error)))]
+    Api { error: ApiError },
+    /// A trial could not be run.
+    #[error("the trial could not be run: {0}")]
+    Trial(#[from] std::io::Error),
+    /// A trial ran and something that must always hold did not.
+    #[error("the trial failed: {}", broken.join(", "))]
+    #[diagnostic(help("each of these counts must be zero, and each plan must end"))]
+    Violated { broken: Vec<String> },
+}
+
+/// A fault with its place in the file.
+#[derive(Debug, Error, Diagnostic)]
+#[error("{}", fault.kind)]
+pub struct FileFault {
+    fault: Fault,
+    #[source_code]
+    file: NamedSource<String>,
+    #[label("here")]
+    span: Option<SourceSpan>,
+}
+
+impl FileFault {
+    /// Shows `fault` in the file it is in.
+    pub fn new(path: &std::path::Path, text: &str, fault: Fault) -> FileFault {
+        let file = NamedSource::new(path.display().to_string(), text.to_owned());
+        let span = fault.span.clone().map(SourceSpan::from);
+        FileFault { fault, file, span }
+    }
+}
+
+fn hint(error: &ApiError) -> &'static str {
+    match error {
+        ApiError::Credential => "check --key: account:secret, with an operator's secret",
+        ApiError::Malformed => "the daemon may be of another version",
+        ApiError::NotFound { .. } => "`spokelift plans` lists what this credential may see",
+        ApiError::TooLarge => "publish the file in parts",
+        ApiError::Config { .. } => "mend the file and publish it again",
+        ApiError::Plan { .. } => "change the intent, or what stops it",
+        ApiError::Refused { .. } => "nothing was changed; state the intent again to plan from now",
+        ApiError::Unknown { .. } => "`spokelift record ID` asks what became of it",
+        ApiError::Stale | ApiError::Busy => "try another daemon, or wait for the log",
+    }
+}
+
+impl Error {
+    /// Exit code of the process.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Error::Missing { .. } | Error::Value { .. } => 2,
+            Error::File { .. } | Error::Answer(_) | Error::Daemon { .. } | Error::Trial(_) => 1,
+            Error::Config { .. } => 3,
+            Error::Api { error } => match error {
+                ApiError::Refused { .. } => 4,
+                ApiError::Unknown { .. } => 5,
+                _ => 3,
+            },
+            Error::Violated { .. } => 6,
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/output.rs
@@ -0,0 +1,302 @@
+//! Tables for people.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+use spokelift_lib::protocol::api::BoxView;
+use spokelift_lib::protocol::api::JobView;
+use spokelift_lib::protocol::api::PlanView;
+use spokelift_lib::protocol::api::PoolView;
+use spokelift_lib::protocol::api::Published;
+use spokelift_lib::protocol::api::StatusView;
+use spokelift_lib::state::plan::Action;
+use spokelift_lib::state::plan::Intent;
+use spokelift_lib::state::plan::Outcome;
+use spokelift_lib::state::plan::Phase;
+use spokelift_lib::state::plan::Progress;
+use spokelift_lib::state::plan::Reason;
+use spokelift_lib::state::plan::Step;
+
+fn table(head: &[&str], rows: impl IntoIterator<Item = Vec<String>>) -> String {
+    let mut table = Table::new();
+    table.load_preset(NOTHING);
+    table.set_header(head);
+    for row in rows {
+        table.add_row(row);
+    }
+    let lines = table.lines().map(|line| line.trim_end().to_owned());
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+fn cell(value: impl Display) -> String {
+    value.to_string()
+}
+
+fn yes(value: bool, word: &str) -> String {
+    if value {
+        word.to_owned()
+    } else {
+        "-".to_owned()
+    }
+}
+
+/// Pools, one a line.
+pub fn pools(pools: &[PoolView]) -> String {
+    let row = |pool: &PoolView| {
+        let out = format!("{}/{}", pool.out, pool.max_out);
+        vec![
+            cell(&pool.name),
+            cell(&pool.account),
+            cell(pool.boxes),
+            out,
+            weigh(pool),
+        ]
+    };
+    table(
+        &["POOL", "ACCOUNT", "BOXES", "OUT", "FIRST"],
+        pools.iter().map(row),
+    )
+}
+
+fn weigh(pool: &PoolView) -> String {
+    match pool.weigh {
+        spokelift_lib::state::fleet::Weigh::Buffer => cell("buffer"),
+        spokelift_lib::state::fleet::Weigh::Rollout => cell("roll-out"),
+    }
+}
+
+/// Boxes, one a line.
+pub fn boxes(boxes: &[BoxView]) -> String {
+    let row = |view: &BoxView| {
+        let state = match (&view.out, view.down) {
+            (Some(plan), _) => format!("out: plan {plan}"),
+            (None, true) => cell("down"),
+            (None, false) => cell("serving"),
+        };
+        let jobs = view.jobs.join(", ");
+        vec![
+            cell(&view.name),
+            cell(&view.pool),
+            cell(&view.hall),
+            cell(&view.rack),
+            state,
+            jobs,
+        ]
+    };
+    table(
+        &["BOX", "POOL", "HALL", "RACK", "STATE", "JOBS"],
+        boxes.iter().map(row),
+    )
+}
+
+/// Services, one a line.
+pub fn jobs(jobs: &[JobView]) -> String {
+    let row = |job: &JobView| {
+        let up = format!("{}/{}", job.up, job.placed);
+        let slots = cell(job.slots);
+        vec![
+            cell(&job.name),
+            cell(&job.account),
+            cell(&job.pool),
+            up,
+            cell(job.min_up),
+            slots,
+        ]
+    };
+    table(
+        &["SERVICE", "ACCOUNT", "POOL", "UP", "LEAST", "SLOTS"],
+        jobs.iter().map(row),
+    )
+}
+
+/// Plans, one a line.
+pub fn plans(plans: &[PlanView]) -> String {
+    let row = |plan: &PlanView| {
+        let account = plan.account.as_deref().unwrap_or("site");
+        let cost = plan.predicted;
+        vec![
+            plan.id.clone(),
+            cell(account),
+            intent(&plan.intent),
+            cell(phase(plan.phase)),
+            cell(plan.finished),
+            cell(cost.buffer_box_seconds),
+            cell(cost.rollout_seconds),
+            cell(cost.moves),
+        ]
+    };
+    let head = [
+        "PLAN", "BY", "INTENT", "PHASE", "ENDED", "BUFFER", "SECONDS", "MOVES",
+    ];
+    table(&head, plans.iter().map(row))
+}
+
+/// One plan with its steps.
+pub fn plan(plan: &PlanView) -> String {
+    let cost = plan.predicted;
+    let width = plan
+        .width
+        .iter()
+        .map(|(pool, width)| format!("{pool} {width}"));
+    let width: Vec<String> = width.collect();
+    let head = format!(
+        "plan {}: {}\nphase: {}\npredicted: buffer {} box-seconds, roll-out {} s, {} moves\n\
+         at a time: {}\n\n",
+        plan.id,
+        intent(&plan.intent),
+        phase(plan.phase),
+        cost.buffer_box_seconds,
+        cost.rollout_seconds,
+        cost.moves,
+        width.join(", "),
+    );
+    head + &steps(&plan.steps)
+}
+
+fn steps(steps: &[Step]) -> String {
+    let row = |(index, step): (usize, &Step)| {
+        let progress = progress(&step.progress);
+        vec![
+            cell(index),
+            cell(&step.target),
+            action(&step.action),
+            reason(step.reason),
+            progress,
+        ]
+    };
+    table(
+        &["STEP", "BOX", "ACTION", "REASON", "PROGRESS"],
+        steps.iter().enumerate().map(row),
+    )
+}
+
+/// One line on how far a plan is.
+pub fn progress_line(plan: &PlanView) -> String {
+    let begun = plan
+        .steps
+        .iter()
+        .filter(|step| step.progress.is_begun())
+        .count();
+    let failed = plan.steps.iter().filter(|step| is_failed(step)).count();
+    let steps = plan.steps.len();
+    let phase = phase(plan.phase);
+    format!(
+        "plan {}: {phase}, {}/{steps} ended, {begun} under way, {failed} not done",
+        plan.id, plan.finished
+    )
+}
+
+fn is_failed(step: &Step) -> bool {
+    matches!(step.progress, Progress::Over { outcome } if outcome != Outcome::Done)
+}
+
+/// An intent in a few words.
+pub fn intent(intent: &Intent) -> String {
+    match intent {
+        Intent::Resize { pool, boxes } => format!("{pool} to {boxes} boxes"),
+        Intent::Move { from, to, boxes } => format!("{boxes} boxes from {from} to {to}"),
+        Intent::Place {
+            account,
+            service,
+            replicas,
+        } => {
+            format!("{account}/{service} on {replicas} boxes")
+        }
+        Intent::Maintain { pools } => format!("maintain {}", pools.join(", ")),
+    }
+}
+
+fn phase(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Proposed => "proposed",
+        Phase::Running => "running",
+        Phase::Paused => "paused",
+        Phase::Aborting => "aborting",
+        Phase::Done => "done",
+        Phase::Aborted => "aborted",
+    }
+}
+
+fn action(action: &Action) -> String {
+    match action {
+        Action::Reboot => cell("reboot"),
+        Action::Move { to, jobs } => {
+            let jobs: Vec<&str> = jobs.iter().map(|job| job.1.as_ref()).collect();
+            format!("move to {to}, start {}", jobs.join(", "))
+        }
+        Action::Release => cell("leave the pool"),
+        Action::Claim { to, .. } => format!("join {to}"),
+        Action::Start { job } => format!("start {}", job.1),
+        Action::Stop { job } => format!("stop {}", job.1),
+    }
+}
+
+fn reason(reason: Reason) -> String {
+    cell(match reason {
+        Reason::Due => "due for maintenance",
+        Reason::FewestJobs => "fewest jobs",
+        Reason::Free => "in no pool",
+        Reason::Spread => "spread over halls and racks",
+        Reason::Surplus => "one replica too many",
+    })
+}
+
+fn progress(progress: &Progress) -> String {
+    match progress {
+        Progress::Waiting => cell("waiting"),
+        Progress::Out { .. } => cell("out"),
+        Progress::Assigned { .. } => cell("coming back"),
+        Progress::Over { outcome } => cell(outcome),
+    }
+}
+
+/// What became of a change.
+pub fn published(published: &Published) -> String {
+    let daemons: Vec<String> = published.in_force.iter().map(cell).collect();
+    let daemons = daemons.join(", ");
+    match published.position {
+        Some(position) => format!(
+            "accepted at {position} as record {}; in force on daemons {daemons}",
+            published.record,
+        ),
+        None => format!("nothing to change; in force on daemons {daemons}"),
+    }
+}
+
+/// A daemon's own state.
+pub fn status(status: &StatusView) -> String {
+    let peers = status
+        .peers
+        .iter()
+        .map(|(id, next)| format!("{id} (at {next})"));
+    let peers: Vec<String> = peers.collect();
+    let rows = [
+        ("daemon", cell(status.id)),
+        ("serving", yes(status.serving, "yes")),
+        ("basis", status.basis.clone()),
+        ("applied", cell(status.next)),
+        ("configured", cell(status.configured)),
+        ("in flight", cell(status.inflight)),
+        ("peers", peers.join(", ")),
+    ];
+    pairs(rows)
+}
+
+/// Counters, one a line.
+pub fn counters(counters: &BTreeMap<String, u64>) -> String {
+    pairs(
+        counters
+            .iter()
+            .map(|(name, total)| (name.as_str(), cell(total))),
+    )
+}
+
+/// Names and values, one pair a line.
+pub fn pairs<'a>(rows: impl IntoIterator<Item = (&'a str, String)>) -> String {
+    let rows: Vec<(&str, String)> = rows.into_iter().collect();
+    let wide = rows.iter().map(|(name, _)| name.len()).max().unwrap_or(0);
+    let line = |(name, value): &(&str, String)| format!("{name:wide$}  {value}");
+    rows.iter().map(line).collect::<Vec<_>>().join("\n")
+}
--- /dev/null
+++ b/cli/src/trial.rs
@@ -0,0 +1,242 @@
+//! The main job in one command: a small site on embedded stand-ins, under load and failures.
+//!
+//! The counts come from what the stand-in workers and callers saw, not from the product.
+
+mod load;
+mod report;
+mod stage;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_lib::protocol::api::PlanView;
+use spokelift_lib::protocol::api::Published;
+use spokelift_lib::state::plan::Intent;
+use spokelift_lib::state::plan::Phase;
+use spokelift_testutils::site::Site;
+use tokio::time::sleep;
+
+use crate::args::Trial;
+use crate::client::Client;
+use crate::error::Error;
+use crate::output;
+use crate::trial::load::Load;
+use crate::trial::report::Report;
+use crate::trial::stage::Stage;
+
+/// How long one wait of the trial may take.
+const PATIENCE: Duration = Duration::from_secs(40);
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(100);
+/// Load before the plans are stated.
+const QUIET: Duration = Duration::from_secs(2);
+/// Time until a killed daemon is replaced.
+const REPLACEMENT: Duration = Duration::from_secs(2);
+/// Requests a second that may be asked for.
+const LOADS: std::ops::RangeInclusive<u32> = 1..=2000;
+/// Share of the first plan's steps that have ended when failures begin.
+const MID_WAVE: f64 = 0.25;
+
+/// Runs a trial, prints its report, and fails if something that must always hold did not.
+pub fn run(args: &Trial, json: bool) -> Result<(), Error> {
+    let site = Site::named(&args.site).ok_or(Error::Value {
+        what: "--site",
+        value: args.site.clone(),
+        accepted: "ulaanbaatar or dakar",
+    })?;
+    if !LOADS.contains(&args.load) {
+        return Err(Error::Value {
+            what: "--load",
+            value: args.load.to_string(),
+            accepted: "1 to 2000",
+        });
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let report = runtime.block_on(play(site, args.load))?;
+    println!("\n{}", report.table());
+    if json {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    match report.broken() {
+        broken if broken.is_empty() => Ok(()),
+        broken => Err(Error::Violated { broken }),
+    }
+}
+
+async fn play(site: Site, load: u32) -> Result<Report, Error> {
+    println!(
+        "site {}: 6 daemons, {} workers, {} halls",
+        site.name,
+        site.size(),
+        site.halls.len()
+    );
+    let mut stage = Stage::set(site).await?;
+    let operator = stage.site_client(0);
+    stage
+        .until("every daemon serves", |stage| stage.balancer.all_healthy())
+        .await;
+    let published = publish(&operator, &stage.site.config()).await?;
+    println!("configuration: {}", output::published(&published));
+    place_jobs(&stage, &operator).await?;
+    let load = Load::start(&stage, load);
+    sleep(QUIET).await;
+    let config_everywhere = config_everywhere(&stage, &operator).await?;
+    println!(
+        "a new key was in force on every daemon after {} ms",
+        config_everywhere.as_millis()
+    );
+
+    let wave = propose(&operator, maintain_all(&stage)).await?;
+    println!("\n{}", shortened(&output::plan(&wave)));
+    confirm(&operator, &wave).await?;
+    let moving = propose(&operator, move_some(&stage)).await?;
+    println!("\n{}", output::plan(&moving));
+    confirm(&operator, &moving).await?;
+    let confirmed = Instant::now();
+
+    let plans = [wave.id, moving.id];
+    disturb(&mut stage, &plans).await?;
+    let over = watch(&stage, &plans).await?;
+    let rollout = confirmed.elapsed();
+    stage.stop_one(1).await;
+    load.stop().await;
+    let counts = stage.ledger.counts();
+    let statuses = stage.totals().await;
+    stage.strike().await;
+    Ok(Report::new(
+        counts,
+        rollout,
+        config_everywhere,
+        over,
+        statuses,
+    ))
+}
+
+async fn publish(operator: &Client, text: &str) -> Result<Published, Error> {
+    operator.post("/v1/publish", text.as_bytes().to_vec()).await
+}
+
+async fn propose(operator: &Client, intent: Intent) -> Result<PlanView, Error> {
+    operator
+        .post("/v1/intents", serde_json::to_vec(&intent)?)
+        .await
+}
+
+async fn confirm(operator: &Client, plan: &PlanView) -> Result<PlanView, Error> {
+    operator
+        .post(&format!("/v1/plans/{}/confirm", plan.id), Vec::new())
+        .await
+}
+
+/// Places every service on every box of its pool.
+async fn place_jobs(stage: &Stage, operator: &Client) -> Result<(), Error> {
+    let mut plans = Vec::new();
+    for pool in stage.site.pools {
+        for (service, _) in pool.services {
+            let intent = Intent::Place {
+                account: pool.account.into(),
+                service: (*service).into(),
+                replicas: pool.boxes as u32,
+            };
+            let plan = propose(operator, intent).await?;
+            confirm(operator, &plan).await?;
+            plans.push(plan.id);
+        }
+    }
+    watch(stage, &plans).await?;
+    println!("placed {} services", plans.len());
+    Ok(())
+}
+
+fn maintain_all(stage: &Stage) -> Intent {
+    let pools = stage.site.pools.iter().map(|pool| pool.name.into());
+    Intent::Maintain {
+        pools: pools.collect(),
+    }
+}
+
+fn move_some(stage: &Stage) -> Intent {
+    let [from, to, ..] = stage.site.pools else {
+        unreachable!("every site has three pools");
+    };
+    Intent::Move {
+        from: from.name.into(),
+        to: to.name.into(),
+        boxes: 2,
+    }
+}
+
+/// How long it takes until a key that is new in the configuration lets callers in everywhere.
+async fn config_everywhere(stage: &Stage, operator: &Client) -> Result<Duration, Error> {
+    let text = stage.config_with_new_key();
+    let begun = Instant::now();
+    let publishing = publish(operator, &text);
+    let seen = stage.new_key_everywhere();
+    let (published, ()) = tokio::join!(publishing, seen);
+    published?;
+    Ok(begun.elapsed())
+}
+
+/// Kills the daemon that drives the first plan and a worker that it has not yet come to.
+async fn disturb(stage: &mut Stage, plans: &[String; 2]) -> Result<(), Error> {
+    let wave = &plans[0];
+    let operator = stage.any_client();
+    let holder = loop {
+        let plan: PlanView = operator.get(&format!("/v1/plans/{wave}")).await?;
+        let ended = plan.finished as f64 / plan.steps.len() as f64;
+        if ended >= MID_WAVE {
+            break plan.holder;
+        }
+        sleep(LOOK).await;
+    };
+    let victim = stage.kill_worker();
+    println!("killed worker {victim} in mid-wave");
+    let daemon = usize::from(holder.unwrap_or(0));
+    stage.kill_daemon(daemon);
+    println!("killed daemon {daemon}, which drove the wave");
+    sleep(REPLACEMENT).await;
+    stage.replace_daemon(daemon)?;
+    println!("replaced daemon {daemon} by an empty one");
+    Ok(())
+}
+
+/// Shows the plans' progress until all are over. Returns whether every one is done.
+async fn watch(stage: &Stage, plans: &[String]) -> Result<bool, Error> {
+    let begun = Instant::now();
+    let mut shown = Instant::now();
+    loop {
+        let mut phases = Vec::new();
+        for id in plans {
+            // The daemon asked may just have been killed; another one knows as much.
+            let path = format!("/v1/plans/{id}");
+            if let Ok(plan) = stage.any_client().get::<PlanView>(&path).await {
+                if shown.elapsed() > Duration::from_secs(2) && !plan.phase.is_over() {
+                    println!("{}", output::progress_line(&plan));
+                    shown = Instant::now();
+                }
+                phases.push(plan.phase);
+            }
+        }
+        let over = phases.len() == plans.len() && phases.iter().all(|phase| phase.is_over());
+        if over || begun.elapsed() > PATIENCE {
+            return Ok(over && phases.iter().all(|phase| *phase == Phase::Done));
+        }
+        sleep(LOOK).await;
+    }
+}
+
+/// The first lines of a long table.
+fn shortened(text: &str) -> String {
+    const LINES: usize = 16;
+    let lines: Vec<&str> = text.lines().collect();
+    if lines.len() <= LINES {
+        return text.to_owned();
+    }
+    format!(
+        "{}\n... and {} more steps",
+        lines[..LINES].join("\n"),
+        lines.len() - LINES
+    )
+}
--- /dev/null
+++ b/cli/src/trial/load.rs
@@ -0,0 +1,120 @@
+//! A steady load on all entry boxes through the balancer.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::RngExt;
+use spokelift_lib::transport::dial::Dialer;
+use spokelift_testutils::caller;
+use spokelift_testutils::caller::Balancer;
+use spokelift_testutils::caller::Call;
+use spokelift_testutils::ledger::Ledger;
+use spokelift_testutils::ledger::Told;
+use spokelift_testutils::site::Site;
+use spokelift_testutils::site::caller_secret;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use crate::trial::stage::Stage;
+
+/// Every so many requests runs long enough to be cut off by a stop that does not wait.
+const LONG_EVERY: u64 = 25;
+/// How long such a request runs, in milliseconds.
+const LONG_MS: u64 = 1500;
+/// How long the others run, in milliseconds.
+const SHORT_MS: std::ops::Range<u64> = 5..40;
+/// Largest body, in bytes.
+const MAX_BODY: usize = 4096;
+
+/// A load that is under way.
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    task: JoinHandle<()>,
+}
+
+impl Load {
+    /// Starts `per_second` requests a second; each is sent at its time, however late the others.
+    pub fn start(stage: &Stage, per_second: u32) -> Load {
+        let stop = Arc::new(AtomicBool::new(false));
+        let site = stage.site.clone();
+        let ledger = stage.ledger.clone();
+        let balancer = stage.balancer.clone();
+        let killed = stage.killed.clone();
+        let stopped = stop.clone();
+        let task = tokio::spawn(async move {
+            let dialer = Dialer::new(Duration::from_millis(500));
+            let mut ticks = interval(Duration::from_secs(1) / per_second);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
+            let mut calls = JoinSet::new();
+            let mut token = 0;
+            while !stopped.load(Ordering::SeqCst) {
+                ticks.tick().await;
+                while calls.try_join_next().is_some() {}
+                token += 1;
+                let call = next(&site, token);
+                let sent = one(
+                    ledger.clone(),
+                    balancer.clone(),
+                    killed.clone(),
+                    dialer.clone(),
+                    call,
+                );
+                calls.spawn(sent);
+            }
+            while calls.join_next().await.is_some() {}
+        });
+        Load { stop, task }
+    }
+
+    /// Sends no more and waits for the answers.
+    pub async fn stop(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        let _ = self.task.await;
+    }
+}
+
+/// Each third request is not repeatable.
+fn next(site: &Site, token: u64) -> Call {
+    let mut random = rand::rng();
+    let pool = &site.pools[random.random_range(0..site.pools.len())];
+    let (service, _) = pool.services[random.random_range(0..pool.services.len())];
+    let long = token.is_multiple_of(LONG_EVERY);
+    Call {
+        token,
+        credential: format!("{}:{}", pool.account, caller_secret(pool.account)),
+        service: service.to_owned(),
+        repeatable: !token.is_multiple_of(3),
+        run_ms: if long {
+            LONG_MS
+        } else {
+            random.random_range(SHORT_MS)
+        },
+        body: Bytes::from(vec![b'x'; random.random_range(0..MAX_BODY)]),
+    }
+}
+
+/// Counts how often each entry box was killed; a connection that broke is its doing only if the
+/// count went up while the request was under way.
+pub type Kills = Arc<Vec<std::sync::atomic::AtomicU64>>;
+
+async fn one(ledger: Ledger, balancer: Arc<Balancer>, kills: Kills, dialer: Dialer, call: Call) {
+    ledger.sent(call.token, call.repeatable);
+    let Some(entry) = balancer.pick() else {
+        ledger.told(call.token, Told::NotRun);
+        return;
+    };
+    let before = kills[entry].load(Ordering::SeqCst);
+    let told = caller::call(&dialer, balancer.addr(entry), &call).await;
+    let killed = kills[entry].load(Ordering::SeqCst) > before;
+    let told = if told == Told::Nothing && killed {
+        Told::Killed
+    } else {
+        told
+    };
+    ledger.told(call.token, told);
+}
--- /dev/null
+++ b/cli/src/trial/stage.rs
@@ -0,0 +1,276 @@
+//! The stage of a trial: stand-ins for the platform, and six daemons.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use rand::RngExt;
+use spokelift_lib::metrics::Totals;
+use spokelift_lib::protocol::wire::derive_key;
+use spokelift_lib::settings::Settings;
+use spokelift_lib::state::account::format_hash;
+use spokelift_lib::state::account::hash_secret;
+use spokelift_lib::transport::dial::Dialer;
+use spokelift_testutils::boxes::Boxes;
+use spokelift_testutils::caller;
+use spokelift_testutils::caller::Balancer;
+use spokelift_testutils::caller::Call;
+use spokelift_testutils::entry::Entry;
+use spokelift_testutils::ledger::Ledger;
+use spokelift_testutils::ledger::Told;
+use spokelift_testutils::log::Log;
+use spokelift_testutils::site::Site;
+use spokelift_testutils::site::caller_secret;
+use spokelift_testutils::worker::Worker;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+
+use crate::client::Client;
+use crate::trial::load::Kills;
+
+/// Daemons of a site.
+pub const DAEMONS: u16 = 6;
+/// Time a worker's reboot takes.
+const REBOOT: Duration = Duration::from_millis(600);
+/// Time between the balancer's health checks.
+const HEALTH_EVERY: Duration = Duration::from_millis(200);
+/// The site operator's secret.
+const SITE_SECRET: &str = "trial-site-secret";
+/// A key that is published in mid-trial.
+const NEW_KEY: &str = "a-new-caller-secret";
+/// Longest wait for the stage to be ready.
+const PATIENCE: Duration = Duration::from_secs(15);
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// The stand-ins and the daemons.
+pub struct Stage {
+    pub site: Site,
+    pub ledger: Ledger,
+    pub balancer: Arc<Balancer>,
+    log: Log,
+    boxes: Boxes,
+    workers: Vec<Worker>,
+    settings: Vec<Settings>,
+    entries: Vec<Option<Entry>>,
+    /// How often each daemon was killed.
+    pub killed: Kills,
+    checks: AbortHandle,
+}
+
+impl Stage {
+    /// Starts everything.
+    pub async fn set(site: Site) -> std::io::Result<Stage> {
+        let ledger = Ledger::new(site.ledger_pools());
+        let log = Log::start().await?;
+        let mut workers = Vec::new();
+        for listed in site.boxes() {
+            workers.push(Worker::start(listed, ledger.clone(), REBOOT).await?);
+        }
+        let listed = workers.iter().map(|worker| worker.listed.clone());
+        let boxes = Boxes::start(listed.collect()).await?;
+        let settings = settings(&site, log.addr, boxes.addr)?;
+        let mut entries = Vec::new();
+        for settings in &settings {
+            entries.push(Some(start_entry(settings)?));
+        }
+        let addrs = settings.iter().map(|settings| settings.call_addr);
+        let balancer = Arc::new(Balancer::new(addrs.collect()));
+        let checked = balancer.clone();
+        let checks = tokio::spawn(async move { checked.keep_checking(HEALTH_EVERY).await });
+        let checks = checks.abort_handle();
+        let killed: Kills = Arc::new((0..DAEMONS).map(|_| AtomicU64::new(0)).collect());
+        Ok(Stage {
+            site,
+            ledger,
+            balancer,
+            log,
+            boxes,
+            workers,
+            settings,
+            entries,
+            killed,
+            checks,
+        })
+    }
+
+    /// Waits until something holds; gives up after a while, and what follows will tell.
+    pub async fn until(&self, what: &str, holds: impl Fn(&Stage) -> bool) {
+        let begun = Instant::now();
+        while !holds(self) {
+            if begun.elapsed() > PATIENCE {
+                println!("gave up waiting until {what}");
+                return;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// The site operator's client at one daemon.
+    pub fn site_client(&self, daemon: usize) -> Client {
+        Client::new(
+            self.settings[daemon].operate_addr,
+            &format!("site:{SITE_SECRET}"),
+        )
+    }
+
+    /// The site operator's client at a daemon that runs.
+    pub fn any_client(&self) -> Client {
+        let running = self.entries.iter().position(Option::is_some);
+        self.site_client(running.unwrap_or(0))
+    }
+
+    /// The site's configuration with one more caller's key for the first account.
+    pub fn config_with_new_key(&self) -> String {
+        let account = self.site.pools[0].account;
+        let old = format_hash(&hash_secret(&caller_secret(account)));
+        let new = format_hash(&hash_secret(NEW_KEY));
+        self.site
+            .config()
+            .replacen(&old, &format!("{old}\", \"{new}"), 1)
+    }
+
+    /// Waits until the new key is good at every entry box, as its callers see it.
+    pub async fn new_key_everywhere(&self) {
+        let dialer = Dialer::new(Duration::from_secs(1));
+        let pool = &self.site.pools[0];
+        let begun = Instant::now();
+        for settings in &self.settings {
+            loop {
+                let call = Call {
+                    token: rand::rng().random(),
+                    credential: format!("{}:{NEW_KEY}", pool.account),
+                    service: pool.services[0].0.to_owned(),
+                    repeatable: true,
+                    run_ms: 1,
+                    body: Bytes::new(),
+                };
+                let told = caller::call_on(&self.ledger, &dialer, settings.call_addr, &call).await;
+                if told == Told::Answered || begun.elapsed() > PATIENCE {
+                    break;
+                }
+                sleep(LOOK).await;
+            }
+        }
+    }
+
+    /// Kills a worker of the first pool that serves. Returns its name.
+    pub fn kill_worker(&self) -> String {
+        let first = &self.workers[..self.site.pools[0].boxes];
+        let mut serving = first.iter().filter(|worker| !worker.status().draining);
+        // The last one is the furthest from its turn in most orders.
+        let victim = serving.next_back().unwrap_or(&first[0]);
+        victim.kill();
+        victim.listed.name.to_string()
+    }
+
+    /// Kills a daemon.
+    pub fn kill_daemon(&mut self, daemon: usize) {
+        if let Some(entry) = self.entries[daemon].take() {
+            self.killed[daemon].fetch_add(1, Ordering::SeqCst);
+            entry.kill();
+        }
+    }
+
+    /// Starts an empty daemon in the place of one that is gone.
+    pub fn replace_daemon(&mut self, daemon: usize) -> std::io::Result<()> {
+        self.entries[daemon] = Some(start_entry(&self.settings[daemon])?);
+        Ok(())
+    }
+
+    /// Stops a daemon as an operator would, under load.
+    pub async fn stop_one(&mut self, daemon: usize) {
+        if let Some(entry) = self.entries[daemon].take() {
+            entry.stop().await;
+            println!("stopped daemon {daemon} under load");
+        }
+    }
+
+    /// The counters of the daemons that run, added up.
+    pub async fn totals(&self) -> Totals {
+        let mut sum = Totals::new();
+        for (daemon, entry) in self.entries.iter().enumerate() {
+            if entry.is_none() {
+                continue;
+            }
+            let totals: Result<Totals, _> = self.site_client(daemon).get("/v1/counters").await;
+            for (name, total) in totals.unwrap_or_default() {
+                *sum.entry(name).or_default() += total;
+            }
+        }
+        sum
+    }
+
+    /// Ends everything.
+    pub async fn strike(mut self) {
+        self.checks.abort();
+        for entry in self.entries.iter_mut().filter_map(Option::take) {
+            // Waiting for the thread lets its sockets close before the process ends.
+            let killed = entry.kill();
+            let _ = tokio::task::spawn_blocking(move || killed.join()).await;
+        }
+        self.log.stop();
+        self.boxes.stop();
+        for worker in &self.workers {
+            worker.kill();
+        }
+    }
+}
+
+/// Starts a daemon away from the current runtime.
+fn start_entry(settings: &Settings) -> std::io::Result<Entry> {
+    let settings = settings.clone();
+    let started = std::thread::spawn(move || Entry::start(settings)).join();
+    started.unwrap_or_else(|_| Err(std::io::Error::other("the daemon's thread panicked")))
+}
+
+/// Settings of six daemons, each on a loopback address of its own.
+fn settings(site: &Site, log: SocketAddr, boxes: SocketAddr) -> std::io::Result<Vec<Settings>> {
+    let mut addrs = Vec::new();
+    for id in 0..DAEMONS {
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 2, 0, id as u8 + 1));
+        addrs.push([free_port(ip)?, free_port(ip)?, free_port(ip)?]);
+    }
+    let mut all = Vec::new();
+    for id in 0..DAEMONS {
+        let others = (0..DAEMONS).filter(|other| *other != id);
+        let peers = others.map(|other| (other, addrs[usize::from(other)][2]));
+        let [call_addr, operate_addr, peer_addr] = addrs[usize::from(id)];
+        all.push(Settings {
+            id,
+            hall: site.halls[usize::from(id) % site.halls.len()].to_owned(),
+            call_addr,
+            operate_addr,
+            peer_addr,
+            peers: peers.collect(),
+            peer_key: derive_key("trial-peer-secret"),
+            log,
+            boxes,
+            site_key: hash_secret(SITE_SECRET),
+            max_age: Duration::from_millis(2500),
+            heartbeat: Duration::from_millis(250),
+            poll: Duration::from_millis(300),
+            appends_per_s: 12,
+            queue_limit: 128,
+            queue_wait: Duration::from_millis(500),
+            call_limit: Duration::from_secs(15),
+            body_limit: 1024 * 1024,
+            stop_delay: Duration::from_secs(1),
+            down_grace: Duration::from_secs(2),
+            statsd: None,
+        });
+    }
+    Ok(all)
+}
+
+/// A port that was free a moment ago, on an address that nothing else of this machine uses.
+fn free_port(ip: IpAddr) -> std::io::Result<SocketAddr> {
+    let tcp = std::net::TcpListener::bind(SocketAddr::new(ip, 0))?;
+    tcp.local_addr()
+}
--- /dev/null
+++ b/lib/src/call.rs
@@ -0,0 +1,214 @@
+//! The caller path: from a caller's request to a target and back.
+//!
+//! What is answered never claims more than is known. A request is *not run* only if no byte of it
+//! reached a target, or a target said that it turned it away; in every other case without a whole
+//! answer the outcome is *unknown*.
+
+mod attempt;
+mod forward;
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Body as HttpBody;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::RETRY_AFTER;
+use hyper::http::request::Parts;
+
+use crate::call::attempt::Call;
+use crate::call::attempt::Payload;
+use crate::coordination::node::Node;
+use crate::protocol::call::CALL;
+use crate::protocol::call::DEADLINE;
+use crate::protocol::call::HEALTH;
+use crate::protocol::call::OUTCOME;
+use crate::protocol::call::REASON;
+use crate::protocol::call::REPEATABLE;
+use crate::protocol::call::Reason;
+use crate::protocol::call::Refused;
+use crate::state::account::Credential;
+use crate::state::account::CredentialError;
+use crate::state::account::Role;
+use crate::state::id::AccountId;
+use crate::transport::dial::Body;
+use crate::transport::dial::BodyError;
+use crate::transport::dial::full;
+
+/// Bodies up to this size are read whole before a target is chosen, so that a caller who sends
+/// half of one has run nothing, and so that a repeatable request can be sent again.
+const WHOLE: u64 = 64 * 1024;
+
+/// Answers one request of a caller or of the balancer.
+pub async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    if request.uri().path() == HEALTH {
+        return health(&node);
+    }
+    match answer(&node, request).await {
+        Ok(response) => {
+            node.counters.count("call.answered");
+            response
+        }
+        Err(refused) => {
+            node.counters.count(&refused.counter());
+            refusal(refused)
+        }
+    }
+}
+
+fn health(node: &Node) -> Response<Body> {
+    let status = match node.is_serving() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = Response::new(full(""));
+    *response.status_mut() = status;
+    response
+}
+
+fn refusal(refused: Refused) -> Response<Body> {
+    let body = serde_json::to_vec(&refused).expect("a refusal can be written as JSON");
+    let mut response = Response::builder()
+        .status(refused.reason.status())
+        .header(CONTENT_TYPE, "application/json")
+        .header(OUTCOME, refused.outcome.as_str())
+        .header(REASON, refused.reason.as_str());
+    if let Some(seconds) = refused.reason.retry_after_s() {
+        response = response.header(RETRY_AFTER, seconds);
+    }
+    response
+        .body(full(body))
+        .expect("the headers are constants")
+}
+
+async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Refused> {
+    let begun = Instant::now();
+    let (head, body) = request.into_parts();
+    let account = credential(node, &head)?;
+    // A request on a connection that was open when the stop began is still served.
+    if !node.basis().is_fresh() {
+        return Err(Refused::not_run(Reason::Stale));
+    }
+    let path = head.uri.path();
+    let service = path
+        .strip_prefix(CALL)
+        .filter(|_| head.method == Method::POST);
+    let service = service.ok_or(Refused::not_run(Reason::Malformed))?;
+    let route = node.routes.find(&account, service);
+    let route = route.ok_or(Refused::not_run(Reason::UnknownService))?;
+    let repeatable = repeatable(&head)?;
+    let limit = limit(node, &head)?;
+    let payload = payload(node, body, limit).await?;
+    node.counters.count(&format!("account.{account}.calls"));
+    let call = Call {
+        node,
+        route,
+        account: &account,
+        service,
+        repeatable,
+        deadline: begun + limit,
+        head: &head,
+    };
+    call.run(payload).await
+}
+
+fn credential(node: &Node, head: &Parts) -> Result<AccountId, Refused> {
+    let found = bearer(head).and_then(|credential| {
+        let fleet = node.replica.fleet();
+        credential.account(&fleet, Role::Caller)
+    });
+    found.map_err(|_| Refused::not_run(Reason::Credential))
+}
+
+/// The credential in a request's head.
+pub(crate) fn bearer(head: &Parts) -> Result<Credential<'_>, CredentialError> {
+    let value = head
+        .headers
+        .get(AUTHORIZATION)
+        .ok_or(CredentialError::Missing)?;
+    let text = value.to_str().map_err(|_| CredentialError::Malformed)?;
+    let token = text
+        .strip_prefix("Bearer ")
+        .ok_or(CredentialError::Malformed)?;
+    Credential::parse(token)
+}
+
+fn repeatable(head: &Parts) -> Result<bool, Refused> {
+    match head.headers.get(REPEATABLE).map(|value| value.as_bytes()) {
+        None | Some(b"false") => Ok(false),
+        Some(b"true") => Ok(true),
+        Some(_) => Err(Refused::not_run(Reason::Malformed)),
+    }
+}
+
+/// How long the request may take: what the caller says, at most the daemon's own limit.
+fn limit(node: &Node, head: &Parts) -> Result<Duration, Refused> {
+    let own = node.settings.call_limit;
+    let Some(value) = head.headers.get(DEADLINE) else {
+        return Ok(own);
+    };
+    let text = value.to_str().ok();
+    let millis: Option<u64> = text.and_then(|text| text.parse().ok());
+    let millis = millis.ok_or(Refused::not_run(Reason::Malformed))?;
+    Ok(own.min(Duration::from_millis(millis)))
+}
+
+/// Reads a small body whole; a large one is passed on as it comes.
+async fn payload(node: &Node, body: Incoming, limit: Duration) -> Result<Payload, Refused> {
+    let hint = body.size_hint();
+    if hint.lower() > node.settings.body_limit {
+        return Err(Refused::not_run(Reason::TooLarge));
+    }
+    if hint.upper().is_none_or(|upper| upper > WHOLE) {
+        return Ok(Payload::Stream(stream(node, body)));
+    }
+    match tokio::time::timeout(limit, body.collect()).await {
+        Ok(Ok(whole)) => Ok(Payload::Whole(whole.to_bytes())),
+        _ => Err(Refused::not_run(Reason::HalfSent)),
+    }
+}
+
+fn stream(node: &Node, body: Incoming) -> Body {
+    let limited = Limited::new(body, node.settings.body_limit as usize);
+    limited.map_err(body_error).boxed_unsync()
+}
+
+fn body_error(error: Box<dyn std::error::Error + Send + Sync>) -> BodyError {
+    if error.is::<LengthLimitError>() {
+        return BodyError::TooLarge;
+    }
+    match error.downcast::<hyper::Error>() {
+        Ok(error) => BodyError::Cut(*error),
+        Err(_) => BodyError::Timeout,
+    }
+}
+
+impl Payload {
+    /// The body for one attempt; none if a stream was used up by an earlier one.
+    fn body(&mut self) -> Option<Body> {
+        match std::mem::replace(self, Payload::Used) {
+            Payload::Whole(bytes) => {
+                *self = Payload::Whole(bytes.clone());
+                Some(full(bytes))
+            }
+            Payload::Stream(body) => Some(body),
+            Payload::Used => None,
+        }
+    }
+
+    /// Takes back a body that was not sent.
+    fn give_back(&mut self, body: Body) {
+        if matches!(self, Payload::Used) {
+            *self = Payload::Stream(body);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/call/forward.rs
@@ -0,0 +1,138 @@
+//! What goes to the target and what comes back.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::body::Body as HttpBody;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONNECTION;
+use hyper::header::HOST;
+use hyper::header::HeaderName;
+use hyper::header::PROXY_AUTHENTICATE;
+use hyper::header::PROXY_AUTHORIZATION;
+use hyper::header::TE;
+use hyper::header::TRAILER;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::header::UPGRADE;
+use tokio::time::Sleep;
+use tokio::time::sleep_until;
+
+use crate::call::attempt::Call;
+use crate::coordination::route::Slot;
+use crate::metrics::Counters;
+use crate::protocol::call::REQUEST;
+use crate::protocol::worker::work_path;
+use crate::transport::dial::Answer;
+use crate::transport::dial::Body;
+use crate::transport::dial::BodyError;
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 7] = [
+    CONNECTION,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Removes the headers that belong to one connection.
+pub(super) fn strip(headers: &mut HeaderMap) {
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
+
+/// The id of an attempt as the target gets it.
+pub(super) fn id_text(id: u128) -> String {
+    format!("{id:032x}")
+}
+
+/// The request to a target; the caller's credential stays here.
+pub(super) fn request(call: &Call<'_>, id: u128, body: Body) -> Request<Body> {
+    let mut request = Request::new(body);
+    *request.method_mut() = call.head.method.clone();
+    let mut path = work_path(call.account, call.service);
+    if let Some(query) = call.head.uri.query() {
+        path.push('?');
+        path.push_str(query);
+    }
+    *request.uri_mut() = path.parse().expect("names and a parsed query make a path");
+    let headers = request.headers_mut();
+    *headers = call.head.headers.clone();
+    strip(headers);
+    headers.remove(AUTHORIZATION);
+    headers.remove(HOST);
+    let id = id_text(id).parse().expect("digits make a header value");
+    headers.insert(REQUEST, id);
+    request
+}
+
+/// An answer on its way to the caller. Holds the target's slot until its end.
+///
+/// An answer that is cut or does not end in time ends in an error, by which the server closes the
+/// caller's connection without its closing bytes: the caller sees that it is not whole.
+pub(super) struct Whole {
+    answer: Answer,
+    slot: Option<Slot>,
+    limit: Pin<Box<Sleep>>,
+    counters: Counters,
+}
+
+impl Whole {
+    pub(super) fn new(answer: Answer, slot: Slot, deadline: Instant, counters: Counters) -> Whole {
+        let limit = Box::pin(sleep_until(deadline.into()));
+        Whole {
+            answer,
+            slot: Some(slot),
+            limit,
+            counters,
+        }
+    }
+
+    pub(super) fn into_body(self) -> Body {
+        self.boxed_unsync()
+    }
+}
+
+impl HttpBody for Whole {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.answer).poll_frame(cx);
+        match &polled {
+            Poll::Pending => {
+                if self.limit.as_mut().poll(cx).is_ready() {
+                    self.counters.count("call.answer-cut.timeout");
+                    return Poll::Ready(Some(Err(BodyError::Timeout)));
+                }
+            }
+            Poll::Ready(None) => self.slot = None,
+            Poll::Ready(Some(Err(_))) => self.counters.count("call.answer-cut.target"),
+            Poll::Ready(Some(Ok(_))) => {}
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.answer.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.answer.size_hint()
+    }
+}
--- /dev/null
+++ b/lib/src/coordination.rs
@@ -0,0 +1,16 @@
+//! Coordination layer: what makes the daemons of a site act as one.
+//!
+//! Each daemon holds a [`replica`] of the fleet that it [`follow`]s from the log and changes only
+//! by [`append`]ing. [`member`]s know of each other by heartbeats; [`fresh`] says when a daemon
+//! may serve; [`drive`] carries out confirmed plans; [`tend`] keeps boxes at their jobs.
+
+pub mod append;
+pub mod drive;
+pub mod follow;
+pub mod fresh;
+pub mod listing;
+pub mod member;
+pub mod node;
+pub mod replica;
+pub mod route;
+pub mod tend;
--- /dev/null
+++ b/lib/src/coordination/drive.rs
@@ -0,0 +1,326 @@
+//! Drives confirmed plans: takes the duty for a plan, and starts its steps as budgets allow.
+//!
+//! One daemon drives a plan at a time, by an epoch that a record on the log gave it. A driver that
+//! was paused and followed by another can do no harm: its records carry the old epoch and are
+//! refused, and its commands to boxes carry a lower fence than its follower's.
+
+mod step;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::coordination::append::AppendError;
+use crate::coordination::append::new_id;
+use crate::coordination::fresh::Basis;
+use crate::coordination::node::Node;
+use crate::state::fleet::Fleet;
+use crate::state::fold::Area;
+use crate::state::fold::Refusal;
+use crate::state::hash;
+use crate::state::id::PlanId;
+use crate::state::id::PoolId;
+use crate::state::id::format_plan;
+use crate::state::plan::Outcome;
+use crate::state::plan::Phase;
+use crate::state::plan::Plan;
+use crate::state::plan::Progress;
+use crate::state::plan::Step;
+use crate::state::record::Body;
+use crate::state::record::Claim;
+
+/// How often the plans are looked at when nothing changes.
+const LOOK: Duration = Duration::from_millis(300);
+
+/// An epoch of a plan that this daemon drives.
+struct Driving {
+    epoch: u32,
+    task: JoinHandle<()>,
+}
+
+/// Looks for plans to drive, for as long as the daemon runs.
+pub async fn run(node: Arc<Node>) {
+    let mut driving: BTreeMap<PlanId, Driving> = BTreeMap::new();
+    let mut changes = node.replica.changes();
+    loop {
+        let _ = timeout(LOOK, changes.changed()).await;
+        driving.retain(|_, driving| !driving.task.is_finished());
+        if node.basis() != Basis::Log {
+            continue;
+        }
+        for plan in wanted(&node, &driving) {
+            take_over(&node, plan, &mut driving).await;
+        }
+    }
+}
+
+/// Plans that this daemon should drive and does not: those whose holder is gone or was an earlier
+/// life of this daemon, and that fall to it by rendezvous hash.
+fn wanted(node: &Node, driving: &BTreeMap<PlanId, Driving>) -> Vec<(PlanId, u32)> {
+    let now = Instant::now();
+    let live = node.live();
+    let own = node.settings.id;
+    let fleet = node.replica.fleet();
+    let driven = fleet.plans.values().filter(|plan| plan.phase.is_driven());
+    let orphaned = driven.filter(|plan| match plan.driver.holder {
+        None => hash::owner(&plan.id.to_le_bytes(), &live) == Some(own),
+        Some(holder) if holder == own => {
+            let held = driving.get(&plan.id);
+            held.is_none_or(|held| held.epoch != plan.driver.epoch)
+        }
+        Some(holder) => {
+            let gone = !node.members.is_live(holder, now);
+            gone && hash::owner(&plan.id.to_le_bytes(), &live) == Some(own)
+        }
+    });
+    orphaned
+        .map(|plan| (plan.id, plan.driver.epoch + 1))
+        .collect()
+}
+
+async fn take_over(
+    node: &Arc<Node>,
+    (plan, epoch): (PlanId, u32),
+    driving: &mut BTreeMap<PlanId, Driving>,
+) {
+    let body = Body::Drive {
+        plan,
+        holder: node.settings.id,
+        epoch,
+    };
+    match node.appender.submit(new_id(), body).await {
+        Ok(_) => {
+            node.counters.count("drive.taken-over");
+            log::info!(plan = format_plan(plan).as_str(), epoch; "drives plan");
+            let driver = Driver {
+                node: node.clone(),
+                plan,
+                epoch,
+            };
+            let task = tokio::spawn(driver.run());
+            driving.insert(plan, Driving { epoch, task });
+        }
+        Err(AppendError::Refused(_)) => node.counters.count("drive.lost-race"),
+        Err(_) => node.counters.count("drive.not-known"),
+    }
+}
+
+/// One epoch of one plan.
+#[derive(Clone)]
+struct Driver {
+    node: Arc<Node>,
+    plan: PlanId,
+    epoch: u32,
+}
+
+/// What a look at the plan found to do.
+#[derive(Default)]
+struct Look {
+    over: bool,
+    begin: Vec<u32>,
+    skip: Vec<(u32, Outcome)>,
+}
+
+impl Driver {
+    async fn run(self) {
+        let mut changes = self.node.replica.changes();
+        let mut steps = JoinSet::new();
+        let mut begun = BTreeSet::new();
+        let mut only_down_since = None;
+        loop {
+            while let Some(ended) = steps.try_join_next() {
+                let index = ended.expect("a step's task does not panic");
+                begun.remove(&index);
+            }
+            let look = self.look(&begun, &mut only_down_since);
+            if look.over {
+                return;
+            }
+            for index in look.begin {
+                begun.insert(index);
+                let driver = self.clone();
+                steps.spawn(async move {
+                    driver.run_step(index).await;
+                    index
+                });
+            }
+            for (index, outcome) in look.skip {
+                self.skip(index, outcome).await;
+            }
+            let ended = tokio::time::sleep(LOOK);
+            tokio::select! {
+                () = ended => {}
+                _ = changes.changed() => {}
+            }
+        }
+    }
+
+    fn claim(&self, step: u32) -> Claim {
+        Claim {
+            plan: self.plan,
+            epoch: self.epoch,
+            step,
+        }
+    }
+
+    /// Decides which steps to begin and which to give up, as the fleet stands.
+    fn look(&self, begun: &BTreeSet<u32>, only_down_since: &mut Option<Instant>) -> Look {
+        let fleet = self.node.replica.fleet();
+        let Some(plan) = fleet.plans.get(&self.plan) else {
+            return Look {
+                over: true,
+                ..Look::default()
+            };
+        };
+        if !plan.phase.is_driven() || plan.driver.epoch != self.epoch {
+            return Look {
+                over: true,
+                ..Look::default()
+            };
+        }
+        let mut look = Look::default();
+        self.resume(plan, begun, &mut look);
+        if plan.phase == Phase::Running {
+            let blocked = self.begin(&fleet, plan, begun, &mut look);
+            let idle = begun.is_empty() && look.begin.is_empty();
+            self.give_up(blocked, idle, only_down_since, &mut look);
+        }
+        look
+    }
+
+    /// Steps that an earlier epoch began.
+    fn resume(&self, plan: &Plan, begun: &BTreeSet<u32>, look: &mut Look) {
+        for (index, step) in indexed(plan) {
+            if step.progress.is_begun() && !begun.contains(&index) {
+                look.begin.push(index);
+            }
+        }
+    }
+
+    /// Steps whose turn it is. Returns those that wait for a box that is down or gone.
+    fn begin(
+        &self,
+        fleet: &Fleet,
+        plan: &Plan,
+        begun: &BTreeSet<u32>,
+        look: &mut Look,
+    ) -> Vec<(u32, Outcome)> {
+        let mut room = Room::new(fleet, plan, begun);
+        let mut blocked = Vec::new();
+        for (index, step) in indexed(plan) {
+            if step.progress != Progress::Waiting || begun.contains(&index) {
+                continue;
+            }
+            let pool = pool_of(fleet, step);
+            if !room.has(plan, &pool) {
+                continue;
+            }
+            match may_begin(fleet, step) {
+                Ok(()) => {
+                    room.take(&pool);
+                    look.begin.push(index);
+                }
+                Err(Refusal::Budget {
+                    area: Area::Pool, ..
+                }) => room.close(&pool),
+                Err(Refusal::Down { .. } | Refusal::NoBox { .. }) => {
+                    blocked.push((index, Outcome::Down));
+                }
+                Err(_) => {}
+            }
+        }
+        blocked
+    }
+
+    /// A box that is down when all else is done gets some time, then its step is given up.
+    fn give_up(
+        &self,
+        blocked: Vec<(u32, Outcome)>,
+        idle: bool,
+        only_down_since: &mut Option<Instant>,
+        look: &mut Look,
+    ) {
+        if blocked.is_empty() || !idle {
+            *only_down_since = None;
+            return;
+        }
+        let since = *only_down_since.get_or_insert_with(Instant::now);
+        if since.elapsed() >= self.node.settings.down_grace {
+            look.skip = blocked;
+        }
+    }
+
+    async fn skip(&self, step: u32, outcome: Outcome) {
+        let finish = Body::Finish(self.claim(step), outcome);
+        if self.node.appender.submit(new_id(), finish).await.is_ok() {
+            self.node.counters.count("drive.step.given-up");
+        }
+    }
+}
+
+fn indexed(plan: &Plan) -> impl Iterator<Item = (u32, &Step)> {
+    plan.steps
+        .iter()
+        .enumerate()
+        .map(|(index, step)| (index as u32, step))
+}
+
+/// Whether a waiting step could begin as the fleet stands; the log decides when it does.
+fn may_begin(fleet: &Fleet, step: &Step) -> Result<(), Refusal> {
+    if step.action.takes_out() {
+        return fleet.check_budget(&step.target);
+    }
+    Ok(())
+}
+
+/// The pool in whose width a step counts: the one its box is in.
+fn pool_of(fleet: &Fleet, step: &Step) -> Option<PoolId> {
+    fleet
+        .boxes
+        .get(&step.target)
+        .map(|entry| entry.pool.clone())
+}
+
+/// How many more steps may be under way in each pool.
+struct Room {
+    taken: BTreeMap<Option<PoolId>, u32>,
+    closed: BTreeSet<Option<PoolId>>,
+}
+
+impl Room {
+    fn new(fleet: &Fleet, plan: &Plan, begun: &BTreeSet<u32>) -> Room {
+        let mut room = Room {
+            taken: BTreeMap::new(),
+            closed: BTreeSet::new(),
+        };
+        for (index, step) in indexed(plan) {
+            if step.progress.is_begun() || begun.contains(&index) {
+                room.take(&pool_of(fleet, step));
+            }
+        }
+        room
+    }
+
+    fn take(&mut self, pool: &Option<PoolId>) {
+        *self.taken.entry(pool.clone()).or_default() += 1;
+    }
+
+    fn close(&mut self, pool: &Option<PoolId>) {
+        self.closed.insert(pool.clone());
+    }
+
+    fn has(&self, plan: &Plan, pool: &Option<PoolId>) -> bool {
+        // Boxes in no pool are claimed without taking anything out.
+        let Some(id) = pool else {
+            return true;
+        };
+        let taken = self.taken.get(pool).copied().unwrap_or(0);
+        !self.closed.contains(pool) && taken < plan.width_of(id)
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/drive/step.rs
@@ -0,0 +1,363 @@
+//! Carries out one step of a plan, from wherever an earlier driver left it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use thiserror::Error;
+use tokio::time::sleep;
+
+use crate::coordination::append::AppendError;
+use crate::coordination::drive::Driver;
+use crate::coordination::tend;
+use crate::protocol::worker::Action as Order;
+use crate::protocol::worker::Command;
+use crate::protocol::worker::Status;
+use crate::state::fold::Refusal;
+use crate::state::id::BoxId;
+use crate::state::id::Offset;
+use crate::state::id::ServiceKey;
+use crate::state::plan::Action;
+use crate::state::plan::Outcome;
+use crate::state::plan::Progress;
+use crate::state::plan::Step;
+use crate::state::record::Body;
+use crate::transport::dial::ExchangeError;
+
+/// Pause between two looks at a box.
+const LOOK: Duration = Duration::from_millis(100);
+/// Looks in a row that must find a box idle.
+const IDLE_LOOKS: u32 = 2;
+/// Time beyond the freshness limit that a silent daemon is given.
+const SILENT_MARGIN: Duration = Duration::from_millis(500);
+/// Time a job may take to run after it was ordered.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// Why a step stopped before its end.
+#[derive(Debug, Error)]
+enum StepError {
+    /// Another driver has taken over, or the plan is over.
+    #[error("another driver has taken over")]
+    Superseded,
+    /// The log's rule does not let the step go on now.
+    #[error(transparent)]
+    Refused(Refusal),
+    /// The record could not be handed in.
+    #[error("the record could not be handed in")]
+    Busy,
+}
+
+impl From<AppendError> for StepError {
+    fn from(error: AppendError) -> StepError {
+        match error {
+            AppendError::Refused(Refusal::Epoch { .. } | Refusal::Superseded) => {
+                StepError::Superseded
+            }
+            AppendError::Refused(refusal) => StepError::Refused(refusal),
+            AppendError::Unknown(_) | AppendError::Busy => StepError::Busy,
+        }
+    }
+}
+
+/// The box a step acts on, as it was when the step began.
+#[derive(Clone)]
+struct Target {
+    id: BoxId,
+    addr: SocketAddr,
+    drain_limit: Duration,
+    lost_after: Duration,
+}
+
+impl Driver {
+    /// Runs step `index`; counts how it went.
+    pub(super) async fn run_step(&self, index: u32) {
+        let counter = match self.try_step(index).await {
+            Ok(Outcome::Done) => "drive.step.done",
+            Ok(Outcome::DrainLimit) => "drive.step.drain-limit",
+            Ok(Outcome::Lost) => "drive.step.lost",
+            Ok(_) => "drive.step.given-up",
+            Err(StepError::Superseded) => "drive.step.superseded",
+            Err(StepError::Refused(Refusal::Budget { .. })) => "drive.step.refused.budget",
+            Err(StepError::Refused(Refusal::MinUp { .. })) => "drive.step.refused.min-up",
+            Err(StepError::Refused(Refusal::Busy { .. })) => "drive.step.refused.busy",
+            Err(StepError::Refused(_)) => "drive.step.refused.other",
+            Err(StepError::Busy) => "drive.step.busy",
+        };
+        self.node.counters.count(counter);
+    }
+
+    async fn try_step(&self, index: u32) -> Result<Outcome, StepError> {
+        let step = self.step(index)?;
+        let outcome = match &step.action {
+            Action::Reboot => self.reboot(index, &step).await?,
+            Action::Move { .. } => self.move_box(index, &step).await?,
+            Action::Release => self.release(index, &step).await?,
+            Action::Claim { .. } => self.claim_box(index, &step).await?,
+            Action::Start { job } => self.start(index, &step, job).await?,
+            Action::Stop { .. } => self.stop(index, &step).await?,
+        };
+        self.append(Body::Finish(self.claim(index), outcome))
+            .await?;
+        Ok(outcome)
+    }
+
+    async fn reboot(&self, index: u32, step: &Step) -> Result<Outcome, StepError> {
+        let target = self.target(step)?;
+        let permit = self.permit(index, step).await?;
+        if let Some(outcome) = self.drain(&target, permit).await? {
+            return Ok(outcome);
+        }
+        if !self
+            .order_until(&target, Order::Reboot { operation: permit })
+            .await?
+        {
+            return Ok(Outcome::Lost);
+        }
+        let back = |status: &Status| status.rebooted_for == Some(permit);
+        if !self.wait_until(&target, back).await? {
+            return Ok(Outcome::Lost);
+        }
+        self.bring_back(&target).await
+    }
+
+    async fn move_box(&self, index: u32, step: &Step) -> Result<Outcome, StepError> {
+        let target = self.target(step)?;
+        if !matches!(step.progress, Progress::Assigned { .. }) {
+            let permit = self.permit(index, step).await?;
+            if let Some(outcome) = self.drain(&target, permit).await? {
+                return Ok(outcome);
+            }
+            if !self
+                .order_until(&target, Order::Jobs { jobs: Vec::new() })
+                .await?
+            {
+                return Ok(Outcome::Lost);
+            }
+            self.append(Body::Assign(self.claim(index))).await?;
+        }
+        self.bring_back(&target).await
+    }
+
+    async fn release(&self, index: u32, step: &Step) -> Result<Outcome, StepError> {
+        if matches!(step.progress, Progress::Assigned { .. }) {
+            return Ok(Outcome::Done);
+        }
+        let target = self.target(step)?;
+        let permit = self.permit(index, step).await?;
+        if let Some(outcome) = self.drain(&target, permit).await? {
+            return Ok(outcome);
+        }
+        self.order_until(&target, Order::Jobs { jobs: Vec::new() })
+            .await?;
+        self.append(Body::Assign(self.claim(index))).await?;
+        Ok(Outcome::Done)
+    }
+
+    async fn claim_box(&self, index: u32, step: &Step) -> Result<Outcome, StepError> {
+        if step.progress == Progress::Waiting {
+            self.append(Body::Assign(self.claim(index))).await?;
+        }
+        Ok(Outcome::Done)
+    }
+
+    async fn start(&self, index: u32, step: &Step, job: &ServiceKey) -> Result<Outcome, StepError> {
+        if step.progress == Progress::Waiting {
+            self.append(Body::Assign(self.claim(index))).await?;
+        }
+        let target = Target {
+            lost_after: START_LIMIT,
+            ..self.target(step)?
+        };
+        // A box that is out under another plan gets its jobs from that plan's driver.
+        if !self.is_out(&target) {
+            self.order_until(&target, self.jobs(&target)).await?;
+        }
+        let running = |status: &Status| status.jobs.contains(job);
+        let started = self.wait_until(&target, running).await?;
+        Ok(if started {
+            Outcome::Done
+        } else {
+            Outcome::Lost
+        })
+    }
+
+    async fn stop(&self, index: u32, step: &Step) -> Result<Outcome, StepError> {
+        let target = self.target(step)?;
+        if !matches!(step.progress, Progress::Assigned { .. }) {
+            let permit = self.permit(index, step).await?;
+            if let Some(outcome) = self.drain(&target, permit).await? {
+                return Ok(outcome);
+            }
+            self.append(Body::Assign(self.claim(index))).await?;
+        }
+        self.bring_back(&target).await
+    }
+
+    /// Starts the box's jobs and lets it serve.
+    async fn bring_back(&self, target: &Target) -> Result<Outcome, StepError> {
+        let started = self.order_until(target, self.jobs(target)).await?;
+        if started && self.order_until(target, Order::Resume).await? {
+            return Ok(Outcome::Done);
+        }
+        Ok(Outcome::Lost)
+    }
+
+    fn jobs(&self, target: &Target) -> Order {
+        let fleet = self.node.replica.fleet();
+        Order::Jobs {
+            jobs: fleet.jobs_on(&target.id).cloned().collect(),
+        }
+    }
+
+    /// Gets permission to take the box out, unless an earlier driver did.
+    async fn permit(&self, index: u32, step: &Step) -> Result<Offset, StepError> {
+        match step.progress.permit() {
+            Some(permit) => Ok(permit),
+            None => self.append(Body::Permit(self.claim(index))).await,
+        }
+    }
+
+    async fn append(&self, body: Body) -> Result<Offset, StepError> {
+        Ok(self.node.appender.submit_whatever_it_takes(body).await?)
+    }
+
+    /// Waits until no daemon sends the box anything and nothing runs on it.
+    ///
+    /// Returns an outcome if that was not to be had; the box then serves as before.
+    async fn drain(&self, target: &Target, permit: Offset) -> Result<Option<Outcome>, StepError> {
+        let begun = Instant::now();
+        if !self.order_until(target, Order::Drain).await? {
+            return Ok(Some(Outcome::Lost));
+        }
+        let mut idle = 0;
+        while idle < IDLE_LOOKS {
+            if begun.elapsed() > target.drain_limit {
+                self.order_until(target, Order::Resume).await?;
+                return Ok(Some(Outcome::DrainLimit));
+            }
+            sleep(LOOK).await;
+            self.check_epoch()?;
+            let released = self.is_released(target, permit, begun);
+            let status = tend::status(&self.node, target.addr).await;
+            let quiet = matches!(status, Ok(status) if status.inflight == 0);
+            idle = if released && quiet { idle + 1 } else { 0 };
+        }
+        Ok(None)
+    }
+
+    /// Whether every daemon that may serve has applied the permit and has no request on the box.
+    ///
+    /// A daemon that is not heard of may still be serving for as long as the freshness rule lets
+    /// it. Its quorum case needs a majority that knows no more than it does, so a majority that
+    /// has applied the permit, the freshness limit ago, rules that out.
+    fn is_released(&self, target: &Target, permit: Offset, begun: Instant) -> bool {
+        let releases = self
+            .node
+            .members
+            .releases(&target.id, permit, Instant::now());
+        if releases.holding > 0 || self.node.routes.busy_boxes().contains(&target.id) {
+            return false;
+        }
+        if releases.silent == 0 {
+            return true;
+        }
+        let majority = 2 * (releases.released + 1) > self.node.members.configured();
+        majority && begun.elapsed() > self.node.settings.max_age + SILENT_MARGIN
+    }
+
+    /// Gives an order until the box takes it. Returns false when it has not for too long.
+    async fn order_until(&self, target: &Target, order: Order) -> Result<bool, StepError> {
+        let begun = Instant::now();
+        loop {
+            self.check_epoch()?;
+            let command = Command {
+                fence: self.fence(target),
+                action: order.clone(),
+            };
+            match tend::command(&self.node, target.addr, command).await {
+                Ok(_) => return Ok(true),
+                Err(ExchangeError::Status(409)) => {
+                    self.node.counters.count("drive.order.fenced");
+                }
+                Err(_) => self.node.counters.count("drive.order.failed"),
+            }
+            if begun.elapsed() > target.lost_after {
+                return Ok(false);
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Waits for a status. Returns false when it has not come for too long.
+    async fn wait_until(
+        &self,
+        target: &Target,
+        reached: impl Fn(&Status) -> bool,
+    ) -> Result<bool, StepError> {
+        let begun = Instant::now();
+        loop {
+            self.check_epoch()?;
+            let status = tend::status(&self.node, target.addr).await;
+            if matches!(&status, Ok(status) if reached(status)) {
+                return Ok(true);
+            }
+            if begun.elapsed() > target.lost_after {
+                return Ok(false);
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Fence of this epoch for the box: above that of every earlier epoch and change.
+    fn fence(&self, target: &Target) -> Offset {
+        let fleet = self.node.replica.fleet();
+        let version = fleet.boxes.get(&target.id).map_or(0, |entry| entry.version);
+        let epoch = fleet
+            .plans
+            .get(&self.plan)
+            .map_or(0, |plan| plan.driver.fence);
+        version.max(epoch)
+    }
+
+    fn is_out(&self, target: &Target) -> bool {
+        let fleet = self.node.replica.fleet();
+        fleet
+            .boxes
+            .get(&target.id)
+            .is_some_and(|entry| entry.out.is_some())
+    }
+
+    fn check_epoch(&self) -> Result<(), StepError> {
+        let fleet = self.node.replica.fleet();
+        let plan = fleet.plans.get(&self.plan);
+        match plan {
+            Some(plan) if plan.driver.epoch == self.epoch => Ok(()),
+            _ => Err(StepError::Superseded),
+        }
+    }
+
+    fn step(&self, index: u32) -> Result<Step, StepError> {
+        let fleet = self.node.replica.fleet();
+        let plan = fleet.plans.get(&self.plan).ok_or(StepError::Superseded)?;
+        plan.steps
+            .get(index as usize)
+            .cloned()
+            .ok_or(StepError::Superseded)
+    }
+
+    fn target(&self, step: &Step) -> Result<Target, StepError> {
+        let fleet = self.node.replica.fleet();
+        let id = step.target.clone();
+        let Some(entry) = fleet.boxes.get(&id) else {
+            return Err(StepError::Refused(Refusal::NoBox { target: id }));
+        };
+        let pool = &fleet.pools[&entry.pool];
+        let lost_after = Duration::from_secs(u64::from(pool.maintenance_s)) * 3;
+        Ok(Target {
+            id,
+            addr: entry.shape.addr,
+            drain_limit: Duration::from_secs(pool.drain_limit_s.into()),
+            lost_after,
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/member.rs
@@ -0,0 +1,334 @@
+//! Which peers are alive, by heartbeats over UDP.
+//!
+//! A peer is live while it was heard of within [`Members::suspect_after`]. A daemon that finds its
+//! own loop late (it was paused, or starved) gives every peer a new chance before suspecting it,
+//! as Lifeguard (Dadgar et al., 2018) does for SWIM.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::coordination::fresh::Heard;
+use crate::coordination::node::Node;
+use crate::protocol::wire::Beat;
+use crate::protocol::wire::Frame;
+use crate::protocol::wire::MAX_BUSY;
+use crate::protocol::wire::MAX_DATAGRAM;
+use crate::protocol::wire::WireError;
+use crate::state::hash;
+use crate::state::id::BoxId;
+use crate::state::id::DaemonId;
+use crate::state::id::Incarnation;
+use crate::state::id::Offset;
+
+/// Shortest pause between two beats to the same peer.
+const MIN_GAP: Duration = Duration::from_millis(100);
+/// A gap of this many intervals between two of its own ticks tells a daemon that it was paused.
+const LATE_TICKS: u32 = 3;
+/// Pause after a socket error.
+const ERROR_PAUSE: Duration = Duration::from_millis(50);
+
+/// What is known of the other daemons of the site.
+#[derive(Debug)]
+pub struct Members {
+    own: DaemonId,
+    incarnation: Incarnation,
+    suspect_after: Duration,
+    peers: Mutex<BTreeMap<DaemonId, Peer>>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    addr: SocketAddr,
+    incarnation: Incarnation,
+    received: u64,
+    sent: u64,
+    heard: Option<Instant>,
+    /// Until when it is not suspected although it has not been heard of.
+    spared: Option<Instant>,
+    beat: Beat,
+}
+
+impl Members {
+    /// Members of which none has been heard of yet.
+    pub fn new(
+        own: DaemonId,
+        incarnation: Incarnation,
+        suspect_after: Duration,
+        peers: &[(DaemonId, SocketAddr)],
+    ) -> Members {
+        let unheard = |addr| Peer {
+            addr,
+            incarnation: 0,
+            received: 0,
+            sent: 0,
+            heard: None,
+            spared: None,
+            beat: Beat::default(),
+        };
+        let peers = peers.iter().map(|(id, addr)| (*id, unheard(*addr)));
+        let peers = Mutex::new(peers.collect());
+        Members {
+            own,
+            incarnation,
+            suspect_after,
+            peers,
+        }
+    }
+
+    fn peers(&self) -> MutexGuard<'_, BTreeMap<DaemonId, Peer>> {
+        self.peers.lock().expect("no holder of the peers panics")
+    }
+
+    /// How long a peer may be silent.
+    pub fn suspect_after(&self) -> Duration {
+        self.suspect_after
+    }
+
+    /// How many daemons are configured, this one included.
+    pub fn configured(&self) -> usize {
+        self.peers().len() + 1
+    }
+
+    /// Every configured daemon, this one included, in order.
+    pub fn all(&self) -> Vec<DaemonId> {
+        let mut all: Vec<DaemonId> = self.peers().keys().copied().collect();
+        all.push(self.own);
+        all.sort_unstable();
+        all
+    }
+
+    /// Takes in a frame heard at `now`.
+    ///
+    /// A frame that does not name this life of this daemon was recorded before it began, or comes
+    /// from a peer that has not yet heard of it: it teaches the peer's life and no more.
+    pub fn take_in(&self, frame: Frame, now: Instant) -> Result<(), WireError> {
+        let mut peers = self.peers();
+        let peer = peers.get_mut(&frame.from).ok_or(WireError::Stranger)?;
+        if frame.incarnation < peer.incarnation {
+            return Err(WireError::Replay);
+        }
+        if frame.incarnation > peer.incarnation {
+            peer.incarnation = frame.incarnation;
+            peer.received = 0;
+            peer.heard = None;
+        }
+        if frame.to != self.incarnation {
+            return Ok(());
+        }
+        if frame.sequence <= peer.received {
+            return Err(WireError::Replay);
+        }
+        peer.received = frame.sequence;
+        peer.heard = Some(now);
+        peer.beat = frame.beat;
+        Ok(())
+    }
+
+    /// The next frame to a peer, and where it goes.
+    fn frame(&self, id: DaemonId, beat: Beat) -> Option<(SocketAddr, Frame)> {
+        let mut peers = self.peers();
+        let peer = peers.get_mut(&id)?;
+        peer.sent += 1;
+        let frame = Frame {
+            from: self.own,
+            incarnation: self.incarnation,
+            sequence: peer.sent,
+            to: peer.incarnation,
+            beat,
+        };
+        Some((peer.addr, frame))
+    }
+
+    /// The serving daemons, this one included if `own_serving`, in order.
+    pub fn live(&self, now: Instant, own_serving: bool) -> Vec<DaemonId> {
+        let peers = self.peers();
+        let live = |peer: &Peer| peer.is_live(now, self.suspect_after) && peer.beat.serving;
+        let live = peers.iter().filter(|(_, peer)| live(peer));
+        let mut live: Vec<DaemonId> = live.map(|(id, _)| *id).collect();
+        if own_serving {
+            live.push(self.own);
+        }
+        live.sort_unstable();
+        live
+    }
+
+    /// Whether a daemon was heard of lately.
+    pub fn is_live(&self, id: DaemonId, now: Instant) -> bool {
+        if id == self.own {
+            return true;
+        }
+        let peers = self.peers();
+        peers
+            .get(&id)
+            .is_some_and(|peer| peer.is_live(now, self.suspect_after))
+    }
+
+    /// Peers heard of within `max_age`, for the freshness rule.
+    pub fn heard(&self, now: Instant, max_age: Duration) -> Vec<Heard> {
+        let peers = self.peers();
+        let heard = peers
+            .values()
+            .filter_map(|peer| peer.as_heard(now, max_age));
+        heard.collect()
+    }
+
+    /// Live peers with the first offset each has not applied.
+    pub fn offsets(&self, now: Instant) -> Vec<(DaemonId, Offset)> {
+        let peers = self.peers();
+        let live = peers
+            .iter()
+            .filter(|(_, peer)| peer.is_live(now, self.suspect_after));
+        live.map(|(id, peer)| (*id, peer.beat.next)).collect()
+    }
+
+    /// What peers have said about a box taken out at `permit`.
+    pub fn releases(&self, target: &str, permit: Offset, now: Instant) -> Releases {
+        let short = short_hash(target);
+        let mut releases = Releases::default();
+        for peer in self.peers().values() {
+            if !peer.is_live(now, self.suspect_after) {
+                releases.silent += 1;
+            } else if peer.beat.next < permit || peer.beat.busy.contains(&short) {
+                releases.holding += 1;
+            } else {
+                releases.released += 1;
+            }
+        }
+        releases
+    }
+
+    /// Spares every peer heard of before, after this daemon was late itself.
+    ///
+    /// This is for suspicion only: what a peer said before the pause is no fresher for it.
+    fn forgive(&self, now: Instant) {
+        for peer in self.peers().values_mut() {
+            if peer.heard.is_some() {
+                peer.spared = Some(now + self.suspect_after);
+            }
+        }
+    }
+}
+
+/// How many peers have let go of a box.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Releases {
+    /// Have applied the permit and have no request there.
+    pub released: usize,
+    /// Have not applied the permit or still have requests there.
+    pub holding: usize,
+    /// Have not been heard of lately.
+    pub silent: usize,
+}
+
+impl Peer {
+    fn is_live(&self, now: Instant, within: Duration) -> bool {
+        let heard = self
+            .heard
+            .is_some_and(|heard| now.saturating_duration_since(heard) < within);
+        heard || self.spared.is_some_and(|until| now < until)
+    }
+
+    fn as_heard(&self, now: Instant, max_age: Duration) -> Option<Heard> {
+        let age = now.saturating_duration_since(self.heard?);
+        if age >= max_age {
+            return None;
+        }
+        let log_age = self
+            .beat
+            .log_age_ms
+            .map(|ms| Duration::from_millis(ms.into()) + age);
+        Some(Heard {
+            next: self.beat.next,
+            log_age,
+        })
+    }
+}
+
+/// Short name of a box in a heartbeat. Two boxes that share one only make a drain wait longer.
+pub fn short_hash(target: &str) -> u32 {
+    hash::stable(&[target.as_bytes()]) as u32
+}
+
+/// Sends heartbeats to one peer: at the set interval, and soon after each change applied.
+pub async fn beat_to(node: Arc<Node>, socket: Arc<UdpSocket>, peer: DaemonId) {
+    let mut changes = node.replica.changes();
+    loop {
+        let beat = own_beat(&node);
+        if let Some((addr, frame)) = node.members.frame(peer, beat) {
+            let bytes = frame.seal(&node.settings.peer_key);
+            node.counters.add("peer.sent.bytes", bytes.len() as u64);
+            // A datagram that cannot be sent is one that is lost.
+            let _ = socket.send_to(&bytes, addr).await;
+        }
+        sleep(MIN_GAP).await;
+        tokio::select! {
+            () = sleep(node.settings.heartbeat.saturating_sub(MIN_GAP)) => {}
+            _ = changes.changed() => {}
+        }
+    }
+}
+
+fn own_beat(node: &Node) -> Beat {
+    let now = Instant::now();
+    let log_age = node.replica.log_age(now);
+    Beat {
+        next: node.replica.next(),
+        log_age_ms: log_age.map(|age| age.as_millis().min(u128::from(u32::MAX)) as u32),
+        serving: node.is_serving(),
+        inflight: node.routes.inflight(),
+        busy: busy(node),
+    }
+}
+
+fn busy(node: &Node) -> Vec<u32> {
+    let busy: Vec<BoxId> = node.routes.busy_boxes();
+    if busy.len() > MAX_BUSY {
+        // More than fit: name the first ones now, the others once these are idle. Drains wait for
+        // a named box only, so the driver also asks the worker itself before it acts.
+        node.counters.count("peer.busy-overflow");
+    }
+    busy.iter()
+        .take(MAX_BUSY)
+        .map(|id| short_hash(id))
+        .collect()
+}
+
+/// Takes in heartbeats.
+pub async fn listen(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut bytes = [0; MAX_DATAGRAM + 1];
+    loop {
+        let Ok((size, _)) = socket.recv_from(&mut bytes).await else {
+            sleep(ERROR_PAUSE).await;
+            continue;
+        };
+        let frame = Frame::open(&node.settings.peer_key, &bytes[..size]);
+        let taken = frame.and_then(|frame| node.members.take_in(frame, Instant::now()));
+        match taken {
+            Ok(()) => node.counters.count("peer.received"),
+            Err(error) => node.counters.count(error.counter()),
+        }
+    }
+}
+
+/// Watches this daemon's own clock, and forgives the peers when it was late.
+pub async fn watch_pauses(node: Arc<Node>) {
+    let interval = node.settings.heartbeat;
+    let mut last = Instant::now();
+    loop {
+        sleep(interval).await;
+        let now = Instant::now();
+        if now.duration_since(last) > interval * LATE_TICKS {
+            node.counters.count("member.paused");
+            node.members.forgive(now);
+        }
+        last = now;
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/node.rs
@@ -0,0 +1,111 @@
+//! What the tasks of one daemon share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use crate::coordination::append::Appender;
+use crate::coordination::fresh;
+use crate::coordination::fresh::Basis;
+use crate::coordination::fresh::Own;
+use crate::coordination::listing::Listing;
+use crate::coordination::member::Members;
+use crate::coordination::replica::Replica;
+use crate::coordination::route::Routes;
+use crate::metrics::Counters;
+use crate::settings::Settings;
+use crate::state::id::DaemonId;
+use crate::state::id::Incarnation;
+use crate::transport::dial::Dialer;
+
+/// How long a connection to a target or to the platform may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The shared parts of a daemon.
+pub struct Node {
+    /// What it was started with.
+    pub settings: Settings,
+    /// Its counters.
+    pub counters: Counters,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its copy of the fleet.
+    pub replica: Replica,
+    /// Its peers.
+    pub members: Members,
+    /// Its way to the log.
+    pub appender: Appender,
+    /// The box list.
+    pub listing: Listing,
+    /// Where requests go.
+    pub routes: Routes,
+    /// Its outgoing connections.
+    pub dialer: Dialer,
+    stopping: AtomicBool,
+}
+
+impl Node {
+    /// The parts of a daemon that starts now; must be called on its runtime.
+    pub fn new(settings: Settings, counters: Counters) -> Arc<Node> {
+        let incarnation = incarnation();
+        let suspect_after = settings.heartbeat * 4;
+        let members = Members::new(settings.id, incarnation, suspect_after, &settings.peers);
+        let routes = Routes::new(settings.id, members.all(), settings.queue_limit);
+        Arc::new(Node {
+            settings,
+            counters,
+            incarnation,
+            replica: Replica::default(),
+            members,
+            appender: Appender::start(),
+            listing: Listing::default(),
+            routes,
+            dialer: Dialer::new(CONNECT_TIMEOUT),
+            stopping: AtomicBool::new(false),
+        })
+    }
+
+    /// Why this daemon may serve now, or that it may not.
+    pub fn basis(&self) -> Basis {
+        let now = Instant::now();
+        let max_age = self.settings.max_age;
+        let own = Own {
+            next: self.replica.next(),
+            log_age: self.replica.log_age(now),
+        };
+        if own.log_age.is_some_and(|age| age < max_age) {
+            return Basis::Log;
+        }
+        let heard = self.members.heard(now, max_age);
+        fresh::judge(own, &heard, self.members.configured(), max_age)
+    }
+
+    /// Whether this daemon takes callers' requests.
+    pub fn is_serving(&self) -> bool {
+        !self.is_stopping() && self.basis().is_fresh()
+    }
+
+    /// Whether this daemon is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Tells the balancer and the peers that this daemon is stopping.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// The daemons that share the duties now.
+    pub fn live(&self) -> Vec<DaemonId> {
+        self.members.live(Instant::now(), self.is_serving())
+    }
+}
+
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_micros() as Incarnation)
+}
--- /dev/null
+++ b/lib/src/coordination/tend.rs
@@ -0,0 +1,247 @@
+//! Tends the boxes this daemon has the duty for: sees whether they answer, and keeps the jobs
+//! running on them that the fleet has placed there.
+//!
+//! The duty for a box goes by rendezvous hash among the live daemons. Two daemons that differ
+//! about it do no harm: commands carry the box's version as fence, and the worker refuses a lower
+//! one than it has seen.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::coordination::fresh::Basis;
+use crate::coordination::node::Node;
+use crate::protocol::worker::Action;
+use crate::protocol::worker::COMMAND;
+use crate::protocol::worker::Command;
+use crate::protocol::worker::STATUS;
+use crate::protocol::worker::Status;
+use crate::state::hash;
+use crate::state::id::BoxId;
+use crate::state::id::Offset;
+use crate::state::id::ServiceKey;
+use crate::state::record::Body;
+use crate::transport::dial::ExchangeError;
+use crate::transport::dial::full;
+
+/// How long a worker may take to answer.
+const WAIT: Duration = Duration::from_millis(800);
+/// Largest answer of a worker, in bytes.
+const MAX_STATUS: usize = 256 * 1024;
+/// Polls without an answer after which a box is down.
+const DOWN_AFTER: u32 = 3;
+/// Polls with an answer after which a box that was down is up.
+const UP_AFTER: u32 = 3;
+/// Boxes polled at the same time.
+const AT_ONCE: usize = 32;
+
+/// One box to look at, as the fleet has it.
+struct Tended {
+    target: BoxId,
+    addr: SocketAddr,
+    fence: Offset,
+    down: bool,
+    jobs: Vec<ServiceKey>,
+    leaving: bool,
+}
+
+/// Polls in a row that had, or had not, an answer.
+#[derive(Clone, Copy, Default)]
+struct Streak {
+    answered: u32,
+    missed: u32,
+}
+
+impl Streak {
+    fn add(&mut self, answered: bool) {
+        if answered {
+            *self = Streak {
+                answered: self.answered + 1,
+                missed: 0,
+            };
+        } else {
+            *self = Streak {
+                answered: 0,
+                missed: self.missed + 1,
+            };
+        }
+    }
+}
+
+/// Tends boxes for as long as the daemon runs.
+pub async fn run(node: Arc<Node>) {
+    let mut streaks: BTreeMap<BoxId, Streak> = BTreeMap::new();
+    loop {
+        sleep(node.settings.poll).await;
+        // Only a daemon that reads the log itself knows well enough what should run where.
+        if node.basis() != Basis::Log {
+            continue;
+        }
+        let tended = own_boxes(&node);
+        streaks.retain(|id, _| tended.iter().any(|tended| tended.target == *id));
+        let answers = poll_all(&node, &tended).await;
+        let mut down = Vec::new();
+        let mut up = Vec::new();
+        for (tended, answered) in tended.into_iter().zip(answers) {
+            let streak = streaks.entry(tended.target.clone()).or_default();
+            streak.add(answered);
+            if !tended.down && streak.missed >= DOWN_AFTER {
+                down.push(tended.target);
+            } else if tended.down && streak.answered >= UP_AFTER {
+                up.push(tended.target);
+            }
+        }
+        report(&node, "tend.down", down, Body::Down).await;
+        report(&node, "tend.up", up, Body::Up).await;
+    }
+}
+
+async fn report(
+    node: &Node,
+    counter: &str,
+    targets: Vec<BoxId>,
+    body: impl Fn(Vec<BoxId>) -> Body,
+) {
+    if targets.is_empty() {
+        return;
+    }
+    node.counters.add(counter, targets.len() as u64);
+    log::info!(targets:? = targets; "{counter}");
+    if node
+        .appender
+        .submit_whatever_it_takes(body(targets))
+        .await
+        .is_err()
+    {
+        node.counters.count("tend.report-failed");
+    }
+}
+
+/// The boxes of this daemon's duty that no plan has taken out.
+fn own_boxes(node: &Node) -> Vec<Tended> {
+    let live = node.live();
+    let leaving = node.listing.leaving();
+    let fleet = node.replica.fleet();
+    let mut own = Vec::new();
+    for (id, entry) in &fleet.boxes {
+        let owner = hash::owner(id.as_bytes(), &live);
+        if entry.out.is_some() || owner != Some(node.settings.id) {
+            continue;
+        }
+        own.push(Tended {
+            target: id.clone(),
+            addr: entry.shape.addr,
+            fence: entry.version,
+            down: entry.down,
+            jobs: fleet.jobs_on(id).cloned().collect(),
+            leaving: leaving.contains(id),
+        });
+    }
+    own
+}
+
+async fn poll_all(node: &Arc<Node>, tended: &[Tended]) -> Vec<bool> {
+    let permits = Arc::new(Semaphore::new(AT_ONCE));
+    let mut polls = JoinSet::new();
+    for (index, tended) in tended.iter().enumerate() {
+        let node = node.clone();
+        let permits = permits.clone();
+        let addr = tended.addr;
+        let fence = tended.fence;
+        let leaving = tended.leaving;
+        let jobs = tended.jobs.clone();
+        polls.spawn(async move {
+            let _permit = permits.acquire().await;
+            (index, look_at(&node, addr, fence, leaving, jobs).await)
+        });
+    }
+    let mut answered = vec![false; tended.len()];
+    while let Some(polled) = polls.join_next().await {
+        if let Ok((index, ok)) = polled {
+            answered[index] = ok;
+        }
+    }
+    answered
+}
+
+/// Looks at one box and corrects what it runs. Returns whether it answered.
+async fn look_at(
+    node: &Node,
+    addr: SocketAddr,
+    fence: Offset,
+    leaving: bool,
+    jobs: Vec<ServiceKey>,
+) -> bool {
+    let Ok(status) = status(node, addr).await else {
+        node.counters.count("tend.poll.missed");
+        return false;
+    };
+    if status.fence > fence {
+        // Someone knows of a later change; what this daemon knows will catch up.
+        return true;
+    }
+    let mut running = status.jobs.clone();
+    running.sort();
+    if running != jobs {
+        node.counters.count("tend.jobs-corrected");
+        let _ = command(
+            node,
+            addr,
+            Command {
+                fence,
+                action: Action::Jobs { jobs },
+            },
+        )
+        .await;
+    }
+    if status.draining && !leaving {
+        let _ = command(
+            node,
+            addr,
+            Command {
+                fence,
+                action: Action::Resume,
+            },
+        )
+        .await;
+    }
+    true
+}
+
+/// Asks a worker for its status.
+pub async fn status(node: &Node, addr: SocketAddr) -> Result<Status, ExchangeError> {
+    let request = Request::get(STATUS).body(full(""))?;
+    exchange(node, addr, request).await
+}
+
+/// Gives a worker a command.
+pub async fn command(
+    node: &Node,
+    addr: SocketAddr,
+    command: Command,
+) -> Result<Status, ExchangeError> {
+    let body = serde_json::to_vec(&command)?;
+    let request = Request::post(COMMAND).body(full(body))?;
+    exchange(node, addr, request).await
+}
+
+async fn exchange(
+    node: &Node,
+    addr: SocketAddr,
+    request: Request<crate::transport::dial::Body>,
+) -> Result<Status, ExchangeError> {
+    let answer = node
+        .dialer
+        .exchange(addr, request, MAX_STATUS, WAIT)
+        .await?;
+    if !answer.status().is_success() {
+        return Err(ExchangeError::Status(answer.status().as_u16()));
+    }
+    Ok(serde_json::from_slice(answer.body())?)
+}
--- /dev/null
+++ b/lib/src/daemon.rs
@@ -0,0 +1,174 @@
+//! A daemon: its sockets, its tasks, and its stop.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::call;
+use crate::coordination::append;
+use crate::coordination::drive;
+use crate::coordination::follow;
+use crate::coordination::listing;
+use crate::coordination::member;
+use crate::coordination::node::Node;
+use crate::coordination::tend;
+use crate::metrics::Counters;
+use crate::operate;
+use crate::settings::Settings;
+use crate::transport::serve::serve;
+
+/// How often the state of service is looked at for the log lines.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Why a daemon could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[error("cannot listen for {purpose} on {addr}")]
+    Bind {
+        /// What the address is for.
+        purpose: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        #[source]
+        source: io::Error,
+    },
+    /// The metrics socket could not be made.
+    #[error("cannot send metrics")]
+    Metrics(#[source] io::Error),
+}
+
+/// The addresses a daemon listens on.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Addrs {
+    /// For callers and the balancer.
+    pub call: SocketAddr,
+    /// For operators.
+    pub operate: SocketAddr,
+    /// For peers.
+    pub peer: SocketAddr,
+}
+
+/// The sockets a daemon serves.
+pub struct Sockets {
+    call: TcpListener,
+    operate: TcpListener,
+    peer: UdpSocket,
+}
+
+impl Sockets {
+    /// Binds the addresses of the settings.
+    pub async fn bind(settings: &Settings) -> Result<Sockets, StartError> {
+        let call = listen("callers", settings.call_addr).await?;
+        let operate = listen("operators", settings.operate_addr).await?;
+        let addr = settings.peer_addr;
+        let peer = UdpSocket::bind(addr).await;
+        let peer = peer.map_err(|source| StartError::Bind {
+            purpose: "peers",
+            addr,
+            source,
+        })?;
+        Ok(Sockets {
+            call,
+            operate,
+            peer,
+        })
+    }
+
+    /// The addresses bound.
+    pub fn addrs(&self) -> io::Result<Addrs> {
+        Ok(Addrs {
+            call: self.call.local_addr()?,
+            operate: self.operate.local_addr()?,
+            peer: self.peer.local_addr()?,
+        })
+    }
+}
+
+async fn listen(purpose: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(addr).await;
+    bound.map_err(|source| StartError::Bind {
+        purpose,
+        addr,
+        source,
+    })
+}
+
+/// Runs a daemon until `stop` turns true and the requests in flight have ended.
+///
+/// Dropping the future, or the runtime it is on, is a crash.
+pub async fn run(
+    settings: Settings,
+    sockets: Sockets,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), StartError> {
+    let counters = Counters::new(settings.statsd).map_err(StartError::Metrics)?;
+    let node = Node::new(settings, counters);
+    let mut tasks = JoinSet::new();
+    spawn_tasks(&node, sockets.peer, &mut tasks);
+    let (close, closed) = watch::channel(false);
+    let calls = serve(sockets.call, closed.clone(), handler(&node, call::handle));
+    let operations = serve(sockets.operate, closed, handler(&node, operate::handle));
+    let stopping = async {
+        // A sender that is gone is a stop as well.
+        let _ = stop.wait_for(|stop| *stop).await;
+        node.set_stopping();
+        log::info!("stops: the balancer is told first");
+        sleep(node.settings.stop_delay).await;
+        let _ = close.send(true);
+    };
+    tokio::join!(calls, operations, stopping);
+    log::info!("stopped");
+    Ok(())
+}
+
+fn handler<F, Fut>(
+    node: &Arc<Node>,
+    handle: F,
+) -> impl Fn(hyper::Request<hyper::body::Incoming>) -> Fut + Clone + Send + Sync + 'static
+where
+    F: Fn(Arc<Node>, hyper::Request<hyper::body::Incoming>) -> Fut + Clone + Send + Sync + 'static,
+{
+    let node = node.clone();
+    move |request| handle(node.clone(), request)
+}
+
+fn spawn_tasks(node: &Arc<Node>, peer: UdpSocket, tasks: &mut JoinSet<()>) {
+    let peer = Arc::new(peer);
+    tasks.spawn(append::run(node.clone()));
+    tasks.spawn(follow::run(node.clone()));
+    tasks.spawn(listing::run(node.clone()));
+    tasks.spawn(tend::run(node.clone()));
+    tasks.spawn(drive::run(node.clone()));
+    tasks.spawn(member::listen(node.clone(), peer.clone()));
+    tasks.spawn(member::watch_pauses(node.clone()));
+    tasks.spawn(log_service(node.clone()));
+    for (id, _) in &node.settings.peers {
+        tasks.spawn(member::beat_to(node.clone(), peer.clone(), *id));
+    }
+}
+
+/// Logs when the daemon begins and ceases to serve, and on what basis.
+async fn log_service(node: Arc<Node>) {
+    let mut last = None;
+    loop {
+        let basis = node.basis();
+        if last != Some(basis) {
+            log::info!(basis = basis.as_str(); "serves by");
+            node.counters.count(&format!("basis.{}", basis.as_str()));
+            last = Some(basis);
+        }
+        sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/lib/src/operate.rs
@@ -0,0 +1,128 @@
+//! The operators' HTTP interface.
+
+mod change;
+mod view;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::http::request::Parts;
+use serde::Serialize;
+
+use crate::call::bearer;
+use crate::coordination::node::Node;
+use crate::protocol::api::ApiError;
+use crate::state::account::Role;
+use crate::state::account::SITE;
+use crate::state::account::Scope;
+use crate::state::config::MAX_FILE;
+use crate::state::id::parse_plan;
+use crate::state::id::parse_record;
+use crate::state::record::Control;
+use crate::transport::dial::Body;
+use crate::transport::dial::full;
+
+/// An answer's body.
+type Json = Vec<u8>;
+
+/// Answers one request of an operator.
+pub async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    match answer(&node, request).await {
+        Ok(json) => respond(200, json),
+        Err(error) => {
+            node.counters.count(error.counter());
+            respond(error.status(), json(&error))
+        }
+    }
+}
+
+fn respond(status: u16, json: Json) -> Response<Body> {
+    let response = Response::builder()
+        .status(status)
+        .header(CONTENT_TYPE, "application/json");
+    response
+        .body(full(json))
+        .expect("the headers are constants")
+}
+
+fn json<T: Serialize>(value: &T) -> Json {
+    serde_json::to_vec(value).expect("views hold only types that JSON can carry")
+}
+
+async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Result<Json, ApiError> {
+    let (head, body) = request.into_parts();
+    let scope = scope(node, &head)?;
+    let body = read(body).await?;
+    let path: Vec<&str> = head.uri.path().trim_start_matches('/').split('/').collect();
+    let what = path.strip_prefix(&["v1"]).ok_or(ApiError::Malformed)?;
+    match (&head.method, what) {
+        (&Method::GET, ["status"]) => Ok(json(&view::status(node))),
+        (&Method::GET, ["counters"]) => Ok(json(&view::counters(node, &scope))),
+        (&Method::GET, ["pools"]) => Ok(json(&view::pools(node, &scope))),
+        (&Method::GET, ["boxes"]) => Ok(json(&view::boxes(node, &scope))),
+        (&Method::GET, ["jobs"]) => Ok(json(&view::jobs(node, &scope))),
+        (&Method::GET, ["plans"]) => Ok(json(&view::plans(node, &scope))),
+        (&Method::GET, ["plans", id]) => Ok(json(&view::plan(node, &scope, plan_id(id)?)?)),
+        (&Method::GET, ["records", id]) => {
+            let id = parse_record(id).ok_or(ApiError::Malformed)?;
+            Ok(json(&change::ask(node, id)?))
+        }
+        (&Method::POST, ["publish"]) => {
+            Ok(json(&change::publish(node, &scope, text(&body)?).await?))
+        }
+        (&Method::POST, ["intents"]) => Ok(json(&change::propose(node, &scope, &body).await?)),
+        (&Method::POST, ["plans", id, action]) => {
+            let id = plan_id(id)?;
+            let action = match *action {
+                "confirm" => None,
+                "pause" => Some(Control::Pause),
+                "resume" => Some(Control::Resume),
+                "abort" => Some(Control::Abort),
+                _ => return Err(ApiError::Malformed),
+            };
+            Ok(json(&change::control(node, &scope, id, action).await?))
+        }
+        _ => Err(ApiError::Malformed),
+    }
+}
+
+fn plan_id(text: &str) -> Result<u64, ApiError> {
+    parse_plan(text).ok_or(ApiError::NotFound {
+        what: "plan".into(),
+    })
+}
+
+fn text(body: &Bytes) -> Result<&str, ApiError> {
+    std::str::from_utf8(body).map_err(|_| ApiError::Malformed)
+}
+
+/// Whose objects the request's credential may see and change.
+fn scope(node: &Node, head: &Parts) -> Result<Scope, ApiError> {
+    let credential = bearer(head)?;
+    if credential.account == SITE {
+        let valid = credential.matches(&[node.settings.site_key]);
+        return if valid {
+            Ok(Scope::Site)
+        } else {
+            Err(ApiError::Credential)
+        };
+    }
+    let fleet = node.replica.fleet();
+    Ok(Scope::Account(credential.account(&fleet, Role::Operator)?))
+}
+
+async fn read(body: Incoming) -> Result<Bytes, ApiError> {
+    let whole = Limited::new(body, MAX_FILE).collect().await;
+    match whole {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(ApiError::TooLarge),
+        Err(_) => Err(ApiError::Malformed),
+    }
+}
--- /dev/null
+++ b/lib/src/operate/change.rs
@@ -0,0 +1,173 @@
+//! Changes: publishing, proposing, confirming.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::time::sleep;
+
+use crate::coordination::append::AppendError;
+use crate::coordination::append::new_id;
+use crate::coordination::fresh::Basis;
+use crate::coordination::node::Node;
+use crate::operate::view;
+use crate::protocol::api::ApiError;
+use crate::protocol::api::PlanView;
+use crate::protocol::api::Published;
+use crate::state::account::Scope;
+use crate::state::config::Document;
+use crate::state::id::DaemonId;
+use crate::state::id::Offset;
+use crate::state::id::PlanId;
+use crate::state::id::RecordId;
+use crate::state::id::format_record;
+use crate::state::plan::Intent;
+use crate::state::planner::Planner;
+use crate::state::record::Body;
+use crate::state::record::Control;
+
+/// How long an accepted change waits to be seen in force on every live daemon before the answer
+/// says where it is so far.
+const IN_FORCE_WAIT: Duration = Duration::from_secs(3);
+/// Pause between two looks at where it is in force.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A change may be tried only from the state in force: one that reads the log itself.
+fn check_fresh(node: &Node) -> Result<(), ApiError> {
+    match node.basis() {
+        Basis::Log => Ok(()),
+        _ => Err(ApiError::Stale),
+    }
+}
+
+/// Publishes a configuration file.
+pub(super) async fn publish(
+    node: &Arc<Node>,
+    scope: &Scope,
+    text: &str,
+) -> Result<Published, ApiError> {
+    check_fresh(node)?;
+    let document = Document::parse(text).map_err(|faults| ApiError::Config { faults })?;
+    let shapes = node.listing.shapes();
+    let compiled = document.compile(&node.replica.fleet(), &shapes, scope);
+    let change = compiled.map_err(|faults| ApiError::Config { faults })?;
+    let changes = change.edits.len();
+    let id = new_id();
+    if changes == 0 {
+        let in_force = in_force(node, node.replica.next());
+        return Ok(Published {
+            record: format_record(id),
+            position: None,
+            changes,
+            in_force,
+        });
+    }
+    let position = submit(node, id, Body::Publish(change)).await?;
+    let in_force = wait_in_force(node, position).await;
+    Ok(Published {
+        record: format_record(id),
+        position: Some(position),
+        changes,
+        in_force,
+    })
+}
+
+async fn submit(node: &Node, id: RecordId, body: Body) -> Result<Offset, ApiError> {
+    match node.appender.submit(id, body).await {
+        Ok(offset) => Ok(offset),
+        Err(AppendError::Refused(refusal)) => Err(ApiError::Refused { refusal }),
+        Err(AppendError::Unknown(id)) => Err(ApiError::Unknown {
+            record: format_record(id),
+        }),
+        Err(AppendError::Busy) => Err(ApiError::Busy),
+    }
+}
+
+async fn wait_in_force(node: &Node, position: Offset) -> Vec<DaemonId> {
+    let begun = Instant::now();
+    loop {
+        let in_force = in_force(node, position);
+        let live = node.members.offsets(Instant::now()).len() + 1;
+        if in_force.len() >= live || begun.elapsed() > IN_FORCE_WAIT {
+            return in_force;
+        }
+        sleep(LOOK).await;
+    }
+}
+
+/// Live daemons that have applied everything before a position.
+fn in_force(node: &Node, position: Offset) -> Vec<DaemonId> {
+    let peers = node.members.offsets(Instant::now());
+    let applied = peers.into_iter().filter(|(_, own)| *own >= position);
+    let mut daemons: Vec<DaemonId> = applied.map(|(id, _)| id).collect();
+    if node.replica.next() >= position {
+        daemons.push(node.settings.id);
+    }
+    daemons.sort_unstable();
+    daemons
+}
+
+/// What became of a record whose verdict was not yet known.
+pub(super) fn ask(node: &Node, id: RecordId) -> Result<Published, ApiError> {
+    let fleet = node.replica.fleet();
+    match fleet.verdict(id) {
+        Some(Ok(position)) => {
+            let in_force = in_force(node, *position);
+            let position = Some(*position);
+            Ok(Published {
+                record: format_record(id),
+                position,
+                changes: 0,
+                in_force,
+            })
+        }
+        Some(Err(refusal)) => Err(ApiError::Refused {
+            refusal: refusal.clone(),
+        }),
+        None => Err(ApiError::Unknown {
+            record: format_record(id),
+        }),
+    }
+}
+
+/// Computes a plan for an intent and keeps it for confirmation.
+pub(super) async fn propose(
+    node: &Arc<Node>,
+    scope: &Scope,
+    body: &[u8],
+) -> Result<PlanView, ApiError> {
+    check_fresh(node)?;
+    let intent: Intent = serde_json::from_slice(body).map_err(|_| ApiError::Malformed)?;
+    let shapes = node.listing.shapes();
+    let planned = {
+        let fleet = node.replica.fleet();
+        let planner = Planner {
+            fleet: &fleet,
+            shapes: &shapes,
+            scope,
+        };
+        planner.plan(rand::random(), intent)
+    };
+    let plan = planned.map_err(|cause| ApiError::Plan { cause })?;
+    let id = plan.id;
+    submit(node, new_id(), Body::Propose(plan)).await?;
+    view::plan(node, scope, id)
+}
+
+/// Confirms a plan, or pauses, resumes or aborts it.
+pub(super) async fn control(
+    node: &Arc<Node>,
+    scope: &Scope,
+    plan: PlanId,
+    action: Option<Control>,
+) -> Result<PlanView, ApiError> {
+    check_fresh(node)?;
+    // A plan that is not the operator's is one that does not exist.
+    view::plan(node, scope, plan)?;
+    let body = match action {
+        None => Body::Confirm(plan),
+        Some(action) => Body::Control { plan, action },
+    };
+    submit(node, new_id(), body).await?;
+    view::plan(node, scope, plan)
+}
--- /dev/null
+++ b/lib/src/operate/view.rs
@@ -0,0 +1,139 @@
+//! What operators see; an account's operator sees only what is the account's.
+
+use std::time::Instant;
+
+use crate::coordination::node::Node;
+use crate::metrics::Totals;
+use crate::protocol::api::ApiError;
+use crate::protocol::api::BoxView;
+use crate::protocol::api::JobView;
+use crate::protocol::api::PlanView;
+use crate::protocol::api::PoolView;
+use crate::protocol::api::StatusView;
+use crate::state::account::Scope;
+use crate::state::id::PlanId;
+use crate::state::id::format_plan;
+use crate::state::plan::Plan;
+
+pub(super) fn status(node: &Node) -> StatusView {
+    StatusView {
+        id: node.settings.id,
+        serving: node.is_serving(),
+        basis: node.basis().as_str().to_owned(),
+        next: node.replica.next(),
+        configured: node.replica.fleet().configured,
+        peers: node.members.offsets(Instant::now()),
+        inflight: node.routes.inflight(),
+    }
+}
+
+/// All counters for the site operator; its own for an account's.
+pub(super) fn counters(node: &Node, scope: &Scope) -> Totals {
+    let mut totals = node.counters.totals();
+    if let Scope::Account(account) = scope {
+        let own = format!("account.{account}.");
+        totals.retain(|name, _| name.starts_with(&own));
+    }
+    totals
+}
+
+pub(super) fn pools(node: &Node, scope: &Scope) -> Vec<PoolView> {
+    let fleet = node.replica.fleet();
+    let seen = fleet
+        .pools
+        .iter()
+        .filter(|(_, pool)| scope.sees(&pool.account));
+    let view = seen.map(|(name, pool)| PoolView {
+        name: name.clone(),
+        account: pool.account.clone(),
+        boxes: pool.boxes.len(),
+        out: fleet.out_of(pool).count(),
+        max_out: pool.budget.max_out,
+        weigh: pool.weigh,
+        version: pool.version,
+    });
+    view.collect()
+}
+
+pub(super) fn boxes(node: &Node, scope: &Scope) -> Vec<BoxView> {
+    let fleet = node.replica.fleet();
+    let mut views = Vec::new();
+    for (name, entry) in &fleet.boxes {
+        if !scope.sees(&fleet.pools[&entry.pool].account) {
+            continue;
+        }
+        views.push(BoxView {
+            name: name.clone(),
+            pool: entry.pool.clone(),
+            addr: entry.shape.addr,
+            hall: entry.shape.hall.clone(),
+            rack: entry.shape.rack.clone(),
+            out: entry.out.map(|(plan, _)| format_plan(plan)),
+            down: entry.down,
+            jobs: fleet.jobs_on(name).map(|key| key.1.clone()).collect(),
+        });
+    }
+    views
+}
+
+pub(super) fn jobs(node: &Node, scope: &Scope) -> Vec<JobView> {
+    let fleet = node.replica.fleet();
+    let seen = fleet.services.iter().filter(|(key, _)| scope.sees(&key.0));
+    let view = seen.map(|(key, service)| JobView {
+        name: key.1.clone(),
+        account: key.0.clone(),
+        pool: service.pool.clone(),
+        placed: service.placed.len(),
+        starting: service.starting.len(),
+        up: fleet.up(service),
+        min_up: service.min_up,
+        slots: service.slots,
+    });
+    view.collect()
+}
+
+fn is_seen(scope: &Scope, plan: &Plan) -> bool {
+    match (scope, &plan.account) {
+        (Scope::Site, _) => true,
+        (Scope::Account(own), Some(account)) => own == account,
+        (Scope::Account(_), None) => false,
+    }
+}
+
+/// The plans in the scope, the latest first, without their steps.
+pub(super) fn plans(node: &Node, scope: &Scope) -> Vec<PlanView> {
+    let fleet = node.replica.fleet();
+    let mut seen: Vec<&Plan> = fleet
+        .plans
+        .values()
+        .filter(|plan| is_seen(scope, plan))
+        .collect();
+    seen.sort_by_key(|plan| std::cmp::Reverse(plan.version));
+    let view = |plan: &&Plan| PlanView {
+        steps: Vec::new(),
+        ..plan_view(plan)
+    };
+    seen.iter().map(view).collect()
+}
+
+pub(super) fn plan(node: &Node, scope: &Scope, id: PlanId) -> Result<PlanView, ApiError> {
+    let fleet = node.replica.fleet();
+    let plan = fleet.plans.get(&id).filter(|plan| is_seen(scope, plan));
+    plan.map(plan_view).ok_or_else(|| ApiError::NotFound {
+        what: "plan".into(),
+    })
+}
+
+fn plan_view(plan: &Plan) -> PlanView {
+    PlanView {
+        id: format_plan(plan.id),
+        account: plan.account.clone(),
+        intent: plan.intent.clone(),
+        phase: plan.phase,
+        finished: plan.finished(),
+        predicted: plan.predicted,
+        width: plan.width.clone(),
+        holder: plan.driver.holder,
+        steps: plan.steps.clone(),
+    }
+}
--- /dev/null
+++ b/lib/src/protocol.rs
@@ -0,0 +1,8 @@
+//! Protocol layer: the messages exchanged with callers, operators, peers and the platform.
+
+pub mod api;
+pub mod boxes;
+pub mod call;
+pub mod log;
+pub mod wire;
+pub mod worker;
--- /dev/null
+++ b/lib/src/settings.rs
@@ -0,0 +1,335 @@
+//! The daemon's settings: each one a flag and an environment variable, all checked at start.
+
+use std::collections::BTreeSet;
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::time::Duration;
+
+use miette::Diagnostic;
+use thiserror::Error;
+
+use crate::protocol::wire::PeerKey;
+use crate::protocol::wire::derive_key;
+use crate::state::account::KeyHash;
+use crate::state::account::parse_hash;
+use crate::state::id::DaemonId;
+use crate::state::id::is_name;
+
+/// Shortest peer secret accepted, in bytes.
+const MIN_SECRET: usize = 16;
+
+/// One setting, as the tables of flags and variables have it.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// Name of the flag, without the dashes.
+    pub flag: &'static str,
+    /// What it is for, with its unit.
+    pub help: &'static str,
+    /// What it may be.
+    pub accepted: &'static str,
+    /// Value without flag and variable; none if it must be given.
+    pub default: Option<&'static str>,
+}
+
+impl Setting {
+    /// Name of the environment variable.
+    ///
+    /// ```
+    /// let setting = spokelift_lib::settings::ALL[0];
+    /// assert_eq!((setting.flag, setting.variable().as_str()), ("id", "SPOKELIFT_ID"));
+    /// ```
+    pub fn variable(&self) -> String {
+        format!("SPOKELIFT_{}", self.flag.to_uppercase().replace('-', "_"))
+    }
+}
+
+macro_rules! settings {
+    ($($flag:literal, $help:literal, $accepted:literal, $default:expr;)*) => {
+        /// Every setting, in the order of the tables.
+        pub const ALL: &[Setting] = &[$(Setting {
+            flag: $flag,
+            help: $help,
+            accepted: $accepted,
+            default: $default,
+        },)*];
+    };
+}
+
+settings! {
+    "id", "number of this daemon, unique on the site", "0 to 65535", None;
+    "hall", "data hall this box stands in", "a name of a-z, 0-9 and -", None;
+    "call-addr", "address for callers", "IP:PORT, port 0 for any", Some("127.0.0.1:0");
+    "operate-addr", "address for operators", "IP:PORT, port 0 for any", Some("127.0.0.1:0");
+    "peer-addr", "address for heartbeats and catch-up", "IP:PORT, port 0 for any", Some("127.0.0.1:0");
+    "peers", "the other daemons of the site", "ID=IP:PORT, separated by commas", Some("");
+    "peer-secret", "secret that the daemons share", "at least 16 bytes", None;
+    "log", "address of the platform's log", "IP:PORT", None;
+    "boxes", "address of the platform's box list", "IP:PORT", None;
+    "site-key-hash", "hash of the site operator's secret", "64 hexadecimal digits", None;
+    "max-age-ms", "how old the state served by may be", "500 to 60000", Some("2500");
+    "heartbeat-ms", "time between heartbeats", "50 to 5000", Some("500");
+    "poll-ms", "time between polls of the box list and the boxes", "50 to 60000", Some("1000");
+    "appends-per-s", "this daemon's share of the log's rate", "1 to 100", Some("12");
+    "queue-limit", "requests of a service that may wait for a slot", "0 to 100000", Some("128");
+    "queue-wait-ms", "how long a request may wait for a slot", "0 to 60000", Some("500");
+    "call-limit-ms", "how long a request may take in all", "100 to 3600000", Some("30000");
+    "body-limit", "largest request body, in bytes", "1024 to 1073741824", Some("8388608");
+    "stop-delay-ms", "time between telling the balancer and closing the door", "0 to 60000", Some("2000");
+    "down-grace-ms", "how long a plan's last steps wait for boxes that are down", "0 to 3600000", Some("30000");
+    "statsd", "address to send metrics to", "IP:PORT, or empty for none", Some("");
+}
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Number of this daemon.
+    pub id: DaemonId,
+    /// Data hall it stands in.
+    pub hall: String,
+    /// Address for callers.
+    pub call_addr: SocketAddr,
+    /// Address for operators.
+    pub operate_addr: SocketAddr,
+    /// Address for peers, UDP and TCP.
+    pub peer_addr: SocketAddr,
+    /// The other daemons.
+    pub peers: Vec<(DaemonId, SocketAddr)>,
+    /// Key derived from the shared secret.
+    pub peer_key: PeerKey,
+    /// Address of the log.
+    pub log: SocketAddr,
+    /// Address of the box list.
+    pub boxes: SocketAddr,
+    /// Hash of the site operator's secret.
+    pub site_key: KeyHash,
+    /// How old the state served by may be.
+    pub max_age: Duration,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Time between polls.
+    pub poll: Duration,
+    /// This daemon's share of the log's rate.
+    pub appends_per_s: u32,
+    /// Requests of a service that may wait.
+    pub queue_limit: u32,
+    /// How long a request may wait.
+    pub queue_wait: Duration,
+    /// How long a request may take.
+    pub call_limit: Duration,
+    /// Largest request body, in bytes.
+    pub body_limit: u64,
+    /// Time between telling the balancer and closing the door.
+    pub stop_delay: Duration,
+    /// How long a plan's last steps wait for boxes that are down.
+    pub down_grace: Duration,
+    /// Where to send metrics.
+    pub statsd: Option<SocketAddr>,
+}
+
+/// One setting that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error, Diagnostic)]
+#[error("--{flag} ({variable}) {problem}")]
+#[diagnostic(code(spokelift::settings), help("accepted: {accepted}"))]
+pub struct Fault {
+    /// Name of the flag.
+    pub flag: &'static str,
+    /// Name of the variable.
+    pub variable: String,
+    /// What is wrong with the value.
+    pub problem: Problem,
+    /// What it may be.
+    pub accepted: &'static str,
+}
+
+/// What is wrong with a value.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Problem {
+    /// It must be given.
+    #[error("is not set")]
+    Missing,
+    /// It cannot be read.
+    #[error("is {0:?}")]
+    Value(String),
+    /// It is a secret that cannot be used, and is not shown.
+    #[error("is too short")]
+    Secret,
+    /// It names the same peer twice, or this daemon itself.
+    #[error("names daemon {0} twice, or this daemon itself")]
+    Peer(DaemonId),
+}
+
+/// Everything that is wrong with the settings.
+#[derive(Clone, Debug, PartialEq, Eq, Error, Diagnostic)]
+#[error("{} setting(s) cannot be used", faults.len())]
+#[diagnostic(help("each one is a flag or an environment variable; --help lists them"))]
+pub struct SettingsError {
+    /// All faults, in the order of the table.
+    #[related]
+    pub faults: Vec<Fault>,
+}
+
+struct Reader<F> {
+    get: F,
+    faults: Vec<Fault>,
+}
+
+impl<F: Fn(&Setting) -> Option<String>> Reader<F> {
+    fn text(&mut self, flag: &'static str) -> Option<String> {
+        let setting = find(flag);
+        let text = (self.get)(setting).or_else(|| setting.default.map(str::to_owned));
+        if text.is_none() {
+            self.fault(setting, Problem::Missing);
+        }
+        text
+    }
+
+    fn fault(&mut self, setting: &Setting, problem: Problem) {
+        self.faults.push(Fault {
+            flag: setting.flag,
+            variable: setting.variable(),
+            problem,
+            accepted: setting.accepted,
+        });
+    }
+
+    /// Reads a value by `read`; a fault stands for it where there is none.
+    fn value<T>(&mut self, flag: &'static str, read: impl Fn(&str) -> Option<T>) -> Option<T> {
+        let text = self.text(flag)?;
+        let value = read(&text);
+        if value.is_none() {
+            self.fault(find(flag), Problem::Value(text));
+        }
+        value
+    }
+
+    fn parsed<T: FromStr>(&mut self, flag: &'static str) -> Option<T> {
+        self.value(flag, |text| text.parse().ok())
+    }
+
+    fn number<T>(&mut self, flag: &'static str, range: RangeInclusive<T>) -> Option<T>
+    where
+        T: FromStr + PartialOrd + Display,
+    {
+        let read = |text: &str| text.parse().ok().filter(|value| range.contains(value));
+        self.value(flag, read)
+    }
+
+    fn millis(&mut self, flag: &'static str, range: RangeInclusive<u64>) -> Option<Duration> {
+        self.number(flag, range).map(Duration::from_millis)
+    }
+
+    fn secret(&mut self, flag: &'static str) -> Option<PeerKey> {
+        let text = self.text(flag)?;
+        if text.len() < MIN_SECRET {
+            self.fault(find(flag), Problem::Secret);
+            return None;
+        }
+        Some(derive_key(&text))
+    }
+
+    fn peers(&mut self, own: Option<DaemonId>) -> Option<Vec<(DaemonId, SocketAddr)>> {
+        let peers = self.value("peers", parse_peers)?;
+        let mut seen: BTreeSet<DaemonId> = own.into_iter().collect();
+        for (id, _) in &peers {
+            if !seen.insert(*id) {
+                self.fault(find("peers"), Problem::Peer(*id));
+            }
+        }
+        Some(peers)
+    }
+
+    fn statsd(&mut self) -> Option<Option<SocketAddr>> {
+        self.value("statsd", |text| match text {
+            "" => Some(None),
+            text => text.parse().ok().map(Some),
+        })
+    }
+}
+
+fn find(flag: &'static str) -> &'static Setting {
+    let found = ALL.iter().find(|setting| setting.flag == flag);
+    found.expect("settings are read by the names in the table")
+}
+
+fn parse_peers(text: &str) -> Option<Vec<(DaemonId, SocketAddr)>> {
+    let items = text.split(',').filter(|item| !item.is_empty());
+    let pair = |item: &str| {
+        let (id, addr) = item.split_once('=')?;
+        Some((id.trim().parse().ok()?, addr.trim().parse().ok()?))
+    };
+    items.map(pair).collect()
+}
+
+impl Settings {
+    /// Checks the values that `get` gives for each setting, and names every fault at once.
+    ///
+    /// ```
+    /// use spokelift_lib::settings::Settings;
+    /// let error = Settings::resolve(|_| None).unwrap_err();
+    /// let flags: Vec<&str> = error.faults.iter().map(|fault| fault.flag).collect();
+    /// assert_eq!(flags, ["id", "hall", "peer-secret", "log", "boxes", "site-key-hash"]);
+    /// ```
+    pub fn resolve(get: impl Fn(&Setting) -> Option<String>) -> Result<Settings, SettingsError> {
+        let mut reader = Reader {
+            get,
+            faults: Vec::new(),
+        };
+        let settings = read(&mut reader);
+        match settings {
+            Some(settings) if reader.faults.is_empty() => Ok(settings),
+            _ => Err(SettingsError {
+                faults: reader.faults,
+            }),
+        }
+    }
+}
+
+/// Reads every setting before giving up, so that all faults are found.
+fn read<F: Fn(&Setting) -> Option<String>>(reader: &mut Reader<F>) -> Option<Settings> {
+    let id = reader.parsed("id");
+    let hall = reader.value("hall", |text| is_name(text).then(|| text.to_owned()));
+    let call_addr = reader.parsed("call-addr");
+    let operate_addr = reader.parsed("operate-addr");
+    let peer_addr = reader.parsed("peer-addr");
+    let peers = reader.peers(id);
+    let peer_key = reader.secret("peer-secret");
+    let log = reader.parsed("log");
+    let boxes = reader.parsed("boxes");
+    let site_key = reader.value("site-key-hash", parse_hash);
+    let max_age = reader.millis("max-age-ms", 500..=60_000);
+    let heartbeat = reader.millis("heartbeat-ms", 50..=5_000);
+    let poll = reader.millis("poll-ms", 50..=60_000);
+    let appends_per_s = reader.number("appends-per-s", 1..=100);
+    let queue_limit = reader.number("queue-limit", 0..=100_000);
+    let queue_wait = reader.millis("queue-wait-ms", 0..=60_000);
+    let call_limit = reader.millis("call-limit-ms", 100..=3_600_000);
+    let body_limit = reader.number("body-limit", 1024..=1_073_741_824);
+    let stop_delay = reader.millis("stop-delay-ms", 0..=60_000);
+    let down_grace = reader.millis("down-grace-ms", 0..=3_600_000);
+    let statsd = reader.statsd();
+    Some(Settings {
+        id: id?,
+        hall: hall?,
+        call_addr: call_addr?,
+        operate_addr: operate_addr?,
+        peer_addr: peer_addr?,
+        peers: peers?,
+        peer_key: peer_key?,
+        log: log?,
+        boxes: boxes?,
+        site_key: site_key?,
+        max_age: max_age?,
+        heartbeat: heartbeat?,
+        poll: poll?,
+        appends_per_s: appends_per_s?,
+        queue_limit: queue_limit?,
+        queue_wait: queue_wait?,
+        call_limit: call_limit?,
+        body_limit: body_limit?,
+        stop_delay: stop_delay?,
+        down_grace: down_grace?,
+        statsd: statsd?,
+    })
+}
--- /dev/null
+++ b/lib/src/state/config/check.rs
@@ -0,0 +1,365 @@
+//! Checks a configuration file against the fleet and makes the edits.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use toml::Spanned;
+
+use crate::state::account::KeyHash;
+use crate::state::account::SITE;
+use crate::state::account::Scope;
+use crate::state::account::parse_hash;
+use crate::state::config::Document;
+use crate::state::config::Fault;
+use crate::state::config::FaultKind;
+use crate::state::config::Shapes;
+use crate::state::config::file::AccountSection;
+use crate::state::config::file::PoolSection;
+use crate::state::config::file::ServiceSection;
+use crate::state::config::file::place;
+use crate::state::fleet::Account;
+use crate::state::fleet::Budget;
+use crate::state::fleet::Fleet;
+use crate::state::fleet::Pool;
+use crate::state::fleet::Service;
+use crate::state::id::PoolId;
+use crate::state::id::is_name;
+use crate::state::record::Change;
+use crate::state::record::Edit;
+
+/// Most slots a service may use on a box.
+const MAX_SLOTS: u32 = 1024;
+
+pub(super) fn compile(
+    document: &Document,
+    fleet: &Fleet,
+    shapes: &Shapes,
+    scope: &Scope,
+) -> Result<Change, Vec<Fault>> {
+    let mut check = Check {
+        fleet,
+        shapes,
+        scope,
+        edits: Vec::new(),
+        faults: Vec::new(),
+        accounts: BTreeSet::new(),
+        pools: BTreeMap::new(),
+        claims: BTreeMap::new(),
+    };
+    check.sections(document);
+    if check.faults.is_empty() {
+        Ok(Change { edits: check.edits })
+    } else {
+        Err(check.faults)
+    }
+}
+
+/// What a pool will be once the file is in force, as far as services need it.
+struct Planned {
+    account: Arc<str>,
+    boxes: u32,
+    max_out: u32,
+}
+
+struct Check<'a> {
+    fleet: &'a Fleet,
+    shapes: &'a Shapes,
+    scope: &'a Scope,
+    edits: Vec<Edit>,
+    faults: Vec<Fault>,
+    accounts: BTreeSet<&'a str>,
+    pools: BTreeMap<&'a str, Planned>,
+    claims: BTreeMap<&'a str, &'a str>,
+}
+
+impl<'a> Check<'a> {
+    fn sections(&mut self, document: &'a Document) {
+        if *self.scope != Scope::Site {
+            self.refuse_site_sections(document);
+        }
+        for section in &document.account {
+            self.account(section);
+        }
+        for section in &document.pool {
+            self.pool(section);
+        }
+        let mut names = BTreeSet::new();
+        for section in &document.service {
+            let key = (
+                section.account.as_ref().as_str(),
+                section.name.as_ref().as_str(),
+            );
+            if !names.insert(key) {
+                self.twice(&section.name);
+            }
+            self.service(section);
+        }
+    }
+
+    fn fault<T>(&mut self, at: &Spanned<T>, kind: FaultKind) {
+        self.faults.push(Fault {
+            kind,
+            span: place(at),
+        });
+    }
+
+    fn twice(&mut self, name: &Spanned<String>) {
+        let kind = FaultKind::Twice {
+            name: name.as_ref().as_str().into(),
+        };
+        self.fault(name, kind);
+    }
+
+    fn refuse_site_sections(&mut self, document: &Document) {
+        for section in &document.account {
+            let kind = FaultKind::NotAllowed {
+                section: "account".into(),
+            };
+            self.fault(&section.name, kind);
+        }
+        for section in &document.pool {
+            let kind = FaultKind::NotAllowed {
+                section: "pool".into(),
+            };
+            self.fault(&section.name, kind);
+        }
+    }
+
+    fn name(&mut self, name: &Spanned<String>) {
+        if !is_name(name.as_ref()) {
+            let kind = FaultKind::Name {
+                name: name.as_ref().as_str().into(),
+            };
+            self.fault(name, kind);
+        }
+    }
+
+    fn range(&mut self, key: &str, value: &Spanned<u32>, min: u32, max: u32) {
+        let given = *value.as_ref();
+        if given < min || given > max {
+            let kind = FaultKind::Range {
+                key: key.into(),
+                value: given,
+                min,
+                max,
+            };
+            self.fault(value, kind);
+        }
+    }
+
+    fn account(&mut self, section: &'a AccountSection) {
+        self.name(&section.name);
+        let name = section.name.as_ref().as_str();
+        if name == SITE {
+            let kind = FaultKind::Name { name: name.into() };
+            self.fault(&section.name, kind);
+        }
+        if !self.accounts.insert(name) {
+            self.twice(&section.name);
+        }
+        let mut account = Account {
+            caller_keys: self.hashes(&section.caller_key_hashes),
+            operator_keys: self.hashes(&section.operator_key_hashes),
+            version: 0,
+        };
+        let current = self.fleet.accounts.get(name);
+        let base = current.map_or(0, |current| current.version);
+        account.version = base;
+        if current != Some(&account) {
+            self.edits.push(Edit::Account(name.into(), base, account));
+        }
+    }
+
+    fn hashes(&mut self, texts: &[Spanned<String>]) -> Vec<KeyHash> {
+        let mut hashes = Vec::with_capacity(texts.len());
+        for text in texts {
+            match parse_hash(text.as_ref()) {
+                Some(hash) => hashes.push(hash),
+                None => self.fault(text, FaultKind::Hash),
+            }
+        }
+        hashes
+    }
+
+    fn pool(&mut self, section: &'a PoolSection) {
+        self.name(&section.name);
+        let name = section.name.as_ref().as_str();
+        let account: Arc<str> = section.account.as_ref().as_str().into();
+        let known = self.accounts.contains(account.as_ref());
+        if !known && !self.fleet.accounts.contains_key(&account) {
+            let kind = FaultKind::UnknownAccount {
+                name: account.as_ref().into(),
+            };
+            self.fault(&section.account, kind);
+        }
+        let claims = self.claims(section);
+        let boxes = self
+            .fleet
+            .pools
+            .get(name)
+            .map_or(0, |pool| pool.boxes.len())
+            + claims.len();
+        let budget = self.budget(section, boxes as u32);
+        let planned = Planned {
+            account: account.clone(),
+            boxes: boxes as u32,
+            max_out: budget.max_out,
+        };
+        if self.pools.insert(name, planned).is_some() {
+            self.twice(&section.name);
+        }
+        self.edit_pool(section, account, budget);
+        self.edits.extend(claims);
+    }
+
+    fn edit_pool(&mut self, section: &PoolSection, account: Arc<str>, budget: Budget) {
+        let id: PoolId = section.name.as_ref().as_str().into();
+        let current = self.fleet.pools.get(&id);
+        let base = current.map_or(0, |current| current.version);
+        let pool = Pool {
+            account,
+            budget,
+            weigh: section.weigh,
+            drain_limit_s: section.drain_limit_s,
+            maintenance_s: section.maintenance_s,
+            boxes: current
+                .map(|current| current.boxes.clone())
+                .unwrap_or_default(),
+            version: base,
+        };
+        if current != Some(&pool) {
+            self.edits.push(Edit::Pool(id, base, pool));
+        }
+    }
+
+    fn budget(&mut self, section: &PoolSection, boxes: u32) -> Budget {
+        let max_out = *section.max_out.as_ref();
+        let most = boxes.saturating_sub(1);
+        // A pool that is still empty is filled by an intent later.
+        if boxes > 0 && (max_out < 1 || max_out > most) {
+            self.fault(
+                &section.max_out,
+                FaultKind::Budget {
+                    max_out,
+                    boxes,
+                    most,
+                },
+            );
+        }
+        let areas = [
+            ("max_out_per_hall", &section.max_out_per_hall),
+            ("max_out_per_rack", &section.max_out_per_rack),
+        ];
+        for (key, limit) in areas {
+            if let Some(limit) = limit {
+                self.range(key, limit, 1, max_out.max(1));
+            }
+        }
+        let value = |limit: &Option<Spanned<u32>>| limit.as_ref().map(|limit| *limit.as_ref());
+        Budget {
+            max_out,
+            max_out_per_hall: value(&section.max_out_per_hall),
+            max_out_per_rack: value(&section.max_out_per_rack),
+        }
+    }
+
+    /// Claims of boxes that are in no pool yet.
+    fn claims(&mut self, section: &'a PoolSection) -> Vec<Edit> {
+        let pool = section.name.as_ref().as_str();
+        let mut claims = Vec::new();
+        for target in &section.boxes {
+            let name = target.as_ref().as_str();
+            if let Some(first) = self.claims.insert(name, pool) {
+                let kind = FaultKind::ClaimedTwice {
+                    name: name.into(),
+                    first: first.into(),
+                };
+                self.fault(target, kind);
+                continue;
+            }
+            match self.fleet.boxes.get(name) {
+                Some(entry) if entry.pool.as_ref() == pool => continue,
+                Some(_) => {
+                    self.fault(target, FaultKind::BoxTaken { name: name.into() });
+                    continue;
+                }
+                None => {}
+            }
+            let Some(shape) = self.shapes.get(name) else {
+                self.fault(target, FaultKind::UnknownBox { name: name.into() });
+                continue;
+            };
+            claims.push(Edit::Claim(name.into(), pool.into(), shape.clone()));
+        }
+        claims
+    }
+
+    fn service(&mut self, section: &ServiceSection) {
+        self.name(&section.name);
+        self.range("slots", &section.slots, 1, MAX_SLOTS);
+        let account = section.account.as_ref().as_str();
+        let known = self.accounts.contains(account) || self.fleet.accounts.contains_key(account);
+        if !known || !self.scope.sees(account) {
+            let kind = FaultKind::UnknownAccount {
+                name: account.into(),
+            };
+            self.fault(&section.account, kind);
+            return;
+        }
+        let pool = section.pool.as_ref().as_str();
+        let Some((boxes, max_out)) = self.pool_size(pool, account) else {
+            self.fault(&section.pool, FaultKind::UnknownPool { name: pool.into() });
+            return;
+        };
+        let min_up = section.min_up.as_ref().map_or(0, |min_up| *min_up.as_ref());
+        let kept = boxes.saturating_sub(max_out);
+        if let Some(at) = &section.min_up
+            && min_up > kept
+        {
+            self.fault(
+                at,
+                FaultKind::MinUp {
+                    min_up,
+                    pool: pool.into(),
+                    kept,
+                },
+            );
+        }
+        self.edit_service(section, min_up);
+    }
+
+    /// Boxes and budget that a pool of `account` will have; none if it has no such pool.
+    fn pool_size(&self, pool: &str, account: &str) -> Option<(u32, u32)> {
+        if let Some(planned) = self.pools.get(pool) {
+            let own = planned.account.as_ref() == account;
+            return own.then_some((planned.boxes, planned.max_out));
+        }
+        let pool = self.fleet.pools.get(pool)?;
+        let own = pool.account.as_ref() == account;
+        own.then_some((pool.boxes.len() as u32, pool.budget.max_out))
+    }
+
+    fn edit_service(&mut self, section: &ServiceSection, min_up: u32) {
+        let account: Arc<str> = section.account.as_ref().as_str().into();
+        let id: Arc<str> = section.name.as_ref().as_str().into();
+        let current = self.fleet.services.get(&(account.clone(), id.clone()));
+        let base = current.map_or(0, |current| current.version);
+        let service = Service {
+            pool: section.pool.as_ref().as_str().into(),
+            slots: *section.slots.as_ref(),
+            memory_mb: section.memory_mb,
+            min_up,
+            placed: current
+                .map(|current| current.placed.clone())
+                .unwrap_or_default(),
+            starting: current
+                .map(|current| current.starting.clone())
+                .unwrap_or_default(),
+            version: base,
+        };
+        if current != Some(&service) {
+            self.edits.push(Edit::Service(account, id, base, service));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/state/fold.rs
@@ -0,0 +1,477 @@
+//! The rule by which every daemon judges every record, in offset order.
+//!
+//! A record is accepted or refused by what the records before it have made of the [`Fleet`]; its
+//! writer learns which by reading it back. Judging uses the record and the state only, so that
+//! all readers decide alike, and a refused record changes nothing.
+//!
+//! Versions, permits and fences are positions: the position of a batch is the offset right after
+//! it. A daemon whose next offset has reached a position has applied it, and 0 comes before all.
+
+mod publish;
+mod step;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::state::fleet::Fleet;
+use crate::state::fleet::Writer;
+use crate::state::id::BoxId;
+use crate::state::id::DaemonId;
+use crate::state::id::Offset;
+use crate::state::id::PlanId;
+use crate::state::id::PoolId;
+use crate::state::id::RecordId;
+use crate::state::id::ServiceId;
+use crate::state::plan::Base;
+use crate::state::plan::Phase;
+use crate::state::plan::Plan;
+use crate::state::plan::Progress;
+use crate::state::record::Batch;
+use crate::state::record::Body;
+use crate::state::record::Control;
+
+/// How many of the latest verdicts are kept for operators that ask again.
+pub const MAX_VERDICTS: usize = 4096;
+/// How many plans that are over are kept, the latest ones.
+pub const MAX_OVER: usize = 64;
+/// How many unconfirmed plans an account may have; the oldest gives way to a new one.
+pub const MAX_PROPOSED: usize = 8;
+/// How many confirmed plans an account may have under way.
+pub const MAX_RUNNING: usize = 32;
+/// How many steps a plan may have.
+pub const MAX_STEPS: usize = 10_000;
+
+/// What became of a record: the position at which it was accepted, or why it was refused.
+pub type Verdict = Result<Offset, Refusal>;
+
+/// Why a record was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[serde(rename_all = "kebab-case")]
+pub enum Refusal {
+    /// The writer has been followed by a later life of the same daemon.
+    #[error("the daemon that wrote this has been replaced")]
+    Superseded,
+    /// An object changed after it was read.
+    #[error("{object} changed at {now}, after it was read at {read}")]
+    Stale {
+        /// The object.
+        object: Object,
+        /// The version the change was made from.
+        read: Offset,
+        /// The version it has.
+        now: Offset,
+    },
+    /// There is no such plan.
+    #[error("there is no such plan")]
+    UnknownPlan,
+    /// The plan's id is taken.
+    #[error("the plan's id is taken")]
+    PlanExists,
+    /// The plan is not in a phase in which this can be done.
+    #[error("the plan is {}", phase_word(*phase))]
+    Phase {
+        /// Where the plan stands.
+        phase: Phase,
+    },
+    /// A later driver has taken over.
+    #[error("a later driver has taken over in epoch {epoch}")]
+    Epoch {
+        /// The epoch in force.
+        epoch: u32,
+    },
+    /// The step has already gone past this point.
+    #[error("the step has already gone past this point")]
+    Step,
+    /// The box is not in a pool.
+    #[error("box {target} is not in a pool")]
+    NoBox {
+        /// The box.
+        target: BoxId,
+    },
+    /// The box is in another pool.
+    #[error("box {target} is in another pool; boxes move by an intent")]
+    BoxTaken {
+        /// The box.
+        target: BoxId,
+    },
+    /// Another plan has taken the box out of service.
+    #[error("box {target} is out of service under another plan")]
+    Busy {
+        /// The box.
+        target: BoxId,
+    },
+    /// The box does not answer.
+    #[error("box {target} is down")]
+    Down {
+        /// The box.
+        target: BoxId,
+    },
+    /// The pool's availability budget is used up.
+    #[error("{out} of {limit} boxes that may be out in {area} of pool {pool} already are")]
+    Budget {
+        /// The pool.
+        pool: PoolId,
+        /// Which limit.
+        area: Area,
+        /// The limit.
+        limit: u32,
+        /// How many are out.
+        out: u32,
+    },
+    /// A service would fall below the replicas that must stay up.
+    #[error("service {service} has {up} replicas up and must keep {min_up}")]
+    MinUp {
+        /// The service.
+        service: ServiceId,
+        /// How many are up.
+        up: u32,
+        /// How many must stay.
+        min_up: u32,
+    },
+    /// The box has no room for the job.
+    #[error("box {target} has no room for {service}")]
+    NoRoom {
+        /// The box.
+        target: BoxId,
+        /// The service.
+        service: ServiceId,
+    },
+    /// An object named does not exist.
+    #[error("there is no {object}")]
+    Missing {
+        /// The object.
+        object: Object,
+    },
+    /// The pool's owner or a placed service's pool cannot be changed by publishing.
+    #[error("{object} is in use; its owner and place change by an intent only")]
+    InUse {
+        /// The object.
+        object: Object,
+    },
+    /// The account has too many plans under way, or the plan too many steps.
+    #[error("over the limit of {limit}")]
+    TooMany {
+        /// The limit.
+        limit: u32,
+    },
+}
+
+/// Names an object in a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[serde(rename_all = "kebab-case")]
+pub enum Object {
+    /// An account.
+    #[error("account {0}")]
+    Account(Box<str>),
+    /// A pool.
+    #[error("pool {0}")]
+    Pool(Box<str>),
+    /// A service.
+    #[error("service {0}")]
+    Service(Box<str>),
+    /// A box.
+    #[error("box {0}")]
+    Box(Box<str>),
+}
+
+/// The area a budget limit is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[serde(rename_all = "kebab-case")]
+pub enum Area {
+    /// All of the pool.
+    #[error("all")]
+    Pool,
+    /// One hall.
+    #[error("one hall")]
+    Hall,
+    /// One rack.
+    #[error("one rack")]
+    Rack,
+}
+
+fn phase_word(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Proposed => "not confirmed",
+        Phase::Running => "running",
+        Phase::Paused => "paused",
+        Phase::Aborting => "being aborted",
+        Phase::Done => "done",
+        Phase::Aborted => "aborted",
+    }
+}
+
+impl Fleet {
+    /// Applies the batch at `offset` and returns the verdict on each of its records.
+    ///
+    /// A batch seen before, or from a life of a daemon that another has followed, changes
+    /// nothing; for the first the answer is empty, since the verdicts were given the first time.
+    ///
+    /// ```
+    /// use spokelift_lib::state::fleet::Fleet;
+    /// use spokelift_lib::state::record::{Batch, Body, Record};
+    /// let mut fleet = Fleet::default();
+    /// let record = Record { id: 9, body: Body::Confirm(1) };
+    /// let batch = Batch { writer: 0, incarnation: 1, sequence: 1, records: vec![record] };
+    /// assert!(fleet.apply(0, &batch)[0].1.is_err());
+    /// assert!(fleet.apply(1, &batch).is_empty(), "the same batch again");
+    /// assert_eq!(fleet.next, 2);
+    /// ```
+    pub fn apply(&mut self, offset: Offset, batch: &Batch) -> Vec<(RecordId, Verdict)> {
+        self.next = offset + 1;
+        match self.admit(batch) {
+            Admission::Seen => Vec::new(),
+            Admission::Superseded => self.refuse_all(batch),
+            Admission::New => self.judge_all(offset + 1, batch),
+        }
+    }
+
+    fn admit(&mut self, batch: &Batch) -> Admission {
+        let writer = Writer {
+            incarnation: batch.incarnation,
+            sequence: batch.sequence,
+        };
+        let last = self.writers.get(&batch.writer);
+        if let Some(last) = last {
+            if last.incarnation > writer.incarnation {
+                return Admission::Superseded;
+            }
+            if last.incarnation == writer.incarnation && last.sequence >= writer.sequence {
+                return Admission::Seen;
+            }
+        }
+        self.writers.insert(batch.writer, writer);
+        Admission::New
+    }
+
+    fn refuse_all(&mut self, batch: &Batch) -> Vec<(RecordId, Verdict)> {
+        let ids = batch.records.iter().map(|record| record.id);
+        let verdicts: Vec<_> = ids.map(|id| (id, Err(Refusal::Superseded))).collect();
+        self.remember(&verdicts);
+        verdicts
+    }
+
+    fn judge_all(&mut self, at: Offset, batch: &Batch) -> Vec<(RecordId, Verdict)> {
+        let mut verdicts = Vec::with_capacity(batch.records.len());
+        for record in &batch.records {
+            let verdict = self.judge(at, batch.writer, &record.body);
+            verdicts.push((record.id, verdict.map(|()| at)));
+        }
+        self.remember(&verdicts);
+        verdicts
+    }
+
+    fn remember(&mut self, verdicts: &[(RecordId, Verdict)]) {
+        self.verdicts.extend(verdicts.iter().cloned());
+        let surplus = self.verdicts.len().saturating_sub(MAX_VERDICTS);
+        self.verdicts.drain(..surplus);
+    }
+
+    fn judge(&mut self, at: Offset, writer: DaemonId, body: &Body) -> Result<(), Refusal> {
+        match body {
+            Body::Publish(change) => self.publish(at, change),
+            Body::Propose(plan) => self.propose(at, plan),
+            Body::Confirm(plan) => self.confirm(at, *plan),
+            Body::Drive {
+                plan,
+                holder,
+                epoch,
+            } => self.drive(at, *plan, *holder, *epoch),
+            Body::Permit(claim) => self.permit(at, *claim),
+            Body::Assign(claim) => self.assign(at, *claim),
+            Body::Finish(claim, outcome) => self.finish(at, *claim, *outcome),
+            Body::Control { plan, action } => self.control(at, *plan, *action),
+            Body::Down(targets) => self.set_down(at, targets, true),
+            Body::Up(targets) => self.set_down(at, targets, false),
+            Body::Mark => self.mark(at, writer),
+            Body::Snapshot(_) => Ok(()),
+        }
+    }
+
+    fn mark(&mut self, at: Offset, _writer: DaemonId) -> Result<(), Refusal> {
+        self.marked = at;
+        Ok(())
+    }
+
+    fn propose(&mut self, at: Offset, plan: &Plan) -> Result<(), Refusal> {
+        if self.plans.contains_key(&plan.id) {
+            return Err(Refusal::PlanExists);
+        }
+        if plan.phase != Phase::Proposed {
+            return Err(Refusal::Phase { phase: plan.phase });
+        }
+        if plan.steps.len() > MAX_STEPS {
+            return Err(Refusal::TooMany {
+                limit: MAX_STEPS as u32,
+            });
+        }
+        let mut plan = plan.clone();
+        plan.version = at;
+        self.plans.insert(plan.id, plan);
+        self.drop_old_plans();
+        Ok(())
+    }
+
+    /// Lets go of the oldest proposals of each account and the oldest plans that are over.
+    fn drop_old_plans(&mut self) {
+        let mut over: Vec<(Offset, PlanId)> = Vec::new();
+        let mut proposed: Vec<(&Option<crate::state::id::AccountId>, Offset, PlanId)> = Vec::new();
+        for plan in self.plans.values() {
+            if plan.phase.is_over() {
+                over.push((plan.version, plan.id));
+            }
+            if plan.phase == Phase::Proposed {
+                proposed.push((&plan.account, plan.version, plan.id));
+            }
+        }
+        over.sort_unstable();
+        let surplus = over.len().saturating_sub(MAX_OVER);
+        let mut dropped: Vec<PlanId> = over[..surplus].iter().map(|(_, id)| *id).collect();
+        proposed.sort_unstable();
+        for group in proposed.chunk_by(|a, b| a.0 == b.0) {
+            let surplus = group.len().saturating_sub(MAX_PROPOSED);
+            dropped.extend(group[..surplus].iter().map(|(_, _, id)| *id));
+        }
+        for id in dropped {
+            self.plans.remove(&id);
+        }
+    }
+
+    fn confirm(&mut self, at: Offset, id: PlanId) -> Result<(), Refusal> {
+        let plan = self.plans.get(&id).ok_or(Refusal::UnknownPlan)?;
+        if plan.phase != Phase::Proposed {
+            return Err(Refusal::Phase { phase: plan.phase });
+        }
+        for base in &plan.base {
+            self.check_base(base)?;
+        }
+        let same = |other: &&Plan| other.account == plan.account && other.phase.is_driven();
+        if self.plans.values().filter(same).count() >= MAX_RUNNING {
+            return Err(Refusal::TooMany {
+                limit: MAX_RUNNING as u32,
+            });
+        }
+        self.start(at, id);
+        Ok(())
+    }
+
+    fn check_base(&self, base: &Base) -> Result<(), Refusal> {
+        let (read, now) = match base {
+            Base::Pool(id, read) => (*read, self.pools.get(id).map_or(0, |pool| pool.version)),
+            Base::Service(key, read) => {
+                let service = self.services.get(key);
+                (*read, service.map_or(0, |service| service.version))
+            }
+            Base::Box(id, read) => (*read, self.boxes.get(id).map_or(0, |entry| entry.version)),
+        };
+        if read == now {
+            return Ok(());
+        }
+        let object = match base {
+            Base::Pool(id, _) => Object::Pool(id.as_ref().into()),
+            Base::Service((_, id), _) => Object::Service(id.as_ref().into()),
+            Base::Box(id, _) => Object::Box(id.as_ref().into()),
+        };
+        Err(Refusal::Stale { object, read, now })
+    }
+
+    /// Puts a checked plan in force. Its pools and services get a new version, so that another
+    /// plan computed from the same state is stale from here on.
+    fn start(&mut self, at: Offset, id: PlanId) {
+        let plan = self.plans.get_mut(&id).expect("confirm looked the plan up");
+        plan.version = at;
+        plan.phase = if plan.is_finished() {
+            Phase::Done
+        } else {
+            Phase::Running
+        };
+        for base in &plan.base {
+            match base {
+                Base::Pool(id, _) => {
+                    self.pools
+                        .entry(id.clone())
+                        .and_modify(|pool| pool.version = at);
+                }
+                Base::Service(key, _) => {
+                    self.services
+                        .entry(key.clone())
+                        .and_modify(|service| service.version = at);
+                }
+                Base::Box(..) => {}
+            }
+        }
+    }
+
+    fn drive(
+        &mut self,
+        at: Offset,
+        id: PlanId,
+        holder: DaemonId,
+        epoch: u32,
+    ) -> Result<(), Refusal> {
+        let plan = self.plans.get_mut(&id).ok_or(Refusal::UnknownPlan)?;
+        if !plan.phase.is_driven() {
+            return Err(Refusal::Phase { phase: plan.phase });
+        }
+        if epoch != plan.driver.epoch + 1 {
+            return Err(Refusal::Epoch {
+                epoch: plan.driver.epoch,
+            });
+        }
+        plan.driver.holder = Some(holder);
+        plan.driver.epoch = epoch;
+        plan.driver.fence = at;
+        Ok(())
+    }
+
+    fn control(&mut self, at: Offset, id: PlanId, action: Control) -> Result<(), Refusal> {
+        let plan = self.plans.get_mut(&id).ok_or(Refusal::UnknownPlan)?;
+        let next = match (action, plan.phase) {
+            (Control::Pause, Phase::Running) => Phase::Paused,
+            (Control::Resume, Phase::Paused) => Phase::Running,
+            (Control::Abort, Phase::Proposed) => Phase::Aborted,
+            (Control::Abort, Phase::Running | Phase::Paused) => Phase::Aborting,
+            (_, phase) => return Err(Refusal::Phase { phase }),
+        };
+        plan.phase = next;
+        plan.version = at;
+        if action == Control::Abort {
+            plan.abort_waiting();
+        }
+        Ok(())
+    }
+
+    fn set_down(&mut self, at: Offset, targets: &[BoxId], down: bool) -> Result<(), Refusal> {
+        for target in targets {
+            let Some(entry) = self.boxes.get_mut(target) else {
+                continue;
+            };
+            // A box that a plan has taken out is its driver's to judge.
+            if entry.out.is_none() && entry.down != down {
+                entry.down = down;
+                entry.version = at;
+            }
+        }
+        Ok(())
+    }
+}
+
+enum Admission {
+    New,
+    Seen,
+    Superseded,
+}
+
+impl Plan {
+    fn abort_waiting(&mut self) {
+        for step in &mut self.steps {
+            if step.progress == Progress::Waiting {
+                let outcome = crate::state::plan::Outcome::Aborted;
+                step.progress = Progress::Over { outcome };
+            }
+        }
+        if self.is_finished() {
+            self.phase = Phase::Aborted;
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/state/fold/step.rs
@@ -0,0 +1,338 @@
+//! Judges the steps of a plan: permission, effect and end.
+
+use crate::state::fleet::Entry;
+use crate::state::fleet::Fleet;
+use crate::state::fleet::Pool;
+use crate::state::fold::Area;
+use crate::state::fold::Object;
+use crate::state::fold::Refusal;
+use crate::state::id::BoxId;
+use crate::state::id::Offset;
+use crate::state::id::PoolId;
+use crate::state::id::ServiceKey;
+use crate::state::plan::Action;
+use crate::state::plan::Outcome;
+use crate::state::plan::Phase;
+use crate::state::plan::Progress;
+use crate::state::plan::Step;
+use crate::state::record::Claim;
+
+impl Fleet {
+    /// Takes a step's box out of service, if the budget allows it.
+    pub(super) fn permit(&mut self, at: Offset, claim: Claim) -> Result<(), Refusal> {
+        let step = self.step(claim)?;
+        let target = step.target.clone();
+        if step.progress != Progress::Waiting || !step.action.takes_out() {
+            return Err(Refusal::Step);
+        }
+        self.check_running(claim)?;
+        self.check_budget(&target)?;
+        let entry = self
+            .boxes
+            .get_mut(&target)
+            .expect("check_budget looked it up");
+        entry.out = Some((claim.plan, at));
+        entry.version = at;
+        self.set_progress(claim, Progress::Out { permit: at });
+        Ok(())
+    }
+
+    /// Whether `target` may be taken out of service as the fleet stands.
+    pub fn check_budget(&self, target: &BoxId) -> Result<(), Refusal> {
+        let target = target.clone();
+        let Some(entry) = self.boxes.get(&target) else {
+            return Err(Refusal::NoBox { target });
+        };
+        if entry.out.is_some() {
+            return Err(Refusal::Busy { target });
+        }
+        if entry.down {
+            return Err(Refusal::Down { target });
+        }
+        self.check_pool_budget(entry)?;
+        self.check_min_up(&target)
+    }
+
+    fn check_pool_budget(&self, entry: &Entry) -> Result<(), Refusal> {
+        let pool = &self.pools[&entry.pool];
+        let mut in_pool = 0;
+        let mut in_hall = 0;
+        let mut in_rack = 0;
+        for (_, other) in self.out_of(pool) {
+            in_pool += 1;
+            in_hall += u32::from(other.shape.hall == entry.shape.hall);
+            in_rack += u32::from(other.shape.rack == entry.shape.rack);
+        }
+        let budget = pool.budget;
+        let areas = [
+            (Area::Pool, Some(budget.max_out), in_pool),
+            (Area::Hall, budget.max_out_per_hall, in_hall),
+            (Area::Rack, budget.max_out_per_rack, in_rack),
+        ];
+        for (area, limit, out) in areas {
+            let limit = limit.unwrap_or(u32::MAX);
+            if out >= limit {
+                let pool = entry.pool.clone();
+                return Err(Refusal::Budget {
+                    pool,
+                    area,
+                    limit,
+                    out,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_min_up(&self, target: &BoxId) -> Result<(), Refusal> {
+        for key in self.jobs_on(target) {
+            let service = &self.services[key];
+            let up = self.up(service);
+            if up <= service.min_up {
+                let min_up = service.min_up;
+                let service = key.1.clone();
+                return Err(Refusal::MinUp {
+                    service,
+                    up,
+                    min_up,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Puts a step's lasting effect in force.
+    pub(super) fn assign(&mut self, at: Offset, claim: Claim) -> Result<(), Refusal> {
+        let step = self.step(claim)?.clone();
+        let permit = match (&step.progress, step.action.takes_out()) {
+            (Progress::Out { permit }, true) => *permit,
+            (Progress::Waiting, false) => {
+                self.check_running(claim)?;
+                at
+            }
+            _ => return Err(Refusal::Step),
+        };
+        match &step.action {
+            Action::Reboot => return Err(Refusal::Step),
+            Action::Move { to, jobs } => self.move_box(at, &step.target, to, jobs)?,
+            Action::Release => self.remove_box(at, &step.target)?,
+            Action::Claim { to, shape } => self.claim_box(at, &step, to, shape)?,
+            Action::Start { job } => self.start_job(at, &step.target, job)?,
+            Action::Stop { job } => self.stop_job(at, &step.target, job),
+        }
+        self.set_progress(claim, Progress::Assigned { permit });
+        Ok(())
+    }
+
+    fn move_box(
+        &mut self,
+        at: Offset,
+        target: &BoxId,
+        to: &PoolId,
+        jobs: &[ServiceKey],
+    ) -> Result<(), Refusal> {
+        self.pool(to)?;
+        let entry = self.boxes.get(target).cloned();
+        let mut entry = entry.ok_or(Refusal::NoBox {
+            target: target.clone(),
+        })?;
+        self.remove_box(at, target)?;
+        entry.pool = to.clone();
+        entry.version = at;
+        self.insert_box(at, target, entry);
+        // A job that has meanwhile gone, or no longer fits, is left out; the box serves the rest.
+        let fitting = jobs.iter().filter(|job| self.services.contains_key(*job));
+        for job in fitting.cloned().collect::<Vec<_>>() {
+            if self.check_room(target, &job).is_ok() {
+                self.place(at, target, &job);
+            }
+        }
+        Ok(())
+    }
+
+    fn remove_box(&mut self, at: Offset, target: &BoxId) -> Result<(), Refusal> {
+        let entry = self.boxes.remove(target);
+        let entry = entry.ok_or(Refusal::NoBox {
+            target: target.clone(),
+        })?;
+        if let Some(pool) = self.pools.get_mut(&entry.pool) {
+            pool.boxes.remove(target);
+            pool.version = at;
+        }
+        for service in self.services.values_mut() {
+            let placed = service.placed.remove(target);
+            let starting = service.starting.remove(target);
+            if placed || starting {
+                service.version = at;
+            }
+        }
+        Ok(())
+    }
+
+    fn claim_box(
+        &mut self,
+        at: Offset,
+        step: &Step,
+        to: &PoolId,
+        shape: &crate::state::fleet::Shape,
+    ) -> Result<(), Refusal> {
+        self.pool(to)?;
+        if self.boxes.contains_key(&step.target) {
+            return Err(Refusal::BoxTaken {
+                target: step.target.clone(),
+            });
+        }
+        let entry = Entry::new(to.clone(), shape.clone(), at);
+        self.insert_box(at, &step.target, entry);
+        Ok(())
+    }
+
+    fn start_job(&mut self, at: Offset, target: &BoxId, job: &ServiceKey) -> Result<(), Refusal> {
+        if !self.services.contains_key(job) {
+            let object = Object::Service(job.1.as_ref().into());
+            return Err(Refusal::Missing { object });
+        }
+        self.check_room(target, job)?;
+        let service = self.services.get_mut(job).expect("looked up above");
+        service.starting.insert(target.clone());
+        service.version = at;
+        self.touch(at, target);
+        Ok(())
+    }
+
+    fn check_room(&self, target: &BoxId, job: &ServiceKey) -> Result<(), Refusal> {
+        let entry = self.boxes.get(target);
+        let entry = entry.ok_or(Refusal::NoBox {
+            target: target.clone(),
+        })?;
+        let service = &self.services[job];
+        let (slots, memory_mb) = self.room(target, &entry.shape);
+        let fits = slots >= service.slots && memory_mb >= service.memory_mb;
+        if fits && entry.pool == service.pool {
+            return Ok(());
+        }
+        let service = job.1.clone();
+        Err(Refusal::NoRoom {
+            target: target.clone(),
+            service,
+        })
+    }
+
+    fn stop_job(&mut self, at: Offset, target: &BoxId, job: &ServiceKey) {
+        if let Some(service) = self.services.get_mut(job) {
+            service.placed.remove(target);
+            service.starting.remove(target);
+            service.version = at;
+        }
+        self.touch(at, target);
+    }
+
+    fn place(&mut self, at: Offset, target: &BoxId, job: &ServiceKey) {
+        if let Some(service) = self.services.get_mut(job) {
+            service.starting.remove(target);
+            service.placed.insert(target.clone());
+            service.version = at;
+        }
+    }
+
+    fn touch(&mut self, at: Offset, target: &BoxId) {
+        if let Some(entry) = self.boxes.get_mut(target) {
+            entry.version = at;
+        }
+    }
+
+    fn pool(&self, id: &PoolId) -> Result<&Pool, Refusal> {
+        let object = || Object::Pool(id.as_ref().into());
+        self.pools
+            .get(id)
+            .ok_or_else(|| Refusal::Missing { object: object() })
+    }
+
+    /// Ends a step and gives its share of the budget back.
+    pub(super) fn finish(
+        &mut self,
+        at: Offset,
+        claim: Claim,
+        outcome: Outcome,
+    ) -> Result<(), Refusal> {
+        let step = self.step(claim)?.clone();
+        let early = outcome != Outcome::Done && step.progress == Progress::Waiting;
+        if !step.progress.is_begun() && !early {
+            return Err(Refusal::Step);
+        }
+        self.give_back(at, claim, &step.target, outcome);
+        if let Action::Start { job } = &step.action {
+            self.settle_start(at, &step, job, outcome);
+        }
+        self.set_progress(claim, Progress::Over { outcome });
+        self.close_if_finished(at, claim);
+        Ok(())
+    }
+
+    /// A box that did not come back stays out as down, and so keeps its share of the budget.
+    fn give_back(&mut self, at: Offset, claim: Claim, target: &BoxId, outcome: Outcome) {
+        let Some(entry) = self.boxes.get_mut(target) else {
+            return;
+        };
+        let held = entry.out.is_some_and(|(plan, _)| plan == claim.plan);
+        if held {
+            entry.out = None;
+            entry.down = outcome == Outcome::Lost;
+            entry.version = at;
+        }
+    }
+
+    fn settle_start(&mut self, at: Offset, step: &Step, job: &ServiceKey, outcome: Outcome) {
+        let Some(service) = self.services.get_mut(job) else {
+            return;
+        };
+        let starting = service.starting.remove(&step.target);
+        if starting && outcome == Outcome::Done {
+            self.place(at, &step.target, job);
+        }
+        self.touch(at, &step.target);
+    }
+
+    fn close_if_finished(&mut self, at: Offset, claim: Claim) {
+        let plan = self
+            .plans
+            .get_mut(&claim.plan)
+            .expect("step looked the plan up");
+        if !plan.is_finished() {
+            return;
+        }
+        plan.version = at;
+        plan.phase = match plan.phase {
+            Phase::Aborting => Phase::Aborted,
+            _ => Phase::Done,
+        };
+        self.drop_old_plans();
+    }
+
+    fn step(&self, claim: Claim) -> Result<&Step, Refusal> {
+        let plan = self.plans.get(&claim.plan).ok_or(Refusal::UnknownPlan)?;
+        if !plan.phase.is_driven() {
+            return Err(Refusal::Phase { phase: plan.phase });
+        }
+        if plan.driver.epoch != claim.epoch {
+            return Err(Refusal::Epoch {
+                epoch: plan.driver.epoch,
+            });
+        }
+        plan.steps.get(claim.step as usize).ok_or(Refusal::Step)
+    }
+
+    fn check_running(&self, claim: Claim) -> Result<(), Refusal> {
+        let phase = self.plans[&claim.plan].phase;
+        if phase == Phase::Running {
+            return Ok(());
+        }
+        Err(Refusal::Phase { phase })
+    }
+
+    fn set_progress(&mut self, claim: Claim, progress: Progress) {
+        if let Some(plan) = self.plans.get_mut(&claim.plan) {
+            plan.steps[claim.step as usize].progress = progress;
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/state/hash.rs
@@ -0,0 +1,43 @@
+//! Stable hashing: the same input gives the same number on every daemon and every build.
+
+use blake3::Hasher;
+
+/// Hash of `parts`, each kept apart from the next by its length.
+pub fn stable(parts: &[&[u8]]) -> u64 {
+    let mut hasher = Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let digest = hasher.finalize();
+    let head = digest.as_bytes()[..8]
+        .try_into()
+        .expect("a blake3 digest holds 32 bytes");
+    u64::from_le_bytes(head)
+}
+
+/// The member of `members` that owns `key`, by rendezvous hashing: losing a member moves only the
+/// keys that member owned.
+///
+/// ```
+/// use spokelift_lib::state::hash::owner;
+/// let before = owner(b"box-7", &[0, 1, 2]).unwrap();
+/// let others: Vec<u16> = [0, 1, 2].into_iter().filter(|m| *m != before).collect();
+/// assert_ne!(owner(b"box-7", &others), Some(before));
+/// assert_eq!(owner(b"box-7", &[]), None);
+/// ```
+pub fn owner(key: &[u8], members: &[u16]) -> Option<u16> {
+    members
+        .iter()
+        .copied()
+        .max_by_key(|member| stable(&[key, &member.to_le_bytes()]))
+}
+
+/// Position of `member` among `members` in the rendezvous order of `key`, best first.
+pub fn rank(key: &[u8], member: u16, members: &[u16]) -> usize {
+    let own = stable(&[key, &member.to_le_bytes()]);
+    members
+        .iter()
+        .filter(|other| stable(&[key, &other.to_le_bytes()]) > own)
+        .count()
+}
--- /dev/null
+++ b/lib/src/state/planner.rs
@@ -0,0 +1,318 @@
+//! From an intent to a plan: which boxes, in which order, how many at a time, and at what cost.
+
+mod choose;
+mod cost;
+
+use thiserror::Error;
+
+use crate::state::account::Scope;
+use crate::state::config::Shapes;
+use crate::state::fleet::Fleet;
+use crate::state::fleet::Pool;
+use crate::state::fleet::Service;
+use crate::state::id::AccountId;
+use crate::state::id::BoxId;
+use crate::state::id::PlanId;
+use crate::state::id::PoolId;
+use crate::state::id::ServiceId;
+use crate::state::id::ServiceKey;
+use crate::state::plan::Action;
+use crate::state::plan::Base;
+use crate::state::plan::Cost;
+use crate::state::plan::Driver;
+use crate::state::plan::Intent;
+use crate::state::plan::Phase;
+use crate::state::plan::Plan;
+use crate::state::plan::Progress;
+use crate::state::plan::Reason;
+use crate::state::plan::Step;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Why an intent has no plan: the constraint that stops it, and what would have to give.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[serde(tag = "reason", rename_all = "kebab-case")]
+pub enum PlanError {
+    /// There is no such pool, or it is not the operator's.
+    #[error("there is no pool {pool}")]
+    UnknownPool {
+        /// The name given.
+        pool: PoolId,
+    },
+    /// There is no such service, or it is not the operator's.
+    #[error("there is no service {service}")]
+    UnknownService {
+        /// The name given.
+        service: ServiceId,
+    },
+    /// The boxes would go to the pool they are in.
+    #[error("both pools are {pool}")]
+    SamePool {
+        /// The pool.
+        pool: PoolId,
+    },
+    /// The fleet is as the intent wants it.
+    #[error("nothing has to change")]
+    Nothing,
+    /// Not enough boxes can be taken.
+    #[error("{asked} boxes are asked for, but only {available} can be taken; {blocker}")]
+    TooFew {
+        /// How many are asked for.
+        asked: u32,
+        /// How many can be had.
+        available: u32,
+        /// What stops the others.
+        blocker: Blocker,
+    },
+    /// Not enough boxes have room for a service.
+    #[error("{asked} replicas are asked for, but only {available} boxes of the pool have room")]
+    NoRoom {
+        /// How many are asked for.
+        asked: u32,
+        /// How many can be had.
+        available: u32,
+    },
+    /// The service would have fewer replicas than must stay up.
+    #[error("{asked} replicas are asked for, but min_up of {service} is {min_up}")]
+    MinUp {
+        /// The service.
+        service: ServiceId,
+        /// How many are asked for.
+        asked: u32,
+        /// How many must stay up.
+        min_up: u32,
+    },
+}
+
+/// What keeps boxes from being taken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[serde(tag = "blocker", rename_all = "kebab-case")]
+pub enum Blocker {
+    /// No more boxes are free.
+    #[error("no others are in the box list without a pool")]
+    NoneFree,
+    /// The pool has no more boxes.
+    #[error("the pool has no others")]
+    NoneLeft,
+    /// A service of the pool would fall below its least number of replicas.
+    #[error("lower min_up of {service} or place more of it first")]
+    MinUp {
+        /// The service.
+        service: ServiceId,
+    },
+}
+
+/// What the planner looks at.
+pub struct Planner<'a> {
+    /// The agreed state.
+    pub fleet: &'a Fleet,
+    /// Boxes of the box list that are not leaving.
+    pub shapes: &'a Shapes,
+    /// Whose objects may be named.
+    pub scope: &'a Scope,
+}
+
+/// Steps together with what they were computed from.
+#[derive(Default)]
+struct Draft {
+    steps: Vec<Step>,
+    base: Vec<Base>,
+    width: Vec<(PoolId, u32)>,
+    cost: Cost,
+}
+
+impl Planner<'_> {
+    /// Computes a plan; nothing changes until it is confirmed.
+    pub fn plan(&self, id: PlanId, intent: Intent) -> Result<Plan, PlanError> {
+        let draft = match &intent {
+            Intent::Resize { pool, boxes } => self.resize(pool, *boxes)?,
+            Intent::Move { from, to, boxes } => self.move_boxes(from, to, *boxes)?,
+            Intent::Place {
+                account,
+                service,
+                replicas,
+            } => self.place(account, service, *replicas)?,
+            Intent::Maintain { pools } => self.maintain(pools)?,
+        };
+        if draft.steps.is_empty() {
+            return Err(PlanError::Nothing);
+        }
+        let account = match self.scope {
+            Scope::Site => None,
+            Scope::Account(account) => Some(account.clone()),
+        };
+        Ok(Plan {
+            id,
+            account,
+            intent,
+            steps: draft.steps,
+            base: draft.base,
+            width: draft.width,
+            predicted: draft.cost,
+            phase: Phase::Proposed,
+            driver: Driver::default(),
+            version: 0,
+        })
+    }
+
+    fn pool(&self, id: &PoolId) -> Result<&Pool, PlanError> {
+        let pool = self.fleet.pools.get(id);
+        let seen = pool.filter(|pool| self.scope.sees(&pool.account));
+        seen.ok_or_else(|| PlanError::UnknownPool { pool: id.clone() })
+    }
+
+    fn service(&self, key: &ServiceKey) -> Result<&Service, PlanError> {
+        let service = self.fleet.services.get(key);
+        let seen = service.filter(|_| self.scope.sees(&key.0));
+        seen.ok_or_else(|| PlanError::UnknownService {
+            service: key.1.clone(),
+        })
+    }
+
+    fn maintain(&self, pools: &[PoolId]) -> Result<Draft, PlanError> {
+        let mut draft = Draft::default();
+        for id in pools {
+            let pool = self.pool(id)?;
+            let width = cost::width(self.fleet, pool);
+            let order = choose::spread(self.fleet, pool);
+            draft.cost = draft
+                .cost
+                .beside(cost::wave(pool, order.len() as u32, width));
+            let steps = order
+                .into_iter()
+                .map(|target| step(target, Action::Reboot, Reason::Due));
+            draft.steps.extend(steps);
+            draft.base.push(Base::Pool(id.clone(), pool.version));
+            draft.width.push((id.clone(), width));
+        }
+        Ok(draft)
+    }
+
+    fn move_boxes(&self, from: &PoolId, to: &PoolId, boxes: u32) -> Result<Draft, PlanError> {
+        if from == to {
+            return Err(PlanError::SamePool { pool: from.clone() });
+        }
+        let source = self.pool(from)?;
+        let sink = self.pool(to)?;
+        let taken = choose::takeable(self.fleet, source, boxes)?;
+        let mut jobs = choose::Jobs::new(self.fleet, to);
+        let mut draft = self.taking(from, source, taken.len() as u32);
+        draft.base.push(Base::Pool(to.clone(), sink.version));
+        for target in taken {
+            let shape = &self.fleet.boxes[&target].shape;
+            let action = Action::Move {
+                to: to.clone(),
+                jobs: jobs.fill(shape),
+            };
+            draft.steps.push(step(target, action, Reason::FewestJobs));
+        }
+        Ok(draft)
+    }
+
+    /// A draft for taking `count` boxes out of `pool`, without its steps.
+    fn taking(&self, id: &PoolId, pool: &Pool, count: u32) -> Draft {
+        let width = cost::width(self.fleet, pool).min(count);
+        Draft {
+            steps: Vec::new(),
+            base: vec![Base::Pool(id.clone(), pool.version)],
+            width: vec![(id.clone(), width)],
+            cost: cost::moves(count, width),
+        }
+    }
+
+    fn resize(&self, id: &PoolId, boxes: u32) -> Result<Draft, PlanError> {
+        let pool = self.pool(id)?;
+        let now = pool.boxes.len() as u32;
+        if boxes < now {
+            let taken = choose::takeable(self.fleet, pool, now - boxes)?;
+            let mut draft = self.taking(id, pool, now - boxes);
+            let release = |target| step(target, Action::Release, Reason::FewestJobs);
+            draft.steps = taken.into_iter().map(release).collect();
+            return Ok(draft);
+        }
+        let chosen = choose::free(self.fleet, self.shapes, pool, boxes - now)?;
+        let mut draft = Draft::default();
+        draft.base.push(Base::Pool(id.clone(), pool.version));
+        draft.cost.moves = boxes - now;
+        for (target, shape) in chosen {
+            draft.base.push(Base::Box(target.clone(), 0));
+            let action = Action::Claim {
+                to: id.clone(),
+                shape,
+            };
+            draft.steps.push(step(target, action, Reason::Free));
+        }
+        Ok(draft)
+    }
+
+    fn place(
+        &self,
+        account: &AccountId,
+        service: &ServiceId,
+        replicas: u32,
+    ) -> Result<Draft, PlanError> {
+        let key = (account.clone(), service.clone());
+        let found = self.service(&key)?;
+        let pool = &self.fleet.pools[&found.pool];
+        if replicas > 0 && replicas < found.min_up {
+            let service = service.clone();
+            let min_up = found.min_up;
+            return Err(PlanError::MinUp {
+                service,
+                asked: replicas,
+                min_up,
+            });
+        }
+        let now = (found.placed.len() + found.starting.len()) as u32;
+        let mut draft = if replicas >= now {
+            self.starts(&key, found, pool, replicas - now)?
+        } else {
+            self.stops(&key, found, pool, now - replicas)
+        };
+        draft.base.push(Base::Service(key, found.version));
+        Ok(draft)
+    }
+
+    fn starts(
+        &self,
+        key: &ServiceKey,
+        service: &Service,
+        pool: &Pool,
+        count: u32,
+    ) -> Result<Draft, PlanError> {
+        let places = choose::places(self.fleet, service, pool, count);
+        if (places.len() as u32) < count {
+            let available = (service.placed.len() + places.len()) as u32;
+            let asked = service.placed.len() as u32 + count;
+            return Err(PlanError::NoRoom { asked, available });
+        }
+        let mut draft = Draft::default();
+        draft.cost.moves = count;
+        draft.cost.rollout_seconds = u64::from(count > 0) * cost::START_S;
+        draft.width.push((service.pool.clone(), count.max(1)));
+        for target in places {
+            let action = Action::Start { job: key.clone() };
+            draft.steps.push(step(target, action, Reason::Spread));
+        }
+        Ok(draft)
+    }
+
+    fn stops(&self, key: &ServiceKey, service: &Service, pool: &Pool, count: u32) -> Draft {
+        let mut draft = self.taking(&service.pool, pool, count);
+        draft.base.clear();
+        for target in choose::surplus(self.fleet, service, count) {
+            let action = Action::Stop { job: key.clone() };
+            draft.steps.push(step(target, action, Reason::Surplus));
+        }
+        draft
+    }
+}
+
+fn step(target: BoxId, action: Action, reason: Reason) -> Step {
+    Step {
+        target,
+        action,
+        reason,
+        progress: Progress::Waiting,
+    }
+}
