--- /dev/null
+++ b/lib/src/state/planner/cost.rs
@@ -0,0 +1,90 @@
+//! How wide a wave may be, and what it is expected to take.
+
+use crate::state::fleet::Fleet;
+use crate::state::fleet::Pool;
+use crate::state::fleet::Weigh;
+use crate::state::plan::Cost;
+
+/// Time expected for draining and moving one box, in seconds.
+pub const MOVE_S: u64 = 5;
+/// Time expected for starting jobs, in seconds.
+pub const START_S: u64 = 2;
+
+/// How many boxes of `pool` a plan should have out at a time.
+///
+/// Every width up to the budget holds back `width` boxes for `ceil(n / width)` rounds. Rollout
+/// first takes the widest; buffer first takes, among the widths with the least product, the
+/// widest.
+pub fn width(fleet: &Fleet, pool: &Pool) -> u32 {
+    let most = headroom(fleet, pool);
+    match pool.weigh {
+        Weigh::Rollout => most,
+        Weigh::Buffer => cheapest(pool.boxes.len() as u32, most),
+    }
+}
+
+/// The most boxes that the pool's and its services' budgets let out at once when none has failed.
+fn headroom(fleet: &Fleet, pool: &Pool) -> u32 {
+    let halls = count_distinct(fleet, pool, |entry| &entry.shape.hall);
+    let racks = count_distinct(fleet, pool, |entry| &entry.shape.rack);
+    let budget = pool.budget;
+    let by_hall = budget
+        .max_out_per_hall
+        .map_or(u32::MAX, |limit| limit.saturating_mul(halls));
+    let by_rack = budget
+        .max_out_per_rack
+        .map_or(u32::MAX, |limit| limit.saturating_mul(racks));
+    budget.max_out.min(by_hall).min(by_rack).max(1)
+}
+
+fn count_distinct<'a>(
+    fleet: &'a Fleet,
+    pool: &'a Pool,
+    area: impl Fn(&'a crate::state::fleet::Entry) -> &'a std::sync::Arc<str>,
+) -> u32 {
+    let entries = pool.boxes.iter().filter_map(|id| fleet.boxes.get(id));
+    let areas: std::collections::BTreeSet<_> = entries.map(area).collect();
+    areas.len() as u32
+}
+
+fn cheapest(boxes: u32, most: u32) -> u32 {
+    let held = |width: u32| width * boxes.div_ceil(width);
+    let widths = 1..=most.max(1);
+    widths
+        .min_by_key(|width| (held(*width), u32::MAX - width))
+        .unwrap_or(1)
+}
+
+/// Cost of rebooting `boxes` boxes of `pool`, `width` at a time.
+pub fn wave(pool: &Pool, boxes: u32, width: u32) -> Cost {
+    let rounds = u64::from(boxes.div_ceil(width.max(1)));
+    let rollout_seconds = rounds * u64::from(pool.maintenance_s);
+    let buffer_box_seconds = rollout_seconds * u64::from(width);
+    Cost {
+        buffer_box_seconds,
+        rollout_seconds,
+        moves: 0,
+    }
+}
+
+/// Cost of moving `count` boxes or jobs, `width` at a time.
+pub fn moves(count: u32, width: u32) -> Cost {
+    let rounds = u64::from(count.div_ceil(width.max(1)));
+    let rollout_seconds = rounds * MOVE_S;
+    Cost {
+        buffer_box_seconds: rollout_seconds * u64::from(width),
+        rollout_seconds,
+        moves: count,
+    }
+}
+
+impl Cost {
+    /// Cost of two plans carried out at the same time.
+    pub fn beside(self, other: Cost) -> Cost {
+        Cost {
+            buffer_box_seconds: self.buffer_box_seconds + other.buffer_box_seconds,
+            rollout_seconds: self.rollout_seconds.max(other.rollout_seconds),
+            moves: self.moves + other.moves,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/transport/dial.rs
@@ -0,0 +1,338 @@
+//! Outgoing HTTP connections that say truthfully whether a request may have been received.
+//!
+//! Connections are kept by address and used for one request at a time. hyper's bare connection
+//! is used rather than a pooling client, since such a client sends some requests again by itself.
+//! A connection goes back to the pool only when its answer was read whole, so an abandoned answer
+//! can never be taken for the next request's.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Body as HttpBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Idle connections kept for one address.
+const MAX_IDLE: usize = 64;
+/// How long an idle connection may take to become ready before a new one is made.
+const READY_WAIT: Duration = Duration::from_millis(20);
+
+/// Body of an outgoing request or of an answer to a caller.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Why a body was not passed on whole.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// The connection the body came from was cut.
+    #[error("the body was cut")]
+    Cut(#[source] hyper::Error),
+    /// The body is over its limit.
+    #[error("the body is over the limit")]
+    TooLarge,
+    /// The body did not end in time.
+    #[error("the body did not end in time")]
+    Timeout,
+}
+
+/// A body of known bytes.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Why a request has no answer, in the order of what is known of it.
+pub enum SendError {
+    /// Not one byte of the request has left; it comes back to be sent elsewhere.
+    NotSent(Box<Request<Body>>, NotSent),
+    /// The request may have been received.
+    Cut(hyper::Error),
+}
+
+/// Why a request was not sent.
+#[derive(Debug, Error)]
+pub enum NotSent {
+    /// No connection could be made.
+    #[error("no connection: {0}")]
+    Connect(#[from] std::io::Error),
+    /// No connection could be made in time.
+    #[error("no connection in time")]
+    ConnectTimeout,
+    /// The connection ended before the request was written to it.
+    #[error("the connection ended first: {0}")]
+    Closed(#[from] hyper::Error),
+}
+
+impl fmt::Debug for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SendError::NotSent(_, cause) => f.debug_tuple("NotSent").field(cause).finish(),
+            SendError::Cut(cause) => f.debug_tuple("Cut").field(cause).finish(),
+        }
+    }
+}
+
+/// Makes and keeps connections. Clones share them.
+#[derive(Clone)]
+pub struct Dialer {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<SendRequest<Body>>>>>,
+    connect_timeout: Duration,
+}
+
+impl Dialer {
+    /// A dialer that waits up to `connect_timeout` for a connection.
+    pub fn new(connect_timeout: Duration) -> Dialer {
+        Dialer {
+            idle: Arc::default(),
+            connect_timeout,
+        }
+    }
+
+    /// Sends a request and returns the head of its answer; the body is read from [`Answer`].
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Answer>, SendError> {
+        let mut request = request;
+        // An idle connection may have been closed by the other side; hyper gives the request
+        // back if it was not written, and the next connection is tried.
+        while let Some(sender) = self.take_idle(addr).await {
+            match self.send_on(addr, sender, request).await {
+                Err(SendError::NotSent(unsent, _)) => request = *unsent,
+                done => return done,
+            }
+        }
+        match self.connect(addr).await {
+            Ok(sender) => self.send_on(addr, sender, request).await,
+            Err(cause) => Err(SendError::NotSent(Box::new(request), cause)),
+        }
+    }
+
+    async fn send_on(
+        &self,
+        addr: SocketAddr,
+        mut sender: SendRequest<Body>,
+        request: Request<Body>,
+    ) -> Result<Response<Answer>, SendError> {
+        match sender.try_send_request(request).await {
+            Ok(response) => {
+                let dialer = self.clone();
+                let home = Some(Home {
+                    dialer,
+                    addr,
+                    sender,
+                });
+                Ok(response.map(|incoming| Answer { incoming, home }))
+            }
+            Err(mut error) => Err(match error.take_message() {
+                Some(unsent) => {
+                    let cause = NotSent::Closed(error.into_error());
+                    SendError::NotSent(Box::new(unsent), cause)
+                }
+                None => SendError::Cut(error.into_error()),
+            }),
+        }
+    }
+
+    async fn take_idle(&self, addr: SocketAddr) -> Option<SendRequest<Body>> {
+        loop {
+            let mut sender = self.pop(addr)?;
+            if sender.is_closed() {
+                continue;
+            }
+            if let Ok(Ok(())) = timeout(READY_WAIT, sender.ready()).await {
+                return Some(sender);
+            }
+        }
+    }
+
+    fn pop(&self, addr: SocketAddr) -> Option<SendRequest<Body>> {
+        let mut idle = self.idle.lock().expect("no holder of the idle list panics");
+        idle.get_mut(&addr)?.pop()
+    }
+
+    fn put(&self, addr: SocketAddr, sender: SendRequest<Body>) {
+        let mut idle = self.idle.lock().expect("no holder of the idle list panics");
+        let list = idle.entry(addr).or_default();
+        if list.len() < MAX_IDLE {
+            list.push(sender);
+        }
+    }
+
+    /// Lets go of the idle connections to an address.
+    pub fn forget(&self, addr: SocketAddr) {
+        let mut idle = self.idle.lock().expect("no holder of the idle list panics");
+        idle.remove(&addr);
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<SendRequest<Body>, NotSent> {
+        let connect = timeout(self.connect_timeout, TcpStream::connect(addr));
+        let stream = connect.await.map_err(|_| NotSent::ConnectTimeout)??;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(async move {
+            // The error also reaches whoever waits for the answer.
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+}
+
+/// Where a connection goes back to when its answer was read whole.
+struct Home {
+    dialer: Dialer,
+    addr: SocketAddr,
+    sender: SendRequest<Body>,
+}
+
+/// Body of an answer. Dropped before its end, it closes its connection.
+pub struct Answer {
+    incoming: Incoming,
+    home: Option<Home>,
+}
+
+impl Answer {
+    fn settle(&mut self) {
+        if let Some(home) = self.home.take() {
+            home.dialer.put(home.addr, home.sender);
+        }
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        // An answer without a body is never polled.
+        if self.incoming.is_end_stream() {
+            self.settle();
+        }
+    }
+}
+
+impl HttpBody for Answer {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        match frame {
+            Some(Ok(frame)) => {
+                if self.incoming.is_end_stream() {
+                    self.settle();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(error)) => {
+                self.home = None;
+                Poll::Ready(Some(Err(BodyError::Cut(error))))
+            }
+            None => {
+                self.settle();
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
+/// Why a small exchange failed.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    /// The request was not sent.
+    #[error(transparent)]
+    NotSent(NotSent),
+    /// The request may have been received.
+    #[error("cut: {0}")]
+    Cut(hyper::Error),
+    /// The answer's body was not read whole.
+    #[error(transparent)]
+    Body(#[from] BodyError),
+    /// No whole answer in time.
+    #[error("no answer in time")]
+    Timeout,
+    /// The answer has another status than 200.
+    #[error("status {0}")]
+    Status(u16),
+    /// The answer does not decode.
+    #[error("the answer does not decode: {0}")]
+    Decode(#[from] serde_json::Error),
+    /// The request could not be made.
+    #[error("not a request: {0}")]
+    Request(#[from] hyper::http::Error),
+}
+
+impl Dialer {
+    /// Sends a request and reads the whole answer, at most `limit` bytes, within `wait`.
+    pub async fn exchange(
+        &self,
+        addr: SocketAddr,
+        request: Request<Body>,
+        limit: usize,
+        wait: Duration,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let whole = async {
+            let response = self
+                .send(addr, request)
+                .await
+                .map_err(|error| match error {
+                    SendError::NotSent(_, cause) => ExchangeError::NotSent(cause),
+                    SendError::Cut(cause) => ExchangeError::Cut(cause),
+                })?;
+            let (head, answer) = response.into_parts();
+            let bytes = collect(answer, limit).await?;
+            Ok(Response::from_parts(head, bytes))
+        };
+        timeout(wait, whole)
+            .await
+            .map_err(|_| ExchangeError::Timeout)?
+    }
+}
+
+/// Reads a body whole, at most `limit` bytes.
+pub async fn collect<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: HttpBody<Data = Bytes, Error = BodyError>,
+{
+    let mut body = std::pin::pin!(body);
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            if bytes.len() + data.len() > limit {
+                return Err(BodyError::TooLarge);
+            }
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(bytes.into())
+}
--- /dev/null
+++ b/lib/src/transport/serve.rs
@@ -0,0 +1,90 @@
+//! HTTP servers: one task for each connection, stopped without cutting off a request.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::transport::dial::Body;
+
+/// Most connections one listener holds; further ones wait to be accepted.
+const MAX_CONNECTIONS: usize = 4096;
+/// How long a caller may take to send a request's head.
+const HEAD_LIMIT: Duration = Duration::from_secs(10);
+/// Largest request head, in bytes.
+const MAX_HEAD: usize = 32 * 1024;
+/// Pause after an accept has failed, e.g. for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves `listener` until `stop` turns true, then lets the requests in flight end.
+///
+/// Dropping the future closes every connection at once.
+pub async fn serve<H, F>(listener: TcpListener, mut stop: watch::Receiver<bool>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let accept = async {
+            let permit = permits.clone().acquire_owned().await;
+            let accepted = listener.accept().await;
+            (permit, accepted)
+        };
+        let (permit, accepted) = tokio::select! {
+            accepted = accept => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let connection = serve_one(stream, stop.clone(), handler.clone());
+        connections.spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_one<H, F>(stream: TcpStream, mut stop: watch::Receiver<bool>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Response<Body>>,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new());
+    builder.header_read_timeout(HEAD_LIMIT);
+    builder.max_buf_size(MAX_HEAD);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // An error here is the caller's own: it went away or sent no HTTP.
+        _ = connection.as_mut() => return,
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
--- /dev/null
+++ b/testutils/src/boxes.rs
@@ -0,0 +1,86 @@
+//! Stand-in for the platform's box list.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use spokelift_lib::protocol::boxes::List;
+use spokelift_lib::protocol::boxes::Listed;
+use spokelift_lib::transport::dial::Body;
+use spokelift_lib::transport::serve::serve;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::log::json;
+use crate::log::status;
+
+/// A running box list. Clones are the same list.
+#[derive(Clone)]
+pub struct Boxes {
+    /// Where it serves.
+    pub addr: SocketAddr,
+    inner: Arc<Mutex<State>>,
+    stop: Arc<watch::Sender<bool>>,
+}
+
+#[derive(Default)]
+struct State {
+    list: List,
+    away: bool,
+}
+
+impl Boxes {
+    /// Starts a list on a port chosen by the system.
+    pub async fn start(boxes: Vec<Listed>) -> std::io::Result<Boxes> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let inner = Arc::new(Mutex::new(State {
+            list: List { boxes },
+            away: false,
+        }));
+        let (stop, stopped) = watch::channel(false);
+        let shared = inner.clone();
+        let handler = move |_: Request<Incoming>| {
+            let shared = shared.clone();
+            async move { answer(&shared) }
+        };
+        tokio::spawn(serve(listener, stopped, handler));
+        Ok(Boxes {
+            addr,
+            inner,
+            stop: Arc::new(stop),
+        })
+    }
+
+    /// Marks a box as leaving, or not.
+    pub fn set_leaving(&self, name: &str, leaving: bool) {
+        let mut state = self.inner.lock().expect("no holder panics");
+        let found = state
+            .list
+            .boxes
+            .iter_mut()
+            .filter(|listed| listed.name.as_ref() == name);
+        found.for_each(|listed| listed.leaving = leaving);
+    }
+
+    /// Answers everything with 503, or no longer.
+    pub fn set_away(&self, away: bool) {
+        self.inner.lock().expect("no holder panics").away = away;
+    }
+
+    /// Stops serving.
+    pub fn stop(&self) {
+        let _ = self.stop.send(true);
+    }
+}
+
+fn answer(inner: &Mutex<State>) -> Response<Body> {
+    let state = inner.lock().expect("no holder panics");
+    if state.away {
+        return status(503);
+    }
+    json(&state.list)
+}
--- /dev/null
+++ b/testutils/src/ledger.rs
@@ -0,0 +1,319 @@
+//! What workers and callers saw, written down apart from the product and compared afterwards.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Serialize;
+use spokelift_lib::state::id::BoxId;
+use spokelift_lib::state::id::ServiceKey;
+
+/// Id that a caller gives a request and finds in its answer.
+pub type Token = u64;
+
+/// How long a box may still get work after it was told to drain.
+pub const LEAVING_GRACE: Duration = Duration::from_secs(2);
+/// How long a dead box may go unnoticed before it counts against a budget.
+pub const NOTICE: Duration = Duration::from_secs(4);
+
+/// What a caller was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// A whole answer with the caller's own token.
+    Answered,
+    /// A whole answer with another token.
+    Crossed,
+    /// The request was not run.
+    NotRun,
+    /// The request may have been run.
+    Unknown,
+    /// The connection broke without a word; the entry box was killed by the test.
+    Killed,
+    /// The connection broke without a word, or the answer was no answer.
+    Nothing,
+}
+
+/// A pool as the ledger's judge knows it.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    /// Its name.
+    pub name: String,
+    /// Its services.
+    pub services: Vec<ServiceKey>,
+    /// Boxes that may be out.
+    pub max_out: usize,
+}
+
+/// A ledger that everyone in a run writes to. Clones are the same ledger.
+#[derive(Clone, Default)]
+pub struct Ledger {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Default)]
+struct Inner {
+    pools: Vec<Pool>,
+    calls: BTreeMap<Token, Call>,
+    boxes: BTreeMap<BoxId, BoxState>,
+    cut_by_planned_stop: u64,
+    work_after_leaving: u64,
+    budget_breaches: u64,
+    boxes_in_two_pools: u64,
+    over_slots: u64,
+    moves: u64,
+    out_time: Duration,
+}
+
+#[derive(Default)]
+struct Call {
+    repeatable: bool,
+    runs: u32,
+    told: Option<Told>,
+}
+
+#[derive(Default)]
+struct BoxState {
+    pool: Option<usize>,
+    out_since: Option<Instant>,
+    draining_since: Option<Instant>,
+    dead_since: Option<Instant>,
+    inflight: BTreeSet<Token>,
+}
+
+/// The counts at the end of a run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Counts {
+    /// Requests sent by callers.
+    pub requests: u64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Told that the request was not run.
+    pub refused_not_run: u64,
+    /// Told that the outcome is unknown, or cut off with a killed entry box.
+    pub unknown: u64,
+    /// Without any outcome, or answered although no worker ran the request.
+    pub lost: u64,
+    /// Not repeatable and run more than once.
+    pub doubled: u64,
+    /// Answered with another request's answer.
+    pub crossed: u64,
+    /// Told *not run* and yet run.
+    pub false_not_run: u64,
+    /// Requests running on a box when it rebooted on command.
+    pub cut_by_planned_stop: u64,
+    /// Boxes taken out when their pool had no budget left.
+    pub budget_breaches: u64,
+    /// Boxes that were given jobs of two pools.
+    pub boxes_in_two_pools: u64,
+    /// Requests that came to a box more than two seconds after it began to leave.
+    pub work_after_leaving: u64,
+    /// Requests beyond a box's slots.
+    pub over_slots: u64,
+    /// Boxes that changed pools.
+    pub moves: u64,
+    /// Time that boxes were out on command, added up.
+    pub buffer_cost_box_seconds: f64,
+}
+
+impl Counts {
+    /// Names of the counts that must be zero and are not.
+    pub fn violations(&self) -> Vec<&'static str> {
+        let must_be_zero = [
+            ("lost", self.lost),
+            ("doubled", self.doubled),
+            ("crossed", self.crossed),
+            ("false_not_run", self.false_not_run),
+            ("cut_by_planned_stop", self.cut_by_planned_stop),
+            ("budget_breaches", self.budget_breaches),
+            ("boxes_in_two_pools", self.boxes_in_two_pools),
+            ("work_after_leaving", self.work_after_leaving),
+            ("over_slots", self.over_slots),
+        ];
+        let broken = must_be_zero.into_iter().filter(|(_, count)| *count > 0);
+        broken.map(|(name, _)| name).collect()
+    }
+}
+
+impl Ledger {
+    /// A ledger that judges budgets by these pools.
+    pub fn new(pools: Vec<Pool>) -> Ledger {
+        let inner = Inner {
+            pools,
+            ..Inner::default()
+        };
+        Ledger {
+            inner: Arc::new(Mutex::new(inner)),
+        }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder panics")
+    }
+
+    /// A caller sends a request.
+    pub fn sent(&self, token: Token, repeatable: bool) {
+        let mut inner = self.inner();
+        inner.calls.entry(token).or_default().repeatable = repeatable;
+    }
+
+    /// A caller was told something.
+    pub fn told(&self, token: Token, told: Told) {
+        let mut inner = self.inner();
+        inner.calls.entry(token).or_default().told = Some(told);
+    }
+
+    /// A worker begins to run a request.
+    pub fn begun(&self, target: &BoxId, token: Token) {
+        let mut inner = self.inner();
+        inner.calls.entry(token).or_default().runs += 1;
+        let state = inner.boxes.entry(target.clone()).or_default();
+        state.inflight.insert(token);
+        let late = state
+            .draining_since
+            .is_some_and(|since| since.elapsed() > LEAVING_GRACE);
+        inner.work_after_leaving += u64::from(late);
+    }
+
+    /// A worker has run a request, or its caller has gone.
+    pub fn ended(&self, target: &BoxId, token: Token) {
+        let mut inner = self.inner();
+        inner
+            .boxes
+            .entry(target.clone())
+            .or_default()
+            .inflight
+            .remove(&token);
+    }
+
+    /// A request came when all slots of its box were taken.
+    pub fn over_slots(&self) {
+        self.inner().over_slots += 1;
+    }
+
+    /// A worker was told which jobs to run.
+    pub fn jobs(&self, target: &BoxId, jobs: &[ServiceKey]) {
+        let mut inner = self.inner();
+        let pools = inner.pools_of(jobs);
+        inner.boxes_in_two_pools += u64::from(pools.len() > 1);
+        let Some(pool) = pools.first().copied() else {
+            return;
+        };
+        let state = inner.boxes.entry(target.clone()).or_default();
+        let moved = state.pool.is_some_and(|before| before != pool);
+        state.pool = Some(pool);
+        inner.moves += u64::from(moved);
+    }
+
+    /// A worker was told to drain.
+    pub fn draining(&self, target: &BoxId) {
+        let mut inner = self.inner();
+        let state = inner.boxes.entry(target.clone()).or_default();
+        if state.draining_since.is_some() {
+            return;
+        }
+        state.draining_since = Some(Instant::now());
+        state.out_since = Some(Instant::now());
+        let pool = state.pool;
+        let breach = pool.is_some_and(|pool| inner.out_of(pool) > inner.pools[pool].max_out);
+        inner.budget_breaches += u64::from(breach);
+    }
+
+    /// A worker was told to serve again.
+    pub fn resumed(&self, target: &BoxId) {
+        let mut inner = self.inner();
+        let state = inner.boxes.entry(target.clone()).or_default();
+        state.draining_since = None;
+        let out = state.out_since.take().map(|since| since.elapsed());
+        inner.out_time += out.unwrap_or_default();
+    }
+
+    /// A worker reboots on command.
+    pub fn rebooted(&self, target: &BoxId) {
+        let mut inner = self.inner();
+        let state = inner.boxes.entry(target.clone()).or_default();
+        let cut = std::mem::take(&mut state.inflight).len() as u64;
+        inner.cut_by_planned_stop += cut;
+    }
+
+    /// A worker died.
+    pub fn died(&self, target: &BoxId) {
+        let mut inner = self.inner();
+        let state = inner.boxes.entry(target.clone()).or_default();
+        state.inflight.clear();
+        state.dead_since = Some(Instant::now());
+    }
+
+    /// Tokens of requests that a worker ran more than once although they are not repeatable.
+    pub fn doubled(&self) -> Vec<Token> {
+        let inner = self.inner();
+        let doubled = inner
+            .calls
+            .iter()
+            .filter(|(_, call)| !call.repeatable && call.runs > 1);
+        doubled.map(|(token, _)| *token).collect()
+    }
+
+    /// The counts so far.
+    pub fn counts(&self) -> Counts {
+        let inner = self.inner();
+        let mut counts = Counts {
+            cut_by_planned_stop: inner.cut_by_planned_stop,
+            budget_breaches: inner.budget_breaches,
+            boxes_in_two_pools: inner.boxes_in_two_pools,
+            work_after_leaving: inner.work_after_leaving,
+            over_slots: inner.over_slots,
+            moves: inner.moves,
+            buffer_cost_box_seconds: inner.out_time.as_secs_f64(),
+            ..Counts::default()
+        };
+        for call in inner.calls.values() {
+            counts.add(call);
+        }
+        counts
+    }
+}
+
+impl Counts {
+    fn add(&mut self, call: &Call) {
+        self.requests += 1;
+        let run = call.runs > 0;
+        self.doubled += u64::from(!call.repeatable && call.runs > 1);
+        match call.told {
+            Some(Told::Answered) => {
+                self.answered += 1;
+                self.lost += u64::from(!run);
+            }
+            Some(Told::Crossed) => self.crossed += 1,
+            Some(Told::NotRun) => {
+                self.refused_not_run += 1;
+                self.false_not_run += u64::from(run);
+            }
+            Some(Told::Unknown | Told::Killed) => self.unknown += 1,
+            Some(Told::Nothing) | None => self.lost += 1,
+        }
+    }
+}
+
+impl Inner {
+    fn pools_of(&self, jobs: &[ServiceKey]) -> Vec<usize> {
+        let pools = self.pools.iter().enumerate();
+        let used = pools.filter(|(_, pool)| jobs.iter().any(|job| pool.services.contains(job)));
+        used.map(|(index, _)| index).collect()
+    }
+
+    /// Boxes of a pool that are out, as far as anyone can know.
+    fn out_of(&self, pool: usize) -> usize {
+        let own = self.boxes.values().filter(|state| state.pool == Some(pool));
+        let out = own.filter(|state| {
+            let dead = state
+                .dead_since
+                .is_some_and(|since| since.elapsed() > NOTICE);
+            dead || state.out_since.is_some()
+        });
+        out.count()
+    }
+}
--- /dev/null
+++ b/testutils/src/log.rs
@@ -0,0 +1,235 @@
+//! Stand-in for the platform's log: in memory, with outages, delays, lost answers and retention.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use spokelift_lib::protocol::log::APPEND;
+use spokelift_lib::protocol::log::Appended;
+use spokelift_lib::protocol::log::Item;
+use spokelift_lib::protocol::log::Page;
+use spokelift_lib::protocol::log::READ;
+use spokelift_lib::state::id::Offset;
+use spokelift_lib::transport::dial::Body;
+use spokelift_lib::transport::dial::full;
+use spokelift_lib::transport::serve::serve;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// Most bytes of records in one answer.
+const MAX_PAGE: usize = 8 * 1024 * 1024;
+
+/// A running log. Clones are the same log.
+#[derive(Clone)]
+pub struct Log {
+    /// Where it serves.
+    pub addr: SocketAddr,
+    inner: Arc<Inner>,
+    stop: Arc<watch::Sender<bool>>,
+}
+
+#[derive(Default)]
+struct Inner {
+    state: Mutex<State>,
+    grown: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    first: Offset,
+    records: VecDeque<Bytes>,
+    faults: Faults,
+    appends: u64,
+    reads: u64,
+}
+
+/// What is wrong with the log at the moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Every request is answered with 503.
+    pub away: bool,
+    /// Every answer is this late.
+    pub delay: Duration,
+    /// So many appends take effect and are then answered with 503.
+    pub lose_answers: u32,
+    /// So many appends take effect twice.
+    pub double: u32,
+}
+
+impl Log {
+    /// Starts an empty log on a port chosen by the system.
+    pub async fn start() -> std::io::Result<Log> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let inner = Arc::new(Inner::default());
+        let (stop, stopped) = watch::channel(false);
+        let shared = inner.clone();
+        tokio::spawn(serve(listener, stopped, move |request| {
+            answer(shared.clone(), request)
+        }));
+        Ok(Log {
+            addr,
+            inner,
+            stop: Arc::new(stop),
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.inner.state.lock().expect("no holder panics")
+    }
+
+    /// Sets what is wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state().faults = faults;
+    }
+
+    /// Lets go of all records before `first`.
+    pub fn retain_from(&self, first: Offset) {
+        let mut state = self.state();
+        while state.first < first && !state.records.is_empty() {
+            state.records.pop_front();
+            state.first += 1;
+        }
+    }
+
+    /// Offset that the next append will get.
+    pub fn next(&self) -> Offset {
+        self.state().next()
+    }
+
+    /// Appends and reads answered so far.
+    pub fn served(&self) -> (u64, u64) {
+        let state = self.state();
+        (state.appends, state.reads)
+    }
+
+    /// The records kept, with their offsets.
+    pub fn records(&self) -> Vec<(Offset, Bytes)> {
+        let state = self.state();
+        let offsets = state.first..;
+        offsets.zip(state.records.iter().cloned()).collect()
+    }
+
+    /// Stops serving.
+    pub fn stop(&self) {
+        let _ = self.stop.send(true);
+    }
+}
+
+impl State {
+    fn next(&self) -> Offset {
+        self.first + self.records.len() as Offset
+    }
+
+    fn append(&mut self, bytes: Bytes) -> Offset {
+        let offset = self.next();
+        self.records.push_back(bytes);
+        self.appends += 1;
+        offset
+    }
+
+    fn page(&self, from: Offset, max: usize) -> Page {
+        let from = from.max(self.first);
+        let skip = (from - self.first) as usize;
+        let mut bytes = 0;
+        let mut records = Vec::new();
+        for (index, record) in self.records.iter().enumerate().skip(skip).take(max) {
+            bytes += record.len();
+            if bytes > MAX_PAGE && !records.is_empty() {
+                break;
+            }
+            records.push(Item::new(self.first + index as Offset, record));
+        }
+        Page {
+            first: self.first,
+            next: self.next(),
+            records,
+        }
+    }
+}
+
+async fn answer(inner: Arc<Inner>, request: Request<Incoming>) -> Response<Body> {
+    let faults = inner.state.lock().expect("no holder panics").faults;
+    sleep(faults.delay).await;
+    if faults.away {
+        return status(503);
+    }
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::POST, APPEND) => append(&inner, request).await,
+        (&Method::GET, READ) => read(&inner, request).await,
+        _ => status(404),
+    }
+}
+
+async fn append(inner: &Inner, request: Request<Incoming>) -> Response<Body> {
+    let Ok(body) = request.into_body().collect().await else {
+        return status(400);
+    };
+    let bytes = body.to_bytes();
+    let (offset, lose) = {
+        let mut state = inner.state.lock().expect("no holder panics");
+        let offset = state.append(bytes.clone());
+        if state.faults.double > 0 {
+            state.faults.double -= 1;
+            state.append(bytes);
+        }
+        let lose = state.faults.lose_answers > 0;
+        state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
+        (offset, lose)
+    };
+    inner.grown.notify_waiters();
+    if lose {
+        return status(503);
+    }
+    json(&Appended { offset })
+}
+
+async fn read(inner: &Inner, request: Request<Incoming>) -> Response<Body> {
+    let query = request.uri().query().unwrap_or_default();
+    let field = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let value = pairs.find(|(key, _)| *key == name);
+        value.and_then(|(_, value)| value.parse::<u64>().ok())
+    };
+    let from = field("from").unwrap_or(0);
+    let max = field("max").unwrap_or(100) as usize;
+    let wait = Duration::from_millis(field("wait_ms").unwrap_or(0));
+    let grown = inner.grown.notified();
+    let mut grown = std::pin::pin!(grown);
+    grown.as_mut().enable();
+    let next = inner.state.lock().expect("no holder panics").next();
+    if next <= from {
+        let _ = timeout(wait, grown).await;
+    }
+    let mut state = inner.state.lock().expect("no holder panics");
+    if state.faults.away {
+        return status(503);
+    }
+    state.reads += 1;
+    let page = state.page(from, max);
+    drop(state);
+    json(&page)
+}
+
+pub(crate) fn json<T: serde::Serialize>(value: &T) -> Response<Body> {
+    let body = serde_json::to_vec(value).expect("the protocol's types can be written as JSON");
+    Response::new(full(body))
+}
+
+pub(crate) fn status(code: u16) -> Response<Body> {
+    let response = Response::builder().status(code);
+    response.body(full("")).expect("a status makes an answer")
+}
--- /dev/null
+++ b/testutils/src/proxy.rs
@@ -0,0 +1,271 @@
+//! A proxy that delays, holds, cuts and limits connections on command, and one for datagrams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+
+/// What the proxy does to the bytes of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Flow {
+    /// Passes them on.
+    #[default]
+    Pass,
+    /// Passes them on this much later.
+    Delay(Duration),
+    /// Holds them; the connection stays open.
+    Hold,
+    /// Passes on this many bytes of each connection, then cuts it.
+    CutAfter(u64),
+}
+
+/// What the proxy does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Fault {
+    /// To the bytes that go to the server.
+    pub request: Flow,
+    /// To the bytes that come back.
+    pub answer: Flow,
+    /// Connections are accepted and closed at once, and those open are cut.
+    pub refuse: bool,
+}
+
+/// A proxy for TCP connections. Clones are the same proxy.
+#[derive(Clone)]
+pub struct Proxy {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    upstream: Arc<Mutex<SocketAddr>>,
+    fault: Arc<watch::Sender<Fault>>,
+    task: Arc<AbortOnDrop>,
+}
+
+struct AbortOnDrop(AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Proxy {
+    /// Starts a proxy to `upstream`.
+    pub async fn start(upstream: SocketAddr) -> std::io::Result<Proxy> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let upstream = Arc::new(Mutex::new(upstream));
+        let (fault, faults) = watch::channel(Fault::default());
+        let task = tokio::spawn(accept(listener, upstream.clone(), faults));
+        let task = Arc::new(AbortOnDrop(task.abort_handle()));
+        Ok(Proxy {
+            addr,
+            upstream,
+            fault: Arc::new(fault),
+            task,
+        })
+    }
+
+    /// Sends later connections elsewhere.
+    pub fn set_upstream(&self, upstream: SocketAddr) {
+        *self.upstream.lock().expect("no holder panics") = upstream;
+    }
+
+    /// Sets what the proxy does from now on, to open connections as well.
+    pub fn set(&self, fault: Fault) {
+        // Nobody listens when no connection is open.
+        self.fault.send_replace(fault);
+    }
+
+    /// Whether the proxy still runs.
+    pub fn is_running(&self) -> bool {
+        !self.task.0.is_finished()
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    upstream: Arc<Mutex<SocketAddr>>,
+    faults: watch::Receiver<Fault>,
+) {
+    while let Ok((client, _)) = listener.accept().await {
+        let to = *upstream.lock().expect("no holder panics");
+        tokio::spawn(pass(client, to, faults.clone()));
+    }
+}
+
+async fn pass(client: TcpStream, to: SocketAddr, faults: watch::Receiver<Fault>) {
+    if faults.borrow().refuse {
+        return;
+    }
+    let Ok(server) = TcpStream::connect(to).await else {
+        return;
+    };
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = server.into_split();
+    let mut refusals = faults.clone();
+    // The first direction to end, or a refusal, cuts both.
+    tokio::select! {
+        () = copy(client_read, server_write, faults.clone(), |fault| fault.request) => {}
+        () = copy(server_read, client_write, faults, |fault| fault.answer) => {}
+        _ = refusals.wait_for(|fault| fault.refuse) => {}
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut faults: watch::Receiver<Fault>,
+    flow: impl Fn(&Fault) -> Flow,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    let mut passed = 0;
+    loop {
+        let Ok(read @ 1..) = from.read(&mut buffer).await else {
+            return;
+        };
+        let mut bytes = &buffer[..read];
+        let now = flow(&faults.borrow());
+        match now {
+            Flow::Pass => {}
+            Flow::Delay(by) => sleep(by).await,
+            Flow::Hold => {
+                let _ = faults.wait_for(|fault| flow(fault) != Flow::Hold).await;
+            }
+            Flow::CutAfter(limit) => {
+                let left = (limit.saturating_sub(passed)) as usize;
+                bytes = &bytes[..left.min(read)];
+            }
+        }
+        if to.write_all(bytes).await.is_err() {
+            return;
+        }
+        passed += bytes.len() as u64;
+        if bytes.len() < read || now == Flow::CutAfter(passed) {
+            return;
+        }
+    }
+}
+
+/// What the datagram proxy does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Datagrams {
+    /// Passes nothing on.
+    pub drop: bool,
+    /// Passes each one on twice.
+    pub double: bool,
+    /// Passes each one on this much later.
+    pub delay: Duration,
+}
+
+/// A one-way proxy for datagrams. Clones are the same proxy.
+#[derive(Clone)]
+pub struct Relay {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    upstream: Arc<Mutex<SocketAddr>>,
+    fault: Arc<Mutex<Datagrams>>,
+    seen: Arc<Mutex<Vec<Vec<u8>>>>,
+    socket: Arc<UdpSocket>,
+    _task: Arc<AbortOnDrop>,
+}
+
+/// Datagrams kept for replay.
+const MAX_SEEN: usize = 1024;
+
+impl Relay {
+    /// Starts a relay to `upstream`.
+    pub async fn start(upstream: SocketAddr) -> std::io::Result<Relay> {
+        let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
+        let addr = socket.local_addr()?;
+        let upstream = Arc::new(Mutex::new(upstream));
+        let fault = Arc::new(Mutex::new(Datagrams::default()));
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let work = relay(
+            socket.clone(),
+            upstream.clone(),
+            fault.clone(),
+            seen.clone(),
+        );
+        let task = tokio::spawn(work);
+        let _task = Arc::new(AbortOnDrop(task.abort_handle()));
+        Ok(Relay {
+            addr,
+            upstream,
+            fault,
+            seen,
+            socket,
+            _task,
+        })
+    }
+
+    /// Sends later datagrams elsewhere.
+    pub fn set_upstream(&self, upstream: SocketAddr) {
+        *self.upstream.lock().expect("no holder panics") = upstream;
+    }
+
+    /// Sets what the relay does from now on.
+    pub fn set(&self, fault: Datagrams) {
+        *self.fault.lock().expect("no holder panics") = fault;
+    }
+
+    /// Datagrams that came by, the oldest first.
+    pub fn seen(&self) -> Vec<Vec<u8>> {
+        self.seen.lock().expect("no holder panics").clone()
+    }
+
+    /// Sends bytes of one's own to the receiver.
+    pub async fn send(&self, bytes: &[u8]) -> std::io::Result<()> {
+        let to = *self.upstream.lock().expect("no holder panics");
+        self.socket.send_to(bytes, to).await?;
+        Ok(())
+    }
+}
+
+async fn relay(
+    socket: Arc<UdpSocket>,
+    upstream: Arc<Mutex<SocketAddr>>,
+    fault: Arc<Mutex<Datagrams>>,
+    seen: Arc<Mutex<Vec<Vec<u8>>>>,
+) {
+    let mut buffer = vec![0; 2048];
+    loop {
+        let Ok((size, _)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let bytes = buffer[..size].to_vec();
+        keep(&seen, &bytes);
+        let now = *fault.lock().expect("no holder panics");
+        let to = *upstream.lock().expect("no holder panics");
+        if now.drop {
+            continue;
+        }
+        let socket = socket.clone();
+        tokio::spawn(async move {
+            sleep(now.delay).await;
+            let copies = 1 + usize::from(now.double);
+            for _ in 0..copies {
+                let _ = socket.send_to(&bytes, to).await;
+            }
+        });
+    }
+}
+
+fn keep(seen: &Mutex<Vec<Vec<u8>>>, bytes: &[u8]) {
+    let mut seen = seen.lock().expect("no holder panics");
+    if seen.len() < MAX_SEEN {
+        seen.push(bytes.to_vec());
+    }
+}
--- /dev/null
+++ b/testutils/src/worker.rs
@@ -0,0 +1,364 @@
+//! Stand-in for a worker: an HTTP server that runs jobs' requests, drains, reboots and dies.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Body as HttpBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use spokelift_lib::protocol::boxes::Listed;
+use spokelift_lib::protocol::call::REQUEST;
+use spokelift_lib::protocol::worker::Action;
+use spokelift_lib::protocol::worker::COMMAND;
+use spokelift_lib::protocol::worker::Command;
+use spokelift_lib::protocol::worker::LEAVING;
+use spokelift_lib::protocol::worker::REFUSED;
+use spokelift_lib::protocol::worker::STATUS;
+use spokelift_lib::protocol::worker::Status;
+use spokelift_lib::protocol::worker::WORK;
+use spokelift_lib::state::id::Offset;
+use spokelift_lib::state::id::ServiceKey;
+use spokelift_lib::transport::dial::Body;
+use spokelift_lib::transport::dial::BodyError;
+use spokelift_lib::transport::dial::full;
+use spokelift_lib::transport::serve::serve;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::ledger::Ledger;
+use crate::ledger::Token;
+use crate::log::json;
+use crate::log::status;
+
+/// Header in which a caller gives its token; it comes back in the answer.
+pub const TOKEN: &str = "x-token";
+/// Header in which a caller says how long its request runs, in milliseconds.
+pub const RUN_MS: &str = "x-run-ms";
+/// Pause between attempts to take the address again after a reboot.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// A running worker. Clones are the same worker.
+#[derive(Clone)]
+pub struct Worker {
+    /// What the box list says of it.
+    pub listed: Listed,
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    ledger: Ledger,
+    reboot_time: Duration,
+    state: Mutex<State>,
+    server: Mutex<Option<JoinHandle<()>>>,
+}
+
+#[derive(Default)]
+struct State {
+    fence: Offset,
+    draining: bool,
+    jobs: Vec<ServiceKey>,
+    rebooting: Option<Offset>,
+    rebooted_for: Option<Offset>,
+    inflight: u32,
+    dead: bool,
+    faults: Faults,
+}
+
+/// What is wrong with the worker at the moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Answers carry another request's id.
+    pub wrong_id: bool,
+    /// Answers are cut off in the middle.
+    pub cut_in_answer: bool,
+    /// Every request takes this much longer.
+    pub slow: Duration,
+}
+
+impl Worker {
+    /// Starts a worker on the address its listing names; port 0 lets the system choose.
+    pub async fn start(
+        mut listed: Listed,
+        ledger: Ledger,
+        reboot_time: Duration,
+    ) -> std::io::Result<Worker> {
+        let listener = TcpListener::bind(listed.addr).await?;
+        listed.addr = listener.local_addr()?;
+        let inner = Arc::new(Inner {
+            ledger,
+            reboot_time,
+            state: Mutex::default(),
+            server: Mutex::default(),
+        });
+        let worker = Worker { listed, inner };
+        worker.serve_on(listener);
+        Ok(worker)
+    }
+
+    fn serve_on(&self, listener: TcpListener) {
+        let worker = self.clone();
+        let (stop, stopped) = watch::channel(false);
+        let handler = move |request| answer(worker.clone(), request);
+        let task = tokio::spawn(async move {
+            let _stop = stop;
+            serve(listener, stopped, handler).await;
+        });
+        *self.inner.server.lock().expect("no holder panics") = Some(task);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.inner.state.lock().expect("no holder panics")
+    }
+
+    /// Sets what is wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state().faults = faults;
+    }
+
+    /// Ends the worker at once and for good.
+    pub fn kill(&self) {
+        self.state().dead = true;
+        self.inner.ledger.died(&self.listed.name);
+        self.close();
+    }
+
+    /// What it says of itself.
+    pub fn status(&self) -> Status {
+        let state = self.state();
+        Status {
+            fence: state.fence,
+            draining: state.draining,
+            inflight: state.inflight,
+            jobs: state.jobs.clone(),
+            rebooted_for: state.rebooted_for,
+        }
+    }
+
+    /// Closes the door and every connection.
+    fn close(&self) {
+        let server = self.inner.server.lock().expect("no holder panics").take();
+        if let Some(server) = server {
+            server.abort();
+        }
+    }
+
+    async fn reboot(self) {
+        self.inner.ledger.rebooted(&self.listed.name);
+        self.close();
+        sleep(self.inner.reboot_time).await;
+        {
+            let mut state = self.state();
+            state.jobs.clear();
+            state.inflight = 0;
+            state.rebooted_for = state.rebooting.take();
+        }
+        while !self.state().dead {
+            if let Ok(listener) = TcpListener::bind(self.listed.addr).await {
+                self.serve_on(listener);
+                return;
+            }
+            sleep(BIND_PAUSE).await;
+        }
+    }
+
+    /// Carries out a command, unless a later one was seen.
+    fn command(&self, command: Command) -> Response<Body> {
+        {
+            let mut state = self.state();
+            if command.fence < state.fence {
+                return status(409);
+            }
+            state.fence = command.fence;
+            self.carry_out(&mut state, command.action);
+        }
+        json(&self.status())
+    }
+
+    fn carry_out(&self, state: &mut State, action: Action) {
+        let name = &self.listed.name;
+        match action {
+            Action::Drain => {
+                self.inner.ledger.draining(name);
+                state.draining = true;
+            }
+            Action::Resume => {
+                self.inner.ledger.resumed(name);
+                state.draining = false;
+            }
+            Action::Jobs { jobs } => {
+                self.inner.ledger.jobs(name, &jobs);
+                state.jobs = jobs;
+            }
+            Action::Reboot { operation } => {
+                let known = [state.rebooting, state.rebooted_for];
+                if !known.contains(&Some(operation)) {
+                    state.rebooting = Some(operation);
+                    tokio::spawn(self.clone().reboot());
+                }
+            }
+        }
+    }
+}
+
+async fn answer(worker: Worker, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    match path.as_str() {
+        STATUS => json(&worker.status()),
+        COMMAND => {
+            let Ok(body) = request.into_body().collect().await else {
+                return status(400);
+            };
+            match serde_json::from_slice(&body.to_bytes()) {
+                Ok(command) => worker.command(command),
+                Err(_) => status(400),
+            }
+        }
+        _ => work(worker, &path, request).await,
+    }
+}
+
+/// A request under way; dropped when it ends or its connection does.
+struct Running {
+    worker: Worker,
+    token: Token,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut state = self.worker.state();
+        state.inflight = state.inflight.saturating_sub(1);
+        self.worker
+            .inner
+            .ledger
+            .ended(&self.worker.listed.name, self.token);
+    }
+}
+
+async fn work(worker: Worker, path: &str, request: Request<Incoming>) -> Response<Body> {
+    let job = path
+        .strip_prefix(WORK)
+        .and_then(|rest| rest.strip_prefix('/'));
+    let Some((account, service)) = job.and_then(|job| job.split_once('/')) else {
+        return status(404);
+    };
+    let header = |name: &str| {
+        request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let token: Token = header(TOKEN)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
+    let run_ms: u64 = header(RUN_MS)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1);
+    let id = header(REQUEST).unwrap_or_default().to_owned();
+    let key: ServiceKey = (account.into(), service.into());
+    if let Some(reason) = worker.turn_away(&key) {
+        return Response::builder()
+            .status(503)
+            .header(REFUSED, reason)
+            .body(full(""))
+            .expect("the headers are constants");
+    }
+    let running = worker.begin(token);
+    let faults = worker.state().faults;
+    let body = request.into_body().collect().await;
+    let Ok(body) = body else {
+        return status(400);
+    };
+    sleep(Duration::from_millis(run_ms) + faults.slow).await;
+    let response = worker.respond(token, &id, body.to_bytes(), faults);
+    drop(running);
+    response
+}
+
+impl Worker {
+    fn turn_away(&self, key: &ServiceKey) -> Option<&'static str> {
+        let state = self.state();
+        if !state.jobs.contains(key) {
+            return Some("no-such-job");
+        }
+        if state.inflight >= self.listed.slots {
+            self.inner.ledger.over_slots();
+            return Some("slots-full");
+        }
+        None
+    }
+
+    fn begin(&self, token: Token) -> Running {
+        self.state().inflight += 1;
+        self.inner.ledger.begun(&self.listed.name, token);
+        Running {
+            worker: self.clone(),
+            token,
+        }
+    }
+
+    fn respond(&self, token: Token, id: &str, body: Bytes, faults: Faults) -> Response<Body> {
+        let id = if faults.wrong_id {
+            "00000000000000000000000000000000"
+        } else {
+            id
+        };
+        let mut response = Response::builder().header(TOKEN, token).header(REQUEST, id);
+        if self.state().draining {
+            response = response.header(LEAVING, "true");
+        }
+        let whole = format!("{token} ran {} bytes", body.len());
+        let body = if faults.cut_in_answer {
+            cut_body(whole.len() as u64, whole.into_bytes()[..3].to_vec().into())
+        } else {
+            full(whole)
+        };
+        response
+            .body(body)
+            .expect("numbers and digits make headers")
+    }
+}
+
+/// A body that announces `length` bytes and ends in an error after `start`.
+fn cut_body(length: u64, start: Bytes) -> Body {
+    Cut {
+        length,
+        start: Some(start),
+    }
+    .boxed_unsync()
+}
+
+struct Cut {
+    length: u64,
+    start: Option<Bytes>,
+}
+
+impl HttpBody for Cut {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Poll::Ready(Some(match self.start.take() {
+            Some(start) => Ok(Frame::data(start)),
+            None => Err(BodyError::Timeout),
+        }))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.length)
+    }
+}
