--- /dev/null
+++ b/cli/tests/test_stop.rs
@@ -0,0 +1,126 @@
+//! Planned stops cut off nothing; a leaving box gets nothing more.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use hyper::Request;
+use nix::sys::signal::Signal;
+use spokelift_lib::transport::dial::full;
+use spokelift_testutils::fixture::Fixture;
+use spokelift_testutils::ledger::Told;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
+
+#[tokio::test]
+async fn sigterm_tells_the_balancer_first_and_cuts_off_nothing() {
+    let mut fixture = Fixture::start(PROGRAM, 1, &[]).await.unwrap();
+    fixture.set_up().await;
+    let calls: Vec<_> = (1..=4)
+        .map(|token| {
+            let mut call = fixture.call_of("clinics", "booking", token);
+            call.run_ms = 1500;
+            call
+        })
+        .collect();
+    let stop = async {
+        let busy = async || {
+            let (_, status) = fixture.operate(0, "GET", "/v1/status", "").await;
+            status["inflight"] == 4
+        };
+        fixture.until("all are in flight", busy).await;
+        fixture.signal(0, Signal::SIGTERM).unwrap();
+        let refuses = async || {
+            let health = Request::get("/healthz").body(full("")).unwrap();
+            let answer = fixture.raw_call(0, health).await;
+            answer.is_some_and(|answer| answer.status() == 503)
+        };
+        fixture.until("the balancer is told", refuses).await;
+    };
+    let (told, ()) = tokio::join!(
+        async {
+            let (a, b, c, d) = tokio::join!(
+                fixture.call(0, &calls[0]),
+                fixture.call(0, &calls[1]),
+                fixture.call(0, &calls[2]),
+                fixture.call(0, &calls[3]),
+            );
+            [a, b, c, d]
+        },
+        stop
+    );
+    assert_eq!(told, [Told::Answered; 4]);
+    let mut ended = None;
+    for _ in 0..300 {
+        ended = fixture.daemon(0).ended().unwrap();
+        if ended.is_some() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(ended, Some(true));
+}
+
+#[tokio::test]
+async fn a_box_that_the_list_calls_leaving_gets_no_new_work() {
+    let fixture = Fixture::start(PROGRAM, 1, &[]).await.unwrap();
+    fixture.set_up().await;
+    for worker in &fixture.workers[1..8] {
+        fixture.boxes.set_leaving(&worker.listed.name, true);
+    }
+    // The list is read every 200 ms; 2 s is what is promised.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before: Vec<u64> = fixture.workers[1..8]
+        .iter()
+        .map(|worker| worker.served())
+        .collect();
+    for token in 1..=20 {
+        let call = fixture.call_of("clinics", "booking", token);
+        assert_matches!(fixture.call(0, &call).await, Told::Answered);
+    }
+    let after: Vec<u64> = fixture.workers[1..8]
+        .iter()
+        .map(|worker| worker.served())
+        .collect();
+    assert_eq!(before, after);
+    assert_eq!(fixture.workers[0].served(), 20);
+}
+
+#[tokio::test]
+async fn a_reboot_waits_for_a_long_request_and_a_drain_limit_ends_the_wait() {
+    let fixture = Fixture::start(PROGRAM, 1, &[]).await.unwrap();
+    let config = fixture
+        .site
+        .config()
+        .replace("drain_limit_s = 15", "drain_limit_s = 1");
+    let (status, answer) = fixture.operate(0, "POST", "/v1/publish", &config).await;
+    assert_eq!(status, 200, "{answer}");
+    let place = r#"{"place":{"account":"donors","service":"recall","replicas":4}}"#;
+    let plan = fixture.confirmed(0, place).await;
+    fixture.until_over(0, &plan).await;
+    let mut long = fixture.call_of("donors", "recall", 1);
+    long.run_ms = 6000;
+    let wave = async {
+        let busy = async || {
+            fixture.workers[8..]
+                .iter()
+                .any(|worker| worker.status().inflight > 0)
+        };
+        fixture.until("the request runs", busy).await;
+        let plan = fixture
+            .confirmed(0, r#"{"maintain":{"pools":["outreach"]}}"#)
+            .await;
+        fixture.until_over(0, &plan).await;
+        plan
+    };
+    let (told, plan) = tokio::join!(fixture.call(0, &long), wave);
+    assert_eq!(told, Told::Answered);
+    let plan = fixture.plan(0, &plan).await;
+    let outcomes = plan["steps"].as_array().unwrap().iter();
+    let limited = outcomes.filter(|step| step["progress"]["over"]["outcome"] == "drain-limit");
+    assert_eq!(limited.count(), 1, "{plan}");
+    assert!(
+        fixture.ledger.counts().violations().is_empty(),
+        "{:?}",
+        fixture.ledger.counts()
+    );
+}
--- /dev/null
+++ b/testutils/src/fixture.rs
@@ -0,0 +1,366 @@
+//! A small site of real daemons, with a proxy on every link that a test may want to break.
+
+use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::header::AUTHORIZATION;
+use serde_json::Value;
+use spokelift_lib::protocol::boxes::Listed;
+use spokelift_lib::state::account::format_hash;
+use spokelift_lib::state::account::hash_secret;
+use spokelift_lib::transport::dial::Dialer;
+use spokelift_lib::transport::dial::full;
+use tokio::time::sleep;
+
+use crate::boxes::Boxes;
+use crate::caller;
+use crate::caller::Call;
+use crate::ledger::Ledger;
+use crate::ledger::Told;
+use crate::log::Log;
+use crate::process::Process;
+use crate::proxy::Proxy;
+use crate::proxy::Relay;
+use crate::site::Pool;
+use crate::site::Site;
+use crate::site::caller_secret;
+use crate::worker::Worker;
+
+/// Longest that a test waits for something to come about.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(30);
+/// Time a worker's reboot takes.
+const REBOOT: Duration = Duration::from_millis(300);
+/// How long a daemon may take to answer an operator.
+const WAIT: Duration = Duration::from_secs(15);
+/// The site operator's secret.
+pub const SITE_SECRET: &str = "fixture-site-secret";
+/// The site operator's credential.
+pub const SITE_KEY: &str = "site:fixture-site-secret";
+
+/// A site of twelve boxes: two accounts with a pool and a service each.
+pub const SMALL: Site = Site {
+    name: "small",
+    halls: &["hall-1", "hall-2", "hall-3"],
+    weigh: "buffer",
+    pools: &[
+        Pool {
+            name: "front",
+            account: "clinics",
+            boxes: 8,
+            max_out: 2,
+            services: &[("booking", 6)],
+        },
+        Pool {
+            name: "outreach",
+            account: "donors",
+            boxes: 4,
+            max_out: 1,
+            services: &[("recall", 6)],
+        },
+    ],
+};
+
+/// The site, its stand-ins and its daemons.
+pub struct Fixture {
+    /// What the site is like.
+    pub site: Site,
+    /// What workers and callers saw.
+    pub ledger: Ledger,
+    /// The log itself.
+    pub log: Log,
+    /// The box list itself.
+    pub boxes: Boxes,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    /// Between each daemon and the log.
+    pub log_links: Vec<Proxy>,
+    /// Between the daemons: `peer_links[from][to]`, none from a daemon to itself.
+    pub peer_links: Vec<Vec<Option<Relay>>>,
+    daemons: Vec<Option<Process>>,
+    program: String,
+    dialer: Dialer,
+    flags: Vec<(&'static str, String)>,
+}
+
+impl Fixture {
+    /// Starts `daemons` daemons of the program, with further flags, on the small site.
+    pub async fn start(
+        program: &str,
+        daemons: usize,
+        flags: &[(&'static str, &str)],
+    ) -> io::Result<Fixture> {
+        let site = SMALL;
+        let ledger = Ledger::new(site.ledger_pools());
+        let log = Log::start().await?;
+        let mut workers = Vec::new();
+        for listed in site.boxes() {
+            workers.push(Worker::start(own_addr(listed), ledger.clone(), REBOOT).await?);
+        }
+        let listed = workers.iter().map(|worker| worker.listed.clone());
+        let boxes = Boxes::start(listed.collect()).await?;
+        let mut log_links = Vec::new();
+        for _ in 0..daemons {
+            log_links.push(Proxy::start(log.addr).await?);
+        }
+        let flags = flags
+            .iter()
+            .map(|(flag, value)| (*flag, (*value).to_owned()));
+        let mut fixture = Fixture {
+            site,
+            ledger,
+            log,
+            boxes,
+            workers,
+            log_links,
+            peer_links: relays(daemons).await?,
+            daemons: (0..daemons).map(|_| None).collect(),
+            program: program.to_owned(),
+            dialer: Dialer::new(Duration::from_secs(1)),
+            flags: flags.collect(),
+        };
+        for id in 0..daemons {
+            fixture.start_daemon(id)?;
+        }
+        fixture.until_serving().await;
+        Ok(fixture)
+    }
+
+    /// Starts a daemon, empty, in its place.
+    pub fn start_daemon(&mut self, id: usize) -> io::Result<()> {
+        let links = self.peer_links[id].iter().enumerate();
+        let peers = links.filter_map(|(to, link)| Some(format!("{to}={}", link.as_ref()?.addr)));
+        let peers: Vec<String> = peers.collect();
+        let mut flags = vec![
+            ("id", id.to_string()),
+            (
+                "hall",
+                self.site.halls[id % self.site.halls.len()].to_owned(),
+            ),
+            ("peers", peers.join(",")),
+            ("peer-secret", "fixture-peer-secret".to_owned()),
+            ("log", self.log_links[id].addr.to_string()),
+            ("boxes", self.boxes.addr.to_string()),
+            ("site-key-hash", format_hash(&hash_secret(SITE_SECRET))),
+            ("heartbeat-ms", "200".to_owned()),
+            ("poll-ms", "200".to_owned()),
+            ("stop-delay-ms", "300".to_owned()),
+            ("down-grace-ms", "500".to_owned()),
+            ("appends-per-s", "30".to_owned()),
+        ];
+        flags.extend(self.flags.clone());
+        let process = Process::start(&self.program, &flags)?;
+        for link in self
+            .peer_links
+            .iter()
+            .filter_map(|links| links[id].as_ref())
+        {
+            link.set_upstream(process.addrs.peer);
+        }
+        self.daemons[id] = Some(process);
+        Ok(())
+    }
+
+    /// A daemon's process.
+    pub fn daemon(&mut self, id: usize) -> &mut Process {
+        self.daemons[id]
+            .as_mut()
+            .expect("the test started this daemon")
+    }
+
+    /// Sends a signal to a daemon.
+    pub fn signal(&self, id: usize, signal: nix::sys::signal::Signal) -> io::Result<()> {
+        let daemon = self.daemons[id]
+            .as_ref()
+            .expect("the test started this daemon");
+        daemon.signal(signal)
+    }
+
+    /// Where a daemon listens.
+    pub fn addrs(&self, id: usize) -> spokelift_lib::daemon::Addrs {
+        self.daemons[id]
+            .as_ref()
+            .expect("the test started this daemon")
+            .addrs
+    }
+
+    /// Ends a daemon at once.
+    pub fn kill_daemon(&mut self, id: usize) {
+        self.daemons[id] = None;
+    }
+
+    /// Waits until `holds` returns true. Panics if it does not in time.
+    pub async fn until(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
+        let begun = Instant::now();
+        while !holds().await {
+            assert!(begun.elapsed() < PATIENCE, "waited in vain until {what}");
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Waits until every daemon that runs serves and hears all others that run.
+    pub async fn until_serving(&self) {
+        let running: Vec<usize> = (0..self.daemons.len())
+            .filter(|id| self.daemons[*id].is_some())
+            .collect();
+        self.until("every daemon serves", async || {
+            for id in &running {
+                let (_, status) = self.operate(*id, "GET", "/v1/status", "").await;
+                let peers = status["peers"].as_array().map_or(0, Vec::len);
+                if status["serving"] != true || peers + 1 < running.len() {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    /// An operator's request with the site's credential: status and JSON.
+    pub async fn operate(&self, id: usize, method: &str, path: &str, body: &str) -> (u16, Value) {
+        self.operate_as(SITE_KEY, id, method, path, body).await
+    }
+
+    /// An operator's request with a credential; status 0 if there was no answer.
+    pub async fn operate_as(
+        &self,
+        key: &str,
+        id: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> (u16, Value) {
+        let request = Request::builder()
+            .method(Method::from_bytes(method.as_bytes()).expect("tests name real methods"))
+            .uri(path)
+            .header(AUTHORIZATION, format!("Bearer {key}"))
+            .body(full(body.to_owned()))
+            .expect("tests make valid requests");
+        let addr = self.addrs(id).operate;
+        match self.dialer.exchange(addr, request, 1 << 26, WAIT).await {
+            Ok(answer) => {
+                let json = serde_json::from_slice(answer.body()).unwrap_or(Value::Null);
+                (answer.status().as_u16(), json)
+            }
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    /// Publishes the site's configuration and places each service on all boxes of its pool.
+    pub async fn set_up(&self) {
+        let (status, answer) = self
+            .operate(0, "POST", "/v1/publish", &self.site.config())
+            .await;
+        assert_eq!(status, 200, "{answer}");
+        for pool in self.site.pools {
+            for (service, _) in pool.services {
+                let intent = format!(
+                    r#"{{"place":{{"account":"{}","service":"{service}","replicas":{}}}}}"#,
+                    pool.account, pool.boxes
+                );
+                let plan = self.confirmed(0, &intent).await;
+                self.until_over(0, &plan).await;
+            }
+        }
+    }
+
+    /// States an intent; returns the plan's id.
+    pub async fn proposed(&self, id: usize, intent: &str) -> String {
+        let (status, plan) = self.operate(id, "POST", "/v1/intents", intent).await;
+        assert_eq!(status, 200, "{plan}");
+        plan["id"].as_str().expect("a plan has an id").to_owned()
+    }
+
+    /// States an intent and confirms its plan; returns the plan's id.
+    pub async fn confirmed(&self, id: usize, intent: &str) -> String {
+        let plan = self.proposed(id, intent).await;
+        let path = format!("/v1/plans/{plan}/confirm");
+        let (status, answer) = self.operate(id, "POST", &path, "").await;
+        assert_eq!(status, 200, "{answer}");
+        plan
+    }
+
+    /// A plan as a daemon sees it.
+    pub async fn plan(&self, id: usize, plan: &str) -> Value {
+        self.operate(id, "GET", &format!("/v1/plans/{plan}"), "")
+            .await
+            .1
+    }
+
+    /// Waits until a plan is over.
+    pub async fn until_over(&self, id: usize, plan: &str) {
+        self.until("the plan is over", async || {
+            let phase = self.plan(id, plan).await["phase"].clone();
+            phase == "done" || phase == "aborted"
+        })
+        .await;
+    }
+
+    /// One counter of a daemon.
+    pub async fn counter(&self, id: usize, name: &str) -> u64 {
+        let (_, counters) = self.operate(id, "GET", "/v1/counters", "").await;
+        counters[name].as_u64().unwrap_or(0)
+    }
+
+    /// A request of an account's caller.
+    pub fn call_of(&self, account: &str, service: &str, token: u64) -> Call {
+        Call {
+            token,
+            credential: format!("{account}:{}", caller_secret(account)),
+            service: service.to_owned(),
+            repeatable: false,
+            run_ms: 5,
+            body: Bytes::from_static(b"a request"),
+        }
+    }
+
+    /// Sends a request through a daemon and writes both sides into the ledger.
+    pub async fn call(&self, id: usize, call: &Call) -> Told {
+        caller::call_on(&self.ledger, &self.dialer, self.addrs(id).call, call).await
+    }
+
+    /// Sends any request to a daemon's address for callers.
+    pub async fn raw_call(
+        &self,
+        id: usize,
+        request: Request<spokelift_lib::transport::dial::Body>,
+    ) -> Option<Response<Bytes>> {
+        let addr = self.addrs(id).call;
+        self.dialer
+            .exchange(addr, request, 1 << 20, WAIT)
+            .await
+            .ok()
+    }
+}
+
+/// Test sites run side by side in one process and each other's: a box's address is its own by
+/// its port.
+fn own_addr(listed: Listed) -> Listed {
+    let addr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 3, 0, 1)), 0);
+    Listed { addr, ..listed }
+}
+
+async fn relays(daemons: usize) -> io::Result<Vec<Vec<Option<Relay>>>> {
+    let nowhere = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
+    let mut all = Vec::new();
+    for from in 0..daemons {
+        let mut links = Vec::new();
+        for to in 0..daemons {
+            links.push(match from == to {
+                true => None,
+                false => Some(Relay::start(nowhere).await?),
+            });
+        }
+        all.push(links);
+    }
+    Ok(all)
+}
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -81,6 +81,8 @@
     out_since: Option<Instant>,
     draining_since: Option<Instant>,
     dead_since: Option<Instant>,
+    /// It was told to run nothing: on its way to another pool, it is out of none.
+    in_transit: bool,
     inflight: BTreeSet<Token>,
 }
 
@@ -199,10 +201,11 @@
         let mut inner = self.inner();
         let pools = inner.pools_of(jobs);
         inner.boxes_in_two_pools += u64::from(pools.len() > 1);
+        let state = inner.boxes.entry(target.clone()).or_default();
+        state.in_transit = jobs.is_empty();
         let Some(pool) = pools.first().copied() else {
             return;
         };
-        let state = inner.boxes.entry(target.clone()).or_default();
         let moved = state.pool.is_some_and(|before| before != pool);
         state.pool = Some(pool);
         inner.moves += u64::from(moved);
@@ -307,7 +310,8 @@
 
     /// Boxes of a pool that are out, as far as anyone can know.
     fn out_of(&self, pool: usize) -> usize {
-        let own = self.boxes.values().filter(|state| state.pool == Some(pool));
+        let is_own = |state: &&BoxState| state.pool == Some(pool) && !state.in_transit;
+        let own = self.boxes.values().filter(is_own);
         let out = own.filter(|state| {
             let dead = state
                 .dead_since
--- /dev/null
+++ b/testutils/src/process.rs
@@ -0,0 +1,58 @@
+//! Daemons as real processes.
+
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use spokelift_lib::daemon::Addrs;
+
+/// A daemon's process; killed when dropped.
+pub struct Process {
+    /// Where it listens.
+    pub addrs: Addrs,
+    child: Child,
+}
+
+impl Process {
+    /// Starts the program with these flags and waits until it says where it listens.
+    pub fn start(program: &str, flags: &[(&str, String)]) -> io::Result<Process> {
+        let mut command = Command::new(program);
+        for (flag, value) in flags {
+            command.arg(format!("--{flag}")).arg(value);
+        }
+        let mut child = command
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
+        let stdout = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line)?;
+        let addrs = serde_json::from_str(&line)?;
+        Ok(Process { addrs, child })
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        kill(pid, signal).map_err(io::Error::from)
+    }
+
+    /// Whether it has ended, and with success.
+    pub fn ended(&mut self) -> io::Result<Option<bool>> {
+        Ok(self.child.try_wait()?.map(|status| status.success()))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/testutils/src/worker.rs
+++ b/testutils/src/worker.rs
@@ -72,6 +72,7 @@
     rebooting: Option<Offset>,
     rebooted_for: Option<Offset>,
     inflight: u32,
+    served: u64,
     dead: bool,
     faults: Faults,
 }
@@ -134,6 +135,11 @@
         self.close();
     }
 
+    /// Requests begun so far.
+    pub fn served(&self) -> u64 {
+        self.state().served
+    }
+
     /// What it says of itself.
     pub fn status(&self) -> Status {
         let state = self.state();
@@ -300,7 +306,11 @@
     }
 
     fn begin(&self, token: Token) -> Running {
-        self.state().inflight += 1;
+        {
+            let mut state = self.state();
+            state.inflight += 1;
+            state.served += 1;
+        }
         self.inner.ledger.begun(&self.listed.name, token);
         Running {
             worker: self.clone(),
