--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -84,6 +84,12 @@
     /// time between telling the balancer and closing the door [2000]
     #[argh(option)]
     stop_delay_ms: Option<String>,
+    /// batches on the log between two snapshots [2000]
+    #[argh(option)]
+    snapshot_every: Option<String>,
+    /// most seconds between two snapshots; the log must keep three times that [600]
+    #[argh(option)]
+    snapshot_s: Option<String>,
     /// how long a plan's last steps wait for boxes that are down [30000]
     #[argh(option)]
     down_grace_ms: Option<String>,
@@ -114,6 +120,8 @@
             "call-limit-ms" => &self.call_limit_ms,
             "body-limit" => &self.body_limit,
             "stop-delay-ms" => &self.stop_delay_ms,
+            "snapshot-every" => &self.snapshot_every,
+            "snapshot-s" => &self.snapshot_s,
             "down-grace-ms" => &self.down_grace_ms,
             "statsd" => &self.statsd,
             _ => return None,
--- a/cli/src/trial/report.rs
+++ b/cli/src/trial/report.rs
@@ -102,6 +102,8 @@
         "drive.",
         "tend.",
         "log.append",
+        "snapshot.",
+        "catch-up.",
     ];
     shown.iter().any(|prefix| name.starts_with(prefix))
 }
--- a/cli/src/trial/stage.rs
+++ b/cli/src/trial/stage.rs
@@ -262,6 +262,8 @@
             call_limit: Duration::from_secs(15),
             body_limit: 1024 * 1024,
             stop_delay: Duration::from_secs(1),
+            snapshot_every: 64,
+            snapshot_period: Duration::from_secs(5),
             down_grace: Duration::from_secs(2),
             statsd: None,
         });
--- a/cli/tests/test_bad_input.rs
+++ b/cli/tests/test_bad_input.rs
@@ -320,7 +320,7 @@
 #[tokio::test]
 async fn a_datagram_replayed_or_from_a_stranger_changes_nothing() {
     let fixture = Fixture::start(PROGRAM, 2, &[]).await.unwrap();
-    let link = fixture.peer_links[1][0].clone().unwrap();
+    let link = fixture.peer_links[1][0].clone().unwrap().datagrams;
     fixture
         .until("heartbeats are recorded", async || link.seen().len() > 20)
         .await;
--- /dev/null
+++ b/cli/tests/test_deviant.rs
@@ -0,0 +1,73 @@
+//! A daemon whose state differs from the others' finds out and takes theirs.
+
+use bytes::Bytes;
+use spokelift_lib::state::record::Batch;
+use spokelift_lib::state::record::Body;
+use spokelift_lib::state::record::Edit;
+use spokelift_testutils::fixture::Fixture;
+use spokelift_testutils::log::Log;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
+
+/// The same batch with another budget, as a daemon with a fault in its rules might have it.
+fn altered(bytes: &Bytes) -> Bytes {
+    let Ok(mut batch) = Batch::decode(bytes) else {
+        return bytes.clone();
+    };
+    for record in &mut batch.records {
+        if let Body::Publish(change) = &mut record.body {
+            for edit in &mut change.edits {
+                if let Edit::Pool(_, _, pool) = edit {
+                    pool.drain_limit_s += 1;
+                }
+            }
+        }
+    }
+    batch.encode().unwrap().into()
+}
+
+#[tokio::test]
+async fn a_deviant_daemon_rebuilds_itself_from_the_majority() {
+    let mut fixture = Fixture::start(PROGRAM, 3, &[("snapshot-every", "16")])
+        .await
+        .unwrap();
+    fixture.set_up().await;
+    // Daemon 2 starts anew on a log that tells the same story with one word changed.
+    let other = Log::start().await.unwrap();
+    let copied = fixture.log.records();
+    for (_, bytes) in &copied {
+        other.put(altered(bytes));
+    }
+    fixture.kill_daemon(2);
+    fixture.log_links[2].set_upstream(other.addr);
+    fixture.start_daemon(2).unwrap();
+    let basis = async || {
+        let (_, status) = fixture.operate(2, "GET", "/v1/status", "").await;
+        status["basis"] == "log"
+    };
+    fixture
+        .until("daemon 2 has read the other log", basis)
+        .await;
+    // From here on it reads the true log again, which has grown meanwhile at most.
+    fixture.log_links[2].set_upstream(fixture.log.addr);
+    other.stop();
+    fixture.log_links[2].set(spokelift_testutils::proxy::Fault {
+        refuse: true,
+        ..Default::default()
+    });
+    fixture.log_links[2].set(spokelift_testutils::proxy::Fault::default());
+    // Enough changes for another snapshot mark.
+    for round in 0..20 {
+        let text = fixture
+            .site
+            .config()
+            .replace("max_out = 2", &format!("max_out = {}", 1 + round % 2));
+        let (status, answer) = fixture.operate(0, "POST", "/v1/publish", &text).await;
+        assert_eq!(status, 200, "{answer}");
+    }
+    let rebuilt = async || fixture.counter(2, "snapshot.rebuilt").await == 1;
+    fixture.until("daemon 2 has rebuilt itself", rebuilt).await;
+    assert_eq!(fixture.counter(0, "snapshot.deviant").await, 0);
+    assert_eq!(fixture.counter(1, "snapshot.deviant").await, 0);
+    fixture.until_serving().await;
+}
--- /dev/null
+++ b/lib/src/coordination/catch_up.rs
@@ -0,0 +1,265 @@
+//! Catches up from a peer when the log cannot be read, and serves peers that do.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::coordination::follow;
+use crate::coordination::node::Node;
+use crate::protocol::catch_up::Greeting;
+use crate::protocol::catch_up::Load;
+use crate::protocol::catch_up::MAX_PIECE;
+use crate::protocol::catch_up::Nonce;
+use crate::protocol::catch_up::Piece;
+use crate::protocol::catch_up::PieceError;
+use crate::protocol::catch_up::Request;
+use crate::protocol::catch_up::open;
+use crate::protocol::catch_up::seal;
+use crate::state::fleet::Fleet;
+use crate::state::id::Offset;
+use crate::state::snapshot;
+
+/// How often a daemon looks whether it should catch up.
+const LOOK: Duration = Duration::from_millis(100);
+/// Age of the last good read of the log from which on a daemon asks its peers.
+const LOG_TROUBLE: Duration = Duration::from_millis(700);
+/// How long one exchange may take.
+const WAIT: Duration = Duration::from_secs(5);
+/// Pause after a failed exchange or accept.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Peers served at a time.
+const MAX_CLIENTS: usize = 8;
+/// Bytes of state in one piece.
+const STATE_PIECE: usize = 1024 * 1024;
+/// Largest state taken from a peer, in bytes.
+const MAX_STATE: usize = 64 * 1024 * 1024;
+
+/// Why a daemon could not catch up from a peer.
+#[derive(Debug, Error)]
+pub enum CatchUpError {
+    /// The connection failed.
+    #[error("the connection failed")]
+    Connection(#[from] io::Error),
+    /// The peer ended the connection too early.
+    #[error("the peer ended the connection")]
+    Ended,
+    /// A piece was refused.
+    #[error(transparent)]
+    Piece(#[from] PieceError),
+    /// A piece belongs to another answer, or is out of order.
+    #[error("a piece of another answer")]
+    Foreign,
+    /// The state is larger than a state may be.
+    #[error("the state is too large")]
+    TooLarge,
+    /// The state does not decode.
+    #[error("the state does not decode")]
+    State(#[from] snapshot::SnapshotError),
+    /// No whole answer in time.
+    #[error("no answer in time")]
+    Timeout,
+}
+
+impl CatchUpError {
+    fn counter(&self) -> &'static str {
+        match self {
+            CatchUpError::Connection(_) | CatchUpError::Ended => "catch-up.failed.connection",
+            CatchUpError::Piece(_) => "catch-up.failed.piece",
+            CatchUpError::Foreign => "catch-up.failed.foreign",
+            CatchUpError::TooLarge | CatchUpError::State(_) => "catch-up.failed.state",
+            CatchUpError::Timeout => "catch-up.failed.timeout",
+        }
+    }
+}
+
+type Link = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn link(stream: TcpStream) -> Link {
+    let mut codec = LengthDelimitedCodec::new();
+    codec.set_max_frame_length(MAX_PIECE);
+    Framed::new(stream, codec)
+}
+
+/// Catches up from peers while the log gives trouble, for as long as the daemon runs.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        sleep(LOOK).await;
+        let now = Instant::now();
+        let log_age = node.replica.log_age(now);
+        if log_age.is_some_and(|age| age < LOG_TROUBLE) {
+            continue;
+        }
+        let ahead = node.members.ahead_of(node.replica.next(), now);
+        let Some(peer) = ahead.first() else {
+            continue;
+        };
+        if let Err(error) = from_peer(&node, *peer, false).await {
+            node.counters.count(error.counter());
+            sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Takes what a peer has applied beyond this daemon, or its whole state.
+pub async fn from_peer(
+    node: &Arc<Node>,
+    peer: SocketAddr,
+    whole: bool,
+) -> Result<(), CatchUpError> {
+    let from = node.replica.next();
+    let answer = timeout(WAIT, ask(node, peer, from, whole)).await;
+    match answer.map_err(|_| CatchUpError::Timeout)?? {
+        Answer::Batches(batches) => {
+            node.counters.add("catch-up.batches", batches.len() as u64);
+            follow::advance(node, batches).await;
+        }
+        Answer::State(fleet) => {
+            node.counters.count("catch-up.states");
+            follow::install(node, *fleet, whole).await;
+        }
+    }
+    Ok(())
+}
+
+enum Answer {
+    Batches(Vec<(Offset, Bytes)>),
+    State(Box<Fleet>),
+}
+
+async fn ask(
+    node: &Node,
+    peer: SocketAddr,
+    from: Offset,
+    whole: bool,
+) -> Result<Answer, CatchUpError> {
+    let mut link = link(TcpStream::connect(peer).await?);
+    let key = &node.settings.peer_key;
+    let greeting: Greeting = open(key, &receive(&mut link).await?)?;
+    let client: Nonce = rand::random();
+    let request = Request {
+        server: greeting.server,
+        client,
+        from,
+        whole,
+    };
+    link.send(Bytes::from(seal(key, &request))).await?;
+    let mut batches = Vec::new();
+    let mut state = Vec::new();
+    for index in 0.. {
+        let piece: Piece = open(key, &receive(&mut link).await?)?;
+        if piece.client != client || piece.index != index {
+            return Err(CatchUpError::Foreign);
+        }
+        match piece.load {
+            Load::Batches(more) => {
+                batches.extend(
+                    more.into_iter()
+                        .map(|(offset, bytes)| (offset, bytes.into())),
+                );
+            }
+            Load::State(more) => state.extend(more),
+        }
+        if state.len() > MAX_STATE {
+            return Err(CatchUpError::TooLarge);
+        }
+        if piece.last {
+            break;
+        }
+    }
+    if state.is_empty() {
+        return Ok(Answer::Batches(batches));
+    }
+    // The pieces are sealed and in order, so the hash is the state's own.
+    let digest = snapshot::digest(&state);
+    let fleet = snapshot::decode(&state, from, digest)?;
+    Ok(Answer::State(Box::new(fleet)))
+}
+
+async fn receive(link: &mut Link) -> Result<Bytes, CatchUpError> {
+    let frame = link.next().await.ok_or(CatchUpError::Ended)??;
+    Ok(frame.freeze())
+}
+
+/// Serves peers that catch up, for as long as the daemon runs.
+pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(MAX_CLIENTS));
+    loop {
+        let permit = permits.clone().acquire_owned().await;
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        let node = node.clone();
+        tokio::spawn(async move {
+            let _permit = permit;
+            match timeout(WAIT, serve_one(&node, stream)).await {
+                Ok(Ok(())) => node.counters.count("catch-up.served"),
+                Ok(Err(error)) => node.counters.count(served_counter(&error)),
+                Err(_) => node.counters.count("catch-up.refused.timeout"),
+            }
+        });
+    }
+}
+
+fn served_counter(error: &CatchUpError) -> &'static str {
+    match error {
+        CatchUpError::Piece(PieceError::Seal) => "catch-up.refused.seal",
+        CatchUpError::Piece(PieceError::Decode) => "catch-up.refused.decode",
+        CatchUpError::Foreign => "catch-up.refused.replay",
+        _ => "catch-up.refused.connection",
+    }
+}
+
+async fn serve_one(node: &Node, stream: TcpStream) -> Result<(), CatchUpError> {
+    let mut link = link(stream);
+    let key = &node.settings.peer_key;
+    let server: Nonce = rand::random();
+    link.send(Bytes::from(seal(key, &Greeting { server })))
+        .await?;
+    let request: Request = open(key, &receive(&mut link).await?)?;
+    if request.server != server {
+        return Err(CatchUpError::Foreign);
+    }
+    let loads = loads(node, &request);
+    let count = loads.len();
+    for (index, load) in loads.into_iter().enumerate() {
+        let last = index + 1 == count;
+        let piece = Piece {
+            client: request.client,
+            index: index as u32,
+            last,
+            load,
+        };
+        link.send(Bytes::from(seal(key, &piece))).await?;
+    }
+    Ok(())
+}
+
+/// The batches asked for if all of them are still at hand, else the whole state.
+fn loads(node: &Node, request: &Request) -> Vec<Load> {
+    if !request.whole
+        && let Some(batches) = node.history.batches_from(request.from)
+    {
+        let batches = batches
+            .into_iter()
+            .map(|(offset, bytes)| (offset, bytes.to_vec()));
+        return vec![Load::Batches(batches.collect())];
+    }
+    let encoded = snapshot::encode(&node.replica.fleet());
+    let pieces = encoded.chunks(STATE_PIECE);
+    pieces.map(|piece| Load::State(piece.to_vec())).collect()
+}
--- a/lib/src/coordination/follow.rs
+++ b/lib/src/coordination/follow.rs
@@ -4,15 +4,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use hyper::Request;
 use rand::RngExt;
 use thiserror::Error;
 use tokio::time::sleep;
 
 use crate::coordination::node::Node;
+use crate::coordination::snapshot;
 use crate::protocol::log::Item;
 use crate::protocol::log::Page;
 use crate::protocol::log::read_path;
+use crate::state::fleet::Fleet;
 use crate::state::id::Offset;
 use crate::state::record::Batch;
 use crate::state::record::Body;
@@ -39,6 +42,9 @@
     /// The read failed.
     #[error(transparent)]
     Exchange(#[from] ExchangeError),
+    /// The log has let go of records that were not applied, and has no snapshot in their place.
+    #[error("the log has a gap and no snapshot")]
+    NoSnapshot,
     /// The log's end is before what this daemon has applied.
     #[error("the log ends at {end}, before {applied}")]
     WentBack {
@@ -52,9 +58,9 @@
 /// Follows the log for as long as the daemon runs.
 pub async fn run(node: Arc<Node>) {
     let mut backoff = MIN_BACKOFF;
-    let mut assembly = Assembly::default();
+    let mut seek = Seek::default();
     loop {
-        match step(&node, &mut assembly).await {
+        match step(&node, &mut seek).await {
             Ok(()) => backoff = MIN_BACKOFF,
             Err(error) => {
                 node.counters.count(failure_counter(&error));
@@ -72,35 +78,77 @@
         FollowError::Exchange(ExchangeError::Timeout) => "log.read.failed.timeout",
         FollowError::Exchange(ExchangeError::Status(_)) => "log.read.failed.status",
         FollowError::Exchange(_) => "log.read.failed.cut",
+        FollowError::NoSnapshot => "log.read.no-snapshot",
         FollowError::WentBack { .. } => "log.read.went-back",
     }
 }
 
-async fn step(node: &Node, assembly: &mut Assembly) -> Result<(), FollowError> {
+/// The search for a snapshot, when the log no longer has the record that comes next.
+#[derive(Default)]
+struct Seek {
+    from: Offset,
+    assembly: Assembly,
+}
+
+async fn step(node: &Arc<Node>, seek: &mut Seek) -> Result<(), FollowError> {
     let begun = Instant::now();
-    let from = node.replica.fleet().next;
+    let applied = node.replica.fleet().next;
+    let from = applied.max(seek.from);
     let page = read(node, from).await?;
-    if page.next < from {
+    if page.next < applied {
         return Err(FollowError::WentBack {
             end: page.next,
-            applied: from,
+            applied,
         });
     }
-    if page.first > from {
-        seek_snapshot(node, &page, assembly);
-        return Ok(());
+    if page.first > applied {
+        node.counters.count("log.read.gap");
+        return seek_snapshot(node, &page, seek).await;
     }
-    for item in &page.records {
-        apply(node, item).await;
-    }
-    node.routes.rebuild(&node.replica.fleet());
-    node.replica.announce();
+    *seek = Seek::default();
+    advance(node, batches(&page)).await;
     if node.replica.next() == page.next {
         node.replica.note_log_read(begun);
     }
     Ok(())
 }
 
+fn batches(page: &Page) -> Vec<(Offset, Bytes)> {
+    // Bytes that are not base64 are passed over like those that are not a batch.
+    let bytes = |item: &Item| item.bytes().unwrap_or_default().into();
+    page.records
+        .iter()
+        .map(|item| (item.offset, bytes(item)))
+        .collect()
+}
+
+/// Applies batches in order and puts what they change in force here.
+pub async fn advance(node: &Arc<Node>, batches: Vec<(Offset, Bytes)>) {
+    let _applying = node.applying.lock().await;
+    for (offset, bytes) in batches {
+        apply(node, offset, bytes).await;
+    }
+    put_in_force(node);
+}
+
+/// Puts a whole fleet in place of this daemon's own: a later one, or any if its own is wrong.
+pub async fn install(node: &Node, fleet: Fleet, own_is_wrong: bool) {
+    let _applying = node.applying.lock().await;
+    if own_is_wrong {
+        node.replica.replace(fleet);
+    } else if !node.replica.install(fleet) {
+        return;
+    }
+    node.history.forget();
+    put_in_force(node);
+}
+
+/// Routing follows first: whoever hears that an offset is applied may rely on it.
+fn put_in_force(node: &Node) {
+    node.routes.rebuild(&node.replica.fleet());
+    node.replica.announce();
+}
+
 async fn read(node: &Node, from: Offset) -> Result<Page, ExchangeError> {
     let path = read_path(from, MAX_RECORDS, LONG_POLL.as_millis() as u64);
     let request = Request::get(path).body(full(""))?;
@@ -114,41 +162,74 @@
     Ok(serde_json::from_slice(answer.body())?)
 }
 
-async fn apply(node: &Node, item: &Item) {
+async fn apply(node: &Arc<Node>, offset: Offset, bytes: Bytes) {
     // A record that another program wrote, or a later version of this one, is passed over by all
     // readers alike.
-    let bytes = item.bytes().ok();
-    let Some(batch) = bytes.and_then(|bytes| Batch::decode(&bytes).ok()) else {
+    let Ok(batch) = Batch::decode(&bytes) else {
         node.counters.count("log.read.not-a-batch");
-        node.replica.skip(item.offset);
+        node.replica.skip(offset);
+        node.history.keep(offset, bytes);
+        return;
+    };
+    let Some(verdicts) = node.replica.apply(offset, &batch) else {
         return;
     };
-    let verdicts = node.replica.apply(item.offset, &batch);
     node.counters
         .add("log.read.records", batch.records.len() as u64);
+    node.history.keep(offset, bytes);
+    note_snapshots(node, offset, &batch);
     if batch.writer == node.settings.id {
         node.appender.settle(verdicts).await;
     }
 }
 
+/// Hashes the state if the batch marked a snapshot, and notes chunks.
+fn note_snapshots(node: &Arc<Node>, offset: Offset, batch: &Batch) {
+    for record in &batch.records {
+        if let Body::Snapshot(chunk) = &record.body {
+            node.history.note_chunk(chunk);
+        }
+    }
+    let fleet = node.replica.fleet();
+    if fleet.marked != offset + 1 {
+        return;
+    }
+    let is_writer = batch.writer == node.settings.id;
+    let chunks = snapshot::take(node, &fleet, is_writer);
+    if !chunks.is_empty() {
+        tokio::spawn(snapshot::write(node.clone(), chunks));
+    }
+}
+
 /// Looks for a whole snapshot among records that follow a gap.
-fn seek_snapshot(node: &Node, page: &Page, assembly: &mut Assembly) {
-    for item in &page.records {
-        let bytes = item.bytes().ok();
-        let Some(batch) = bytes.and_then(|bytes| Batch::decode(&bytes).ok()) else {
+async fn seek_snapshot(node: &Arc<Node>, page: &Page, seek: &mut Seek) -> Result<(), FollowError> {
+    for (offset, bytes) in batches(page) {
+        seek.from = offset + 1;
+        let Ok(batch) = Batch::decode(&bytes) else {
             continue;
         };
         for record in batch.records {
             let Body::Snapshot(chunk) = record.body else {
                 continue;
             };
-            match assembly.add(chunk) {
-                Ok(Some(fleet)) => {
-                    node.replica.install(fleet);
+            node.history.note_chunk(&chunk);
+            match seek.assembly.add(chunk) {
+                Ok(Some(fleet)) if fleet.next >= page.first => {
+                    node.counters.count("snapshot.installed");
+                    install(node, fleet, false).await;
+                    *seek = Seek::default();
+                    return Ok(());
                 }
-                Ok(None) => {}
+                // What follows on from an older one is no longer on the log.
+                Ok(_) => {}
                 Err(_) => node.counters.count("snapshot.refused"),
             }
         }
     }
+    if page.records.is_empty() {
+        // All that is left has no snapshot: one may still come, or a peer may help.
+        *seek = Seek::default();
+        return Err(FollowError::NoSnapshot);
+    }
+    Ok(())
 }
--- a/lib/src/coordination/fresh.rs
+++ b/lib/src/coordination/fresh.rs
@@ -10,6 +10,10 @@
 //!
 //! The first two bound how old the state can be by `max_age`. The third keeps routing alive while
 //! the log is away for everybody: then nothing can be accepted that this majority does not know.
+//!
+//! Ages are judged by each daemon's own monotonic clock; a beat counts from the earliest moment at
+//! which it can have been sent (see [`crate::coordination::member`]), so no delay makes it young.
+//!
 //! A daemon cut off from both the log and the majority serves nobody.
 
 use std::time::Duration;
@@ -25,7 +29,7 @@
     pub log_age: Option<Duration>,
 }
 
-/// What a daemon knows of a peer heard of within `max_age`.
+/// What a daemon knows of a peer whose last beat was sent within `max_age`.
 #[derive(Clone, Copy, Debug)]
 pub struct Heard {
     /// First offset the peer had not applied.
--- a/lib/src/coordination/member.rs
+++ b/lib/src/coordination/member.rs
@@ -3,8 +3,13 @@
 //! A peer is live while it was heard of within [`Members::suspect_after`]. A daemon that finds its
 //! own loop late (it was paused, or starved) gives every peer a new chance before suspecting it,
 //! as Lifeguard (Dadgar et al., 2018) does for SWIM.
+//!
+//! Suspicion goes by when a beat was received. Freshness must not: a beat may have been on its way
+//! for long. Each beat names the last one its sender had received and for how long, so it was sent
+//! no earlier than that one plus that time, by the receiver's own clock.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -18,7 +23,9 @@
 use crate::coordination::fresh::Heard;
 use crate::coordination::node::Node;
 use crate::protocol::wire::Beat;
+use crate::protocol::wire::Echo;
 use crate::protocol::wire::Frame;
+use crate::protocol::wire::Hashed;
 use crate::protocol::wire::MAX_BUSY;
 use crate::protocol::wire::MAX_DATAGRAM;
 use crate::protocol::wire::WireError;
@@ -32,6 +39,8 @@
 const MIN_GAP: Duration = Duration::from_millis(100);
 /// A gap of this many intervals between two of its own ticks tells a daemon that it was paused.
 const LATE_TICKS: u32 = 3;
+/// Beats whose time is kept; an echo of an older one tells nothing.
+const MAX_SENT: usize = 64;
 /// Pause after a socket error.
 const ERROR_PAUSE: Duration = Duration::from_millis(50);
 
@@ -50,7 +59,11 @@
     incarnation: Incarnation,
     received: u64,
     sent: u64,
+    /// When the latest beats went out.
+    sent_at: VecDeque<(u64, Instant)>,
     heard: Option<Instant>,
+    /// The beat was sent no earlier than this.
+    sent_after: Option<Instant>,
     /// Until when it is not suspected although it has not been heard of.
     spared: Option<Instant>,
     beat: Beat,
@@ -69,7 +82,9 @@
             incarnation: 0,
             received: 0,
             sent: 0,
+            sent_at: VecDeque::new(),
             heard: None,
+            sent_after: None,
             spared: None,
             beat: Beat::default(),
         };
@@ -119,6 +134,7 @@
             peer.incarnation = frame.incarnation;
             peer.received = 0;
             peer.heard = None;
+            peer.sent_after = None;
         }
         if frame.to != self.incarnation {
             return Ok(());
@@ -128,20 +144,26 @@
         }
         peer.received = frame.sequence;
         peer.heard = Some(now);
+        peer.sent_after = peer.sent_after(frame.echo);
         peer.beat = frame.beat;
         Ok(())
     }
 
-    /// The next frame to a peer, and where it goes.
-    fn frame(&self, id: DaemonId, beat: Beat) -> Option<(SocketAddr, Frame)> {
+    /// The next frame to a peer, sent at `now`, and where it goes.
+    fn frame(&self, id: DaemonId, beat: Beat, now: Instant) -> Option<(SocketAddr, Frame)> {
         let mut peers = self.peers();
         let peer = peers.get_mut(&id)?;
         peer.sent += 1;
+        peer.sent_at.push_back((peer.sent, now));
+        if peer.sent_at.len() > MAX_SENT {
+            peer.sent_at.pop_front();
+        }
         let frame = Frame {
             from: self.own,
             incarnation: self.incarnation,
             sequence: peer.sent,
             to: peer.incarnation,
+            echo: peer.echo(now),
             beat,
         };
         Some((peer.addr, frame))
@@ -189,6 +211,28 @@
         live.map(|(id, peer)| (*id, peer.beat.next)).collect()
     }
 
+    /// Live peers that have applied more than `next`, the furthest first.
+    pub fn ahead_of(&self, next: Offset, now: Instant) -> Vec<SocketAddr> {
+        let peers = self.peers();
+        let ahead = peers
+            .values()
+            .filter(|peer| peer.is_live(now, self.suspect_after) && peer.beat.next > next);
+        let mut ahead: Vec<(Offset, SocketAddr)> =
+            ahead.map(|peer| (peer.beat.next, peer.addr)).collect();
+        ahead.sort_unstable_by_key(|(next, _)| std::cmp::Reverse(*next));
+        ahead.into_iter().map(|(_, addr)| addr).collect()
+    }
+
+    /// What live peers say their states hashed to at the last mark, and where to reach them.
+    pub fn hashes(&self, now: Instant) -> Vec<(SocketAddr, Hashed)> {
+        let peers = self.peers();
+        let live = peers
+            .values()
+            .filter(|peer| peer.is_live(now, self.suspect_after));
+        live.filter_map(|peer| Some((peer.addr, peer.beat.mark?)))
+            .collect()
+    }
+
     /// What peers have said about a box taken out at `permit`.
     pub fn releases(&self, target: &str, permit: Offset, now: Instant) -> Releases {
         let short = short_hash(target);
@@ -236,8 +280,25 @@
         heard || self.spared.is_some_and(|until| now < until)
     }
 
+    fn echo(&self, now: Instant) -> Option<Echo> {
+        let held = now.saturating_duration_since(self.heard?);
+        let held_ms = held.as_millis().min(u128::from(u32::MAX)) as u32;
+        let sequence = self.received;
+        Some(Echo { sequence, held_ms })
+    }
+
+    /// The earliest moment at which a beat with this echo was sent.
+    fn sent_after(&self, echo: Option<Echo>) -> Option<Instant> {
+        let echo = echo?;
+        let (_, at) = self
+            .sent_at
+            .iter()
+            .find(|(sequence, _)| *sequence == echo.sequence)?;
+        Some(*at + Duration::from_millis(echo.held_ms.into()))
+    }
+
     fn as_heard(&self, now: Instant, max_age: Duration) -> Option<Heard> {
-        let age = now.saturating_duration_since(self.heard?);
+        let age = now.saturating_duration_since(self.sent_after?);
         if age >= max_age {
             return None;
         }
@@ -262,7 +323,7 @@
     let mut changes = node.replica.changes();
     loop {
         let beat = own_beat(&node);
-        if let Some((addr, frame)) = node.members.frame(peer, beat) {
+        if let Some((addr, frame)) = node.members.frame(peer, beat, Instant::now()) {
             let bytes = frame.seal(&node.settings.peer_key);
             node.counters.add("peer.sent.bytes", bytes.len() as u64);
             // A datagram that cannot be sent is one that is lost.
@@ -281,6 +342,7 @@
     let log_age = node.replica.log_age(now);
     Beat {
         next: node.replica.next(),
+        mark: node.history.hashed(),
         log_age_ms: log_age.map(|age| age.as_millis().min(u128::from(u32::MAX)) as u32),
         serving: node.is_serving(),
         inflight: node.routes.inflight(),
--- a/lib/src/coordination/node.rs
+++ b/lib/src/coordination/node.rs
@@ -16,6 +16,7 @@
 use crate::coordination::member::Members;
 use crate::coordination::replica::Replica;
 use crate::coordination::route::Routes;
+use crate::coordination::snapshot::History;
 use crate::metrics::Counters;
 use crate::settings::Settings;
 use crate::state::id::DaemonId;
@@ -39,6 +40,8 @@
     pub members: Members,
     /// Its way to the log.
     pub appender: Appender,
+    /// The states this daemon hashed, and the batches it can hand on.
+    pub history: History,
     /// The box list.
     pub listing: Listing,
     /// Where requests go.
@@ -46,6 +49,9 @@
     /// Its outgoing connections.
     pub dialer: Dialer,
     stopping: AtomicBool,
+    deviant: AtomicBool,
+    /// Held by whoever applies, so that routing follows the fleet in order.
+    pub(crate) applying: tokio::sync::Mutex<()>,
 }
 
 impl Node {
@@ -62,15 +68,21 @@
             replica: Replica::default(),
             members,
             appender: Appender::start(),
+            history: History::default(),
             listing: Listing::default(),
             routes,
             dialer: Dialer::new(CONNECT_TIMEOUT),
             stopping: AtomicBool::new(false),
+            deviant: AtomicBool::new(false),
+            applying: tokio::sync::Mutex::default(),
         })
     }
 
     /// Why this daemon may serve now, or that it may not.
     pub fn basis(&self) -> Basis {
+        if self.deviant.load(Ordering::SeqCst) {
+            return Basis::Stale;
+        }
         let now = Instant::now();
         let max_age = self.settings.max_age;
         let own = Own {
@@ -89,6 +101,11 @@
         !self.is_stopping() && self.basis().is_fresh()
     }
 
+    /// Says whether this daemon's state was found to be wrong.
+    pub fn set_deviant(&self, deviant: bool) {
+        self.deviant.store(deviant, Ordering::SeqCst);
+    }
+
     /// Whether this daemon is stopping.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
--- a/lib/src/coordination/replica.rs
+++ b/lib/src/coordination/replica.rs
@@ -39,16 +39,24 @@
         self.fleet.read().expect("no writer of the fleet panics")
     }
 
-    /// Applies a batch; [`Replica::announce`] follows once routing knows of it.
-    pub fn apply(&self, offset: Offset, batch: &Batch) -> Vec<(RecordId, Verdict)> {
+    /// Applies the batch at `offset` if it is the next one; [`Replica::announce`] follows once
+    /// routing knows of it.
+    pub fn apply(&self, offset: Offset, batch: &Batch) -> Option<Vec<(RecordId, Verdict)>> {
         let mut fleet = self.fleet.write().expect("no writer of the fleet panics");
-        fleet.apply(offset, batch)
+        (fleet.next == offset).then(|| fleet.apply(offset, batch))
     }
 
-    /// Passes over an offset that holds no batch.
+    /// Passes over an offset that holds no batch, if it is the next one.
     pub fn skip(&self, offset: Offset) {
         let mut fleet = self.fleet.write().expect("no writer of the fleet panics");
-        fleet.next = offset + 1;
+        if fleet.next == offset {
+            fleet.next = offset + 1;
+        }
+    }
+
+    /// Puts a whole fleet in place of one that was found to be wrong.
+    pub fn replace(&self, right: Fleet) {
+        *self.fleet.write().expect("no writer of the fleet panics") = right;
     }
 
     /// Puts a whole fleet in place of the current one, unless that is as recent.
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -16,11 +16,13 @@
 
 use crate::call;
 use crate::coordination::append;
+use crate::coordination::catch_up;
 use crate::coordination::drive;
 use crate::coordination::follow;
 use crate::coordination::listing;
 use crate::coordination::member;
 use crate::coordination::node::Node;
+use crate::coordination::snapshot;
 use crate::coordination::tend;
 use crate::metrics::Counters;
 use crate::operate;
@@ -29,6 +31,8 @@
 
 /// How often the state of service is looked at for the log lines.
 const LOOK: Duration = Duration::from_millis(200);
+/// Ports tried where the system may choose.
+const BIND_TRIES: usize = 8;
 
 /// Why a daemon could not start.
 #[derive(Debug, Error)]
@@ -65,6 +69,7 @@
     call: TcpListener,
     operate: TcpListener,
     peer: UdpSocket,
+    catch_up: TcpListener,
 }
 
 impl Sockets {
@@ -72,17 +77,12 @@
     pub async fn bind(settings: &Settings) -> Result<Sockets, StartError> {
         let call = listen("callers", settings.call_addr).await?;
         let operate = listen("operators", settings.operate_addr).await?;
-        let addr = settings.peer_addr;
-        let peer = UdpSocket::bind(addr).await;
-        let peer = peer.map_err(|source| StartError::Bind {
-            purpose: "peers",
-            addr,
-            source,
-        })?;
+        let (peer, catch_up) = bind_peer(settings.peer_addr).await?;
         Ok(Sockets {
             call,
             operate,
             peer,
+            catch_up,
         })
     }
 
@@ -96,6 +96,30 @@
     }
 }
 
+/// Binds the same port for datagrams and streams. A port that the system chose for one may be
+/// taken for the other; another one is tried then.
+async fn bind_peer(addr: SocketAddr) -> Result<(UdpSocket, TcpListener), StartError> {
+    let mut last = None;
+    for _ in 0..BIND_TRIES {
+        let stream = listen("peers", addr).await?;
+        let both = async {
+            let bound = stream.local_addr()?;
+            UdpSocket::bind(bound).await
+        };
+        match both.await {
+            Ok(datagrams) => return Ok((datagrams, stream)),
+            Err(source) => last = Some(source),
+        }
+    }
+    let source = last.expect("it was tried at least once");
+    let purpose = "peers";
+    Err(StartError::Bind {
+        purpose,
+        addr,
+        source,
+    })
+}
+
 async fn listen(purpose: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(addr).await;
     bound.map_err(|source| StartError::Bind {
@@ -116,6 +140,7 @@
     let counters = Counters::new(settings.statsd).map_err(StartError::Metrics)?;
     let node = Node::new(settings, counters);
     let mut tasks = JoinSet::new();
+    tasks.spawn(catch_up::serve(node.clone(), sockets.catch_up));
     spawn_tasks(&node, sockets.peer, &mut tasks);
     let (close, closed) = watch::channel(false);
     let calls = serve(sockets.call, closed.clone(), handler(&node, call::handle));
@@ -148,6 +173,8 @@
     let peer = Arc::new(peer);
     tasks.spawn(append::run(node.clone()));
     tasks.spawn(follow::run(node.clone()));
+    tasks.spawn(catch_up::run(node.clone()));
+    tasks.spawn(snapshot::run(node.clone()));
     tasks.spawn(listing::run(node.clone()));
     tasks.spawn(tend::run(node.clone()));
     tasks.spawn(drive::run(node.clone()));
--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod boxes;
 pub mod call;
+pub mod catch_up;
 pub mod log;
 pub mod wire;
 pub mod worker;
--- a/lib/src/protocol/wire.rs
+++ b/lib/src/protocol/wire.rs
@@ -38,10 +38,22 @@
     /// The receiver's life as the sender knows it, 0 if it does not: a datagram recorded before
     /// the receiver restarted does not name its new life.
     pub to: Incarnation,
+    /// The last datagram of the receiver that the sender had, if any: this one was sent after it.
+    pub echo: Option<Echo>,
     /// The heartbeat.
     pub beat: Beat,
 }
 
+/// Names a datagram that was received, so that its sender can tell the age of the answer by its
+/// own clock alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// Its sequence.
+    pub sequence: u64,
+    /// Time from its receipt to the answer, in milliseconds.
+    pub held_ms: u32,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
@@ -49,6 +61,8 @@
     pub next: Offset,
     /// Age of the sender's last read at the log's end, in milliseconds, if it has one.
     pub log_age_ms: Option<u32>,
+    /// Position and hash of the sender's state at the last snapshot mark.
+    pub mark: Option<Hashed>,
     /// Whether the sender serves callers.
     pub serving: bool,
     /// Requests in flight to targets.
@@ -57,6 +71,15 @@
     pub busy: Vec<u32>,
 }
 
+/// The hash of a state, by which daemons find that they differ.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hashed {
+    /// Position of the snapshot mark.
+    pub position: Offset,
+    /// First bytes of the state's hash right after it.
+    pub head: u64,
+}
+
 /// Why a datagram was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum WireError {
@@ -97,7 +120,7 @@
     /// use spokelift_lib::protocol::wire::{Beat, Frame, WireError, derive_key};
     /// let key = derive_key("shared");
     /// let beat = Beat::default();
-    /// let frame = Frame { from: 1, incarnation: 5, sequence: 1, to: 0, beat };
+    /// let frame = Frame { from: 1, incarnation: 5, sequence: 1, to: 0, echo: None, beat };
     /// let bytes = frame.seal(&key);
     /// assert_eq!(Frame::open(&key, &bytes).unwrap(), frame);
     /// assert_eq!(Frame::open(&derive_key("other"), &bytes), Err(WireError::Seal));
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -77,6 +77,8 @@
     "call-limit-ms", "how long a request may take in all", "100 to 3600000", Some("30000");
     "body-limit", "largest request body, in bytes", "1024 to 1073741824", Some("8388608");
     "stop-delay-ms", "time between telling the balancer and closing the door", "0 to 60000", Some("2000");
+    "snapshot-every", "batches on the log between two snapshots", "16 to 1000000", Some("2000");
+    "snapshot-s", "most seconds between two snapshots; the log must keep three times that", "1 to 86400", Some("600");
     "down-grace-ms", "how long a plan's last steps wait for boxes that are down", "0 to 3600000", Some("30000");
     "statsd", "address to send metrics to", "IP:PORT, or empty for none", Some("");
 }
@@ -122,6 +124,10 @@
     pub body_limit: u64,
     /// Time between telling the balancer and closing the door.
     pub stop_delay: Duration,
+    /// Batches on the log between two snapshots.
+    pub snapshot_every: u64,
+    /// Most time between two snapshots.
+    pub snapshot_period: Duration,
     /// How long a plan's last steps wait for boxes that are down.
     pub down_grace: Duration,
     /// Where to send metrics.
@@ -307,6 +313,10 @@
     let call_limit = reader.millis("call-limit-ms", 100..=3_600_000);
     let body_limit = reader.number("body-limit", 1024..=1_073_741_824);
     let stop_delay = reader.millis("stop-delay-ms", 0..=60_000);
+    let snapshot_every = reader.number("snapshot-every", 16..=1_000_000);
+    let snapshot_period = reader
+        .number("snapshot-s", 1..=86_400)
+        .map(Duration::from_secs);
     let down_grace = reader.millis("down-grace-ms", 0..=3_600_000);
     let statsd = reader.statsd();
     Some(Settings {
@@ -329,6 +339,8 @@
         call_limit: call_limit?,
         body_limit: body_limit?,
         stop_delay: stop_delay?,
+        snapshot_every: snapshot_every?,
+        snapshot_period: snapshot_period?,
         down_grace: down_grace?,
         statsd: statsd?,
     })
--- a/lib/src/state/fold.rs
+++ b/lib/src/state/fold.rs
@@ -83,6 +83,12 @@
     /// The step has already gone past this point.
     #[error("the step has already gone past this point")]
     Step,
+    /// Another daemon has marked a snapshot meanwhile.
+    #[error("a snapshot was marked at {at}")]
+    Marked {
+        /// Position of that mark.
+        at: Offset,
+    },
     /// The box is not in a pool.
     #[error("box {target} is not in a pool")]
     NoBox {
@@ -254,7 +260,7 @@
     fn judge_all(&mut self, at: Offset, batch: &Batch) -> Vec<(RecordId, Verdict)> {
         let mut verdicts = Vec::with_capacity(batch.records.len());
         for record in &batch.records {
-            let verdict = self.judge(at, batch.writer, &record.body);
+            let verdict = self.judge(at, &record.body);
             verdicts.push((record.id, verdict.map(|()| at)));
         }
         self.remember(&verdicts);
@@ -267,7 +273,7 @@
         self.verdicts.drain(..surplus);
     }
 
-    fn judge(&mut self, at: Offset, writer: DaemonId, body: &Body) -> Result<(), Refusal> {
+    fn judge(&mut self, at: Offset, body: &Body) -> Result<(), Refusal> {
         match body {
             Body::Publish(change) => self.publish(at, change),
             Body::Propose(plan) => self.propose(at, plan),
@@ -283,12 +289,16 @@
             Body::Control { plan, action } => self.control(at, *plan, *action),
             Body::Down(targets) => self.set_down(at, targets, true),
             Body::Up(targets) => self.set_down(at, targets, false),
-            Body::Mark => self.mark(at, writer),
+            Body::Mark { after } => self.mark(at, *after),
             Body::Snapshot(_) => Ok(()),
         }
     }
 
-    fn mark(&mut self, at: Offset, _writer: DaemonId) -> Result<(), Refusal> {
+    /// Two daemons that both mean to write a snapshot are kept from doing so at the same time.
+    fn mark(&mut self, at: Offset, after: Offset) -> Result<(), Refusal> {
+        if self.marked != after {
+            return Err(Refusal::Marked { at: self.marked });
+        }
         self.marked = at;
         Ok(())
     }
--- a/lib/src/state/record.rs
+++ b/lib/src/state/record.rs
@@ -86,8 +86,12 @@
     Down(Vec<BoxId>),
     /// A box answers again.
     Up(Vec<BoxId>),
-    /// A daemon writes a snapshot of the state right after this record.
-    Mark,
+    /// A daemon writes a snapshot of the state right after this record's batch, if no other has
+    /// marked one since the mark it names.
+    Mark {
+        /// Position of the last mark that the writer knows of.
+        after: Offset,
+    },
     /// Part of a snapshot.
     Snapshot(Chunk),
 }
--- a/lib/src/state/snapshot.rs
+++ b/lib/src/state/snapshot.rs
@@ -18,7 +18,7 @@
 /// Part of a snapshot of the state right after the record at [`Chunk::mark`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chunk {
-    /// Offset of the [`crate::state::record::Body::Mark`] record.
+    /// Position of the [`crate::state::record::Body::Mark`] record.
     pub mark: Offset,
     /// Hash of the whole encoding.
     pub digest: Digest,
--- a/testutils/src/fixture.rs
+++ b/testutils/src/fixture.rs
@@ -27,8 +27,8 @@
 use crate::ledger::Told;
 use crate::log::Log;
 use crate::process::Process;
+use crate::proxy::Link;
 use crate::proxy::Proxy;
-use crate::proxy::Relay;
 use crate::site::Pool;
 use crate::site::Site;
 use crate::site::caller_secret;
@@ -85,7 +85,7 @@
     /// Between each daemon and the log.
     pub log_links: Vec<Proxy>,
     /// Between the daemons: `peer_links[from][to]`, none from a daemon to itself.
-    pub peer_links: Vec<Vec<Option<Relay>>>,
+    pub peer_links: Vec<Vec<Option<Link>>>,
     daemons: Vec<Option<Process>>,
     program: String,
     dialer: Dialer,
@@ -122,7 +122,7 @@
             boxes,
             workers,
             log_links,
-            peer_links: relays(daemons).await?,
+            peer_links: links(daemons).await?,
             daemons: (0..daemons).map(|_| None).collect(),
             program: program.to_owned(),
             dialer: Dialer::new(Duration::from_secs(1)),
@@ -138,7 +138,7 @@
     /// Starts a daemon, empty, in its place.
     pub fn start_daemon(&mut self, id: usize) -> io::Result<()> {
         let links = self.peer_links[id].iter().enumerate();
-        let peers = links.filter_map(|(to, link)| Some(format!("{to}={}", link.as_ref()?.addr)));
+        let peers = links.filter_map(|(to, link)| Some(format!("{to}={}", link.as_ref()?.addr())));
         let peers: Vec<String> = peers.collect();
         let mut flags = vec![
             ("id", id.to_string()),
@@ -349,15 +349,14 @@
     Listed { addr, ..listed }
 }
 
-async fn relays(daemons: usize) -> io::Result<Vec<Vec<Option<Relay>>>> {
-    let nowhere = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
+async fn links(daemons: usize) -> io::Result<Vec<Vec<Option<Link>>>> {
     let mut all = Vec::new();
     for from in 0..daemons {
         let mut links = Vec::new();
         for to in 0..daemons {
             links.push(match from == to {
                 true => None,
-                false => Some(Relay::start(nowhere).await?),
+                false => Some(Link::start().await?),
             });
         }
         all.push(links);
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod log;
 pub mod process;
 pub mod proxy;
+pub mod scenario;
 pub mod site;
 pub mod worker;
--- a/testutils/src/log.rs
+++ b/testutils/src/log.rs
@@ -95,6 +95,12 @@
         self.state().faults = faults;
     }
 
+    /// Appends a record past the protocol.
+    pub fn put(&self, bytes: Bytes) {
+        self.state().append(bytes);
+        self.inner.grown.notify_waiters();
+    }
+
     /// Lets go of all records before `first`.
     pub fn retain_from(&self, first: Offset) {
         let mut state = self.state();
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -60,9 +60,14 @@
 }
 
 impl Proxy {
-    /// Starts a proxy to `upstream`.
+    /// Starts a proxy to `upstream` on a port chosen by the system.
     pub async fn start(upstream: SocketAddr) -> std::io::Result<Proxy> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Proxy::start_on(SocketAddr::from(([127, 0, 0, 1], 0)), upstream).await
+    }
+
+    /// Starts a proxy to `upstream` on an address.
+    pub async fn start_on(addr: SocketAddr, upstream: SocketAddr) -> std::io::Result<Proxy> {
+        let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
         let upstream = Arc::new(Mutex::new(upstream));
         let (fault, faults) = watch::channel(Fault::default());
@@ -269,3 +274,54 @@
         seen.push(bytes.to_vec());
     }
 }
+
+/// A link from one daemon to another: datagrams and streams on the same port.
+#[derive(Clone)]
+pub struct Link {
+    /// For heartbeats.
+    pub datagrams: Relay,
+    /// For catching up.
+    pub streams: Proxy,
+}
+
+/// Ports tried until one is free for both.
+const TRIES: usize = 8;
+
+impl Link {
+    /// Starts a link that leads nowhere yet.
+    pub async fn start() -> std::io::Result<Link> {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+        let mut last = None;
+        for _ in 0..TRIES {
+            let datagrams = Relay::start(nowhere).await?;
+            match Proxy::start_on(datagrams.addr, nowhere).await {
+                Ok(streams) => return Ok(Link { datagrams, streams }),
+                Err(error) => last = Some(error),
+            }
+        }
+        Err(last.expect("it was tried at least once"))
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.datagrams.addr
+    }
+
+    /// Leads to a daemon from now on.
+    pub fn set_upstream(&self, upstream: SocketAddr) {
+        self.datagrams.set_upstream(upstream);
+        self.streams.set_upstream(upstream);
+    }
+
+    /// Cuts the link, or mends it.
+    pub fn set_cut(&self, cut: bool) {
+        self.datagrams.set(Datagrams {
+            drop: cut,
+            ..Datagrams::default()
+        });
+        self.streams.set(Fault {
+            refuse: cut,
+            ..Fault::default()
+        });
+    }
+}
--- /dev/null
+++ b/testutils/src/scenario.rs
@@ -0,0 +1,473 @@
+//! The words of the scenario files: a small site of real daemons, what befalls it, and what must
+//! hold then.
+//!
+//! | word | what it does | what it prints |
+//! |---|---|---|
+//! | `site daemons=N [flag=value …]` | starts a site and places its services | `serving` |
+//! | `publish daemon=N front=M` | publishes a budget for pool front | the verdict |
+//! | `intent daemon=N as=NAME` + JSON | states an intent | `planned` or why not |
+//! | `confirm daemon=N plan=NAME`, `abort …` | confirms or aborts a plan | the verdict |
+//! | `race first=NAME second=NAME` | confirms two plans at once, on daemons 0 and 1 | both verdicts |
+//! | `until plan=NAME ended=N`, `phase=P`, `begun` | waits for a plan | `yes` |
+//! | `until daemon=N basis=B` | waits for a daemon's basis | `yes` |
+//! | `until daemon=N counter=NAME min=M` | waits for a counter | `yes` |
+//! | `until daemon=N front=M` | waits until a daemon has this budget for pool front | `yes` |
+//! | `call daemon=N` | sends a request that runs at most once | what the caller is told |
+//! | `log away`, `back`, `lose-answers=N`, `double=N`, `delay-ms=N` | the log's faults | |
+//! | `log keep-snapshot`, `keep=N` | the log lets go of what is before its last snapshot, or all but the last records | |
+//! | `cut log=N`, `cut peers=N`, `mend …` | a daemon's links | |
+//! | `slow peers=N ms=M`, `slow peers=N double` | a daemon's heartbeats: late, or twice | |
+//! | `kill daemon=N`, `start`, `pause`, `resume`; `kill worker=NAME` | processes | |
+//! | `driver plan=NAME do=kill`, `pause`, `resume` | the same for whoever drives the plan | |
+//! | `alike` | compares what the running daemons say of the fleet | `alike` or the difference |
+//! | `ledger` | compares what workers and callers saw | `clean` or what is broken |
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::str::FromStr;
+use std::time::Duration;
+
+use datadriven::TestCase;
+use nix::sys::signal::Signal;
+use serde_json::Value;
+use spokelift_lib::state::id::Offset;
+use spokelift_lib::state::record::Batch;
+use spokelift_lib::state::record::Body;
+
+use crate::fixture::Fixture;
+use crate::log::Faults;
+use crate::log::Log;
+use crate::proxy::Datagrams;
+use crate::proxy::Fault;
+
+/// Runs the scenario file at `path` with daemons of `program`; panics where it differs.
+pub fn run(program: &str, path: &str) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be made");
+    let mut world = World {
+        program: program.to_owned(),
+        ..World::default()
+    };
+    datadriven::walk(path, |file| {
+        file.run(|case| {
+            let mut said = runtime.block_on(world.step(case));
+            case.expect_empty()
+                .expect("every argument is one of the word's");
+            said.push('\n');
+            said
+        });
+    });
+}
+
+/// What a scenario has built up.
+#[derive(Default)]
+struct World {
+    program: String,
+    fixture: Option<Fixture>,
+    daemons: usize,
+    running: BTreeSet<usize>,
+    plans: BTreeMap<String, String>,
+    driver: Option<usize>,
+    token: u64,
+}
+
+fn arg<T: FromStr>(case: &mut TestCase, name: &str) -> T
+where
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    case.take_arg(name).expect("the word has this argument")
+}
+
+fn maybe<T: FromStr>(case: &mut TestCase, name: &str) -> Option<T>
+where
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    case.try_take_arg(name).expect("the argument can be read")
+}
+
+fn flag(case: &mut TestCase, name: &str) -> bool {
+    case.take_flag(name).expect("the flag has no value")
+}
+
+/// The flags of `site` that are passed on to the daemons.
+const SITE_FLAGS: [&str; 3] = ["snapshot-every", "snapshot-s", "max-age-ms"];
+
+impl World {
+    fn fixture(&self) -> &Fixture {
+        self.fixture
+            .as_ref()
+            .expect("a scenario begins with a site")
+    }
+
+    async fn step(&mut self, case: &mut TestCase) -> String {
+        match case.directive.as_str() {
+            "site" => self.site(case).await,
+            "publish" => self.publish(case).await,
+            "intent" => self.intent(case).await,
+            "confirm" | "abort" => self.control(case).await,
+            "race" => self.race(case).await,
+            "until" => self.until(case).await,
+            "call" => self.call(case).await,
+            "log" => self.log(case),
+            "cut" => self.cut(case, true),
+            "mend" => self.cut(case, false),
+            "slow" => self.slow(case),
+            "kill" | "start" | "pause" | "resume" => self.process(case),
+            "driver" => self.driver(case).await,
+            "alike" => self.alike().await,
+            "ledger" => self.ledger(),
+            word => panic!("there is no word {word}"),
+        }
+    }
+
+    async fn site(&mut self, case: &mut TestCase) -> String {
+        self.daemons = arg(case, "daemons");
+        let given = SITE_FLAGS.map(|flag| (flag, maybe::<String>(case, flag)));
+        let flags: Vec<(&'static str, String)> = given
+            .into_iter()
+            .filter_map(|(flag, value)| Some((flag, value?)))
+            .collect();
+        let flags: Vec<(&'static str, &str)> = flags
+            .iter()
+            .map(|(flag, value)| (*flag, value.as_str()))
+            .collect();
+        let fixture = Fixture::start(&self.program, self.daemons, &flags).await;
+        let fixture = fixture.expect("the site starts");
+        fixture.set_up().await;
+        self.running = (0..self.daemons).collect();
+        self.fixture = Some(fixture);
+        "serving".to_owned()
+    }
+
+    async fn publish(&mut self, case: &mut TestCase) -> String {
+        let daemon = arg(case, "daemon");
+        let max_out: u32 = arg(case, "front");
+        let text = format!(
+            "[[pool]]\nname = \"front\"\naccount = \"clinics\"\nweigh = \"buffer\"\n\
+             drain_limit_s = 15\nmaintenance_s = 2\nmax_out = {max_out}\n"
+        );
+        let answer = self
+            .fixture()
+            .operate(daemon, "POST", "/v1/publish", &text)
+            .await;
+        verdict(&answer)
+    }
+
+    async fn intent(&mut self, case: &mut TestCase) -> String {
+        let daemon = arg(case, "daemon");
+        let name: String = arg(case, "as");
+        let answer = self
+            .fixture()
+            .operate(daemon, "POST", "/v1/intents", &case.input)
+            .await;
+        match answer.1["id"].as_str() {
+            Some(id) => {
+                self.plans.insert(name, id.to_owned());
+                "planned".to_owned()
+            }
+            None => verdict(&answer),
+        }
+    }
+
+    fn plan_id(&self, name: &str) -> &str {
+        &self.plans[name]
+    }
+
+    async fn control(&mut self, case: &mut TestCase) -> String {
+        let daemon = arg(case, "daemon");
+        let plan: String = arg(case, "plan");
+        let path = format!("/v1/plans/{}/{}", self.plan_id(&plan), case.directive);
+        verdict(&self.fixture().operate(daemon, "POST", &path, "").await)
+    }
+
+    async fn race(&mut self, case: &mut TestCase) -> String {
+        let names: [String; 2] = [arg(case, "first"), arg(case, "second")];
+        let paths = names.map(|name| format!("/v1/plans/{}/confirm", self.plan_id(&name)));
+        let (first, second) = tokio::join!(
+            self.fixture().operate(0, "POST", &paths[0], ""),
+            self.fixture().operate(1, "POST", &paths[1], ""),
+        );
+        let mut verdicts = [verdict(&first), verdict(&second)];
+        verdicts.sort();
+        verdicts.join("\n")
+    }
+
+    /// A daemon that runs, to ask about plans.
+    fn anyone(&self) -> usize {
+        *self.running.first().expect("a daemon runs")
+    }
+
+    async fn until(&mut self, case: &mut TestCase) -> String {
+        match maybe::<String>(case, "plan") {
+            Some(plan) => self.until_plan(case, &plan).await,
+            None => self.until_daemon(case).await,
+        }
+        "yes".to_owned()
+    }
+
+    async fn until_plan(&self, case: &mut TestCase, name: &str) {
+        let ended: Option<u64> = maybe(case, "ended");
+        let phase: Option<String> = maybe(case, "phase");
+        let begun = flag(case, "begun");
+        let fixture = self.fixture();
+        let daemon = self.anyone();
+        let reached = async || {
+            let plan = fixture.plan(daemon, self.plan_id(name)).await;
+            let enough = ended.is_none_or(|ended| plan["finished"].as_u64() >= Some(ended));
+            let there = phase
+                .as_ref()
+                .is_none_or(|phase| plan["phase"] == phase.as_str());
+            let started = !begun || is_begun(&plan);
+            enough && there && started && plan["id"].is_string()
+        };
+        fixture
+            .until(&format!("plan {name} is so far"), reached)
+            .await;
+    }
+
+    async fn until_daemon(&self, case: &mut TestCase) {
+        let daemon: usize = arg(case, "daemon");
+        let fixture = self.fixture();
+        if let Some(basis) = maybe::<String>(case, "basis") {
+            let reached = async || {
+                let (_, status) = fixture.operate(daemon, "GET", "/v1/status", "").await;
+                status["basis"] == basis.as_str()
+            };
+            fixture
+                .until(&format!("daemon {daemon} serves by {basis}"), reached)
+                .await;
+        }
+        if let Some(counter) = maybe::<String>(case, "counter") {
+            let min: u64 = arg(case, "min");
+            let reached = async || fixture.counter(daemon, &counter).await >= min;
+            fixture.until(&format!("{counter} is {min}"), reached).await;
+        }
+        if let Some(max_out) = maybe::<u64>(case, "front") {
+            let reached = async || {
+                let (_, pools) = fixture.operate(daemon, "GET", "/v1/pools", "").await;
+                pools[0]["max_out"] == max_out
+            };
+            fixture
+                .until(
+                    &format!("daemon {daemon} has the budget {max_out}"),
+                    reached,
+                )
+                .await;
+        }
+    }
+
+    async fn call(&mut self, case: &mut TestCase) -> String {
+        let daemon = arg(case, "daemon");
+        self.token += 1;
+        let call = self.fixture().call_of("clinics", "booking", self.token);
+        format!("{:?}", self.fixture().call(daemon, &call).await)
+    }
+
+    fn log(&mut self, case: &mut TestCase) -> String {
+        let log = &self.fixture().log;
+        if flag(case, "keep-snapshot") {
+            let mark = last_snapshot(log).expect("a snapshot is on the log");
+            log.retain_from(mark);
+            return "set".to_owned();
+        }
+        if let Some(kept) = maybe::<u64>(case, "keep") {
+            log.retain_from(log.next().saturating_sub(kept));
+            return "set".to_owned();
+        }
+        flag(case, "back");
+        log.set_faults(Faults {
+            away: flag(case, "away"),
+            delay: Duration::from_millis(maybe(case, "delay-ms").unwrap_or(0)),
+            lose_answers: maybe(case, "lose-answers").unwrap_or(0),
+            double: maybe(case, "double").unwrap_or(0),
+        });
+        "set".to_owned()
+    }
+
+    fn cut(&mut self, case: &mut TestCase, cut: bool) -> String {
+        let fixture = self.fixture();
+        if let Some(daemon) = maybe::<usize>(case, "log") {
+            let fault = Fault {
+                refuse: cut,
+                ..Default::default()
+            };
+            fixture.log_links[daemon].set(fault);
+        }
+        if let Some(daemon) = maybe::<usize>(case, "peers") {
+            for (from, to) in self.links_of(daemon) {
+                let link = fixture.peer_links[from][to].as_ref();
+                link.expect("there is a link between two daemons")
+                    .set_cut(cut);
+            }
+        }
+        "set".to_owned()
+    }
+
+    fn slow(&mut self, case: &mut TestCase) -> String {
+        let daemon: usize = arg(case, "peers");
+        let delay = Duration::from_millis(maybe(case, "ms").unwrap_or(0));
+        let double = flag(case, "double");
+        let fault = Datagrams {
+            delay,
+            double,
+            ..Datagrams::default()
+        };
+        for (from, to) in self.links_of(daemon) {
+            let link = self.fixture().peer_links[from][to].as_ref();
+            link.expect("there is a link between two daemons")
+                .datagrams
+                .set(fault);
+        }
+        "set".to_owned()
+    }
+
+    /// The links to and from a daemon.
+    fn links_of(&self, daemon: usize) -> Vec<(usize, usize)> {
+        let others = (0..self.daemons).filter(|other| *other != daemon);
+        others
+            .flat_map(|other| [(daemon, other), (other, daemon)])
+            .collect()
+    }
+
+    fn process(&mut self, case: &mut TestCase) -> String {
+        let word = case.directive.clone();
+        if let Some(worker) = maybe::<String>(case, "worker") {
+            let workers = &self.fixture().workers;
+            let found = workers
+                .iter()
+                .find(|own| own.listed.name.as_ref() == worker);
+            found.expect("the site has this box").kill();
+            return "set".to_owned();
+        }
+        let daemon = arg(case, "daemon");
+        self.act(&word, daemon);
+        "set".to_owned()
+    }
+
+    fn act(&mut self, word: &str, daemon: usize) {
+        let fixture = self
+            .fixture
+            .as_mut()
+            .expect("a scenario begins with a site");
+        match word {
+            "kill" => {
+                fixture.kill_daemon(daemon);
+                self.running.remove(&daemon);
+            }
+            "start" => {
+                fixture.start_daemon(daemon).expect("the daemon starts");
+                self.running.insert(daemon);
+            }
+            "pause" => {
+                fixture
+                    .signal(daemon, Signal::SIGSTOP)
+                    .expect("the daemon runs");
+                self.running.remove(&daemon);
+            }
+            "resume" => {
+                fixture
+                    .signal(daemon, Signal::SIGCONT)
+                    .expect("the daemon is there");
+                self.running.insert(daemon);
+            }
+            word => panic!("there is no word {word}"),
+        }
+    }
+
+    async fn driver(&mut self, case: &mut TestCase) -> String {
+        let word: String = arg(case, "do");
+        if let Some(plan) = maybe::<String>(case, "plan") {
+            let plan = self
+                .fixture()
+                .plan(self.anyone(), self.plan_id(&plan))
+                .await;
+            self.driver = plan["holder"].as_u64().map(|holder| holder as usize);
+        }
+        let driver = self.driver.expect("the plan has a driver");
+        self.act(&word, driver);
+        "set".to_owned()
+    }
+
+    /// What the running daemons say, once all have applied the same.
+    async fn alike(&self) -> String {
+        let fixture = self.fixture();
+        let mut views = Vec::new();
+        let settled = async || {
+            views.clear();
+            for daemon in &self.running {
+                views.push(view(fixture, *daemon).await);
+            }
+            let next: BTreeSet<String> = views.iter().map(|view| view[0].to_string()).collect();
+            next.len() == 1
+        };
+        fixture.until("all have applied the same", settled).await;
+        let distinct: BTreeSet<String> = views.iter().map(|view| format!("{view:?}")).collect();
+        if distinct.len() == 1 {
+            "alike".to_owned()
+        } else {
+            format!("{distinct:#?}")
+        }
+    }
+
+    fn ledger(&self) -> String {
+        let violations = self.fixture().ledger.counts().violations();
+        if violations.is_empty() {
+            "clean".to_owned()
+        } else {
+            violations.join("\n")
+        }
+    }
+}
+
+/// Position of the mark of the last snapshot that is whole.
+fn last_snapshot(log: &Log) -> Option<Offset> {
+    let mut last = None;
+    for (_, bytes) in log.records() {
+        let Ok(batch) = Batch::decode(&bytes) else {
+            continue;
+        };
+        for record in batch.records {
+            if let Body::Snapshot(chunk) = record.body
+                && chunk.part + 1 == chunk.parts
+            {
+                last = Some(chunk.mark);
+            }
+        }
+    }
+    last
+}
+
+fn is_begun(plan: &Value) -> bool {
+    let steps = plan["steps"].as_array();
+    steps.is_some_and(|steps| {
+        steps
+            .iter()
+            .any(|step| step["progress"].get("out").is_some())
+    })
+}
+
+async fn view(fixture: &Fixture, daemon: usize) -> Vec<Value> {
+    let mut views = Vec::new();
+    let (_, status) = fixture.operate(daemon, "GET", "/v1/status", "").await;
+    views.push(status["next"].clone());
+    for path in ["/v1/pools", "/v1/boxes", "/v1/jobs", "/v1/plans"] {
+        views.push(fixture.operate(daemon, "GET", path, "").await.1);
+    }
+    views
+}
+
+/// An operator's answer in one line, without ids and positions.
+fn verdict((status, answer): &(u16, Value)) -> String {
+    if *status == 200 {
+        return "accepted".to_owned();
+    }
+    let error = answer["error"].as_str().unwrap_or("no answer");
+    let refusal = match &answer["refusal"] {
+        Value::Object(refusal) => refusal.keys().next().cloned(),
+        Value::String(refusal) => Some(refusal.clone()),
+        _ => None,
+    };
+    match refusal {
+        Some(refusal) => format!("{error}: {refusal}"),
+        None => error.to_owned(),
+    }
+}
