--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -39,6 +39,7 @@
     Record(Record),
     HashKey(HashKey),
     Trial(Trial),
+    Bench(Bench),
 }
 
 /// Check a configuration file and publish it.
@@ -275,3 +276,36 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// Measure the product against its own baselines.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "bench")]
+pub struct Bench {
+    #[argh(subcommand)]
+    pub kind: BenchKind,
+}
+
+/// What to measure.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum BenchKind {
+    State(BenchState),
+}
+
+/// Measure the agreed state: records a second, memory, snapshots, time to ready, cost of control.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "state")]
+pub struct BenchState {
+    /// boxes at the largest of four sizes, 64 to 20000
+    #[argh(option, default = "6400")]
+    pub boxes: u32,
+    /// pools at the largest size, 1 to 500
+    #[argh(option, default = "43")]
+    pub pools: u32,
+    /// changes of configuration at the largest size, 100 to 100000
+    #[argh(option, default = "25000")]
+    pub changes: u32,
+    /// print a last line of JSON
+    #[argh(switch)]
+    pub json: bool,
+}
--- /dev/null
+++ b/cli/src/bench.rs
@@ -0,0 +1,17 @@
+//! Measurements of the product against its own baselines, in one run.
+
+mod generate;
+mod probe;
+mod slope;
+mod state;
+
+use crate::args::Bench;
+use crate::args::BenchKind;
+use crate::error::Error;
+
+/// Runs a measurement and prints its results.
+pub fn run(args: &Bench, json: bool) -> Result<(), Error> {
+    match &args.kind {
+        BenchKind::State(args) => state::run(args, json || args.json),
+    }
+}
--- /dev/null
+++ b/cli/src/bench/generate.rs
@@ -0,0 +1,196 @@
+//! Generated fleets and histories: real records, made by the product's own planner and checks.
+
+use std::net::SocketAddr;
+
+use spokelift_lib::state::account::Scope;
+use spokelift_lib::state::config::Document;
+use spokelift_lib::state::config::Shapes;
+use spokelift_lib::state::fleet::Fleet;
+use spokelift_lib::state::fleet::Shape;
+use spokelift_lib::state::id::PlanId;
+use spokelift_lib::state::plan::Intent;
+use spokelift_lib::state::plan::Outcome;
+use spokelift_lib::state::planner::Planner;
+use spokelift_lib::state::record::Batch;
+use spokelift_lib::state::record::Body;
+use spokelift_lib::state::record::Change;
+use spokelift_lib::state::record::Claim;
+use spokelift_lib::state::record::Edit;
+use spokelift_lib::state::record::Record;
+
+/// Accounts at the size to design for, and the boxes that go with them.
+const ACCOUNTS: u32 = 260;
+const ACCOUNTS_AT_BOXES: u32 = 6400;
+/// Services of each account.
+const SERVICES: u32 = 2;
+/// Halls and boxes in a rack.
+const HALLS: u32 = 14;
+const RACK: u32 = 4;
+/// Each service runs on one in so many boxes of its pool.
+const SHARE: u32 = 10;
+/// Daemon number under which generated records are written.
+const WRITER: u16 = 99;
+
+/// How large a generated site is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub boxes: u32,
+    pub pools: u32,
+    pub changes: u32,
+}
+
+impl Size {
+    pub fn accounts(&self) -> u32 {
+        (ACCOUNTS * self.boxes / ACCOUNTS_AT_BOXES).max(self.pools)
+    }
+}
+
+/// A history under way.
+pub struct History {
+    pub fleet: Fleet,
+    pub batches: Vec<Batch>,
+    pub shapes: Shapes,
+    size: Size,
+    next_plan: PlanId,
+}
+
+impl History {
+    /// Publishes a site and places its services. All boxes are at `addr`.
+    pub fn new(size: Size, addr: SocketAddr) -> History {
+        let shapes = (0..size.boxes).map(|index| (name(index).into(), shape(index, addr)));
+        let shapes = shapes.collect();
+        let mut history =
+            History { fleet: Fleet::default(), batches: Vec::new(), shapes, size, next_plan: 1 };
+        history.publish();
+        history.place();
+        history
+    }
+
+    /// Appends one record in a batch of its own; panics if the rule refuses it.
+    pub fn append(&mut self, body: Body) {
+        let sequence = self.fleet.next + 1;
+        let records = vec![Record { id: u128::from(sequence), body }];
+        let batch = Batch { writer: WRITER, incarnation: 1, sequence, records };
+        let verdicts = self.fleet.apply(self.fleet.next, &batch);
+        if let Some((_, Err(refusal))) = verdicts.first() {
+            panic!("a generated record was refused: {refusal}");
+        }
+        self.batches.push(batch);
+    }
+
+    fn publish(&mut self) {
+        let mut text = String::new();
+        for account in 0..self.size.accounts() {
+            text += &format!("[[account]]\nname = \"account-{account}\"\n");
+        }
+        self.publish_text(&text);
+        for pool in 0..self.size.pools {
+            let text = self.pool_text(pool);
+            self.publish_text(&text);
+        }
+    }
+
+    fn publish_text(&mut self, text: &str) {
+        let document = Document::parse(text).expect("generated text can be parsed");
+        let change = document.compile(&self.fleet, &self.shapes, &Scope::Site);
+        let change = change.expect("generated configuration has no faults");
+        self.append(Body::Publish(change));
+    }
+
+    fn pool_text(&self, pool: u32) -> String {
+        let boxes = (0..self.size.boxes).filter(|index| index % self.size.pools == pool);
+        let boxes: Vec<String> = boxes.map(|index| format!("\"{}\"", name(index))).collect();
+        let owners = (0..self.size.accounts()).filter(|account| account % self.size.pools == pool);
+        let owners: Vec<u32> = owners.collect();
+        let shared: Vec<String> = owners.iter().map(|own| format!("\"account-{own}\"")).collect();
+        let mut text = format!(
+            "[[pool]]\nname = \"pool-{pool}\"\naccount = \"account-{pool}\"\n\
+             max_out = {}\nboxes = [{}]\nshared_with = [{}]\n",
+            (boxes.len() / 10).max(1),
+            boxes.join(", "),
+            shared.join(", "),
+        );
+        for owner in owners {
+            for service in 0..SERVICES {
+                text += &format!(
+                    "[[service]]\nname = \"service-{service}\"\naccount = \"account-{owner}\"\n\
+                     pool = \"pool-{pool}\"\nslots = 1\nmemory_mb = 64\n"
+                );
+            }
+        }
+        text
+    }
+
+    fn place(&mut self) {
+        let keys: Vec<_> = self.fleet.services.keys().cloned().collect();
+        for (account, service) in keys {
+            let pool = &self.fleet.services[&(account.clone(), service.clone())].pool;
+            let replicas = (self.fleet.pools[pool].boxes.len() as u32 / SHARE).max(1);
+            let plan = self.start(Intent::Place { account, service, replicas });
+            let steps = self.fleet.plans[&plan].steps.len() as u32;
+            for step in 0..steps {
+                let claim = Claim { plan, epoch: 1, step };
+                self.append(Body::Assign(claim));
+                self.append(Body::Finish(claim, Outcome::Done));
+            }
+        }
+    }
+
+    fn start(&mut self, intent: Intent) -> PlanId {
+        let planner = Planner { fleet: &self.fleet, shapes: &self.shapes, scope: &Scope::Site };
+        let id = self.next_plan;
+        self.next_plan += 1;
+        let plan = planner.plan(id, intent).expect("a generated intent can be met");
+        self.append(Body::Propose(plan));
+        self.append(Body::Confirm(id));
+        self.append(Body::Drive { plan: id, holder: WRITER, epoch: 1 });
+        id
+    }
+
+    /// Maintains every box once: a permit and an end each. Returns how many records that took.
+    pub fn wave(&mut self) -> usize {
+        let before = self.batches.len();
+        let pools: Vec<_> = self.fleet.pools.keys().cloned().collect();
+        for pool in pools {
+            let plan = self.start(Intent::Maintain { pools: vec![pool] });
+            let steps = self.fleet.plans[&plan].steps.len() as u32;
+            for step in 0..steps {
+                let claim = Claim { plan, epoch: 1, step };
+                self.append(Body::Permit(claim));
+                self.append(Body::Finish(claim, Outcome::Done));
+            }
+        }
+        self.batches.len() - before
+    }
+
+    /// Changes services one at a time, in turn.
+    pub fn changes(&mut self) {
+        let keys: Vec<_> = self.fleet.services.keys().cloned().collect();
+        for index in 0..self.size.changes {
+            let key = &keys[index as usize % keys.len()];
+            let mut service = self.fleet.services[key].clone();
+            let base = service.version;
+            service.memory_mb = 64 + index % 7;
+            // What the fold keeps itself is no part of an edit.
+            service.placed.clear();
+            service.starting.clear();
+            let edit = Edit::Service(key.0.clone(), key.1.clone(), base, service);
+            self.append(Body::Publish(Change { edits: vec![edit] }));
+        }
+    }
+}
+
+fn name(index: u32) -> String {
+    format!("box-{index:05}")
+}
+
+fn shape(index: u32, addr: SocketAddr) -> Shape {
+    let rack = index / RACK;
+    Shape {
+        addr,
+        hall: format!("hall-{}", rack % HALLS).into(),
+        rack: format!("rack-{rack}").into(),
+        slots: 16,
+        memory_mb: 131_072,
+    }
+}
--- /dev/null
+++ b/cli/src/bench/probe.rs
@@ -0,0 +1,38 @@
+//! What the system says of this process: memory, and processor time by thread.
+
+use std::fs;
+
+/// Clock ticks a second in `/proc`, as Linux reports them to programs.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Memory in use by this process, in bytes; 0 where the system does not say.
+pub fn resident() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
+
+/// Processor time of all threads whose name begins with `prefix`, in seconds.
+pub fn thread_seconds(prefix: &str) -> f64 {
+    let Ok(threads) = fs::read_dir("/proc/self/task") else {
+        return 0.0;
+    };
+    let stats =
+        threads.filter_map(|thread| fs::read_to_string(thread.ok()?.path().join("stat")).ok());
+    let ticks = stats.filter_map(|stat| ticks_of(&stat, prefix));
+    ticks.sum::<u64>() as f64 / TICKS_PER_S
+}
+
+/// User and system ticks of a `stat` line, if its name begins with `prefix`.
+fn ticks_of(stat: &str, prefix: &str) -> Option<u64> {
+    let (head, tail) = stat.rsplit_once(')')?;
+    let (_, name) = head.split_once('(')?;
+    if !name.starts_with(prefix) {
+        return None;
+    }
+    let fields: Vec<&str> = tail.split_whitespace().collect();
+    let user: u64 = fields.get(11)?.parse().ok()?;
+    let system: u64 = fields.get(12)?.parse().ok()?;
+    Some(user + system)
+}
--- /dev/null
+++ b/cli/src/bench/state.rs
@@ -0,0 +1,582 @@
+//! The agreed state at four sizes: records a second, memory, snapshot, time to ready, and what
+//! control costs a daemon; against a full replay with one record for each change.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use serde::Serialize;
+use spokelift_lib::metrics::Totals;
+use spokelift_lib::protocol::api::Published;
+use spokelift_lib::protocol::boxes::Listed;
+use spokelift_lib::protocol::call::HEALTH;
+use spokelift_lib::protocol::wire::derive_key;
+use spokelift_lib::protocol::worker::Status;
+use spokelift_lib::settings::Settings;
+use spokelift_lib::state::account::hash_secret;
+use spokelift_lib::state::fleet::Fleet;
+use spokelift_lib::state::fold::MAX_VERDICTS;
+use spokelift_lib::state::record::Batch;
+use spokelift_lib::state::record::Body;
+use spokelift_lib::state::record::Record;
+use spokelift_lib::state::snapshot;
+use spokelift_lib::transport::dial::Dialer;
+use spokelift_lib::transport::dial::full;
+use spokelift_lib::transport::serve::serve;
+use spokelift_testutils::boxes::Boxes;
+use spokelift_testutils::entry::Entry;
+use spokelift_testutils::log::Log;
+use spokelift_testutils::proxy::Link;
+use spokelift_testutils::proxy::Proxy;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::args::BenchState;
+use crate::bench::generate::History;
+use crate::bench::generate::Size;
+use crate::bench::probe;
+use crate::bench::slope::Slope;
+use crate::bench::slope::fit;
+use crate::client::Client;
+use crate::error::Error;
+use crate::output::pairs;
+
+/// Daemons of a site.
+const DAEMONS: u16 = 6;
+/// Batches between two snapshots, as the daemons have it by default.
+const SNAPSHOT_EVERY: usize = 2000;
+/// Time between two snapshots, as the daemons have it by default.
+const SNAPSHOT_S: f64 = 600.0;
+/// How long the cost of control is measured without changes, and then with them.
+const MEASURED: Duration = Duration::from_secs(6);
+/// Changes made while the cost of control is measured.
+const LIVE_CHANGES: usize = 30;
+/// Secret of the site operator.
+const SECRET: &str = "bench-site-secret";
+const DAY_S: f64 = 86_400.0;
+/// Every box is maintained once in five weeks.
+const MAINTENANCE_S: f64 = 35.0 * DAY_S;
+/// Boxes that fail in a day at 6,400.
+const FAILURES_PER_BOX_DAY: f64 = 41.0 / 6400.0;
+/// Most time a daemon may take to be ready.
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// One size's results.
+#[derive(Clone, Debug, Serialize)]
+struct Row {
+    boxes: u32,
+    pools: u32,
+    accounts: u32,
+    changes: u32,
+    records: usize,
+    apply_per_s: f64,
+    wave_apply_per_s: f64,
+    snapshot_bytes: usize,
+    encode_ms: f64,
+    fleet_mb: f64,
+    ready_ms: f64,
+    resident_mb: f64,
+    baseline_ready_ms: f64,
+}
+
+/// What control costs one daemon, at the largest size.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Control {
+    idle_bytes_per_s: f64,
+    idle_peer_bytes_per_s: f64,
+    idle_log_bytes_per_s: f64,
+    idle_list_bytes_per_s: f64,
+    idle_poll_bytes_per_s: f64,
+    bytes_per_poll: f64,
+    bytes_per_change: f64,
+    idle_core_percent: f64,
+    core_ms_per_change: f64,
+    appends_per_change: f64,
+    config_everywhere_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Slopes {
+    snapshot_bytes_per_box: Slope,
+    ready_ms_per_box: Slope,
+    baseline_ready_ms_per_box: Slope,
+    resident_mb_per_box: Slope,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Report {
+    boxes: u32,
+    pools: u32,
+    changes: u32,
+    apply_per_s: f64,
+    ready_ms: f64,
+    snapshot_bytes: usize,
+    resident_mb: f64,
+    appends_per_s_mean: f64,
+    control_bytes_per_s: f64,
+    core_percent: f64,
+    baseline_ready_ms: f64,
+    control: Control,
+    sizes: Vec<Row>,
+    slopes: Slopes,
+}
+
+/// Measures at four sizes and prints a table, and one line of JSON if asked to.
+pub fn run(args: &BenchState, json: bool) -> Result<(), Error> {
+    check("--boxes", args.boxes, 64, 20_000, "64 to 20000")?;
+    check("--pools", args.pools, 1, 500, "1 to 500")?;
+    check("--changes", args.changes, 100, 100_000, "100 to 100000")?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let report = runtime.block_on(measure(args))?;
+    print(&report);
+    if json {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    Ok(())
+}
+
+fn check(
+    what: &'static str,
+    value: u32,
+    min: u32,
+    max: u32,
+    accepted: &'static str,
+) -> Result<(), Error> {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    Err(Error::Value { what, value: value.to_string(), accepted })
+}
+
+async fn measure(args: &BenchState) -> Result<Report, Error> {
+    let target = start_target().await?;
+    let mut sizes = Vec::new();
+    let mut control = None;
+    for part in [8, 4, 2, 1] {
+        let size = Size {
+            boxes: args.boxes / part,
+            pools: (args.pools / part).max(1),
+            changes: args.changes / part,
+        };
+        let mut history = History::new(size, target.link.addr);
+        sizes.push(row(size, &mut history).await?);
+        if part == 1 {
+            control = Some(measure_control(&history, &target).await?);
+        }
+    }
+    let control = control.expect("the largest size was measured");
+    Ok(report(args, sizes, control))
+}
+
+fn report(args: &BenchState, sizes: Vec<Row>, control: Control) -> Report {
+    let full = sizes.last().expect("four sizes were measured").clone();
+    let by_boxes =
+        |value: fn(&Row) -> f64| fit(sizes.iter().map(|row| (row.boxes.into(), value(row))));
+    let slopes = Slopes {
+        snapshot_bytes_per_box: by_boxes(|row| row.snapshot_bytes as f64),
+        ready_ms_per_box: by_boxes(|row| row.ready_ms),
+        baseline_ready_ms_per_box: by_boxes(|row| row.baseline_ready_ms),
+        resident_mb_per_box: by_boxes(|row| row.resident_mb),
+    };
+    let changes_per_s = f64::from(args.changes) / DAY_S;
+    let chunks = full.snapshot_bytes.div_ceil(snapshot::CHUNK) as f64;
+    let boxes = f64::from(args.boxes);
+    let appends_per_s_mean = changes_per_s * control.appends_per_change
+        + 2.0 * boxes / MAINTENANCE_S
+        + 2.0 * boxes * FAILURES_PER_BOX_DAY / DAY_S
+        + (1.0 + chunks) / SNAPSHOT_S;
+    // Snapshots go to the log once and come back from it on every daemon, in base64.
+    let snapshot_bytes_per_s = full.snapshot_bytes as f64 * 4.0 / 3.0 / SNAPSHOT_S;
+    Report {
+        boxes: args.boxes,
+        pools: args.pools,
+        changes: args.changes,
+        apply_per_s: full.apply_per_s,
+        ready_ms: full.ready_ms,
+        snapshot_bytes: full.snapshot_bytes,
+        resident_mb: full.resident_mb,
+        appends_per_s_mean,
+        control_bytes_per_s: control.idle_bytes_per_s
+            + control.bytes_per_change * changes_per_s
+            + snapshot_bytes_per_s,
+        core_percent: control.idle_core_percent + control.core_ms_per_change * changes_per_s / 10.0,
+        baseline_ready_ms: full.baseline_ready_ms,
+        control,
+        sizes,
+        slopes,
+    }
+}
+
+async fn row(size: Size, history: &mut History) -> Result<Row, Error> {
+    let wave = history.wave();
+    let before_changes = history.batches.len();
+    history.changes();
+    let encoded: Vec<Bytes> = history.batches.iter().map(encode).collect();
+    let wave_from = before_changes - wave;
+    let before = probe::resident();
+    let mut fleet = Fleet::default();
+    fold(&mut fleet, &encoded[..wave_from]);
+    let wave_apply_per_s = rate(wave, || fold(&mut fleet, &encoded[wave_from..before_changes]));
+    let apply_per_s = rate(size.changes as usize, || fold(&mut fleet, &encoded[before_changes..]));
+    let fleet_mb = megabytes(probe::resident().saturating_sub(before));
+    assert_eq!(fleet, history.fleet, "a second fold of the same records differs");
+    let begun = Instant::now();
+    let state = snapshot::encode(&fleet);
+    let encode_ms = millis(begun.elapsed());
+    let tail_from = encoded.len().saturating_sub(SNAPSHOT_EVERY);
+    let (ready_ms, resident_mb) = ready(&with_snapshot(history, tail_from)).await?;
+    let (baseline_ready_ms, _) = ready(&encoded).await?;
+    Ok(Row {
+        boxes: size.boxes,
+        pools: size.pools,
+        accounts: size.accounts(),
+        changes: size.changes,
+        records: encoded.len(),
+        apply_per_s,
+        wave_apply_per_s,
+        snapshot_bytes: state.len(),
+        encode_ms,
+        fleet_mb,
+        ready_ms,
+        resident_mb,
+        baseline_ready_ms,
+    })
+}
+
+fn encode(batch: &Batch) -> Bytes {
+    batch.encode().expect("generated batches are below the limit").into()
+}
+
+fn fold(fleet: &mut Fleet, encoded: &[Bytes]) {
+    for bytes in encoded {
+        let batch = Batch::decode(bytes).expect("these bytes were encoded above");
+        fleet.apply(fleet.next, &batch);
+    }
+}
+
+fn rate(count: usize, work: impl FnOnce()) -> f64 {
+    let begun = Instant::now();
+    work();
+    count as f64 / begun.elapsed().as_secs_f64()
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
+}
+
+fn megabytes(bytes: u64) -> f64 {
+    bytes as f64 / (1024.0 * 1024.0)
+}
+
+/// The same history as a log that has let go of what is before a snapshot: nothing, the chunks,
+/// and the batches after them. Offsets are kept by empty records in place of those let go.
+fn with_snapshot(history: &History, tail_from: usize) -> Vec<Bytes> {
+    let mut fleet = Fleet::default();
+    let earlier: Vec<Bytes> = history.batches[..tail_from].iter().map(encode).collect();
+    fold(&mut fleet, &earlier);
+    let after = fleet.marked;
+    let mut log = vec![Bytes::new(); tail_from];
+    let mark = Batch {
+        writer: 98,
+        incarnation: 1,
+        sequence: 1,
+        records: vec![Record { id: 1, body: Body::Mark { after } }],
+    };
+    fleet.apply(fleet.next, &mark);
+    log.push(encode(&mark));
+    let state = snapshot::encode(&fleet);
+    for (index, chunk) in snapshot::split(&state, fleet.marked).into_iter().enumerate() {
+        let records = vec![Record { id: index as u128 + 2, body: Body::Snapshot(chunk) }];
+        let sequence = index as u64 + 2;
+        log.push(encode(&Batch { writer: 98, incarnation: 1, sequence, records }));
+    }
+    log.extend(history.batches[tail_from..].iter().map(encode));
+    log
+}
+
+/// Starts one empty daemon on a log and waits until it serves. Returns the time and the memory
+/// that took.
+async fn ready(records: &[Bytes]) -> Result<(f64, f64), Error> {
+    let log = Log::start().await?;
+    records.iter().for_each(|record| log.put(record.clone()));
+    let gone = records.iter().take_while(|record| record.is_empty()).count();
+    // The mark goes with what it stands for; the chunks are what is left of the past.
+    let kept_from = if gone > 0 { gone as u64 + 1 } else { 0 };
+    log.retain_from(kept_from);
+    let boxes = Boxes::start(Vec::new()).await?;
+    let settings = settings(0, &[], log.addr, boxes.addr);
+    let before = probe::resident();
+    let begun = Instant::now();
+    let entry = start(settings)?;
+    until_serving(entry.addrs.call).await?;
+    let ready_ms = millis(begun.elapsed());
+    let resident_mb = megabytes(probe::resident().saturating_sub(before));
+    stop(entry).await;
+    log.stop();
+    boxes.stop();
+    Ok((ready_ms, resident_mb))
+}
+
+async fn until_serving(addr: SocketAddr) -> Result<(), Error> {
+    let dialer = Dialer::new(Duration::from_secs(1));
+    let begun = Instant::now();
+    loop {
+        let request = Request::get(HEALTH).body(full("")).expect("a constant path is valid");
+        let answer = dialer.exchange(addr, request, 1024, Duration::from_secs(5)).await;
+        if answer.is_ok_and(|answer| answer.status().is_success()) {
+            return Ok(());
+        }
+        if begun.elapsed() > PATIENCE {
+            let late = std::io::Error::new(std::io::ErrorKind::TimedOut, "a daemon is not ready");
+            return Err(Error::Trial(late));
+        }
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+fn start(settings: Settings) -> std::io::Result<Entry> {
+    let started = std::thread::spawn(move || Entry::start(settings)).join();
+    started.unwrap_or_else(|_| Err(std::io::Error::other("the daemon's thread panicked")))
+}
+
+async fn stop(entry: Entry) {
+    let killed = entry.kill();
+    let _ = tokio::task::spawn_blocking(move || killed.join()).await;
+}
+
+/// Six daemons on the full state: bytes, processor time and appends, idle and with changes.
+async fn measure_control(history: &History, target: &Target) -> Result<Control, Error> {
+    let log = Log::start().await?;
+    let tail_from = history.batches.len().saturating_sub(SNAPSHOT_EVERY);
+    with_snapshot(history, tail_from).into_iter().for_each(|record| log.put(record));
+    log.retain_from(tail_from as u64 + 1);
+    let listed = history.shapes.iter().map(|(name, shape)| Listed {
+        name: name.clone(),
+        addr: shape.addr,
+        hall: shape.hall.clone(),
+        rack: shape.rack.clone(),
+        slots: shape.slots,
+        memory_mb: shape.memory_mb,
+        leaving: false,
+    });
+    let boxes = Boxes::start(listed.collect()).await?;
+    let log_link = Proxy::start(log.addr).await?;
+    let boxes_link = Proxy::start(boxes.addr).await?;
+    let mut links = Vec::new();
+    for _ in 0..DAEMONS {
+        links.push(Link::start().await?);
+    }
+    let mut entries = Vec::new();
+    for id in 0..DAEMONS {
+        let entry = start(settings(id, &links, log_link.addr, boxes_link.addr))?;
+        links[usize::from(id)].set_upstream(entry.addrs.peer);
+        entries.push(entry);
+    }
+    for entry in &entries {
+        until_serving(entry.addrs.call).await?;
+    }
+    // The first polls of all boxes and the whole box list are behind it by then.
+    sleep(MEASURED).await;
+    let target = target.clone();
+    let site = Measured { log, log_link, boxes_link, entries, target };
+    let control = site.measure().await;
+    for entry in site.entries {
+        stop(entry).await;
+    }
+    control
+}
+
+struct Measured {
+    log: Log,
+    log_link: Proxy,
+    boxes_link: Proxy,
+    entries: Vec<Entry>,
+    target: Target,
+}
+
+#[derive(Clone, Copy)]
+struct Reading {
+    peer_bytes: f64,
+    log_bytes: f64,
+    list_bytes: f64,
+    polled_bytes: f64,
+    polls: f64,
+    core_s: f64,
+    appends: f64,
+}
+
+impl Reading {
+    fn bytes(&self) -> f64 {
+        self.peer_bytes + self.log_bytes + self.list_bytes + self.polled_bytes
+    }
+}
+
+impl Measured {
+    async fn measure(&self) -> Result<Control, Error> {
+        let daemons = f64::from(DAEMONS);
+        let first = self.read().await?;
+        sleep(MEASURED).await;
+        let idle = self.read().await?;
+        let client = self.client(0);
+        let mut in_force = Duration::ZERO;
+        let pause = MEASURED / LIVE_CHANGES as u32;
+        let busy_from = Instant::now();
+        for index in 0..LIVE_CHANGES {
+            let text = format!(
+                "[[service]]\nname = \"service-0\"\naccount = \"account-0\"\npool = \"pool-0\"\n\
+                 slots = 1\nmemory_mb = {}\n",
+                1000 + index
+            );
+            let begun = Instant::now();
+            let published: Published = client.post("/v1/publish", text.into_bytes()).await?;
+            assert_eq!(published.in_force.len(), self.entries.len(), "in force everywhere");
+            in_force = in_force.max(begun.elapsed());
+            sleep(pause).await;
+        }
+        let busy_s = busy_from.elapsed().as_secs_f64();
+        let busy = self.read().await?;
+        let idle_s = MEASURED.as_secs_f64();
+        let per_s = |part: fn(&Reading) -> f64| (part(&idle) - part(&first)) / idle_s / daemons;
+        let idle_bytes_per_s = per_s(Reading::bytes);
+        let idle_core = (idle.core_s - first.core_s) / idle_s / daemons;
+        let changes = LIVE_CHANGES as f64;
+        let more_bytes = (busy.bytes() - idle.bytes()) / daemons - idle_bytes_per_s * busy_s;
+        let more_core = (busy.core_s - idle.core_s) / daemons - idle_core * busy_s;
+        Ok(Control {
+            idle_bytes_per_s,
+            idle_peer_bytes_per_s: per_s(|reading| reading.peer_bytes),
+            idle_log_bytes_per_s: per_s(|reading| reading.log_bytes),
+            idle_list_bytes_per_s: per_s(|reading| reading.list_bytes),
+            idle_poll_bytes_per_s: per_s(|reading| reading.polled_bytes),
+            bytes_per_poll: (idle.polled_bytes - first.polled_bytes) / (idle.polls - first.polls),
+            bytes_per_change: (more_bytes / changes).max(0.0),
+            idle_core_percent: idle_core * 100.0,
+            core_ms_per_change: (more_core * 1000.0 / changes).max(0.0),
+            appends_per_change: (busy.appends - idle.appends) / changes,
+            config_everywhere_ms: millis(in_force),
+        })
+    }
+
+    fn client(&self, daemon: usize) -> Client {
+        Client::new(self.entries[daemon].addrs.operate, &format!("site:{SECRET}"))
+    }
+
+    async fn read(&self) -> Result<Reading, Error> {
+        let mut peers = 0;
+        for daemon in 0..self.entries.len() {
+            let client = self.client(daemon);
+            let totals: Totals = client.get("/v1/counters").await?;
+            peers += totals.get("peer.sent.bytes").copied().unwrap_or(0);
+        }
+        Ok(Reading {
+            peer_bytes: peers as f64,
+            log_bytes: self.log_link.passed() as f64,
+            list_bytes: self.boxes_link.passed() as f64,
+            polled_bytes: self.target.link.passed() as f64,
+            polls: self.target.polls.load(Ordering::SeqCst) as f64,
+            core_s: probe::thread_seconds("entry-"),
+            appends: self.log.served().0 as f64,
+        })
+    }
+}
+
+/// A stand-in for every worker at once: it always says that it knows more than whoever asks.
+#[derive(Clone)]
+struct Target {
+    link: Proxy,
+    polls: Arc<AtomicU64>,
+}
+
+async fn start_target() -> std::io::Result<Target> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let link = Proxy::start(listener.local_addr()?).await?;
+    let (stop, stopped) = watch::channel(false);
+    let status = Status {
+        fence: u64::MAX,
+        draining: false,
+        inflight: 0,
+        jobs: vec![("account-0".into(), "service-0".into())],
+        rebooted_for: None,
+    };
+    let body = serde_json::to_vec(&status).map_err(std::io::Error::other)?;
+    let polls = Arc::new(AtomicU64::new(0));
+    let counted = polls.clone();
+    let handler = move |_: Request<Incoming>| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        let body = body.clone();
+        async move { Response::new(full(body)) }
+    };
+    tokio::spawn(async move {
+        let _stop = stop;
+        serve(listener, stopped, handler).await;
+    });
+    Ok(Target { link, polls })
+}
+
+fn settings(id: u16, links: &[Link], log: SocketAddr, boxes: SocketAddr) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let others = links.iter().enumerate().filter(|(to, _)| *to != usize::from(id));
+    let peers = others.map(|(to, link)| (to as u16, link.addr()));
+    let mut settings = Settings::resolve(|setting| {
+        let given = match setting.flag {
+            "id" => id.to_string(),
+            "hall" => "hall-0".to_owned(),
+            "peer-secret" => "bench-peer-secret".to_owned(),
+            "log" => log.to_string(),
+            "boxes" => boxes.to_string(),
+            "site-key-hash" => spokelift_lib::state::account::format_hash(&hash_secret(SECRET)),
+            _ => return None,
+        };
+        Some(given)
+    })
+    .expect("the bench's settings are valid");
+    settings.peers = peers.collect();
+    settings.peer_key = derive_key("bench-peer-secret");
+    settings.call_addr = any;
+    settings
+}
+
+fn print(report: &Report) {
+    println!("boxes   records  apply/s   wave/s  snapshot KB  ready ms  replay ms  resident MB");
+    for row in &report.sizes {
+        println!(
+            "{:>5} {:>9} {:>8.0} {:>8.0} {:>12.0} {:>9.0} {:>10.0} {:>12.1}",
+            row.boxes,
+            row.records,
+            row.apply_per_s,
+            row.wave_apply_per_s,
+            row.snapshot_bytes as f64 / 1024.0,
+            row.ready_ms,
+            row.baseline_ready_ms,
+            row.resident_mb,
+        );
+    }
+    let control = &report.control;
+    let rows = [
+        ("snapshot bytes per box", format!("{:.0}", report.slopes.snapshot_bytes_per_box.per)),
+        ("verdicts kept", MAX_VERDICTS.to_string()),
+        ("control, bytes/s idle", format!("{:.0}", control.idle_bytes_per_s)),
+        ("  heartbeats", format!("{:.0}", control.idle_peer_bytes_per_s)),
+        ("  log", format!("{:.0}", control.idle_log_bytes_per_s)),
+        ("  box list", format!("{:.0}", control.idle_list_bytes_per_s)),
+        ("  polls of boxes", format!("{:.0}", control.idle_poll_bytes_per_s)),
+        ("control, bytes per poll", format!("{:.0}", control.bytes_per_poll)),
+        ("control, bytes per change", format!("{:.0}", control.bytes_per_change)),
+        ("control, core % idle", format!("{:.2}", control.idle_core_percent)),
+        ("control, core ms per change", format!("{:.2}", control.core_ms_per_change)),
+        ("appends per change", format!("{:.2}", control.appends_per_change)),
+        ("slowest change everywhere, ms", format!("{:.0}", control.config_everywhere_ms)),
+        ("appends/s, mean", format!("{:.2}", report.appends_per_s_mean)),
+        ("control, bytes/s", format!("{:.0}", report.control_bytes_per_s)),
+        ("control, core %", format!("{:.2}", report.core_percent)),
+    ];
+    println!("\n{}", pairs(rows));
+}
--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -63,9 +63,12 @@
     /// time between heartbeats [500]
     #[argh(option)]
     heartbeat_ms: Option<String>,
-    /// time between polls of the box list and the boxes [1000]
+    /// time between polls of the box list, and of boxes in doubt [1000]
     #[argh(option)]
     poll_ms: Option<String>,
+    /// bytes a second that polls of boxes may take [3000]
+    #[argh(option)]
+    poll_bytes_per_s: Option<String>,
     /// this daemon's share of the log's rate [12]
     #[argh(option)]
     appends_per_s: Option<String>,
@@ -114,6 +117,7 @@
             "max-age-ms" => &self.max_age_ms,
             "heartbeat-ms" => &self.heartbeat_ms,
             "poll-ms" => &self.poll_ms,
+            "poll-bytes-per-s" => &self.poll_bytes_per_s,
             "appends-per-s" => &self.appends_per_s,
             "queue-limit" => &self.queue_limit,
             "queue-wait-ms" => &self.queue_wait_ms,
@@ -178,9 +182,7 @@
 }
 
 fn run(settings: Settings) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let served = match runtime {
         Ok(runtime) => runtime.block_on(serve(settings)),
         Err(error) => Err(error.into()),
--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -30,11 +30,7 @@
     /// A client of the daemon at this address.
     pub fn new(daemon: SocketAddr, key: &str) -> Client {
         let dialer = Dialer::new(Duration::from_secs(3));
-        Client {
-            daemon,
-            key: key.to_owned(),
-            dialer,
-        }
+        Client { daemon, key: key.to_owned(), dialer }
     }
 
     /// Reads a view.
@@ -63,10 +59,7 @@
             value: path.to_owned(),
             accepted: "printable characters without spaces",
         })?;
-        let answer = self
-            .dialer
-            .exchange(self.daemon, request, MAX_ANSWER, WAIT)
-            .await;
+        let answer = self.dialer.exchange(self.daemon, request, MAX_ANSWER, WAIT).await;
         let daemon = self.daemon;
         let answer = answer.map_err(|source| Error::Daemon { daemon, source })?;
         if answer.status().is_success() {
--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -25,6 +25,7 @@
 use crate::args::IntentKind;
 use crate::args::PlanAction;
 use crate::args::WaveAction;
+use crate::bench;
 use crate::client::Client;
 use crate::error::Error;
 use crate::error::FileFault;
@@ -38,11 +39,10 @@
 pub fn run(args: Args) -> Result<(), Error> {
     match &args.command {
         Command::Trial(trial) => trial::run(trial, args.json || trial.json),
+        Command::Bench(bench) => bench::run(bench, args.json),
         Command::HashKey(_) => hash_key(),
         _ => {
-            let runtime = tokio::runtime::Builder::new_current_thread()
-                .enable_all()
-                .build()?;
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
             runtime.block_on(ask(args))
         }
     }
@@ -51,20 +51,12 @@
 fn hash_key() -> Result<(), Error> {
     let mut secret = String::new();
     std::io::stdin().read_to_string(&mut secret)?;
-    println!(
-        "{}",
-        format_hash(&hash_secret(secret.trim_end_matches('\n')))
-    );
+    println!("{}", format_hash(&hash_secret(secret.trim_end_matches('\n'))));
     Ok(())
 }
 
 fn client(args: &Args) -> Result<Client, Error> {
-    let daemon = or_variable(
-        &args.daemon,
-        "the daemon's address",
-        "daemon",
-        "SPOKELIFT_DAEMON",
-    )?;
+    let daemon = or_variable(&args.daemon, "the daemon's address", "daemon", "SPOKELIFT_DAEMON")?;
     let key = or_variable(&args.key, "the credential", "key", "SPOKELIFT_KEY")?;
     let addr: Result<SocketAddr, _> = daemon.parse();
     let addr = addr.map_err(|_| Error::Value {
@@ -82,11 +74,7 @@
     variable: &'static str,
 ) -> Result<String, Error> {
     let value = given.clone().or_else(|| std::env::var(variable).ok());
-    value.ok_or(Error::Missing {
-        what,
-        flag,
-        variable,
-    })
+    value.ok_or(Error::Missing { what, flag, variable })
 }
 
 async fn ask(args: Args) -> Result<(), Error> {
@@ -111,41 +99,31 @@
             };
             act(&client, json, &path).await
         }
-        Command::Status(_) => show(
-            json,
-            &client.get::<StatusView>("/v1/status").await?,
-            output::status,
-        ),
-        Command::Pools(_) => show(
-            json,
-            &client.get::<Vec<PoolView>>("/v1/pools").await?,
-            |v| output::pools(v),
-        ),
-        Command::Boxes(_) => show(json, &client.get::<Vec<BoxView>>("/v1/boxes").await?, |v| {
-            output::boxes(v)
-        }),
-        Command::Jobs(_) => show(json, &client.get::<Vec<JobView>>("/v1/jobs").await?, |v| {
-            output::jobs(v)
-        }),
-        Command::Plans(_) => show(
-            json,
-            &client.get::<Vec<PlanView>>("/v1/plans").await?,
-            |v| output::plans(v),
-        ),
-        Command::Counters(_) => show(
-            json,
-            &client.get::<Totals>("/v1/counters").await?,
-            output::counters,
-        ),
+        Command::Status(_) => {
+            show(json, &client.get::<StatusView>("/v1/status").await?, output::status)
+        }
+        Command::Pools(_) => {
+            show(json, &client.get::<Vec<PoolView>>("/v1/pools").await?, |v| output::pools(v))
+        }
+        Command::Boxes(_) => {
+            show(json, &client.get::<Vec<BoxView>>("/v1/boxes").await?, |v| output::boxes(v))
+        }
+        Command::Jobs(_) => {
+            show(json, &client.get::<Vec<JobView>>("/v1/jobs").await?, |v| output::jobs(v))
+        }
+        Command::Plans(_) => {
+            show(json, &client.get::<Vec<PlanView>>("/v1/plans").await?, |v| output::plans(v))
+        }
+        Command::Counters(_) => {
+            show(json, &client.get::<Totals>("/v1/counters").await?, output::counters)
+        }
         Command::Record(record) => {
             let path = format!("/v1/records/{}", record.id);
-            show(
-                json,
-                &client.get::<Published>(&path).await?,
-                output::published,
-            )
+            show(json, &client.get::<Published>(&path).await?, output::published)
+        }
+        Command::HashKey(_) | Command::Trial(_) | Command::Bench(_) => {
+            unreachable!("run carries these out itself")
         }
-        Command::HashKey(_) | Command::Trial(_) => unreachable!("run carries these out itself"),
     }
 }
 
@@ -160,49 +138,36 @@
 
 async fn publish(client: &Client, path: &Path) -> Result<Published, Error> {
     let read = std::fs::read_to_string(path);
-    let text = read.map_err(|source| Error::File {
-        path: path.to_owned(),
-        source,
-    })?;
+    let text = read.map_err(|source| Error::File { path: path.to_owned(), source })?;
     Document::parse(&text).map_err(|faults| in_file(path, &text, faults))?;
     let published = client.post("/v1/publish", text.clone().into_bytes()).await;
     published.map_err(|error| match error {
-        Error::Api {
-            error: ApiError::Config { faults },
-        } => in_file(path, &text, faults),
+        Error::Api { error: ApiError::Config { faults } } => in_file(path, &text, faults),
         error => error,
     })
 }
 
 fn in_file(path: &Path, text: &str, faults: Vec<Fault>) -> Error {
-    let faults = faults
-        .into_iter()
-        .map(|fault| FileFault::new(path, text, fault));
-    Error::Config {
-        path: path.to_owned(),
-        faults: faults.collect(),
-    }
+    let faults = faults.into_iter().map(|fault| FileFault::new(path, text, fault));
+    Error::Config { path: path.to_owned(), faults: faults.collect() }
 }
 
 fn to_intent(kind: IntentKind) -> Intent {
     match kind {
-        IntentKind::Resize(resize) => Intent::Resize {
-            pool: resize.pool.into(),
-            boxes: resize.boxes,
-        },
-        IntentKind::Move(moving) => Intent::Move {
-            from: moving.from.into(),
-            to: moving.to.into(),
-            boxes: moving.boxes,
-        },
+        IntentKind::Resize(resize) => {
+            Intent::Resize { pool: resize.pool.into(), boxes: resize.boxes }
+        }
+        IntentKind::Move(moving) => {
+            Intent::Move { from: moving.from.into(), to: moving.to.into(), boxes: moving.boxes }
+        }
         IntentKind::Place(place) => Intent::Place {
             account: place.account.into(),
             service: place.service.into(),
             replicas: place.replicas,
         },
-        IntentKind::Maintain(maintain) => Intent::Maintain {
-            pools: maintain.pool.into_iter().map(Into::into).collect(),
-        },
+        IntentKind::Maintain(maintain) => {
+            Intent::Maintain { pools: maintain.pool.into_iter().map(Into::into).collect() }
+        }
     }
 }
 
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -17,19 +17,11 @@
     /// A setting of the tool is missing.
     #[error("{what} is not set")]
     #[diagnostic(help("give --{flag} or set {variable}"))]
-    Missing {
-        what: &'static str,
-        flag: &'static str,
-        variable: &'static str,
-    },
+    Missing { what: &'static str, flag: &'static str, variable: &'static str },
     /// A value on the command line cannot be used.
     #[error("{what} is {value:?}")]
     #[diagnostic(help("accepted: {accepted}"))]
-    Value {
-        what: &'static str,
-        value: String,
-        accepted: &'static str,
-    },
+    Value { what: &'static str, value: String, accepted: &'static str },
     /// A file cannot be read.
     #[error("cannot read {}", path.display())]
     #[diagnostic(help("check the path and its permissions"))]
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 #![allow(missing_docs, reason = "a program, not a library")]
 
 mod args;
+mod bench;
 mod client;
 mod command;
 mod error;
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -35,29 +35,16 @@
 }
 
 fn yes(value: bool, word: &str) -> String {
-    if value {
-        word.to_owned()
-    } else {
-        "-".to_owned()
-    }
+    if value { word.to_owned() } else { "-".to_owned() }
 }
 
 /// Pools, one a line.
 pub fn pools(pools: &[PoolView]) -> String {
     let row = |pool: &PoolView| {
         let out = format!("{}/{}", pool.out, pool.max_out);
-        vec![
-            cell(&pool.name),
-            cell(&pool.account),
-            cell(pool.boxes),
-            out,
-            weigh(pool),
-        ]
+        vec![cell(&pool.name), cell(&pool.account), cell(pool.boxes), out, weigh(pool)]
     };
-    table(
-        &["POOL", "ACCOUNT", "BOXES", "OUT", "FIRST"],
-        pools.iter().map(row),
-    )
+    table(&["POOL", "ACCOUNT", "BOXES", "OUT", "FIRST"], pools.iter().map(row))
 }
 
 fn weigh(pool: &PoolView) -> String {
@@ -76,19 +63,9 @@
             (None, false) => cell("serving"),
         };
         let jobs = view.jobs.join(", ");
-        vec![
-            cell(&view.name),
-            cell(&view.pool),
-            cell(&view.hall),
-            cell(&view.rack),
-            state,
-            jobs,
-        ]
+        vec![cell(&view.name), cell(&view.pool), cell(&view.hall), cell(&view.rack), state, jobs]
     };
-    table(
-        &["BOX", "POOL", "HALL", "RACK", "STATE", "JOBS"],
-        boxes.iter().map(row),
-    )
+    table(&["BOX", "POOL", "HALL", "RACK", "STATE", "JOBS"], boxes.iter().map(row))
 }
 
 /// Services, one a line.
@@ -96,19 +73,9 @@
     let row = |job: &JobView| {
         let up = format!("{}/{}", job.up, job.placed);
         let slots = cell(job.slots);
-        vec![
-            cell(&job.name),
-            cell(&job.account),
-            cell(&job.pool),
-            up,
-            cell(job.min_up),
-            slots,
-        ]
+        vec![cell(&job.name), cell(&job.account), cell(&job.pool), up, cell(job.min_up), slots]
     };
-    table(
-        &["SERVICE", "ACCOUNT", "POOL", "UP", "LEAST", "SLOTS"],
-        jobs.iter().map(row),
-    )
+    table(&["SERVICE", "ACCOUNT", "POOL", "UP", "LEAST", "SLOTS"], jobs.iter().map(row))
 }
 
 /// Plans, one a line.
@@ -127,19 +94,14 @@
             cell(cost.moves),
         ]
     };
-    let head = [
-        "PLAN", "BY", "INTENT", "PHASE", "ENDED", "BUFFER", "SECONDS", "MOVES",
-    ];
+    let head = ["PLAN", "BY", "INTENT", "PHASE", "ENDED", "BUFFER", "SECONDS", "MOVES"];
     table(&head, plans.iter().map(row))
 }
 
 /// One plan with its steps.
 pub fn plan(plan: &PlanView) -> String {
     let cost = plan.predicted;
-    let width = plan
-        .width
-        .iter()
-        .map(|(pool, width)| format!("{pool} {width}"));
+    let width = plan.width.iter().map(|(pool, width)| format!("{pool} {width}"));
     let width: Vec<String> = width.collect();
     let head = format!(
         "plan {}: {}\nphase: {}\npredicted: buffer {} box-seconds, roll-out {} s, {} moves\n\
@@ -158,27 +120,14 @@
 fn steps(steps: &[Step]) -> String {
     let row = |(index, step): (usize, &Step)| {
         let progress = progress(&step.progress);
-        vec![
-            cell(index),
-            cell(&step.target),
-            action(&step.action),
-            reason(step.reason),
-            progress,
-        ]
+        vec![cell(index), cell(&step.target), action(&step.action), reason(step.reason), progress]
     };
-    table(
-        &["STEP", "BOX", "ACTION", "REASON", "PROGRESS"],
-        steps.iter().enumerate().map(row),
-    )
+    table(&["STEP", "BOX", "ACTION", "REASON", "PROGRESS"], steps.iter().enumerate().map(row))
 }
 
 /// One line on how far a plan is.
 pub fn progress_line(plan: &PlanView) -> String {
-    let begun = plan
-        .steps
-        .iter()
-        .filter(|step| step.progress.is_begun())
-        .count();
+    let begun = plan.steps.iter().filter(|step| step.progress.is_begun()).count();
     let failed = plan.steps.iter().filter(|step| is_failed(step)).count();
     let steps = plan.steps.len();
     let phase = phase(plan.phase);
@@ -197,11 +146,7 @@
     match intent {
         Intent::Resize { pool, boxes } => format!("{pool} to {boxes} boxes"),
         Intent::Move { from, to, boxes } => format!("{boxes} boxes from {from} to {to}"),
-        Intent::Place {
-            account,
-            service,
-            replicas,
-        } => {
+        Intent::Place { account, service, replicas } => {
             format!("{account}/{service} on {replicas} boxes")
         }
         Intent::Maintain { pools } => format!("maintain {}", pools.join(", ")),
@@ -267,10 +212,7 @@
 
 /// A daemon's own state.
 pub fn status(status: &StatusView) -> String {
-    let peers = status
-        .peers
-        .iter()
-        .map(|(id, next)| format!("{id} (at {next})"));
+    let peers = status.peers.iter().map(|(id, next)| format!("{id} (at {next})"));
     let peers: Vec<String> = peers.collect();
     let rows = [
         ("daemon", cell(status.id)),
@@ -286,11 +228,7 @@
 
 /// Counters, one a line.
 pub fn counters(counters: &BTreeMap<String, u64>) -> String {
-    pairs(
-        counters
-            .iter()
-            .map(|(name, total)| (name.as_str(), cell(total))),
-    )
+    pairs(counters.iter().map(|(name, total)| (name.as_str(), cell(total))))
 }
 
 /// Names and values, one pair a line.
--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -51,9 +51,7 @@
             accepted: "1 to 2000",
         });
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let report = runtime.block_on(play(site, args.load))?;
     println!("\n{}", report.table());
     if json {
@@ -66,27 +64,17 @@
 }
 
 async fn play(site: Site, load: u32) -> Result<Report, Error> {
-    println!(
-        "site {}: 6 daemons, {} workers, {} halls",
-        site.name,
-        site.size(),
-        site.halls.len()
-    );
+    println!("site {}: 6 daemons, {} workers, {} halls", site.name, site.size(), site.halls.len());
     let mut stage = Stage::set(site).await?;
     let operator = stage.site_client(0);
-    stage
-        .until("every daemon serves", |stage| stage.balancer.all_healthy())
-        .await;
+    stage.until("every daemon serves", |stage| stage.balancer.all_healthy()).await;
     let published = publish(&operator, &stage.site.config()).await?;
     println!("configuration: {}", output::published(&published));
     place_jobs(&stage, &operator).await?;
     let load = Load::start(&stage, load);
     sleep(QUIET).await;
     let config_everywhere = config_everywhere(&stage, &operator).await?;
-    println!(
-        "a new key was in force on every daemon after {} ms",
-        config_everywhere.as_millis()
-    );
+    println!("a new key was in force on every daemon after {} ms", config_everywhere.as_millis());
 
     let wave = propose(&operator, maintain_all(&stage)).await?;
     println!("\n{}", shortened(&output::plan(&wave)));
@@ -105,13 +93,7 @@
     let counts = stage.ledger.counts();
     let statuses = stage.totals().await;
     stage.strike().await;
-    Ok(Report::new(
-        counts,
-        rollout,
-        config_everywhere,
-        over,
-        statuses,
-    ))
+    Ok(Report::new(counts, rollout, config_everywhere, over, statuses))
 }
 
 async fn publish(operator: &Client, text: &str) -> Result<Published, Error> {
@@ -119,15 +101,11 @@
 }
 
 async fn propose(operator: &Client, intent: Intent) -> Result<PlanView, Error> {
-    operator
-        .post("/v1/intents", serde_json::to_vec(&intent)?)
-        .await
+    operator.post("/v1/intents", serde_json::to_vec(&intent)?).await
 }
 
 async fn confirm(operator: &Client, plan: &PlanView) -> Result<PlanView, Error> {
-    operator
-        .post(&format!("/v1/plans/{}/confirm", plan.id), Vec::new())
-        .await
+    operator.post(&format!("/v1/plans/{}/confirm", plan.id), Vec::new()).await
 }
 
 /// Places every service on every box of its pool.
@@ -152,20 +130,14 @@
 
 fn maintain_all(stage: &Stage) -> Intent {
     let pools = stage.site.pools.iter().map(|pool| pool.name.into());
-    Intent::Maintain {
-        pools: pools.collect(),
-    }
+    Intent::Maintain { pools: pools.collect() }
 }
 
 fn move_some(stage: &Stage) -> Intent {
     let [from, to, ..] = stage.site.pools else {
         unreachable!("every site has three pools");
     };
-    Intent::Move {
-        from: from.name.into(),
-        to: to.name.into(),
-        boxes: 2,
-    }
+    Intent::Move { from: from.name.into(), to: to.name.into(), boxes: 2 }
 }
 
 /// How long it takes until a key that is new in the configuration lets callers in everywhere.
@@ -234,9 +206,5 @@
     if lines.len() <= LINES {
         return text.to_owned();
     }
-    format!(
-        "{}\n... and {} more steps",
-        lines[..LINES].join("\n"),
-        lines.len() - LINES
-    )
+    format!("{}\n... and {} more steps", lines[..LINES].join("\n"), lines.len() - LINES)
 }
--- a/cli/src/trial/load.rs
+++ b/cli/src/trial/load.rs
@@ -57,13 +57,8 @@
                 while calls.try_join_next().is_some() {}
                 token += 1;
                 let call = next(&site, token);
-                let sent = one(
-                    ledger.clone(),
-                    balancer.clone(),
-                    killed.clone(),
-                    dialer.clone(),
-                    call,
-                );
+                let sent =
+                    one(ledger.clone(), balancer.clone(), killed.clone(), dialer.clone(), call);
                 calls.spawn(sent);
             }
             while calls.join_next().await.is_some() {}
@@ -89,11 +84,7 @@
         credential: format!("{}:{}", pool.account, caller_secret(pool.account)),
         service: service.to_owned(),
         repeatable: !token.is_multiple_of(3),
-        run_ms: if long {
-            LONG_MS
-        } else {
-            random.random_range(SHORT_MS)
-        },
+        run_ms: if long { LONG_MS } else { random.random_range(SHORT_MS) },
         body: Bytes::from(vec![b'x'; random.random_range(0..MAX_BODY)]),
     }
 }
@@ -111,10 +102,6 @@
     let before = kills[entry].load(Ordering::SeqCst);
     let told = caller::call(&dialer, balancer.addr(entry), &call).await;
     let killed = kills[entry].load(Ordering::SeqCst) > before;
-    let told = if told == Told::Nothing && killed {
-        Told::Killed
-    } else {
-        told
-    };
+    let told = if told == Told::Nothing && killed { Told::Killed } else { told };
     ledger.told(call.token, told);
 }
--- a/cli/src/trial/report.rs
+++ b/cli/src/trial/report.rs
@@ -40,12 +40,8 @@
 
     /// Names of what must hold and did not.
     pub fn broken(&self) -> Vec<String> {
-        let mut broken: Vec<String> = self
-            .counts
-            .violations()
-            .into_iter()
-            .map(str::to_owned)
-            .collect();
+        let mut broken: Vec<String> =
+            self.counts.violations().into_iter().map(str::to_owned).collect();
         if !self.plans_done {
             broken.push("a plan did not end".to_owned());
         }
@@ -66,31 +62,19 @@
             ("doubled", counts.doubled.to_string()),
             ("crossed", counts.crossed.to_string()),
             ("told not run, yet run", counts.false_not_run.to_string()),
-            (
-                "cut by a planned stop",
-                counts.cut_by_planned_stop.to_string(),
-            ),
+            ("cut by a planned stop", counts.cut_by_planned_stop.to_string()),
             ("budget breaches", counts.budget_breaches.to_string()),
             ("boxes in two pools", counts.boxes_in_two_pools.to_string()),
             ("work after leaving", counts.work_after_leaving.to_string()),
             ("over a box's slots", counts.over_slots.to_string()),
-            (
-                "buffer, box-seconds",
-                format!("{:.1}", counts.buffer_cost_box_seconds),
-            ),
+            ("buffer, box-seconds", format!("{:.1}", counts.buffer_cost_box_seconds)),
             ("roll-out, seconds", format!("{:.1}", self.rollout_seconds)),
             ("boxes moved", counts.moves.to_string()),
-            (
-                "config everywhere, ms",
-                self.config_everywhere_ms.to_string(),
-            ),
+            ("config everywhere, ms", self.config_everywhere_ms.to_string()),
         ];
         let own = self.totals.iter().filter(|(name, _)| is_shown(name));
         let own = pairs(own.map(|(name, total)| (name.as_str(), total.to_string())));
-        format!(
-            "seen by workers and callers\n{}\n\ncounted by the daemons\n{own}",
-            pairs(rows)
-        )
+        format!("seen by workers and callers\n{}\n\ncounted by the daemons\n{own}", pairs(rows))
     }
 }
 
--- a/cli/src/trial/stage.rs
+++ b/cli/src/trial/stage.rs
@@ -86,18 +86,7 @@
         let checks = tokio::spawn(async move { checked.keep_checking(HEALTH_EVERY).await });
         let checks = checks.abort_handle();
         let killed: Kills = Arc::new((0..DAEMONS).map(|_| AtomicU64::new(0)).collect());
-        Ok(Stage {
-            site,
-            ledger,
-            balancer,
-            log,
-            boxes,
-            workers,
-            settings,
-            entries,
-            killed,
-            checks,
-        })
+        Ok(Stage { site, ledger, balancer, log, boxes, workers, settings, entries, killed, checks })
     }
 
     /// Waits until something holds; gives up after a while, and what follows will tell.
@@ -114,10 +103,7 @@
 
     /// The site operator's client at one daemon.
     pub fn site_client(&self, daemon: usize) -> Client {
-        Client::new(
-            self.settings[daemon].operate_addr,
-            &format!("site:{SITE_SECRET}"),
-        )
+        Client::new(self.settings[daemon].operate_addr, &format!("site:{SITE_SECRET}"))
     }
 
     /// The site operator's client at a daemon that runs.
@@ -131,9 +117,7 @@
         let account = self.site.pools[0].account;
         let old = format_hash(&hash_secret(&caller_secret(account)));
         let new = format_hash(&hash_secret(NEW_KEY));
-        self.site
-            .config()
-            .replacen(&old, &format!("{old}\", \"{new}"), 1)
+        self.site.config().replacen(&old, &format!("{old}\", \"{new}"), 1)
     }
 
     /// Waits until the new key is good at every entry box, as its callers see it.
@@ -256,6 +240,7 @@
             max_age: Duration::from_millis(2500),
             heartbeat: Duration::from_millis(250),
             poll: Duration::from_millis(300),
+            poll_bytes_per_s: 30_000,
             appends_per_s: 12,
             queue_limit: 128,
             queue_wait: Duration::from_millis(500),
--- a/cli/tests/test_bad_input.rs
+++ b/cli/tests/test_bad_input.rs
@@ -17,9 +17,7 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
 
 async fn small_site() -> Fixture {
-    let fixture = Fixture::start(PROGRAM, 1, &[("body-limit", "100000")])
-        .await
-        .unwrap();
+    let fixture = Fixture::start(PROGRAM, 1, &[("body-limit", "100000")]).await.unwrap();
     fixture.set_up().await;
     fixture
 }
@@ -40,10 +38,7 @@
             "[[pool]]\nname = \"new\"\naccount = \"clinics\"\nmax_out = 9\nboxes = [\"box-000\"]",
             "box-taken",
         ),
-        (
-            "[[pool]]\nname = \"front\"\naccount = \"clinics\"\nmax_out = 8\n",
-            "budget",
-        ),
+        ("[[pool]]\nname = \"front\"\naccount = \"clinics\"\nmax_out = 8\n", "budget"),
         (
             "[[service]]\nname = \"s\"\naccount = \"clinics\"\npool = \"none\"\nslots = 1\n",
             "unknown-pool",
@@ -62,31 +57,16 @@
             "unknown-box",
         ),
         ("[[account]]\nname = \"Not a name\"\n", "name"),
-        (
-            "[[account]]\nname = \"a\"\ncaller_key_hashes = [\"secret\"]\n",
-            "hash",
-        ),
-        (
-            "[[account]]\nname = \"a\"\n[[account]]\nname = \"a\"\n",
-            "twice",
-        ),
+        ("[[account]]\nname = \"a\"\ncaller_key_hashes = [\"secret\"]\n", "hash"),
+        ("[[account]]\nname = \"a\"\n[[account]]\nname = \"a\"\n", "twice"),
     ];
     for (text, expected) in cases {
         let before = fixture.log.next();
         let (status, answer) = fixture.operate(0, "POST", "/v1/publish", text).await;
-        assert_eq!(
-            (status, &answer["error"]),
-            (422, &"config".into()),
-            "{text}: {answer}"
-        );
+        assert_eq!((status, &answer["error"]), (422, &"config".into()), "{text}: {answer}");
         let faults = answer["faults"].as_array().unwrap();
-        let found = faults
-            .iter()
-            .find(|fault| fault["kind"]["fault"] == expected);
-        assert!(
-            found.is_some_and(|fault| !fault["span"].is_null()),
-            "{text}: {answer}"
-        );
+        let found = faults.iter().find(|fault| fault["kind"]["fault"] == expected);
+        assert!(found.is_some_and(|fault| !fault["span"].is_null()), "{text}: {answer}");
         assert_eq!(fixture.log.next(), before, "nothing is sent: {text}");
     }
     let counted = fixture.counter(0, "operate.refused.config").await;
@@ -110,53 +90,26 @@
     let fixture = small_site().await;
     let cases = [
         (r#"{"resize":{"pool":"front","boxes":40}}"#, "too-few"),
-        (
-            r#"{"move":{"from":"front","to":"outreach","boxes":5}}"#,
-            "too-few",
-        ),
-        (
-            r#"{"move":{"from":"front","to":"front","boxes":1}}"#,
-            "same-pool",
-        ),
-        (
-            r#"{"move":{"from":"front","to":"none","boxes":1}}"#,
-            "unknown-pool",
-        ),
-        (
-            r#"{"place":{"account":"clinics","service":"booking","replicas":9}}"#,
-            "no-room",
-        ),
-        (
-            r#"{"place":{"account":"clinics","service":"booking","replicas":1}}"#,
-            "min-up",
-        ),
-        (
-            r#"{"place":{"account":"clinics","service":"booking","replicas":8}}"#,
-            "nothing",
-        ),
+        (r#"{"move":{"from":"front","to":"outreach","boxes":5}}"#, "too-few"),
+        (r#"{"move":{"from":"front","to":"front","boxes":1}}"#, "same-pool"),
+        (r#"{"move":{"from":"front","to":"none","boxes":1}}"#, "unknown-pool"),
+        (r#"{"place":{"account":"clinics","service":"booking","replicas":9}}"#, "no-room"),
+        (r#"{"place":{"account":"clinics","service":"booking","replicas":1}}"#, "min-up"),
+        (r#"{"place":{"account":"clinics","service":"booking","replicas":8}}"#, "nothing"),
     ];
     for (intent, expected) in cases {
         let (status, answer) = fixture.operate(0, "POST", "/v1/intents", intent).await;
-        assert_eq!(
-            (status, &answer["cause"]["reason"]),
-            (422, &expected.into()),
-            "{answer}"
-        );
+        assert_eq!((status, &answer["cause"]["reason"]), (422, &expected.into()), "{answer}");
     }
     let (status, answer) = fixture.operate(0, "POST", "/v1/intents", "{").await;
     assert_eq!((status, &answer["error"]), (400, &"malformed".into()));
-    assert_eq!(
-        fixture.counter(0, "operate.refused.plan").await,
-        cases.len() as u64
-    );
+    assert_eq!(fixture.counter(0, "operate.refused.plan").await, cases.len() as u64);
 }
 
 #[tokio::test]
 async fn strangers_get_one_answer_whatever_exists() {
     let fixture = small_site().await;
-    let plan = fixture
-        .proposed(0, r#"{"maintain":{"pools":["front"]}}"#)
-        .await;
+    let plan = fixture.proposed(0, r#"{"maintain":{"pools":["front"]}}"#).await;
     let donors = "donors:donors-operator-secret";
     for (method, path, body) in [
         ("GET", format!("/v1/plans/{plan}"), String::new()),
@@ -171,33 +124,14 @@
     }
     let theirs = r#"{"maintain":{"pools":["front"]}}"#;
     let none = r#"{"maintain":{"pools":["fromm"]}}"#;
-    let theirs = fixture
-        .operate_as(donors, 0, "POST", "/v1/intents", theirs)
-        .await;
-    let none = fixture
-        .operate_as(donors, 0, "POST", "/v1/intents", none)
-        .await;
-    assert_eq!(
-        theirs.1.to_string().replace("front", "fromm"),
-        none.1.to_string()
-    );
+    let theirs = fixture.operate_as(donors, 0, "POST", "/v1/intents", theirs).await;
+    let none = fixture.operate_as(donors, 0, "POST", "/v1/intents", none).await;
+    assert_eq!(theirs.1.to_string().replace("front", "fromm"), none.1.to_string());
     let (_, pools) = fixture.operate_as(donors, 0, "GET", "/v1/pools", "").await;
     assert_eq!(pools.as_array().unwrap().len(), 1);
-    let (_, counters) = fixture
-        .operate_as(donors, 0, "GET", "/v1/counters", "")
-        .await;
-    assert!(
-        counters
-            .as_object()
-            .unwrap()
-            .keys()
-            .all(|name| name.starts_with("account.donors."))
-    );
-    for key in [
-        "clinics:wrong",
-        "nobody:wrong",
-        "clinics:clinics-caller-secret",
-    ] {
+    let (_, counters) = fixture.operate_as(donors, 0, "GET", "/v1/counters", "").await;
+    assert!(counters.as_object().unwrap().keys().all(|name| name.starts_with("account.donors.")));
+    for key in ["clinics:wrong", "nobody:wrong", "clinics:clinics-caller-secret"] {
         let (status, answer) = fixture.operate_as(key, 0, "GET", "/v1/pools", "").await;
         assert_eq!((status, &answer["error"]), (401, &"credential".into()));
     }
@@ -209,18 +143,8 @@
     let fixture = small_site().await;
     let good = "Bearer clinics:clinics-caller-secret";
     let cases = [
-        (
-            "/v1/call/booking",
-            "Bearer clinics:wrong",
-            "false",
-            "credential",
-        ),
-        (
-            "/v1/call/booking",
-            "Bearer nobody:wrong",
-            "false",
-            "credential",
-        ),
+        ("/v1/call/booking", "Bearer clinics:wrong", "false", "credential"),
+        ("/v1/call/booking", "Bearer nobody:wrong", "false", "credential"),
         ("/v1/call/booking", "Basic abc", "false", "credential"),
         ("/v1/call/recall", good, "false", "unknown-service"),
         ("/v1/call/none", good, "false", "unknown-service"),
@@ -235,11 +159,7 @@
             .unwrap();
         let answer = fixture.raw_call(0, request).await.unwrap();
         assert_eq!(answer.headers()["spokelift-outcome"], "not-run");
-        assert_eq!(
-            answer.headers()["spokelift-reason"],
-            expected,
-            "{path} {credential}"
-        );
+        assert_eq!(answer.headers()["spokelift-reason"], expected, "{path} {credential}");
     }
     assert_eq!(fixture.counter(0, "call.refused.credential").await, 3);
     assert_eq!(fixture.counter(0, "call.refused.unknown-service").await, 2);
@@ -277,15 +197,10 @@
         let _ = stream.read_to_end(&mut answer);
     }
     fixture
-        .until("both are counted", async || {
-            fixture.counter(0, "call.refused.half-sent").await == 2
-        })
+        .until("both are counted", async || fixture.counter(0, "call.refused.half-sent").await == 2)
         .await;
     let counts = fixture.ledger.counts();
-    assert_eq!(
-        counts.requests, 0,
-        "no worker has seen token 77: {counts:?}"
-    );
+    assert_eq!(counts.requests, 0, "no worker has seen token 77: {counts:?}");
     assert_undisturbed(&fixture, 1).await;
 }
 
@@ -299,9 +214,7 @@
     }
     for addr in [addrs.call, addrs.operate] {
         let mut stream = TcpStream::connect(addr).unwrap();
-        stream
-            .set_read_timeout(Some(Duration::from_secs(5)))
-            .unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
         stream.write_all(&[0xa5; 4096]).unwrap();
         let mut answer = Vec::new();
         let _ = stream.read_to_end(&mut answer);
@@ -321,9 +234,7 @@
 async fn a_datagram_replayed_or_from_a_stranger_changes_nothing() {
     let fixture = Fixture::start(PROGRAM, 2, &[]).await.unwrap();
     let link = fixture.peer_links[1][0].clone().unwrap().datagrams;
-    fixture
-        .until("heartbeats are recorded", async || link.seen().len() > 20)
-        .await;
+    fixture.until("heartbeats are recorded", async || link.seen().len() > 20).await;
     let recorded = link.seen();
     let before = fixture.counter(0, "peer.dropped.replay").await;
     for bytes in recorded.iter().rev().take(5) {
--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -61,11 +61,7 @@
     let masked = words.map(|word| {
         let bare = word.trim_end_matches([' ', '\n', ':', ';']);
         let is_id = bare.len() >= 16 && bare.bytes().all(|byte| byte.is_ascii_hexdigit());
-        if is_id {
-            word.replace(bare, "ID")
-        } else {
-            word.to_owned()
-        }
+        if is_id { word.replace(bare, "ID") } else { word.to_owned() }
     });
     masked.collect()
 }
@@ -78,11 +74,7 @@
     assert_eq!(code(&published), 0, "{}", stderr(&published));
     insta::assert_snapshot!("publish", settled(&stdout(&published), file.path()));
     let again = run(&fixture, &["publish", file.path()]).await;
-    assert!(
-        stdout(&again).starts_with("nothing to change"),
-        "{}",
-        stdout(&again)
-    );
+    assert!(stdout(&again).starts_with("nothing to change"), "{}", stdout(&again));
 
     let words = "intent place --account clinics --service booking --replicas 8";
     let words: Vec<&str> = words.split(' ').collect();
@@ -91,10 +83,7 @@
     insta::assert_snapshot!("place", settled(&stdout(&plan), file.path()));
     let id = stdout(&plan)[5..21].to_owned();
     let (_, jobs) = fixture.operate(0, "GET", "/v1/jobs", "").await;
-    assert_eq!(
-        jobs[0]["placed"], 0,
-        "nothing changes before the plan is confirmed"
-    );
+    assert_eq!(jobs[0]["placed"], 0, "nothing changes before the plan is confirmed");
     assert_eq!(code(&run(&fixture, &["plan", "confirm", &id]).await), 0);
     let watched = run(&fixture, &["plan", "watch", &id]).await;
     assert!(stdout(&watched).ends_with("done, 8/8 ended, 0 under way, 0 not done\n"));
@@ -105,11 +94,7 @@
     let id = stdout(&plan)[5..21].to_owned();
     assert_eq!(code(&run(&fixture, &["plan", "confirm", &id]).await), 0);
     assert_eq!(code(&run(&fixture, &["wave", "pause", &id]).await), 0);
-    assert_eq!(
-        code(&run(&fixture, &["wave", "pause", &id]).await),
-        4,
-        "it is paused already"
-    );
+    assert_eq!(code(&run(&fixture, &["wave", "pause", &id]).await), 4, "it is paused already");
     assert_eq!(code(&run(&fixture, &["wave", "resume", &id]).await), 0);
     let watched = run(&fixture, &["plan", "watch", &id]).await;
     assert!(stdout(&watched).ends_with("done, 8/8 ended, 0 under way, 0 not done\n"));
@@ -131,17 +116,10 @@
     assert_eq!(code(&run(&fixture, &["plan", "confirm", &first]).await), 0);
     let refused = run(&fixture, &["plan", "confirm", &second]).await;
     assert_eq!(code(&refused), 4);
-    assert!(
-        stderr(&refused).contains("pool front changed at"),
-        "{}",
-        stderr(&refused)
-    );
+    assert!(stderr(&refused).contains("pool front changed at"), "{}", stderr(&refused));
     fixture.until_over(0, &first).await;
     let (_, pools) = fixture.operate(0, "GET", "/v1/pools", "").await;
-    assert_eq!(
-        (&pools[0]["boxes"], &pools[1]["boxes"]),
-        (&7.into(), &5.into())
-    );
+    assert_eq!((&pools[0]["boxes"], &pools[1]["boxes"]), (&7.into(), &5.into()));
     assert_eq!(fixture.plan(0, &second).await["phase"], "proposed");
     assert_eq!(code(&run(&fixture, &["plan", "cancel", &second]).await), 0);
 }
@@ -168,19 +146,10 @@
     let fixture = Fixture::start(DAEMON, 1, &[]).await.unwrap();
     assert_eq!(code(&run(&fixture, &["publish", "no-such-file"]).await), 1);
     assert_eq!(code(&run(&fixture, &["no-such-command"]).await), 2);
-    assert_eq!(
-        code(&run(&fixture, &["--daemon", "nowhere", "pools"]).await),
-        2
-    );
+    assert_eq!(code(&run(&fixture, &["--daemon", "nowhere", "pools"]).await), 2);
     assert_eq!(code(&run_as(&fixture, "site:wrong", &["pools"]).await), 3);
     assert_eq!(code(&run(&fixture, &["plan", "show", "ff"]).await), 3);
     assert_eq!(code(&run(&fixture, &["record", "ff"]).await), 5);
-    assert_eq!(
-        code(&run(&fixture, &["--daemon", "127.0.0.1:9", "pools"]).await),
-        1
-    );
-    assert_eq!(
-        code(&run(&fixture, &["trial", "--site", "elsewhere"]).await),
-        2
-    );
+    assert_eq!(code(&run(&fixture, &["--daemon", "127.0.0.1:9", "pools"]).await), 1);
+    assert_eq!(code(&run(&fixture, &["trial", "--site", "elsewhere"]).await), 2);
 }
--- a/cli/tests/test_deviant.rs
+++ b/cli/tests/test_deviant.rs
@@ -28,9 +28,7 @@
 
 #[tokio::test]
 async fn a_deviant_daemon_rebuilds_itself_from_the_majority() {
-    let mut fixture = Fixture::start(PROGRAM, 3, &[("snapshot-every", "16")])
-        .await
-        .unwrap();
+    let mut fixture = Fixture::start(PROGRAM, 3, &[("snapshot-every", "16")]).await.unwrap();
     fixture.set_up().await;
     // Daemon 2 starts anew on a log that tells the same story with one word changed.
     let other = Log::start().await.unwrap();
@@ -45,23 +43,17 @@
         let (_, status) = fixture.operate(2, "GET", "/v1/status", "").await;
         status["basis"] == "log"
     };
-    fixture
-        .until("daemon 2 has read the other log", basis)
-        .await;
+    fixture.until("daemon 2 has read the other log", basis).await;
     // From here on it reads the true log again, which has grown meanwhile at most.
     fixture.log_links[2].set_upstream(fixture.log.addr);
     other.stop();
-    fixture.log_links[2].set(spokelift_testutils::proxy::Fault {
-        refuse: true,
-        ..Default::default()
-    });
+    fixture.log_links[2]
+        .set(spokelift_testutils::proxy::Fault { refuse: true, ..Default::default() });
     fixture.log_links[2].set(spokelift_testutils::proxy::Fault::default());
     // Enough changes for another snapshot mark.
     for round in 0..20 {
-        let text = fixture
-            .site
-            .config()
-            .replace("max_out = 2", &format!("max_out = {}", 1 + round % 2));
+        let text =
+            fixture.site.config().replace("max_out = 2", &format!("max_out = {}", 1 + round % 2));
         let (status, answer) = fixture.operate(0, "POST", "/v1/publish", &text).await;
         assert_eq!(status, 200, "{answer}");
     }
--- a/cli/tests/test_settings.rs
+++ b/cli/tests/test_settings.rs
@@ -7,10 +7,7 @@
 
 fn spokeliftd(flags: &[&str], variables: &[(&str, &str)]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_spokeliftd"));
-    command
-        .args(flags)
-        .env("NO_COLOR", "1")
-        .env_remove("RUST_LOG");
+    command.args(flags).env("NO_COLOR", "1").env_remove("RUST_LOG");
     command.envs(variables.iter().copied());
     command.output().unwrap()
 }
@@ -46,12 +43,7 @@
 #[test]
 fn three_wrong_settings_are_reported_at_once() {
     let mut flags = GOOD.to_vec();
-    flags.extend([
-        "--max-age-ms",
-        "soon",
-        "--peers",
-        "2=127.0.0.1:7,2=127.0.0.1:8",
-    ]);
+    flags.extend(["--max-age-ms", "soon", "--peers", "2=127.0.0.1:7,2=127.0.0.1:8"]);
     let output = spokeliftd(&flags, &[("SPOKELIFT_CALL_ADDR", "localhost")]);
     assert_eq!(output.status.code(), Some(2));
     insta::assert_snapshot!(stderr(&output));
@@ -80,11 +72,7 @@
     let output = spokeliftd(&["--help"], &[]);
     let help = String::from_utf8(output.stdout).unwrap();
     for setting in ALL {
-        assert!(
-            help.contains(&format!("--{}", setting.flag)),
-            "{}",
-            setting.flag
-        );
+        assert!(help.contains(&format!("--{}", setting.flag)), "{}", setting.flag);
     }
 }
 
--- a/cli/tests/test_stop.rs
+++ b/cli/tests/test_stop.rs
@@ -69,18 +69,12 @@
     }
     // The list is read every 200 ms; 2 s is what is promised.
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let before: Vec<u64> = fixture.workers[1..8]
-        .iter()
-        .map(|worker| worker.served())
-        .collect();
+    let before: Vec<u64> = fixture.workers[1..8].iter().map(|worker| worker.served()).collect();
     for token in 1..=20 {
         let call = fixture.call_of("clinics", "booking", token);
         assert_matches!(fixture.call(0, &call).await, Told::Answered);
     }
-    let after: Vec<u64> = fixture.workers[1..8]
-        .iter()
-        .map(|worker| worker.served())
-        .collect();
+    let after: Vec<u64> = fixture.workers[1..8].iter().map(|worker| worker.served()).collect();
     assert_eq!(before, after);
     assert_eq!(fixture.workers[0].served(), 20);
 }
@@ -88,10 +82,7 @@
 #[tokio::test]
 async fn a_reboot_waits_for_a_long_request_and_a_drain_limit_ends_the_wait() {
     let fixture = Fixture::start(PROGRAM, 1, &[]).await.unwrap();
-    let config = fixture
-        .site
-        .config()
-        .replace("drain_limit_s = 15", "drain_limit_s = 1");
+    let config = fixture.site.config().replace("drain_limit_s = 15", "drain_limit_s = 1");
     let (status, answer) = fixture.operate(0, "POST", "/v1/publish", &config).await;
     assert_eq!(status, 200, "{answer}");
     let place = r#"{"place":{"account":"donors","service":"recall","replicas":4}}"#;
@@ -100,15 +91,9 @@
     let mut long = fixture.call_of("donors", "recall", 1);
     long.run_ms = 6000;
     let wave = async {
-        let busy = async || {
-            fixture.workers[8..]
-                .iter()
-                .any(|worker| worker.status().inflight > 0)
-        };
+        let busy = async || fixture.workers[8..].iter().any(|worker| worker.status().inflight > 0);
         fixture.until("the request runs", busy).await;
-        let plan = fixture
-            .confirmed(0, r#"{"maintain":{"pools":["outreach"]}}"#)
-            .await;
+        let plan = fixture.confirmed(0, r#"{"maintain":{"pools":["outreach"]}}"#).await;
         fixture.until_over(0, &plan).await;
         plan
     };
@@ -118,9 +103,5 @@
     let outcomes = plan["steps"].as_array().unwrap().iter();
     let limited = outcomes.filter(|step| step["progress"]["over"]["outcome"] == "drain-limit");
     assert_eq!(limited.count(), 1, "{plan}");
-    assert!(
-        fixture.ledger.counts().violations().is_empty(),
-        "{:?}",
-        fixture.ledger.counts()
-    );
+    assert!(fixture.ledger.counts().violations().is_empty(), "{:?}", fixture.ledger.counts());
 }
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -85,9 +85,7 @@
     if let Some(seconds) = refused.reason.retry_after_s() {
         response = response.header(RETRY_AFTER, seconds);
     }
-    response
-        .body(full(body))
-        .expect("the headers are constants")
+    response.body(full(body)).expect("the headers are constants")
 }
 
 async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Refused> {
@@ -99,9 +97,7 @@
         return Err(Refused::not_run(Reason::Stale));
     }
     let path = head.uri.path();
-    let service = path
-        .strip_prefix(CALL)
-        .filter(|_| head.method == Method::POST);
+    let service = path.strip_prefix(CALL).filter(|_| head.method == Method::POST);
     let service = service.ok_or(Refused::not_run(Reason::Malformed))?;
     let route = node.routes.find(&account, service);
     let route = route.ok_or(Refused::not_run(Reason::UnknownService))?;
@@ -131,14 +127,9 @@
 
 /// The credential in a request's head.
 pub(crate) fn bearer(head: &Parts) -> Result<Credential<'_>, CredentialError> {
-    let value = head
-        .headers
-        .get(AUTHORIZATION)
-        .ok_or(CredentialError::Missing)?;
+    let value = head.headers.get(AUTHORIZATION).ok_or(CredentialError::Missing)?;
     let text = value.to_str().map_err(|_| CredentialError::Malformed)?;
-    let token = text
-        .strip_prefix("Bearer ")
-        .ok_or(CredentialError::Malformed)?;
+    let token = text.strip_prefix("Bearer ").ok_or(CredentialError::Malformed)?;
     Credential::parse(token)
 }
 
--- a/lib/src/call/attempt.rs
+++ b/lib/src/call/attempt.rs
@@ -82,10 +82,9 @@
                 break;
             }
             slot.lane().avoid();
+            self.node.suspect(&slot.lane().target);
             tried.push(slot.lane().target.clone());
-            self.node
-                .counters
-                .count(&format!("call.retried.{}", failed.reason.as_str()));
+            self.node.counters.count(&format!("call.retried.{}", failed.reason.as_str()));
         }
         Err(last)
     }
@@ -102,10 +101,7 @@
         let settings = &self.node.settings;
         let queue_end = Instant::now() + settings.queue_wait;
         let deadline = self.deadline.min(queue_end);
-        self.node
-            .routes
-            .acquire(&self.route, &settings.hall, tried, deadline)
-            .await
+        self.node.routes.acquire(&self.route, &settings.hall, tried, deadline).await
     }
 
     async fn attempt(&self, slot: &Slot, id: u128, payload: &mut Payload) -> Attempt {
--- a/lib/src/call/forward.rs
+++ b/lib/src/call/forward.rs
@@ -35,15 +35,8 @@
 use crate::transport::dial::BodyError;
 
 /// Headers that belong to one connection (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 7] = [
-    CONNECTION,
-    PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
+const HOP_BY_HOP: [HeaderName; 7] =
+    [CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
 
 /// Removes the headers that belong to one connection.
 pub(super) fn strip(headers: &mut HeaderMap) {
@@ -92,12 +85,7 @@
 impl Whole {
     pub(super) fn new(answer: Answer, slot: Slot, deadline: Instant, counters: Counters) -> Whole {
         let limit = Box::pin(sleep_until(deadline.into()));
-        Whole {
-            answer,
-            slot: Some(slot),
-            limit,
-            counters,
-        }
+        Whole { answer, slot: Some(slot), limit, counters }
     }
 
     pub(super) fn into_body(self) -> Body {
--- a/lib/src/coordination/append.rs
+++ b/lib/src/coordination/append.rs
@@ -135,10 +135,7 @@
     /// Starts the queue on the current runtime.
     pub fn start() -> Appender {
         let queue = xtra::spawn_tokio(Queue::default(), Mailbox::unbounded());
-        Appender {
-            queue,
-            wake: Arc::default(),
-        }
+        Appender { queue, wake: Arc::default() }
     }
 
     /// Submits a change and waits up to [`VERDICT_WAIT`] for its verdict.
@@ -191,12 +188,7 @@
         node.appender.wake.notified().await;
         while let Some(records) = take(&node).await {
             sequence += 1;
-            let batch = Batch {
-                writer: node.settings.id,
-                incarnation,
-                sequence,
-                records,
-            };
+            let batch = Batch { writer: node.settings.id, incarnation, sequence, records };
             append(&node, &limiter, &batch).await;
         }
     }
@@ -273,10 +265,7 @@
 
 async fn append_once(node: &Node, bytes: Vec<u8>) -> Result<Appended, ExchangeError> {
     let request = Request::post(APPEND).body(full(bytes))?;
-    let answer = node
-        .dialer
-        .exchange(node.settings.log, request, 4096, APPEND_WAIT)
-        .await?;
+    let answer = node.dialer.exchange(node.settings.log, request, 4096, APPEND_WAIT).await?;
     if !answer.status().is_success() {
         return Err(ExchangeError::Status(answer.status().as_u16()));
     }
--- a/lib/src/coordination/catch_up.rs
+++ b/lib/src/coordination/catch_up.rs
@@ -36,7 +36,7 @@
 /// How often a daemon looks whether it should catch up.
 const LOOK: Duration = Duration::from_millis(100);
 /// Age of the last good read of the log from which on a daemon asks its peers.
-const LOG_TROUBLE: Duration = Duration::from_millis(700);
+const LOG_TROUBLE: Duration = Duration::from_millis(1300);
 /// How long one exchange may take.
 const WAIT: Duration = Duration::from_secs(5);
 /// Pause after a failed exchange or accept.
@@ -150,12 +150,7 @@
     let key = &node.settings.peer_key;
     let greeting: Greeting = open(key, &receive(&mut link).await?)?;
     let client: Nonce = rand::random();
-    let request = Request {
-        server: greeting.server,
-        client,
-        from,
-        whole,
-    };
+    let request = Request { server: greeting.server, client, from, whole };
     link.send(Bytes::from(seal(key, &request))).await?;
     let mut batches = Vec::new();
     let mut state = Vec::new();
@@ -166,10 +161,7 @@
         }
         match piece.load {
             Load::Batches(more) => {
-                batches.extend(
-                    more.into_iter()
-                        .map(|(offset, bytes)| (offset, bytes.into())),
-                );
+                batches.extend(more.into_iter().map(|(offset, bytes)| (offset, bytes.into())));
             }
             Load::State(more) => state.extend(more),
         }
@@ -228,8 +220,7 @@
     let mut link = link(stream);
     let key = &node.settings.peer_key;
     let server: Nonce = rand::random();
-    link.send(Bytes::from(seal(key, &Greeting { server })))
-        .await?;
+    link.send(Bytes::from(seal(key, &Greeting { server }))).await?;
     let request: Request = open(key, &receive(&mut link).await?)?;
     if request.server != server {
         return Err(CatchUpError::Foreign);
@@ -238,12 +229,7 @@
     let count = loads.len();
     for (index, load) in loads.into_iter().enumerate() {
         let last = index + 1 == count;
-        let piece = Piece {
-            client: request.client,
-            index: index as u32,
-            last,
-            load,
-        };
+        let piece = Piece { client: request.client, index: index as u32, last, load };
         link.send(Bytes::from(seal(key, &piece))).await?;
     }
     Ok(())
@@ -254,9 +240,7 @@
     if !request.whole
         && let Some(batches) = node.history.batches_from(request.from)
     {
-        let batches = batches
-            .into_iter()
-            .map(|(offset, bytes)| (offset, bytes.to_vec()));
+        let batches = batches.into_iter().map(|(offset, bytes)| (offset, bytes.to_vec()));
         return vec![Load::Batches(batches.collect())];
     }
     let encoded = snapshot::encode(&node.replica.fleet());
--- a/lib/src/coordination/drive.rs
+++ b/lib/src/coordination/drive.rs
@@ -79,9 +79,7 @@
             gone && hash::owner(&plan.id.to_le_bytes(), &live) == Some(own)
         }
     });
-    orphaned
-        .map(|plan| (plan.id, plan.driver.epoch + 1))
-        .collect()
+    orphaned.map(|plan| (plan.id, plan.driver.epoch + 1)).collect()
 }
 
 async fn take_over(
@@ -89,20 +87,12 @@
     (plan, epoch): (PlanId, u32),
     driving: &mut BTreeMap<PlanId, Driving>,
 ) {
-    let body = Body::Drive {
-        plan,
-        holder: node.settings.id,
-        epoch,
-    };
+    let body = Body::Drive { plan, holder: node.settings.id, epoch };
     match node.appender.submit(new_id(), body).await {
         Ok(_) => {
             node.counters.count("drive.taken-over");
             log::info!(plan = format_plan(plan).as_str(), epoch; "drives plan");
-            let driver = Driver {
-                node: node.clone(),
-                plan,
-                epoch,
-            };
+            let driver = Driver { node: node.clone(), plan, epoch };
             let task = tokio::spawn(driver.run());
             driving.insert(plan, Driving { epoch, task });
         }
@@ -162,27 +152,17 @@
     }
 
     fn claim(&self, step: u32) -> Claim {
-        Claim {
-            plan: self.plan,
-            epoch: self.epoch,
-            step,
-        }
+        Claim { plan: self.plan, epoch: self.epoch, step }
     }
 
     /// Decides which steps to begin and which to give up, as the fleet stands.
     fn look(&self, begun: &BTreeSet<u32>, only_down_since: &mut Option<Instant>) -> Look {
         let fleet = self.node.replica.fleet();
         let Some(plan) = fleet.plans.get(&self.plan) else {
-            return Look {
-                over: true,
-                ..Look::default()
-            };
+            return Look { over: true, ..Look::default() };
         };
         if !plan.phase.is_driven() || plan.driver.epoch != self.epoch {
-            return Look {
-                over: true,
-                ..Look::default()
-            };
+            return Look { over: true, ..Look::default() };
         }
         let mut look = Look::default();
         self.resume(plan, begun, &mut look);
@@ -226,9 +206,7 @@
                     room.take(&pool);
                     look.begin.push(index);
                 }
-                Err(Refusal::Budget {
-                    area: Area::Pool, ..
-                }) => room.close(&pool),
+                Err(Refusal::Budget { area: Area::Pool, .. }) => room.close(&pool),
                 Err(Refusal::Down { .. } | Refusal::NoBox { .. }) => {
                     blocked.push((index, Outcome::Down));
                 }
@@ -265,10 +243,7 @@
 }
 
 fn indexed(plan: &Plan) -> impl Iterator<Item = (u32, &Step)> {
-    plan.steps
-        .iter()
-        .enumerate()
-        .map(|(index, step)| (index as u32, step))
+    plan.steps.iter().enumerate().map(|(index, step)| (index as u32, step))
 }
 
 /// Whether a waiting step could begin as the fleet stands; the log decides when it does.
@@ -281,10 +256,7 @@
 
 /// The pool in whose width a step counts: the one its box is in.
 fn pool_of(fleet: &Fleet, step: &Step) -> Option<PoolId> {
-    fleet
-        .boxes
-        .get(&step.target)
-        .map(|entry| entry.pool.clone())
+    fleet.boxes.get(&step.target).map(|entry| entry.pool.clone())
 }
 
 /// How many more steps may be under way in each pool.
@@ -295,10 +267,7 @@
 
 impl Room {
     fn new(fleet: &Fleet, plan: &Plan, begun: &BTreeSet<u32>) -> Room {
-        let mut room = Room {
-            taken: BTreeMap::new(),
-            closed: BTreeSet::new(),
-        };
+        let mut room = Room { taken: BTreeMap::new(), closed: BTreeSet::new() };
         for (index, step) in indexed(plan) {
             if step.progress.is_begun() || begun.contains(&index) {
                 room.take(&pool_of(fleet, step));
--- a/lib/src/coordination/drive/step.rs
+++ b/lib/src/coordination/drive/step.rs
@@ -96,8 +96,7 @@
             Action::Start { job } => self.start(index, &step, job).await?,
             Action::Stop { .. } => self.stop(index, &step).await?,
         };
-        self.append(Body::Finish(self.claim(index), outcome))
-            .await?;
+        self.append(Body::Finish(self.claim(index), outcome)).await?;
         Ok(outcome)
     }
 
@@ -107,10 +106,7 @@
         if let Some(outcome) = self.drain(&target, permit).await? {
             return Ok(outcome);
         }
-        if !self
-            .order_until(&target, Order::Reboot { operation: permit })
-            .await?
-        {
+        if !self.order_until(&target, Order::Reboot { operation: permit }).await? {
             return Ok(Outcome::Lost);
         }
         let back = |status: &Status| status.rebooted_for == Some(permit);
@@ -127,10 +123,7 @@
             if let Some(outcome) = self.drain(&target, permit).await? {
                 return Ok(outcome);
             }
-            if !self
-                .order_until(&target, Order::Jobs { jobs: Vec::new() })
-                .await?
-            {
+            if !self.order_until(&target, Order::Jobs { jobs: Vec::new() }).await? {
                 return Ok(Outcome::Lost);
             }
             self.append(Body::Assign(self.claim(index))).await?;
@@ -147,8 +140,7 @@
         if let Some(outcome) = self.drain(&target, permit).await? {
             return Ok(outcome);
         }
-        self.order_until(&target, Order::Jobs { jobs: Vec::new() })
-            .await?;
+        self.order_until(&target, Order::Jobs { jobs: Vec::new() }).await?;
         self.append(Body::Assign(self.claim(index))).await?;
         Ok(Outcome::Done)
     }
@@ -164,21 +156,14 @@
         if step.progress == Progress::Waiting {
             self.append(Body::Assign(self.claim(index))).await?;
         }
-        let target = Target {
-            lost_after: START_LIMIT,
-            ..self.target(step)?
-        };
+        let target = Target { lost_after: START_LIMIT, ..self.target(step)? };
         // A box that is out under another plan gets its jobs from that plan's driver.
         if !self.is_out(&target) {
             self.order_until(&target, self.jobs(&target)).await?;
         }
         let running = |status: &Status| status.jobs.contains(job);
         let started = self.wait_until(&target, running).await?;
-        Ok(if started {
-            Outcome::Done
-        } else {
-            Outcome::Lost
-        })
+        Ok(if started { Outcome::Done } else { Outcome::Lost })
     }
 
     async fn stop(&self, index: u32, step: &Step) -> Result<Outcome, StepError> {
@@ -204,9 +189,7 @@
 
     fn jobs(&self, target: &Target) -> Order {
         let fleet = self.node.replica.fleet();
-        Order::Jobs {
-            jobs: fleet.jobs_on(&target.id).cloned().collect(),
-        }
+        Order::Jobs { jobs: fleet.jobs_on(&target.id).cloned().collect() }
     }
 
     /// Gets permission to take the box out, unless an earlier driver did.
@@ -251,10 +234,7 @@
     /// it. Its quorum case needs a majority that knows no more than it does, so a majority that
     /// has applied the permit, the freshness limit ago, rules that out.
     fn is_released(&self, target: &Target, permit: Offset, begun: Instant) -> bool {
-        let releases = self
-            .node
-            .members
-            .releases(&target.id, permit, Instant::now());
+        let releases = self.node.members.releases(&target.id, permit, Instant::now());
         if releases.holding > 0 || self.node.routes.busy_boxes().contains(&target.id) {
             return false;
         }
@@ -270,10 +250,7 @@
         let begun = Instant::now();
         loop {
             self.check_epoch()?;
-            let command = Command {
-                fence: self.fence(target),
-                action: order.clone(),
-            };
+            let command = Command { fence: self.fence(target), action: order.clone() };
             match tend::command(&self.node, target.addr, command).await {
                 Ok(_) => return Ok(true),
                 Err(ExchangeError::Status(409)) => {
@@ -312,19 +289,13 @@
     fn fence(&self, target: &Target) -> Offset {
         let fleet = self.node.replica.fleet();
         let version = fleet.boxes.get(&target.id).map_or(0, |entry| entry.version);
-        let epoch = fleet
-            .plans
-            .get(&self.plan)
-            .map_or(0, |plan| plan.driver.fence);
+        let epoch = fleet.plans.get(&self.plan).map_or(0, |plan| plan.driver.fence);
         version.max(epoch)
     }
 
     fn is_out(&self, target: &Target) -> bool {
         let fleet = self.node.replica.fleet();
-        fleet
-            .boxes
-            .get(&target.id)
-            .is_some_and(|entry| entry.out.is_some())
+        fleet.boxes.get(&target.id).is_some_and(|entry| entry.out.is_some())
     }
 
     fn check_epoch(&self) -> Result<(), StepError> {
@@ -339,10 +310,7 @@
     fn step(&self, index: u32) -> Result<Step, StepError> {
         let fleet = self.node.replica.fleet();
         let plan = fleet.plans.get(&self.plan).ok_or(StepError::Superseded)?;
-        plan.steps
-            .get(index as usize)
-            .cloned()
-            .ok_or(StepError::Superseded)
+        plan.steps.get(index as usize).cloned().ok_or(StepError::Superseded)
     }
 
     fn target(&self, step: &Step) -> Result<Target, StepError> {
--- a/lib/src/coordination/follow.rs
+++ b/lib/src/coordination/follow.rs
@@ -28,7 +28,7 @@
 /// Largest answer to a read, in bytes.
 const MAX_PAGE: usize = 64 * 1024 * 1024;
 /// How long the log may hold a read that finds nothing new.
-const LONG_POLL: Duration = Duration::from_millis(500);
+const LONG_POLL: Duration = Duration::from_millis(1000);
 /// How long a read may take.
 const READ_WAIT: Duration = Duration::from_secs(5);
 /// First pause after a failed read.
@@ -96,10 +96,7 @@
     let from = applied.max(seek.from);
     let page = read(node, from).await?;
     if page.next < applied {
-        return Err(FollowError::WentBack {
-            end: page.next,
-            applied,
-        });
+        return Err(FollowError::WentBack { end: page.next, applied });
     }
     if page.first > applied {
         node.counters.count("log.read.gap");
@@ -116,10 +113,7 @@
 fn batches(page: &Page) -> Vec<(Offset, Bytes)> {
     // Bytes that are not base64 are passed over like those that are not a batch.
     let bytes = |item: &Item| item.bytes().unwrap_or_default().into();
-    page.records
-        .iter()
-        .map(|item| (item.offset, bytes(item)))
-        .collect()
+    page.records.iter().map(|item| (item.offset, bytes(item))).collect()
 }
 
 /// Applies batches in order and puts what they change in force here.
@@ -152,10 +146,7 @@
 async fn read(node: &Node, from: Offset) -> Result<Page, ExchangeError> {
     let path = read_path(from, MAX_RECORDS, LONG_POLL.as_millis() as u64);
     let request = Request::get(path).body(full(""))?;
-    let answer = node
-        .dialer
-        .exchange(node.settings.log, request, MAX_PAGE, READ_WAIT)
-        .await?;
+    let answer = node.dialer.exchange(node.settings.log, request, MAX_PAGE, READ_WAIT).await?;
     if !answer.status().is_success() {
         return Err(ExchangeError::Status(answer.status().as_u16()));
     }
@@ -174,8 +165,7 @@
     let Some(verdicts) = node.replica.apply(offset, &batch) else {
         return;
     };
-    node.counters
-        .add("log.read.records", batch.records.len() as u64);
+    node.counters.add("log.read.records", batch.records.len() as u64);
     node.history.keep(offset, bytes);
     note_snapshots(node, offset, &batch);
     if batch.writer == node.settings.id {
--- a/lib/src/coordination/fresh.rs
+++ b/lib/src/coordination/fresh.rs
@@ -6,7 +6,12 @@
 //! 2. `peer`: a live peer's own read is within `max_age`, counted from when that read began, and
 //!    this daemon has applied at least as much as that peer had.
 //! 3. `quorum`: a majority of the configured daemons, this one included, were heard of within
-//!    `max_age`, none of them has read the log within it, and none has applied more than this one.
+//!    `max_age` and are complete, none heard of has read the log within it, and none has applied
+//!    more than this one.
+//!
+//! A daemon is complete once it has, in its life, held all that was in force: by reaching the log's
+//! end, or the offset of a peer that did so after this one's start, or that of a majority of complete peers. One that
+//! has just started, with part of the log read, can neither serve by a quorum nor be counted in one.
 //!
 //! The first two bound how old the state can be by `max_age`. The third keeps routing alive while
 //! the log is away for everybody: then nothing can be accepted that this majority does not know.
@@ -27,6 +32,10 @@
     pub next: Offset,
     /// Age of the last read at the log's end.
     pub log_age: Option<Duration>,
+    /// Whether it has held all that was in force.
+    pub complete: bool,
+    /// Time since it was started.
+    pub alive: Duration,
 }
 
 /// What a daemon knows of a peer whose last beat was sent within `max_age`.
@@ -36,6 +45,8 @@
     pub next: Offset,
     /// Age now of the peer's last read at the log's end.
     pub log_age: Option<Duration>,
+    /// Whether the peer has held all that was in force.
+    pub complete: bool,
 }
 
 /// Why a daemon may serve, or that it may not.
@@ -74,31 +85,51 @@
 /// use std::time::Duration;
 /// use spokelift_lib::coordination::fresh::{Basis, Heard, Own, judge};
 /// let second = Duration::from_secs(1);
-/// let cut_off = Own { next: 7, log_age: Some(9 * second) };
+/// let cut_off = Own { next: 7, log_age: Some(9 * second), complete: true, alive: 60 * second };
 /// assert_eq!(judge(cut_off, &[], 3, 3 * second), Basis::Stale);
-/// let peer = Heard { next: 7, log_age: Some(second) };
+/// let peer = Heard { next: 7, log_age: Some(second), complete: true };
 /// assert_eq!(judge(cut_off, &[peer], 3, 3 * second), Basis::Peer);
-/// let ahead = Heard { next: 8, log_age: Some(second) };
+/// let ahead = Heard { next: 8, ..peer };
 /// assert_eq!(judge(cut_off, &[ahead], 3, 3 * second), Basis::Stale);
 /// ```
 pub fn judge(own: Own, heard: &[Heard], daemons: usize, max_age: Duration) -> Basis {
-    let is_recent = |age: Option<Duration>| age.is_some_and(|age| age < max_age);
-    // Without any state, there is nothing to serve by.
-    if own.next == 0 && own.log_age.is_none() {
-        return Basis::Stale;
-    }
-    if is_recent(own.log_age) {
+    if is_recent(own.log_age, max_age) {
         return Basis::Log;
     }
-    let mut readers = heard.iter().filter(|peer| is_recent(peer.log_age));
-    if readers.clone().next().is_some() {
-        let covered = readers.any(|peer| own.next >= peer.next);
+    if heard.iter().any(|peer| is_recent(peer.log_age, max_age)) {
+        let covered = has_reader(own, heard, max_age);
         return if covered { Basis::Peer } else { Basis::Stale };
     }
-    let majority = 2 * (heard.len() + 1) > daemons;
+    let complete = heard.iter().filter(|peer| peer.complete).count();
+    let majority = own.complete && 2 * (complete + 1) > daemons;
     let latest = heard.iter().all(|peer| own.next >= peer.next);
-    if majority && latest {
-        return Basis::Quorum;
-    }
-    Basis::Stale
+    if majority && latest { Basis::Quorum } else { Basis::Stale }
+}
+
+/// Whether a daemon that was not complete is so now, by what it has heard.
+///
+/// ```
+/// use spokelift_lib::coordination::fresh::{Heard, Own, completes};
+/// let second = std::time::Duration::from_secs(1);
+/// let started = Own { next: 7, log_age: None, complete: false, alive: second };
+/// let peer = Heard { next: 7, log_age: None, complete: true };
+/// assert!(!completes(started, &[peer], 3, second), "one of three peers may have missed some");
+/// assert!(completes(started, &[peer, peer], 3, second));
+/// ```
+pub fn completes(own: Own, heard: &[Heard], daemons: usize, max_age: Duration) -> bool {
+    let complete = heard.iter().filter(|peer| peer.complete);
+    let majority = 2 * complete.clone().count() > daemons;
+    let latest = complete.clone().all(|peer| own.next >= peer.next);
+    // A read from before this daemon's start may miss what its earlier life knew.
+    (majority && latest) || has_reader(own, heard, max_age.min(own.alive))
+}
+
+/// Whether a peer has read the log lately, and had applied no more than this daemon.
+fn has_reader(own: Own, heard: &[Heard], max_age: Duration) -> bool {
+    let mut readers = heard.iter().filter(|peer| is_recent(peer.log_age, max_age));
+    readers.any(|peer| own.next >= peer.next)
+}
+
+fn is_recent(age: Option<Duration>, max_age: Duration) -> bool {
+    age.is_some_and(|age| age < max_age)
 }
--- a/lib/src/coordination/listing.rs
+++ b/lib/src/coordination/listing.rs
@@ -3,14 +3,16 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use hyper::Request;
 use tokio::time::sleep;
 
 use crate::coordination::node::Node;
-use crate::protocol::boxes::BOXES;
 use crate::protocol::boxes::List;
+use crate::protocol::boxes::Listed;
+use crate::protocol::boxes::boxes_path;
 use crate::state::config::Shapes;
 use crate::state::id::BoxId;
 use crate::transport::dial::ExchangeError;
@@ -24,35 +26,75 @@
 /// The box list as last read; it lags, and is kept when it cannot be read.
 #[derive(Debug, Default)]
 pub struct Listing {
-    inner: Mutex<Listed>,
+    inner: Mutex<Inner>,
 }
 
-#[derive(Debug, Default, Clone)]
-struct Listed {
+#[derive(Debug, Default)]
+struct Inner {
+    version: u64,
     shapes: Arc<Shapes>,
     leaving: Arc<BTreeSet<BoxId>>,
 }
 
 impl Listing {
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of the listing panics")
+    }
+
     /// Boxes that are not leaving.
     pub fn shapes(&self) -> Arc<Shapes> {
-        self.inner.lock().expect("no holder panics").shapes.clone()
+        self.inner().shapes.clone()
     }
 
     /// Boxes that are on their way out.
     pub fn leaving(&self) -> Arc<BTreeSet<BoxId>> {
-        self.inner.lock().expect("no holder panics").leaving.clone()
+        self.inner().leaving.clone()
+    }
+
+    fn version(&self) -> u64 {
+        self.inner().version
     }
 
-    fn set(&self, list: List) {
-        let (leaving, staying): (Vec<_>, Vec<_>) =
-            list.boxes.into_iter().partition(|listed| listed.leaving);
-        let shapes = staying
-            .iter()
-            .map(|listed| (listed.name.clone(), listed.shape()));
-        let shapes = Arc::new(shapes.collect());
-        let leaving = Arc::new(leaving.into_iter().map(|listed| listed.name).collect());
-        *self.inner.lock().expect("no holder panics") = Listed { shapes, leaving };
+    /// Takes in what changed. Returns whether anything did.
+    fn take_in(&self, list: List) -> bool {
+        let mut inner = self.inner();
+        let changed = list.whole || !list.boxes.is_empty() || !list.gone.is_empty();
+        inner.version = list.version;
+        if !changed {
+            return false;
+        }
+        if list.whole {
+            inner.shapes = Arc::default();
+            inner.leaving = Arc::default();
+        }
+        for listed in list.boxes {
+            inner.put(listed);
+        }
+        for id in list.gone {
+            inner.remove(&id);
+        }
+        true
+    }
+}
+
+impl Inner {
+    fn put(&mut self, listed: Listed) {
+        self.remove(&listed.name);
+        if listed.leaving {
+            Arc::make_mut(&mut self.leaving).insert(listed.name);
+        } else {
+            let shape = listed.shape();
+            Arc::make_mut(&mut self.shapes).insert(listed.name, shape);
+        }
+    }
+
+    fn remove(&mut self, id: &BoxId) {
+        if self.shapes.contains_key(id) {
+            Arc::make_mut(&mut self.shapes).remove(id);
+        }
+        if self.leaving.contains(id) {
+            Arc::make_mut(&mut self.leaving).remove(id);
+        }
     }
 }
 
@@ -61,8 +103,9 @@
     loop {
         match read(&node).await {
             Ok(list) => {
-                node.listing.set(list);
-                node.routes.set_leaving(&node.listing.leaving());
+                if node.listing.take_in(list) {
+                    node.routes.set_leaving(&node.listing.leaving());
+                }
             }
             Err(_) => node.counters.count("boxes.read.failed"),
         }
@@ -71,11 +114,8 @@
 }
 
 async fn read(node: &Node) -> Result<List, ExchangeError> {
-    let request = Request::get(BOXES).body(full(""))?;
-    let answer = node
-        .dialer
-        .exchange(node.settings.boxes, request, MAX_LIST, WAIT)
-        .await?;
+    let request = Request::get(boxes_path(node.listing.version())).body(full(""))?;
+    let answer = node.dialer.exchange(node.settings.boxes, request, MAX_LIST, WAIT).await?;
     if !answer.status().is_success() {
         return Err(ExchangeError::Status(answer.status().as_u16()));
     }
--- a/lib/src/coordination/member.rs
+++ b/lib/src/coordination/member.rs
@@ -90,12 +90,7 @@
         };
         let peers = peers.iter().map(|(id, addr)| (*id, unheard(*addr)));
         let peers = Mutex::new(peers.collect());
-        Members {
-            own,
-            incarnation,
-            suspect_after,
-            peers,
-        }
+        Members { own, incarnation, suspect_after, peers }
     }
 
     fn peers(&self) -> MutexGuard<'_, BTreeMap<DaemonId, Peer>> {
@@ -188,26 +183,20 @@
             return true;
         }
         let peers = self.peers();
-        peers
-            .get(&id)
-            .is_some_and(|peer| peer.is_live(now, self.suspect_after))
+        peers.get(&id).is_some_and(|peer| peer.is_live(now, self.suspect_after))
     }
 
     /// Peers heard of within `max_age`, for the freshness rule.
     pub fn heard(&self, now: Instant, max_age: Duration) -> Vec<Heard> {
         let peers = self.peers();
-        let heard = peers
-            .values()
-            .filter_map(|peer| peer.as_heard(now, max_age));
+        let heard = peers.values().filter_map(|peer| peer.as_heard(now, max_age));
         heard.collect()
     }
 
     /// Live peers with the first offset each has not applied.
     pub fn offsets(&self, now: Instant) -> Vec<(DaemonId, Offset)> {
         let peers = self.peers();
-        let live = peers
-            .iter()
-            .filter(|(_, peer)| peer.is_live(now, self.suspect_after));
+        let live = peers.iter().filter(|(_, peer)| peer.is_live(now, self.suspect_after));
         live.map(|(id, peer)| (*id, peer.beat.next)).collect()
     }
 
@@ -226,11 +215,8 @@
     /// What live peers say their states hashed to at the last mark, and where to reach them.
     pub fn hashes(&self, now: Instant) -> Vec<(SocketAddr, Hashed)> {
         let peers = self.peers();
-        let live = peers
-            .values()
-            .filter(|peer| peer.is_live(now, self.suspect_after));
-        live.filter_map(|peer| Some((peer.addr, peer.beat.mark?)))
-            .collect()
+        let live = peers.values().filter(|peer| peer.is_live(now, self.suspect_after));
+        live.filter_map(|peer| Some((peer.addr, peer.beat.mark?))).collect()
     }
 
     /// What peers have said about a box taken out at `permit`.
@@ -274,9 +260,7 @@
 
 impl Peer {
     fn is_live(&self, now: Instant, within: Duration) -> bool {
-        let heard = self
-            .heard
-            .is_some_and(|heard| now.saturating_duration_since(heard) < within);
+        let heard = self.heard.is_some_and(|heard| now.saturating_duration_since(heard) < within);
         heard || self.spared.is_some_and(|until| now < until)
     }
 
@@ -290,10 +274,7 @@
     /// The earliest moment at which a beat with this echo was sent.
     fn sent_after(&self, echo: Option<Echo>) -> Option<Instant> {
         let echo = echo?;
-        let (_, at) = self
-            .sent_at
-            .iter()
-            .find(|(sequence, _)| *sequence == echo.sequence)?;
+        let (_, at) = self.sent_at.iter().find(|(sequence, _)| *sequence == echo.sequence)?;
         Some(*at + Duration::from_millis(echo.held_ms.into()))
     }
 
@@ -302,14 +283,8 @@
         if age >= max_age {
             return None;
         }
-        let log_age = self
-            .beat
-            .log_age_ms
-            .map(|ms| Duration::from_millis(ms.into()) + age);
-        Some(Heard {
-            next: self.beat.next,
-            log_age,
-        })
+        let log_age = self.beat.log_age_ms.map(|ms| Duration::from_millis(ms.into()) + age);
+        Some(Heard { next: self.beat.next, log_age, complete: self.beat.complete })
     }
 }
 
@@ -343,6 +318,7 @@
     Beat {
         next: node.replica.next(),
         mark: node.history.hashed(),
+        complete: node.replica.is_complete(),
         log_age_ms: log_age.map(|age| age.as_millis().min(u128::from(u32::MAX)) as u32),
         serving: node.is_serving(),
         inflight: node.routes.inflight(),
@@ -357,10 +333,7 @@
         // a named box only, so the driver also asks the worker itself before it acts.
         node.counters.count("peer.busy-overflow");
     }
-    busy.iter()
-        .take(MAX_BUSY)
-        .map(|id| short_hash(id))
-        .collect()
+    busy.iter().take(MAX_BUSY).map(|id| short_hash(id)).collect()
 }
 
 /// Takes in heartbeats.
--- a/lib/src/coordination/node.rs
+++ b/lib/src/coordination/node.rs
@@ -1,6 +1,8 @@
 //! What the tasks of one daemon share.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,6 +21,7 @@
 use crate::coordination::snapshot::History;
 use crate::metrics::Counters;
 use crate::settings::Settings;
+use crate::state::id::BoxId;
 use crate::state::id::DaemonId;
 use crate::state::id::Incarnation;
 use crate::transport::dial::Dialer;
@@ -48,6 +51,8 @@
     pub routes: Routes,
     /// Its outgoing connections.
     pub dialer: Dialer,
+    started: Instant,
+    suspects: Mutex<BTreeSet<BoxId>>,
     stopping: AtomicBool,
     deviant: AtomicBool,
     /// Held by whoever applies, so that routing follows the fleet in order.
@@ -72,6 +77,8 @@
             listing: Listing::default(),
             routes,
             dialer: Dialer::new(CONNECT_TIMEOUT),
+            suspects: Mutex::default(),
+            started: Instant::now(),
             stopping: AtomicBool::new(false),
             deviant: AtomicBool::new(false),
             applying: tokio::sync::Mutex::default(),
@@ -88,12 +95,18 @@
         let own = Own {
             next: self.replica.next(),
             log_age: self.replica.log_age(now),
+            complete: self.replica.is_complete(),
+            alive: now.saturating_duration_since(self.started),
         };
         if own.log_age.is_some_and(|age| age < max_age) {
             return Basis::Log;
         }
         let heard = self.members.heard(now, max_age);
-        fresh::judge(own, &heard, self.members.configured(), max_age)
+        let daemons = self.members.configured();
+        if !own.complete && fresh::completes(own, &heard, daemons, max_age) {
+            self.replica.set_complete();
+        }
+        fresh::judge(own, &heard, daemons, max_age)
     }
 
     /// Whether this daemon takes callers' requests.
@@ -101,6 +114,19 @@
         !self.is_stopping() && self.basis().is_fresh()
     }
 
+    /// Casts doubt on a box, since a request to it failed.
+    pub fn suspect(&self, target: &BoxId) {
+        let mut suspects = self.suspects.lock().expect("no holder panics");
+        if !suspects.contains(target) {
+            suspects.insert(target.clone());
+        }
+    }
+
+    /// The boxes that doubt was cast on since the last time.
+    pub fn take_suspects(&self) -> BTreeSet<BoxId> {
+        std::mem::take(&mut *self.suspects.lock().expect("no holder panics"))
+    }
+
     /// Says whether this daemon's state was found to be wrong.
     pub fn set_deviant(&self, deviant: bool) {
         self.deviant.store(deviant, Ordering::SeqCst);
--- a/lib/src/coordination/replica.rs
+++ b/lib/src/coordination/replica.rs
@@ -3,6 +3,8 @@
 use std::sync::Mutex;
 use std::sync::RwLock;
 use std::sync::RwLockReadGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,6 +22,7 @@
     fleet: RwLock<Fleet>,
     next: watch::Sender<Offset>,
     log_read: Mutex<Option<Instant>>,
+    complete: AtomicBool,
 }
 
 impl Default for Replica {
@@ -29,6 +32,7 @@
             fleet: RwLock::default(),
             next,
             log_read: Mutex::default(),
+            complete: AtomicBool::new(false),
         }
     }
 }
@@ -93,6 +97,17 @@
     pub fn note_log_read(&self, begun: Instant) {
         let mut log_read = self.log_read.lock().expect("no holder panics");
         *log_read = Some(begun);
+        self.set_complete();
+    }
+
+    /// Whether this copy has, in this life, been known to hold all that was in force.
+    pub fn is_complete(&self) -> bool {
+        self.complete.load(Ordering::SeqCst)
+    }
+
+    /// Notes that this copy holds all that is in force.
+    pub fn set_complete(&self) {
+        self.complete.store(true, Ordering::SeqCst);
     }
 
     /// Age of the last read that found the log's end.
--- a/lib/src/coordination/route.rs
+++ b/lib/src/coordination/route.rs
@@ -112,11 +112,7 @@
     /// the count afterwards, so it sees every request that was let through.
     fn take(&self) -> bool {
         let more = |used: u32| (used < self.share).then_some(used + 1);
-        if self
-            .used
-            .try_update(Ordering::SeqCst, Ordering::SeqCst, more)
-            .is_err()
-        {
+        if self.used.try_update(Ordering::SeqCst, Ordering::SeqCst, more).is_err() {
             return false;
         }
         if self.is_open() {
@@ -132,11 +128,7 @@
 
     /// What speaks against this lane, most weighty first.
     fn cost(&self, hall: &str) -> (bool, bool, u32) {
-        (
-            self.is_avoided(),
-            self.hall.as_ref() != hall,
-            self.used.load(Ordering::SeqCst),
-        )
+        (self.is_avoided(), self.hall.as_ref() != hall, self.used.load(Ordering::SeqCst))
     }
 
     fn is_open(&self) -> bool {
@@ -171,11 +163,7 @@
 impl Route {
     fn new() -> Route {
         let none: Arc<[Arc<Lane>]> = Arc::new([]);
-        Route {
-            lanes: RwLock::new(none),
-            freed: Notify::new(),
-            waiting: AtomicU32::new(0),
-        }
+        Route { lanes: RwLock::new(none), freed: Notify::new(), waiting: AtomicU32::new(0) }
     }
 
     fn lanes(&self) -> Arc<[Arc<Lane>]> {
@@ -195,13 +183,7 @@
 impl Routes {
     /// An empty table for daemon `own` of `daemons`.
     pub fn new(own: DaemonId, daemons: Vec<DaemonId>, queue_limit: u32) -> Routes {
-        Routes {
-            own,
-            daemons,
-            queue_limit,
-            table: RwLock::default(),
-            inflight: Arc::default(),
-        }
+        Routes { own, daemons, queue_limit, table: RwLock::default(), inflight: Arc::default() }
     }
 
     /// Requests in flight to targets.
@@ -224,11 +206,7 @@
         let busy = |lane: &&Arc<Lane>| {
             lane.used.load(Ordering::SeqCst) > 0 && table.out.contains(&lane.target)
         };
-        let busy = table
-            .lanes
-            .values()
-            .filter(busy)
-            .map(|lane| lane.target.clone());
+        let busy = table.lanes.values().filter(busy).map(|lane| lane.target.clone());
         let distinct: BTreeSet<BoxId> = busy.collect();
         distinct.into_iter().collect()
     }
@@ -236,23 +214,16 @@
     /// Makes the table follow the fleet. Lanes that go on keep their slots in use.
     pub fn rebuild(&self, fleet: &Fleet) {
         let mut table = self.table.write().expect("no writer of the table panics");
-        let mut next = Table {
-            leaving: table.leaving.clone(),
-            ..Table::default()
-        };
+        let mut next = Table { leaving: table.leaving.clone(), ..Table::default() };
         for (key, service) in &fleet.services {
             let lanes = self.lanes_of(&table, fleet, key, service);
             for lane in &lanes {
-                next.lanes
-                    .insert((lane.target.clone(), key.clone()), lane.clone());
+                next.lanes.insert((lane.target.clone(), key.clone()), lane.clone());
             }
             let route = table.route_for(key);
             *route.lanes.write().expect("no writer panics") = lanes.into();
             route.freed.notify_waiters();
-            next.routes
-                .entry(key.0.clone())
-                .or_default()
-                .insert(key.1.clone(), route);
+            next.routes.entry(key.0.clone()).or_default().insert(key.1.clone(), route);
         }
         let out = fleet.boxes.iter().filter(|(_, entry)| !entry.is_serving());
         next.out = out.map(|(id, _)| id.clone()).collect();
@@ -279,8 +250,7 @@
                 Some(lane) => lane.clone(),
                 None => Arc::new(self.lane(&id, entry, service.slots, known)),
             };
-            lane.listed
-                .store(table.leaving.contains(target), Ordering::SeqCst);
+            lane.listed.store(table.leaving.contains(target), Ordering::SeqCst);
             lane.open.store(true, Ordering::SeqCst);
             lanes.push(lane);
         }
@@ -322,8 +292,7 @@
         let mut table = self.table.write().expect("no writer of the table panics");
         table.leaving = leaving.clone();
         for lane in table.lanes.values() {
-            lane.listed
-                .store(leaving.contains(&lane.target), Ordering::SeqCst);
+            lane.listed.store(leaving.contains(&lane.target), Ordering::SeqCst);
         }
     }
 
@@ -381,11 +350,7 @@
                 self.inflight.fetch_add(1, Ordering::SeqCst);
                 let lane = lane.clone();
                 let inflight = self.inflight.clone();
-                return Ok(Some(Slot {
-                    lane,
-                    route: route.clone(),
-                    inflight,
-                }));
+                return Ok(Some(Slot { lane, route: route.clone(), inflight }));
             }
         }
         Ok(None)
@@ -401,10 +366,7 @@
     /// Closes the lanes that `next` does not have; those still in use stay in it, closed.
     fn close_missing(&self, next: &mut Table) {
         for (id, lane) in &self.lanes {
-            let goes_on = next
-                .lanes
-                .get(id)
-                .is_some_and(|other| Arc::ptr_eq(other, lane));
+            let goes_on = next.lanes.get(id).is_some_and(|other| Arc::ptr_eq(other, lane));
             if goes_on {
                 continue;
             }
--- a/lib/src/coordination/snapshot.rs
+++ b/lib/src/coordination/snapshot.rs
@@ -119,11 +119,7 @@
             (false, Some(seen)) => seen.at,
             _ => Instant::now(),
         };
-        inner.seen = Some(Seen {
-            mark: chunk.mark,
-            parts,
-            at,
-        });
+        inner.seen = Some(Seen { mark: chunk.mark, parts, at });
     }
 
     fn age(&self) -> Option<Duration> {
@@ -136,17 +132,10 @@
     let encoded = snapshot::encode(fleet);
     let digest = snapshot::digest(&encoded);
     let head = digest[..8].try_into().expect("a digest holds 32 bytes");
-    let hashed = Hashed {
-        position: fleet.marked,
-        head: u64::from_le_bytes(head),
-    };
+    let hashed = Hashed { position: fleet.marked, head: u64::from_le_bytes(head) };
     node.history.set_hashed(Some(hashed));
     node.counters.count("snapshot.hashed");
-    if is_writer {
-        snapshot::split(&encoded, fleet.marked)
-    } else {
-        Vec::new()
-    }
+    if is_writer { snapshot::split(&encoded, fleet.marked) } else { Vec::new() }
 }
 
 /// Writes chunks to the log, one after the other.
@@ -191,10 +180,7 @@
     }
     let fleet = node.replica.fleet();
     let many = fleet.next.saturating_sub(fleet.marked) >= node.settings.snapshot_every;
-    let old = node
-        .history
-        .age()
-        .is_none_or(|age| age >= node.settings.snapshot_period);
+    let old = node.history.age().is_none_or(|age| age >= node.settings.snapshot_period);
     let due = fleet.next > 0 && (many || old);
     due.then_some(fleet.marked)
 }
@@ -222,19 +208,14 @@
 /// ```
 pub fn majority_against(own: Hashed, peers: &[(SocketAddr, Hashed)]) -> Option<Hashed> {
     let mut votes: BTreeMap<u64, usize> = BTreeMap::from([(own.head, 1)]);
-    let same_mark = peers
-        .iter()
-        .filter(|(_, hashed)| hashed.position == own.position);
+    let same_mark = peers.iter().filter(|(_, hashed)| hashed.position == own.position);
     for (_, hashed) in same_mark {
         *votes.entry(hashed.head).or_default() += 1;
     }
     let all: usize = votes.values().sum();
     let (head, most) = votes.into_iter().max_by_key(|(_, count)| *count)?;
     let other = head != own.head && 2 * most > all;
-    other.then_some(Hashed {
-        position: own.position,
-        head,
-    })
+    other.then_some(Hashed { position: own.position, head })
 }
 
 /// Takes a peer's whole state. Until then, this daemon serves nobody.
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -78,12 +78,7 @@
         let call = listen("callers", settings.call_addr).await?;
         let operate = listen("operators", settings.operate_addr).await?;
         let (peer, catch_up) = bind_peer(settings.peer_addr).await?;
-        Ok(Sockets {
-            call,
-            operate,
-            peer,
-            catch_up,
-        })
+        Ok(Sockets { call, operate, peer, catch_up })
     }
 
     /// The addresses bound.
@@ -113,20 +108,12 @@
     }
     let source = last.expect("it was tried at least once");
     let purpose = "peers";
-    Err(StartError::Bind {
-        purpose,
-        addr,
-        source,
-    })
+    Err(StartError::Bind { purpose, addr, source })
 }
 
 async fn listen(purpose: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(addr).await;
-    bound.map_err(|source| StartError::Bind {
-        purpose,
-        addr,
-        source,
-    })
+    bound.map_err(|source| StartError::Bind { purpose, addr, source })
 }
 
 /// Runs a daemon until `stop` turns true and the requests in flight have ended.
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -76,10 +76,7 @@
             }
             None => None,
         };
-        let sink = Sink {
-            totals: totals.clone(),
-            statsd,
-        };
+        let sink = Sink { totals: totals.clone(), statsd };
         let client = Arc::new(StatsdClient::from_sink(PREFIX, sink));
         Ok(Counters { client, totals })
     }
--- a/lib/src/operate.rs
+++ b/lib/src/operate.rs
@@ -44,12 +44,8 @@
 }
 
 fn respond(status: u16, json: Json) -> Response<Body> {
-    let response = Response::builder()
-        .status(status)
-        .header(CONTENT_TYPE, "application/json");
-    response
-        .body(full(json))
-        .expect("the headers are constants")
+    let response = Response::builder().status(status).header(CONTENT_TYPE, "application/json");
+    response.body(full(json)).expect("the headers are constants")
 }
 
 fn json<T: Serialize>(value: &T) -> Json {
@@ -94,9 +90,7 @@
 }
 
 fn plan_id(text: &str) -> Result<u64, ApiError> {
-    parse_plan(text).ok_or(ApiError::NotFound {
-        what: "plan".into(),
-    })
+    parse_plan(text).ok_or(ApiError::NotFound { what: "plan".into() })
 }
 
 fn text(body: &Bytes) -> Result<&str, ApiError> {
@@ -108,11 +102,7 @@
     let credential = bearer(head)?;
     if credential.account == SITE {
         let valid = credential.matches(&[node.settings.site_key]);
-        return if valid {
-            Ok(Scope::Site)
-        } else {
-            Err(ApiError::Credential)
-        };
+        return if valid { Ok(Scope::Site) } else { Err(ApiError::Credential) };
     }
     let fleet = node.replica.fleet();
     Ok(Scope::Account(credential.account(&fleet, Role::Operator)?))
--- a/lib/src/operate/change.rs
+++ b/lib/src/operate/change.rs
@@ -55,30 +55,18 @@
     let id = new_id();
     if changes == 0 {
         let in_force = in_force(node, node.replica.next());
-        return Ok(Published {
-            record: format_record(id),
-            position: None,
-            changes,
-            in_force,
-        });
+        return Ok(Published { record: format_record(id), position: None, changes, in_force });
     }
     let position = submit(node, id, Body::Publish(change)).await?;
     let in_force = wait_in_force(node, position).await;
-    Ok(Published {
-        record: format_record(id),
-        position: Some(position),
-        changes,
-        in_force,
-    })
+    Ok(Published { record: format_record(id), position: Some(position), changes, in_force })
 }
 
 async fn submit(node: &Node, id: RecordId, body: Body) -> Result<Offset, ApiError> {
     match node.appender.submit(id, body).await {
         Ok(offset) => Ok(offset),
         Err(AppendError::Refused(refusal)) => Err(ApiError::Refused { refusal }),
-        Err(AppendError::Unknown(id)) => Err(ApiError::Unknown {
-            record: format_record(id),
-        }),
+        Err(AppendError::Unknown(id)) => Err(ApiError::Unknown { record: format_record(id) }),
         Err(AppendError::Busy) => Err(ApiError::Busy),
     }
 }
@@ -114,19 +102,10 @@
         Some(Ok(position)) => {
             let in_force = in_force(node, *position);
             let position = Some(*position);
-            Ok(Published {
-                record: format_record(id),
-                position,
-                changes: 0,
-                in_force,
-            })
+            Ok(Published { record: format_record(id), position, changes: 0, in_force })
         }
-        Some(Err(refusal)) => Err(ApiError::Refused {
-            refusal: refusal.clone(),
-        }),
-        None => Err(ApiError::Unknown {
-            record: format_record(id),
-        }),
+        Some(Err(refusal)) => Err(ApiError::Refused { refusal: refusal.clone() }),
+        None => Err(ApiError::Unknown { record: format_record(id) }),
     }
 }
 
@@ -141,11 +120,7 @@
     let shapes = node.listing.shapes();
     let planned = {
         let fleet = node.replica.fleet();
-        let planner = Planner {
-            fleet: &fleet,
-            shapes: &shapes,
-            scope,
-        };
+        let planner = Planner { fleet: &fleet, shapes: &shapes, scope };
         planner.plan(rand::random(), intent)
     };
     let plan = planned.map_err(|cause| ApiError::Plan { cause })?;
--- a/lib/src/operate/view.rs
+++ b/lib/src/operate/view.rs
@@ -11,6 +11,7 @@
 use crate::protocol::api::PoolView;
 use crate::protocol::api::StatusView;
 use crate::state::account::Scope;
+use crate::state::fleet::Pool;
 use crate::state::id::PlanId;
 use crate::state::id::format_plan;
 use crate::state::plan::Plan;
@@ -39,10 +40,7 @@
 
 pub(super) fn pools(node: &Node, scope: &Scope) -> Vec<PoolView> {
     let fleet = node.replica.fleet();
-    let seen = fleet
-        .pools
-        .iter()
-        .filter(|(_, pool)| scope.sees(&pool.account));
+    let seen = fleet.pools.iter().filter(|(_, pool)| is_open(scope, pool));
     let view = seen.map(|(name, pool)| PoolView {
         name: name.clone(),
         account: pool.account.clone(),
@@ -70,7 +68,11 @@
             rack: entry.shape.rack.clone(),
             out: entry.out.map(|(plan, _)| format_plan(plan)),
             down: entry.down,
-            jobs: fleet.jobs_on(name).map(|key| key.1.clone()).collect(),
+            jobs: fleet
+                .jobs_on(name)
+                .filter(|key| scope.sees(&key.0))
+                .map(|k| k.1.clone())
+                .collect(),
         });
     }
     views
@@ -92,6 +94,14 @@
     view.collect()
 }
 
+/// Whether the operator's account may place services on the pool.
+fn is_open(scope: &Scope, pool: &Pool) -> bool {
+    match scope {
+        Scope::Site => true,
+        Scope::Account(account) => pool.serves(account),
+    }
+}
+
 fn is_seen(scope: &Scope, plan: &Plan) -> bool {
     match (scope, &plan.account) {
         (Scope::Site, _) => true,
@@ -103,25 +113,16 @@
 /// The plans in the scope, the latest first, without their steps.
 pub(super) fn plans(node: &Node, scope: &Scope) -> Vec<PlanView> {
     let fleet = node.replica.fleet();
-    let mut seen: Vec<&Plan> = fleet
-        .plans
-        .values()
-        .filter(|plan| is_seen(scope, plan))
-        .collect();
+    let mut seen: Vec<&Plan> = fleet.plans.values().filter(|plan| is_seen(scope, plan)).collect();
     seen.sort_by_key(|plan| std::cmp::Reverse(plan.version));
-    let view = |plan: &&Plan| PlanView {
-        steps: Vec::new(),
-        ..plan_view(plan)
-    };
+    let view = |plan: &&Plan| PlanView { steps: Vec::new(), ..plan_view(plan) };
     seen.iter().map(view).collect()
 }
 
 pub(super) fn plan(node: &Node, scope: &Scope, id: PlanId) -> Result<PlanView, ApiError> {
     let fleet = node.replica.fleet();
     let plan = fleet.plans.get(&id).filter(|plan| is_seen(scope, plan));
-    plan.map(plan_view).ok_or_else(|| ApiError::NotFound {
-        what: "plan".into(),
-    })
+    plan.map(plan_view).ok_or_else(|| ApiError::NotFound { what: "plan".into() })
 }
 
 fn plan_view(plan: &Plan) -> PlanView {
--- a/lib/src/protocol/boxes.rs
+++ b/lib/src/protocol/boxes.rs
@@ -1,4 +1,7 @@
-//! The platform's box list: `GET /v1/boxes` answers a [`List`]. It lags behind the truth.
+//! The platform's box list. It lags behind the truth.
+//!
+//! `GET /v1/boxes?after=V` answers a [`List`] of the boxes that changed after version `V`, or of all
+//! boxes if the platform no longer knows which those are; `V` is 0 at first.
 
 use std::net::SocketAddr;
 
@@ -13,11 +16,22 @@
 /// Path of the box list.
 pub const BOXES: &str = "/v1/boxes";
 
-/// The boxes the platform knows.
+/// Boxes the platform knows.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct List {
-    /// One entry for each box.
+    /// Version of the whole list.
+    pub version: u64,
+    /// Whether all boxes are here; those that are not are gone.
+    pub whole: bool,
+    /// Boxes.
     pub boxes: Vec<Listed>,
+    /// Boxes that are gone.
+    pub gone: Vec<BoxId>,
+}
+
+/// Path and query for what changed after a version.
+pub fn boxes_path(after: u64) -> String {
+    format!("{BOXES}?after={after}")
 }
 
 /// A box in the box list.
--- a/lib/src/protocol/call.rs
+++ b/lib/src/protocol/call.rs
@@ -155,18 +155,12 @@
 impl Refused {
     /// A request that no target has run, and none will.
     pub fn not_run(reason: Reason) -> Refused {
-        Refused {
-            outcome: Outcome::NotRun,
-            reason,
-        }
+        Refused { outcome: Outcome::NotRun, reason }
     }
 
     /// A request that a target may have run.
     pub fn unknown(reason: Reason) -> Refused {
-        Refused {
-            outcome: Outcome::Unknown,
-            reason,
-        }
+        Refused { outcome: Outcome::Unknown, reason }
     }
 
     /// Name of the counter.
--- a/lib/src/protocol/log.rs
+++ b/lib/src/protocol/log.rs
@@ -45,10 +45,7 @@
 impl Item {
     /// An item that carries `bytes`.
     pub fn new(offset: Offset, bytes: &[u8]) -> Item {
-        Item {
-            offset,
-            data: STANDARD.encode(bytes),
-        }
+        Item { offset, data: STANDARD.encode(bytes) }
     }
 
     /// The record's bytes.
--- a/lib/src/protocol/wire.rs
+++ b/lib/src/protocol/wire.rs
@@ -63,6 +63,8 @@
     pub log_age_ms: Option<u32>,
     /// Position and hash of the sender's state at the last snapshot mark.
     pub mark: Option<Hashed>,
+    /// Whether the sender has, in this life, had all that was in force.
+    pub complete: bool,
     /// Whether the sender serves callers.
     pub serving: bool,
     /// Requests in flight to targets.
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -70,7 +70,8 @@
     "site-key-hash", "hash of the site operator's secret", "64 hexadecimal digits", None;
     "max-age-ms", "how old the state served by may be", "500 to 60000", Some("2500");
     "heartbeat-ms", "time between heartbeats", "50 to 5000", Some("500");
-    "poll-ms", "time between polls of the box list and the boxes", "50 to 60000", Some("1000");
+    "poll-ms", "time between polls of the box list, and of boxes in doubt", "50 to 60000", Some("1000");
+    "poll-bytes-per-s", "bytes a second that polls of boxes may take", "100 to 1000000000", Some("3000");
     "appends-per-s", "this daemon's share of the log's rate", "1 to 100", Some("12");
     "queue-limit", "requests of a service that may wait for a slot", "0 to 100000", Some("128");
     "queue-wait-ms", "how long a request may wait for a slot", "0 to 60000", Some("500");
@@ -112,6 +113,8 @@
     pub heartbeat: Duration,
     /// Time between polls.
     pub poll: Duration,
+    /// Bytes a second that polls of boxes may take.
+    pub poll_bytes_per_s: u32,
     /// This daemon's share of the log's rate.
     pub appends_per_s: u32,
     /// Requests of a service that may wait.
@@ -278,16 +281,11 @@
     /// assert_eq!(flags, ["id", "hall", "peer-secret", "log", "boxes", "site-key-hash"]);
     /// ```
     pub fn resolve(get: impl Fn(&Setting) -> Option<String>) -> Result<Settings, SettingsError> {
-        let mut reader = Reader {
-            get,
-            faults: Vec::new(),
-        };
+        let mut reader = Reader { get, faults: Vec::new() };
         let settings = read(&mut reader);
         match settings {
             Some(settings) if reader.faults.is_empty() => Ok(settings),
-            _ => Err(SettingsError {
-                faults: reader.faults,
-            }),
+            _ => Err(SettingsError { faults: reader.faults }),
         }
     }
 }
@@ -307,6 +305,7 @@
     let max_age = reader.millis("max-age-ms", 500..=60_000);
     let heartbeat = reader.millis("heartbeat-ms", 50..=5_000);
     let poll = reader.millis("poll-ms", 50..=60_000);
+    let poll_bytes_per_s = reader.number("poll-bytes-per-s", 100..=1_000_000_000);
     let appends_per_s = reader.number("appends-per-s", 1..=100);
     let queue_limit = reader.number("queue-limit", 0..=100_000);
     let queue_wait = reader.millis("queue-wait-ms", 0..=60_000);
@@ -314,9 +313,7 @@
     let body_limit = reader.number("body-limit", 1024..=1_073_741_824);
     let stop_delay = reader.millis("stop-delay-ms", 0..=60_000);
     let snapshot_every = reader.number("snapshot-every", 16..=1_000_000);
-    let snapshot_period = reader
-        .number("snapshot-s", 1..=86_400)
-        .map(Duration::from_secs);
+    let snapshot_period = reader.number("snapshot-s", 1..=86_400).map(Duration::from_secs);
     let down_grace = reader.millis("down-grace-ms", 0..=3_600_000);
     let statsd = reader.statsd();
     Some(Settings {
@@ -333,6 +330,7 @@
         max_age: max_age?,
         heartbeat: heartbeat?,
         poll: poll?,
+        poll_bytes_per_s: poll_bytes_per_s?,
         appends_per_s: appends_per_s?,
         queue_limit: queue_limit?,
         queue_wait: queue_wait?,
--- a/lib/src/state/account.rs
+++ b/lib/src/state/account.rs
@@ -100,11 +100,7 @@
             Role::Caller => &account.caller_keys,
             Role::Operator => &account.operator_keys,
         };
-        if self.matches(hashes) {
-            Ok(id.clone())
-        } else {
-            Err(CredentialError::Unknown)
-        }
+        if self.matches(hashes) { Ok(id.clone()) } else { Err(CredentialError::Unknown) }
     }
 }
 
--- a/lib/src/state/config/check.rs
+++ b/lib/src/state/config/check.rs
@@ -23,6 +23,7 @@
 use crate::state::fleet::Fleet;
 use crate::state::fleet::Pool;
 use crate::state::fleet::Service;
+use crate::state::id::AccountId;
 use crate::state::id::PoolId;
 use crate::state::id::is_name;
 use crate::state::record::Change;
@@ -48,16 +49,13 @@
         claims: BTreeMap::new(),
     };
     check.sections(document);
-    if check.faults.is_empty() {
-        Ok(Change { edits: check.edits })
-    } else {
-        Err(check.faults)
-    }
+    if check.faults.is_empty() { Ok(Change { edits: check.edits }) } else { Err(check.faults) }
 }
 
 /// What a pool will be once the file is in force, as far as services need it.
 struct Planned {
-    account: Arc<str>,
+    account: AccountId,
+    shared_with: BTreeSet<AccountId>,
     boxes: u32,
     max_out: u32,
 }
@@ -86,10 +84,7 @@
         }
         let mut names = BTreeSet::new();
         for section in &document.service {
-            let key = (
-                section.account.as_ref().as_str(),
-                section.name.as_ref().as_str(),
-            );
+            let key = (section.account.as_ref().as_str(), section.name.as_ref().as_str());
             if !names.insert(key) {
                 self.twice(&section.name);
             }
@@ -98,39 +93,28 @@
     }
 
     fn fault<T>(&mut self, at: &Spanned<T>, kind: FaultKind) {
-        self.faults.push(Fault {
-            kind,
-            span: place(at),
-        });
+        self.faults.push(Fault { kind, span: place(at) });
     }
 
     fn twice(&mut self, name: &Spanned<String>) {
-        let kind = FaultKind::Twice {
-            name: name.as_ref().as_str().into(),
-        };
+        let kind = FaultKind::Twice { name: name.as_ref().as_str().into() };
         self.fault(name, kind);
     }
 
     fn refuse_site_sections(&mut self, document: &Document) {
         for section in &document.account {
-            let kind = FaultKind::NotAllowed {
-                section: "account".into(),
-            };
+            let kind = FaultKind::NotAllowed { section: "account".into() };
             self.fault(&section.name, kind);
         }
         for section in &document.pool {
-            let kind = FaultKind::NotAllowed {
-                section: "pool".into(),
-            };
+            let kind = FaultKind::NotAllowed { section: "pool".into() };
             self.fault(&section.name, kind);
         }
     }
 
     fn name(&mut self, name: &Spanned<String>) {
         if !is_name(name.as_ref()) {
-            let kind = FaultKind::Name {
-                name: name.as_ref().as_str().into(),
-            };
+            let kind = FaultKind::Name { name: name.as_ref().as_str().into() };
             self.fault(name, kind);
         }
     }
@@ -138,12 +122,7 @@
     fn range(&mut self, key: &str, value: &Spanned<u32>, min: u32, max: u32) {
         let given = *value.as_ref();
         if given < min || given > max {
-            let kind = FaultKind::Range {
-                key: key.into(),
-                value: given,
-                min,
-                max,
-            };
+            let kind = FaultKind::Range { key: key.into(), value: given, min, max };
             self.fault(value, kind);
         }
     }
@@ -185,47 +164,54 @@
     fn pool(&mut self, section: &'a PoolSection) {
         self.name(&section.name);
         let name = section.name.as_ref().as_str();
-        let account: Arc<str> = section.account.as_ref().as_str().into();
-        let known = self.accounts.contains(account.as_ref());
-        if !known && !self.fleet.accounts.contains_key(&account) {
-            let kind = FaultKind::UnknownAccount {
-                name: account.as_ref().into(),
-            };
-            self.fault(&section.account, kind);
+        let account: AccountId = section.account.as_ref().as_str().into();
+        self.known_account(&section.account);
+        for account in &section.shared_with {
+            self.known_account(account);
         }
+        let shared_with = section.shared_with.iter().map(|name| name.as_ref().as_str().into());
+        let shared_with: BTreeSet<AccountId> = shared_with.collect();
         let claims = self.claims(section);
-        let boxes = self
-            .fleet
-            .pools
-            .get(name)
-            .map_or(0, |pool| pool.boxes.len())
-            + claims.len();
+        let boxes = self.fleet.pools.get(name).map_or(0, |pool| pool.boxes.len()) + claims.len();
         let budget = self.budget(section, boxes as u32);
         let planned = Planned {
             account: account.clone(),
+            shared_with: shared_with.clone(),
             boxes: boxes as u32,
             max_out: budget.max_out,
         };
         if self.pools.insert(name, planned).is_some() {
             self.twice(&section.name);
         }
-        self.edit_pool(section, account, budget);
+        self.edit_pool(section, account, shared_with, budget);
         self.edits.extend(claims);
     }
 
-    fn edit_pool(&mut self, section: &PoolSection, account: Arc<str>, budget: Budget) {
+    fn known_account(&mut self, name: &Spanned<String>) {
+        let account = name.as_ref().as_str();
+        if !self.accounts.contains(account) && !self.fleet.accounts.contains_key(account) {
+            self.fault(name, FaultKind::UnknownAccount { name: account.into() });
+        }
+    }
+
+    fn edit_pool(
+        &mut self,
+        section: &PoolSection,
+        account: AccountId,
+        shared_with: BTreeSet<AccountId>,
+        budget: Budget,
+    ) {
         let id: PoolId = section.name.as_ref().as_str().into();
         let current = self.fleet.pools.get(&id);
         let base = current.map_or(0, |current| current.version);
         let pool = Pool {
             account,
+            shared_with,
             budget,
             weigh: section.weigh,
             drain_limit_s: section.drain_limit_s,
             maintenance_s: section.maintenance_s,
-            boxes: current
-                .map(|current| current.boxes.clone())
-                .unwrap_or_default(),
+            boxes: current.map(|current| current.boxes.clone()).unwrap_or_default(),
             version: base,
         };
         if current != Some(&pool) {
@@ -238,14 +224,7 @@
         let most = boxes.saturating_sub(1);
         // A pool that is still empty is filled by an intent later.
         if boxes > 0 && (max_out < 1 || max_out > most) {
-            self.fault(
-                &section.max_out,
-                FaultKind::Budget {
-                    max_out,
-                    boxes,
-                    most,
-                },
-            );
+            self.fault(&section.max_out, FaultKind::Budget { max_out, boxes, most });
         }
         let areas = [
             ("max_out_per_hall", &section.max_out_per_hall),
@@ -271,10 +250,7 @@
         for target in &section.boxes {
             let name = target.as_ref().as_str();
             if let Some(first) = self.claims.insert(name, pool) {
-                let kind = FaultKind::ClaimedTwice {
-                    name: name.into(),
-                    first: first.into(),
-                };
+                let kind = FaultKind::ClaimedTwice { name: name.into(), first: first.into() };
                 self.fault(target, kind);
                 continue;
             }
@@ -301,9 +277,7 @@
         let account = section.account.as_ref().as_str();
         let known = self.accounts.contains(account) || self.fleet.accounts.contains_key(account);
         if !known || !self.scope.sees(account) {
-            let kind = FaultKind::UnknownAccount {
-                name: account.into(),
-            };
+            let kind = FaultKind::UnknownAccount { name: account.into() };
             self.fault(&section.account, kind);
             return;
         }
@@ -317,26 +291,19 @@
         if let Some(at) = &section.min_up
             && min_up > kept
         {
-            self.fault(
-                at,
-                FaultKind::MinUp {
-                    min_up,
-                    pool: pool.into(),
-                    kept,
-                },
-            );
+            self.fault(at, FaultKind::MinUp { min_up, pool: pool.into(), kept });
         }
         self.edit_service(section, min_up);
     }
 
-    /// Boxes and budget that a pool of `account` will have; none if it has no such pool.
+    /// Boxes and budget that a pool open to `account` will have; none if it has no such pool.
     fn pool_size(&self, pool: &str, account: &str) -> Option<(u32, u32)> {
         if let Some(planned) = self.pools.get(pool) {
-            let own = planned.account.as_ref() == account;
+            let own = planned.account.as_ref() == account || planned.shared_with.contains(account);
             return own.then_some((planned.boxes, planned.max_out));
         }
         let pool = self.fleet.pools.get(pool)?;
-        let own = pool.account.as_ref() == account;
+        let own = pool.serves(account);
         own.then_some((pool.boxes.len() as u32, pool.budget.max_out))
     }
 
@@ -350,12 +317,8 @@
             slots: *section.slots.as_ref(),
             memory_mb: section.memory_mb,
             min_up,
-            placed: current
-                .map(|current| current.placed.clone())
-                .unwrap_or_default(),
-            starting: current
-                .map(|current| current.starting.clone())
-                .unwrap_or_default(),
+            placed: current.map(|current| current.placed.clone()).unwrap_or_default(),
+            starting: current.map(|current| current.starting.clone()).unwrap_or_default(),
             version: base,
         };
         if current != Some(&service) {
--- a/lib/src/state/config/file.rs
+++ b/lib/src/state/config/file.rs
@@ -41,6 +41,8 @@
     pub account: Spanned<String>,
     #[serde(default)]
     pub boxes: Vec<Spanned<String>>,
+    #[serde(default)]
+    pub shared_with: Vec<Spanned<String>>,
     pub max_out: Spanned<u32>,
     pub max_out_per_hall: Option<Spanned<u32>>,
     pub max_out_per_rack: Option<Spanned<u32>>,
@@ -77,10 +79,7 @@
     let read = toml::from_str(text);
     read.map_err(|error: toml::de::Error| {
         let message = error.message().into();
-        Fault {
-            kind: FaultKind::Syntax { message },
-            span: error.span(),
-        }
+        Fault { kind: FaultKind::Syntax { message }, span: error.span() }
     })
 }
 
--- a/lib/src/state/fleet.rs
+++ b/lib/src/state/fleet.rs
@@ -64,6 +64,8 @@
 pub struct Pool {
     /// The owner.
     pub account: AccountId,
+    /// Other accounts that may place services here.
+    pub shared_with: BTreeSet<AccountId>,
     /// The availability budget.
     pub budget: Budget,
     /// Which measure comes first when a plan is made.
@@ -161,16 +163,17 @@
     }
 }
 
+impl Pool {
+    /// Whether `account` may place services here.
+    pub fn serves(&self, account: &str) -> bool {
+        self.account.as_ref() == account || self.shared_with.contains(account)
+    }
+}
+
 impl Entry {
     /// A box that has just come into `pool`.
     pub fn new(pool: PoolId, shape: Shape, version: Offset) -> Entry {
-        Entry {
-            pool,
-            shape,
-            out: None,
-            down: false,
-            version,
-        }
+        Entry { pool, shape, out: None, down: false, version }
     }
 
     /// Whether requests may be sent to it.
@@ -191,19 +194,13 @@
 impl Fleet {
     /// Services that run, or are being started, on `target`.
     pub fn jobs_on<'a>(&'a self, target: &'a str) -> impl Iterator<Item = &'a ServiceKey> {
-        let on = self
-            .services
-            .iter()
-            .filter(move |(_, service)| service.is_on(target));
+        let on = self.services.iter().filter(move |(_, service)| service.is_on(target));
         on.map(|(key, _)| key)
     }
 
     /// Boxes of `pool` that are out of service for any cause.
     pub fn out_of<'a>(&'a self, pool: &'a Pool) -> impl Iterator<Item = (&'a BoxId, &'a Entry)> {
-        let entries = pool
-            .boxes
-            .iter()
-            .filter_map(|id| Some((id, self.boxes.get(id)?)));
+        let entries = pool.boxes.iter().filter_map(|id| Some((id, self.boxes.get(id)?)));
         entries.filter(|(_, entry)| !entry.is_serving())
     }
 
--- a/lib/src/state/fold.rs
+++ b/lib/src/state/fold.rs
@@ -233,10 +233,7 @@
     }
 
     fn admit(&mut self, batch: &Batch) -> Admission {
-        let writer = Writer {
-            incarnation: batch.incarnation,
-            sequence: batch.sequence,
-        };
+        let writer = Writer { incarnation: batch.incarnation, sequence: batch.sequence };
         let last = self.writers.get(&batch.writer);
         if let Some(last) = last {
             if last.incarnation > writer.incarnation {
@@ -278,11 +275,7 @@
             Body::Publish(change) => self.publish(at, change),
             Body::Propose(plan) => self.propose(at, plan),
             Body::Confirm(plan) => self.confirm(at, *plan),
-            Body::Drive {
-                plan,
-                holder,
-                epoch,
-            } => self.drive(at, *plan, *holder, *epoch),
+            Body::Drive { plan, holder, epoch } => self.drive(at, *plan, *holder, *epoch),
             Body::Permit(claim) => self.permit(at, *claim),
             Body::Assign(claim) => self.assign(at, *claim),
             Body::Finish(claim, outcome) => self.finish(at, *claim, *outcome),
@@ -311,9 +304,7 @@
             return Err(Refusal::Phase { phase: plan.phase });
         }
         if plan.steps.len() > MAX_STEPS {
-            return Err(Refusal::TooMany {
-                limit: MAX_STEPS as u32,
-            });
+            return Err(Refusal::TooMany { limit: MAX_STEPS as u32 });
         }
         let mut plan = plan.clone();
         plan.version = at;
@@ -357,9 +348,7 @@
         }
         let same = |other: &&Plan| other.account == plan.account && other.phase.is_driven();
         if self.plans.values().filter(same).count() >= MAX_RUNNING {
-            return Err(Refusal::TooMany {
-                limit: MAX_RUNNING as u32,
-            });
+            return Err(Refusal::TooMany { limit: MAX_RUNNING as u32 });
         }
         self.start(at, id);
         Ok(())
@@ -390,22 +379,14 @@
     fn start(&mut self, at: Offset, id: PlanId) {
         let plan = self.plans.get_mut(&id).expect("confirm looked the plan up");
         plan.version = at;
-        plan.phase = if plan.is_finished() {
-            Phase::Done
-        } else {
-            Phase::Running
-        };
+        plan.phase = if plan.is_finished() { Phase::Done } else { Phase::Running };
         for base in &plan.base {
             match base {
                 Base::Pool(id, _) => {
-                    self.pools
-                        .entry(id.clone())
-                        .and_modify(|pool| pool.version = at);
+                    self.pools.entry(id.clone()).and_modify(|pool| pool.version = at);
                 }
                 Base::Service(key, _) => {
-                    self.services
-                        .entry(key.clone())
-                        .and_modify(|service| service.version = at);
+                    self.services.entry(key.clone()).and_modify(|service| service.version = at);
                 }
                 Base::Box(..) => {}
             }
@@ -424,9 +405,7 @@
             return Err(Refusal::Phase { phase: plan.phase });
         }
         if epoch != plan.driver.epoch + 1 {
-            return Err(Refusal::Epoch {
-                epoch: plan.driver.epoch,
-            });
+            return Err(Refusal::Epoch { epoch: plan.driver.epoch });
         }
         plan.driver.holder = Some(holder);
         plan.driver.epoch = epoch;
--- a/lib/src/state/fold/publish.rs
+++ b/lib/src/state/fold/publish.rs
@@ -49,9 +49,7 @@
             }
             Edit::Claim(target, pool, _) => {
                 if self.boxes.contains_key(target) || !claimed.insert(target) {
-                    return Err(Refusal::BoxTaken {
-                        target: target.clone(),
-                    });
+                    return Err(Refusal::BoxTaken { target: target.clone() });
                 }
                 self.check_pool_exists(change, pool)
             }
@@ -67,11 +65,7 @@
     ) -> Result<(), Refusal> {
         let object = Object::Pool(id.as_ref().into());
         let current = self.pools.get(id);
-        check_version(
-            object.clone(),
-            base,
-            current.map_or(0, |current| current.version),
-        )?;
+        check_version(object.clone(), base, current.map_or(0, |current| current.version))?;
         if current.is_some_and(|current| current.account != pool.account) {
             return Err(Refusal::InUse { object });
         }
@@ -92,11 +86,7 @@
     ) -> Result<(), Refusal> {
         let object = Object::Service(key.1.as_ref().into());
         let current = self.services.get(key);
-        check_version(
-            object.clone(),
-            base,
-            current.map_or(0, |current| current.version),
-        )?;
+        check_version(object.clone(), base, current.map_or(0, |current| current.version))?;
         let moved = |current: &Service| current.pool != service.pool && current.is_placed();
         if current.is_some_and(moved) {
             return Err(Refusal::InUse { object });
--- a/lib/src/state/fold/step.rs
+++ b/lib/src/state/fold/step.rs
@@ -27,10 +27,7 @@
         }
         self.check_running(claim)?;
         self.check_budget(&target)?;
-        let entry = self
-            .boxes
-            .get_mut(&target)
-            .expect("check_budget looked it up");
+        let entry = self.boxes.get_mut(&target).expect("check_budget looked it up");
         entry.out = Some((claim.plan, at));
         entry.version = at;
         self.set_progress(claim, Progress::Out { permit: at });
@@ -73,12 +70,7 @@
             let limit = limit.unwrap_or(u32::MAX);
             if out >= limit {
                 let pool = entry.pool.clone();
-                return Err(Refusal::Budget {
-                    pool,
-                    area,
-                    limit,
-                    out,
-                });
+                return Err(Refusal::Budget { pool, area, limit, out });
             }
         }
         Ok(())
@@ -91,11 +83,7 @@
             if up <= service.min_up {
                 let min_up = service.min_up;
                 let service = key.1.clone();
-                return Err(Refusal::MinUp {
-                    service,
-                    up,
-                    min_up,
-                });
+                return Err(Refusal::MinUp { service, up, min_up });
             }
         }
         Ok(())
@@ -133,9 +121,7 @@
     ) -> Result<(), Refusal> {
         self.pool(to)?;
         let entry = self.boxes.get(target).cloned();
-        let mut entry = entry.ok_or(Refusal::NoBox {
-            target: target.clone(),
-        })?;
+        let mut entry = entry.ok_or(Refusal::NoBox { target: target.clone() })?;
         self.remove_box(at, target)?;
         entry.pool = to.clone();
         entry.version = at;
@@ -152,9 +138,7 @@
 
     fn remove_box(&mut self, at: Offset, target: &BoxId) -> Result<(), Refusal> {
         let entry = self.boxes.remove(target);
-        let entry = entry.ok_or(Refusal::NoBox {
-            target: target.clone(),
-        })?;
+        let entry = entry.ok_or(Refusal::NoBox { target: target.clone() })?;
         if let Some(pool) = self.pools.get_mut(&entry.pool) {
             pool.boxes.remove(target);
             pool.version = at;
@@ -178,9 +162,7 @@
     ) -> Result<(), Refusal> {
         self.pool(to)?;
         if self.boxes.contains_key(&step.target) {
-            return Err(Refusal::BoxTaken {
-                target: step.target.clone(),
-            });
+            return Err(Refusal::BoxTaken { target: step.target.clone() });
         }
         let entry = Entry::new(to.clone(), shape.clone(), at);
         self.insert_box(at, &step.target, entry);
@@ -202,9 +184,7 @@
 
     fn check_room(&self, target: &BoxId, job: &ServiceKey) -> Result<(), Refusal> {
         let entry = self.boxes.get(target);
-        let entry = entry.ok_or(Refusal::NoBox {
-            target: target.clone(),
-        })?;
+        let entry = entry.ok_or(Refusal::NoBox { target: target.clone() })?;
         let service = &self.services[job];
         let (slots, memory_mb) = self.room(target, &entry.shape);
         let fits = slots >= service.slots && memory_mb >= service.memory_mb;
@@ -212,10 +192,7 @@
             return Ok(());
         }
         let service = job.1.clone();
-        Err(Refusal::NoRoom {
-            target: target.clone(),
-            service,
-        })
+        Err(Refusal::NoRoom { target: target.clone(), service })
     }
 
     fn stop_job(&mut self, at: Offset, target: &BoxId, job: &ServiceKey) {
@@ -243,9 +220,7 @@
 
     fn pool(&self, id: &PoolId) -> Result<&Pool, Refusal> {
         let object = || Object::Pool(id.as_ref().into());
-        self.pools
-            .get(id)
-            .ok_or_else(|| Refusal::Missing { object: object() })
+        self.pools.get(id).ok_or_else(|| Refusal::Missing { object: object() })
     }
 
     /// Ends a step and gives its share of the budget back.
@@ -294,10 +269,7 @@
     }
 
     fn close_if_finished(&mut self, at: Offset, claim: Claim) {
-        let plan = self
-            .plans
-            .get_mut(&claim.plan)
-            .expect("step looked the plan up");
+        let plan = self.plans.get_mut(&claim.plan).expect("step looked the plan up");
         if !plan.is_finished() {
             return;
         }
@@ -315,9 +287,7 @@
             return Err(Refusal::Phase { phase: plan.phase });
         }
         if plan.driver.epoch != claim.epoch {
-            return Err(Refusal::Epoch {
-                epoch: plan.driver.epoch,
-            });
+            return Err(Refusal::Epoch { epoch: plan.driver.epoch });
         }
         plan.steps.get(claim.step as usize).ok_or(Refusal::Step)
     }
--- a/lib/src/state/hash.rs
+++ b/lib/src/state/hash.rs
@@ -10,9 +10,7 @@
         hasher.update(part);
     }
     let digest = hasher.finalize();
-    let head = digest.as_bytes()[..8]
-        .try_into()
-        .expect("a blake3 digest holds 32 bytes");
+    let head = digest.as_bytes()[..8].try_into().expect("a blake3 digest holds 32 bytes");
     u64::from_le_bytes(head)
 }
 
@@ -27,17 +25,11 @@
 /// assert_eq!(owner(b"box-7", &[]), None);
 /// ```
 pub fn owner(key: &[u8], members: &[u16]) -> Option<u16> {
-    members
-        .iter()
-        .copied()
-        .max_by_key(|member| stable(&[key, &member.to_le_bytes()]))
+    members.iter().copied().max_by_key(|member| stable(&[key, &member.to_le_bytes()]))
 }
 
 /// Position of `member` among `members` in the rendezvous order of `key`, best first.
 pub fn rank(key: &[u8], member: u16, members: &[u16]) -> usize {
     let own = stable(&[key, &member.to_le_bytes()]);
-    members
-        .iter()
-        .filter(|other| stable(&[key, &other.to_le_bytes()]) > own)
-        .count()
+    members.iter().filter(|other| stable(&[key, &other.to_le_bytes()]) > own).count()
 }
--- a/lib/src/state/planner.rs
+++ b/lib/src/state/planner.rs
@@ -127,11 +127,9 @@
         let draft = match &intent {
             Intent::Resize { pool, boxes } => self.resize(pool, *boxes)?,
             Intent::Move { from, to, boxes } => self.move_boxes(from, to, *boxes)?,
-            Intent::Place {
-                account,
-                service,
-                replicas,
-            } => self.place(account, service, *replicas)?,
+            Intent::Place { account, service, replicas } => {
+                self.place(account, service, *replicas)?
+            }
             Intent::Maintain { pools } => self.maintain(pools)?,
         };
         if draft.steps.is_empty() {
@@ -164,9 +162,7 @@
     fn service(&self, key: &ServiceKey) -> Result<&Service, PlanError> {
         let service = self.fleet.services.get(key);
         let seen = service.filter(|_| self.scope.sees(&key.0));
-        seen.ok_or_else(|| PlanError::UnknownService {
-            service: key.1.clone(),
-        })
+        seen.ok_or_else(|| PlanError::UnknownService { service: key.1.clone() })
     }
 
     fn maintain(&self, pools: &[PoolId]) -> Result<Draft, PlanError> {
@@ -175,12 +171,8 @@
             let pool = self.pool(id)?;
             let width = cost::width(self.fleet, pool);
             let order = choose::spread(self.fleet, pool);
-            draft.cost = draft
-                .cost
-                .beside(cost::wave(pool, order.len() as u32, width));
-            let steps = order
-                .into_iter()
-                .map(|target| step(target, Action::Reboot, Reason::Due));
+            draft.cost = draft.cost.beside(cost::wave(pool, order.len() as u32, width));
+            let steps = order.into_iter().map(|target| step(target, Action::Reboot, Reason::Due));
             draft.steps.extend(steps);
             draft.base.push(Base::Pool(id.clone(), pool.version));
             draft.width.push((id.clone(), width));
@@ -200,10 +192,7 @@
         draft.base.push(Base::Pool(to.clone(), sink.version));
         for target in taken {
             let shape = &self.fleet.boxes[&target].shape;
-            let action = Action::Move {
-                to: to.clone(),
-                jobs: jobs.fill(shape),
-            };
+            let action = Action::Move { to: to.clone(), jobs: jobs.fill(shape) };
             draft.steps.push(step(target, action, Reason::FewestJobs));
         }
         Ok(draft)
@@ -236,10 +225,7 @@
         draft.cost.moves = boxes - now;
         for (target, shape) in chosen {
             draft.base.push(Base::Box(target.clone(), 0));
-            let action = Action::Claim {
-                to: id.clone(),
-                shape,
-            };
+            let action = Action::Claim { to: id.clone(), shape };
             draft.steps.push(step(target, action, Reason::Free));
         }
         Ok(draft)
@@ -257,11 +243,7 @@
         if replicas > 0 && replicas < found.min_up {
             let service = service.clone();
             let min_up = found.min_up;
-            return Err(PlanError::MinUp {
-                service,
-                asked: replicas,
-                min_up,
-            });
+            return Err(PlanError::MinUp { service, asked: replicas, min_up });
         }
         let now = (found.placed.len() + found.starting.len()) as u32;
         let mut draft = if replicas >= now {
@@ -309,10 +291,5 @@
 }
 
 fn step(target: BoxId, action: Action, reason: Reason) -> Step {
-    Step {
-        target,
-        action,
-        reason,
-        progress: Progress::Waiting,
-    }
+    Step { target, action, reason, progress: Progress::Waiting }
 }
--- a/lib/src/state/planner/choose.rs
+++ b/lib/src/state/planner/choose.rs
@@ -58,11 +58,7 @@
             break;
         }
         match first_short(fleet, id, &up) {
-            Some(key) => {
-                blocker = Blocker::MinUp {
-                    service: key.1.clone(),
-                }
-            }
+            Some(key) => blocker = Blocker::MinUp { service: key.1.clone() },
             None => {
                 for key in fleet.jobs_on(id) {
                     *up.entry(key).or_default() -= 1;
@@ -73,11 +69,7 @@
     }
     if taken.len() < count as usize {
         let available = taken.len() as u32;
-        return Err(PlanError::TooFew {
-            asked: count,
-            available,
-            blocker,
-        });
+        return Err(PlanError::TooFew { asked: count, available, blocker });
     }
     Ok(taken)
 }
@@ -106,10 +98,8 @@
     pool: &Pool,
     count: u32,
 ) -> Result<Vec<(BoxId, Shape)>, PlanError> {
-    let mut left: Vec<(&BoxId, &Shape)> = shapes
-        .iter()
-        .filter(|(id, _)| !fleet.boxes.contains_key(*id))
-        .collect();
+    let mut left: Vec<(&BoxId, &Shape)> =
+        shapes.iter().filter(|(id, _)| !fleet.boxes.contains_key(*id)).collect();
     let mut load = Load::of(fleet, &pool.boxes);
     let mut chosen = Vec::new();
     while chosen.len() < count as usize {
@@ -117,11 +107,7 @@
         let Some(best) = best else {
             let available = chosen.len() as u32;
             let blocker = Blocker::NoneFree;
-            return Err(PlanError::TooFew {
-                asked: count,
-                available,
-                blocker,
-            });
+            return Err(PlanError::TooFew { asked: count, available, blocker });
         };
         let (id, shape) = left.swap_remove(best);
         load.add(shape);
@@ -220,15 +206,10 @@
 impl<'a> Jobs<'a> {
     /// The services that run on `pool`.
     pub fn new(fleet: &'a Fleet, pool: &PoolId) -> Jobs<'a> {
-        let own = fleet
-            .services
-            .iter()
-            .filter(|(_, service)| service.pool == *pool);
+        let own = fleet.services.iter().filter(|(_, service)| service.pool == *pool);
         let running = own.filter(|(_, service)| service.is_placed());
         let services = running.map(|(key, service)| (key, service, service.placed.len()));
-        Jobs {
-            services: services.collect(),
-        }
+        Jobs { services: services.collect() }
     }
 
     /// The jobs to start on the next box.
--- a/lib/src/state/planner/cost.rs
+++ b/lib/src/state/planner/cost.rs
@@ -28,12 +28,8 @@
     let halls = count_distinct(fleet, pool, |entry| &entry.shape.hall);
     let racks = count_distinct(fleet, pool, |entry| &entry.shape.rack);
     let budget = pool.budget;
-    let by_hall = budget
-        .max_out_per_hall
-        .map_or(u32::MAX, |limit| limit.saturating_mul(halls));
-    let by_rack = budget
-        .max_out_per_rack
-        .map_or(u32::MAX, |limit| limit.saturating_mul(racks));
+    let by_hall = budget.max_out_per_hall.map_or(u32::MAX, |limit| limit.saturating_mul(halls));
+    let by_rack = budget.max_out_per_rack.map_or(u32::MAX, |limit| limit.saturating_mul(racks));
     budget.max_out.min(by_hall).min(by_rack).max(1)
 }
 
@@ -50,9 +46,7 @@
 fn cheapest(boxes: u32, most: u32) -> u32 {
     let held = |width: u32| width * boxes.div_ceil(width);
     let widths = 1..=most.max(1);
-    widths
-        .min_by_key(|width| (held(*width), u32::MAX - width))
-        .unwrap_or(1)
+    widths.min_by_key(|width| (held(*width), u32::MAX - width)).unwrap_or(1)
 }
 
 /// Cost of rebooting `boxes` boxes of `pool`, `width` at a time.
@@ -60,22 +54,14 @@
     let rounds = u64::from(boxes.div_ceil(width.max(1)));
     let rollout_seconds = rounds * u64::from(pool.maintenance_s);
     let buffer_box_seconds = rollout_seconds * u64::from(width);
-    Cost {
-        buffer_box_seconds,
-        rollout_seconds,
-        moves: 0,
-    }
+    Cost { buffer_box_seconds, rollout_seconds, moves: 0 }
 }
 
 /// Cost of moving `count` boxes or jobs, `width` at a time.
 pub fn moves(count: u32, width: u32) -> Cost {
     let rounds = u64::from(count.div_ceil(width.max(1)));
     let rollout_seconds = rounds * MOVE_S;
-    Cost {
-        buffer_box_seconds: rollout_seconds * u64::from(width),
-        rollout_seconds,
-        moves: count,
-    }
+    Cost { buffer_box_seconds: rollout_seconds * u64::from(width), rollout_seconds, moves: count }
 }
 
 impl Cost {
--- a/lib/src/state/snapshot.rs
+++ b/lib/src/state/snapshot.rs
@@ -68,13 +68,7 @@
     let pieces = encoded.chunks(CHUNK).enumerate();
     let chunk = |(part, bytes): (usize, &[u8])| {
         let bytes = bytes.to_vec();
-        Chunk {
-            mark,
-            digest,
-            part: part as u32,
-            parts,
-            bytes,
-        }
+        Chunk { mark, digest, part: part as u32, parts, bytes }
     };
     pieces.map(chunk).collect()
 }
--- a/lib/src/transport/dial.rs
+++ b/lib/src/transport/dial.rs
@@ -57,9 +57,7 @@
 
 /// A body of known bytes.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed_unsync()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// Why a request has no answer, in the order of what is known of it.
@@ -103,10 +101,7 @@
 impl Dialer {
     /// A dialer that waits up to `connect_timeout` for a connection.
     pub fn new(connect_timeout: Duration) -> Dialer {
-        Dialer {
-            idle: Arc::default(),
-            connect_timeout,
-        }
+        Dialer { idle: Arc::default(), connect_timeout }
     }
 
     /// Sends a request and returns the head of its answer; the body is read from [`Answer`].
@@ -139,11 +134,7 @@
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let dialer = self.clone();
-                let home = Some(Home {
-                    dialer,
-                    addr,
-                    sender,
-                });
+                let home = Some(Home { dialer, addr, sender });
                 Ok(response.map(|incoming| Answer { incoming, home }))
             }
             Err(mut error) => Err(match error.take_message() {
@@ -302,20 +293,15 @@
         wait: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let whole = async {
-            let response = self
-                .send(addr, request)
-                .await
-                .map_err(|error| match error {
-                    SendError::NotSent(_, cause) => ExchangeError::NotSent(cause),
-                    SendError::Cut(cause) => ExchangeError::Cut(cause),
-                })?;
+            let response = self.send(addr, request).await.map_err(|error| match error {
+                SendError::NotSent(_, cause) => ExchangeError::NotSent(cause),
+                SendError::Cut(cause) => ExchangeError::Cut(cause),
+            })?;
             let (head, answer) = response.into_parts();
             let bytes = collect(answer, limit).await?;
             Ok(Response::from_parts(head, bytes))
         };
-        timeout(wait, whole)
-            .await
-            .map_err(|_| ExchangeError::Timeout)?
+        timeout(wait, whole).await.map_err(|_| ExchangeError::Timeout)?
     }
 }
 
--- a/lib/tests/test_fold.rs
+++ b/lib/tests/test_fold.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use spokelift_lib::state::account::Scope;
 use spokelift_lib::state::config::Document;
 use spokelift_lib::state::config::Shapes;
@@ -31,9 +32,7 @@
         slots: 8,
         memory_mb: 1024,
     };
-    (0..BOXES)
-        .map(|index| (format!("box-{index}").into(), shape(index)))
-        .collect()
+    (0..BOXES).map(|index| (format!("box-{index}").into(), shape(index))).collect()
 }
 
 fn config() -> String {
@@ -57,16 +56,8 @@
     let mut fleet = Fleet::default();
     let document = Document::parse(&config()).unwrap();
     let change = document.compile(&fleet, &shapes(), &Scope::Site).unwrap();
-    let record = Record {
-        id: 1,
-        body: Body::Publish(change),
-    };
-    let batch = Batch {
-        writer: 0,
-        incarnation: 1,
-        sequence: 1,
-        records: vec![record],
-    };
+    let record = Record { id: 1, body: Body::Publish(change) };
+    let batch = Batch { writer: 0, incarnation: 1, sequence: 1, records: vec![record] };
     assert!(fleet.apply(0, &batch)[0].1.is_ok());
     fleet
 }
@@ -89,23 +80,10 @@
 
 fn intents() -> impl Strategy<Value = Intent> {
     prop_oneof![
-        (1u32..3).prop_map(|boxes| Intent::Move {
-            from: "front".into(),
-            to: "back".into(),
-            boxes
-        }),
-        (1u32..3).prop_map(|boxes| Intent::Move {
-            from: "back".into(),
-            to: "front".into(),
-            boxes
-        }),
-        Just(Intent::Maintain {
-            pools: vec!["front".into(), "back".into()]
-        }),
-        (3u32..8).prop_map(|boxes| Intent::Resize {
-            pool: "front".into(),
-            boxes
-        }),
+        (1u32..3).prop_map(|boxes| Intent::Move { from: "front".into(), to: "back".into(), boxes }),
+        (1u32..3).prop_map(|boxes| Intent::Move { from: "back".into(), to: "front".into(), boxes }),
+        Just(Intent::Maintain { pools: vec!["front".into(), "back".into()] }),
+        (3u32..8).prop_map(|boxes| Intent::Resize { pool: "front".into(), boxes }),
         (0u32..7).prop_map(|replicas| Intent::Place {
             account: "a".into(),
             service: "s".into(),
@@ -121,11 +99,7 @@
         1 => Just(Outcome::DrainLimit),
         1 => Just(Outcome::Down),
     ];
-    let control = prop_oneof![
-        Just(Control::Pause),
-        Just(Control::Resume),
-        Just(Control::Abort)
-    ];
+    let control = prop_oneof![Just(Control::Pause), Just(Control::Resume), Just(Control::Abort)];
     prop_oneof![
         3 => intents().prop_map(Move::Propose),
         4 => (0usize..4).prop_map(Move::Confirm),
@@ -146,38 +120,23 @@
     let plan = |index: &usize| seen.plans.values().nth(*index);
     let claim = |index: &usize, step: &u32| {
         let plan = plan(index)?;
-        Some(Claim {
-            plan: plan.id,
-            epoch: plan.driver.epoch,
-            step: *step,
-        })
+        Some(Claim { plan: plan.id, epoch: plan.driver.epoch, step: *step })
     };
     let name = |index: &usize| vec![format!("box-{index}").into()];
     Some(match step {
         Move::Propose(intent) => {
-            let planner = Planner {
-                fleet: seen,
-                shapes: &shapes(),
-                scope: &Scope::Site,
-            };
+            let planner = Planner { fleet: seen, shapes: &shapes(), scope: &Scope::Site };
             Body::Propose(planner.plan(id, intent.clone()).ok()?)
         }
         Move::Confirm(index) => Body::Confirm(plan(index)?.id),
         Move::Drive(index, holder) => {
             let plan = plan(index)?;
-            Body::Drive {
-                plan: plan.id,
-                holder: *holder,
-                epoch: plan.driver.epoch + 1,
-            }
+            Body::Drive { plan: plan.id, holder: *holder, epoch: plan.driver.epoch + 1 }
         }
         Move::Permit(index, step) => Body::Permit(claim(index, step)?),
         Move::Assign(index, step) => Body::Assign(claim(index, step)?),
         Move::Finish(index, step, outcome) => Body::Finish(claim(index, step)?, *outcome),
-        Move::Control(index, action) => Body::Control {
-            plan: plan(index)?.id,
-            action: *action,
-        },
+        Move::Control(index, action) => Body::Control { plan: plan(index)?.id, action: *action },
         Move::Down(index) => Body::Down(name(index)),
         Move::Up(index) => Body::Up(name(index)),
         Move::Mark => Body::Mark { after: seen.marked },
@@ -205,20 +164,14 @@
     for service in after.services.values() {
         assert!(service.placed.is_disjoint(&service.starting));
         for id in service.placed.iter().chain(&service.starting) {
-            assert_eq!(
-                after.boxes[id].pool, service.pool,
-                "a job runs outside of its pool"
-            );
+            assert_eq!(after.boxes[id].pool, service.pool, "a job runs outside of its pool");
         }
     }
     if let (Body::Permit(claim), true) = (body, accepted) {
         let target = &after.plans[&claim.plan].steps[claim.step as usize].target;
         let pool = &after.boxes[target].pool;
         let budget = after.pools[pool].budget;
-        assert!(
-            out(after, pool).1 <= budget.max_out,
-            "{pool} is over its budget"
-        );
+        assert!(out(after, pool).1 <= budget.max_out, "{pool} is over its budget");
         for service in after.services.values() {
             let fell = after.up(service) < before.up(service);
             assert!(!fell || after.up(service) >= service.min_up);
@@ -234,7 +187,13 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        // The same runs each time: a verdict must not depend on luck.
+        rng_seed: RngSeed::Fixed(20_261_202),
+        ..ProptestConfig::default()
+    })]
 
     /// Actors that see the fleet late, and twice-sent batches, never break what must hold; a
     /// reader that starts from a snapshot, or sees more copies, ends with the same state.
@@ -321,15 +280,9 @@
         writer: 0,
         incarnation,
         sequence,
-        records: vec![Record {
-            id: 7,
-            body: Body::Down(vec!["box-1".into()]),
-        }],
+        records: vec![Record { id: 7, body: Body::Down(vec!["box-1".into()]) }],
     };
     assert!(fleet.apply(fleet.next, &batch(9, 1))[0].1.is_ok());
     let late = fleet.apply(fleet.next, &batch(1, 2));
-    assert!(
-        late[0].1.is_err(),
-        "an append of the life before lands late"
-    );
+    assert!(late[0].1.is_err(), "an append of the life before lands late");
 }
--- a/lib/tests/test_fresh.rs
+++ b/lib/tests/test_fresh.rs
@@ -1,16 +1,19 @@
 //! The freshness rule over random schedules: a daemon that serves by `log` or `peer` has applied
 //! everything that was on the log `max_age` ago, whatever was lost, late or doubled; one that
-//! serves by `quorum` knows all that any of its majority knew `max_age` ago.
+//! serves by `quorum` has applied all that any majority had applied `max_age` ago, whoever was
+//! replaced by an empty daemon meanwhile.
 
 use std::time::Duration;
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use spokelift_lib::coordination::fresh::Basis;
 use spokelift_lib::coordination::fresh::Heard;
 use spokelift_lib::coordination::fresh::Own;
+use spokelift_lib::coordination::fresh::completes;
 use spokelift_lib::coordination::fresh::judge;
 
-const DAEMONS: usize = 5;
+const DAEMONS: usize = 3;
 const MAX_AGE: u64 = 30;
 
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +32,14 @@
         took: u64,
         slack: u64,
     },
+    /// A read that does not reach the log's end.
+    ReadPart {
+        daemon: usize,
+    },
+    /// A daemon is replaced by an empty one.
+    Restart {
+        daemon: usize,
+    },
     /// A daemon takes what a peer has applied, as catching up does.
     CatchUp {
         daemon: usize,
@@ -42,17 +53,20 @@
     sent: u64,
     next: u64,
     log_age: Option<u64>,
+    complete: bool,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Daemon {
     next: u64,
     log_read: Option<u64>,
+    complete: bool,
+    started: u64,
     heard: [Option<(u64, Beat)>; DAEMONS],
 }
 
-/// What a daemon had applied, and when its last read of the log began.
-type Past = (u64, Option<u64>);
+/// What a daemon had applied, when its last read of the log began, whether it was complete.
+type Past = (u64, Option<u64>, bool);
 
 #[derive(Clone, Debug, Default)]
 struct World {
@@ -61,21 +75,33 @@
     daemons: [Daemon; DAEMONS],
     /// Every past moment, so that late messages carry what was true when they were sent.
     past: Vec<(u64, [Past; DAEMONS])>,
+    /// How much a majority had applied by when.
+    in_force: Vec<(u64, u64)>,
 }
 
 impl World {
     fn remember(&mut self) {
-        let state = self
-            .daemons
-            .each_ref()
-            .map(|daemon| (daemon.next, daemon.log_read));
+        let state =
+            self.daemons.each_ref().map(|daemon| (daemon.next, daemon.log_read, daemon.complete));
         self.past.push((self.now, state));
+        let mut next = self.daemons.each_ref().map(|daemon| daemon.next);
+        next.sort_unstable();
+        // The middle one: a majority has applied at least this much.
+        let majority = next[DAEMONS / 2];
+        let before = self.in_force.last().map_or(0, |(_, offset)| *offset);
+        self.in_force.push((self.now, majority.max(before)));
+    }
+
+    /// How much a majority had applied, at once, at or before a moment.
+    fn in_force_at(&self, moment: u64) -> u64 {
+        let known = self.in_force.iter().rev().find(|(time, _)| *time < moment);
+        known.map_or(0, |(_, offset)| *offset)
     }
 
     /// What a daemon was at a moment.
     fn at(&self, daemon: usize, moment: u64) -> Past {
         let state = self.past.iter().rev().find(|(time, _)| *time <= moment);
-        state.map_or((0, None), |(_, daemons)| daemons[daemon])
+        state.map_or((0, None, false), |(_, daemons)| daemons[daemon])
     }
 
     fn on_log_at(&self, moment: u64) -> u64 {
@@ -86,31 +112,34 @@
         match event {
             Event::Append => self.appended.push(self.now),
             Event::Read { daemon, took } => {
-                let begun = self.now.saturating_sub(took);
+                let begun = self.now.saturating_sub(took).max(self.daemons[daemon].started);
                 // The log answers with at least what was there when the read began.
                 let own = &mut self.daemons[daemon];
-                own.next = own
-                    .next
-                    .max(self.appended.iter().filter(|t| **t <= begun).count() as u64);
+                own.next =
+                    own.next.max(self.appended.iter().filter(|t| **t <= begun).count() as u64);
                 own.log_read = Some(own.log_read.unwrap_or(0).max(begun));
+                own.complete = true;
+            }
+            Event::ReadPart { daemon } => {
+                // The first page of a long log.
+                let half = self.appended.len() as u64 / 2;
+                let own = &mut self.daemons[daemon];
+                own.next = own.next.max(half);
+            }
+            Event::Restart { daemon } => {
+                self.daemons[daemon] = Daemon { started: self.now, ..Daemon::default() };
             }
-            Event::Beat {
-                from,
-                to,
-                took,
-                slack,
-            } if from != to => {
+            Event::Beat { from, to, took, slack } if from != to => {
                 let sent = self.now.saturating_sub(took);
-                let (next, log_read) = self.at(from, sent);
+                let (next, log_read, complete) = self.at(from, sent);
                 let log_age = log_read.map(|read| sent.saturating_sub(read));
+                // It echoes a beat of this life of the receiver, so it was sent in it.
+                let sent_after = sent.saturating_sub(slack);
+                let own_life = sent_after >= self.daemons[to].started;
                 let newer = self.daemons[to].heard[from].is_none_or(|(_, beat)| beat.sent < sent);
-                if newer {
-                    let beat = Beat {
-                        sent,
-                        next,
-                        log_age,
-                    };
-                    self.daemons[to].heard[from] = Some((sent.saturating_sub(slack), beat));
+                if newer && own_life {
+                    let beat = Beat { sent, next, log_age, complete };
+                    self.daemons[to].heard[from] = Some((sent_after, beat));
                 }
             }
             Event::Beat { .. } => {}
@@ -124,27 +153,20 @@
         self.remember();
     }
 
-    fn basis(&self, daemon: usize) -> Basis {
+    fn basis(&mut self, daemon: usize) -> Basis {
         let own = &self.daemons[daemon];
         let log_age = own.log_read.map(|read| millis(self.now - read));
         let heard = own.heard.iter().flatten().filter_map(|(sent_after, beat)| {
             let age = self.now - sent_after;
             let log_age = beat.log_age.map(|own| millis(own + age));
-            (age < MAX_AGE).then_some(Heard {
-                next: beat.next,
-                log_age,
-            })
+            (age < MAX_AGE).then_some(Heard { next: beat.next, log_age, complete: beat.complete })
         });
         let heard: Vec<Heard> = heard.collect();
-        judge(
-            Own {
-                next: own.next,
-                log_age,
-            },
-            &heard,
-            DAEMONS,
-            millis(MAX_AGE),
-        )
+        let alive = millis(self.now - own.started);
+        let own = Own { next: own.next, log_age, complete: own.complete, alive };
+        let max_age = millis(MAX_AGE);
+        self.daemons[daemon].complete |= completes(own, &heard, DAEMONS, max_age);
+        judge(own, &heard, DAEMONS, max_age)
     }
 }
 
@@ -159,12 +181,20 @@
         4 => (daemon(), 0u64..8).prop_map(|(daemon, took)| Event::Read { daemon, took }),
         8 => (daemon(), daemon(), 0u64..25, 0u64..4).prop_map(|(from, to, took, slack)| Event::Beat { from, to, took, slack }),
         3 => (daemon(), daemon()).prop_map(|(daemon, peer)| Event::CatchUp { daemon, peer }),
+        2 => daemon().prop_map(|daemon| Event::ReadPart { daemon }),
+        1 => daemon().prop_map(|daemon| Event::Restart { daemon }),
         5 => (1u64..12).prop_map(Event::Wait),
     ]
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 2000, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 6000,
+        failure_persistence: None,
+        // The same runs each time: a verdict must not depend on luck.
+        rng_seed: RngSeed::Fixed(20_261_202),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn who_serves_knows_what_was_in_force(schedule in prop::collection::vec(events(), 1..150)) {
@@ -180,10 +210,7 @@
                         prop_assert!(next >= world.on_log_at(then), "{daemon} is behind: {world:?}");
                     }
                     Basis::Quorum => {
-                        let heard = world.daemons[daemon].heard.iter().enumerate();
-                        for (peer, _) in heard.filter(|(_, heard)| heard.is_some_and(|(at, _)| at > then)) {
-                            prop_assert!(next >= world.at(peer, then).0);
-                        }
+                        prop_assert!(next >= world.in_force_at(then), "{daemon} knows less than a majority: {world:?}");
                     }
                     Basis::Stale => {}
                 }
--- a/lib/tests/test_takeover.rs
+++ b/lib/tests/test_takeover.rs
@@ -48,26 +48,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum At {
     Start,
-    Driving {
-        epoch: u32,
-    },
-    Permitted {
-        epoch: u32,
-        permit: Offset,
-        fence: Offset,
-    },
-    Drained {
-        epoch: u32,
-        permit: Offset,
-        fence: Offset,
-    },
-    Rebooted {
-        epoch: u32,
-        fence: Offset,
-    },
-    Resumed {
-        epoch: u32,
-    },
+    Driving { epoch: u32 },
+    Permitted { epoch: u32, permit: Offset, fence: Offset },
+    Drained { epoch: u32, permit: Offset, fence: Offset },
+    Rebooted { epoch: u32, fence: Offset },
+    Resumed { epoch: u32 },
     Over,
 }
 
@@ -94,64 +79,29 @@
     let text = "[[account]]\nname = \"a\"\n[[pool]]\nname = \"p\"\naccount = \"a\"\nmax_out = 1\n\
                 boxes = [\"box-0\", \"box-1\"]";
     let mut fleet = Fleet::default();
-    let change = Document::parse(text)
-        .unwrap()
-        .compile(&fleet, &shapes, &Scope::Site)
-        .unwrap();
+    let change = Document::parse(text).unwrap().compile(&fleet, &shapes, &Scope::Site).unwrap();
     let mut put = |body| {
         let sequence = fleet.next + 1;
-        let records = vec![Record {
-            id: sequence.into(),
-            body,
-        }];
-        let batch = Batch {
-            writer: 9,
-            incarnation: 1,
-            sequence,
-            records,
-        };
+        let records = vec![Record { id: sequence.into(), body }];
+        let batch = Batch { writer: 9, incarnation: 1, sequence, records };
         assert!(fleet.apply(fleet.next, &batch)[0].1.is_ok());
         fleet.clone()
     };
     let fleet = put(Body::Publish(change));
-    let planner = Planner {
-        fleet: &fleet,
-        shapes: &shapes,
-        scope: &Scope::Site,
-    };
-    let plan = planner
-        .plan(
-            PLAN,
-            Intent::Maintain {
-                pools: vec!["p".into()],
-            },
-        )
-        .unwrap();
+    let planner = Planner { fleet: &fleet, shapes: &shapes, scope: &Scope::Site };
+    let plan = planner.plan(PLAN, Intent::Maintain { pools: vec!["p".into()] }).unwrap();
     put(Body::Propose(plan));
     let fleet = put(Body::Confirm(PLAN));
     let worker = Worker::default();
-    World {
-        fleet,
-        worker,
-        drivers: [At::Start; 2],
-        sequences: [0; 2],
-    }
+    World { fleet, worker, drivers: [At::Start; 2], sequences: [0; 2] }
 }
 
 impl World {
     fn append(&mut self, who: usize, body: Body) -> Option<Offset> {
         self.sequences[who] += 1;
         let sequence = self.sequences[who];
-        let records = vec![Record {
-            id: u128::from(sequence) + 1000 * (who as u128 + 1),
-            body,
-        }];
-        let batch = Batch {
-            writer: who as u16,
-            incarnation: 1,
-            sequence,
-            records,
-        };
+        let records = vec![Record { id: u128::from(sequence) + 1000 * (who as u128 + 1), body }];
+        let batch = Batch { writer: who as u16, incarnation: 1, sequence, records };
         let verdict = self.fleet.apply(self.fleet.next, &batch).remove(0).1;
         verdict.ok()
     }
@@ -168,19 +118,11 @@
 
     /// One action of one driver. A driver that is refused stops, as the product's does.
     fn act(&mut self, who: usize, compare: bool) {
-        let claim = |epoch| Claim {
-            plan: PLAN,
-            epoch,
-            step: 0,
-        };
+        let claim = |epoch| Claim { plan: PLAN, epoch, step: 0 };
         self.drivers[who] = match self.drivers[who] {
             At::Start => {
                 let epoch = self.fleet.plans[&PLAN].driver.epoch + 1;
-                let drive = Body::Drive {
-                    plan: PLAN,
-                    holder: who as u16,
-                    epoch,
-                };
+                let drive = Body::Drive { plan: PLAN, holder: who as u16, epoch };
                 match self.append(who, drive) {
                     Some(_) => At::Driving { epoch },
                     None => At::Over,
@@ -191,35 +133,19 @@
                 let permit = begun.or_else(|| self.append(who, Body::Permit(claim(epoch))));
                 let current = self.fleet.plans[&PLAN].driver.epoch == epoch;
                 match permit {
-                    Some(permit) if current => At::Permitted {
-                        epoch,
-                        permit,
-                        fence: self.fence(),
-                    },
+                    Some(permit) if current => At::Permitted { epoch, permit, fence: self.fence() },
                     _ => At::Over,
                 }
             }
-            At::Permitted {
-                epoch,
-                permit,
-                fence,
-            } => {
+            At::Permitted { epoch, permit, fence } => {
                 if self.worker.takes(fence, compare) {
                     self.worker.draining = true;
-                    At::Drained {
-                        epoch,
-                        permit,
-                        fence,
-                    }
+                    At::Drained { epoch, permit, fence }
                 } else {
                     At::Over
                 }
             }
-            At::Drained {
-                epoch,
-                permit,
-                fence,
-            } => {
+            At::Drained { epoch, permit, fence } => {
                 if self.worker.takes(fence, compare) {
                     if self.worker.rebooted_for != Some(permit) || !compare {
                         assert!(self.worker.draining, "a box that serves was rebooted");
@@ -245,18 +171,11 @@
             }
             At::Over => At::Over,
         };
-        assert!(
-            self.worker.reboots <= 1,
-            "the box was rebooted twice for one step"
-        );
+        assert!(self.worker.reboots <= 1, "the box was rebooted twice for one step");
     }
 
     fn key(&self) -> (Vec<u8>, Worker, [At; 2]) {
-        (
-            snapshot::encode(&self.fleet),
-            self.worker.clone(),
-            self.drivers,
-        )
+        (snapshot::encode(&self.fleet), self.worker.clone(), self.drivers)
     }
 }
 
--- a/testutils/src/boxes.rs
+++ b/testutils/src/boxes.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::log::json;
+use crate::log::query;
 use crate::log::status;
 
 /// A running box list. Clones are the same list.
@@ -26,44 +27,58 @@
     stop: Arc<watch::Sender<bool>>,
 }
 
-#[derive(Default)]
 struct State {
-    list: List,
+    version: u64,
+    /// Each box with the version at which it last changed.
+    boxes: Vec<(u64, Listed)>,
     away: bool,
 }
 
+impl State {
+    /// Boxes that changed after a version.
+    fn after(&self, version: u64) -> List {
+        let changed = self.boxes.iter().filter(|(at, _)| *at > version);
+        let boxes = changed.map(|(_, listed)| listed.clone());
+        List {
+            version: self.version,
+            whole: version == 0,
+            boxes: boxes.collect(),
+            gone: Vec::new(),
+        }
+    }
+}
+
 impl Boxes {
     /// Starts a list on a port chosen by the system.
     pub async fn start(boxes: Vec<Listed>) -> std::io::Result<Boxes> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
         let inner = Arc::new(Mutex::new(State {
-            list: List { boxes },
+            version: 1,
+            boxes: boxes.into_iter().map(|listed| (1, listed)).collect(),
             away: false,
         }));
         let (stop, stopped) = watch::channel(false);
         let shared = inner.clone();
-        let handler = move |_: Request<Incoming>| {
+        let handler = move |request: Request<Incoming>| {
             let shared = shared.clone();
-            async move { answer(&shared) }
+            async move { answer(&shared, &request) }
         };
         tokio::spawn(serve(listener, stopped, handler));
-        Ok(Boxes {
-            addr,
-            inner,
-            stop: Arc::new(stop),
-        })
+        Ok(Boxes { addr, inner, stop: Arc::new(stop) })
     }
 
     /// Marks a box as leaving, or not.
     pub fn set_leaving(&self, name: &str, leaving: bool) {
         let mut state = self.inner.lock().expect("no holder panics");
-        let found = state
-            .list
-            .boxes
-            .iter_mut()
-            .filter(|listed| listed.name.as_ref() == name);
-        found.for_each(|listed| listed.leaving = leaving);
+        state.version += 1;
+        let version = state.version;
+        for (at, listed) in &mut state.boxes {
+            if listed.name.as_ref() == name {
+                listed.leaving = leaving;
+                *at = version;
+            }
+        }
     }
 
     /// Answers everything with 503, or no longer.
@@ -77,10 +92,10 @@
     }
 }
 
-fn answer(inner: &Mutex<State>) -> Response<Body> {
+fn answer(inner: &Mutex<State>, request: &Request<Incoming>) -> Response<Body> {
     let state = inner.lock().expect("no holder panics");
     if state.away {
         return status(503);
     }
-    json(&state.list)
+    json(&state.after(query(request, "after").unwrap_or(0)))
 }
