--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -62,9 +62,7 @@
 
 /// Sends a request to an entry box and returns what the caller was told.
 pub async fn call(dialer: &Dialer, entry: SocketAddr, call: &Call) -> Told {
-    let answer = dialer
-        .exchange(entry, call.request(), MAX_ANSWER, WAIT)
-        .await;
+    let answer = dialer.exchange(entry, call.request(), MAX_ANSWER, WAIT).await;
     match answer {
         Ok(answer) => read(call, &answer),
         // Nobody has heard of the request; a balancer would say so, too.
@@ -80,11 +78,7 @@
         Some(b"unknown") => Told::Unknown,
         Some(b"answered") => {
             let own = format!("{} ran {} bytes", call.token, call.body.len());
-            if answer.body().as_ref() == own.as_bytes() {
-                Told::Answered
-            } else {
-                Told::Crossed
-            }
+            if answer.body().as_ref() == own.as_bytes() { Told::Answered } else { Told::Crossed }
         }
         _ => Told::Nothing,
     }
@@ -109,11 +103,7 @@
     /// A balancer over these entry boxes, none of them known to be healthy.
     pub fn new(entries: Vec<SocketAddr>) -> Balancer {
         let healthy = Mutex::new(vec![false; entries.len()]);
-        Balancer {
-            entries,
-            healthy,
-            dialer: Dialer::new(HEALTH_WAIT),
-        }
+        Balancer { entries, healthy, dialer: Dialer::new(HEALTH_WAIT) }
     }
 
     /// A healthy entry box, chosen at random.
@@ -133,23 +123,14 @@
 
     /// Whether all entry boxes are healthy.
     pub fn all_healthy(&self) -> bool {
-        self.healthy
-            .lock()
-            .expect("no holder panics")
-            .iter()
-            .all(|healthy| *healthy)
+        self.healthy.lock().expect("no holder panics").iter().all(|healthy| *healthy)
     }
 
     /// Checks every entry box once.
     pub async fn check(&self) {
         for (index, addr) in self.entries.iter().enumerate() {
-            let request = Request::get(HEALTH)
-                .body(full(""))
-                .expect("a constant path is valid");
-            let answer = self
-                .dialer
-                .exchange(*addr, request, 1024, HEALTH_WAIT)
-                .await;
+            let request = Request::get(HEALTH).body(full("")).expect("a constant path is valid");
+            let answer = self.dialer.exchange(*addr, request, 1024, HEALTH_WAIT).await;
             let ok = answer.is_ok_and(|answer| answer.status().is_success());
             self.healthy.lock().expect("no holder panics")[index] = ok;
         }
--- a/testutils/src/entry.rs
+++ b/testutils/src/entry.rs
@@ -25,14 +25,9 @@
     /// Starts a daemon. Must not be called on a runtime's own thread.
     pub fn start(settings: Settings) -> io::Result<Entry> {
         let name = format!("entry-{}", settings.id);
-        let runtime = Builder::new_multi_thread()
-            .worker_threads(1)
-            .thread_name(name)
-            .enable_all()
-            .build()?;
-        let sockets = runtime
-            .block_on(Sockets::bind(&settings))
-            .map_err(io::Error::other)?;
+        let runtime =
+            Builder::new_multi_thread().worker_threads(1).thread_name(name).enable_all().build()?;
+        let sockets = runtime.block_on(Sockets::bind(&settings)).map_err(io::Error::other)?;
         let addrs = sockets.addrs()?;
         let (stop, stopping) = watch::channel(false);
         let (done, stopped) = oneshot::channel();
@@ -42,20 +37,12 @@
                 let _ = done.send(());
             }
         });
-        Ok(Entry {
-            addrs,
-            runtime: Some(runtime),
-            stop,
-            stopped: Some(stopped),
-        })
+        Ok(Entry { addrs, runtime: Some(runtime), stop, stopped: Some(stopped) })
     }
 
     /// Ends the daemon at once: its tasks stop where they are and its sockets close.
     pub fn kill(mut self) -> JoinHandle<()> {
-        let runtime = self
-            .runtime
-            .take()
-            .expect("only kill and stop take the runtime");
+        let runtime = self.runtime.take().expect("only kill and stop take the runtime");
         // A runtime waits for its threads when dropped, which must not be done on another one.
         std::thread::spawn(move || drop(runtime))
     }
--- a/testutils/src/fixture.rs
+++ b/testutils/src/fixture.rs
@@ -112,9 +112,7 @@
         for _ in 0..daemons {
             log_links.push(Proxy::start(log.addr).await?);
         }
-        let flags = flags
-            .iter()
-            .map(|(flag, value)| (*flag, (*value).to_owned()));
+        let flags = flags.iter().map(|(flag, value)| (*flag, (*value).to_owned()));
         let mut fixture = Fixture {
             site,
             ledger,
@@ -142,10 +140,7 @@
         let peers: Vec<String> = peers.collect();
         let mut flags = vec![
             ("id", id.to_string()),
-            (
-                "hall",
-                self.site.halls[id % self.site.halls.len()].to_owned(),
-            ),
+            ("hall", self.site.halls[id % self.site.halls.len()].to_owned()),
             ("peers", peers.join(",")),
             ("peer-secret", "fixture-peer-secret".to_owned()),
             ("log", self.log_links[id].addr.to_string()),
@@ -159,11 +154,7 @@
         ];
         flags.extend(self.flags.clone());
         let process = Process::start(&self.program, &flags)?;
-        for link in self
-            .peer_links
-            .iter()
-            .filter_map(|links| links[id].as_ref())
-        {
+        for link in self.peer_links.iter().filter_map(|links| links[id].as_ref()) {
             link.set_upstream(process.addrs.peer);
         }
         self.daemons[id] = Some(process);
@@ -172,25 +163,18 @@
 
     /// A daemon's process.
     pub fn daemon(&mut self, id: usize) -> &mut Process {
-        self.daemons[id]
-            .as_mut()
-            .expect("the test started this daemon")
+        self.daemons[id].as_mut().expect("the test started this daemon")
     }
 
     /// Sends a signal to a daemon.
     pub fn signal(&self, id: usize, signal: nix::sys::signal::Signal) -> io::Result<()> {
-        let daemon = self.daemons[id]
-            .as_ref()
-            .expect("the test started this daemon");
+        let daemon = self.daemons[id].as_ref().expect("the test started this daemon");
         daemon.signal(signal)
     }
 
     /// Where a daemon listens.
     pub fn addrs(&self, id: usize) -> spokelift_lib::daemon::Addrs {
-        self.daemons[id]
-            .as_ref()
-            .expect("the test started this daemon")
-            .addrs
+        self.daemons[id].as_ref().expect("the test started this daemon").addrs
     }
 
     /// Ends a daemon at once.
@@ -209,9 +193,8 @@
 
     /// Waits until every daemon that runs serves and hears all others that run.
     pub async fn until_serving(&self) {
-        let running: Vec<usize> = (0..self.daemons.len())
-            .filter(|id| self.daemons[*id].is_some())
-            .collect();
+        let running: Vec<usize> =
+            (0..self.daemons.len()).filter(|id| self.daemons[*id].is_some()).collect();
         self.until("every daemon serves", async || {
             for id in &running {
                 let (_, status) = self.operate(*id, "GET", "/v1/status", "").await;
@@ -257,9 +240,7 @@
 
     /// Publishes the site's configuration and places each service on all boxes of its pool.
     pub async fn set_up(&self) {
-        let (status, answer) = self
-            .operate(0, "POST", "/v1/publish", &self.site.config())
-            .await;
+        let (status, answer) = self.operate(0, "POST", "/v1/publish", &self.site.config()).await;
         assert_eq!(status, 200, "{answer}");
         for pool in self.site.pools {
             for (service, _) in pool.services {
@@ -291,9 +272,7 @@
 
     /// A plan as a daemon sees it.
     pub async fn plan(&self, id: usize, plan: &str) -> Value {
-        self.operate(id, "GET", &format!("/v1/plans/{plan}"), "")
-            .await
-            .1
+        self.operate(id, "GET", &format!("/v1/plans/{plan}"), "").await.1
     }
 
     /// Waits until a plan is over.
@@ -335,10 +314,7 @@
         request: Request<spokelift_lib::transport::dial::Body>,
     ) -> Option<Response<Bytes>> {
         let addr = self.addrs(id).call;
-        self.dialer
-            .exchange(addr, request, 1 << 20, WAIT)
-            .await
-            .ok()
+        self.dialer.exchange(addr, request, 1 << 20, WAIT).await.ok()
     }
 }
 
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -143,13 +143,8 @@
 impl Ledger {
     /// A ledger that judges budgets by these pools.
     pub fn new(pools: Vec<Pool>) -> Ledger {
-        let inner = Inner {
-            pools,
-            ..Inner::default()
-        };
-        Ledger {
-            inner: Arc::new(Mutex::new(inner)),
-        }
+        let inner = Inner { pools, ..Inner::default() };
+        Ledger { inner: Arc::new(Mutex::new(inner)) }
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
@@ -174,21 +169,14 @@
         inner.calls.entry(token).or_default().runs += 1;
         let state = inner.boxes.entry(target.clone()).or_default();
         state.inflight.insert(token);
-        let late = state
-            .draining_since
-            .is_some_and(|since| since.elapsed() > LEAVING_GRACE);
+        let late = state.draining_since.is_some_and(|since| since.elapsed() > LEAVING_GRACE);
         inner.work_after_leaving += u64::from(late);
     }
 
     /// A worker has run a request, or its caller has gone.
     pub fn ended(&self, target: &BoxId, token: Token) {
         let mut inner = self.inner();
-        inner
-            .boxes
-            .entry(target.clone())
-            .or_default()
-            .inflight
-            .remove(&token);
+        inner.boxes.entry(target.clone()).or_default().inflight.remove(&token);
     }
 
     /// A request came when all slots of its box were taken.
@@ -253,10 +241,7 @@
     /// Tokens of requests that a worker ran more than once although they are not repeatable.
     pub fn doubled(&self) -> Vec<Token> {
         let inner = self.inner();
-        let doubled = inner
-            .calls
-            .iter()
-            .filter(|(_, call)| !call.repeatable && call.runs > 1);
+        let doubled = inner.calls.iter().filter(|(_, call)| !call.repeatable && call.runs > 1);
         doubled.map(|(token, _)| *token).collect()
     }
 
@@ -313,9 +298,7 @@
         let is_own = |state: &&BoxState| state.pool == Some(pool) && !state.in_transit;
         let own = self.boxes.values().filter(is_own);
         let out = own.filter(|state| {
-            let dead = state
-                .dead_since
-                .is_some_and(|since| since.elapsed() > NOTICE);
+            let dead = state.dead_since.is_some_and(|since| since.elapsed() > NOTICE);
             dead || state.out_since.is_some()
         });
         out.count()
--- a/testutils/src/log.rs
+++ b/testutils/src/log.rs
@@ -76,14 +76,8 @@
         let inner = Arc::new(Inner::default());
         let (stop, stopped) = watch::channel(false);
         let shared = inner.clone();
-        tokio::spawn(serve(listener, stopped, move |request| {
-            answer(shared.clone(), request)
-        }));
-        Ok(Log {
-            addr,
-            inner,
-            stop: Arc::new(stop),
-        })
+        tokio::spawn(serve(listener, stopped, move |request| answer(shared.clone(), request)));
+        Ok(Log { addr, inner, stop: Arc::new(stop) })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -158,11 +152,7 @@
             }
             records.push(Item::new(self.first + index as Offset, record));
         }
-        Page {
-            first: self.first,
-            next: self.next(),
-            records,
-        }
+        Page { first: self.first, next: self.next(), records }
     }
 }
 
@@ -204,15 +194,9 @@
 }
 
 async fn read(inner: &Inner, request: Request<Incoming>) -> Response<Body> {
-    let query = request.uri().query().unwrap_or_default();
-    let field = |name: &str| {
-        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        let value = pairs.find(|(key, _)| *key == name);
-        value.and_then(|(_, value)| value.parse::<u64>().ok())
-    };
-    let from = field("from").unwrap_or(0);
-    let max = field("max").unwrap_or(100) as usize;
-    let wait = Duration::from_millis(field("wait_ms").unwrap_or(0));
+    let from = query(&request, "from").unwrap_or(0);
+    let max = query(&request, "max").unwrap_or(100) as usize;
+    let wait = Duration::from_millis(query(&request, "wait_ms").unwrap_or(0));
     let grown = inner.grown.notified();
     let mut grown = std::pin::pin!(grown);
     grown.as_mut().enable();
@@ -230,6 +214,14 @@
     json(&page)
 }
 
+/// A number in a request's query.
+pub(crate) fn query(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    let query = request.uri().query().unwrap_or_default();
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| *key == name)?;
+    value.parse().ok()
+}
+
 pub(crate) fn json<T: serde::Serialize>(value: &T) -> Response<Body> {
     let body = serde_json::to_vec(value).expect("the protocol's types can be written as JSON");
     Response::new(full(body))
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -26,10 +26,7 @@
         for (flag, value) in flags {
             command.arg(format!("--{flag}")).arg(value);
         }
-        let mut child = command
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()?;
+        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn()?;
         let stdout = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
         let mut line = String::new();
         BufReader::new(stdout).read_line(&mut line)?;
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -48,6 +50,7 @@
     pub addr: SocketAddr,
     upstream: Arc<Mutex<SocketAddr>>,
     fault: Arc<watch::Sender<Fault>>,
+    passed: Arc<AtomicU64>,
     task: Arc<AbortOnDrop>,
 }
 
@@ -71,14 +74,10 @@
         let addr = listener.local_addr()?;
         let upstream = Arc::new(Mutex::new(upstream));
         let (fault, faults) = watch::channel(Fault::default());
-        let task = tokio::spawn(accept(listener, upstream.clone(), faults));
+        let passed = Arc::new(AtomicU64::new(0));
+        let task = tokio::spawn(accept(listener, upstream.clone(), faults, passed.clone()));
         let task = Arc::new(AbortOnDrop(task.abort_handle()));
-        Ok(Proxy {
-            addr,
-            upstream,
-            fault: Arc::new(fault),
-            task,
-        })
+        Ok(Proxy { addr, upstream, fault: Arc::new(fault), passed, task })
     }
 
     /// Sends later connections elsewhere.
@@ -92,6 +91,11 @@
         self.fault.send_replace(fault);
     }
 
+    /// Bytes passed on so far, both ways.
+    pub fn passed(&self) -> u64 {
+        self.passed.load(Ordering::SeqCst)
+    }
+
     /// Whether the proxy still runs.
     pub fn is_running(&self) -> bool {
         !self.task.0.is_finished()
@@ -102,14 +106,20 @@
     listener: TcpListener,
     upstream: Arc<Mutex<SocketAddr>>,
     faults: watch::Receiver<Fault>,
+    passed: Arc<AtomicU64>,
 ) {
     while let Ok((client, _)) = listener.accept().await {
         let to = *upstream.lock().expect("no holder panics");
-        tokio::spawn(pass(client, to, faults.clone()));
+        tokio::spawn(pass(client, to, faults.clone(), passed.clone()));
     }
 }
 
-async fn pass(client: TcpStream, to: SocketAddr, faults: watch::Receiver<Fault>) {
+async fn pass(
+    client: TcpStream,
+    to: SocketAddr,
+    faults: watch::Receiver<Fault>,
+    passed: Arc<AtomicU64>,
+) {
     if faults.borrow().refuse {
         return;
     }
@@ -123,8 +133,8 @@
     let mut refusals = faults.clone();
     // The first direction to end, or a refusal, cuts both.
     tokio::select! {
-        () = copy(client_read, server_write, faults.clone(), |fault| fault.request) => {}
-        () = copy(server_read, client_write, faults, |fault| fault.answer) => {}
+        () = copy(client_read, server_write, faults.clone(), &passed, |fault| fault.request) => {}
+        () = copy(server_read, client_write, faults, &passed, |fault| fault.answer) => {}
         _ = refusals.wait_for(|fault| fault.refuse) => {}
     }
 }
@@ -133,6 +143,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut faults: watch::Receiver<Fault>,
+    all: &AtomicU64,
     flow: impl Fn(&Fault) -> Flow,
 ) {
     let mut buffer = vec![0; 16 * 1024];
@@ -158,6 +169,7 @@
             return;
         }
         passed += bytes.len() as u64;
+        all.fetch_add(bytes.len() as u64, Ordering::SeqCst);
         if bytes.len() < read || now == Flow::CutAfter(passed) {
             return;
         }
@@ -198,22 +210,10 @@
         let upstream = Arc::new(Mutex::new(upstream));
         let fault = Arc::new(Mutex::new(Datagrams::default()));
         let seen = Arc::new(Mutex::new(Vec::new()));
-        let work = relay(
-            socket.clone(),
-            upstream.clone(),
-            fault.clone(),
-            seen.clone(),
-        );
+        let work = relay(socket.clone(), upstream.clone(), fault.clone(), seen.clone());
         let task = tokio::spawn(work);
         let _task = Arc::new(AbortOnDrop(task.abort_handle()));
-        Ok(Relay {
-            addr,
-            upstream,
-            fault,
-            seen,
-            socket,
-            _task,
-        })
+        Ok(Relay { addr, upstream, fault, seen, socket, _task })
     }
 
     /// Sends later datagrams elsewhere.
@@ -315,13 +315,7 @@
 
     /// Cuts the link, or mends it.
     pub fn set_cut(&self, cut: bool) {
-        self.datagrams.set(Datagrams {
-            drop: cut,
-            ..Datagrams::default()
-        });
-        self.streams.set(Fault {
-            refuse: cut,
-            ..Fault::default()
-        });
+        self.datagrams.set(Datagrams { drop: cut, ..Datagrams::default() });
+        self.streams.set(Fault { refuse: cut, ..Fault::default() });
     }
 }
--- a/testutils/src/scenario.rs
+++ b/testutils/src/scenario.rs
@@ -43,15 +43,11 @@
 /// Runs the scenario file at `path` with daemons of `program`; panics where it differs.
 pub fn run(program: &str, path: &str) {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime can be made");
-    let mut world = World {
-        program: program.to_owned(),
-        ..World::default()
-    };
+    let mut world = World { program: program.to_owned(), ..World::default() };
     datadriven::walk(path, |file| {
         file.run(|case| {
             let mut said = runtime.block_on(world.step(case));
-            case.expect_empty()
-                .expect("every argument is one of the word's");
+            case.expect_empty().expect("every argument is one of the word's");
             said.push('\n');
             said
         });
@@ -93,9 +89,7 @@
 
 impl World {
     fn fixture(&self) -> &Fixture {
-        self.fixture
-            .as_ref()
-            .expect("a scenario begins with a site")
+        self.fixture.as_ref().expect("a scenario begins with a site")
     }
 
     async fn step(&mut self, case: &mut TestCase) -> String {
@@ -122,14 +116,10 @@
     async fn site(&mut self, case: &mut TestCase) -> String {
         self.daemons = arg(case, "daemons");
         let given = SITE_FLAGS.map(|flag| (flag, maybe::<String>(case, flag)));
-        let flags: Vec<(&'static str, String)> = given
-            .into_iter()
-            .filter_map(|(flag, value)| Some((flag, value?)))
-            .collect();
-        let flags: Vec<(&'static str, &str)> = flags
-            .iter()
-            .map(|(flag, value)| (*flag, value.as_str()))
-            .collect();
+        let flags: Vec<(&'static str, String)> =
+            given.into_iter().filter_map(|(flag, value)| Some((flag, value?))).collect();
+        let flags: Vec<(&'static str, &str)> =
+            flags.iter().map(|(flag, value)| (*flag, value.as_str())).collect();
         let fixture = Fixture::start(&self.program, self.daemons, &flags).await;
         let fixture = fixture.expect("the site starts");
         fixture.set_up().await;
@@ -145,20 +135,14 @@
             "[[pool]]\nname = \"front\"\naccount = \"clinics\"\nweigh = \"buffer\"\n\
              drain_limit_s = 15\nmaintenance_s = 2\nmax_out = {max_out}\n"
         );
-        let answer = self
-            .fixture()
-            .operate(daemon, "POST", "/v1/publish", &text)
-            .await;
+        let answer = self.fixture().operate(daemon, "POST", "/v1/publish", &text).await;
         verdict(&answer)
     }
 
     async fn intent(&mut self, case: &mut TestCase) -> String {
         let daemon = arg(case, "daemon");
         let name: String = arg(case, "as");
-        let answer = self
-            .fixture()
-            .operate(daemon, "POST", "/v1/intents", &case.input)
-            .await;
+        let answer = self.fixture().operate(daemon, "POST", "/v1/intents", &case.input).await;
         match answer.1["id"].as_str() {
             Some(id) => {
                 self.plans.insert(name, id.to_owned());
@@ -213,15 +197,11 @@
         let reached = async || {
             let plan = fixture.plan(daemon, self.plan_id(name)).await;
             let enough = ended.is_none_or(|ended| plan["finished"].as_u64() >= Some(ended));
-            let there = phase
-                .as_ref()
-                .is_none_or(|phase| plan["phase"] == phase.as_str());
+            let there = phase.as_ref().is_none_or(|phase| plan["phase"] == phase.as_str());
             let started = !begun || is_begun(&plan);
             enough && there && started && plan["id"].is_string()
         };
-        fixture
-            .until(&format!("plan {name} is so far"), reached)
-            .await;
+        fixture.until(&format!("plan {name} is so far"), reached).await;
     }
 
     async fn until_daemon(&self, case: &mut TestCase) {
@@ -232,9 +212,7 @@
                 let (_, status) = fixture.operate(daemon, "GET", "/v1/status", "").await;
                 status["basis"] == basis.as_str()
             };
-            fixture
-                .until(&format!("daemon {daemon} serves by {basis}"), reached)
-                .await;
+            fixture.until(&format!("daemon {daemon} serves by {basis}"), reached).await;
         }
         if let Some(counter) = maybe::<String>(case, "counter") {
             let min: u64 = arg(case, "min");
@@ -246,12 +224,7 @@
                 let (_, pools) = fixture.operate(daemon, "GET", "/v1/pools", "").await;
                 pools[0]["max_out"] == max_out
             };
-            fixture
-                .until(
-                    &format!("daemon {daemon} has the budget {max_out}"),
-                    reached,
-                )
-                .await;
+            fixture.until(&format!("daemon {daemon} has the budget {max_out}"), reached).await;
         }
     }
 
@@ -286,17 +259,13 @@
     fn cut(&mut self, case: &mut TestCase, cut: bool) -> String {
         let fixture = self.fixture();
         if let Some(daemon) = maybe::<usize>(case, "log") {
-            let fault = Fault {
-                refuse: cut,
-                ..Default::default()
-            };
+            let fault = Fault { refuse: cut, ..Default::default() };
             fixture.log_links[daemon].set(fault);
         }
         if let Some(daemon) = maybe::<usize>(case, "peers") {
             for (from, to) in self.links_of(daemon) {
                 let link = fixture.peer_links[from][to].as_ref();
-                link.expect("there is a link between two daemons")
-                    .set_cut(cut);
+                link.expect("there is a link between two daemons").set_cut(cut);
             }
         }
         "set".to_owned()
@@ -306,16 +275,10 @@
         let daemon: usize = arg(case, "peers");
         let delay = Duration::from_millis(maybe(case, "ms").unwrap_or(0));
         let double = flag(case, "double");
-        let fault = Datagrams {
-            delay,
-            double,
-            ..Datagrams::default()
-        };
+        let fault = Datagrams { delay, double, ..Datagrams::default() };
         for (from, to) in self.links_of(daemon) {
             let link = self.fixture().peer_links[from][to].as_ref();
-            link.expect("there is a link between two daemons")
-                .datagrams
-                .set(fault);
+            link.expect("there is a link between two daemons").datagrams.set(fault);
         }
         "set".to_owned()
     }
@@ -323,18 +286,14 @@
     /// The links to and from a daemon.
     fn links_of(&self, daemon: usize) -> Vec<(usize, usize)> {
         let others = (0..self.daemons).filter(|other| *other != daemon);
-        others
-            .flat_map(|other| [(daemon, other), (other, daemon)])
-            .collect()
+        others.flat_map(|other| [(daemon, other), (other, daemon)]).collect()
     }
 
     fn process(&mut self, case: &mut TestCase) -> String {
         let word = case.directive.clone();
         if let Some(worker) = maybe::<String>(case, "worker") {
             let workers = &self.fixture().workers;
-            let found = workers
-                .iter()
-                .find(|own| own.listed.name.as_ref() == worker);
+            let found = workers.iter().find(|own| own.listed.name.as_ref() == worker);
             found.expect("the site has this box").kill();
             return "set".to_owned();
         }
@@ -344,10 +303,7 @@
     }
 
     fn act(&mut self, word: &str, daemon: usize) {
-        let fixture = self
-            .fixture
-            .as_mut()
-            .expect("a scenario begins with a site");
+        let fixture = self.fixture.as_mut().expect("a scenario begins with a site");
         match word {
             "kill" => {
                 fixture.kill_daemon(daemon);
@@ -358,15 +314,11 @@
                 self.running.insert(daemon);
             }
             "pause" => {
-                fixture
-                    .signal(daemon, Signal::SIGSTOP)
-                    .expect("the daemon runs");
+                fixture.signal(daemon, Signal::SIGSTOP).expect("the daemon runs");
                 self.running.remove(&daemon);
             }
             "resume" => {
-                fixture
-                    .signal(daemon, Signal::SIGCONT)
-                    .expect("the daemon is there");
+                fixture.signal(daemon, Signal::SIGCONT).expect("the daemon is there");
                 self.running.insert(daemon);
             }
             word => panic!("there is no word {word}"),
@@ -376,10 +328,7 @@
     async fn driver(&mut self, case: &mut TestCase) -> String {
         let word: String = arg(case, "do");
         if let Some(plan) = maybe::<String>(case, "plan") {
-            let plan = self
-                .fixture()
-                .plan(self.anyone(), self.plan_id(&plan))
-                .await;
+            let plan = self.fixture().plan(self.anyone(), self.plan_id(&plan)).await;
             self.driver = plan["holder"].as_u64().map(|holder| holder as usize);
         }
         let driver = self.driver.expect("the plan has a driver");
@@ -401,20 +350,12 @@
         };
         fixture.until("all have applied the same", settled).await;
         let distinct: BTreeSet<String> = views.iter().map(|view| format!("{view:?}")).collect();
-        if distinct.len() == 1 {
-            "alike".to_owned()
-        } else {
-            format!("{distinct:#?}")
-        }
+        if distinct.len() == 1 { "alike".to_owned() } else { format!("{distinct:#?}") }
     }
 
     fn ledger(&self) -> String {
         let violations = self.fixture().ledger.counts().violations();
-        if violations.is_empty() {
-            "clean".to_owned()
-        } else {
-            violations.join("\n")
-        }
+        if violations.is_empty() { "clean".to_owned() } else { violations.join("\n") }
     }
 }
 
@@ -438,11 +379,7 @@
 
 fn is_begun(plan: &Value) -> bool {
     let steps = plan["steps"].as_array();
-    steps.is_some_and(|steps| {
-        steps
-            .iter()
-            .any(|step| step["progress"].get("out").is_some())
-    })
+    steps.is_some_and(|steps| steps.iter().any(|step| step["progress"].get("out").is_some()))
 }
 
 async fn view(fixture: &Fixture, daemon: usize) -> Vec<Value> {
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -108,9 +108,7 @@
 impl Site {
     /// The site of this name.
     pub fn named(name: &str) -> Option<Site> {
-        [ULAANBAATAR, DAKAR]
-            .into_iter()
-            .find(|site| site.name == name)
+        [ULAANBAATAR, DAKAR].into_iter().find(|site| site.name == name)
     }
 
     /// How many boxes it has.
--- a/testutils/src/worker.rs
+++ b/testutils/src/worker.rs
@@ -245,32 +245,18 @@
     fn drop(&mut self) {
         let mut state = self.worker.state();
         state.inflight = state.inflight.saturating_sub(1);
-        self.worker
-            .inner
-            .ledger
-            .ended(&self.worker.listed.name, self.token);
+        self.worker.inner.ledger.ended(&self.worker.listed.name, self.token);
     }
 }
 
 async fn work(worker: Worker, path: &str, request: Request<Incoming>) -> Response<Body> {
-    let job = path
-        .strip_prefix(WORK)
-        .and_then(|rest| rest.strip_prefix('/'));
+    let job = path.strip_prefix(WORK).and_then(|rest| rest.strip_prefix('/'));
     let Some((account, service)) = job.and_then(|job| job.split_once('/')) else {
         return status(404);
     };
-    let header = |name: &str| {
-        request
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-    };
-    let token: Token = header(TOKEN)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
-    let run_ms: u64 = header(RUN_MS)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(1);
+    let header = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let token: Token = header(TOKEN).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let run_ms: u64 = header(RUN_MS).and_then(|text| text.parse().ok()).unwrap_or(1);
     let id = header(REQUEST).unwrap_or_default().to_owned();
     let key: ServiceKey = (account.into(), service.into());
     if let Some(reason) = worker.turn_away(&key) {
@@ -312,18 +298,11 @@
             state.served += 1;
         }
         self.inner.ledger.begun(&self.listed.name, token);
-        Running {
-            worker: self.clone(),
-            token,
-        }
+        Running { worker: self.clone(), token }
     }
 
     fn respond(&self, token: Token, id: &str, body: Bytes, faults: Faults) -> Response<Body> {
-        let id = if faults.wrong_id {
-            "00000000000000000000000000000000"
-        } else {
-            id
-        };
+        let id = if faults.wrong_id { "00000000000000000000000000000000" } else { id };
         let mut response = Response::builder().header(TOKEN, token).header(REQUEST, id);
         if self.state().draining {
             response = response.header(LEAVING, "true");
@@ -334,19 +313,13 @@
         } else {
             full(whole)
         };
-        response
-            .body(body)
-            .expect("numbers and digits make headers")
+        response.body(body).expect("numbers and digits make headers")
     }
 }
 
 /// A body that announces `length` bytes and ends in an error after `start`.
 fn cut_body(length: u64, start: Bytes) -> Body {
-    Cut {
-        length,
-        start: Some(start),
-    }
-    .boxed_unsync()
+    Cut { length, start: Some(start) }.boxed_unsync()
 }
 
 struct Cut {
