--- a/cli/src/bench/state.rs
+++ b/cli/src/bench/state.rs
@@ -87,6 +87,36 @@
     baseline_ready_ms: f64,
 }
 
+/// Encoded bytes of one of each kind of object, at the largest size.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct BytesEach {
+    account: f64,
+    pool: f64,
+    service: f64,
+    placed_box: f64,
+    plan_step: f64,
+    verdict: f64,
+}
+
+impl BytesEach {
+    fn of(fleet: &Fleet) -> BytesEach {
+        let steps = fleet.plans.values().map(|plan| plan.steps.len()).sum::<usize>();
+        BytesEach {
+            account: each(&fleet.accounts, fleet.accounts.len()),
+            pool: each(&fleet.pools, fleet.pools.len()),
+            service: each(&fleet.services, fleet.services.len()),
+            placed_box: each(&fleet.boxes, fleet.boxes.len()),
+            plan_step: each(&fleet.plans, steps),
+            verdict: each(&fleet.verdicts, fleet.verdicts.len()),
+        }
+    }
+}
+
+fn each<T: Serialize>(objects: &T, count: usize) -> f64 {
+    let bytes = postcard::experimental::serialized_size(objects).unwrap_or(0);
+    bytes as f64 / count.max(1) as f64
+}
+
 /// What control costs one daemon, at the largest size.
 #[derive(Clone, Copy, Debug, Serialize)]
 struct Control {
@@ -124,6 +154,7 @@
     control_bytes_per_s: f64,
     core_percent: f64,
     baseline_ready_ms: f64,
+    bytes_each: BytesEach,
     control: Control,
     sizes: Vec<Row>,
     slopes: Slopes,
@@ -160,6 +191,7 @@
     let target = start_target().await?;
     let mut sizes = Vec::new();
     let mut control = None;
+    let mut bytes_each = None;
     for part in [8, 4, 2, 1] {
         let size = Size {
             boxes: args.boxes / part,
@@ -169,14 +201,16 @@
         let mut history = History::new(size, target.link.addr);
         sizes.push(row(size, &mut history).await?);
         if part == 1 {
+            bytes_each = Some(BytesEach::of(&history.fleet));
             control = Some(measure_control(&history, &target).await?);
         }
     }
     let control = control.expect("the largest size was measured");
-    Ok(report(args, sizes, control))
+    let bytes_each = bytes_each.expect("the largest size was measured");
+    Ok(report(args, sizes, bytes_each, control))
 }
 
-fn report(args: &BenchState, sizes: Vec<Row>, control: Control) -> Report {
+fn report(args: &BenchState, sizes: Vec<Row>, bytes_each: BytesEach, control: Control) -> Report {
     let full = sizes.last().expect("four sizes were measured").clone();
     let by_boxes =
         |value: fn(&Row) -> f64| fit(sizes.iter().map(|row| (row.boxes.into(), value(row))));
@@ -209,6 +243,7 @@
             + snapshot_bytes_per_s,
         core_percent: control.idle_core_percent + control.core_ms_per_change * changes_per_s / 10.0,
         baseline_ready_ms: full.baseline_ready_ms,
+        bytes_each,
         control,
         sizes,
         slopes,
@@ -562,6 +597,12 @@
     let control = &report.control;
     let rows = [
         ("snapshot bytes per box", format!("{:.0}", report.slopes.snapshot_bytes_per_box.per)),
+        ("bytes: account", format!("{:.0}", report.bytes_each.account)),
+        ("bytes: pool, with the names in it", format!("{:.0}", report.bytes_each.pool)),
+        ("bytes: service, with its places", format!("{:.0}", report.bytes_each.service)),
+        ("bytes: box", format!("{:.0}", report.bytes_each.placed_box)),
+        ("bytes: step of a plan", format!("{:.0}", report.bytes_each.plan_step)),
+        ("bytes: verdict", format!("{:.0}", report.bytes_each.verdict)),
         ("verdicts kept", MAX_VERDICTS.to_string()),
         ("control, bytes/s idle", format!("{:.0}", control.idle_bytes_per_s)),
         ("  heartbeats", format!("{:.0}", control.idle_peer_bytes_per_s)),
--- a/cli/tests/test_scenarios.rs
+++ b/cli/tests/test_scenarios.rs
@@ -31,6 +31,8 @@
     driver_killed = "driver-killed";
     cut_off = "cut-off";
     late_heartbeats = "late-heartbeats";
+    half_open = "half-open";
+    lapsed_log = "lapsed-log";
     log_outage = "log-outage";
     all_restart = "all-restart";
     retention = "retention";
--- a/testutils/src/fixture.rs
+++ b/testutils/src/fixture.rs
@@ -186,11 +186,24 @@
     pub async fn until(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
         let begun = Instant::now();
         while !holds().await {
-            assert!(begun.elapsed() < PATIENCE, "waited in vain until {what}");
+            if begun.elapsed() > PATIENCE {
+                panic!("waited in vain until {what}\n{}", self.report().await);
+            }
             sleep(LOOK).await;
         }
     }
 
+    /// What the daemons that answer say of themselves, for whoever reads a failed test.
+    async fn report(&self) -> String {
+        let mut report = String::new();
+        for id in (0..self.daemons.len()).filter(|id| self.daemons[*id].is_some()) {
+            let (_, status) = self.operate(id, "GET", "/v1/status", "").await;
+            let (_, counters) = self.operate(id, "GET", "/v1/counters", "").await;
+            report += &format!("daemon {id}: {status}\n{counters:#}\n");
+        }
+        report
+    }
+
     /// Waits until every daemon that runs serves and hears all others that run.
     pub async fn until_serving(&self) {
         let running: Vec<usize> =
--- a/testutils/src/scenario.rs
+++ b/testutils/src/scenario.rs
@@ -16,6 +16,8 @@
 //! | `log away`, `back`, `lose-answers=N`, `double=N`, `delay-ms=N` | the log's faults | |
 //! | `log keep-snapshot`, `keep=N` | the log lets go of what is before its last snapshot, or all but the last records | |
 //! | `cut log=N`, `cut peers=N`, `mend …` | a daemon's links | |
+//! | `hold log=N` | a daemon's connections to the log stay open and carry nothing | |
+//! | `deafen daemon=N from=M` | heartbeats one way are lost | |
 //! | `slow peers=N ms=M`, `slow peers=N double` | a daemon's heartbeats: late, or twice | |
 //! | `kill daemon=N`, `start`, `pause`, `resume`; `kill worker=NAME` | processes | |
 //! | `driver plan=NAME do=kill`, `pause`, `resume` | the same for whoever drives the plan | |
@@ -39,6 +41,7 @@
 use crate::log::Log;
 use crate::proxy::Datagrams;
 use crate::proxy::Fault;
+use crate::proxy::Flow;
 
 /// Runs the scenario file at `path` with daemons of `program`; panics where it differs.
 pub fn run(program: &str, path: &str) {
@@ -105,6 +108,8 @@
             "cut" => self.cut(case, true),
             "mend" => self.cut(case, false),
             "slow" => self.slow(case),
+            "hold" => self.hold(case),
+            "deafen" => self.deafen(case),
             "kill" | "start" | "pause" | "resume" => self.process(case),
             "driver" => self.driver(case).await,
             "alike" => self.alike().await,
@@ -271,6 +276,22 @@
         "set".to_owned()
     }
 
+    fn hold(&mut self, case: &mut TestCase) -> String {
+        let daemon: usize = arg(case, "log");
+        let fault = Fault { request: Flow::Hold, answer: Flow::Hold, refuse: false };
+        self.fixture().log_links[daemon].set(fault);
+        "set".to_owned()
+    }
+
+    fn deafen(&mut self, case: &mut TestCase) -> String {
+        let daemon: usize = arg(case, "daemon");
+        let from: usize = arg(case, "from");
+        let link = self.fixture().peer_links[from][daemon].as_ref();
+        let link = link.expect("there is a link between two daemons");
+        link.datagrams.set(Datagrams { drop: true, ..Datagrams::default() });
+        "set".to_owned()
+    }
+
     fn slow(&mut self, case: &mut TestCase) -> String {
         let daemon: usize = arg(case, "peers");
         let delay = Duration::from_millis(maybe(case, "ms").unwrap_or(0));
