state: quotas of slots, and a step that is refused ends

Cause: the configuration had no quotas, and a step that takes no box out and was refused by the log's rule was asked again every 300 ms for ever, one append each: a quota lowered after planning would have done that. No test cut the box list off.

Change: quota_slots for an account, judged by the planner and by the fold when a job is placed; such a step ends as refused; the box list has a proxy and a scenario in which it is away during a wave.

Conclusion: a quota is a plain limit; borrowing of idle quota is not built.

--- a/cli/tests/test_bad_input.rs
+++ b/cli/tests/test_bad_input.rs
@@ -247,3 +247,34 @@
         .await;
     fixture.until_serving().await;
 }
+
+#[tokio::test]
+async fn a_quota_limits_what_an_account_places_and_no_other() {
+    let fixture = small_site().await;
+    let quota = "[[account]]\nname = \"clinics\"\nquota_slots = 50\n";
+    let (status, answer) = fixture.operate(0, "POST", "/v1/publish", quota).await;
+    assert_eq!(status, 200, "{answer}");
+    let service = "[[service]]\nname = \"screening\"\naccount = \"clinics\"\npool = \"front\"\n\
+                   slots = 2\n";
+    let (status, answer) = fixture.operate(0, "POST", "/v1/publish", service).await;
+    assert_eq!(status, 200, "{answer}");
+    // Eight jobs of booking take up 48 slots.
+    let place = |replicas| {
+        format!(
+            r#"{{"place":{{"account":"clinics","service":"screening","replicas":{replicas}}}}}"#
+        )
+    };
+    let (status, answer) = fixture.operate(0, "POST", "/v1/intents", &place(2)).await;
+    assert_eq!((status, &answer["cause"]["reason"]), (422, &"quota".into()), "{answer}");
+    // A quota that is lowered after the plan was made ends the step; nothing is asked again.
+    let plan = fixture.proposed(0, &place(1)).await;
+    let (status, _) = fixture.operate(0, "POST", "/v1/publish", &quota.replace("50", "48")).await;
+    assert_eq!(status, 200);
+    let (status, answer) =
+        fixture.operate(0, "POST", &format!("/v1/plans/{plan}/confirm"), "").await;
+    assert_eq!(status, 200, "{answer}");
+    fixture.until_over(0, &plan).await;
+    let step = fixture.plan(0, &plan).await["steps"][0].clone();
+    assert_eq!(step["progress"]["over"]["outcome"], "refused", "{step}");
+    assert_undisturbed(&fixture, 1).await;
+}
--- a/cli/tests/test_scenarios.rs
+++ b/cli/tests/test_scenarios.rs
@@ -29,6 +29,7 @@
     lost_answers = "lost-answers";
     driver_paused = "driver-paused";
     driver_killed = "driver-killed";
+    box_list_away = "box-list-away";
     cut_off = "cut-off";
     late_heartbeats = "late-heartbeats";
     half_open = "half-open";
--- a/lib/src/coordination/drive/step.rs
+++ b/lib/src/coordination/drive/step.rs
@@ -71,7 +71,7 @@
 impl Driver {
     /// Runs step `index`; counts how it went.
     pub(super) async fn run_step(&self, index: u32) {
-        let counter = match self.try_step(index).await {
+        let counter = match self.try_or_give_up(index).await {
             Ok(Outcome::Done) => "drive.step.done",
             Ok(Outcome::DrainLimit) => "drive.step.drain-limit",
             Ok(Outcome::Lost) => "drive.step.lost",
@@ -86,6 +86,22 @@
         self.node.counters.count(counter);
     }
 
+    /// A step that takes no box out waits for no budget: what refuses it now refuses it later, so it
+    /// ends rather than asking the log again and again.
+    async fn try_or_give_up(&self, index: u32) -> Result<Outcome, StepError> {
+        let result = self.try_step(index).await;
+        let Err(StepError::Refused(refusal)) = &result else {
+            return result;
+        };
+        let step = self.step(index)?;
+        let paused = matches!(refusal, Refusal::Phase { .. });
+        if step.action.takes_out() || paused || step.progress != Progress::Waiting {
+            return result;
+        }
+        self.append(Body::Finish(self.claim(index), Outcome::Refused)).await?;
+        Ok(Outcome::Refused)
+    }
+
     async fn try_step(&self, index: u32) -> Result<Outcome, StepError> {
         let step = self.step(index)?;
         let outcome = match &step.action {
--- a/lib/src/state/config/check.rs
+++ b/lib/src/state/config/check.rs
@@ -140,6 +140,7 @@
         let mut account = Account {
             caller_keys: self.hashes(&section.caller_key_hashes),
             operator_keys: self.hashes(&section.operator_key_hashes),
+            quota_slots: section.quota_slots,
             version: 0,
         };
         let current = self.fleet.accounts.get(name);
--- a/lib/src/state/config/file.rs
+++ b/lib/src/state/config/file.rs
@@ -32,6 +32,7 @@
     pub caller_key_hashes: Vec<Spanned<String>>,
     #[serde(default)]
     pub operator_key_hashes: Vec<Spanned<String>>,
+    pub quota_slots: Option<u32>,
 }
 
 #[derive(Debug, Deserialize)]
--- a/lib/src/state/fleet.rs
+++ b/lib/src/state/fleet.rs
@@ -55,6 +55,8 @@
     pub caller_keys: Vec<KeyHash>,
     /// Hashes of the keys that may operate.
     pub operator_keys: Vec<KeyHash>,
+    /// Slots that the account's jobs may take up on boxes, over all its services; none for no limit.
+    pub quota_slots: Option<u32>,
     /// Offset of the last change; set by the fold.
     pub version: Offset,
 }
@@ -210,6 +212,21 @@
         entries.filter(|entry| entry.is_serving()).count() as u32
     }
 
+    /// An account's quota of slots, if it has one.
+    pub fn quota_slots(&self, account: &str) -> Option<u32> {
+        self.accounts.get(account)?.quota_slots
+    }
+
+    /// Slots that an account's jobs take up, over all its services.
+    pub fn slots_of(&self, account: &str) -> u32 {
+        let own = self.services.iter().filter(|(key, _)| key.0.as_ref() == account);
+        let slots = own.map(|(_, service)| {
+            let jobs = (service.placed.len() + service.starting.len()) as u32;
+            jobs.saturating_mul(service.slots)
+        });
+        slots.fold(0, u32::saturating_add)
+    }
+
     /// Slots of `target` not yet taken by a job, with the memory left in MB.
     pub fn room(&self, target: &str, shape: &Shape) -> (u32, u32) {
         let mut slots = shape.slots;
--- a/lib/src/state/fold.rs
+++ b/lib/src/state/fold.rs
@@ -145,6 +145,14 @@
         /// The service.
         service: ServiceId,
     },
+    /// The account's jobs would take up more slots than its quota.
+    #[error("the account's jobs take up {used} slots, and its quota is {quota}")]
+    Quota {
+        /// Slots taken up already.
+        used: u32,
+        /// The quota.
+        quota: u32,
+    },
     /// An object named does not exist.
     #[error("there is no {object}")]
     Missing {
--- a/lib/src/state/fold/step.rs
+++ b/lib/src/state/fold/step.rs
@@ -133,7 +133,7 @@
         // A job that has meanwhile gone, or no longer fits, is left out; the box serves the rest.
         let fitting = jobs.iter().filter(|job| self.services.contains_key(*job));
         for job in fitting.cloned().collect::<Vec<_>>() {
-            if self.check_room(target, &job).is_ok() {
+            if self.check_room(target, &job).is_ok() && self.check_quota(&job).is_ok() {
                 self.place(at, target, &job);
             }
         }
@@ -179,6 +179,7 @@
             return Err(Refusal::Missing { object });
         }
         self.check_room(target, job)?;
+        self.check_quota(job)?;
         let service = self.services.get_mut(job).expect("looked up above");
         service.starting.insert(target.clone());
         service.version = at;
@@ -186,6 +187,17 @@
         Ok(())
     }
 
+    /// Judged for each job that is started; a quota lowered later takes nothing away.
+    fn check_quota(&self, job: &ServiceKey) -> Result<(), Refusal> {
+        let used = self.slots_of(&job.0);
+        match self.quota_slots(&job.0) {
+            Some(quota) if used.saturating_add(self.services[job].slots) > quota => {
+                Err(Refusal::Quota { used, quota })
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn check_room(&self, target: &BoxId, job: &ServiceKey) -> Result<(), Refusal> {
         let entry = self.boxes.get(target);
         let entry = entry.ok_or(Refusal::NoBox { target: target.clone() })?;
--- a/lib/src/state/plan.rs
+++ b/lib/src/state/plan.rs
@@ -261,6 +261,9 @@
     /// The box did not come back; it stays out and counts against the budget.
     #[error("the box did not come back")]
     Lost,
+    /// What the plan was made from has changed, and the log's rule refused the step.
+    #[error("refused: what the plan was made from has changed")]
+    Refused,
     /// The plan was aborted first.
     #[error("the plan was aborted")]
     Aborted,
--- a/lib/src/state/planner.rs
+++ b/lib/src/state/planner.rs
@@ -72,6 +72,14 @@
         /// How many can be had.
         available: u32,
     },
+    /// The account's jobs would take up more slots than its quota.
+    #[error("the account's jobs would take up {asked} slots, and its quota is {quota}")]
+    Quota {
+        /// Slots that all of the account's jobs would take up.
+        asked: u32,
+        /// The quota.
+        quota: u32,
+    },
     /// The service would have fewer replicas than must stay up.
     #[error("{asked} replicas are asked for, but min_up of {service} is {min_up}")]
     MinUp {
@@ -262,6 +270,13 @@
         pool: &Pool,
         count: u32,
     ) -> Result<Draft, PlanError> {
+        let more = count.saturating_mul(service.slots);
+        let asked = self.fleet.slots_of(&key.0).saturating_add(more);
+        if let Some(quota) = self.fleet.quota_slots(&key.0)
+            && asked > quota
+        {
+            return Err(PlanError::Quota { asked, quota });
+        }
         let places = choose::places(self.fleet, service, pool, count);
         if (places.len() as u32) < count {
             let available = (service.placed.len() + places.len()) as u32;
--- a/testutils/src/fixture.rs
+++ b/testutils/src/fixture.rs
@@ -82,6 +82,8 @@
     pub boxes: Boxes,
     /// The workers.
     pub workers: Vec<Worker>,
+    /// Between the daemons and the box list.
+    pub boxes_link: Proxy,
     /// Between each daemon and the log.
     pub log_links: Vec<Proxy>,
     /// Between the daemons: `peer_links[from][to]`, none from a daemon to itself.
@@ -108,6 +110,7 @@
         }
         let listed = workers.iter().map(|worker| worker.listed.clone());
         let boxes = Boxes::start(listed.collect()).await?;
+        let boxes_link = Proxy::start(boxes.addr).await?;
         let mut log_links = Vec::new();
         for _ in 0..daemons {
             log_links.push(Proxy::start(log.addr).await?);
@@ -119,6 +122,7 @@
             log,
             boxes,
             workers,
+            boxes_link,
             log_links,
             peer_links: links(daemons).await?,
             daemons: (0..daemons).map(|_| None).collect(),
@@ -144,7 +148,7 @@
             ("peers", peers.join(",")),
             ("peer-secret", "fixture-peer-secret".to_owned()),
             ("log", self.log_links[id].addr.to_string()),
-            ("boxes", self.boxes.addr.to_string()),
+            ("boxes", self.boxes_link.addr.to_string()),
             ("site-key-hash", format_hash(&hash_secret(SITE_SECRET))),
             ("heartbeat-ms", "200".to_owned()),
             ("poll-ms", "200".to_owned()),
--- a/testutils/src/scenario.rs
+++ b/testutils/src/scenario.rs
@@ -15,7 +15,7 @@
 //! | `call daemon=N` | sends a request that runs at most once | what the caller is told |
 //! | `log away`, `back`, `lose-answers=N`, `double=N`, `delay-ms=N` | the log's faults | |
 //! | `log keep-snapshot`, `keep=N` | the log lets go of what is before its last snapshot, or all but the last records | |
-//! | `cut log=N`, `cut peers=N`, `mend …` | a daemon's links | |
+//! | `cut log=N`, `cut peers=N`, `cut boxes`, `mend …` | a daemon's links; that to the box list | |
 //! | `hold log=N` | a daemon's connections to the log stay open and carry nothing | |
 //! | `deafen daemon=N from=M` | heartbeats one way are lost | |
 //! | `slow peers=N ms=M`, `slow peers=N double` | a daemon's heartbeats: late, or twice | |
@@ -269,6 +269,9 @@
 
     fn cut(&mut self, case: &mut TestCase, cut: bool) -> String {
         let fixture = self.fixture();
+        if flag(case, "boxes") {
+            fixture.boxes_link.set(Fault { refuse: cut, ..Fault::default() });
+        }
         if let Some(daemon) = maybe::<usize>(case, "log") {
             let fault = Fault { refuse: cut, ..Default::default() };
             fixture.log_links[daemon].set(fault);
