config: a budget fault that makes sense for a pool of one box

Cause: a pool of one box was told that max_out must be 1 to 0.

Change: the message says what a budget needs, at least one box that may go and one that stays; the bound that was only there for the message is gone.

Conclusion: nothing else changes.

--- a/lib/src/state/config.rs
+++ b/lib/src/state/config.rs
@@ -111,14 +111,14 @@
         name: Box<str>,
     },
     /// No pool of this size can meet its budget.
-    #[error("max_out is {max_out}, but the pool has {boxes} boxes; it must be 1 to {most}")]
+    #[error(
+        "max_out is {max_out}; of {boxes} box(es) at least one may go and at least one must stay"
+    )]
     Budget {
         /// The budget.
         max_out: u32,
         /// Boxes in the pool.
         boxes: u32,
-        /// The most the budget may be.
-        most: u32,
     },
     /// A service needs more replicas than its pool keeps up.
     #[error("min_up is {min_up}, but pool {pool} keeps only {kept} boxes up")]
--- a/lib/src/state/config/check.rs
+++ b/lib/src/state/config/check.rs
@@ -222,10 +222,9 @@
 
     fn budget(&mut self, section: &PoolSection, boxes: u32) -> Budget {
         let max_out = *section.max_out.as_ref();
-        let most = boxes.saturating_sub(1);
         // A pool that is still empty is filled by an intent later.
-        if boxes > 0 && (max_out < 1 || max_out > most) {
-            self.fault(&section.max_out, FaultKind::Budget { max_out, boxes, most });
+        if boxes > 0 && (max_out < 1 || max_out >= boxes) {
+            self.fault(&section.max_out, FaultKind::Budget { max_out, boxes });
         }
         let areas = [
             ("max_out_per_hall", &section.max_out_per_hall),
