config: judge who may use a pool in one place, and drop what is unused

Cause: read again, the check of a configuration file kept parts of a pool beside the pool itself and repeated the rule of who may place services on it, which Pool::serves has. Three functions of the stand-ins were called by nobody.

Change: the check keeps the pool it has just made and asks that; the unused functions, and the state that one of them set, are gone. No behaviour changes and no test is touched.

Conclusion: one rule, one place.

--- a/lib/src/state/config/check.rs
+++ b/lib/src/state/config/check.rs
@@ -23,7 +23,6 @@
 use crate::state::fleet::Fleet;
 use crate::state::fleet::Pool;
 use crate::state::fleet::Service;
-use crate::state::id::AccountId;
 use crate::state::id::PoolId;
 use crate::state::id::is_name;
 use crate::state::record::Change;
@@ -54,10 +53,9 @@
 
 /// What a pool will be once the file is in force, as far as services need it.
 struct Planned {
-    account: AccountId,
-    shared_with: BTreeSet<AccountId>,
+    pool: Pool,
+    /// Boxes in it, with those that the file claims.
     boxes: u32,
-    max_out: u32,
 }
 
 struct Check<'a> {
@@ -165,26 +163,17 @@
     fn pool(&mut self, section: &'a PoolSection) {
         self.name(&section.name);
         let name = section.name.as_ref().as_str();
-        let account: AccountId = section.account.as_ref().as_str().into();
         self.known_account(&section.account);
         for account in &section.shared_with {
             self.known_account(account);
         }
-        let shared_with = section.shared_with.iter().map(|name| name.as_ref().as_str().into());
-        let shared_with: BTreeSet<AccountId> = shared_with.collect();
         let claims = self.claims(section);
         let boxes = self.fleet.pools.get(name).map_or(0, |pool| pool.boxes.len()) + claims.len();
         let budget = self.budget(section, boxes as u32);
-        let planned = Planned {
-            account: account.clone(),
-            shared_with: shared_with.clone(),
-            boxes: boxes as u32,
-            max_out: budget.max_out,
-        };
-        if self.pools.insert(name, planned).is_some() {
+        let pool = self.edit_pool(section, budget);
+        if self.pools.insert(name, Planned { pool, boxes: boxes as u32 }).is_some() {
             self.twice(&section.name);
         }
-        self.edit_pool(section, account, shared_with, budget);
         self.edits.extend(claims);
     }
 
@@ -195,19 +184,18 @@
         }
     }
 
-    fn edit_pool(
-        &mut self,
-        section: &PoolSection,
-        account: AccountId,
-        shared_with: BTreeSet<AccountId>,
-        budget: Budget,
-    ) {
+    /// Adds the pool's edit if it changes. Returns the pool as it will be.
+    fn edit_pool(&mut self, section: &PoolSection, budget: Budget) -> Pool {
         let id: PoolId = section.name.as_ref().as_str().into();
         let current = self.fleet.pools.get(&id);
         let base = current.map_or(0, |current| current.version);
         let pool = Pool {
-            account,
-            shared_with,
+            account: section.account.as_ref().as_str().into(),
+            shared_with: section
+                .shared_with
+                .iter()
+                .map(|name| name.as_ref().as_str().into())
+                .collect(),
             budget,
             weigh: section.weigh,
             drain_limit_s: section.drain_limit_s,
@@ -216,8 +204,9 @@
             version: base,
         };
         if current != Some(&pool) {
-            self.edits.push(Edit::Pool(id, base, pool));
+            self.edits.push(Edit::Pool(id, base, pool.clone()));
         }
+        pool
     }
 
     fn budget(&mut self, section: &PoolSection, boxes: u32) -> Budget {
@@ -298,13 +287,14 @@
 
     /// Boxes and budget that a pool open to `account` will have; none if it has no such pool.
     fn pool_size(&self, pool: &str, account: &str) -> Option<(u32, u32)> {
-        if let Some(planned) = self.pools.get(pool) {
-            let own = planned.account.as_ref() == account || planned.shared_with.contains(account);
-            return own.then_some((planned.boxes, planned.max_out));
-        }
-        let pool = self.fleet.pools.get(pool)?;
-        let own = pool.serves(account);
-        own.then_some((pool.boxes.len() as u32, pool.budget.max_out))
+        let (pool, boxes) = match self.pools.get(pool) {
+            Some(planned) => (&planned.pool, planned.boxes),
+            None => {
+                let pool = self.fleet.pools.get(pool)?;
+                (pool, pool.boxes.len() as u32)
+            }
+        };
+        pool.serves(account).then_some((boxes, pool.budget.max_out))
     }
 
     fn edit_service(&mut self, section: &ServiceSection, min_up: u32) {
--- a/testutils/src/boxes.rs
+++ b/testutils/src/boxes.rs
@@ -16,7 +16,6 @@
 
 use crate::log::json;
 use crate::log::query;
-use crate::log::status;
 
 /// A running box list. Clones are the same list.
 #[derive(Clone)]
@@ -31,7 +30,6 @@
     version: u64,
     /// Each box with the version at which it last changed.
     boxes: Vec<(u64, Listed)>,
-    away: bool,
 }
 
 impl State {
@@ -56,7 +54,6 @@
         let inner = Arc::new(Mutex::new(State {
             version: 1,
             boxes: boxes.into_iter().map(|listed| (1, listed)).collect(),
-            away: false,
         }));
         let (stop, stopped) = watch::channel(false);
         let shared = inner.clone();
@@ -81,11 +78,6 @@
         }
     }
 
-    /// Answers everything with 503, or no longer.
-    pub fn set_away(&self, away: bool) {
-        self.inner.lock().expect("no holder panics").away = away;
-    }
-
     /// Stops serving.
     pub fn stop(&self) {
         let _ = self.stop.send(true);
@@ -94,8 +86,5 @@
 
 fn answer(inner: &Mutex<State>, request: &Request<Incoming>) -> Response<Body> {
     let state = inner.lock().expect("no holder panics");
-    if state.away {
-        return status(503);
-    }
     json(&state.after(query(request, "after").unwrap_or(0)))
 }
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -252,13 +252,6 @@
         state.dead_since = Some(Instant::now());
     }
 
-    /// Tokens of requests that a worker ran more than once although they are not repeatable.
-    pub fn doubled(&self) -> Vec<Token> {
-        let inner = self.inner();
-        let doubled = inner.calls.iter().filter(|(_, call)| !call.repeatable && call.runs > 1);
-        doubled.map(|(token, _)| *token).collect()
-    }
-
     /// The counts so far.
     pub fn counts(&self) -> Counts {
         let inner = self.inner();
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -51,7 +51,7 @@
     upstream: Arc<Mutex<SocketAddr>>,
     fault: Arc<watch::Sender<Fault>>,
     passed: Arc<AtomicU64>,
-    task: Arc<AbortOnDrop>,
+    _task: Arc<AbortOnDrop>,
 }
 
 struct AbortOnDrop(AbortHandle);
@@ -76,8 +76,8 @@
         let (fault, faults) = watch::channel(Fault::default());
         let passed = Arc::new(AtomicU64::new(0));
         let task = tokio::spawn(accept(listener, upstream.clone(), faults, passed.clone()));
-        let task = Arc::new(AbortOnDrop(task.abort_handle()));
-        Ok(Proxy { addr, upstream, fault: Arc::new(fault), passed, task })
+        let _task = Arc::new(AbortOnDrop(task.abort_handle()));
+        Ok(Proxy { addr, upstream, fault: Arc::new(fault), passed, _task })
     }
 
     /// Sends later connections elsewhere.
@@ -95,11 +95,6 @@
     pub fn passed(&self) -> u64 {
         self.passed.load(Ordering::SeqCst)
     }
-
-    /// Whether the proxy still runs.
-    pub fn is_running(&self) -> bool {
-        !self.task.0.is_finished()
-    }
 }
 
 async fn accept(
