--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -12,19 +12,14 @@
 
 use std::process::ExitCode;
 
-use argh::EarlyExit;
-use argh::FromArgs;
-use miette::GraphicalReportHandler;
+use spokelift_cli::read_args;
+use spokelift_cli::report;
 
 use crate::args::Args;
-use crate::error::Error;
-
-/// Exit code for a command line that cannot be read.
-const USAGE: u8 = 2;
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
-    let args = match read_args() {
+    let args: Args = match read_args("spokelift") {
         Ok(args) => args,
         Err(code) => return code,
     };
@@ -36,27 +31,3 @@
         }
     }
 }
-
-fn read_args() -> Result<Args, ExitCode> {
-    let words: Vec<String> = std::env::args().collect();
-    let words: Vec<&str> = words.iter().skip(1).map(String::as_str).collect();
-    Args::from_args(&["spokelift"], &words).map_err(|exit: EarlyExit| match exit.status {
-        Ok(()) => {
-            println!("{}", exit.output);
-            ExitCode::SUCCESS
-        }
-        Err(()) => {
-            eprintln!("{}", exit.output);
-            ExitCode::from(USAGE)
-        }
-    })
-}
-
-fn report(error: &Error) {
-    let mut text = String::new();
-    let written = GraphicalReportHandler::new().render_report(&mut text, error);
-    match written {
-        Ok(()) => eprintln!("{text}"),
-        Err(_) => eprintln!("{error}"),
-    }
-}
--- a/lib/src/call/attempt.rs
+++ b/lib/src/call/attempt.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hyper::Request;
 use hyper::Response;
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use tokio::time::timeout_at;
 
@@ -118,7 +118,7 @@
         match timeout_at(self.deadline.into(), sent).await {
             Ok(Ok(response)) => self.judge(slot, id, response),
             Ok(Err(SendError::NotSent(request, _))) => {
-                payload.give_back(take_body(*request));
+                payload.give_back(request.into_body());
                 Attempt::NotRun(Reason::Unreachable)
             }
             Ok(Err(SendError::Cut(_))) => Attempt::Unknown(Reason::Cut),
@@ -146,7 +146,7 @@
         let (mut head, answer) = response.into_parts();
         forward::strip(&mut head.headers);
         head.headers.remove(REQUEST);
-        let outcome = hyper::header::HeaderValue::from_static(Outcome::Answered.as_str());
+        let outcome = HeaderValue::from_static(Outcome::Answered.as_str());
         head.headers.insert(OUTCOME, outcome);
         let whole = Whole::new(answer, slot, self.deadline, self.node.counters.clone());
         Response::from_parts(head, whole.into_body())
@@ -160,7 +160,3 @@
         _ => later,
     }
 }
-
-fn take_body(request: Request<Body>) -> Body {
-    request.into_body()
-}
--- a/lib/src/coordination/tend.rs
+++ b/lib/src/coordination/tend.rs
@@ -31,6 +31,7 @@
 use crate::state::id::Offset;
 use crate::state::id::ServiceKey;
 use crate::state::record::Body;
+use crate::transport::dial::Body as HttpBody;
 use crate::transport::dial::ExchangeError;
 use crate::transport::dial::full;
 
@@ -305,7 +306,7 @@
 async fn exchange(
     node: &Node,
     addr: SocketAddr,
-    request: Request<crate::transport::dial::Body>,
+    request: Request<HttpBody>,
 ) -> Result<Status, ExchangeError> {
     let answer = node.dialer.exchange(addr, request, MAX_STATUS, WAIT).await?;
     if !answer.status().is_success() {
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Request;
+use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -148,9 +150,9 @@
 fn handler<F, Fut>(
     node: &Arc<Node>,
     handle: F,
-) -> impl Fn(hyper::Request<hyper::body::Incoming>) -> Fut + Clone + Send + Sync + 'static
+) -> impl Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static
 where
-    F: Fn(Arc<Node>, hyper::Request<hyper::body::Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    F: Fn(Arc<Node>, Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
 {
     let node = node.clone();
     move |request| handle(node.clone(), request)
--- a/lib/src/operate/view.rs
+++ b/lib/src/operate/view.rs
@@ -17,12 +17,16 @@
 use crate::state::plan::Plan;
 
 pub(super) fn status(node: &Node) -> StatusView {
+    let (next, configured) = {
+        let fleet = node.replica.fleet();
+        (fleet.next, fleet.configured)
+    };
     StatusView {
         id: node.settings.id,
         serving: node.is_serving(),
         basis: node.basis().as_str().to_owned(),
-        next: node.replica.next(),
-        configured: node.replica.fleet().configured,
+        next,
+        configured,
         peers: node.members.offsets(Instant::now()),
         inflight: node.routes.inflight(),
     }
--- a/lib/src/protocol/worker.rs
+++ b/lib/src/protocol/worker.rs
@@ -3,7 +3,7 @@
 //! - `GET /platform/status` answers [`Status`].
 //! - `POST /platform/command` with a [`Command`] answers [`Status`], or 409 if the fence is lower
 //!   than one already seen.
-//! - `POST /work/<account>/<service>` runs a request of a job. A worker that does not run it says
+//! - `POST /run/<account>/<service>` runs a request of a job. A worker that does not run it says
 //!   why in the header [`REFUSED`].
 
 use serde::Deserialize;
@@ -17,7 +17,7 @@
 /// Path of commands.
 pub const COMMAND: &str = "/platform/command";
 /// Prefix of requests to jobs.
-pub const WORK: &str = "/work";
+pub const WORK: &str = "/run";
 /// Header of an answer that says the request was not run, and why.
 pub const REFUSED: &str = "x-platform-refused";
 /// Header of an answer from a box that is on its way out.
@@ -71,7 +71,7 @@
 ///
 /// ```
 /// use spokelift_lib::protocol::worker::work_path;
-/// assert_eq!(work_path("desk", "booking"), "/work/desk/booking");
+/// assert_eq!(work_path("desk", "booking"), "/run/desk/booking");
 /// ```
 pub fn work_path(account: &str, service: &str) -> String {
     format!("{WORK}/{account}/{service}")
--- a/lib/src/state/fold.rs
+++ b/lib/src/state/fold.rs
@@ -16,6 +16,7 @@
 
 use crate::state::fleet::Fleet;
 use crate::state::fleet::Writer;
+use crate::state::id::AccountId;
 use crate::state::id::BoxId;
 use crate::state::id::DaemonId;
 use crate::state::id::Offset;
@@ -24,6 +25,7 @@
 use crate::state::id::RecordId;
 use crate::state::id::ServiceId;
 use crate::state::plan::Base;
+use crate::state::plan::Outcome;
 use crate::state::plan::Phase;
 use crate::state::plan::Plan;
 use crate::state::plan::Progress;
@@ -316,7 +318,7 @@
     /// Lets go of the oldest proposals of each account and the oldest plans that are over.
     fn drop_old_plans(&mut self) {
         let mut over: Vec<(Offset, PlanId)> = Vec::new();
-        let mut proposed: Vec<(&Option<crate::state::id::AccountId>, Offset, PlanId)> = Vec::new();
+        let mut proposed: Vec<(&Option<AccountId>, Offset, PlanId)> = Vec::new();
         for plan in self.plans.values() {
             if plan.phase.is_over() {
                 over.push((plan.version, plan.id));
@@ -455,7 +457,7 @@
     fn abort_waiting(&mut self) {
         for step in &mut self.steps {
             if step.progress == Progress::Waiting {
-                let outcome = crate::state::plan::Outcome::Aborted;
+                let outcome = Outcome::Aborted;
                 step.progress = Progress::Over { outcome };
             }
         }
--- a/lib/src/state/fold/step.rs
+++ b/lib/src/state/fold/step.rs
@@ -3,6 +3,7 @@
 use crate::state::fleet::Entry;
 use crate::state::fleet::Fleet;
 use crate::state::fleet::Pool;
+use crate::state::fleet::Shape;
 use crate::state::fold::Area;
 use crate::state::fold::Object;
 use crate::state::fold::Refusal;
@@ -161,7 +162,7 @@
         at: Offset,
         step: &Step,
         to: &PoolId,
-        shape: &crate::state::fleet::Shape,
+        shape: &Shape,
     ) -> Result<(), Refusal> {
         self.pool(to)?;
         if self.boxes.contains_key(&step.target) {
--- a/lib/src/state/planner.rs
+++ b/lib/src/state/planner.rs
@@ -3,6 +3,8 @@
 mod choose;
 mod cost;
 
+use serde::Deserialize;
+use serde::Serialize;
 use thiserror::Error;
 
 use crate::state::account::Scope;
@@ -26,8 +28,6 @@
 use crate::state::plan::Progress;
 use crate::state::plan::Reason;
 use crate::state::plan::Step;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// Why an intent has no plan: the constraint that stops it, and what would have to give.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
--- a/lib/src/state/planner/cost.rs
+++ b/lib/src/state/planner/cost.rs
@@ -1,5 +1,9 @@
 //! How wide a wave may be, and what it is expected to take.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crate::state::fleet::Entry;
 use crate::state::fleet::Fleet;
 use crate::state::fleet::Pool;
 use crate::state::plan::Cost;
@@ -26,10 +30,10 @@
 fn count_distinct<'a>(
     fleet: &'a Fleet,
     pool: &'a Pool,
-    area: impl Fn(&'a crate::state::fleet::Entry) -> &'a std::sync::Arc<str>,
+    area: impl Fn(&'a Entry) -> &'a Arc<str>,
 ) -> u32 {
     let entries = pool.boxes.iter().filter_map(|id| fleet.boxes.get(id));
-    let areas: std::collections::BTreeSet<_> = entries.map(area).collect();
+    let areas: BTreeSet<_> = entries.map(area).collect();
     areas.len() as u32
 }
 
