--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -24,6 +24,10 @@
     /// only check the settings
     #[argh(switch)]
     check: bool,
+    /// run on the users' platform, with the settings file that the platform names; no other
+    /// setting is read
+    #[argh(switch)]
+    platform: bool,
     /// number of this daemon, unique on the site
     #[argh(option)]
     id: Option<String>,
@@ -138,11 +142,20 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let args: Args = match read_args("spokeliftd") {
         Ok(args) => args,
         Err(code) => return code,
     };
+    let mut logger =
+        env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"));
+    if args.platform {
+        // The platform's engineers read standard output.
+        logger.target(env_logger::Target::Stdout);
+    }
+    logger.init();
+    if args.platform {
+        return platform(args.check);
+    }
     let settings = match Settings::resolve(|setting| args.value(setting)) {
         Ok(settings) => settings,
         Err(error) => {
@@ -157,6 +170,59 @@
     run(settings)
 }
 
+/// Runs on the users' platform.
+fn platform(check: bool) -> ExitCode {
+    let Some(path) = std::env::var_os(spokelift_platform::settings::VARIABLE) else {
+        eprintln!("{} is not set", spokelift_platform::settings::VARIABLE);
+        return ExitCode::from(USAGE);
+    };
+    let settings = match spokelift_platform::settings::Settings::read(path.as_ref()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            report(&error);
+            return ExitCode::from(USAGE);
+        }
+    };
+    if check {
+        println!("the settings can be used");
+        return ExitCode::SUCCESS;
+    }
+    // One thread: these boxes have a share of one core, and each wake-up of another is charged.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let served = match runtime {
+        Ok(runtime) => runtime.block_on(serve_platform(settings)),
+        Err(error) => Err(error.into()),
+    };
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Serves until SIGTERM. Nothing in the settings changes while the process runs, so SIGHUP is
+/// only noted.
+async fn serve_platform(
+    settings: spokelift_platform::settings::Settings,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let (stop, stopping) = watch::channel(false);
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = reload.recv() => log::info!("the settings file has changed; nothing in it is read while running"),
+            }
+        }
+        stop.send_replace(true);
+    });
+    spokelift_lib::batch::node::run(settings, stopping).await?;
+    Ok(())
+}
+
 fn run(settings: Settings) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let served = match runtime {
--- /dev/null
+++ b/lib/src/batch.rs
@@ -0,0 +1,19 @@
+//! Batch work on the users' platform: jobs of tasks, leased to workers by one scheduler at a time.
+//!
+//! Every node takes jobs from clients and writes them to the platform's store ([`intake`]). One
+//! node at a time holds the lead ([`lead`]) and runs the scheduler ([`scheduler`]), whose state is
+//! a [`cell`]: jobs, workers and what runs where. See `docs/design/on-the-platform.md`.
+
+pub mod cell;
+pub mod intake;
+pub mod job;
+pub mod lead;
+pub mod neighbours;
+pub mod node;
+pub mod operator;
+pub mod peer;
+pub mod place;
+pub mod record;
+pub mod scheduler;
+pub mod upkeep;
+pub mod worker;
--- /dev/null
+++ b/lib/src/batch/job.rs
@@ -0,0 +1,262 @@
+//! A job in the scheduler's memory: its steps, its tasks and how far they are.
+
+use std::collections::BTreeSet;
+use std::collections::HashSet;
+use std::time::Instant;
+
+use spokelift_platform::ingress::JobState;
+use spokelift_platform::job::JobId;
+use spokelift_platform::job::Step;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::Run;
+use spokelift_platform::worker::WorkerId;
+
+use crate::batch::record::Accepted;
+use crate::batch::record::Progress;
+use crate::batch::worker::Kind;
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// It has ended well.
+    pub done: bool,
+    /// Runs of it that may exist on workers.
+    pub runs: u32,
+    /// The highest run number used or seen.
+    pub last_run: Run,
+    /// How often it failed.
+    pub failed: u32,
+    /// The last run that counts in `failed`.
+    pub failed_run: Run,
+    /// Where its next run goes on from; empty for the start.
+    pub checkpoint: String,
+    /// Workers it failed or stood still on; others are preferred.
+    pub avoid: Vec<WorkerId>,
+    /// Since when it waits for room.
+    pub waiting_since: Option<Instant>,
+}
+
+/// The tasks of a step in one repetition.
+#[derive(Clone, Debug)]
+pub struct StepRun {
+    /// The tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that are not done.
+    pub left: usize,
+    /// Tasks that wait for room; empty until the step's turn has come.
+    pub waiting: BTreeSet<u32>,
+    /// The step's turn has come.
+    pub open: bool,
+}
+
+impl StepRun {
+    fn new(count: u32) -> StepRun {
+        let tasks = vec![Task::default(); count as usize];
+        StepRun { left: tasks.len(), tasks, waiting: BTreeSet::new(), open: false }
+    }
+}
+
+/// One repetition of a job's steps.
+#[derive(Clone, Debug)]
+pub struct Repetition {
+    /// Its steps.
+    pub steps: Vec<StepRun>,
+    /// Its time has come.
+    pub due: bool,
+}
+
+/// A job.
+#[derive(Debug)]
+pub struct Entry {
+    /// Its id.
+    pub id: JobId,
+    /// What was accepted.
+    pub accepted: Accepted,
+    /// Order of arrival.
+    pub arrival: u64,
+    /// Its repetitions; those not due yet have no tasks in memory.
+    pub times: Vec<Repetition>,
+    /// A task of it has begun.
+    pub begun: bool,
+    /// A client has cancelled it.
+    pub cancelled: bool,
+    /// The state it has ended in.
+    pub end: Option<JobState>,
+    /// The store knows of the end.
+    pub end_is_durable: bool,
+    /// When it ended.
+    pub ended_at: Option<Instant>,
+    /// It was accepted before this scheduler began, so tasks of it may run on workers that have
+    /// not been asked yet.
+    pub inherited: bool,
+}
+
+impl Entry {
+    /// A job of which nothing has run.
+    pub fn new(id: JobId, accepted: Accepted, arrival: u64) -> Entry {
+        let times = (0..accepted.job.times()).map(|_| Repetition { steps: Vec::new(), due: false });
+        let times = times.collect();
+        Entry {
+            id,
+            accepted,
+            arrival,
+            times,
+            begun: false,
+            cancelled: false,
+            end: None,
+            end_is_durable: false,
+            ended_at: None,
+            inherited: false,
+        }
+    }
+
+    /// The step a task belongs to.
+    pub fn step(&self, step: u16) -> Option<&Step> {
+        self.accepted.job.steps.get(usize::from(step))
+    }
+
+    /// The tasks of a step in a repetition, if it is due.
+    pub fn step_run(&mut self, time: u32, step: u16) -> Option<&mut StepRun> {
+        self.times.get_mut(time as usize)?.steps.get_mut(usize::from(step))
+    }
+
+    /// A task, if its repetition is due.
+    pub fn task(&mut self, name: TaskName) -> Option<&mut Task> {
+        self.step_run(name.time, name.step)?.tasks.get_mut(name.index as usize)
+    }
+
+    /// What a task of a step takes of a worker's room.
+    pub fn room_of(step: &Step) -> Room {
+        let cpu = if step.fills { 0 } else { step.cpu };
+        Room { cpu, memory_mb: step.memory_mb, gpu: step.gpu }
+    }
+
+    /// What kind of neighbour a task of a step is.
+    pub fn kind_of(step: &Step) -> Kind {
+        match step {
+            step if step.fills => Kind::Fills,
+            step if step.tail_limit_ms > 0 => Kind::Serves(step.tail_limit_ms),
+            step if step.long_running => Kind::Lasts,
+            _ => Kind::Works,
+        }
+    }
+
+    /// Whether tasks of it may still be started.
+    pub fn is_active(&self) -> bool {
+        !self.cancelled && self.end.is_none()
+    }
+
+    /// Makes the tasks of a repetition.
+    pub fn open_time(&mut self, time: u32) {
+        let counts: Vec<u32> = self.accepted.job.steps.iter().map(|step| step.count).collect();
+        let Some(repetition) = self.times.get_mut(time as usize) else { return };
+        if repetition.steps.is_empty() {
+            repetition.steps = counts.into_iter().map(StepRun::new).collect();
+        }
+    }
+
+    /// Steps of a repetition whose turn has come and that have not been opened.
+    pub fn steps_to_open(&self, time: u32) -> Vec<u16> {
+        let Some(repetition) = self.times.get(time as usize) else { return Vec::new() };
+        if !repetition.due {
+            return Vec::new();
+        }
+        let is_done = |earlier: &u16| {
+            let step = repetition.steps.get(usize::from(*earlier));
+            step.is_some_and(|step| step.left == 0)
+        };
+        let mut steps = Vec::new();
+        for (index, step) in self.accepted.job.steps.iter().enumerate() {
+            let waits = !repetition.steps[index].open;
+            if waits && step.after.iter().all(is_done) {
+                steps.push(index as u16);
+            }
+        }
+        steps
+    }
+
+    /// Whether every task of every repetition is done.
+    pub fn is_done(&self) -> bool {
+        let lasts = self.accepted.job.steps.iter().any(|step| step.long_running);
+        let done = |repetition: &Repetition| {
+            repetition.due && repetition.steps.iter().all(|step| step.left == 0)
+        };
+        !lasts && self.times.iter().all(done)
+    }
+
+    /// The state that clients are shown. An end is shown only once the store knows of it, since
+    /// what a client was told must hold whoever schedules.
+    pub fn shown(&self) -> JobState {
+        match self.end {
+            Some(end) if self.end_is_durable => end,
+            _ if self.begun => JobState::Running,
+            _ => JobState::Pending,
+        }
+    }
+
+    /// What the store is to keep.
+    pub fn progress(&self) -> Progress {
+        let mut progress = Progress { end: self.end, begun: self.begun, ..Progress::default() };
+        for (time, repetition) in self.times.iter().enumerate() {
+            for (step, tasks) in repetition.steps.iter().enumerate() {
+                collect(&mut progress, (time as u32, step as u16), tasks);
+            }
+        }
+        progress
+    }
+
+    /// Takes over what the store kept.
+    pub fn restore(&mut self, progress: &Progress) {
+        self.begun = progress.begun;
+        self.end = progress.end;
+        self.end_is_durable = progress.end.is_some();
+        self.cancelled |= progress.end == Some(JobState::Canceled);
+        for (time, step, bits) in &progress.done {
+            self.open_time(*time);
+            let Some(run) = self.step_run(*time, *step) else { continue };
+            for (index, task) in run.tasks.iter_mut().enumerate() {
+                task.done = bits.get(index / 8).is_some_and(|byte| byte & (1 << (index % 8)) != 0);
+            }
+            run.left = run.tasks.iter().filter(|task| !task.done).count();
+        }
+        for ((time, step, index), count, run) in &progress.failed {
+            self.open_time(*time);
+            let name = TaskName { job: self.id, time: *time, step: *step, index: *index };
+            if let Some(task) = self.task(name) {
+                task.failed = *count;
+                task.failed_run = *run;
+                task.last_run = task.last_run.max(*run);
+            }
+        }
+    }
+
+    /// Names of all tasks in memory.
+    pub fn names(&self) -> HashSet<TaskName> {
+        let mut names = HashSet::new();
+        for (time, repetition) in self.times.iter().enumerate() {
+            for (step, run) in repetition.steps.iter().enumerate() {
+                for index in 0..run.tasks.len() {
+                    let (time, step, index) = (time as u32, step as u16, index as u32);
+                    names.insert(TaskName { job: self.id, time, step, index });
+                }
+            }
+        }
+        names
+    }
+}
+
+fn collect(progress: &mut Progress, (time, step): (u32, u16), run: &StepRun) {
+    let mut bits = vec![0u8; run.tasks.len().div_ceil(8)];
+    for (index, task) in run.tasks.iter().enumerate() {
+        if task.done {
+            bits[index / 8] |= 1 << (index % 8);
+        }
+        if task.failed > 0 {
+            progress.failed.push(((time, step, index as u32), task.failed, task.failed_run));
+        }
+    }
+    if bits.iter().any(|byte| *byte != 0) {
+        progress.done.push((time, step, bits));
+    }
+}
--- /dev/null
+++ b/lib/src/batch/lead.rs
@@ -0,0 +1,254 @@
+//! Who schedules: one node at a time, by a record in the store.
+//!
+//! The holder of the lead renews its record by appends that hold only if nobody else has appended
+//! since. Another node may claim the lead once it has heard nothing for [`TAKEOVER`], or at once if
+//! the holder has given it up. The offset of the claim is the number that workers compare, so a
+//! holder that was paused or cut off and comes back is refused by every worker that has heard from
+//! its successor.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+use spokelift_platform::store::Guard;
+use spokelift_platform::store::Offset;
+use spokelift_platform::store::Page;
+use spokelift_platform::store::Record;
+use spokelift_platform::worker::Token;
+use tokio::time::sleep;
+
+use crate::batch::node::Node;
+use crate::batch::scheduler::Scheduler;
+
+/// Topic with the one record of the lead.
+const TOPIC: &str = "keyed.lead";
+/// Its key.
+const KEY: &str = "lead";
+/// Time between renewals. Each costs a call to the store and a read by each node.
+const RENEW: Duration = Duration::from_millis(600);
+/// Silence of the holder after which another node claims the lead: three renewals and a half.
+pub const TAKEOVER: Duration = Duration::from_millis(2_100);
+/// The claim of each node waits up to this much longer, so that few collide.
+const SPREAD: Duration = Duration::from_millis(250);
+/// How long a read waits for news; shorter than [`TAKEOVER`] so that silence is seen in time.
+const LONG_POLL: Duration = Duration::from_millis(500);
+/// How long a call to the store may take; a slow store takes about 250 ms.
+const CALL: Duration = Duration::from_millis(600);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(120);
+
+/// The record of the lead.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Lead {
+    /// Name of the holder's node.
+    pub node: String,
+    /// The holder's life; a node that starts again is another holder.
+    pub life: u64,
+    /// Where the holder answers other nodes.
+    pub addr: SocketAddr,
+    /// The holder has given up the lead.
+    pub released: bool,
+}
+
+impl Lead {
+    fn of(node: &Node, released: bool) -> Lead {
+        let settings = &node.settings;
+        let addr = SocketAddr::new(settings.ip, settings.peer_port);
+        Lead { node: settings.node.clone(), life: node.life, addr, released }
+    }
+
+    fn record(&self) -> Record {
+        let value = postcard::to_stdvec(self).expect("a lead can be written by postcard");
+        Record::set(KEY, value)
+    }
+}
+
+/// What a node knows of the lead.
+struct View {
+    /// End of the topic, if it has been read.
+    end: Option<Offset>,
+    lead: Option<Lead>,
+    /// Offset of the record in `lead`.
+    offset: Offset,
+    /// When something was last heard of the holder, or when the store last came back.
+    heard_at: Instant,
+    /// The last call to the store failed.
+    interrupted: bool,
+    /// How much longer than others this node waits before a claim.
+    spread: Duration,
+}
+
+/// Follows the lead, claims it when it is free, and schedules while holding it.
+pub async fn run(node: Arc<Node>) {
+    let spread = SPREAD.mul_f64(rand::random::<f64>());
+    let heard_at = Instant::now();
+    let mut view = View { end: None, lead: None, offset: 0, heard_at, interrupted: false, spread };
+    loop {
+        if let Err(error) = follow(&node, &mut view).await {
+            node.counters.count("batch.lead.follow-failed");
+            log::debug!("the lead cannot be followed: {error}");
+            view.interrupted = true;
+            sleep(PAUSE).await;
+            continue;
+        }
+        node.set_lead(view.lead.clone().filter(|lead| !lead.released));
+        if view.is_mine(&node) {
+            hold(&node, &mut view).await;
+        } else if view.is_free(&node) && !node.is_stopping() {
+            claim(&node, &mut view).await;
+        }
+    }
+}
+
+impl View {
+    fn is_mine(&self, node: &Node) -> bool {
+        self.lead.as_ref().is_some_and(|lead| lead.life == node.life && !lead.released)
+    }
+
+    fn is_free(&self, node: &Node) -> bool {
+        match &self.lead {
+            None => true,
+            Some(lead) if lead.released || lead.node == node.settings.node => true,
+            Some(_) => self.heard_at.elapsed() > TAKEOVER + self.spread,
+        }
+    }
+
+    fn take(&mut self, record: &Record, offset: Offset) {
+        let Some(value) = &record.value else { return };
+        match postcard::from_bytes(value) {
+            Ok(lead) => {
+                self.lead = Some(lead);
+                self.offset = offset;
+            }
+            Err(error) => log::error!("the record of the lead does not decode: {error}"),
+        }
+        self.heard_at = Instant::now();
+    }
+
+    fn take_page(&mut self, from: Offset, page: &Page) {
+        for (offset, record) in (from..).zip(&page.records) {
+            self.take(record, offset);
+        }
+        self.end = Some(from + page.records.len() as Offset);
+    }
+}
+
+type CallResult<T> = Result<T, spokelift_platform::call::CallError>;
+
+async fn follow(node: &Node, view: &mut View) -> CallResult<()> {
+    let Some(end) = view.end else {
+        let newest = node.store.newest(TOPIC, CALL).await?;
+        for record in newest.records.iter().filter(|record| record.key == KEY) {
+            view.take(record, newest.end.saturating_sub(1));
+        }
+        view.end = Some(newest.end);
+        view.heard_at = Instant::now();
+        // A claim of an earlier scheduler of this life cannot be told from a renewal here.
+        if view.is_mine(node) {
+            view.lead = None;
+        }
+        return Ok(());
+    };
+    match node.store.read(TOPIC, end, LONG_POLL, CALL).await {
+        Ok(page) => {
+            view.take_page(end, &page);
+            if view.interrupted {
+                view.interrupted = false;
+                view.heard_at = Instant::now();
+            }
+            Ok(())
+        }
+        Err(error) => {
+            if error.status() == Some(410) {
+                view.end = None;
+            }
+            Err(error)
+        }
+    }
+}
+
+/// Appends a claim. Whether it holds is seen by reading on: the first record after the end is the
+/// one that counts, also if the answer is lost.
+async fn claim(node: &Node, view: &mut View) {
+    let Some(end) = view.end else { return };
+    let record = Lead::of(node, false).record();
+    let claimed = node.store.append(TOPIC, &[record], Guard::At(end), CALL).await;
+    log::info!(at = end, ok = claimed.is_ok(); "claims the lead");
+    if claimed.is_err() {
+        sleep(PAUSE).await;
+    }
+}
+
+/// Schedules until the lead is lost or given up.
+async fn hold(node: &Arc<Node>, view: &mut View) {
+    let token: Token = view.offset + 1;
+    log::info!(token; "holds the lead");
+    node.counters.count("batch.lead.held");
+    let scheduler = Scheduler::begin(node.clone(), token);
+    let why = renew(node, view, &scheduler).await;
+    scheduler.end();
+    node.set_scheduler(None);
+    log::info!(token, why; "no longer holds the lead");
+    if view.is_mine(node) {
+        view.lead = None;
+        view.heard_at = Instant::now();
+    }
+}
+
+/// Renews the lead; returns why that ended.
+async fn renew(node: &Arc<Node>, view: &mut View, scheduler: &Arc<Scheduler>) -> &'static str {
+    loop {
+        if node.is_stopping() {
+            scheduler.settle().await;
+            release(node, view).await;
+            return "the node stops";
+        }
+        if scheduler.is_fenced() {
+            return "a worker or the store has heard of a newer holder";
+        }
+        let Some(end) = view.end else { return "the end of the topic is not known" };
+        let sent = Instant::now();
+        let record = Lead::of(node, false).record();
+        match node.store.append(TOPIC, &[record], Guard::At(end), CALL).await {
+            Ok(appended) => {
+                view.end = Some(appended.end);
+                scheduler.set_renewed(sent);
+                node.wait_stopping(RENEW).await;
+            }
+            Err(error) => {
+                node.counters.count("batch.lead.renew-failed");
+                if is_overtaken(node, view, end).await {
+                    return "another node holds it";
+                }
+                log::debug!("the lead cannot be renewed: {error}");
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads what came after `end`; a renewal of this node whose answer was lost is among it too.
+async fn is_overtaken(node: &Node, view: &mut View, end: Offset) -> bool {
+    match node.store.read(TOPIC, end, Duration::ZERO, CALL).await {
+        Ok(page) => {
+            view.take_page(end, &page);
+            !view.is_mine(node)
+        }
+        Err(error) => {
+            log::debug!("the lead cannot be read: {error}");
+            false
+        }
+    }
+}
+
+async fn release(node: &Node, view: &View) {
+    let Some(end) = view.end else { return };
+    let record = Lead::of(node, true).record();
+    if let Err(error) = node.store.append(TOPIC, &[record], Guard::At(end), CALL).await {
+        // The others then wait for the silence.
+        log::warn!("the lead cannot be given up: {error}");
+    }
+}
--- /dev/null
+++ b/lib/src/batch/neighbours.rs
@@ -0,0 +1,92 @@
+//! Tasks that disturb each other on one worker, and tasks that must leave theirs.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::WorkerId;
+
+use crate::batch::cell::Cell;
+use crate::batch::cell::Order;
+use crate::batch::worker::Kind;
+use crate::batch::worker::Phase;
+use crate::batch::worker::Slot;
+use crate::batch::worker::Worker;
+
+/// Share of its limit at which the tail of a serving task makes its neighbours pause.
+const TIGHT: f64 = 0.9;
+/// Share of its limit below which the neighbours may speed up again.
+const EASY: f64 = 0.6;
+/// How much faster a neighbour may work after each [`EASE_TIME`], in hundredths.
+const EASE_STEP: u32 = 25;
+/// Time between two steps up.
+const EASE_TIME: Duration = Duration::from_millis(1_000);
+
+impl Cell {
+    /// Slows tasks that take leftovers where a serving task is near its limit, and lets them work
+    /// again where all are well below.
+    pub fn spare_users(&mut self, now: Instant) {
+        for worker in self.workers.values_mut() {
+            if !worker.serves_beside_fillers() {
+                continue;
+            }
+            let strain = strain(worker);
+            let peer = worker.peer.clone();
+            for (task, slot) in &mut worker.slots {
+                let Some(percent) = next_pace(slot, strain, now) else { continue };
+                slot.pace = percent;
+                slot.over_since = Some(now);
+                log::info!(task = task.to_string().as_str(), worker = peer.id.as_str(), percent, strain_percent = (strain * 100.0) as u64; "pace");
+                self.outbox.push(Order::Pace {
+                    peer: peer.clone(),
+                    task: *task,
+                    run: slot.run,
+                    percent,
+                });
+            }
+        }
+    }
+
+    /// Stops tasks on workers that are about to leave where stopping loses nothing: tasks that
+    /// last are started elsewhere, and tasks that save their progress go on elsewhere.
+    pub fn leave_draining(&mut self) {
+        let mut leaving: Vec<(WorkerId, TaskName)> = Vec::new();
+        for worker in self.workers.values().filter(|worker| worker.entry.draining && worker.listed)
+        {
+            for (task, slot) in &worker.slots {
+                let Some(entry) = self.jobs.get(&task.job) else { continue };
+                let Some(step) = entry.step(task.step) else { continue };
+                let moves = step.long_running || (step.checkpointing && !step.gang);
+                if moves && matches!(slot.phase, Phase::Live(_)) {
+                    leaving.push((worker.peer.id.clone(), *task));
+                }
+            }
+        }
+        for (worker, task) in leaving {
+            log::info!(task = task.to_string().as_str(), worker = worker.as_str(); "leaves a draining worker");
+            self.stop_run(&worker, task);
+        }
+    }
+}
+
+/// The highest tail among the serving tasks, as a share of its limit.
+fn strain(worker: &Worker) -> f64 {
+    let shares = worker.slots.values().filter_map(|slot| match slot.kind {
+        Kind::Serves(limit) if limit > 0 => Some(slot.figure as f64 / limit as f64),
+        _ => None,
+    });
+    shares.fold(0.0, f64::max)
+}
+
+fn next_pace(slot: &Slot, strain: f64, now: Instant) -> Option<u32> {
+    let live = matches!(slot.phase, Phase::Live(_));
+    if slot.kind != Kind::Fills || !live {
+        return None;
+    }
+    let changed = slot.over_since.is_some_and(|at| now.saturating_duration_since(at) < EASE_TIME);
+    if strain >= TIGHT && slot.pace > 0 {
+        return Some(0);
+    }
+    let eases = strain < EASY && slot.pace < 100 && !changed;
+    eases.then(|| (slot.pace + EASE_STEP).min(100))
+}
--- /dev/null
+++ b/lib/src/batch/node.rs
@@ -0,0 +1,302 @@
+//! A node on the platform: what its tasks share, and how it starts and stops.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use spokelift_platform::config::Config;
+use spokelift_platform::ingress::READINESS_PATH;
+use spokelift_platform::job::JobId;
+use spokelift_platform::machine::Machines;
+use spokelift_platform::settings::Settings;
+use spokelift_platform::store::Guard;
+use spokelift_platform::store::Store;
+use spokelift_platform::wave::Wave;
+use spokelift_platform::worker::Caller;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::batch::intake;
+use crate::batch::lead;
+use crate::batch::lead::Lead;
+use crate::batch::operator;
+use crate::batch::peer;
+use crate::batch::peer::Peers;
+use crate::batch::peer::Reply;
+use crate::batch::record;
+use crate::batch::record::Accepted;
+use crate::batch::scheduler::Scheduler;
+use crate::metrics::Counters;
+use crate::transport::dial::Body;
+use crate::transport::dial::Dialer;
+use crate::transport::dial::full;
+use crate::transport::serve::serve;
+
+/// How long a connection may take to be made; halls are about 1 ms apart.
+const CONNECT: Duration = Duration::from_millis(400);
+/// How long a node goes on serving after SIGTERM. The platform asks each second whether it is
+/// ready, and stops sending new connections after two misses.
+const STOP_DELAY: Duration = Duration::from_millis(2_600);
+/// How long one write for a peer may take.
+const PEER_WRITE: Duration = Duration::from_millis(500);
+
+/// What the tasks of a node share.
+pub struct Node {
+    /// The settings of the platform.
+    pub settings: Settings,
+    /// Random number of this life of the node.
+    pub life: u64,
+    /// The platform's store.
+    pub store: Store,
+    /// What calls workers.
+    pub workers: Caller,
+    /// The platform's interface for machines.
+    pub machines: Option<Machines>,
+    /// Connections to the other nodes.
+    pub peers: Peers,
+    /// Counters.
+    pub counters: Counters,
+    config: Mutex<Option<Arc<Config>>>,
+    waves: Mutex<BTreeMap<u64, Wave>>,
+    lead: Mutex<Option<Lead>>,
+    scheduler: Mutex<Option<Arc<Scheduler>>>,
+    stopping: watch::Sender<bool>,
+}
+
+impl Node {
+    /// A node with nothing known yet.
+    pub fn new(settings: Settings, counters: Counters) -> Arc<Node> {
+        let dialer = Dialer::new(CONNECT);
+        Arc::new(Node {
+            store: Store::new(settings.store, dialer.clone()),
+            workers: Caller::new(dialer.clone()),
+            machines: settings.machines.map(|addr| Machines::new(addr, dialer.clone())),
+            life: rand::random(),
+            peers: Peers::default(),
+            counters,
+            config: Mutex::default(),
+            waves: Mutex::default(),
+            lead: Mutex::default(),
+            scheduler: Mutex::default(),
+            stopping: watch::Sender::new(false),
+            settings,
+        })
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.config.lock().expect("no holder of the configuration panics").clone()
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub fn set_config(&self, config: Config) {
+        let mut current = self.config.lock().expect("no holder of the configuration panics");
+        if current.as_ref().is_some_and(|current| current.version >= config.version) {
+            return;
+        }
+        log::info!(version = config.version, queues = config.queues.len(); "configuration in force");
+        *current = Some(Arc::new(config));
+    }
+
+    /// The waves asked for.
+    pub fn waves(&self) -> Vec<Wave> {
+        self.waves.lock().expect("no holder of the waves panics").values().cloned().collect()
+    }
+
+    /// Takes in a wave.
+    pub fn add_wave(&self, wave: Wave) {
+        let mut waves = self.waves.lock().expect("no holder of the waves panics");
+        if !waves.contains_key(&wave.number) {
+            log::info!(wave = wave.number, machines = wave.machines.len(), max_down = wave.max_down, duration_s = wave.duration.as_secs(); "wave asked for");
+            waves.insert(wave.number, wave);
+        }
+    }
+
+    /// Takes in who holds the lead.
+    pub fn set_lead(&self, lead: Option<Lead>) {
+        *self.lead.lock().expect("no holder of the lead panics") = lead;
+    }
+
+    /// Address of the holder of the lead, if it is another node.
+    pub fn lead_elsewhere(&self) -> Option<SocketAddr> {
+        let lead = self.lead.lock().expect("no holder of the lead panics");
+        lead.as_ref().filter(|lead| lead.life != self.life).map(|lead| lead.addr)
+    }
+
+    /// The scheduler, while this node holds the lead and has read the store.
+    pub fn scheduler(&self) -> Option<Arc<Scheduler>> {
+        self.scheduler.lock().expect("no holder of the scheduler panics").clone()
+    }
+
+    /// Sets the scheduler.
+    pub fn set_scheduler(&self, scheduler: Option<Arc<Scheduler>>) {
+        *self.scheduler.lock().expect("no holder of the scheduler panics") = scheduler;
+    }
+
+    /// Whether the node has been told to stop.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Waits for `time`, or less if the node is told to stop.
+    pub async fn wait_stopping(&self, time: Duration) {
+        let mut stopping = self.stopping.subscribe();
+        // Either outcome ends the wait.
+        let _ = timeout(time, stopping.wait_for(|stopping| *stopping)).await;
+    }
+
+    /// Asks the holder of the lead, which may be this node.
+    pub async fn ask_lead(&self, request: peer::Request) -> Option<Reply> {
+        if let Some(scheduler) = self.scheduler() {
+            return Some(scheduler.answer(request).await);
+        }
+        let addr = self.lead_elsewhere()?;
+        match self.peers.ask(addr, request).await {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                self.counters.count("batch.peer.no-answer");
+                log::debug!("the holder of the lead at {addr} does not answer: {error}");
+                None
+            }
+        }
+    }
+
+    /// Tells the holder of the lead of a job in the store. If that fails, the holder finds it when
+    /// it next reads the store.
+    pub fn tell_submitted(&self, id: JobId, accepted: Accepted) {
+        let request = peer::Request::Submitted(id, Box::new(accepted));
+        if let Some(scheduler) = self.scheduler() {
+            tokio::spawn(async move { scheduler.answer(request).await });
+        } else if let Some(addr) = self.lead_elsewhere() {
+            self.peers.tell(addr, request);
+        }
+    }
+
+    /// Answers another node.
+    pub async fn answer_peer(&self, request: peer::Request) -> Reply {
+        if let peer::Request::Store(id, accepted) = request {
+            let record = record::accepted(id, &accepted);
+            let written =
+                self.store.append(record::JOB_TOPIC, &[record], Guard::None, PEER_WRITE).await;
+            return match written {
+                Ok(_) => {
+                    self.tell_submitted(id, *accepted);
+                    Reply::Done
+                }
+                Err(error) if error.is_certain() => Reply::Refused,
+                // Silence tells the sender that it is not known.
+                Err(_) => std::future::pending().await,
+            };
+        }
+        match self.scheduler() {
+            Some(scheduler) => scheduler.answer(request).await,
+            None => Reply::NotReady,
+        }
+    }
+
+    /// Takes the time of an answer to a client into account.
+    pub fn record_latency(&self, method: &Method, took: Duration) {
+        let bucket = match took.as_millis() {
+            0..10 => "10",
+            10..50 => "50",
+            50..200 => "200",
+            200..1000 => "1000",
+            _ => "over",
+        };
+        self.counters.count(&format!("batch.client.{method}.ms-{bucket}"));
+    }
+}
+
+/// Why a node could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[error("cannot listen for {purpose} on {addr}")]
+    Bind {
+        /// What the address is for.
+        purpose: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        #[source]
+        source: io::Error,
+    },
+    /// The counters could not be made.
+    #[error("cannot count")]
+    Counters(#[source] io::Error),
+}
+
+async fn listen(purpose: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(addr).await;
+    bound.map_err(|source| StartError::Bind { purpose, addr, source })
+}
+
+/// Runs a node until `stop` turns true and the requests in flight have ended.
+///
+/// # Errors
+///
+/// [`StartError`] if it cannot listen.
+pub async fn run(settings: Settings, mut stop: watch::Receiver<bool>) -> Result<(), StartError> {
+    let counters = Counters::new(None).map_err(StartError::Counters)?;
+    let peer_addr = SocketAddr::new(settings.ip, settings.peer_port);
+    let metrics_addr = SocketAddr::new(settings.ip, settings.metrics_port);
+    let clients = listen("clients", settings.client_addr).await?;
+    let readiness = listen("readiness", settings.readiness_addr).await?;
+    let metrics = listen("metrics", metrics_addr).await?;
+    let peers = listen("peers", peer_addr).await?;
+    log::info!(node = settings.node.as_str(), hall = settings.hall.as_str(); "starts");
+    let node = Node::new(settings, counters);
+    let tasks = [
+        tokio::spawn(peer::serve(node.clone(), peers)),
+        tokio::spawn(operator::run(node.clone())),
+        tokio::spawn(lead::run(node.clone())),
+    ];
+    let (close, closed) = watch::channel(false);
+    let shared = node.clone();
+    let clients =
+        serve(clients, closed.clone(), move |request| intake::handle(shared.clone(), request));
+    let shared = node.clone();
+    let probes = serve(readiness, closed.clone(), move |request| ready(shared.clone(), request));
+    let shared = node.clone();
+    let figures = serve(metrics, closed, move |_| show_metrics(shared.clone()));
+    let stopping = async {
+        // A sender that is gone is a stop as well.
+        let _ = stop.wait_for(|stop| *stop).await;
+        log::info!("stops: the platform is told first");
+        node.stopping.send_replace(true);
+        sleep(STOP_DELAY).await;
+        close.send_replace(true);
+    };
+    tokio::join!(clients, probes, figures, stopping);
+    for task in tasks {
+        task.abort();
+    }
+    log::info!("stopped");
+    Ok(())
+}
+
+async fn ready(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let known = request.uri().path() == READINESS_PATH;
+    let ready = known && node.config().is_some() && !node.is_stopping();
+    let response = Response::builder().status(if ready { 200 } else { 503 });
+    response.body(full("")).expect("a status makes an answer")
+}
+
+async fn show_metrics(node: Arc<Node>) -> Response<Body> {
+    let totals = node.counters.totals();
+    let lines: Vec<String> = totals
+        .iter()
+        .map(|(name, total)| format!("{} {total}\n", name.replace(['.', '-'], "_")))
+        .collect();
+    Response::new(full(lines.concat()))
+}
--- /dev/null
+++ b/lib/src/batch/place.rs
@@ -0,0 +1,273 @@
+//! Which worker a task is started on.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use spokelift_platform::job::Step;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::WorkerId;
+
+use crate::batch::cell::Cell;
+use crate::batch::cell::Order;
+use crate::batch::cell::Rank;
+use crate::batch::cell::next_run;
+use crate::batch::job::Entry;
+use crate::batch::worker::Kind;
+use crate::batch::worker::Phase;
+use crate::batch::worker::Slot;
+use crate::batch::worker::Worker;
+
+/// What is asked of a worker, beside room.
+struct Demand<'a> {
+    task: TaskName,
+    service: &'a str,
+    step: &'a Step,
+    need: Room,
+    kind: Kind,
+    avoid: &'a [WorkerId],
+}
+
+impl Cell {
+    /// Starts what waits, as far as there is room, in the order of rank.
+    pub fn place(&mut self, now: Instant) {
+        let mut tops = self.top_room(now);
+        let ranks: Vec<Rank> = self.ready.iter().copied().collect();
+        for rank in ranks {
+            self.place_step(rank, now, &mut tops);
+        }
+    }
+
+    /// The most processor left on any worker of each service; a step that needs more is passed
+    /// over without a look at the workers.
+    fn top_room(&self, now: Instant) -> HashMap<String, u32> {
+        let mut tops = HashMap::new();
+        for worker in self.workers.values().filter(|worker| worker.takes_work(now)) {
+            let top = tops.entry(worker.entry.service.clone()).or_insert(0);
+            *top = worker.free.cpu.max(*top);
+        }
+        tops
+    }
+
+    fn place_step(&mut self, rank: Rank, now: Instant, tops: &mut HashMap<String, u32>) {
+        let (_, _, time, step, job) = rank;
+        let Some(entry) = self.jobs.get(&job) else {
+            self.ready.remove(&rank);
+            return;
+        };
+        if entry.inherited && !self.unasked.is_empty() {
+            return;
+        }
+        let accepted = &entry.accepted;
+        let Some(shape) = accepted.job.steps.get(usize::from(step)) else { return };
+        let need = Entry::room_of(shape);
+        if tops.get(&accepted.service).is_none_or(|top| *top < need.cpu) {
+            return;
+        }
+        let (service, shape) = (accepted.service.clone(), shape.clone());
+        if shape.gang {
+            self.place_gang(rank, &service, &shape, now);
+            return;
+        }
+        let waiting: Vec<u32> =
+            match self.jobs.get_mut(&job).and_then(|entry| entry.step_run(time, step)) {
+                Some(run) => run.waiting.iter().copied().collect(),
+                None => return,
+            };
+        let mut left = waiting.len();
+        for index in waiting {
+            let task = TaskName { job, time, step, index };
+            let Some(worker) = self.choose(task, &service, &shape, now) else {
+                // Tasks of a step are alike, except for the workers they avoid.
+                break;
+            };
+            self.start(task, &worker, &shape, None, now);
+            left -= 1;
+        }
+        if left == 0 {
+            self.ready.remove(&rank);
+        }
+    }
+
+    fn choose(
+        &mut self,
+        task: TaskName,
+        service: &str,
+        step: &Step,
+        now: Instant,
+    ) -> Option<WorkerId> {
+        let avoid = self.jobs.get_mut(&task.job)?.task(task)?.avoid.clone();
+        let (need, kind) = (Entry::room_of(step), Entry::kind_of(step));
+        let demand = Demand { task, service, step, need, kind, avoid: &avoid };
+        let candidates = self.workers.values().filter(|worker| allows(worker, &demand, now));
+        let best = candidates.min_by_key(|worker| cost(worker, &demand));
+        best.map(|worker| worker.peer.id.clone())
+    }
+
+    /// Starts all members of a gang, or none.
+    fn place_gang(&mut self, rank: Rank, service: &str, step: &Step, now: Instant) {
+        let (_, _, time, number, job) = rank;
+        let Some(run) = self.jobs.get_mut(&job).and_then(|entry| entry.step_run(time, number))
+        else {
+            return;
+        };
+        if run.waiting.len() < run.tasks.len() {
+            return;
+        }
+        let last = run.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
+        let checkpoint =
+            run.tasks.iter().map(|task| task.checkpoint.clone()).find(|text| !text.is_empty());
+        let members = run.tasks.len() as u32;
+        let racks = self.racks(service, step);
+        for rack in racks {
+            let mut chosen = Vec::new();
+            let mut taken: HashMap<WorkerId, (Room, u32)> = HashMap::new();
+            for index in 0..members {
+                let task = TaskName { job, time, step: number, index };
+                match self.choose_member(task, service, step, rack.as_deref(), &taken, now) {
+                    Some(worker) => {
+                        let need = Entry::room_of(step);
+                        let sum = taken.entry(worker.clone()).or_default();
+                        sum.0.cpu += need.cpu;
+                        sum.0.memory_mb += need.memory_mb;
+                        sum.0.gpu += need.gpu;
+                        sum.1 += 1;
+                        chosen.push((task, worker));
+                    }
+                    None => break,
+                }
+            }
+            if chosen.len() < members as usize {
+                continue;
+            }
+            for (task, worker) in chosen {
+                if let Some(member) = self.jobs.get_mut(&job).and_then(|entry| entry.task(task)) {
+                    member.last_run = last;
+                    member.checkpoint = checkpoint.clone().unwrap_or_default();
+                }
+                self.start(task, &worker, step, None, now);
+            }
+            self.ready.remove(&rank);
+            return;
+        }
+    }
+
+    /// Racks to try for a gang; `None` stands for any mix of racks.
+    fn racks(&self, service: &str, step: &Step) -> Vec<Option<String>> {
+        let mut racks = Vec::new();
+        if step.same_rack {
+            let workers = self.workers.values().filter(|worker| worker.entry.service == service);
+            let mut names: Vec<String> =
+                workers.filter_map(|worker| worker.entry.rack().map(str::to_owned)).collect();
+            names.sort();
+            names.dedup();
+            racks.extend(names.into_iter().map(Some));
+        }
+        racks.push(None);
+        racks
+    }
+
+    fn choose_member(
+        &self,
+        task: TaskName,
+        service: &str,
+        step: &Step,
+        rack: Option<&str>,
+        taken: &HashMap<WorkerId, (Room, u32)>,
+        now: Instant,
+    ) -> Option<WorkerId> {
+        let (need, kind) = (Entry::room_of(step), Entry::kind_of(step));
+        let demand = Demand { task, service, step, need, kind, avoid: &[] };
+        let fits = |worker: &&Worker| {
+            let (sum, count) = taken.get(&worker.peer.id).copied().unwrap_or_default();
+            let room = Room {
+                cpu: need.cpu + sum.cpu,
+                memory_mb: need.memory_mb + sum.memory_mb,
+                gpu: need.gpu + sum.gpu,
+            };
+            let apart = step.max_per_worker == 0
+                || worker.count_of_step(task) + count < step.max_per_worker;
+            let on_rack = rack.is_none() || worker.entry.rack() == rack;
+            apart && on_rack && worker.fits(room) && allows(worker, &demand, now)
+        };
+        let best = self.workers.values().filter(fits).min_by_key(|worker| cost(worker, &demand));
+        best.map(|worker| worker.peer.id.clone())
+    }
+
+    fn start(
+        &mut self,
+        name: TaskName,
+        id: &str,
+        step: &Step,
+        ticket: Option<String>,
+        now: Instant,
+    ) {
+        let token = self.token;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(lease_until) = worker.grant(now) else { return };
+        let Some(entry) = self.jobs.get_mut(&name.job) else { return };
+        let spec = entry.accepted.job.spec.clone();
+        let Some(task) = entry.task(name) else { return };
+        let run = next_run(task, token);
+        task.last_run = run;
+        task.runs += 1;
+        let waited = task.waiting_since.take().map(|since| now.saturating_duration_since(since));
+        let checkpoint = task.checkpoint.clone();
+        if let Some(run) = entry.step_run(name.time, name.step) {
+            run.waiting.remove(&name.index);
+        }
+        let slot = Slot::new(run, Phase::Starting, Entry::room_of(step), Entry::kind_of(step), now);
+        worker.insert(name, slot);
+        let waited_ms = waited.unwrap_or_default().as_millis() as u64;
+        log::info!(task = name.to_string().as_str(), run, worker = id, waited_ms, free_cpu = worker.free.cpu; "start");
+        let peer = worker.peer.clone();
+        let ticket = ticket.unwrap_or_default();
+        self.outbox.push(Order::Start {
+            peer,
+            task: name,
+            run,
+            spec,
+            lease_until,
+            checkpoint,
+            ticket,
+        });
+    }
+}
+
+/// Whether a worker may run the task at all, now.
+fn allows(worker: &Worker, demand: &Demand<'_>, now: Instant) -> bool {
+    let step = demand.step;
+    let apart =
+        || step.max_per_worker == 0 || worker.count_of_step(demand.task) < step.max_per_worker;
+    let labelled = || match &step.requires {
+        Some(label) => worker.entry.labels.contains(label),
+        None => true,
+    };
+    worker.entry.service == demand.service
+        && worker.takes_work(now)
+        && worker.clock.is_some()
+        && worker.fits(demand.need)
+        && !worker.slots.contains_key(&demand.task)
+        && labelled()
+        && apart()
+}
+
+/// Order of preference among workers that may run the task; the least comes first.
+fn cost(worker: &Worker, demand: &Demand<'_>) -> (bool, bool, u32, u32) {
+    let avoided = demand.avoid.contains(&worker.peer.id);
+    let far = match &demand.step.data_rack {
+        Some(rack) => !worker.entry.labels.contains(rack),
+        None => false,
+    };
+    let crowd = match demand.kind {
+        // Users should not share a worker with what takes leftovers.
+        Kind::Serves(_) => worker.slots.values().filter(|slot| slot.kind == Kind::Fills).count(),
+        Kind::Fills => worker
+            .slots
+            .values()
+            .filter(|slot| matches!(slot.kind, Kind::Serves(_) | Kind::Fills))
+            .count(),
+        _ => 0,
+    };
+    (avoided, far, crowd as u32 + worker.failures, u32::MAX - worker.free.cpu)
+}
--- /dev/null
+++ b/lib/src/batch/record.rs
@@ -0,0 +1,178 @@
+//! What the store keeps of a job.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use spokelift_platform::ingress::JobState;
+use spokelift_platform::job::Job;
+use spokelift_platform::job::JobId;
+use spokelift_platform::job::parse_id;
+use spokelift_platform::store::Record;
+use spokelift_platform::worker::Run;
+use thiserror::Error;
+
+/// Topic with the jobs as accepted, by id. Every node writes to it.
+pub const JOB_TOPIC: &str = "keyed.jobs";
+/// Topic with how far jobs are, by id. Only the holder of the lead writes to it.
+pub const PROGRESS_TOPIC: &str = "keyed.progress";
+/// Start of the keys in [`JOB_TOPIC`] that ask for a job to be cancelled.
+const CANCEL_PREFIX: &str = "cancel/";
+/// Start of the keys in [`PROGRESS_TOPIC`] that name workers which may run something.
+const WORKER_PREFIX: &str = "worker/";
+
+/// A job as it was accepted.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Accepted {
+    /// The job.
+    pub job: Job,
+    /// The queue it was handed in at.
+    pub queue: String,
+    /// The service that queue used then.
+    pub service: String,
+    /// Rank of the queue; 0 comes first.
+    pub priority: u32,
+    /// How often a task may fail before the job fails.
+    pub max_attempts: u32,
+    /// When it was accepted, since 1970, by the clock of the node that took it.
+    pub at: Duration,
+}
+
+/// Which of a job's tasks: repetition, step and index.
+pub type TaskPlace = (u32, u16, u32);
+
+/// How far a job is.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq)]
+pub struct Progress {
+    /// The state it ended in, if it has ended.
+    pub end: Option<JobState>,
+    /// A task has begun.
+    pub begun: bool,
+    /// For each repetition and step with a task that is done, a bit for each task.
+    pub done: Vec<(u32, u16, Vec<u8>)>,
+    /// Tasks that failed, how often, and the last run that failed.
+    pub failed: Vec<(TaskPlace, u32, Run)>,
+}
+
+/// Why a record cannot be used.
+#[derive(Debug, Error)]
+pub enum RecordError {
+    /// Its key is none of ours.
+    #[error("unknown key {0:?}")]
+    Key(String),
+    /// Its value does not decode.
+    #[error("the value of {0:?} does not decode")]
+    Value(String, #[source] postcard::Error),
+}
+
+/// A record of [`JOB_TOPIC`].
+#[derive(Debug, PartialEq)]
+pub enum JobRecord {
+    /// A job was accepted.
+    Accepted(JobId, Box<Accepted>),
+    /// A client wants a job cancelled.
+    Cancel(JobId),
+    /// A key was dropped.
+    Dropped,
+}
+
+/// A record of [`PROGRESS_TOPIC`].
+#[derive(Debug, PartialEq)]
+pub enum ProgressRecord {
+    /// How far a job is.
+    Progress(JobId, Progress),
+    /// A worker that may run something, and its address.
+    Worker(String, std::net::SocketAddr),
+    /// A key was dropped.
+    Dropped,
+}
+
+fn encode<T: Serialize>(value: &T) -> Bytes {
+    postcard::to_stdvec(value).expect("records can be written by postcard").into()
+}
+
+fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, RecordError> {
+    postcard::from_bytes(value).map_err(|error| RecordError::Value(key.to_owned(), error))
+}
+
+fn id_of(key: &str) -> Result<JobId, RecordError> {
+    parse_id(key).ok_or_else(|| RecordError::Key(key.to_owned()))
+}
+
+fn job_key(id: JobId) -> String {
+    format!("{id:016x}")
+}
+
+/// The record of an accepted job.
+pub fn accepted(id: JobId, accepted: &Accepted) -> Record {
+    Record::set(job_key(id), encode(accepted))
+}
+
+/// The record that asks for a job to be cancelled.
+pub fn cancel(id: JobId) -> Record {
+    // The value says nothing, but a record without one would drop the key.
+    Record::set(format!("{CANCEL_PREFIX}{id:016x}"), encode(&true))
+}
+
+/// The records that let go of a job in [`JOB_TOPIC`].
+pub fn forget_job(id: JobId, was_cancelled: bool) -> Vec<Record> {
+    let mut records = vec![Record::drop_key(job_key(id))];
+    if was_cancelled {
+        records.push(Record::drop_key(format!("{CANCEL_PREFIX}{id:016x}")));
+    }
+    records
+}
+
+/// The record of a job's progress.
+pub fn progress(id: JobId, progress: &Progress) -> Record {
+    Record::set(job_key(id), encode(progress))
+}
+
+/// The record that lets go of a job's progress.
+pub fn forget_progress(id: JobId) -> Record {
+    Record::drop_key(job_key(id))
+}
+
+/// The record of a worker that may run something from now on.
+pub fn worker(id: &str, addr: std::net::SocketAddr) -> Record {
+    Record::set(format!("{WORKER_PREFIX}{id}"), encode(&addr))
+}
+
+/// The record of a worker that runs nothing any more.
+pub fn forget_worker(id: &str) -> Record {
+    Record::drop_key(format!("{WORKER_PREFIX}{id}"))
+}
+
+impl JobRecord {
+    /// Reads a record of [`JOB_TOPIC`].
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError`] if it is none of ours.
+    pub fn decode(record: &Record) -> Result<JobRecord, RecordError> {
+        let Some(value) = &record.value else { return Ok(JobRecord::Dropped) };
+        if let Some(id) = record.key.strip_prefix(CANCEL_PREFIX) {
+            return Ok(JobRecord::Cancel(id_of(id)?));
+        }
+        let id = id_of(&record.key)?;
+        Ok(JobRecord::Accepted(id, Box::new(decode(&record.key, value)?)))
+    }
+}
+
+impl ProgressRecord {
+    /// Reads a record of [`PROGRESS_TOPIC`].
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError`] if it is none of ours.
+    pub fn decode(record: &Record) -> Result<ProgressRecord, RecordError> {
+        let Some(value) = &record.value else { return Ok(ProgressRecord::Dropped) };
+        if let Some(id) = record.key.strip_prefix(WORKER_PREFIX) {
+            return Ok(ProgressRecord::Worker(id.to_owned(), decode(&record.key, value)?));
+        }
+        let id = id_of(&record.key)?;
+        Ok(ProgressRecord::Progress(id, decode(&record.key, value)?))
+    }
+}
--- /dev/null
+++ b/lib/src/batch/upkeep.rs
@@ -0,0 +1,322 @@
+//! Carries out waves: empties machines, has their upkeep done, at most so many at once.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::call::CallError;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::machine;
+use spokelift_platform::machine::Holder;
+use spokelift_platform::machine::Machine;
+use spokelift_platform::machine::MachineId;
+use spokelift_platform::machine::Machines;
+use spokelift_platform::machine::Status;
+use spokelift_platform::store::Guard;
+use spokelift_platform::store::STATUS_TOPIC;
+use spokelift_platform::wave::Wave;
+use spokelift_platform::worker::WorkerId;
+use tokio::time::sleep;
+
+use crate::batch::cell::Cell;
+use crate::batch::scheduler::Scheduler;
+use crate::batch::worker::Kind;
+use crate::batch::worker::Phase;
+
+/// Time between two looks at the waves.
+const ROUND: Duration = Duration::from_millis(250);
+/// How long a call about machines may take.
+const CALL: Duration = Duration::from_millis(800);
+/// How long ago the lead may have been renewed for an order about a machine to be given. Another
+/// node claims the lead after 2.1 s of silence at the earliest.
+const RENEWED: Duration = Duration::from_millis(1_400);
+/// How long tasks on a machine may take to end by themselves before they are stopped.
+const EMPTY_TIME: Duration = Duration::from_millis(4_000);
+
+/// What is known of one wave.
+struct Course {
+    wave: Wave,
+    seen_at: Instant,
+    /// Machines whose upkeep has begun.
+    begun: HashSet<MachineId>,
+    /// Machines that are down for it, since when, and the worker that lived there before.
+    down: HashMap<MachineId, (Instant, Option<WorkerId>)>,
+    /// Machines that are being emptied, since when.
+    emptying: HashMap<MachineId, Instant>,
+    /// What the operator has been told: none, running, succeeded.
+    told: Option<bool>,
+}
+
+/// Carries out waves as long as the scheduler lasts.
+pub async fn run(scheduler: Arc<Scheduler>) {
+    let Some(machines) = scheduler.node.machines.clone() else { return };
+    let mut over = read_over(&scheduler).await;
+    let mut courses: HashMap<u64, Course> = HashMap::new();
+    loop {
+        sleep(ROUND).await;
+        for wave in scheduler.node.waves() {
+            if over.contains(&wave.number) {
+                continue;
+            }
+            courses.entry(wave.number).or_insert_with(|| Course {
+                wave,
+                seen_at: Instant::now(),
+                begun: HashSet::new(),
+                down: HashMap::new(),
+                emptying: HashMap::new(),
+                told: None,
+            });
+        }
+        if courses.is_empty() {
+            continue;
+        }
+        let list = match machines.list(CALL).await {
+            Ok(list) => list,
+            Err(error) => {
+                log::debug!("the machines cannot be listed: {error}");
+                continue;
+            }
+        };
+        for course in courses.values_mut() {
+            advance(&scheduler, &machines, course, &list).await;
+            if course.told == Some(true) {
+                over.insert(course.wave.number);
+            }
+        }
+        courses.retain(|number, _| !over.contains(number));
+        uncordon(&scheduler, &courses, &list);
+        scheduler.kick();
+    }
+}
+
+/// Waves that an earlier scheduler has finished.
+async fn read_over(scheduler: &Scheduler) -> BTreeSet<u64> {
+    loop {
+        match scheduler.node.store.newest(STATUS_TOPIC, CALL).await {
+            Ok(newest) => {
+                let over = newest.records.iter().filter(|record| {
+                    record.value.as_ref().is_some_and(|value| Wave::is_over(value))
+                });
+                return over.filter_map(|record| Wave::status_number(&record.key)).collect();
+            }
+            Err(error) => {
+                log::debug!("the states of waves cannot be read: {error}");
+                sleep(ROUND).await;
+            }
+        }
+    }
+}
+
+async fn advance(
+    scheduler: &Arc<Scheduler>,
+    machines: &Machines,
+    course: &mut Course,
+    list: &[Machine],
+) {
+    if course.told.is_none() {
+        tell(scheduler, course, false).await;
+    }
+    let listed: HashMap<&str, &Machine> =
+        list.iter().map(|machine| (machine.id.as_str(), machine)).collect();
+    settle_down(scheduler, course, &listed);
+    let left: Vec<MachineId> =
+        course.wave.machines.iter().filter(|id| !course.begun.contains(*id)).cloned().collect();
+    let stays = |id: &&MachineId| listed.contains_key(id.as_str());
+    if !left.iter().any(|id| stays(&id)) {
+        tell(scheduler, course, true).await;
+        return;
+    }
+    choose_next(scheduler, course, &left, &listed);
+    let ready: Vec<MachineId> = {
+        let mut cell = scheduler.cell();
+        let emptying: Vec<(MachineId, Instant)> =
+            course.emptying.iter().map(|(id, since)| (id.clone(), *since)).collect();
+        emptying
+            .into_iter()
+            .filter(|(id, since)| {
+                let worker = worker_of(&listed, id);
+                worker.is_none_or(|worker| empty(&mut cell, &worker, since.elapsed() > EMPTY_TIME))
+            })
+            .map(|(id, _)| id)
+            .collect()
+    };
+    for id in ready {
+        if course.down.len() >= course.wave.max_down {
+            break;
+        }
+        order(scheduler, machines, course, &id, &listed).await;
+    }
+}
+
+fn worker_of(listed: &HashMap<&str, &Machine>, id: &str) -> Option<WorkerId> {
+    listed.get(id)?.worker.clone()
+}
+
+/// A machine counts as down until the platform lists it as up with another worker.
+fn settle_down(scheduler: &Scheduler, course: &mut Course, listed: &HashMap<&str, &Machine>) {
+    let least = scheduler.node.settings.upkeep_time;
+    course.down.retain(|id, (since, before)| {
+        let back = listed.get(id.as_str()).is_none_or(|machine| {
+            machine.status == Status::Up && machine.worker != *before && machine.worker.is_some()
+        });
+        !(back && since.elapsed() >= least)
+    });
+}
+
+/// Picks machines to empty, the least loaded first: as many as may be down at once, and as many
+/// again so that the next are empty when those come back.
+fn choose_next(
+    scheduler: &Scheduler,
+    course: &mut Course,
+    left: &[MachineId],
+    listed: &HashMap<&str, &Machine>,
+) {
+    let wanted = 2 * course.wave.max_down;
+    let free = wanted.saturating_sub(course.emptying.len() + course.down.len());
+    if free == 0 {
+        return;
+    }
+    let mut cell = scheduler.cell();
+    let mut candidates: Vec<(usize, MachineId)> = Vec::new();
+    for id in left.iter().filter(|id| !course.emptying.contains_key(*id)) {
+        let Some(machine) = listed.get(id.as_str()).filter(|machine| machine.status == Status::Up)
+        else {
+            continue;
+        };
+        let load = machine.worker.as_ref().and_then(|worker| cell.workers.get(worker));
+        let load = load.map_or(0, |worker| worker.slots.len());
+        candidates.push((load, id.clone()));
+    }
+    candidates.sort();
+    for (_, id) in candidates.into_iter().take(free) {
+        if let Some(worker) =
+            worker_of(listed, &id).and_then(|worker| cell.workers.get_mut(&worker))
+        {
+            worker.cordoned = true;
+        }
+        log::info!(machine = id.as_str(), wave = course.wave.number; "empties for upkeep");
+        course.emptying.insert(id, Instant::now());
+    }
+}
+
+/// Moves what it may off a worker; returns whether nothing is left there.
+///
+/// Tasks that end by themselves are let end, unless `hurry`. Of a step that lasts, at most as many
+/// tasks are away at once as it allows.
+pub fn empty(cell: &mut Cell, id: &str, hurry: bool) -> bool {
+    let Some(worker) = cell.workers.get_mut(id) else { return true };
+    worker.cordoned = true;
+    let tasks: Vec<(TaskName, Kind, Phase)> =
+        worker.slots.iter().map(|(task, slot)| (*task, slot.kind, slot.phase)).collect();
+    for (task, kind, phase) in &tasks {
+        if !matches!(phase, Phase::Live(_)) {
+            continue;
+        }
+        let lasts = is_lasting(cell, *task);
+        let stop = match kind {
+            _ if lasts => may_leave(cell, *task),
+            _ => hurry,
+        };
+        if stop {
+            log::info!(task = task.to_string().as_str(), worker = id, hurry; "moves off");
+            cell.stop_run(id, *task);
+        }
+    }
+    tasks.is_empty()
+}
+
+fn is_lasting(cell: &Cell, task: TaskName) -> bool {
+    let entry = cell.jobs.get(&task.job);
+    entry.and_then(|entry| entry.step(task.step)).is_some_and(|step| step.long_running)
+}
+
+/// Whether a task may be ended now: with it, no more tasks of its step are away than allowed.
+/// Every other task counts as away that is not known to be at work.
+fn may_leave(cell: &Cell, name: TaskName) -> bool {
+    let Some(entry) = cell.jobs.get(&name.job) else { return true };
+    let Some(step) = entry.step(name.step) else { return true };
+    let Some(allowed) = step.may_miss else { return true };
+    let at_work = |task: &TaskName| {
+        let same = (task.job, task.time, task.step) == (name.job, name.time, name.step);
+        same && task.index != name.index
+    };
+    let working = cell.workers.values().flat_map(|worker| worker.slots.iter());
+    let working = working.filter(|(task, slot)| {
+        at_work(task) && matches!(slot.phase, Phase::Live(_)) && slot.percent >= 100
+    });
+    let others = step.count.saturating_sub(1);
+    let away = others.saturating_sub(working.count() as u32);
+    away < allowed
+}
+
+async fn order(
+    scheduler: &Arc<Scheduler>,
+    machines: &Machines,
+    course: &mut Course,
+    id: &str,
+    listed: &HashMap<&str, &Machine>,
+) {
+    let gap = scheduler.node.settings.turn_gap;
+    if scheduler.began_at.elapsed() < gap || scheduler.renewed_ago() > RENEWED {
+        return;
+    }
+    let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
+    let before = worker_of(listed, id);
+    let number = course.wave.number;
+    let done = machines.upkeep(holder, id, number, CALL).await;
+    log::info!(machine = id, wave = number, ok = done.is_ok(); "upkeep ordered");
+    match done {
+        Ok(()) => {}
+        Err(error) if machine::is_fenced(&error) => {
+            scheduler.cell().fenced = true;
+            return;
+        }
+        Err(error @ CallError::Refused { .. }) => {
+            log::info!(machine = id, wave = number; "upkeep refused: {error}");
+            return;
+        }
+        Err(error) => {
+            // It may have begun, so it counts as down; asking again does no harm.
+            log::info!(machine = id, wave = number; "upkeep without an answer: {error}");
+            course.down.insert(id.to_owned(), (Instant::now(), before));
+            return;
+        }
+    }
+    course.begun.insert(id.to_owned());
+    course.emptying.remove(id);
+    course.down.insert(id.to_owned(), (Instant::now(), before.clone()));
+    if let Some(worker) = before {
+        scheduler.cell().remove_worker(&worker, "its machine has its upkeep");
+    }
+}
+
+/// Workers on machines that are no longer being emptied take work again.
+fn uncordon(scheduler: &Scheduler, courses: &HashMap<u64, Course>, list: &[Machine]) {
+    let busy: HashSet<&MachineId> =
+        courses.values().flat_map(|course| course.emptying.keys()).collect();
+    let free = list.iter().filter(|machine| !busy.contains(&machine.id));
+    let workers: HashSet<&WorkerId> = free.filter_map(|machine| machine.worker.as_ref()).collect();
+    for worker in scheduler.cell().workers.values_mut() {
+        if workers.contains(&worker.peer.id) {
+            worker.cordoned = false;
+        }
+    }
+}
+
+async fn tell(scheduler: &Scheduler, course: &mut Course, succeeded: bool) {
+    let record = Wave::status(course.wave.number, succeeded);
+    let written = scheduler.node.store.append(STATUS_TOPIC, &[record], Guard::None, CALL).await;
+    match written {
+        Ok(_) => {
+            let took_s = course.seen_at.elapsed().as_secs();
+            log::info!(wave = course.wave.number, succeeded, took_s; "wave told");
+            course.told = Some(succeeded);
+        }
+        Err(error) => {
+            log::info!("the state of wave {} was not written: {error}", course.wave.number)
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/batch/worker.rs
@@ -0,0 +1,240 @@
+//! A worker in the scheduler's memory: its room, its lease and what may run on it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::Entry;
+use spokelift_platform::worker::Peer;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::Run;
+use spokelift_platform::worker::WorkerMs;
+
+/// How long a lease is granted for, from each look on. Long enough for another node to take the
+/// lead and look in its turn (about 3 s), short enough that the tasks of a worker that has fallen
+/// silent are soon started elsewhere.
+pub const LEASE: Duration = Duration::from_millis(5_500);
+/// Slowest pace of a worker's steady clock against ours; the platform says 2% slow.
+const SLOWEST_CLOCK: f64 = 0.98;
+/// Added to the end of a lease before what ran under it counts as gone.
+const LEASE_SLACK: Duration = Duration::from_millis(100);
+
+/// How sure it is that a run is on the worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Phase {
+    /// The order to start is on its way.
+    Starting,
+    /// The worker has taken it; since when that is known.
+    Live(Instant),
+    /// It is being stopped; since when the worker is known to have taken the stop.
+    Stopping(Option<Instant>),
+}
+
+/// A run that may be on the worker. Its room counts until it is known to be gone.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    /// Its number.
+    pub run: Run,
+    /// How sure it is there.
+    pub phase: Phase,
+    /// What it takes.
+    pub room: Room,
+    /// When it was ordered.
+    pub since: Instant,
+    /// How far it is, in hundredths.
+    pub percent: u32,
+    /// When `percent` last rose.
+    pub moved_at: Instant,
+    /// Where it could go on from elsewhere.
+    pub checkpoint: String,
+    /// Processor in use, or tail of answer times in milliseconds.
+    pub figure: u64,
+    /// Since when the tail has been over its limit.
+    pub over_since: Option<Instant>,
+    /// Share of its speed it is let work at, in hundredths.
+    pub pace: u32,
+    /// The task serves users, takes leftovers, or neither.
+    pub kind: Kind,
+}
+
+/// What kind of neighbour a task is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It serves users of its own under a limit of the tail, in milliseconds.
+    Serves(u64),
+    /// It takes what others leave unused.
+    Fills,
+    /// It ends by itself.
+    Works,
+    /// It runs until it is cancelled, without a limit of its own.
+    Lasts,
+}
+
+impl Slot {
+    /// A run that has just been ordered or found.
+    pub fn new(run: Run, phase: Phase, room: Room, kind: Kind, now: Instant) -> Slot {
+        Slot {
+            run,
+            phase,
+            room,
+            since: now,
+            percent: 0,
+            moved_at: now,
+            checkpoint: String::new(),
+            figure: 0,
+            over_since: None,
+            pace: 100,
+            kind,
+        }
+    }
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct Worker {
+    /// How it is called.
+    pub peer: Peer,
+    /// What it says of itself.
+    pub entry: Entry,
+    /// What is left of its room.
+    pub free: Room,
+    /// What may run there.
+    pub slots: HashMap<TaskName, Slot>,
+    /// The highest end that was taken into account.
+    pub processed: u64,
+    /// The highest end whose effect the store knows of.
+    pub durable: u64,
+    /// The worker's clock, and when it was told.
+    pub clock: Option<(WorkerMs, Instant)>,
+    /// The latest end of a lease that was ever asked for.
+    pub lease_until: WorkerMs,
+    /// It has seen this scheduler's token.
+    pub fenced: bool,
+    /// Looks in a row without an answer.
+    pub misses: u32,
+    /// It gets nothing new until then.
+    pub rest_until: Instant,
+    /// The store lists it.
+    pub listed: bool,
+    /// It is being emptied for upkeep or a move.
+    pub cordoned: bool,
+    /// Runs in a row that failed, of different tasks.
+    pub failures: u32,
+    /// When it was met.
+    pub met_at: Instant,
+    /// A task looks at it.
+    pub looked_at: bool,
+}
+
+impl Worker {
+    /// A worker that has not been asked yet.
+    pub fn new(peer: Peer, entry: Entry, now: Instant) -> Worker {
+        Worker {
+            peer,
+            free: entry.room,
+            entry,
+            slots: HashMap::new(),
+            processed: 0,
+            durable: 0,
+            clock: None,
+            lease_until: 0,
+            fenced: false,
+            misses: 0,
+            rest_until: now,
+            listed: true,
+            cordoned: false,
+            failures: 0,
+            met_at: now,
+            looked_at: false,
+        }
+    }
+
+    /// The worker's clock now, as far as can be told.
+    pub fn clock_at(&self, now: Instant) -> Option<WorkerMs> {
+        let (clock, told) = self.clock?;
+        Some(clock + now.saturating_duration_since(told).as_millis() as WorkerMs)
+    }
+
+    /// End of a lease granted now; `None` until the worker has told its clock.
+    pub fn grant(&mut self, now: Instant) -> Option<WorkerMs> {
+        let until = self.clock_at(now)? + LEASE.as_millis() as WorkerMs;
+        self.lease_until = self.lease_until.max(until);
+        Some(until)
+    }
+
+    /// When every lease that was asked for has run out for certain, if the worker hears nothing
+    /// more from anyone.
+    pub fn lapses_at(&self, max_lease: Duration) -> Instant {
+        let Some((clock, told)) = self.clock else {
+            // Whatever runs there was leased by an earlier scheduler.
+            return self.met_at + max_lease.div_f64(SLOWEST_CLOCK) + LEASE_SLACK;
+        };
+        let left = Duration::from_millis(self.lease_until.saturating_sub(clock));
+        told + left.div_f64(SLOWEST_CLOCK) + LEASE_SLACK
+    }
+
+    /// Whether it may be given new tasks.
+    pub fn takes_work(&self, now: Instant) -> bool {
+        self.fenced
+            && self.listed
+            && !self.entry.draining
+            && !self.cordoned
+            && self.misses == 0
+            && self.rest_until <= now
+    }
+
+    /// Whether a task of this size fits beside what may run there.
+    pub fn fits(&self, need: Room) -> bool {
+        need.cpu <= self.free.cpu
+            && need.memory_mb <= self.free.memory_mb
+            && need.gpu <= self.free.gpu
+    }
+
+    /// Adds a run and takes its room.
+    pub fn insert(&mut self, task: TaskName, slot: Slot) {
+        self.free.cpu = self.free.cpu.saturating_sub(slot.room.cpu);
+        self.free.memory_mb = self.free.memory_mb.saturating_sub(slot.room.memory_mb);
+        self.free.gpu = self.free.gpu.saturating_sub(slot.room.gpu);
+        self.slots.insert(task, slot);
+    }
+
+    /// Removes a run that is known to be gone.
+    pub fn remove(&mut self, task: &TaskName) -> Option<Slot> {
+        let slot = self.slots.remove(task)?;
+        self.recount();
+        Some(slot)
+    }
+
+    /// Takes over a changed entry.
+    pub fn update(&mut self, entry: Entry) {
+        self.entry = entry;
+        self.listed = true;
+        self.recount();
+    }
+
+    fn recount(&mut self) {
+        let mut free = self.entry.room;
+        for slot in self.slots.values() {
+            free.cpu = free.cpu.saturating_sub(slot.room.cpu);
+            free.memory_mb = free.memory_mb.saturating_sub(slot.room.memory_mb);
+            free.gpu = free.gpu.saturating_sub(slot.room.gpu);
+        }
+        self.free = free;
+    }
+
+    /// Whether tasks that serve users stand beside tasks that take leftovers.
+    pub fn serves_beside_fillers(&self) -> bool {
+        let mut kinds = self.slots.values().map(|slot| slot.kind);
+        kinds.any(|kind| kind == Kind::Fills)
+            && self.slots.values().any(|slot| matches!(slot.kind, Kind::Serves(_)))
+    }
+
+    /// How many tasks of a step, in one repetition, may run there.
+    pub fn count_of_step(&self, task: TaskName) -> u32 {
+        let same = |other: &&TaskName| {
+            (other.job, other.time, other.step) == (task.job, task.time, task.step)
+        };
+        self.slots.keys().filter(same).count() as u32
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![warn(missing_docs)]
 
+pub mod batch;
 pub mod call;
 pub mod coordination;
 pub mod daemon;
@@ -14,4 +15,4 @@
 pub mod protocol;
 pub mod settings;
 pub mod state;
-pub mod transport;
+pub use spokelift_transport as transport;
--- a/lib/src/transport/serve.rs
+++ b/transport/src/serve.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::transport::dial::Body;
+use crate::dial::Body;
 
 /// Most connections one listener holds; further ones wait to be accepted.
 const MAX_CONNECTIONS: usize = 4096;
