--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -239,13 +239,14 @@
     let Some(entry) = cell.jobs.get(&name.job) else { return true };
     let Some(step) = entry.step(name.step) else { return true };
     let Some(allowed) = step.may_miss else { return true };
-    let at_work = |task: &TaskName| {
+    let other = |task: &TaskName| {
         let same = (task.job, task.time, task.step) == (name.job, name.time, name.step);
         same && task.index != name.index
     };
-    let working = cell.workers.values().flat_map(|worker| worker.slots.iter());
-    let working = working.filter(|(task, slot)| {
-        at_work(task) && matches!(slot.phase, Phase::Live(_)) && slot.percent >= 100
+    // What a silent worker runs may be gone by now.
+    let answering = cell.workers.values().filter(|worker| worker.misses == 0);
+    let working = answering.flat_map(|worker| worker.slots.iter()).filter(|(task, slot)| {
+        other(task) && matches!(slot.phase, Phase::Live(_)) && slot.percent >= 100
     });
     let others = step.count.saturating_sub(1);
     let away = others.saturating_sub(working.count() as u32);
