--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -52,8 +52,26 @@
 /// How long a worker that fails everything rests; one task then tries it again.
 const REST_FAILING: Duration = Duration::from_millis(6_000);
 
-/// Order of steps that wait for room: rank of the queue, arrival, repetition, step.
-pub type Rank = (u32, u64, u32, u16, JobId);
+/// How long a run whose job is not known goes on: the record of the job may still be on its way
+/// from the store.
+const UNKNOWN_JOB: Duration = Duration::from_millis(3_000);
+
+/// Order of steps that wait for room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Tasks that last come first: each second they are away is lost, and nothing catches it up.
+    pub ends: bool,
+    /// Rank of the queue.
+    pub priority: u32,
+    /// When it should be done, in milliseconds since 1970.
+    pub objective_at: u64,
+    /// The job.
+    pub job: JobId,
+    /// The repetition.
+    pub time: u32,
+    /// The step.
+    pub step: u16,
+}
 
 /// What is to be sent to a worker.
 #[derive(Debug)]
@@ -122,7 +140,6 @@
     pub unasked: HashSet<WorkerId>,
     /// Repetitions that are not due yet: when, since 1970.
     scheduled: BTreeSet<(Duration, JobId, u32)>,
-    arrivals: u64,
     dirty: HashSet<JobId>,
     /// Workers that the store is to know of, or to forget.
     roster: Vec<Record>,
@@ -144,7 +161,6 @@
             ready: BTreeSet::new(),
             unasked: HashSet::new(),
             scheduled: BTreeSet::new(),
-            arrivals: 0,
             dirty: HashSet::new(),
             roster: Vec::new(),
             outbox: Vec::new(),
@@ -160,12 +176,14 @@
         if self.jobs.contains_key(&id) {
             return false;
         }
-        self.arrivals += 1;
-        let mut entry = Entry::new(id, accepted, self.arrivals);
+        let mut entry = Entry::new(id, accepted);
+        // Until every worker has heard of this scheduler, an earlier one may go on starting tasks,
+        // also of jobs that only arrive now.
+        entry.inherited = inherited.is_some() || !self.unasked.is_empty();
         if let Some(progress) = inherited {
-            entry.inherited = true;
             entry.restore(progress);
         }
+        self.claim_found(&mut entry);
         let times = entry.accepted.job.times();
         for time in 0..times {
             match entry.accepted.job.due(time) {
@@ -182,6 +200,41 @@
         true
     }
 
+    /// Runs that were found on workers before the job was heard of count for its tasks.
+    fn claim_found(&mut self, entry: &mut Entry) {
+        let id = entry.id;
+        for worker in self.workers.values_mut() {
+            for (name, slot) in worker.slots.iter_mut().filter(|(name, _)| name.job == id) {
+                let Some(step) = entry.step(name.step) else { continue };
+                slot.room = Entry::room_of(step);
+                slot.kind = Entry::kind_of(step);
+                entry.open_time(name.time);
+                entry.begun = true;
+                if let Some(task) = entry.task(*name) {
+                    task.runs += 1;
+                    task.last_run = task.last_run.max(slot.run);
+                }
+            }
+            worker.recount();
+        }
+    }
+
+    /// Stops runs that were found on workers and whose job has still not been heard of.
+    pub fn stop_unknown(&mut self, now: Instant) {
+        let mut unknown = Vec::new();
+        for worker in self.workers.values() {
+            for (name, slot) in &worker.slots {
+                let old = now.saturating_duration_since(slot.since) > UNKNOWN_JOB;
+                if old && !self.jobs.contains_key(&name.job) {
+                    unknown.push((worker.peer.id.clone(), *name));
+                }
+            }
+        }
+        for (worker, task) in unknown {
+            self.stop_run(&worker, task);
+        }
+    }
+
     /// Opens the repetitions that are due at `wall`, the time since 1970.
     pub fn open_due(&mut self, wall: Duration) {
         while let Some(&(due, id, time)) = self.scheduled.first() {
@@ -228,7 +281,14 @@
         if !entry.is_active() {
             return;
         }
-        let rank = (entry.accepted.priority, entry.arrival, name.time, name.step, name.job);
+        let rank = Rank {
+            ends: !entry.lasts(),
+            priority: entry.accepted.priority,
+            objective_at: entry.objective_at(name.time),
+            job: name.job,
+            time: name.time,
+            step: name.step,
+        };
         let Some(run) = entry.step_run(name.time, name.step).filter(|run| run.open) else { return };
         let Some(task) = run.tasks.get_mut(name.index as usize) else { return };
         if task.done || task.runs > 0 {
@@ -255,7 +315,7 @@
         entry.ended_at = Some(Instant::now());
         self.dirty.insert(id);
         log::info!(job = format!("{id:016x}").as_str(), state = format!("{state:?}").as_str(); "job ended");
-        self.ready.retain(|rank| rank.4 != id);
+        self.ready.retain(|rank| rank.job != id);
         self.stop_where(|task| task.job == id);
     }
 
@@ -530,7 +590,7 @@
     fn adopt_unknown(&mut self, id: &str, told: &Running, now: Instant) {
         let Some(worker) = self.workers.get(id) else { return };
         let peer = worker.peer.clone();
-        let mut wanted = false;
+        let mut wanted = !self.jobs.contains_key(&told.task.job);
         let mut room = worker::Room::default();
         let mut kind = Kind::Works;
         if let Some(entry) = self.jobs.get_mut(&told.task.job) {
--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -92,6 +92,8 @@
                     service: queue.service.clone(),
                     priority: queue.priority,
                     max_attempts: queue.max_attempts,
+                    objective_ms: queue.objective_ms,
+                    stretch_percent: (queue.stretch * 100.0) as u32,
                     at: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
                 },
                 Err(error) => {
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -35,6 +35,8 @@
     pub avoid: Vec<WorkerId>,
     /// Since when it waits for room.
     pub waiting_since: Option<Instant>,
+    /// When others were last stopped to make room for it.
+    pub made_room_at: Option<Instant>,
 }
 
 /// The tasks of a step in one repetition.
@@ -73,8 +75,6 @@
     pub id: JobId,
     /// What was accepted.
     pub accepted: Accepted,
-    /// Order of arrival.
-    pub arrival: u64,
     /// Its repetitions; those not due yet have no tasks in memory.
     pub times: Vec<Repetition>,
     /// A task of it has begun.
@@ -94,13 +94,12 @@
 
 impl Entry {
     /// A job of which nothing has run.
-    pub fn new(id: JobId, accepted: Accepted, arrival: u64) -> Entry {
+    pub fn new(id: JobId, accepted: Accepted) -> Entry {
         let times = (0..accepted.job.times()).map(|_| Repetition { steps: Vec::new(), due: false });
         let times = times.collect();
         Entry {
             id,
             accepted,
-            arrival,
             times,
             begun: false,
             cancelled: false,
@@ -126,6 +125,30 @@
         self.step_run(name.time, name.step)?.tasks.get_mut(name.index as usize)
     }
 
+    /// Whether a step of it runs until the job is cancelled.
+    pub fn lasts(&self) -> bool {
+        self.accepted.job.steps.iter().any(|step| step.long_running)
+    }
+
+    /// The longest chain of work by the client's guesses, in milliseconds.
+    pub fn chain_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::new();
+        for step in &self.accepted.job.steps {
+            let before = step.after.iter().filter_map(|earlier| ends.get(usize::from(*earlier)));
+            let start = before.copied().max().unwrap_or(0);
+            ends.push(start + step.estimate_ms);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// When the job, or a repetition of it, should be done to be worth its full credit, in
+    /// milliseconds since 1970.
+    pub fn objective_at(&self, time: u32) -> u64 {
+        let from = self.accepted.job.due(time).unwrap_or(self.accepted.at);
+        let stretch = u64::from(self.accepted.stretch_percent);
+        from.as_millis() as u64 + self.accepted.objective_ms + self.chain_ms() * stretch / 100
+    }
+
     /// What a task of a step takes of a worker's room.
     pub fn room_of(step: &Step) -> Room {
         let cpu = if step.fills { 0 } else { step.cpu };
@@ -178,11 +201,10 @@
 
     /// Whether every task of every repetition is done.
     pub fn is_done(&self) -> bool {
-        let lasts = self.accepted.job.steps.iter().any(|step| step.long_running);
         let done = |repetition: &Repetition| {
             repetition.due && repetition.steps.iter().all(|step| step.left == 0)
         };
-        !lasts && self.times.iter().all(done)
+        !self.lasts() && self.times.iter().all(done)
     }
 
     /// The state that clients are shown. An end is shown only once the store knows of it, since
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -1,6 +1,7 @@
 //! Which worker a task is started on.
 
 use std::collections::HashMap;
+use std::time::Duration;
 use std::time::Instant;
 
 use spokelift_platform::job::Step;
@@ -18,6 +19,10 @@
 use crate::batch::worker::Slot;
 use crate::batch::worker::Worker;
 
+/// How long after others were stopped for a task before more are stopped for it; a stop takes up
+/// to 0.9 s.
+const MAKE_ROOM_AGAIN: Duration = Duration::from_millis(1_500);
+
 /// What is asked of a worker, beside room.
 struct Demand<'a> {
     task: TaskName,
@@ -29,15 +34,25 @@
 }
 
 impl Cell {
-    /// Starts what waits, as far as there is room, in the order of rank.
-    pub fn place(&mut self, now: Instant) {
+    /// Starts what waits, as far as there is room, in the order of rank. What cannot reach its
+    /// objective any more comes after everything that can.
+    pub fn place(&mut self, now: Instant, wall: Duration) {
         let mut tops = self.top_room(now);
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
-        for rank in ranks {
+        let wall_ms = wall.as_millis() as u64;
+        let (hopeful, late): (Vec<Rank>, Vec<Rank>) =
+            ranks.into_iter().partition(|rank| !rank.ends || self.is_hopeful(rank, wall_ms));
+        for rank in hopeful.into_iter().chain(late) {
             self.place_step(rank, now, &mut tops);
         }
     }
 
+    fn is_hopeful(&self, rank: &Rank, wall_ms: u64) -> bool {
+        let Some(entry) = self.jobs.get(&rank.job) else { return true };
+        let step = entry.step(rank.step).map_or(0, |step| step.estimate_ms);
+        wall_ms + step <= rank.objective_at
+    }
+
     /// The most processor left on any worker of each service; a step that needs more is passed
     /// over without a look at the workers.
     fn top_room(&self, now: Instant) -> HashMap<String, u32> {
@@ -50,7 +65,7 @@
     }
 
     fn place_step(&mut self, rank: Rank, now: Instant, tops: &mut HashMap<String, u32>) {
-        let (_, _, time, step, job) = rank;
+        let Rank { time, step, job, .. } = rank;
         let Some(entry) = self.jobs.get(&job) else {
             self.ready.remove(&rank);
             return;
@@ -61,7 +76,8 @@
         let accepted = &entry.accepted;
         let Some(shape) = accepted.job.steps.get(usize::from(step)) else { return };
         let need = Entry::room_of(shape);
-        if tops.get(&accepted.service).is_none_or(|top| *top < need.cpu) {
+        let crowded = tops.get(&accepted.service).is_none_or(|top| *top < need.cpu);
+        if crowded && rank.ends {
             return;
         }
         let (service, shape) = (accepted.service.clone(), shape.clone());
@@ -78,6 +94,9 @@
         for index in waiting {
             let task = TaskName { job, time, step, index };
             let Some(worker) = self.choose(task, &service, &shape, now) else {
+                if !rank.ends {
+                    self.make_room(task, &service, &shape, now);
+                }
                 // Tasks of a step are alike, except for the workers they avoid.
                 break;
             };
@@ -104,9 +123,39 @@
         best.map(|worker| worker.peer.id.clone())
     }
 
+    /// Stops tasks that end by themselves so that one that lasts gets their room. They are chosen
+    /// so that the least work is lost.
+    fn make_room(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
+        let recently = |at: Instant| now.saturating_duration_since(at) < MAKE_ROOM_AGAIN;
+        let Some(task) = self.jobs.get_mut(&name.job).and_then(|entry| entry.task(name)) else {
+            return;
+        };
+        if task.made_room_at.is_some_and(recently) {
+            return;
+        }
+        let need = Entry::room_of(step);
+        let usable = self.workers.values().filter(|worker| {
+            let apart =
+                step.max_per_worker == 0 || worker.count_of_step(name) < step.max_per_worker;
+            worker.entry.service == service && worker.takes_work(now) && apart
+        });
+        let plans =
+            usable.filter_map(|worker| Some((victims(worker, need, now)?, worker.peer.id.clone())));
+        let Some(((lost, tasks), worker)) = plans.min_by_key(|((lost, _), _)| *lost) else {
+            return;
+        };
+        if let Some(task) = self.jobs.get_mut(&name.job).and_then(|entry| entry.task(name)) {
+            task.made_room_at = Some(now);
+        }
+        log::info!(task = name.to_string().as_str(), worker = worker.as_str(), stopped = tasks.len(), lost_ms = lost; "makes room");
+        for task in tasks {
+            self.stop_run(&worker, task);
+        }
+    }
+
     /// Starts all members of a gang, or none.
     fn place_gang(&mut self, rank: Rank, service: &str, step: &Step, now: Instant) {
-        let (_, _, time, number, job) = rank;
+        let Rank { time, step: number, job, .. } = rank;
         let Some(run) = self.jobs.get_mut(&job).and_then(|entry| entry.step_run(time, number))
         else {
             return;
@@ -234,6 +283,30 @@
     }
 }
 
+/// The tasks to stop on a worker so that `need` fits, youngest first, and the core-milliseconds
+/// of work that are lost; `None` if that cannot make enough room.
+fn victims(worker: &Worker, need: Room, now: Instant) -> Option<(u64, Vec<TaskName>)> {
+    let mut works: Vec<(&TaskName, &Slot)> = worker
+        .slots
+        .iter()
+        .filter(|(_, slot)| slot.kind == Kind::Works && matches!(slot.phase, Phase::Live(_)))
+        .collect();
+    works.sort_by_key(|(_, slot)| std::cmp::Reverse(slot.since));
+    let mut free = worker.free;
+    let (mut lost, mut tasks) = (0, Vec::new());
+    for (task, slot) in works {
+        if need.cpu <= free.cpu && need.memory_mb <= free.memory_mb {
+            break;
+        }
+        free.cpu += slot.room.cpu;
+        free.memory_mb += slot.room.memory_mb;
+        let ran = now.saturating_duration_since(slot.since).as_millis() as u64;
+        lost += ran * u64::from(slot.room.cpu) / 1_000;
+        tasks.push(*task);
+    }
+    (need.cpu <= free.cpu && need.memory_mb <= free.memory_mb).then_some((lost, tasks))
+}
+
 /// Whether a worker may run the task at all, now.
 fn allows(worker: &Worker, demand: &Demand<'_>, now: Instant) -> bool {
     let step = demand.step;
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -36,6 +36,10 @@
     pub priority: u32,
     /// How often a task may fail before the job fails.
     pub max_attempts: u32,
+    /// Fixed part of the objective of the job's time, in milliseconds.
+    pub objective_ms: u64,
+    /// Part of the objective that grows with the longest chain of work, in hundredths.
+    pub stretch_percent: u32,
     /// When it was accepted, since 1970, by the clock of the node that took it.
     pub at: Duration,
 }
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -407,7 +407,7 @@
         scheduler.work.notified().await;
         let orders = {
             let mut cell = scheduler.cell();
-            cell.place(Instant::now());
+            cell.place(Instant::now(), wall_clock());
             std::mem::take(&mut cell.outbox)
         };
         for order in orders {
@@ -644,11 +644,10 @@
     loop {
         sleep(TICK).await;
         let now = Instant::now();
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let keep = scheduler.node.settings.status_time + KEEP_EXTRA;
         let gone = {
             let mut cell = scheduler.cell();
-            cell.open_due(wall);
+            cell.open_due(wall_clock());
             for (id, listed) in cell.lapsed(now) {
                 if listed {
                     cell.lapse(&id)
@@ -659,6 +658,7 @@
             if cell.unasked.is_empty() {
                 cell.clear_inherited();
             }
+            cell.stop_unknown(now);
             cell.leave_draining();
             cell.spare_users(now);
             cell.forget(keep, now)
@@ -681,3 +681,8 @@
         log::warn!("finished jobs stay in the store: {error}");
     }
 }
+
+/// Time since 1970. A clock before that is as good as one that stands at 1970.
+fn wall_clock() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -36,6 +36,15 @@
 /// How long tasks on a machine may take to end by themselves before they are stopped.
 const EMPTY_TIME: Duration = Duration::from_millis(4_000);
 
+/// Share of a wave's time in which it is planned to be done; the rest is for what goes wrong.
+const AIM_SHARE: f64 = 0.8;
+/// Time for which one machine is kept from work: about 3 s until it is empty, 2 s of upkeep and
+/// 1 s until its new worker is found.
+const CYCLE: Duration = Duration::from_millis(6_000);
+/// How long after it began a scheduler ends no task that lasts of its own accord: stops that its
+/// predecessor gave may still be under way, and a look shows their tasks as running until then.
+const SETTLE: Duration = Duration::from_millis(3_000);
+
 /// What is known of one wave.
 struct Course {
     wave: Wave,
@@ -132,6 +141,9 @@
     choose_next(scheduler, course, &left, &listed);
     let ready: Vec<MachineId> = {
         let mut cell = scheduler.cell();
+        if scheduler.began_at.elapsed() < SETTLE {
+            return;
+        }
         let emptying: Vec<(MachineId, Instant)> =
             course.emptying.iter().map(|(id, since)| (id.clone(), *since)).collect();
         emptying
@@ -166,15 +178,23 @@
     });
 }
 
-/// Picks machines to empty, the least loaded first: as many as may be down at once, and as many
-/// again so that the next are empty when those come back.
+/// How many machines to have empty or down at a time, so that the wave is done in time and no
+/// more machines are kept from work than that needs.
+fn at_once(course: &Course, left: usize) -> usize {
+    let aim = course.wave.duration.mul_f64(AIM_SHARE);
+    let remaining = aim.saturating_sub(course.seen_at.elapsed()).max(CYCLE);
+    let needed = left as f64 * CYCLE.as_secs_f64() / remaining.as_secs_f64();
+    (needed.ceil() as usize).min(2 * course.wave.max_down)
+}
+
+/// Picks machines to empty, the least loaded first.
 fn choose_next(
     scheduler: &Scheduler,
     course: &mut Course,
     left: &[MachineId],
     listed: &HashMap<&str, &Machine>,
 ) {
-    let wanted = 2 * course.wave.max_down;
+    let wanted = at_once(course, left.len());
     let free = wanted.saturating_sub(course.emptying.len() + course.down.len());
     if free == 0 {
         return;
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -213,7 +213,8 @@
         self.recount();
     }
 
-    fn recount(&mut self) {
+    /// Works out what is left of its room.
+    pub fn recount(&mut self) {
         let mut free = self.entry.room;
         for slot in self.slots.values() {
             free.cpu = free.cpu.saturating_sub(slot.room.cpu);
