batch: machines move between pools as the load turns

Cause: load stands on one service at a time, up to four times its mean, and jobs came late there while machines of the other services idled.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -5,6 +5,7 @@
 //! a [`cell`]: jobs, workers and what runs where. See `docs/design/on-the-platform.md`.
 
 pub mod cell;
+pub mod fleet;
 pub mod intake;
 pub mod job;
 pub mod lead;
@@ -13,6 +14,7 @@
 pub mod operator;
 pub mod peer;
 pub mod place;
+pub mod pool;
 pub mod record;
 pub mod scheduler;
 pub mod upkeep;
--- /dev/null
+++ b/lib/src/batch/fleet.rs
@@ -0,0 +1,57 @@
+//! The scheduler's dealings with machines: waves of upkeep, and moves between pools.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use spokelift_platform::machine::Machine;
+use spokelift_platform::machine::MachineId;
+use spokelift_platform::worker::WorkerId;
+use tokio::time::sleep;
+
+use crate::batch::pool::Pools;
+use crate::batch::scheduler::Scheduler;
+use crate::batch::upkeep::CALL;
+use crate::batch::upkeep::Waves;
+
+/// Time between two rounds. Each costs a call to list the machines while something is under way.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Carries out waves and moves as long as the scheduler lasts.
+pub async fn run(scheduler: Arc<Scheduler>) {
+    let Some(machines) = scheduler.node.machines.clone() else { return };
+    let mut waves = Waves::begin(&scheduler).await;
+    let mut pools = Pools::default();
+    loop {
+        sleep(ROUND).await;
+        let under_way = waves.take(scheduler.node.waves());
+        if !under_way && !pools.wants_list(&scheduler) {
+            continue;
+        }
+        let list = match machines.list(CALL).await {
+            Ok(list) => list,
+            Err(error) => {
+                scheduler.node.counters.count("batch.machines.list-failed");
+                log::debug!("the machines cannot be listed: {error}");
+                continue;
+            }
+        };
+        waves.advance(&scheduler, &machines, &list, &pools.busy()).await;
+        pools.advance(&scheduler, &machines, &list, &waves.busy()).await;
+        let mut busy = waves.busy();
+        busy.extend(pools.busy());
+        uncordon(&scheduler, &busy, &list);
+        scheduler.kick();
+    }
+}
+
+/// Workers on machines that are no longer being emptied take work again.
+fn uncordon(scheduler: &Scheduler, busy: &HashSet<MachineId>, list: &[Machine]) {
+    let free = list.iter().filter(|machine| !busy.contains(&machine.id));
+    let workers: HashSet<&WorkerId> = free.filter_map(|machine| machine.worker.as_ref()).collect();
+    for worker in scheduler.cell().workers.values_mut() {
+        if workers.contains(&worker.peer.id) {
+            worker.cordoned = false;
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/batch/pool.rs
@@ -0,0 +1,270 @@
+//! Moves machines between pools as the load turns from service to service.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::config::Config;
+use spokelift_platform::machine;
+use spokelift_platform::machine::Holder;
+use spokelift_platform::machine::Machine;
+use spokelift_platform::machine::MachineId;
+use spokelift_platform::machine::Machines;
+use spokelift_platform::machine::Status;
+use spokelift_platform::worker::WorkerId;
+
+use crate::batch::cell::Cell;
+use crate::batch::scheduler::Scheduler;
+use crate::batch::upkeep::CALL;
+use crate::batch::upkeep::empty;
+use crate::batch::worker::Kind;
+
+/// Time in which work that waits should be done by the machines asked for: about as long as a
+/// machine takes to be moved, in milliseconds.
+const CLEAR_MS: u64 = 1_500;
+/// Share of a pool's processors that is planned to be used, in hundredths; the rest is lost to
+/// sizes that do not fit.
+const FILL_PERCENT: u64 = 85;
+/// How long a machine may take to become empty before what runs on it is stopped.
+const EMPTY_TIME: Duration = Duration::from_millis(2_500);
+/// How long a move may take until it is taken to have failed: several times the usual 2 s.
+const MOVE_TIME: Duration = Duration::from_millis(8_000);
+/// How long a pool that was given a machine keeps all it has.
+const KEEP: Duration = Duration::from_millis(4_000);
+/// Most machines under way at once, as a share of all, in hundredths.
+const AT_ONCE_PERCENT: usize = 20;
+
+/// What a service has and wants, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// What its usable workers have.
+    pub has: u64,
+    /// What runs on them.
+    pub used: u64,
+    /// What its waiting tasks ask for.
+    pub waiting: u64,
+    /// Work of the waiting tasks, in thousandths of a core times milliseconds.
+    pub work: u64,
+    /// Usable workers.
+    pub workers: u64,
+}
+
+impl Load {
+    /// What it should have.
+    pub fn wanted(&self) -> u64 {
+        (self.used + self.work / CLEAR_MS) * 100 / FILL_PERCENT
+    }
+}
+
+/// A machine on its way to another pool.
+struct Move {
+    to: String,
+    since: Instant,
+    ordered: bool,
+}
+
+/// Moves under way.
+#[derive(Default)]
+pub struct Pools {
+    moves: HashMap<MachineId, Move>,
+    /// When each pool was last given a machine.
+    given: HashMap<String, Instant>,
+}
+
+/// What each service has and wants.
+pub fn loads(cell: &Cell, now: Instant) -> BTreeMap<String, Load> {
+    let mut loads: BTreeMap<String, Load> = BTreeMap::new();
+    for worker in cell.workers.values().filter(|worker| worker.takes_work(now)) {
+        let load = loads.entry(worker.entry.service.clone()).or_default();
+        load.has += u64::from(worker.entry.room.cpu);
+        load.used += u64::from(worker.entry.room.cpu - worker.free.cpu.min(worker.entry.room.cpu));
+        load.workers += 1;
+    }
+    for rank in &cell.ready {
+        let Some(entry) = cell.jobs.get(&rank.job) else { continue };
+        let Some(step) = entry.step(rank.step).filter(|step| !step.fills) else { continue };
+        let repetition = entry.times.get(rank.time as usize);
+        let run = repetition.and_then(|time| time.steps.get(usize::from(rank.step)));
+        let waiting = run.map_or(0, |run| run.waiting.len() as u64) * u64::from(step.cpu);
+        let load = loads.entry(entry.accepted.service.clone()).or_default();
+        load.waiting += waiting;
+        load.work += waiting * if step.long_running { CLEAR_MS } else { step.estimate_ms };
+    }
+    loads
+}
+
+impl Pools {
+    /// Whether moves are under way or wanted.
+    pub fn wants_list(&self, scheduler: &Scheduler) -> bool {
+        let short = |load: &Load| load.wanted() > load.has;
+        !self.moves.is_empty() || loads(&scheduler.cell(), Instant::now()).values().any(short)
+    }
+
+    /// Machines under way.
+    pub fn busy(&self) -> HashSet<MachineId> {
+        self.moves.keys().cloned().collect()
+    }
+
+    /// Goes on with the moves under way and begins new ones.
+    pub async fn advance(
+        &mut self,
+        scheduler: &Arc<Scheduler>,
+        machines: &Machines,
+        list: &[Machine],
+        taken: &HashSet<MachineId>,
+    ) {
+        self.settle(scheduler, list);
+        if !scheduler.may_order_machines() {
+            return;
+        }
+        if let Some(config) = scheduler.node.config() {
+            self.choose(&mut scheduler.cell(), &config, list, taken);
+        }
+        for id in self.emptied(scheduler, list) {
+            self.order(scheduler, machines, &id).await;
+        }
+    }
+
+    /// Lets go of moves that are done or have failed.
+    fn settle(&mut self, scheduler: &Scheduler, list: &[Machine]) {
+        let workers: HashSet<WorkerId> = scheduler.cell().workers.keys().cloned().collect();
+        self.moves.retain(|id, under_way| {
+            let machine = list.iter().find(|machine| machine.id == *id);
+            let arrived = machine.is_some_and(|machine| {
+                let joined = machine.worker.as_ref().is_some_and(|worker| workers.contains(worker));
+                machine.pool == under_way.to && machine.status == Status::Up && joined
+            });
+            machine.is_some() && !arrived && under_way.since.elapsed() < MOVE_TIME
+        });
+    }
+
+    /// Picks machines for services that want more than they have: those that are switched off
+    /// first, then idle ones of services that have more than they want.
+    fn choose(
+        &mut self,
+        cell: &mut Cell,
+        config: &Config,
+        list: &[Machine],
+        taken: &HashSet<MachineId>,
+    ) {
+        let now = Instant::now();
+        let loads = loads(cell, now);
+        let mut left = (list.len() * AT_ONCE_PERCENT / 100).saturating_sub(self.moves.len());
+        let mut short: Vec<(u64, String)> = Vec::new();
+        for service in config.services.iter().filter(|service| !service.is_reserve) {
+            let load = loads.get(&service.name).copied().unwrap_or_default();
+            let coming: u64 = self.coming(&service.name, list);
+            let missing = load.wanted().saturating_sub(load.has + coming);
+            if missing > 0 {
+                short.push((missing, service.name.clone()));
+            }
+        }
+        short.sort();
+        while left > 0
+            && let Some((missing, service)) = short.pop()
+        {
+            let Some(machine) = self.source(cell, config, list, taken, &loads, &service) else {
+                return;
+            };
+            log::info!(machine = machine.id.as_str(), from = machine.pool.as_str(), to = service.as_str(), missing_cores = missing / 1_000; "moves to another pool");
+            if let Some(worker) =
+                machine.worker.as_ref().and_then(|worker| cell.workers.get_mut(worker))
+            {
+                worker.cordoned = true;
+            }
+            let under_way = Move { to: service.clone(), since: now, ordered: false };
+            self.moves.insert(machine.id.clone(), under_way);
+            self.given.insert(service.clone(), now);
+            left -= 1;
+            let rest = missing.saturating_sub(u64::from(machine.room.cpu));
+            if rest > u64::from(machine.room.cpu) / 2 {
+                short.push((rest, service));
+                short.sort();
+            }
+        }
+    }
+
+    fn coming(&self, service: &str, list: &[Machine]) -> u64 {
+        let coming = self.moves.iter().filter(|(_, under_way)| under_way.to == service);
+        let machines = coming.filter_map(|(id, _)| list.iter().find(|machine| machine.id == *id));
+        machines.map(|machine| u64::from(machine.room.cpu)).sum()
+    }
+
+    fn source<'a>(
+        &self,
+        cell: &Cell,
+        config: &Config,
+        list: &'a [Machine],
+        taken: &HashSet<MachineId>,
+        loads: &BTreeMap<String, Load>,
+        to: &str,
+    ) -> Option<&'a Machine> {
+        let free = |machine: &&Machine| {
+            machine.status == Status::Up
+                && machine.pool != to
+                && !taken.contains(&machine.id)
+                && !self.moves.contains_key(&machine.id)
+        };
+        let is_reserve = |machine: &&Machine| {
+            config.service(&machine.pool).is_some_and(|service| service.is_reserve)
+        };
+        if let Some(machine) = list.iter().filter(free).find(is_reserve) {
+            return Some(machine);
+        }
+        let candidates = list.iter().filter(free).filter(|machine| self.can_give(machine, loads));
+        let loaded = candidates.filter_map(|machine| {
+            let worker = cell.workers.get(machine.worker.as_ref()?)?;
+            let lasting = worker.slots.values().filter(|slot| slot.kind != Kind::Works).count();
+            Some((lasting, worker.entry.room.cpu - worker.free.cpu, machine))
+        });
+        let best = loaded.min_by_key(|(lasting, used, _)| (*lasting, *used));
+        best.filter(|(lasting, _, _)| *lasting == 0).map(|(_, _, machine)| machine)
+    }
+
+    /// Whether the pool of a machine can do without it.
+    fn can_give(&self, machine: &Machine, loads: &BTreeMap<String, Load>) -> bool {
+        let Some(load) = loads.get(&machine.pool) else { return false };
+        let recently = self.given.get(&machine.pool).is_some_and(|at| at.elapsed() < KEEP);
+        // Machines being emptied are cordoned, and not counted in what the pool has.
+        let size = u64::from(machine.room.cpu);
+        !recently && load.waiting == 0 && load.workers > 1 && load.has >= load.wanted() + size
+    }
+
+    /// Machines under way that are empty and have not been ordered to move.
+    fn emptied(&self, scheduler: &Scheduler, list: &[Machine]) -> Vec<MachineId> {
+        let mut cell = scheduler.cell();
+        let mut ready = Vec::new();
+        for (id, under_way) in self.moves.iter().filter(|(_, under_way)| !under_way.ordered) {
+            let machine = list.iter().find(|machine| machine.id == *id);
+            let worker = machine.and_then(|machine| machine.worker.as_ref());
+            let hurry = under_way.since.elapsed() > EMPTY_TIME;
+            if worker.is_none_or(|worker| empty(&mut cell, worker, hurry)) {
+                ready.push(id.clone());
+            }
+        }
+        ready
+    }
+
+    async fn order(&mut self, scheduler: &Arc<Scheduler>, machines: &Machines, id: &str) {
+        let Some(under_way) = self.moves.get_mut(id) else { return };
+        if !scheduler.may_order_machines() {
+            return;
+        }
+        let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
+        let done = machines.shift(holder, id, &under_way.to, CALL).await;
+        log::info!(machine = id, to = under_way.to.as_str(), ok = done.is_ok(); "move ordered");
+        match done {
+            Ok(()) => under_way.ordered = true,
+            Err(error) if machine::is_fenced(&error) => scheduler.cell().fenced = true,
+            Err(error) if error.is_certain() => {
+                log::info!(machine = id; "move refused: {error}");
+                self.moves.remove(id);
+            }
+            // It may have been done; asking again does no harm.
+            Err(error) => log::info!(machine = id; "move without an answer: {error}"),
+        }
+    }
+}
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -30,6 +30,7 @@
 
 use crate::batch::cell::Cell;
 use crate::batch::cell::Order;
+use crate::batch::fleet;
 use crate::batch::node::Node;
 use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
@@ -37,7 +38,6 @@
 use crate::batch::record::JobRecord;
 use crate::batch::record::Progress;
 use crate::batch::record::ProgressRecord;
-use crate::batch::upkeep;
 
 /// Name under which the store knows the writer of the progress topic.
 const PRODUCER: &str = "scheduler";
@@ -71,6 +71,9 @@
 const KEEP_EXTRA: Duration = Duration::from_secs(15);
 /// How long a client's cancel waits for the store.
 const AWAIT_CANCEL: Duration = Duration::from_millis(700);
+/// How long ago the lead may have been renewed for an order about a machine to be given. Another
+/// node claims the lead after 2.1 s of silence at the earliest.
+const RENEWED: Duration = Duration::from_millis(1_400);
 /// How long the last changes may take to reach the store when the lead is given up.
 const SETTLE: Duration = Duration::from_millis(500);
 
@@ -140,9 +143,11 @@
         *self.renewed_at.lock().expect("no holder of the time panics") = sent;
     }
 
-    /// How long ago the lead was last renewed.
-    pub fn renewed_ago(&self) -> Duration {
-        self.renewed_at.lock().expect("no holder of the time panics").elapsed()
+    /// Whether orders about machines may be given now: the turn of an earlier holder must be over
+    /// for some time, and that of a later one cannot have begun.
+    pub fn may_order_machines(&self) -> bool {
+        let renewed = self.renewed_at.lock().expect("no holder of the time panics").elapsed();
+        self.began_at.elapsed() >= self.node.settings.turn_gap && renewed <= RENEWED
     }
 
     /// Something may be started, or is to be sent.
@@ -246,7 +251,7 @@
     scheduler.spawn(follow_jobs(scheduler.clone(), jobs_end));
     scheduler.spawn(flush(scheduler.clone()));
     scheduler.spawn(tick(scheduler.clone()));
-    scheduler.spawn(upkeep::run(scheduler.clone()));
+    scheduler.spawn(fleet::run(scheduler.clone()));
     work(scheduler).await;
 }
 
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -26,21 +26,17 @@
 use crate::batch::worker::Kind;
 use crate::batch::worker::Phase;
 
-/// Time between two looks at the waves.
-const ROUND: Duration = Duration::from_millis(250);
+/// Pause after the states of waves could not be read.
+const PAUSE: Duration = Duration::from_millis(250);
 /// How long a call about machines may take.
-const CALL: Duration = Duration::from_millis(800);
-/// How long ago the lead may have been renewed for an order about a machine to be given. Another
-/// node claims the lead after 2.1 s of silence at the earliest.
-const RENEWED: Duration = Duration::from_millis(1_400);
+pub const CALL: Duration = Duration::from_millis(800);
 /// How long tasks on a machine may take to end by themselves before they are stopped.
 const EMPTY_TIME: Duration = Duration::from_millis(4_000);
 
-/// Share of a wave's time in which it is planned to be done; the rest is for what goes wrong.
-const AIM_SHARE: f64 = 0.8;
-/// Time for which one machine is kept from work: about 3 s until it is empty, 2 s of upkeep and
-/// 1 s until its new worker is found.
-const CYCLE: Duration = Duration::from_millis(6_000);
+/// How many times as many machines are empty or being emptied as may be down at once, so that the
+/// next are empty when those come back. Waves that were spread over their time instead kept
+/// machines from work into the hours of high load (measured: 0.05 to 0.2 of worth lost).
+const AHEAD: usize = 2;
 /// How long after it began a scheduler ends no task that lasts of its own accord: stops that its
 /// predecessor gave may still be under way, and a look shows their tasks as running until then.
 const SETTLE: Duration = Duration::from_millis(3_000);
@@ -59,45 +55,65 @@
     told: Option<bool>,
 }
 
-/// Carries out waves as long as the scheduler lasts.
-pub async fn run(scheduler: Arc<Scheduler>) {
-    let Some(machines) = scheduler.node.machines.clone() else { return };
-    let mut over = read_over(&scheduler).await;
-    let mut courses: HashMap<u64, Course> = HashMap::new();
-    loop {
-        sleep(ROUND).await;
-        for wave in scheduler.node.waves() {
-            if over.contains(&wave.number) {
-                continue;
-            }
-            courses.entry(wave.number).or_insert_with(|| Course {
-                wave,
-                seen_at: Instant::now(),
-                begun: HashSet::new(),
-                down: HashMap::new(),
-                emptying: HashMap::new(),
-                told: None,
-            });
-        }
-        if courses.is_empty() {
-            continue;
+/// The waves under way.
+#[derive(Default)]
+pub struct Waves {
+    over: BTreeSet<u64>,
+    courses: HashMap<u64, Course>,
+}
+
+impl Waves {
+    /// Begins with what the store knows of earlier waves.
+    pub async fn begin(scheduler: &Scheduler) -> Waves {
+        Waves { over: read_over(scheduler).await, courses: HashMap::new() }
+    }
+
+    /// Takes in new waves; returns whether any is under way.
+    pub fn take(&mut self, waves: Vec<Wave>) -> bool {
+        for wave in waves.into_iter().filter(|wave| !self.over.contains(&wave.number)) {
+            self.courses.entry(wave.number).or_insert_with(|| Course::new(wave));
         }
-        let list = match machines.list(CALL).await {
-            Ok(list) => list,
-            Err(error) => {
-                log::debug!("the machines cannot be listed: {error}");
-                continue;
-            }
-        };
-        for course in courses.values_mut() {
-            advance(&scheduler, &machines, course, &list).await;
+        !self.courses.is_empty()
+    }
+
+    /// Goes on with every wave. `taken` are machines that are about to move to another pool.
+    pub async fn advance(
+        &mut self,
+        scheduler: &Arc<Scheduler>,
+        machines: &Machines,
+        list: &[Machine],
+        taken: &HashSet<MachineId>,
+    ) {
+        for course in self.courses.values_mut() {
+            advance(scheduler, machines, course, list, taken).await;
             if course.told == Some(true) {
-                over.insert(course.wave.number);
+                self.over.insert(course.wave.number);
             }
         }
-        courses.retain(|number, _| !over.contains(number));
-        uncordon(&scheduler, &courses, &list);
-        scheduler.kick();
+        let over = &self.over;
+        self.courses.retain(|number, _| !over.contains(number));
+    }
+
+    /// Machines that are being emptied or are down for a wave.
+    pub fn busy(&self) -> HashSet<MachineId> {
+        let courses = self.courses.values();
+        courses
+            .flat_map(|course| course.emptying.keys().chain(course.down.keys()))
+            .cloned()
+            .collect()
+    }
+}
+
+impl Course {
+    fn new(wave: Wave) -> Course {
+        Course {
+            wave,
+            seen_at: Instant::now(),
+            begun: HashSet::new(),
+            down: HashMap::new(),
+            emptying: HashMap::new(),
+            told: None,
+        }
     }
 }
 
@@ -113,7 +129,7 @@
             }
             Err(error) => {
                 log::debug!("the states of waves cannot be read: {error}");
-                sleep(ROUND).await;
+                sleep(PAUSE).await;
             }
         }
     }
@@ -124,6 +140,7 @@
     machines: &Machines,
     course: &mut Course,
     list: &[Machine],
+    taken: &HashSet<MachineId>,
 ) {
     if course.told.is_none() {
         tell(scheduler, course, false).await;
@@ -138,7 +155,7 @@
         tell(scheduler, course, true).await;
         return;
     }
-    choose_next(scheduler, course, &left, &listed);
+    choose_next(scheduler, course, &left, &listed, taken);
     let ready: Vec<MachineId> = {
         let mut cell = scheduler.cell();
         if scheduler.began_at.elapsed() < SETTLE {
@@ -178,30 +195,22 @@
     });
 }
 
-/// How many machines to have empty or down at a time, so that the wave is done in time and no
-/// more machines are kept from work than that needs.
-fn at_once(course: &Course, left: usize) -> usize {
-    let aim = course.wave.duration.mul_f64(AIM_SHARE);
-    let remaining = aim.saturating_sub(course.seen_at.elapsed()).max(CYCLE);
-    let needed = left as f64 * CYCLE.as_secs_f64() / remaining.as_secs_f64();
-    (needed.ceil() as usize).min(2 * course.wave.max_down)
-}
-
 /// Picks machines to empty, the least loaded first.
 fn choose_next(
     scheduler: &Scheduler,
     course: &mut Course,
     left: &[MachineId],
     listed: &HashMap<&str, &Machine>,
+    taken: &HashSet<MachineId>,
 ) {
-    let wanted = at_once(course, left.len());
+    let wanted = AHEAD * course.wave.max_down;
     let free = wanted.saturating_sub(course.emptying.len() + course.down.len());
     if free == 0 {
         return;
     }
     let mut cell = scheduler.cell();
     let mut candidates: Vec<(usize, MachineId)> = Vec::new();
-    for id in left.iter().filter(|id| !course.emptying.contains_key(*id)) {
+    for id in left.iter().filter(|id| !course.emptying.contains_key(*id) && !taken.contains(*id)) {
         let Some(machine) = listed.get(id.as_str()).filter(|machine| machine.status == Status::Up)
         else {
             continue;
@@ -280,8 +289,7 @@
     id: &str,
     listed: &HashMap<&str, &Machine>,
 ) {
-    let gap = scheduler.node.settings.turn_gap;
-    if scheduler.began_at.elapsed() < gap || scheduler.renewed_ago() > RENEWED {
+    if !scheduler.may_order_machines() {
         return;
     }
     let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
@@ -314,19 +322,6 @@
     }
 }
 
-/// Workers on machines that are no longer being emptied take work again.
-fn uncordon(scheduler: &Scheduler, courses: &HashMap<u64, Course>, list: &[Machine]) {
-    let busy: HashSet<&MachineId> =
-        courses.values().flat_map(|course| course.emptying.keys()).collect();
-    let free = list.iter().filter(|machine| !busy.contains(&machine.id));
-    let workers: HashSet<&WorkerId> = free.filter_map(|machine| machine.worker.as_ref()).collect();
-    for worker in scheduler.cell().workers.values_mut() {
-        if workers.contains(&worker.peer.id) {
-            worker.cordoned = false;
-        }
-    }
-}
-
 async fn tell(scheduler: &Scheduler, course: &mut Course, succeeded: bool) {
     let record = Wave::status(course.wave.number, succeeded);
     let written = scheduler.node.store.append(STATUS_TOPIC, &[record], Guard::None, CALL).await;
