batch: a worker's life ends with the next one on its machine

Now the roster keeps service and machine, a machine's next life ends the earlier ones, doubt is kept to the service it is about, and leases of earlier schedulers count as long as ours.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -11,7 +11,6 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -35,6 +34,7 @@
 use crate::batch::job::Task;
 use crate::batch::record;
 use crate::batch::record::Accepted;
+use crate::batch::record::Known;
 use crate::batch::record::Progress;
 use crate::batch::worker::Kind;
 use crate::batch::worker::Phase;
@@ -145,15 +145,13 @@
     roster: Vec<Record>,
     /// Orders to be sent.
     pub outbox: Vec<Order>,
-    /// Longest lease a worker grants.
-    max_lease: Duration,
     /// A newer scheduler was heard of.
     pub fenced: bool,
 }
 
 impl Cell {
     /// An empty state.
-    pub fn new(token: Token, max_lease: Duration) -> Cell {
+    pub fn new(token: Token) -> Cell {
         Cell {
             token,
             jobs: HashMap::new(),
@@ -164,7 +162,6 @@
             dirty: HashSet::new(),
             roster: Vec::new(),
             outbox: Vec::new(),
-            max_lease,
             fenced: false,
         }
     }
@@ -368,34 +365,51 @@
 
     // Workers.
 
-    /// Takes in a worker's entry.
+    /// Takes in a worker's entry. A machine has one life at a time, so an earlier one is over.
     pub fn meet(&mut self, peer: Peer, entry: worker::Entry, now: Instant) -> bool {
         let id = peer.id.clone();
         if let Some(known) = self.workers.get_mut(&id) {
             known.update(entry);
             return false;
         }
-        self.roster.push(record::worker(&id, peer.addr));
+        if let Some(machine) = &entry.machine {
+            self.end_other_lives(machine, &id);
+        }
+        let service = entry.service.clone();
+        let known = Known { addr: peer.addr, service, machine: entry.machine.clone() };
+        self.roster.push(record::worker(&id, &known));
         self.workers.insert(id, Worker::new(peer, entry, now));
         true
     }
 
-    /// Takes in a worker that an earlier scheduler used and that is not listed.
-    pub fn meet_unlisted(&mut self, id: WorkerId, addr: SocketAddr, now: Instant) {
+    /// Removes workers that lived on a machine before `current` did.
+    pub fn end_other_lives(&mut self, machine: &str, current: &str) {
+        let lived = |worker: &&Worker| {
+            worker.entry.machine.as_deref() == Some(machine) && worker.peer.id != current
+        };
+        let gone: Vec<WorkerId> =
+            self.workers.values().filter(lived).map(|worker| worker.peer.id.clone()).collect();
+        for id in gone {
+            self.remove_worker(&id, "another worker lives on its machine");
+        }
+    }
+
+    /// Takes in a worker that an earlier scheduler used; it may not be listed any more.
+    pub fn meet_known(&mut self, id: WorkerId, known: Known, now: Instant) {
         if self.workers.contains_key(&id) {
             return;
         }
         let entry = worker::Entry {
-            service: String::new(),
-            address: addr,
+            service: known.service,
+            address: known.addr,
             hall: String::new(),
             draining: true,
             room: worker::Room::default(),
             labels: Vec::new(),
             leaves_in_ms: None,
-            machine: None,
+            machine: known.machine,
         };
-        let mut worker = Worker::new(Peer { id: id.clone(), addr }, entry, now);
+        let mut worker = Worker::new(Peer { id: id.clone(), addr: known.addr }, entry, now);
         worker.listed = false;
         self.workers.insert(id, worker);
     }
@@ -436,7 +450,7 @@
     /// Workers that are silent and whose leases have run out.
     pub fn lapsed(&self, now: Instant) -> Vec<(WorkerId, bool)> {
         let silent = self.workers.values().filter(|worker| worker.misses > 0 || !worker.fenced);
-        let lapsed = silent.filter(|worker| worker.lapses_at(self.max_lease) <= now);
+        let lapsed = silent.filter(|worker| worker.lapses_at() <= now);
         lapsed.map(|worker| (worker.peer.id.clone(), worker.listed)).collect()
     }
 
@@ -473,6 +487,12 @@
         }
     }
 
+    /// Services on whose workers an earlier scheduler may have started something that is not known.
+    pub fn doubtful_services(&self) -> HashSet<String> {
+        let unasked = self.unasked.iter().filter_map(|id| self.workers.get(id));
+        unasked.map(|worker| worker.entry.service.clone()).collect()
+    }
+
     /// Once every worker has been asked, nothing of an earlier scheduler is in doubt.
     pub fn clear_inherited(&mut self) {
         for entry in self.jobs.values_mut() {
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use spokelift_platform::machine::Machine;
 use spokelift_platform::machine::MachineId;
@@ -17,15 +18,20 @@
 /// Time between two rounds. Each costs a call to list the machines while something is under way.
 const ROUND: Duration = Duration::from_millis(250);
 
+/// Time between lists of the machines when nothing is under way; they tell of lives that ended.
+const IDLE: Duration = Duration::from_millis(2_000);
+
 /// Carries out waves and moves as long as the scheduler lasts.
 pub async fn run(scheduler: Arc<Scheduler>) {
     let Some(machines) = scheduler.node.machines.clone() else { return };
     let mut waves = Waves::begin(&scheduler).await;
     let mut pools = Pools::default();
+    let mut listed_at: Option<Instant> = None;
     loop {
         sleep(ROUND).await;
         let under_way = waves.take(scheduler.node.waves());
-        if !under_way && !pools.wants_list(&scheduler) {
+        let recent = listed_at.is_some_and(|at| at.elapsed() < IDLE);
+        if recent && !under_way && !pools.wants_list(&scheduler) {
             continue;
         }
         let list = match machines.list(CALL).await {
@@ -36,6 +42,8 @@
                 continue;
             }
         };
+        listed_at = Some(Instant::now());
+        reconcile(&scheduler, &list);
         waves.advance(&scheduler, &machines, &list, &pools.busy()).await;
         pools.advance(&scheduler, &machines, &list, &waves.busy()).await;
         let mut busy = waves.busy();
@@ -55,3 +63,13 @@
         }
     }
 }
+
+/// A worker that the platform no longer lists on its machine, but another one there, is gone.
+fn reconcile(scheduler: &Scheduler, list: &[Machine]) {
+    let mut cell = scheduler.cell();
+    for machine in list {
+        if let Some(worker) = &machine.worker {
+            cell.end_other_lives(&machine.id, worker);
+        }
+    }
+}
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -1,6 +1,7 @@
 //! Which worker a task is started on.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -38,12 +39,13 @@
     /// objective any more comes after everything that can.
     pub fn place(&mut self, now: Instant, wall: Duration) {
         let mut tops = self.top_room(now);
+        let doubtful = self.doubtful_services();
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
         let wall_ms = wall.as_millis() as u64;
         let (hopeful, late): (Vec<Rank>, Vec<Rank>) =
             ranks.into_iter().partition(|rank| !rank.ends || self.is_hopeful(rank, wall_ms));
         for rank in hopeful.into_iter().chain(late) {
-            self.place_step(rank, now, &mut tops);
+            self.place_step(rank, now, &mut tops, &doubtful);
         }
     }
 
@@ -64,13 +66,19 @@
         tops
     }
 
-    fn place_step(&mut self, rank: Rank, now: Instant, tops: &mut HashMap<String, u32>) {
+    fn place_step(
+        &mut self,
+        rank: Rank,
+        now: Instant,
+        tops: &mut HashMap<String, u32>,
+        doubtful: &HashSet<String>,
+    ) {
         let Rank { time, step, job, .. } = rank;
         let Some(entry) = self.jobs.get(&job) else {
             self.ready.remove(&rank);
             return;
         };
-        if entry.inherited && !self.unasked.is_empty() {
+        if entry.inherited && doubtful.contains(&entry.accepted.service) {
             return;
         }
         let accepted = &entry.accepted;
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -257,7 +257,10 @@
         let done = machines.shift(holder, id, &under_way.to, CALL).await;
         log::info!(machine = id, to = under_way.to.as_str(), ok = done.is_ok(); "move ordered");
         match done {
-            Ok(()) => under_way.ordered = true,
+            Ok(()) => {
+                under_way.ordered = true;
+                scheduler.cell().end_other_lives(id, "");
+            }
             Err(error) if machine::is_fenced(&error) => scheduler.cell().fenced = true,
             Err(error) if error.is_certain() => {
                 log::info!(machine = id; "move refused: {error}");
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -1,5 +1,6 @@
 //! What the store keeps of a job.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,8 +11,10 @@
 use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::parse_id;
+use spokelift_platform::machine::MachineId;
 use spokelift_platform::store::Record;
 use spokelift_platform::worker::Run;
+use spokelift_platform::worker::WorkerId;
 use thiserror::Error;
 
 /// Topic with the jobs as accepted, by id. Every node writes to it.
@@ -71,6 +74,17 @@
     Value(String, #[source] postcard::Error),
 }
 
+/// What the store keeps of a worker that may run something.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Known {
+    /// Where it is called.
+    pub addr: SocketAddr,
+    /// Its service.
+    pub service: String,
+    /// The machine it lives on, if it says so.
+    pub machine: Option<MachineId>,
+}
+
 /// A record of [`JOB_TOPIC`].
 #[derive(Debug, PartialEq)]
 pub enum JobRecord {
@@ -87,8 +101,8 @@
 pub enum ProgressRecord {
     /// How far a job is.
     Progress(JobId, Progress),
-    /// A worker that may run something, and its address.
-    Worker(String, std::net::SocketAddr),
+    /// A worker that may run something.
+    Worker(WorkerId, Known),
     /// A key was dropped.
     Dropped,
 }
@@ -140,8 +154,8 @@
 }
 
 /// The record of a worker that may run something from now on.
-pub fn worker(id: &str, addr: std::net::SocketAddr) -> Record {
-    Record::set(format!("{WORKER_PREFIX}{id}"), encode(&addr))
+pub fn worker(id: &str, known: &Known) -> Record {
+    Record::set(format!("{WORKER_PREFIX}{id}"), encode(known))
 }
 
 /// The record of a worker that runs nothing any more.
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -101,7 +101,7 @@
     /// Begins: reads the store, then looks at every worker, then starts tasks.
     pub fn begin(node: Arc<Node>, token: Token) -> Arc<Scheduler> {
         let now = Instant::now();
-        let cell = Cell::new(token, node.settings.max_lease);
+        let cell = Cell::new(token);
         let scheduler = Arc::new(Scheduler {
             node,
             token,
@@ -269,7 +269,7 @@
             Ok(ProgressRecord::Progress(id, told)) => {
                 progress.insert(id, told);
             }
-            Ok(ProgressRecord::Worker(id, addr)) => cell.meet_unlisted(id, addr, Instant::now()),
+            Ok(ProgressRecord::Worker(id, known)) => cell.meet_known(id, known, Instant::now()),
             Ok(ProgressRecord::Dropped) => {}
             Err(error) => log::error!("a record of progress cannot be used: {error}"),
         }
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -316,10 +316,8 @@
     }
     course.begun.insert(id.to_owned());
     course.emptying.remove(id);
-    course.down.insert(id.to_owned(), (Instant::now(), before.clone()));
-    if let Some(worker) = before {
-        scheduler.cell().remove_worker(&worker, "its machine has its upkeep");
-    }
+    course.down.insert(id.to_owned(), (Instant::now(), before));
+    scheduler.cell().end_other_lives(id, "");
 }
 
 async fn tell(scheduler: &Scheduler, course: &mut Course, succeeded: bool) {
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -164,11 +164,10 @@
     }
 
     /// When every lease that was asked for has run out for certain, if the worker hears nothing
-    /// more from anyone.
-    pub fn lapses_at(&self, max_lease: Duration) -> Instant {
+    /// more from anyone. An earlier scheduler asked for no longer leases than this one.
+    pub fn lapses_at(&self) -> Instant {
         let Some((clock, told)) = self.clock else {
-            // Whatever runs there was leased by an earlier scheduler.
-            return self.met_at + max_lease.div_f64(SLOWEST_CLOCK) + LEASE_SLACK;
+            return self.met_at + LEASE.div_f64(SLOWEST_CLOCK) + LEASE_SLACK;
         };
         let left = Duration::from_millis(self.lease_until.saturating_sub(clock));
         told + left.div_f64(SLOWEST_CLOCK) + LEASE_SLACK
