--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -5,6 +5,7 @@
 //! a [`cell`]: jobs, workers and what runs where. See `docs/design/on-the-platform.md`.
 
 pub mod cell;
+pub mod demand;
 pub mod fleet;
 pub mod intake;
 pub mod job;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -30,6 +30,7 @@
 use spokelift_platform::worker::WorkerId;
 use spokelift_platform::worker::WorkerMs;
 
+use crate::batch::demand::Demand;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
 use crate::batch::record;
@@ -147,6 +148,8 @@
     pub outbox: Vec<Order>,
     /// A newer scheduler was heard of.
     pub fenced: bool,
+    /// What is learned of the load.
+    pub demand: Demand,
 }
 
 impl Cell {
@@ -163,6 +166,7 @@
             roster: Vec::new(),
             outbox: Vec::new(),
             fenced: false,
+            demand: Demand::default(),
         }
     }
 
@@ -190,6 +194,9 @@
                 _ => entry.times[time as usize].due = true,
             }
         }
+        if inherited.is_none() {
+            self.demand.arrived(&entry, Instant::now());
+        }
         self.jobs.insert(id, entry);
         for time in 0..times {
             self.open_steps(id, time);
@@ -515,12 +522,18 @@
         let lasts = entry.step(end.task.step).is_some_and(|step| step.long_running);
         let saves = entry.step(end.task.step).is_some_and(|step| step.checkpointing);
         let gang = entry.step(end.task.step).is_some_and(|step| step.gang);
+        let guess = entry.step(end.task.step).map_or(0, |step| step.estimate_ms);
+        let guess = Duration::from_millis(guess);
+        let queue = entry.accepted.queue.clone();
         let limit = entry.accepted.max_attempts.max(1);
         entry.open_time(end.task.time);
         entry.begun = true;
         let Some(task) = entry.task(end.task) else { return };
-        if slot.is_some() {
+        if let Some(slot) = &slot {
             task.runs = task.runs.saturating_sub(1);
+            if end.outcome == Outcome::Done && !lasts && slot.checkpoint.is_empty() {
+                self.demand.ran(&queue, guess, now.saturating_duration_since(slot.since));
+            }
         }
         task.last_run = task.last_run.max(end.run);
         if saves && !end.checkpoint.is_empty() {
--- /dev/null
+++ b/lib/src/batch/demand.rs
@@ -0,0 +1,72 @@
+//! How much work arrives for each service, and how long its tasks really run.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::batch::job::Entry;
+
+/// Time in which an arrival's weight falls to 1/e. Loads turn from service to service within
+/// seconds; a machine takes about two to be moved.
+const MEMORY: Duration = Duration::from_millis(2_500);
+/// Weight of the newest run in the mean of run times against guesses.
+const NEWEST: f64 = 0.05;
+/// Bounds of that mean, so that a few odd runs do not mislead.
+const RATIO_BOUNDS: (f64, f64) = (0.3, 3.0);
+
+/// Work that arrives, for one service.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    /// Weighted work, in thousandths of a core times milliseconds.
+    work: f64,
+    at: Instant,
+}
+
+/// What is learned of arrivals and run times.
+#[derive(Default)]
+pub struct Demand {
+    arrivals: HashMap<String, Arrival>,
+    /// Mean of true run time over the client's guess, by queue.
+    ratios: HashMap<String, f64>,
+}
+
+impl Demand {
+    /// A job has arrived.
+    pub fn arrived(&mut self, entry: &Entry, now: Instant) {
+        let ratio = self.ratio(&entry.accepted.queue);
+        let ends = entry.accepted.job.steps.iter().filter(|step| !step.long_running && !step.fills);
+        let work: f64 = ends
+            .map(|step| f64::from(step.count) * f64::from(step.cpu) * step.estimate_ms as f64)
+            .sum();
+        let rate = self.arrivals.entry(entry.accepted.service.clone());
+        let rate = rate.or_insert(Arrival { work: 0.0, at: now });
+        rate.work = faded(*rate, now) + work * ratio;
+        rate.at = now;
+    }
+
+    /// A task guessed to run for `guess` has run for `took`.
+    pub fn ran(&mut self, queue: &str, guess: Duration, took: Duration) {
+        if guess.is_zero() {
+            return;
+        }
+        let ratio = took.as_secs_f64() / guess.as_secs_f64();
+        let mean = self.ratios.entry(queue.to_owned()).or_insert(1.0);
+        *mean += NEWEST * (ratio.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1) - *mean);
+    }
+
+    /// Mean of true run time over the client's guess.
+    pub fn ratio(&self, queue: &str) -> f64 {
+        self.ratios.get(queue).copied().unwrap_or(1.0)
+    }
+
+    /// Processor that the arriving work of a service keeps busy, in thousandths of a core.
+    pub fn rate(&self, service: &str, now: Instant) -> u64 {
+        let arrival = self.arrivals.get(service);
+        arrival.map_or(0.0, |arrival| faded(*arrival, now) / MEMORY.as_millis() as f64) as u64
+    }
+}
+
+fn faded(arrival: Arrival, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(arrival.at);
+    arrival.work * (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+}
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::batch::pool::Pools;
+use crate::batch::pool::loads;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::Waves;
@@ -18,6 +19,8 @@
 /// Time between two rounds. Each costs a call to list the machines while something is under way.
 const ROUND: Duration = Duration::from_millis(250);
 
+/// Time between lines in the log about what each service has and wants.
+const TELL: Duration = Duration::from_millis(1_000);
 /// Time between lists of the machines when nothing is under way; they tell of lives that ended.
 const IDLE: Duration = Duration::from_millis(2_000);
 
@@ -26,10 +29,15 @@
     let Some(machines) = scheduler.node.machines.clone() else { return };
     let mut waves = Waves::begin(&scheduler).await;
     let mut pools = Pools::default();
+    let mut told_at = Instant::now();
     let mut listed_at: Option<Instant> = None;
     loop {
         sleep(ROUND).await;
         let under_way = waves.take(scheduler.node.waves());
+        if told_at.elapsed() >= TELL {
+            told_at = Instant::now();
+            tell_loads(&scheduler);
+        }
         let recent = listed_at.is_some_and(|at| at.elapsed() < IDLE);
         if recent && !under_way && !pools.wants_list(&scheduler) {
             continue;
@@ -73,3 +81,9 @@
         }
     }
 }
+
+fn tell_loads(scheduler: &Scheduler) {
+    for (service, load) in loads(&scheduler.cell(), Instant::now()) {
+        log::info!(service = service.as_str(), workers = load.workers, has = load.has / 1_000, used = load.used / 1_000, waiting = load.waiting / 1_000, rate = load.rate / 1_000, wanted = load.wanted() / 1_000; "load in cores");
+    }
+}
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -334,7 +334,7 @@
 }
 
 /// Order of preference among workers that may run the task; the least comes first.
-fn cost(worker: &Worker, demand: &Demand<'_>) -> (bool, bool, u32, u32) {
+fn cost(worker: &Worker, demand: &Demand<'_>) -> (bool, bool, u32, u32, u32) {
     let avoided = demand.avoid.contains(&worker.peer.id);
     let far = match &demand.step.data_rack {
         Some(rack) => !worker.entry.labels.contains(rack),
@@ -350,5 +350,10 @@
             .count(),
         _ => 0,
     };
-    (avoided, far, crowd as u32 + worker.failures, u32::MAX - worker.free.cpu)
+    // Tasks that last stand together, so that other machines are free to be moved.
+    let lasting = match demand.kind {
+        Kind::Works => 0,
+        _ => worker.slots.values().filter(|slot| slot.kind != Kind::Works).count() as u32,
+    };
+    (avoided, far, crowd as u32 + worker.failures, u32::MAX - lasting, u32::MAX - worker.free.cpu)
 }
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -32,10 +32,8 @@
 const EMPTY_TIME: Duration = Duration::from_millis(2_500);
 /// How long a move may take until it is taken to have failed: several times the usual 2 s.
 const MOVE_TIME: Duration = Duration::from_millis(8_000);
-/// How long a pool that was given a machine keeps all it has.
-const KEEP: Duration = Duration::from_millis(4_000);
 /// Most machines under way at once, as a share of all, in hundredths.
-const AT_ONCE_PERCENT: usize = 20;
+const AT_ONCE_PERCENT: usize = 35;
 
 /// What a service has and wants, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default)]
@@ -44,18 +42,27 @@
     pub has: u64,
     /// What runs on them.
     pub used: u64,
+    /// Part of that by tasks that do not end by themselves.
+    pub lasting: u64,
     /// What its waiting tasks ask for.
     pub waiting: u64,
     /// Work of the waiting tasks, in thousandths of a core times milliseconds.
     pub work: u64,
+    /// What the work that arrives keeps busy.
+    pub rate: u64,
     /// Usable workers.
     pub workers: u64,
 }
 
 impl Load {
-    /// What it should have.
+    /// What it should have: enough for what arrives or runs, and to clear what waits.
     pub fn wanted(&self) -> u64 {
-        (self.used + self.work / CLEAR_MS) * 100 / FILL_PERCENT
+        (self.used.max(self.rate + self.lasting) + self.work / CLEAR_MS) * 100 / FILL_PERCENT
+    }
+
+    /// Whether it could do without a machine of this size.
+    pub fn can_spare(&self, size: u64) -> bool {
+        self.waiting == 0 && self.workers > 1 && self.has >= self.wanted() + size
     }
 }
 
@@ -70,8 +77,6 @@
 #[derive(Default)]
 pub struct Pools {
     moves: HashMap<MachineId, Move>,
-    /// When each pool was last given a machine.
-    given: HashMap<String, Instant>,
 }
 
 /// What each service has and wants.
@@ -82,6 +87,8 @@
         load.has += u64::from(worker.entry.room.cpu);
         load.used += u64::from(worker.entry.room.cpu - worker.free.cpu.min(worker.entry.room.cpu));
         load.workers += 1;
+        let lasting = worker.slots.values().filter(|slot| slot.kind != Kind::Works);
+        load.lasting += lasting.map(|slot| u64::from(slot.room.cpu)).sum::<u64>();
     }
     for rank in &cell.ready {
         let Some(entry) = cell.jobs.get(&rank.job) else { continue };
@@ -91,7 +98,11 @@
         let waiting = run.map_or(0, |run| run.waiting.len() as u64) * u64::from(step.cpu);
         let load = loads.entry(entry.accepted.service.clone()).or_default();
         load.waiting += waiting;
-        load.work += waiting * if step.long_running { CLEAR_MS } else { step.estimate_ms };
+        let guess = step.estimate_ms as f64 * cell.demand.ratio(&entry.accepted.queue);
+        load.work += waiting * if step.long_running { CLEAR_MS } else { guess as u64 };
+    }
+    for (service, load) in &mut loads {
+        load.rate = cell.demand.rate(service, now);
     }
     loads
 }
@@ -151,7 +162,7 @@
         taken: &HashSet<MachineId>,
     ) {
         let now = Instant::now();
-        let loads = loads(cell, now);
+        let mut loads = loads(cell, now);
         let mut left = (list.len() * AT_ONCE_PERCENT / 100).saturating_sub(self.moves.len());
         let mut short: Vec<(u64, String)> = Vec::new();
         for service in config.services.iter().filter(|service| !service.is_reserve) {
@@ -175,9 +186,12 @@
             {
                 worker.cordoned = true;
             }
+            if let Some(load) = loads.get_mut(&machine.pool) {
+                load.has = load.has.saturating_sub(u64::from(machine.room.cpu));
+                load.workers -= 1;
+            }
             let under_way = Move { to: service.clone(), since: now, ordered: false };
             self.moves.insert(machine.id.clone(), under_way);
-            self.given.insert(service.clone(), now);
             left -= 1;
             let rest = missing.saturating_sub(u64::from(machine.room.cpu));
             if rest > u64::from(machine.room.cpu) / 2 {
@@ -224,13 +238,10 @@
         best.filter(|(lasting, _, _)| *lasting == 0).map(|(_, _, machine)| machine)
     }
 
-    /// Whether the pool of a machine can do without it.
+    /// Whether the pool of a machine can do without it, beside those already chosen.
     fn can_give(&self, machine: &Machine, loads: &BTreeMap<String, Load>) -> bool {
-        let Some(load) = loads.get(&machine.pool) else { return false };
-        let recently = self.given.get(&machine.pool).is_some_and(|at| at.elapsed() < KEEP);
-        // Machines being emptied are cordoned, and not counted in what the pool has.
         let size = u64::from(machine.room.cpu);
-        !recently && load.waiting == 0 && load.workers > 1 && load.has >= load.wanted() + size
+        loads.get(&machine.pool).is_some_and(|load| load.can_spare(size))
     }
 
     /// Machines under way that are empty and have not been ordered to move.
