batch: waves take machines that can be spared; lives are told apart by answers

Cause 1: waves took 18 machines at once at the first peak. Now beyond what the wave's time demands they take only machines whose service can spare them. Now the life that answers is the one that lives.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -372,16 +372,13 @@
 
     // Workers.
 
-    /// Takes in a worker's entry. A machine has one life at a time, so an earlier one is over.
+    /// Takes in a worker's entry.
     pub fn meet(&mut self, peer: Peer, entry: worker::Entry, now: Instant) -> bool {
         let id = peer.id.clone();
         if let Some(known) = self.workers.get_mut(&id) {
             known.update(entry);
             return false;
         }
-        if let Some(machine) = &entry.machine {
-            self.end_other_lives(machine, &id);
-        }
         let service = entry.service.clone();
         let known = Known { addr: peer.addr, service, machine: entry.machine.clone() };
         self.roster.push(record::worker(&id, &known));
@@ -389,7 +386,9 @@
         true
     }
 
-    /// Removes workers that lived on a machine before `current` did.
+    /// Removes workers that lived on a machine before `current` did. Which of two lives is the
+    /// later one is told by answers only, since reads of the store and of the list of machines may
+    /// be seconds old.
     pub fn end_other_lives(&mut self, machine: &str, current: &str) {
         let lived = |worker: &&Worker| {
             worker.entry.machine.as_deref() == Some(machine) && worker.peer.id != current
@@ -483,6 +482,9 @@
             worker.fenced = true;
             worker.rest_until = now;
         }
+        if let Some(machine) = worker.entry.machine.clone() {
+            self.end_other_lives(&machine, id);
+        }
         self.unasked.remove(id);
         for end in &seen.ended {
             self.on_end(id, end, now);
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -21,8 +21,6 @@
 
 /// Time between lines in the log about what each service has and wants.
 const TELL: Duration = Duration::from_millis(1_000);
-/// Time between lists of the machines when nothing is under way; they tell of lives that ended.
-const IDLE: Duration = Duration::from_millis(2_000);
 
 /// Carries out waves and moves as long as the scheduler lasts.
 pub async fn run(scheduler: Arc<Scheduler>) {
@@ -30,7 +28,6 @@
     let mut waves = Waves::begin(&scheduler).await;
     let mut pools = Pools::default();
     let mut told_at = Instant::now();
-    let mut listed_at: Option<Instant> = None;
     loop {
         sleep(ROUND).await;
         let under_way = waves.take(scheduler.node.waves());
@@ -38,8 +35,7 @@
             told_at = Instant::now();
             tell_loads(&scheduler);
         }
-        let recent = listed_at.is_some_and(|at| at.elapsed() < IDLE);
-        if recent && !under_way && !pools.wants_list(&scheduler) {
+        if !under_way && !pools.wants_list(&scheduler) {
             continue;
         }
         let list = match machines.list(CALL).await {
@@ -50,8 +46,6 @@
                 continue;
             }
         };
-        listed_at = Some(Instant::now());
-        reconcile(&scheduler, &list);
         waves.advance(&scheduler, &machines, &list, &pools.busy()).await;
         pools.advance(&scheduler, &machines, &list, &waves.busy()).await;
         let mut busy = waves.busy();
@@ -72,16 +66,6 @@
     }
 }
 
-/// A worker that the platform no longer lists on its machine, but another one there, is gone.
-fn reconcile(scheduler: &Scheduler, list: &[Machine]) {
-    let mut cell = scheduler.cell();
-    for machine in list {
-        if let Some(worker) = &machine.worker {
-            cell.end_other_lives(&machine.id, worker);
-        }
-    }
-}
-
 fn tell_loads(scheduler: &Scheduler) {
     for (service, load) in loads(&scheduler.cell(), Instant::now()) {
         log::info!(service = service.as_str(), workers = load.workers, has = load.has / 1_000, used = load.used / 1_000, waiting = load.waiting / 1_000, rate = load.rate / 1_000, wanted = load.wanted() / 1_000; "load in cores");
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -116,10 +116,10 @@
     /// Takes in a wave.
     pub fn add_wave(&self, wave: Wave) {
         let mut waves = self.waves.lock().expect("no holder of the waves panics");
-        if !waves.contains_key(&wave.number) {
+        waves.entry(wave.number).or_insert_with(|| {
             log::info!(wave = wave.number, machines = wave.machines.len(), max_down = wave.max_down, duration_s = wave.duration.as_secs(); "wave asked for");
-            waves.insert(wave.number, wave);
-        }
+            wave
+        });
     }
 
     /// Takes in who holds the lead.
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep;
 
 use crate::batch::cell::Cell;
+use crate::batch::pool::loads;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::worker::Kind;
 use crate::batch::worker::Phase;
@@ -34,9 +35,13 @@
 const EMPTY_TIME: Duration = Duration::from_millis(4_000);
 
 /// How many times as many machines are empty or being emptied as may be down at once, so that the
-/// next are empty when those come back. Waves that were spread over their time instead kept
-/// machines from work into the hours of high load (measured: 0.05 to 0.2 of worth lost).
+/// next are empty when those come back.
 const AHEAD: usize = 2;
+/// Share of a wave's time in which it is planned to be done; the rest is for what goes wrong.
+const AIM_SHARE: f64 = 0.6;
+/// Time for which one machine is kept from work: about 3 s until it is empty, 2 s of upkeep and
+/// 1 s until its new worker is found.
+const CYCLE: Duration = Duration::from_millis(6_000);
 /// How long after it began a scheduler ends no task that lasts of its own accord: stops that its
 /// predecessor gave may still be under way, and a look shows their tasks as running until then.
 const SETTLE: Duration = Duration::from_millis(3_000);
@@ -203,11 +208,13 @@
     listed: &HashMap<&str, &Machine>,
     taken: &HashSet<MachineId>,
 ) {
-    let wanted = AHEAD * course.wave.max_down;
-    let free = wanted.saturating_sub(course.emptying.len() + course.down.len());
+    let under_way = course.emptying.len() + course.down.len();
+    let mut free = (AHEAD * course.wave.max_down).saturating_sub(under_way);
     if free == 0 {
         return;
     }
+    // Machines beyond these are taken only where they can be spared.
+    let mut owed = at_once(course, left.len()).saturating_sub(under_way);
     let mut cell = scheduler.cell();
     let mut candidates: Vec<(usize, MachineId)> = Vec::new();
     for id in left.iter().filter(|id| !course.emptying.contains_key(*id) && !taken.contains(*id)) {
@@ -220,17 +227,39 @@
         candidates.push((load, id.clone()));
     }
     candidates.sort();
-    for (_, id) in candidates.into_iter().take(free) {
+    let mut loads = loads(&cell, Instant::now());
+    for (_, id) in candidates {
+        let Some(machine) = listed.get(id.as_str()) else { continue };
+        let size = u64::from(machine.room.cpu);
+        let load = loads.get_mut(&machine.pool);
+        let spare = load.as_ref().is_none_or(|load| load.can_spare(size));
+        if free == 0 || (!spare && owed == 0) {
+            continue;
+        }
+        free -= 1;
+        owed = owed.saturating_sub(1);
+        if let Some(load) = load {
+            load.has = load.has.saturating_sub(size);
+            load.workers = load.workers.saturating_sub(1);
+        }
         if let Some(worker) =
-            worker_of(listed, &id).and_then(|worker| cell.workers.get_mut(&worker))
+            machine.worker.as_ref().and_then(|worker| cell.workers.get_mut(worker))
         {
             worker.cordoned = true;
         }
-        log::info!(machine = id.as_str(), wave = course.wave.number; "empties for upkeep");
+        log::info!(machine = id.as_str(), wave = course.wave.number, spare, pool = machine.pool.as_str(); "empties for upkeep");
         course.emptying.insert(id, Instant::now());
     }
 }
 
+/// How many machines must be empty or down at a time for the wave to be done in time.
+fn at_once(course: &Course, left: usize) -> usize {
+    let aim = course.wave.duration.mul_f64(AIM_SHARE);
+    let remaining = aim.saturating_sub(course.seen_at.elapsed()).max(CYCLE);
+    let needed = left as f64 * CYCLE.as_secs_f64() / remaining.as_secs_f64();
+    needed.ceil() as usize
+}
+
 /// Moves what it may off a worker; returns whether nothing is left there.
 ///
 /// Tasks that end by themselves are let end, unless `hurry`. Of a step that lasts, at most as many
