--- /dev/null
+++ b/cli/tests/test_platform.rs
@@ -0,0 +1,314 @@
+//! Real daemons on the stand-in of the users' platform: what clients are told holds, and no task
+//! runs twice, whatever fails.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::Value;
+use serde_json::json;
+use spokelift_testutils::platform::site::Site;
+use spokelift_testutils::platform::store::Fault;
+use spokelift_testutils::platform::worker;
+use tokio::time::sleep;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
+
+/// A job of two steps; each task runs for `millis`.
+fn job(tasks: u32, millis: u32) -> Value {
+    let step = |after: &[u32]| json!({ "count": tasks, "cpu": 1000, "memMb": 100, "estimateMs": millis, "after": after });
+    json!({ "spec": format!("ms={millis} cpu=1000 mem=100"), "steps": [step(&[]), step(&[0])] })
+}
+
+/// A job whose tasks run until it is cancelled; one of them may be away.
+fn lasting(tasks: u32) -> Value {
+    json!({
+        "spec": "cpu=500 mem=100",
+        "steps": [{
+            "count": tasks, "cpu": 500, "memMb": 100, "estimateMs": 100, "longRunning": true, "may_miss": 1,
+        }],
+    })
+}
+
+fn id(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+fn assert_sound(site: &Site) {
+    assert_eq!(site.ledger.faults(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn a_job_is_served_from_end_to_end() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    assert_eq!(site.submit(0, &id(1), job(4, 100)).await, 200);
+    assert_eq!(site.submit(1, &id(1), job(4, 100)).await, 200);
+    site.until_succeeded(&id(1)).await;
+    assert_eq!(site.ledger.starts(), 8);
+    assert_eq!(site.state(0, &id(2)).await, Err(410));
+    assert_eq!(site.cancel(0, &id(2)).await, 410);
+    assert_eq!(site.submit(0, &id(3), json!({ "spec": "x", "steps": [] })).await, 400);
+    assert_eq!(site.submit(0, &id(3), json!("no job")).await, 400);
+    assert_eq!(site.submit(0, "not-an-id", job(1, 1)).await, 404);
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_cancelled_job_is_gone_from_the_workers() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    site.insist(&id(1), lasting(4)).await;
+    site.until("all tasks run", async |site| site.ledger.running(&id(1)) == 4).await;
+    assert_eq!(site.cancel(1, &id(1)).await, 200);
+    site.until("no task runs", async |site| site.ledger.running(&id(1)) == 0).await;
+    assert_eq!(site.state(0, &id(1)).await, Ok("canceled".to_owned()));
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn jobs_survive_the_death_of_the_scheduler() {
+    let mut site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    for number in 0..8 {
+        site.insist(&id(number), job(4, 400)).await;
+    }
+    let leader = site.leader().unwrap();
+    site.nodes[leader].kill();
+    for number in 0..8 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_eq!(site.ledger.done(), 64);
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_scheduler_that_wakes_from_a_pause_does_no_harm() {
+    let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    let leader = site.leader().unwrap();
+    for number in 0..8 {
+        site.insist(&id(number), job(4, 300)).await;
+    }
+    site.nodes[leader].signal(Signal::SIGSTOP).unwrap();
+    site.until("another node leads", async |site| site.leader() != Some(leader)).await;
+    for number in 8..12 {
+        let job = job(4, 300);
+        site.until("a running node takes the job", async |site| {
+            let node = (leader + 1) % 3;
+            site.submit(node, &id(number), job.clone()).await == 200
+        })
+        .await;
+    }
+    site.nodes[leader].signal(Signal::SIGCONT).unwrap();
+    for number in 0..12 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_scheduler_that_the_store_turns_away_hands_over() {
+    let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    site.insist(&id(1), job(4, 600)).await;
+    let leader = site.leader().unwrap();
+    for (number, fault) in [Fault::Busy, Fault::Silent].into_iter().enumerate() {
+        let turned_away = site.leader().unwrap();
+        site.nodes[turned_away].door.set(fault);
+        site.until("another node leads", async |site| site.leader() != Some(turned_away)).await;
+        // The node that is turned away still takes jobs, through the one that leads.
+        let job = job(2, 100);
+        site.until("the node takes a job", async |site| {
+            site.submit(turned_away, &id(10 + number as u64), job.clone()).await == 200
+        })
+        .await;
+        site.until_succeeded(&id(10 + number as u64)).await;
+        site.nodes[turned_away].door.set(Fault::None);
+    }
+    site.until_succeeded(&id(1)).await;
+    assert!(leader < 3);
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn what_was_accepted_survives_the_death_of_all() {
+    let mut site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    for number in 0..6 {
+        site.insist(&id(number), job(4, 300)).await;
+    }
+    for node in &mut site.nodes {
+        node.kill();
+    }
+    for node in &mut site.nodes {
+        node.start().unwrap();
+    }
+    for number in 0..6 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_eq!(site.ledger.done(), 48);
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn lost_and_late_answers_of_the_store_lose_nothing() {
+    let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    for fault in [Fault::LosesAnswers, Fault::Late] {
+        for node in &site.nodes {
+            node.door.set(fault);
+        }
+        let first = if fault == Fault::Late { 10 } else { 0 };
+        for number in first..first + 4 {
+            let _ = site.submit(number as usize % 3, &id(number), job(2, 100)).await;
+        }
+        sleep(Duration::from_millis(500)).await;
+        for node in &site.nodes {
+            node.door.set(Fault::None);
+        }
+        for number in first..first + 4 {
+            site.insist(&id(number), job(2, 100)).await;
+            site.until_succeeded(&id(number)).await;
+        }
+    }
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_store_that_is_away_stops_no_running_job() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    site.insist(&id(1), job(4, 1_000)).await;
+    for node in &site.nodes {
+        node.door.set(Fault::Busy);
+    }
+    let refused = site.submit(0, &id(2), job(1, 100)).await;
+    assert_eq!(refused, 503);
+    site.until("the second step has begun", async |site| site.ledger.starts() == 8).await;
+    sleep(Duration::from_millis(1_500)).await;
+    for node in &site.nodes {
+        node.door.set(Fault::None);
+    }
+    site.until_succeeded(&id(1)).await;
+    assert_eq!(site.state(0, &id(2)).await, Err(410));
+    assert_eq!(site.ledger.starts(), 8);
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_store_that_forgets_its_history_costs_no_job() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    for number in 0..4 {
+        site.insist(&id(number), job(4, 300)).await;
+        site.store.forget_history();
+    }
+    for number in 0..4 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn tasks_of_a_crashed_worker_run_elsewhere() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    for number in 0..6 {
+        site.insist(&id(number), job(4, 500)).await;
+    }
+    site.until("tasks run", async |site| site.ledger.starts() > 4).await;
+    site.machines.crash("m-0").await;
+    for number in 0..6 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn tasks_of_a_worker_that_is_cut_off_wait_for_its_lease() {
+    let site = Site::start(PROGRAM, 2, 3, 0).await.unwrap();
+    site.insist(&id(1), lasting(3)).await;
+    site.until("all tasks run", async |site| site.ledger.running(&id(1)) == 3).await;
+    let worker = site.machines.workers().into_iter().find(|worker| !worker.is_idle()).unwrap();
+    worker.set(worker::Fault::Cut);
+    site.until("its tasks have lapsed", async |_| worker.is_idle()).await;
+    site.until("all tasks run elsewhere", async |site| site.ledger.running(&id(1)) == 3).await;
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_start_without_an_answer_is_not_repeated_elsewhere_while_it_may_run() {
+    let site = Site::start(PROGRAM, 2, 3, 0).await.unwrap();
+    for worker in site.machines.workers().iter().take(2) {
+        worker.set(worker::Fault::LosesStarts);
+    }
+    for number in 0..4 {
+        site.insist(&id(number), job(3, 200)).await;
+    }
+    for number in 0..4 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_worker_that_fails_everything_is_told_from_a_job_that_fails() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    site.machines.worker("m-0").unwrap().set(worker::Fault::FailsAll);
+    for number in 0..10 {
+        site.insist(&id(number), job(4, 50)).await;
+    }
+    for number in 0..10 {
+        site.until_succeeded(&id(number)).await;
+    }
+    for worker in site.machines.workers() {
+        worker.set(worker::Fault::FailsAll);
+    }
+    site.insist(&id(20), job(1, 50)).await;
+    site.until("the job has failed", async |site| {
+        site.state(0, &id(20)).await.is_ok_and(|state| state == "failed")
+    })
+    .await;
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_wave_keeps_within_its_bound_and_spares_tasks_that_last() {
+    let site = Site::start(PROGRAM, 2, 6, 2).await.unwrap();
+    site.insist(&id(1), lasting(4)).await;
+    site.until("all tasks run", async |site| site.ledger.running(&id(1)) == 4).await;
+    let machines: Vec<String> = (0..5).map(|number| format!("m-{number}")).collect();
+    site.wave(7, &machines, 2);
+    let succeeded = async |site: &Site| {
+        let status = site.store.get("keyed.status", "wave/7");
+        status.is_some_and(|status| status.ends_with(b"\"succeeded\"}"))
+    };
+    site.until("the wave has succeeded", succeeded).await;
+    let (begun, most_down) = site.machines.upkept(7);
+    assert_eq!(begun, 5);
+    assert!(most_down <= 2, "{most_down} machines were down at once");
+    site.until("all tasks run again", async |site| site.ledger.running(&id(1)) == 4).await;
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn machines_move_to_the_service_that_is_short_of_them() {
+    let site = Site::start(PROGRAM, 2, 2, 3).await.unwrap();
+    for number in 0..12 {
+        site.insist(&id(number), job(8, 500)).await;
+    }
+    site.until("a machine was moved", async |site| site.machines.in_pool("work") > 2).await;
+    for number in 0..12 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_planned_stop_hands_over_and_ends_well() {
+    let mut site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    for number in 0..4 {
+        site.insist(&id(number), job(4, 500)).await;
+    }
+    let leader = site.leader().unwrap();
+    site.nodes[leader].signal(Signal::SIGTERM).unwrap();
+    // It still answers while the platform takes it out.
+    assert!(site.state(leader, &id(0)).await.is_ok());
+    assert_eq!(site.nodes[leader].ended(Duration::from_secs(10)).await, Some(true));
+    assert_ne!(site.leader(), Some(leader));
+    site.nodes[leader].start().unwrap();
+    for number in 0..4 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_sound(&site);
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fixture;
 pub mod ledger;
 pub mod log;
+pub mod platform;
 pub mod process;
 pub mod proxy;
 pub mod scenario;
--- /dev/null
+++ b/testutils/src/platform/machines.rs
@@ -0,0 +1,204 @@
+//! The interface for machines: lists them, moves them between pools, takes them down for upkeep.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+use spokelift_lib::transport::dial::Body;
+use spokelift_lib::transport::serve::serve;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::platform::answer;
+use crate::platform::header_number;
+use crate::platform::read_json;
+use crate::platform::store::Store;
+use crate::platform::worker::Ledger;
+use crate::platform::worker::Shape;
+use crate::platform::worker::Worker;
+
+/// How long a machine is away for a move or for upkeep.
+const AWAY: Duration = Duration::from_millis(600);
+
+struct Machine {
+    shape: Shape,
+    worker: Option<Worker>,
+    status: &'static str,
+    fence: u64,
+}
+
+#[derive(Default)]
+struct State {
+    machines: BTreeMap<String, Machine>,
+    upkept: HashMap<u64, HashSet<String>>,
+    most_down: usize,
+    moves: usize,
+}
+
+/// The machines of a site. Clones are the same machines.
+#[derive(Clone)]
+pub struct Machines {
+    /// Where they are managed.
+    pub addr: SocketAddr,
+    store: Store,
+    ledger: Ledger,
+    state: Arc<Mutex<State>>,
+    _open: Arc<watch::Sender<bool>>,
+}
+
+impl Machines {
+    /// Starts the interface, without machines.
+    pub async fn start(store: &Store, ledger: &Ledger) -> std::io::Result<Machines> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (open, closed) = watch::channel(false);
+        let machines = Machines {
+            addr: listener.local_addr()?,
+            store: store.clone(),
+            ledger: ledger.clone(),
+            state: Arc::default(),
+            _open: Arc::new(open),
+        };
+        let shared = machines.clone();
+        tokio::spawn(serve(listener, closed, move |request| {
+            let machines = shared.clone();
+            async move { machines.answer(request).await }
+        }));
+        Ok(machines)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Adds a machine with a worker.
+    pub async fn add(&self, id: &str, shape: Shape) -> std::io::Result<()> {
+        let worker = Worker::start(&self.store, &self.ledger, id, &shape).await?;
+        let machine = Machine { shape, worker: Some(worker), status: "up", fence: 0 };
+        self.state().machines.insert(id.to_owned(), machine);
+        Ok(())
+    }
+
+    /// The worker on a machine.
+    pub fn worker(&self, id: &str) -> Option<Worker> {
+        self.state().machines.get(id)?.worker.clone()
+    }
+
+    /// All workers.
+    pub fn workers(&self) -> Vec<Worker> {
+        self.state().machines.values().filter_map(|machine| machine.worker.clone()).collect()
+    }
+
+    /// Machines in a pool.
+    pub fn in_pool(&self, pool: &str) -> usize {
+        self.state().machines.values().filter(|machine| machine.shape.service == pool).count()
+    }
+
+    /// Machines of a wave whose upkeep has begun, and the most that were down at once.
+    pub fn upkept(&self, wave: u64) -> (usize, usize) {
+        let state = self.state();
+        (state.upkept.get(&wave).map_or(0, HashSet::len), state.most_down)
+    }
+
+    /// Crashes a machine's worker; another life begins a moment later.
+    pub async fn crash(&self, id: &str) {
+        self.take_down(id, "down");
+        self.bring_up(id.to_owned(), AWAY).await;
+    }
+
+    fn take_down(&self, id: &str, status: &'static str) {
+        let mut state = self.state();
+        if let Some(machine) = state.machines.get_mut(id) {
+            machine.status = status;
+            if let Some(worker) = machine.worker.take() {
+                worker.crash();
+            }
+        }
+        let down = state.machines.values().filter(|machine| machine.status == "upkeep").count();
+        state.most_down = state.most_down.max(down);
+    }
+
+    async fn bring_up(&self, id: String, after: Duration) {
+        sleep(after).await;
+        let Some(shape) = self.state().machines.get(&id).map(|machine| machine.shape.clone())
+        else {
+            return;
+        };
+        let worker = Worker::start(&self.store, &self.ledger, &id, &shape).await;
+        if let (Ok(worker), Some(machine)) = (worker, self.state().machines.get_mut(&id)) {
+            machine.worker = Some(worker);
+            machine.status = "up";
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        let token = header_number(request.headers(), "x-fencing-token");
+        let body = read_json(request.into_body()).await;
+        match path.as_str() {
+            "/api/machines" => self.list(),
+            "/api/machine-move" | "/api/machine-upkeep" => self.order(&path, token, &body),
+            _ => answer(404, &json!({})),
+        }
+    }
+
+    fn list(&self) -> Response<Body> {
+        let state = self.state();
+        let rows: Vec<Value> = state
+            .machines
+            .iter()
+            .map(|(id, machine)| {
+                let worker = machine.worker.as_ref().map(|worker| worker.id.clone());
+                json!({
+                    "machine": id, "pool": machine.shape.service, "state": machine.status, "zone": "hall-1",
+                    "labels": ["a", machine.shape.rack], "id": worker,
+                    "capacity": { "cpu": machine.shape.cpu, "memMb": machine.shape.memory, "gpu": 0 },
+                })
+            })
+            .collect();
+        answer(200, &json!({ "machines": rows, "nextToken": null }))
+    }
+
+    fn order(&self, path: &str, token: u64, body: &Value) -> Response<Body> {
+        let id = body["machine"].as_str().unwrap_or_default().to_owned();
+        let wave = body["wave"].as_u64();
+        let status = {
+            let mut state = self.state();
+            if let Some(wave) = wave
+                && state.upkept.get(&wave).is_some_and(|upkept| upkept.contains(&id))
+            {
+                return answer(200, &json!({}));
+            }
+            let Some(machine) = state.machines.get_mut(&id) else { return answer(400, &json!({})) };
+            if token < machine.fence {
+                return answer(409, &json!({ "reason": "fence" }));
+            }
+            machine.fence = token;
+            if machine.status != "up" {
+                return answer(409, &json!({ "reason": "busy" }));
+            }
+            if path == "/api/machine-move" {
+                machine.shape.service = body["pool"].as_str().unwrap_or_default().to_owned();
+                state.moves += 1;
+                "moving"
+            } else {
+                state.upkept.entry(wave.unwrap_or(0)).or_default().insert(id.clone());
+                "upkeep"
+            }
+        };
+        self.take_down(&id, status);
+        let machines = self.clone();
+        tokio::spawn(async move { machines.bring_up(id, AWAY).await });
+        answer(200, &json!({}))
+    }
+}
--- /dev/null
+++ b/testutils/src/platform/site.rs
@@ -0,0 +1,293 @@
+//! A site: the platform's stand-ins around real daemons.
+
+use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use hyper::Request;
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use serde_json::Value;
+use serde_json::json;
+use spokelift_lib::transport::dial::Dialer;
+use spokelift_lib::transport::dial::full;
+use spokelift_platform::store::OPERATOR_TOPIC;
+use spokelift_platform::store::Record;
+use tokio::time::sleep;
+
+use crate::platform::machines::Machines;
+use crate::platform::store::Door;
+use crate::platform::store::Store;
+use crate::platform::worker::Ledger;
+use crate::platform::worker::Shape;
+
+/// How long a client waits for an answer.
+const ANSWER: Duration = Duration::from_secs(3);
+/// Pause between looks at something awaited.
+const PAUSE: Duration = Duration::from_millis(25);
+/// Host under which clients call.
+const HOST: &str = "site.example";
+/// Loopback addresses given out in this process.
+static ADDRESSES: AtomicU32 = AtomicU32::new(0);
+
+/// A daemon as a real process.
+pub struct Node {
+    /// Its way into the store.
+    pub door: Door,
+    /// Where clients call it.
+    pub client_addr: SocketAddr,
+    file: PathBuf,
+    program: String,
+    child: Option<Child>,
+}
+
+/// A site.
+pub struct Site {
+    /// The store.
+    pub store: Store,
+    /// The machines.
+    pub machines: Machines,
+    /// What the workers saw.
+    pub ledger: Ledger,
+    /// The daemons.
+    pub nodes: Vec<Node>,
+    dialer: Dialer,
+}
+
+impl Node {
+    async fn prepare(
+        store: &Store,
+        machines: SocketAddr,
+        program: &str,
+        number: usize,
+    ) -> io::Result<Node> {
+        let ip = own_address();
+        let door = store.door().await?;
+        let addrs = [free_port(ip)?, free_port(ip)?];
+        let peers = free_port(ip)?;
+        let file = std::env::temp_dir().join(format!("spokelift-{ip}.toml"));
+        let text = format!(
+            "node = \"node-{number}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
+             portRange = [{}, {}]\nheartbeatMs = 500\n\
+             [listen]\nfront = \"{}\"\nreadiness = \"{}\"\n\
+             [platform]\naddress = \"{}\"\nform = \"log\"\n\
+             [cloudApi]\naddress = \"{machines}\"\n\
+             [bounds]\nleaseMs = 1000\nupkeep_s = 0.6\nmove_s = 0.6\n",
+            peers.port(),
+            peers.port() + 1,
+            addrs[0],
+            addrs[1],
+            door.addr,
+        );
+        std::fs::write(&file, text)?;
+        let program = program.to_owned();
+        Ok(Node { door, client_addr: addrs[0], file, program, child: None })
+    }
+
+    /// Starts the process.
+    pub fn start(&mut self) -> io::Result<()> {
+        let log = std::env::var_os("SPOKELIFT_TEST_LOG").is_some();
+        let output = || if log { Stdio::inherit() } else { Stdio::null() };
+        let mut command = Command::new(&self.program);
+        command.arg("--platform").env(spokelift_platform::settings::VARIABLE, &self.file);
+        self.child = Some(command.stdout(output()).stderr(output()).spawn()?);
+        Ok(())
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        match &self.child {
+            Some(child) => kill(Pid::from_raw(child.id() as i32), signal).map_err(io::Error::from),
+            None => Ok(()),
+        }
+    }
+
+    /// Waits for the process to end; whether it ended well.
+    pub async fn ended(&mut self, within: Duration) -> Option<bool> {
+        let child = self.child.as_mut()?;
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = child.try_wait() {
+                self.child = None;
+                return Some(status.success());
+            }
+            sleep(PAUSE).await;
+        }
+        None
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+        // The file lies in the directory for temporary files.
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A loopback address that no other test process uses, so that a port that was found free on it
+/// stays free.
+fn own_address() -> IpAddr {
+    let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number as u8 + 1))
+}
+
+fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
+    std::net::TcpListener::bind((ip, 0))?.local_addr()
+}
+
+impl Site {
+    /// Starts daemons of `program`, with `workers` machines in pool `work` and `reserve` in pool
+    /// `spare`, and waits until one of them answers clients.
+    pub async fn start(
+        program: &str,
+        nodes: usize,
+        workers: usize,
+        reserve: usize,
+    ) -> io::Result<Site> {
+        let (store, ledger) = (Store::default(), Ledger::default());
+        let machines = Machines::start(&store, &ledger).await?;
+        for number in 0..workers + reserve {
+            let service = if number < workers { "work" } else { "spare" };
+            let rack = format!("r1-{}", number / 2);
+            let shape = Shape { service: service.to_owned(), rack, cpu: 8_000, memory: 8_000 };
+            machines.add(&format!("m-{number}"), shape).await?;
+        }
+        let config = json!({
+            "version": 1,
+            "routes": [{
+                "name": "q", "host": HOST, "pathPrefix": "/q/", "kind": "unsafe", "timeoutMs": 3000,
+                "targetLatencyMs": 600, "priority": 0, "service": "work", "maxAttempts": 3, "stretch": 1.6,
+            }],
+            "services": [
+                { "name": "work", "enforcesCapacity": true, "headroom": false },
+                { "name": "spare", "enforcesCapacity": true, "headroom": true },
+            ],
+            "limits": { "maxBodyBytes": 262144 },
+        });
+        store.put(OPERATOR_TOPIC, Record::set("config", config.to_string()));
+        let mut site =
+            Site { store, machines, ledger, nodes: Vec::new(), dialer: Dialer::new(ANSWER) };
+        for number in 0..nodes {
+            let mut node = Node::prepare(&site.store, site.machines.addr, program, number).await?;
+            node.start()?;
+            site.nodes.push(node);
+        }
+        site.until("a daemon answers", async |site| site.pending(0).await.is_some()).await;
+        Ok(site)
+    }
+
+    async fn call(&self, node: usize, method: Method, path: &str, body: Value) -> (u16, Value) {
+        let addr = self.nodes[node].client_addr;
+        let body = if body.is_null() { String::new() } else { body.to_string() };
+        let request = Request::builder().method(method).uri(path).header("host", HOST);
+        let request = request.body(full(body)).expect("the tests make sound requests");
+        match self.dialer.exchange(addr, request, 65_536, ANSWER).await {
+            Ok(response) => {
+                let status = response.status().as_u16();
+                (status, serde_json::from_slice(response.body()).unwrap_or(Value::Null))
+            }
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    /// Hands in a job; 0 if there is no answer.
+    pub async fn submit(&self, node: usize, id: &str, job: Value) -> u16 {
+        self.call(node, Method::POST, &format!("/q/{id}"), job).await.0
+    }
+
+    /// Hands in a job again and again, at one node after another, as clients do.
+    pub async fn insist(&self, id: &str, job: Value) {
+        for attempt in 0..200 {
+            if self.submit(attempt % self.nodes.len(), id, job.clone()).await == 200 {
+                return;
+            }
+            sleep(PAUSE).await;
+        }
+        panic!("no daemon takes {id}");
+    }
+
+    /// A job's state, or the status of the answer.
+    pub async fn state(&self, node: usize, id: &str) -> Result<String, u16> {
+        let (status, body) = self.call(node, Method::GET, &format!("/q/{id}"), Value::Null).await;
+        match body["state"].as_str() {
+            Some(state) if status == 200 => Ok(state.to_owned()),
+            _ => Err(status),
+        }
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, node: usize, id: &str) -> u16 {
+        self.call(node, Method::DELETE, &format!("/q/{id}"), Value::Null).await.0
+    }
+
+    /// Jobs that have not begun.
+    pub async fn pending(&self, node: usize) -> Option<u64> {
+        let (status, body) = self.call(node, Method::GET, "/q/", Value::Null).await;
+        if status == 200 { body["pending"].as_u64() } else { None }
+    }
+
+    /// Asks for a wave.
+    pub fn wave(&self, number: u64, machines: &[String], max_down: usize) {
+        let wave =
+            json!({ "wave": number, "machines": machines, "durationS": 20, "maximum": max_down });
+        self.store.put(OPERATOR_TOPIC, Record::set(format!("wave/{number}"), wave.to_string()));
+    }
+
+    /// The node that schedules, by the store's record.
+    pub fn leader(&self) -> Option<usize> {
+        let record = self.store.get("keyed.lead", "lead")?;
+        let lead: spokelift_lib::batch::lead::Lead = postcard::from_bytes(&record).ok()?;
+        lead.node.strip_prefix("node-")?.parse().ok()
+    }
+
+    /// Waits until something holds.
+    ///
+    /// # Panics
+    ///
+    /// If it does not within a minute.
+    pub async fn until(&self, what: &str, holds: impl AsyncFn(&Site) -> bool) {
+        let until = Instant::now() + Duration::from_secs(60);
+        while Instant::now() < until {
+            if holds(self).await {
+                return;
+            }
+            sleep(PAUSE).await;
+        }
+        panic!("not within a minute: {what}");
+    }
+
+    /// Waits until a job has succeeded, by whichever node answers.
+    pub async fn until_succeeded(&self, id: &str) {
+        let succeeded = async |site: &Site| {
+            for node in 0..site.nodes.len() {
+                if site.state(node, id).await.is_ok_and(|state| state == "succeeded") {
+                    return true;
+                }
+            }
+            false
+        };
+        self.until(&format!("{id} succeeds"), succeeded).await;
+    }
+}
--- /dev/null
+++ b/testutils/src/platform/worker.rs
@@ -0,0 +1,408 @@
+//! A worker: runs tasks under a lease, tells what runs and what ended, and writes its entry.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+use spokelift_lib::transport::dial::Body;
+use spokelift_lib::transport::serve::serve;
+use spokelift_platform::store::Record;
+use spokelift_platform::store::WORKER_TOPIC;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::platform::answer;
+use crate::platform::read_json;
+use crate::platform::store::Store;
+
+/// Time between two writes of a worker's entry.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Pause between looks at what has ended or lapsed.
+const STEP: Duration = Duration::from_millis(10);
+/// A worker's clock stood at this when it started, in milliseconds.
+const CLOCK_START: u64 = 1_000;
+
+/// What all workers of a site saw: the judge of whether a task ran twice.
+#[derive(Clone, Default)]
+pub struct Ledger {
+    inner: Arc<Mutex<LedgerInner>>,
+}
+
+#[derive(Default)]
+struct LedgerInner {
+    running: HashMap<String, u32>,
+    done: HashMap<String, u32>,
+    starts: HashMap<String, u32>,
+    faults: Vec<String>,
+}
+
+impl Ledger {
+    fn lock(&self) -> MutexGuard<'_, LedgerInner> {
+        self.inner.lock().expect("no holder panics")
+    }
+
+    fn started(&self, task: &str, run: u64) {
+        let mut ledger = self.lock();
+        *ledger.starts.entry(task.to_owned()).or_default() += 1;
+        let running = ledger.running.entry(task.to_owned()).or_default();
+        *running += 1;
+        if *running > 1 {
+            ledger.faults.push(format!("two runs of {task} at once, the later one is {run}"));
+        }
+        if ledger.done.contains_key(task) {
+            ledger.faults.push(format!("{task} was done and is run {run} again"));
+        }
+    }
+
+    fn ended(&self, task: &str, done: bool) {
+        let mut ledger = self.lock();
+        if let Some(running) = ledger.running.get_mut(task) {
+            *running = running.saturating_sub(1);
+        }
+        if done {
+            *ledger.done.entry(task.to_owned()).or_default() += 1;
+        }
+    }
+
+    /// Tasks run twice, or again after they were done.
+    pub fn faults(&self) -> Vec<String> {
+        self.lock().faults.clone()
+    }
+
+    /// How many tasks are done.
+    pub fn done(&self) -> usize {
+        self.lock().done.len()
+    }
+
+    /// How often tasks were started.
+    pub fn starts(&self) -> u32 {
+        self.lock().starts.values().sum()
+    }
+
+    /// Tasks of a job that run now.
+    pub fn running(&self, job: &str) -> u32 {
+        let ledger = self.lock();
+        let of_job = ledger.running.iter().filter(|(task, _)| task.starts_with(job));
+        of_job.map(|(_, running)| *running).sum()
+    }
+}
+
+/// What is wrong with a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It runs on, but no call reaches it and no answer leaves it.
+    Cut,
+    /// Everything it starts fails.
+    FailsAll,
+    /// It starts tasks and does not answer.
+    LosesStarts,
+}
+
+struct Running {
+    run: u64,
+    until: Option<Instant>,
+    ends_at: Option<Instant>,
+    cpu: u64,
+    memory: u64,
+}
+
+#[derive(Default)]
+struct State {
+    fence: u64,
+    lease_until: u64,
+    runs: BTreeMap<String, Running>,
+    barred: HashMap<String, u64>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    last_end: u64,
+    fault: Fault,
+}
+
+/// A running worker: one life.
+#[derive(Clone)]
+pub struct Worker {
+    /// Id of the life.
+    pub id: String,
+    /// Its machine.
+    pub machine: String,
+    inner: Arc<Inner>,
+    stop: Arc<watch::Sender<bool>>,
+}
+
+struct Inner {
+    id: String,
+    born: Instant,
+    cpu: u64,
+    memory: u64,
+    ledger: Ledger,
+    state: Mutex<State>,
+    ended: Notify,
+}
+
+/// What a worker is to be.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Its service.
+    pub service: String,
+    /// Its rack.
+    pub rack: String,
+    /// Its processor, in thousandths of a core.
+    pub cpu: u64,
+    /// Its memory in megabytes.
+    pub memory: u64,
+}
+
+impl Worker {
+    /// Starts a life on a machine.
+    pub async fn start(
+        store: &Store,
+        ledger: &Ledger,
+        machine: &str,
+        shape: &Shape,
+    ) -> std::io::Result<Worker> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let id = format!("i-{:016x}", rand::random::<u64>());
+        let inner = Arc::new(Inner {
+            id: id.clone(),
+            born: Instant::now(),
+            cpu: shape.cpu,
+            memory: shape.memory,
+            ledger: ledger.clone(),
+            state: Mutex::default(),
+            ended: Notify::new(),
+        });
+        let (stop, stopped) = watch::channel(false);
+        let shared = inner.clone();
+        let server = serve(listener, stopped.clone(), move |request| {
+            let inner = shared.clone();
+            async move { inner.answer(request).await }
+        });
+        let entry = entry(addr, machine, shape, "ready");
+        let (store, key, life) = (store.clone(), id.clone(), inner.clone());
+        let mut over = stopped;
+        tokio::spawn(async move {
+            let beats = async {
+                loop {
+                    store.put(WORKER_TOPIC, Record::set(key.clone(), entry.to_string()));
+                    sleep(HEARTBEAT).await;
+                }
+            };
+            tokio::select! {
+                () = server => {}
+                () = beats => {}
+                () = life.run() => {}
+                // Dropping the server cuts its connections, as a crash does.
+                _ = over.wait_for(|over| *over) => {}
+            }
+            store.put(WORKER_TOPIC, Record::drop_key(key));
+        });
+        Ok(Worker { id, machine: machine.to_owned(), inner, stop: Arc::new(stop) })
+    }
+
+    /// Sets what is wrong with it.
+    pub fn set(&self, fault: Fault) {
+        self.inner.state().fault = fault;
+    }
+
+    /// Ends the life with all it runs.
+    pub fn crash(&self) {
+        let mut state = self.inner.state();
+        for (task, _) in std::mem::take(&mut state.runs) {
+            self.inner.ledger.ended(&task, false);
+        }
+        drop(state);
+        let _ = self.stop.send(true);
+    }
+
+    /// Whether nothing runs on it.
+    pub fn is_idle(&self) -> bool {
+        self.inner.state().runs.is_empty()
+    }
+}
+
+fn entry(addr: SocketAddr, machine: &str, shape: &Shape, state: &str) -> Value {
+    json!({
+        "service": shape.service, "address": addr.to_string(), "zone": "hall-1", "version": "v1",
+        "slots": 8, "state": state, "coldRemainingMs": 0, "seq": 0,
+        "capacity": { "cpu": shape.cpu, "memMb": shape.memory, "gpu": 0 },
+        "labels": ["a", shape.rack], "machine": machine,
+    })
+}
+
+impl Inner {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    fn clock(&self) -> u64 {
+        CLOCK_START + self.born.elapsed().as_millis() as u64
+    }
+
+    /// Ends tasks whose time has come or whose lease has run out.
+    async fn run(&self) {
+        loop {
+            sleep(STEP).await;
+            let clock = self.clock();
+            let mut state = self.state();
+            let lapsed = state.lease_until < clock;
+            let now = Instant::now();
+            let over: Vec<(String, &'static str)> = state
+                .runs
+                .iter()
+                .filter_map(|(task, running)| {
+                    let ended = running.ends_at.is_some_and(|at| at <= now);
+                    let done = running.until.is_some_and(|at| at <= now);
+                    match (ended, lapsed, done) {
+                        (true, _, _) => Some((task.clone(), "stopped")),
+                        (_, true, _) => Some((task.clone(), "lapsed")),
+                        (_, _, true) => Some((task.clone(), "done")),
+                        _ => None,
+                    }
+                })
+                .collect();
+            for (task, how) in over {
+                let how =
+                    if how == "done" && state.fault == Fault::FailsAll { "failed" } else { how };
+                self.end(&mut state, &task, how);
+            }
+        }
+    }
+
+    fn end(&self, state: &mut State, task: &str, how: &'static str) {
+        let Some(running) = state.runs.remove(task) else { return };
+        state.last_end += 1;
+        let number = state.last_end;
+        state.ended.push((number, task.to_owned(), running.run, how));
+        state.barred.insert(task.to_owned(), running.run);
+        self.ledger.ended(task, how == "done");
+        self.ended.notify_waiters();
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let expected = request.headers().get("x-expected-instance").and_then(|id| id.to_str().ok());
+        let is_other = expected.is_some_and(|expected| expected != self.id);
+        let path = request.uri().path().to_owned();
+        let body = read_json(request.into_body()).await;
+        if self.state().fault == Fault::Cut {
+            return std::future::pending().await;
+        }
+        if is_other {
+            return answer(421, &json!({}));
+        }
+        let token = body["fencingToken"].as_u64().unwrap_or(0);
+        {
+            let mut state = self.state();
+            if token < state.fence {
+                return answer(409, &json!({ "clockMs": self.clock(), "reason": "fence" }));
+            }
+            state.fence = token;
+        }
+        match path.as_str() {
+            "/api/run-start" => self.start(&body).await,
+            "/api/run-stop" => self.stop(&body),
+            "/api/hold" => self.look(&body).await,
+            "/api/pace" => answer(200, &json!({ "clockMs": self.clock() })),
+            _ => answer(404, &json!({})),
+        }
+    }
+
+    /// The job's text tells how a task behaves: `ms=N` for how long it runs, none for ever.
+    async fn start(&self, body: &Value) -> Response<Body> {
+        let clock = self.clock();
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let run = body["run"].as_u64().unwrap_or(0);
+        let lease = body["deadlineMs"].as_u64().unwrap_or(0);
+        let spec = body["spec"].as_str().unwrap_or_default();
+        let figure = |name: &str| {
+            let text = spec.split_whitespace().find_map(|word| word.strip_prefix(name));
+            text.and_then(|text| text.parse::<u64>().ok())
+        };
+        let reason = |reason: &str| answer(409, &json!({ "clockMs": clock, "reason": reason }));
+        let loses = {
+            let mut state = self.state();
+            if lease < clock {
+                return reason("late");
+            }
+            state.lease_until = state.lease_until.max(lease);
+            if state.runs.get(&task).is_some_and(|running| running.run == run) {
+                return answer(200, &json!({ "clockMs": clock }));
+            }
+            if state.runs.contains_key(&task)
+                || state.barred.get(&task).is_some_and(|barred| run <= *barred)
+            {
+                return reason("old");
+            }
+            let (cpu, memory) = (figure("cpu=").unwrap_or(0), figure("mem=").unwrap_or(0));
+            let used: u64 = state.runs.values().map(|running| running.cpu).sum();
+            let taken: u64 = state.runs.values().map(|running| running.memory).sum();
+            if used + cpu > self.cpu || taken + memory > self.memory {
+                return reason("room");
+            }
+            let until = figure("ms=").map(|millis| Instant::now() + Duration::from_millis(millis));
+            state.runs.insert(task.clone(), Running { run, until, ends_at: None, cpu, memory });
+            self.ledger.started(&task, run);
+            state.fault == Fault::LosesStarts
+        };
+        if loses {
+            return std::future::pending().await;
+        }
+        answer(200, &json!({ "clockMs": clock }))
+    }
+
+    fn stop(&self, body: &Value) -> Response<Body> {
+        let task = body["task"].as_str().unwrap_or_default();
+        let run = body["run"].as_u64().unwrap_or(0);
+        let mut state = self.state();
+        let barred = state.barred.entry(task.to_owned()).or_default();
+        *barred = run.max(*barred);
+        if let Some(running) = state.runs.get_mut(task).filter(|running| running.run == run) {
+            running.ends_at.get_or_insert(Instant::now() + Duration::from_millis(50));
+        }
+        answer(200, &json!({ "clockMs": self.clock() }))
+    }
+
+    async fn look(&self, body: &Value) -> Response<Body> {
+        let seen = body["lastSeen"].as_u64().unwrap_or(0);
+        {
+            let mut state = self.state();
+            state.ended.retain(|(number, ..)| *number > seen);
+            state.lease_until = state.lease_until.max(body["deadlineMs"].as_u64().unwrap_or(0));
+        }
+        let wait = Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0));
+        let ended = self.ended.notified();
+        let mut ended = std::pin::pin!(ended);
+        ended.as_mut().enable();
+        if self.state().ended.is_empty() {
+            // Without an end the answer says so.
+            let _ = timeout(wait, ended).await;
+        }
+        let state = self.state();
+        let running: Vec<Value> = state
+            .runs
+            .iter()
+            .map(|(task, running)| json!([task, running.run, "", 100, 0]))
+            .collect();
+        let ended: Vec<Value> = state
+            .ended
+            .iter()
+            .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
+            .collect();
+        answer(200, &json!({ "clockMs": self.clock(), "running": running, "ended": ended }))
+    }
+}
