--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -35,6 +35,7 @@
     Boxes(Boxes),
     Jobs(Jobs),
     Plans(Plans),
+    Batch(Batch),
     Counters(Counters),
     Record(Record),
     HashKey(HashKey),
@@ -334,3 +335,46 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// Show batch work on the users' platform; --daemon is then the daemon's metrics address, and no
+/// credential is needed there.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "batch")]
+pub struct Batch {
+    #[argh(subcommand)]
+    pub view: BatchView,
+}
+
+/// What to show.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum BatchView {
+    Services(BatchServices),
+    Queues(BatchQueues),
+    Workers(BatchWorkers),
+    Explain(Explain),
+}
+
+/// What each service has, uses and wants.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "services")]
+pub struct BatchServices {}
+
+/// Jobs of each queue.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "queues")]
+pub struct BatchQueues {}
+
+/// The workers, and why some take nothing new.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "workers")]
+pub struct BatchWorkers {}
+
+/// Where a job's tasks run, and what holds those that wait.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// id of the job
+    #[argh(positional)]
+    pub job: String,
+}
--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use spokelift_lib::batch::view;
 use spokelift_lib::metrics::Totals;
 use spokelift_lib::protocol::api::ApiError;
 use spokelift_lib::protocol::api::BoxView;
@@ -21,6 +22,7 @@
 use spokelift_lib::state::plan::Intent;
 
 use crate::args::Args;
+use crate::args::BatchView;
 use crate::args::Command;
 use crate::args::IntentKind;
 use crate::args::PlanAction;
@@ -41,6 +43,10 @@
         Command::Trial(trial) => trial::run(trial, args.json || trial.json),
         Command::Bench(bench) => bench::run(bench, args.json),
         Command::HashKey(_) => hash_key(),
+        Command::Batch(batch) => {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            runtime.block_on(batch_view(&args, &batch.view))
+        }
         _ => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
             runtime.block_on(ask(args))
@@ -55,16 +61,44 @@
     Ok(())
 }
 
+/// Asks a daemon on the users' platform.
+async fn batch_view(args: &Args, shown: &BatchView) -> Result<(), Error> {
+    let client = Client::new(daemon(args)?, "");
+    let path = |rest: &str| format!("{}{rest}", view::PATH);
+    match shown {
+        BatchView::Services(_) => {
+            let services: Vec<view::Service> = client.get(&path("services")).await?;
+            show(args.json, &services, |services| output::batch_services(services))
+        }
+        BatchView::Queues(_) => {
+            let queues: Vec<view::Queue> = client.get(&path("queues")).await?;
+            show(args.json, &queues, |queues| output::batch_queues(queues))
+        }
+        BatchView::Workers(_) => {
+            let workers: Vec<view::Worker> = client.get(&path("workers")).await?;
+            show(args.json, &workers, |workers| output::batch_workers(workers))
+        }
+        BatchView::Explain(explain) => {
+            let job: view::Job = client.get(&path(&format!("jobs/{}", explain.job))).await?;
+            show(args.json, &job, output::batch_job)
+        }
+    }
+}
+
 fn client(args: &Args) -> Result<Client, Error> {
-    let daemon = or_variable(&args.daemon, "the daemon's address", "daemon", "SPOKELIFT_DAEMON")?;
+    let daemon = daemon(args)?;
     let key = or_variable(&args.key, "the credential", "key", "SPOKELIFT_KEY")?;
+    Ok(Client::new(daemon, &key))
+}
+
+fn daemon(args: &Args) -> Result<SocketAddr, Error> {
+    let daemon = or_variable(&args.daemon, "the daemon's address", "daemon", "SPOKELIFT_DAEMON")?;
     let addr: Result<SocketAddr, _> = daemon.parse();
-    let addr = addr.map_err(|_| Error::Value {
+    addr.map_err(|_| Error::Value {
         what: "the daemon's address",
         value: daemon,
         accepted: "IP:PORT",
-    })?;
-    Ok(Client::new(addr, &key))
+    })
 }
 
 fn or_variable(
@@ -121,7 +155,7 @@
             let path = format!("/v1/records/{}", record.id);
             show(json, &client.get::<Published>(&path).await?, output::published)
         }
-        Command::HashKey(_) | Command::Trial(_) | Command::Bench(_) => {
+        Command::HashKey(_) | Command::Trial(_) | Command::Bench(_) | Command::Batch(_) => {
             unreachable!("run carries these out itself")
         }
     }
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -5,6 +5,7 @@
 
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
+use spokelift_lib::batch::view;
 use spokelift_lib::protocol::api::BoxView;
 use spokelift_lib::protocol::api::JobView;
 use spokelift_lib::protocol::api::PlanView;
@@ -238,3 +239,62 @@
     let line = |(name, value): &(&str, String)| format!("{name:wide$}  {value}");
     rows.iter().map(line).collect::<Vec<_>>().join("\n")
 }
+
+/// Services of batch work, one a line; figures in cores.
+pub fn batch_services(services: &[view::Service]) -> String {
+    let row = |service: &view::Service| {
+        let figures = [service.has, service.used, service.waiting, service.wanted];
+        let mut row = vec![cell(&service.name), cell(service.workers)];
+        row.extend(figures.iter().map(|figure| format!("{figure:.0}")));
+        row
+    };
+    let head = ["SERVICE", "WORKERS", "HAS", "USED", "WAITING", "WANTED"];
+    table(&head, services.iter().map(row))
+}
+
+/// Queues of batch work, one a line.
+pub fn batch_queues(queues: &[view::Queue]) -> String {
+    let row = |queue: &view::Queue| {
+        vec![cell(&queue.name), cell(queue.pending), cell(queue.running), cell(queue.ended)]
+    };
+    table(&["QUEUE", "PENDING", "RUNNING", "ENDED"], queues.iter().map(row))
+}
+
+/// Workers, one a line.
+pub fn batch_workers(workers: &[view::Worker]) -> String {
+    let row = |worker: &view::Worker| {
+        let closed = worker.closed.clone().unwrap_or_else(|| "-".to_owned());
+        let free = format!("{:.1}", worker.free);
+        vec![
+            cell(&worker.id),
+            cell(&worker.machine),
+            cell(&worker.service),
+            cell(worker.runs),
+            free,
+            closed,
+        ]
+    };
+    table(&["WORKER", "BOX", "SERVICE", "RUNS", "FREE", "CLOSED"], workers.iter().map(row))
+}
+
+/// A job: where its tasks run and what holds those that wait.
+pub fn batch_job(job: &view::Job) -> String {
+    let state = format!("{:?}", job.state).to_lowercase();
+    let mut lines =
+        vec![format!("job {} of queue {}, service {}: {state}", job.id, job.queue, job.service)];
+    for step in &job.steps {
+        let (time, number) = step.place;
+        let turn = if step.waits_for_turn { ", its turn has not come" } else { "" };
+        let (left, waiting) = (step.left, step.waiting);
+        lines.push(format!(
+            "step {number} of time {time}: {left} left, {waiting} wait for room{turn}"
+        ));
+        for (worker, phase, since) in &step.runs {
+            lines.push(format!("  {phase} on {worker} for {since:.1} s"));
+        }
+        for (why, workers) in &step.held_by {
+            lines.push(format!("  held from {workers} worker(s) by: {why}"));
+        }
+    }
+    lines.join("\n")
+}
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -315,3 +315,35 @@
     }
     assert_sound(&site);
 }
+
+/// What the tool prints.
+fn tool(site: &Site, node: usize, words: &[&str]) -> (Option<i32>, String) {
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_spokelift"));
+    command.arg("--daemon").arg(site.nodes[node].operate_addr.to_string()).args(words);
+    let output = command.output().unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8(text).unwrap())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_see_why_a_job_waits() {
+    let site = Site::start(PROGRAM, 2, 2, 0).await.unwrap();
+    let large = json!({ "spec": "ms=100", "steps": [{ "count": 1, "cpu": 64_000, "memMb": 100 }] });
+    site.insist(&id(1), large).await;
+    site.until("both know who leads", async |site| site.pending(1).await.is_some()).await;
+    for node in 0..2 {
+        let (code, text) = tool(&site, node, &["batch", "explain", &id(1)]);
+        assert_eq!(code, Some(0), "{text}");
+        assert!(text.contains("queue q, service work: pending"), "{text}");
+        assert!(text.contains("held from 2 worker(s) by: no room"), "{text}");
+        let (code, text) = tool(&site, node, &["batch", "explain", &id(2)]);
+        assert_eq!(code, Some(3), "{text}");
+    }
+    let (_, text) = tool(&site, 0, &["batch", "queues"]);
+    assert!(text.contains("q      1"), "{text}");
+    let (_, text) = tool(&site, 0, &["batch", "services"]);
+    assert!(text.contains("work     2"), "{text}");
+    let (_, text) = tool(&site, 0, &["--json", "batch", "workers"]);
+    let workers: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(workers.as_array().unwrap().len(), 2);
+}
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -20,4 +20,5 @@
 pub mod record;
 pub mod scheduler;
 pub mod upkeep;
+pub mod view;
 pub mod worker;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -547,10 +547,9 @@
                 if !task.avoid.iter().any(|other| other == id) {
                     task.avoid.push(id.to_owned());
                 }
-                if !lasts && end.run > task.failed_run {
-                    task.failed += 1;
-                    task.failed_run = end.run;
-                    let failed = task.failed;
+                if !lasts && !task.failed.contains(&end.run) {
+                    task.failed.push(end.run);
+                    let failed = task.failed.len() as u32;
                     self.dirty.insert(end.task.job);
                     log::info!(task = end.task.to_string().as_str(), run = end.run, worker = id, failed, limit; "task failed");
                     if failed >= limit && self.jobs[&end.task.job].is_active() {
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -25,10 +25,9 @@
     pub runs: u32,
     /// The highest run number used or seen.
     pub last_run: Run,
-    /// How often it failed.
-    pub failed: u32,
-    /// The last run that counts in `failed`.
-    pub failed_run: Run,
+    /// The runs that failed. They are told apart by number, since a worker that was silent may
+    /// tell of an early one last, and a new scheduler is told again of some.
+    pub failed: Vec<Run>,
     /// Where its next run goes on from; empty for the start.
     pub checkpoint: String,
     /// Workers it failed or stood still on; others are preferred.
@@ -242,13 +241,12 @@
             }
             run.left = run.tasks.iter().filter(|task| !task.done).count();
         }
-        for ((time, step, index), count, run) in &progress.failed {
+        for ((time, step, index), runs) in &progress.failed {
             self.open_time(*time);
             let name = TaskName { job: self.id, time: *time, step: *step, index: *index };
             if let Some(task) = self.task(name) {
-                task.failed = *count;
-                task.failed_run = *run;
-                task.last_run = task.last_run.max(*run);
+                task.failed.clone_from(runs);
+                task.last_run = runs.iter().copied().fold(task.last_run, Run::max);
             }
         }
     }
@@ -274,8 +272,8 @@
         if task.done {
             bits[index / 8] |= 1 << (index % 8);
         }
-        if task.failed > 0 {
-            progress.failed.push(((time, step, index as u32), task.failed, task.failed_run));
+        if !task.failed.is_empty() {
+            progress.failed.push(((time, step, index as u32), task.failed.clone()));
         }
     }
     if bits.iter().any(|byte| *byte != 0) {
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -41,7 +41,9 @@
 use crate::batch::record;
 use crate::batch::record::Accepted;
 use crate::batch::scheduler::Scheduler;
+use crate::batch::view;
 use crate::metrics::Counters;
+use crate::protocol::api::ApiError;
 use crate::transport::dial::Body;
 use crate::transport::dial::Dialer;
 use crate::transport::dial::full;
@@ -312,7 +314,7 @@
     let shared = node.clone();
     let probes = serve(readiness, closed.clone(), move |request| ready(shared.clone(), request));
     let shared = node.clone();
-    let figures = serve(metrics, closed, move |_| show_metrics(shared.clone()));
+    let views = serve(metrics, closed, move |request| operate(shared.clone(), request));
     let stopping = async {
         // A sender that is gone is a stop as well.
         let _ = stop.wait_for(|stop| *stop).await;
@@ -321,7 +323,7 @@
         sleep(STOP_DELAY).await;
         close.send_replace(true);
     };
-    tokio::join!(clients, probes, figures, stopping);
+    tokio::join!(clients, probes, views, stopping);
     for task in tasks {
         task.abort();
     }
@@ -336,11 +338,30 @@
     response.body(full("")).expect("a status makes an answer")
 }
 
-async fn show_metrics(node: Arc<Node>) -> Response<Body> {
+/// Answers operators: metrics as text, views of batch work as JSON.
+async fn operate(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    if !path.starts_with(view::PATH) {
+        return Response::new(full(metrics_text(&node)));
+    }
+    let (status, text) = match node.ask_lead(peer::Request::View(path)).await {
+        Some(Reply::View(Some(view))) => (200, view),
+        Some(Reply::View(None)) => {
+            (404, refusal(&ApiError::NotFound { what: "view or job".into() }))
+        }
+        _ => (503, refusal(&ApiError::Stale)),
+    };
+    let response = Response::builder().status(status).header("content-type", "application/json");
+    response.body(full(text)).expect("a status makes an answer")
+}
+
+fn refusal(error: &ApiError) -> String {
+    serde_json::to_string(error).expect("the protocol's errors can be written as JSON")
+}
+
+fn metrics_text(node: &Node) -> String {
     let totals = node.counters.totals();
-    let lines: Vec<String> = totals
-        .iter()
-        .map(|(name, total)| format!("{} {total}\n", name.replace(['.', '-'], "_")))
-        .collect();
-    Response::new(full(lines.concat()))
+    let lines =
+        totals.iter().map(|(name, total)| format!("{} {total}\n", name.replace(['.', '-'], "_")));
+    lines.collect()
 }
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -50,6 +50,8 @@
     Store(JobId, Box<Accepted>),
     /// Read records of this topic from an offset on, since the sender is turned away.
     Read(String, Offset),
+    /// Show operators what this path names.
+    View(String),
 }
 
 /// The answer.
@@ -63,6 +65,8 @@
     Pending(u32),
     /// The records.
     Page(Page),
+    /// The view in JSON; none if there is no such thing.
+    View(Option<String>),
     /// The receiver does not hold the lead, or has only just taken it.
     NotReady,
     /// Not done, and it never will be.
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -9,12 +9,14 @@
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::Room;
 use spokelift_platform::worker::WorkerId;
+use thiserror::Error;
 
 use crate::batch::cell::Cell;
 use crate::batch::cell::Order;
 use crate::batch::cell::Rank;
 use crate::batch::cell::next_run;
 use crate::batch::job::Entry;
+use crate::batch::worker::Closed;
 use crate::batch::worker::Kind;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
@@ -315,22 +317,66 @@
     (need.cpu <= free.cpu && need.memory_mb <= free.memory_mb).then_some((lost, tasks))
 }
 
-/// Whether a worker may run the task at all, now.
-fn allows(worker: &Worker, demand: &Demand<'_>, now: Instant) -> bool {
+/// Why a worker may not run a task now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Hindrance {
+    /// It belongs to another service.
+    #[error("another service")]
+    Service,
+    /// It is given nothing new.
+    #[error("{0}")]
+    Closed(Closed),
+    /// It lacks the label that the step requires.
+    #[error("label missing")]
+    Label,
+    /// As many tasks of the step as allowed may run there.
+    #[error("spread of the step")]
+    Spread,
+    /// There is not enough room.
+    #[error("no room")]
+    Room,
+}
+
+/// Why a worker may not run the task now; `None` if it may.
+fn hindrance(worker: &Worker, demand: &Demand<'_>, now: Instant) -> Option<Hindrance> {
     let step = demand.step;
-    let apart =
-        || step.max_per_worker == 0 || worker.count_of_step(demand.task) < step.max_per_worker;
-    let labelled = || match &step.requires {
-        Some(label) => worker.entry.labels.contains(label),
-        None => true,
-    };
-    worker.entry.service == demand.service
-        && worker.takes_work(now)
-        && worker.clock.is_some()
-        && worker.fits(demand.need)
-        && !worker.slots.contains_key(&demand.task)
-        && labelled()
-        && apart()
+    if worker.entry.service != demand.service {
+        return Some(Hindrance::Service);
+    }
+    if let Some(closed) = worker.closed(now) {
+        return Some(Hindrance::Closed(closed));
+    }
+    if step.requires.as_ref().is_some_and(|label| !worker.entry.labels.contains(label)) {
+        return Some(Hindrance::Label);
+    }
+    let crowded =
+        step.max_per_worker > 0 && worker.count_of_step(demand.task) >= step.max_per_worker;
+    if crowded || worker.slots.contains_key(&demand.task) {
+        return Some(Hindrance::Spread);
+    }
+    if worker.clock.is_none() || !worker.fits(demand.need) {
+        return Some(Hindrance::Room);
+    }
+    None
+}
+
+/// Why a worker may not run a task of a known job now; `None` if it may.
+pub fn hindrance_of(
+    cell: &Cell,
+    worker: &Worker,
+    task: TaskName,
+    now: Instant,
+) -> Option<Hindrance> {
+    let entry = cell.jobs.get(&task.job)?;
+    let step = entry.step(task.step)?;
+    let (need, kind) = (Entry::room_of(step), Entry::kind_of(step));
+    let service = entry.accepted.service.as_str();
+    hindrance(worker, &Demand { task, service, step, need, kind, avoid: &[] }, now)
+}
+
+/// Whether a worker may run the task now.
+fn allows(worker: &Worker, demand: &Demand<'_>, now: Instant) -> bool {
+    hindrance(worker, demand, now).is_none()
 }
 
 /// Order of preference among workers that may run the task; the least comes first.
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -52,6 +52,8 @@
     pub rate: u64,
     /// Usable workers.
     pub workers: u64,
+    /// Workers it needs at the least, since tasks that last must be spread over so many.
+    pub least: u64,
 }
 
 impl Load {
@@ -62,7 +64,8 @@
 
     /// Whether it could do without a machine of this size.
     pub fn can_spare(&self, size: u64) -> bool {
-        self.waiting == 0 && self.workers > 1 && self.has >= self.wanted() + size
+        let spread = self.workers > self.least.max(1);
+        self.waiting == 0 && spread && self.has >= self.wanted() + size
     }
 }
 
@@ -101,6 +104,12 @@
         let guess = step.estimate_ms as f64 * cell.demand.ratio(&entry.accepted.queue);
         load.work += waiting * if step.long_running { CLEAR_MS } else { guess as u64 };
     }
+    for entry in cell.jobs.values().filter(|entry| entry.is_active() && entry.lasts()) {
+        let load = loads.entry(entry.accepted.service.clone()).or_default();
+        let spread = entry.accepted.job.steps.iter().filter(|step| step.max_per_worker > 0);
+        let most = spread.map(|step| step.count.div_ceil(step.max_per_worker)).max().unwrap_or(0);
+        load.least = load.least.max(u64::from(most));
+    }
     for (service, load) in &mut loads {
         load.rate = cell.demand.rate(service, now);
     }
@@ -110,7 +119,7 @@
 impl Pools {
     /// Whether moves are under way or wanted.
     pub fn wants_list(&self, scheduler: &Scheduler) -> bool {
-        let short = |load: &Load| load.wanted() > load.has;
+        let short = |load: &Load| load.wanted() > load.has || load.least > load.workers;
         !self.moves.is_empty() || loads(&scheduler.cell(), Instant::now()).values().any(short)
     }
 
@@ -168,7 +177,9 @@
         for service in config.services.iter().filter(|service| !service.is_reserve) {
             let load = loads.get(&service.name).copied().unwrap_or_default();
             let coming: u64 = self.coming(&service.name, list);
-            let missing = load.wanted().saturating_sub(load.has + coming);
+            let size = load.has.checked_div(load.workers).unwrap_or(0);
+            let unspread = load.least.saturating_sub(load.workers) * size;
+            let missing = load.wanted().max(load.has + unspread).saturating_sub(load.has + coming);
             if missing > 0 {
                 short.push((missing, service.name.clone()));
             }
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -58,8 +58,8 @@
     pub begun: bool,
     /// For each repetition and step with a task that is done, a bit for each task.
     pub done: Vec<(u32, u16, Vec<u8>)>,
-    /// Tasks that failed, how often, and the last run that failed.
-    pub failed: Vec<(TaskPlace, u32, Run)>,
+    /// Tasks that failed, and the runs that did.
+    pub failed: Vec<(TaskPlace, Vec<Run>)>,
 }
 
 /// Why a record cannot be used.
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -38,6 +38,7 @@
 use crate::batch::record::JobRecord;
 use crate::batch::record::Progress;
 use crate::batch::record::ProgressRecord;
+use crate::batch::view;
 
 /// Name under which the store knows the writer of the progress topic.
 const PRODUCER: &str = "scheduler";
@@ -191,6 +192,7 @@
             Request::State(id) => Reply::State(self.cell().jobs.get(&id).map(|job| job.shown())),
             Request::Pending(queue) => Reply::Pending(self.cell().pending(&queue)),
             Request::Cancel(id) => self.cancel(id).await,
+            Request::View(path) => Reply::View(view::show(&self.cell(), &path)),
             Request::Store(..) | Request::Read(..) => Reply::Refused,
         }
     }
--- /dev/null
+++ b/lib/src/batch/view.rs
@@ -0,0 +1,210 @@
+//! What operators see of batch work: services, queues, workers, and why a job waits.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+use spokelift_platform::ingress::JobState;
+use spokelift_platform::job::JobId;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::job::parse_id;
+
+use crate::batch::cell::Cell;
+use crate::batch::place::Hindrance;
+use crate::batch::place::hindrance_of;
+use crate::batch::pool::loads;
+use crate::batch::worker::Phase;
+
+/// Path of the views on the operators' port.
+pub const PATH: &str = "/v1/batch/";
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Workers that take work.
+    pub workers: u64,
+    /// Cores they have.
+    pub has: f64,
+    /// Cores that run something.
+    pub used: f64,
+    /// Cores that waiting tasks ask for.
+    pub waiting: f64,
+    /// Cores it should have.
+    pub wanted: f64,
+}
+
+/// A queue.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Queue {
+    /// Its name.
+    pub name: String,
+    /// Jobs none of whose tasks has begun.
+    pub pending: u32,
+    /// Jobs some of whose tasks have begun.
+    pub running: u32,
+    /// Jobs that have ended, however.
+    pub ended: u32,
+}
+
+/// A worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    /// Its id.
+    pub id: String,
+    /// Its machine.
+    pub machine: String,
+    /// Its service.
+    pub service: String,
+    /// Runs that may be on it.
+    pub runs: usize,
+    /// Cores that are left.
+    pub free: f64,
+    /// Why it takes nothing new, if so.
+    pub closed: Option<String>,
+}
+
+/// A job, and what holds it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// Its id.
+    pub id: String,
+    /// Its queue.
+    pub queue: String,
+    /// Its service.
+    pub service: String,
+    /// What clients are told.
+    pub state: JobState,
+    /// Steps that are not done.
+    pub steps: Vec<Step>,
+}
+
+/// A step that is not done.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// Its repetition and number.
+    pub place: (u32, u16),
+    /// Tasks that are not done.
+    pub left: usize,
+    /// Tasks that wait for room.
+    pub waiting: usize,
+    /// Where its tasks may run, and since when, in seconds.
+    pub runs: Vec<(String, String, f64)>,
+    /// What keeps a waiting task from how many workers of the service.
+    pub held_by: BTreeMap<String, usize>,
+    /// Its turn has not come: steps it depends on, or its time.
+    pub waits_for_turn: bool,
+}
+
+fn cores(thousandths: impl Into<u64>) -> f64 {
+    thousandths.into() as f64 / 1_000.0
+}
+
+/// Shows what `path` names, as JSON; `None` if there is no such thing.
+pub fn show(cell: &Cell, path: &str) -> Option<String> {
+    let now = Instant::now();
+    let shown = match path.strip_prefix(PATH)? {
+        "services" => serde_json::to_string(&services(cell, now)),
+        "queues" => serde_json::to_string(&queues(cell)),
+        "workers" => serde_json::to_string(&workers(cell, now)),
+        other => serde_json::to_string(&job(cell, parse_id(other.strip_prefix("jobs/")?)?, now)?),
+    };
+    Some(shown.expect("views can be written as JSON"))
+}
+
+/// The services.
+pub fn services(cell: &Cell, now: Instant) -> Vec<Service> {
+    let shown = loads(cell, now).into_iter().map(|(name, load)| Service {
+        name,
+        workers: load.workers,
+        has: cores(load.has),
+        used: cores(load.used),
+        waiting: cores(load.waiting),
+        wanted: cores(load.wanted()),
+    });
+    shown.collect()
+}
+
+/// The queues that have jobs.
+pub fn queues(cell: &Cell) -> Vec<Queue> {
+    let mut queues: BTreeMap<&str, Queue> = BTreeMap::new();
+    for entry in cell.jobs.values() {
+        let name = entry.accepted.queue.as_str();
+        let queue = queues.entry(name).or_default();
+        queue.name = name.to_owned();
+        match entry.shown() {
+            JobState::Pending => queue.pending += 1,
+            JobState::Running => queue.running += 1,
+            _ => queue.ended += 1,
+        }
+    }
+    queues.into_values().collect()
+}
+
+/// The workers.
+pub fn workers(cell: &Cell, now: Instant) -> Vec<Worker> {
+    let mut shown: Vec<Worker> = cell
+        .workers
+        .values()
+        .map(|worker| Worker {
+            id: worker.peer.id.clone(),
+            machine: worker.entry.machine.clone().unwrap_or_default(),
+            service: worker.entry.service.clone(),
+            runs: worker.slots.len(),
+            free: cores(worker.free.cpu),
+            closed: worker.closed(now).map(|why| why.to_string()),
+        })
+        .collect();
+    shown.sort_by(|one, other| (&one.service, &one.id).cmp(&(&other.service, &other.id)));
+    shown
+}
+
+/// A job and what holds it.
+pub fn job(cell: &Cell, id: JobId, now: Instant) -> Option<Job> {
+    let entry = cell.jobs.get(&id)?;
+    let mut steps = Vec::new();
+    for (time, repetition) in entry.times.iter().enumerate() {
+        for (step, run) in repetition.steps.iter().enumerate().filter(|(_, run)| run.left > 0) {
+            let place = (time as u32, step as u16);
+            let mut held_by: BTreeMap<String, usize> = BTreeMap::new();
+            if let Some(index) = run.waiting.first() {
+                let task = TaskName { job: id, time: place.0, step: place.1, index: *index };
+                for worker in cell.workers.values() {
+                    let why = hindrance_of(cell, worker, task, now);
+                    if why != Some(Hindrance::Service) {
+                        let why = why.map_or("nothing".to_owned(), |why| why.to_string());
+                        *held_by.entry(why).or_default() += 1;
+                    }
+                }
+            }
+            let waits_for_turn = !run.open;
+            let waiting = run.waiting.len();
+            let runs = runs(cell, id, place, now);
+            steps.push(Step { place, left: run.left, waiting, runs, held_by, waits_for_turn });
+        }
+    }
+    let accepted = &entry.accepted;
+    let (queue, service) = (accepted.queue.clone(), accepted.service.clone());
+    Some(Job { id: format!("{id:016x}"), queue, service, state: entry.shown(), steps })
+}
+
+fn runs(cell: &Cell, job: JobId, place: (u32, u16), now: Instant) -> Vec<(String, String, f64)> {
+    let mut runs = Vec::new();
+    for worker in cell.workers.values() {
+        for (task, slot) in &worker.slots {
+            if task.job == job && (task.time, task.step) == place {
+                let phase = match slot.phase {
+                    Phase::Starting => "starting",
+                    Phase::Live(_) => "running",
+                    Phase::Stopping(_) => "stopping",
+                };
+                let since: Duration = now.saturating_duration_since(slot.since);
+                runs.push((worker.peer.id.clone(), phase.to_owned(), since.as_secs_f64()));
+            }
+        }
+    }
+    runs
+}
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -10,6 +10,7 @@
 use spokelift_platform::worker::Room;
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::WorkerMs;
+use thiserror::Error;
 
 /// How long a lease is granted for, from each look on. Long enough for another node to take the
 /// lead and look in its turn (about 3 s), short enough that the tasks of a worker that has fallen
@@ -90,6 +91,29 @@
     }
 }
 
+/// Why a worker is given nothing new.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Closed {
+    /// It has not answered this scheduler yet.
+    #[error("not asked yet")]
+    NotAsked,
+    /// The store does not list it.
+    #[error("not listed")]
+    NotListed,
+    /// It is about to leave.
+    #[error("draining")]
+    Draining,
+    /// It is being emptied for upkeep or a move.
+    #[error("cordoned")]
+    Cordoned,
+    /// It did not answer the last look.
+    #[error("silent")]
+    Silent,
+    /// It failed lately.
+    #[error("resting")]
+    Resting,
+}
+
 /// A worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -173,14 +197,22 @@
         told + left.div_f64(SLOWEST_CLOCK) + LEASE_SLACK
     }
 
+    /// Why it may not be given new tasks; `None` if it may.
+    pub fn closed(&self, now: Instant) -> Option<Closed> {
+        match self {
+            worker if !worker.fenced => Some(Closed::NotAsked),
+            worker if !worker.listed => Some(Closed::NotListed),
+            worker if worker.entry.draining => Some(Closed::Draining),
+            worker if worker.cordoned => Some(Closed::Cordoned),
+            worker if worker.misses > 0 => Some(Closed::Silent),
+            worker if worker.rest_until > now => Some(Closed::Resting),
+            _ => None,
+        }
+    }
+
     /// Whether it may be given new tasks.
     pub fn takes_work(&self, now: Instant) -> bool {
-        self.fenced
-            && self.listed
-            && !self.entry.draining
-            && !self.cordoned
-            && self.misses == 0
-            && self.rest_until <= now
+        self.closed(now).is_none()
     }
 
     /// Whether a task of this size fits beside what may run there.
--- /dev/null
+++ b/lib/tests/test_batch.rs
@@ -0,0 +1,372 @@
+//! The scheduler's state, step by step: what is started, and when what may run elsewhere is known
+//! to be gone.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use assert_matches::assert_matches;
+use spokelift_lib::batch::cell::Cell;
+use spokelift_lib::batch::cell::Order;
+use spokelift_lib::batch::record::Accepted;
+use spokelift_lib::batch::record::Progress;
+use spokelift_lib::batch::upkeep;
+use spokelift_lib::batch::worker::LEASE;
+use spokelift_platform::ingress::JobState;
+use spokelift_platform::job::Job;
+use spokelift_platform::job::JobId;
+use spokelift_platform::job::Step;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::End;
+use spokelift_platform::worker::Entry;
+use spokelift_platform::worker::Outcome;
+use spokelift_platform::worker::Peer;
+use spokelift_platform::worker::Refusal;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::Run;
+use spokelift_platform::worker::Running;
+use spokelift_platform::worker::Seen;
+
+const TOKEN: u64 = 10;
+const MILLI: Duration = Duration::from_millis(1);
+
+fn step(count: u32) -> Step {
+    Step { count, cpu: 1_000, memory_mb: 100, estimate_ms: 500, ..Step::default() }
+}
+
+fn lasting(count: u32) -> Step {
+    Step { long_running: true, may_miss: Some(1), max_per_worker: 1, ..step(count) }
+}
+
+fn accepted(steps: Vec<Step>) -> Accepted {
+    Accepted {
+        job: Job { spec: "x".to_owned(), steps, repetitions: 0, first_run_ms: 0, interval_ms: 0 },
+        queue: "q".to_owned(),
+        service: "work".to_owned(),
+        priority: 0,
+        max_attempts: 2,
+        objective_ms: 600,
+        stretch_percent: 160,
+        at: Duration::from_secs(1),
+    }
+}
+
+fn task(job: JobId, step: u16, index: u32) -> TaskName {
+    TaskName { job, time: 0, step, index }
+}
+
+fn entry(machine: &str) -> Entry {
+    Entry {
+        service: "work".to_owned(),
+        address: addr(),
+        hall: "hall-1".to_owned(),
+        draining: false,
+        room: Room { cpu: 4_000, memory_mb: 4_000, gpu: 0 },
+        labels: vec!["r1-1".to_owned()],
+        leaves_in_ms: None,
+        machine: Some(machine.to_owned()),
+    }
+}
+
+fn addr() -> SocketAddr {
+    "127.0.0.1:1".parse().unwrap()
+}
+
+struct Bed {
+    cell: Cell,
+    now: Instant,
+}
+
+impl Bed {
+    /// A scheduler with workers `w0`, `w1` and so on, on machines `m0`, `m1` and so on.
+    fn new(workers: usize) -> Bed {
+        let mut bed = Bed { cell: Cell::new(TOKEN), now: Instant::now() };
+        for number in 0..workers {
+            bed.meet(&format!("w{number}"), &format!("m{number}"));
+        }
+        bed
+    }
+
+    fn meet(&mut self, id: &str, machine: &str) {
+        let peer = Peer { id: id.to_owned(), addr: addr() };
+        self.cell.meet(peer, entry(machine), self.now);
+    }
+
+    /// A look that was sent a millisecond ago is answered.
+    fn look(
+        &mut self,
+        id: &str,
+        running: &[(TaskName, Run)],
+        ended: &[(u64, TaskName, Run, Outcome)],
+    ) {
+        let sent = self.now;
+        self.now += MILLI;
+        let running = running.iter().map(|(task, run)| Running {
+            task: *task,
+            run: *run,
+            checkpoint: String::new(),
+            percent: 100,
+            figure: 0,
+        });
+        let ended = ended.iter().map(|(number, task, run, outcome)| End {
+            number: *number,
+            task: *task,
+            run: *run,
+            outcome: *outcome,
+            checkpoint: String::new(),
+        });
+        let seen = Seen { clock: 1_000, running: running.collect(), ended: ended.collect() };
+        self.now += MILLI;
+        self.cell.on_look(id, sent, self.now, seen);
+    }
+
+    fn look_at_all(&mut self) {
+        let ids: Vec<String> = self.cell.workers.keys().cloned().collect();
+        for id in ids {
+            self.look(&id, &[], &[]);
+        }
+    }
+
+    /// Starts what can be started: worker, task and run.
+    fn place(&mut self) -> Vec<(String, TaskName, Run)> {
+        self.cell.place(self.now, Duration::from_secs(1));
+        let orders = std::mem::take(&mut self.cell.outbox);
+        let starts = orders.into_iter().filter_map(|order| match order {
+            Order::Start { peer, task, run, .. } => Some((peer.id, task, run)),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    /// The same, and the workers take them.
+    fn start(&mut self) -> Vec<(String, TaskName, Run)> {
+        let starts = self.place();
+        for (worker, task, run) in &starts {
+            self.cell.on_started(worker, *task, *run, self.now);
+        }
+        self.now += MILLI;
+        starts
+    }
+
+    fn stops(&mut self) -> Vec<(String, TaskName, Run)> {
+        let orders = std::mem::take(&mut self.cell.outbox);
+        let stops = orders.into_iter().filter_map(|order| match order {
+            Order::Stop { peer, task, run } => Some((peer.id, task, run)),
+            _ => None,
+        });
+        stops.collect()
+    }
+}
+
+#[test]
+fn steps_run_in_their_order() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    let second = Step { after: vec![0], ..step(1) };
+    bed.cell.admit(1, accepted(vec![step(2), second]), None);
+    let starts = bed.start();
+    assert_eq!(starts.len(), 2);
+    bed.look("w0", &[(task(1, 0, 1), TOKEN)], &[(1, task(1, 0, 0), TOKEN, Outcome::Done)]);
+    assert_eq!(bed.start(), []);
+    bed.look("w0", &[], &[(2, task(1, 0, 1), TOKEN, Outcome::Done)]);
+    assert_eq!(bed.start(), [("w0".to_owned(), task(1, 1, 0), TOKEN)]);
+    bed.look("w0", &[], &[(3, task(1, 1, 0), TOKEN, Outcome::Done)]);
+    assert_eq!(bed.cell.jobs[&1].end, Some(JobState::Succeeded));
+}
+
+#[test]
+fn an_end_is_shown_and_acknowledged_only_once_the_store_knows() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    bed.start();
+    bed.look("w0", &[], &[(1, task(1, 0, 0), TOKEN, Outcome::Done)]);
+    assert_eq!(bed.cell.jobs[&1].shown(), JobState::Running);
+    assert_eq!(bed.cell.workers["w0"].durable, 0);
+    let flush = bed.cell.take_flush();
+    bed.cell.on_flushed(&flush);
+    assert_eq!(bed.cell.jobs[&1].shown(), JobState::Succeeded);
+    assert_eq!(bed.cell.workers["w0"].durable, 1);
+}
+
+#[test]
+fn nothing_inherited_is_started_before_every_worker_was_asked() {
+    let mut bed = Bed::new(2);
+    bed.cell.unasked = bed.cell.workers.keys().cloned().collect();
+    bed.cell.admit(1, accepted(vec![step(1)]), Some(&Progress::default()));
+    bed.look("w0", &[], &[]);
+    assert_eq!(bed.place(), []);
+    bed.look("w1", &[(task(1, 0, 0), 3)], &[]);
+    assert_eq!(bed.place(), []);
+    bed.look("w1", &[], &[(1, task(1, 0, 0), 3, Outcome::Done)]);
+    assert_eq!(bed.cell.jobs[&1].end, Some(JobState::Succeeded));
+}
+
+#[test]
+fn a_job_that_arrives_during_the_takeover_counts_as_inherited() {
+    let mut bed = Bed::new(2);
+    bed.cell.unasked = bed.cell.workers.keys().cloned().collect();
+    bed.look("w0", &[], &[]);
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    assert_eq!(bed.place(), []);
+    bed.look("w1", &[(task(1, 0, 0), 3)], &[]);
+    assert_eq!(bed.place(), []);
+}
+
+#[test]
+fn a_run_that_is_found_before_its_job_arrives_is_the_run_of_its_task() {
+    let mut bed = Bed::new(2);
+    bed.look("w0", &[(task(1, 0, 0), 3)], &[]);
+    bed.look("w1", &[], &[]);
+    assert_eq!(bed.stops(), []);
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    assert_eq!(bed.place(), []);
+    assert_eq!(bed.cell.workers["w0"].free.cpu, 3_000);
+    bed.look("w0", &[], &[(1, task(1, 0, 0), 3, Outcome::Done)]);
+    assert_eq!(bed.cell.jobs[&1].end, Some(JobState::Succeeded));
+}
+
+#[test]
+fn a_run_whose_job_never_arrives_is_stopped() {
+    let mut bed = Bed::new(1);
+    bed.look("w0", &[(task(9, 0, 0), 3)], &[]);
+    bed.cell.stop_unknown(bed.now + Duration::from_secs(10));
+    assert_eq!(bed.stops(), [("w0".to_owned(), task(9, 0, 0), 3)]);
+}
+
+#[test]
+fn a_start_without_an_answer_is_stopped_before_it_is_repeated() {
+    let mut bed = Bed::new(2);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    let (worker, name, run) = bed.place().remove(0);
+    bed.cell.on_unanswered(&worker, name, run, bed.now);
+    assert_eq!(bed.stops(), [(worker.clone(), name, run)]);
+    assert_eq!(bed.place(), []);
+    // A look that was sent before the stop was answered proves nothing.
+    bed.look(&worker, &[], &[]);
+    assert_eq!(bed.place(), []);
+    bed.cell.on_stopped(&worker, name, run, bed.now);
+    bed.now += MILLI;
+    bed.look(&worker, &[], &[]);
+    let again = bed.place();
+    assert_eq!(again.len(), 1);
+    assert!(again[0].2 > run);
+    assert_ne!(again[0].0, worker);
+}
+
+#[test]
+fn the_lease_of_a_silent_worker_runs_out() {
+    let mut bed = Bed::new(2);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    let (worker, name, _) = bed.start().remove(0);
+    bed.cell.on_miss(&worker);
+    assert_eq!(bed.cell.lapsed(bed.now + LEASE / 2), []);
+    let later = bed.now + LEASE + Duration::from_millis(500);
+    assert_eq!(bed.cell.lapsed(later), [(worker.clone(), true)]);
+    bed.cell.lapse(&worker);
+    bed.now = later;
+    let again = bed.place();
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].1, name);
+    assert_ne!(again[0].0, worker);
+}
+
+#[test]
+fn of_two_lives_on_a_machine_the_one_that_answers_is_the_one_that_lives() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    bed.start();
+    // A read that is seconds old tells of an earlier life.
+    bed.meet("old", "m0");
+    assert!(bed.cell.workers.contains_key("w0"));
+    bed.look("w0", &[(task(1, 0, 0), TOKEN)], &[]);
+    assert!(!bed.cell.workers.contains_key("old"));
+    assert_eq!(bed.place(), []);
+}
+
+#[test]
+fn failures_are_counted_by_run_whoever_hears_of_them_and_when() {
+    let mut bed = Bed::new(2);
+    bed.look_at_all();
+    let mut progress = Progress::default();
+    progress.failed.push(((0, 0, 0), vec![7]));
+    bed.cell.admit(1, accepted(vec![step(1)]), Some(&progress));
+    // The store knows of run 7 already; run 5 is told of late.
+    bed.look("w0", &[], &[(1, task(1, 0, 0), 7, Outcome::Failed)]);
+    assert_eq!(bed.cell.jobs[&1].end, None);
+    bed.look("w1", &[], &[(1, task(1, 0, 0), 5, Outcome::Failed)]);
+    assert_eq!(bed.cell.jobs[&1].end, Some(JobState::Failed));
+    assert_eq!(bed.place(), []);
+}
+
+#[test]
+fn a_task_is_not_moved_off_while_another_of_its_step_may_be_away() {
+    let mut bed = Bed::new(3);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![lasting(3)]), None);
+    let starts = bed.start();
+    assert_eq!(starts.len(), 3);
+    for (worker, name, run) in &starts {
+        bed.look(worker, &[(*name, *run)], &[]);
+    }
+    // A worker that is silent may have lost its task.
+    bed.cell.on_miss("w0");
+    assert!(!upkeep::empty(&mut bed.cell, "w1", false));
+    assert_eq!(bed.stops(), []);
+    let at_w0 = starts.iter().find(|start| start.0 == "w0").unwrap();
+    bed.look("w0", &[(at_w0.1, at_w0.2)], &[]);
+    assert!(!upkeep::empty(&mut bed.cell, "w1", false));
+    assert_eq!(bed.stops().len(), 1);
+    assert!(!upkeep::empty(&mut bed.cell, "w2", false));
+    assert_eq!(bed.stops(), []);
+}
+
+#[test]
+fn a_task_that_lasts_gets_the_room_of_tasks_that_end() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(4)]), None);
+    assert_eq!(bed.start().len(), 4);
+    bed.cell.admit(2, accepted(vec![lasting(1)]), None);
+    bed.cell.place(bed.now, Duration::from_secs(1));
+    assert_eq!(bed.stops().len(), 1);
+}
+
+#[test]
+fn a_newer_scheduler_ends_this_one() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    let (worker, name, run) = bed.place().remove(0);
+    bed.cell.on_refused(&worker, name, run, Some(Refusal::Fenced), bed.now);
+    assert!(bed.cell.fenced);
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_and_stays_cancelled() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    let starts = bed.start();
+    assert_matches!(bed.cell.cancel(1), Some(JobState::Canceled));
+    assert_eq!(bed.stops(), starts);
+    bed.look("w0", &[], &[(1, task(1, 0, 0), TOKEN, Outcome::Done)]);
+    assert_eq!(bed.cell.jobs[&1].end, Some(JobState::Canceled));
+    assert_eq!(bed.cell.cancel(2), None);
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![Step { gang: true, ..step(5) }]), None);
+    assert_eq!(bed.place(), []);
+    bed.meet("w9", "m9");
+    bed.look("w9", &[], &[]);
+    let starts = bed.start();
+    assert_eq!(starts.len(), 5);
+    assert!(starts.iter().all(|start| start.2 == starts[0].2));
+}
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -47,6 +47,8 @@
     pub door: Door,
     /// Where clients call it.
     pub client_addr: SocketAddr,
+    /// Where operators call it.
+    pub operate_addr: SocketAddr,
     file: PathBuf,
     program: String,
     child: Option<Child>,
@@ -92,7 +94,8 @@
         );
         std::fs::write(&file, text)?;
         let program = program.to_owned();
-        Ok(Node { door, client_addr: addrs[0], file, program, child: None })
+        let operate_addr = SocketAddr::new(ip, peers.port() + 1);
+        Ok(Node { door, client_addr: addrs[0], operate_addr, file, program, child: None })
     }
 
     /// Starts the process.
