--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -71,10 +71,10 @@
 
 /// How long a service must have had a machine to spare before one is switched off. A move costs as
 /// much as a machine that is on for about 1.1 s, on both sites.
-const PARK_AFTER: Duration = Duration::from_millis(1_500);
+const PARK_AFTER: Duration = Duration::from_millis(5_000);
 /// Machines of a service that stay on beyond what it wants, so that a rise of its load is met while
 /// others are fetched.
-const BUFFER: u64 = 1;
+const BUFFER: u64 = 4;
 
 /// A machine on its way to another pool.
 struct Move {
