batch: waves empty two machines ahead, not as many again as may be down

Cause: machines that were empty and waited for their turn were kept from work (18 at once where 9 may be down). The trials with machines switched off are reverted: what is saved is less than what is lost while they are fetched.

--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -69,13 +69,6 @@
     }
 }
 
-/// How long a service must have had a machine to spare before one is switched off. A move costs as
-/// much as a machine that is on for about 1.1 s, on both sites.
-const PARK_AFTER: Duration = Duration::from_millis(5_000);
-/// Machines of a service that stay on beyond what it wants, so that a rise of its load is met while
-/// others are fetched.
-const BUFFER: u64 = 4;
-
 /// A machine on its way to another pool.
 struct Move {
     to: String,
@@ -87,8 +80,6 @@
 #[derive(Default)]
 pub struct Pools {
     moves: HashMap<MachineId, Move>,
-    /// Since when each service has had more than it wants.
-    spare_since: HashMap<String, Instant>,
 }
 
 /// What each service has and wants.
@@ -128,12 +119,8 @@
 impl Pools {
     /// Whether moves are under way or wanted.
     pub fn wants_list(&self, scheduler: &Scheduler) -> bool {
-        let changes = |load: &Load| {
-            let size = load.has.checked_div(load.workers).unwrap_or(0);
-            let short = load.wanted() > load.has || load.least > load.workers;
-            short || load.can_spare(size * (1 + BUFFER))
-        };
-        !self.moves.is_empty() || loads(&scheduler.cell(), Instant::now()).values().any(changes)
+        let short = |load: &Load| load.wanted() > load.has || load.least > load.workers;
+        !self.moves.is_empty() || loads(&scheduler.cell(), Instant::now()).values().any(short)
     }
 
     /// Machines under way.
@@ -154,9 +141,7 @@
             return;
         }
         if let Some(config) = scheduler.node.config() {
-            let mut cell = scheduler.cell();
-            self.choose(&mut cell, &config, list, taken);
-            self.park(&mut cell, &config, list, taken);
+            self.choose(&mut scheduler.cell(), &config, list, taken);
         }
         for id in self.emptied(scheduler, list) {
             self.order(scheduler, machines, &id).await;
@@ -166,16 +151,11 @@
     /// Lets go of moves that are done or have failed.
     fn settle(&mut self, scheduler: &Scheduler, list: &[Machine]) {
         let workers: HashSet<WorkerId> = scheduler.cell().workers.keys().cloned().collect();
-        let config = scheduler.node.config();
-        let services = config.iter().flat_map(|config| &config.services);
-        let reserves: HashSet<&String> =
-            services.filter(|service| service.is_reserve).map(|service| &service.name).collect();
         self.moves.retain(|id, under_way| {
             let machine = list.iter().find(|machine| machine.id == *id);
             let arrived = machine.is_some_and(|machine| {
                 let joined = machine.worker.as_ref().is_some_and(|worker| workers.contains(worker));
-                let parked = reserves.contains(&machine.pool);
-                machine.pool == under_way.to && machine.status == Status::Up && (joined || parked)
+                machine.pool == under_way.to && machine.status == Status::Up && joined
             });
             machine.is_some() && !arrived && under_way.since.elapsed() < MOVE_TIME
         });
@@ -232,56 +212,6 @@
         }
     }
 
-    /// Switches off idle machines of services that have had more than they want for a while.
-    fn park(
-        &mut self,
-        cell: &mut Cell,
-        config: &Config,
-        list: &[Machine],
-        taken: &HashSet<MachineId>,
-    ) {
-        let now = Instant::now();
-        let Some(reserve) = config.services.iter().find(|service| service.is_reserve) else {
-            return;
-        };
-        let loads = loads(cell, now);
-        for service in config.services.iter().filter(|service| !service.is_reserve) {
-            let load = loads.get(&service.name).copied().unwrap_or_default();
-            let size = load.has.checked_div(load.workers).unwrap_or(0);
-            if !load.can_spare(size * (1 + BUFFER)) {
-                self.spare_since.remove(&service.name);
-                continue;
-            }
-            let since = *self.spare_since.entry(service.name.clone()).or_insert(now);
-            if now.saturating_duration_since(since) < PARK_AFTER {
-                continue;
-            }
-            let idle = list.iter().filter(|machine| {
-                let worker = machine.worker.as_ref().and_then(|worker| cell.workers.get(worker));
-                machine.pool == service.name
-                    && machine.status == Status::Up
-                    && !taken.contains(&machine.id)
-                    && !self.moves.contains_key(&machine.id)
-                    && worker
-                        .is_some_and(|worker| worker.takes_work(now) && worker.slots.is_empty())
-            });
-            let spare = (load.has - load.wanted()) / size.max(1) - BUFFER;
-            let keep = load.workers - load.least.max(1);
-            let idle: Vec<(MachineId, WorkerId)> = idle
-                .take(spare.min(keep) as usize)
-                .filter_map(|machine| Some((machine.id.clone(), machine.worker.clone()?)))
-                .collect();
-            for (machine, worker) in idle {
-                log::info!(machine = machine.as_str(), from = service.name.as_str(); "switched off");
-                if let Some(worker) = cell.workers.get_mut(&worker) {
-                    worker.cordoned = true;
-                }
-                let to = reserve.name.clone();
-                self.moves.insert(machine, Move { to, since: now, ordered: false });
-            }
-        }
-    }
-
     fn coming(&self, service: &str, list: &[Machine]) -> u64 {
         let coming = self.moves.iter().filter(|(_, under_way)| under_way.to == service);
         let machines = coming.filter_map(|(id, _)| list.iter().find(|machine| machine.id == *id));
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -34,7 +34,7 @@
 /// How long tasks on a machine may take to end by themselves before they are stopped.
 const EMPTY_TIME: Duration = Duration::from_millis(4_000);
 
-/// How many times as many machines are empty or being emptied as may be down at once, so that the
+/// How many more machines are empty or being emptied than may be down at once, so that the
 /// next are empty when those come back.
 const AHEAD: usize = 2;
 /// Share of a wave's time in which it is planned to be done; the rest is for what goes wrong.
@@ -209,7 +209,7 @@
     taken: &HashSet<MachineId>,
 ) {
     let under_way = course.emptying.len() + course.down.len();
-    let mut free = (AHEAD * course.wave.max_down).saturating_sub(under_way);
+    let mut free = (course.wave.max_down + AHEAD).saturating_sub(under_way);
     if free == 0 {
         return;
     }
