batch: what is known of silent workers and of waves survives a takeover

The store now keeps which tasks may be on a worker that has fallen silent; it is given no others until the store knows that it is heard of again. Cause 2: a new scheduler emptied machines again whose upkeep had begun; the store now keeps those. A test for each in lib/tests/test_batch.rs.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -17,6 +17,7 @@
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::TaskName;
+use spokelift_platform::machine::MachineId;
 use spokelift_platform::store::Record;
 use spokelift_platform::worker;
 use spokelift_platform::worker::End;
@@ -123,10 +124,21 @@
     pub records: Vec<Record>,
     /// Jobs whose end is among them.
     pub ended: Vec<JobId>,
+    /// Workers of which it tells that they are heard of again.
+    pub reopened: Vec<WorkerId>,
     /// Ends of each worker that are taken into account by then.
     pub processed: Vec<(WorkerId, u64)>,
 }
 
+/// What an earlier scheduler may have started and this one cannot know of.
+#[derive(Debug, Default)]
+pub struct Doubt {
+    /// Any task of these services.
+    pub services: HashSet<String>,
+    /// These tasks.
+    pub tasks: HashSet<TaskName>,
+}
+
 /// The scheduler's state.
 pub struct Cell {
     /// Number of this scheduler; workers refuse lower ones.
@@ -139,6 +151,10 @@
     pub ready: BTreeSet<Rank>,
     /// Workers that may run something of an earlier scheduler and have not been asked.
     pub unasked: HashSet<WorkerId>,
+    /// Tasks that may be on workers which had fallen silent under an earlier scheduler.
+    silent_with: HashMap<WorkerId, HashSet<TaskName>>,
+    /// Machines of waves whose upkeep has begun.
+    pub begun: HashMap<u64, HashSet<MachineId>>,
     /// Repetitions that are not due yet: when, since 1970.
     scheduled: BTreeSet<(Duration, JobId, u32)>,
     dirty: HashSet<JobId>,
@@ -161,6 +177,8 @@
             workers: HashMap::new(),
             ready: BTreeSet::new(),
             unasked: HashSet::new(),
+            silent_with: HashMap::new(),
+            begun: HashMap::new(),
             scheduled: BTreeSet::new(),
             dirty: HashSet::new(),
             roster: Vec::new(),
@@ -379,10 +397,9 @@
             known.update(entry);
             return false;
         }
-        let service = entry.service.clone();
-        let known = Known { addr: peer.addr, service, machine: entry.machine.clone() };
-        self.roster.push(record::worker(&id, &known));
-        self.workers.insert(id, Worker::new(peer, entry, now));
+        let worker = Worker::new(peer, entry, now);
+        self.roster.push(record::worker(&id, &worker.known()));
+        self.workers.insert(id, worker);
         true
     }
 
@@ -405,6 +422,15 @@
         if self.workers.contains_key(&id) {
             return;
         }
+        if let Some(tasks) = &known.silent_with {
+            let names = tasks.iter().map(|(job, (time, step, index))| TaskName {
+                job: *job,
+                time: *time,
+                step: *step,
+                index: *index,
+            });
+            self.silent_with.insert(id.clone(), names.collect());
+        }
         let entry = worker::Entry {
             service: known.service,
             address: known.addr,
@@ -417,6 +443,7 @@
         };
         let mut worker = Worker::new(Peer { id: id.clone(), addr: known.addr }, entry, now);
         worker.listed = false;
+        worker.noted_silent = known.silent_with.is_some();
         self.workers.insert(id, worker);
     }
 
@@ -471,6 +498,21 @@
         self.requeue(name);
     }
 
+    /// A machine's upkeep has begun.
+    pub fn upkeep_begun(&mut self, wave: u64, machine: &str) {
+        let begun = self.begun.entry(wave).or_default();
+        begun.insert(machine.to_owned());
+        let machines: Vec<MachineId> = begun.iter().cloned().collect();
+        self.roster.push(record::wave(wave, &machines));
+    }
+
+    /// A wave is over.
+    pub fn wave_over(&mut self, wave: u64) {
+        if self.begun.remove(&wave).is_some() {
+            self.roster.push(record::forget_wave(wave));
+        }
+    }
+
     // What workers tell.
 
     /// Takes in the answer to a look that was sent at `sent`.
@@ -478,6 +520,11 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.clock = Some((seen.clock, now));
         worker.misses = 0;
+        if worker.noted_silent {
+            worker.noted_silent = false;
+            worker.reopening = true;
+            self.roster.push(record::worker(id, &worker.known()));
+        }
         if !worker.fenced {
             worker.fenced = true;
             worker.rest_until = now;
@@ -496,10 +543,19 @@
         }
     }
 
-    /// Services on whose workers an earlier scheduler may have started something that is not known.
-    pub fn doubtful_services(&self) -> HashSet<String> {
-        let unasked = self.unasked.iter().filter_map(|id| self.workers.get(id));
-        unasked.map(|worker| worker.entry.service.clone()).collect()
+    /// What an earlier scheduler may have started on workers that have not been asked.
+    pub fn doubt(&self) -> Doubt {
+        let mut doubt = Doubt::default();
+        for id in &self.unasked {
+            match (self.silent_with.get(id), self.workers.get(id)) {
+                (Some(tasks), _) => doubt.tasks.extend(tasks),
+                (None, Some(worker)) => {
+                    doubt.services.insert(worker.entry.service.clone());
+                }
+                (None, None) => {}
+            }
+        }
+        doubt
     }
 
     /// Once every worker has been asked, nothing of an earlier scheduler is in doubt.
@@ -679,8 +735,11 @@
 
     /// A look had no answer.
     pub fn on_miss(&mut self, id: &str) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.misses += 1;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.misses += 1;
+        if worker.fenced && !worker.noted_silent {
+            worker.noted_silent = true;
+            self.roster.push(record::worker(id, &worker.known()));
         }
     }
 
@@ -766,6 +825,9 @@
                 flush.ended.push(id);
             }
         }
+        for worker in self.workers.values().filter(|worker| worker.reopening) {
+            flush.reopened.push(worker.peer.id.clone());
+        }
         for worker in self.workers.values().filter(|worker| worker.processed > worker.durable) {
             flush.processed.push((worker.peer.id.clone(), worker.processed));
         }
@@ -779,6 +841,11 @@
                 entry.end_is_durable = true;
             }
         }
+        for id in &flush.reopened {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.reopening = false;
+            }
+        }
         for (id, processed) in &flush.processed {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.durable = worker.durable.max(*processed);
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -30,7 +30,7 @@
     let mut told_at = Instant::now();
     loop {
         sleep(ROUND).await;
-        let under_way = waves.take(scheduler.node.waves());
+        let under_way = waves.take(&scheduler);
         if told_at.elapsed() >= TELL {
             told_at = Instant::now();
             tell_loads(&scheduler);
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -1,7 +1,6 @@
 //! Which worker a task is started on.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,6 +11,7 @@
 use thiserror::Error;
 
 use crate::batch::cell::Cell;
+use crate::batch::cell::Doubt;
 use crate::batch::cell::Order;
 use crate::batch::cell::Rank;
 use crate::batch::cell::next_run;
@@ -41,13 +41,13 @@
     /// objective any more comes after everything that can.
     pub fn place(&mut self, now: Instant, wall: Duration) {
         let mut tops = self.top_room(now);
-        let doubtful = self.doubtful_services();
+        let doubt = self.doubt();
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
         let wall_ms = wall.as_millis() as u64;
         let (hopeful, late): (Vec<Rank>, Vec<Rank>) =
             ranks.into_iter().partition(|rank| !rank.ends || self.is_hopeful(rank, wall_ms));
         for rank in hopeful.into_iter().chain(late) {
-            self.place_step(rank, now, &mut tops, &doubtful);
+            self.place_step(rank, now, &mut tops, &doubt);
         }
     }
 
@@ -73,14 +73,14 @@
         rank: Rank,
         now: Instant,
         tops: &mut HashMap<String, u32>,
-        doubtful: &HashSet<String>,
+        doubt: &Doubt,
     ) {
         let Rank { time, step, job, .. } = rank;
         let Some(entry) = self.jobs.get(&job) else {
             self.ready.remove(&rank);
             return;
         };
-        if entry.inherited && doubtful.contains(&entry.accepted.service) {
+        if entry.inherited && doubt.services.contains(&entry.accepted.service) {
             return;
         }
         let accepted = &entry.accepted;
@@ -103,6 +103,9 @@
         let mut left = waiting.len();
         for index in waiting {
             let task = TaskName { job, time, step, index };
+            if doubt.tasks.contains(&task) {
+                continue;
+            }
             let Some(worker) = self.choose(task, &service, &shape, now) else {
                 if !rank.ends {
                     self.make_room(task, &service, &shape, now);
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -73,6 +73,9 @@
     Value(String, #[source] postcard::Error),
 }
 
+/// Start of the keys in [`PROGRESS_TOPIC`] that tell how far waves are.
+const WAVE_PREFIX: &str = "wave/";
+
 /// What the store keeps of a worker that may run something.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct Known {
@@ -82,6 +85,9 @@
     pub service: String,
     /// The machine it lives on, if it says so.
     pub machine: Option<MachineId>,
+    /// The worker fell silent, and these are the tasks that may be on it. It is given no others
+    /// before the store knows that it is heard of again.
+    pub silent_with: Option<Vec<(JobId, TaskPlace)>>,
 }
 
 /// A record of [`JOB_TOPIC`].
@@ -102,6 +108,8 @@
     Progress(JobId, Progress),
     /// A worker that may run something.
     Worker(WorkerId, Known),
+    /// The machines of a wave whose upkeep has begun.
+    Wave(u64, Vec<MachineId>),
     /// A key was dropped.
     Dropped,
 }
@@ -157,6 +165,16 @@
     Record::set(format!("{WORKER_PREFIX}{id}"), encode(known))
 }
 
+/// The record of the machines of a wave whose upkeep has begun.
+pub fn wave(number: u64, begun: &[MachineId]) -> Record {
+    Record::set(format!("{WAVE_PREFIX}{number}"), encode(&begun))
+}
+
+/// The record that lets go of a wave.
+pub fn forget_wave(number: u64) -> Record {
+    Record::drop_key(format!("{WAVE_PREFIX}{number}"))
+}
+
 /// The record of a worker that runs nothing any more.
 pub fn forget_worker(id: &str) -> Record {
     Record::drop_key(format!("{WORKER_PREFIX}{id}"))
@@ -189,6 +207,10 @@
         if let Some(id) = record.key.strip_prefix(WORKER_PREFIX) {
             return Ok(ProgressRecord::Worker(id.to_owned(), decode(&record.key, value)?));
         }
+        if let Some(number) = record.key.strip_prefix(WAVE_PREFIX) {
+            let number = number.parse().map_err(|_| RecordError::Key(record.key.clone()))?;
+            return Ok(ProgressRecord::Wave(number, decode(&record.key, value)?));
+        }
         let id = id_of(&record.key)?;
         Ok(ProgressRecord::Progress(id, decode(&record.key, value)?))
     }
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -273,6 +273,9 @@
                 progress.insert(id, told);
             }
             Ok(ProgressRecord::Worker(id, known)) => cell.meet_known(id, known, Instant::now()),
+            Ok(ProgressRecord::Wave(number, begun)) => {
+                cell.begun.insert(number, begun.into_iter().collect());
+            }
             Ok(ProgressRecord::Dropped) => {}
             Err(error) => log::error!("a record of progress cannot be used: {error}"),
         }
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -74,9 +74,13 @@
     }
 
     /// Takes in new waves; returns whether any is under way.
-    pub fn take(&mut self, waves: Vec<Wave>) -> bool {
+    pub fn take(&mut self, scheduler: &Scheduler) -> bool {
+        let waves = scheduler.node.waves();
         for wave in waves.into_iter().filter(|wave| !self.over.contains(&wave.number)) {
-            self.courses.entry(wave.number).or_insert_with(|| Course::new(wave));
+            self.courses.entry(wave.number).or_insert_with(|| {
+                let begun = scheduler.cell().begun.get(&wave.number).cloned();
+                Course::new(wave, begun.unwrap_or_default())
+            });
         }
         !self.courses.is_empty()
     }
@@ -93,6 +97,7 @@
             advance(scheduler, machines, course, list, taken).await;
             if course.told == Some(true) {
                 self.over.insert(course.wave.number);
+                scheduler.cell().wave_over(course.wave.number);
             }
         }
         let over = &self.over;
@@ -110,11 +115,11 @@
 }
 
 impl Course {
-    fn new(wave: Wave) -> Course {
+    fn new(wave: Wave, begun: HashSet<MachineId>) -> Course {
         Course {
             wave,
             seen_at: Instant::now(),
-            begun: HashSet::new(),
+            begun,
             down: HashMap::new(),
             emptying: HashMap::new(),
             told: None,
@@ -344,6 +349,7 @@
         }
     }
     course.begun.insert(id.to_owned());
+    scheduler.cell().upkeep_begun(number, id);
     course.emptying.remove(id);
     course.down.insert(id.to_owned(), (Instant::now(), before));
     scheduler.cell().end_other_lives(id, "");
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -12,6 +12,8 @@
 use spokelift_platform::worker::WorkerMs;
 use thiserror::Error;
 
+use crate::batch::record::Known;
+
 /// How long a lease is granted for, from each look on. Long enough for another node to take the
 /// lead and look in its turn (about 3 s), short enough that the tasks of a worker that has fallen
 /// silent are soon started elsewhere.
@@ -149,6 +151,10 @@
     pub met_at: Instant,
     /// A task looks at it.
     pub looked_at: bool,
+    /// The store has, or is about to have, a record that it fell silent.
+    pub noted_silent: bool,
+    /// It is heard of again, and the store does not know that yet.
+    pub reopening: bool,
 }
 
 impl Worker {
@@ -171,6 +177,19 @@
             failures: 0,
             met_at: now,
             looked_at: false,
+            noted_silent: false,
+            reopening: false,
+        }
+    }
+
+    /// What the store is to keep of it.
+    pub fn known(&self) -> Known {
+        let tasks = self.slots.keys().map(|task| (task.job, (task.time, task.step, task.index)));
+        Known {
+            addr: self.peer.addr,
+            service: self.entry.service.clone(),
+            machine: self.entry.machine.clone(),
+            silent_with: self.noted_silent.then(|| tasks.collect()),
         }
     }
 
@@ -204,7 +223,7 @@
             worker if !worker.listed => Some(Closed::NotListed),
             worker if worker.entry.draining => Some(Closed::Draining),
             worker if worker.cordoned => Some(Closed::Cordoned),
-            worker if worker.misses > 0 => Some(Closed::Silent),
+            worker if worker.misses > 0 || worker.reopening => Some(Closed::Silent),
             worker if worker.rest_until > now => Some(Closed::Resting),
             _ => None,
         }
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -10,6 +10,7 @@
 use spokelift_lib::batch::cell::Order;
 use spokelift_lib::batch::record::Accepted;
 use spokelift_lib::batch::record::Progress;
+use spokelift_lib::batch::record::ProgressRecord;
 use spokelift_lib::batch::upkeep;
 use spokelift_lib::batch::worker::LEASE;
 use spokelift_platform::ingress::JobState;
@@ -370,3 +371,51 @@
     assert_eq!(starts.len(), 5);
     assert!(starts.iter().all(|start| start.2 == starts[0].2));
 }
+
+#[test]
+fn a_worker_that_fell_silent_before_the_takeover_holds_up_only_what_it_may_run() {
+    let mut first = Bed::new(2);
+    first.look_at_all();
+    first.cell.admit(1, accepted(vec![step(1)]), None);
+    let (silent, ..) = first.start().remove(0);
+    first.cell.on_miss(&silent);
+    let flush = first.cell.take_flush();
+    let mut records = flush.records.iter().map(|record| ProgressRecord::decode(record).unwrap());
+    let known = records.find_map(|record| match record {
+        ProgressRecord::Worker(id, known) if id == silent && known.silent_with.is_some() => {
+            Some(known)
+        }
+        _ => None,
+    });
+
+    let mut second = Bed::new(0);
+    second.cell.meet_known(silent.clone(), known.unwrap(), second.now);
+    second.meet(&silent, "m0");
+    second.meet("other", "m9");
+    second.cell.unasked = second.cell.workers.keys().cloned().collect();
+    second.cell.admit(1, accepted(vec![step(1)]), Some(&Progress::default()));
+    second.cell.admit(2, accepted(vec![step(1)]), Some(&Progress::default()));
+    second.look("other", &[], &[]);
+    let starts = second.start();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].1, task(2, 0, 0));
+
+    // Heard of again, it is given work only once the store knows.
+    second.look(&silent, &[(task(1, 0, 0), TOKEN)], &[]);
+    assert!(!second.cell.workers[&silent].takes_work(second.now));
+    let flush = second.cell.take_flush();
+    second.cell.on_flushed(&flush);
+    assert!(second.cell.workers[&silent].takes_work(second.now));
+}
+
+#[test]
+fn a_machine_whose_upkeep_has_begun_is_known_to_the_next_scheduler() {
+    let mut bed = Bed::new(1);
+    bed.cell.upkeep_begun(7, "m0");
+    let flush = bed.cell.take_flush();
+    let wave = flush.records.iter().find(|record| record.key == "wave/7").unwrap();
+    assert_eq!(
+        ProgressRecord::decode(wave).unwrap(),
+        ProgressRecord::Wave(7, vec!["m0".to_owned()])
+    );
+}
