batch: pools share when all are short, and look more often

Cause: while every service was short, the one whose peak began got nothing until the earlier one had worked off its backlog. A service gives a machine if it is still 1.5 times better off after it; rounds and reads of workers each 150 ms in place of 250.

--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -17,7 +17,7 @@
 use crate::batch::upkeep::Waves;
 
 /// Time between two rounds. Each costs a call to list the machines while something is under way.
-const ROUND: Duration = Duration::from_millis(250);
+const ROUND: Duration = Duration::from_millis(150);
 
 /// Time between lines in the log about what each service has and wants.
 const TELL: Duration = Duration::from_millis(1_000);
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -31,6 +31,9 @@
 /// Share of what runs now that will be followed by as much, in hundredths: jobs have 1.6 to 2 steps
 /// on average, so about half of what runs is followed by another step.
 const RUNNING_PERCENT: u64 = 50;
+/// How many times better off a service that is short itself must be to give a machine to another:
+/// a move idles a machine for about 3 s, which must be worth it.
+const SHARE_RATIO: f64 = 1.5;
 /// How long a machine may take to become empty before what runs on it is stopped.
 const EMPTY_TIME: Duration = Duration::from_millis(2_500);
 /// How long a move may take until it is taken to have failed: several times the usual 2 s.
@@ -68,6 +71,19 @@
         (steady + self.work / CLEAR_MS) * 100 / FILL_PERCENT
     }
 
+    /// What it has of what it should have.
+    fn share(&self, has: u64) -> f64 {
+        has as f64 / self.wanted().max(1) as f64
+    }
+
+    /// Whether it would still be far better off than another without a machine of this size.
+    pub fn can_share(&self, size: u64, other: &Load) -> bool {
+        let spread = self.workers > self.least.max(1);
+        spread
+            && self.has > size
+            && self.share(self.has - size) >= SHARE_RATIO * other.share(other.has)
+    }
+
     /// Whether it could do without a machine of this size.
     pub fn can_spare(&self, size: u64) -> bool {
         let spread = self.workers > self.least.max(1);
@@ -245,7 +261,8 @@
         if let Some(machine) = list.iter().filter(free).find(is_reserve) {
             return Some(machine);
         }
-        let candidates = list.iter().filter(free).filter(|machine| self.can_give(machine, loads));
+        let candidates =
+            list.iter().filter(free).filter(|machine| self.can_give(machine, loads, to));
         let loaded = candidates.filter_map(|machine| {
             let worker = cell.workers.get(machine.worker.as_ref()?)?;
             let lasting = worker.slots.values().filter(|slot| slot.kind != Kind::Works).count();
@@ -256,9 +273,14 @@
     }
 
     /// Whether the pool of a machine can do without it, beside those already chosen.
-    fn can_give(&self, machine: &Machine, loads: &BTreeMap<String, Load>) -> bool {
+    fn can_give(&self, machine: &Machine, loads: &BTreeMap<String, Load>, to: &str) -> bool {
         let size = u64::from(machine.room.cpu);
-        loads.get(&machine.pool).is_some_and(|load| load.can_spare(size))
+        let mut other = loads.get(to).copied().unwrap_or_default();
+        other.has +=
+            self.moves.values().filter(|under_way| under_way.to == to).count() as u64 * size;
+        loads
+            .get(&machine.pool)
+            .is_some_and(|load| load.can_spare(size) || load.can_share(size, &other))
     }
 
     /// Machines under way that are empty and have not been ordered to move.
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -50,7 +50,7 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// Time between reads of workers' entries. A worker that drains must get nothing new after 2 s.
 /// A worker that joins a pool is found as late as that.
-const READ_WORKERS: Duration = Duration::from_millis(250);
+const READ_WORKERS: Duration = Duration::from_millis(150);
 /// Time between reads of the jobs' topic, for jobs whose news was lost on the way.
 const READ_JOBS: Duration = Duration::from_millis(400);
 /// How long a look waits for an end; a lease is renewed at each look.
