batch: the scheduler's tasks stand in files of their own

Cause: scheduler.rs had grown to 702 lines, with reading, following, looking, sending and writing in one file, and with the reading of the store at the begin in one function of 41 lines.

Change: scheduler.rs keeps the struct and the spawning of tasks; load, follow, look, send, flush and tick are files beside it, each with the constants that only it uses. Reading the records of progress and of jobs are functions of their own; the begin of looks at all workers, which was written twice, is one function. Values, messages and decisions are as before; the module named at the head of a log line is now the file's.

--- /dev/null
+++ b/lib/src/batch/scheduler/flush.rs
@@ -0,0 +1,57 @@
+//! Writing changes to the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use spokelift_platform::store::Guard;
+use spokelift_platform::store::Producer;
+use spokelift_platform::store::Record;
+use tokio::time::sleep;
+
+use crate::batch::record;
+use crate::batch::scheduler::CALL;
+use crate::batch::scheduler::PAUSE;
+use crate::batch::scheduler::PRODUCER;
+use crate::batch::scheduler::Scheduler;
+
+/// Changes within this time go to the store in one append.
+const GATHER: Duration = Duration::from_millis(12);
+
+/// Writes changes to the store, in order, each until it is done.
+pub(super) async fn flush(scheduler: Arc<Scheduler>) {
+    let mut sequence = 0;
+    loop {
+        scheduler.flush.notified().await;
+        sleep(GATHER).await;
+        let changes = scheduler.cell().take_flush();
+        if !changes.records.is_empty() {
+            sequence += 1;
+            if !write(&scheduler, &changes.records, sequence).await {
+                return;
+            }
+        }
+        scheduler.cell().on_flushed(&changes);
+        scheduler.flushed.send_modify(|count| *count += 1);
+    }
+}
+
+/// Appends records until that is done; `false` if a newer scheduler has come.
+async fn write(scheduler: &Scheduler, records: &[Record], sequence: u64) -> bool {
+    loop {
+        let producer = Producer { name: PRODUCER, epoch: scheduler.token, sequence };
+        let guard = Guard::Producer(producer);
+        match scheduler.node.store.append(record::PROGRESS_TOPIC, records, guard, CALL).await {
+            Ok(_) => return true,
+            Err(error) if error.status() == Some(409) => {
+                log::warn!("the store refuses this scheduler: {error}");
+                scheduler.cell().fenced = true;
+                return false;
+            }
+            Err(error) => {
+                scheduler.node.counters.count("batch.flush.failed");
+                log::debug!("changes were not written: {error}");
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/batch/scheduler/follow.rs
@@ -0,0 +1,95 @@
+//! Following the store: workers that come and go, jobs whose news was lost on the way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use spokelift_platform::store::Offset;
+use spokelift_platform::store::Record;
+use spokelift_platform::store::WORKER_TOPIC;
+use tokio::time::sleep;
+
+use crate::batch::record;
+use crate::batch::record::JobRecord;
+use crate::batch::scheduler::CALL;
+use crate::batch::scheduler::LOAD;
+use crate::batch::scheduler::Scheduler;
+use crate::batch::scheduler::load::load_workers;
+use crate::batch::scheduler::load::take_worker;
+use crate::batch::scheduler::look::spawn_all_looks;
+use crate::batch::scheduler::look::spawn_looks;
+
+/// Time between reads of workers' entries. A worker that drains must get nothing new after 2 s.
+/// A worker that joins a pool is found as late as that.
+const READ_WORKERS: Duration = Duration::from_millis(250);
+/// Time between reads of the jobs' topic, for jobs whose news was lost on the way.
+const READ_JOBS: Duration = Duration::from_millis(400);
+
+/// Follows the workers' topic; reads it anew where its start was cut off.
+pub(super) async fn follow_workers(scheduler: Arc<Scheduler>, mut from: Offset) {
+    loop {
+        sleep(READ_WORKERS).await;
+        match scheduler.node.store.read(WORKER_TOPIC, from, Duration::ZERO, CALL).await {
+            Ok(page) => {
+                from += page.records.len() as Offset;
+                for record in &page.records {
+                    if let Some(id) = take_worker(&scheduler, record) {
+                        spawn_looks(&scheduler, id);
+                    }
+                }
+                if !page.records.is_empty() {
+                    scheduler.kick();
+                }
+            }
+            Err(error) if error.status() == Some(410) => match load_workers(&scheduler).await {
+                Ok(end) => {
+                    from = end;
+                    spawn_all_looks(&scheduler);
+                }
+                Err(error) => log::warn!("the workers cannot be read: {error}"),
+            },
+            Err(error) => log::debug!("the workers cannot be followed: {error}"),
+        }
+    }
+}
+
+/// Follows the jobs' topic; reads it anew where its start was cut off.
+pub(super) async fn follow_jobs(scheduler: Arc<Scheduler>, mut from: Offset) {
+    loop {
+        sleep(READ_JOBS).await;
+        match scheduler.node.store.read(record::JOB_TOPIC, from, Duration::ZERO, CALL).await {
+            Ok(page) => {
+                from += page.records.len() as Offset;
+                take_jobs(&scheduler, &page.records);
+            }
+            Err(error) if error.status() == Some(410) => {
+                match scheduler.node.store.newest(record::JOB_TOPIC, LOAD).await {
+                    Ok(newest) => {
+                        from = newest.end;
+                        take_jobs(&scheduler, &newest.records);
+                    }
+                    Err(error) => log::warn!("the jobs cannot be read: {error}"),
+                }
+            }
+            Err(error) => log::debug!("the jobs cannot be followed: {error}"),
+        }
+    }
+}
+
+fn take_jobs(scheduler: &Scheduler, records: &[Record]) {
+    let mut changed = false;
+    for record in records {
+        match JobRecord::decode(record) {
+            Ok(JobRecord::Accepted(id, job)) => changed |= scheduler.cell().admit(id, *job, None),
+            Ok(JobRecord::Cancel(id)) => {
+                changed = true;
+                scheduler.cell().cancel(id);
+                scheduler.kick_flush();
+            }
+            Ok(JobRecord::Dropped) => {}
+            Err(error) => log::error!("the record of a job cannot be used: {error}"),
+        }
+    }
+    if changed {
+        scheduler.kick();
+    }
+}
--- /dev/null
+++ b/lib/src/batch/scheduler/load.rs
@@ -0,0 +1,126 @@
+//! Reading the store as a scheduler begins.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Instant;
+
+use spokelift_platform::call::CallError;
+use spokelift_platform::job::JobId;
+use spokelift_platform::store::Guard;
+use spokelift_platform::store::Offset;
+use spokelift_platform::store::Producer;
+use spokelift_platform::store::Record;
+use spokelift_platform::store::WORKER_TOPIC;
+use spokelift_platform::worker;
+use spokelift_platform::worker::Peer;
+use spokelift_platform::worker::WorkerId;
+
+use crate::batch::cell::Cell;
+use crate::batch::record;
+use crate::batch::record::JobRecord;
+use crate::batch::record::Progress;
+use crate::batch::record::ProgressRecord;
+use crate::batch::scheduler::LOAD;
+use crate::batch::scheduler::PRODUCER;
+use crate::batch::scheduler::Scheduler;
+
+/// Bars earlier schedulers from the progress topic, then reads it and the jobs.
+pub(super) async fn load(scheduler: &Arc<Scheduler>) -> Result<Offset, CallError> {
+    let store = &scheduler.node.store;
+    let producer = Producer { name: PRODUCER, epoch: scheduler.token, sequence: 0 };
+    store.append(record::PROGRESS_TOPIC, &[], Guard::Producer(producer), LOAD).await?;
+    let kept = store.newest(record::PROGRESS_TOPIC, LOAD).await?;
+    let jobs = store.newest(record::JOB_TOPIC, LOAD).await?;
+    let mut cell = scheduler.cell();
+    let progress = take_progress(&mut cell, &kept.records);
+    take_jobs(&mut cell, &jobs.records, progress);
+    Ok(jobs.end)
+}
+
+/// Takes in the records of the progress topic; returns how far jobs are.
+fn take_progress(cell: &mut Cell, records: &[Record]) -> HashMap<JobId, Progress> {
+    let mut progress = HashMap::new();
+    for record in records {
+        match ProgressRecord::decode(record) {
+            Ok(ProgressRecord::Progress(id, told)) => {
+                progress.insert(id, told);
+            }
+            Ok(ProgressRecord::Worker(id, known)) => cell.meet_known(id, known, Instant::now()),
+            Ok(ProgressRecord::Wave(number, begun)) => {
+                cell.begun.insert(number, begun.into_iter().collect());
+            }
+            Ok(ProgressRecord::Dropped) => {}
+            Err(error) => log::error!("a record of progress cannot be used: {error}"),
+        }
+    }
+    progress
+}
+
+/// Takes in the jobs in the order in which they were accepted, then what clients cancelled: a
+/// cancel can only be taken in once its job is known.
+fn take_jobs(cell: &mut Cell, records: &[Record], mut progress: HashMap<JobId, Progress>) {
+    let mut cancelled = Vec::new();
+    let mut accepted = Vec::new();
+    for record in records {
+        match JobRecord::decode(record) {
+            Ok(JobRecord::Accepted(id, job)) => accepted.push((id, job)),
+            Ok(JobRecord::Cancel(id)) => cancelled.push(id),
+            Ok(JobRecord::Dropped) => {}
+            Err(error) => log::error!("the record of a job cannot be used: {error}"),
+        }
+    }
+    accepted.sort_by_key(|(_, job)| job.at);
+    for (id, job) in accepted {
+        let progress = progress.remove(&id).unwrap_or_default();
+        cell.admit(id, *job, Some(&progress));
+    }
+    for id in cancelled {
+        cell.cancel(id);
+    }
+}
+
+/// Reads which workers are listed; one that is not listed may still run what it was told.
+pub(super) async fn load_workers(scheduler: &Arc<Scheduler>) -> Result<Offset, CallError> {
+    let newest = scheduler.node.store.newest(WORKER_TOPIC, LOAD).await?;
+    let mut listed = HashSet::new();
+    for record in &newest.records {
+        take_worker(scheduler, record);
+        listed.insert(record.key.clone());
+    }
+    let mut cell = scheduler.cell();
+    let gone: Vec<WorkerId> =
+        cell.workers.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+    for id in gone {
+        cell.unlist(&id);
+    }
+    Ok(newest.end)
+}
+
+/// Takes in a worker's entry; returns its id if it is new.
+pub(super) fn take_worker(scheduler: &Arc<Scheduler>, record: &Record) -> Option<WorkerId> {
+    let Some(value) = &record.value else {
+        scheduler.cell().unlist(&record.key);
+        return None;
+    };
+    let entry = match worker::Entry::decode(value) {
+        Ok(entry) => entry,
+        Err(error) => {
+            scheduler.node.counters.count("batch.worker.entry-unreadable");
+            log::error!("the entry of worker {} does not decode: {error}", record.key);
+            return None;
+        }
+    };
+    let peer = Peer { id: record.key.clone(), addr: entry.address };
+    let mut cell = scheduler.cell();
+    let was_draining = cell.workers.get(&peer.id).is_some_and(|worker| worker.entry.draining);
+    if entry.draining && !was_draining {
+        log::info!(
+            worker = peer.id.as_str(),
+            leaves_in_ms = entry.leaves_in_ms.unwrap_or(0);
+            "worker drains"
+        );
+    }
+    let new = cell.meet(peer.clone(), entry, Instant::now());
+    new.then_some(peer.id)
+}
--- /dev/null
+++ b/lib/src/batch/scheduler/send.rs
@@ -0,0 +1,119 @@
+//! Orders to workers, and what their answers mean.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::call::CallError;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::Peer;
+use spokelift_platform::worker::Refusal;
+use spokelift_platform::worker::Run;
+use spokelift_platform::worker::Start;
+use tokio::time::sleep;
+
+use crate::batch::cell::Order;
+use crate::batch::scheduler::PAUSE;
+use crate::batch::scheduler::Scheduler;
+
+/// How long an order may take; answers come in about 2 ms.
+const ORDER: Duration = Duration::from_millis(500);
+
+/// Sends an order and takes in the answer.
+pub(super) async fn send(scheduler: Arc<Scheduler>, order: Order) {
+    match order {
+        Order::Start { peer, task, run, spec, lease_until, checkpoint, ticket } => {
+            let start = Start {
+                task,
+                run,
+                spec: &spec,
+                lease_until,
+                token: scheduler.token,
+                checkpoint: &checkpoint,
+                ticket: &ticket,
+            };
+            let taken = scheduler.node.workers.start(&peer, &start, ORDER).await;
+            on_start_answer(&scheduler, &peer, (task, run), taken.map(drop));
+        }
+        Order::Stop { peer, task, run } => stop(&scheduler, &peer, (task, run)).await,
+        Order::Pace { peer, task, run, percent } => {
+            let paced = scheduler
+                .node
+                .workers
+                .pace(&peer, (task, run), percent, scheduler.token, ORDER)
+                .await;
+            if let Err(error) = paced {
+                log::debug!("the pace of {task} was not set: {error}");
+            }
+        }
+    }
+}
+
+/// A run is named by its task and its number.
+type RunName = (TaskName, Run);
+
+fn on_start_answer(
+    scheduler: &Scheduler,
+    peer: &Peer,
+    (task, run): RunName,
+    taken: Result<(), CallError>,
+) {
+    let now = Instant::now();
+    let mut cell = scheduler.cell();
+    match taken {
+        Ok(()) => cell.on_started(&peer.id, task, run, now),
+        Err(error) => {
+            let why = Refusal::of(&error);
+            let certain = error.is_certain();
+            log::info!(
+                task = task.to_string().as_str(),
+                run,
+                worker = peer.id.as_str(),
+                certain;
+                "start not taken: {error}"
+            );
+            scheduler.node.counters.count(&format!("batch.start.refused.{why:?}"));
+            if certain {
+                cell.on_refused(&peer.id, task, run, why, now);
+            } else {
+                cell.on_unanswered(&peer.id, task, run, now);
+            }
+        }
+    }
+    drop(cell);
+    scheduler.kick();
+}
+
+/// Stops a run, again and again until the worker has taken it or is gone.
+async fn stop(scheduler: &Arc<Scheduler>, peer: &Peer, (task, run): RunName) {
+    loop {
+        let stopped = scheduler.node.workers.stop(peer, task, run, scheduler.token, ORDER).await;
+        let now = Instant::now();
+        match stopped {
+            Ok(()) => break scheduler.cell().on_stopped(&peer.id, task, run, now),
+            Err(error) => match Refusal::of(&error) {
+                Some(Refusal::Fenced) => {
+                    scheduler.cell().fenced = true;
+                    return;
+                }
+                Some(Refusal::OtherLife) => {
+                    scheduler.cell().remove_worker(&peer.id, "another life answers at its address");
+                    break;
+                }
+                Some(Refusal::Unhealthy) | None => {}
+                // Refused for good: the worker knows of the run or of a later one.
+                Some(_) => break scheduler.cell().on_stopped(&peer.id, task, run, now),
+            },
+        }
+        let wanted = scheduler
+            .cell()
+            .workers
+            .get(&peer.id)
+            .is_some_and(|worker| worker.slots.get(&task).is_some_and(|slot| slot.run == run));
+        if !wanted {
+            return;
+        }
+        sleep(PAUSE).await;
+    }
+    scheduler.kick();
+}
