batch: the cell's parts stand in files of their own

An end is taken in by `on_end`, which calls `learn_time` and `on_failed`; an unknown run by `adopt_unknown`, which calls `shape` and `count_found`. The order to stop a run and the taking out of slots, each written twice, are one function each.

--- /dev/null
+++ b/lib/src/batch/cell/flush.rs
@@ -0,0 +1,52 @@
+//! What the store is to know.
+
+use crate::batch::cell::Cell;
+use crate::batch::cell::Flush;
+use crate::batch::record;
+use crate::batch::worker::Worker;
+
+impl Cell {
+    /// Whether [`Cell::take_flush`] would return anything.
+    pub fn needs_flush(&self) -> bool {
+        let unsaid = |worker: &Worker| worker.processed > worker.durable;
+        !self.dirty.is_empty() || !self.roster.is_empty() || self.workers.values().any(unsaid)
+    }
+
+    /// Takes the changes since the last time.
+    pub fn take_flush(&mut self) -> Flush {
+        let mut flush = Flush { records: std::mem::take(&mut self.roster), ..Flush::default() };
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(entry) = self.jobs.get(&id) else { continue };
+            flush.records.push(record::progress(id, &entry.progress()));
+            if entry.end.is_some() {
+                flush.ended.push(id);
+            }
+        }
+        for worker in self.workers.values().filter(|worker| worker.reopening) {
+            flush.reopened.push(worker.peer.id.clone());
+        }
+        for worker in self.workers.values().filter(|worker| worker.processed > worker.durable) {
+            flush.processed.push((worker.peer.id.clone(), worker.processed));
+        }
+        flush
+    }
+
+    /// The store knows of these changes.
+    pub fn on_flushed(&mut self, flush: &Flush) {
+        for id in &flush.ended {
+            if let Some(entry) = self.jobs.get_mut(id) {
+                entry.end_is_durable = true;
+            }
+        }
+        for id in &flush.reopened {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.reopening = false;
+            }
+        }
+        for (id, processed) in &flush.processed {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.durable = worker.durable.max(*processed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/batch/cell/jobs.rs
@@ -0,0 +1,259 @@
+//! Jobs: taken in, opened step by step, ended and let go of.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::ingress::JobState;
+use spokelift_platform::job::JobId;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::Peer;
+
+use crate::batch::cell::Cell;
+use crate::batch::cell::Order;
+use crate::batch::cell::Rank;
+use crate::batch::job::Entry;
+use crate::batch::record;
+use crate::batch::record::Accepted;
+use crate::batch::record::Progress;
+use crate::batch::worker::Phase;
+use crate::batch::worker::Slot;
+
+/// How long a run whose job is not known goes on: the record of the job may still be on its way
+/// from the store.
+const UNKNOWN_JOB: Duration = Duration::from_millis(3_000);
+
+impl Cell {
+    /// Takes in a job; one that is known already stays as it is.
+    pub fn admit(&mut self, id: JobId, accepted: Accepted, inherited: Option<&Progress>) -> bool {
+        if self.jobs.contains_key(&id) {
+            return false;
+        }
+        let mut entry = Entry::new(id, accepted);
+        // Until every worker has heard of this scheduler, an earlier one may go on starting tasks,
+        // also of jobs that only arrive now.
+        entry.inherited = inherited.is_some() || !self.unasked.is_empty();
+        if let Some(progress) = inherited {
+            entry.restore(progress);
+        }
+        self.claim_found(&mut entry);
+        let times = entry.accepted.job.times();
+        for time in 0..times {
+            match entry.accepted.job.due(time) {
+                Some(due) if entry.is_active() => {
+                    self.scheduled.insert((due, id, time));
+                }
+                _ => entry.times[time as usize].due = true,
+            }
+        }
+        if inherited.is_none() {
+            self.demand.arrived(&entry, Instant::now());
+        }
+        self.jobs.insert(id, entry);
+        for time in 0..times {
+            self.open_steps(id, time);
+        }
+        true
+    }
+
+    /// Runs that were found on workers before the job was heard of count for its tasks.
+    fn claim_found(&mut self, entry: &mut Entry) {
+        let id = entry.id;
+        for worker in self.workers.values_mut() {
+            for (name, slot) in worker.slots.iter_mut().filter(|(name, _)| name.job == id) {
+                let Some(step) = entry.step(name.step) else { continue };
+                slot.room = Entry::room_of(step);
+                slot.kind = Entry::kind_of(step);
+                entry.open_time(name.time);
+                entry.begun = true;
+                if let Some(task) = entry.task(*name) {
+                    task.runs += 1;
+                    task.last_run = task.last_run.max(slot.run);
+                }
+            }
+            worker.recount();
+        }
+    }
+
+    /// Stops runs that were found on workers and whose job has still not been heard of.
+    pub fn stop_unknown(&mut self, now: Instant) {
+        let mut unknown = Vec::new();
+        for worker in self.workers.values() {
+            for (name, slot) in &worker.slots {
+                let old = now.saturating_duration_since(slot.since) > UNKNOWN_JOB;
+                if old && !self.jobs.contains_key(&name.job) {
+                    unknown.push((worker.peer.id.clone(), *name));
+                }
+            }
+        }
+        for (worker, task) in unknown {
+            self.stop_run(&worker, task);
+        }
+    }
+
+    /// Opens the repetitions that are due at `wall`, the time since 1970.
+    pub fn open_due(&mut self, wall: Duration) {
+        while let Some(&(due, id, time)) = self.scheduled.first() {
+            if due > wall {
+                return;
+            }
+            self.scheduled.pop_first();
+            let Some(entry) = self.jobs.get_mut(&id) else { continue };
+            entry.times[time as usize].due = true;
+            self.open_steps(id, time);
+        }
+    }
+
+    /// Opens the steps of a repetition whose turn has come.
+    fn open_steps(&mut self, id: JobId, time: u32) {
+        let Some(entry) = self.jobs.get_mut(&id) else { return };
+        if !entry.is_active() || !entry.times[time as usize].due {
+            return;
+        }
+        entry.open_time(time);
+        let mut opened = Vec::new();
+        // A step without tasks is done as it is opened, and may open others.
+        loop {
+            let steps = entry.steps_to_open(time);
+            if steps.is_empty() {
+                break;
+            }
+            for step in steps {
+                let run = entry.step_run(time, step).expect("the repetition was opened above");
+                run.open = true;
+                opened.push(step);
+            }
+        }
+        for step in opened {
+            let count = self.jobs[&id].accepted.job.steps[usize::from(step)].count;
+            for index in 0..count {
+                self.requeue(TaskName { job: id, time, step, index });
+            }
+        }
+    }
+
+    /// Lets a task wait for room if nothing of it may run any more.
+    pub fn requeue(&mut self, name: TaskName) {
+        let Some(entry) = self.jobs.get_mut(&name.job) else { return };
+        if !entry.is_active() {
+            return;
+        }
+        let rank = Rank {
+            ends: !entry.lasts(),
+            priority: entry.accepted.priority,
+            objective_at: entry.objective_at(name.time),
+            job: name.job,
+            time: name.time,
+            step: name.step,
+        };
+        let Some(run) = entry.step_run(name.time, name.step).filter(|run| run.open) else { return };
+        let Some(task) = run.tasks.get_mut(name.index as usize) else { return };
+        if task.done || task.runs > 0 {
+            return;
+        }
+        task.waiting_since.get_or_insert_with(Instant::now);
+        run.waiting.insert(name.index);
+        self.ready.insert(rank);
+    }
+
+    /// Cancels a job; `None` if it is not known.
+    pub fn cancel(&mut self, id: JobId) -> Option<JobState> {
+        let entry = self.jobs.get_mut(&id)?;
+        if entry.end.is_none() {
+            entry.cancelled = true;
+            self.end_job(id, JobState::Canceled);
+        }
+        Some(self.jobs[&id].end.unwrap_or(JobState::Canceled))
+    }
+
+    /// A job has ended: the store is to know, and all its runs are stopped.
+    pub(super) fn end_job(&mut self, id: JobId, state: JobState) {
+        let Some(entry) = self.jobs.get_mut(&id) else { return };
+        entry.end = Some(state);
+        entry.ended_at = Some(Instant::now());
+        self.dirty.insert(id);
+        log::info!(
+            job = format!("{id:016x}").as_str(),
+            state = format!("{state:?}").as_str();
+            "job ended"
+        );
+        self.ready.retain(|rank| rank.job != id);
+        self.stop_where(|task| task.job == id);
+    }
+
+    /// Stops all runs of tasks that fit.
+    pub fn stop_where(&mut self, fits: impl Fn(&TaskName) -> bool) {
+        for worker in self.workers.values_mut() {
+            for (task, slot) in &mut worker.slots {
+                if fits(task) {
+                    order_stop(&mut self.outbox, &worker.peer, *task, slot);
+                }
+            }
+        }
+    }
+
+    /// Stops one run so that it can go on elsewhere.
+    pub fn stop_run(&mut self, id: &str, task: TaskName) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(slot) = worker.slots.get_mut(&task) else { return };
+        order_stop(&mut self.outbox, &worker.peer, task, slot);
+    }
+
+    /// Jobs of a queue none of whose tasks has begun.
+    pub fn pending(&self, queue: &str) -> u32 {
+        let waits =
+            |entry: &&Entry| entry.accepted.queue == queue && entry.is_active() && !entry.begun;
+        self.jobs.values().filter(waits).count() as u32
+    }
+
+    /// Lets go of jobs that ended longer than `keep` ago; returns them, with whether each was
+    /// cancelled.
+    pub fn forget(&mut self, keep: Duration, now: Instant) -> Vec<(JobId, bool)> {
+        let old = |entry: &&Entry| {
+            let ended = entry.ended_at.is_some_and(|at| now.saturating_duration_since(at) > keep);
+            ended && entry.end_is_durable
+        };
+        let gone: Vec<(JobId, bool)> =
+            self.jobs.values().filter(old).map(|entry| (entry.id, entry.cancelled)).collect();
+        for (id, _) in &gone {
+            self.jobs.remove(id);
+            self.roster.push(record::forget_progress(*id));
+        }
+        gone
+    }
+
+    /// A task, or the gang that it belongs to, is done.
+    pub(super) fn on_done(&mut self, name: TaskName, gang: bool) {
+        let Some(entry) = self.jobs.get_mut(&name.job) else { return };
+        let Some(run) = entry.step_run(name.time, name.step) else { return };
+        let members: Vec<u32> =
+            if gang { (0..run.tasks.len() as u32).collect() } else { vec![name.index] };
+        for index in members {
+            let task = &mut run.tasks[index as usize];
+            run.left -= usize::from(!task.done);
+            task.done = true;
+            run.waiting.remove(&index);
+        }
+        let step_done = run.left == 0;
+        let is_done = entry.is_done();
+        self.dirty.insert(name.job);
+        // Other copies of the task, or the rest of a gang that is done as a whole, end as well.
+        self.stop_where(|other| {
+            let same_step = (other.job, other.time, other.step) == (name.job, name.time, name.step);
+            same_step && !gang && other.index == name.index
+        });
+        if step_done {
+            self.open_steps(name.job, name.time);
+        }
+        if is_done && self.jobs[&name.job].is_active() {
+            self.end_job(name.job, JobState::Succeeded);
+        }
+    }
+}
+
+/// Orders that a run be stopped, unless that was ordered already.
+fn order_stop(outbox: &mut Vec<Order>, peer: &Peer, task: TaskName, slot: &mut Slot) {
+    if !matches!(slot.phase, Phase::Stopping(_)) {
+        slot.phase = Phase::Stopping(None);
+        outbox.push(Order::Stop { peer: peer.clone(), task, run: slot.run });
+    }
+}
--- /dev/null
+++ b/lib/src/batch/cell/looks.rs
@@ -0,0 +1,264 @@
+//! What looks at workers show: ends, runs that go on, and runs that are gone.
+
+use std::collections::HashSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::ingress::JobState;
+use spokelift_platform::job::Step;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::End;
+use spokelift_platform::worker::Outcome;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::Run;
+use spokelift_platform::worker::Running;
+use spokelift_platform::worker::Seen;
+
+use crate::batch::cell::Cell;
+use crate::batch::cell::Order;
+use crate::batch::cell::workers::take_slots;
+use crate::batch::job::Entry;
+use crate::batch::record;
+use crate::batch::worker::Kind;
+use crate::batch::worker::Phase;
+use crate::batch::worker::Slot;
+
+/// Failures in a row, of different tasks, after which a worker is taken to fail everything.
+const FAILURES_IN_A_ROW: u32 = 3;
+/// How long a worker that fails everything rests; one task then tries it again.
+const REST_FAILING: Duration = Duration::from_millis(6_000);
+
+impl Cell {
+    /// Takes in the answer to a look that was sent at `sent`.
+    pub fn on_look(&mut self, id: &str, sent: Instant, now: Instant, seen: Seen) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.clock = Some((seen.clock, now));
+        worker.misses = 0;
+        if worker.noted_silent {
+            worker.noted_silent = false;
+            worker.reopening = true;
+            self.roster.push(record::worker(id, &worker.known()));
+        }
+        if !worker.fenced {
+            worker.fenced = true;
+            worker.rest_until = now;
+        }
+        if let Some(machine) = worker.entry.machine.clone() {
+            self.end_other_lives(&machine, id);
+        }
+        self.unasked.remove(id);
+        for end in &seen.ended {
+            self.on_end(id, end, now);
+        }
+        self.adopt(id, &seen.running, now);
+        self.drop_missing(id, sent, &seen.running);
+        if self.unasked.is_empty() {
+            self.clear_inherited();
+        }
+    }
+
+    /// A run has ended. Ends are listed until they are acknowledged, so one may be seen again.
+    fn on_end(&mut self, id: &str, end: &End, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if end.number <= worker.processed {
+            return;
+        }
+        worker.processed = end.number;
+        let slot = match worker.slots.get(&end.task) {
+            Some(slot) if slot.run == end.run => worker.remove(&end.task),
+            _ => None,
+        };
+        self.count_failure(id, end.outcome, now);
+        let Some(entry) = self.jobs.get_mut(&end.task.job) else { return };
+        entry.open_time(end.task.time);
+        entry.begun = true;
+        let Some(step) = entry.step(end.task.step).cloned() else { return };
+        let Some(task) = entry.task(end.task) else { return };
+        task.last_run = task.last_run.max(end.run);
+        if step.checkpointing && !end.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        if let Some(slot) = slot {
+            task.runs = task.runs.saturating_sub(1);
+            self.learn_time(end, &step, &slot, now);
+        }
+        match end.outcome {
+            Outcome::Done if !step.long_running => self.on_done(end.task, step.gang),
+            Outcome::Failed => self.on_failed(id, end, step.long_running),
+            _ => {}
+        }
+        self.requeue(end.task);
+    }
+
+    /// Learns how far off the client's guess was. Runs with a checkpoint are left out: they need
+    /// not have begun at the start of the work.
+    fn learn_time(&mut self, end: &End, step: &Step, slot: &Slot, now: Instant) {
+        let whole = end.outcome == Outcome::Done && !step.long_running;
+        if !whole || !slot.checkpoint.is_empty() {
+            return;
+        }
+        let Some(entry) = self.jobs.get(&end.task.job) else { return };
+        let guess = Duration::from_millis(step.estimate_ms);
+        let took = now.saturating_duration_since(slot.since);
+        self.demand.ran(&entry.accepted.queue, guess, took);
+    }
+
+    /// A task has failed; one that lasts is started again however often it does.
+    fn on_failed(&mut self, id: &str, end: &End, lasts: bool) {
+        let Some(entry) = self.jobs.get_mut(&end.task.job) else { return };
+        let limit = entry.accepted.max_attempts.max(1);
+        let Some(task) = entry.task(end.task) else { return };
+        if !task.avoid.iter().any(|other| other == id) {
+            task.avoid.push(id.to_owned());
+        }
+        if lasts || task.failed.contains(&end.run) {
+            return;
+        }
+        task.failed.push(end.run);
+        let failed = task.failed.len() as u32;
+        let ends_job = failed >= limit && entry.is_active();
+        self.dirty.insert(end.task.job);
+        log::info!(
+            task = end.task.to_string().as_str(),
+            run = end.run,
+            worker = id,
+            failed,
+            limit;
+            "task failed"
+        );
+        if ends_job {
+            self.end_job(end.task.job, JobState::Failed);
+        }
+    }
+
+    /// Counts failures in a row of a worker; one that fails everything rests.
+    fn count_failure(&mut self, id: &str, outcome: Outcome, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        match outcome {
+            Outcome::Done => worker.failures = 0,
+            Outcome::Failed => {
+                worker.failures += 1;
+                if worker.failures >= FAILURES_IN_A_ROW {
+                    worker.rest_until = now + REST_FAILING;
+                    log::warn!(
+                        worker = id,
+                        failures = worker.failures;
+                        "worker fails everything, rests"
+                    );
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Matches what a worker says it runs with what it should run.
+    fn adopt(&mut self, id: &str, running: &[Running], now: Instant) {
+        for told in running {
+            let Some(worker) = self.workers.get_mut(id) else { return };
+            match worker.slots.get_mut(&told.task) {
+                Some(slot) if slot.run == told.run => refresh(slot, told, now),
+                Some(_) => {
+                    // The slot is for a later run, so this one must end first.
+                    let peer = worker.peer.clone();
+                    self.outbox.push(Order::Stop { peer, task: told.task, run: told.run });
+                }
+                None => self.adopt_unknown(id, told, now),
+            }
+        }
+    }
+
+    /// A run ordered by an earlier scheduler: it goes on if its task needs it, else it is stopped.
+    fn adopt_unknown(&mut self, id: &str, told: &Running, now: Instant) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let peer = worker.peer.clone();
+        let (room, kind) = self.shape(told.task);
+        let wanted = self.count_found(told);
+        let phase = if wanted { Phase::Live(now) } else { Phase::Stopping(None) };
+        let mut slot = Slot::new(told.run, phase, room, kind, now);
+        refresh(&mut slot, told, now);
+        log::info!(
+            task = told.task.to_string().as_str(),
+            run = told.run,
+            worker = id,
+            wanted;
+            "unknown run found"
+        );
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.insert(told.task, slot);
+        }
+        if !wanted {
+            self.outbox.push(Order::Stop { peer, task: told.task, run: told.run });
+        }
+    }
+
+    /// What a task takes of a worker's room, and what kind of neighbour it is. Nothing is known
+    /// of that while its job is not.
+    fn shape(&self, name: TaskName) -> (Room, Kind) {
+        let step = self.jobs.get(&name.job).and_then(|entry| entry.step(name.step));
+        match step {
+            Some(step) => (Entry::room_of(step), Entry::kind_of(step)),
+            None => (Room::default(), Kind::Works),
+        }
+    }
+
+    /// Counts a run that was found for its task; returns whether it may go on. One whose job is
+    /// not known may: the record of the job may still be on its way from the store.
+    fn count_found(&mut self, told: &Running) -> bool {
+        let Some(entry) = self.jobs.get_mut(&told.task.job) else { return true };
+        let active = entry.is_active();
+        entry.open_time(told.task.time);
+        entry.begun = true;
+        let Some(task) = entry.task(told.task) else { return false };
+        task.last_run = task.last_run.max(told.run);
+        let wanted = active && !task.done && task.runs == 0;
+        task.runs += 1;
+        if wanted && let Some(run) = entry.step_run(told.task.time, told.task.step) {
+            run.waiting.remove(&told.task.index);
+        }
+        wanted
+    }
+
+    /// Removes runs that a look should have shown and did not.
+    fn drop_missing(&mut self, id: &str, sent: Instant, running: &[Running]) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let shown: HashSet<(TaskName, Run)> =
+            running.iter().map(|told| (told.task, told.run)).collect();
+        let missing = worker.slots.iter().filter(|(task, slot)| {
+            let settled = match slot.phase {
+                Phase::Starting => false,
+                Phase::Live(since) => since < sent,
+                Phase::Stopping(since) => since.is_some_and(|since| since < sent),
+            };
+            settled && !shown.contains(&(**task, slot.run))
+        });
+        let missing: Vec<TaskName> = missing.map(|(task, _)| *task).collect();
+        for (task, slot) in take_slots(worker, &missing) {
+            self.run_gone(task, slot);
+        }
+    }
+
+    /// A look had no answer.
+    pub fn on_miss(&mut self, id: &str) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.misses += 1;
+        if worker.fenced && !worker.noted_silent {
+            worker.noted_silent = true;
+            self.roster.push(record::worker(id, &worker.known()));
+        }
+    }
+}
+
+/// Takes over what a worker tells of a run.
+fn refresh(slot: &mut Slot, told: &Running, now: Instant) {
+    if slot.phase == Phase::Starting {
+        slot.phase = Phase::Live(now);
+    }
+    if told.percent != slot.percent {
+        slot.percent = told.percent;
+        slot.moved_at = now;
+    }
+    slot.figure = told.figure;
+    if !told.checkpoint.is_empty() {
+        slot.checkpoint.clone_from(&told.checkpoint);
+    }
+}
--- /dev/null
+++ b/lib/src/batch/cell/workers.rs
@@ -0,0 +1,169 @@
+//! Workers: met, silent and gone, and the waves that empty their machines.
+
+use std::time::Instant;
+
+use spokelift_platform::job::TaskName;
+use spokelift_platform::machine::MachineId;
+use spokelift_platform::worker;
+use spokelift_platform::worker::Peer;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::WorkerId;
+
+use crate::batch::cell::Cell;
+use crate::batch::cell::Doubt;
+use crate::batch::record;
+use crate::batch::record::Known;
+use crate::batch::worker::Slot;
+use crate::batch::worker::Worker;
+
+impl Cell {
+    /// Takes in a worker's entry.
+    pub fn meet(&mut self, peer: Peer, entry: worker::Entry, now: Instant) -> bool {
+        let id = peer.id.clone();
+        if let Some(known) = self.workers.get_mut(&id) {
+            known.update(entry);
+            return false;
+        }
+        let worker = Worker::new(peer, entry, now);
+        self.roster.push(record::worker(&id, &worker.known()));
+        self.workers.insert(id, worker);
+        true
+    }
+
+    /// Removes workers that lived on a machine before `current` did. Which of two lives is the
+    /// later one is told by answers only, since reads of the store and of the list of machines may
+    /// be seconds old.
+    pub fn end_other_lives(&mut self, machine: &str, current: &str) {
+        let lived = |worker: &&Worker| {
+            worker.entry.machine.as_deref() == Some(machine) && worker.peer.id != current
+        };
+        let gone: Vec<WorkerId> =
+            self.workers.values().filter(lived).map(|worker| worker.peer.id.clone()).collect();
+        for id in gone {
+            self.remove_worker(&id, "another worker lives on its machine");
+        }
+    }
+
+    /// Takes in a worker that an earlier scheduler used; it may not be listed any more.
+    pub fn meet_known(&mut self, id: WorkerId, known: Known, now: Instant) {
+        if self.workers.contains_key(&id) {
+            return;
+        }
+        if let Some(tasks) = &known.silent_with {
+            let names = tasks.iter().map(|(job, (time, step, index))| TaskName {
+                job: *job,
+                time: *time,
+                step: *step,
+                index: *index,
+            });
+            self.silent_with.insert(id.clone(), names.collect());
+        }
+        let entry = worker::Entry {
+            service: known.service,
+            address: known.addr,
+            hall: String::new(),
+            draining: true,
+            room: Room::default(),
+            labels: Vec::new(),
+            leaves_in_ms: None,
+            machine: known.machine,
+        };
+        let mut worker = Worker::new(Peer { id: id.clone(), addr: known.addr }, entry, now);
+        worker.listed = false;
+        worker.noted_silent = known.silent_with.is_some();
+        self.workers.insert(id, worker);
+    }
+
+    /// The store no longer lists a worker. It may still run what it was told.
+    pub fn unlist(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.listed = false;
+        }
+    }
+
+    /// A worker's life is over, or all it ran has lapsed: its tasks wait for room again.
+    pub fn remove_worker(&mut self, id: &str, why: &str) {
+        let Some(worker) = self.workers.remove(id) else { return };
+        log::info!(worker = id, why, runs = worker.slots.len(); "worker gone");
+        self.unasked.remove(id);
+        self.roster.push(record::forget_worker(id));
+        for (task, slot) in worker.slots {
+            self.run_gone(task, slot);
+        }
+    }
+
+    /// Everything on a silent worker has lapsed by now; it may come back.
+    pub fn lapse(&mut self, id: &str) {
+        self.unasked.remove(id);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let tasks: Vec<TaskName> = worker.slots.keys().copied().collect();
+        let slots = take_slots(worker, &tasks);
+        if !slots.is_empty() {
+            log::info!(worker = id, runs = slots.len(); "leases lapsed");
+        }
+        for (task, slot) in slots {
+            self.run_gone(task, slot);
+        }
+    }
+
+    /// Workers that are silent and whose leases have run out.
+    pub fn lapsed(&self, now: Instant) -> Vec<(WorkerId, bool)> {
+        let silent = self.workers.values().filter(|worker| worker.misses > 0 || !worker.fenced);
+        let lapsed = silent.filter(|worker| worker.lapses_at() <= now);
+        lapsed.map(|worker| (worker.peer.id.clone(), worker.listed)).collect()
+    }
+
+    /// A run is known to be gone: its task waits for room again, with what the run has saved.
+    pub(super) fn run_gone(&mut self, name: TaskName, slot: Slot) {
+        let Some(entry) = self.jobs.get_mut(&name.job) else { return };
+        let saves = entry.step(name.step).is_some_and(|step| step.checkpointing);
+        let Some(task) = entry.task(name) else { return };
+        task.runs = task.runs.saturating_sub(1);
+        if saves && !slot.checkpoint.is_empty() {
+            task.checkpoint = slot.checkpoint;
+        }
+        self.requeue(name);
+    }
+
+    /// A machine's upkeep has begun.
+    pub fn upkeep_begun(&mut self, wave: u64, machine: &str) {
+        let begun = self.begun.entry(wave).or_default();
+        begun.insert(machine.to_owned());
+        let machines: Vec<MachineId> = begun.iter().cloned().collect();
+        self.roster.push(record::wave(wave, &machines));
+    }
+
+    /// A wave is over.
+    pub fn wave_over(&mut self, wave: u64) {
+        if self.begun.remove(&wave).is_some() {
+            self.roster.push(record::forget_wave(wave));
+        }
+    }
+
+    /// What an earlier scheduler may have started on workers that have not been asked.
+    pub fn doubt(&self) -> Doubt {
+        let mut doubt = Doubt::default();
+        for id in &self.unasked {
+            match (self.silent_with.get(id), self.workers.get(id)) {
+                (Some(tasks), _) => doubt.tasks.extend(tasks),
+                (None, Some(worker)) => {
+                    doubt.services.insert(worker.entry.service.clone());
+                }
+                (None, None) => {}
+            }
+        }
+        doubt
+    }
+
+    /// Once every worker has been asked, nothing of an earlier scheduler is in doubt.
+    pub fn clear_inherited(&mut self) {
+        for entry in self.jobs.values_mut() {
+            entry.inherited = false;
+        }
+    }
+}
+
+/// Takes the slots of these tasks out of a worker.
+pub(super) fn take_slots(worker: &mut Worker, tasks: &[TaskName]) -> Vec<(TaskName, Slot)> {
+    tasks.iter().filter_map(|task| Some((*task, worker.remove(task)?))).collect()
+}
