batch: placing, gangs, making room and fitness stand in files of their own

Change: place.rs keeps the order of rank and single tasks; place/gang.rs places gangs, place/room.rs stops tasks that end by themselves for one that lasts, place/fit.rs says whether a worker may run a task and how well it suits. `Demand` is now `Ask`, since `demand::Demand` is what is learned of the load. A gang's run number and checkpoint are set on all members before the first is started, not each before its own start, which comes to the same: a start reads those of its own task only.

--- /dev/null
+++ b/lib/src/batch/place/fit.rs
@@ -0,0 +1,123 @@
+//! Whether a worker may run a task, and how well it suits.
+
+use std::time::Instant;
+
+use spokelift_platform::job::Step;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::WorkerId;
+use thiserror::Error;
+
+use crate::batch::cell::Cell;
+use crate::batch::job::Entry;
+use crate::batch::worker::Closed;
+use crate::batch::worker::Kind;
+use crate::batch::worker::Worker;
+
+/// What is asked of a worker.
+pub(super) struct Ask<'a> {
+    task: TaskName,
+    service: &'a str,
+    step: &'a Step,
+    pub(super) need: Room,
+    kind: Kind,
+    /// Workers on which the task has failed.
+    avoid: &'a [WorkerId],
+}
+
+impl<'a> Ask<'a> {
+    /// What a task of a step asks.
+    pub(super) fn new(
+        task: TaskName,
+        service: &'a str,
+        step: &'a Step,
+        avoid: &'a [WorkerId],
+    ) -> Ask<'a> {
+        let (need, kind) = (Entry::room_of(step), Entry::kind_of(step));
+        Ask { task, service, step, need, kind, avoid }
+    }
+}
+
+/// Why a worker may not run a task now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Hindrance {
+    /// It belongs to another service.
+    #[error("another service")]
+    Service,
+    /// It is given nothing new.
+    #[error("{0}")]
+    Closed(Closed),
+    /// It lacks the label that the step requires.
+    #[error("label missing")]
+    Label,
+    /// As many tasks of the step as allowed may run there.
+    #[error("spread of the step")]
+    Spread,
+    /// There is not enough room.
+    #[error("no room")]
+    Room,
+}
+
+/// Why a worker may not run the task now; `None` if it may.
+fn hindrance(worker: &Worker, ask: &Ask<'_>, now: Instant) -> Option<Hindrance> {
+    let step = ask.step;
+    if worker.entry.service != ask.service {
+        return Some(Hindrance::Service);
+    }
+    if let Some(closed) = worker.closed(now) {
+        return Some(Hindrance::Closed(closed));
+    }
+    if step.requires.as_ref().is_some_and(|label| !worker.entry.labels.contains(label)) {
+        return Some(Hindrance::Label);
+    }
+    let crowded = step.max_per_worker > 0 && worker.count_of_step(ask.task) >= step.max_per_worker;
+    if crowded || worker.slots.contains_key(&ask.task) {
+        return Some(Hindrance::Spread);
+    }
+    if worker.clock.is_none() || !worker.fits(ask.need) {
+        return Some(Hindrance::Room);
+    }
+    None
+}
+
+/// Why a worker may not run a task of a known job now; `None` if it may.
+pub fn hindrance_of(
+    cell: &Cell,
+    worker: &Worker,
+    task: TaskName,
+    now: Instant,
+) -> Option<Hindrance> {
+    let entry = cell.jobs.get(&task.job)?;
+    let step = entry.step(task.step)?;
+    hindrance(worker, &Ask::new(task, &entry.accepted.service, step, &[]), now)
+}
+
+/// Whether a worker may run the task now.
+pub(super) fn allows(worker: &Worker, ask: &Ask<'_>, now: Instant) -> bool {
+    hindrance(worker, ask, now).is_none()
+}
+
+/// Order of preference among workers that may run the task; the least comes first.
+pub(super) fn cost(worker: &Worker, ask: &Ask<'_>) -> (bool, bool, u32, u32, u32) {
+    let avoided = ask.avoid.contains(&worker.peer.id);
+    let far = match &ask.step.data_rack {
+        Some(rack) => !worker.entry.labels.contains(rack),
+        None => false,
+    };
+    let crowd = match ask.kind {
+        // Users should not share a worker with what takes leftovers.
+        Kind::Serves(_) => worker.slots.values().filter(|slot| slot.kind == Kind::Fills).count(),
+        Kind::Fills => worker
+            .slots
+            .values()
+            .filter(|slot| matches!(slot.kind, Kind::Serves(_) | Kind::Fills))
+            .count(),
+        _ => 0,
+    };
+    // Tasks that last stand together, so that other machines are free to be moved.
+    let lasting = match ask.kind {
+        Kind::Works => 0,
+        _ => worker.slots.values().filter(|slot| slot.kind != Kind::Works).count() as u32,
+    };
+    (avoided, far, crowd as u32 + worker.failures, u32::MAX - lasting, u32::MAX - worker.free.cpu)
+}
--- /dev/null
+++ b/lib/src/batch/place/gang.rs
@@ -0,0 +1,132 @@
+//! Gangs: tasks that are started together or not at all.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use spokelift_platform::job::Step;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::WorkerId;
+
+use crate::batch::cell::Cell;
+use crate::batch::cell::Rank;
+use crate::batch::job::Entry;
+use crate::batch::place::fit::Ask;
+use crate::batch::place::fit::allows;
+use crate::batch::place::fit::cost;
+use crate::batch::worker::Worker;
+
+/// What members of a gang that are being placed take of each worker: room, and their number.
+type Taken = HashMap<WorkerId, (Room, u32)>;
+
+impl Cell {
+    /// Starts all members of a gang, or none.
+    pub(super) fn place_gang(&mut self, rank: Rank, service: &str, step: &Step, now: Instant) {
+        let Rank { time, step: number, job, .. } = rank;
+        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        let Some(run) = entry.step_run(time, number) else { return };
+        if run.waiting.len() < run.tasks.len() {
+            return;
+        }
+        let indices = 0..run.tasks.len() as u32;
+        let members: Vec<TaskName> =
+            indices.map(|index| TaskName { job, time, step: number, index }).collect();
+        let racks = self.racks(service, step);
+        let mut choices = racks
+            .iter()
+            .filter_map(|rack| self.choose_members(&members, service, step, rack.as_deref(), now));
+        let Some(chosen) = choices.next() else { return };
+        self.start_gang(rank, chosen, step, now);
+        self.ready.remove(&rank);
+    }
+
+    /// Starts the members of a gang, which share one run number and go on from one checkpoint.
+    fn start_gang(
+        &mut self,
+        rank: Rank,
+        chosen: Vec<(TaskName, WorkerId)>,
+        step: &Step,
+        now: Instant,
+    ) {
+        let Some(entry) = self.jobs.get_mut(&rank.job) else { return };
+        let Some(run) = entry.step_run(rank.time, rank.step) else { return };
+        let last = run.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
+        let saved = run.tasks.iter().find(|task| !task.checkpoint.is_empty());
+        let checkpoint = saved.map(|task| task.checkpoint.clone()).unwrap_or_default();
+        for task in &mut run.tasks {
+            task.last_run = last;
+            task.checkpoint.clone_from(&checkpoint);
+        }
+        for (task, worker) in chosen {
+            self.start(task, &worker, step, None, now);
+        }
+    }
+
+    /// Racks to try for a gang; `None` stands for any mix of racks.
+    fn racks(&self, service: &str, step: &Step) -> Vec<Option<String>> {
+        let mut racks = Vec::new();
+        if step.same_rack {
+            let workers = self.workers.values().filter(|worker| worker.entry.service == service);
+            let mut names: Vec<String> =
+                workers.filter_map(|worker| worker.entry.rack().map(str::to_owned)).collect();
+            names.sort();
+            names.dedup();
+            racks.extend(names.into_iter().map(Some));
+        }
+        racks.push(None);
+        racks
+    }
+
+    /// A worker for each member; `None` if there is not enough room for all.
+    fn choose_members(
+        &self,
+        members: &[TaskName],
+        service: &str,
+        step: &Step,
+        rack: Option<&str>,
+        now: Instant,
+    ) -> Option<Vec<(TaskName, WorkerId)>> {
+        let need = Entry::room_of(step);
+        let mut chosen = Vec::new();
+        let mut taken = Taken::new();
+        for task in members {
+            let worker = self.choose_member(*task, service, step, rack, &taken, now)?;
+            let (sum, count) = taken.entry(worker.clone()).or_default();
+            *sum = plus(*sum, need);
+            *count += 1;
+            chosen.push((*task, worker));
+        }
+        Some(chosen)
+    }
+
+    /// The best worker for a member beside what others of the gang have taken.
+    fn choose_member(
+        &self,
+        task: TaskName,
+        service: &str,
+        step: &Step,
+        rack: Option<&str>,
+        taken: &Taken,
+        now: Instant,
+    ) -> Option<WorkerId> {
+        let ask = Ask::new(task, service, step, &[]);
+        let fits = |worker: &&Worker| {
+            let (sum, count) = taken.get(&worker.peer.id).copied().unwrap_or_default();
+            let room = plus(sum, ask.need);
+            let apart = step.max_per_worker == 0
+                || worker.count_of_step(task) + count < step.max_per_worker;
+            let on_rack = rack.is_none() || worker.entry.rack() == rack;
+            apart && on_rack && worker.fits(room) && allows(worker, &ask, now)
+        };
+        let best = self.workers.values().filter(fits).min_by_key(|worker| cost(worker, &ask));
+        best.map(|worker| worker.peer.id.clone())
+    }
+}
+
+fn plus(one: Room, other: Room) -> Room {
+    Room {
+        cpu: one.cpu + other.cpu,
+        memory_mb: one.memory_mb + other.memory_mb,
+        gpu: one.gpu + other.gpu,
+    }
+}
--- /dev/null
+++ b/lib/src/batch/place/room.rs
@@ -0,0 +1,81 @@
+//! Room for tasks that last, made by stopping some that end by themselves.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::job::Step;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::Room;
+
+use crate::batch::cell::Cell;
+use crate::batch::job::Entry;
+use crate::batch::worker::Kind;
+use crate::batch::worker::Phase;
+use crate::batch::worker::Slot;
+use crate::batch::worker::Worker;
+
+/// How long after others were stopped for a task before more are stopped for it; a stop takes up
+/// to 0.9 s.
+const MAKE_ROOM_AGAIN: Duration = Duration::from_millis(1_500);
+
+impl Cell {
+    /// Stops tasks that end by themselves so that one that lasts gets their room. They are chosen
+    /// so that the least work is lost.
+    pub(super) fn make_room(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
+        let recently = |at: Instant| now.saturating_duration_since(at) < MAKE_ROOM_AGAIN;
+        let Some(task) = self.jobs.get_mut(&name.job).and_then(|entry| entry.task(name)) else {
+            return;
+        };
+        if task.made_room_at.is_some_and(recently) {
+            return;
+        }
+        let need = Entry::room_of(step);
+        let usable = self.workers.values().filter(|worker| {
+            let apart =
+                step.max_per_worker == 0 || worker.count_of_step(name) < step.max_per_worker;
+            worker.entry.service == service && worker.takes_work(now) && apart
+        });
+        let plans =
+            usable.filter_map(|worker| Some((victims(worker, need, now)?, worker.peer.id.clone())));
+        let Some(((lost, tasks), worker)) = plans.min_by_key(|((lost, _), _)| *lost) else {
+            return;
+        };
+        if let Some(task) = self.jobs.get_mut(&name.job).and_then(|entry| entry.task(name)) {
+            task.made_room_at = Some(now);
+        }
+        log::info!(
+            task = name.to_string().as_str(),
+            worker = worker.as_str(),
+            stopped = tasks.len(),
+            lost_ms = lost;
+            "makes room"
+        );
+        for task in tasks {
+            self.stop_run(&worker, task);
+        }
+    }
+}
+
+/// The tasks to stop on a worker so that `need` fits, youngest first, and the core-milliseconds
+/// of work that are lost; `None` if that cannot make enough room.
+fn victims(worker: &Worker, need: Room, now: Instant) -> Option<(u64, Vec<TaskName>)> {
+    let mut works: Vec<(&TaskName, &Slot)> = worker
+        .slots
+        .iter()
+        .filter(|(_, slot)| slot.kind == Kind::Works && matches!(slot.phase, Phase::Live(_)))
+        .collect();
+    works.sort_by_key(|(_, slot)| std::cmp::Reverse(slot.since));
+    let mut free = worker.free;
+    let (mut lost, mut tasks) = (0, Vec::new());
+    for (task, slot) in works {
+        if need.cpu <= free.cpu && need.memory_mb <= free.memory_mb {
+            break;
+        }
+        free.cpu += slot.room.cpu;
+        free.memory_mb += slot.room.memory_mb;
+        let ran = now.saturating_duration_since(slot.since).as_millis() as u64;
+        lost += ran * u64::from(slot.room.cpu) / 1_000;
+        tasks.push(*task);
+    }
+    (need.cpu <= free.cpu && need.memory_mb <= free.memory_mb).then_some((lost, tasks))
+}
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -12,8 +12,8 @@
 use spokelift_platform::job::parse_id;
 
 use crate::batch::cell::Cell;
-use crate::batch::place::Hindrance;
-use crate::batch::place::hindrance_of;
+use crate::batch::place::fit::Hindrance;
+use crate::batch::place::fit::hindrance_of;
 use crate::batch::pool::loads;
 use crate::batch::worker::Phase;
 
