lib, cli: one listen and one finish serve both kinds of daemon

Cause: `listen` and `StartError` stood word for word in daemon.rs and batch/node.rs, and the running of a future to its end, with the report of a failure, stood twice in spokeliftd.

Change: lib/src/listen.rs holds both; the node's `Counters` variant becomes the daemon's `Metrics`, which nobody can see, since counters without an address cannot fail. spokeliftd's `finish` serves on either runtime.

--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -2,6 +2,7 @@
 
 #![allow(missing_docs, reason = "a program, not a library")]
 
+use std::io;
 use std::io::Write;
 use std::process::ExitCode;
 
@@ -13,6 +14,7 @@
 use spokelift_lib::daemon::Sockets;
 use spokelift_lib::settings::Setting;
 use spokelift_lib::settings::Settings;
+use tokio::runtime::Runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
@@ -189,17 +191,7 @@
     }
     // One thread: these boxes have a share of one core, and each wake-up of another is charged.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let served = match runtime {
-        Ok(runtime) => runtime.block_on(serve_platform(settings)),
-        Err(error) => Err(error.into()),
-    };
-    match served {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error:?}");
-            ExitCode::FAILURE
-        }
-    }
+    finish(runtime, serve_platform(settings))
 }
 
 /// Serves until SIGTERM. Nothing in the settings changes while the process runs, so SIGHUP is
@@ -214,7 +206,9 @@
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
-                _ = reload.recv() => log::info!("the settings file has changed; nothing in it is read while running"),
+                _ = reload.recv() => log::info!(
+                    "the settings file has changed; nothing in it is read while running"
+                ),
             }
         }
         stop.send_replace(true);
@@ -223,10 +217,19 @@
     Ok(())
 }
 
+/// Runs as a daemon of a site.
 fn run(settings: Settings) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    finish(runtime, serve(settings))
+}
+
+/// Serves on a runtime to the end; tells on standard error why that failed.
+fn finish(
+    runtime: io::Result<Runtime>,
+    serving: impl Future<Output = Result<(), Box<dyn std::error::Error>>>,
+) -> ExitCode {
     let served = match runtime {
-        Ok(runtime) => runtime.block_on(serve(settings)),
+        Ok(runtime) => runtime.block_on(serving),
         Err(error) => Err(error.into()),
     };
     match served {
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -1,7 +1,6 @@
 //! A node on the platform: what its tasks share, and how it starts and stops.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -23,8 +22,6 @@
 use spokelift_platform::store::Store;
 use spokelift_platform::wave::Wave;
 use spokelift_platform::worker::Caller;
-use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -42,6 +39,8 @@
 use crate::batch::record::Accepted;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::view;
+use crate::listen::StartError;
+use crate::listen::listen;
 use crate::metrics::Counters;
 use crate::protocol::api::ApiError;
 use crate::transport::dial::Body;
@@ -117,7 +116,11 @@
         if current.as_ref().is_some_and(|current| current.version >= config.version) {
             return;
         }
-        log::info!(version = config.version, queues = config.queues.len(); "configuration in force");
+        log::info!(
+            version = config.version,
+            queues = config.queues.len();
+            "configuration in force"
+        );
         *current = Some(Arc::new(config));
     }
 
@@ -130,7 +133,13 @@
     pub fn add_wave(&self, wave: Wave) {
         let mut waves = self.waves.lock().expect("no holder of the waves panics");
         waves.entry(wave.number).or_insert_with(|| {
-            log::info!(wave = wave.number, machines = wave.machines.len(), max_down = wave.max_down, duration_s = wave.duration.as_secs(); "wave asked for");
+            log::info!(
+                wave = wave.number,
+                machines = wave.machines.len(),
+                max_down = wave.max_down,
+                duration_s = wave.duration.as_secs();
+                "wave asked for"
+            );
             wave
         });
     }
@@ -262,37 +271,13 @@
     }
 }
 
-/// Why a node could not start.
-#[derive(Debug, Error)]
-pub enum StartError {
-    /// An address could not be bound.
-    #[error("cannot listen for {purpose} on {addr}")]
-    Bind {
-        /// What the address is for.
-        purpose: &'static str,
-        /// The address.
-        addr: SocketAddr,
-        /// Why.
-        #[source]
-        source: io::Error,
-    },
-    /// The counters could not be made.
-    #[error("cannot count")]
-    Counters(#[source] io::Error),
-}
-
-async fn listen(purpose: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
-    let bound = TcpListener::bind(addr).await;
-    bound.map_err(|source| StartError::Bind { purpose, addr, source })
-}
-
 /// Runs a node until `stop` turns true and the requests in flight have ended.
 ///
 /// # Errors
 ///
 /// [`StartError`] if it cannot listen.
 pub async fn run(settings: Settings, mut stop: watch::Receiver<bool>) -> Result<(), StartError> {
-    let counters = Counters::new(None).map_err(StartError::Counters)?;
+    let counters = Counters::new(None).map_err(StartError::Metrics)?;
     let peer_addr = SocketAddr::new(settings.ip, settings.peer_port);
     let metrics_addr = SocketAddr::new(settings.ip, settings.metrics_port);
     let clients = listen("clients", settings.client_addr).await?;
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -9,7 +9,6 @@
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::Serialize;
-use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -26,6 +25,8 @@
 use crate::coordination::node::Node;
 use crate::coordination::snapshot;
 use crate::coordination::tend;
+use crate::listen::StartError;
+use crate::listen::listen;
 use crate::metrics::Counters;
 use crate::operate;
 use crate::settings::Settings;
@@ -36,25 +37,6 @@
 /// Ports tried where the system may choose.
 const BIND_TRIES: usize = 8;
 
-/// Why a daemon could not start.
-#[derive(Debug, Error)]
-pub enum StartError {
-    /// An address could not be bound.
-    #[error("cannot listen for {purpose} on {addr}")]
-    Bind {
-        /// What the address is for.
-        purpose: &'static str,
-        /// The address.
-        addr: SocketAddr,
-        /// Why.
-        #[source]
-        source: io::Error,
-    },
-    /// The metrics socket could not be made.
-    #[error("cannot send metrics")]
-    Metrics(#[source] io::Error),
-}
-
 /// The addresses a daemon listens on.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Addrs {
@@ -113,11 +95,6 @@
     Err(StartError::Bind { purpose, addr, source })
 }
 
-async fn listen(purpose: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
-    let bound = TcpListener::bind(addr).await;
-    bound.map_err(|source| StartError::Bind { purpose, addr, source })
-}
-
 /// Runs a daemon until `stop` turns true and the requests in flight have ended.
 ///
 /// Dropping the future, or the runtime it is on, is a crash.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod call;
 pub mod coordination;
 pub mod daemon;
+pub mod listen;
 pub mod metrics;
 pub mod operate;
 pub mod protocol;
