batch: a holder of the lead that goes on with its own earlier turn may order machines at once

The record of the lead now tells how long the turn has lasted; only where that exceeds the gap is it dropped.

--- a/lib/src/batch/lead.rs
+++ b/lib/src/batch/lead.rs
@@ -51,13 +51,15 @@
     pub addr: SocketAddr,
     /// The holder has given up the lead.
     pub released: bool,
+    /// How often the holder has renewed it.
+    pub renewals: u32,
 }
 
 impl Lead {
-    fn of(node: &Node, released: bool) -> Lead {
+    fn of(node: &Node, released: bool, renewals: u32) -> Lead {
         let settings = &node.settings;
         let addr = SocketAddr::new(settings.ip, settings.peer_port);
-        Lead { node: settings.node.clone(), life: node.life, addr, released }
+        Lead { node: settings.node.clone(), life: node.life, addr, released, renewals }
     }
 
     fn record(&self) -> Record {
@@ -71,6 +73,8 @@
     /// End of the topic, if it has been read.
     end: Option<Offset>,
     lead: Option<Lead>,
+    /// The last record of the holder before that in `lead`.
+    previous: Option<Lead>,
     /// Offset of the record in `lead`.
     offset: Offset,
     /// When something was last heard of the holder, or when the store last came back.
@@ -85,7 +89,15 @@
 pub async fn run(node: Arc<Node>) {
     let spread = SPREAD.mul_f64(rand::random::<f64>());
     let heard_at = Instant::now();
-    let mut view = View { end: None, lead: None, offset: 0, heard_at, interrupted: false, spread };
+    let mut view = View {
+        end: None,
+        lead: None,
+        previous: None,
+        offset: 0,
+        heard_at,
+        interrupted: false,
+        spread,
+    };
     loop {
         if let Err(error) = follow(&node, &mut view).await {
             node.counters.count("batch.lead.follow-failed");
@@ -119,15 +131,29 @@
     fn take(&mut self, record: &Record, offset: Offset) {
         let Some(value) = &record.value else { return };
         match postcard::from_bytes(value) {
-            Ok(lead) => {
-                self.lead = Some(lead);
-                self.offset = offset;
-            }
+            Ok(lead) => self.replace(lead, offset),
             Err(error) => log::error!("the record of the lead does not decode: {error}"),
         }
         self.heard_at = Instant::now();
     }
 
+    fn replace(&mut self, lead: Lead, offset: Offset) {
+        if self.lead.as_ref().is_some_and(|last| last.life != lead.life) {
+            self.previous = self.lead.take();
+        }
+        self.lead = Some(lead);
+        self.offset = offset;
+    }
+
+    /// Whether the last turn was this node's own, in an earlier life, and so long that the one
+    /// before it is far enough away.
+    fn continues_own_turn(&self, node: &Node) -> bool {
+        let gap = node.settings.turn_gap;
+        self.previous.as_ref().is_some_and(|previous| {
+            previous.node == node.settings.node && RENEW * previous.renewals > gap
+        })
+    }
+
     fn take_page(&mut self, from: Offset, page: &Page) {
         for (offset, record) in (from..).zip(&page.records) {
             self.take(record, offset);
@@ -174,7 +200,7 @@
 /// one that counts, also if the answer is lost.
 async fn claim(node: &Node, view: &mut View) {
     let Some(end) = view.end else { return };
-    let record = Lead::of(node, false).record();
+    let record = Lead::of(node, false, 0).record();
     let claimed = node.store.append(TOPIC, &[record], Guard::At(end), CALL).await;
     log::info!(at = end, ok = claimed.is_ok(); "claims the lead");
     if claimed.is_err() {
@@ -187,7 +213,8 @@
     let token: Token = view.offset + 1;
     log::info!(token; "holds the lead");
     node.counters.count("batch.lead.held");
-    let scheduler = Scheduler::begin(node.clone(), token);
+    let gap = if view.continues_own_turn(node) { Duration::ZERO } else { node.settings.turn_gap };
+    let scheduler = Scheduler::begin(node.clone(), token, gap);
     let why = renew(node, view, &scheduler).await;
     scheduler.end();
     node.set_scheduler(None);
@@ -200,6 +227,7 @@
 
 /// Renews the lead; returns why that ended.
 async fn renew(node: &Arc<Node>, view: &mut View, scheduler: &Arc<Scheduler>) -> &'static str {
+    let mut renewals = 0;
     loop {
         if node.is_stopping() {
             scheduler.settle().await;
@@ -211,10 +239,11 @@
         }
         let Some(end) = view.end else { return "the end of the topic is not known" };
         let sent = Instant::now();
-        let record = Lead::of(node, false).record();
+        let record = Lead::of(node, false, renewals + 1).record();
         match node.store.append(TOPIC, &[record], Guard::At(end), CALL).await {
             Ok(appended) => {
                 view.end = Some(appended.end);
+                renewals += 1;
                 scheduler.set_renewed(sent);
                 node.wait_stopping(RENEW).await;
             }
@@ -246,7 +275,7 @@
 
 async fn release(node: &Node, view: &View) {
     let Some(end) = view.end else { return };
-    let record = Lead::of(node, true).record();
+    let record = Lead::of(node, true, 0).record();
     if let Err(error) = node.store.append(TOPIC, &[record], Guard::At(end), CALL).await {
         // The others then wait for the silence.
         log::warn!("the lead cannot be given up: {error}");
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -73,12 +73,15 @@
     renewed_at: Mutex<Instant>,
     /// When this scheduler began.
     pub began_at: Instant,
+    /// How long after that no order about a machine is given, since the turn of an earlier holder
+    /// must be over for some time.
+    turn_gap: Duration,
     over: CancellationToken,
 }
 
 impl Scheduler {
     /// Begins: reads the store, then looks at every worker, then starts tasks.
-    pub fn begin(node: Arc<Node>, token: Token) -> Arc<Scheduler> {
+    pub fn begin(node: Arc<Node>, token: Token, turn_gap: Duration) -> Arc<Scheduler> {
         let now = Instant::now();
         let cell = Cell::new(token);
         let scheduler = Arc::new(Scheduler {
@@ -90,6 +93,7 @@
             flushed: watch::Sender::new(0),
             renewed_at: Mutex::new(now),
             began_at: now,
+            turn_gap,
             over: CancellationToken::new(),
         });
         scheduler.spawn(run(scheduler.clone()));
@@ -126,7 +130,7 @@
     /// for some time, and that of a later one cannot have begun.
     pub fn may_order_machines(&self) -> bool {
         let renewed = self.renewed_at.lock().expect("no holder of the time panics").elapsed();
-        self.began_at.elapsed() >= self.node.settings.turn_gap && renewed <= RENEWED
+        self.began_at.elapsed() >= self.turn_gap && renewed <= RENEWED
     }
 
     /// Something may be started, or is to be sent.
