batch: a node's answers to peers and to operators stand in files of their own

Cause: node.rs held what the tasks of a node share, how it starts and stops, what it answers to other nodes and what it shows operators, in 367 lines.

Change: node/answer.rs answers other nodes, with the write for a peer as a function of its own; node/operate.rs shows metrics and views. node.rs keeps the rest. Answers and times are as before.

--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -1,5 +1,8 @@
 //! A node on the platform: what its tasks share, and how it starts and stops.
 
+mod answer;
+mod operate;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,7 +19,6 @@
 use spokelift_platform::job::JobId;
 use spokelift_platform::machine::Machines;
 use spokelift_platform::settings::Settings;
-use spokelift_platform::store::Guard;
 use spokelift_platform::store::Offset;
 use spokelift_platform::store::Page;
 use spokelift_platform::store::Store;
@@ -31,18 +33,16 @@
 use crate::batch::intake;
 use crate::batch::lead;
 use crate::batch::lead::Lead;
+use crate::batch::node::operate::operate;
 use crate::batch::operator;
 use crate::batch::peer;
 use crate::batch::peer::Peers;
 use crate::batch::peer::Reply;
-use crate::batch::record;
 use crate::batch::record::Accepted;
 use crate::batch::scheduler::Scheduler;
-use crate::batch::view;
 use crate::listen::StartError;
 use crate::listen::listen;
 use crate::metrics::Counters;
-use crate::protocol::api::ApiError;
 use crate::transport::dial::Body;
 use crate::transport::dial::Dialer;
 use crate::transport::dial::full;
@@ -53,9 +53,6 @@
 /// How long a node goes on serving after SIGTERM. The platform asks each second whether it is
 /// ready, and stops sending new connections after two misses.
 const STOP_DELAY: Duration = Duration::from_millis(2_600);
-/// How long one call to the store for a peer may take.
-const PEER_CALL: Duration = Duration::from_millis(500);
-
 /// Pause after a read through another node.
 const READ_PAUSE: Duration = Duration::from_millis(250);
 
@@ -204,32 +201,6 @@
         }
     }
 
-    /// Answers another node.
-    pub async fn answer_peer(&self, request: peer::Request) -> Reply {
-        if let peer::Request::Store(id, accepted) = request {
-            let record = record::accepted(id, &accepted);
-            let written =
-                self.store.append(record::JOB_TOPIC, &[record], Guard::None, PEER_CALL).await;
-            return match written {
-                Ok(_) => {
-                    self.tell_submitted(id, *accepted);
-                    Reply::Done
-                }
-                Err(error) if error.is_certain() => Reply::Refused,
-                // Silence tells the sender that it is not known.
-                Err(_) => std::future::pending().await,
-            };
-        }
-        if let peer::Request::Read(topic, from) = request {
-            let page = self.store.read(&topic, from, Duration::ZERO, PEER_CALL).await;
-            return page.map_or(Reply::Refused, Reply::Page);
-        }
-        match self.scheduler() {
-            Some(scheduler) => scheduler.answer(request).await,
-            None => Reply::NotReady,
-        }
-    }
-
     /// Reads a topic, through another node if the store turns this one away.
     ///
     /// # Errors
@@ -316,37 +287,10 @@
     Ok(())
 }
 
+/// Tells the platform whether clients may be sent here.
 async fn ready(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let known = request.uri().path() == READINESS_PATH;
     let ready = known && node.config().is_some() && !node.is_stopping();
     let response = Response::builder().status(if ready { 200 } else { 503 });
     response.body(full("")).expect("a status makes an answer")
 }
-
-/// Answers operators: metrics as text, views of batch work as JSON.
-async fn operate(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let path = request.uri().path().to_owned();
-    if !path.starts_with(view::PATH) {
-        return Response::new(full(metrics_text(&node)));
-    }
-    let (status, text) = match node.ask_lead(peer::Request::View(path)).await {
-        Some(Reply::View(Some(view))) => (200, view),
-        Some(Reply::View(None)) => {
-            (404, refusal(&ApiError::NotFound { what: "view or job".into() }))
-        }
-        _ => (503, refusal(&ApiError::Stale)),
-    };
-    let response = Response::builder().status(status).header("content-type", "application/json");
-    response.body(full(text)).expect("a status makes an answer")
-}
-
-fn refusal(error: &ApiError) -> String {
-    serde_json::to_string(error).expect("the protocol's errors can be written as JSON")
-}
-
-fn metrics_text(node: &Node) -> String {
-    let totals = node.counters.totals();
-    let lines =
-        totals.iter().map(|(name, total)| format!("{} {total}\n", name.replace(['.', '-'], "_")));
-    lines.collect()
-}
