testutils: the ledger stands in a file of its own; the worker's start and end read in steps

Cause: the stand-in's worker.rs held both the worker and the judge of all workers, with a start of 45 lines under one lock and the choice of how a task ends in two places.

Change: platform/ledger.rs is the judge, moved word for word. `Inner::take` decides on a start, `State::over` on what ends and how; the site's configuration is a function. What is judged, and each fault, is as before.

--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -22,9 +22,9 @@
 
 use crate::platform::answer;
 use crate::platform::header_number;
+use crate::platform::ledger::Ledger;
 use crate::platform::read_json;
 use crate::platform::store::Store;
-use crate::platform::worker::Ledger;
 use crate::platform::worker::Shape;
 use crate::platform::worker::Worker;
 
@@ -160,9 +160,12 @@
             .map(|(id, machine)| {
                 let worker = machine.worker.as_ref().map(|worker| worker.id.clone());
                 json!({
-                    "machine": id, "pool": machine.shape.service, "state": machine.status, "zone": "hall-1",
+                    "machine": id, "pool": machine.shape.service, "state": machine.status,
+                    "zone": "hall-1",
                     "labels": ["a", machine.shape.rack], "id": worker,
-                    "capacity": { "cpu": machine.shape.cpu, "memMb": machine.shape.memory, "gpu": 0 },
+                    "capacity": {
+                        "cpu": machine.shape.cpu, "memMb": machine.shape.memory, "gpu": 0,
+                    },
                 })
             })
             .collect();
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -26,10 +26,10 @@
 use spokelift_platform::store::Record;
 use tokio::time::sleep;
 
+use crate::platform::ledger::Ledger;
 use crate::platform::machines::Machines;
 use crate::platform::store::Door;
 use crate::platform::store::Store;
-use crate::platform::worker::Ledger;
 use crate::platform::worker::Shape;
 
 /// How long a client waits for an answer.
@@ -68,6 +68,7 @@
 }
 
 impl Node {
+    /// Writes the settings of a daemon, which is not started yet.
     async fn prepare(
         store: &Store,
         machines: SocketAddr,
@@ -156,10 +157,28 @@
     IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number as u8 + 1))
 }
 
+/// A port that is free now.
 fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
     std::net::TcpListener::bind((ip, 0))?.local_addr()
 }
 
+/// One queue, whose tasks run in service `work`; service `spare` is a reserve.
+fn config() -> Value {
+    json!({
+        "version": 1,
+        "routes": [{
+            "name": "q", "host": HOST, "pathPrefix": "/q/", "kind": "unsafe",
+            "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0, "service": "work",
+            "maxAttempts": 3, "stretch": 1.6,
+        }],
+        "services": [
+            { "name": "work", "enforcesCapacity": true, "headroom": false },
+            { "name": "spare", "enforcesCapacity": true, "headroom": true },
+        ],
+        "limits": { "maxBodyBytes": 262144 },
+    })
+}
+
 impl Site {
     /// Starts daemons of `program`, with `workers` machines in pool `work` and `reserve` in pool
     /// `spare`, and waits until one of them answers clients.
@@ -177,19 +196,7 @@
             let shape = Shape { service: service.to_owned(), rack, cpu: 8_000, memory: 8_000 };
             machines.add(&format!("m-{number}"), shape).await?;
         }
-        let config = json!({
-            "version": 1,
-            "routes": [{
-                "name": "q", "host": HOST, "pathPrefix": "/q/", "kind": "unsafe", "timeoutMs": 3000,
-                "targetLatencyMs": 600, "priority": 0, "service": "work", "maxAttempts": 3, "stretch": 1.6,
-            }],
-            "services": [
-                { "name": "work", "enforcesCapacity": true, "headroom": false },
-                { "name": "spare", "enforcesCapacity": true, "headroom": true },
-            ],
-            "limits": { "maxBodyBytes": 262144 },
-        });
-        store.put(OPERATOR_TOPIC, Record::set("config", config.to_string()));
+        store.put(OPERATOR_TOPIC, Record::set("config", config().to_string()));
         let mut site =
             Site { store, machines, ledger, nodes: Vec::new(), dialer: Dialer::new(ANSWER) };
         for number in 0..nodes {
@@ -201,6 +208,7 @@
         Ok(site)
     }
 
+    /// Calls a node as a client; status 0 if there is no answer.
     async fn call(&self, node: usize, method: Method, path: &str, body: Value) -> (u16, Value) {
         let addr = self.nodes[node].client_addr;
         let body = if body.is_null() { String::new() } else { body.to_string() };
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -25,6 +25,7 @@
 use tokio::time::timeout;
 
 use crate::platform::answer;
+use crate::platform::ledger::Ledger;
 use crate::platform::read_json;
 use crate::platform::store::Store;
 
@@ -35,71 +36,6 @@
 /// A worker's clock stood at this when it started, in milliseconds.
 const CLOCK_START: u64 = 1_000;
 
-/// What all workers of a site saw: the judge of whether a task ran twice.
-#[derive(Clone, Default)]
-pub struct Ledger {
-    inner: Arc<Mutex<LedgerInner>>,
-}
-
-#[derive(Default)]
-struct LedgerInner {
-    running: HashMap<String, u32>,
-    done: HashMap<String, u32>,
-    starts: HashMap<String, u32>,
-    faults: Vec<String>,
-}
-
-impl Ledger {
-    fn lock(&self) -> MutexGuard<'_, LedgerInner> {
-        self.inner.lock().expect("no holder panics")
-    }
-
-    fn started(&self, task: &str, run: u64) {
-        let mut ledger = self.lock();
-        *ledger.starts.entry(task.to_owned()).or_default() += 1;
-        let running = ledger.running.entry(task.to_owned()).or_default();
-        *running += 1;
-        if *running > 1 {
-            ledger.faults.push(format!("two runs of {task} at once, the later one is {run}"));
-        }
-        if ledger.done.contains_key(task) {
-            ledger.faults.push(format!("{task} was done and is run {run} again"));
-        }
-    }
-
-    fn ended(&self, task: &str, done: bool) {
-        let mut ledger = self.lock();
-        if let Some(running) = ledger.running.get_mut(task) {
-            *running = running.saturating_sub(1);
-        }
-        if done {
-            *ledger.done.entry(task.to_owned()).or_default() += 1;
-        }
-    }
-
-    /// Tasks run twice, or again after they were done.
-    pub fn faults(&self) -> Vec<String> {
-        self.lock().faults.clone()
-    }
-
-    /// How many tasks are done.
-    pub fn done(&self) -> usize {
-        self.lock().done.len()
-    }
-
-    /// How often tasks were started.
-    pub fn starts(&self) -> u32 {
-        self.lock().starts.values().sum()
-    }
-
-    /// Tasks of a job that run now.
-    pub fn running(&self, job: &str) -> u32 {
-        let ledger = self.lock();
-        let of_job = ledger.running.iter().filter(|(task, _)| task.starts_with(job));
-        of_job.map(|(_, running)| *running).sum()
-    }
-}
-
 /// What is wrong with a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -133,6 +69,28 @@
     fault: Fault,
 }
 
+impl State {
+    /// Tasks whose time has come or whose lease has run out, and how each ends.
+    fn over(&self, clock: u64) -> Vec<(String, &'static str)> {
+        let lapsed = self.lease_until < clock;
+        let now = Instant::now();
+        let how = |running: &Running| {
+            let stopped = running.ends_at.is_some_and(|at| at <= now);
+            let done = running.until.is_some_and(|at| at <= now);
+            match (stopped, lapsed, done) {
+                (true, _, _) => Some("stopped"),
+                (_, true, _) => Some("lapsed"),
+                (_, _, true) if self.fault == Fault::FailsAll => Some("failed"),
+                (_, _, true) => Some("done"),
+                _ => None,
+            }
+        };
+        let over =
+            self.runs.iter().filter_map(|(task, running)| Some((task.clone(), how(running)?)));
+        over.collect()
+    }
+}
+
 /// A running worker: one life.
 #[derive(Clone)]
 pub struct Worker {
@@ -245,6 +203,12 @@
     })
 }
 
+/// A number in a job's text.
+fn figure(spec: &str, name: &str) -> Option<u64> {
+    let text = spec.split_whitespace().find_map(|word| word.strip_prefix(name));
+    text.and_then(|text| text.parse().ok())
+}
+
 impl Inner {
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder panics")
@@ -260,25 +224,7 @@
             sleep(STEP).await;
             let clock = self.clock();
             let mut state = self.state();
-            let lapsed = state.lease_until < clock;
-            let now = Instant::now();
-            let over: Vec<(String, &'static str)> = state
-                .runs
-                .iter()
-                .filter_map(|(task, running)| {
-                    let ended = running.ends_at.is_some_and(|at| at <= now);
-                    let done = running.until.is_some_and(|at| at <= now);
-                    match (ended, lapsed, done) {
-                        (true, _, _) => Some((task.clone(), "stopped")),
-                        (_, true, _) => Some((task.clone(), "lapsed")),
-                        (_, _, true) => Some((task.clone(), "done")),
-                        _ => None,
-                    }
-                })
-                .collect();
-            for (task, how) in over {
-                let how =
-                    if how == "done" && state.fault == Fault::FailsAll { "failed" } else { how };
+            for (task, how) in state.over(clock) {
                 self.end(&mut state, &task, how);
             }
         }
@@ -322,47 +268,45 @@
         }
     }
 
-    /// The job's text tells how a task behaves: `ms=N` for how long it runs, none for ever.
     async fn start(&self, body: &Value) -> Response<Body> {
         let clock = self.clock();
+        match self.take(body, clock) {
+            Ok(true) => answer(200, &json!({ "clockMs": clock })),
+            Ok(false) => std::future::pending().await,
+            Err(reason) => answer(409, &json!({ "clockMs": clock, "reason": reason })),
+        }
+    }
+
+    /// Takes a start; whether it is answered, or why it is refused. The job's text tells how a
+    /// task behaves: `ms=N` for how long it runs, none for ever.
+    fn take(&self, body: &Value, clock: u64) -> Result<bool, &'static str> {
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0);
         let lease = body["deadlineMs"].as_u64().unwrap_or(0);
         let spec = body["spec"].as_str().unwrap_or_default();
-        let figure = |name: &str| {
-            let text = spec.split_whitespace().find_map(|word| word.strip_prefix(name));
-            text.and_then(|text| text.parse::<u64>().ok())
-        };
-        let reason = |reason: &str| answer(409, &json!({ "clockMs": clock, "reason": reason }));
-        let loses = {
-            let mut state = self.state();
-            if lease < clock {
-                return reason("late");
-            }
-            state.lease_until = state.lease_until.max(lease);
-            if state.runs.get(&task).is_some_and(|running| running.run == run) {
-                return answer(200, &json!({ "clockMs": clock }));
-            }
-            if state.runs.contains_key(&task)
-                || state.barred.get(&task).is_some_and(|barred| run <= *barred)
-            {
-                return reason("old");
-            }
-            let (cpu, memory) = (figure("cpu=").unwrap_or(0), figure("mem=").unwrap_or(0));
-            let used: u64 = state.runs.values().map(|running| running.cpu).sum();
-            let taken: u64 = state.runs.values().map(|running| running.memory).sum();
-            if used + cpu > self.cpu || taken + memory > self.memory {
-                return reason("room");
-            }
-            let until = figure("ms=").map(|millis| Instant::now() + Duration::from_millis(millis));
-            state.runs.insert(task.clone(), Running { run, until, ends_at: None, cpu, memory });
-            self.ledger.started(&task, run);
-            state.fault == Fault::LosesStarts
-        };
-        if loses {
-            return std::future::pending().await;
+        let mut state = self.state();
+        if lease < clock {
+            return Err("late");
+        }
+        state.lease_until = state.lease_until.max(lease);
+        if state.runs.get(&task).is_some_and(|running| running.run == run) {
+            return Ok(true);
+        }
+        let barred = state.barred.get(&task).is_some_and(|barred| run <= *barred);
+        if barred || state.runs.contains_key(&task) {
+            return Err("old");
+        }
+        let (cpu, memory) = (figure(spec, "cpu=").unwrap_or(0), figure(spec, "mem=").unwrap_or(0));
+        let used: u64 = state.runs.values().map(|running| running.cpu).sum();
+        let taken: u64 = state.runs.values().map(|running| running.memory).sum();
+        if used + cpu > self.cpu || taken + memory > self.memory {
+            return Err("room");
         }
-        answer(200, &json!({ "clockMs": clock }))
+        let until =
+            figure(spec, "ms=").map(|millis| Instant::now() + Duration::from_millis(millis));
+        state.runs.insert(task.clone(), Running { run, until, ends_at: None, cpu, memory });
+        self.ledger.started(&task, run);
+        Ok(state.fault != Fault::LosesStarts)
     }
 
     fn stop(&self, body: &Value) -> Response<Body> {
