batch: accepting a job is a step of its own; a start takes no ticket that nobody has

Cause: intake's `answer` took in a job in the middle of telling requests apart, 48 lines in all, and `start` had a parameter for a ticket for which every caller passed none.

Change: `accept` puts a job together with what its queue says of it; `start` leaves the ticket of its order empty itself. The order sent and the record written are as before.

--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::header::RETRY_AFTER;
+use spokelift_platform::config::Queue;
 use spokelift_platform::ingress;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
@@ -81,32 +82,39 @@
         Method::GET => state(node, id, until).await,
         Method::DELETE => cancel(node, id, until).await,
         Method::POST => {
-            let limit =
-                if config.limits.body_bytes > 0 { config.limits.body_bytes } else { BODY_LIMIT };
+            let limit = match config.limits.body_bytes {
+                0 => BODY_LIMIT,
+                limit => limit,
+            };
             let body = Limited::new(request.into_body(), limit).collect().await;
             let Ok(body) = body else { return status(413) };
-            let accepted = match Job::decode(&body.to_bytes()) {
-                Ok(job) => Accepted {
-                    job,
-                    queue: queue.name.clone(),
-                    service: queue.service.clone(),
-                    priority: queue.priority,
-                    max_attempts: queue.max_attempts,
-                    objective_ms: queue.objective_ms,
-                    stretch_percent: (queue.stretch * 100.0) as u32,
-                    at: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
-                },
+            let job = match Job::decode(&body.to_bytes()) {
+                Ok(job) => job,
                 Err(error) => {
                     log::info!(job = format!("{id:016x}").as_str(); "job cannot be taken: {error}");
                     return status(400);
                 }
             };
-            submit(node, id, accepted, until).await
+            submit(node, id, accept(job, queue), until).await
         }
         _ => status(405),
     }
 }
 
+/// A job as accepted now, with what its queue says of it.
+fn accept(job: Job, queue: &Queue) -> Accepted {
+    Accepted {
+        job,
+        queue: queue.name.clone(),
+        service: queue.service.clone(),
+        priority: queue.priority,
+        max_attempts: queue.max_attempts,
+        objective_ms: queue.objective_ms,
+        stretch_percent: (queue.stretch * 100.0) as u32,
+        at: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+    }
+}
+
 fn status(code: u16) -> Response<Body> {
     let response = Response::builder().status(code);
     response.body(full(Bytes::new())).expect("a status makes an answer")
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -99,7 +99,7 @@
                 // Tasks of a step are alike, except for the workers they avoid.
                 break;
             };
-            self.start(task, &worker, step, None, now);
+            self.start(task, &worker, step, now);
             left -= 1;
         }
         if left == 0 {
@@ -123,14 +123,7 @@
     }
 
     /// Orders a start and takes the task's room.
-    fn start(
-        &mut self,
-        name: TaskName,
-        id: &str,
-        step: &Step,
-        ticket: Option<String>,
-        now: Instant,
-    ) {
+    fn start(&mut self, name: TaskName, id: &str, step: &Step, now: Instant) {
         let token = self.token;
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(lease_until) = worker.grant(now) else { return };
@@ -157,7 +150,6 @@
             "start"
         );
         let peer = worker.peer.clone();
-        let ticket = ticket.unwrap_or_default();
         self.outbox.push(Order::Start {
             peer,
             task: name,
@@ -165,7 +157,7 @@
             spec,
             lease_until,
             checkpoint,
-            ticket,
+            ticket: String::new(),
         });
     }
 }
--- a/lib/src/batch/place/gang.rs
+++ b/lib/src/batch/place/gang.rs
@@ -58,7 +58,7 @@
             task.checkpoint.clone_from(&checkpoint);
         }
         for (task, worker) in chosen {
-            self.start(task, &worker, step, None, now);
+            self.start(task, &worker, step, now);
         }
     }
 
