batch: steps that need advice

Cause: on queues with advice a start without a ticket is refused, so their jobs never ran. The scheduler asks about up to 30 workers with the most room, one question at a time, keeps tickets and refusals for the step, and starts only where a ticket holds. Stand-in and a test with real daemons.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -6,6 +6,7 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
+use spokelift_testutils::platform::advice::GOOD_MACHINE;
 use spokelift_testutils::platform::site::Site;
 use spokelift_testutils::platform::store::Fault;
 use spokelift_testutils::platform::worker;
@@ -316,6 +317,25 @@
     assert_sound(&site);
 }
 
+#[tokio::test]
+async fn a_step_that_needs_advice_runs_where_the_advice_lets_it() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    for number in 0..4 {
+        let step = json!({ "count": 3, "cpu": 500, "memMb": 100, "estimateMs": 100 });
+        let job = json!({ "spec": "ms=400 needs-ticket", "steps": [step] });
+        assert_eq!(site.submit_to("advised", 0, &id(number), job).await, 200);
+    }
+    site.until("a task runs", async |site| site.ledger.starts() > 0).await;
+    let good = site.machines.worker(GOOD_MACHINE).unwrap();
+    assert!(!good.is_idle());
+    assert!(site.machines.workers().iter().all(|worker| worker.id == good.id || worker.is_idle()));
+    for number in 0..4 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_eq!(site.ledger.starts(), 12);
+    assert_sound(&site);
+}
+
 /// What the tool prints.
 fn tool(site: &Site, node: usize, words: &[&str]) -> (Option<i32>, String) {
     let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_spokelift"));
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -4,6 +4,7 @@
 //! node at a time holds the lead ([`lead`]) and runs the scheduler ([`scheduler`]), whose state is
 //! a [`cell`]: jobs, workers and what runs where. See `docs/design/on-the-platform.md`.
 
+pub mod advice;
 pub mod cell;
 pub mod demand;
 pub mod directory;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -29,6 +29,7 @@
 use spokelift_platform::worker::WorkerId;
 use spokelift_platform::worker::WorkerMs;
 
+use crate::batch::advice::Advices;
 use crate::batch::demand::Demand;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
@@ -142,6 +143,8 @@
     pub fenced: bool,
     /// What is learned of the load.
     pub demand: Demand,
+    /// What the advice service has said.
+    pub advices: Advices,
 }
 
 impl Cell {
@@ -161,6 +164,7 @@
             outbox: Vec::new(),
             fenced: false,
             demand: Demand::default(),
+            advices: Advices::default(),
         }
     }
 }
--- a/lib/src/batch/cell/answers.rs
+++ b/lib/src/batch/cell/answers.rs
@@ -59,6 +59,9 @@
         {
             self.run_gone(task, slot);
         }
+        if why == Some(Refusal::Ticket) {
+            self.advices.void((task.job, task.time, task.step), id);
+        }
         if why == Some(Refusal::OtherLife) {
             self.remove_worker(id, "another life answers at its address");
         }
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -216,6 +216,7 @@
             self.jobs.values().filter(old).map(|entry| (entry.id, entry.cancelled)).collect();
         for (id, _) in &gone {
             self.jobs.remove(id);
+            self.advices.forget(*id);
             self.roster.push(record::forget_progress(*id));
         }
         gone
--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -109,6 +109,7 @@
         service: queue.service.clone(),
         priority: queue.priority,
         max_attempts: queue.max_attempts,
+        needs_advice: queue.advice.is_some(),
         objective_ms: queue.objective_ms,
         stretch_percent: (queue.stretch * 100.0) as u32,
         at: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -68,6 +68,8 @@
     pub workers: Caller,
     /// The platform's interface for machines.
     pub machines: Option<Machines>,
+    /// Connections to the platform.
+    pub dialer: Dialer,
     /// Connections to the other nodes.
     pub peers: Peers,
     /// Where the other nodes are.
@@ -89,6 +91,7 @@
             store: Store::new(settings.store, dialer.clone()),
             workers: Caller::new(dialer.clone()),
             machines: settings.machines.map(|addr| Machines::new(addr, dialer.clone())),
+            dialer,
             life: rand::random(),
             peers: Peers::default(),
             directory: Directory::default(),
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -23,6 +23,7 @@
 use crate::batch::place::fit::cost;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
+use crate::batch::worker::Worker;
 
 impl Cell {
     /// Starts what waits, as far as there is room, in the order of rank. What cannot reach its
@@ -75,6 +76,8 @@
         }
         let (service, step) = (service.clone(), step.clone());
         if step.gang {
+            let first = TaskName { job: rank.job, time: rank.time, step: rank.step, index: 0 };
+            self.ask_advice(first, &service, now);
             self.place_gang(rank, &service, &step, now);
         } else {
             self.place_tasks(rank, &service, &step, now, doubt);
@@ -93,6 +96,7 @@
                 continue;
             }
             let Some(worker) = self.choose(task, service, step, now) else {
+                self.ask_advice(task, service, now);
                 if !rank.ends {
                     self.make_room(task, service, step, now);
                 }
@@ -117,11 +121,34 @@
     ) -> Option<WorkerId> {
         let avoid = self.jobs.get_mut(&task.job)?.task(task)?.avoid.clone();
         let ask = Ask::new(task, service, step, &avoid);
-        let candidates = self.workers.values().filter(|worker| allows(worker, &ask, now));
+        let candidates = self
+            .workers
+            .values()
+            .filter(|worker| allows(worker, &ask, now) && self.is_permitted(task, worker, now));
         let best = candidates.min_by_key(|worker| cost(worker, &ask));
         best.map(|worker| worker.peer.id.clone())
     }
 
+    /// Whether the advice service lets a task run on a worker, where its queue needs that.
+    pub(super) fn is_permitted(&self, task: TaskName, worker: &Worker, now: Instant) -> bool {
+        let entry = self.jobs.get(&task.job);
+        let needed = entry.is_some_and(|entry| entry.accepted.needs_advice);
+        let step = (task.job, task.time, task.step);
+        !needed || self.advices.ticket(step, &worker.peer.id, now).is_some()
+    }
+
+    /// Asks the advice service about workers of the service, those with the most room first.
+    fn ask_advice(&mut self, task: TaskName, service: &str, now: Instant) {
+        if !self.jobs.get(&task.job).is_some_and(|entry| entry.accepted.needs_advice) {
+            return;
+        }
+        let open = self.workers.values().filter(|worker| worker.entry.service == service);
+        let mut open: Vec<&Worker> = open.filter(|worker| worker.takes_work(now)).collect();
+        open.sort_by_key(|worker| std::cmp::Reverse(worker.free.cpu));
+        let ids = open.into_iter().map(|worker| worker.peer.id.clone());
+        self.advices.ask((task.job, task.time, task.step), ids);
+    }
+
     /// Orders a start and takes the task's room.
     fn start(&mut self, name: TaskName, id: &str, step: &Step, now: Instant) {
         let token = self.token;
@@ -150,6 +177,8 @@
             "start"
         );
         let peer = worker.peer.clone();
+        let ticket = self.advices.ticket((name.job, name.time, name.step), id, now);
+        let ticket = ticket.cloned().unwrap_or_default();
         self.outbox.push(Order::Start {
             peer,
             task: name,
@@ -157,7 +186,7 @@
             spec,
             lease_until,
             checkpoint,
-            ticket: String::new(),
+            ticket,
         });
     }
 }
--- a/lib/src/batch/place/gang.rs
+++ b/lib/src/batch/place/gang.rs
@@ -116,7 +116,8 @@
             let apart = step.max_per_worker == 0
                 || worker.count_of_step(task) + count < step.max_per_worker;
             let on_rack = rack.is_none() || worker.entry.rack() == rack;
-            apart && on_rack && worker.fits(room) && allows(worker, &ask, now)
+            let fits = worker.fits(room) && allows(worker, &ask, now);
+            apart && on_rack && fits && self.is_permitted(task, worker, now)
         };
         let best = self.workers.values().filter(fits).min_by_key(|worker| cost(worker, &ask));
         best.map(|worker| worker.peer.id.clone())
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -41,6 +41,8 @@
     pub priority: u32,
     /// How often a task may fail before the job fails.
     pub max_attempts: u32,
+    /// Its steps need the permission of the advice service.
+    pub needs_advice: bool,
     /// Fixed part of the objective of the job's time, in milliseconds.
     pub objective_ms: u64,
     /// Part of the objective that grows with the longest chain of work, in hundredths.
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -25,6 +25,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use crate::batch::advice;
 use crate::batch::cell::Cell;
 use crate::batch::fleet;
 use crate::batch::node::Node;
@@ -65,6 +66,8 @@
     cell: Mutex<Cell>,
     /// Something may be started.
     work: Notify,
+    /// The advice service may be asked something.
+    pub questions: Notify,
     /// Something is to be written to the store.
     flush: Notify,
     /// Number of writes done.
@@ -89,6 +92,7 @@
             token,
             cell: Mutex::new(cell),
             work: Notify::new(),
+            questions: Notify::new(),
             flush: Notify::new(),
             flushed: watch::Sender::new(0),
             renewed_at: Mutex::new(now),
@@ -219,6 +223,7 @@
     scheduler.spawn(flush(scheduler.clone()));
     scheduler.spawn(tick(scheduler.clone()));
     scheduler.spawn(fleet::run(scheduler.clone()));
+    scheduler.spawn(advice::run(scheduler.clone()));
     work(scheduler).await;
 }
 
@@ -261,6 +266,7 @@
         for order in orders {
             scheduler.spawn(send(scheduler.clone(), order));
         }
+        scheduler.questions.notify_one();
         if scheduler.cell().needs_flush() {
             scheduler.kick_flush();
         }
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -46,6 +46,7 @@
         service: "work".to_owned(),
         priority: 0,
         max_attempts: 2,
+        needs_advice: false,
         objective_ms: 600,
         stretch_percent: 160,
         at: Duration::from_secs(1),
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -2,6 +2,7 @@
 //! on [`machines`], and a [`site`] that puts them around real daemons. Small; it keeps just what
 //! spokelift relies on, and faults that can be set.
 
+pub mod advice;
 pub mod ledger;
 pub mod machines;
 pub mod site;
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -26,6 +26,7 @@
 use spokelift_platform::store::Record;
 use tokio::time::sleep;
 
+use crate::platform::advice::Advice;
 use crate::platform::ledger::Ledger;
 use crate::platform::machines::Machines;
 use crate::platform::store::Door;
@@ -65,13 +66,14 @@
     /// The daemons.
     pub nodes: Vec<Node>,
     dialer: Dialer,
+    advice: Advice,
 }
 
 impl Node {
     /// Writes the settings of a daemon, which is not started yet.
     async fn prepare(
         store: &Store,
-        machines: SocketAddr,
+        (machines, advice): (SocketAddr, SocketAddr),
         program: &str,
         number: usize,
     ) -> io::Result<Node> {
@@ -82,7 +84,7 @@
         let file = std::env::temp_dir().join(format!("spokelift-{ip}.toml"));
         let text = format!(
             "node = \"node-{number}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
-             portRange = [{}, {}]\nheartbeatMs = 500\n\
+             portRange = [{}, {}]\nheartbeatMs = 500\nadvice = \"{advice}\"\n\
              [listen]\nfront = \"{}\"\nreadiness = \"{}\"\n\
              [platform]\naddress = \"{}\"\nform = \"log\"\n\
              [cloudApi]\naddress = \"{machines}\"\n\
@@ -162,15 +164,24 @@
     std::net::TcpListener::bind((ip, 0))?.local_addr()
 }
 
-/// One queue, whose tasks run in service `work`; service `spare` is a reserve.
+fn queue(name: &str, advice: &Value) -> Value {
+    let mut queue = json!({
+        "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": "unsafe",
+        "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0, "service": "work",
+        "maxAttempts": 3, "stretch": 1.6,
+    });
+    if !advice.is_null() {
+        queue["advice"] = advice.clone();
+    }
+    queue
+}
+
+/// Two queues, whose tasks run in service `work`, one of them with advice; service `spare` is a
+/// reserve.
 fn config() -> Value {
     json!({
         "version": 1,
-        "routes": [{
-            "name": "q", "host": HOST, "pathPrefix": "/q/", "kind": "unsafe",
-            "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0, "service": "work",
-            "maxAttempts": 3, "stretch": 1.6,
-        }],
+        "routes": [queue("q", &Value::Null), queue("advised", &json!({ "decide_ms": 5 }))],
         "services": [
             { "name": "work", "enforcesCapacity": true, "headroom": false },
             { "name": "spare", "enforcesCapacity": true, "headroom": true },
@@ -197,10 +208,12 @@
             machines.add(&format!("m-{number}"), shape).await?;
         }
         store.put(OPERATOR_TOPIC, Record::set("config", config().to_string()));
-        let mut site =
-            Site { store, machines, ledger, nodes: Vec::new(), dialer: Dialer::new(ANSWER) };
+        let advice = Advice::start(&machines).await?;
+        let dialer = Dialer::new(ANSWER);
+        let mut site = Site { store, machines, ledger, nodes: Vec::new(), dialer, advice };
         for number in 0..nodes {
-            let mut node = Node::prepare(&site.store, site.machines.addr, program, number).await?;
+            let addrs = (site.machines.addr, site.advice.addr);
+            let mut node = Node::prepare(&site.store, addrs, program, number).await?;
             node.start()?;
             site.nodes.push(node);
         }
@@ -225,7 +238,12 @@
 
     /// Hands in a job; 0 if there is no answer.
     pub async fn submit(&self, node: usize, id: &str, job: Value) -> u16 {
-        self.call(node, Method::POST, &format!("/q/{id}"), job).await.0
+        self.submit_to("q", node, id, job).await
+    }
+
+    /// Hands in a job at a queue; 0 if there is no answer.
+    pub async fn submit_to(&self, queue: &str, node: usize, id: &str, job: Value) -> u16 {
+        self.call(node, Method::POST, &format!("/{queue}/{id}"), job).await.0
     }
 
     /// Hands in a job again and again, at one node after another, as clients do.
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -24,11 +24,14 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::platform::advice::ticket;
 use crate::platform::answer;
 use crate::platform::ledger::Ledger;
 use crate::platform::read_json;
 use crate::platform::store::Store;
 
+/// Word in a job's text that makes workers want a ticket.
+pub const NEEDS_TICKET: &str = "needs-ticket";
 /// Time between two writes of a worker's entry.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Pause between looks at what has ended or lapsed.
@@ -289,6 +292,10 @@
             return Err("late");
         }
         state.lease_until = state.lease_until.max(lease);
+        let needs_ticket = spec.split_whitespace().any(|word| word == NEEDS_TICKET);
+        if needs_ticket && body["ticket"] != ticket(&self.id) {
+            return Err("ticket");
+        }
         if state.runs.get(&task).is_some_and(|running| running.run == run) {
             return Ok(true);
         }
