batch: a gang of which a member may run elsewhere waits; what has begun is written down

Cause 2: a job found running by a new scheduler was not written down as begun, so the one after it could show it as pending. Cause 3, in the stand-in: a start that arrived while a worker crashed counted as running for ever.

--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -71,7 +71,10 @@
         self.count_failure(id, end.outcome, now);
         let Some(entry) = self.jobs.get_mut(&end.task.job) else { return };
         entry.open_time(end.task.time);
-        entry.begun = true;
+        if !entry.begun {
+            entry.begun = true;
+            self.dirty.insert(end.task.job);
+        }
         let Some(step) = entry.step(end.task.step).cloned() else { return };
         let Some(task) = entry.task(end.task) else { return };
         task.last_run = task.last_run.max(end.run);
@@ -207,7 +210,10 @@
         let Some(entry) = self.jobs.get_mut(&told.task.job) else { return true };
         let active = entry.is_active();
         entry.open_time(told.task.time);
-        entry.begun = true;
+        if !entry.begun {
+            entry.begun = true;
+            self.dirty.insert(told.task.job);
+        }
         let Some(task) = entry.task(told.task) else { return false };
         task.last_run = task.last_run.max(told.run);
         let wanted = active && !task.done && task.runs == 0;
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -78,7 +78,7 @@
         if step.gang {
             let first = TaskName { job: rank.job, time: rank.time, step: rank.step, index: 0 };
             self.ask_advice(first, &service, now);
-            self.place_gang(rank, &service, &step, now);
+            self.place_gang(rank, &service, &step, now, doubt);
         } else {
             self.place_tasks(rank, &service, &step, now, doubt);
         }
--- a/lib/src/batch/place/gang.rs
+++ b/lib/src/batch/place/gang.rs
@@ -9,6 +9,7 @@
 use spokelift_platform::worker::WorkerId;
 
 use crate::batch::cell::Cell;
+use crate::batch::cell::Doubt;
 use crate::batch::cell::Rank;
 use crate::batch::job::Entry;
 use crate::batch::place::fit::Ask;
@@ -21,7 +22,14 @@
 
 impl Cell {
     /// Starts all members of a gang, or none.
-    pub(super) fn place_gang(&mut self, rank: Rank, service: &str, step: &Step, now: Instant) {
+    pub(super) fn place_gang(
+        &mut self,
+        rank: Rank,
+        service: &str,
+        step: &Step,
+        now: Instant,
+        doubt: &Doubt,
+    ) {
         let Rank { time, step: number, job, .. } = rank;
         let Some(entry) = self.jobs.get_mut(&job) else { return };
         let Some(run) = entry.step_run(time, number) else { return };
@@ -31,6 +39,10 @@
         let indices = 0..run.tasks.len() as u32;
         let members: Vec<TaskName> =
             indices.map(|index| TaskName { job, time, step: number, index }).collect();
+        // One member that may run elsewhere holds up all, since they run together or not at all.
+        if members.iter().any(|member| doubt.tasks.contains(member)) {
+            return;
+        }
         let racks = self.racks(service, step);
         let mut choices = racks
             .iter()
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -373,11 +373,12 @@
     assert!(starts.iter().all(|start| start.2 == starts[0].2));
 }
 
-#[test]
-fn a_worker_that_fell_silent_before_the_takeover_holds_up_only_what_it_may_run() {
+/// A scheduler under which `job` was started and one of the workers fell silent, and its successor,
+/// which has heard from another worker only. Returns the successor and the silent worker.
+fn taken_over(job: &Accepted) -> (Bed, String) {
     let mut first = Bed::new(2);
     first.look_at_all();
-    first.cell.admit(1, accepted(vec![step(1)]), None);
+    first.cell.admit(1, job.clone(), None);
     let (silent, ..) = first.start().remove(0);
     first.cell.on_miss(&silent);
     let flush = first.cell.take_flush();
@@ -394,9 +395,21 @@
     second.meet(&silent, "m0");
     second.meet("other", "m9");
     second.cell.unasked = second.cell.workers.keys().cloned().collect();
-    second.cell.admit(1, accepted(vec![step(1)]), Some(&Progress::default()));
-    second.cell.admit(2, accepted(vec![step(1)]), Some(&Progress::default()));
+    second.cell.admit(1, job.clone(), Some(&Progress::default()));
     second.look("other", &[], &[]);
+    (second, silent)
+}
+
+#[test]
+fn a_gang_of_which_a_member_may_run_is_not_started() {
+    let (mut bed, _) = taken_over(&accepted(vec![Step { gang: true, ..step(2) }]));
+    assert_eq!(bed.start(), []);
+}
+
+#[test]
+fn a_worker_that_fell_silent_before_the_takeover_holds_up_only_what_it_may_run() {
+    let (mut second, silent) = taken_over(&accepted(vec![step(1)]));
+    second.cell.admit(2, accepted(vec![step(1)]), Some(&Progress::default()));
     let starts = second.start();
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].1, task(2, 0, 0));
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -184,6 +184,8 @@
     /// Ends the life with all it runs.
     pub fn crash(&self) {
         let mut state = self.inner.state();
+        // What arrives before the server is gone starts nothing.
+        state.fault = Fault::Cut;
         for (task, _) in std::mem::take(&mut state.runs) {
             self.inner.ledger.ended(&task, false);
         }
