call, batch: say that the connection ends when a body is refused unread

Found beside load, but a fault of the daemon. Change: such an answer carries connection: close, in both homes. The test now asserts the header and failed without it every time (no entry for connection).

--- a/cli/tests/test_bad_input.rs
+++ b/cli/tests/test_bad_input.rs
@@ -170,13 +170,21 @@
 #[tokio::test]
 async fn an_oversized_request_is_refused_before_it_is_run() {
     let fixture = small_site().await;
+    // The rest of the body is not read, so nothing more may come on that connection.
+    let request = Request::post("/v1/call/booking")
+        .header(AUTHORIZATION, "Bearer clinics:clinics-caller-secret")
+        .body(full(vec![b'x'; 100_001]))
+        .unwrap();
+    let answer = fixture.raw_call(0, request).await.unwrap();
+    assert_eq!(answer.headers()["spokelift-reason"], "too-large");
+    assert_eq!(answer.headers()["connection"], "close");
     let mut call = fixture.call_of("clinics", "booking", 5);
     call.body = vec![b'x'; 100_001].into();
     assert_matches!(fixture.call(0, &call).await, Told::NotRun);
     call = fixture.call_of("clinics", "booking", 6);
     call.body = vec![b'x'; 100_000].into();
     assert_matches!(fixture.call(0, &call).await, Told::Answered);
-    assert_eq!(fixture.counter(0, "call.refused.too-large").await, 1);
+    assert_eq!(fixture.counter(0, "call.refused.too-large").await, 2);
     assert!(fixture.ledger.counts().violations().is_empty());
 }
 
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -50,6 +50,9 @@
     assert_eq!(site.submit(0, &id(3), json!({ "spec": "x", "steps": [] })).await, 400);
     assert_eq!(site.submit(0, &id(3), json!("no job")).await, 400);
     assert_eq!(site.submit(0, "not-an-id", job(1, 1)).await, 404);
+    let large = json!({ "spec": "x".repeat(300_000), "steps": [] });
+    assert_eq!(site.submit(0, &id(3), large).await, 413);
+    assert_eq!(site.state(0, &id(3)).await, Err(410));
     assert_sound(&site);
 }
 
--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -13,7 +13,9 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
 use hyper::header::HOST;
+use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use spokelift_platform::config::Queue;
 use spokelift_platform::ingress;
@@ -87,7 +89,7 @@
                 limit => limit,
             };
             let body = Limited::new(request.into_body(), limit).collect().await;
-            let Ok(body) = body else { return status(413) };
+            let Ok(body) = body else { return too_large() };
             let job = match Job::decode(&body.to_bytes()) {
                 Ok(job) => job,
                 Err(error) => {
@@ -132,6 +134,13 @@
     response.body(full(body)).expect("a body makes an answer")
 }
 
+/// The rest of the body stays unread, so the client must not use the connection again.
+fn too_large() -> Response<Body> {
+    let mut response = status(413);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 /// Writes a job to the store and tells the holder of the lead.
 ///
 /// Once a write has had no answer, the job may be taken whatever later tries say, and the client
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -21,6 +21,7 @@
 use hyper::body::Body as HttpBody;
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
+use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::RETRY_AFTER;
 use hyper::http::request::Parts;
@@ -85,6 +86,11 @@
     if let Some(seconds) = refused.reason.retry_after_s() {
         response = response.header(RETRY_AFTER, seconds);
     }
+    if refused.reason == Reason::TooLarge {
+        // The rest of the body stays unread and the connection ends; a caller that is not told
+        // may send its next request into the end of it.
+        response = response.header(CONNECTION, "close");
+    }
     response.body(full(body)).expect("the headers are constants")
 }
 
