--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -18,11 +18,13 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
+use std::time::Instant;
 
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::TaskName;
 use spokelift_platform::machine::MachineId;
 use spokelift_platform::store::Record;
+use spokelift_platform::worker::End;
 use spokelift_platform::worker::Peer;
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Token;
@@ -116,6 +118,13 @@
     pub tasks: HashSet<TaskName>,
 }
 
+/// The end of a run whose job has not been heard of.
+struct Early {
+    worker: WorkerId,
+    end: End,
+    told_at: Instant,
+}
+
 /// The scheduler's state.
 pub struct Cell {
     /// Number of this scheduler; workers refuse lower ones.
@@ -141,6 +150,9 @@
     pub outbox: Vec<Order>,
     /// A newer scheduler was heard of.
     pub fenced: bool,
+    /// Ends of runs whose job has not been heard of. They are not acknowledged before the job has
+    /// come or its time is over.
+    early: Vec<Early>,
     /// What is learned of the load.
     pub demand: Demand,
     /// What the advice service has said.
@@ -163,6 +175,7 @@
             roster: Vec::new(),
             outbox: Vec::new(),
             fenced: false,
+            early: Vec::new(),
             demand: Demand::default(),
             advices: Advices::default(),
         }
--- a/lib/src/batch/cell/flush.rs
+++ b/lib/src/batch/cell/flush.rs
@@ -26,7 +26,10 @@
             flush.reopened.push(worker.peer.id.clone());
         }
         for worker in self.workers.values().filter(|worker| worker.processed > worker.durable) {
-            flush.processed.push((worker.peer.id.clone(), worker.processed));
+            let id = worker.peer.id.clone();
+            let early = self.early.iter().filter(|early| early.worker == id);
+            let held = early.map(|early| early.end.number - 1).min();
+            flush.processed.push((id, held.unwrap_or(worker.processed).min(worker.processed)));
         }
         flush
     }
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -9,6 +9,7 @@
 use spokelift_platform::worker::Peer;
 
 use crate::batch::cell::Cell;
+use crate::batch::cell::Early;
 use crate::batch::cell::Order;
 use crate::batch::cell::Rank;
 use crate::batch::job::Entry;
@@ -52,6 +53,7 @@
         for time in 0..times {
             self.open_steps(id, time);
         }
+        self.apply_early(id, Instant::now());
         true
     }
 
@@ -88,6 +90,8 @@
         for (worker, task) in unknown {
             self.stop_run(&worker, task);
         }
+        let waits = |early: &Early| now.saturating_duration_since(early.told_at) <= UNKNOWN_JOB;
+        self.early.retain(waits);
     }
 
     /// Opens the repetitions that are due at `wall`, the time since 1970.
--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use spokelift_platform::ingress::JobState;
+use spokelift_platform::job::JobId;
 use spokelift_platform::job::Step;
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::End;
@@ -15,6 +16,7 @@
 use spokelift_platform::worker::Seen;
 
 use crate::batch::cell::Cell;
+use crate::batch::cell::Early;
 use crate::batch::cell::Order;
 use crate::batch::cell::workers::take_slots;
 use crate::batch::job::Entry;
@@ -69,6 +71,24 @@
             _ => None,
         };
         self.count_failure(id, end.outcome, now);
+        if self.jobs.contains_key(&end.task.job) {
+            self.apply_end(id, end, slot, now);
+        } else {
+            self.early.push(Early { worker: id.to_owned(), end: end.clone(), told_at: now });
+        }
+    }
+
+    /// Takes in the ends of a job's runs that were told before the job had come.
+    pub(super) fn apply_early(&mut self, job: JobId, now: Instant) {
+        let of_job = |early: &mut Early| early.end.task.job == job;
+        let ends: Vec<Early> = self.early.extract_if(.., of_job).collect();
+        for early in ends {
+            self.apply_end(&early.worker, &early.end, None, now);
+        }
+    }
+
+    /// Takes in the end of a run of a known job.
+    fn apply_end(&mut self, id: &str, end: &End, slot: Option<Slot>, now: Instant) {
         let Some(entry) = self.jobs.get_mut(&end.task.job) else { return };
         entry.open_time(end.task.time);
         if !entry.begun {
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -433,3 +433,25 @@
         ProgressRecord::Wave(7, vec!["m0".to_owned()])
     );
 }
+
+#[test]
+fn an_end_that_is_told_before_its_job_arrives_counts_and_is_not_acknowledged_until_then() {
+    let mut bed = Bed::new(2);
+    bed.look_at_all();
+    bed.look("w0", &[], &[(1, task(1, 0, 0), 3, Outcome::Done)]);
+    let flush = bed.cell.take_flush();
+    bed.cell.on_flushed(&flush);
+    assert_eq!(bed.cell.workers["w0"].durable, 0);
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    assert_eq!(bed.place(), []);
+    assert_eq!(bed.cell.jobs[&1].end, Some(JobState::Succeeded));
+    let flush = bed.cell.take_flush();
+    bed.cell.on_flushed(&flush);
+    assert_eq!(bed.cell.workers["w0"].durable, 1);
+    // The end of a job that never arrives is let go after a while.
+    bed.look("w0", &[], &[(2, task(9, 0, 0), 3, Outcome::Done)]);
+    bed.cell.stop_unknown(bed.now + Duration::from_secs(10));
+    let flush = bed.cell.take_flush();
+    bed.cell.on_flushed(&flush);
+    assert_eq!(bed.cell.workers["w0"].durable, 2);
+}
