--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -1,7 +1,6 @@
 //! A job in the scheduler's memory: its steps, its tasks and how far they are.
 
 use std::collections::BTreeSet;
-use std::collections::HashSet;
 use std::time::Instant;
 
 use spokelift_platform::ingress::JobState;
@@ -250,20 +249,6 @@
             }
         }
     }
-
-    /// Names of all tasks in memory.
-    pub fn names(&self) -> HashSet<TaskName> {
-        let mut names = HashSet::new();
-        for (time, repetition) in self.times.iter().enumerate() {
-            for (step, run) in repetition.steps.iter().enumerate() {
-                for index in 0..run.tasks.len() {
-                    let (time, step, index) = (time as u32, step as u16, index as u32);
-                    names.insert(TaskName { job: self.id, time, step, index });
-                }
-            }
-        }
-        names
-    }
 }
 
 fn collect(progress: &mut Progress, (time, step): (u32, u16), run: &StepRun) {
--- a/lib/src/batch/neighbours.rs
+++ b/lib/src/batch/neighbours.rs
@@ -35,7 +35,7 @@
             for (task, slot) in &mut worker.slots {
                 let Some(percent) = next_pace(slot, strain, now) else { continue };
                 slot.pace = percent;
-                slot.over_since = Some(now);
+                slot.paced_at = Some(now);
                 log::info!(task = task.to_string().as_str(), worker = peer.id.as_str(), percent, strain_percent = (strain * 100.0) as u64; "pace");
                 self.outbox.push(Order::Pace {
                     peer: peer.clone(),
@@ -83,7 +83,7 @@
     if slot.kind != Kind::Fills || !live {
         return None;
     }
-    let changed = slot.over_since.is_some_and(|at| now.saturating_duration_since(at) < EASE_TIME);
+    let changed = slot.paced_at.is_some_and(|at| now.saturating_duration_since(at) < EASE_TIME);
     if strain >= TIGHT && slot.pace > 0 {
         return Some(0);
     }
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -78,16 +78,19 @@
 
     /// Whether it would still be far better off than another without a machine of this size.
     pub fn can_share(&self, size: u64, other: &Load) -> bool {
-        let spread = self.workers > self.least.max(1);
-        spread
+        self.has_more_than_least()
             && self.has > size
             && self.share(self.has - size) >= SHARE_RATIO * other.share(other.has)
     }
 
     /// Whether it could do without a machine of this size.
     pub fn can_spare(&self, size: u64) -> bool {
-        let spread = self.workers > self.least.max(1);
-        spread && self.has >= self.wanted() + size
+        self.has_more_than_least() && self.has >= self.wanted() + size
+    }
+
+    /// Whether its lasting tasks can be spread with one worker less.
+    fn has_more_than_least(&self) -> bool {
+        self.workers > self.least.max(1)
     }
 }
 
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -53,8 +53,8 @@
     pub checkpoint: String,
     /// Processor in use, or tail of answer times in milliseconds.
     pub figure: u64,
-    /// Since when the tail has been over its limit.
-    pub over_since: Option<Instant>,
+    /// When `pace` was last set.
+    pub paced_at: Option<Instant>,
     /// Share of its speed it is let work at, in hundredths.
     pub pace: u32,
     /// The task serves users, takes leftovers, or neither.
@@ -86,7 +86,7 @@
             moved_at: now,
             checkpoint: String::new(),
             figure: 0,
-            over_since: None,
+            paced_at: None,
             pace: 100,
             kind,
         }
