batch, cli: operators submit and cancel jobs and see waves through the product's own interface

Cause: the interface of the product only showed batch work; jobs could be handed in and cancelled by clients of the platform alone, and the progress of waves could not be asked for.

Change: POST /v1/batch/queues/QUEUE/jobs/ID and DELETE /v1/batch/jobs/ID on the operators' port, for the holder of the site's key (without a key in the settings nobody may change anything), GET /v1/batch/waves; `spokelift batch submit|cancel|waves`. A job is written in the product's own names (batch::document) and checked like a client's. What becomes of a job handed in stands once, in batch::submit, for clients and operators. Which waves are over stands in the cell.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -336,23 +336,26 @@
     pub json: bool,
 }
 
-/// Show batch work on the users' platform; --daemon is then the daemon's metrics address, and no
-/// credential is needed there.
+/// Batch work on the users' platform; --daemon is then the daemon's metrics address. Showing needs
+/// no credential there, submit and cancel need that of the site.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "batch")]
 pub struct Batch {
     #[argh(subcommand)]
-    pub view: BatchView,
+    pub action: BatchAction,
 }
 
-/// What to show.
+/// What to show or to do.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand)]
-pub enum BatchView {
+pub enum BatchAction {
     Services(BatchServices),
     Queues(BatchQueues),
     Workers(BatchWorkers),
+    Waves(BatchWaves),
     Explain(Explain),
+    Submit(BatchSubmit),
+    Cancel(BatchCancel),
 }
 
 /// What each service has, uses and wants.
@@ -370,6 +373,11 @@
 #[argh(subcommand, name = "workers")]
 pub struct BatchWorkers {}
 
+/// Waves of upkeep, and how far they are.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "waves")]
+pub struct BatchWaves {}
+
 /// Where a job's tasks run, and what holds those that wait.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "explain")]
@@ -378,3 +386,27 @@
     #[argh(positional)]
     pub job: String,
 }
+
+/// Submit a job; prints its id once the store keeps it.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "submit")]
+pub struct BatchSubmit {
+    /// the queue
+    #[argh(positional)]
+    pub queue: String,
+    /// the job, a TOML file
+    #[argh(positional)]
+    pub file: std::path::PathBuf,
+    /// id of the job, 16 hexadecimal digits; a job submitted again under its id remains one job
+    #[argh(option)]
+    pub id: Option<String>,
+}
+
+/// Cancel a job.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "cancel")]
+pub struct BatchCancel {
+    /// id of the job
+    #[argh(positional)]
+    pub job: String,
+}
--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -14,6 +14,8 @@
 use spokelift_lib::daemon::Sockets;
 use spokelift_lib::settings::Setting;
 use spokelift_lib::settings::Settings;
+use spokelift_lib::settings::read_site_key;
+use spokelift_lib::state::account::KeyHash;
 use tokio::runtime::Runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -26,8 +28,8 @@
     /// only check the settings
     #[argh(switch)]
     check: bool,
-    /// run on the users' platform, with the settings file that the platform names; no other
-    /// setting is read
+    /// run on the users' platform, with the settings file that the platform names; of the other
+    /// settings only --site-key-hash is read, without which operators may change nothing
     #[argh(switch)]
     platform: bool,
     /// number of this daemon, unique on the site
@@ -156,7 +158,7 @@
     }
     logger.init();
     if args.platform {
-        return platform(args.check);
+        return platform(&args);
     }
     let settings = match Settings::resolve(|setting| args.value(setting)) {
         Ok(settings) => settings,
@@ -173,7 +175,7 @@
 }
 
 /// Runs on the users' platform.
-fn platform(check: bool) -> ExitCode {
+fn platform(args: &Args) -> ExitCode {
     let Some(path) = std::env::var_os(spokelift_platform::settings::VARIABLE) else {
         eprintln!("{} is not set", spokelift_platform::settings::VARIABLE);
         return ExitCode::from(USAGE);
@@ -185,19 +187,27 @@
             return ExitCode::from(USAGE);
         }
     };
-    if check {
+    let site_key = match read_site_key(|setting| args.value(setting)) {
+        Ok(site_key) => site_key,
+        Err(error) => {
+            report(&error);
+            return ExitCode::from(USAGE);
+        }
+    };
+    if args.check {
         println!("the settings can be used");
         return ExitCode::SUCCESS;
     }
     // One thread: these boxes have a share of one core, and each wake-up of another is charged.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    finish(runtime, serve_platform(settings))
+    finish(runtime, serve_platform(settings, site_key))
 }
 
 /// Serves until SIGTERM. Nothing in the settings changes while the process runs, so SIGHUP is
 /// only noted.
 async fn serve_platform(
     settings: spokelift_platform::settings::Settings,
+    site_key: Option<KeyHash>,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
@@ -213,7 +223,7 @@
         }
         stop.send_replace(true);
     });
-    spokelift_lib::batch::node::run(settings, stopping).await?;
+    spokelift_lib::batch::node::run(settings, site_key, stopping).await?;
     Ok(())
 }
 
--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -43,6 +43,11 @@
         self.exchange(Method::POST, path, body).await
     }
 
+    /// Asks for something to be taken back.
+    pub async fn delete<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.exchange(Method::DELETE, path, Vec::new()).await
+    }
+
     async fn exchange<T: DeserializeOwned>(
         &self,
         method: Method,
--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -1,12 +1,13 @@
 //! Carries out the commands.
 
+mod batch;
+
 use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use serde::Serialize;
-use spokelift_lib::batch::view;
 use spokelift_lib::metrics::Totals;
 use spokelift_lib::protocol::api::ApiError;
 use spokelift_lib::protocol::api::BoxView;
@@ -22,7 +23,6 @@
 use spokelift_lib::state::plan::Intent;
 
 use crate::args::Args;
-use crate::args::BatchView;
 use crate::args::Command;
 use crate::args::IntentKind;
 use crate::args::PlanAction;
@@ -45,7 +45,7 @@
         Command::HashKey(_) => hash_key(),
         Command::Batch(batch) => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            runtime.block_on(batch_view(&args, &batch.view))
+            runtime.block_on(batch::run(&args, &batch.action))
         }
         _ => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -61,30 +61,6 @@
     Ok(())
 }
 
-/// Asks a daemon on the users' platform.
-async fn batch_view(args: &Args, shown: &BatchView) -> Result<(), Error> {
-    let client = Client::new(daemon(args)?, "");
-    let path = |rest: &str| format!("{}{rest}", view::PATH);
-    match shown {
-        BatchView::Services(_) => {
-            let services: Vec<view::Service> = client.get(&path("services")).await?;
-            show(args.json, &services, |services| output::batch_services(services))
-        }
-        BatchView::Queues(_) => {
-            let queues: Vec<view::Queue> = client.get(&path("queues")).await?;
-            show(args.json, &queues, |queues| output::batch_queues(queues))
-        }
-        BatchView::Workers(_) => {
-            let workers: Vec<view::Worker> = client.get(&path("workers")).await?;
-            show(args.json, &workers, |workers| output::batch_workers(workers))
-        }
-        BatchView::Explain(explain) => {
-            let job: view::Job = client.get(&path(&format!("jobs/{}", explain.job))).await?;
-            show(args.json, &job, output::batch_job)
-        }
-    }
-}
-
 fn client(args: &Args) -> Result<Client, Error> {
     let daemon = daemon(args)?;
     let key = or_variable(&args.key, "the credential", "key", "SPOKELIFT_KEY")?;
--- /dev/null
+++ b/cli/src/command/batch.rs
@@ -0,0 +1,72 @@
+//! Batch work on the users' platform.
+
+use serde::Serialize;
+use spokelift_lib::batch::document::Job;
+use spokelift_lib::batch::view;
+
+use crate::args::Args;
+use crate::args::BatchAction;
+use crate::args::BatchSubmit;
+use crate::client::Client;
+use crate::command::client;
+use crate::command::daemon;
+use crate::command::show;
+use crate::error::Error;
+use crate::output;
+
+/// Carries out a command about batch work.
+pub async fn run(args: &Args, action: &BatchAction) -> Result<(), Error> {
+    // Views need no credential.
+    let viewer = Client::new(daemon(args)?, "");
+    let json = args.json;
+    match action {
+        BatchAction::Services(_) => {
+            let services: Vec<view::Service> = viewer.get(&path("services")).await?;
+            show(json, &services, |services| output::batch_services(services))
+        }
+        BatchAction::Queues(_) => {
+            let queues: Vec<view::Queue> = viewer.get(&path("queues")).await?;
+            show(json, &queues, |queues| output::batch_queues(queues))
+        }
+        BatchAction::Workers(_) => {
+            let workers: Vec<view::Worker> = viewer.get(&path("workers")).await?;
+            show(json, &workers, |workers| output::batch_workers(workers))
+        }
+        BatchAction::Waves(_) => {
+            let waves: Vec<view::Wave> = viewer.get(&path("waves")).await?;
+            show(json, &waves, |waves| output::batch_waves(waves))
+        }
+        BatchAction::Explain(explain) => {
+            let job: view::Job = viewer.get(&path(&format!("jobs/{}", explain.job))).await?;
+            show(json, &job, output::batch_job)
+        }
+        BatchAction::Submit(submit) => {
+            let submitted = self::submit(&client(args)?, submit).await?;
+            show(json, &submitted, |submitted| submitted.id.clone())
+        }
+        BatchAction::Cancel(cancel) => {
+            let path = path(&format!("jobs/{}", cancel.job));
+            let cancelled: view::Cancelled = client(args)?.delete(&path).await?;
+            show(json, &cancelled, output::batch_cancelled)
+        }
+    }
+}
+
+fn path(rest: &str) -> String {
+    format!("{}{rest}", view::PATH)
+}
+
+/// Submits the job in a file under the id given, or a random one.
+async fn submit(client: &Client, submit: &BatchSubmit) -> Result<view::Submitted, Error> {
+    let read = std::fs::read_to_string(&submit.file);
+    let text = read.map_err(|source| Error::File { path: submit.file.clone(), source })?;
+    let job: Job = toml::from_str(&text)
+        .map_err(|source| Error::Job { path: submit.file.clone(), source: source.into() })?;
+    let id = submit.id.clone().unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
+    let path = path(&format!("queues/{}/jobs/{id}", submit.queue));
+    client.post(&path, to_json(&job)?).await
+}
+
+fn to_json<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+    Ok(serde_json::to_vec(value)?)
+}
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -52,6 +52,14 @@
         #[related]
         faults: Vec<FileFault>,
     },
+    /// The file with a job does not decode.
+    #[error("{} is no job", path.display())]
+    #[diagnostic(help("mend the file and submit it again; nothing was sent"))]
+    Job {
+        path: PathBuf,
+        #[source]
+        source: Box<toml::de::Error>,
+    },
     /// The daemon turned the request down.
     #[error("{error}")]
     #[diagnostic(help("{}", hint(error)))]
@@ -87,12 +95,18 @@
 
 fn hint(error: &ApiError) -> &'static str {
     match error {
-        ApiError::Credential => "check --key: account:secret, with an operator's secret",
+        ApiError::Credential => {
+            "check --key: account:secret, with an operator's secret, and the daemon's own settings"
+        }
         ApiError::Malformed => "the daemon may be of another version",
         ApiError::NotFound { .. } => "`spokelift plans` lists what this credential may see",
         ApiError::TooLarge => "publish the file in parts",
         ApiError::Config { .. } => "mend the file and publish it again",
         ApiError::Plan { .. } => "change the intent, or what stops it",
+        ApiError::Job { .. } => "mend the file and submit it again",
+        ApiError::JobUnknown { .. } => {
+            "submit it again under the same id: it remains one job, whichever was taken"
+        }
         ApiError::Refused { .. } => "nothing was changed; state the intent again to plan from now",
         ApiError::Unknown { .. } => "`spokelift record ID` asks what became of it",
         ApiError::Stale | ApiError::Busy => "try another daemon, or wait for the log",
@@ -105,10 +119,10 @@
         match self {
             Error::Missing { .. } | Error::Value { .. } => 2,
             Error::File { .. } | Error::Answer(_) | Error::Daemon { .. } | Error::Trial(_) => 1,
-            Error::Config { .. } => 3,
+            Error::Config { .. } | Error::Job { .. } => 3,
             Error::Api { error } => match error {
                 ApiError::Refused { .. } => 4,
-                ApiError::Unknown { .. } => 5,
+                ApiError::Unknown { .. } | ApiError::JobUnknown { .. } => 5,
                 _ => 3,
             },
             Error::Violated { .. } => 6,
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -277,6 +277,27 @@
     table(&["WORKER", "BOX", "SERVICE", "RUNS", "FREE", "CLOSED"], workers.iter().map(row))
 }
 
+/// Waves of upkeep, one a line.
+pub fn batch_waves(waves: &[view::Wave]) -> String {
+    let row = |wave: &view::Wave| {
+        let state = if wave.over { "over" } else { "running" };
+        let counts = [wave.machines, wave.begun, wave.max_down];
+        let mut row = vec![cell(wave.number)];
+        row.extend(counts.iter().map(cell));
+        row.push(cell(state));
+        row
+    };
+    table(&["WAVE", "BOXES", "BEGUN", "AT ONCE", "STATE"], waves.iter().map(row))
+}
+
+/// What became of a wish to cancel a job.
+pub fn batch_cancelled(cancelled: &view::Cancelled) -> String {
+    match cancelled.state {
+        Some(state) => format!("{state:?}").to_lowercase(),
+        None => "the wish to cancel it is kept; ask again how far the job is".to_owned(),
+    }
+}
+
 /// A job: where its tasks run and what holds those that wait.
 pub fn batch_job(job: &view::Job) -> String {
     let state = format!("{:?}", job.state).to_lowercase();
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 use serde_json::json;
 use spokelift_testutils::platform::advice::GOOD_MACHINE;
+use spokelift_testutils::platform::site::SITE_KEY;
 use spokelift_testutils::platform::site::Site;
 use spokelift_testutils::platform::store::Fault;
 use spokelift_testutils::platform::worker;
@@ -343,7 +344,7 @@
 fn tool(site: &Site, node: usize, words: &[&str]) -> (Option<i32>, String) {
     let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_spokelift"));
     command.arg("--daemon").arg(site.nodes[node].operate_addr.to_string()).args(words);
-    let output = command.output().unwrap();
+    let output = command.env("NO_COLOR", "1").output().unwrap();
     let text = [output.stdout, output.stderr].concat();
     (output.status.code(), String::from_utf8(text).unwrap())
 }
@@ -370,3 +371,95 @@
     let workers: Value = serde_json::from_str(&text).unwrap();
     assert_eq!(workers.as_array().unwrap().len(), 2);
 }
+
+/// A file of a test's own, removed at its end.
+struct File(std::path::PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> File {
+        let path = std::env::temp_dir().join(format!("spokelift-{}-{name}", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        File(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_submit_and_cancel_jobs_in_the_products_own_names() {
+    let site = Site::start(PROGRAM, 2, 3, 0).await.unwrap();
+    site.until("both know who leads", async |site| site.pending(1).await.is_some()).await;
+    let short = "spec = \"ms=100\"\n[[steps]]\ntasks = 2\ncores = 1.0\nmemory_mb = 100\n\
+                 [[steps]]\ntasks = 3\ncores = 0.5\nafter = [0]\n";
+    let short = File::new("short.toml", short);
+    for node in 0..2 {
+        let words = ["--key", SITE_KEY, "batch", "submit", "q", short.path()];
+        let (code, text) = tool(&site, node, &words);
+        assert_eq!(code, Some(0), "{text}");
+        site.until_succeeded(text.trim()).await;
+    }
+    assert_eq!(site.ledger.starts(), 10);
+    let lasting = "spec = \"x\"\n[[steps]]\ntasks = 3\ncores = 0.5\nlasting = true\n";
+    let lasting = File::new("lasting.toml", lasting);
+    let (job, words) = (id(7), ["batch", "submit", "q", lasting.path(), "--id", &id(7)]);
+    let (code, text) = tool(&site, 0, &[&["--key", SITE_KEY], &words[..]].concat());
+    assert_eq!((code, text.trim()), (Some(0), job.as_str()));
+    site.until("all tasks run", async |site| site.ledger.running(&job) == 3).await;
+    let cancel = ["--key", SITE_KEY, "batch", "cancel", &job];
+    let (code, text) = tool(&site, 1, &cancel);
+    assert_eq!((code, text.trim()), (Some(0), "canceled"));
+    site.until("no task runs", async |site| site.ledger.running(&job) == 0).await;
+    let (code, _) = tool(&site, 1, &["--key", SITE_KEY, "batch", "cancel", &id(8)]);
+    assert_eq!(code, Some(3));
+    assert_sound(&site);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_need_the_credential_of_the_site_and_a_sound_job() {
+    let site = Site::start(PROGRAM, 1, 2, 0).await.unwrap();
+    let sound = File::new("sound.toml", "spec = \"x\"\n[[steps]]\ntasks = 1\n");
+    let refused = |key: &str, queue: &str, text: &str, why: &str| {
+        let file = File::new("refused.toml", text);
+        let words = ["--key", key, "batch", "submit", queue, file.path()];
+        let (code, printed) = tool(&site, 0, &words);
+        assert_eq!(code, Some(3), "{printed}");
+        assert!(printed.contains(why), "{printed}");
+    };
+    let text = std::fs::read_to_string(sound.path()).unwrap();
+    refused("site:another-secret", "q", &text, "credential is missing or not valid");
+    refused("desk:a-secret-of-the-site", "q", &text, "credential is missing or not valid");
+    refused(SITE_KEY, "no-queue", &text, "there is no such queue");
+    refused(SITE_KEY, "q", "spec = \"x\"\nsteps = []\n", "the job has no task");
+    refused(SITE_KEY, "q", "spec = \"x\"\n[[steps]]\ntask = 1\n", "is no job");
+    let cores = "spec = \"x\"\n[[steps]]\ntasks = 1\ncores = -1.0\n";
+    refused(SITE_KEY, "q", cores, "asks for -1 cores");
+    let never = format!("{text}[schedule]\ntimes = 0\nfirst_ms = 0\n");
+    refused(SITE_KEY, "q", &never, "0 times");
+    let (code, _) = tool(&site, 0, &["--key", "site:another", "batch", "cancel", &id(1)]);
+    assert_eq!(code, Some(3));
+    assert_eq!(site.ledger.starts(), 0);
+    assert_sound(&site);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_see_how_far_a_wave_is() {
+    let site = Site::start(PROGRAM, 1, 3, 0).await.unwrap();
+    let machines: Vec<String> = (0..2).map(|number| format!("m-{number}")).collect();
+    site.wave(4, &machines, 1);
+    site.until("the wave is over", async |site| {
+        let (code, text) = tool(site, 0, &["--json", "batch", "waves"]);
+        let waves: Value = serde_json::from_str(&text).unwrap_or_default();
+        code == Some(0) && waves[0]["over"] == true && waves[0]["begun"] == 2
+    })
+    .await;
+    let (_, text) = tool(&site, 0, &["batch", "waves"]);
+    assert!(text.contains("4     2      2      1        over"), "{text}");
+}
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -141,6 +141,8 @@
     silent_with: HashMap<WorkerId, HashSet<TaskName>>,
     /// Machines of waves whose upkeep has begun.
     pub begun: HashMap<u64, HashSet<MachineId>>,
+    /// Waves that are over.
+    pub waves_over: HashSet<u64>,
     /// Repetitions that are not due yet: when, since 1970.
     scheduled: BTreeSet<(Duration, JobId, u32)>,
     dirty: HashSet<JobId>,
@@ -170,6 +172,7 @@
             unasked: HashSet::new(),
             silent_with: HashMap::new(),
             begun: HashMap::new(),
+            waves_over: HashSet::new(),
             scheduled: BTreeSet::new(),
             dirty: HashSet::new(),
             roster: Vec::new(),
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -135,6 +135,7 @@
 
     /// A wave is over.
     pub fn wave_over(&mut self, wave: u64) {
+        self.waves_over.insert(wave);
         if self.begun.remove(&wave).is_some() {
             self.roster.push(record::forget_wave(wave));
         }
--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -17,19 +15,17 @@
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
-use spokelift_platform::config::Queue;
 use spokelift_platform::ingress;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::parse_id;
-use spokelift_platform::store::Guard;
-use tokio::time::sleep;
 
 use crate::batch::node::Node;
 use crate::batch::peer;
 use crate::batch::peer::Reply;
-use crate::batch::record;
-use crate::batch::record::Accepted;
+use crate::batch::submit;
+use crate::batch::submit::Known;
+use crate::batch::submit::Submitted;
 use crate::transport::dial::Body;
 use crate::transport::dial::full;
 
@@ -37,10 +33,6 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_millis(3_000);
 /// Share of the client's time after which it gets an answer, whatever it is.
 const ANSWER_SHARE: f64 = 0.6;
-/// How long one write to the store may take before it is tried again.
-const WRITE: Duration = Duration::from_millis(600);
-/// Pause between tries.
-const PAUSE: Duration = Duration::from_millis(60);
 /// When a client that was refused should come back, in seconds; a change of the lead takes
 /// about two.
 const COME_BACK_S: &str = "1";
@@ -97,27 +89,12 @@
                     return status(400);
                 }
             };
-            submit(node, id, accept(job, queue), until).await
+            submitted(submit::submit(node, id, submit::accept(job, queue), until).await)
         }
         _ => status(405),
     }
 }
 
-/// A job as accepted now, with what its queue says of it.
-fn accept(job: Job, queue: &Queue) -> Accepted {
-    Accepted {
-        job,
-        queue: queue.name.clone(),
-        service: queue.service.clone(),
-        priority: queue.priority,
-        max_attempts: queue.max_attempts,
-        needs_advice: queue.advice.is_some(),
-        objective_ms: queue.objective_ms,
-        stretch_percent: (queue.stretch * 100.0) as u32,
-        at: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
-    }
-}
-
 fn status(code: u16) -> Response<Body> {
     let response = Response::builder().status(code);
     response.body(full(Bytes::new())).expect("a status makes an answer")
@@ -141,85 +118,32 @@
     response
 }
 
-/// Writes a job to the store and tells the holder of the lead.
-///
-/// Once a write has had no answer, the job may be taken whatever later tries say, and the client
-/// is told 504 rather than that it was refused.
-async fn submit(node: &Node, id: JobId, accepted: Accepted, until: Instant) -> Response<Body> {
-    let record = record::accepted(id, &accepted);
-    let mut certain = true;
-    loop {
-        let written =
-            node.store.append(record::JOB_TOPIC, std::slice::from_ref(&record), Guard::None, WRITE);
-        match written.await {
-            Ok(_) => break,
-            Err(error) => {
-                certain &= error.is_certain();
-                node.counters.count("batch.submit.write-failed");
-                log::info!(
-                    job = format!("{id:016x}").as_str(),
-                    certain;
-                    "job not written: {error}"
-                );
-            }
-        }
-        match through_peer(node, id, &accepted).await {
-            Some(Reply::Done) => return status(200),
-            Some(Reply::Refused | Reply::NotReady) => {}
-            _ => certain = false,
-        }
-        if Instant::now() + PAUSE >= until {
-            return if certain { come_back(503) } else { status(504) };
-        }
-        sleep(PAUSE).await;
-    }
-    node.tell_submitted(id, accepted);
-    status(200)
-}
-
-/// Has the holder of the lead write a job, if that is another node.
-async fn through_peer(node: &Node, id: JobId, accepted: &Accepted) -> Option<Reply> {
-    let Some(addr) = node.lead_elsewhere() else { return Some(Reply::NotReady) };
-    let request = peer::Request::Store(id, Box::new(accepted.clone()));
-    node.peers.ask(addr, request).await.ok()
-}
-
-/// Asks the holder of the lead until it answers or time is up.
-async fn ask(node: &Node, request: &peer::Request, until: Instant) -> Option<Reply> {
-    loop {
-        match node.ask_lead(request.clone()).await {
-            Some(Reply::NotReady | Reply::Refused) | None => {}
-            answered => return answered,
-        }
-        if Instant::now() + PAUSE >= until {
-            return None;
-        }
-        sleep(PAUSE).await;
+fn submitted(outcome: Submitted) -> Response<Body> {
+    match outcome {
+        Submitted::Kept => status(200),
+        Submitted::Refused => come_back(503),
+        Submitted::Unknown => status(504),
     }
 }
 
 async fn state(node: &Node, id: JobId, until: Instant) -> Response<Body> {
-    match ask(node, &peer::Request::State(id), until).await {
-        Some(Reply::State(Some(state))) => json(ingress::job_answer(state)),
-        Some(Reply::State(None)) => status(410),
-        _ => come_back(503),
+    match submit::state(node, id, until).await {
+        Known::State(state) => json(ingress::job_answer(state)),
+        Known::NoJob => status(410),
+        Known::CancelKept | Known::NoAnswer => come_back(503),
     }
 }
 
 async fn cancel(node: &Node, id: JobId, until: Instant) -> Response<Body> {
-    match ask(node, &peer::Request::Cancel(id), until).await {
-        Some(Reply::State(Some(_))) => status(200),
-        Some(Reply::State(None)) => status(410),
-        _ => {
-            let record = record::cancel(id);
-            let written = node.store.append(record::JOB_TOPIC, &[record], Guard::None, WRITE).await;
-            if written.is_ok() { status(200) } else { come_back(503) }
-        }
+    match submit::cancel(node, id, until).await {
+        Known::State(_) | Known::CancelKept => status(200),
+        Known::NoJob => status(410),
+        Known::NoAnswer => come_back(503),
     }
 }
 
 async fn pending(node: &Node, queue: String, until: Instant) -> Response<Body> {
-    match ask(node, &peer::Request::Pending(queue), until).await {
+    match submit::ask(node, &peer::Request::Pending(queue), until).await {
         Some(Reply::Pending(pending)) => json(ingress::queue_answer(pending)),
         _ => come_back(503),
     }
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -43,6 +43,7 @@
 use crate::listen::StartError;
 use crate::listen::listen;
 use crate::metrics::Counters;
+use crate::state::account::KeyHash;
 use crate::transport::dial::Body;
 use crate::transport::dial::Dialer;
 use crate::transport::dial::full;
@@ -60,6 +61,9 @@
 pub struct Node {
     /// The settings of the platform.
     pub settings: Settings,
+    /// Hash of the site operator's secret; without one, nobody may change anything through the
+    /// operators' port.
+    pub site_key: Option<KeyHash>,
     /// Random number of this life of the node.
     pub life: u64,
     /// The platform's store.
@@ -85,13 +89,14 @@
 
 impl Node {
     /// A node with nothing known yet.
-    pub fn new(settings: Settings, counters: Counters) -> Arc<Node> {
+    pub fn new(settings: Settings, site_key: Option<KeyHash>, counters: Counters) -> Arc<Node> {
         let dialer = Dialer::new(CONNECT);
         Arc::new(Node {
             store: Store::new(settings.store, dialer.clone()),
             workers: Caller::new(dialer.clone()),
             machines: settings.machines.map(|addr| Machines::new(addr, dialer.clone())),
             dialer,
+            site_key,
             life: rand::random(),
             peers: Peers::default(),
             directory: Directory::default(),
@@ -250,7 +255,11 @@
 /// # Errors
 ///
 /// [`StartError`] if it cannot listen.
-pub async fn run(settings: Settings, mut stop: watch::Receiver<bool>) -> Result<(), StartError> {
+pub async fn run(
+    settings: Settings,
+    site_key: Option<KeyHash>,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), StartError> {
     let counters = Counters::new(None).map_err(StartError::Metrics)?;
     let peer_addr = SocketAddr::new(settings.ip, settings.peer_port);
     let metrics_addr = SocketAddr::new(settings.ip, settings.metrics_port);
@@ -259,7 +268,7 @@
     let metrics = listen("metrics", metrics_addr).await?;
     let peers = listen("peers", peer_addr).await?;
     log::info!(node = settings.node.as_str(), hall = settings.hall.as_str(); "starts");
-    let node = Node::new(settings, counters);
+    let node = Node::new(settings, site_key, counters);
     let tasks = [
         tokio::spawn(peer::serve(node.clone(), peers)),
         tokio::spawn(operator::run(node.clone())),
--- a/lib/src/batch/node/operate.rs
+++ b/lib/src/batch/node/operate.rs
@@ -1,38 +1,131 @@
-//! What operators see of a node.
+//! What operators see of a node, and what they may have done through it.
 
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use spokelift_platform::job::JobId;
+use spokelift_platform::job::parse_id;
 
+use crate::batch::document::Job;
 use crate::batch::node::Node;
 use crate::batch::peer;
 use crate::batch::peer::Reply;
+use crate::batch::submit;
+use crate::batch::submit::Known;
+use crate::batch::submit::Submitted;
 use crate::batch::view;
+use crate::call::bearer;
 use crate::protocol::api::ApiError;
+use crate::state::account::SITE;
 use crate::transport::dial::Body;
 use crate::transport::dial::full;
 
-/// Answers operators: metrics as text, views of batch work as JSON.
+/// How long a change may take; the tool waits longer than that.
+const CHANGE: Duration = Duration::from_millis(5_000);
+/// Largest job that is read, in bytes.
+const BODY_LIMIT: usize = 262_144;
+
+/// Answers operators: metrics as text, views of batch work and changes of jobs as JSON.
 pub(super) async fn operate(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let path = request.uri().path().to_owned();
     if !path.starts_with(view::PATH) {
         return Response::new(full(metrics_text(&node)));
     }
-    let (status, text) = match node.ask_lead(peer::Request::View(path)).await {
-        Some(Reply::View(Some(view))) => (200, view),
-        Some(Reply::View(None)) => {
-            (404, refusal(&ApiError::NotFound { what: "view or job".into() }))
+    let answered = match *request.method() {
+        Method::GET => show(&node, path).await,
+        _ => change(&node, request).await,
+    };
+    let (status, text) = match answered {
+        Ok(text) => (200, text),
+        Err(error) => {
+            node.counters.count(error.counter());
+            (error.status(), refusal(&error))
         }
-        _ => (503, refusal(&ApiError::Stale)),
     };
     let response = Response::builder().status(status).header("content-type", "application/json");
     response.body(full(text)).expect("a status makes an answer")
 }
 
+async fn show(node: &Node, path: String) -> Result<String, ApiError> {
+    match node.ask_lead(peer::Request::View(path)).await {
+        Some(Reply::View(Some(view))) => Ok(view),
+        Some(Reply::View(None)) => Err(ApiError::NotFound { what: "view or job".into() }),
+        _ => Err(ApiError::Stale),
+    }
+}
+
+/// Submits or cancels a job for the site's operator.
+async fn change(node: &Node, request: Request<Incoming>) -> Result<String, ApiError> {
+    let (head, body) = request.into_parts();
+    check_credential(node, &head)?;
+    let path = head.uri.path().strip_prefix(view::PATH).unwrap_or_default();
+    let words: Vec<&str> = path.split('/').collect();
+    let until = Instant::now() + CHANGE;
+    match (&head.method, &words[..]) {
+        (&Method::POST, ["queues", queue, "jobs", id]) => {
+            let id = parse_id(id).ok_or(ApiError::Malformed)?;
+            let body = Limited::new(body, BODY_LIMIT).collect().await;
+            let body = body.map_err(|_| ApiError::TooLarge)?.to_bytes();
+            submit_job(node, queue, id, &body, until).await
+        }
+        (&Method::DELETE, ["jobs", id]) => {
+            let id = parse_id(id).ok_or(ApiError::Malformed)?;
+            cancel_job(node, id, until).await
+        }
+        _ => Err(ApiError::Malformed),
+    }
+}
+
+/// Without a key of the site in the node's settings, nobody may change anything.
+fn check_credential(node: &Node, head: &Parts) -> Result<(), ApiError> {
+    let key = node.site_key.ok_or(ApiError::Credential)?;
+    let credential = bearer(head)?;
+    let valid = credential.account == SITE && credential.matches(&[key]);
+    if valid { Ok(()) } else { Err(ApiError::Credential) }
+}
+
+async fn submit_job(
+    node: &Node,
+    queue: &str,
+    id: JobId,
+    body: &[u8],
+    until: Instant,
+) -> Result<String, ApiError> {
+    let config = node.config().ok_or(ApiError::Stale)?;
+    let queue = config.queues.iter().find(|known| known.name == queue);
+    let queue = queue.ok_or(ApiError::NotFound { what: "queue".into() })?;
+    let job = Job::decode(body);
+    let job = job.map_err(|error| ApiError::Job { cause: error.to_string().into() })?;
+    match submit::submit(node, id, submit::accept(job, queue), until).await {
+        Submitted::Kept => Ok(answer(&view::Submitted { id: format!("{id:016x}") })),
+        Submitted::Refused => Err(ApiError::Busy),
+        Submitted::Unknown => Err(ApiError::JobUnknown { job: format!("{id:016x}").into() }),
+    }
+}
+
+async fn cancel_job(node: &Node, id: JobId, until: Instant) -> Result<String, ApiError> {
+    match submit::cancel(node, id, until).await {
+        Known::State(state) => Ok(answer(&view::Cancelled { state: Some(state) })),
+        Known::CancelKept => Ok(answer(&view::Cancelled { state: None })),
+        Known::NoJob => Err(ApiError::NotFound { what: "job".into() }),
+        Known::NoAnswer => Err(ApiError::Stale),
+    }
+}
+
+fn answer<T: serde::Serialize>(value: &T) -> String {
+    serde_json::to_string(value).expect("answers can be written as JSON")
+}
+
 fn refusal(error: &ApiError) -> String {
-    serde_json::to_string(error).expect("the protocol's errors can be written as JSON")
+    answer(error)
 }
 
 fn metrics_text(node: &Node) -> String {
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -177,7 +177,7 @@
             Request::State(id) => Reply::State(self.cell().jobs.get(&id).map(|job| job.shown())),
             Request::Pending(queue) => Reply::Pending(self.cell().pending(&queue)),
             Request::Cancel(id) => self.cancel(id).await,
-            Request::View(path) => Reply::View(view::show(&self.cell(), &path)),
+            Request::View(path) => Reply::View(view::show(&self.cell(), &self.node.waves(), &path)),
             Request::Store(..) | Request::Read(..) => Reply::Refused,
         }
     }
--- /dev/null
+++ b/lib/src/batch/submit.rs
@@ -0,0 +1,147 @@
+//! What becomes of a job that is handed in, asked for or cancelled, at any node.
+
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use spokelift_platform::config::Queue;
+use spokelift_platform::ingress::JobState;
+use spokelift_platform::job::Job;
+use spokelift_platform::job::JobId;
+use spokelift_platform::store::Guard;
+use tokio::time::sleep;
+
+use crate::batch::node::Node;
+use crate::batch::peer;
+use crate::batch::peer::Reply;
+use crate::batch::record;
+use crate::batch::record::Accepted;
+
+/// How long one write to the store may take before it is tried again.
+const WRITE: Duration = Duration::from_millis(600);
+/// Pause between tries.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// What became of a job that was handed in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submitted {
+    /// The store keeps it.
+    Kept,
+    /// It was not taken and never will be.
+    Refused,
+    /// It may have been taken.
+    Unknown,
+}
+
+/// What the holder of the lead said of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Known {
+    /// Its state.
+    State(JobState),
+    /// A wish to cancel it is kept; its state was not told.
+    CancelKept,
+    /// There is no such job.
+    NoJob,
+    /// Nobody who knows could be asked in time.
+    NoAnswer,
+}
+
+/// A job as accepted now, with what its queue says of it.
+pub fn accept(job: Job, queue: &Queue) -> Accepted {
+    Accepted {
+        job,
+        queue: queue.name.clone(),
+        service: queue.service.clone(),
+        priority: queue.priority,
+        max_attempts: queue.max_attempts,
+        needs_advice: queue.advice.is_some(),
+        objective_ms: queue.objective_ms,
+        stretch_percent: (queue.stretch * 100.0) as u32,
+        at: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+    }
+}
+
+/// Writes a job to the store and tells the holder of the lead.
+///
+/// Once a write has had no answer, the job may be taken whatever later tries say.
+pub async fn submit(node: &Node, id: JobId, accepted: Accepted, until: Instant) -> Submitted {
+    let record = record::accepted(id, &accepted);
+    let mut certain = true;
+    loop {
+        let written =
+            node.store.append(record::JOB_TOPIC, std::slice::from_ref(&record), Guard::None, WRITE);
+        match written.await {
+            Ok(_) => break,
+            Err(error) => {
+                certain &= error.is_certain();
+                node.counters.count("batch.submit.write-failed");
+                log::info!(
+                    job = format!("{id:016x}").as_str(),
+                    certain;
+                    "job not written: {error}"
+                );
+            }
+        }
+        match through_peer(node, id, &accepted).await {
+            Some(Reply::Done) => return Submitted::Kept,
+            Some(Reply::Refused | Reply::NotReady) => {}
+            _ => certain = false,
+        }
+        if Instant::now() + PAUSE >= until {
+            return if certain { Submitted::Refused } else { Submitted::Unknown };
+        }
+        sleep(PAUSE).await;
+    }
+    node.tell_submitted(id, accepted);
+    Submitted::Kept
+}
+
+/// Has the holder of the lead write a job, if that is another node.
+async fn through_peer(node: &Node, id: JobId, accepted: &Accepted) -> Option<Reply> {
+    let Some(addr) = node.lead_elsewhere() else { return Some(Reply::NotReady) };
+    let request = peer::Request::Store(id, Box::new(accepted.clone()));
+    node.peers.ask(addr, request).await.ok()
+}
+
+/// Asks the holder of the lead until it answers or time is up.
+pub async fn ask(node: &Node, request: &peer::Request, until: Instant) -> Option<Reply> {
+    loop {
+        match node.ask_lead(request.clone()).await {
+            Some(Reply::NotReady | Reply::Refused) | None => {}
+            answered => return answered,
+        }
+        if Instant::now() + PAUSE >= until {
+            return None;
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Asks how far a job is.
+pub async fn state(node: &Node, id: JobId, until: Instant) -> Known {
+    match ask(node, &peer::Request::State(id), until).await {
+        Some(Reply::State(Some(state))) => Known::State(state),
+        Some(Reply::State(None)) => Known::NoJob,
+        _ => Known::NoAnswer,
+    }
+}
+
+/// Cancels a job. If nobody who knows it can be asked, the wish is kept in the store.
+pub async fn cancel(node: &Node, id: JobId, until: Instant) -> Known {
+    match ask(node, &peer::Request::Cancel(id), until).await {
+        Some(Reply::State(Some(state))) => Known::State(state),
+        Some(Reply::State(None)) => Known::NoJob,
+        _ => {
+            let record = record::cancel(id);
+            match node.store.append(record::JOB_TOPIC, &[record], Guard::None, WRITE).await {
+                Ok(_) => Known::CancelKept,
+                Err(error) => {
+                    let job = format!("{id:016x}");
+                    log::info!(job = job.as_str(); "cancel not written: {error}");
+                    Known::NoAnswer
+                }
+            }
+        }
+    }
+}
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -1,6 +1,5 @@
 //! Carries out waves: empties machines, has their upkeep done, at most so many at once.
 
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -63,22 +62,24 @@
 /// The waves under way.
 #[derive(Default)]
 pub struct Waves {
-    over: BTreeSet<u64>,
     courses: HashMap<u64, Course>,
 }
 
 impl Waves {
     /// Begins with what the store knows of earlier waves.
     pub async fn begin(scheduler: &Scheduler) -> Waves {
-        Waves { over: read_over(scheduler).await, courses: HashMap::new() }
+        let over = read_over(scheduler).await;
+        scheduler.cell().waves_over = over;
+        Waves::default()
     }
 
     /// Takes in new waves; returns whether any is under way.
     pub fn take(&mut self, scheduler: &Scheduler) -> bool {
+        let cell = scheduler.cell();
         let waves = scheduler.node.waves();
-        for wave in waves.into_iter().filter(|wave| !self.over.contains(&wave.number)) {
+        for wave in waves.into_iter().filter(|wave| !cell.waves_over.contains(&wave.number)) {
             self.courses.entry(wave.number).or_insert_with(|| {
-                let begun = scheduler.cell().begun.get(&wave.number).cloned();
+                let begun = cell.begun.get(&wave.number).cloned();
                 Course::new(wave, begun.unwrap_or_default())
             });
         }
@@ -96,12 +97,10 @@
         for course in self.courses.values_mut() {
             advance(scheduler, machines, course, list, taken).await;
             if course.told == Some(true) {
-                self.over.insert(course.wave.number);
                 scheduler.cell().wave_over(course.wave.number);
             }
         }
-        let over = &self.over;
-        self.courses.retain(|number, _| !over.contains(number));
+        self.courses.retain(|_, course| course.told != Some(true));
     }
 
     /// Machines that are being emptied or are down for a wave.
@@ -128,7 +127,7 @@
 }
 
 /// Waves that an earlier scheduler has finished.
-async fn read_over(scheduler: &Scheduler) -> BTreeSet<u64> {
+async fn read_over(scheduler: &Scheduler) -> HashSet<u64> {
     loop {
         match scheduler.node.store.newest(STATUS_TOPIC, CALL).await {
             Ok(newest) => {
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -1,6 +1,7 @@
 //! What operators see of batch work: services, queues, workers, and why a job waits.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,6 +11,7 @@
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::TaskName;
 use spokelift_platform::job::parse_id;
+use spokelift_platform::wave;
 
 use crate::batch::cell::Cell;
 use crate::batch::place::fit::Hindrance;
@@ -99,16 +101,47 @@
     pub waits_for_turn: bool,
 }
 
+/// A wave.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Wave {
+    /// Its number.
+    pub number: u64,
+    /// Machines that are due.
+    pub machines: usize,
+    /// Those whose upkeep has begun.
+    pub begun: usize,
+    /// Most machines that may be down at once.
+    pub max_down: usize,
+    /// All have had their upkeep, and the operator was told.
+    pub over: bool,
+}
+
+/// A job that was taken.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Submitted {
+    /// Its id.
+    pub id: String,
+}
+
+/// What became of a wish to cancel a job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Cancelled {
+    /// The state the job has ended in; none if the wish is kept and nobody who knows the job could
+    /// be asked.
+    pub state: Option<JobState>,
+}
+
 fn cores(thousandths: impl Into<u64>) -> f64 {
     thousandths.into() as f64 / 1_000.0
 }
 
 /// Shows what `path` names, as JSON; `None` if there is no such thing.
-pub fn show(cell: &Cell, path: &str) -> Option<String> {
+pub fn show(cell: &Cell, waves: &[wave::Wave], path: &str) -> Option<String> {
     let now = Instant::now();
     let shown = match path.strip_prefix(PATH)? {
         "services" => serde_json::to_string(&services(cell, now)),
         "queues" => serde_json::to_string(&queues(cell)),
+        "waves" => serde_json::to_string(&self::waves(cell, waves)),
         "workers" => serde_json::to_string(&workers(cell, now)),
         other => serde_json::to_string(&job(cell, parse_id(other.strip_prefix("jobs/")?)?, now)?),
     };
@@ -162,6 +195,22 @@
     shown
 }
 
+/// The waves asked for.
+pub fn waves(cell: &Cell, asked: &[wave::Wave]) -> Vec<Wave> {
+    let shown = asked.iter().map(|wave| {
+        let over = cell.waves_over.contains(&wave.number);
+        let begun = cell.begun.get(&wave.number).map_or(0, HashSet::len);
+        Wave {
+            number: wave.number,
+            machines: wave.machines.len(),
+            begun: if over { wave.machines.len() } else { begun },
+            max_down: wave.max_down,
+            over,
+        }
+    });
+    shown.collect()
+}
+
 /// A job and what holds it.
 pub fn job(cell: &Cell, id: JobId, now: Instant) -> Option<Job> {
     let entry = cell.jobs.get(&id)?;
--- a/lib/src/protocol/api.rs
+++ b/lib/src/protocol/api.rs
@@ -181,6 +181,18 @@
         /// The constraint that stops it.
         cause: PlanError,
     },
+    /// The job cannot be used; nothing was sent.
+    #[error("{cause}")]
+    Job {
+        /// What is wrong with it.
+        cause: Box<str>,
+    },
+    /// The job may have been taken: the store has not answered in time.
+    #[error("not known whether job {job} was taken")]
+    JobUnknown {
+        /// Its id.
+        job: Box<str>,
+    },
     /// The change was refused by the rule that every daemon applies; nothing was changed.
     #[error("{refusal}")]
     Refused {
@@ -215,9 +227,9 @@
             ApiError::Malformed => 400,
             ApiError::NotFound { .. } => 404,
             ApiError::TooLarge => 413,
-            ApiError::Config { .. } | ApiError::Plan { .. } => 422,
+            ApiError::Config { .. } | ApiError::Plan { .. } | ApiError::Job { .. } => 422,
             ApiError::Refused { .. } => 409,
-            ApiError::Unknown { .. } => 504,
+            ApiError::Unknown { .. } | ApiError::JobUnknown { .. } => 504,
             ApiError::Stale | ApiError::Busy => 503,
         }
     }
@@ -233,6 +245,8 @@
             ApiError::Plan { .. } => "operate.refused.plan",
             ApiError::Refused { .. } => "operate.refused.conflict",
             ApiError::Unknown { .. } => "operate.unknown",
+            ApiError::Job { .. } => "operate.refused.job",
+            ApiError::JobUnknown { .. } => "operate.unknown.job",
             ApiError::Stale => "operate.refused.stale",
             ApiError::Busy => "operate.refused.busy",
         }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -290,6 +290,33 @@
     }
 }
 
+/// Reads the hash of the site operator's secret, where it may be left out.
+///
+/// ```
+/// use spokelift_lib::settings::read_site_key;
+/// assert_eq!(read_site_key(|_| None), Ok(None));
+/// assert!(read_site_key(|_| Some("no hash".to_owned())).is_err());
+/// ```
+///
+/// # Errors
+///
+/// [`SettingsError`] if it is given and is no hash.
+pub fn read_site_key(
+    get: impl Fn(&Setting) -> Option<String>,
+) -> Result<Option<KeyHash>, SettingsError> {
+    const FLAG: &str = "site-key-hash";
+    if get(find(FLAG)).is_none() {
+        return Ok(None);
+    }
+    let mut reader = Reader { get, faults: Vec::new() };
+    let site_key = reader.value(FLAG, parse_hash);
+    if reader.faults.is_empty() {
+        Ok(site_key)
+    } else {
+        Err(SettingsError { faults: reader.faults })
+    }
+}
+
 /// Reads every setting before giving up, so that all faults are found.
 fn read<F: Fn(&Setting) -> Option<String>>(reader: &mut Reader<F>) -> Option<Settings> {
     let id = reader.parsed("id");
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -20,6 +20,8 @@
 use nix::unistd::Pid;
 use serde_json::Value;
 use serde_json::json;
+use spokelift_lib::state::account::format_hash;
+use spokelift_lib::state::account::hash_secret;
 use spokelift_lib::transport::dial::Dialer;
 use spokelift_lib::transport::dial::full;
 use spokelift_platform::store::OPERATOR_TOPIC;
@@ -37,6 +39,8 @@
 const ANSWER: Duration = Duration::from_secs(3);
 /// Pause between looks at something awaited.
 const PAUSE: Duration = Duration::from_millis(25);
+/// Credential of the site's operator.
+pub const SITE_KEY: &str = "site:a-secret-of-the-site";
 /// Host under which clients call.
 const HOST: &str = "site.example";
 /// Loopback addresses given out in this process.
@@ -106,7 +110,9 @@
         let log = std::env::var_os("SPOKELIFT_TEST_LOG").is_some();
         let output = || if log { Stdio::inherit() } else { Stdio::null() };
         let mut command = Command::new(&self.program);
+        let secret = SITE_KEY.split_once(':').expect("a credential has two parts").1;
         command.arg("--platform").env(spokelift_platform::settings::VARIABLE, &self.file);
+        command.env("SPOKELIFT_SITE_KEY_HASH", format_hash(&hash_secret(secret)));
         self.child = Some(command.stdout(output()).stderr(output()).spawn()?);
         Ok(())
     }
