batch: idle machines are switched off, tasks are packed, the upkeep of a reserve machine ends

Switching machines off showed an older fault: a machine of the reserve has no worker, so after its upkeep it counted as down for ever and the wave stood still.

Change: a machine that ran nothing for 1 s and that its service does not need beside three spare ones moves to the reserve; the fullest worker with room is preferred; a machine of the reserve is back from upkeep when it is listed as up. An empty worker id in the platform's list means none.

Shown by: a_wave_ends_whose_machines_are_switched_off (fails on the code before), idle_machines_are_switched_off_and_come_back_for_work.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -289,6 +289,38 @@
     assert_sound(&site);
 }
 
+#[tokio::test]
+async fn a_wave_ends_whose_machines_are_switched_off() {
+    let site = Site::start(PROGRAM, 2, 2, 4).await.unwrap();
+    let machines: Vec<String> = (0..6).map(|number| format!("m-{number}")).collect();
+    site.wave(7, &machines, 2);
+    let succeeded = async |site: &Site| {
+        let status = site.store.get("keyed.status", "wave/7");
+        status.is_some_and(|status| status.ends_with(b"\"succeeded\"}"))
+    };
+    site.until("the wave has succeeded", succeeded).await;
+    let (begun, most_down) = site.machines.upkept(7);
+    assert_eq!(begun, 6);
+    assert!(most_down <= 2, "{most_down} machines were down at once");
+}
+
+#[tokio::test]
+async fn idle_machines_are_switched_off_and_come_back_for_work() {
+    let site = Site::start(PROGRAM, 2, 9, 0).await.unwrap();
+    site.insist(&id(1), lasting(2)).await;
+    // Three are kept beside what the tasks that last need.
+    site.until("idle machines are off", async |site| site.machines.in_pool("work") == 4).await;
+    for number in 2..14 {
+        site.insist(&id(number), job(8, 500)).await;
+    }
+    site.until("machines are back", async |site| site.machines.in_pool("work") > 6).await;
+    for number in 2..14 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_eq!(site.ledger.running(&id(1)), 2);
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn machines_move_to_the_service_that_is_short_of_them() {
     let site = Site::start(PROGRAM, 2, 2, 3).await.unwrap();
--- a/lib/src/batch/place/fit.rs
+++ b/lib/src/batch/place/fit.rs
@@ -119,5 +119,7 @@
         Kind::Works => 0,
         _ => worker.slots.values().filter(|slot| slot.kind != Kind::Works).count() as u32,
     };
-    (avoided, far, crowd as u32 + worker.failures, u32::MAX - lasting, u32::MAX - worker.free.cpu)
+    // The fullest worker that has room comes first, so that others become empty and can be moved or
+    // switched off.
+    (avoided, far, crowd as u32 + worker.failures, u32::MAX - lasting, worker.free.cpu)
 }
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -34,6 +34,12 @@
 /// How many times better off a service that is short itself must be to give a machine to another:
 /// a move idles a machine for about 3 s, which must be worth it.
 const SHARE_RATIO: f64 = 1.5;
+/// Machines that a service keeps beyond what it wants, since jobs arrive in lumps: a wide job asks
+/// for about a hundred cores at once, and a machine that was switched off is back after 2 s.
+const SPARE_MACHINES: u64 = 3;
+/// How long a machine must have been idle before it is switched off. A move to the reserve and one
+/// back cost as much as about two seconds of a machine.
+const IDLE_TIME: Duration = Duration::from_millis(1_000);
 /// How long a machine may take to become empty before what runs on it is stopped.
 const EMPTY_TIME: Duration = Duration::from_millis(2_500);
 /// How long a move may take until it is taken to have failed: several times the usual 2 s.
@@ -88,6 +94,16 @@
         self.has_more_than_least() && self.has >= self.wanted() + size
     }
 
+    /// Whether it holds more machines of this size than it should keep.
+    fn has_excess(&self, size: u64) -> bool {
+        self.has_more_than_least() && self.has >= self.wanted() + (SPARE_MACHINES + 1) * size
+    }
+
+    /// Processor of one of its workers, on average.
+    fn size(&self) -> u64 {
+        self.has.checked_div(self.workers).unwrap_or(0)
+    }
+
     /// Whether its lasting tasks can be spread with one worker less.
     fn has_more_than_least(&self) -> bool {
         self.workers > self.least.max(1)
@@ -97,6 +113,8 @@
 /// A machine on its way to another pool.
 struct Move {
     to: String,
+    /// It is switched off: `to` is the reserve.
+    is_off: bool,
     since: Instant,
     ordered: bool,
 }
@@ -105,6 +123,8 @@
 #[derive(Default)]
 pub struct Pools {
     moves: HashMap<MachineId, Move>,
+    /// Machines on which nothing runs, and since when that is known.
+    idle: HashMap<MachineId, Instant>,
 }
 
 /// What each service has and wants.
@@ -144,8 +164,11 @@
 impl Pools {
     /// Whether moves are under way or wanted.
     pub fn wants_list(&self, scheduler: &Scheduler) -> bool {
-        let short = |load: &Load| load.wanted() > load.has || load.least > load.workers;
-        !self.moves.is_empty() || loads(&scheduler.cell(), Instant::now()).values().any(short)
+        let unfit = |load: &Load| {
+            let short = load.wanted() > load.has || load.least > load.workers;
+            short || load.has_excess(load.size())
+        };
+        !self.moves.is_empty() || loads(&scheduler.cell(), Instant::now()).values().any(unfit)
     }
 
     /// Machines under way.
@@ -162,11 +185,13 @@
         taken: &HashSet<MachineId>,
     ) {
         self.settle(scheduler, list);
+        self.note_idle(&scheduler.cell(), list);
         if !scheduler.may_order_machines() {
             return;
         }
         if let Some(config) = scheduler.node.config() {
             self.choose(&mut scheduler.cell(), &config, list, taken);
+            self.release(&mut scheduler.cell(), &config, list, taken);
         }
         for id in self.emptied(scheduler, list) {
             self.order(scheduler, machines, &id).await;
@@ -180,6 +205,8 @@
             let machine = list.iter().find(|machine| machine.id == *id);
             let arrived = machine.is_some_and(|machine| {
                 let joined = machine.worker.as_ref().is_some_and(|worker| workers.contains(worker));
+                // A machine that is switched off has no worker that would join.
+                let joined = joined || under_way.is_off;
                 machine.pool == under_way.to && machine.status == Status::Up && joined
             });
             machine.is_some() && !arrived && under_way.since.elapsed() < MOVE_TIME
@@ -202,8 +229,7 @@
         for service in config.services.iter().filter(|service| !service.is_reserve) {
             let load = loads.get(&service.name).copied().unwrap_or_default();
             let coming: u64 = self.coming(&service.name, list);
-            let size = load.has.checked_div(load.workers).unwrap_or(0);
-            let unspread = load.least.saturating_sub(load.workers) * size;
+            let unspread = load.least.saturating_sub(load.workers) * load.size();
             let missing = load.wanted().max(load.has + unspread).saturating_sub(load.has + coming);
             if missing > 0 {
                 short.push((missing, service.name.clone()));
@@ -226,7 +252,7 @@
                 load.has = load.has.saturating_sub(u64::from(machine.room.cpu));
                 load.workers -= 1;
             }
-            let under_way = Move { to: service.clone(), since: now, ordered: false };
+            let under_way = Move { to: service.clone(), is_off: false, since: now, ordered: false };
             self.moves.insert(machine.id.clone(), under_way);
             left -= 1;
             let rest = missing.saturating_sub(u64::from(machine.room.cpu));
@@ -237,6 +263,59 @@
         }
     }
 
+    /// Notes which machines run nothing.
+    fn note_idle(&mut self, cell: &Cell, list: &[Machine]) {
+        let now = Instant::now();
+        for machine in list {
+            let worker = machine.worker.as_ref().and_then(|worker| cell.workers.get(worker));
+            if worker.is_some_and(|worker| worker.slots.is_empty()) {
+                self.idle.entry(machine.id.clone()).or_insert(now);
+            } else {
+                self.idle.remove(&machine.id);
+            }
+        }
+    }
+
+    /// Switches machines off that their services do not need: they cost nothing in the reserve,
+    /// and are back from there as soon as from another service.
+    fn release(
+        &mut self,
+        cell: &mut Cell,
+        config: &Config,
+        list: &[Machine],
+        taken: &HashSet<MachineId>,
+    ) {
+        let Some(reserve) = config.services.iter().find(|service| service.is_reserve) else {
+            return;
+        };
+        let now = Instant::now();
+        let mut loads = loads(cell, now);
+        for machine in list {
+            let rested = self.idle.get(&machine.id);
+            let rested = rested.is_some_and(|since| now.duration_since(*since) >= IDLE_TIME);
+            let free = machine.status == Status::Up
+                && !taken.contains(&machine.id)
+                && !self.moves.contains_key(&machine.id);
+            let worker = machine.worker.as_ref().and_then(|worker| cell.workers.get_mut(worker));
+            let Some(worker) = worker.filter(|worker| rested && free && worker.slots.is_empty())
+            else {
+                continue;
+            };
+            let size = u64::from(machine.room.cpu);
+            let Some(load) = loads.get_mut(&machine.pool).filter(|load| load.has_excess(size))
+            else {
+                continue;
+            };
+            load.has -= size;
+            load.workers -= 1;
+            worker.cordoned = true;
+            log::info!(machine = machine.id.as_str(), from = machine.pool.as_str(); "switched off");
+            let to = reserve.name.clone();
+            let under_way = Move { to, is_off: true, since: now, ordered: false };
+            self.moves.insert(machine.id.clone(), under_way);
+        }
+    }
+
     fn coming(&self, service: &str, list: &[Machine]) -> u64 {
         let coming = self.moves.iter().filter(|(_, under_way)| under_way.to == service);
         let machines = coming.filter_map(|(id, _)| list.iter().find(|machine| machine.id == *id));
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -193,12 +193,19 @@
     listed.get(id)?.worker.clone()
 }
 
-/// A machine counts as down until the platform lists it as up with another worker.
+/// A machine counts as down until the platform lists it as up with another worker. One of the
+/// reserve is switched off and gets no other worker.
 fn settle_down(scheduler: &Scheduler, course: &mut Course, listed: &HashMap<&str, &Machine>) {
     let least = scheduler.node.settings.upkeep_time;
+    let config = scheduler.node.config();
+    let is_off = |machine: &Machine| {
+        let service = config.as_ref().and_then(|config| config.service(&machine.pool));
+        service.is_some_and(|service| service.is_reserve)
+    };
     course.down.retain(|id, (since, before)| {
         let back = listed.get(id.as_str()).is_none_or(|machine| {
-            machine.status == Status::Up && machine.worker != *before && machine.worker.is_some()
+            let lives_again = machine.worker.is_some() && machine.worker != *before;
+            machine.status == Status::Up && (lives_again || is_off(machine))
         });
         !(back && since.elapsed() >= least)
     });
--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -38,6 +38,9 @@
     fence: u64,
 }
 
+/// The pool whose machines are switched off.
+pub const RESERVE: &str = "spare";
+
 #[derive(Default)]
 struct State {
     machines: BTreeMap<String, Machine>,
@@ -81,10 +84,10 @@
         self.state.lock().expect("no holder panics")
     }
 
-    /// Adds a machine with a worker.
+    /// Adds a machine, with a worker unless it is in the reserve.
     pub async fn add(&self, id: &str, shape: Shape) -> std::io::Result<()> {
-        let worker = Worker::start(&self.store, &self.ledger, id, &shape).await?;
-        let machine = Machine { shape, worker: Some(worker), status: "up", fence: 0 };
+        let worker = self.start_worker(id, &shape).await?;
+        let machine = Machine { shape, worker, status: "up", fence: 0 };
         self.state().machines.insert(id.to_owned(), machine);
         Ok(())
     }
@@ -134,13 +137,21 @@
         else {
             return;
         };
-        let worker = Worker::start(&self.store, &self.ledger, &id, &shape).await;
+        let worker = self.start_worker(&id, &shape).await;
         if let (Ok(worker), Some(machine)) = (worker, self.state().machines.get_mut(&id)) {
-            machine.worker = Some(worker);
+            machine.worker = worker;
             machine.status = "up";
         }
     }
 
+    /// Machines of the reserve are switched off.
+    async fn start_worker(&self, id: &str, shape: &Shape) -> std::io::Result<Option<Worker>> {
+        if shape.service == RESERVE {
+            return Ok(None);
+        }
+        Worker::start(&self.store, &self.ledger, id, shape).await.map(Some)
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         let token = header_number(request.headers(), "x-fencing-token");
@@ -158,7 +169,8 @@
             .machines
             .iter()
             .map(|(id, machine)| {
-                let worker = machine.worker.as_ref().map(|worker| worker.id.clone());
+                let worker = machine.worker.as_ref();
+                let worker = worker.map(|worker| worker.id.clone()).unwrap_or_default();
                 json!({
                     "machine": id, "pool": machine.shape.service, "state": machine.status,
                     "zone": "hall-1",
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -31,6 +31,7 @@
 use crate::platform::advice::Advice;
 use crate::platform::ledger::Ledger;
 use crate::platform::machines::Machines;
+use crate::platform::machines::RESERVE;
 use crate::platform::store::Door;
 use crate::platform::store::Store;
 use crate::platform::worker::Shape;
@@ -190,7 +191,7 @@
         "routes": [queue("q", &Value::Null), queue("advised", &json!({ "decide_ms": 5 }))],
         "services": [
             { "name": "work", "enforcesCapacity": true, "headroom": false },
-            { "name": "spare", "enforcesCapacity": true, "headroom": true },
+            { "name": RESERVE, "enforcesCapacity": true, "headroom": true },
         ],
         "limits": { "maxBodyBytes": 262144 },
     })
@@ -208,7 +209,7 @@
         let (store, ledger) = (Store::default(), Ledger::default());
         let machines = Machines::start(&store, &ledger).await?;
         for number in 0..workers + reserve {
-            let service = if number < workers { "work" } else { "spare" };
+            let service = if number < workers { "work" } else { RESERVE };
             let rack = format!("r1-{}", number / 2);
             let shape = Shape { service: service.to_owned(), rack, cpu: 8_000, memory: 8_000 };
             machines.add(&format!("m-{number}"), shape).await?;
