testutils: a soak of real daemons under random faults, judged by what clients and workers saw

Cause: faults were tested one at a time and by hand; nothing of ours brought them together.

Change: platform::soak draws jobs and a schedule of faults from a seed: daemons killed, paused, stopped, told to reload, all killed at once; connections to the store and from clients held both ways or one way, reset or delayed; the store busy, silent, losing or delaying answers, forgetting its history; workers cut off, crashing, losing answers; waves. The ledger judges: no task twice, none before its step's turn, none that nobody sent, none after its job was cancelled; what was refused never runs, what was accepted succeeds. Daemons' clocks are not touched: only workers' leases depend on clocks, and those of workers are their own.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -70,7 +70,7 @@
 
 #[tokio::test]
 async fn jobs_survive_the_death_of_the_scheduler() {
-    let mut site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
     for number in 0..8 {
         site.insist(&id(number), job(4, 400)).await;
     }
@@ -135,14 +135,14 @@
 
 #[tokio::test]
 async fn what_was_accepted_survives_the_death_of_all() {
-    let mut site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
     for number in 0..6 {
         site.insist(&id(number), job(4, 300)).await;
     }
-    for node in &mut site.nodes {
+    for node in &site.nodes {
         node.kill();
     }
-    for node in &mut site.nodes {
+    for node in &site.nodes {
         node.start().unwrap();
     }
     for number in 0..6 {
@@ -336,7 +336,7 @@
 
 #[tokio::test]
 async fn a_planned_stop_hands_over_and_ends_well() {
-    let mut site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
     for number in 0..4 {
         site.insist(&id(number), job(4, 500)).await;
     }
--- /dev/null
+++ b/cli/tests/test_soak.rs
@@ -0,0 +1,40 @@
+//! Real daemons under random faults keep what clients were told. `SPOKELIFT_SOAK_SEEDS=FIRST..END`
+//! and `SPOKELIFT_SOAK_S=SECONDS` run other seeds and longer ones.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use spokelift_testutils::platform::soak;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
+/// Seeds that run where none are named.
+const SEEDS: Range<u64> = 1..3;
+/// How long faults go on where nothing else is said.
+const TIME_S: u64 = 8;
+
+fn seeds() -> Range<u64> {
+    let Ok(text) = std::env::var("SPOKELIFT_SOAK_SEEDS") else { return SEEDS };
+    let (first, end) = text.split_once("..").expect("SPOKELIFT_SOAK_SEEDS is FIRST..END");
+    let number = |text: &str| text.parse().expect("a seed is a number");
+    number(first)..number(end)
+}
+
+fn time() -> Duration {
+    let text = std::env::var("SPOKELIFT_SOAK_S").ok();
+    let seconds = text.map(|text| text.parse().expect("SPOKELIFT_SOAK_S is a number"));
+    Duration::from_secs(seconds.unwrap_or(TIME_S))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn random_faults_break_no_promise() {
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let report = soak::play(PROGRAM, seed, time()).await.unwrap();
+        println!("seed {seed}: {report:#?}");
+        assert!(report.accepted > 0, "seed {seed}: nothing was accepted");
+        if !report.broken.is_empty() {
+            failed.push((seed, report.broken));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -1,11 +1,12 @@
 //! Stand-in for the users' platform, written from its published protocol: a [`store`], [`worker`]s
 //! on [`machines`], and a [`site`] that puts them around real daemons. Small; it keeps just what
-//! spokelift relies on, and faults that can be set.
+//! spokelift relies on, and faults that can be set. [`soak`] sets them at random.
 
 pub mod advice;
 pub mod ledger;
 pub mod machines;
 pub mod site;
+pub mod soak;
 pub mod store;
 pub mod worker;
 
--- a/testutils/src/platform/ledger.rs
+++ b/testutils/src/platform/ledger.rs
@@ -1,9 +1,12 @@
 //! What all workers of a site saw: the judge of whether a task ran twice.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
 
 /// What all workers of a site saw: the judge of whether a task ran twice.
 #[derive(Clone, Default)]
@@ -15,10 +18,45 @@
 struct LedgerInner {
     running: HashMap<String, u32>,
     done: HashMap<String, u32>,
+    /// Tasks that were ever done, also where the end is lost.
+    ever_done: HashSet<String>,
     starts: HashMap<String, u32>,
+    /// Tasks of each step of the jobs that clients sent; empty where nobody says.
+    sent: HashMap<String, Vec<u32>>,
+    /// Jobs of which nothing may start any more, and since when.
+    barred: HashMap<String, Instant>,
     faults: Vec<String>,
 }
 
+/// The job, the step and the rest of a task's name.
+fn parts(task: &str) -> (&str, usize) {
+    let mut parts = task.split('.');
+    let job = parts.next().unwrap_or_default();
+    let step = parts.nth(1).and_then(|step| step.parse().ok()).unwrap_or(0);
+    (job, step)
+}
+
+impl LedgerInner {
+    /// What was wrong with a start, beside that the task ran twice.
+    fn check_start(&self, task: &str) -> Option<String> {
+        let (job, step) = parts(task);
+        if self.barred.get(job).is_some_and(|since| since.elapsed() > Duration::ZERO) {
+            return Some(format!("{task} was started after its job was cancelled"));
+        }
+        if self.sent.is_empty() {
+            return None;
+        }
+        let Some(counts) = self.sent.get(job) else {
+            return Some(format!("{task} was started and nobody sent its job"));
+        };
+        let before = step.checked_sub(1)?;
+        let of_step = |done: &&String| parts(done) == (job, before);
+        let done = self.ever_done.iter().filter(of_step).count();
+        (done < counts[before] as usize)
+            .then(|| format!("{task} was started with {done} tasks of step {before} done"))
+    }
+}
+
 impl Ledger {
     fn lock(&self) -> MutexGuard<'_, LedgerInner> {
         self.inner.lock().expect("no holder panics")
@@ -27,6 +65,8 @@
     /// A run of a task has begun.
     pub(super) fn started(&self, task: &str, run: u64) {
         let mut ledger = self.lock();
+        let fault = ledger.check_start(task);
+        ledger.faults.extend(fault);
         *ledger.starts.entry(task.to_owned()).or_default() += 1;
         let running = ledger.running.entry(task.to_owned()).or_default();
         *running += 1;
@@ -46,9 +86,33 @@
         }
         if done {
             *ledger.done.entry(task.to_owned()).or_default() += 1;
+            ledger.ever_done.insert(task.to_owned());
         }
     }
 
+    /// The end of a task that was done is known to nobody, so it may run again.
+    pub(super) fn lost_end(&self, task: &str) {
+        self.lock().done.remove(task);
+    }
+
+    /// A client is about to send a job with so many tasks in each step, each step after the one
+    /// before. From then on, jobs that nobody has sent must not run.
+    pub fn expect(&self, job: &str, steps: &[u32]) {
+        self.lock().sent.insert(job.to_owned(), steps.to_vec());
+    }
+
+    /// Nothing of a job may start any more, beginning at a time.
+    pub fn bar(&self, job: &str, since: Instant) {
+        self.lock().barred.insert(job.to_owned(), since);
+    }
+
+    /// How often tasks of a job were started.
+    pub fn starts_of(&self, job: &str) -> u32 {
+        let ledger = self.lock();
+        let of_job = ledger.starts.iter().filter(|(task, _)| task.starts_with(job));
+        of_job.map(|(_, starts)| starts).sum()
+    }
+
     /// Tasks run twice, or again after they were done.
     pub fn faults(&self) -> Vec<String> {
         self.lock().faults.clone()
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -8,6 +8,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -32,9 +34,13 @@
 use crate::platform::ledger::Ledger;
 use crate::platform::machines::Machines;
 use crate::platform::machines::RESERVE;
+use crate::platform::store;
 use crate::platform::store::Door;
 use crate::platform::store::Store;
+use crate::platform::worker;
 use crate::platform::worker::Shape;
+use crate::proxy;
+use crate::proxy::Proxy;
 
 /// How long a client waits for an answer.
 const ANSWER: Duration = Duration::from_secs(3);
@@ -51,13 +57,15 @@
 pub struct Node {
     /// Its way into the store.
     pub door: Door,
-    /// Where clients call it.
-    pub client_addr: SocketAddr,
+    /// What lies between it and the store.
+    pub store_line: Proxy,
+    /// What lies between clients and it.
+    pub client_line: Proxy,
     /// Where operators call it.
     pub operate_addr: SocketAddr,
     file: PathBuf,
     program: String,
-    child: Option<Child>,
+    child: Mutex<Option<Child>>,
 }
 
 /// A site.
@@ -84,7 +92,9 @@
     ) -> io::Result<Node> {
         let ip = own_address();
         let door = store.door().await?;
+        let store_line = Proxy::start(door.addr).await?;
         let addrs = [free_port(ip)?, free_port(ip)?];
+        let client_line = Proxy::start(addrs[0]).await?;
         let peers = free_port(ip)?;
         let file = std::env::temp_dir().join(format!("spokelift-{ip}.toml"));
         let text = format!(
@@ -98,50 +108,64 @@
             peers.port() + 1,
             addrs[0],
             addrs[1],
-            door.addr,
+            store_line.addr,
         );
         std::fs::write(&file, text)?;
         let program = program.to_owned();
         let operate_addr = SocketAddr::new(ip, peers.port() + 1);
-        Ok(Node { door, client_addr: addrs[0], operate_addr, file, program, child: None })
+        let child = Mutex::default();
+        Ok(Node { door, store_line, client_line, operate_addr, file, program, child })
     }
 
-    /// Starts the process.
-    pub fn start(&mut self) -> io::Result<()> {
+    /// Starts the process; one that still runs is killed first.
+    pub fn start(&self) -> io::Result<()> {
+        self.kill();
         let log = std::env::var_os("SPOKELIFT_TEST_LOG").is_some();
         let output = || if log { Stdio::inherit() } else { Stdio::null() };
-        let mut command = Command::new(&self.program);
         let secret = SITE_KEY.split_once(':').expect("a credential has two parts").1;
+        let mut command = Command::new(&self.program);
         command.arg("--platform").env(spokelift_platform::settings::VARIABLE, &self.file);
         command.env("SPOKELIFT_SITE_KEY_HASH", format_hash(&hash_secret(secret)));
-        self.child = Some(command.stdout(output()).stderr(output()).spawn()?);
+        *self.child() = Some(command.stdout(output()).stderr(output()).spawn()?);
         Ok(())
     }
 
+    fn child(&self) -> MutexGuard<'_, Option<Child>> {
+        self.child.lock().expect("no holder panics")
+    }
+
     /// Kills the process.
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
+    pub fn kill(&self) {
+        if let Some(mut child) = self.child().take() {
             // It may have ended by itself.
             let _ = child.kill();
             let _ = child.wait();
         }
     }
 
+    /// Whether the process runs.
+    pub fn is_running(&self) -> bool {
+        match self.child().as_mut().map(Child::try_wait) {
+            Some(Ok(None)) => true,
+            Some(Ok(Some(_)) | Err(_)) | None => false,
+        }
+    }
+
     /// Sends the process a signal.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
-        match &self.child {
+        match self.child().as_ref() {
             Some(child) => kill(Pid::from_raw(child.id() as i32), signal).map_err(io::Error::from),
             None => Ok(()),
         }
     }
 
     /// Waits for the process to end; whether it ended well.
-    pub async fn ended(&mut self, within: Duration) -> Option<bool> {
-        let child = self.child.as_mut()?;
+    pub async fn ended(&self, within: Duration) -> Option<bool> {
         let until = Instant::now() + within;
         while Instant::now() < until {
-            if let Ok(Some(status)) = child.try_wait() {
-                self.child = None;
+            let ended = self.child().as_mut()?.try_wait();
+            if let Ok(Some(status)) = ended {
+                *self.child() = None;
                 return Some(status.success());
             }
             sleep(PAUSE).await;
@@ -220,7 +244,7 @@
         let mut site = Site { store, machines, ledger, nodes: Vec::new(), dialer, advice };
         for number in 0..nodes {
             let addrs = (site.machines.addr, site.advice.addr);
-            let mut node = Node::prepare(&site.store, addrs, program, number).await?;
+            let node = Node::prepare(&site.store, addrs, program, number).await?;
             node.start()?;
             site.nodes.push(node);
         }
@@ -228,9 +252,26 @@
         Ok(site)
     }
 
+    /// Ends every fault, and starts the daemons that do not run.
+    pub fn mend(&self) -> io::Result<()> {
+        for node in &self.nodes {
+            node.door.set(store::Fault::None);
+            node.store_line.set(proxy::Fault::default());
+            node.client_line.set(proxy::Fault::default());
+            node.signal(Signal::SIGCONT)?;
+            if !node.is_running() {
+                node.start()?;
+            }
+        }
+        for worker in self.machines.workers() {
+            worker.set(worker::Fault::None);
+        }
+        Ok(())
+    }
+
     /// Calls a node as a client; status 0 if there is no answer.
     async fn call(&self, node: usize, method: Method, path: &str, body: Value) -> (u16, Value) {
-        let addr = self.nodes[node].client_addr;
+        let addr = self.nodes[node].client_line.addr;
         let body = if body.is_null() { String::new() } else { body.to_string() };
         let request = Request::builder().method(method).uri(path).header("host", HOST);
         let request = request.body(full(body)).expect("the tests make sound requests");
--- /dev/null
+++ b/testutils/src/platform/soak/client.rs
@@ -0,0 +1,131 @@
+//! Clients of a soak: they hand in jobs, ask for them, cancel some, and keep what they were told.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::platform::site::Site;
+use crate::platform::soak::NODES;
+
+/// How often a client sends a job before it gives up.
+const ATTEMPTS: usize = 6;
+/// Share of jobs whose tasks last until they are cancelled.
+const LASTING: f64 = 0.12;
+/// Time after which an accepted job must be known: a bound of the platform's pages.
+const KNOWN: Duration = Duration::from_secs(3);
+/// Time after which a cancelled job must start nothing. The pages' bound of 3 s holds for daemons
+/// that are in touch; the longest fault, of 4 s, and a takeover, of 3 s, come on top.
+const BARRED: Duration = Duration::from_secs(10);
+
+/// What a client was told of a job.
+#[derive(Debug, Default)]
+pub(super) struct Told {
+    pub(super) id: String,
+    pub(super) lasts: bool,
+    pub(super) accepted: bool,
+    /// Every answer said that it was not taken.
+    pub(super) refused: bool,
+    pub(super) cancelled: bool,
+    pub(super) broken: Vec<String>,
+}
+
+/// Hands in jobs, one after another, until the time is over.
+pub(super) async fn run(
+    site: Arc<Site>,
+    mut rng: StdRng,
+    until: Instant,
+    told: Arc<Mutex<Vec<Told>>>,
+) {
+    while Instant::now() < until {
+        let lasts = rng.random_bool(LASTING);
+        let id = format!("{:016x}", rng.random::<u64>());
+        let steps: Vec<u32> = match lasts {
+            true => vec![rng.random_range(1..=3)],
+            false => (0..rng.random_range(1..=3)).map(|_| rng.random_range(1..=5)).collect(),
+        };
+        site.ledger.expect(&id, &steps);
+        let mut one = Told { id, lasts, ..Told::default() };
+        let job = job(&steps, lasts, rng.random_range(30..=300));
+        submit(&site, &mut rng, &mut one, &job).await;
+        if one.accepted {
+            follow(&site, &mut rng, &mut one).await;
+        }
+        told.lock().expect("no holder panics").push(one);
+        sleep(Duration::from_millis(rng.random_range(0..=60))).await;
+    }
+}
+
+fn job(steps: &[u32], lasts: bool, millis: u32) -> Value {
+    let spec =
+        if lasts { "cpu=300 mem=50".to_owned() } else { format!("ms={millis} cpu=300 mem=50") };
+    let step = |(index, count): (usize, &u32)| {
+        let after: Vec<usize> = index.checked_sub(1).into_iter().collect();
+        json!({
+            "count": count, "cpu": 300, "memMb": 50, "estimateMs": millis, "after": after,
+            "longRunning": lasts,
+        })
+    };
+    json!({ "spec": spec, "steps": steps.iter().enumerate().map(step).collect::<Vec<_>>() })
+}
+
+/// Sends a job at one node after another, as clients do, until it is accepted.
+async fn submit(site: &Site, rng: &mut StdRng, told: &mut Told, job: &Value) {
+    let mut certain = true;
+    for _ in 0..ATTEMPTS {
+        match site.submit(rng.random_range(0..NODES), &told.id, job.clone()).await {
+            200 => {
+                told.accepted = true;
+                return;
+            }
+            429 | 503 | 404 => {}
+            _ => certain = false,
+        }
+        sleep(Duration::from_millis(rng.random_range(20..=200))).await;
+    }
+    told.refused = certain;
+}
+
+/// Asks for an accepted job after a while; cancels one that lasts.
+async fn follow(site: &Site, rng: &mut StdRng, told: &mut Told) {
+    let accepted = Instant::now();
+    let asks = told.lasts || rng.random_bool(0.2);
+    if !asks {
+        return;
+    }
+    sleep(Duration::from_millis(rng.random_range(100..=900))).await;
+    let asked = Instant::now();
+    let state = site.state(rng.random_range(0..NODES), &told.id).await;
+    let late = asked.duration_since(accepted) > KNOWN;
+    match state {
+        Err(410) if late => told.broken.push(format!("{} was accepted and is unknown", told.id)),
+        Ok(state) if state == "failed" || state == "canceled" => {
+            told.broken.push(format!("{} is shown as {state} without cause", told.id));
+        }
+        _ => {}
+    }
+    if !told.lasts {
+        return;
+    }
+    // Until an answer comes, a client goes on asking.
+    for _ in 0..50 {
+        match site.cancel(rng.random_range(0..NODES), &told.id).await {
+            200 => {
+                told.cancelled = true;
+                site.ledger.bar(&told.id, Instant::now() + BARRED);
+                return;
+            }
+            410 if accepted.elapsed() > KNOWN + KNOWN => {
+                told.broken.push(format!("{} was accepted and is not there to cancel", told.id));
+                return;
+            }
+            _ => sleep(Duration::from_millis(200)).await,
+        }
+    }
+}
--- /dev/null
+++ b/testutils/src/platform/soak/schedule.rs
@@ -0,0 +1,169 @@
+//! The faults of a soak and when they come.
+
+use std::io;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use crate::platform::site::Site;
+use crate::platform::soak::NODES;
+use crate::platform::soak::WORKERS;
+use crate::platform::store;
+use crate::platform::worker;
+use crate::proxy;
+use crate::proxy::Flow;
+
+/// Time between the beginnings of two faults, in milliseconds. Most last longer, so they overlap.
+const GAP_MS: std::ops::RangeInclusive<u64> = 100..=1_200;
+/// How long a fault lasts, in milliseconds.
+const LAST_MS: std::ops::RangeInclusive<u64> = 200..=4_000;
+/// A daemon that was told to stop is started again after this; it takes 2.6 s for the platform to
+/// notice, and a little more for the last requests.
+const BACK: Duration = Duration::from_millis(4_500);
+
+/// Something done to the site.
+#[derive(Clone, Debug)]
+pub(super) enum Action {
+    /// A daemon is killed.
+    Kill(usize),
+    /// All daemons are killed.
+    KillAll,
+    /// A daemon is started, if it does not run.
+    Start(usize),
+    /// All daemons that do not run are started.
+    StartAll,
+    /// A daemon gets a signal.
+    Signal(usize, Signal),
+    /// A daemon's way into the store.
+    Door(usize, store::Fault),
+    /// The connections between a daemon and the store.
+    StoreLine(usize, proxy::Fault),
+    /// The connections between clients and a daemon.
+    ClientLine(usize, proxy::Fault),
+    /// A machine's worker.
+    Worker(usize, worker::Fault),
+    /// A machine's worker crashes, and another life begins.
+    Crash(usize),
+    /// The store forgets what is not the newest of a key.
+    Forget,
+    /// Two machines are due for upkeep, one at a time.
+    Wave(u64),
+}
+
+impl Action {
+    pub(super) async fn carry_out(&self, site: &Site) -> io::Result<()> {
+        match self {
+            Action::Kill(node) => site.nodes[*node].kill(),
+            Action::KillAll => site.nodes.iter().for_each(|node| node.kill()),
+            Action::Start(node) => start(site, *node)?,
+            Action::StartAll => {
+                for node in 0..NODES {
+                    start(site, node)?;
+                }
+            }
+            Action::Signal(node, signal) => site.nodes[*node].signal(*signal)?,
+            Action::Door(node, fault) => site.nodes[*node].door.set(*fault),
+            Action::StoreLine(node, fault) => site.nodes[*node].store_line.set(*fault),
+            Action::ClientLine(node, fault) => site.nodes[*node].client_line.set(*fault),
+            Action::Worker(machine, fault) => {
+                if let Some(worker) = site.machines.worker(&name(*machine)) {
+                    worker.set(*fault);
+                }
+            }
+            Action::Crash(machine) => {
+                let (machines, id) = (site.machines.clone(), name(*machine));
+                tokio::spawn(async move { machines.crash(&id).await });
+            }
+            Action::Forget => site.store.forget_history(),
+            Action::Wave(number) => {
+                let first = *number as usize % WORKERS;
+                site.wave(*number, &[name(first), name((first + 1) % WORKERS)], 1);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn name(machine: usize) -> String {
+    format!("m-{machine}")
+}
+
+/// Starts a daemon unless it runs.
+fn start(site: &Site, node: usize) -> io::Result<()> {
+    let node = &site.nodes[node];
+    if node.is_running() {
+        return Ok(());
+    }
+    node.start()
+}
+
+/// Draws faults for `time`, in the order of their times.
+pub(super) fn draw(rng: &mut StdRng, time: Duration) -> Vec<(Duration, Action)> {
+    let mut schedule = Vec::new();
+    let mut at = Duration::from_millis(500);
+    let mut wave = 0;
+    while at < time {
+        let last = Duration::from_millis(rng.random_range(LAST_MS));
+        let node = rng.random_range(0..NODES);
+        let machine = rng.random_range(0..WORKERS);
+        let line = line_fault(rng);
+        let none = proxy::Fault::default();
+        let (begin, end) = match rng.random_range(0..14) {
+            0 | 1 => (Action::Kill(node), Some(Action::Start(node))),
+            2 | 3 => {
+                (Action::Signal(node, Signal::SIGSTOP), Some(Action::Signal(node, Signal::SIGCONT)))
+            }
+            4 => (Action::Signal(node, Signal::SIGTERM), None),
+            5 => (Action::Signal(node, Signal::SIGHUP), None),
+            6 | 7 => (Action::StoreLine(node, line), Some(Action::StoreLine(node, none))),
+            8 => (Action::ClientLine(node, line), Some(Action::ClientLine(node, none))),
+            9 => {
+                let fault = door_fault(rng);
+                (Action::Door(node, fault), Some(Action::Door(node, store::Fault::None)))
+            }
+            10 => {
+                let fault = worker_fault(rng);
+                (Action::Worker(machine, fault), Some(Action::Worker(machine, worker::Fault::None)))
+            }
+            11 => (Action::Crash(machine), None),
+            12 => match rng.random_range(0..3) {
+                0 => (Action::KillAll, Some(Action::StartAll)),
+                _ => (Action::Forget, None),
+            },
+            _ => {
+                wave += 1;
+                (Action::Wave(wave), None)
+            }
+        };
+        if matches!(begin, Action::Signal(_, Signal::SIGTERM)) {
+            schedule.push((at + BACK, Action::Start(node)));
+        }
+        schedule.push((at, begin));
+        schedule.extend(end.map(|end| (at + last, end)));
+        at += Duration::from_millis(rng.random_range(GAP_MS));
+    }
+    schedule.sort_by_key(|(at, _)| *at);
+    schedule
+}
+
+fn line_fault(rng: &mut StdRng) -> proxy::Fault {
+    let none = proxy::Fault::default();
+    match rng.random_range(0..5) {
+        0 => proxy::Fault { request: Flow::Hold, answer: Flow::Hold, ..none },
+        1 => proxy::Fault { answer: Flow::Hold, ..none },
+        2 => proxy::Fault { request: Flow::Hold, ..none },
+        3 => proxy::Fault { refuse: true, ..none },
+        _ => proxy::Fault { answer: Flow::Delay(Duration::from_millis(150)), ..none },
+    }
+}
+
+fn door_fault(rng: &mut StdRng) -> store::Fault {
+    use store::Fault::*;
+    [Busy, Silent, LosesAnswers, Late][rng.random_range(0..4)]
+}
+
+fn worker_fault(rng: &mut StdRng) -> worker::Fault {
+    [worker::Fault::Cut, worker::Fault::LosesStarts][rng.random_range(0..2)]
+}
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -189,6 +189,7 @@
         for (task, _) in std::mem::take(&mut state.runs) {
             self.inner.ledger.ended(&task, false);
         }
+        self.inner.lose_ends(&state);
         drop(state);
         let _ = self.stop.send(true);
     }
@@ -232,6 +233,9 @@
             for (task, how) in state.over(clock) {
                 self.end(&mut state, &task, how);
             }
+            if state.lease_until < clock {
+                self.lose_ends(&state);
+            }
         }
     }
 
@@ -245,6 +249,14 @@
         self.ended.notify_waiters();
     }
 
+    /// Nobody may have heard of the ends that were not acknowledged: the worker is gone, or its lease
+    /// has run out and its tasks may run elsewhere.
+    fn lose_ends(&self, state: &State) {
+        for (_, task, ..) in state.ended.iter().filter(|(.., how)| *how == "done") {
+            self.ledger.lost_end(task);
+        }
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let expected = request.headers().get("x-expected-instance").and_then(|id| id.to_str().ok());
         let is_other = expected.is_some_and(|expected| expected != self.id);
