batch: orders about machines go side by side, spare machines grow with the site, demand is seen sooner

Cause: on the grown site up to 120 machines wait to be moved as the load turns, and orders went one after another, 14 ms each: 68 a second of 215 allowed, rounds of 1.9 s. Three spare machines of 70 were too few there. Arrivals remembered for 2.5 s lagged a load that quadruples within 3 s, and at most 35 of 100 machines could be under way.

--- a/lib/src/batch/demand.rs
+++ b/lib/src/batch/demand.rs
@@ -8,7 +8,7 @@
 
 /// Time in which an arrival's weight falls to 1/e. Loads turn from service to service within
 /// seconds; a machine takes about two to be moved.
-const MEMORY: Duration = Duration::from_millis(2_500);
+const MEMORY: Duration = Duration::from_millis(1_500);
 /// Weight of the newest run in the mean of run times against guesses.
 const NEWEST: f64 = 0.05;
 /// Bounds of that mean, so that a few odd runs do not mislead.
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -19,6 +19,9 @@
 /// Time between two rounds. Each costs a call to list the machines while something is under way.
 const ROUND: Duration = Duration::from_millis(150);
 
+/// Share of the platform's rate of orders that a round may use. A round takes longer than
+/// [`ROUND`], so the rate is not reached.
+const ORDERS_SHARE: f64 = 0.9;
 /// Time between lines in the log about what each service has and wants.
 const TELL: Duration = Duration::from_millis(1_000);
 
@@ -28,6 +31,8 @@
     let mut waves = Waves::begin(&scheduler).await;
     let mut pools = Pools::default();
     let mut told_at = Instant::now();
+    let rate = scheduler.node.settings.machine_orders_per_s;
+    let per_round = (rate * ROUND.as_secs_f64() * ORDERS_SHARE).max(1.0) as usize;
     loop {
         sleep(ROUND).await;
         let under_way = waves.take(&scheduler);
@@ -46,8 +51,9 @@
                 continue;
             }
         };
-        waves.advance(&scheduler, &machines, &list, &pools.busy()).await;
-        pools.advance(&scheduler, &machines, &list, &waves.busy()).await;
+        let mut orders = per_round;
+        waves.advance(&scheduler, &machines, &list, &pools.busy(), &mut orders).await;
+        pools.advance(&scheduler, &machines, &list, &waves.busy(), orders).await;
         let mut busy = waves.busy();
         busy.extend(pools.busy());
         uncordon(&scheduler, &busy, &list);
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::future::join_all;
+use spokelift_platform::call::CallError;
 use spokelift_platform::config::Config;
 use spokelift_platform::machine;
 use spokelift_platform::machine::Holder;
@@ -34,9 +36,13 @@
 /// How many times better off a service that is short itself must be to give a machine to another:
 /// a move idles a machine for about 3 s, which must be worth it.
 const SHARE_RATIO: f64 = 1.5;
-/// Machines that a service keeps beyond what it wants, since jobs arrive in lumps: a wide job asks
-/// for about a hundred cores at once, and a machine that was switched off is back after 2 s.
+/// Least number of machines that a service keeps beyond what it wants, since jobs arrive in lumps:
+/// a wide job asks for about a hundred cores at once, and a machine that was switched off is back
+/// after 2 s.
 const SPARE_MACHINES: u64 = 3;
+/// The same as a share of all machines of the site, in hundredths. On a large site loads rise by
+/// more machines within those 2 s.
+const SPARE_PERCENT: u64 = 5;
 /// How long a machine must have been idle before it is switched off. A move to the reserve and one
 /// back cost as much as about two seconds of a machine.
 const IDLE_TIME: Duration = Duration::from_millis(1_000);
@@ -45,7 +51,7 @@
 /// How long a move may take until it is taken to have failed: several times the usual 2 s.
 const MOVE_TIME: Duration = Duration::from_millis(8_000);
 /// Most machines under way at once, as a share of all, in hundredths.
-const AT_ONCE_PERCENT: usize = 35;
+const AT_ONCE_PERCENT: usize = 60;
 
 /// What a service has and wants, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default)]
@@ -95,8 +101,8 @@
     }
 
     /// Whether it holds more machines of this size than it should keep.
-    fn has_excess(&self, size: u64) -> bool {
-        self.has_more_than_least() && self.has >= self.wanted() + (SPARE_MACHINES + 1) * size
+    fn has_excess(&self, size: u64, spare: u64) -> bool {
+        self.has_more_than_least() && self.has >= self.wanted() + (spare + 1) * size
     }
 
     /// Processor of one of its workers, on average.
@@ -110,6 +116,11 @@
     }
 }
 
+/// How many machines a service keeps beyond what it wants, on a site of so many.
+fn spare(machines: u64) -> u64 {
+    (machines * SPARE_PERCENT / 100).max(SPARE_MACHINES)
+}
+
 /// A machine on its way to another pool.
 struct Move {
     to: String,
@@ -164,11 +175,13 @@
 impl Pools {
     /// Whether moves are under way or wanted.
     pub fn wants_list(&self, scheduler: &Scheduler) -> bool {
+        let loads = loads(&scheduler.cell(), Instant::now());
+        let spare = spare(loads.values().map(|load| load.workers).sum());
         let unfit = |load: &Load| {
             let short = load.wanted() > load.has || load.least > load.workers;
-            short || load.has_excess(load.size())
+            short || load.has_excess(load.size(), spare)
         };
-        !self.moves.is_empty() || loads(&scheduler.cell(), Instant::now()).values().any(unfit)
+        !self.moves.is_empty() || loads.values().any(unfit)
     }
 
     /// Machines under way.
@@ -176,13 +189,14 @@
         self.moves.keys().cloned().collect()
     }
 
-    /// Goes on with the moves under way and begins new ones.
+    /// Goes on with the moves under way and begins new ones, with at most so many orders.
     pub async fn advance(
         &mut self,
         scheduler: &Arc<Scheduler>,
         machines: &Machines,
         list: &[Machine],
         taken: &HashSet<MachineId>,
+        orders: usize,
     ) {
         self.settle(scheduler, list);
         self.note_idle(&scheduler.cell(), list);
@@ -193,9 +207,9 @@
             self.choose(&mut scheduler.cell(), &config, list, taken);
             self.release(&mut scheduler.cell(), &config, list, taken);
         }
-        for id in self.emptied(scheduler, list) {
-            self.order(scheduler, machines, &id).await;
-        }
+        let mut emptied = self.emptied(scheduler, list);
+        emptied.truncate(orders);
+        self.order(scheduler, machines, emptied).await;
     }
 
     /// Lets go of moves that are done or have failed.
@@ -290,6 +304,7 @@
         };
         let now = Instant::now();
         let mut loads = loads(cell, now);
+        let spare = spare(list.len() as u64);
         for machine in list {
             let rested = self.idle.get(&machine.id);
             let rested = rested.is_some_and(|since| now.duration_since(*since) >= IDLE_TIME);
@@ -302,7 +317,8 @@
                 continue;
             };
             let size = u64::from(machine.room.cpu);
-            let Some(load) = loads.get_mut(&machine.pool).filter(|load| load.has_excess(size))
+            let Some(load) =
+                loads.get_mut(&machine.pool).filter(|load| load.has_excess(size, spare))
             else {
                 continue;
             };
@@ -380,15 +396,29 @@
         ready
     }
 
-    async fn order(&mut self, scheduler: &Arc<Scheduler>, machines: &Machines, id: &str) {
-        let Some(under_way) = self.moves.get_mut(id) else { return };
+    /// Orders moves, all at once: one after another, they would take a second and more on a large
+    /// site.
+    async fn order(&mut self, scheduler: &Scheduler, machines: &Machines, ids: Vec<MachineId>) {
         if !scheduler.may_order_machines() {
             return;
         }
         let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
-        let done = machines.shift(holder, id, &under_way.to, CALL).await;
-        log::info!(machine = id, to = under_way.to.as_str(), ok = done.is_ok(); "move ordered");
-        match done {
+        let moves = &self.moves;
+        let calls = ids.iter().filter_map(|id| {
+            let to = &moves.get(id)?.to;
+            Some(async move { (id, machines.shift(holder, id, to, CALL).await) })
+        });
+        let answers = join_all(calls).await;
+        for (id, answer) in answers {
+            self.on_answer(scheduler, id, answer);
+        }
+    }
+
+    fn on_answer(&mut self, scheduler: &Scheduler, id: &str, answer: Result<(), CallError>) {
+        let Some(under_way) = self.moves.get_mut(id) else { return };
+        let ok = answer.is_ok();
+        log::info!(machine = id, to = under_way.to.as_str(), ok; "move ordered");
+        match answer {
             Ok(()) => {
                 under_way.ordered = true;
                 scheduler.cell().end_other_lives(id, "");
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::future::join_all;
 use spokelift_platform::call::CallError;
 use spokelift_platform::job::TaskName;
 use spokelift_platform::machine;
@@ -86,16 +87,18 @@
         !self.courses.is_empty()
     }
 
-    /// Goes on with every wave. `taken` are machines that are about to move to another pool.
+    /// Goes on with every wave, with at most so many orders. `taken` are machines that are about to
+    /// move to another pool.
     pub async fn advance(
         &mut self,
         scheduler: &Arc<Scheduler>,
         machines: &Machines,
         list: &[Machine],
         taken: &HashSet<MachineId>,
+        orders: &mut usize,
     ) {
         for course in self.courses.values_mut() {
-            advance(scheduler, machines, course, list, taken).await;
+            advance(scheduler, machines, course, list, taken, orders).await;
             if course.told == Some(true) {
                 scheduler.cell().wave_over(course.wave.number);
             }
@@ -150,6 +153,7 @@
     course: &mut Course,
     list: &[Machine],
     taken: &HashSet<MachineId>,
+    orders: &mut usize,
 ) {
     if course.told.is_none() {
         tell(scheduler, course, false).await;
@@ -165,7 +169,7 @@
         return;
     }
     choose_next(scheduler, course, &left, &listed, taken);
-    let ready: Vec<MachineId> = {
+    let mut ready: Vec<MachineId> = {
         let mut cell = scheduler.cell();
         if scheduler.began_at.elapsed() < SETTLE {
             return;
@@ -181,12 +185,9 @@
             .map(|(id, _)| id)
             .collect()
     };
-    for id in ready {
-        if course.down.len() >= course.wave.max_down {
-            break;
-        }
-        order(scheduler, machines, course, &id, &listed).await;
-    }
+    ready.truncate((*orders).min(course.wave.max_down.saturating_sub(course.down.len())));
+    *orders -= ready.len();
+    order(scheduler, machines, course, &ready, &listed).await;
 }
 
 fn worker_of(listed: &HashMap<&str, &Machine>, id: &str) -> Option<WorkerId> {
@@ -322,40 +323,54 @@
     away < allowed
 }
 
+/// Orders the upkeep of machines, all at once.
 async fn order(
-    scheduler: &Arc<Scheduler>,
+    scheduler: &Scheduler,
     machines: &Machines,
     course: &mut Course,
-    id: &str,
+    ids: &[MachineId],
     listed: &HashMap<&str, &Machine>,
 ) {
     if !scheduler.may_order_machines() {
         return;
     }
     let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
-    let before = worker_of(listed, id);
     let number = course.wave.number;
-    let done = machines.upkeep(holder, id, number, CALL).await;
-    log::info!(machine = id, wave = number, ok = done.is_ok(); "upkeep ordered");
-    match done {
+    let calls = ids.iter().map(|id| async move { machines.upkeep(holder, id, number, CALL).await });
+    let answers = join_all(calls).await;
+    for (id, answer) in ids.iter().zip(answers) {
+        on_answer(scheduler, course, id, worker_of(listed, id), answer);
+    }
+}
+
+fn on_answer(
+    scheduler: &Scheduler,
+    course: &mut Course,
+    id: &str,
+    before: Option<WorkerId>,
+    answer: Result<(), CallError>,
+) {
+    let wave = course.wave.number;
+    log::info!(machine = id, wave, ok = answer.is_ok(); "upkeep ordered");
+    match answer {
         Ok(()) => {}
         Err(error) if machine::is_fenced(&error) => {
             scheduler.cell().fenced = true;
             return;
         }
         Err(error @ CallError::Refused { .. }) => {
-            log::info!(machine = id, wave = number; "upkeep refused: {error}");
+            log::info!(machine = id, wave; "upkeep refused: {error}");
             return;
         }
         Err(error) => {
             // It may have begun, so it counts as down; asking again does no harm.
-            log::info!(machine = id, wave = number; "upkeep without an answer: {error}");
+            log::info!(machine = id, wave; "upkeep without an answer: {error}");
             course.down.insert(id.to_owned(), (Instant::now(), before));
             return;
         }
     }
     course.begun.insert(id.to_owned());
-    scheduler.cell().upkeep_begun(number, id);
+    scheduler.cell().upkeep_begun(wave, id);
     course.emptying.remove(id);
     course.down.insert(id.to_owned(), (Instant::now(), before));
     scheduler.cell().end_other_lives(id, "");
