batch: strong nodes take the lead first; lines of the log are bounded; histograms of latencies

The end of each task looked through the runs of all workers, and each start wrote a line however many came.

Change: nodes write how strong they are beside their address; one with less than 0.7 of the strongest leaves a free lead to others for 0.7 s, and does not take back its own earlier lead before the silence is over; the first lead of a site stays free for 0.6 s, until the nodes know of each other. An end looks for other runs only if there are any. With many steps waiting, rounds of placing are 8 ms apart. The log holds at most 400 lines a second, counts what it leaves out, and is written by a thread, so that a reader that stalls holds nobody up. Quantiles of answers to clients, writes of jobs and waits of tasks stand on the metrics address in place of five counters.

Shown by: a_strong_node_takes_the_lead_before_weak_ones (it failed first: the last holder took the lead back at once), test_log_limit, metrics_count_and_show_how_long_things_take.

--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -12,6 +12,8 @@
 use spokelift_cli::report;
 use spokelift_lib::daemon;
 use spokelift_lib::daemon::Sockets;
+use spokelift_lib::log_limit::Limited;
+use spokelift_lib::log_limit::Pipe;
 use spokelift_lib::settings::Setting;
 use spokelift_lib::settings::Settings;
 use spokelift_lib::settings::read_site_key;
@@ -154,12 +156,15 @@
         env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"));
     if args.platform {
         // The platform's engineers read standard output.
-        logger.target(env_logger::Target::Stdout);
+        let (pipe, progress) = Pipe::new(io::stdout());
+        let logger = logger.target(env_logger::Target::Pipe(Box::new(pipe))).build();
+        log::set_max_level(logger.filter());
+        log::set_boxed_logger(Box::new(Limited::new(logger))).expect("no logger was set before");
+        let code = platform(&args);
+        progress.settle();
+        return code;
     }
     logger.init();
-    if args.platform {
-        return platform(&args);
-    }
     let settings = match Settings::resolve(|setting| args.value(setting)) {
         Ok(settings) => settings,
         Err(error) => {
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -83,6 +83,25 @@
     assert_sound(&site);
 }
 
+#[tokio::test]
+async fn a_strong_node_takes_the_lead_before_weak_ones() {
+    let site = Site::start_uneven(PROGRAM, &[0.1, 0.1, 0.5, 0.1], 3, 0).await.unwrap();
+    assert_eq!(site.leader(), Some(2));
+    site.insist(&id(1), lasting(2)).await;
+    site.nodes[2].kill();
+    site.until("a weak node leads", async |site| site.leader() != Some(2)).await;
+    // The last holder, which is weak, does not take the lead back before the strong one.
+    for node in &site.nodes {
+        node.kill();
+    }
+    for node in &site.nodes {
+        node.start().unwrap();
+    }
+    site.until("the strong node leads", async |site| site.leader() == Some(2)).await;
+    site.until("all tasks run", async |site| site.ledger.running(&id(1)) == 2).await;
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn a_scheduler_that_wakes_from_a_pause_does_no_harm() {
     let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
@@ -481,6 +500,19 @@
     assert_sound(&site);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_count_and_show_how_long_things_take() {
+    let site = Site::start(PROGRAM, 1, 2, 0).await.unwrap();
+    site.insist(&id(1), job(2, 50)).await;
+    site.until_succeeded(&id(1)).await;
+    let text = site.metrics(0).await.unwrap();
+    assert!(text.contains("batch_client_POST_200 1\n"), "{text}");
+    assert!(text.contains("batch_client_POST_ms_count 1\n"), "{text}");
+    assert!(text.contains("batch_client_GET_ms{quantile=\"0.99\"} "), "{text}");
+    assert!(text.contains("batch_submit_write_ms_count 1\n"), "{text}");
+    assert!(text.contains("batch_start_wait_ms_count 4\n"), "{text}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_see_how_far_a_wave_is() {
     let site = Site::start(PROGRAM, 1, 3, 0).await.unwrap();
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -150,6 +150,8 @@
     roster: Vec<Record>,
     /// Orders to be sent.
     pub outbox: Vec<Order>,
+    /// How long the tasks waited that were ordered to start.
+    pub waits: Vec<Duration>,
     /// A newer scheduler was heard of.
     pub fenced: bool,
     /// Ends of runs whose job has not been heard of. They are not acknowledged before the job has
@@ -177,6 +179,7 @@
             dirty: HashSet::new(),
             roster: Vec::new(),
             outbox: Vec::new(),
+            waits: Vec::new(),
             fenced: false,
             early: Vec::new(),
             demand: Demand::default(),
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -174,6 +174,7 @@
         let Some(entry) = self.jobs.get_mut(&id) else { return };
         entry.end = Some(state);
         entry.ended_at = Some(Instant::now());
+        let runs = entry.runs();
         self.dirty.insert(id);
         log::info!(
             job = format!("{id:016x}").as_str(),
@@ -181,7 +182,10 @@
             "job ended"
         );
         self.ready.retain(|rank| rank.job != id);
-        self.stop_where(|task| task.job == id);
+        // Most jobs end with nothing left to stop, and there are thousands of runs to look through.
+        if runs > 0 {
+            self.stop_where(|task| task.job == id);
+        }
     }
 
     /// Stops all runs of tasks that fit.
@@ -239,13 +243,13 @@
             run.waiting.remove(&index);
         }
         let step_done = run.left == 0;
+        // Other copies of the task end as well; the members of a gang end by themselves.
+        let has_copies = !gang && run.tasks[name.index as usize].runs > 0;
         let is_done = entry.is_done();
         self.dirty.insert(name.job);
-        // Other copies of the task, or the rest of a gang that is done as a whole, end as well.
-        self.stop_where(|other| {
-            let same_step = (other.job, other.time, other.step) == (name.job, name.time, name.step);
-            same_step && !gang && other.index == name.index
-        });
+        if has_copies {
+            self.stop_where(|other| *other == name);
+        }
         if step_done {
             self.open_steps(name.job, name.time);
         }
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -1,12 +1,16 @@
-//! Where the other nodes are: each writes its address to the store when it starts. It is used when
-//! the store turns a node away, and for nothing that must be right.
+//! The other nodes: each writes where it is and how strong it is to the store when it starts. That
+//! is used when the store turns a node away, and to have strong nodes take the lead first; for
+//! nothing that must be right.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use rand::seq::SliceRandom;
+use serde::Deserialize;
+use serde::Serialize;
 use spokelift_platform::call::CallError;
 use spokelift_platform::store::Guard;
 use spokelift_platform::store::Record;
@@ -14,66 +18,102 @@
 
 use crate::batch::node::Node;
 
-/// Topic with the nodes' addresses, by name.
+/// Topic with the nodes, by name.
 const TOPIC: &str = "keyed.nodes";
 /// How long a call to the store may take.
 const CALL: Duration = Duration::from_millis(600);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(500);
 /// Times between the first reads: nodes of a site start within 0.3 s, some a little later.
-const FIRST: [Duration; 3] =
-    [Duration::from_millis(300), Duration::from_millis(700), Duration::from_millis(1_500)];
+const FIRST: [Duration; 4] = [
+    Duration::from_millis(0),
+    Duration::from_millis(350),
+    Duration::from_millis(650),
+    Duration::from_millis(1_500),
+];
 /// Time between reads after that. Nodes come and go rarely, and those that are gone cost one try.
 const REFRESH: Duration = Duration::from_secs(10);
 /// Nodes that are tried for one request.
 const TRIES: usize = 2;
 
+/// Share of the strongest node's processor with which a node counts as strong itself.
+const STRONG_SHARE: f64 = 0.7;
+
+/// A node, as it writes itself to the store.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+struct Entry {
+    addr: SocketAddr,
+    /// Its processor, in thousandths of a core.
+    cpu: u32,
+}
+
 /// The other nodes.
 #[derive(Default)]
 pub struct Directory {
-    addrs: Mutex<Vec<SocketAddr>>,
+    entries: Mutex<Option<Vec<Entry>>>,
 }
 
 impl Directory {
+    fn entries(&self) -> MutexGuard<'_, Option<Vec<Entry>>> {
+        self.entries.lock().expect("no holder of the entries panics")
+    }
+
+    /// Whether no other node is much stronger than one with so many thousandths of a core; `None`
+    /// until the others have been read.
+    pub fn is_strong(&self, cpu: u32) -> Option<bool> {
+        let entries = self.entries();
+        let strongest = entries.as_ref()?.iter().map(|entry| entry.cpu).max().unwrap_or(0);
+        Some(f64::from(cpu) >= f64::from(strongest) * STRONG_SHARE)
+    }
+
     /// A few of the other nodes, picked at random.
     pub fn some_peers(&self) -> Vec<SocketAddr> {
-        let mut addrs = self.addrs.lock().expect("no holder of the addresses panics").clone();
+        let entries = self.entries();
+        let mut addrs: Vec<SocketAddr> = entries.iter().flatten().map(|entry| entry.addr).collect();
+        drop(entries);
         addrs.shuffle(&mut rand::rng());
         addrs.truncate(TRIES);
         addrs
     }
 }
 
-/// Writes this node's address, and reads those of the others now and then.
+/// Writes this node's entry, and reads those of the others now and then.
 pub async fn run(node: Arc<Node>) {
     let addr = SocketAddr::new(node.settings.ip, node.settings.peer_port);
-    while let Err(error) = write(&node, addr).await {
-        log::debug!("the address was not written: {error}");
+    let own = Entry { addr, cpu: node.settings.cpu };
+    while let Err(error) = write(&node, &own).await {
+        log::debug!("the entry of this node was not written: {error}");
         sleep(PAUSE).await;
     }
     let mut pauses = FIRST.into_iter();
     loop {
         sleep(pauses.next().unwrap_or(REFRESH)).await;
         match read(&node, addr).await {
-            Ok(addrs) => {
-                *node.directory.addrs.lock().expect("no holder of the addresses panics") = addrs;
-            }
+            Ok(entries) => *node.directory.entries() = Some(entries),
             Err(error) => {
-                log::debug!("the nodes' addresses cannot be read: {error}");
+                log::debug!("the other nodes cannot be read: {error}");
                 sleep(PAUSE).await;
             }
         }
     }
 }
 
-async fn write(node: &Node, addr: SocketAddr) -> Result<(), CallError> {
-    let record = Record::set(node.settings.node.as_str(), addr.to_string());
+async fn write(node: &Node, own: &Entry) -> Result<(), CallError> {
+    let value = postcard::to_stdvec(own).expect("an entry can be written by postcard");
+    let record = Record::set(node.settings.node.as_str(), value);
     node.store.append(TOPIC, &[record], Guard::None, CALL).await.map(drop)
 }
 
-async fn read(node: &Node, own: SocketAddr) -> Result<Vec<SocketAddr>, CallError> {
+async fn read(node: &Node, own: SocketAddr) -> Result<Vec<Entry>, CallError> {
     let newest = node.store.newest(TOPIC, CALL).await?;
-    let texts =
-        newest.records.into_iter().filter_map(|record| String::from_utf8(record.value?).ok());
-    Ok(texts.filter_map(|text| text.parse().ok()).filter(|addr| *addr != own).collect())
+    let mut entries = Vec::new();
+    for record in newest.records {
+        let Some(value) = record.value else { continue };
+        match postcard::from_bytes::<Entry>(&value) {
+            Ok(entry) => entries.push(entry),
+            Err(error) => log::warn!("the entry of node {} does not decode: {error}", record.key),
+        }
+    }
+    entries.retain(|entry| entry.addr != own);
+    Ok(entries)
 }
--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -47,7 +47,7 @@
     let response = answer(&node, request, started).await;
     let status = response.status().as_u16();
     let took_ms = started.elapsed().as_millis() as u64;
-    node.record_latency(&method, started.elapsed());
+    node.latencies.record(&format!("batch.client.{method}"), started.elapsed());
     node.counters.count(&format!("batch.client.{method}.{status}"));
     log::info!(method = method.as_str(), path = path.as_str(), status, took_ms; "client");
     response
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -197,6 +197,12 @@
         steps
     }
 
+    /// Runs of its tasks that may be on workers.
+    pub fn runs(&self) -> u32 {
+        let steps = self.times.iter().flat_map(|repetition| &repetition.steps);
+        steps.flat_map(|step| &step.tasks).map(|task| task.runs).sum()
+    }
+
     /// Whether every task of every repetition is done.
     pub fn is_done(&self) -> bool {
         let done = |repetition: &Repetition| {
--- a/lib/src/batch/lead.rs
+++ b/lib/src/batch/lead.rs
@@ -33,8 +33,15 @@
 pub const TAKEOVER: Duration = Duration::from_millis(2_100);
 /// The claim of each node waits up to this much longer, so that few collide.
 const SPREAD: Duration = Duration::from_millis(250);
+/// How much later a weak node claims a free lead than a strong one. The holder does the work of the
+/// whole site, and one with a tenth of a core cannot keep up with hundreds of workers.
+const WEAK: Duration = Duration::from_millis(700);
+/// How long the first lead of a site stays free, until the nodes know of each other.
+const FIRST: Duration = Duration::from_millis(600);
 /// How long a read waits for news; shorter than [`TAKEOVER`] so that silence is seen in time.
 const LONG_POLL: Duration = Duration::from_millis(500);
+/// Time between looks at a lead that is free and left to others for now.
+const STEP: Duration = Duration::from_millis(50);
 /// How long a call to the store may take; a slow store takes about 250 ms.
 const CALL: Duration = Duration::from_millis(600);
 /// Pause after a call that failed.
@@ -79,6 +86,8 @@
     offset: Offset,
     /// When something was last heard of the holder, or when the store last came back.
     heard_at: Instant,
+    /// Since when the lead is known to be free.
+    free_since: Option<Instant>,
     /// The last call to the store failed.
     interrupted: bool,
     /// How much longer than others this node waits before a claim.
@@ -95,6 +104,7 @@
         previous: None,
         offset: 0,
         heard_at,
+        free_since: None,
         interrupted: false,
         spread,
     };
@@ -109,8 +119,16 @@
         node.set_lead(view.lead.clone().filter(|lead| !lead.released));
         if view.is_mine(&node) {
             hold(&node, &mut view).await;
-        } else if view.is_free(&node) && !node.is_stopping() {
-            claim(&node, &mut view).await;
+        } else if !view.is_free(&node) {
+            view.free_since = None;
+        } else if !node.is_stopping() {
+            let since = *view.free_since.get_or_insert_with(Instant::now);
+            let left = view.reserve(&node).saturating_sub(since.elapsed());
+            if left.is_zero() {
+                claim(&node, &mut view).await;
+            } else {
+                sleep(left.min(STEP)).await;
+            }
         }
     }
 }
@@ -123,11 +141,25 @@
     fn is_free(&self, node: &Node) -> bool {
         match &self.lead {
             None => true,
-            Some(lead) if lead.released || lead.node == node.settings.node => true,
+            Some(lead) if lead.released => true,
+            // This node held it in an earlier life. A weak one leaves it to the strong ones, which
+            // must wait for the silence.
+            Some(lead) if lead.node == node.settings.node && node.is_strong() != Some(false) => {
+                true
+            }
             Some(_) => self.heard_at.elapsed() > TAKEOVER + self.spread,
         }
     }
 
+    /// How long this node leaves a free lead to others.
+    fn reserve(&self, node: &Node) -> Duration {
+        let first = if self.lead.is_none() { FIRST } else { Duration::ZERO };
+        match node.is_strong() {
+            Some(true) => first,
+            Some(false) | None => first + WEAK,
+        }
+    }
+
     fn take(&mut self, record: &Record, offset: Offset) {
         let Some(value) = &record.value else { return };
         match postcard::from_bytes(value) {
@@ -178,7 +210,8 @@
         }
         return Ok(());
     };
-    match node.read_topic(TOPIC, end, LONG_POLL, CALL).await {
+    let wait = if view.free_since.is_some() { Duration::ZERO } else { LONG_POLL };
+    match node.read_topic(TOPIC, end, wait, CALL).await {
         Ok(page) => {
             view.take_page(end, &page);
             if view.interrupted {
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -9,7 +9,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -40,6 +39,7 @@
 use crate::batch::peer::Reply;
 use crate::batch::record::Accepted;
 use crate::batch::scheduler::Scheduler;
+use crate::latency::Latencies;
 use crate::listen::StartError;
 use crate::listen::listen;
 use crate::metrics::Counters;
@@ -80,6 +80,8 @@
     pub directory: Directory,
     /// Counters.
     pub counters: Counters,
+    /// How long answers to clients, waits of tasks and writes of jobs take.
+    pub latencies: Latencies,
     config: Mutex<Option<Arc<Config>>>,
     waves: Mutex<BTreeMap<u64, Wave>>,
     lead: Mutex<Option<Lead>>,
@@ -101,6 +103,7 @@
             peers: Peers::default(),
             directory: Directory::default(),
             counters,
+            latencies: Latencies::default(),
             config: Mutex::default(),
             waves: Mutex::default(),
             lead: Mutex::default(),
@@ -154,6 +157,11 @@
         *self.lead.lock().expect("no holder of the lead panics") = lead;
     }
 
+    /// Whether no other node is much stronger; `None` until the others are known.
+    pub fn is_strong(&self) -> Option<bool> {
+        self.directory.is_strong(self.settings.cpu)
+    }
+
     /// Address of the holder of the lead, if it is another node.
     pub fn lead_elsewhere(&self) -> Option<SocketAddr> {
         let lead = self.lead.lock().expect("no holder of the lead panics");
@@ -236,18 +244,6 @@
         }
         Err(error)
     }
-
-    /// Takes the time of an answer to a client into account.
-    pub fn record_latency(&self, method: &Method, took: Duration) {
-        let bucket = match took.as_millis() {
-            0..10 => "10",
-            10..50 => "50",
-            50..200 => "200",
-            200..1000 => "1000",
-            _ => "over",
-        };
-        self.counters.count(&format!("batch.client.{method}.ms-{bucket}"));
-    }
 }
 
 /// Runs a node until `stop` turns true and the requests in flight have ended.
--- a/lib/src/batch/node/operate.rs
+++ b/lib/src/batch/node/operate.rs
@@ -132,5 +132,5 @@
     let totals = node.counters.totals();
     let lines =
         totals.iter().map(|(name, total)| format!("{} {total}\n", name.replace(['.', '-'], "_")));
-    lines.collect()
+    lines.chain([node.latencies.text()]).collect()
 }
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -167,7 +167,9 @@
         }
         let slot = Slot::new(run, Phase::Starting, Entry::room_of(step), Entry::kind_of(step), now);
         worker.insert(name, slot);
-        let waited_ms = waited.unwrap_or_default().as_millis() as u64;
+        let waited = waited.unwrap_or_default();
+        self.waits.push(waited);
+        let waited_ms = waited.as_millis() as u64;
         log::info!(
             task = name.to_string().as_str(),
             run,
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -54,6 +54,10 @@
 /// How long ago the lead may have been renewed for an order about a machine to be given. Another
 /// node claims the lead after 2.1 s of silence at the earliest.
 const RENEWED: Duration = Duration::from_millis(1_400);
+/// Steps that wait, above which a round of placing is dear and every change should not cause one.
+const BACKLOG: usize = 60;
+/// Pause between rounds then; a task runs for about a second.
+const BACKLOG_PAUSE: Duration = Duration::from_millis(8);
 /// How long the last changes may take to reach the store when the lead is given up.
 const SETTLE: Duration = Duration::from_millis(500);
 
@@ -258,18 +262,28 @@
 async fn work(scheduler: Arc<Scheduler>) {
     loop {
         scheduler.work.notified().await;
-        let orders = {
+        let (orders, waits) = {
             let mut cell = scheduler.cell();
             cell.place(Instant::now(), wall_clock());
-            std::mem::take(&mut cell.outbox)
+            (std::mem::take(&mut cell.outbox), std::mem::take(&mut cell.waits))
         };
+        for waited in waits {
+            scheduler.node.latencies.record("batch.start.wait", waited);
+        }
         for order in orders {
             scheduler.spawn(send(scheduler.clone(), order));
         }
         scheduler.questions.notify_one();
-        if scheduler.cell().needs_flush() {
+        let (needs_flush, backlog) = {
+            let cell = scheduler.cell();
+            (cell.needs_flush(), cell.ready.len())
+        };
+        if needs_flush {
             scheduler.kick_flush();
         }
+        if backlog > BACKLOG {
+            sleep(BACKLOG_PAUSE).await;
+        }
     }
 }
 
--- a/lib/src/batch/submit.rs
+++ b/lib/src/batch/submit.rs
@@ -69,9 +69,13 @@
     let record = record::accepted(id, &accepted);
     let mut certain = true;
     loop {
-        let written =
-            node.store.append(record::JOB_TOPIC, std::slice::from_ref(&record), Guard::None, WRITE);
-        match written.await {
+        let sent = Instant::now();
+        let written = node
+            .store
+            .append(record::JOB_TOPIC, std::slice::from_ref(&record), Guard::None, WRITE)
+            .await;
+        node.latencies.record("batch.submit.write", sent.elapsed());
+        match written {
             Ok(_) => break,
             Err(error) => {
                 certain &= error.is_certain();
--- /dev/null
+++ b/lib/src/latency.rs
@@ -0,0 +1,60 @@
+//! Histograms of how long things take, for the metrics address.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Longest time that is told apart, in milliseconds; longer ones count as that.
+const LONGEST_MS: u64 = 600_000;
+/// Digits that are kept of a time.
+const DIGITS: u8 = 2;
+/// Quantiles that are shown.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
+
+/// Histograms by name.
+#[derive(Default)]
+pub struct Latencies {
+    by_name: Mutex<BTreeMap<String, Histogram<u64>>>,
+}
+
+impl Latencies {
+    /// Takes a time into account.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use spokelift_lib::latency::Latencies;
+    /// let latencies = Latencies::default();
+    /// latencies.record("client.get", Duration::from_millis(7));
+    /// assert!(latencies.text().contains("client_get_ms{quantile=\"0.99\"} 7\n"));
+    /// ```
+    pub fn record(&self, name: &str, took: Duration) {
+        let mut by_name = self.by_name.lock().expect("no holder of the histograms panics");
+        if !by_name.contains_key(name) {
+            let histogram = Histogram::new_with_bounds(1, LONGEST_MS, DIGITS);
+            by_name.insert(name.to_owned(), histogram.expect("the bounds are constants"));
+        }
+        if let Some(histogram) = by_name.get_mut(name) {
+            histogram.saturating_record(took.as_millis() as u64);
+        }
+    }
+
+    /// All histograms as text: for each, the quantiles in milliseconds and the count.
+    pub fn text(&self) -> String {
+        let by_name = self.by_name.lock().expect("no holder of the histograms panics");
+        let mut text = String::new();
+        for (name, histogram) in by_name.iter() {
+            let name = name.replace(['.', '-'], "_");
+            for quantile in QUANTILES {
+                let millis = histogram.value_at_quantile(quantile);
+                writeln!(text, "{name}_ms{{quantile=\"{quantile}\"}} {millis}")
+                    .expect("text can be written to memory");
+            }
+            writeln!(text, "{name}_ms_count {}", histogram.len())
+                .expect("text can be written to memory");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/lib/src/log_limit.rs
@@ -0,0 +1,188 @@
+//! Log lines within bounds: so many a second, and none that waits for its reader.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use log::Level;
+use log::Log;
+use log::Metadata;
+use log::Record;
+
+/// Lines a second. A line costs about 15 microseconds of processor, so these take half a hundredth
+/// of a core; a busy site of fifty boxes writes about 300.
+const LINES_PER_S: f64 = 400.0;
+/// Lines that may come at once.
+const BURST: f64 = 1_200.0;
+/// Part of the burst that is kept for warnings and errors.
+const RESERVE: f64 = 200.0;
+/// Lines that wait for the reader of the output; further ones are left out.
+const QUEUE: usize = 4_096;
+/// Time between writes to the output, so that many lines go out in one.
+const GATHER: Duration = Duration::from_millis(50);
+/// How long the end of the process waits for the last lines.
+const LAST: Duration = Duration::from_millis(300);
+
+/// How many lines may be written now.
+#[derive(Debug)]
+pub struct Budget {
+    lines: f64,
+    filled_at: Instant,
+    left_out: u64,
+}
+
+impl Budget {
+    /// A full budget.
+    pub fn new(now: Instant) -> Budget {
+        Budget { lines: BURST, filled_at: now, left_out: 0 }
+    }
+
+    /// Takes a line; how many were left out before it, or `None` if it is left out itself.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use spokelift_lib::log_limit::Budget;
+    /// let now = Instant::now();
+    /// let mut budget = Budget::new(now);
+    /// assert_eq!(budget.take(log::Level::Info, now), Some(0));
+    /// ```
+    pub fn take(&mut self, level: Level, now: Instant) -> Option<u64> {
+        let passed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.lines = (self.lines + passed * LINES_PER_S).min(BURST);
+        self.filled_at = now;
+        let least = if level <= Level::Warn { 1.0 } else { RESERVE + 1.0 };
+        if self.lines < least {
+            self.left_out += 1;
+            return None;
+        }
+        self.lines -= 1.0;
+        Some(std::mem::take(&mut self.left_out))
+    }
+}
+
+/// Passes lines on to another logger, within a budget.
+pub struct Limited<L> {
+    inner: L,
+    budget: Mutex<Budget>,
+}
+
+impl<L: Log> Limited<L> {
+    /// Limits what `inner` gets.
+    pub fn new(inner: L) -> Limited<L> {
+        Limited { inner, budget: Mutex::new(Budget::new(Instant::now())) }
+    }
+}
+
+impl<L: Log> Log for Limited<L> {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.inner.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.inner.enabled(record.metadata()) {
+            return;
+        }
+        let mut budget = self.budget.lock().expect("no holder of the budget panics");
+        let taken = budget.take(record.level(), Instant::now());
+        drop(budget);
+        match taken {
+            None => {}
+            Some(0) => self.inner.log(record),
+            Some(left_out) => {
+                let line = format_args!("{left_out} lines were left out");
+                let told =
+                    Record::builder().level(Level::Warn).target(module_path!()).args(line).build();
+                self.inner.log(&told);
+                self.inner.log(record);
+            }
+        }
+    }
+
+    fn flush(&self) {
+        self.inner.flush();
+    }
+}
+
+/// Where formatted lines go: a thread writes them, and whoever logs never waits for it.
+pub struct Pipe {
+    lines: SyncSender<Vec<u8>>,
+    progress: Arc<Progress>,
+    lost: u64,
+}
+
+/// How far the thread that writes the lines is.
+#[derive(Default)]
+pub struct Progress {
+    sent: AtomicU64,
+    written: AtomicU64,
+}
+
+impl Progress {
+    /// Waits for the lines so far, though not for ever.
+    pub fn settle(&self) {
+        let until = Instant::now() + LAST;
+        let waits = || self.written.load(Ordering::Acquire) < self.sent.load(Ordering::Acquire);
+        while waits() && Instant::now() < until {
+            thread::sleep(GATHER / 10);
+        }
+    }
+}
+
+impl Pipe {
+    /// A pipe to an output, and how far it is.
+    pub fn new(output: impl Write + Send + 'static) -> (Pipe, Arc<Progress>) {
+        let (lines, queue) = sync_channel(QUEUE);
+        let progress = Arc::new(Progress::default());
+        let written = progress.clone();
+        thread::spawn(move || drain(&queue, output, &written.written));
+        (Pipe { lines, progress: progress.clone(), lost: 0 }, progress)
+    }
+}
+
+fn drain(queue: &Receiver<Vec<u8>>, mut output: impl Write, written: &AtomicU64) {
+    while let Ok(mut bytes) = queue.recv() {
+        let mut lines = 1;
+        for line in queue.try_iter() {
+            bytes.extend_from_slice(&line);
+            lines += 1;
+        }
+        // There is nowhere to tell that the log itself cannot be written.
+        let _ = output.write_all(&bytes).and_then(|()| output.flush());
+        written.fetch_add(lines, Ordering::Release);
+        thread::sleep(GATHER);
+    }
+}
+
+impl Write for Pipe {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut bytes = Vec::new();
+        if self.lost > 0 {
+            bytes =
+                format!("{} lines were lost, the reader of the log is slow\n", self.lost).into();
+        }
+        bytes.extend_from_slice(line);
+        match self.lines.try_send(bytes) {
+            Ok(()) => {
+                self.progress.sent.fetch_add(1, Ordering::Release);
+                self.lost = 0;
+            }
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.lost += 1,
+        }
+        Ok(line.len())
+    }
+
+    /// Whoever logs does not wait; [`Progress::settle`] does.
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lib/tests/test_log_limit.rs
@@ -0,0 +1,72 @@
+//! Log lines stay within bounds, and what is left out is counted.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::sync_channel;
+use std::time::Duration;
+use std::time::Instant;
+
+use log::Level;
+use spokelift_lib::log_limit::Budget;
+use spokelift_lib::log_limit::Pipe;
+
+#[test]
+fn a_storm_of_lines_is_cut_and_counted() {
+    let now = Instant::now();
+    let mut budget = Budget::new(now);
+    let passed = (0..10_000).filter(|_| budget.take(Level::Info, now).is_some()).count();
+    assert_eq!(passed, 1_000);
+    // Warnings still have room.
+    assert_eq!(budget.take(Level::Warn, now), Some(9_000));
+    let later = now + Duration::from_secs(1);
+    assert!(budget.take(Level::Info, later).is_some());
+    let warnings = (0..10_000).filter(|_| budget.take(Level::Error, later).is_some()).count();
+    assert!((100..=700).contains(&warnings), "{warnings}");
+}
+
+/// An output that takes nothing until it is told to.
+struct Stalled {
+    go: Receiver<()>,
+    seen: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for Stalled {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // Once the test has let it go, the sender is gone.
+        let _ = self.go.recv();
+        self.seen.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_reader_that_stalls_holds_nobody_up() {
+    let (release, go) = sync_channel(1);
+    let seen = Arc::<Mutex<Vec<u8>>>::default();
+    let (mut pipe, progress) = Pipe::new(Stalled { go, seen: seen.clone() });
+    for number in 0..20_000 {
+        pipe.write_all(format!("line {number}\n").as_bytes()).unwrap();
+    }
+    drop(release);
+    let until = Instant::now() + Duration::from_secs(30);
+    let contains = |text: &str| {
+        let seen = seen.lock().unwrap();
+        String::from_utf8_lossy(&seen).contains(text)
+    };
+    while !contains("line 4000\n") && Instant::now() < until {
+        progress.settle();
+    }
+    assert!(contains("line 4000\n"));
+    pipe.write_all(b"the end\n").unwrap();
+    while !contains("the end\n") && Instant::now() < until {
+        progress.settle();
+    }
+    assert!(contains("lines were lost, the reader of the log is slow\nthe end\n"));
+}
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -48,6 +48,8 @@
 const PAUSE: Duration = Duration::from_millis(25);
 /// Credential of the site's operator.
 pub const SITE_KEY: &str = "site:a-secret-of-the-site";
+/// Share of a core that the settings give a node.
+const CPU_SHARE: f64 = 0.25;
 /// Host under which clients call.
 const HOST: &str = "site.example";
 /// Loopback addresses given out in this process.
@@ -88,7 +90,7 @@
         store: &Store,
         (machines, advice): (SocketAddr, SocketAddr),
         program: &str,
-        number: usize,
+        (number, cpu_share): (usize, f64),
     ) -> io::Result<Node> {
         let ip = own_address();
         let door = store.door().await?;
@@ -101,6 +103,7 @@
             "node = \"node-{number}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
              portRange = [{}, {}]\nheartbeatMs = 500\nadvice = \"{advice}\"\n\
              [listen]\nfront = \"{}\"\nreadiness = \"{}\"\n\
+             [limits]\ncpuShare = {cpu_share}\n\
              [platform]\naddress = \"{}\"\nform = \"log\"\n\
              [cloudApi]\naddress = \"{machines}\"\n\
              [bounds]\nleaseMs = 1000\nupkeep_s = 0.6\nmove_s = 0.6\n",
@@ -229,6 +232,16 @@
         nodes: usize,
         workers: usize,
         reserve: usize,
+    ) -> io::Result<Site> {
+        Site::start_uneven(program, &vec![CPU_SHARE; nodes], workers, reserve).await
+    }
+
+    /// The same with nodes that have these shares of a core.
+    pub async fn start_uneven(
+        program: &str,
+        cpu_shares: &[f64],
+        workers: usize,
+        reserve: usize,
     ) -> io::Result<Site> {
         let (store, ledger) = (Store::default(), Ledger::default());
         let machines = Machines::start(&store, &ledger).await?;
@@ -242,9 +255,9 @@
         let advice = Advice::start(&machines).await?;
         let dialer = Dialer::new(ANSWER);
         let mut site = Site { store, machines, ledger, nodes: Vec::new(), dialer, advice };
-        for number in 0..nodes {
+        for node in cpu_shares.iter().copied().enumerate() {
             let addrs = (site.machines.addr, site.advice.addr);
-            let node = Node::prepare(&site.store, addrs, program, number).await?;
+            let node = Node::prepare(&site.store, addrs, program, node).await?;
             node.start()?;
             site.nodes.push(node);
         }
@@ -284,6 +297,15 @@
         }
     }
 
+    /// The metrics of a node.
+    pub async fn metrics(&self, node: usize) -> Option<String> {
+        let addr = self.nodes[node].operate_addr;
+        let request = Request::builder().uri("/metrics").header("host", HOST).body(full(""));
+        let request = request.expect("the tests make sound requests");
+        let response = self.dialer.exchange(addr, request, 65_536, ANSWER).await.ok()?;
+        String::from_utf8(response.body().to_vec()).ok()
+    }
+
     /// Hands in a job; 0 if there is no answer.
     pub async fn submit(&self, node: usize, id: &str, job: Value) -> u16 {
         self.submit_to("q", node, id, job).await
