--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -263,14 +263,20 @@
 #[argh(subcommand, name = "hash-key")]
 pub struct HashKey {}
 
-/// Run a small site on embedded stand-ins: six daemons, fifty workers, load, a wave, failures.
+/// Run a small site on stand-ins: daemons, boxes, load, a wave, failures.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "trial")]
 pub struct Trial {
-    /// the site: ulaanbaatar or dakar
-    #[argh(option, default = "String::from(\"ulaanbaatar\")")]
+    /// the site: platform (batch work), ulaanbaatar or dakar (requests) [platform]
+    #[argh(option, default = "String::from(\"platform\")")]
     pub site: String,
-    /// requests a second over all entry boxes, 1 to 2000
+    /// on the platform, which faults come when [1]
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// on the platform, how long faults come, 2 to 600 [12]
+    #[argh(option, default = "12")]
+    pub seconds: u64,
+    /// on the other sites, requests a second over all entry boxes, 1 to 2000 [300]
     #[argh(option, default = "300")]
     pub load: u32,
     /// print a last line of JSON
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -64,6 +64,10 @@
     #[error("{error}")]
     #[diagnostic(help("{}", hint(error)))]
     Api { error: ApiError },
+    /// The daemon's program is not there.
+    #[error("there is no {}", path.display())]
+    #[diagnostic(help("build both programs: cargo build --release"))]
+    NoDaemon { path: PathBuf },
     /// A trial could not be run.
     #[error("the trial could not be run: {0}")]
     Trial(#[from] std::io::Error),
@@ -118,7 +122,11 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Error::Missing { .. } | Error::Value { .. } => 2,
-            Error::File { .. } | Error::Answer(_) | Error::Daemon { .. } | Error::Trial(_) => 1,
+            Error::NoDaemon { .. }
+            | Error::File { .. }
+            | Error::Answer(_)
+            | Error::Daemon { .. }
+            | Error::Trial(_) => 1,
             Error::Config { .. } | Error::Job { .. } => 3,
             Error::Api { error } => match error {
                 ApiError::Refused { .. } => 4,
--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -1,7 +1,9 @@
-//! The main job in one command: a small site on embedded stand-ins, under load and failures.
+//! The main job in one command: a small site on stand-ins, under load and failures. The users'
+//! platform unless another site is named.
 //!
 //! The counts come from what the stand-in workers and callers saw, not from the product.
 
+mod batch;
 mod load;
 mod report;
 mod stage;
@@ -24,6 +26,8 @@
 use crate::trial::report::Report;
 use crate::trial::stage::Stage;
 
+/// Name of the site on the users' platform.
+const PLATFORM: &str = "platform";
 /// How long one wait of the trial may take.
 const PATIENCE: Duration = Duration::from_secs(40);
 /// Pause between two looks.
@@ -39,10 +43,21 @@
 
 /// Runs a trial, prints its report, and fails if something that must always hold did not.
 pub fn run(args: &Trial, json: bool) -> Result<(), Error> {
+    if !batch::SECONDS.contains(&args.seconds) {
+        return Err(Error::Value {
+            what: "--seconds",
+            value: args.seconds.to_string(),
+            accepted: "2 to 600",
+        });
+    }
+    if args.site == PLATFORM {
+        let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+        return runtime.block_on(batch::play(args, json));
+    }
     let site = Site::named(&args.site).ok_or(Error::Value {
         what: "--site",
         value: args.site.clone(),
-        accepted: "ulaanbaatar or dakar",
+        accepted: "platform, ulaanbaatar or dakar",
     })?;
     if !LOADS.contains(&args.load) {
         return Err(Error::Value {
--- /dev/null
+++ b/cli/src/trial/batch.rs
@@ -0,0 +1,53 @@
+//! The main job on the stand-in of the users' platform: real daemons serve jobs under random faults.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use spokelift_testutils::platform::soak;
+use spokelift_testutils::platform::soak::Report;
+
+use crate::args::Trial;
+use crate::error::Error;
+
+/// Name of the daemon's program, which is built into the same directory as this one.
+const DAEMON: &str = "spokeliftd";
+/// How long faults may go on, in seconds.
+pub const SECONDS: std::ops::RangeInclusive<u64> = 2..=600;
+
+/// Plays the faults of a seed and prints what came of it.
+pub async fn play(args: &Trial, json: bool) -> Result<(), Error> {
+    let program = daemon()?;
+    println!("seed {}: 4 daemons, 10 boxes, faults for {} s", args.seed, args.seconds);
+    let program = program.to_string_lossy();
+    let report = soak::play(&program, args.seed, Duration::from_secs(args.seconds)).await?;
+    println!("{}", table(&report));
+    if json {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    match report.broken {
+        broken if broken.is_empty() => Ok(()),
+        broken => Err(Error::Violated { broken }),
+    }
+}
+
+fn daemon() -> Result<PathBuf, Error> {
+    let path = std::env::current_exe()?.with_file_name(DAEMON);
+    match path.exists() {
+        true => Ok(path),
+        false => Err(Error::NoDaemon { path }),
+    }
+}
+
+fn table(report: &Report) -> String {
+    let mut lines: Vec<String> = report.faults.iter().map(|fault| format!("  {fault}")).collect();
+    let counts = [
+        ("jobs accepted", report.accepted),
+        ("jobs refused, which never ran", report.refused),
+        ("jobs without an answer", report.unknown),
+        ("jobs cancelled", report.cancelled),
+        ("starts of tasks", report.starts as usize),
+        ("promises broken", report.broken.len()),
+    ];
+    lines.extend(counts.iter().map(|(what, count)| format!("{what:32} {count}")));
+    lines.join("\n")
+}
--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -38,3 +38,16 @@
     }
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+#[test]
+fn the_trial_of_the_tool_breaks_no_promise() {
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_spokelift"));
+    let output =
+        command.args(["--json", "trial", "--seconds", "4", "--seed", "3"]).output().unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert_eq!(output.status.code(), Some(0), "{text}");
+    assert!(text.contains("promises broken                  0"), "{text}");
+    let report = text.lines().last().unwrap();
+    let report: serde_json::Value = serde_json::from_str(report).unwrap();
+    assert!(report["accepted"].as_u64() > Some(0), "{report}");
+}
--- a/testutils/src/platform/soak.rs
+++ b/testutils/src/platform/soak.rs
@@ -15,6 +15,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde::Serialize;
 use tokio::time::sleep;
 
 use crate::platform::site::Site;
@@ -38,7 +39,7 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// What a soak did and found.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize)]
 pub struct Report {
     /// Jobs accepted.
     pub accepted: usize,
