--- a/lib/src/batch/demand.rs
+++ b/lib/src/batch/demand.rs
@@ -9,6 +9,9 @@
 /// Time in which an arrival's weight falls to 1/e. Loads turn from service to service within
 /// seconds; a machine takes about two to be moved.
 const MEMORY: Duration = Duration::from_millis(1_500);
+/// The same for the estimate that sees a rise first. It scatters, so it counts only where it is the
+/// higher one: a machine too many costs little, one that comes late costs jobs.
+const SHORT_MEMORY: Duration = Duration::from_millis(600);
 /// Weight of the newest run in the mean of run times against guesses.
 const NEWEST: f64 = 0.05;
 /// Bounds of that mean, so that a few odd runs do not mislead.
@@ -19,6 +22,8 @@
 struct Arrival {
     /// Weighted work, in thousandths of a core times milliseconds.
     work: f64,
+    /// The same with the shorter memory.
+    recent: f64,
     at: Instant,
 }
 
@@ -39,8 +44,10 @@
             .map(|step| f64::from(step.count) * f64::from(step.cpu) * step.estimate_ms as f64)
             .sum();
         let rate = self.arrivals.entry(entry.accepted.service.clone());
-        let rate = rate.or_insert(Arrival { work: 0.0, at: now });
-        rate.work = faded(*rate, now) + work * ratio;
+        let rate = rate.or_insert(Arrival { work: 0.0, recent: 0.0, at: now });
+        let age = now.saturating_duration_since(rate.at);
+        rate.work = faded(rate.work, age, MEMORY) + work * ratio;
+        rate.recent = faded(rate.recent, age, SHORT_MEMORY) + work * ratio;
         rate.at = now;
     }
 
@@ -61,12 +68,15 @@
 
     /// Processor that the arriving work of a service keeps busy, in thousandths of a core.
     pub fn rate(&self, service: &str, now: Instant) -> u64 {
-        let arrival = self.arrivals.get(service);
-        arrival.map_or(0.0, |arrival| faded(*arrival, now) / MEMORY.as_millis() as f64) as u64
+        let Some(arrival) = self.arrivals.get(service) else { return 0 };
+        let age = now.saturating_duration_since(arrival.at);
+        let steady = faded(arrival.work, age, MEMORY) / MEMORY.as_millis() as f64;
+        let recent = faded(arrival.recent, age, SHORT_MEMORY) / SHORT_MEMORY.as_millis() as f64;
+        steady.max(recent) as u64
     }
 }
 
-fn faded(arrival: Arrival, now: Instant) -> f64 {
-    let age = now.saturating_duration_since(arrival.at);
-    arrival.work * (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+/// What is left of a weighted sum after a time.
+fn faded(work: f64, age: Duration, memory: Duration) -> f64 {
+    work * (-age.as_secs_f64() / memory.as_secs_f64()).exp()
 }
