batch: workers whose entries ran out with the store away are excused; those that leave unannounced are emptied

The scheduler gave nothing to any worker until its entry was back, and let what lasts on a leaving one run until it died with it.

Ruled out: taking every worker that answers for one that stays: the one that leaves answers as well.

Change: a worker that is no longer listed within 2.3 s of an outage of the store takes work all the same if it answers; after that, or without an outage, its tasks that last move off within their budget, and those that end by themselves are let end.

Shown by: two tests in test_batch.

--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -74,13 +74,24 @@
         self.workers.insert(id, worker);
     }
 
-    /// The store no longer lists a worker. It may still run what it was told.
-    pub fn unlist(&mut self, id: &str) {
+    /// The store no longer lists a worker. It may still run what it was told. It is excused for a
+    /// while if the store was away lately.
+    pub fn unlist(&mut self, id: &str, excused_until: Option<Instant>) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.listed = false;
+            worker.excused_until = excused_until;
         }
     }
 
+    /// Workers that answer and that the store does not list: some leave without saying so, and serve
+    /// on for a while.
+    pub fn leaving_unannounced(&self, now: Instant) -> Vec<WorkerId> {
+        let leaves = |worker: &&Worker| {
+            worker.is_missing(now) && worker.misses == 0 && worker.fenced && !worker.entry.draining
+        };
+        self.workers.values().filter(leaves).map(|worker| worker.peer.id.clone()).collect()
+    }
+
     /// A worker's life is over, or all it ran has lapsed: its tasks wait for room again.
     pub fn remove_worker(&mut self, id: &str, why: &str) {
         let Some(worker) = self.workers.remove(id) else { return };
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -250,7 +250,7 @@
 
 async fn load_workers_until_done(scheduler: &Arc<Scheduler>) -> Offset {
     loop {
-        match load_workers(scheduler).await {
+        match load_workers(scheduler, None).await {
             Ok(end) => return end,
             Err(error) => log::warn!("the workers cannot be read: {error}"),
         }
--- a/lib/src/batch/scheduler/follow.rs
+++ b/lib/src/batch/scheduler/follow.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use spokelift_platform::store::Offset;
 use spokelift_platform::store::Record;
@@ -24,15 +25,20 @@
 /// Time between reads of the jobs' topic, for jobs whose news was lost on the way.
 const READ_JOBS: Duration = Duration::from_millis(400);
 
+/// How long after the store has come back a worker that it does not list may be given work: the
+/// platform lists those again that live, within about two seconds.
+const EXCUSED: Duration = Duration::from_millis(2_300);
+
 /// Follows the workers' topic; reads it anew where its start was cut off.
 pub(super) async fn follow_workers(scheduler: Arc<Scheduler>, mut from: Offset) {
+    let mut excused_until = None;
     loop {
         sleep(READ_WORKERS).await;
         match scheduler.node.store.read(WORKER_TOPIC, from, Duration::ZERO, CALL).await {
             Ok(page) => {
                 from += page.records.len() as Offset;
                 for record in &page.records {
-                    if let Some(id) = take_worker(&scheduler, record) {
+                    if let Some(id) = take_worker(&scheduler, record, excused_until) {
                         spawn_looks(&scheduler, id);
                     }
                 }
@@ -40,14 +46,19 @@
                     scheduler.kick();
                 }
             }
-            Err(error) if error.status() == Some(410) => match load_workers(&scheduler).await {
-                Ok(end) => {
-                    from = end;
-                    spawn_all_looks(&scheduler);
+            Err(error) if error.status() == Some(410) => {
+                match load_workers(&scheduler, excused_until).await {
+                    Ok(end) => {
+                        from = end;
+                        spawn_all_looks(&scheduler);
+                    }
+                    Err(error) => log::warn!("the workers cannot be read: {error}"),
                 }
-                Err(error) => log::warn!("the workers cannot be read: {error}"),
-            },
-            Err(error) => log::debug!("the workers cannot be followed: {error}"),
+            }
+            Err(error) => {
+                excused_until = Some(Instant::now() + EXCUSED);
+                log::debug!("the workers cannot be followed: {error}");
+            }
         }
     }
 }
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -81,26 +81,33 @@
 }
 
 /// Reads which workers are listed; one that is not listed may still run what it was told.
-pub(super) async fn load_workers(scheduler: &Arc<Scheduler>) -> Result<Offset, CallError> {
+pub(super) async fn load_workers(
+    scheduler: &Arc<Scheduler>,
+    excused_until: Option<Instant>,
+) -> Result<Offset, CallError> {
     let newest = scheduler.node.store.newest(WORKER_TOPIC, LOAD).await?;
     let mut listed = HashSet::new();
     for record in &newest.records {
-        take_worker(scheduler, record);
+        take_worker(scheduler, record, excused_until);
         listed.insert(record.key.clone());
     }
     let mut cell = scheduler.cell();
     let gone: Vec<WorkerId> =
         cell.workers.keys().filter(|id| !listed.contains(*id)).cloned().collect();
     for id in gone {
-        cell.unlist(&id);
+        cell.unlist(&id, excused_until);
     }
     Ok(newest.end)
 }
 
 /// Takes in a worker's entry; returns its id if it is new.
-pub(super) fn take_worker(scheduler: &Arc<Scheduler>, record: &Record) -> Option<WorkerId> {
+pub(super) fn take_worker(
+    scheduler: &Arc<Scheduler>,
+    record: &Record,
+    excused_until: Option<Instant>,
+) -> Option<WorkerId> {
     let Some(value) = &record.value else {
-        scheduler.cell().unlist(&record.key);
+        scheduler.cell().unlist(&record.key, excused_until);
         return None;
     };
     let entry = match worker::Entry::decode(value) {
--- a/lib/src/batch/scheduler/tick.rs
+++ b/lib/src/batch/scheduler/tick.rs
@@ -13,6 +13,7 @@
 use crate::batch::scheduler::CALL;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::scheduler::wall_clock;
+use crate::batch::upkeep;
 
 /// Time between looks at clocks: leases, due times, rests.
 const TICK: Duration = Duration::from_millis(100);
@@ -40,6 +41,9 @@
             }
             cell.stop_unknown(now);
             cell.leave_draining();
+            for id in cell.leaving_unannounced(now) {
+                upkeep::empty(&mut cell, &id, false);
+            }
             cell.spare_users(now);
             cell.forget(keep, now)
         };
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -143,6 +143,9 @@
     pub rest_until: Instant,
     /// The store lists it.
     pub listed: bool,
+    /// The store may not list it for a while and it takes work all the same, until then: entries
+    /// that ran out while the store was away come back soon after it.
+    pub excused_until: Option<Instant>,
     /// It is being emptied for upkeep or a move.
     pub cordoned: bool,
     /// Runs in a row that failed, of different tasks.
@@ -173,6 +176,7 @@
             misses: 0,
             rest_until: now,
             listed: true,
+            excused_until: None,
             cordoned: false,
             failures: 0,
             met_at: now,
@@ -220,7 +224,7 @@
     pub fn closed(&self, now: Instant) -> Option<Closed> {
         match self {
             worker if !worker.fenced => Some(Closed::NotAsked),
-            worker if !worker.listed => Some(Closed::NotListed),
+            worker if worker.is_missing(now) => Some(Closed::NotListed),
             worker if worker.entry.draining => Some(Closed::Draining),
             worker if worker.cordoned => Some(Closed::Cordoned),
             worker if worker.misses > 0 || worker.reopening => Some(Closed::Silent),
@@ -229,6 +233,12 @@
         }
     }
 
+    /// Whether the store does not list it, and has had the time to list it again. It has left or
+    /// is about to.
+    pub fn is_missing(&self, now: Instant) -> bool {
+        !self.listed && self.excused_until.is_none_or(|until| until <= now)
+    }
+
     /// Whether it may be given new tasks.
     pub fn takes_work(&self, now: Instant) -> bool {
         self.closed(now).is_none()
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -455,3 +455,55 @@
     bed.cell.on_flushed(&flush);
     assert_eq!(bed.cell.workers["w0"].durable, 2);
 }
+
+#[test]
+fn a_worker_whose_entry_ran_out_with_the_store_away_works_on_until_it_should_be_back() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    let back = bed.now + Duration::from_millis(2_000);
+    bed.cell.unlist("w0", Some(back));
+    assert_eq!(bed.start().len(), 1);
+    bed.now = back;
+    bed.cell.admit(2, accepted(vec![step(1)]), None);
+    assert_eq!(bed.start(), vec![]);
+    // Without an outage a worker that is not listed gets nothing at once.
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    bed.cell.unlist("w0", None);
+    assert_eq!(bed.start(), vec![]);
+}
+
+#[test]
+fn tasks_that_last_leave_a_worker_that_goes_without_a_word_one_at_a_time() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    let step = Step { max_per_worker: 0, ..lasting(2) };
+    bed.cell.admit(1, accepted(vec![step]), None);
+    let starts = bed.start();
+    assert_eq!(starts.len(), 2);
+    let running: Vec<(TaskName, Run)> = starts.iter().map(|(_, task, run)| (*task, *run)).collect();
+    bed.look("w0", &running, &[]);
+    assert_eq!(bed.cell.leaving_unannounced(bed.now), Vec::<String>::new());
+    bed.cell.unlist("w0", None);
+    bed.meet("w1", "m1");
+    bed.look("w1", &[], &[]);
+    for _ in 0..3 {
+        for id in bed.cell.leaving_unannounced(bed.now) {
+            upkeep::empty(&mut bed.cell, &id, false);
+        }
+    }
+    let stops = bed.stops();
+    assert_eq!(stops.len(), 1, "one may be away, so one is stopped: {stops:?}");
+    let (_, gone, _) = stops[0];
+    bed.now += MILLI;
+    let left: Vec<(TaskName, Run)> =
+        running.iter().copied().filter(|(task, _)| *task != gone).collect();
+    bed.cell.on_stopped("w0", gone, running[0].1, bed.now);
+    bed.now += MILLI;
+    bed.look("w0", &left, &[]);
+    let starts = bed.start();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0, "w1");
+}
