batch: labels that a pool lacks are fetched, room is made only where a task may run

Room for a task that lasts was made on the worker where that cost least, also where the task may not run for want of its label; the right worker stayed full. Pools were sized by cores alone, so tasks waited for a label while the machines with it stood in the reserve. A worker that was emptied as one that leaves stayed closed when it was listed again and no round about machines was due.

Ruled out: workers that are not asked after a takeover (they are let go after their lease); runs counted for ever (each way a slot goes away counts its task down).

Change: room is made only where nothing but room keeps the task away. What waiting tasks ask of a label beyond what is free on workers that have it is fetched. A worker that is listed again takes work.

Shown by: three tests that fail on the code before (room_for_a_task_that_lasts_is_made_only_where_it_may_run, a_machine_with_a_label_that_only_the_reserve_has_is_fetched_for_a_task, a_worker_that_was_emptied_as_leaving_and_is_listed_again_takes_work).

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -340,6 +340,18 @@
     assert_sound(&site);
 }
 
+#[tokio::test]
+async fn a_machine_with_a_label_that_only_the_reserve_has_is_fetched_for_a_task() {
+    let site = Site::start(PROGRAM, 2, 2, 4).await.unwrap();
+    let step = json!({
+        "count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 100, "requires": "r1-2",
+    });
+    site.insist(&id(1), json!({ "spec": "ms=100 cpu=1000 mem=100", "steps": [step] })).await;
+    site.until_succeeded(&id(1)).await;
+    assert_eq!(site.machines.in_pool("work"), 3);
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn machines_move_to_the_service_that_is_short_of_them() {
     let site = Site::start(PROGRAM, 2, 2, 3).await.unwrap();
--- a/lib/src/batch/place/fit.rs
+++ b/lib/src/batch/place/fit.rs
@@ -59,7 +59,7 @@
 }
 
 /// Why a worker may not run the task now; `None` if it may.
-fn hindrance(worker: &Worker, ask: &Ask<'_>, now: Instant) -> Option<Hindrance> {
+pub(super) fn hindrance(worker: &Worker, ask: &Ask<'_>, now: Instant) -> Option<Hindrance> {
     let step = ask.step;
     if worker.entry.service != ask.service {
         return Some(Hindrance::Service);
--- a/lib/src/batch/place/room.rs
+++ b/lib/src/batch/place/room.rs
@@ -9,6 +9,9 @@
 
 use crate::batch::cell::Cell;
 use crate::batch::job::Entry;
+use crate::batch::place::fit::Ask;
+use crate::batch::place::fit::Hindrance;
+use crate::batch::place::fit::hindrance;
 use crate::batch::worker::Kind;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
@@ -30,11 +33,12 @@
             return;
         }
         let need = Entry::room_of(step);
-        let usable = self.workers.values().filter(|worker| {
-            let apart =
-                step.max_per_worker == 0 || worker.count_of_step(name) < step.max_per_worker;
-            worker.entry.service == service && worker.takes_work(now) && apart
-        });
+        // Room is made only where nothing else keeps the task away.
+        let ask = Ask::new(name, service, step, &[]);
+        let usable = self
+            .workers
+            .values()
+            .filter(|worker| matches!(hindrance(worker, &ask, now), None | Some(Hindrance::Room)));
         let plans =
             usable.filter_map(|worker| Some((victims(worker, need, now)?, worker.peer.id.clone())));
         let Some(((lost, tasks), worker)) = plans.min_by_key(|((lost, _), _)| *lost) else {
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -23,6 +23,7 @@
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::empty;
 use crate::batch::worker::Kind;
+use crate::batch::worker::Worker;
 
 /// Time in which work that waits should be done by the machines asked for: about as long as a
 /// machine takes to be moved, in milliseconds.
@@ -54,7 +55,7 @@
 const AT_ONCE_PERCENT: usize = 60;
 
 /// What a service has and wants, in thousandths of a core.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Load {
     /// What its usable workers have.
     pub has: u64,
@@ -70,6 +71,9 @@
     pub rate: u64,
     /// Usable workers.
     pub workers: u64,
+    /// Labels that waiting tasks require, and by how much what they ask for is over what is free on
+    /// workers that have them.
+    pub lacks: BTreeMap<String, u64>,
     /// Workers it needs at the least, since tasks that last must be spread over so many.
     pub least: u64,
 }
@@ -138,6 +142,14 @@
     idle: HashMap<MachineId, Instant>,
 }
 
+/// What is free on the usable workers of a service that have a label.
+fn free_with_label(cell: &Cell, service: &str, label: &str, now: Instant) -> u64 {
+    let usable = |worker: &&Worker| worker.entry.service == service && worker.takes_work(now);
+    let has = |worker: &&Worker| worker.entry.labels.iter().any(|known| known == label);
+    let workers = cell.workers.values().filter(usable).filter(has);
+    workers.map(|worker| u64::from(worker.free.cpu)).sum()
+}
+
 /// What each service has and wants.
 pub fn loads(cell: &Cell, now: Instant) -> BTreeMap<String, Load> {
     let mut loads: BTreeMap<String, Load> = BTreeMap::new();
@@ -156,6 +168,9 @@
         let run = repetition.and_then(|time| time.steps.get(usize::from(rank.step)));
         let waiting = run.map_or(0, |run| run.waiting.len() as u64) * u64::from(step.cpu);
         let load = loads.entry(entry.accepted.service.clone()).or_default();
+        if let Some(label) = &step.requires {
+            *load.lacks.entry(label.clone()).or_default() += waiting;
+        }
         load.waiting += waiting;
         let guess = step.estimate_ms as f64 * cell.demand.ratio(&entry.accepted.queue);
         load.work += waiting * if step.long_running { CLEAR_MS } else { guess as u64 };
@@ -167,6 +182,10 @@
         load.least = load.least.max(u64::from(most));
     }
     for (service, load) in &mut loads {
+        for (label, asked) in &mut load.lacks {
+            *asked = asked.saturating_sub(free_with_label(cell, service, label, now));
+        }
+        load.lacks.retain(|_, missing| *missing > 0);
         load.rate = cell.demand.rate(service, now);
     }
     loads
@@ -179,7 +198,7 @@
         let spare = spare(loads.values().map(|load| load.workers).sum());
         let unfit = |load: &Load| {
             let short = load.wanted() > load.has || load.least > load.workers;
-            short || load.has_excess(load.size(), spare)
+            short || !load.lacks.is_empty() || load.has_excess(load.size(), spare)
         };
         !self.moves.is_empty() || loads.values().any(unfit)
     }
@@ -241,7 +260,8 @@
         let mut left = (list.len() * AT_ONCE_PERCENT / 100).saturating_sub(self.moves.len());
         let mut short: Vec<(u64, String)> = Vec::new();
         for service in config.services.iter().filter(|service| !service.is_reserve) {
-            let load = loads.get(&service.name).copied().unwrap_or_default();
+            let load = loads.get(&service.name).cloned().unwrap_or_default();
+            self.fetch_labels(cell, config, list, taken, &mut loads, (&service.name, &load));
             let coming: u64 = self.coming(&service.name, list);
             let unspread = load.least.saturating_sub(load.workers) * load.size();
             let missing = load.wanted().max(load.has + unspread).saturating_sub(load.has + coming);
@@ -253,21 +273,13 @@
         while left > 0
             && let Some((missing, service)) = short.pop()
         {
-            let Some(machine) = self.source(cell, config, list, taken, &loads, &service) else {
+            let any = |_: &Machine| true;
+            let Some(machine) = self.source(cell, config, list, taken, &loads, (&service, &any))
+            else {
                 return;
             };
-            log::info!(machine = machine.id.as_str(), from = machine.pool.as_str(), to = service.as_str(), missing_cores = missing / 1_000; "moves to another pool");
-            if let Some(worker) =
-                machine.worker.as_ref().and_then(|worker| cell.workers.get_mut(worker))
-            {
-                worker.cordoned = true;
-            }
-            if let Some(load) = loads.get_mut(&machine.pool) {
-                load.has = load.has.saturating_sub(u64::from(machine.room.cpu));
-                load.workers -= 1;
-            }
-            let under_way = Move { to: service.clone(), is_off: false, since: now, ordered: false };
-            self.moves.insert(machine.id.clone(), under_way);
+            let missing_cores = missing / 1_000;
+            self.begin_move(cell, &mut loads, machine, &service, missing_cores);
             left -= 1;
             let rest = missing.saturating_sub(u64::from(machine.room.cpu));
             if rest > u64::from(machine.room.cpu) / 2 {
@@ -277,6 +289,65 @@
         }
     }
 
+    /// Fetches machines with labels that a service lacks, beside those on their way there.
+    fn fetch_labels(
+        &mut self,
+        cell: &mut Cell,
+        config: &Config,
+        list: &[Machine],
+        taken: &HashSet<MachineId>,
+        loads: &mut BTreeMap<String, Load>,
+        (service, load): (&str, &Load),
+    ) {
+        for (label, missing) in &load.lacks {
+            let has_label = |machine: &Machine| machine.labels.contains(label);
+            let comes = |machine: &&Machine| {
+                let under_way = self.moves.get(&machine.id);
+                under_way.is_some_and(|under_way| under_way.to == service) && has_label(machine)
+            };
+            let coming: u64 =
+                list.iter().filter(comes).map(|machine| u64::from(machine.room.cpu)).sum();
+            let mut missing = missing.saturating_sub(coming);
+            while missing > 0
+                && let Some(machine) =
+                    self.source(cell, config, list, taken, loads, (service, &has_label))
+            {
+                self.begin_move(cell, loads, machine, service, missing / 1_000);
+                missing = missing.saturating_sub(u64::from(machine.room.cpu).max(1));
+            }
+        }
+    }
+
+    /// Takes a machine out of service so that it can move.
+    fn begin_move(
+        &mut self,
+        cell: &mut Cell,
+        loads: &mut BTreeMap<String, Load>,
+        machine: &Machine,
+        to: &str,
+        missing_cores: u64,
+    ) {
+        log::info!(
+            machine = machine.id.as_str(),
+            from = machine.pool.as_str(),
+            to,
+            missing_cores;
+            "moves to another pool"
+        );
+        if let Some(worker) =
+            machine.worker.as_ref().and_then(|worker| cell.workers.get_mut(worker))
+        {
+            worker.cordoned = true;
+        }
+        if let Some(load) = loads.get_mut(&machine.pool) {
+            load.has = load.has.saturating_sub(u64::from(machine.room.cpu));
+            load.workers = load.workers.saturating_sub(1);
+        }
+        let under_way =
+            Move { to: to.to_owned(), is_off: false, since: Instant::now(), ordered: false };
+        self.moves.insert(machine.id.clone(), under_way);
+    }
+
     /// Notes which machines run nothing.
     fn note_idle(&mut self, cell: &Cell, list: &[Machine]) {
         let now = Instant::now();
@@ -345,10 +416,11 @@
         list: &'a [Machine],
         taken: &HashSet<MachineId>,
         loads: &BTreeMap<String, Load>,
-        to: &str,
+        (to, fits): (&str, &dyn Fn(&Machine) -> bool),
     ) -> Option<&'a Machine> {
         let free = |machine: &&Machine| {
-            machine.status == Status::Up
+            fits(machine)
+                && machine.status == Status::Up
                 && machine.pool != to
                 && !taken.contains(&machine.id)
                 && !self.moves.contains_key(&machine.id)
@@ -373,7 +445,7 @@
     /// Whether the pool of a machine can do without it, beside those already chosen.
     fn can_give(&self, machine: &Machine, loads: &BTreeMap<String, Load>, to: &str) -> bool {
         let size = u64::from(machine.room.cpu);
-        let mut other = loads.get(to).copied().unwrap_or_default();
+        let mut other = loads.get(to).cloned().unwrap_or_default();
         other.has +=
             self.moves.values().filter(|under_way| under_way.to == to).count() as u64 * size;
         loads
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -269,6 +269,10 @@
     /// Takes over a changed entry.
     pub fn update(&mut self, entry: Entry) {
         self.entry = entry;
+        if !self.listed {
+            // It was emptied as one that leaves, and stays after all.
+            self.cordoned = false;
+        }
         self.listed = true;
         self.recount();
     }
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -507,3 +507,40 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].0, "w1");
 }
+
+#[test]
+fn a_worker_that_was_emptied_as_leaving_and_is_listed_again_takes_work() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.unlist("w0", None);
+    for id in bed.cell.leaving_unannounced(bed.now) {
+        upkeep::empty(&mut bed.cell, &id, false);
+    }
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    assert_eq!(bed.start(), vec![]);
+    bed.meet("w0", "m0");
+    assert_eq!(bed.start().len(), 1);
+}
+
+#[test]
+fn room_for_a_task_that_lasts_is_made_only_where_it_may_run() {
+    let mut bed = Bed::new(1);
+    let peer = Peer { id: "w9".to_owned(), addr: addr() };
+    let labels = vec!["big".to_owned()];
+    bed.cell.meet(peer, Entry { labels, ..entry("m9") }, bed.now);
+    bed.look_at_all();
+    // The one worker with the label is full, the other one is empty.
+    let full = Step { requires: Some("big".to_owned()), ..step(4) };
+    bed.cell.admit(1, accepted(vec![full]), None);
+    let starts = bed.start();
+    assert!(starts.len() == 4 && starts.iter().all(|(worker, ..)| worker == "w9"));
+    bed.cell.admit(
+        2,
+        accepted(vec![Step { requires: Some("big".to_owned()), ..lasting(1) }]),
+        None,
+    );
+    bed.cell.place(bed.now, Duration::from_secs(1));
+    let stops = bed.stops();
+    assert_eq!(stops.len(), 1, "{stops:?}");
+    assert_eq!(stops[0].0, "w9");
+}
