batch: loads of services in a module of their own, shorter choice of moves

pool.rs held two things: what each service has and wants, and the moves under way. The first is now pool/load.rs, with one function for each part of a load. `choose` and `release` each marked a machine, its worker and its pool's load as given away in their own words; `begin`, `Load::give` and `Cell::cordon_on` say that once, for waves too. `is_free` stands for the test that `source` and `release` had twice.

`Load::give` counts down to 0 at the least; one of the three former places would have gone below 0 for a pool without usable workers. Behaviour is otherwise unchanged, and so are log lines and their targets.

--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use spokelift_platform::job::TaskName;
+use spokelift_platform::machine::Machine;
 use spokelift_platform::machine::MachineId;
 use spokelift_platform::worker;
 use spokelift_platform::worker::Peer;
@@ -30,6 +31,19 @@
         true
     }
 
+    /// The worker that lives on a machine, by the platform's list.
+    pub fn worker_on(&self, machine: &Machine) -> Option<&Worker> {
+        self.workers.get(machine.worker.as_ref()?)
+    }
+
+    /// The worker that lives on a machine gets no more work.
+    pub fn cordon_on(&mut self, machine: &Machine) {
+        let id = machine.worker.as_ref();
+        if let Some(worker) = id.and_then(|id| self.workers.get_mut(id)) {
+            worker.cordoned = true;
+        }
+    }
+
     /// Removes workers that lived on a machine before `current` did. Which of two lives is the
     /// later one is told by answers only, since reads of the store and of the list of machines may
     /// be seconds old.
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::batch::pool::Pools;
-use crate::batch::pool::loads;
+use crate::batch::pool::load::loads;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::Waves;
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -1,5 +1,7 @@
 //! Moves machines between pools as the load turns from service to service.
 
+pub mod load;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -19,30 +21,14 @@
 use spokelift_platform::worker::WorkerId;
 
 use crate::batch::cell::Cell;
+use crate::batch::pool::load::Load;
+use crate::batch::pool::load::loads;
+use crate::batch::pool::load::spare;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::empty;
 use crate::batch::worker::Kind;
 
-/// Time in which work that waits should be done by the machines asked for: about as long as a
-/// machine takes to be moved, in milliseconds.
-const CLEAR_MS: u64 = 1_500;
-/// Share of a pool's processors that is planned to be used, in hundredths; the rest is lost to
-/// sizes that do not fit.
-const FILL_PERCENT: u64 = 85;
-/// Share of what runs now that will be followed by as much, in hundredths: jobs have 1.6 to 2 steps
-/// on average, so about half of what runs is followed by another step.
-const RUNNING_PERCENT: u64 = 50;
-/// How many times better off a service that is short itself must be to give a machine to another:
-/// a move idles a machine for about 3 s, which must be worth it.
-const SHARE_RATIO: f64 = 1.5;
-/// Least number of machines that a service keeps beyond what it wants, since jobs arrive in lumps:
-/// a wide job asks for about a hundred cores at once, and a machine that was switched off is back
-/// after 2 s.
-const SPARE_MACHINES: u64 = 3;
-/// The same as a share of all machines of the site, in hundredths. On a large site loads rise by
-/// more machines within those 2 s.
-const SPARE_PERCENT: u64 = 5;
 /// How long a machine must have been idle before it is switched off. A move to the reserve and one
 /// back cost as much as about two seconds of a machine.
 const IDLE_TIME: Duration = Duration::from_millis(1_000);
@@ -53,74 +39,6 @@
 /// Most machines under way at once, as a share of all, in hundredths.
 const AT_ONCE_PERCENT: usize = 60;
 
-/// What a service has and wants, in thousandths of a core.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Load {
-    /// What its usable workers have.
-    pub has: u64,
-    /// What runs on them.
-    pub used: u64,
-    /// Part of that by tasks that do not end by themselves.
-    pub lasting: u64,
-    /// What its waiting tasks ask for.
-    pub waiting: u64,
-    /// Work of the waiting tasks, in thousandths of a core times milliseconds.
-    pub work: u64,
-    /// What the work that arrives keeps busy.
-    pub rate: u64,
-    /// Usable workers.
-    pub workers: u64,
-    /// Workers it needs at the least, since tasks that last must be spread over so many.
-    pub least: u64,
-}
-
-impl Load {
-    /// What it should have: enough for what arrives, and to clear what waits. Of what runs now only
-    /// a part counts, since it is over by the time a machine has left.
-    pub fn wanted(&self) -> u64 {
-        let running = self.used.saturating_sub(self.lasting) * RUNNING_PERCENT / 100;
-        let steady = self.lasting + self.rate.max(running);
-        (steady + self.work / CLEAR_MS) * 100 / FILL_PERCENT
-    }
-
-    /// What it has of what it should have.
-    fn share(&self, has: u64) -> f64 {
-        has as f64 / self.wanted().max(1) as f64
-    }
-
-    /// Whether it would still be far better off than another without a machine of this size.
-    pub fn can_share(&self, size: u64, other: &Load) -> bool {
-        self.has_more_than_least()
-            && self.has > size
-            && self.share(self.has - size) >= SHARE_RATIO * other.share(other.has)
-    }
-
-    /// Whether it could do without a machine of this size.
-    pub fn can_spare(&self, size: u64) -> bool {
-        self.has_more_than_least() && self.has >= self.wanted() + size
-    }
-
-    /// Whether it holds more machines of this size than it should keep.
-    fn has_excess(&self, size: u64, spare: u64) -> bool {
-        self.has_more_than_least() && self.has >= self.wanted() + (spare + 1) * size
-    }
-
-    /// Processor of one of its workers, on average.
-    fn size(&self) -> u64 {
-        self.has.checked_div(self.workers).unwrap_or(0)
-    }
-
-    /// Whether its lasting tasks can be spread with one worker less.
-    fn has_more_than_least(&self) -> bool {
-        self.workers > self.least.max(1)
-    }
-}
-
-/// How many machines a service keeps beyond what it wants, on a site of so many.
-fn spare(machines: u64) -> u64 {
-    (machines * SPARE_PERCENT / 100).max(SPARE_MACHINES)
-}
-
 /// A machine on its way to another pool.
 struct Move {
     to: String,
@@ -138,40 +56,6 @@
     idle: HashMap<MachineId, Instant>,
 }
 
-/// What each service has and wants.
-pub fn loads(cell: &Cell, now: Instant) -> BTreeMap<String, Load> {
-    let mut loads: BTreeMap<String, Load> = BTreeMap::new();
-    for worker in cell.workers.values().filter(|worker| worker.takes_work(now)) {
-        let load = loads.entry(worker.entry.service.clone()).or_default();
-        load.has += u64::from(worker.entry.room.cpu);
-        load.used += u64::from(worker.entry.room.cpu - worker.free.cpu.min(worker.entry.room.cpu));
-        load.workers += 1;
-        let lasting = worker.slots.values().filter(|slot| slot.kind != Kind::Works);
-        load.lasting += lasting.map(|slot| u64::from(slot.room.cpu)).sum::<u64>();
-    }
-    for rank in &cell.ready {
-        let Some(entry) = cell.jobs.get(&rank.job) else { continue };
-        let Some(step) = entry.step(rank.step).filter(|step| !step.fills) else { continue };
-        let repetition = entry.times.get(rank.time as usize);
-        let run = repetition.and_then(|time| time.steps.get(usize::from(rank.step)));
-        let waiting = run.map_or(0, |run| run.waiting.len() as u64) * u64::from(step.cpu);
-        let load = loads.entry(entry.accepted.service.clone()).or_default();
-        load.waiting += waiting;
-        let guess = step.estimate_ms as f64 * cell.demand.ratio(&entry.accepted.queue);
-        load.work += waiting * if step.long_running { CLEAR_MS } else { guess as u64 };
-    }
-    for entry in cell.jobs.values().filter(|entry| entry.is_active() && entry.lasts()) {
-        let load = loads.entry(entry.accepted.service.clone()).or_default();
-        let spread = entry.accepted.job.steps.iter().filter(|step| step.max_per_worker > 0);
-        let most = spread.map(|step| step.count.div_ceil(step.max_per_worker)).max().unwrap_or(0);
-        load.least = load.least.max(u64::from(most));
-    }
-    for (service, load) in &mut loads {
-        load.rate = cell.demand.rate(service, now);
-    }
-    loads
-}
-
 impl Pools {
     /// Whether moves are under way or wanted.
     pub fn wants_list(&self, scheduler: &Scheduler) -> bool {
@@ -236,20 +120,9 @@
         list: &[Machine],
         taken: &HashSet<MachineId>,
     ) {
-        let now = Instant::now();
-        let mut loads = loads(cell, now);
+        let mut loads = loads(cell, Instant::now());
         let mut left = (list.len() * AT_ONCE_PERCENT / 100).saturating_sub(self.moves.len());
-        let mut short: Vec<(u64, String)> = Vec::new();
-        for service in config.services.iter().filter(|service| !service.is_reserve) {
-            let load = loads.get(&service.name).copied().unwrap_or_default();
-            let coming: u64 = self.coming(&service.name, list);
-            let unspread = load.least.saturating_sub(load.workers) * load.size();
-            let missing = load.wanted().max(load.has + unspread).saturating_sub(load.has + coming);
-            if missing > 0 {
-                short.push((missing, service.name.clone()));
-            }
-        }
-        short.sort();
+        let mut short = self.short(config, list, &loads);
         while left > 0
             && let Some((missing, service)) = short.pop()
         {
@@ -257,32 +130,55 @@
                 return;
             };
             log::info!(machine = machine.id.as_str(), from = machine.pool.as_str(), to = service.as_str(), missing_cores = missing / 1_000; "moves to another pool");
-            if let Some(worker) =
-                machine.worker.as_ref().and_then(|worker| cell.workers.get_mut(worker))
-            {
-                worker.cordoned = true;
-            }
+            let size = u64::from(machine.room.cpu);
             if let Some(load) = loads.get_mut(&machine.pool) {
-                load.has = load.has.saturating_sub(u64::from(machine.room.cpu));
-                load.workers -= 1;
+                load.give(size);
             }
-            let under_way = Move { to: service.clone(), is_off: false, since: now, ordered: false };
-            self.moves.insert(machine.id.clone(), under_way);
+            self.begin(cell, machine, &service, false);
             left -= 1;
-            let rest = missing.saturating_sub(u64::from(machine.room.cpu));
-            if rest > u64::from(machine.room.cpu) / 2 {
+            let rest = missing.saturating_sub(size);
+            if rest > size / 2 {
                 short.push((rest, service));
                 short.sort();
             }
         }
     }
 
+    /// Services that want more than they have and than is coming, and how much more, in thousandths
+    /// of a core; the one that misses most comes last.
+    fn short(
+        &self,
+        config: &Config,
+        list: &[Machine],
+        loads: &BTreeMap<String, Load>,
+    ) -> Vec<(u64, String)> {
+        let mut short = Vec::new();
+        for service in config.services.iter().filter(|service| !service.is_reserve) {
+            let load = loads.get(&service.name).copied().unwrap_or_default();
+            let coming = self.coming(&service.name, list);
+            let unspread = load.least.saturating_sub(load.workers) * load.size();
+            let missing = load.wanted().max(load.has + unspread).saturating_sub(load.has + coming);
+            if missing > 0 {
+                short.push((missing, service.name.clone()));
+            }
+        }
+        short.sort();
+        short
+    }
+
+    /// Begins the move of a machine; its worker gets no more work.
+    fn begin(&mut self, cell: &mut Cell, machine: &Machine, to: &str, is_off: bool) {
+        cell.cordon_on(machine);
+        let since = Instant::now();
+        let under_way = Move { to: to.to_owned(), is_off, since, ordered: false };
+        self.moves.insert(machine.id.clone(), under_way);
+    }
+
     /// Notes which machines run nothing.
     fn note_idle(&mut self, cell: &Cell, list: &[Machine]) {
         let now = Instant::now();
         for machine in list {
-            let worker = machine.worker.as_ref().and_then(|worker| cell.workers.get(worker));
-            if worker.is_some_and(|worker| worker.slots.is_empty()) {
+            if cell.worker_on(machine).is_some_and(|worker| worker.slots.is_empty()) {
                 self.idle.entry(machine.id.clone()).or_insert(now);
             } else {
                 self.idle.remove(&machine.id);
@@ -302,42 +198,43 @@
         let Some(reserve) = config.services.iter().find(|service| service.is_reserve) else {
             return;
         };
-        let now = Instant::now();
-        let mut loads = loads(cell, now);
+        let mut loads = loads(cell, Instant::now());
         let spare = spare(list.len() as u64);
         for machine in list {
-            let rested = self.idle.get(&machine.id);
-            let rested = rested.is_some_and(|since| now.duration_since(*since) >= IDLE_TIME);
-            let free = machine.status == Status::Up
-                && !taken.contains(&machine.id)
-                && !self.moves.contains_key(&machine.id);
-            let worker = machine.worker.as_ref().and_then(|worker| cell.workers.get_mut(worker));
-            let Some(worker) = worker.filter(|worker| rested && free && worker.slots.is_empty())
-            else {
+            let is_empty = cell.worker_on(machine).is_some_and(|worker| worker.slots.is_empty());
+            if !is_empty || !self.is_rested(machine) || !self.is_free(machine, taken) {
                 continue;
-            };
+            }
             let size = u64::from(machine.room.cpu);
-            let Some(load) =
-                loads.get_mut(&machine.pool).filter(|load| load.has_excess(size, spare))
-            else {
-                continue;
-            };
-            load.has -= size;
-            load.workers -= 1;
-            worker.cordoned = true;
+            let load = loads.get_mut(&machine.pool);
+            let Some(load) = load.filter(|load| load.has_excess(size, spare)) else { continue };
+            load.give(size);
             log::info!(machine = machine.id.as_str(), from = machine.pool.as_str(); "switched off");
-            let to = reserve.name.clone();
-            let under_way = Move { to, is_off: true, since: now, ordered: false };
-            self.moves.insert(machine.id.clone(), under_way);
+            self.begin(cell, machine, &reserve.name, true);
         }
     }
 
+    /// Whether a machine has been idle long enough to be switched off.
+    fn is_rested(&self, machine: &Machine) -> bool {
+        self.idle.get(&machine.id).is_some_and(|since| since.elapsed() >= IDLE_TIME)
+    }
+
+    /// Whether a machine is up and neither moved nor needed otherwise. `taken` are those in waves.
+    fn is_free(&self, machine: &Machine, taken: &HashSet<MachineId>) -> bool {
+        machine.status == Status::Up
+            && !taken.contains(&machine.id)
+            && !self.moves.contains_key(&machine.id)
+    }
+
+    /// Processor of the machines on their way to a service.
     fn coming(&self, service: &str, list: &[Machine]) -> u64 {
         let coming = self.moves.iter().filter(|(_, under_way)| under_way.to == service);
         let machines = coming.filter_map(|(id, _)| list.iter().find(|machine| machine.id == *id));
         machines.map(|machine| u64::from(machine.room.cpu)).sum()
     }
 
+    /// A machine for the service `to`: one that is switched off, else the least used one without
+    /// lasting tasks of a service that can give it.
     fn source<'a>(
         &self,
         cell: &Cell,
@@ -347,12 +244,7 @@
         loads: &BTreeMap<String, Load>,
         to: &str,
     ) -> Option<&'a Machine> {
-        let free = |machine: &&Machine| {
-            machine.status == Status::Up
-                && machine.pool != to
-                && !taken.contains(&machine.id)
-                && !self.moves.contains_key(&machine.id)
-        };
+        let free = |machine: &&Machine| machine.pool != to && self.is_free(machine, taken);
         let is_reserve = |machine: &&Machine| {
             config.service(&machine.pool).is_some_and(|service| service.is_reserve)
         };
@@ -362,7 +254,7 @@
         let candidates =
             list.iter().filter(free).filter(|machine| self.can_give(machine, loads, to));
         let loaded = candidates.filter_map(|machine| {
-            let worker = cell.workers.get(machine.worker.as_ref()?)?;
+            let worker = cell.worker_on(machine)?;
             let lasting = worker.slots.values().filter(|slot| slot.kind != Kind::Works).count();
             Some((lasting, worker.entry.room.cpu - worker.free.cpu, machine))
         });
--- /dev/null
+++ b/lib/src/batch/pool/load.rs
@@ -0,0 +1,150 @@
+//! What each service has and wants: how many machines it should have, and how many it can give.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::batch::cell::Cell;
+use crate::batch::worker::Kind;
+
+/// Time in which work that waits should be done by the machines asked for: about as long as a
+/// machine takes to be moved, in milliseconds.
+const CLEAR_MS: u64 = 1_500;
+/// Share of a pool's processors that is planned to be used, in hundredths; the rest is lost to
+/// sizes that do not fit.
+const FILL_PERCENT: u64 = 85;
+/// Share of what runs now that will be followed by as much, in hundredths: jobs have 1.6 to 2 steps
+/// on average, so about half of what runs is followed by another step.
+const RUNNING_PERCENT: u64 = 50;
+/// How many times better off a service that is short itself must be to give a machine to another:
+/// a move idles a machine for about 3 s, which must be worth it.
+const SHARE_RATIO: f64 = 1.5;
+/// Least number of machines that a service keeps beyond what it wants, since jobs arrive in lumps:
+/// a wide job asks for about a hundred cores at once, and a machine that was switched off is back
+/// after 2 s.
+const SPARE_MACHINES: u64 = 3;
+/// The same as a share of all machines of the site, in hundredths. On a large site loads rise by
+/// more machines within those 2 s.
+const SPARE_PERCENT: u64 = 5;
+
+/// What a service has and wants, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// What its usable workers have.
+    pub has: u64,
+    /// What runs on them.
+    pub used: u64,
+    /// Part of that by tasks that do not end by themselves.
+    pub lasting: u64,
+    /// What its waiting tasks ask for.
+    pub waiting: u64,
+    /// Work of the waiting tasks, in thousandths of a core times milliseconds.
+    pub work: u64,
+    /// What the work that arrives keeps busy.
+    pub rate: u64,
+    /// Usable workers.
+    pub workers: u64,
+    /// Workers it needs at the least, since tasks that last must be spread over so many.
+    pub least: u64,
+}
+
+impl Load {
+    /// What it should have: enough for what arrives, and to clear what waits. Of what runs now only
+    /// a part counts, since it is over by the time a machine has left.
+    pub fn wanted(&self) -> u64 {
+        let running = self.used.saturating_sub(self.lasting) * RUNNING_PERCENT / 100;
+        let steady = self.lasting + self.rate.max(running);
+        (steady + self.work / CLEAR_MS) * 100 / FILL_PERCENT
+    }
+
+    /// What it has of what it should have.
+    fn share(&self, has: u64) -> f64 {
+        has as f64 / self.wanted().max(1) as f64
+    }
+
+    /// Whether it would still be far better off than another without a machine of this size.
+    pub fn can_share(&self, size: u64, other: &Load) -> bool {
+        self.has_more_than_least()
+            && self.has > size
+            && self.share(self.has - size) >= SHARE_RATIO * other.share(other.has)
+    }
+
+    /// Whether it could do without a machine of this size.
+    pub fn can_spare(&self, size: u64) -> bool {
+        self.has_more_than_least() && self.has >= self.wanted() + size
+    }
+
+    /// Whether it holds more machines of this size than it should keep.
+    pub(super) fn has_excess(&self, size: u64, spare: u64) -> bool {
+        self.has_more_than_least() && self.has >= self.wanted() + (spare + 1) * size
+    }
+
+    /// Counts a machine of this size as given away.
+    pub fn give(&mut self, size: u64) {
+        self.has = self.has.saturating_sub(size);
+        self.workers = self.workers.saturating_sub(1);
+    }
+
+    /// Processor of one of its workers, on average.
+    pub(super) fn size(&self) -> u64 {
+        self.has.checked_div(self.workers).unwrap_or(0)
+    }
+
+    /// Whether its lasting tasks can be spread with one worker less.
+    fn has_more_than_least(&self) -> bool {
+        self.workers > self.least.max(1)
+    }
+}
+
+/// How many machines a service keeps beyond what it wants, on a site of so many.
+pub(super) fn spare(machines: u64) -> u64 {
+    (machines * SPARE_PERCENT / 100).max(SPARE_MACHINES)
+}
+
+/// What each service has and wants.
+pub fn loads(cell: &Cell, now: Instant) -> BTreeMap<String, Load> {
+    let mut loads = BTreeMap::new();
+    add_workers(&mut loads, cell, now);
+    add_waiting(&mut loads, cell);
+    add_least(&mut loads, cell);
+    for (service, load) in &mut loads {
+        load.rate = cell.demand.rate(service, now);
+    }
+    loads
+}
+
+/// Adds the usable workers and what runs on them.
+fn add_workers(loads: &mut BTreeMap<String, Load>, cell: &Cell, now: Instant) {
+    for worker in cell.workers.values().filter(|worker| worker.takes_work(now)) {
+        let load = loads.entry(worker.entry.service.clone()).or_default();
+        load.has += u64::from(worker.entry.room.cpu);
+        load.used += u64::from(worker.entry.room.cpu - worker.free.cpu.min(worker.entry.room.cpu));
+        load.workers += 1;
+        let lasting = worker.slots.values().filter(|slot| slot.kind != Kind::Works);
+        load.lasting += lasting.map(|slot| u64::from(slot.room.cpu)).sum::<u64>();
+    }
+}
+
+/// Adds the tasks that wait, but for those that take only what others leave unused.
+fn add_waiting(loads: &mut BTreeMap<String, Load>, cell: &Cell) {
+    for rank in &cell.ready {
+        let Some(entry) = cell.jobs.get(&rank.job) else { continue };
+        let Some(step) = entry.step(rank.step).filter(|step| !step.fills) else { continue };
+        let repetition = entry.times.get(rank.time as usize);
+        let run = repetition.and_then(|time| time.steps.get(usize::from(rank.step)));
+        let waiting = run.map_or(0, |run| run.waiting.len() as u64) * u64::from(step.cpu);
+        let load = loads.entry(entry.accepted.service.clone()).or_default();
+        load.waiting += waiting;
+        let guess = step.estimate_ms as f64 * cell.demand.ratio(&entry.accepted.queue);
+        load.work += waiting * if step.long_running { CLEAR_MS } else { guess as u64 };
+    }
+}
+
+/// Adds over how many workers lasting tasks must be spread.
+fn add_least(loads: &mut BTreeMap<String, Load>, cell: &Cell) {
+    for entry in cell.jobs.values().filter(|entry| entry.is_active() && entry.lasts()) {
+        let load = loads.entry(entry.accepted.service.clone()).or_default();
+        let spread = entry.accepted.job.steps.iter().filter(|step| step.max_per_worker > 0);
+        let most = spread.map(|step| step.count.div_ceil(step.max_per_worker)).max().unwrap_or(0);
+        load.least = load.least.max(u64::from(most));
+    }
+}
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -22,7 +22,7 @@
 use tokio::time::sleep;
 
 use crate::batch::cell::Cell;
-use crate::batch::pool::loads;
+use crate::batch::pool::load::loads;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::worker::Kind;
 use crate::batch::worker::Phase;
@@ -234,8 +234,7 @@
         else {
             continue;
         };
-        let load = machine.worker.as_ref().and_then(|worker| cell.workers.get(worker));
-        let load = load.map_or(0, |worker| worker.slots.len());
+        let load = cell.worker_on(machine).map_or(0, |worker| worker.slots.len());
         candidates.push((load, id.clone()));
     }
     candidates.sort();
@@ -251,14 +250,9 @@
         free -= 1;
         owed = owed.saturating_sub(1);
         if let Some(load) = load {
-            load.has = load.has.saturating_sub(size);
-            load.workers = load.workers.saturating_sub(1);
-        }
-        if let Some(worker) =
-            machine.worker.as_ref().and_then(|worker| cell.workers.get_mut(worker))
-        {
-            worker.cordoned = true;
+            load.give(size);
         }
+        cell.cordon_on(machine);
         log::info!(machine = id.as_str(), wave = course.wave.number, spare, pool = machine.pool.as_str(); "empties for upkeep");
         course.emptying.insert(id, Instant::now());
     }
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -16,7 +16,7 @@
 use crate::batch::cell::Cell;
 use crate::batch::place::fit::Hindrance;
 use crate::batch::place::fit::hindrance_of;
-use crate::batch::pool::loads;
+use crate::batch::pool::load::loads;
 use crate::batch::worker::Phase;
 
 /// Path of the views on the operators' port.
