batch: how far a wave is and what may be away stand in modules of their own

upkeep.rs mixed the bookkeeping of a wave with orders, and two functions were longer than a screen. The bookkeeping is now upkeep/course.rs, the rule about tasks that last upkeep/away.rs. `emptied` and `candidates` are split off `advance` and `choose_next`; what tells the log stays in upkeep.rs, so the targets of the lines are the same. `empty` no longer carries the kind of each slot, which it did not use.

Behaviour is unchanged.

--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -1,5 +1,8 @@
 //! Carries out waves: empties machines, has their upkeep done, at most so many at once.
 
+mod away;
+mod course;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -24,7 +27,10 @@
 use crate::batch::cell::Cell;
 use crate::batch::pool::load::loads;
 use crate::batch::scheduler::Scheduler;
-use crate::batch::worker::Kind;
+use crate::batch::upkeep::away::is_lasting;
+use crate::batch::upkeep::away::may_leave;
+use crate::batch::upkeep::course::Course;
+use crate::batch::upkeep::course::Listed;
 use crate::batch::worker::Phase;
 
 /// Pause after the states of waves could not be read.
@@ -37,29 +43,10 @@
 /// How many more machines are empty or being emptied than may be down at once, so that the
 /// next are empty when those come back.
 const AHEAD: usize = 2;
-/// Share of a wave's time in which it is planned to be done; the rest is for what goes wrong.
-const AIM_SHARE: f64 = 0.6;
-/// Time for which one machine is kept from work: about 3 s until it is empty, 2 s of upkeep and
-/// 1 s until its new worker is found.
-const CYCLE: Duration = Duration::from_millis(6_000);
 /// How long after it began a scheduler ends no task that lasts of its own accord: stops that its
 /// predecessor gave may still be under way, and a look shows their tasks as running until then.
 const SETTLE: Duration = Duration::from_millis(3_000);
 
-/// What is known of one wave.
-struct Course {
-    wave: Wave,
-    seen_at: Instant,
-    /// Machines whose upkeep has begun.
-    begun: HashSet<MachineId>,
-    /// Machines that are down for it, since when, and the worker that lived there before.
-    down: HashMap<MachineId, (Instant, Option<WorkerId>)>,
-    /// Machines that are being emptied, since when.
-    emptying: HashMap<MachineId, Instant>,
-    /// What the operator has been told: none, running, succeeded.
-    told: Option<bool>,
-}
-
 /// The waves under way.
 #[derive(Default)]
 pub struct Waves {
@@ -116,19 +103,6 @@
     }
 }
 
-impl Course {
-    fn new(wave: Wave, begun: HashSet<MachineId>) -> Course {
-        Course {
-            wave,
-            seen_at: Instant::now(),
-            begun,
-            down: HashMap::new(),
-            emptying: HashMap::new(),
-            told: None,
-        }
-    }
-}
-
 /// Waves that an earlier scheduler has finished.
 async fn read_over(scheduler: &Scheduler) -> HashSet<u64> {
     loop {
@@ -147,6 +121,7 @@
     }
 }
 
+/// Goes on with one wave.
 async fn advance(
     scheduler: &Arc<Scheduler>,
     machines: &Machines,
@@ -158,89 +133,56 @@
     if course.told.is_none() {
         tell(scheduler, course, false).await;
     }
-    let listed: HashMap<&str, &Machine> =
-        list.iter().map(|machine| (machine.id.as_str(), machine)).collect();
-    settle_down(scheduler, course, &listed);
-    let left: Vec<MachineId> =
-        course.wave.machines.iter().filter(|id| !course.begun.contains(*id)).cloned().collect();
-    let stays = |id: &&MachineId| listed.contains_key(id.as_str());
-    if !left.iter().any(|id| stays(&id)) {
+    let listed: Listed<'_> = list.iter().map(|machine| (machine.id.as_str(), machine)).collect();
+    let config = scheduler.node.config();
+    course.settle_down(scheduler.node.settings.upkeep_time, config.as_deref(), &listed);
+    let left = course.left();
+    if !left.iter().any(|id| listed.contains_key(id.as_str())) {
         tell(scheduler, course, true).await;
         return;
     }
-    choose_next(scheduler, course, &left, &listed, taken);
-    let mut ready: Vec<MachineId> = {
-        let mut cell = scheduler.cell();
-        if scheduler.began_at.elapsed() < SETTLE {
-            return;
-        }
-        let emptying: Vec<(MachineId, Instant)> =
-            course.emptying.iter().map(|(id, since)| (id.clone(), *since)).collect();
-        emptying
-            .into_iter()
-            .filter(|(id, since)| {
-                let worker = worker_of(&listed, id);
-                worker.is_none_or(|worker| empty(&mut cell, &worker, since.elapsed() > EMPTY_TIME))
-            })
-            .map(|(id, _)| id)
-            .collect()
-    };
-    ready.truncate((*orders).min(course.wave.max_down.saturating_sub(course.down.len())));
+    choose_next(&mut scheduler.cell(), course, &left, &listed, taken);
+    if scheduler.began_at.elapsed() < SETTLE {
+        return;
+    }
+    let mut ready = emptied(&mut scheduler.cell(), course, &listed);
+    ready.truncate((*orders).min(course.may_go_down()));
     *orders -= ready.len();
     order(scheduler, machines, course, &ready, &listed).await;
 }
 
-fn worker_of(listed: &HashMap<&str, &Machine>, id: &str) -> Option<WorkerId> {
-    listed.get(id)?.worker.clone()
+/// Moves what it may off the machines being emptied; returns those on which nothing is left.
+fn emptied(cell: &mut Cell, course: &Course, listed: &Listed<'_>) -> Vec<MachineId> {
+    let mut ready = Vec::new();
+    for (id, since) in &course.emptying {
+        let hurry = since.elapsed() > EMPTY_TIME;
+        if worker_of(listed, id).is_none_or(|worker| empty(cell, &worker, hurry)) {
+            ready.push(id.clone());
+        }
+    }
+    ready
 }
 
-/// A machine counts as down until the platform lists it as up with another worker. One of the
-/// reserve is switched off and gets no other worker.
-fn settle_down(scheduler: &Scheduler, course: &mut Course, listed: &HashMap<&str, &Machine>) {
-    let least = scheduler.node.settings.upkeep_time;
-    let config = scheduler.node.config();
-    let is_off = |machine: &Machine| {
-        let service = config.as_ref().and_then(|config| config.service(&machine.pool));
-        service.is_some_and(|service| service.is_reserve)
-    };
-    course.down.retain(|id, (since, before)| {
-        let back = listed.get(id.as_str()).is_none_or(|machine| {
-            let lives_again = machine.worker.is_some() && machine.worker != *before;
-            machine.status == Status::Up && (lives_again || is_off(machine))
-        });
-        !(back && since.elapsed() >= least)
-    });
+fn worker_of(listed: &Listed<'_>, id: &str) -> Option<WorkerId> {
+    listed.get(id)?.worker.clone()
 }
 
 /// Picks machines to empty, the least loaded first.
 fn choose_next(
-    scheduler: &Scheduler,
+    cell: &mut Cell,
     course: &mut Course,
     left: &[MachineId],
-    listed: &HashMap<&str, &Machine>,
+    listed: &Listed<'_>,
     taken: &HashSet<MachineId>,
 ) {
-    let under_way = course.emptying.len() + course.down.len();
-    let mut free = (course.wave.max_down + AHEAD).saturating_sub(under_way);
+    let mut free = (course.wave.max_down + AHEAD).saturating_sub(course.under_way());
     if free == 0 {
         return;
     }
     // Machines beyond these are taken only where they can be spared.
-    let mut owed = at_once(course, left.len()).saturating_sub(under_way);
-    let mut cell = scheduler.cell();
-    let mut candidates: Vec<(usize, MachineId)> = Vec::new();
-    for id in left.iter().filter(|id| !course.emptying.contains_key(*id) && !taken.contains(*id)) {
-        let Some(machine) = listed.get(id.as_str()).filter(|machine| machine.status == Status::Up)
-        else {
-            continue;
-        };
-        let load = cell.worker_on(machine).map_or(0, |worker| worker.slots.len());
-        candidates.push((load, id.clone()));
-    }
-    candidates.sort();
-    let mut loads = loads(&cell, Instant::now());
-    for (_, id) in candidates {
-        let Some(machine) = listed.get(id.as_str()) else { continue };
+    let mut owed = course.at_once(left.len()).saturating_sub(course.under_way());
+    let mut loads = loads(cell, Instant::now());
+    for machine in candidates(cell, course, left, listed, taken) {
         let size = u64::from(machine.room.cpu);
         let load = loads.get_mut(&machine.pool);
         let spare = load.as_ref().is_none_or(|load| load.can_spare(size));
@@ -253,17 +195,28 @@
             load.give(size);
         }
         cell.cordon_on(machine);
-        log::info!(machine = id.as_str(), wave = course.wave.number, spare, pool = machine.pool.as_str(); "empties for upkeep");
-        course.emptying.insert(id, Instant::now());
+        log::info!(machine = machine.id.as_str(), wave = course.wave.number, spare, pool = machine.pool.as_str(); "empties for upkeep");
+        course.emptying.insert(machine.id.clone(), Instant::now());
     }
 }
 
-/// How many machines must be empty or down at a time for the wave to be done in time.
-fn at_once(course: &Course, left: usize) -> usize {
-    let aim = course.wave.duration.mul_f64(AIM_SHARE);
-    let remaining = aim.saturating_sub(course.seen_at.elapsed()).max(CYCLE);
-    let needed = left as f64 * CYCLE.as_secs_f64() / remaining.as_secs_f64();
-    needed.ceil() as usize
+/// Machines that are up and may be emptied next, the least loaded first.
+fn candidates<'a>(
+    cell: &Cell,
+    course: &Course,
+    left: &[MachineId],
+    listed: &Listed<'a>,
+    taken: &HashSet<MachineId>,
+) -> Vec<&'a Machine> {
+    let waiting =
+        left.iter().filter(|id| !course.emptying.contains_key(*id) && !taken.contains(*id));
+    let up = waiting
+        .filter_map(|id| listed.get(id.as_str()).copied())
+        .filter(|machine| machine.status == Status::Up);
+    let mut candidates: Vec<&Machine> = up.collect();
+    let tasks = |machine: &Machine| cell.worker_on(machine).map_or(0, |worker| worker.slots.len());
+    candidates.sort_by_key(|machine| (tasks(machine), &machine.id));
+    candidates
 }
 
 /// Moves what it may off a worker; returns whether nothing is left there.
@@ -273,17 +226,13 @@
 pub fn empty(cell: &mut Cell, id: &str, hurry: bool) -> bool {
     let Some(worker) = cell.workers.get_mut(id) else { return true };
     worker.cordoned = true;
-    let tasks: Vec<(TaskName, Kind, Phase)> =
-        worker.slots.iter().map(|(task, slot)| (*task, slot.kind, slot.phase)).collect();
-    for (task, kind, phase) in &tasks {
+    let tasks: Vec<(TaskName, Phase)> =
+        worker.slots.iter().map(|(task, slot)| (*task, slot.phase)).collect();
+    for (task, phase) in &tasks {
         if !matches!(phase, Phase::Live(_)) {
             continue;
         }
-        let lasts = is_lasting(cell, *task);
-        let stop = match kind {
-            _ if lasts => may_leave(cell, *task),
-            _ => hurry,
-        };
+        let stop = if is_lasting(cell, *task) { may_leave(cell, *task) } else { hurry };
         if stop {
             log::info!(task = task.to_string().as_str(), worker = id, hurry; "moves off");
             cell.stop_run(id, *task);
@@ -292,38 +241,13 @@
     tasks.is_empty()
 }
 
-fn is_lasting(cell: &Cell, task: TaskName) -> bool {
-    let entry = cell.jobs.get(&task.job);
-    entry.and_then(|entry| entry.step(task.step)).is_some_and(|step| step.long_running)
-}
-
-/// Whether a task may be ended now: with it, no more tasks of its step are away than allowed.
-/// Every other task counts as away that is not known to be at work.
-fn may_leave(cell: &Cell, name: TaskName) -> bool {
-    let Some(entry) = cell.jobs.get(&name.job) else { return true };
-    let Some(step) = entry.step(name.step) else { return true };
-    let Some(allowed) = step.may_miss else { return true };
-    let other = |task: &TaskName| {
-        let same = (task.job, task.time, task.step) == (name.job, name.time, name.step);
-        same && task.index != name.index
-    };
-    // What a silent worker runs may be gone by now.
-    let answering = cell.workers.values().filter(|worker| worker.misses == 0);
-    let working = answering.flat_map(|worker| worker.slots.iter()).filter(|(task, slot)| {
-        other(task) && matches!(slot.phase, Phase::Live(_)) && slot.percent >= 100
-    });
-    let others = step.count.saturating_sub(1);
-    let away = others.saturating_sub(working.count() as u32);
-    away < allowed
-}
-
 /// Orders the upkeep of machines, all at once.
 async fn order(
     scheduler: &Scheduler,
     machines: &Machines,
     course: &mut Course,
     ids: &[MachineId],
-    listed: &HashMap<&str, &Machine>,
+    listed: &Listed<'_>,
 ) {
     if !scheduler.may_order_machines() {
         return;
@@ -359,14 +283,14 @@
         Err(error) => {
             // It may have begun, so it counts as down; asking again does no harm.
             log::info!(machine = id, wave; "upkeep without an answer: {error}");
-            course.down.insert(id.to_owned(), (Instant::now(), before));
+            course.goes_down(id, before);
             return;
         }
     }
     course.begun.insert(id.to_owned());
     scheduler.cell().upkeep_begun(wave, id);
     course.emptying.remove(id);
-    course.down.insert(id.to_owned(), (Instant::now(), before));
+    course.goes_down(id, before);
     scheduler.cell().end_other_lives(id, "");
 }
 
