--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -2,6 +2,7 @@
 
 use std::process::Output;
 
+use spokelift_testutils::file::File;
 use spokelift_testutils::fixture::Fixture;
 use spokelift_testutils::fixture::SITE_KEY;
 use tokio::process::Command;
@@ -33,27 +34,6 @@
     output.status.code().unwrap()
 }
 
-/// A file of the test's own, removed at its end.
-struct File(std::path::PathBuf);
-
-impl File {
-    fn new(name: &str, text: &str) -> File {
-        let path = std::env::temp_dir().join(format!("spokelift-{}-{name}", std::process::id()));
-        std::fs::write(&path, text).unwrap();
-        File(path)
-    }
-
-    fn path(&self) -> &str {
-        self.0.to_str().unwrap()
-    }
-}
-
-impl Drop for File {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 /// Ids, paths and times differ from run to run.
 fn settled(text: &str, path: &str) -> String {
     let text = text.replace(path, "FILE");
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -6,6 +6,7 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
+use spokelift_testutils::file::File;
 use spokelift_testutils::platform::advice::GOOD_MACHINE;
 use spokelift_testutils::platform::site::SITE_KEY;
 use spokelift_testutils::platform::site::Site;
@@ -423,27 +424,6 @@
     assert_eq!(workers.as_array().unwrap().len(), 2);
 }
 
-/// A file of a test's own, removed at its end.
-struct File(std::path::PathBuf);
-
-impl File {
-    fn new(name: &str, text: &str) -> File {
-        let path = std::env::temp_dir().join(format!("spokelift-{}-{name}", std::process::id()));
-        std::fs::write(&path, text).unwrap();
-        File(path)
-    }
-
-    fn path(&self) -> &str {
-        self.0.to_str().unwrap()
-    }
-}
-
-impl Drop for File {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_submit_and_cancel_jobs_in_the_products_own_names() {
     let site = Site::start(PROGRAM, 2, 3, 0).await.unwrap();
