testutils: daemons and configuration of a platform's site in modules of their own

site.rs held the daemon's process, the operator's configuration and the calls of clients. The first two are now site/node.rs and site/config.rs. The settings of a daemon were formatted from five places without names and two tuples; they have names now.

Behaviour is unchanged.

--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -1,29 +1,17 @@
 //! A site: the platform's stand-ins around real daemons.
 
+mod config;
+pub mod node;
+
 use std::io;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use hyper::Method;
 use hyper::Request;
 use nix::sys::signal::Signal;
-use nix::sys::signal::kill;
-use nix::unistd::Pid;
 use serde_json::Value;
 use serde_json::json;
-use spokelift_lib::state::account::format_hash;
-use spokelift_lib::state::account::hash_secret;
 use spokelift_lib::transport::dial::Dialer;
 use spokelift_lib::transport::dial::full;
 use spokelift_platform::store::OPERATOR_TOPIC;
@@ -34,41 +22,22 @@
 use crate::platform::ledger::Ledger;
 use crate::platform::machines::Machines;
 use crate::platform::machines::RESERVE;
+use crate::platform::site::config::HOST;
+use crate::platform::site::config::config;
+use crate::platform::site::node::Node;
+use crate::platform::site::node::Place;
 use crate::platform::store;
-use crate::platform::store::Door;
 use crate::platform::store::Store;
 use crate::platform::worker;
 use crate::platform::worker::Shape;
 use crate::proxy;
-use crate::proxy::Proxy;
 
 /// How long a client waits for an answer.
 const ANSWER: Duration = Duration::from_secs(3);
 /// Pause between looks at something awaited.
 const PAUSE: Duration = Duration::from_millis(25);
-/// Credential of the site's operator.
-pub const SITE_KEY: &str = "site:a-secret-of-the-site";
 /// Share of a core that the settings give a node.
 const CPU_SHARE: f64 = 0.25;
-/// Host under which clients call.
-const HOST: &str = "site.example";
-/// Loopback addresses given out in this process.
-static ADDRESSES: AtomicU32 = AtomicU32::new(0);
-
-/// A daemon as a real process.
-pub struct Node {
-    /// Its way into the store.
-    pub door: Door,
-    /// What lies between it and the store.
-    pub store_line: Proxy,
-    /// What lies between clients and it.
-    pub client_line: Proxy,
-    /// Where operators call it.
-    pub operate_addr: SocketAddr,
-    file: PathBuf,
-    program: String,
-    child: Mutex<Option<Child>>,
-}
 
 /// A site.
 pub struct Site {
@@ -84,146 +53,6 @@
     advice: Advice,
 }
 
-impl Node {
-    /// Writes the settings of a daemon, which is not started yet.
-    async fn prepare(
-        store: &Store,
-        (machines, advice): (SocketAddr, SocketAddr),
-        program: &str,
-        (number, cpu_share): (usize, f64),
-    ) -> io::Result<Node> {
-        let ip = own_address();
-        let door = store.door().await?;
-        let store_line = Proxy::start(door.addr).await?;
-        let addrs = [free_port(ip)?, free_port(ip)?];
-        let client_line = Proxy::start(addrs[0]).await?;
-        let peers = free_port(ip)?;
-        let file = std::env::temp_dir().join(format!("spokelift-{ip}.toml"));
-        let text = format!(
-            "node = \"node-{number}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
-             portRange = [{}, {}]\nheartbeatMs = 500\nadvice = \"{advice}\"\n\
-             [listen]\nfront = \"{}\"\nreadiness = \"{}\"\n\
-             [limits]\ncpuShare = {cpu_share}\n\
-             [platform]\naddress = \"{}\"\nform = \"log\"\n\
-             [cloudApi]\naddress = \"{machines}\"\n\
-             [bounds]\nleaseMs = 1000\nupkeep_s = 0.6\nmove_s = 0.6\n",
-            peers.port(),
-            peers.port() + 1,
-            addrs[0],
-            addrs[1],
-            store_line.addr,
-        );
-        std::fs::write(&file, text)?;
-        let program = program.to_owned();
-        let operate_addr = SocketAddr::new(ip, peers.port() + 1);
-        let child = Mutex::default();
-        Ok(Node { door, store_line, client_line, operate_addr, file, program, child })
-    }
-
-    /// Starts the process; one that still runs is killed first.
-    pub fn start(&self) -> io::Result<()> {
-        self.kill();
-        let log = std::env::var_os("SPOKELIFT_TEST_LOG").is_some();
-        let output = || if log { Stdio::inherit() } else { Stdio::null() };
-        let secret = SITE_KEY.split_once(':').expect("a credential has two parts").1;
-        let mut command = Command::new(&self.program);
-        command.arg("--platform").env(spokelift_platform::settings::VARIABLE, &self.file);
-        command.env("SPOKELIFT_SITE_KEY_HASH", format_hash(&hash_secret(secret)));
-        *self.child() = Some(command.stdout(output()).stderr(output()).spawn()?);
-        Ok(())
-    }
-
-    fn child(&self) -> MutexGuard<'_, Option<Child>> {
-        self.child.lock().expect("no holder panics")
-    }
-
-    /// Kills the process.
-    pub fn kill(&self) {
-        if let Some(mut child) = self.child().take() {
-            // It may have ended by itself.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Whether the process runs.
-    pub fn is_running(&self) -> bool {
-        match self.child().as_mut().map(Child::try_wait) {
-            Some(Ok(None)) => true,
-            Some(Ok(Some(_)) | Err(_)) | None => false,
-        }
-    }
-
-    /// Sends the process a signal.
-    pub fn signal(&self, signal: Signal) -> io::Result<()> {
-        match self.child().as_ref() {
-            Some(child) => kill(Pid::from_raw(child.id() as i32), signal).map_err(io::Error::from),
-            None => Ok(()),
-        }
-    }
-
-    /// Waits for the process to end; whether it ended well.
-    pub async fn ended(&self, within: Duration) -> Option<bool> {
-        let until = Instant::now() + within;
-        while Instant::now() < until {
-            let ended = self.child().as_mut()?.try_wait();
-            if let Ok(Some(status)) = ended {
-                *self.child() = None;
-                return Some(status.success());
-            }
-            sleep(PAUSE).await;
-        }
-        None
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        self.kill();
-        // The file lies in the directory for temporary files.
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
-/// A loopback address that no other test process uses, so that a port that was found free on it
-/// stays free.
-fn own_address() -> IpAddr {
-    let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number as u8 + 1))
-}
-
-/// A port that is free now.
-fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
-    std::net::TcpListener::bind((ip, 0))?.local_addr()
-}
-
-fn queue(name: &str, advice: &Value) -> Value {
-    let mut queue = json!({
-        "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": "unsafe",
-        "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0, "service": "work",
-        "maxAttempts": 3, "stretch": 1.6,
-    });
-    if !advice.is_null() {
-        queue["advice"] = advice.clone();
-    }
-    queue
-}
-
-/// Two queues, whose tasks run in service `work`, one of them with advice; service `spare` is a
-/// reserve.
-fn config() -> Value {
-    json!({
-        "version": 1,
-        "routes": [queue("q", &Value::Null), queue("advised", &json!({ "decide_ms": 5 }))],
-        "services": [
-            { "name": "work", "enforcesCapacity": true, "headroom": false },
-            { "name": RESERVE, "enforcesCapacity": true, "headroom": true },
-        ],
-        "limits": { "maxBodyBytes": 262144 },
-    })
-}
-
 impl Site {
     /// Starts daemons of `program`, with `workers` machines in pool `work` and `reserve` in pool
     /// `spare`, and waits until one of them answers clients.
@@ -255,9 +84,10 @@
         let advice = Advice::start(&machines).await?;
         let dialer = Dialer::new(ANSWER);
         let mut site = Site { store, machines, ledger, nodes: Vec::new(), dialer, advice };
-        for node in cpu_shares.iter().copied().enumerate() {
-            let addrs = (site.machines.addr, site.advice.addr);
-            let node = Node::prepare(&site.store, addrs, program, node).await?;
+        for (number, cpu_share) in cpu_shares.iter().copied().enumerate() {
+            let (machines, advice) = (site.machines.addr, site.advice.addr);
+            let place = Place { number, cpu_share, machines, advice };
+            let node = Node::prepare(program, &site.store, &place).await?;
             node.start()?;
             site.nodes.push(node);
         }
--- /dev/null
+++ b/testutils/src/platform/site/node.rs
@@ -0,0 +1,166 @@
+//! A daemon on the users' platform, as a real process.
+
+use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use spokelift_lib::state::account::format_hash;
+use spokelift_lib::state::account::hash_secret;
+use tokio::time::sleep;
+
+use crate::platform::site::PAUSE;
+use crate::platform::store::Door;
+use crate::platform::store::Store;
+use crate::proxy::Proxy;
+
+/// Credential of the site's operator.
+pub const SITE_KEY: &str = "site:a-secret-of-the-site";
+/// Loopback addresses given out in this process.
+static ADDRESSES: AtomicU32 = AtomicU32::new(0);
+
+/// What tells a daemon from the others, and what it has around it.
+pub(super) struct Place {
+    pub(super) number: usize,
+    /// Share of a core that its settings give it.
+    pub(super) cpu_share: f64,
+    /// Where the platform's machines are listed and ordered.
+    pub(super) machines: SocketAddr,
+    /// Where the advice service answers.
+    pub(super) advice: SocketAddr,
+}
+
+/// A daemon as a real process.
+pub struct Node {
+    /// Its way into the store.
+    pub door: Door,
+    /// What lies between it and the store.
+    pub store_line: Proxy,
+    /// What lies between clients and it.
+    pub client_line: Proxy,
+    /// Where operators call it.
+    pub operate_addr: SocketAddr,
+    file: PathBuf,
+    program: String,
+    child: Mutex<Option<Child>>,
+}
+
+impl Node {
+    /// Writes the settings of a daemon, which is not started yet.
+    pub(super) async fn prepare(program: &str, store: &Store, place: &Place) -> io::Result<Node> {
+        let ip = own_address();
+        let door = store.door().await?;
+        let store_line = Proxy::start(door.addr).await?;
+        let (front, readiness) = (free_port(ip)?, free_port(ip)?);
+        let client_line = Proxy::start(front).await?;
+        let peers = free_port(ip)?.port();
+        let file = std::env::temp_dir().join(format!("spokelift-{ip}.toml"));
+        let Place { number, cpu_share, machines, advice } = place;
+        let text = format!(
+            "node = \"node-{number}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
+             portRange = [{peers}, {operate}]\nheartbeatMs = 500\nadvice = \"{advice}\"\n\
+             [listen]\nfront = \"{front}\"\nreadiness = \"{readiness}\"\n\
+             [limits]\ncpuShare = {cpu_share}\n\
+             [platform]\naddress = \"{store}\"\nform = \"log\"\n\
+             [cloudApi]\naddress = \"{machines}\"\n\
+             [bounds]\nleaseMs = 1000\nupkeep_s = 0.6\nmove_s = 0.6\n",
+            operate = peers + 1,
+            store = store_line.addr,
+        );
+        std::fs::write(&file, text)?;
+        let program = program.to_owned();
+        let operate_addr = SocketAddr::new(ip, peers + 1);
+        let child = Mutex::default();
+        Ok(Node { door, store_line, client_line, operate_addr, file, program, child })
+    }
+
+    /// Starts the process; one that still runs is killed first.
+    pub fn start(&self) -> io::Result<()> {
+        self.kill();
+        let log = std::env::var_os("SPOKELIFT_TEST_LOG").is_some();
+        let output = || if log { Stdio::inherit() } else { Stdio::null() };
+        let secret = SITE_KEY.split_once(':').expect("a credential has two parts").1;
+        let mut command = Command::new(&self.program);
+        command.arg("--platform").env(spokelift_platform::settings::VARIABLE, &self.file);
+        command.env("SPOKELIFT_SITE_KEY_HASH", format_hash(&hash_secret(secret)));
+        *self.child() = Some(command.stdout(output()).stderr(output()).spawn()?);
+        Ok(())
+    }
+
+    fn child(&self) -> MutexGuard<'_, Option<Child>> {
+        self.child.lock().expect("no holder panics")
+    }
+
+    /// Kills the process.
+    pub fn kill(&self) {
+        if let Some(mut child) = self.child().take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&self) -> bool {
+        match self.child().as_mut().map(Child::try_wait) {
+            Some(Ok(None)) => true,
+            Some(Ok(Some(_)) | Err(_)) | None => false,
+        }
+    }
+
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        match self.child().as_ref() {
+            Some(child) => kill(Pid::from_raw(child.id() as i32), signal).map_err(io::Error::from),
+            None => Ok(()),
+        }
+    }
+
+    /// Waits for the process to end; whether it ended well.
+    pub async fn ended(&self, within: Duration) -> Option<bool> {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            let ended = self.child().as_mut()?.try_wait();
+            if let Ok(Some(status)) = ended {
+                *self.child() = None;
+                return Some(status.success());
+            }
+            sleep(PAUSE).await;
+        }
+        None
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+        // The file lies in the directory for temporary files.
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A loopback address that no other test process uses, so that a port that was found free on it
+/// stays free.
+fn own_address() -> IpAddr {
+    let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number as u8 + 1))
+}
+
+/// A port that is free now.
+fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
+    std::net::TcpListener::bind((ip, 0))?.local_addr()
+}
