testutils: the soak's verdict in a module of its own, its figures named

soak.rs mixed running and judging, the client's calls had figures without names, and `draw` chose faults, their ends and their times in one loop. Judging is now soak/judge.rs, a function for each rule; `fault` draws one fault with its end; figures are constants with their reason; `follow` no longer also cancels.

--- a/testutils/src/platform/soak.rs
+++ b/testutils/src/platform/soak.rs
@@ -5,6 +5,7 @@
 //! run.
 
 mod client;
+mod judge;
 mod schedule;
 
 use std::io;
@@ -20,6 +21,7 @@
 
 use crate::platform::site::Site;
 use crate::platform::soak::client::Told;
+use crate::platform::soak::judge::judge;
 use crate::platform::soak::schedule::Action;
 
 /// Daemons of a soak.
@@ -30,14 +32,6 @@
 const RESERVE: usize = 2;
 /// Clients that hand in jobs side by side.
 const CLIENTS: u64 = 3;
-/// How long everything accepted may take to end after the last fault: a takeover, a lease, and the
-/// work that is left.
-const SETTLE: Duration = Duration::from_secs(60);
-/// How long a task may still run after its job was cancelled and all faults are over.
-const CANCEL: Duration = Duration::from_secs(12);
-/// Pause between looks at something awaited.
-const PAUSE: Duration = Duration::from_millis(50);
-
 /// What a soak did and found.
 #[derive(Debug, Default, Serialize)]
 pub struct Report {
@@ -81,15 +75,13 @@
     }
     site.mend()?;
     let told = std::mem::take(&mut *told.lock().expect("no holder panics"));
-    let mut broken = judge(&site, &told).await;
-    broken.extend(site.ledger.faults());
-    let count =
-        |told: &[Told], wanted: fn(&Told) -> bool| told.iter().filter(|t| wanted(t)).count();
+    let broken = judge(&site, &told).await;
+    let count = |wanted: fn(&Told) -> bool| told.iter().filter(|told| wanted(told)).count();
     Ok(Report {
-        accepted: count(&told, |told| told.accepted),
-        refused: count(&told, |told| told.refused),
-        unknown: count(&told, |told| !told.accepted && !told.refused),
-        cancelled: count(&told, |told| told.cancelled),
+        accepted: count(|told| told.accepted),
+        refused: count(|told| told.refused),
+        unknown: count(|told| !told.accepted && !told.refused),
+        cancelled: count(|told| told.cancelled),
         starts: site.ledger.starts(),
         faults,
         broken,
@@ -109,43 +101,3 @@
     }
     done
 }
-
-/// What does not agree with what clients were told.
-async fn judge(site: &Site, told: &[Told]) -> Vec<String> {
-    let mut broken = Vec::new();
-    let until = Instant::now() + SETTLE;
-    for told in told {
-        let id = &told.id;
-        broken.extend(told.broken.iter().cloned());
-        if told.refused && site.ledger.starts_of(id) > 0 {
-            broken.push(format!("{id} was refused and ran"));
-        }
-        if told.accepted && !told.lasts && !succeeds(site, id, until).await {
-            broken.push(format!("{id} was accepted and has not succeeded"));
-        }
-    }
-    let until = Instant::now() + CANCEL;
-    for told in told.iter().filter(|told| told.cancelled) {
-        while site.ledger.running(&told.id) > 0 && Instant::now() < until {
-            sleep(PAUSE).await;
-        }
-        if site.ledger.running(&told.id) > 0 {
-            broken.push(format!("{} was cancelled and still runs", told.id));
-        }
-    }
-    broken
-}
-
-async fn succeeds(site: &Site, id: &str, until: Instant) -> bool {
-    let mut node = 0;
-    loop {
-        if site.state(node, id).await.is_ok_and(|state| state == "succeeded") {
-            return true;
-        }
-        if Instant::now() > until {
-            return false;
-        }
-        node = (node + 1) % NODES;
-        sleep(PAUSE).await;
-    }
-}
--- a/testutils/src/platform/soak/client.rs
+++ b/testutils/src/platform/soak/client.rs
@@ -18,6 +18,16 @@
 const ATTEMPTS: usize = 6;
 /// Share of jobs whose tasks last until they are cancelled.
 const LASTING: f64 = 0.12;
+/// Share of jobs that end by themselves after which a client asks while they run.
+const ASKED: f64 = 0.2;
+/// How often a client asks for a job to be cancelled, and the pause between: together 10 s, longer
+/// than the longest fault and a takeover.
+const CANCEL_ATTEMPTS: usize = 50;
+const CANCEL_PAUSE: Duration = Duration::from_millis(200);
+/// Processor of a task in thousandths of a core, and its memory in MB: 26 of them fill the
+/// processor of a machine of the site.
+const CPU: u32 = 300;
+const MEMORY_MB: u32 = 50;
 /// Time after which an accepted job must be known: a bound of the platform's pages.
 const KNOWN: Duration = Duration::from_secs(3);
 /// Time after which a cancelled job must start nothing. The pages' bound of 3 s holds for daemons
@@ -62,13 +72,14 @@
     }
 }
 
+/// A job of steps, each after the one before it, with so many tasks in each.
 fn job(steps: &[u32], lasts: bool, millis: u32) -> Value {
-    let spec =
-        if lasts { "cpu=300 mem=50".to_owned() } else { format!("ms={millis} cpu=300 mem=50") };
+    let room = format!("cpu={CPU} mem={MEMORY_MB}");
+    let spec = if lasts { room } else { format!("ms={millis} {room}") };
     let step = |(index, count): (usize, &u32)| {
         let after: Vec<usize> = index.checked_sub(1).into_iter().collect();
         json!({
-            "count": count, "cpu": 300, "memMb": 50, "estimateMs": millis, "after": after,
+            "count": count, "cpu": CPU, "memMb": MEMORY_MB, "estimateMs": millis, "after": after,
             "longRunning": lasts,
         })
     };
@@ -95,8 +106,7 @@
 /// Asks for an accepted job after a while; cancels one that lasts.
 async fn follow(site: &Site, rng: &mut StdRng, told: &mut Told) {
     let accepted = Instant::now();
-    let asks = told.lasts || rng.random_bool(0.2);
-    if !asks {
+    if !told.lasts && !rng.random_bool(ASKED) {
         return;
     }
     sleep(Duration::from_millis(rng.random_range(100..=900))).await;
@@ -110,11 +120,14 @@
         }
         _ => {}
     }
-    if !told.lasts {
-        return;
+    if told.lasts {
+        cancel(site, rng, told, accepted).await;
     }
-    // Until an answer comes, a client goes on asking.
-    for _ in 0..50 {
+}
+
+/// Asks for a job to be cancelled until an answer comes.
+async fn cancel(site: &Site, rng: &mut StdRng, told: &mut Told, accepted: Instant) {
+    for _ in 0..CANCEL_ATTEMPTS {
         match site.cancel(rng.random_range(0..NODES), &told.id).await {
             200 => {
                 told.cancelled = true;
@@ -125,7 +138,7 @@
                 told.broken.push(format!("{} was accepted and is not there to cancel", told.id));
                 return;
             }
-            _ => sleep(Duration::from_millis(200)).await,
+            _ => sleep(CANCEL_PAUSE).await,
         }
     }
 }
--- /dev/null
+++ b/testutils/src/platform/soak/judge.rs
@@ -0,0 +1,73 @@
+//! Whether what became of the jobs agrees with what clients were told.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::time::sleep;
+
+use crate::platform::site::Site;
+use crate::platform::soak::NODES;
+use crate::platform::soak::client::Told;
+
+/// How long everything accepted may take to end after the last fault: a takeover, a lease, and the
+/// work that is left.
+const SETTLE: Duration = Duration::from_secs(60);
+/// How long a task may still run after its job was cancelled and all faults are over.
+const CANCEL: Duration = Duration::from_secs(12);
+/// Pause between looks at something awaited.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Promises that were broken, once all faults are over.
+pub(super) async fn judge(site: &Site, told: &[Told]) -> Vec<String> {
+    let mut broken = outcomes(site, told).await;
+    broken.extend(cancelled(site, told).await);
+    broken.extend(site.ledger.faults());
+    broken
+}
+
+/// What was refused never ran; what was accepted and ends by itself has succeeded.
+async fn outcomes(site: &Site, told: &[Told]) -> Vec<String> {
+    let mut broken = Vec::new();
+    let until = Instant::now() + SETTLE;
+    for told in told {
+        let id = &told.id;
+        broken.extend(told.broken.iter().cloned());
+        if told.refused && site.ledger.starts_of(id) > 0 {
+            broken.push(format!("{id} was refused and ran"));
+        }
+        if told.accepted && !told.lasts && !succeeds(site, id, until).await {
+            broken.push(format!("{id} was accepted and has not succeeded"));
+        }
+    }
+    broken
+}
+
+/// Nothing of a cancelled job runs.
+async fn cancelled(site: &Site, told: &[Told]) -> Vec<String> {
+    let mut broken = Vec::new();
+    let until = Instant::now() + CANCEL;
+    for told in told.iter().filter(|told| told.cancelled) {
+        while site.ledger.running(&told.id) > 0 && Instant::now() < until {
+            sleep(PAUSE).await;
+        }
+        if site.ledger.running(&told.id) > 0 {
+            broken.push(format!("{} was cancelled and still runs", told.id));
+        }
+    }
+    broken
+}
+
+/// Whether a job has succeeded, by whichever node answers, before time is up.
+async fn succeeds(site: &Site, id: &str, until: Instant) -> bool {
+    let mut node = 0;
+    loop {
+        if site.state(node, id).await.is_ok_and(|state| state == "succeeded") {
+            return true;
+        }
+        if Instant::now() > until {
+            return false;
+        }
+        node = (node + 1) % NODES;
+        sleep(PAUSE).await;
+    }
+}
--- a/testutils/src/platform/soak/schedule.rs
+++ b/testutils/src/platform/soak/schedule.rs
@@ -23,6 +23,11 @@
 /// notice, and a little more for the last requests.
 const BACK: Duration = Duration::from_millis(4_500);
 
+/// When the first fault comes: by then clients have jobs under way.
+const FIRST: Duration = Duration::from_millis(500);
+/// Kinds of faults in [`fault`], some of which count twice so that they come twice as often.
+const KINDS: u32 = 14;
+
 /// Something done to the site.
 #[derive(Clone, Debug)]
 pub(super) enum Action {
@@ -102,52 +107,58 @@
 /// Draws faults for `time`, in the order of their times.
 pub(super) fn draw(rng: &mut StdRng, time: Duration) -> Vec<(Duration, Action)> {
     let mut schedule = Vec::new();
-    let mut at = Duration::from_millis(500);
-    let mut wave = 0;
+    let mut at = FIRST;
+    let mut waves = 0;
     while at < time {
-        let last = Duration::from_millis(rng.random_range(LAST_MS));
-        let node = rng.random_range(0..NODES);
-        let machine = rng.random_range(0..WORKERS);
-        let line = line_fault(rng);
-        let none = proxy::Fault::default();
-        let (begin, end) = match rng.random_range(0..14) {
-            0 | 1 => (Action::Kill(node), Some(Action::Start(node))),
-            2 | 3 => {
-                (Action::Signal(node, Signal::SIGSTOP), Some(Action::Signal(node, Signal::SIGCONT)))
-            }
-            4 => (Action::Signal(node, Signal::SIGTERM), None),
-            5 => (Action::Signal(node, Signal::SIGHUP), None),
-            6 | 7 => (Action::StoreLine(node, line), Some(Action::StoreLine(node, none))),
-            8 => (Action::ClientLine(node, line), Some(Action::ClientLine(node, none))),
-            9 => {
-                let fault = door_fault(rng);
-                (Action::Door(node, fault), Some(Action::Door(node, store::Fault::None)))
-            }
-            10 => {
-                let fault = worker_fault(rng);
-                (Action::Worker(machine, fault), Some(Action::Worker(machine, worker::Fault::None)))
-            }
-            11 => (Action::Crash(machine), None),
-            12 => match rng.random_range(0..3) {
-                0 => (Action::KillAll, Some(Action::StartAll)),
-                _ => (Action::Forget, None),
-            },
-            _ => {
-                wave += 1;
-                (Action::Wave(wave), None)
-            }
-        };
-        if matches!(begin, Action::Signal(_, Signal::SIGTERM)) {
-            schedule.push((at + BACK, Action::Start(node)));
-        }
+        let (begin, end) = fault(rng, &mut waves);
         schedule.push((at, begin));
-        schedule.extend(end.map(|end| (at + last, end)));
+        schedule.extend(end.map(|(after, end)| (at + after, end)));
         at += Duration::from_millis(rng.random_range(GAP_MS));
     }
     schedule.sort_by_key(|(at, _)| *at);
     schedule
 }
 
+/// Draws a fault: how it begins, and after what time it ends, unless it is over at once.
+///
+/// What is drawn, and in which order, decides what a seed means: a change here makes the seeds in
+/// `docs/design/soak.md` other ones.
+fn fault(rng: &mut StdRng, waves: &mut u64) -> (Action, Option<(Duration, Action)>) {
+    let last = Duration::from_millis(rng.random_range(LAST_MS));
+    let node = rng.random_range(0..NODES);
+    let machine = rng.random_range(0..WORKERS);
+    let line = line_fault(rng);
+    let none = proxy::Fault::default();
+    let until = |end: Action| Some((last, end));
+    match rng.random_range(0..KINDS) {
+        0 | 1 => (Action::Kill(node), until(Action::Start(node))),
+        2 | 3 => {
+            (Action::Signal(node, Signal::SIGSTOP), until(Action::Signal(node, Signal::SIGCONT)))
+        }
+        4 => (Action::Signal(node, Signal::SIGTERM), Some((BACK, Action::Start(node)))),
+        5 => (Action::Signal(node, Signal::SIGHUP), None),
+        6 | 7 => (Action::StoreLine(node, line), until(Action::StoreLine(node, none))),
+        8 => (Action::ClientLine(node, line), until(Action::ClientLine(node, none))),
+        9 => {
+            let fault = door_fault(rng);
+            (Action::Door(node, fault), until(Action::Door(node, store::Fault::None)))
+        }
+        10 => {
+            let fault = worker_fault(rng);
+            (Action::Worker(machine, fault), until(Action::Worker(machine, worker::Fault::None)))
+        }
+        11 => (Action::Crash(machine), None),
+        12 => match rng.random_range(0..3) {
+            0 => (Action::KillAll, until(Action::StartAll)),
+            _ => (Action::Forget, None),
+        },
+        _ => {
+            *waves += 1;
+            (Action::Wave(*waves), None)
+        }
+    }
+}
+
 fn line_fault(rng: &mut StdRng) -> proxy::Fault {
     let none = proxy::Fault::default();
     match rng.random_range(0..5) {
