--- a/cli/src/trial/batch.rs
+++ b/cli/src/trial/batch.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use spokelift_testutils::platform::soak;
+use spokelift_testutils::platform::soak::MACHINES;
+use spokelift_testutils::platform::soak::NODES;
 use spokelift_testutils::platform::soak::Report;
 
 use crate::args::Trial;
@@ -17,9 +19,10 @@
 /// Plays the faults of a seed and prints what came of it.
 pub async fn play(args: &Trial, json: bool) -> Result<(), Error> {
     let program = daemon()?;
-    println!("seed {}: 4 daemons, 10 boxes, faults for {} s", args.seed, args.seconds);
+    let (seed, seconds) = (args.seed, args.seconds);
+    println!("seed {seed}: {NODES} daemons, {MACHINES} boxes, faults for {seconds} s");
     let program = program.to_string_lossy();
-    let report = soak::play(&program, args.seed, Duration::from_secs(args.seconds)).await?;
+    let report = soak::play(&program, seed, Duration::from_secs(seconds)).await?;
     println!("{}", table(&report));
     if json {
         println!("{}", serde_json::to_string(&report)?);
--- a/testutils/src/platform/soak.rs
+++ b/testutils/src/platform/soak.rs
@@ -30,6 +30,8 @@
 const WORKERS: usize = 8;
 /// Machines that are switched off at the start.
 const RESERVE: usize = 2;
+/// Machines of a soak.
+pub const MACHINES: usize = WORKERS + RESERVE;
 /// Clients that hand in jobs side by side.
 const CLIENTS: u64 = 3;
 /// What a soak did and found.
