batch: what a node knows of the lead in a module of its own

lead.rs held both the knowledge of the lead (when it is free, how long to leave it to others) and the calls that follow, claim and renew it; a reader of the rule for strong and weak nodes had to pass through all of them. The knowledge is now lead/view.rs, with the three constants that only it uses.

Behaviour is unchanged. The line `the record of the lead does not decode`, which docs/OPERATIONS.md does not name, now comes from `lead::view`.

--- a/lib/src/batch/lead.rs
+++ b/lib/src/batch/lead.rs
@@ -6,6 +6,8 @@
 //! holder that was paused or cut off and comes back is refused by every worker that has heard from
 //! its successor.
 
+mod view;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,11 +17,11 @@
 use serde::Serialize;
 use spokelift_platform::store::Guard;
 use spokelift_platform::store::Offset;
-use spokelift_platform::store::Page;
 use spokelift_platform::store::Record;
 use spokelift_platform::worker::Token;
 use tokio::time::sleep;
 
+use crate::batch::lead::view::View;
 use crate::batch::node::Node;
 use crate::batch::scheduler::Scheduler;
 
@@ -31,13 +33,6 @@
 const RENEW: Duration = Duration::from_millis(600);
 /// Silence of the holder after which another node claims the lead: three renewals and a half.
 pub const TAKEOVER: Duration = Duration::from_millis(2_100);
-/// The claim of each node waits up to this much longer, so that few collide.
-const SPREAD: Duration = Duration::from_millis(250);
-/// How much later a weak node claims a free lead than a strong one. The holder does the work of the
-/// whole site, and one with a tenth of a core cannot keep up with hundreds of workers.
-const WEAK: Duration = Duration::from_millis(700);
-/// How long the first lead of a site stays free, until the nodes know of each other.
-const FIRST: Duration = Duration::from_millis(600);
 /// How long a read waits for news; shorter than [`TAKEOVER`] so that silence is seen in time.
 const LONG_POLL: Duration = Duration::from_millis(500);
 /// Time between looks at a lead that is free and left to others for now.
@@ -75,39 +70,9 @@
     }
 }
 
-/// What a node knows of the lead.
-struct View {
-    /// End of the topic, if it has been read.
-    end: Option<Offset>,
-    lead: Option<Lead>,
-    /// The last record of the holder before that in `lead`.
-    previous: Option<Lead>,
-    /// Offset of the record in `lead`.
-    offset: Offset,
-    /// When something was last heard of the holder, or when the store last came back.
-    heard_at: Instant,
-    /// Since when the lead is known to be free.
-    free_since: Option<Instant>,
-    /// The last call to the store failed.
-    interrupted: bool,
-    /// How much longer than others this node waits before a claim.
-    spread: Duration,
-}
-
 /// Follows the lead, claims it when it is free, and schedules while holding it.
 pub async fn run(node: Arc<Node>) {
-    let spread = SPREAD.mul_f64(rand::random::<f64>());
-    let heard_at = Instant::now();
-    let mut view = View {
-        end: None,
-        lead: None,
-        previous: None,
-        offset: 0,
-        heard_at,
-        free_since: None,
-        interrupted: false,
-        spread,
-    };
+    let mut view = View::new();
     loop {
         if let Err(error) = follow(&node, &mut view).await {
             node.counters.count("batch.lead.follow-failed");
@@ -133,67 +98,6 @@
     }
 }
 
-impl View {
-    fn is_mine(&self, node: &Node) -> bool {
-        self.lead.as_ref().is_some_and(|lead| lead.life == node.life && !lead.released)
-    }
-
-    fn is_free(&self, node: &Node) -> bool {
-        match &self.lead {
-            None => true,
-            Some(lead) if lead.released => true,
-            // This node held it in an earlier life. A weak one leaves it to the strong ones, which
-            // must wait for the silence.
-            Some(lead) if lead.node == node.settings.node && node.is_strong() != Some(false) => {
-                true
-            }
-            Some(_) => self.heard_at.elapsed() > TAKEOVER + self.spread,
-        }
-    }
-
-    /// How long this node leaves a free lead to others.
-    fn reserve(&self, node: &Node) -> Duration {
-        let first = if self.lead.is_none() { FIRST } else { Duration::ZERO };
-        match node.is_strong() {
-            Some(true) => first,
-            Some(false) | None => first + WEAK,
-        }
-    }
-
-    fn take(&mut self, record: &Record, offset: Offset) {
-        let Some(value) = &record.value else { return };
-        match postcard::from_bytes(value) {
-            Ok(lead) => self.replace(lead, offset),
-            Err(error) => log::error!("the record of the lead does not decode: {error}"),
-        }
-        self.heard_at = Instant::now();
-    }
-
-    fn replace(&mut self, lead: Lead, offset: Offset) {
-        if self.lead.as_ref().is_some_and(|last| last.life != lead.life) {
-            self.previous = self.lead.take();
-        }
-        self.lead = Some(lead);
-        self.offset = offset;
-    }
-
-    /// Whether the last turn was this node's own, in an earlier life, and so long that the one
-    /// before it is far enough away.
-    fn continues_own_turn(&self, node: &Node) -> bool {
-        let gap = node.settings.turn_gap;
-        self.previous.as_ref().is_some_and(|previous| {
-            previous.node == node.settings.node && RENEW * previous.renewals > gap
-        })
-    }
-
-    fn take_page(&mut self, from: Offset, page: &Page) {
-        for (offset, record) in (from..).zip(&page.records) {
-            self.take(record, offset);
-        }
-        self.end = Some(from + page.records.len() as Offset);
-    }
-}
-
 type CallResult<T> = Result<T, spokelift_platform::call::CallError>;
 
 async fn follow(node: &Node, view: &mut View) -> CallResult<()> {
@@ -253,8 +157,7 @@
     node.set_scheduler(None);
     log::info!(token, why; "no longer holds the lead");
     if view.is_mine(node) {
-        view.lead = None;
-        view.heard_at = Instant::now();
+        view.drop_own();
     }
 }
 
