batch: a pool wants as many workers as a waiting gang needs at once

Cause: a gang wider than its pool waited for ever where its work is short: on a site of our own a service kept 16 workers with 7 of 512 cores in use while 580 waited, since 580 cores for a second ask for less than it had. All tasks of a gang run at once, so it needs them all however short they are.

Change: a gang that waits raises the least number of workers of its service to what it needs, by cores, memory and spread, beside what lasts.

Shown by: a_pool_wants_as_many_workers_as_a_gang_that_waits_needs.

--- a/lib/src/batch/pool/load.rs
+++ b/lib/src/batch/pool/load.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+use spokelift_platform::job::Step;
+
 use crate::batch::cell::Cell;
 use crate::batch::worker::Kind;
 use crate::batch::worker::Worker;
@@ -47,7 +49,8 @@
     /// Labels that waiting tasks require, and by how much what they ask for is over what is free on
     /// workers that have them.
     pub lacks: BTreeMap<String, u64>,
-    /// Workers it needs at the least, since tasks that last must be spread over so many.
+    /// Workers it needs at the least, since tasks that last must be spread over so many, or since a
+    /// gang that waits fits on no fewer.
     pub least: u64,
 }
 
@@ -142,6 +145,11 @@
         let waiting = run.map_or(0, |run| run.waiting.len() as u64) * u64::from(step.cpu);
         let load = loads.entry(entry.accepted.service.clone()).or_default();
         load.waiting += waiting;
+        if step.gang && waiting > 0 {
+            let lasting = load.lasting.div_ceil(load.size().max(1));
+            let gang = workers_for_gang(cell, &entry.accepted.service, step);
+            load.least = load.least.max(gang + lasting);
+        }
         if let Some(label) = &step.requires {
             *load.lacks.entry(label.clone()).or_default() += waiting;
         }
@@ -150,6 +158,22 @@
     }
 }
 
+/// How many empty workers of a service a gang needs, all of whose tasks run at once.
+fn workers_for_gang(cell: &Cell, service: &str, step: &Step) -> u64 {
+    let of_service = cell.workers.values().filter(|worker| worker.entry.service == service);
+    let Some(room) = of_service.map(|worker| worker.entry.room).max_by_key(|room| room.cpu) else {
+        return 0;
+    };
+    let by_cpu = room.cpu.checked_div(step.cpu).unwrap_or(u32::MAX);
+    let by_memory = room.memory_mb.checked_div(step.memory_mb).unwrap_or(u32::MAX);
+    let spread = if step.max_per_worker > 0 { step.max_per_worker } else { u32::MAX };
+    // A task that fits on no worker of this size asks for no more of them.
+    match by_cpu.min(by_memory).min(spread) {
+        0 => 0,
+        per_worker => u64::from(step.count.div_ceil(per_worker)),
+    }
+}
+
 /// What is free on the usable workers of a service that have a label.
 fn free_with_label(cell: &Cell, service: &str, label: &str, now: Instant) -> u64 {
     let usable = |worker: &&Worker| worker.entry.service == service && worker.takes_work(now);
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -8,6 +8,7 @@
 use assert_matches::assert_matches;
 use spokelift_lib::batch::cell::Cell;
 use spokelift_lib::batch::cell::Order;
+use spokelift_lib::batch::pool::load::loads;
 use spokelift_lib::batch::record::Accepted;
 use spokelift_lib::batch::record::Progress;
 use spokelift_lib::batch::record::ProgressRecord;
@@ -544,3 +545,22 @@
     assert_eq!(stops.len(), 1, "{stops:?}");
     assert_eq!(stops[0].0, "w9");
 }
+
+#[test]
+fn a_pool_wants_as_many_workers_as_a_gang_that_waits_needs() {
+    let mut bed = Bed::new(2);
+    bed.look_at_all();
+    // Nine tasks of a core and a half need five workers of four cores; by their work alone, which
+    // is over in a moment, two would do.
+    let gang = Step { gang: true, cpu: 1_500, estimate_ms: 10, ..step(9) };
+    bed.cell.admit(1, accepted(vec![gang]), None);
+    assert_eq!(bed.start(), vec![]);
+    let loads = loads(&bed.cell, bed.now);
+    assert_eq!(loads["work"].least, 5);
+    assert!(!loads["work"].can_spare(4_000));
+    for number in 2..5 {
+        bed.meet(&format!("w{number}"), &format!("m{number}"));
+    }
+    bed.look_at_all();
+    assert_eq!(bed.start().len(), 9);
+}
