testutils: the proxy passes on the last answer of a server that reads no further

Change: where a server takes no more, what it still answers is passed on for up to a second. Cuts that a test asks for stay as they were.

--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// What the proxy does to the bytes of one direction.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -126,26 +127,45 @@
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
     let mut refusals = faults.clone();
-    // The first direction to end, or a refusal, cuts both.
-    tokio::select! {
-        () = copy(client_read, server_write, faults.clone(), &passed, |fault| fault.request) => {}
-        () = copy(server_read, client_write, faults, &passed, |fault| fault.answer) => {}
-        _ = refusals.wait_for(|fault| fault.refuse) => {}
+    let requests = copy(client_read, server_write, faults.clone(), &passed, |fault| fault.request);
+    let answers = copy(server_read, client_write, faults, &passed, |fault| fault.answer);
+    let mut answers = std::pin::pin!(answers);
+    // The first direction to end, or a refusal, cuts both. A server that takes no more of a
+    // request may have answered it already, and that answer is passed on.
+    let not_taken = tokio::select! {
+        end = requests => end == End::NotTaken,
+        _ = &mut answers => false,
+        _ = refusals.wait_for(|fault| fault.refuse) => false,
+    };
+    if not_taken {
+        let _ = timeout(LAST_ANSWER, answers).await;
     }
 }
 
+/// How long the last answer of a server may take that has stopped reading.
+const LAST_ANSWER: Duration = Duration::from_secs(1);
+
+/// Why a direction has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// Its sender has closed, or it was cut.
+    Over,
+    /// Its receiver takes no more.
+    NotTaken,
+}
+
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut faults: watch::Receiver<Fault>,
     all: &AtomicU64,
     flow: impl Fn(&Fault) -> Flow,
-) {
+) -> End {
     let mut buffer = vec![0; 16 * 1024];
     let mut passed = 0;
     loop {
         let Ok(read @ 1..) = from.read(&mut buffer).await else {
-            return;
+            return End::Over;
         };
         let mut bytes = &buffer[..read];
         let now = flow(&faults.borrow());
@@ -161,12 +181,12 @@
             }
         }
         if to.write_all(bytes).await.is_err() {
-            return;
+            return End::NotTaken;
         }
         passed += bytes.len() as u64;
         all.fetch_add(bytes.len() as u64, Ordering::SeqCst);
         if bytes.len() < read || now == Flow::CutAfter(passed) {
-            return;
+            return End::Over;
         }
     }
 }
