--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use miette::Diagnostic;
 use spokelift_cli::USAGE;
 use spokelift_cli::read_args;
 use spokelift_cli::report;
@@ -167,10 +168,7 @@
     logger.init();
     let settings = match Settings::resolve(|setting| args.value(setting)) {
         Ok(settings) => settings,
-        Err(error) => {
-            report(&error);
-            return ExitCode::from(USAGE);
-        }
+        Err(error) => return unusable(&error),
     };
     if args.check {
         println!("the settings can be used");
@@ -179,6 +177,12 @@
     run(settings)
 }
 
+/// Shows why the settings cannot be used.
+fn unusable(error: &dyn Diagnostic) -> ExitCode {
+    report(error);
+    ExitCode::from(USAGE)
+}
+
 /// Runs on the users' platform.
 fn platform(args: &Args) -> ExitCode {
     let Some(path) = std::env::var_os(spokelift_platform::settings::VARIABLE) else {
@@ -187,17 +191,11 @@
     };
     let settings = match spokelift_platform::settings::Settings::read(path.as_ref()) {
         Ok(settings) => settings,
-        Err(error) => {
-            report(&error);
-            return ExitCode::from(USAGE);
-        }
+        Err(error) => return unusable(&error),
     };
     let site_key = match read_site_key(|setting| args.value(setting)) {
         Ok(site_key) => site_key,
-        Err(error) => {
-            report(&error);
-            return ExitCode::from(USAGE);
-        }
+        Err(error) => return unusable(&error),
     };
     if args.check {
         println!("the settings can be used");
--- a/lib/src/batch/node/operate.rs
+++ b/lib/src/batch/node/operate.rs
@@ -49,7 +49,7 @@
         Ok(text) => (200, text),
         Err(error) => {
             node.counters.count(error.counter());
-            (error.status(), refusal(&error))
+            (error.status(), answer(&error))
         }
     };
     let response = Response::builder().status(status).header("content-type", "application/json");
@@ -133,10 +133,6 @@
     serde_json::to_string(value).expect("answers can be written as JSON")
 }
 
-fn refusal(error: &ApiError) -> String {
-    answer(error)
-}
-
 fn metrics_text(node: &Node) -> String {
     let totals = node.counters.totals();
     let lines =
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -281,8 +281,8 @@
         machines.map(|machine| u64::from(machine.room.cpu)).sum()
     }
 
-    /// A machine that fits for the service `to`: one that is switched off, else the least used one without
-    /// lasting tasks of a service that can give it.
+    /// A machine that fits for the service `to`: one that is switched off, else the least used one
+    /// without lasting tasks of a service that can give it.
     fn source<'a>(
         &self,
         cell: &Cell,
--- a/lib/src/batch/pool/load.rs
+++ b/lib/src/batch/pool/load.rs
@@ -96,7 +96,7 @@
         self.has.checked_div(self.workers).unwrap_or(0)
     }
 
-    /// Whether its lasting tasks can be spread with one worker less.
+    /// Whether one worker less is still as many as it needs at the least.
     fn has_more_than_least(&self) -> bool {
         self.workers > self.least.max(1)
     }
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -16,6 +16,7 @@
 use spokelift_lib::transport::dial::full;
 use spokelift_platform::store::OPERATOR_TOPIC;
 use spokelift_platform::store::Record;
+use spokelift_platform::store::STATUS_TOPIC;
 use tokio::time::sleep;
 
 use crate::platform::advice::Advice;
@@ -184,6 +185,12 @@
         self.store.put(OPERATOR_TOPIC, Record::set(format!("wave/{number}"), wave.to_string()));
     }
 
+    /// Whether the operator was told that a wave has succeeded.
+    pub fn wave_is_over(&self, number: u64) -> bool {
+        let status = self.store.get(STATUS_TOPIC, &format!("wave/{number}"));
+        status.is_some_and(|status| status.ends_with(b"\"succeeded\"}"))
+    }
+
     /// The node that schedules, by the store's record.
     pub fn leader(&self) -> Option<usize> {
         let record = self.store.get("keyed.lead", "lead")?;
