upkeep: a machine whose order was lost, or was done already, no longer counts as down for ever

Cause: a machine that was ordered counted as down until it was listed with another worker. Two orders never bring another worker: one that was lost on the way, and one that comes again from a successor and is answered as done although nothing happens. Beside that the worker of a machine whose upkeep was done already was taken out of the cell although it lived, and nobody told of it again.

Change: an order without an answer is given again, in the place it already has among those that are down; a machine whose worker from before still answers after the time of an upkeep is back; the worker stays known until it falls silent.

Ruled out: waves that share a machine (refused as busy, asked again), reads of the operator's records.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -316,6 +316,33 @@
     assert!(most_down <= 2, "{most_down} machines were down at once");
 }
 
+#[tokio::test]
+async fn a_wave_ends_although_an_order_for_upkeep_was_lost() {
+    let site = Site::start(PROGRAM, 2, 6, 0).await.unwrap();
+    site.machines.lose_orders(1);
+    let machines: Vec<String> = (0..3).map(|number| format!("m-{number}")).collect();
+    site.wave(7, &machines, 1);
+    site.until("the wave has succeeded", async |site| site.wave_is_over(7)).await;
+    let (begun, most_down) = site.machines.upkept(7);
+    assert_eq!(begun, 3);
+    assert!(most_down <= 1, "{most_down} machines were down at once");
+}
+
+#[tokio::test]
+async fn a_wave_ends_although_an_earlier_scheduler_had_done_a_part_and_not_written_it() {
+    let site = Site::start(PROGRAM, 2, 3, 0).await.unwrap();
+    let machines: Vec<String> = (0..3).map(|number| format!("m-{number}")).collect();
+    for machine in &machines[..2] {
+        site.machines.note_upkept(7, machine);
+    }
+    site.wave(7, &machines, 1);
+    site.until("the wave has succeeded", async |site| site.wave_is_over(7)).await;
+    // The workers that lived on take work.
+    site.insist(&id(1), job(24, 100)).await;
+    site.until_succeeded(&id(1)).await;
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn idle_machines_are_switched_off_and_come_back_for_work() {
     let site = Site::start(PROGRAM, 2, 9, 0).await.unwrap();
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -135,7 +135,9 @@
     }
     let listed: Listed<'_> = list.iter().map(|machine| (machine.id.as_str(), machine)).collect();
     let config = scheduler.node.config();
-    course.settle_down(scheduler.node.settings.upkeep_time, config.as_deref(), &listed);
+    let least = scheduler.node.settings.upkeep_time;
+    let answered_at = |id: &WorkerId| scheduler.cell().workers.get(id)?.answered_at();
+    course.settle_down(least, config.as_deref(), &listed, answered_at);
     let left = course.left();
     if !left.iter().any(|id| listed.contains_key(id.as_str())) {
         tell(scheduler, course, true).await;
@@ -145,8 +147,8 @@
     if scheduler.began_at.elapsed() < SETTLE {
         return;
     }
-    let mut ready = emptied(&mut scheduler.cell(), course, &listed);
-    ready.truncate((*orders).min(course.may_go_down()));
+    let empty = emptied(&mut scheduler.cell(), course, &listed);
+    let ready = course.to_order(empty, *orders);
     *orders -= ready.len();
     order(scheduler, machines, course, &ready, &listed).await;
 }
@@ -282,16 +284,20 @@
         }
         Err(error) => {
             // It may have begun, so it counts as down; asking again does no harm.
+            scheduler.node.counters.count("batch.upkeep.no-answer");
             log::info!(machine = id, wave; "upkeep without an answer: {error}");
+            course.unanswered.insert(id.to_owned());
             course.goes_down(id, before);
             return;
         }
     }
+    course.unanswered.remove(id);
     course.begun.insert(id.to_owned());
     scheduler.cell().upkeep_begun(wave, id);
     course.emptying.remove(id);
+    // Its worker stays known until it is silent or another answers: if the upkeep had been done
+    // before, it lives on, and nobody would tell of it again.
     course.goes_down(id, before);
-    scheduler.cell().end_other_lives(id, "");
 }
 
 async fn tell(scheduler: &Scheduler, course: &mut Course, succeeded: bool) {
--- a/lib/src/batch/upkeep/course.rs
+++ b/lib/src/batch/upkeep/course.rs
@@ -29,6 +29,9 @@
     pub(super) begun: HashSet<MachineId>,
     /// Machines that are down for it, since when, and the worker that lived there before.
     pub(super) down: HashMap<MachineId, (Instant, Option<WorkerId>)>,
+    /// Machines whose order had no answer. Each counts as down, and is ordered again until there is
+    /// an answer: the order may have been lost on the way, and then nothing else would end it.
+    pub(super) unanswered: HashSet<MachineId>,
     /// Machines that are being emptied, since when.
     pub(super) emptying: HashMap<MachineId, Instant>,
     /// What the operator has been told: none, running, succeeded.
@@ -42,6 +45,7 @@
             seen_at: Instant::now(),
             begun,
             down: HashMap::new(),
+            unanswered: HashSet::new(),
             emptying: HashMap::new(),
             told: None,
         }
@@ -55,11 +59,21 @@
 
     /// How many machines are being emptied or are down.
     pub(super) fn under_way(&self) -> usize {
-        self.emptying.len() + self.down.len()
+        let both = self.down.keys().filter(|id| self.emptying.contains_key(*id)).count();
+        self.emptying.len() + self.down.len() - both
+    }
+
+    /// Of the machines that are empty, those that may be ordered now, at most `most`. One whose
+    /// order had no answer counts as down already.
+    pub(super) fn to_order(&self, empty: Vec<MachineId>, most: usize) -> Vec<MachineId> {
+        let (again, mut first): (Vec<MachineId>, Vec<MachineId>) =
+            empty.into_iter().partition(|id| self.unanswered.contains(id));
+        first.truncate(self.may_go_down());
+        again.into_iter().chain(first).take(most).collect()
     }
 
     /// How many more machines may go down now.
-    pub(super) fn may_go_down(&self) -> usize {
+    fn may_go_down(&self) -> usize {
         self.wave.max_down.saturating_sub(self.down.len())
     }
 
@@ -76,25 +90,31 @@
         self.down.insert(id.to_owned(), (Instant::now(), before));
     }
 
-    /// Lets go of machines that are back. A machine counts as down for `least` at the least, and
-    /// until the platform lists it as up with another worker. One of the reserve is switched off
-    /// and gets no other worker.
+    /// Lets go of machines that are back. A machine counts as down for `least` at the least, until
+    /// its order is answered, and until the platform lists it as up with another worker, or its
+    /// worker from before answers still: then an earlier scheduler had its upkeep done already, and
+    /// the order that came again did nothing. One of the reserve is switched off and gets no other
+    /// worker. `answered_at` tells when a worker last answered.
     pub(super) fn settle_down(
         &mut self,
         least: Duration,
         config: Option<&Config>,
         listed: &Listed<'_>,
+        answered_at: impl Fn(&WorkerId) -> Option<Instant>,
     ) {
         let is_off = |machine: &Machine| {
             let service = config.and_then(|config| config.service(&machine.pool));
             service.is_some_and(|service| service.is_reserve)
         };
+        let unanswered = &self.unanswered;
         self.down.retain(|id, (since, before)| {
+            let over = *since + least;
+            let lived_on = before.as_ref().and_then(&answered_at).is_some_and(|at| at > over);
             let back = listed.get(id.as_str()).is_none_or(|machine| {
                 let lives_again = machine.worker.is_some() && machine.worker != *before;
-                machine.status == Status::Up && (lives_again || is_off(machine))
+                machine.status == Status::Up && (lives_again || lived_on || is_off(machine))
             });
-            !(back && since.elapsed() >= least)
+            unanswered.contains(id) || !back || Instant::now() < over
         });
     }
 }
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -197,6 +197,11 @@
         }
     }
 
+    /// When it last answered a look.
+    pub fn answered_at(&self) -> Option<Instant> {
+        self.clock.map(|(_, told)| told)
+    }
+
     /// The worker's clock now, as far as can be told.
     pub fn clock_at(&self, now: Instant) -> Option<WorkerMs> {
         let (clock, told) = self.clock?;
--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -47,6 +47,8 @@
     upkept: HashMap<u64, HashSet<String>>,
     most_down: usize,
     moves: usize,
+    /// Orders that are still to be lost.
+    orders_to_lose: usize,
 }
 
 /// The machines of a site. Clones are the same machines.
@@ -119,6 +121,24 @@
         self.bring_up(id.to_owned(), AWAY).await;
     }
 
+    /// The upkeep of a machine for a wave has been done already.
+    pub fn note_upkept(&self, wave: u64, id: &str) {
+        self.state().upkept.entry(wave).or_default().insert(id.to_owned());
+    }
+
+    /// The next orders are neither carried out nor answered.
+    pub fn lose_orders(&self, count: usize) {
+        self.state().orders_to_lose = count;
+    }
+
+    /// Whether an order that has just come is lost.
+    fn loses_order(&self) -> bool {
+        let mut state = self.state();
+        let lost = state.orders_to_lose > 0;
+        state.orders_to_lose = state.orders_to_lose.saturating_sub(1);
+        lost
+    }
+
     fn take_down(&self, id: &str, status: &'static str) {
         let mut state = self.state();
         if let Some(machine) = state.machines.get_mut(id) {
@@ -158,6 +178,9 @@
         let body = read_json(request.into_body()).await;
         match path.as_str() {
             "/api/machines" => self.list(),
+            "/api/machine-move" | "/api/machine-upkeep" if self.loses_order() => {
+                std::future::pending().await
+            }
             "/api/machine-move" | "/api/machine-upkeep" => self.order(&path, token, &body),
             _ => answer(404, &json!({})),
         }
