batch: a node that the store turns away reaches it through another, the holder of the lead too

Cause: a holder that the store turned away could not renew, fell silent and lost the lead after 2.1 s; orders about machines then rested 3 s more, so that for 5 s nothing moved while a queue at several times its mean waited.

Change: appends, reads and reads of the newest records go through a peer while the store turns the node away, and as a second try after 0.3 s without an answer. Conditions on the end, producer numbers and keys make doubled and late appends harmless; a refusal counts as certain only if no try was left open.

Ruled out: taking the silence shorter, which helps only nodes that are dead.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -20,6 +20,7 @@
 pub mod place;
 pub mod pool;
 pub mod record;
+pub mod relay;
 pub mod scheduler;
 pub mod submit;
 pub mod upkeep;
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -51,6 +51,8 @@
 #[derive(Default)]
 pub struct Directory {
     entries: Mutex<Option<Vec<Entry>>>,
+    /// The node that last reached the store for this one.
+    preferred: Mutex<Option<SocketAddr>>,
 }
 
 impl Directory {
@@ -66,12 +68,19 @@
         Some(f64::from(cpu) >= f64::from(strongest) * STRONG_SHARE)
     }
 
-    /// A few of the other nodes, picked at random.
+    /// A node has reached the store for this one.
+    pub fn prefer(&self, addr: SocketAddr) {
+        *self.preferred.lock().expect("no holder of the address panics") = Some(addr);
+    }
+
+    /// A few of the other nodes, picked at random, after the one that last was of help.
     pub fn some_peers(&self) -> Vec<SocketAddr> {
         let entries = self.entries();
         let mut addrs: Vec<SocketAddr> = entries.iter().flatten().map(|entry| entry.addr).collect();
         drop(entries);
         addrs.shuffle(&mut rand::rng());
+        let preferred = *self.preferred.lock().expect("no holder of the address panics");
+        addrs.sort_by_key(|addr| Some(*addr) != preferred);
         addrs.truncate(TRIES);
         addrs
     }
@@ -101,11 +110,11 @@
 async fn write(node: &Node, own: &Entry) -> Result<(), CallError> {
     let value = postcard::to_stdvec(own).expect("an entry can be written by postcard");
     let record = Record::set(node.settings.node.as_str(), value);
-    node.store.append(TOPIC, &[record], Guard::None, CALL).await.map(drop)
+    node.append(TOPIC, &[record], &Guard::None, CALL).await.map(drop)
 }
 
 async fn read(node: &Node, own: SocketAddr) -> Result<Vec<Entry>, CallError> {
-    let newest = node.store.newest(TOPIC, CALL).await?;
+    let newest = node.read_newest(TOPIC, CALL).await?;
     let mut entries = Vec::new();
     for record in newest.records {
         let Some(value) = record.value else { continue };
--- a/lib/src/batch/lead.rs
+++ b/lib/src/batch/lead.rs
@@ -102,7 +102,7 @@
 
 async fn follow(node: &Node, view: &mut View) -> CallResult<()> {
     let Some(end) = view.end else {
-        let newest = node.store.newest(TOPIC, CALL).await?;
+        let newest = node.read_newest(TOPIC, CALL).await?;
         for record in newest.records.iter().filter(|record| record.key == KEY) {
             view.take(record, newest.end.saturating_sub(1));
         }
@@ -138,7 +138,7 @@
 async fn claim(node: &Node, view: &mut View) {
     let Some(end) = view.end else { return };
     let record = Lead::of(node, false, 0).record();
-    let claimed = node.store.append(TOPIC, &[record], Guard::At(end), CALL).await;
+    let claimed = node.append(TOPIC, &[record], &Guard::At(end), CALL).await;
     log::info!(at = end, ok = claimed.is_ok(); "claims the lead");
     if claimed.is_err() {
         sleep(PAUSE).await;
@@ -176,7 +176,7 @@
         let Some(end) = view.end else { return "the end of the topic is not known" };
         let sent = Instant::now();
         let record = Lead::of(node, false, renewals + 1).record();
-        match node.store.append(TOPIC, &[record], Guard::At(end), CALL).await {
+        match node.append(TOPIC, &[record], &Guard::At(end), CALL).await {
             Ok(appended) => {
                 view.end = Some(appended.end);
                 renewals += 1;
@@ -212,7 +212,7 @@
 async fn release(node: &Node, view: &View) {
     let Some(end) = view.end else { return };
     let record = Lead::of(node, true, 0).record();
-    if let Err(error) = node.store.append(TOPIC, &[record], Guard::At(end), CALL).await {
+    if let Err(error) = node.append(TOPIC, &[record], &Guard::At(end), CALL).await {
         // The others then wait for the silence.
         log::warn!("the lead cannot be given up: {error}");
     }
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -12,14 +12,11 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
-use spokelift_platform::call::CallError;
 use spokelift_platform::config::Config;
 use spokelift_platform::ingress::READINESS_PATH;
 use spokelift_platform::job::JobId;
 use spokelift_platform::machine::Machines;
 use spokelift_platform::settings::Settings;
-use spokelift_platform::store::Offset;
-use spokelift_platform::store::Page;
 use spokelift_platform::store::Store;
 use spokelift_platform::wave::Wave;
 use spokelift_platform::worker::Caller;
@@ -38,6 +35,7 @@
 use crate::batch::peer::Peers;
 use crate::batch::peer::Reply;
 use crate::batch::record::Accepted;
+use crate::batch::relay::Way;
 use crate::batch::scheduler::Scheduler;
 use crate::latency::Latencies;
 use crate::listen::StartError;
@@ -54,8 +52,6 @@
 /// How long a node goes on serving after SIGTERM. The platform asks each second whether it is
 /// ready, and stops sending new connections after two misses.
 const STOP_DELAY: Duration = Duration::from_millis(2_600);
-/// Pause after a read through another node.
-const READ_PAUSE: Duration = Duration::from_millis(250);
 
 /// What the tasks of a node share.
 pub struct Node {
@@ -68,6 +64,8 @@
     pub life: u64,
     /// The platform's store.
     pub store: Store,
+    /// What is known of this node's own way to the store.
+    pub way: Way,
     /// What calls workers.
     pub workers: Caller,
     /// The platform's interface for machines.
@@ -97,6 +95,7 @@
             store: Store::new(settings.store, dialer.clone()),
             workers: Caller::new(dialer.clone()),
             machines: settings.machines.map(|addr| Machines::new(addr, dialer.clone())),
+            way: Way::default(),
             dialer,
             site_key,
             life: rand::random(),
@@ -216,34 +215,6 @@
             self.peers.tell(addr, request);
         }
     }
-
-    /// Reads a topic, through another node if the store turns this one away.
-    ///
-    /// # Errors
-    ///
-    /// That of the store, if no other node can read either.
-    pub async fn read_topic(
-        &self,
-        topic: &str,
-        from: Offset,
-        long_poll: Duration,
-        wait: Duration,
-    ) -> Result<Page, CallError> {
-        let error = match self.store.read(topic, from, long_poll, wait).await {
-            Err(error) if error.status() != Some(410) => error,
-            done => return done,
-        };
-        for addr in self.directory.some_peers() {
-            let request = peer::Request::Read(topic.to_owned(), from);
-            if let Ok(Reply::Page(page)) = self.peers.ask(addr, request).await {
-                self.counters.count("batch.store.read-through-peer");
-                // Not to ask the peer without pause, since it does not wait for news.
-                sleep(READ_PAUSE).await;
-                return Ok(page);
-            }
-        }
-        Err(error)
-    }
 }
 
 /// Runs a node until `stop` turns true and the requests in flight have ended.
--- a/lib/src/batch/operator.rs
+++ b/lib/src/batch/operator.rs
@@ -43,7 +43,7 @@
 
 async fn follow(node: &Node, from: Option<Offset>) -> Result<Offset, CallError> {
     let Some(from) = from else {
-        let newest = node.store.newest(OPERATOR_TOPIC, CALL).await?;
+        let newest = node.read_newest(OPERATOR_TOPIC, CALL).await?;
         for record in &newest.records {
             take(node, record);
         }
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -14,8 +14,6 @@
 use serde::Serialize;
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::JobId;
-use spokelift_platform::store::Offset;
-use spokelift_platform::store::Page;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -27,6 +25,7 @@
 
 use crate::batch::node::Node;
 use crate::batch::record::Accepted;
+use crate::batch::relay;
 
 /// How long a connection to a peer may take to be made; halls are about 1 ms apart.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -46,10 +45,8 @@
     Cancel(JobId),
     /// How many jobs of this queue have not begun?
     Pending(String),
-    /// Write this job to the store, since the sender is turned away there.
-    Store(JobId, Box<Accepted>),
-    /// Read records of this topic from an offset on, since the sender is turned away.
-    Read(String, Offset),
+    /// Make this call to the store, since the sender is turned away there.
+    Relay(relay::Call),
     /// Show operators what this path names.
     View(String),
 }
@@ -63,14 +60,12 @@
     State(Option<JobState>),
     /// So many jobs have not begun.
     Pending(u32),
-    /// The records.
-    Page(Page),
+    /// What became of a call to the store.
+    Relayed(relay::Answer),
     /// The view in JSON; none if there is no such thing.
     View(Option<String>),
     /// The receiver does not hold the lead, or has only just taken it.
     NotReady,
-    /// Not done, and it never will be.
-    Refused,
 }
 
 /// Why there is no answer.
--- /dev/null
+++ b/lib/src/batch/relay.rs
@@ -0,0 +1,312 @@
+//! Reaching the platform's store: directly, or through another node while the store turns this one
+//! away.
+//!
+//! A call that is passed on may be done twice or late, like a call that is sent again. Every append
+//! bears that: it has a condition on the topic's end, the number of its producer, or says the same
+//! thing twice.
+
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use spokelift_platform::call::CallError;
+use spokelift_platform::store::Appended;
+use spokelift_platform::store::Guard;
+use spokelift_platform::store::Newest;
+use spokelift_platform::store::Offset;
+use spokelift_platform::store::Page;
+use spokelift_platform::store::Record;
+use spokelift_platform::store::Store;
+
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::batch::node::Node;
+use crate::batch::peer;
+use crate::batch::peer::Reply;
+use crate::transport::dial::ExchangeError;
+
+/// How long one call to the store for a peer may take.
+const PEER_CALL: Duration = Duration::from_millis(500);
+/// How long an append may go without an answer before a peer is asked to do it as well. The store
+/// answers within 5 ms in calm.
+const HEDGE: Duration = Duration::from_millis(300);
+/// Pause after a read through another node.
+const READ_PAUSE: Duration = Duration::from_millis(250);
+
+/// A call to the store that a peer is to make.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Call {
+    /// Append these records.
+    Append {
+        /// The topic.
+        topic: String,
+        /// The records.
+        records: Vec<Record>,
+        /// The condition.
+        guard: Guard,
+    },
+    /// Read from an offset on.
+    Read {
+        /// The topic.
+        topic: String,
+        /// The offset.
+        from: Offset,
+    },
+    /// Read the newest record of each key.
+    Newest {
+        /// The topic.
+        topic: String,
+    },
+}
+
+/// What became of the call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The records were appended.
+    Appended(Appended),
+    /// The records read.
+    Page(Page),
+    /// The newest records.
+    Newest(Newest),
+    /// The store refuses what is asked, whoever asks.
+    Refused {
+        /// Status of the refusal.
+        status: u16,
+        /// The reason given.
+        reason: String,
+    },
+    /// The peer cannot reach the store either; nothing was done.
+    Away,
+    /// It may have been done, or may be done later.
+    Unknown,
+}
+
+/// What a node knows of its own way to the store.
+#[derive(Default)]
+pub struct Way {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// The last direct call that ended was turned away or had no answer.
+    is_shut: bool,
+    /// When the direct appends that are under way were sent.
+    under_way: Vec<Instant>,
+}
+
+impl Way {
+    fn note<T>(&self, done: &Result<T, CallError>) {
+        let shut = done.as_ref().err().is_some_and(CallError::is_turned_away);
+        let mut state = self.state.lock().expect("no holder of the state panics");
+        if state.is_shut != shut {
+            log::info!(shut; "the store's door for this node");
+        }
+        state.is_shut = shut;
+    }
+
+    /// Whether the last direct call failed.
+    pub fn is_shut(&self) -> bool {
+        self.state.lock().expect("no holder of the state panics").is_shut
+    }
+
+    /// Whether a peer should not be helped: the store is away for this node as well, or so slow
+    /// that more writes would only make all of them later.
+    fn is_no_help(&self) -> bool {
+        let state = self.state.lock().expect("no holder of the state panics");
+        state.is_shut || state.under_way.iter().any(|sent| sent.elapsed() >= HEDGE)
+    }
+
+    fn begin(&self, sent: Instant) {
+        self.state.lock().expect("no holder of the state panics").under_way.push(sent);
+    }
+
+    fn end(&self, sent: Instant) {
+        let mut state = self.state.lock().expect("no holder of the state panics");
+        if let Some(place) = state.under_way.iter().position(|other| *other == sent) {
+            state.under_way.swap_remove(place);
+        }
+    }
+}
+
+/// Takes an append out of those under way, also where nobody waits for its answer any more.
+struct UnderWay<'a>(&'a Way, Instant);
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.0.end(self.1);
+    }
+}
+
+impl Node {
+    /// Appends records to a topic of the store, if need be through another node.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Store::append`]; it is certain that nothing was done only if no try was left without
+    /// an answer.
+    pub async fn append(
+        &self,
+        topic: &str,
+        records: &[Record],
+        guard: &Guard,
+        wait: Duration,
+    ) -> Result<Appended, CallError> {
+        let call = || Call::Append {
+            topic: topic.to_owned(),
+            records: records.to_vec(),
+            guard: guard.clone(),
+        };
+        let mut known = true;
+        if self.way.is_shut() {
+            match self.relay(call()).await {
+                Some(Answer::Appended(appended)) => return Ok(appended),
+                Some(Answer::Away | Answer::Refused { .. }) => {}
+                _ => known = false,
+            }
+        }
+        let direct = self.append_directly(topic, records, guard, wait);
+        let mut direct = std::pin::pin!(direct);
+        let early = match timeout(HEDGE, &mut direct).await {
+            Ok(Err(error)) if !error.is_turned_away() => return Err(settle(error, guard, known)),
+            Ok(Ok(appended)) => return Ok(appended),
+            early => early,
+        };
+        let relayed = self.relay(call()).await;
+        known &= matches!(relayed, Some(Answer::Away | Answer::Refused { .. }));
+        match (relayed, early) {
+            (Some(Answer::Appended(appended)), _) => Ok(appended),
+            (Some(Answer::Refused { status, reason }), early) => {
+                known &= early.is_ok_and(|done| done.is_err_and(|error| error.is_certain()));
+                let error = CallError::Refused { status, reason, body: Bytes::new() };
+                Err(settle(error, guard, known))
+            }
+            (_, Ok(done)) => done.map_err(|error| settle(error, guard, known)),
+            (_, Err(_)) => direct.await.map_err(|error| settle(error, guard, known)),
+        }
+    }
+
+    async fn append_directly(
+        &self,
+        topic: &str,
+        records: &[Record],
+        guard: &Guard,
+        wait: Duration,
+    ) -> Result<Appended, CallError> {
+        let sent = Instant::now();
+        self.way.begin(sent);
+        let _under_way = UnderWay(&self.way, sent);
+        let done = self.store.append(topic, records, guard, wait).await;
+        self.way.note(&done);
+        done
+    }
+
+    /// Reads a topic, through another node if the store turns this one away.
+    ///
+    /// # Errors
+    ///
+    /// That of the store, if no other node can read either.
+    pub async fn read_topic(
+        &self,
+        topic: &str,
+        from: Offset,
+        long_poll: Duration,
+        wait: Duration,
+    ) -> Result<Page, CallError> {
+        let done = self.store.read(topic, from, long_poll, wait).await;
+        self.way.note(&done);
+        let error = match done {
+            Err(error) if error.is_turned_away() => error,
+            done => return done,
+        };
+        match self.relay(Call::Read { topic: topic.to_owned(), from }).await {
+            Some(Answer::Page(page)) => {
+                self.counters.count("batch.store.read-through-peer");
+                // Not to ask the peer without pause, since it does not wait for news.
+                sleep(READ_PAUSE).await;
+                Ok(page)
+            }
+            Some(Answer::Refused { status, reason }) => {
+                Err(CallError::Refused { status, reason, body: Bytes::new() })
+            }
+            _ => Err(error),
+        }
+    }
+
+    /// Reads the newest records of a topic, through another node if the store turns this one away.
+    ///
+    /// # Errors
+    ///
+    /// That of the store, if no other node can read either.
+    pub async fn read_newest(&self, topic: &str, wait: Duration) -> Result<Newest, CallError> {
+        let done = self.store.newest(topic, wait).await;
+        self.way.note(&done);
+        let error = match done {
+            Err(error) if error.is_turned_away() => error,
+            done => return done,
+        };
+        match self.relay(Call::Newest { topic: topic.to_owned() }).await {
+            Some(Answer::Newest(newest)) => Ok(newest),
+            _ => Err(error),
+        }
+    }
+
+    /// Has one of a few peers make a call; `None` if none answered, so that it is not known.
+    /// [`Answer::Away`] if none of them can.
+    async fn relay(&self, call: Call) -> Option<Answer> {
+        let mut is_known = true;
+        for addr in self.directory.some_peers() {
+            match self.peers.ask(addr, peer::Request::Relay(call.clone())).await {
+                Ok(Reply::Relayed(Answer::Away)) => {}
+                Ok(Reply::Relayed(Answer::Unknown)) | Err(_) => is_known = false,
+                Ok(Reply::Relayed(answer)) => {
+                    self.counters.count("batch.store.through-peer");
+                    self.directory.prefer(addr);
+                    return Some(answer);
+                }
+                Ok(reply) => log::warn!("{addr} answers a call to the store by {reply:?}"),
+            }
+        }
+        is_known.then_some(Answer::Away)
+    }
+
+    /// Makes a call to the store for a peer.
+    pub async fn relay_for_peer(&self, call: Call) -> Answer {
+        if self.way.is_no_help() {
+            return Answer::Away;
+        }
+        make(&self.store, call).await.unwrap_or_else(|error| match error {
+            CallError::Unknown(_) => Answer::Unknown,
+            error if error.is_turned_away() => Answer::Away,
+            CallError::Refused { status, reason, .. } => Answer::Refused { status, reason },
+            CallError::NotSent(_) => Answer::Away,
+        })
+    }
+}
+
+/// The error of an append of which another try may still be done. What a condition says holds
+/// whatever becomes of the other try.
+fn settle(error: CallError, guard: &Guard, others_known: bool) -> CallError {
+    match guard {
+        Guard::None if !others_known => CallError::Unknown(ExchangeError::Timeout),
+        _ => error,
+    }
+}
+
+async fn make(store: &Store, call: Call) -> Result<Answer, CallError> {
+    match call {
+        Call::Append { topic, records, guard } => {
+            let appended = store.append(&topic, &records, &guard, PEER_CALL).await;
+            appended.map(Answer::Appended)
+        }
+        Call::Read { topic, from } => {
+            let page = store.read(&topic, from, Duration::ZERO, PEER_CALL).await;
+            page.map(Answer::Page)
+        }
+        Call::Newest { topic } => store.newest(&topic, PEER_CALL).await.map(Answer::Newest),
+    }
+}
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -182,7 +182,7 @@
             Request::Pending(queue) => Reply::Pending(self.cell().pending(&queue)),
             Request::Cancel(id) => self.cancel(id).await,
             Request::View(path) => Reply::View(view::show(&self.cell(), &self.node.waves(), &path)),
-            Request::Store(..) | Request::Read(..) => Reply::Refused,
+            Request::Relay(call) => Reply::Relayed(self.node.relay_for_peer(call).await),
         }
     }
 
--- a/lib/src/batch/scheduler/flush.rs
+++ b/lib/src/batch/scheduler/flush.rs
@@ -38,9 +38,9 @@
 /// Appends records until that is done; `false` if a newer scheduler has come.
 async fn write(scheduler: &Scheduler, records: &[Record], sequence: u64) -> bool {
     loop {
-        let producer = Producer { name: PRODUCER, epoch: scheduler.token, sequence };
+        let producer = Producer { name: PRODUCER.to_owned(), epoch: scheduler.token, sequence };
         let guard = Guard::Producer(producer);
-        match scheduler.node.store.append(record::PROGRESS_TOPIC, records, guard, CALL).await {
+        match scheduler.node.append(record::PROGRESS_TOPIC, records, &guard, CALL).await {
             Ok(_) => return true,
             Err(error) if error.status() == Some(409) => {
                 log::warn!("the store refuses this scheduler: {error}");
--- a/lib/src/batch/scheduler/follow.rs
+++ b/lib/src/batch/scheduler/follow.rs
@@ -34,7 +34,7 @@
     let mut excused_until = None;
     loop {
         sleep(READ_WORKERS).await;
-        match scheduler.node.store.read(WORKER_TOPIC, from, Duration::ZERO, CALL).await {
+        match scheduler.node.read_topic(WORKER_TOPIC, from, Duration::ZERO, CALL).await {
             Ok(page) => {
                 from += page.records.len() as Offset;
                 for record in &page.records {
@@ -67,13 +67,13 @@
 pub(super) async fn follow_jobs(scheduler: Arc<Scheduler>, mut from: Offset) {
     loop {
         sleep(READ_JOBS).await;
-        match scheduler.node.store.read(record::JOB_TOPIC, from, Duration::ZERO, CALL).await {
+        match scheduler.node.read_topic(record::JOB_TOPIC, from, Duration::ZERO, CALL).await {
             Ok(page) => {
                 from += page.records.len() as Offset;
                 take_jobs(&scheduler, &page.records);
             }
             Err(error) if error.status() == Some(410) => {
-                match scheduler.node.store.newest(record::JOB_TOPIC, LOAD).await {
+                match scheduler.node.read_newest(record::JOB_TOPIC, LOAD).await {
                     Ok(newest) => {
                         from = newest.end;
                         take_jobs(&scheduler, &newest.records);
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -27,11 +27,11 @@
 
 /// Bars earlier schedulers from the progress topic, then reads it and the jobs.
 pub(super) async fn load(scheduler: &Arc<Scheduler>) -> Result<Offset, CallError> {
-    let store = &scheduler.node.store;
-    let producer = Producer { name: PRODUCER, epoch: scheduler.token, sequence: 0 };
-    store.append(record::PROGRESS_TOPIC, &[], Guard::Producer(producer), LOAD).await?;
-    let kept = store.newest(record::PROGRESS_TOPIC, LOAD).await?;
-    let jobs = store.newest(record::JOB_TOPIC, LOAD).await?;
+    let node = &scheduler.node;
+    let producer = Producer { name: PRODUCER.to_owned(), epoch: scheduler.token, sequence: 0 };
+    node.append(record::PROGRESS_TOPIC, &[], &Guard::Producer(producer), LOAD).await?;
+    let kept = node.read_newest(record::PROGRESS_TOPIC, LOAD).await?;
+    let jobs = node.read_newest(record::JOB_TOPIC, LOAD).await?;
     let mut cell = scheduler.cell();
     let progress = take_progress(&mut cell, &kept.records);
     take_jobs(&mut cell, &jobs.records, progress);
@@ -85,7 +85,7 @@
     scheduler: &Arc<Scheduler>,
     excused_until: Option<Instant>,
 ) -> Result<Offset, CallError> {
-    let newest = scheduler.node.store.newest(WORKER_TOPIC, LOAD).await?;
+    let newest = scheduler.node.read_newest(WORKER_TOPIC, LOAD).await?;
     let mut listed = HashSet::new();
     for record in &newest.records {
         take_worker(scheduler, record, excused_until);
--- a/lib/src/batch/scheduler/tick.rs
+++ b/lib/src/batch/scheduler/tick.rs
@@ -59,8 +59,7 @@
     if records.is_empty() {
         return;
     }
-    if let Err(error) =
-        scheduler.node.store.append(record::JOB_TOPIC, &records, Guard::None, CALL).await
+    if let Err(error) = scheduler.node.append(record::JOB_TOPIC, &records, &Guard::None, CALL).await
     {
         // They are found again, and let go of, by the next scheduler.
         log::warn!("finished jobs stay in the store: {error}");
--- a/lib/src/batch/submit.rs
+++ b/lib/src/batch/submit.rs
@@ -71,8 +71,7 @@
     loop {
         let sent = Instant::now();
         let written = node
-            .store
-            .append(record::JOB_TOPIC, std::slice::from_ref(&record), Guard::None, WRITE)
+            .append(record::JOB_TOPIC, std::slice::from_ref(&record), &Guard::None, WRITE)
             .await;
         node.latencies.record("batch.submit.write", sent.elapsed());
         match written {
@@ -87,11 +86,6 @@
                 );
             }
         }
-        match through_peer(node, id, &accepted).await {
-            Some(Reply::Done) => return Submitted::Kept,
-            Some(Reply::Refused | Reply::NotReady) => {}
-            _ => certain = false,
-        }
         if Instant::now() + PAUSE >= until {
             return if certain { Submitted::Refused } else { Submitted::Unknown };
         }
@@ -101,18 +95,11 @@
     Submitted::Kept
 }
 
-/// Has the holder of the lead write a job, if that is another node.
-async fn through_peer(node: &Node, id: JobId, accepted: &Accepted) -> Option<Reply> {
-    let Some(addr) = node.lead_elsewhere() else { return Some(Reply::NotReady) };
-    let request = peer::Request::Store(id, Box::new(accepted.clone()));
-    node.peers.ask(addr, request).await.ok()
-}
-
 /// Asks the holder of the lead until it answers or time is up.
 pub async fn ask(node: &Node, request: &peer::Request, until: Instant) -> Option<Reply> {
     loop {
         match node.ask_lead(request.clone()).await {
-            Some(Reply::NotReady | Reply::Refused) | None => {}
+            Some(Reply::NotReady) | None => {}
             answered => return answered,
         }
         if Instant::now() + PAUSE >= until {
@@ -138,7 +125,7 @@
         Some(Reply::State(None)) => Known::NoJob,
         _ => {
             let record = record::cancel(id);
-            match node.store.append(record::JOB_TOPIC, &[record], Guard::None, WRITE).await {
+            match node.append(record::JOB_TOPIC, &[record], &Guard::None, WRITE).await {
                 Ok(_) => Known::CancelKept,
                 Err(error) => {
                     let job = format!("{id:016x}");
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -106,7 +106,7 @@
 /// Waves that an earlier scheduler has finished.
 async fn read_over(scheduler: &Scheduler) -> HashSet<u64> {
     loop {
-        match scheduler.node.store.newest(STATUS_TOPIC, CALL).await {
+        match scheduler.node.read_newest(STATUS_TOPIC, CALL).await {
             Ok(newest) => {
                 let over = newest.records.iter().filter(|record| {
                     record.value.as_ref().is_some_and(|value| Wave::is_over(value))
@@ -302,7 +302,7 @@
 
 async fn tell(scheduler: &Scheduler, course: &mut Course, succeeded: bool) {
     let record = Wave::status(course.wave.number, succeeded);
-    let written = scheduler.node.store.append(STATUS_TOPIC, &[record], Guard::None, CALL).await;
+    let written = scheduler.node.append(STATUS_TOPIC, &[record], &Guard::None, CALL).await;
     match written {
         Ok(_) => {
             let took_s = course.seen_at.elapsed().as_secs();
