batch: jobs that arrive together are written in one append, and refused at once while the store is away

While the store refused everybody, a job was held for 1.8 s and tried thirty times.

Change: one append under way a node, with all that waits; a job that the pace of the last append puts beyond its client's time, or that finds the store away for 0.3 s, is refused with a time to come back that follows the outage, 0.8 to 2.5 s, spread.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::future::join_all;
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
@@ -218,6 +219,51 @@
     assert_sound(&site);
 }
 
+#[tokio::test]
+async fn jobs_that_come_together_at_a_slow_store_are_written_together() {
+    let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    site.store.set_append_time(Duration::from_millis(100));
+    let before = site.store.appends("keyed.jobs");
+    let jobs = 1..=60;
+    let insist = async |number: u64| site.insist(&id(number), job(1, 10)).await;
+    join_all(jobs.clone().map(insist)).await;
+    let appends = site.store.appends("keyed.jobs") - before;
+    assert!(appends <= 30, "60 jobs took {appends} appends");
+    site.store.set_append_time(Duration::ZERO);
+    for number in jobs {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_job_is_refused_after_one_try_once_the_store_is_known_to_be_away() {
+    let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    for node in &site.nodes {
+        node.door.set(Fault::Busy);
+    }
+    // By the end of the first refusal it is known.
+    assert_eq!(site.submit(0, &id(1), job(1, 10)).await, 503);
+    let failed = async || {
+        let metrics = site.metrics(0).await.unwrap();
+        let line = metrics.lines().find(|line| line.contains("batch_submit_write_failed")).unwrap();
+        line.split_whitespace().last().unwrap().parse::<u64>().unwrap()
+    };
+    let before = failed().await;
+    for number in 2..8 {
+        assert_eq!(site.submit(0, &id(number), job(1, 10)).await, 503);
+    }
+    assert_eq!(failed().await - before, 6);
+    for node in &site.nodes {
+        node.door.set(Fault::None);
+    }
+    site.insist(&id(9), job(1, 10)).await;
+    site.until_succeeded(&id(9)).await;
+    // What was refused has not run.
+    assert_eq!(site.ledger.starts(), 2);
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn a_store_that_forgets_its_history_costs_no_job() {
     let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -2,11 +2,13 @@
 //! is used when the store turns a node away, and to have strong nodes take the lead first; for
 //! nothing that must be right.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::seq::SliceRandom;
 use serde::Deserialize;
@@ -33,6 +35,9 @@
 ];
 /// Time between reads after that. Nodes come and go rarely, and those that are gone cost one try.
 const REFRESH: Duration = Duration::from_secs(10);
+/// How long a node that did not answer is asked only where there are no others: a node that was
+/// killed is back within about this time.
+const SHUNNED: Duration = Duration::from_secs(3);
 /// Nodes that are tried for one request.
 const TRIES: usize = 2;
 
@@ -53,6 +58,8 @@
     entries: Mutex<Option<Vec<Entry>>>,
     /// The node that last reached the store for this one.
     preferred: Mutex<Option<SocketAddr>>,
+    /// Nodes that did not answer, and when.
+    shunned: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 impl Directory {
@@ -73,14 +80,27 @@
         *self.preferred.lock().expect("no holder of the address panics") = Some(addr);
     }
 
-    /// A few of the other nodes, picked at random, after the one that last was of help.
+    /// A node has not answered.
+    pub fn shun(&self, addr: SocketAddr) {
+        let mut shunned = self.shunned.lock().expect("no holder of the addresses panics");
+        shunned.retain(|_, since| since.elapsed() < SHUNNED);
+        shunned.insert(addr, Instant::now());
+    }
+
+    fn is_shunned(&self, addr: SocketAddr) -> bool {
+        let shunned = self.shunned.lock().expect("no holder of the addresses panics");
+        shunned.get(&addr).is_some_and(|since| since.elapsed() < SHUNNED)
+    }
+
+    /// A few of the other nodes: first the one that last was of help, then others at random, and
+    /// those that did not answer lately only where there are no others.
     pub fn some_peers(&self) -> Vec<SocketAddr> {
         let entries = self.entries();
         let mut addrs: Vec<SocketAddr> = entries.iter().flatten().map(|entry| entry.addr).collect();
         drop(entries);
         addrs.shuffle(&mut rand::rng());
         let preferred = *self.preferred.lock().expect("no holder of the address panics");
-        addrs.sort_by_key(|addr| Some(*addr) != preferred);
+        addrs.sort_by_key(|addr| (self.is_shunned(*addr), Some(*addr) != preferred));
         addrs.truncate(TRIES);
         addrs
     }
--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -20,12 +20,12 @@
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::parse_id;
 
+use crate::batch::commit::Written;
 use crate::batch::node::Node;
 use crate::batch::peer;
 use crate::batch::peer::Reply;
 use crate::batch::submit;
 use crate::batch::submit::Known;
-use crate::batch::submit::Submitted;
 use crate::transport::dial::Body;
 use crate::transport::dial::full;
 
@@ -33,9 +33,9 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_millis(3_000);
 /// Share of the client's time after which it gets an answer, whatever it is.
 const ANSWER_SHARE: f64 = 0.6;
-/// When a client that was refused should come back, in seconds; a change of the lead takes
-/// about two.
-const COME_BACK_S: &str = "1";
+/// When a client should come back that nobody could answer; a change of the lead takes about two
+/// seconds.
+const COME_BACK: Duration = Duration::from_millis(1_000);
 /// Largest body where the configuration sets no limit, in bytes.
 const BODY_LIMIT: usize = 262_144;
 
@@ -55,7 +55,7 @@
 
 async fn answer(node: &Node, request: Request<Incoming>, started: Instant) -> Response<Body> {
     let Some(config) = node.config() else {
-        return come_back(503);
+        return come_back(503, COME_BACK);
     };
     let host = request.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
     let host = host.split(':').next().unwrap_or("").to_owned();
@@ -89,7 +89,7 @@
                     return status(400);
                 }
             };
-            submitted(submit::submit(node, id, submit::accept(job, queue), until).await)
+            written(node.commit(id, submit::accept(job, queue), until).await)
         }
         _ => status(405),
     }
@@ -100,9 +100,13 @@
     response.body(full(Bytes::new())).expect("a status makes an answer")
 }
 
-fn come_back(code: u16) -> Response<Body> {
+/// Refuses for now. The time to come back is spread in proportion to the wait, so that those who
+/// were refused together do not return together.
+fn come_back(code: u16, wait: Duration) -> Response<Body> {
     let mut response = status(code);
-    response.headers_mut().insert(RETRY_AFTER, COME_BACK_S.parse().expect("digits make a header"));
+    let spread = wait.mul_f64(rand::random());
+    let seconds = (wait + spread).as_secs_f64().ceil().max(1.0) as u64;
+    response.headers_mut().insert(RETRY_AFTER, seconds.into());
     response
 }
 
@@ -118,11 +122,11 @@
     response
 }
 
-fn submitted(outcome: Submitted) -> Response<Body> {
+fn written(outcome: Written) -> Response<Body> {
     match outcome {
-        Submitted::Kept => status(200),
-        Submitted::Refused => come_back(503),
-        Submitted::Unknown => status(504),
+        Written::Kept => status(200),
+        Written::Refused(wait) => come_back(503, wait),
+        Written::Unknown => status(504),
     }
 }
 
@@ -130,7 +134,7 @@
     match submit::state(node, id, until).await {
         Known::State(state) => json(ingress::job_answer(state)),
         Known::NoJob => status(410),
-        Known::CancelKept | Known::NoAnswer => come_back(503),
+        Known::CancelKept | Known::NoAnswer => come_back(503, COME_BACK),
     }
 }
 
@@ -138,13 +142,13 @@
     match submit::cancel(node, id, until).await {
         Known::State(_) | Known::CancelKept => status(200),
         Known::NoJob => status(410),
-        Known::NoAnswer => come_back(503),
+        Known::NoAnswer => come_back(503, COME_BACK),
     }
 }
 
 async fn pending(node: &Node, queue: String, until: Instant) -> Response<Body> {
     match submit::ask(node, &peer::Request::Pending(queue), until).await {
         Some(Reply::Pending(pending)) => json(ingress::queue_answer(pending)),
-        _ => come_back(503),
+        _ => come_back(503, COME_BACK),
     }
 }
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -24,6 +24,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::batch::commit;
 use crate::batch::directory;
 use crate::batch::directory::Directory;
 use crate::batch::intake;
@@ -66,6 +67,8 @@
     pub store: Store,
     /// What is known of this node's own way to the store.
     pub way: Way,
+    /// Jobs that wait to be written to the store.
+    pub commits: commit::Queue,
     /// What calls workers.
     pub workers: Caller,
     /// The platform's interface for machines.
@@ -96,6 +99,7 @@
             workers: Caller::new(dialer.clone()),
             machines: settings.machines.map(|addr| Machines::new(addr, dialer.clone())),
             way: Way::default(),
+            commits: commit::Queue::default(),
             dialer,
             site_key,
             life: rand::random(),
@@ -241,6 +245,7 @@
         tokio::spawn(operator::run(node.clone())),
         tokio::spawn(lead::run(node.clone())),
         tokio::spawn(directory::run(node.clone())),
+        tokio::spawn(commit::run(node.clone())),
     ];
     let (close, closed) = watch::channel(false);
     let shared = node.clone();
--- a/lib/src/batch/node/operate.rs
+++ b/lib/src/batch/node/operate.rs
@@ -16,13 +16,13 @@
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::parse_id;
 
+use crate::batch::commit::Written;
 use crate::batch::document::Job;
 use crate::batch::node::Node;
 use crate::batch::peer;
 use crate::batch::peer::Reply;
 use crate::batch::submit;
 use crate::batch::submit::Known;
-use crate::batch::submit::Submitted;
 use crate::batch::view;
 use crate::call::bearer;
 use crate::protocol::api::ApiError;
@@ -113,10 +113,10 @@
     let queue = queue.ok_or(ApiError::NotFound { what: "queue".into() })?;
     let job = Job::decode(body);
     let job = job.map_err(|error| ApiError::Job { cause: error.to_string().into() })?;
-    match submit::submit(node, id, submit::accept(job, queue), until).await {
-        Submitted::Kept => Ok(answer(&view::Submitted { id: format!("{id:016x}") })),
-        Submitted::Refused => Err(ApiError::JobRefused),
-        Submitted::Unknown => Err(ApiError::JobUnknown { job: format!("{id:016x}").into() }),
+    match node.commit(id, submit::accept(job, queue), until).await {
+        Written::Kept => Ok(answer(&view::Submitted { id: format!("{id:016x}") })),
+        Written::Refused(_) => Err(ApiError::JobRefused),
+        Written::Unknown => Err(ApiError::JobUnknown { job: format!("{id:016x}").into() }),
     }
 }
 
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -71,6 +71,9 @@
 /// Why there is no answer.
 #[derive(Debug, Error)]
 pub enum PeerError {
+    /// There is no connection, so the request was not sent.
+    #[error("no connection to the peer")]
+    NotSent,
     /// The connection failed or ended.
     #[error("the connection to the peer ended")]
     Closed,
@@ -79,7 +82,8 @@
     Timeout,
 }
 
-type Waiting = (Request, oneshot::Sender<Reply>);
+type Answer = Result<Reply, PeerError>;
+type Waiting = (Request, oneshot::Sender<Answer>);
 
 /// Connections to peers.
 #[derive(Default)]
@@ -96,9 +100,9 @@
     pub async fn ask(&self, addr: SocketAddr, request: Request) -> Result<Reply, PeerError> {
         let (reply, answered) = oneshot::channel();
         let line = self.line(addr);
-        line.try_send((request, reply)).map_err(|_| PeerError::Closed)?;
+        line.try_send((request, reply)).map_err(|_| PeerError::NotSent)?;
         match timeout(ANSWER, answered).await {
-            Ok(Ok(reply)) => Ok(reply),
+            Ok(Ok(answer)) => answer,
             Ok(Err(_)) => Err(PeerError::Closed),
             Err(_) => {
                 // The connection may hang; the next request makes another.
@@ -136,13 +140,18 @@
 async fn carry(addr: SocketAddr, mut queue: mpsc::Receiver<Waiting>) {
     let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(addr)).await else {
         log::debug!("no connection to the peer at {addr}");
+        queue.close();
+        while let Some((_, reply)) = queue.recv().await {
+            // Whoever asked may have given up.
+            let _ = reply.send(Err(PeerError::NotSent));
+        }
         return;
     };
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("no immediate sending to {addr}: {error}");
     }
     let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
-    let mut waiting: HashMap<u64, oneshot::Sender<Reply>> = HashMap::new();
+    let mut waiting: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
     let mut number = 0u64;
     loop {
         tokio::select! {
@@ -159,7 +168,7 @@
                 match postcard::from_bytes::<(u64, Reply)>(&frame) {
                     Ok((number, reply)) => {
                         // Whoever asked may have given up.
-                        let _ = waiting.remove(&number).map(|waiter| waiter.send(reply));
+                        let _ = waiting.remove(&number).map(|waiter| waiter.send(Ok(reply)));
                     }
                     Err(error) => {
                         log::warn!("an answer from {addr} does not decode: {error}");
--- a/lib/src/batch/relay.rs
+++ b/lib/src/batch/relay.rs
@@ -26,6 +26,7 @@
 
 use crate::batch::node::Node;
 use crate::batch::peer;
+use crate::batch::peer::PeerError;
 use crate::batch::peer::Reply;
 use crate::transport::dial::ExchangeError;
 
@@ -262,7 +263,11 @@
         for addr in self.directory.some_peers() {
             match self.peers.ask(addr, peer::Request::Relay(call.clone())).await {
                 Ok(Reply::Relayed(Answer::Away)) => {}
-                Ok(Reply::Relayed(Answer::Unknown)) | Err(_) => is_known = false,
+                Ok(Reply::Relayed(Answer::Unknown)) => is_known = false,
+                Err(error) => {
+                    is_known &= matches!(error, PeerError::NotSent);
+                    self.directory.shun(addr);
+                }
                 Ok(Reply::Relayed(answer)) => {
                     self.counters.count("batch.store.through-peer");
                     self.directory.prefer(addr);
--- a/lib/src/batch/submit.rs
+++ b/lib/src/batch/submit.rs
@@ -5,7 +5,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use spokelift_platform::config::Queue;
+use spokelift_platform::config;
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
@@ -18,22 +18,11 @@
 use crate::batch::record;
 use crate::batch::record::Accepted;
 
-/// How long one write to the store may take before it is tried again.
+/// How long the write of a wish to cancel may take.
 const WRITE: Duration = Duration::from_millis(600);
 /// Pause between tries.
 const PAUSE: Duration = Duration::from_millis(60);
 
-/// What became of a job that was handed in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Submitted {
-    /// The store keeps it.
-    Kept,
-    /// It was not taken and never will be.
-    Refused,
-    /// It may have been taken.
-    Unknown,
-}
-
 /// What the holder of the lead said of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Known {
@@ -48,7 +37,7 @@
 }
 
 /// A job as accepted now, with what its queue says of it.
-pub fn accept(job: Job, queue: &Queue) -> Accepted {
+pub fn accept(job: Job, queue: &config::Queue) -> Accepted {
     Accepted {
         job,
         queue: queue.name.clone(),
@@ -62,39 +51,6 @@
     }
 }
 
-/// Writes a job to the store and tells the holder of the lead.
-///
-/// Once a write has had no answer, the job may be taken whatever later tries say.
-pub async fn submit(node: &Node, id: JobId, accepted: Accepted, until: Instant) -> Submitted {
-    let record = record::accepted(id, &accepted);
-    let mut certain = true;
-    loop {
-        let sent = Instant::now();
-        let written = node
-            .append(record::JOB_TOPIC, std::slice::from_ref(&record), &Guard::None, WRITE)
-            .await;
-        node.latencies.record("batch.submit.write", sent.elapsed());
-        match written {
-            Ok(_) => break,
-            Err(error) => {
-                certain &= error.is_certain();
-                node.counters.count("batch.submit.write-failed");
-                log::info!(
-                    job = format!("{id:016x}").as_str(),
-                    certain;
-                    "job not written: {error}"
-                );
-            }
-        }
-        if Instant::now() + PAUSE >= until {
-            return if certain { Submitted::Refused } else { Submitted::Unknown };
-        }
-        sleep(PAUSE).await;
-    }
-    node.tell_submitted(id, accepted);
-    Submitted::Kept
-}
-
 /// Asks the holder of the lead until it answers or time is up.
 pub async fn ask(node: &Node, request: &peer::Request, until: Instant) -> Option<Reply> {
     loop {
--- /dev/null
+++ b/lib/tests/test_commit.rs
@@ -0,0 +1,54 @@
+//! What is known of the pace at which jobs are written, and what clients are told by it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_lib::batch::commit::Pace;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The pace after appends that took a second each, or failed after one.
+fn after(start: Instant, appends: &[bool]) -> Pace {
+    let mut pace = Pace::default();
+    for (number, is_done) in appends.iter().enumerate() {
+        pace.begin(start + SECOND * number as u32);
+        pace.end(start + SECOND * (number as u32 + 1), *is_done);
+    }
+    pace
+}
+
+#[test]
+fn a_job_waits_for_the_append_under_way_and_its_own() {
+    let start = Instant::now();
+    let mut pace = after(start, &[true]);
+    assert_eq!(pace.wait(start + SECOND), SECOND);
+    pace.begin(start + SECOND);
+    assert_eq!(pace.wait(start + SECOND), SECOND * 2);
+    assert_eq!(pace.wait(start + SECOND.mul_f64(1.5)), SECOND.mul_f64(1.5));
+}
+
+#[test]
+fn a_pace_that_is_old_or_failed_refuses_nobody() {
+    let start = Instant::now();
+    assert_eq!(after(start, &[true]).wait(start + SECOND * 3), Duration::ZERO);
+    assert_eq!(after(start, &[true, false]).wait(start + SECOND * 2), Duration::ZERO);
+}
+
+#[test]
+fn an_outage_lasts_from_its_first_failure_to_the_next_append_that_is_done() {
+    let start = Instant::now();
+    assert_eq!(after(start, &[true]).away(start + SECOND), None);
+    let pace = after(start, &[true, false, false]);
+    assert_eq!(pace.away(start + SECOND * 3), Some(SECOND));
+    assert_eq!(after(start, &[false, true]).away(start + SECOND * 2), None);
+}
+
+#[test]
+fn clients_come_back_after_about_as_long_as_the_store_has_been_away() {
+    let start = Instant::now();
+    let pace = after(start, &[false]);
+    let come_back = |seconds: f64| pace.come_back(start + SECOND + SECOND.mul_f64(seconds));
+    assert_eq!(come_back(0.1), Duration::from_millis(800));
+    assert_eq!(come_back(2.0), SECOND * 2);
+    assert_eq!(come_back(60.0), Duration::from_millis(2_500));
+}
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -55,11 +55,16 @@
     producers: HashMap<String, (u64, u64, usize)>,
     /// How often it was read whole.
     read_whole: usize,
+    /// How often it was appended to.
+    appends: usize,
+    /// Held by the append whose turn it is.
+    turn: Arc<tokio::sync::Mutex<()>>,
 }
 
 #[derive(Default)]
 struct Inner {
     topics: Mutex<HashMap<String, Topic>>,
+    append_time: Mutex<Duration>,
     grown: Notify,
 }
 
@@ -110,6 +115,23 @@
         Ok(door)
     }
 
+    /// Sets how long an append takes; those of one topic go one after another.
+    pub fn set_append_time(&self, time: Duration) {
+        *self.inner.append_time.lock().expect("no holder panics") = time;
+    }
+
+    /// How often a topic was appended to through the protocol.
+    pub fn appends(&self, topic: &str) -> usize {
+        self.topics().get(topic).map_or(0, |topic| topic.appends)
+    }
+
+    async fn take_turn(&self, topic: &str) {
+        let turn = self.topics().entry(topic.to_owned()).or_default().turn.clone();
+        let _turn = turn.lock().await;
+        let time = *self.inner.append_time.lock().expect("no holder panics");
+        sleep(time).await;
+    }
+
     /// Appends past the protocol.
     pub fn put(&self, topic: &str, record: Record) {
         self.topics().entry(topic.to_owned()).or_default().records.push(record);
@@ -172,6 +194,7 @@
                 let Ok(body) = request.into_body().collect().await else {
                     return answer(400, &json!({}));
                 };
+                self.take_turn(&query["topic"]).await;
                 self.append(&query, body.to_bytes())
             }
             "/api/log-read" => self.read(&query).await,
@@ -185,6 +208,7 @@
         let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
         let mut topics = self.topics();
         let topic = topics.entry(query["topic"].clone()).or_default();
+        topic.appends += 1;
         let end = topic.records.len();
         if number("at").is_some_and(|at| at != end as u64) {
             return answer(412, &json!({ "end": end }));
