batch: what became of a start without an answer is asked at once

Cause: a start or stop without an answer was known to have failed after 0.5 s, and that the run was not there only by a look sent after that, behind one that waits up to 1.2 s.

Change: after 0.1 s a look that does not wait asks for the run; one that is there goes on, another is stopped, and a second such look after the stop lets its task wait for room again. Answers of two looks may overtake each other: one that is no newer by the worker's clock changes nothing.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -318,6 +318,19 @@
     assert_sound(&site);
 }
 
+#[tokio::test]
+async fn a_run_whose_start_had_no_answer_is_found_and_goes_on() {
+    let site = Site::start(PROGRAM, 2, 3, 0).await.unwrap();
+    for worker in site.machines.workers() {
+        worker.set(worker::Fault::LosesStarts);
+    }
+    site.insist(&id(1), job(3, 1_500)).await;
+    site.until_succeeded(&id(1)).await;
+    // None of the runs was stopped and started again.
+    assert_eq!(site.ledger.starts(), 6);
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn a_worker_that_fails_everything_is_told_from_a_job_that_fails() {
     let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -32,10 +32,17 @@
 
 impl Cell {
     /// Takes in the answer to a look that was sent at `sent`.
+    ///
+    /// One that is no newer than the last, by the worker's clock, changes nothing: answers on
+    /// different connections overtake each other, and an older one would show runs that are over.
+    /// What it lists of ends is listed again.
     pub fn on_look(&mut self, id: &str, sent: Instant, now: Instant, seen: Seen) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.clock = Some((seen.clock, now));
         worker.misses = 0;
+        if worker.clock.is_some_and(|(last, _)| seen.clock <= last) {
+            return;
+        }
+        worker.clock = Some((seen.clock, now));
         if worker.noted_silent {
             worker.noted_silent = false;
             worker.reopening = true;
--- a/lib/src/batch/scheduler/look.rs
+++ b/lib/src/batch/scheduler/look.rs
@@ -20,6 +20,8 @@
 const LOOK_WAIT_SERVING: Duration = Duration::from_millis(600);
 /// How long a look may take beyond its wait.
 const LOOK: Duration = Duration::from_millis(600);
+/// How long a look may take that does not wait for an end; answers come in about 2 ms.
+const LOOK_NOW: Duration = Duration::from_millis(300);
 /// Longest pause between looks at a worker that does not answer.
 const LOOK_PAUSE: Duration = Duration::from_millis(400);
 /// How long the ends of one look wait for the store before the worker is looked at again.
@@ -71,6 +73,29 @@
     }
 }
 
+/// Looks at a worker once, without waiting for an end, and beside the looks that do. Used to learn
+/// at once what became of an order: the next look may be 1.2 s away.
+pub(super) async fn look_now(scheduler: &Scheduler, peer: &Peer) {
+    let seen = {
+        let cell = scheduler.cell();
+        let Some(worker) = cell.workers.get(&peer.id).filter(|worker| worker.fenced) else {
+            return;
+        };
+        worker.durable
+    };
+    let look = Look { token: scheduler.token, seen, lease_until: None, wait_ms: 0 };
+    let sent = Instant::now();
+    match scheduler.node.workers.look(peer, &look, LOOK_NOW).await {
+        Ok(seen) => {
+            scheduler.cell().on_look(&peer.id, sent, Instant::now(), seen);
+            scheduler.kick();
+            scheduler.kick_flush();
+        }
+        // The looks that go on tell whether the worker is silent.
+        Err(error) => log::debug!("worker {} does not answer at once: {error}", peer.id),
+    }
+}
+
 /// Takes in that a look failed; `false` if the worker is not to be looked at again.
 fn is_worth_another(scheduler: &Scheduler, id: &str, error: &CallError) -> bool {
     scheduler.node.counters.count("batch.look.failed");
--- a/lib/src/batch/scheduler/send.rs
+++ b/lib/src/batch/scheduler/send.rs
@@ -11,11 +11,18 @@
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Start;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::batch::cell::Order;
 use crate::batch::scheduler::PAUSE;
 use crate::batch::scheduler::Scheduler;
+use crate::batch::scheduler::look::look_now;
+use crate::batch::worker::Phase;
+use crate::transport::dial::ExchangeError;
 
+/// How long a start may go without an answer before a look asks for the run. Answers come in about
+/// 2 ms; a run that is not there is then stopped, and started elsewhere, after about 0.1 s.
+const ANSWER: Duration = Duration::from_millis(100);
 /// How long an order may take; answers come in about 2 ms.
 const ORDER: Duration = Duration::from_millis(500);
 
@@ -32,8 +39,8 @@
                 checkpoint: &checkpoint,
                 ticket: &ticket,
             };
-            let taken = scheduler.node.workers.start(&peer, &start, ORDER).await;
-            on_start_answer(&scheduler, &peer, (task, run), taken.map(drop));
+            let taken = send_start(&scheduler, &peer, &start).await;
+            on_start_answer(&scheduler, &peer, (task, run), taken);
         }
         Order::Stop { peer, task, run } => stop(&scheduler, &peer, (task, run)).await,
         Order::Pace { peer, task, run, percent } => {
@@ -49,6 +56,30 @@
     }
 }
 
+/// Sends a start. If there is no answer for a while, a look tells whether the run is there.
+async fn send_start(
+    scheduler: &Scheduler,
+    peer: &Peer,
+    start: &Start<'_>,
+) -> Result<(), CallError> {
+    let sent = scheduler.node.workers.start(peer, start, ORDER);
+    let mut sent = std::pin::pin!(sent);
+    if let Ok(taken) = timeout(ANSWER, &mut sent).await {
+        return taken.map(drop);
+    }
+    scheduler.node.counters.count("batch.start.no-answer");
+    look_now(scheduler, peer).await;
+    let cell = scheduler.cell();
+    let slot = cell.workers.get(&peer.id).and_then(|worker| worker.slots.get(&start.task));
+    let is_open = slot.is_some_and(|slot| slot.run == start.run && slot.phase == Phase::Starting);
+    drop(cell);
+    match is_open {
+        true => Err(CallError::Unknown(ExchangeError::Timeout)),
+        // The look has shown the run, or its end.
+        false => Ok(()),
+    }
+}
+
 /// A run is named by its task and its number.
 type RunName = (TaskName, Run);
 
@@ -90,7 +121,11 @@
         let stopped = scheduler.node.workers.stop(peer, task, run, scheduler.token, ORDER).await;
         let now = Instant::now();
         match stopped {
-            Ok(()) => break scheduler.cell().on_stopped(&peer.id, task, run, now),
+            Ok(()) => {
+                scheduler.cell().on_stopped(&peer.id, task, run, now);
+                look_now(scheduler, peer).await;
+                break;
+            }
             Err(error) => match Refusal::of(&error) {
                 Some(Refusal::Fenced) => {
                     scheduler.cell().fenced = true;
