batch: the store keeps which workers died, so that the next scheduler does not wait for them

Cause: a worker that died with its machine's move stays listed for three heartbeats.

Change: a worker known to be dead (its machine moved, another life answers in its place) is written to the progress topic and kept for 15 s; entries of it say nothing. An order that is answered as done although the machine was in its pool already no longer removes the worker that lives there.

Tests in test_batch: the clock of their workers goes on now as a real one does.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -135,8 +135,13 @@
     pub workers: HashMap<WorkerId, Worker>,
     /// Steps with tasks that wait for room.
     pub ready: BTreeSet<Rank>,
+    /// The earlier scheduler had ended before it gave up the lead, so it can have started nothing of
+    /// jobs that were not in the store when this one read it.
+    pub predecessor_is_done: bool,
     /// Workers that may run something of an earlier scheduler and have not been asked.
     pub unasked: HashSet<WorkerId>,
+    /// Workers whose life is known to be over, and since when. The store may list them for a while.
+    gone: HashMap<WorkerId, Instant>,
     /// Tasks that may be on workers which had fallen silent under an earlier scheduler.
     silent_with: HashMap<WorkerId, HashSet<TaskName>>,
     /// Machines of waves whose upkeep has begun.
@@ -171,7 +176,9 @@
             jobs: HashMap::new(),
             workers: HashMap::new(),
             ready: BTreeSet::new(),
+            predecessor_is_done: false,
             unasked: HashSet::new(),
+            gone: HashMap::new(),
             silent_with: HashMap::new(),
             begun: HashMap::new(),
             waves_over: HashSet::new(),
--- a/lib/src/batch/cell/answers.rs
+++ b/lib/src/batch/cell/answers.rs
@@ -63,7 +63,7 @@
             self.advices.void((task.job, task.time, task.step), id);
         }
         if why == Some(Refusal::OtherLife) {
-            self.remove_worker(id, "another life answers at its address");
+            self.bury(id, "another life answers at its address");
         }
     }
 
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -30,9 +30,10 @@
             return false;
         }
         let mut entry = Entry::new(id, accepted);
-        // Until every worker has heard of this scheduler, an earlier one may go on starting tasks,
-        // also of jobs that only arrive now.
-        entry.inherited = inherited.is_some() || !self.unasked.is_empty();
+        // Until every worker has heard of this scheduler, an earlier one that fell silent may go on
+        // starting tasks, also of jobs that only arrive now.
+        let may_be_started = !self.predecessor_is_done && !self.unasked.is_empty();
+        entry.inherited = inherited.is_some() || may_be_started;
         if let Some(progress) = inherited {
             entry.restore(progress);
         }
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -1,5 +1,6 @@
 //! Workers: met, silent and gone, and the waves that empty their machines.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use spokelift_platform::job::TaskName;
@@ -17,10 +18,19 @@
 use crate::batch::worker::Slot;
 use crate::batch::worker::Worker;
 
+/// How long a worker whose life is over is remembered. The store lists one that died with its machine
+/// for three heartbeats, about 5 s; a scheduler that begins then would wait 5.6 s for its lease before
+/// it starts anything of that service.
+const REMEMBER_GONE: Duration = Duration::from_millis(15_000);
+
 impl Cell {
-    /// Takes in a worker's entry.
+    /// Takes in a worker's entry; returns whether it is new. An entry of a worker whose life is over
+    /// says nothing.
     pub fn meet(&mut self, peer: Peer, entry: worker::Entry, now: Instant) -> bool {
         let id = peer.id.clone();
+        if self.gone.contains_key(&id) {
+            return false;
+        }
         if let Some(known) = self.workers.get_mut(&id) {
             known.update(entry);
             return false;
@@ -51,16 +61,58 @@
         let lived = |worker: &&Worker| {
             worker.entry.machine.as_deref() == Some(machine) && worker.peer.id != current
         };
-        let gone: Vec<WorkerId> =
+        let met_at = self.workers.get(current).map(|worker| worker.met_at);
+        let gone = self.workers.values().filter(lived);
+        let gone: Vec<(WorkerId, bool)> =
+            gone.map(|worker| (worker.peer.id.clone(), Some(worker.met_at) < met_at)).collect();
+        for (id, was_met_first) in gone {
+            let why = "another worker lives on its machine";
+            // One that was met later may be the later life, if this answer was long on its way.
+            match was_met_first {
+                true => self.bury(&id, why),
+                false => self.remove_worker(&id, why),
+            }
+        }
+    }
+
+    /// A machine was moved to a pool: the workers that it had in another one are dead.
+    pub fn end_lives_elsewhere(&mut self, machine: &str, pool: &str) {
+        let lived = |worker: &&Worker| {
+            worker.entry.machine.as_deref() == Some(machine) && worker.entry.service != pool
+        };
+        let dead: Vec<WorkerId> =
             self.workers.values().filter(lived).map(|worker| worker.peer.id.clone()).collect();
-        for id in gone {
-            self.remove_worker(&id, "another worker lives on its machine");
+        for id in dead {
+            self.bury(&id, "its machine has moved");
+        }
+    }
+
+    /// A worker's life is over for certain: the next scheduler is to know, since the store may list
+    /// it for a while.
+    pub fn bury(&mut self, id: &str, why: &str) {
+        self.remove_worker(id, why);
+        self.gone.insert(id.to_owned(), Instant::now());
+        self.roster.push(record::gone(id));
+    }
+
+    /// An earlier scheduler knew that a worker's life is over.
+    pub fn inherit_gone(&mut self, id: WorkerId, now: Instant) {
+        self.workers.remove(&id);
+        self.gone.insert(id, now);
+    }
+
+    /// Lets go of workers whose lives have been over for so long that nobody lists them any more.
+    pub fn forget_gone(&mut self, now: Instant) {
+        let is_old =
+            |_: &WorkerId, at: &mut Instant| now.saturating_duration_since(*at) > REMEMBER_GONE;
+        for (id, _) in self.gone.extract_if(is_old) {
+            self.roster.push(record::forget_gone(&id));
         }
     }
 
     /// Takes in a worker that an earlier scheduler used; it may not be listed any more.
     pub fn meet_known(&mut self, id: WorkerId, known: Known, now: Instant) {
-        if self.workers.contains_key(&id) {
+        if self.workers.contains_key(&id) || self.gone.contains_key(&id) {
             return;
         }
         if let Some(tasks) = &known.silent_with {
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -363,7 +363,7 @@
         match answer {
             Ok(()) => {
                 under_way.ordered = true;
-                scheduler.cell().end_other_lives(id, "");
+                scheduler.cell().end_lives_elsewhere(id, &under_way.to);
             }
             Err(error) if machine::is_fenced(&error) => scheduler.cell().fenced = true,
             Err(error) if error.is_certain() => {
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -25,6 +25,8 @@
 const CANCEL_PREFIX: &str = "cancel/";
 /// Start of the keys in [`PROGRESS_TOPIC`] that name workers which may run something.
 const WORKER_PREFIX: &str = "worker/";
+/// Start of the keys in [`PROGRESS_TOPIC`] that name workers whose life is over.
+const GONE_PREFIX: &str = "gone/";
 /// Start of the keys in [`PROGRESS_TOPIC`] that tell how far waves are.
 const WAVE_PREFIX: &str = "wave/";
 
@@ -110,6 +112,8 @@
     Progress(JobId, Progress),
     /// A worker that may run something.
     Worker(WorkerId, Known),
+    /// A worker whose life is over.
+    Gone(WorkerId),
     /// The machines of a wave whose upkeep has begun.
     Wave(u64, Vec<MachineId>),
     /// A key was dropped.
@@ -140,6 +144,10 @@
     format!("{WORKER_PREFIX}{id}")
 }
 
+fn gone_key(id: &str) -> String {
+    format!("{GONE_PREFIX}{id}")
+}
+
 fn wave_key(number: u64) -> String {
     format!("{WAVE_PREFIX}{number}")
 }
@@ -179,6 +187,17 @@
     Record::set(worker_key(id), encode(known))
 }
 
+/// The record of a worker whose life is over.
+pub fn gone(id: &str) -> Record {
+    // The value says nothing, but a record without one would drop the key.
+    Record::set(gone_key(id), encode(&true))
+}
+
+/// The record that lets go of a worker whose life is over.
+pub fn forget_gone(id: &str) -> Record {
+    Record::drop_key(gone_key(id))
+}
+
 /// The record of the machines of a wave whose upkeep has begun.
 pub fn wave(number: u64, begun: &[MachineId]) -> Record {
     Record::set(wave_key(number), encode(&begun))
@@ -221,6 +240,9 @@
         if let Some(id) = record.key.strip_prefix(WORKER_PREFIX) {
             return Ok(ProgressRecord::Worker(id.to_owned(), decode(&record.key, value)?));
         }
+        if let Some(id) = record.key.strip_prefix(GONE_PREFIX) {
+            return Ok(ProgressRecord::Gone(id.to_owned()));
+        }
         if let Some(number) = record.key.strip_prefix(WAVE_PREFIX) {
             let number = number.parse().map_err(|_| RecordError::Key(record.key.clone()))?;
             return Ok(ProgressRecord::Wave(number, decode(&record.key, value)?));
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -50,6 +50,7 @@
             Ok(ProgressRecord::Wave(number, begun)) => {
                 cell.begun.insert(number, begun.into_iter().collect());
             }
+            Ok(ProgressRecord::Gone(id)) => cell.inherit_gone(id, Instant::now()),
             Ok(ProgressRecord::Dropped) => {}
             Err(error) => log::error!("a record of progress cannot be used: {error}"),
         }
--- a/lib/src/batch/scheduler/look.rs
+++ b/lib/src/batch/scheduler/look.rs
@@ -105,7 +105,7 @@
             return false;
         }
         Some(Refusal::OtherLife) => {
-            scheduler.cell().remove_worker(id, "another life answers at its address");
+            scheduler.cell().bury(id, "another life answers at its address");
             scheduler.kick();
             return false;
         }
--- a/lib/src/batch/scheduler/send.rs
+++ b/lib/src/batch/scheduler/send.rs
@@ -132,7 +132,7 @@
                     return;
                 }
                 Some(Refusal::OtherLife) => {
-                    scheduler.cell().remove_worker(&peer.id, "another life answers at its address");
+                    scheduler.cell().bury(&peer.id, "another life answers at its address");
                     break;
                 }
                 Some(Refusal::Unhealthy) | None => {}
--- a/lib/src/batch/scheduler/tick.rs
+++ b/lib/src/batch/scheduler/tick.rs
@@ -45,6 +45,7 @@
                 upkeep::empty(&mut cell, &id, false);
             }
             cell.spare_users(now);
+            cell.forget_gone(now);
             cell.forget(keep, now)
         };
         forget(&scheduler, gone).await;
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -77,13 +77,15 @@
 
 struct Bed {
     cell: Cell,
+    begun: Instant,
     now: Instant,
 }
 
 impl Bed {
     /// A scheduler with workers `w0`, `w1` and so on, on machines `m0`, `m1` and so on.
     fn new(workers: usize) -> Bed {
-        let mut bed = Bed { cell: Cell::new(TOKEN), now: Instant::now() };
+        let now = Instant::now();
+        let mut bed = Bed { cell: Cell::new(TOKEN), begun: now, now };
         for number in 0..workers {
             bed.meet(&format!("w{number}"), &format!("m{number}"));
         }
@@ -118,7 +120,9 @@
             outcome: *outcome,
             checkpoint: String::new(),
         });
-        let seen = Seen { clock: 1_000, running: running.collect(), ended: ended.collect() };
+        // A worker's clock goes on from one answer to the next.
+        let clock = 1_000 + (self.now - self.begun).as_millis() as u64;
+        let seen = Seen { clock, running: running.collect(), ended: ended.collect() };
         self.now += MILLI;
         self.cell.on_look(id, sent, self.now, seen);
     }
@@ -216,6 +220,59 @@
     assert_eq!(bed.place(), []);
 }
 
+#[test]
+fn a_job_that_arrives_after_the_earlier_scheduler_gave_up_the_lead_waits_for_no_worker() {
+    let mut bed = Bed::new(2);
+    bed.cell.predecessor_is_done = true;
+    bed.cell.unasked = bed.cell.workers.keys().cloned().collect();
+    bed.look("w0", &[], &[]);
+    bed.cell.admit(1, accepted(vec![step(2)]), None);
+    bed.cell.admit(2, accepted(vec![step(2)]), Some(&Progress::default()));
+    // The earlier scheduler cannot have heard of the first; it may have started the second.
+    let starts = bed.start();
+    assert_eq!(starts.len(), 2);
+    assert!(starts.iter().all(|(_, task, _)| task.job == 1));
+}
+
+#[test]
+fn an_answer_that_was_overtaken_does_not_bring_back_a_run_that_is_over() {
+    let mut bed = Bed::new(1);
+    bed.look("w0", &[], &[]);
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    let (_, task, run) = bed.start().remove(0);
+    bed.cell.on_started("w0", task, run, bed.now);
+    let before = bed.now;
+    bed.look("w0", &[], &[(1, task, run, Outcome::Done)]);
+    // Sent earlier, on another connection, and answered while the task still ran.
+    bed.now = before;
+    bed.look("w0", &[(task, run)], &[]);
+    assert!(bed.cell.workers["w0"].slots.is_empty());
+}
+
+#[test]
+fn a_worker_whose_machine_has_moved_holds_up_no_later_scheduler() {
+    let mut first = Bed::new(2);
+    first.look_at_all();
+    first.cell.end_lives_elsewhere("m1", "another pool");
+    let flush = first.cell.take_flush();
+    let mut second = Bed::new(0);
+    for record in &flush.records {
+        match ProgressRecord::decode(record).unwrap() {
+            ProgressRecord::Gone(id) => second.cell.inherit_gone(id, second.now),
+            ProgressRecord::Worker(id, known) => second.cell.meet_known(id, known, second.now),
+            _ => {}
+        }
+    }
+    // The store lists both for a while.
+    second.meet("w0", "m0");
+    second.meet("w1", "m1");
+    let known: Vec<&String> = second.cell.workers.keys().collect();
+    assert_eq!(known, ["w0"]);
+    // What was moved to the pool it is in already goes on.
+    first.cell.end_lives_elsewhere("m0", "work");
+    assert!(first.cell.workers.contains_key("w0"));
+}
+
 #[test]
 fn a_run_that_is_found_before_its_job_arrives_is_the_run_of_its_task() {
     let mut bed = Bed::new(2);
