lead: after a release, a job that arrives waits for no worker that was not asked yet

Cause: until every worker has heard of a new scheduler, nothing of a service with a silent worker was started, since an earlier scheduler might go on. One that has given the lead up has ended: it can have started nothing of jobs that were not in the store when its successor read it.

Change: the scheduler ends before it releases, and its successor holds up only the jobs it has read.

--- a/lib/src/batch/lead.rs
+++ b/lib/src/batch/lead.rs
@@ -151,7 +151,7 @@
     log::info!(token; "holds the lead");
     node.counters.count("batch.lead.held");
     let gap = if view.continues_own_turn(node) { Duration::ZERO } else { node.settings.turn_gap };
-    let scheduler = Scheduler::begin(node.clone(), token, gap);
+    let scheduler = Scheduler::begin(node.clone(), token, gap, view.was_released());
     let why = renew(node, view, &scheduler).await;
     scheduler.end();
     node.set_scheduler(None);
@@ -167,6 +167,8 @@
     loop {
         if node.is_stopping() {
             scheduler.settle().await;
+            // Whoever follows relies on that nothing is started after the release.
+            scheduler.end();
             release(node, view).await;
             return "the node stops";
         }
--- a/lib/src/batch/lead/view.rs
+++ b/lib/src/batch/lead/view.rs
@@ -115,6 +115,11 @@
         })
     }
 
+    /// Whether the holder before that in `lead` gave it up.
+    pub(super) fn was_released(&self) -> bool {
+        self.previous.as_ref().is_some_and(|previous| previous.released)
+    }
+
     /// Takes in what was read from `from` on.
     pub(super) fn take_page(&mut self, from: Offset, page: &Page) {
         for (offset, record) in (from..).zip(&page.records) {
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -88,9 +88,15 @@
 
 impl Scheduler {
     /// Begins: reads the store, then looks at every worker, then starts tasks.
-    pub fn begin(node: Arc<Node>, token: Token, turn_gap: Duration) -> Arc<Scheduler> {
+    pub fn begin(
+        node: Arc<Node>,
+        token: Token,
+        turn_gap: Duration,
+        predecessor_is_done: bool,
+    ) -> Arc<Scheduler> {
         let now = Instant::now();
-        let cell = Cell::new(token);
+        let mut cell = Cell::new(token);
+        cell.predecessor_is_done = predecessor_is_done;
         let scheduler = Arc::new(Scheduler {
             node,
             token,
