commit: what follows a failed write stands in a function of its own

One function wrote, answered and chose what to try again over 55 lines. Behaviour unchanged; test_commit and the tests of slow and absent stores in test_platform pass as before.

--- a/lib/src/batch/commit.rs
+++ b/lib/src/batch/commit.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use spokelift_platform::call::CallError;
 use spokelift_platform::job::JobId;
 use spokelift_platform::store::Guard;
 use spokelift_platform::store::Record;
@@ -226,17 +227,20 @@
     node.commits.pace().begin(Instant::now());
     let written = node.append(record::JOB_TOPIC, &records, &Guard::None, WRITE).await;
     node.commits.pace().end(Instant::now(), written.is_ok());
-    let error = match written {
-        Ok(_) => {
-            for waiting in batch {
-                // A client that has gone asks for the job later.
-                let _ = waiting.answer.send(Written::Kept);
-            }
-            return Vec::new();
-        }
-        Err(error) => error,
-    };
-    node.counters.count("batch.submit.write-failed");
+    if let Err(error) = written {
+        node.counters.count("batch.submit.write-failed");
+        return retry_or_refuse(node, batch, &error);
+    }
+    for waiting in batch {
+        // A client that has gone asks for the job later.
+        let _ = waiting.answer.send(Written::Kept);
+    }
+    Vec::new()
+}
+
+/// Takes in that a batch was not written: answers the clients whose time is over, and all of them
+/// while the store is away; returns what is to be tried again.
+fn retry_or_refuse(node: &Node, batch: Vec<Waiting>, error: &CallError) -> Vec<Waiting> {
     let now = Instant::now();
     let pace = *node.commits.pace();
     let is_away = pace.away(now).is_some_and(|away| away >= GRACE);
@@ -254,7 +258,7 @@
         }
         let outcome =
             if waiting.certain { Written::Refused(pace.come_back(now)) } else { Written::Unknown };
-        // As above.
+        // A client that has gone asks for the job later.
         let _ = waiting.answer.send(outcome);
     }
     left
