batch: the time for which a start may go without an answer is learned for each worker

Change: 0.1 to 0.5 s for each worker, doubled after a start without an answer, four times the last answer otherwise; after the look the answer is awaited for as long as the look took, since a late node is late with both. The new test does not end within a minute before and passes in 2.9 s.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -331,6 +331,17 @@
     assert_sound(&site);
 }
 
+#[tokio::test]
+async fn a_worker_that_is_slow_to_answer_is_given_more_time() {
+    let site = Site::start(PROGRAM, 2, 3, 0).await.unwrap();
+    for worker in site.machines.workers() {
+        worker.set(worker::Fault::SlowStarts);
+    }
+    site.insist(&id(1), job(6, 100)).await;
+    site.until_succeeded(&id(1)).await;
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn a_worker_that_fails_everything_is_told_from_a_job_that_fails() {
     let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
--- a/lib/src/batch/scheduler/send.rs
+++ b/lib/src/batch/scheduler/send.rs
@@ -20,10 +20,9 @@
 use crate::batch::worker::Phase;
 use crate::transport::dial::ExchangeError;
 
-/// How long a start may go without an answer before a look asks for the run. Answers come in about
-/// 2 ms; a run that is not there is then stopped, and started elsewhere, after about 0.1 s.
-const ANSWER: Duration = Duration::from_millis(100);
-/// How long an order may take; answers come in about 2 ms.
+/// How long a start may take in all: the longest patience with a worker, and a look.
+const START: Duration = Duration::from_millis(1_000);
+/// How long another order may take; answers come in about 2 ms.
 const ORDER: Duration = Duration::from_millis(500);
 
 /// Sends an order and takes in the answer.
@@ -62,13 +61,23 @@
     peer: &Peer,
     start: &Start<'_>,
 ) -> Result<(), CallError> {
-    let sent = scheduler.node.workers.start(peer, start, ORDER);
+    let patience = scheduler.cell().workers.get(&peer.id).map_or(START, |worker| worker.patience);
+    let begun = Instant::now();
+    let sent = scheduler.node.workers.start(peer, start, START);
     let mut sent = std::pin::pin!(sent);
-    if let Ok(taken) = timeout(ANSWER, &mut sent).await {
+    if let Ok(taken) = timeout(patience, &mut sent).await {
+        note_answer(scheduler, peer, Some(begun.elapsed()));
         return taken.map(drop);
     }
     scheduler.node.counters.count("batch.start.no-answer");
+    let asked = Instant::now();
     look_now(scheduler, peer).await;
+    // Where this node itself is late, the look was as late as the answer to the start is.
+    if let Ok(taken) = timeout(asked.elapsed(), &mut sent).await {
+        note_answer(scheduler, peer, Some(begun.elapsed()));
+        return taken.map(drop);
+    }
+    note_answer(scheduler, peer, None);
     let cell = scheduler.cell();
     let slot = cell.workers.get(&peer.id).and_then(|worker| worker.slots.get(&start.task));
     let is_open = slot.is_some_and(|slot| slot.run == start.run && slot.phase == Phase::Starting);
@@ -80,6 +89,16 @@
     }
 }
 
+/// Learns how long answers of a worker take; `None` if there was none.
+fn note_answer(scheduler: &Scheduler, peer: &Peer, took: Option<Duration>) {
+    let mut cell = scheduler.cell();
+    let Some(worker) = cell.workers.get_mut(&peer.id) else { return };
+    match took {
+        Some(took) => worker.note_answer(took),
+        None => worker.note_no_answer(),
+    }
+}
+
 /// A run is named by its task and its number.
 type RunName = (TaskName, Run);
 
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -23,6 +23,12 @@
 /// Added to the end of a lease before what ran under it counts as gone.
 const LEASE_SLACK: Duration = Duration::from_millis(100);
 
+/// Least and longest time for which a start may go without an answer before a look asks for the run.
+/// Answers come in about 2 ms; those of a holder that is short of processor in up to 0.5 s.
+const PATIENCE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
+/// How many times as long as the last answer took the next one may take.
+const PATIENCE_RATIO: u32 = 4;
+
 /// How sure it is that a run is on the worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
@@ -150,6 +156,8 @@
     pub cordoned: bool,
     /// Runs in a row that failed, of different tasks.
     pub failures: u32,
+    /// How long a start may go without an answer before a look asks for the run.
+    pub patience: Duration,
     /// When it was met.
     pub met_at: Instant,
     /// A task looks at it.
@@ -179,6 +187,7 @@
             excused_until: None,
             cordoned: false,
             failures: 0,
+            patience: PATIENCE.0,
             met_at: now,
             looked_at: false,
             noted_silent: false,
@@ -249,6 +258,17 @@
         self.closed(now).is_none()
     }
 
+    /// A start was answered, after `took`. A worker that is slow to answer is given more time.
+    pub fn note_answer(&mut self, took: Duration) {
+        let patience = (self.patience / 2).max(took * PATIENCE_RATIO);
+        self.patience = patience.clamp(PATIENCE.0, PATIENCE.1);
+    }
+
+    /// A start had no answer in time: it was lost, or the time was too short.
+    pub fn note_no_answer(&mut self) {
+        self.patience = (self.patience * 2).min(PATIENCE.1);
+    }
+
     /// Whether a task of this size fits beside what may run there.
     pub fn fits(&self, need: Room) -> bool {
         need.cpu <= self.free.cpu
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -51,6 +51,8 @@
     FailsAll,
     /// It starts tasks and does not answer.
     LosesStarts,
+    /// It takes [`SLOW_START`] to start a task, and answers then.
+    SlowStarts,
 }
 
 struct Running {
@@ -115,6 +117,9 @@
     ended: Notify,
 }
 
+/// How long a worker that is slow to start takes for it.
+const SLOW_START: Duration = Duration::from_millis(200);
+
 /// What a worker is to be.
 #[derive(Clone, Debug)]
 pub struct Shape {
@@ -286,6 +291,9 @@
     }
 
     async fn start(&self, body: &Value) -> Response<Body> {
+        if self.state().fault == Fault::SlowStarts {
+            sleep(SLOW_START).await;
+        }
         let clock = self.clock();
         match self.take(body, clock) {
             Ok(true) => answer(200, &json!({ "clockMs": clock })),
