log_limit: one write takes no more than the queue holds; its test waits for the output to stall

Cause: the test took for granted that the writer's thread was stalled before the lines came, and that the queue had room again once a line was seen. Begun late, the thread drained the queue while the test filled it, so that the lost lines were told of in the middle; and the last line could be lost as well. A batch is bounded by the queue's size: a writer that is as fast as the thread could have grown it without end.

--- a/lib/src/log_limit.rs
+++ b/lib/src/log_limit.rs
@@ -152,7 +152,8 @@
 fn drain(queue: &Receiver<Vec<u8>>, mut output: impl Write, written: &AtomicU64) {
     while let Ok(mut bytes) = queue.recv() {
         let mut lines = 1;
-        for line in queue.try_iter() {
+        // No more than the queue holds, or a fast writer could keep it here and grow it without end.
+        for line in queue.try_iter().take(QUEUE) {
             bytes.extend_from_slice(&line);
             lines += 1;
         }
--- a/lib/tests/test_log_limit.rs
+++ b/lib/tests/test_log_limit.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,12 +30,15 @@
 
 /// An output that takes nothing until it is told to.
 struct Stalled {
+    entered: SyncSender<()>,
     go: Receiver<()>,
     seen: Arc<Mutex<Vec<u8>>>,
 }
 
 impl Write for Stalled {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // The test waits for the first write only.
+        let _ = self.entered.try_send(());
         // Once the test has let it go, the sender is gone.
         let _ = self.go.recv();
         self.seen.lock().unwrap().extend_from_slice(bytes);
@@ -50,8 +54,12 @@
 fn a_reader_that_stalls_holds_nobody_up() {
     let (release, go) = sync_channel(1);
     let seen = Arc::<Mutex<Vec<u8>>>::default();
-    let (mut pipe, progress) = Pipe::new(Stalled { go, seen: seen.clone() });
-    for number in 0..20_000 {
+    let (entered, stalls) = sync_channel(1);
+    let (mut pipe, progress) = Pipe::new(Stalled { entered, go, seen: seen.clone() });
+    pipe.write_all(b"line 0\n").unwrap();
+    // From here on nothing leaves the queue, so most of what follows is lost.
+    stalls.recv().unwrap();
+    for number in 1..20_000 {
         pipe.write_all(format!("line {number}\n").as_bytes()).unwrap();
     }
     drop(release);
@@ -64,8 +72,9 @@
         progress.settle();
     }
     assert!(contains("line 4000\n"));
-    pipe.write_all(b"the end\n").unwrap();
+    // The queue may still be full behind the lines that were seen, and then this one is lost too.
     while !contains("the end\n") && Instant::now() < until {
+        pipe.write_all(b"the end\n").unwrap();
         progress.settle();
     }
     assert!(contains("lines were lost, the reader of the log is slow\nthe end\n"));
