--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -25,7 +25,7 @@
 
 /// Least and longest time for which a start may go without an answer before a look asks for the run.
 /// Answers come in about 2 ms; those of a holder that is short of processor in up to 0.5 s.
-const PATIENCE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
+const PATIENCE: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(500));
 /// How many times as long as the last answer took the next one may take.
 const PATIENCE_RATIO: u32 = 4;
 
