testutils: the ports of a daemon are chosen together; a wait that fails shows what the daemons wrote

Cause, as far as it can be told: a port was let go before the next was chosen, so a daemon could be given the same port twice (measured: 6 of 60,000 choices of three), could not bind and ended; nothing starts it again in a test. The second port of a daemon's range was not looked at at all. Ruled out: a start that is slow or hangs by itself: 960 starts of two daemons, eight side by side, took 0.9 s at most. From now on a failed wait prints whether each daemon runs and its last 20 lines. The older home's trial chose its ports in the same way and uses the same function now. Addresses of tests begin anew after 250, where the 255th daemon of a process panicked.

--- a/cli/src/trial/stage.rs
+++ b/cli/src/trial/stage.rs
@@ -25,6 +25,7 @@
 use spokelift_testutils::ledger::Ledger;
 use spokelift_testutils::ledger::Told;
 use spokelift_testutils::log::Log;
+use spokelift_testutils::ports;
 use spokelift_testutils::site::Site;
 use spokelift_testutils::site::caller_secret;
 use spokelift_testutils::worker::Worker;
@@ -216,10 +217,10 @@
 
 /// Settings of six daemons, each on a loopback address of its own.
 fn settings(site: &Site, log: SocketAddr, boxes: SocketAddr) -> std::io::Result<Vec<Settings>> {
-    let mut addrs = Vec::new();
+    let mut addrs: Vec<[SocketAddr; 3]> = Vec::new();
     for id in 0..DAEMONS {
         let ip = IpAddr::V4(Ipv4Addr::new(127, 2, 0, id as u8 + 1));
-        addrs.push([free_port(ip)?, free_port(ip)?, free_port(ip)?]);
+        addrs.push(ports::free(ip)?);
     }
     let mut all = Vec::new();
     for id in 0..DAEMONS {
@@ -255,9 +256,3 @@
     }
     Ok(all)
 }
-
-/// A port that was free a moment ago, on an address that nothing else of this machine uses.
-fn free_port(ip: IpAddr) -> std::io::Result<SocketAddr> {
-    let tcp = std::net::TcpListener::bind(SocketAddr::new(ip, 0))?;
-    tcp.local_addr()
-}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod log;
 pub mod platform;
+pub mod ports;
 pub mod process;
 pub mod proxy;
 pub mod scenario;
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -211,7 +211,8 @@
             }
             sleep(PAUSE).await;
         }
-        panic!("not within a minute: {what}");
+        let accounts: Vec<String> = self.nodes.iter().map(Node::account).collect();
+        panic!("not within a minute: {what}\n{}", accounts.join("\n"));
     }
 
     /// Waits until a job has succeeded, by whichever node answers.
--- a/testutils/src/platform/site/node.rs
+++ b/testutils/src/platform/site/node.rs
@@ -1,5 +1,6 @@
 //! A daemon on the users' platform, as a real process.
 
+use std::fs::OpenOptions;
 use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -7,7 +8,6 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
-use std::process::Stdio;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU32;
@@ -25,10 +25,15 @@
 use crate::platform::site::PAUSE;
 use crate::platform::store::Door;
 use crate::platform::store::Store;
+use crate::ports;
 use crate::proxy::Proxy;
 
 /// Credential of the site's operator.
 pub const SITE_KEY: &str = "site:a-secret-of-the-site";
+/// Lines of a daemon's log that are shown when something awaited did not come.
+const LAST_LINES: usize = 20;
+/// Loopback addresses that a process of tests gives out before it begins anew.
+const OWN_ADDRESSES: u32 = 250;
 /// Loopback addresses given out in this process.
 static ADDRESSES: AtomicU32 = AtomicU32::new(0);
 
@@ -54,6 +59,8 @@
     /// Where operators call it.
     pub operate_addr: SocketAddr,
     file: PathBuf,
+    /// Where the process writes its log, unless it writes to the test's own output.
+    output: PathBuf,
     program: String,
     child: Mutex<Option<Child>>,
 }
@@ -64,9 +71,9 @@
         let ip = own_address();
         let door = store.door().await?;
         let store_line = Proxy::start(door.addr).await?;
-        let (front, readiness) = (free_port(ip)?, free_port(ip)?);
+        let ([front, readiness], peers) = ports::free_and_pair(ip)?;
         let client_line = Proxy::start(front).await?;
-        let peers = free_port(ip)?.port();
+        let peers = peers.port();
         let file = std::env::temp_dir().join(format!("spokelift-{ip}.toml"));
         let Place { number, cpu_share, machines, advice } = place;
         let text = format!(
@@ -81,25 +88,40 @@
             store = store_line.addr,
         );
         std::fs::write(&file, text)?;
+        let output = file.with_extension("log");
         let program = program.to_owned();
         let operate_addr = SocketAddr::new(ip, peers + 1);
         let child = Mutex::default();
-        Ok(Node { door, store_line, client_line, operate_addr, file, program, child })
+        Ok(Node { door, store_line, client_line, operate_addr, file, output, program, child })
     }
 
     /// Starts the process; one that still runs is killed first.
     pub fn start(&self) -> io::Result<()> {
         self.kill();
-        let log = std::env::var_os("SPOKELIFT_TEST_LOG").is_some();
-        let output = || if log { Stdio::inherit() } else { Stdio::null() };
         let secret = SITE_KEY.split_once(':').expect("a credential has two parts").1;
         let mut command = Command::new(&self.program);
         command.arg("--platform").env(spokelift_platform::settings::VARIABLE, &self.file);
         command.env("SPOKELIFT_SITE_KEY_HASH", format_hash(&hash_secret(secret)));
-        *self.child() = Some(command.stdout(output()).stderr(output()).spawn()?);
+        if std::env::var_os("SPOKELIFT_TEST_LOG").is_none() {
+            let output = OpenOptions::new().create(true).append(true).open(&self.output)?;
+            command.stdout(output.try_clone()?).stderr(output);
+        }
+        *self.child() = Some(command.spawn()?);
         Ok(())
     }
 
+    /// Whether the process runs, and the last lines that it wrote.
+    pub(super) fn account(&self) -> String {
+        let running = if self.is_running() { "runs" } else { "does not run" };
+        let text = match std::fs::read_to_string(&self.output) {
+            Ok(text) => text,
+            Err(error) => format!("(no output: {error})"),
+        };
+        let lines: Vec<&str> = text.lines().collect();
+        let last = lines.len().saturating_sub(LAST_LINES);
+        format!("{} {running}\n{}", self.file.display(), lines[last..].join("\n"))
+    }
+
     fn child(&self) -> MutexGuard<'_, Option<Child>> {
         self.child.lock().expect("no holder panics")
     }
@@ -147,20 +169,16 @@
 impl Drop for Node {
     fn drop(&mut self) {
         self.kill();
-        // The file lies in the directory for temporary files.
+        // The files lie in the directory for temporary files.
         let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(&self.output);
     }
 }
 
 /// A loopback address that no other test process uses, so that a port that was found free on it
-/// stays free.
+/// stays free; the daemons of long ago, whose addresses come again, are gone.
 fn own_address() -> IpAddr {
     let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
     let [.., high, low] = std::process::id().to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number as u8 + 1))
-}
-
-/// A port that is free now.
-fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
-    std::net::TcpListener::bind((ip, 0))?.local_addr()
+    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, (number % OWN_ADDRESSES) as u8 + 1))
 }
