relay, lead: a second try through a peer no longer hides that the first was done

A store that takes 0.43 s was asked through a peer after 0.3 s as well; it had done the first try, so it refused the second one, and that refusal was returned. Ruled out: a lost lead (the token stays), the rate of orders, the interface for boxes (not slow). Change: the answer of the first try is awaited beside the second one and counts. A renewal that is found by reading counts too, from when it was first sent. The next renewal is sent 0.6 s after the last one was sent, not after it was answered. The new test fails without the change (no box is moved in a minute) and takes 8 s with it.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -15,6 +15,8 @@
 use spokelift_testutils::platform::site::node::SITE_KEY;
 use spokelift_testutils::platform::store::Fault;
 use spokelift_testutils::platform::worker;
+use spokelift_testutils::proxy;
+use spokelift_testutils::proxy::Flow;
 use tokio::time::sleep;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
@@ -157,6 +159,31 @@
     assert_sound(&site);
 }
 
+#[tokio::test]
+async fn a_holder_whose_answers_come_late_goes_on_renewing_and_ordering() {
+    let site = Site::start(PROGRAM, 3, 2, 3).await.unwrap();
+    site.until("the nodes know each other", async |site| site.store.read_whole("keyed.nodes") >= 9)
+        .await;
+    let leader = site.leader().unwrap();
+    // Longer than an append waits until a peer is asked as well, which the store refuses then.
+    let late = Flow::Delay(Duration::from_millis(400));
+    site.nodes[leader].store_line.set(proxy::Fault { answer: late, ..proxy::Fault::default() });
+    let before = site.store.appends("keyed.lead");
+    site.until("the lead is renewed", async |site| site.store.appends("keyed.lead") > before + 8)
+        .await;
+    for number in 0..12 {
+        site.insist(&id(number), job(8, 500)).await;
+    }
+    site.until("a machine was moved", async |site| site.machines.in_pool("work") > 2).await;
+    let metrics = site.metrics(leader).await.unwrap();
+    assert!(!metrics.contains("lead_renew_failed"), "{metrics}");
+    for number in 0..12 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_eq!(site.leader(), Some(leader));
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn what_was_accepted_survives_the_death_of_all() {
     let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
--- a/lib/src/batch/lead.rs
+++ b/lib/src/batch/lead.rs
@@ -164,6 +164,8 @@
 /// Renews the lead; returns why that ended.
 async fn renew(node: &Arc<Node>, view: &mut View, scheduler: &Arc<Scheduler>) -> &'static str {
     let mut renewals = 0;
+    // When the renewal under way was first tried.
+    let mut tried_at = None;
     loop {
         if node.is_stopping() {
             scheduler.settle().await;
@@ -177,19 +179,28 @@
         }
         let Some(end) = view.end else { return "the end of the topic is not known" };
         let sent = Instant::now();
+        let first_sent = *tried_at.get_or_insert(sent);
         let record = Lead::of(node, false, renewals + 1).record();
         match node.append(TOPIC, &[record], &Guard::At(end), CALL).await {
             Ok(appended) => {
                 view.end = Some(appended.end);
                 renewals += 1;
+                tried_at = None;
                 scheduler.set_renewed(sent);
-                node.wait_stopping(RENEW).await;
+                node.wait_stopping(RENEW.saturating_sub(sent.elapsed())).await;
             }
             Err(error) => {
                 node.counters.count("batch.lead.renew-failed");
                 if is_overtaken(node, view, end).await {
                     return "another node holds it";
                 }
+                if view.has_renewal(renewals + 1) {
+                    // It was done, perhaps by the first try; only its answer was lost.
+                    renewals += 1;
+                    tried_at = None;
+                    scheduler.set_renewed(first_sent);
+                    continue;
+                }
                 log::debug!("the lead cannot be renewed: {error}");
                 sleep(PAUSE).await;
             }
--- a/lib/src/batch/lead/view.rs
+++ b/lib/src/batch/lead/view.rs
@@ -65,6 +65,11 @@
         self.lead.as_ref().is_some_and(|lead| lead.life == node.life && !lead.released)
     }
 
+    /// Whether the last record read is that renewal, or a later one, of its holder.
+    pub(super) fn has_renewal(&self, number: u32) -> bool {
+        self.lead.as_ref().is_some_and(|lead| lead.renewals >= number)
+    }
+
     /// Whether this node may claim the lead, now or after [`View::reserve`].
     pub(super) fn is_free(&self, node: &Node) -> bool {
         match &self.lead {
--- a/lib/src/batch/relay.rs
+++ b/lib/src/batch/relay.rs
@@ -175,22 +175,35 @@
         }
         let direct = self.append_directly(&partition, records, guard, wait);
         let mut direct = std::pin::pin!(direct);
-        let early = match timeout(HEDGE, &mut direct).await {
-            Ok(Err(error)) if !error.is_turned_away() => return Err(settle(error, guard, known)),
+        let mut failed = match timeout(HEDGE, &mut direct).await {
             Ok(Ok(appended)) => return Ok(appended),
-            early => early,
+            Ok(Err(error)) if !error.is_turned_away() => return Err(settle(error, guard, known)),
+            Ok(Err(error)) => Some(error),
+            Err(_) => None,
+        };
+        let mut relayed = std::pin::pin!(self.relay(call()));
+        // A slow store may answer the first try before the second one, which it refuses then.
+        let relayed = tokio::select! {
+            done = &mut direct, if failed.is_none() => match done {
+                Ok(appended) => return Ok(appended),
+                Err(error) => {
+                    failed = Some(error);
+                    relayed.await
+                }
+            },
+            relayed = &mut relayed => relayed,
         };
-        let relayed = self.relay(call()).await;
         known &= matches!(relayed, Some(Answer::Away | Answer::Refused { .. }));
-        match (relayed, early) {
+        match (relayed, failed) {
             (Some(Answer::Appended(appended)), _) => Ok(appended),
-            (Some(Answer::Refused { status, reason }), early) => {
-                known &= early.is_ok_and(|done| done.is_err_and(|error| error.is_certain()));
+            (Some(Answer::Refused { status, reason }), Some(error)) => {
+                known &= error.is_certain();
                 let error = CallError::Refused { status, reason, body: Bytes::new() };
                 Err(settle(error, guard, known))
             }
-            (_, Ok(done)) => done.map_err(|error| settle(error, guard, known)),
-            (_, Err(_)) => direct.await.map_err(|error| settle(error, guard, known)),
+            (_, Some(error)) => Err(settle(error, guard, known)),
+            // The peer may have been refused since the first try is done and its answer on the way.
+            (_, None) => direct.await.map_err(|error| settle(error, guard, known)),
         }
     }
 
