commit: no job is sent to a store that gives no answer; it is refused for certain, at once

Change: after an append without an answer, and while one is overdue by 0.9 s, jobs are refused with 503, which is true since they were not sent; an append of nothing, each 0.12 s, tells when the store answers again. The new test fails without the change (504 in place of 503).

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -184,6 +184,28 @@
     assert_sound(&site);
 }
 
+#[tokio::test]
+async fn a_job_that_comes_while_the_store_is_silent_is_refused_for_certain() {
+    let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    for node in &site.nodes {
+        node.door.set(Fault::Silent);
+    }
+    // Nobody knows what became of the one that was under way.
+    assert_eq!(site.submit(0, &id(1), job(1, 10)).await, 504);
+    for number in 2..8 {
+        assert_eq!(site.submit(0, &id(number), job(1, 10)).await, 503);
+    }
+    for node in &site.nodes {
+        node.door.set(Fault::None);
+    }
+    site.insist(&id(9), job(1, 10)).await;
+    site.until_succeeded(&id(9)).await;
+    for number in 2..8 {
+        assert_eq!(site.state(0, &id(number)).await, Err(410));
+    }
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn what_was_accepted_survives_the_death_of_all() {
     let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
--- a/lib/src/batch/commit.rs
+++ b/lib/src/batch/commit.rs
@@ -38,6 +38,14 @@
 /// Bounds of the time after which a client that was refused comes back. In between it is as long as
 /// the store has been away: an outage lasts about as much longer as it has lasted.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(2_500));
+/// How long the append under way may go without an answer until jobs are refused as soon as they
+/// come. A store that is 60 times slower than usual answers within 0.9 s; what comes after that
+/// would have to wait for the rest of this append and for its own, longer than its client does.
+const OVERDUE: Duration = Duration::from_millis(900);
+/// How long a silent store is given to answer an append of nothing.
+const PROBE: Duration = Duration::from_millis(1_000);
+/// Time between these.
+const PROBE_PAUSE: Duration = Duration::from_millis(120);
 /// Pause between tries; the store refuses within 5 ms.
 const PAUSE: Duration = Duration::from_millis(60);
 /// Jobs that may wait for one node's writer; about 10 s of all that a large site asks for.
@@ -77,6 +85,8 @@
     sent: Option<Instant>,
     /// Since when every append has failed.
     away_since: Option<Instant>,
+    /// The last append had no answer.
+    is_silent: bool,
 }
 
 impl Pace {
@@ -92,6 +102,18 @@
         self.away_since = if is_done { None } else { self.away_since.or(Some(now)) };
     }
 
+    /// The last append had no answer, or has one at last.
+    pub fn set_silent(&mut self, is_silent: bool) {
+        self.is_silent = is_silent;
+    }
+
+    /// Whether the store gives no answer: of a job that is sent to it nobody knows whether it is
+    /// kept, and one that is not sent can be refused for certain.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let overdue = |sent| now.saturating_duration_since(sent) > OVERDUE;
+        self.is_silent || self.sent.is_some_and(overdue)
+    }
+
     /// How long every append has failed; `None` if the last one was done.
     pub fn away(&self, now: Instant) -> Option<Duration> {
         self.away_since.map(|since| now.saturating_duration_since(since))
@@ -168,10 +190,14 @@
     /// Once a write has had no answer, the job may be taken whatever later tries say.
     pub async fn commit(&self, id: JobId, accepted: Accepted, until: Instant) -> Written {
         let now = Instant::now();
-        let wait = self.commits.pace().wait(now);
-        if now + wait >= until {
+        let pace = *self.commits.pace();
+        if pace.is_silent(now) {
+            self.counters.count("batch.submit.refused.silent");
+            return Written::Refused(pace.come_back(now));
+        }
+        if now + pace.wait(now) >= until {
             self.counters.count("batch.submit.refused.pace");
-            return Written::Refused(self.commits.pace().come_back(now));
+            return Written::Refused(pace.come_back(now));
         }
         let (answer, answered) = oneshot::channel();
         let claimed = Arc::new(AtomicBool::new(false));
@@ -220,12 +246,33 @@
             left.push(waiting);
         }
         left = write(&node, left).await;
-        if !left.is_empty() {
+        if node.commits.pace().is_silent {
+            await_answer(&node).await;
+        } else if !left.is_empty() {
             sleep(PAUSE).await;
         }
     }
 }
 
+/// Waits until the store answers again. Meanwhile nothing is sent that could be kept unheard.
+async fn await_answer(node: &Node) {
+    let since = Instant::now();
+    log::info!("jobs are refused: the store gives no answer");
+    loop {
+        sleep(PROBE_PAUSE).await;
+        match node.append(node.partition_for_jobs(), &[], &Guard::None, PROBE).await {
+            Err(error) if !error.is_certain() => {
+                node.counters.count("batch.submit.probe-unanswered");
+                log::debug!("the store still gives no answer: {error}");
+            }
+            Ok(_) | Err(_) => break,
+        }
+    }
+    node.commits.pace().set_silent(false);
+    let silent_ms = since.elapsed().as_millis() as u64;
+    log::info!(silent_ms; "the store answers again");
+}
+
 fn size(waiting: &Waiting) -> usize {
     waiting.record.key.len() + waiting.record.value.as_ref().map_or(0, Vec::len)
 }
@@ -249,6 +296,7 @@
     if let Err(error) = written {
         node.counters.count("batch.submit.write-failed");
         node.commits.failures.fetch_add(1, Ordering::Relaxed);
+        node.commits.pace().set_silent(!error.is_certain());
         return retry_or_refuse(node, batch, &error);
     }
     for waiting in batch {
