batch: after a release of the lead only boxes rest that were ordered lately

Cause: each new holder of the lead left all boxes alone for 3 s, since nobody knew what the one before had ordered. Change: a holder that gives up the lead ends its turn first and names in its record the boxes it ordered within that time; the next one leaves those alone. A holder that is only silent still makes all rest. The first holder of a site rests for nobody.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -533,6 +533,25 @@
     assert_sound(&site);
 }
 
+#[tokio::test]
+async fn after_a_planned_stop_the_next_scheduler_moves_machines_at_once() {
+    // Longer than anything is awaited here.
+    let turn_gap = Duration::from_secs(600);
+    let site = Site::start_with_turn_gap(PROGRAM, 2, 2, 4, turn_gap).await.unwrap();
+    // Tasks that last, so that what one scheduler fetches is needed under the next one as well.
+    site.insist(&id(0), lasting(40)).await;
+    site.until("the first moves machines", async |site| site.machines.in_pool("work") > 2).await;
+    let leader = site.leader().unwrap();
+    site.nodes[leader].signal(Signal::SIGTERM).unwrap();
+    assert_eq!(site.nodes[leader].ended(Duration::from_secs(10)).await, Some(true));
+    let before = site.machines.in_pool("work");
+    assert!(before < 6, "nothing is left to be moved");
+    site.insist(&id(1), lasting(60)).await;
+    site.until("the next moves machines", async |site| site.machines.in_pool("work") > before)
+        .await;
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn a_planned_stop_hands_over_and_ends_well() {
     let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -24,6 +24,7 @@
 pub mod relay;
 pub mod scheduler;
 pub mod submit;
+pub mod turn;
 pub mod upkeep;
 pub mod view;
 pub mod worker;
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -52,8 +52,11 @@
             }
         };
         let mut orders = per_round;
-        waves.advance(&scheduler, &machines, &list, &pools.busy(), &mut orders).await;
-        pools.advance(&scheduler, &machines, &list, &waves.busy(), orders).await;
+        let resting = scheduler.turn.resting(Instant::now());
+        let taken = &pools.busy() | &resting;
+        waves.advance(&scheduler, &machines, &list, &taken, &mut orders).await;
+        let taken = &waves.busy() | &resting;
+        pools.advance(&scheduler, &machines, &list, &taken, orders).await;
         let mut busy = waves.busy();
         busy.extend(pools.busy());
         uncordon(&scheduler, &busy, &list);
--- a/lib/src/batch/lead.rs
+++ b/lib/src/batch/lead.rs
@@ -24,6 +24,8 @@
 use crate::batch::lead::view::View;
 use crate::batch::node::Node;
 use crate::batch::scheduler::Scheduler;
+use crate::batch::turn::Resting;
+use crate::batch::turn::Turn;
 
 /// Topic with the one record of the lead.
 const TOPIC: &str = "keyed.lead";
@@ -55,13 +57,22 @@
     pub released: bool,
     /// How often the holder has renewed it.
     pub renewals: u32,
+    /// Boxes that the next holder has to leave alone at first.
+    pub resting: Resting,
 }
 
 impl Lead {
-    fn of(node: &Node, released: bool, renewals: u32) -> Lead {
+    /// A claim or a renewal: if nothing more is heard, nobody knows what the holder has ordered.
+    fn held(node: &Node, renewals: u32) -> Lead {
         let settings = &node.settings;
         let addr = settings.peer_addr();
-        Lead { node: settings.node.clone(), life: node.life, addr, released, renewals }
+        let (node, life) = (settings.node.clone(), node.life);
+        Lead { node, life, addr, released: false, renewals, resting: Resting::Every }
+    }
+
+    /// The holder gives it up.
+    fn released(node: &Node, resting: Resting) -> Lead {
+        Lead { released: true, resting, ..Lead::held(node, 0) }
     }
 
     fn record(&self) -> Record {
@@ -137,7 +148,7 @@
 /// one that counts, also if the answer is lost.
 async fn claim(node: &Node, view: &mut View) {
     let Some(end) = view.end else { return };
-    let record = Lead::of(node, false, 0).record();
+    let record = Lead::held(node, 0).record();
     let claimed = node.append(TOPIC, &[record], &Guard::At(end), CALL).await;
     log::info!(at = end, ok = claimed.is_ok(); "claims the lead");
     if claimed.is_err() {
@@ -150,8 +161,8 @@
     let token: Token = view.offset + 1;
     log::info!(token; "holds the lead");
     node.counters.count("batch.lead.held");
-    let gap = if view.continues_own_turn(node) { Duration::ZERO } else { node.settings.turn_gap };
-    let scheduler = Scheduler::begin(node.clone(), token, gap, view.was_released());
+    let turn = Turn::new(node.settings.turn_gap, view.resting(node), Instant::now());
+    let scheduler = Scheduler::begin(node.clone(), token, turn, view.was_released());
     let why = renew(node, view, &scheduler).await;
     scheduler.end();
     node.set_scheduler(None);
@@ -171,7 +182,7 @@
             scheduler.settle().await;
             // Whoever follows relies on that nothing is started after the release.
             scheduler.end();
-            release(node, view).await;
+            release(node, view, scheduler.turn.end(Instant::now())).await;
             return "the node stops";
         }
         if scheduler.is_fenced() {
@@ -180,7 +191,7 @@
         let Some(end) = view.end else { return "the end of the topic is not known" };
         let sent = Instant::now();
         let first_sent = *tried_at.get_or_insert(sent);
-        let record = Lead::of(node, false, renewals + 1).record();
+        let record = Lead::held(node, renewals + 1).record();
         match node.append(TOPIC, &[record], &Guard::At(end), CALL).await {
             Ok(appended) => {
                 view.end = Some(appended.end);
@@ -222,9 +233,9 @@
     }
 }
 
-async fn release(node: &Node, view: &View) {
+async fn release(node: &Node, view: &View, resting: Resting) {
     let Some(end) = view.end else { return };
-    let record = Lead::of(node, true, 0).record();
+    let record = Lead::released(node, resting).record();
     if let Err(error) = node.append(TOPIC, &[record], &Guard::At(end), CALL).await {
         // The others then wait for the silence.
         log::warn!("the lead cannot be given up: {error}");
--- a/lib/src/batch/lead/view.rs
+++ b/lib/src/batch/lead/view.rs
@@ -1,5 +1,6 @@
 //! What a node knows of the lead, and when it may claim it.
 
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,6 +12,7 @@
 use crate::batch::lead::RENEW;
 use crate::batch::lead::TAKEOVER;
 use crate::batch::node::Node;
+use crate::batch::turn::Resting;
 
 /// The claim of each node waits up to this much longer, so that few collide.
 const SPREAD: Duration = Duration::from_millis(250);
@@ -57,6 +59,8 @@
     /// This node's own turn is over.
     pub(super) fn drop_own(&mut self) {
         self.lead = None;
+        // It says nothing of the turn that has just ended.
+        self.previous = None;
         self.heard_at = Instant::now();
     }
 
@@ -113,13 +117,24 @@
 
     /// Whether the last turn was this node's own, in an earlier life, and so long that the one
     /// before it is far enough away.
-    pub(super) fn continues_own_turn(&self, node: &Node) -> bool {
+    fn continues_own_turn(&self, node: &Node) -> bool {
         let gap = node.settings.turn_gap;
         self.previous.as_ref().is_some_and(|previous| {
             previous.node == node.settings.node && RENEW * previous.renewals > gap
         })
     }
 
+    /// Boxes that the holder before that in `lead` may have ordered last.
+    pub(super) fn resting(&self, node: &Node) -> Resting {
+        match &self.previous {
+            _ if self.continues_own_turn(node) => Resting::These(HashSet::new()),
+            Some(previous) => previous.resting.clone(),
+            // The claim is the first record of the topic: nobody has ordered anything.
+            None if self.offset == 0 => Resting::These(HashSet::new()),
+            None => Resting::Every,
+        }
+    }
+
     /// Whether the holder before that in `lead` gave it up.
     pub(super) fn was_released(&self) -> bool {
         self.previous.as_ref().is_some_and(|previous| previous.released)
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -346,7 +346,9 @@
         }
         let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
         let moves = &self.moves;
-        let calls = ids.iter().filter_map(|id| {
+        let now = Instant::now();
+        let ids = ids.iter().filter(|id| scheduler.turn.begin_order(id, now));
+        let calls = ids.filter_map(|id| {
             let to = &moves.get(id)?.to;
             Some(async move { (id, machines.shift(holder, id, to, CALL).await) })
         });
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -39,6 +39,7 @@
 use crate::batch::scheduler::look::spawn_all_looks;
 use crate::batch::scheduler::send::send;
 use crate::batch::scheduler::tick::tick;
+use crate::batch::turn::Turn;
 use crate::batch::view;
 
 /// Name under which the store knows the writer of the progress topic.
@@ -80,9 +81,8 @@
     renewed_at: Mutex<Instant>,
     /// When this scheduler began.
     pub began_at: Instant,
-    /// How long after that no order about a machine is given, since the turn of an earlier holder
-    /// must be over for some time.
-    turn_gap: Duration,
+    /// Its turn to order machines.
+    pub turn: Turn,
     over: CancellationToken,
 }
 
@@ -91,7 +91,7 @@
     pub fn begin(
         node: Arc<Node>,
         token: Token,
-        turn_gap: Duration,
+        turn: Turn,
         predecessor_is_done: bool,
     ) -> Arc<Scheduler> {
         let now = Instant::now();
@@ -107,7 +107,7 @@
             flushed: watch::Sender::new(0),
             renewed_at: Mutex::new(now),
             began_at: now,
-            turn_gap,
+            turn,
             over: CancellationToken::new(),
         });
         scheduler.spawn(run(scheduler.clone()));
@@ -140,11 +140,11 @@
         *self.renewed_at.lock().expect("no holder of the time panics") = sent;
     }
 
-    /// Whether orders about machines may be given now: the turn of an earlier holder must be over
-    /// for some time, and that of a later one cannot have begun.
+    /// Whether orders about machines may be given now, but for those that are left alone: the turn
+    /// of an earlier holder must be over for some time, and that of a later one cannot have begun.
     pub fn may_order_machines(&self) -> bool {
         let renewed = self.renewed_at.lock().expect("no holder of the time panics").elapsed();
-        self.began_at.elapsed() >= self.turn_gap && renewed <= RENEWED
+        self.turn.may_order(Instant::now()) && renewed <= RENEWED
     }
 
     /// Something may be started, or is to be sent.
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -256,9 +256,12 @@
     }
     let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
     let number = course.wave.number;
+    let now = Instant::now();
+    let ids: Vec<&MachineId> =
+        ids.iter().filter(|id| scheduler.turn.begin_order(id, now)).collect();
     let calls = ids.iter().map(|id| async move { machines.upkeep(holder, id, number, CALL).await });
     let answers = join_all(calls).await;
-    for (id, answer) in ids.iter().zip(answers) {
+    for (id, answer) in ids.into_iter().zip(answers) {
         on_answer(scheduler, course, id, worker_of(listed, id), answer);
     }
 }
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -39,6 +39,8 @@
 const PAUSE: Duration = Duration::from_millis(25);
 /// Share of a core that the settings give a node.
 const CPU_SHARE: f64 = 0.25;
+/// Least time between the turns of two schedulers, where nothing else is said.
+const TURN_GAP: Duration = Duration::from_secs(1);
 
 /// A site.
 pub struct Site {
@@ -66,12 +68,33 @@
         Site::start_uneven(program, &vec![CPU_SHARE; nodes], workers, reserve).await
     }
 
+    /// The same with this least time between the turns of two schedulers.
+    pub async fn start_with_turn_gap(
+        program: &str,
+        nodes: usize,
+        workers: usize,
+        reserve: usize,
+        turn_gap: Duration,
+    ) -> io::Result<Site> {
+        Site::begin(program, &vec![CPU_SHARE; nodes], workers, reserve, turn_gap).await
+    }
+
     /// The same with nodes that have these shares of a core.
     pub async fn start_uneven(
         program: &str,
         cpu_shares: &[f64],
         workers: usize,
         reserve: usize,
+    ) -> io::Result<Site> {
+        Site::begin(program, cpu_shares, workers, reserve, TURN_GAP).await
+    }
+
+    async fn begin(
+        program: &str,
+        cpu_shares: &[f64],
+        workers: usize,
+        reserve: usize,
+        turn_gap: Duration,
     ) -> io::Result<Site> {
         let (store, ledger) = (Store::default(), Ledger::default());
         let machines = Machines::start(&store, &ledger).await?;
@@ -87,7 +110,7 @@
         let mut site = Site { store, machines, ledger, nodes: Vec::new(), dialer, advice };
         for (number, cpu_share) in cpu_shares.iter().copied().enumerate() {
             let (machines, advice) = (site.machines.addr, site.advice.addr);
-            let place = Place { number, cpu_share, machines, advice };
+            let place = Place { number, cpu_share, turn_gap, machines, advice };
             let node = Node::prepare(program, &site.store, &place).await?;
             node.start()?;
             site.nodes.push(node);
--- a/testutils/src/platform/site/node.rs
+++ b/testutils/src/platform/site/node.rs
@@ -42,6 +42,8 @@
     pub(super) number: usize,
     /// Share of a core that its settings give it.
     pub(super) cpu_share: f64,
+    /// Least time between the turns of two schedulers.
+    pub(super) turn_gap: Duration,
     /// Where the platform's machines are listed and ordered.
     pub(super) machines: SocketAddr,
     /// Where the advice service answers.
@@ -75,7 +77,7 @@
         let client_line = Proxy::start(front).await?;
         let peers = peers.port();
         let file = std::env::temp_dir().join(format!("spokelift-{ip}.toml"));
-        let Place { number, cpu_share, machines, advice } = place;
+        let Place { number, cpu_share, turn_gap, machines, advice } = place;
         let text = format!(
             "node = \"node-{number}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
              portRange = [{peers}, {operate}]\nheartbeatMs = 500\nadvice = \"{advice}\"\n\
@@ -83,7 +85,8 @@
              [limits]\ncpuShare = {cpu_share}\n\
              [platform]\naddress = \"{store}\"\nform = \"log\"\nparts = 12\n\
              [cloudApi]\naddress = \"{machines}\"\n\
-             [bounds]\nleaseMs = 1000\nupkeep_s = 0.6\nmove_s = 0.6\n",
+             [bounds]\nleaseMs = {gap}\nupkeep_s = 0.6\nmove_s = 0.6\n",
+            gap = turn_gap.as_millis(),
             operate = peers + 1,
             store = store_line.addr,
         );
