--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -45,6 +45,13 @@
     assert_eq!(site.ledger.faults(), Vec::<String>::new());
 }
 
+/// Each node reads the addresses of the others a few times; by the third time all have written theirs.
+async fn until_nodes_know_each_other(site: &Site) {
+    let reads = 3 * site.nodes.len();
+    let read = async |site: &Site| site.store.read_whole("keyed.nodes") >= reads;
+    site.until("the nodes know each other", read).await;
+}
+
 #[tokio::test]
 async fn a_job_is_served_from_end_to_end() {
     let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
@@ -135,9 +142,7 @@
 #[tokio::test]
 async fn a_scheduler_that_the_store_turns_away_goes_on_through_another_node() {
     let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
-    // Each node reads the addresses a few times; by the third time all have written theirs.
-    site.until("the nodes know each other", async |site| site.store.read_whole("keyed.nodes") >= 9)
-        .await;
+    until_nodes_know_each_other(&site).await;
     site.insist(&id(1), job(4, 600)).await;
     let leader = site.leader().unwrap();
     for (number, fault) in [Fault::Busy, Fault::Silent].into_iter().enumerate() {
@@ -162,8 +167,7 @@
 #[tokio::test]
 async fn a_holder_whose_answers_come_late_goes_on_renewing_and_ordering() {
     let site = Site::start(PROGRAM, 3, 2, 3).await.unwrap();
-    site.until("the nodes know each other", async |site| site.store.read_whole("keyed.nodes") >= 9)
-        .await;
+    until_nodes_know_each_other(&site).await;
     let leader = site.leader().unwrap();
     // Longer than an append waits until a peer is asked as well, which the store refuses then.
     let late = Flow::Delay(Duration::from_millis(400));
@@ -288,11 +292,7 @@
 #[tokio::test]
 async fn jobs_of_several_nodes_are_written_side_by_side_and_all_survive() {
     let site = Site::start(PROGRAM, 4, 4, 0).await.unwrap();
-    // Each node reads the addresses a few times; by the third time all have written theirs.
-    site.until("the nodes know each other", async |site| {
-        site.store.read_whole("keyed.nodes") >= 12
-    })
-    .await;
+    until_nodes_know_each_other(&site).await;
     for node in 0..4 {
         assert_eq!(site.submit(node, &id(node as u64), job(4, 300)).await, 200);
     }
