batch: the end of a job is forgotten only once no partition keeps the job

Cause, found on reading: a finished job was let go of in memory, and the record of its end dropped, whatever became of the drop of the job itself; while the store was away for that one append, the next scheduler found a job without an end and would have run it again, about 135 s after it had ended. With several partitions, one of which may be away alone, that is likelier. Change: a task of its own drops the job in each partition that keeps it, side by side, and only then forgets the end; what fails is tried again. The test of what is let go of says so (before, the end went in the same step).

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -109,9 +109,9 @@
     pub processed: Vec<(WorkerId, u64)>,
 }
 
-/// A finished job that is let go of.
+/// A finished job that is to be let go of.
 #[derive(Debug, PartialEq, Eq)]
-pub struct Forgotten {
+pub struct Finished {
     /// Its id.
     pub id: JobId,
     /// The store may keep the wish to cancel it.
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -10,7 +10,7 @@
 
 use crate::batch::cell::Cell;
 use crate::batch::cell::Early;
-use crate::batch::cell::Forgotten;
+use crate::batch::cell::Finished;
 use crate::batch::cell::Order;
 use crate::batch::cell::Rank;
 use crate::batch::job::Entry;
@@ -223,21 +223,28 @@
         }
     }
 
-    /// Lets go of jobs that ended longer than `keep` ago; returns them.
-    pub fn forget(&mut self, keep: Duration, now: Instant) -> Vec<Forgotten> {
-        let old = |entry: &&Entry| {
+    /// Jobs that ended longer than `keep` ago and may be let go of in the store.
+    pub fn finished(&self, keep: Duration, now: Instant) -> Vec<Finished> {
+        let is_old = |entry: &&Entry| {
             let ended = entry.ended_at.is_some_and(|at| now.saturating_duration_since(at) > keep);
             ended && entry.end_is_durable && !entry.kept_in.is_empty()
         };
-        let ids: Vec<JobId> = self.jobs.values().filter(old).map(|entry| entry.id).collect();
-        let mut gone = Vec::new();
-        for id in ids {
-            let Some(entry) = self.jobs.remove(&id) else { continue };
+        let old = self.jobs.values().filter(is_old);
+        let finished = old.map(|entry| Finished {
+            id: entry.id,
+            cancelled: entry.cancelled,
+            kept_in: entry.kept_in.clone(),
+        });
+        finished.collect()
+    }
+
+    /// Lets go of a finished job, which no partition keeps any more. That comes first: a job whose
+    /// end the store has forgotten would be run again by the next scheduler.
+    pub fn let_go(&mut self, id: JobId) {
+        if self.jobs.remove(&id).is_some() {
             self.advices.forget(id);
             self.roster.push(record::forget_progress(id));
-            gone.push(Forgotten { id, cancelled: entry.cancelled, kept_in: entry.kept_in });
         }
-        gone
     }
 
     /// A task, or the gang that it belongs to, is done.
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -3,6 +3,7 @@
 
 mod flush;
 mod follow;
+mod forget;
 mod load;
 mod look;
 mod send;
@@ -34,6 +35,7 @@
 use crate::batch::scheduler::flush::flush;
 use crate::batch::scheduler::follow::follow_jobs;
 use crate::batch::scheduler::follow::follow_workers;
+use crate::batch::scheduler::forget::forget;
 use crate::batch::scheduler::load::load;
 use crate::batch::scheduler::load::load_workers;
 use crate::batch::scheduler::look::spawn_all_looks;
@@ -234,6 +236,7 @@
     }
     scheduler.spawn(flush(scheduler.clone()));
     scheduler.spawn(tick(scheduler.clone()));
+    scheduler.spawn(forget(scheduler.clone()));
     scheduler.spawn(fleet::run(scheduler.clone()));
     scheduler.spawn(advice::run(scheduler.clone()));
     work(scheduler).await;
--- /dev/null
+++ b/lib/src/batch/scheduler/forget.rs
@@ -0,0 +1,72 @@
+//! Lets go of jobs that ended long ago, in the store and in memory.
+
+use std::collections::BTreeMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use spokelift_platform::job::JobId;
+use spokelift_platform::store::Guard;
+use spokelift_platform::store::Record;
+use tokio::time::sleep;
+
+use crate::batch::cell::Finished;
+use crate::batch::record;
+use crate::batch::scheduler::CALL;
+use crate::batch::scheduler::Scheduler;
+
+/// Time between looks for such jobs.
+const LOOK: Duration = Duration::from_millis(500);
+/// How long a finished job is kept beyond what clients were promised.
+const KEEP_EXTRA: Duration = Duration::from_secs(15);
+
+/// Lets go of finished jobs as long as the scheduler lasts.
+pub(super) async fn forget(scheduler: Arc<Scheduler>) {
+    let keep = scheduler.node.settings.status_time + KEEP_EXTRA;
+    loop {
+        sleep(LOOK).await;
+        let finished = scheduler.cell().finished(keep, Instant::now());
+        if finished.is_empty() {
+            continue;
+        }
+        let still_kept = drop_records(&scheduler, &finished).await;
+        let mut cell = scheduler.cell();
+        for job in finished.iter().filter(|job| !still_kept.contains(&job.id)) {
+            cell.let_go(job.id);
+        }
+        drop(cell);
+        scheduler.kick_flush();
+    }
+}
+
+/// Drops the records of jobs in each partition that keeps one; returns the jobs of which one is
+/// left. They are tried again.
+async fn drop_records(scheduler: &Scheduler, finished: &[Finished]) -> HashSet<JobId> {
+    let mut by_partition: BTreeMap<u16, (Vec<JobId>, Vec<Record>)> = BTreeMap::new();
+    let mut add = |partition: u16, id: JobId, record: Record| {
+        let (ids, records) = by_partition.entry(partition).or_default();
+        ids.push(id);
+        records.push(record);
+    };
+    for job in finished {
+        for partition in &job.kept_in {
+            add(*partition, job.id, record::forget_job(job.id));
+        }
+        if job.cancelled {
+            add(0, job.id, record::forget_cancel(job.id));
+        }
+    }
+    let drops = by_partition.into_iter().map(|(partition, (ids, records))| async move {
+        let partition = record::job_partition(partition);
+        let dropped = scheduler.node.append(partition, &records, &Guard::None, CALL).await;
+        dropped.map_err(|error| (ids, error))
+    });
+    let mut still_kept = HashSet::new();
+    for (ids, error) in join_all(drops).await.into_iter().filter_map(Result::err) {
+        log::warn!(jobs = ids.len(); "finished jobs stay in the store for now: {error}");
+        still_kept.extend(ids);
+    }
+    still_kept
+}
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -7,7 +7,7 @@
 
 use assert_matches::assert_matches;
 use spokelift_lib::batch::cell::Cell;
-use spokelift_lib::batch::cell::Forgotten;
+use spokelift_lib::batch::cell::Finished;
 use spokelift_lib::batch::cell::Order;
 use spokelift_lib::batch::pool::load::loads;
 use spokelift_lib::batch::record::Accepted;
@@ -630,12 +630,23 @@
     bed.cell.cancel(1);
     let flush = bed.cell.take_flush();
     bed.cell.on_flushed(&flush);
+    let keep = Duration::from_secs(1);
     let later = Instant::now() + Duration::from_secs(60);
     // Nobody knows yet where the store keeps it; a record left there would be a new job to the next
     // scheduler.
-    assert!(bed.cell.forget(Duration::from_secs(1), later).is_empty());
+    assert!(bed.cell.finished(keep, later).is_empty());
     bed.cell.note_kept(1, 3);
     bed.cell.note_kept(1, 7);
-    let gone = bed.cell.forget(Duration::from_secs(1), later);
-    assert_eq!(gone, [Forgotten { id: 1, cancelled: true, kept_in: [3, 7].into() }]);
+    let finished = [Finished { id: 1, cancelled: true, kept_in: [3, 7].into() }];
+    assert_eq!(bed.cell.finished(keep, later), finished);
+    // Its end is forgotten last, once no partition keeps it.
+    let ends = |bed: &mut Bed| {
+        let records = bed.cell.take_flush().records;
+        records.iter().filter(|record| record.key == format!("{:016x}", 1)).count()
+    };
+    assert_eq!(ends(&mut bed), 0);
+    assert_eq!(bed.cell.finished(keep, later), finished);
+    bed.cell.let_go(1);
+    assert_eq!(ends(&mut bed), 1);
+    assert!(bed.cell.finished(keep, later).is_empty());
 }
