contact: connections are counted by service; a lost service has a line, and so has its return

Nothing said that calls about boxes failed for 27 s, nor why. Each request that goes without an answer for 0.25 s now counts by the service it went to and by whether its connection was kept from before, and the boxes' interface has a line when it is lost and when it answers again.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -7,6 +7,7 @@
 pub mod advice;
 pub mod cell;
 pub mod commit;
+pub mod contact;
 pub mod demand;
 pub mod directory;
 pub mod document;
--- /dev/null
+++ b/lib/src/batch/contact.rs
@@ -0,0 +1,94 @@
+//! Which of the platform's services answer this node: counters of what happens to connections, and a
+//! line in the log when a service no longer answers and when it answers again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use spokelift_platform::call::CallError;
+use spokelift_platform::settings::Settings;
+
+use crate::metrics::Counters;
+use crate::transport::dial::Event;
+use crate::transport::dial::Watch;
+
+/// Whether a service of the platform answers.
+#[derive(Default)]
+pub struct Contact {
+    lost: Mutex<Option<Lost>>,
+}
+
+/// Since when a service has not answered.
+struct Lost {
+    since: Instant,
+    /// Calls that had no answer since then.
+    calls: u64,
+}
+
+impl Contact {
+    /// Takes in how a call to the service named `service` ended. A refusal is an answer.
+    ///
+    /// ```
+    /// # use spokelift_lib::batch::contact::Contact;
+    /// # use spokelift_lib::metrics::Counters;
+    /// # use spokelift_platform::call::CallError;
+    /// # use spokelift_transport::dial::ExchangeError;
+    /// let (contact, counters) = (Contact::default(), Counters::new(None).unwrap());
+    /// let unanswered: Result<(), _> = Err(CallError::Unknown(ExchangeError::Timeout));
+    /// contact.note("machines", &counters, &unanswered);
+    /// assert_eq!(counters.totals()["call.machines.unknown"], 1);
+    /// assert!(contact.is_lost());
+    /// contact.note("machines", &counters, &Ok(()));
+    /// assert!(!contact.is_lost());
+    /// ```
+    pub fn note<T>(&self, service: &str, counters: &Counters, done: &Result<T, CallError>) {
+        let mut lost = self.lost.lock().expect("no holder of the state panics");
+        if let Err(error) = done {
+            counters.count(&format!("call.{service}.{}", error.kind()));
+        }
+        match done {
+            Err(error @ (CallError::Unknown(_) | CallError::NotSent(_))) => {
+                let lost = lost.get_or_insert_with(|| {
+                    log::warn!(service; "no answer: {error}");
+                    Lost { since: Instant::now(), calls: 0 }
+                });
+                lost.calls += 1;
+            }
+            Ok(_) | Err(_) => {
+                if let Some(Lost { since, calls }) = lost.take() {
+                    let lost_ms = since.elapsed().as_millis() as u64;
+                    log::info!(service, lost_ms, calls; "answers again");
+                }
+            }
+        }
+    }
+
+    /// Whether the last call had no answer.
+    pub fn is_lost(&self) -> bool {
+        self.lost.lock().expect("no holder of the state panics").is_some()
+    }
+}
+
+/// Counts what happens to connections, by the service at their other end.
+pub fn count_connections(settings: &Settings, counters: Counters) -> Watch {
+    let (store, machines, advice) = (settings.store, settings.machines, settings.advice);
+    Arc::new(move |addr: SocketAddr, event: Event| {
+        let service = match Some(addr) {
+            _ if addr == store => "store",
+            addr if addr == machines => "machines",
+            addr if addr == advice => "advice",
+            _ => "worker",
+        };
+        let what = match event {
+            Event::Opened => "opened",
+            Event::Unreachable => "unreachable",
+            Event::Unanswered { kept } => {
+                let addr = addr.to_string();
+                log::info!(service, addr = addr.as_str(), kept; "a request had no answer");
+                if kept { "unanswered.kept" } else { "unanswered.new" }
+            }
+        };
+        counters.count(&format!("connection.{service}.{what}"));
+    })
+}
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -43,7 +43,9 @@
         if !under_way && !pools.wants_list(&scheduler) {
             continue;
         }
-        let list = match machines.list(CALL).await {
+        let listed = machines.list(CALL).await;
+        scheduler.node.note_machines(&listed);
+        let list = match listed {
             Ok(list) => list,
             Err(error) => {
                 scheduler.node.counters.count("batch.machines.list-failed");
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -12,6 +12,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use spokelift_platform::call::CallError;
 use spokelift_platform::config::Config;
 use spokelift_platform::ingress::READINESS_PATH;
 use spokelift_platform::job::JobId;
@@ -25,6 +26,8 @@
 use tokio::time::timeout;
 
 use crate::batch::commit;
+use crate::batch::contact::Contact;
+use crate::batch::contact::count_connections;
 use crate::batch::directory;
 use crate::batch::directory::Directory;
 use crate::batch::intake;
@@ -73,6 +76,8 @@
     pub workers: Caller,
     /// The platform's interface for machines.
     pub machines: Option<Machines>,
+    /// Whether that interface answers.
+    pub machines_contact: Contact,
     /// Connections to the platform.
     pub dialer: Dialer,
     /// Connections to the other nodes.
@@ -93,11 +98,13 @@
 impl Node {
     /// A node with nothing known yet.
     pub fn new(settings: Settings, site_key: Option<KeyHash>, counters: Counters) -> Arc<Node> {
-        let dialer = Dialer::new(CONNECT);
+        let watch = count_connections(&settings, counters.clone());
+        let dialer = Dialer::new(CONNECT).watched(watch);
         Arc::new(Node {
             store: Store::new(settings.store, dialer.clone()),
             workers: Caller::new(dialer.clone()),
             machines: settings.machines.map(|addr| Machines::new(addr, dialer.clone())),
+            machines_contact: Contact::default(),
             way: Way::default(),
             commits: commit::Queue::default(),
             dialer,
@@ -209,6 +216,11 @@
         }
     }
 
+    /// Takes in how a call about boxes ended.
+    pub fn note_machines<T>(&self, done: &Result<T, CallError>) {
+        self.machines_contact.note("machines", &self.counters, done);
+    }
+
     /// Tells the holder of the lead of a job in the store. If that fails, the holder finds it when
     /// it next reads the store.
     pub fn tell_submitted(&self, id: JobId, accepted: Accepted) {
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -359,6 +359,7 @@
     }
 
     fn on_answer(&mut self, scheduler: &Scheduler, id: &str, answer: Result<(), CallError>) {
+        scheduler.node.note_machines(&answer);
         let Some(under_way) = self.moves.get_mut(id) else { return };
         let ok = answer.is_ok();
         log::info!(machine = id, to = under_way.to.as_str(), ok; "move ordered");
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -273,6 +273,7 @@
     before: Option<WorkerId>,
     answer: Result<(), CallError>,
 ) {
+    scheduler.node.note_machines(&answer);
     let wave = course.wave.number;
     log::info!(machine = id, wave, ok = answer.is_ok(); "upkeep ordered");
     match answer {
--- a/transport/src/dial.rs
+++ b/transport/src/dial.rs
@@ -15,6 +15,7 @@
 use std::task::Poll;
 use std::task::ready;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -33,6 +34,10 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// How long a request must have gone without an answer when it is given up, or its connection ends,
+/// to say anything about the connection: several times what any of our services takes in calm. Whoever
+/// gives up sooner had another reason.
+const SILENCE: Duration = Duration::from_millis(250);
 /// Idle connections kept for one address.
 const MAX_IDLE: usize = 64;
 /// How long an idle connection may take to become ready before a new one is made.
@@ -82,6 +87,24 @@
     Closed(#[from] hyper::Error),
 }
 
+/// What happened to a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A new connection was made.
+    Opened,
+    /// No connection could be made.
+    Unreachable,
+    /// A request had no answer for a quarter of a second or longer, then it was given up or its
+    /// connection ended.
+    Unanswered {
+        /// The connection had carried requests before.
+        kept: bool,
+    },
+}
+
+/// Is told of each [`Event`] of a connection to an address.
+pub type Watch = Arc<dyn Fn(SocketAddr, Event) + Send + Sync>;
+
 impl fmt::Debug for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -96,12 +119,32 @@
 pub struct Dialer {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<SendRequest<Body>>>>>,
     connect_timeout: Duration,
+    watch: Option<Watch>,
 }
 
 impl Dialer {
     /// A dialer that waits up to `connect_timeout` for a connection.
     pub fn new(connect_timeout: Duration) -> Dialer {
-        Dialer { idle: Arc::default(), connect_timeout }
+        Dialer { idle: Arc::default(), connect_timeout, watch: None }
+    }
+
+    /// The same dialer, which tells `watch` what happens to its connections.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use std::time::Duration;
+    /// # use spokelift_transport::dial::Dialer;
+    /// let dialer = Dialer::new(Duration::from_millis(400));
+    /// let dialer = dialer.watched(Arc::new(|addr, event| println!("{addr}: {event:?}")));
+    /// ```
+    pub fn watched(self, watch: Watch) -> Dialer {
+        Dialer { watch: Some(watch), ..self }
+    }
+
+    fn tell(&self, addr: SocketAddr, event: Event) {
+        if let Some(watch) = &self.watch {
+            watch(addr, event);
+        }
     }
 
     /// Sends a request and returns the head of its answer; the body is read from [`Answer`].
@@ -114,14 +157,20 @@
         // An idle connection may have been closed by the other side; hyper gives the request
         // back if it was not written, and the next connection is tried.
         while let Some(sender) = self.take_idle(addr).await {
-            match self.send_on(addr, sender, request).await {
+            match self.send_on(addr, sender, request, true).await {
                 Err(SendError::NotSent(unsent, _)) => request = *unsent,
                 done => return done,
             }
         }
         match self.connect(addr).await {
-            Ok(sender) => self.send_on(addr, sender, request).await,
-            Err(cause) => Err(SendError::NotSent(Box::new(request), cause)),
+            Ok(sender) => {
+                self.tell(addr, Event::Opened);
+                self.send_on(addr, sender, request, false).await
+            }
+            Err(cause) => {
+                self.tell(addr, Event::Unreachable);
+                Err(SendError::NotSent(Box::new(request), cause))
+            }
         }
     }
 
@@ -130,15 +179,19 @@
         addr: SocketAddr,
         mut sender: SendRequest<Body>,
         request: Request<Body>,
+        kept: bool,
     ) -> Result<Response<Answer>, SendError> {
+        let mut pending = Pending { dialer: self, addr, kept, sent: Instant::now(), over: false };
         match sender.try_send_request(request).await {
             Ok(response) => {
+                pending.over = true;
                 let dialer = self.clone();
                 let home = Some(Home { dialer, addr, sender });
                 Ok(response.map(|incoming| Answer { incoming, home }))
             }
             Err(mut error) => Err(match error.take_message() {
                 Some(unsent) => {
+                    pending.over = true;
                     let cause = NotSent::Closed(error.into_error());
                     SendError::NotSent(Box::new(unsent), cause)
                 }
@@ -191,6 +244,24 @@
     }
 }
 
+/// A request without an answer so far. Dropped before there is one, it tells that the connection may
+/// be silent.
+struct Pending<'a> {
+    dialer: &'a Dialer,
+    addr: SocketAddr,
+    kept: bool,
+    sent: Instant,
+    over: bool,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if !self.over && self.sent.elapsed() >= SILENCE {
+            self.dialer.tell(self.addr, Event::Unanswered { kept: self.kept });
+        }
+    }
+}
+
 /// Where a connection goes back to when its answer was read whole.
 struct Home {
     dialer: Dialer,
