tests: silent connections, failing: a kept connection that is silent tells nothing of the others

What users saw: most jobs of a service late for half a minute after connections had been silent for a second. The proxy can now silence the connections that are open, both ways or one, while new ones work.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -17,6 +17,7 @@
 use spokelift_testutils::platform::worker;
 use spokelift_testutils::proxy;
 use spokelift_testutils::proxy::Flow;
+use spokelift_testutils::proxy::Silence;
 use tokio::time::sleep;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
@@ -705,3 +706,36 @@
     let (_, text) = tool(&site, 0, &["batch", "waves"]);
     assert!(text.contains("4     2      2      1        over"), "{text}");
 }
+
+/// A counter of the metrics of a node; 0 if it has not counted yet.
+async fn counter(site: &Site, node: usize, name: &str) -> u64 {
+    let text = site.metrics(node).await.unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix(&format!("{name} ")));
+    line.and_then(|value| value.trim().parse().ok()).unwrap_or(0)
+}
+
+/// What users saw: a service whose demand rose kept its few boxes for half a minute, while another had
+/// boxes to spare. Connections had gone silent for a second, and the holder of the lead gave up those
+/// to the interface for boxes one call at a time.
+#[tokio::test]
+async fn boxes_are_ordered_again_at_once_after_connections_went_silent() {
+    let site = Site::start(PROGRAM, 1, 1, 16).await.unwrap();
+    // More than the pool holds, so that many boxes are ordered side by side.
+    for number in 1..=8 {
+        assert_eq!(site.submit(0, &id(number), job(16, 600)).await, 200);
+    }
+    site.until("boxes have come", async |site| site.machines.in_pool("work") >= 12).await;
+    for number in 1..=8 {
+        site.until_succeeded(&id(number)).await;
+    }
+    let opened = site.machines_line.opened();
+    assert!(opened > 4, "{opened} connections for orders side by side");
+    site.until("boxes have gone", async |site| site.machines.in_pool("work") <= 5).await;
+    site.machines_line.silence_open(Silence::Both);
+    // More than those boxes bear, until it is cancelled.
+    assert_eq!(site.submit(0, &id(9), lasting(100)).await, 200);
+    site.until("boxes have come again", async |site| site.machines.in_pool("work") >= 7).await;
+    let unanswered = counter(&site, 0, "call_machines_unknown").await;
+    assert!(unanswered <= 3, "{unanswered} calls about boxes without an answer");
+    assert_sound(&site);
+}
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -32,6 +32,7 @@
 use crate::platform::worker;
 use crate::platform::worker::Shape;
 use crate::proxy;
+use crate::proxy::Proxy;
 
 /// How long a client waits for an answer.
 const ANSWER: Duration = Duration::from_secs(3);
@@ -48,6 +49,8 @@
     pub store: Store,
     /// The machines.
     pub machines: Machines,
+    /// What lies between daemons and the interface for machines.
+    pub machines_line: Proxy,
     /// What the workers saw.
     pub ledger: Ledger,
     /// The daemons.
@@ -106,10 +109,12 @@
         }
         store.put(OPERATOR_TOPIC, Record::set("config", config().to_string()));
         let advice = Advice::start(&machines).await?;
+        let machines_line = Proxy::start(machines.addr).await?;
         let dialer = Dialer::new(ANSWER);
-        let mut site = Site { store, machines, ledger, nodes: Vec::new(), dialer, advice };
+        let nodes = Vec::new();
+        let mut site = Site { store, machines, machines_line, ledger, nodes, dialer, advice };
         for (number, cpu_share) in cpu_shares.iter().copied().enumerate() {
-            let (machines, advice) = (site.machines.addr, site.advice.addr);
+            let (machines, advice) = (site.machines_line.addr, site.advice.addr);
             let place = Place { number, cpu_share, turn_gap, machines, advice };
             let node = Node::prepare(program, &site.store, &place).await?;
             node.start()?;
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -44,6 +44,24 @@
     pub refuse: bool,
 }
 
+/// Which direction of open connections goes silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// Both.
+    Both,
+    /// What goes to the server.
+    Requests,
+    /// What comes back.
+    Answers,
+}
+
+/// Connections with a lower number than these pass nothing on that way for good.
+#[derive(Clone, Copy, Debug, Default)]
+struct Silenced {
+    requests_below: u64,
+    answers_below: u64,
+}
+
 /// A proxy for TCP connections. Clones are the same proxy.
 #[derive(Clone)]
 pub struct Proxy {
@@ -51,6 +69,8 @@
     pub addr: SocketAddr,
     upstream: Arc<Mutex<SocketAddr>>,
     fault: Arc<watch::Sender<Fault>>,
+    silenced: Arc<watch::Sender<Silenced>>,
+    opened: Arc<AtomicU64>,
     passed: Arc<AtomicU64>,
     _task: Arc<AbortOnDrop>,
 }
@@ -75,10 +95,14 @@
         let addr = listener.local_addr()?;
         let upstream = Arc::new(Mutex::new(upstream));
         let (fault, faults) = watch::channel(Fault::default());
+        let (silenced, silences) = watch::channel(Silenced::default());
         let passed = Arc::new(AtomicU64::new(0));
-        let task = tokio::spawn(accept(listener, upstream.clone(), faults, passed.clone()));
+        let opened = Arc::new(AtomicU64::new(0));
+        let line = Line { faults, silences, passed: passed.clone() };
+        let task = tokio::spawn(accept(listener, upstream.clone(), line, opened.clone()));
         let _task = Arc::new(AbortOnDrop(task.abort_handle()));
-        Ok(Proxy { addr, upstream, fault: Arc::new(fault), passed, _task })
+        let (fault, silenced) = (Arc::new(fault), Arc::new(silenced));
+        Ok(Proxy { addr, upstream, fault, silenced, opened, passed, _task })
     }
 
     /// Sends later connections elsewhere.
@@ -92,30 +116,54 @@
         self.fault.send_replace(fault);
     }
 
+    /// The connections that are open now go silent for good: what they carry is taken and lost, and
+    /// nobody is told. Later ones work.
+    pub fn silence_open(&self, way: Silence) {
+        let below = self.opened();
+        self.silenced.send_modify(|silenced| {
+            if way != Silence::Answers {
+                silenced.requests_below = below;
+            }
+            if way != Silence::Requests {
+                silenced.answers_below = below;
+            }
+        });
+    }
+
+    /// Connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::SeqCst)
+    }
+
     /// Bytes passed on so far, both ways.
     pub fn passed(&self) -> u64 {
         self.passed.load(Ordering::SeqCst)
     }
 }
 
+/// What each connection of a proxy is told, and where it counts.
+#[derive(Clone)]
+struct Line {
+    faults: watch::Receiver<Fault>,
+    silences: watch::Receiver<Silenced>,
+    passed: Arc<AtomicU64>,
+}
+
 async fn accept(
     listener: TcpListener,
     upstream: Arc<Mutex<SocketAddr>>,
-    faults: watch::Receiver<Fault>,
-    passed: Arc<AtomicU64>,
+    line: Line,
+    opened: Arc<AtomicU64>,
 ) {
     while let Ok((client, _)) = listener.accept().await {
         let to = *upstream.lock().expect("no holder panics");
-        tokio::spawn(pass(client, to, faults.clone(), passed.clone()));
+        let number = opened.fetch_add(1, Ordering::SeqCst);
+        tokio::spawn(pass(client, to, line.clone(), number));
     }
 }
 
-async fn pass(
-    client: TcpStream,
-    to: SocketAddr,
-    faults: watch::Receiver<Fault>,
-    passed: Arc<AtomicU64>,
-) {
+async fn pass(client: TcpStream, to: SocketAddr, line: Line, number: u64) {
+    let Line { faults, silences, passed } = line;
     if faults.borrow().refuse {
         return;
     }
@@ -127,8 +175,11 @@
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
     let mut refusals = faults.clone();
-    let requests = copy(client_read, server_write, faults.clone(), &passed, |fault| fault.request);
-    let answers = copy(server_read, client_write, faults, &passed, |fault| fault.answer);
+    let is_mute = || number < silences.borrow().requests_below;
+    let is_deaf = || number < silences.borrow().answers_below;
+    let request = |fault: &Fault| fault.request;
+    let requests = copy(client_read, server_write, faults.clone(), &passed, request, is_mute);
+    let answers = copy(server_read, client_write, faults, &passed, |fault| fault.answer, is_deaf);
     let mut answers = std::pin::pin!(answers);
     // The first direction to end, or a refusal, cuts both. A server that takes no more of a
     // request may have answered it already, and that answer is passed on.
@@ -160,6 +211,7 @@
     mut faults: watch::Receiver<Fault>,
     all: &AtomicU64,
     flow: impl Fn(&Fault) -> Flow,
+    is_silent: impl Fn() -> bool,
 ) -> End {
     let mut buffer = vec![0; 16 * 1024];
     let mut passed = 0;
@@ -167,6 +219,9 @@
         let Ok(read @ 1..) = from.read(&mut buffer).await else {
             return End::Over;
         };
+        if is_silent() {
+            continue;
+        }
         let mut bytes = &buffer[..read];
         let now = flow(&faults.borrow());
         match now {
--- /dev/null
+++ b/testutils/tests/test_silent.rs
@@ -0,0 +1,137 @@
+//! Connections that go silent: nothing is reset, nothing is answered, and new connections work.
+//!
+//! What users saw: most jobs of a service came late for half a minute. Open connections had gone silent
+//! for a second; orders about boxes then rested for 27 s. Many orders at once had left as many open
+//! connections to the interface for boxes; each later call took one of them, waited out its time and
+//! gave up that one only. The evidence: 29 calls in a row without an answer, all on connections that
+//! had carried requests before, none on a new one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use futures_util::future::join_all;
+use hyper::Request;
+use hyper::Response;
+use spokelift_lib::batch::peer;
+use spokelift_lib::batch::peer::Peers;
+use spokelift_lib::batch::peer::Reply;
+use spokelift_lib::transport::dial::Dialer;
+use spokelift_lib::transport::dial::ExchangeError;
+use spokelift_lib::transport::dial::full;
+use spokelift_lib::transport::serve::serve;
+use spokelift_testutils::proxy::Proxy;
+use spokelift_testutils::proxy::Silence;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Connections that are open when they go silent.
+const OPEN: usize = 12;
+/// How long a call may take.
+const WAIT: Duration = Duration::from_millis(400);
+/// Time that a server takes for an answer, so that calls side by side need a connection each.
+const WORK: Duration = Duration::from_millis(100);
+
+/// A server behind a proxy, which it ends with.
+struct Server {
+    line: Proxy,
+    _open: watch::Sender<bool>,
+}
+
+impl Server {
+    async fn start() -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let line = Proxy::start(listener.local_addr().unwrap()).await.unwrap();
+        let (open, closed) = watch::channel(false);
+        tokio::spawn(serve(listener, closed, async |_| {
+            sleep(WORK).await;
+            Response::new(full("done"))
+        }));
+        Server { line, _open: open }
+    }
+}
+
+async fn call(dialer: &Dialer, addr: SocketAddr) -> Result<Bytes, ExchangeError> {
+    let request = Request::builder().uri("/").header("host", "test").body(full("")).unwrap();
+    dialer.exchange(addr, request, 1024, WAIT).await.map(Response::into_body)
+}
+
+/// Opens connections, silences them, and returns how many calls, one after another, have no answer
+/// before one has.
+async fn failures_after(way: Silence) -> usize {
+    let server = Server::start().await;
+    let dialer = Dialer::new(WAIT);
+    let calls = (0..OPEN).map(|_| call(&dialer, server.line.addr));
+    assert!(join_all(calls).await.iter().all(Result::is_ok));
+    assert_eq!(server.line.opened(), OPEN as u64);
+    server.line.silence_open(way);
+    for failed in 0..=OPEN {
+        if call(&dialer, server.line.addr).await.is_ok() {
+            return failed;
+        }
+    }
+    panic!("no call is answered");
+}
+
+#[tokio::test]
+async fn one_call_without_an_answer_tells_on_all_silent_connections() {
+    for way in [Silence::Both, Silence::Requests, Silence::Answers] {
+        assert!(failures_after(way).await <= 1, "{way:?}");
+    }
+}
+
+/// A peer that answers every request but those for a view, which wait until `held` is notified.
+async fn start_peer(held: Arc<Notify>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let held = held.clone();
+            tokio::spawn(async move {
+                let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
+                while let Some(Ok(frame)) = frames.next().await {
+                    let (number, request): (u64, peer::Request) =
+                        postcard::from_bytes(&frame).unwrap();
+                    if matches!(request, peer::Request::View(_)) {
+                        held.notified().await;
+                    }
+                    let answer = postcard::to_stdvec(&(number, Reply::Done)).unwrap();
+                    if frames.send(Bytes::from(answer)).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+#[tokio::test]
+async fn a_late_failure_on_a_silent_connection_does_not_end_the_one_that_replaced_it() {
+    let held = Arc::new(Notify::new());
+    let line = Proxy::start(start_peer(held.clone()).await).await.unwrap();
+    let peers = Arc::new(Peers::default());
+    let ask = |request: peer::Request| {
+        let (peers, addr) = (peers.clone(), line.addr);
+        tokio::spawn(async move { peers.ask(addr, request).await })
+    };
+    assert_eq!(ask(peer::Request::State(1)).await.unwrap().unwrap(), Reply::Done);
+    line.silence_open(Silence::Both);
+    let first = ask(peer::Request::State(1));
+    // Sent to the silent connection as well, but given up after it has been replaced.
+    sleep(WAIT).await;
+    let second = ask(peer::Request::State(1));
+    assert!(first.await.unwrap().is_err());
+    let third = ask(peer::Request::View("held".to_owned()));
+    let second = second.await.unwrap();
+    held.notify_one();
+    assert!(second.is_err());
+    assert_eq!(third.await.unwrap().unwrap(), Reply::Done);
+}
