dial: a request without an answer gives up all connections there that have not answered since

Cause: idle connections were kept without a word of when they last answered, and a call that ran into its time gave up its own connection only. After open connections had gone silent, each further call took the next silent one; at the interface for boxes 29 calls of 0.8 s.

Change: each idle connection knows when it last answered. A request without an answer for 0.25 s or longer, when it is given up or its connection ends, gives up all those to its address that have not answered since it was sent. Those that have are kept.

--- a/lib/src/batch/contact.rs
+++ b/lib/src/batch/contact.rs
@@ -83,9 +83,10 @@
         let what = match event {
             Event::Opened => "opened",
             Event::Unreachable => "unreachable",
-            Event::Unanswered { kept } => {
+            Event::Unanswered { kept, given_up } => {
                 let addr = addr.to_string();
-                log::info!(service, addr = addr.as_str(), kept; "a request had no answer");
+                log::info!(service, addr = addr.as_str(), kept, given_up; "a request had no answer");
+                counters.add(&format!("connection.{service}.given-up"), given_up as u64);
                 if kept { "unanswered.kept" } else { "unanswered.new" }
             }
         };
--- a/transport/src/dial.rs
+++ b/transport/src/dial.rs
@@ -5,15 +5,12 @@
 //! A connection goes back to the pool only when its answer was read whole, so an abandoned answer
 //! can never be taken for the next request's.
 
-use std::collections::HashMap;
+mod answer;
+mod idle;
+
 use std::fmt;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::task::Context;
-use std::task::Poll;
-use std::task::ready;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,9 +21,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Body as HttpBody;
-use hyper::body::Frame;
-use hyper::body::Incoming;
-use hyper::body::SizeHint;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -34,12 +28,14 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+pub use crate::dial::answer::Answer;
+use crate::dial::answer::Home;
+use crate::dial::idle::Idle;
+
 /// How long a request must have gone without an answer when it is given up, or its connection ends,
 /// to say anything about the connection: several times what any of our services takes in calm. Whoever
 /// gives up sooner had another reason.
 const SILENCE: Duration = Duration::from_millis(250);
-/// Idle connections kept for one address.
-const MAX_IDLE: usize = 64;
 /// How long an idle connection may take to become ready before a new one is made.
 const READY_WAIT: Duration = Duration::from_millis(20);
 
@@ -99,6 +95,8 @@
     Unanswered {
         /// The connection had carried requests before.
         kept: bool,
+        /// So many idle connections to the address were given up for it.
+        given_up: usize,
     },
 }
 
@@ -117,7 +115,7 @@
 /// Makes and keeps connections. Clones share them.
 #[derive(Clone)]
 pub struct Dialer {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<SendRequest<Body>>>>>,
+    idle: Arc<Idle>,
     connect_timeout: Duration,
     watch: Option<Watch>,
 }
@@ -186,8 +184,8 @@
             Ok(response) => {
                 pending.over = true;
                 let dialer = self.clone();
-                let home = Some(Home { dialer, addr, sender });
-                Ok(response.map(|incoming| Answer { incoming, home }))
+                let home = Home { dialer, addr, sender, kept };
+                Ok(response.map(|incoming| Answer::new(incoming, home)))
             }
             Err(mut error) => Err(match error.take_message() {
                 Some(unsent) => {
@@ -202,7 +200,7 @@
 
     async fn take_idle(&self, addr: SocketAddr) -> Option<SendRequest<Body>> {
         loop {
-            let mut sender = self.pop(addr)?;
+            let mut sender = self.idle.take(addr)?.sender;
             if sender.is_closed() {
                 continue;
             }
@@ -212,25 +210,15 @@
         }
     }
 
-    fn pop(&self, addr: SocketAddr) -> Option<SendRequest<Body>> {
-        let mut idle = self.idle.lock().expect("no holder of the idle list panics");
-        idle.get_mut(&addr)?.pop()
-    }
-
-    fn put(&self, addr: SocketAddr, sender: SendRequest<Body>) {
-        let mut idle = self.idle.lock().expect("no holder of the idle list panics");
-        let list = idle.entry(addr).or_default();
-        if list.len() < MAX_IDLE {
-            list.push(sender);
+    /// Takes in that a request was given up, or its connection ended, while nothing had come on that
+    /// connection since `since`.
+    fn note_unanswered(&self, addr: SocketAddr, since: Instant, kept: bool) {
+        if since.elapsed() >= SILENCE {
+            let given_up = self.idle.give_up_unproven(addr, since);
+            self.tell(addr, Event::Unanswered { kept, given_up });
         }
     }
 
-    /// Lets go of the idle connections to an address.
-    pub fn forget(&self, addr: SocketAddr) {
-        let mut idle = self.idle.lock().expect("no holder of the idle list panics");
-        idle.remove(&addr);
-    }
-
     async fn connect(&self, addr: SocketAddr) -> Result<SendRequest<Body>, NotSent> {
         let connect = timeout(self.connect_timeout, TcpStream::connect(addr));
         let stream = connect.await.map_err(|_| NotSent::ConnectTimeout)??;
@@ -244,7 +232,7 @@
     }
 }
 
-/// A request without an answer so far. Dropped before there is one, it tells that the connection may
+/// A request without an answer so far. Dropped before there is one, its connection may
 /// be silent.
 struct Pending<'a> {
     dialer: &'a Dialer,
@@ -256,78 +244,12 @@
 
 impl Drop for Pending<'_> {
     fn drop(&mut self) {
-        if !self.over && self.sent.elapsed() >= SILENCE {
-            self.dialer.tell(self.addr, Event::Unanswered { kept: self.kept });
+        if !self.over {
+            self.dialer.note_unanswered(self.addr, self.sent, self.kept);
         }
     }
 }
 
-/// Where a connection goes back to when its answer was read whole.
-struct Home {
-    dialer: Dialer,
-    addr: SocketAddr,
-    sender: SendRequest<Body>,
-}
-
-/// Body of an answer. Dropped before its end, it closes its connection.
-pub struct Answer {
-    incoming: Incoming,
-    home: Option<Home>,
-}
-
-impl Answer {
-    fn settle(&mut self) {
-        if let Some(home) = self.home.take() {
-            home.dialer.put(home.addr, home.sender);
-        }
-    }
-}
-
-impl Drop for Answer {
-    fn drop(&mut self) {
-        // An answer without a body is never polled.
-        if self.incoming.is_end_stream() {
-            self.settle();
-        }
-    }
-}
-
-impl HttpBody for Answer {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
-        match frame {
-            Some(Ok(frame)) => {
-                if self.incoming.is_end_stream() {
-                    self.settle();
-                }
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Some(Err(error)) => {
-                self.home = None;
-                Poll::Ready(Some(Err(BodyError::Cut(error))))
-            }
-            None => {
-                self.settle();
-                Poll::Ready(None)
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
-    }
-}
-
 /// Why a small exchange failed.
 #[derive(Debug, Error)]
 pub enum ExchangeError {
