place: a worker met after the lead may have passed on gets nothing until it is renewed

The old holder had not renewed for 2.1 s; the next one claimed the lead and read the workers; then a worker joined, which only the old holder had met. Nobody had told that worker the new number, so it took the old holder's start, while the new holder, which had asked all workers it knew, started the same task elsewhere. Ruled out: a late order (it was sent 0.15 s after the claim), a look that was overtaken.

Change: the holder gives nothing to a worker that it met more than 1.4 s after its last renewal; others claim after 2.1 s at the earliest, so whoever claims has read every worker met before. Test: fails without the change.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -170,6 +170,8 @@
     pub waits: Vec<Duration>,
     /// A newer scheduler was heard of.
     pub fenced: bool,
+    /// When the call was sent that last renewed the lead; none where the lead plays no part.
+    pub renewed_at: Option<Instant>,
     /// Ends of runs whose job has not been heard of. They are not acknowledged before the job has
     /// come or its time is over.
     early: Vec<Early>,
@@ -199,6 +201,7 @@
             outbox: Vec::new(),
             waits: Vec::new(),
             fenced: false,
+            renewed_at: None,
             early: Vec::new(),
             demand: Demand::default(),
             advices: Advices::default(),
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -21,6 +21,7 @@
 use crate::batch::place::fit::Ask;
 use crate::batch::place::fit::allows;
 use crate::batch::place::fit::cost;
+use crate::batch::turn::is_sole_holder;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
 use crate::batch::worker::Worker;
@@ -29,6 +30,7 @@
     /// Starts what waits, as far as there is room, in the order of rank. What cannot reach its
     /// objective any more comes after everything that can.
     pub fn place(&mut self, now: Instant, wall: Duration) {
+        self.withhold_unfenced();
         let tops = self.top_room(now);
         let doubt = self.doubt();
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
@@ -40,6 +42,16 @@
         }
     }
 
+    /// Keeps work from workers that were met after another node may have claimed the lead: it can have
+    /// read the list of workers without them, and start the same task on one that it knows. A task ran
+    /// twice for 0.3 s that way, on a worker met 2.1 s after the last renewal.
+    fn withhold_unfenced(&mut self) {
+        let renewed_at = self.renewed_at;
+        for worker in self.workers.values_mut() {
+            worker.unfenced = !is_sole_holder(renewed_at, worker.met_at);
+        }
+    }
+
     /// Whether a step can still be done by its objective, by the client's guess.
     fn is_hopeful(&self, rank: &Rank, wall_ms: u64) -> bool {
         let Some(entry) = self.jobs.get(&rank.job) else { return true };
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -42,6 +42,7 @@
 use crate::batch::scheduler::send::send;
 use crate::batch::scheduler::tick::tick;
 use crate::batch::turn::Turn;
+use crate::batch::turn::is_sole_holder;
 use crate::batch::view;
 
 /// Name under which the store knows the writer of the progress topic.
@@ -54,9 +55,6 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// How long a client's cancel waits for the store.
 const AWAIT_CANCEL: Duration = Duration::from_millis(700);
-/// How long ago the lead may have been renewed for an order about a machine to be given. Another
-/// node claims the lead after 2.1 s of silence at the earliest.
-const RENEWED: Duration = Duration::from_millis(1_400);
 /// Steps that wait, above which a round of placing is dear and every change should not cause one.
 const BACKLOG: usize = 60;
 /// Pause between rounds then; a task runs for about a second.
@@ -79,8 +77,6 @@
     flush: Notify,
     /// Number of writes done.
     flushed: watch::Sender<u64>,
-    /// When the call that last renewed the lead was sent.
-    renewed_at: Mutex<Instant>,
     /// When this scheduler began.
     pub began_at: Instant,
     /// Its turn to order machines.
@@ -99,6 +95,7 @@
         let now = Instant::now();
         let mut cell = Cell::new(token);
         cell.predecessor_is_done = predecessor_is_done;
+        cell.renewed_at = Some(now);
         let scheduler = Arc::new(Scheduler {
             node,
             token,
@@ -107,7 +104,6 @@
             questions: Notify::new(),
             flush: Notify::new(),
             flushed: watch::Sender::new(0),
-            renewed_at: Mutex::new(now),
             began_at: now,
             turn,
             over: CancellationToken::new(),
@@ -139,14 +135,14 @@
 
     /// The call that renewed the lead was sent at `sent`.
     pub fn set_renewed(&self, sent: Instant) {
-        *self.renewed_at.lock().expect("no holder of the time panics") = sent;
+        self.cell().renewed_at = Some(sent);
     }
 
     /// Whether orders about machines may be given now, but for those that are left alone: the turn
     /// of an earlier holder must be over for some time, and that of a later one cannot have begun.
     pub fn may_order_machines(&self) -> bool {
-        let renewed = self.renewed_at.lock().expect("no holder of the time panics").elapsed();
-        self.turn.may_order(Instant::now()) && renewed <= RENEWED
+        let now = Instant::now();
+        self.turn.may_order(now) && is_sole_holder(self.cell().renewed_at, now)
     }
 
     /// Something may be started, or is to be sent.
--- a/lib/src/batch/turn.rs
+++ b/lib/src/batch/turn.rs
@@ -13,6 +13,16 @@
 use serde::Serialize;
 use spokelift_platform::machine::MachineId;
 
+/// How long after the lead was renewed it is certain that nobody else has claimed it: others do so after
+/// 2.1 s of silence at the earliest.
+pub const RENEWED: Duration = Duration::from_millis(1_400);
+
+/// Whether it is certain that at `then` nobody else had claimed the lead, by when the call was sent
+/// that last renewed it; none where the lead plays no part.
+pub fn is_sole_holder(renewed_at: Option<Instant>, then: Instant) -> bool {
+    renewed_at.is_none_or(|at| then.saturating_duration_since(at) <= RENEWED)
+}
+
 /// Boxes that a scheduler leaves alone at its beginning.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Resting {
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -111,6 +111,10 @@
     /// It is about to leave.
     #[error("draining")]
     Draining,
+    /// It was met so long after the lead was last renewed that a later scheduler may not know it, and
+    /// so would not have told it to refuse this one.
+    #[error("unknown to a later scheduler")]
+    Unfenced,
     /// It is being emptied for upkeep or a move.
     #[error("cordoned")]
     Cordoned,
@@ -160,6 +164,8 @@
     pub patience: Duration,
     /// When it was met.
     pub met_at: Instant,
+    /// It was met when another node may already have claimed the lead.
+    pub unfenced: bool,
     /// A task looks at it.
     pub looked_at: bool,
     /// The store has, or is about to have, a record that it fell silent.
@@ -189,6 +195,7 @@
             failures: 0,
             patience: PATIENCE.0,
             met_at: now,
+            unfenced: false,
             looked_at: false,
             noted_silent: false,
             reopening: false,
@@ -238,6 +245,7 @@
     pub fn closed(&self, now: Instant) -> Option<Closed> {
         match self {
             worker if !worker.fenced => Some(Closed::NotAsked),
+            worker if worker.unfenced => Some(Closed::Unfenced),
             worker if worker.is_missing(now) => Some(Closed::NotListed),
             worker if worker.entry.draining => Some(Closed::Draining),
             worker if worker.cordoned => Some(Closed::Cordoned),
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -13,6 +13,7 @@
 use spokelift_lib::batch::record::Accepted;
 use spokelift_lib::batch::record::Progress;
 use spokelift_lib::batch::record::ProgressRecord;
+use spokelift_lib::batch::turn::RENEWED;
 use spokelift_lib::batch::upkeep;
 use spokelift_lib::batch::worker::LEASE;
 use spokelift_platform::ingress::JobState;
@@ -210,6 +211,25 @@
     assert_eq!(bed.cell.jobs[&1].end, Some(JobState::Succeeded));
 }
 
+/// A worker joins while the holder cannot renew the lead. Another node has claimed it and read the
+/// workers before, so nobody tells the new one to refuse the old holder, which would start there what
+/// the next holder starts elsewhere.
+#[test]
+fn a_worker_met_after_the_lead_may_have_passed_on_gets_nothing_until_it_is_renewed() {
+    let mut bed = Bed::new(1);
+    bed.cell.renewed_at = Some(bed.now);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(8)]), None);
+    // Known to whoever claims the lead later.
+    assert_eq!(bed.start().len(), 4);
+    bed.now += RENEWED + MILLI;
+    bed.meet("w1", "m1");
+    bed.look("w1", &[], &[]);
+    assert_eq!(bed.start(), []);
+    bed.cell.renewed_at = Some(bed.now);
+    assert_eq!(bed.start().len(), 4);
+}
+
 #[test]
 fn a_job_that_arrives_during_the_takeover_counts_as_inherited() {
     let mut bed = Bed::new(2);
