dial, platform: a call that may be sent twice is sent again on a new connection when it is overdue

Cause: with all connections silent each call under way waits out its time: jobs 1.5 s, looks and reads of the store 0.6 s and their wait, boxes 0.8 s; a node that was helped through a peer met a silent connection there too.

Change: reads, appends, looks and orders about boxes are sent again on a new connection if their answer takes over four times as long as those of that address did lately, 0.2 s at the least; also where the connection is cut. The first answer counts. If it is that of the new connection, those that have not answered since are given up. A refusal of one try of an append without a condition, or of an order about a box, counts as unknown while the other is open. Starts are not sent twice: a look tells what became of them. Eight connections in the making for an address at most.

Tests fail without it (no such call).

--- a/testutils/tests/test_silent.rs
+++ b/testutils/tests/test_silent.rs
@@ -21,8 +21,12 @@
 use spokelift_lib::batch::peer::Reply;
 use spokelift_lib::transport::dial::Dialer;
 use spokelift_lib::transport::dial::ExchangeError;
+use spokelift_lib::transport::dial::Exchanged;
+use spokelift_lib::transport::dial::Limits;
 use spokelift_lib::transport::dial::full;
 use spokelift_lib::transport::serve::serve;
+use spokelift_testutils::proxy::Fault;
+use spokelift_testutils::proxy::Flow;
 use spokelift_testutils::proxy::Proxy;
 use spokelift_testutils::proxy::Silence;
 use tokio::net::TcpListener;
@@ -87,6 +91,42 @@
     }
 }
 
+async fn call_again(dialer: &Dialer, addr: SocketAddr) -> Result<Exchanged, ExchangeError> {
+    let request = || Request::builder().uri("/").header("host", "test").body(full(""));
+    let limits = Limits { bytes: 1024, wait: WAIT * 4, held: Duration::ZERO };
+    dialer.exchange_again(addr, request, limits).await
+}
+
+#[tokio::test]
+async fn a_call_that_may_be_sent_twice_is_answered_although_every_connection_is_silent() {
+    for way in [Silence::Both, Silence::Requests, Silence::Answers] {
+        let server = Server::start().await;
+        let dialer = Dialer::new(WAIT);
+        let calls = (0..OPEN).map(|_| call(&dialer, server.line.addr));
+        assert!(join_all(calls).await.iter().all(Result::is_ok));
+        for _ in 0..3 {
+            server.line.silence_open(way);
+            let opened = server.line.opened();
+            let exchanged = call_again(&dialer, server.line.addr).await.unwrap();
+            assert!(exchanged.other_is_open, "{way:?}");
+            // The others were given up with the first, and the new one is kept.
+            assert!(!call_again(&dialer, server.line.addr).await.unwrap().other_is_open);
+            assert_eq!(server.line.opened(), opened + 1, "{way:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_address_that_never_answers_gets_two_connections_a_call_at_most() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let line = Proxy::start(listener.local_addr().unwrap()).await.unwrap();
+    line.set(Fault { answer: Flow::Hold, request: Flow::Hold, refuse: false });
+    let dialer = Dialer::new(WAIT);
+    let calls = (0..OPEN).map(|_| call_again(&dialer, line.addr));
+    assert!(join_all(calls).await.iter().all(Result::is_err));
+    assert!(line.opened() <= 2 * OPEN as u64, "{} connections", line.opened());
+}
+
 /// A peer that answers every request but those for a view, which wait until `held` is notified.
 async fn start_peer(held: Arc<Notify>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/transport/src/dial.rs
+++ b/transport/src/dial.rs
@@ -6,6 +6,7 @@
 //! can never be taken for the next request's.
 
 mod answer;
+mod exchange;
 mod idle;
 
 use std::fmt;
@@ -20,7 +21,6 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Body as HttpBody;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -30,12 +30,19 @@
 
 pub use crate::dial::answer::Answer;
 use crate::dial::answer::Home;
+pub use crate::dial::exchange::ExchangeError;
+pub use crate::dial::exchange::Exchanged;
+pub use crate::dial::exchange::Limits;
+pub use crate::dial::exchange::collect;
 use crate::dial::idle::Idle;
 
 /// How long a request must have gone without an answer when it is given up, or its connection ends,
-/// to say anything about the connection: several times what any of our services takes in calm. Whoever
-/// gives up sooner had another reason.
-const SILENCE: Duration = Duration::from_millis(250);
+/// to say anything about the connection: many times the 5 ms that any of our services takes in calm.
+/// Whoever gives up sooner had another reason.
+const SILENCE: Duration = Duration::from_millis(200);
+/// Connections to one address that may be in the making at a time. A site's calls side by side need a
+/// few; where an address does not answer, so many packets each `connect_timeout` ask whether it does.
+const MAX_CONNECTING: usize = 8;
 /// How long an idle connection may take to become ready before a new one is made.
 const READY_WAIT: Duration = Duration::from_millis(20);
 
@@ -160,6 +167,15 @@
                 done => return done,
             }
         }
+        self.send_on_new(addr, request).await
+    }
+
+    /// The same on a connection that has carried no request yet.
+    async fn send_on_new(
+        &self,
+        addr: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Answer>, SendError> {
         match self.connect(addr).await {
             Ok(sender) => {
                 self.tell(addr, Event::Opened);
@@ -200,7 +216,7 @@
 
     async fn take_idle(&self, addr: SocketAddr) -> Option<SendRequest<Body>> {
         loop {
-            let mut sender = self.idle.take(addr)?.sender;
+            let mut sender = self.idle.take(addr)?;
             if sender.is_closed() {
                 continue;
             }
@@ -220,7 +236,12 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<SendRequest<Body>, NotSent> {
-        let connect = timeout(self.connect_timeout, TcpStream::connect(addr));
+        let connecting = self.idle.connecting(addr);
+        let connect = async {
+            let _permit = connecting.acquire().await.expect("the semaphore is never closed");
+            TcpStream::connect(addr).await
+        };
+        let connect = timeout(self.connect_timeout, connect);
         let stream = connect.await.map_err(|_| NotSent::ConnectTimeout)??;
         stream.set_nodelay(true)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
@@ -249,69 +270,3 @@
         }
     }
 }
-
-/// Why a small exchange failed.
-#[derive(Debug, Error)]
-pub enum ExchangeError {
-    /// The request was not sent.
-    #[error(transparent)]
-    NotSent(NotSent),
-    /// The request may have been received.
-    #[error("cut: {0}")]
-    Cut(hyper::Error),
-    /// The answer's body was not read whole.
-    #[error(transparent)]
-    Body(#[from] BodyError),
-    /// No whole answer in time.
-    #[error("no answer in time")]
-    Timeout,
-    /// The answer has another status than 200.
-    #[error("status {0}")]
-    Status(u16),
-    /// The answer does not decode.
-    #[error("the answer does not decode: {0}")]
-    Decode(#[from] serde_json::Error),
-    /// The request could not be made.
-    #[error("not a request: {0}")]
-    Request(#[from] hyper::http::Error),
-}
-
-impl Dialer {
-    /// Sends a request and reads the whole answer, at most `limit` bytes, within `wait`.
-    pub async fn exchange(
-        &self,
-        addr: SocketAddr,
-        request: Request<Body>,
-        limit: usize,
-        wait: Duration,
-    ) -> Result<Response<Bytes>, ExchangeError> {
-        let whole = async {
-            let response = self.send(addr, request).await.map_err(|error| match error {
-                SendError::NotSent(_, cause) => ExchangeError::NotSent(cause),
-                SendError::Cut(cause) => ExchangeError::Cut(cause),
-            })?;
-            let (head, answer) = response.into_parts();
-            let bytes = collect(answer, limit).await?;
-            Ok(Response::from_parts(head, bytes))
-        };
-        timeout(wait, whole).await.map_err(|_| ExchangeError::Timeout)?
-    }
-}
-
-/// Reads a body whole, at most `limit` bytes.
-pub async fn collect<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
-where
-    B: HttpBody<Data = Bytes, Error = BodyError>,
-{
-    let mut body = std::pin::pin!(body);
-    let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            if bytes.len() + data.len() > limit {
-                return Err(BodyError::TooLarge);
-            }
-            bytes.extend_from_slice(&data);
-        }
-    }
-    Ok(bytes.into())
-}
--- a/transport/src/dial/idle.rs
+++ b/transport/src/dial/idle.rs
@@ -7,56 +7,93 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 use std::time::Instant;
 
 use hyper::client::conn::http1::SendRequest;
+use tokio::sync::Semaphore;
 
 use crate::dial::Body;
+use crate::dial::MAX_CONNECTING;
 
 /// Idle connections kept for one address.
 const MAX_IDLE: usize = 64;
 
 /// A connection without a request under way.
-pub(super) struct Kept {
-    pub(super) sender: SendRequest<Body>,
+struct Kept {
+    sender: SendRequest<Body>,
     /// When it last answered.
     proven_at: Instant,
 }
 
-/// Connections without a request under way.
+/// What is kept of an address.
+struct Remote {
+    /// Connections without a request under way, the one that answered last at the end.
+    idle: Vec<Kept>,
+    /// How long its answers took lately: the longest, forgotten by an eighth with each answer.
+    usual: Duration,
+    /// Bounds the connections in the making.
+    connecting: Arc<Semaphore>,
+}
+
+impl Default for Remote {
+    fn default() -> Remote {
+        let connecting = Arc::new(Semaphore::new(MAX_CONNECTING));
+        Remote { idle: Vec::new(), usual: Duration::ZERO, connecting }
+    }
+}
+
+/// What is kept of each address.
 #[derive(Default)]
 pub(super) struct Idle {
-    /// Those of each address, the one that answered last at the end.
-    lists: Mutex<HashMap<SocketAddr, Vec<Kept>>>,
+    remotes: Mutex<HashMap<SocketAddr, Remote>>,
 }
 
 impl Idle {
-    fn lists(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Kept>>> {
-        self.lists.lock().expect("no holder of the idle list panics")
+    fn remotes(&self) -> MutexGuard<'_, HashMap<SocketAddr, Remote>> {
+        self.remotes.lock().expect("no holder of the addresses panics")
     }
 
     /// Takes the connection that answered last.
-    pub(super) fn take(&self, addr: SocketAddr) -> Option<Kept> {
-        self.lists().get_mut(&addr)?.pop()
+    pub(super) fn take(&self, addr: SocketAddr) -> Option<SendRequest<Body>> {
+        self.remotes().get_mut(&addr)?.idle.pop().map(|kept| kept.sender)
     }
 
     /// Keeps a connection that has just answered.
     pub(super) fn put(&self, addr: SocketAddr, sender: SendRequest<Body>) {
-        let mut lists = self.lists();
-        let list = lists.entry(addr).or_default();
-        if list.len() < MAX_IDLE {
-            list.push(Kept { sender, proven_at: Instant::now() });
+        let mut remotes = self.remotes();
+        let idle = &mut remotes.entry(addr).or_default().idle;
+        if idle.len() < MAX_IDLE {
+            idle.push(Kept { sender, proven_at: Instant::now() });
         }
     }
 
     /// Gives up the connections to an address that have not answered since; returns how many.
     pub(super) fn give_up_unproven(&self, addr: SocketAddr, since: Instant) -> usize {
-        let mut lists = self.lists();
-        let Some(list) = lists.get_mut(&addr) else { return 0 };
-        let before = list.len();
-        list.retain(|kept| kept.proven_at >= since);
-        before - list.len()
+        let mut remotes = self.remotes();
+        let Some(remote) = remotes.get_mut(&addr) else { return 0 };
+        let before = remote.idle.len();
+        remote.idle.retain(|kept| kept.proven_at >= since);
+        before - remote.idle.len()
+    }
+
+    /// An answer of an address took so long.
+    pub(super) fn learn(&self, addr: SocketAddr, took: Duration) {
+        let mut remotes = self.remotes();
+        let remote = remotes.entry(addr).or_default();
+        remote.usual = took.max(remote.usual - remote.usual / 8);
+    }
+
+    /// How long answers of an address take; nothing if it has not answered yet.
+    pub(super) fn usual(&self, addr: SocketAddr) -> Duration {
+        self.remotes().get(&addr).map_or(Duration::ZERO, |remote| remote.usual)
+    }
+
+    /// Bounds how many connections to an address are in the making.
+    pub(super) fn connecting(&self, addr: SocketAddr) -> Arc<Semaphore> {
+        self.remotes().entry(addr).or_default().connecting.clone()
     }
 }
