peer: quiet connections between nodes are pinged, silent ones given up, requests sent again

Cause: requests to a node go over one connection. One that had gone silent was found out after 0.9 s, and all that had been sent on it was lost: news of accepted jobs (found again by reading the store, up to 2 s later), calls to the store on a node's behalf. A failure that came late also took away the connection that had replaced it. Ruled out: shorter time limits, since a node that is short of processor, or waits for a slow store, takes as long for an answer.

Change: where requests wait and nothing has come for 0.15 s the peer is pinged, which any peer answers at once; after 0.25 s more the connection is given up with what waits on it. Requests are then sent again on a new connection, but for calls to the store, whose answer would no longer say what became of the first. News of jobs is sent the same way.

Tests: a request on a silent connection (both ways, one way) is answered on a new one, fails on the code before; a slow peer is not taken for silent.

--- a/lib/src/batch/node/answer.rs
+++ b/lib/src/batch/node/answer.rs
@@ -8,6 +8,7 @@
     /// Answers another node.
     pub async fn answer_peer(&self, request: Request) -> Reply {
         match request {
+            Request::Ping => Reply::Done,
             Request::Relay(call) => Reply::Relayed(self.relay_for_peer(call).await),
             request => match self.scheduler() {
                 Some(scheduler) => scheduler.answer(request).await,
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -1,6 +1,8 @@
 //! What nodes say to the holder of the lead: requests and answers by `postcard` over one TCP
 //! connection to each peer.
 
+mod line;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -49,6 +51,8 @@
     Relay(relay::Call),
     /// Show operators what this path names.
     View(String),
+    /// Only answer, so that the sender knows that the connection works.
+    Ping,
 }
 
 /// The answer.
@@ -77,57 +81,78 @@
     /// The connection failed or ended.
     #[error("the connection to the peer ended")]
     Closed,
+    /// Nothing came on the connection although the peer was asked for a sign of life.
+    #[error("the connection to the peer is silent")]
+    Silent,
     /// No answer in time.
     #[error("no answer from the peer in time")]
     Timeout,
 }
 
 type Answer = Result<Reply, PeerError>;
+/// A request, and where its answer goes.
 type Waiting = (Request, oneshot::Sender<Answer>);
+/// Takes requests for the one connection to a peer.
+type Line = mpsc::Sender<Waiting>;
 
-/// Connections to peers.
-#[derive(Default)]
+/// Connections to peers. Clones share them.
+#[derive(Clone, Default)]
 pub struct Peers {
-    lines: Mutex<HashMap<SocketAddr, mpsc::Sender<Waiting>>>,
+    lines: Arc<Mutex<HashMap<SocketAddr, Line>>>,
 }
 
 impl Peers {
-    /// Asks a peer.
+    /// Asks a peer. A request whose connection ends or is silent is sent again on a new one: it may be
+    /// received twice.
     ///
     /// # Errors
     ///
-    /// [`PeerError`]; the request may have been received.
+    /// [`PeerError`]; the request may have been received, but for [`PeerError::NotSent`].
     pub async fn ask(&self, addr: SocketAddr, request: Request) -> Result<Reply, PeerError> {
-        let (reply, answered) = oneshot::channel();
-        let line = self.line(addr);
-        line.try_send((request, reply)).map_err(|_| PeerError::NotSent)?;
-        match timeout(ANSWER, answered).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(_)) => Err(PeerError::Closed),
-            Err(_) => {
-                // The connection may hang; the next request makes another.
-                self.lines.lock().expect("no holder of the lines panics").remove(&addr);
-                Err(PeerError::Timeout)
+        let again = async {
+            match self.send(addr, request.clone()).await {
+                Err(first @ (PeerError::Closed | PeerError::Silent)) => {
+                    self.send(addr, request).await.map_err(|_| first)
+                }
+                done => done,
             }
-        }
+        };
+        timeout(ANSWER, again).await.unwrap_or(Err(PeerError::Timeout))
+    }
+
+    /// The same for a request whose answer says what became of it only if it is received once.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`]; the request may have been received, but for [`PeerError::NotSent`].
+    pub async fn ask_once(&self, addr: SocketAddr, request: Request) -> Result<Reply, PeerError> {
+        timeout(ANSWER, self.send(addr, request)).await.unwrap_or(Err(PeerError::Timeout))
     }
 
     /// Tells a peer something without waiting for its answer.
     pub fn tell(&self, addr: SocketAddr, request: Request) {
-        let (reply, _) = oneshot::channel();
-        if self.line(addr).try_send((request, reply)).is_err() {
-            log::debug!("the peer at {addr} was not told");
-        }
+        let peers = self.clone();
+        tokio::spawn(async move {
+            if let Err(error) = peers.ask(addr, request).await {
+                log::debug!("the peer at {addr} was not told: {error}");
+            }
+        });
+    }
+
+    async fn send(&self, addr: SocketAddr, request: Request) -> Result<Reply, PeerError> {
+        let (reply, answered) = oneshot::channel();
+        self.line(addr).try_send((request, reply)).map_err(|_| PeerError::NotSent)?;
+        answered.await.unwrap_or(Err(PeerError::Closed))
     }
 
-    fn line(&self, addr: SocketAddr) -> mpsc::Sender<Waiting> {
+    fn line(&self, addr: SocketAddr) -> Line {
         let mut lines = self.lines.lock().expect("no holder of the lines panics");
         if let Some(line) = lines.get(&addr).filter(|line| !line.is_closed()) {
             return line.clone();
         }
         let (line, queue) = mpsc::channel(QUEUE);
         lines.insert(addr, line.clone());
-        tokio::spawn(carry(addr, queue));
+        tokio::spawn(line::carry(addr, queue));
         line
     }
 }
@@ -136,50 +161,6 @@
     postcard::to_stdvec(value).expect("messages can be written by postcard").into()
 }
 
-/// Carries requests over one connection until it fails or nobody asks any more.
-async fn carry(addr: SocketAddr, mut queue: mpsc::Receiver<Waiting>) {
-    let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(addr)).await else {
-        log::debug!("no connection to the peer at {addr}");
-        queue.close();
-        while let Some((_, reply)) = queue.recv().await {
-            // Whoever asked may have given up.
-            let _ = reply.send(Err(PeerError::NotSent));
-        }
-        return;
-    };
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("no immediate sending to {addr}: {error}");
-    }
-    let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
-    let mut waiting: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
-    let mut number = 0u64;
-    loop {
-        tokio::select! {
-            asked = queue.recv() => {
-                let Some((request, reply)) = asked else { return };
-                number += 1;
-                waiting.insert(number, reply);
-                if frames.send(encode(&(number, request))).await.is_err() {
-                    return;
-                }
-            }
-            frame = frames.next() => {
-                let Some(Ok(frame)) = frame else { return };
-                match postcard::from_bytes::<(u64, Reply)>(&frame) {
-                    Ok((number, reply)) => {
-                        // Whoever asked may have given up.
-                        let _ = waiting.remove(&number).map(|waiter| waiter.send(Ok(reply)));
-                    }
-                    Err(error) => {
-                        log::warn!("an answer from {addr} does not decode: {error}");
-                        return;
-                    }
-                }
-            }
-        }
-    }
-}
-
 /// Answers peers until the process ends: one task for each connection.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
     loop {
--- /dev/null
+++ b/lib/src/batch/peer/line.rs
@@ -0,0 +1,158 @@
+//! The sending side of a connection to a peer.
+//!
+//! A connection can go silent without a reset. A peer that takes long for an answer is told from such a
+//! connection by a ping, which any peer answers at once: if nothing at all comes back, the connection is
+//! given up with all that waits on it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::batch::peer::Answer;
+use crate::batch::peer::CONNECT;
+use crate::batch::peer::PeerError;
+use crate::batch::peer::Reply;
+use crate::batch::peer::Request;
+use crate::batch::peer::Waiting;
+use crate::batch::peer::encode;
+
+/// How long requests may wait, with nothing coming on the connection, before the peer is asked for a
+/// sign of life. Most answers come within 10 ms.
+const QUIET: Duration = Duration::from_millis(150);
+/// How long that may take. Nodes that are short of processor answer within about 0.2 s.
+const SIGN: Duration = Duration::from_millis(250);
+/// Number of a ping; requests are numbered from 1.
+const PING: u64 = 0;
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Carries requests over one connection until it fails, falls silent, or nobody asks any more.
+pub(super) async fn carry(addr: SocketAddr, mut queue: mpsc::Receiver<Waiting>) {
+    let why = match timeout(CONNECT, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => match carry_over(addr, stream, &mut queue).await {
+            Some(why) => why,
+            None => return,
+        },
+        Ok(Err(_)) | Err(_) => PeerError::NotSent,
+    };
+    log::debug!("no connection to the peer at {addr}: {why}");
+    queue.close();
+    while let Some((_, reply)) = queue.recv().await {
+        // Whoever asked may have given up.
+        let _ = reply.send(Err(PeerError::NotSent));
+    }
+}
+
+/// Requests on a connection, and when something last came on it.
+struct Open {
+    frames: Frames,
+    /// Those without an answer, by number.
+    waiting: HashMap<u64, oneshot::Sender<Answer>>,
+    /// Number of the last request.
+    number: u64,
+    /// When something last came, or when the first of those that wait was sent.
+    heard_at: Instant,
+    /// The peer was asked for a sign of life since.
+    is_pinged: bool,
+}
+
+/// Carries requests until the connection ends; returns why, or nothing if nobody asks any more.
+async fn carry_over(
+    addr: SocketAddr,
+    stream: TcpStream,
+    queue: &mut mpsc::Receiver<Waiting>,
+) -> Option<PeerError> {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("no immediate sending to {addr}: {error}");
+    }
+    let frames = Framed::new(stream, LengthDelimitedCodec::new());
+    let heard_at = Instant::now();
+    let waiting = HashMap::new();
+    let mut open = Open { frames, waiting, number: PING, heard_at, is_pinged: false };
+    let ended = loop {
+        let sign = open.sign_due();
+        let step = tokio::select! {
+            asked = queue.recv() => match asked {
+                Some(asked) => open.send(asked).await,
+                None => return None,
+            },
+            frame = open.frames.next() => match frame {
+                Some(Ok(frame)) => open.take(addr, &frame),
+                Some(Err(_)) | None => Err(PeerError::Closed),
+            },
+            () = sleep_until(sign), if !open.waiting.is_empty() => open.ping().await,
+        };
+        if let Err(why) = step {
+            break why;
+        }
+    };
+    if matches!(ended, PeerError::Silent) {
+        let addr = addr.to_string();
+        log::info!(peer = addr.as_str(), requests = open.waiting.len(); "connection given up as silent");
+    }
+    for (_, reply) in open.waiting {
+        let why =
+            if matches!(ended, PeerError::Silent) { PeerError::Silent } else { PeerError::Closed };
+        // Whoever asked may have given up.
+        let _ = reply.send(Err(why));
+    }
+    Some(ended)
+}
+
+impl Open {
+    /// When the peer is to be asked for a sign of life, or to be given up.
+    fn sign_due(&self) -> Instant {
+        self.heard_at + if self.is_pinged { QUIET + SIGN } else { QUIET }
+    }
+
+    async fn send(&mut self, (request, reply): Waiting) -> Result<(), PeerError> {
+        if self.waiting.is_empty() {
+            self.heard_at = Instant::now();
+            self.is_pinged = false;
+        }
+        self.number += 1;
+        self.waiting.insert(self.number, reply);
+        self.write(self.number, request).await
+    }
+
+    async fn ping(&mut self) -> Result<(), PeerError> {
+        self.waiting.retain(|_, reply| !reply.is_closed());
+        if self.is_pinged {
+            return Err(PeerError::Silent);
+        }
+        self.is_pinged = true;
+        self.write(PING, Request::Ping).await
+    }
+
+    /// A connection that takes no more bytes is as silent as one that brings none.
+    async fn write(&mut self, number: u64, request: Request) -> Result<(), PeerError> {
+        let sent = self.frames.send(encode(&(number, request)));
+        match timeout(QUIET + SIGN, sent).await {
+            Ok(sent) => sent.map_err(|_| PeerError::Closed),
+            Err(_) => Err(PeerError::Silent),
+        }
+    }
+
+    fn take(&mut self, addr: SocketAddr, frame: &[u8]) -> Result<(), PeerError> {
+        self.heard_at = Instant::now();
+        self.is_pinged = false;
+        let (number, reply) = postcard::from_bytes::<(u64, Reply)>(frame).map_err(|error| {
+            log::warn!("an answer from {addr} does not decode: {error}");
+            PeerError::Closed
+        })?;
+        // Whoever asked may have given up; a ping has nobody that waits.
+        let _ = self.waiting.remove(&number).map(|waiter| waiter.send(Ok(reply)));
+        Ok(())
+    }
+}
--- a/lib/src/batch/relay.rs
+++ b/lib/src/batch/relay.rs
@@ -283,7 +283,7 @@
     async fn relay(&self, call: Call) -> Option<Answer> {
         let mut is_known = true;
         for addr in self.directory.some_peers() {
-            match self.peers.ask(addr, peer::Request::Relay(call.clone())).await {
+            match self.peers.ask_once(addr, peer::Request::Relay(call.clone())).await {
                 Ok(Reply::Relayed(Answer::Away)) => {}
                 Ok(Reply::Relayed(Answer::Unknown)) => is_known = false,
                 Err(error) => {
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -187,6 +187,7 @@
             Request::Cancel(id) => self.cancel(id).await,
             Request::View(path) => Reply::View(view::show(&self.cell(), &self.node.waves(), &path)),
             Request::Relay(call) => Reply::Relayed(self.node.relay_for_peer(call).await),
+            Request::Ping => Reply::Done,
         }
     }
 
--- a/testutils/tests/test_silent.rs
+++ b/testutils/tests/test_silent.rs
@@ -30,6 +30,8 @@
 use spokelift_testutils::proxy::Proxy;
 use spokelift_testutils::proxy::Silence;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -127,50 +129,89 @@
     assert!(line.opened() <= 2 * OPEN as u64, "{} connections", line.opened());
 }
 
-/// A peer that answers every request but those for a view, which wait until `held` is notified.
+/// A peer that answers every request at once but those for a view, which wait until `held` is notified.
 async fn start_peer(held: Arc<Notify>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let held = held.clone();
-            tokio::spawn(async move {
-                let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
-                while let Some(Ok(frame)) = frames.next().await {
-                    let (number, request): (u64, peer::Request) =
-                        postcard::from_bytes(&frame).unwrap();
-                    if matches!(request, peer::Request::View(_)) {
-                        held.notified().await;
-                    }
-                    let answer = postcard::to_stdvec(&(number, Reply::Done)).unwrap();
-                    if frames.send(Bytes::from(answer)).await.is_err() {
-                        return;
-                    }
-                }
-            });
+            tokio::spawn(answer_peer(stream, held.clone()));
         }
     });
     addr
 }
 
+async fn answer_peer(stream: TcpStream, held: Arc<Notify>) {
+    let frames = Framed::new(stream, LengthDelimitedCodec::new());
+    let (sink, mut frames) = frames.split();
+    let sink = Arc::new(Mutex::new(sink));
+    while let Some(Ok(frame)) = frames.next().await {
+        let (number, request): (u64, peer::Request) = postcard::from_bytes(&frame).unwrap();
+        let (held, sink) = (held.clone(), sink.clone());
+        tokio::spawn(async move {
+            if matches!(request, peer::Request::View(_)) {
+                held.notified().await;
+            }
+            let answer = postcard::to_stdvec(&(number, Reply::Done)).unwrap();
+            // The connection may be gone by then.
+            let _ = sink.lock().await.send(Bytes::from(answer)).await;
+        });
+    }
+}
+
+/// A peer behind a proxy, and what lets it answer requests for a view.
+async fn peer_line() -> (Proxy, Arc<Notify>) {
+    let held = Arc::new(Notify::new());
+    (Proxy::start(start_peer(held.clone()).await).await.unwrap(), held)
+}
+
+#[tokio::test]
+async fn a_request_on_a_silent_connection_to_a_peer_is_answered_on_a_new_one() {
+    for way in [Silence::Both, Silence::Requests, Silence::Answers] {
+        let (line, _) = peer_line().await;
+        let peers = Peers::default();
+        for opened in 1..=3 {
+            let answer = peers.ask(line.addr, peer::Request::State(1)).await;
+            assert_eq!(answer.unwrap(), Reply::Done, "{way:?}");
+            assert_eq!(line.opened(), opened);
+            line.silence_open(way);
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_peer_that_takes_long_is_not_taken_for_silent() {
+    let (line, held) = peer_line().await;
+    let peers = Peers::default();
+    let view = peers.ask(line.addr, peer::Request::View("slow".to_owned()));
+    let release = async {
+        // Longer than a silent connection is kept.
+        sleep(WAIT + WORK).await;
+        held.notify_one();
+    };
+    let (answer, ()) = tokio::join!(view, release);
+    assert_eq!(answer.unwrap(), Reply::Done);
+    assert_eq!(line.opened(), 1);
+}
+
 #[tokio::test]
 async fn a_late_failure_on_a_silent_connection_does_not_end_the_one_that_replaced_it() {
-    let held = Arc::new(Notify::new());
-    let line = Proxy::start(start_peer(held.clone()).await).await.unwrap();
-    let peers = Arc::new(Peers::default());
+    let (line, held) = peer_line().await;
+    let peers = Peers::default();
     let ask = |request: peer::Request| {
         let (peers, addr) = (peers.clone(), line.addr);
-        tokio::spawn(async move { peers.ask(addr, request).await })
+        tokio::spawn(async move { peers.ask_once(addr, request).await })
     };
     assert_eq!(ask(peer::Request::State(1)).await.unwrap().unwrap(), Reply::Done);
     line.silence_open(Silence::Both);
     let first = ask(peer::Request::State(1));
-    // Sent to the silent connection as well, but given up after it has been replaced.
-    sleep(WAIT).await;
+    sleep(WORK).await;
+    // Sent to the silent connection as well.
     let second = ask(peer::Request::State(1));
     assert!(first.await.unwrap().is_err());
     let third = ask(peer::Request::View("held".to_owned()));
     let second = second.await.unwrap();
+    sleep(WORK).await;
     held.notify_one();
     assert!(second.is_err());
     assert_eq!(third.await.unwrap().unwrap(), Reply::Done);
