socket: the kernel probes every connection, and ends one that has been silent for 30 s

Cause of the class: a connection on which nobody waits for anything has no time limit. Of those that other nodes had opened and that went silent, the accepting end stayed for ever, with its task; an answer to a client that no longer reads was kept for a quarter of an hour.

Change: one function sets the options of every connection, made or accepted: keep-alive probes after 5 s, an end after 30 s without an acknowledgement. Not sooner: a connection may be cut for seconds and its answer still be wanted.

Test: the kernel's table shows the probes at both ends; fails without the option.

--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -28,6 +28,7 @@
 use crate::batch::node::Node;
 use crate::batch::record::Accepted;
 use crate::batch::relay;
+use crate::transport::socket;
 
 /// How long a connection to a peer may take to be made; halls are about 1 ms apart.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -177,8 +178,9 @@
 }
 
 async fn serve_one(node: Arc<Node>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("no immediate sending to a peer: {error}");
+    if let Err(error) = socket::prepare(&stream) {
+        log::debug!("a peer has gone already: {error}");
+        return;
     }
     let (mut sink, mut frames) = Framed::new(stream, LengthDelimitedCodec::new()).split();
     let (answers, mut queue) = mpsc::channel::<Bytes>(QUEUE);
--- a/lib/src/batch/peer/line.rs
+++ b/lib/src/batch/peer/line.rs
@@ -26,6 +26,7 @@
 use crate::batch::peer::Request;
 use crate::batch::peer::Waiting;
 use crate::batch::peer::encode;
+use crate::transport::socket;
 
 /// How long requests may wait, with nothing coming on the connection, before the peer is asked for a
 /// sign of life. Most answers come within 10 ms.
@@ -73,8 +74,9 @@
     stream: TcpStream,
     queue: &mut mpsc::Receiver<Waiting>,
 ) -> Option<PeerError> {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("no immediate sending to {addr}: {error}");
+    if let Err(error) = socket::prepare(&stream) {
+        log::debug!("the peer at {addr} has gone already: {error}");
+        return Some(PeerError::Closed);
     }
     let frames = Framed::new(stream, LengthDelimitedCodec::new());
     let heard_at = Instant::now();
--- a/testutils/tests/test_silent.rs
+++ b/testutils/tests/test_silent.rs
@@ -129,6 +129,40 @@
     assert!(line.opened() <= 2 * OPEN as u64, "{} connections", line.opened());
 }
 
+/// Whether the kernel watches the end of a loopback connection with this local and remote port by
+/// keep-alive probes (timer 2 in its table of connections).
+fn is_probed(local: Option<u16>, remote: Option<u16>) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let has_port = |field: &str, port: Option<u16>| {
+        port.is_none_or(|port| field.ends_with(&format!(":{port:04X}")))
+    };
+    let is_open = |fields: &[&str]| fields[3] == "01";
+    let mut ends = table.lines().skip(1).filter(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        is_open(&fields) && has_port(fields[1], local) && has_port(fields[2], remote)
+    });
+    ends.any(|line| line.split_whitespace().nth(5).is_some_and(|timer| timer.starts_with("02:")))
+}
+
+#[tokio::test]
+async fn connections_that_nobody_waits_on_are_probed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (_open, closed) = watch::channel(false);
+    tokio::spawn(serve(listener, closed, async |_| Response::new(full("done"))));
+    let dialer = Dialer::new(WAIT);
+    assert!(call(&dialer, addr).await.is_ok());
+    let ends = || (is_probed(None, Some(addr.port())), is_probed(Some(addr.port()), None));
+    // The timer of an end is another one until its last bytes are acknowledged.
+    for _ in 0..100 {
+        if ends() == (true, true) {
+            return;
+        }
+        sleep(WORK / 2).await;
+    }
+    panic!("of the ends that made and accepted the connection are probed: {:?}", ends());
+}
+
 /// A peer that answers every request at once but those for a view, which wait until `held` is notified.
 async fn start_peer(held: Arc<Notify>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/transport/src/dial.rs
+++ b/transport/src/dial.rs
@@ -35,6 +35,7 @@
 pub use crate::dial::exchange::Limits;
 pub use crate::dial::exchange::collect;
 use crate::dial::idle::Idle;
+use crate::socket;
 
 /// How long a request must have gone without an answer when it is given up, or its connection ends,
 /// to say anything about the connection: many times the 5 ms that any of our services takes in calm.
@@ -243,7 +244,7 @@
         };
         let connect = timeout(self.connect_timeout, connect);
         let stream = connect.await.map_err(|_| NotSent::ConnectTimeout)??;
-        stream.set_nodelay(true)?;
+        socket::prepare(&stream)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         tokio::spawn(async move {
             // The error also reaches whoever waits for the answer.
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod dial;
 pub mod serve;
+pub mod socket;
--- a/transport/src/serve.rs
+++ b/transport/src/serve.rs
@@ -19,6 +19,7 @@
 use tokio::task::JoinSet;
 
 use crate::dial::Body;
+use crate::socket;
 
 /// Most connections one listener holds; further ones wait to be accepted.
 const MAX_CONNECTIONS: usize = 4096;
@@ -69,7 +70,10 @@
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
-    let _ = stream.set_nodelay(true);
+    if socket::prepare(&stream).is_err() {
+        // The caller has gone already.
+        return;
+    }
     let service = service_fn(|request| {
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
