dial, coordination: callers' requests use proven connections; the older home's calls are sent again

A request to a target went over any kept connection; on one that had gone silent while idle it hung until the caller's limit (15 to 30 s), and nobody could say whether it had run. Reads of the log hung for 5 s, appends for 2 s, polls of the box list for 3 s.

Change: a request that cannot be sent twice goes over a connection that answered within the last second, or over a new one. Other calls use connections that answered within 8 s: the far end may be closing older ones. Reads of the log and of the box list, and appends (counted once by their writer's number), are sent again on a new connection when overdue. Commands to boxes are not.

Test: a request on connections that went silent while idle is answered; fails before.

--- a/lib/src/coordination/append.rs
+++ b/lib/src/coordination/append.rs
@@ -36,6 +36,7 @@
 use crate::state::record::MAX_BATCH;
 use crate::state::record::Record;
 use crate::transport::dial::ExchangeError;
+use crate::transport::dial::Limits;
 use crate::transport::dial::full;
 
 /// Most records that wait for the log.
@@ -264,8 +265,10 @@
 }
 
 async fn append_once(node: &Node, bytes: Vec<u8>) -> Result<Appended, ExchangeError> {
-    let request = Request::post(APPEND).body(full(bytes))?;
-    let answer = node.dialer.exchange(node.settings.log, request, 4096, APPEND_WAIT).await?;
+    // A batch that is on the log twice counts once, by its writer's number.
+    let request = || Request::post(APPEND).body(full(bytes.clone()));
+    let limits = Limits { bytes: 4096, wait: APPEND_WAIT, held: Duration::ZERO };
+    let answer = node.dialer.exchange_again(node.settings.log, request, limits).await?.response;
     if !answer.status().is_success() {
         return Err(ExchangeError::Status(answer.status().as_u16()));
     }
--- a/lib/src/coordination/follow.rs
+++ b/lib/src/coordination/follow.rs
@@ -21,6 +21,7 @@
 use crate::state::record::Body;
 use crate::state::snapshot::Assembly;
 use crate::transport::dial::ExchangeError;
+use crate::transport::dial::Limits;
 use crate::transport::dial::full;
 
 /// Records asked for at a time.
@@ -145,8 +146,9 @@
 
 async fn read(node: &Node, from: Offset) -> Result<Page, ExchangeError> {
     let path = read_path(from, MAX_RECORDS, LONG_POLL.as_millis() as u64);
-    let request = Request::get(path).body(full(""))?;
-    let answer = node.dialer.exchange(node.settings.log, request, MAX_PAGE, READ_WAIT).await?;
+    let request = || Request::get(&path).body(full(""));
+    let limits = Limits { bytes: MAX_PAGE, wait: READ_WAIT, held: LONG_POLL };
+    let answer = node.dialer.exchange_again(node.settings.log, request, limits).await?.response;
     if !answer.status().is_success() {
         return Err(ExchangeError::Status(answer.status().as_u16()));
     }
--- a/lib/src/coordination/listing.rs
+++ b/lib/src/coordination/listing.rs
@@ -16,6 +16,7 @@
 use crate::state::config::Shapes;
 use crate::state::id::BoxId;
 use crate::transport::dial::ExchangeError;
+use crate::transport::dial::Limits;
 use crate::transport::dial::full;
 
 /// How long the box list may take to answer.
@@ -114,8 +115,10 @@
 }
 
 async fn read(node: &Node) -> Result<List, ExchangeError> {
-    let request = Request::get(boxes_path(node.listing.version())).body(full(""))?;
-    let answer = node.dialer.exchange(node.settings.boxes, request, MAX_LIST, WAIT).await?;
+    let path = boxes_path(node.listing.version());
+    let request = || Request::get(&path).body(full(""));
+    let limits = Limits { bytes: MAX_LIST, wait: WAIT, held: Duration::ZERO };
+    let answer = node.dialer.exchange_again(node.settings.boxes, request, limits).await?.response;
     if !answer.status().is_success() {
         return Err(ExchangeError::Status(answer.status().as_u16()));
     }
--- a/testutils/tests/test_silent.rs
+++ b/testutils/tests/test_silent.rs
@@ -23,6 +23,7 @@
 use spokelift_lib::transport::dial::ExchangeError;
 use spokelift_lib::transport::dial::Exchanged;
 use spokelift_lib::transport::dial::Limits;
+use spokelift_lib::transport::dial::collect;
 use spokelift_lib::transport::dial::full;
 use spokelift_lib::transport::serve::serve;
 use spokelift_testutils::proxy::Fault;
@@ -35,6 +36,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -129,6 +131,23 @@
     assert!(line.opened() <= 2 * OPEN as u64, "{} connections", line.opened());
 }
 
+/// A request that cannot be sent twice, on connections that have gone silent while they were idle:
+/// nobody could say what became of it.
+#[tokio::test]
+async fn a_request_that_cannot_be_sent_twice_uses_no_connection_that_was_idle_for_long() {
+    let server = Server::start().await;
+    let dialer = Dialer::new(WAIT);
+    let send = async || {
+        let request = Request::builder().uri("/").header("host", "test").body(full(""));
+        let answer = dialer.send(server.line.addr, request.unwrap()).await.unwrap();
+        collect(answer.into_body(), 1024).await.unwrap()
+    };
+    send().await;
+    server.line.silence_open(Silence::Both);
+    sleep(Duration::from_millis(1_100)).await;
+    assert_eq!(timeout(WAIT, send()).await.unwrap(), "done");
+}
+
 /// Whether the kernel watches the end of a loopback connection with this local and remote port by
 /// keep-alive probes (timer 2 in its table of connections).
 fn is_probed(local: Option<u16>, remote: Option<u16>) -> bool {
--- a/transport/src/dial.rs
+++ b/transport/src/dial.rs
@@ -41,6 +41,12 @@
 /// to say anything about the connection: many times the 5 ms that any of our services takes in calm.
 /// Whoever gives up sooner had another reason.
 const SILENCE: Duration = Duration::from_millis(200);
+/// How long ago a connection may have answered to be used for a request that cannot be sent twice: a
+/// small part of the time that callers wait, and long enough for requests in a row to share one.
+const PROVEN: Duration = Duration::from_secs(1);
+/// How long ago a connection may have answered to be used for other requests. Our own server closes
+/// one that is idle for 10 s.
+const KEPT: Duration = Duration::from_secs(8);
 /// Connections to one address that may be in the making at a time. A site's calls side by side need a
 /// few; where an address does not answer, so many packets each `connect_timeout` ask whether it does.
 const MAX_CONNECTING: usize = 8;
@@ -154,15 +160,33 @@
     }
 
     /// Sends a request and returns the head of its answer; the body is read from [`Answer`].
+    ///
+    /// For requests that may do harm if they are sent twice: only a connection that answered within the
+    /// last second is used again. Of one that has gone silent since, nobody could say whether the
+    /// request was received; a new connection costs one round trip.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`], which says whether the request may have been received.
     pub async fn send(
         &self,
         addr: SocketAddr,
         request: Request<Body>,
+    ) -> Result<Response<Answer>, SendError> {
+        self.send_within(addr, request, PROVEN).await
+    }
+
+    /// The same on a connection that answered within that time, or a new one.
+    async fn send_within(
+        &self,
+        addr: SocketAddr,
+        request: Request<Body>,
+        within: Duration,
     ) -> Result<Response<Answer>, SendError> {
         let mut request = request;
         // An idle connection may have been closed by the other side; hyper gives the request
         // back if it was not written, and the next connection is tried.
-        while let Some(sender) = self.take_idle(addr).await {
+        while let Some(sender) = self.take_idle(addr, within).await {
             match self.send_on(addr, sender, request, true).await {
                 Err(SendError::NotSent(unsent, _)) => request = *unsent,
                 done => return done,
@@ -215,9 +239,9 @@
         }
     }
 
-    async fn take_idle(&self, addr: SocketAddr) -> Option<SendRequest<Body>> {
+    async fn take_idle(&self, addr: SocketAddr, within: Duration) -> Option<SendRequest<Body>> {
         loop {
-            let mut sender = self.idle.take(addr)?;
+            let mut sender = self.idle.take(addr, within)?;
             if sender.is_closed() {
                 continue;
             }
--- a/transport/src/dial/exchange.rs
+++ b/transport/src/dial/exchange.rs
@@ -16,6 +16,7 @@
 use crate::dial::Body;
 use crate::dial::BodyError;
 use crate::dial::Dialer;
+use crate::dial::KEPT;
 use crate::dial::NotSent;
 use crate::dial::SILENCE;
 use crate::dial::SendError;
@@ -84,7 +85,7 @@
         limit: usize,
         wait: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let sent = async { read(self.send(addr, request).await, limit).await };
+        let sent = async { read(self.send_within(addr, request, KEPT).await, limit).await };
         timeout(wait, sent).await.map_err(|_| ExchangeError::Timeout)?
     }
 
--- a/transport/src/dial/idle.rs
+++ b/transport/src/dial/idle.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Semaphore;
 
 use crate::dial::Body;
+use crate::dial::KEPT;
 use crate::dial::MAX_CONNECTING;
 
 /// Idle connections kept for one address.
@@ -57,9 +58,13 @@
         self.remotes.lock().expect("no holder of the addresses panics")
     }
 
-    /// Takes the connection that answered last.
-    pub(super) fn take(&self, addr: SocketAddr) -> Option<SendRequest<Body>> {
-        self.remotes().get_mut(&addr)?.idle.pop().map(|kept| kept.sender)
+    /// Takes the connection that answered last, if that is no longer ago than `within`.
+    pub(super) fn take(&self, addr: SocketAddr, within: Duration) -> Option<SendRequest<Body>> {
+        let mut remotes = self.remotes();
+        let idle = &mut remotes.get_mut(&addr)?.idle;
+        idle.retain(|kept| kept.proven_at.elapsed() <= KEPT);
+        let last = idle.pop_if(|kept| kept.proven_at.elapsed() <= within);
+        last.map(|kept| kept.sender)
     }
 
     /// Keeps a connection that has just answered.
