serve: idle connections of clients are kept for 120 s, heads still have 10 s

Callers keep using open connections, and nothing tells them beforehand. Ruled out: telling them, which the protocol can only do in an answer.

Change: the server notes when the head of a request begins and when its answer is known. A connection without a request is closed after 120 s, one with half a head after 10 s, also while the daemon stops.

--- a/transport/src/dial.rs
+++ b/transport/src/dial.rs
@@ -45,7 +45,7 @@
 /// small part of the time that callers wait, and long enough for requests in a row to share one.
 const PROVEN: Duration = Duration::from_secs(1);
 /// How long ago a connection may have answered to be used for other requests. Our own server closes
-/// one that is idle for 10 s.
+/// one that is idle for 120 s; others may sooner.
 const KEPT: Duration = Duration::from_secs(8);
 /// Connections to one address that may be in the making at a time. A site's calls side by side need a
 /// few; where an address does not answer, so many packets each `connect_timeout` ask whether it does.
--- a/transport/src/serve.rs
+++ b/transport/src/serve.rs
@@ -1,5 +1,7 @@
 //! HTTP servers: one task for each connection, stopped without cutting off a request.
 
+mod phase;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
@@ -11,20 +13,21 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::sleep_until;
 
 use crate::dial::Body;
+use crate::serve::phase::Due;
+use crate::serve::phase::Noted;
+use crate::serve::phase::Phase;
 use crate::socket;
 
 /// Most connections one listener holds; further ones wait to be accepted.
 const MAX_CONNECTIONS: usize = 4096;
-/// How long a caller may take to send a request's head.
-const HEAD_LIMIT: Duration = Duration::from_secs(10);
 /// Largest request head, in bytes.
 const MAX_HEAD: usize = 32 * 1024;
 /// Pause after an accept has failed, e.g. for want of file descriptors.
@@ -74,21 +77,47 @@
         // The caller has gone already.
         return;
     }
+    let phase = Phase::new();
     let service = service_fn(|request| {
+        phase.begin_answer();
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let phase = &phase;
+        async move {
+            let answer = answer.await;
+            phase.end_answer();
+            Ok::<_, Infallible>(answer)
+        }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new());
-    builder.header_read_timeout(HEAD_LIMIT);
     builder.max_buf_size(MAX_HEAD);
+    let stream = Noted::new(stream, phase.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // An error here is the caller's own: it went away or sent no HTTP.
-        _ = connection.as_mut() => return,
-        _ = stop.wait_for(|stop| *stop) => {}
+    loop {
+        let due_at = match phase.due() {
+            Due::Later(at) => at,
+            Due::Close => break,
+            Due::Cut => return,
+        };
+        tokio::select! {
+            // An error here is the caller's own: it went away or sent no HTTP.
+            _ = connection.as_mut() => return,
+            _ = stop.wait_for(|stop| *stop) => break,
+            () = sleep_until(due_at.into()) => {}
+        }
     }
     connection.as_mut().graceful_shutdown();
+    loop {
+        let due_at = match phase.due() {
+            Due::Later(at) => at,
+            Due::Close => break,
+            Due::Cut => return,
+        };
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = sleep_until(due_at.into()) => {}
+        }
+    }
+    // The rest of a long answer may still be on its way.
     let _ = connection.await;
 }
