--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -106,6 +106,9 @@
     stage.stop_one(1).await;
     load.stop().await;
     let counts = stage.ledger.counts();
+    for harm in stage.ledger.harms(stage.begun) {
+        println!("{harm}");
+    }
     let statuses = stage.totals().await;
     stage.strike().await;
     Ok(Report::new(counts, rollout, config_everywhere, over, statuses))
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -60,14 +60,19 @@
     }
 }
 
-/// Sends a request to an entry box and returns what the caller was told.
-pub async fn call(dialer: &Dialer, entry: SocketAddr, call: &Call) -> Told {
+/// Sends a request to an entry box and returns what the caller was told, and what it saw last where
+/// that is no outcome.
+pub async fn call(dialer: &Dialer, entry: SocketAddr, call: &Call) -> (Told, Option<String>) {
     let answer = dialer.exchange(entry, call.request(), MAX_ANSWER, WAIT).await;
     match answer {
-        Ok(answer) => read(call, &answer),
+        Ok(answer) => {
+            let told = read(call, &answer);
+            let seen = (told == Told::Nothing).then(|| format!("saw status {}", answer.status()));
+            (told, seen)
+        }
         // Nobody has heard of the request; a balancer would say so, too.
-        Err(ExchangeError::NotSent(_)) => Told::NotRun,
-        Err(_) => Told::Nothing,
+        Err(ExchangeError::NotSent(_)) => (Told::NotRun, None),
+        Err(error) => (Told::Nothing, Some(format!("saw {error:?}"))),
     }
 }
 
@@ -87,7 +92,10 @@
 /// Sends a request and writes both sides of it into the ledger.
 pub async fn call_on(ledger: &Ledger, dialer: &Dialer, entry: SocketAddr, request: &Call) -> Told {
     ledger.sent(request.token, request.repeatable);
-    let told = call(dialer, entry, request).await;
+    let (told, seen) = call(dialer, entry, request).await;
+    if let Some(seen) = seen {
+        ledger.note(request.token, seen);
+    }
     ledger.told(request.token, told);
     told
 }
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -71,8 +71,27 @@
 #[derive(Default)]
 struct Call {
     repeatable: bool,
-    runs: u32,
+    /// When and on which boxes it ran.
+    runs: Vec<(Instant, BoxId)>,
     told: Option<Told>,
+    told_at: Option<Instant>,
+    /// What the caller knows of it besides, in words.
+    notes: Vec<String>,
+}
+
+impl Call {
+    /// How a request ended that must not end so, if it did.
+    fn harm(&self) -> Option<&'static str> {
+        let ran = !self.runs.is_empty();
+        match self.told {
+            _ if !self.repeatable && self.runs.len() > 1 => Some("doubled"),
+            Some(Told::Answered) if !ran => Some("lost: answered, though no worker ran it"),
+            Some(Told::Crossed) => Some("crossed"),
+            Some(Told::NotRun) if ran => Some("told not run, though it ran"),
+            Some(Told::Nothing) | None => Some("lost: no outcome"),
+            _ => None,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -174,13 +193,44 @@
     /// A caller was told something.
     pub fn told(&self, token: Token, told: Told) {
         let mut inner = self.inner();
-        inner.calls.entry(token).or_default().told = Some(told);
+        let call = inner.calls.entry(token).or_default();
+        call.told = Some(told);
+        call.told_at = Some(Instant::now());
+    }
+
+    /// Writes down what else a caller knows of its request, for [`Ledger::harms`].
+    pub fn note(&self, token: Token, note: String) {
+        self.inner().calls.entry(token).or_default().notes.push(note);
+    }
+
+    /// One line for each request that was lost, doubled, crossed or falsely told: what the caller was
+    /// told, where it ran, and what was noted. Times count from `since`.
+    pub fn harms(&self, since: Instant) -> Vec<String> {
+        let ms = |at: Instant| at.saturating_duration_since(since).as_millis();
+        let inner = self.inner();
+        let harmed =
+            inner.calls.iter().filter_map(|(token, call)| Some((token, call, call.harm()?)));
+        let lines = harmed.map(|(token, call, harm)| {
+            let runs: Vec<String> = call
+                .runs
+                .iter()
+                .map(|(at, target)| format!("{target} at {} ms", ms(*at)))
+                .collect();
+            let told_at = call.told_at.map(ms);
+            format!(
+                "request {token}: {harm}; told {:?} at {told_at:?} ms; ran on {runs:?}; {}",
+                call.told,
+                call.notes.join("; ")
+            )
+        });
+        lines.collect()
     }
 
     /// A worker begins to run a request.
     pub fn begun(&self, target: &BoxId, token: Token) {
         let mut inner = self.inner();
-        inner.calls.entry(token).or_default().runs += 1;
+        let run = (Instant::now(), target.clone());
+        inner.calls.entry(token).or_default().runs.push(run);
         let state = inner.boxes.entry(target.clone()).or_default();
         state.inflight.insert(token);
         let late = state.draining_since.is_some_and(|since| since.elapsed() > LEAVING_GRACE);
@@ -275,8 +325,8 @@
 impl Counts {
     fn add(&mut self, call: &Call) {
         self.requests += 1;
-        let run = call.runs > 0;
-        self.doubled += u64::from(!call.repeatable && call.runs > 1);
+        let run = !call.runs.is_empty();
+        self.doubled += u64::from(!call.repeatable && call.runs.len() > 1);
         match call.told {
             Some(Told::Answered) => {
                 self.answered += 1;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod file;
 pub mod fixture;
+pub mod kills;
 pub mod ledger;
 pub mod log;
 pub mod platform;
