--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -16,14 +16,15 @@
 use spokelift_cli::report;
 
 use crate::args::Args;
+use crate::args::Command;
+use crate::error::Error;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     let args: Args = match read_args("spokelift") {
         Ok(args) => args,
         Err(code) => return code,
     };
-    match command::run(args) {
+    match init_log(&args).and_then(|()| command::run(args)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             report(&error);
@@ -31,3 +32,15 @@
         }
     }
 }
+
+/// A trial of an older site runs its daemons in this process, so their log goes to a file.
+fn init_log(args: &Args) -> Result<(), Error> {
+    match &args.command {
+        Command::Trial(trial) if trial::runs_daemons_here(trial) => Ok(trial::redirect_log()?),
+        _ => {
+            let env = env_logger::Env::default().default_filter_or("warn");
+            env_logger::Builder::from_env(env).init();
+            Ok(())
+        }
+    }
+}
--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -5,6 +5,7 @@
 
 mod batch;
 mod load;
+mod log_file;
 mod report;
 mod stage;
 
@@ -23,6 +24,7 @@
 use crate::error::Error;
 use crate::output;
 use crate::trial::load::Load;
+pub use crate::trial::log_file::redirect_log;
 use crate::trial::report::Report;
 use crate::trial::stage::Stage;
 
@@ -72,12 +74,19 @@
     if json {
         println!("{}", serde_json::to_string(&report)?);
     }
-    match report.broken() {
+    let broken = report.broken();
+    log_file::settle(!broken.is_empty());
+    match broken {
         broken if broken.is_empty() => Ok(()),
         broken => Err(Error::Violated { broken }),
     }
 }
 
+/// Whether a trial runs its daemons inside this process.
+pub fn runs_daemons_here(args: &Trial) -> bool {
+    Site::named(&args.site).is_some()
+}
+
 async fn play(site: Site, load: u32) -> Result<Report, Error> {
     println!("site {}: 6 daemons, {} workers, {} halls", site.name, site.size(), site.halls.len());
     let mut stage = Stage::set(site).await?;
--- a/testutils/src/platform/soak.rs
+++ b/testutils/src/platform/soak.rs
@@ -34,6 +34,8 @@
 pub const MACHINES: usize = WORKERS + RESERVE;
 /// Clients that hand in jobs side by side.
 const CLIENTS: u64 = 3;
+/// Tells the generator of connections that go silent from that of the other faults.
+const SILENT_SEED: u64 = 0x51_1e47;
 /// What a soak did and found.
 #[derive(Debug, Default, Serialize)]
 pub struct Report {
@@ -62,7 +64,8 @@
 pub async fn play(program: &str, seed: u64, time: Duration) -> io::Result<Report> {
     let site = Arc::new(Site::start(program, NODES, WORKERS, RESERVE).await?);
     let mut rng = StdRng::seed_from_u64(seed);
-    let schedule = schedule::draw(&mut rng, time);
+    let mut silent_rng = StdRng::seed_from_u64(seed ^ SILENT_SEED);
+    let schedule = schedule::draw(&mut rng, &mut silent_rng, time);
     let waves = schedule.iter().filter_map(|(_, action)| match action {
         Action::Wave(number) => Some(*number),
         _ => None,
--- a/testutils/src/platform/soak/schedule.rs
+++ b/testutils/src/platform/soak/schedule.rs
@@ -14,9 +14,12 @@
 use crate::platform::worker;
 use crate::proxy;
 use crate::proxy::Flow;
+use crate::proxy::Silence;
 
 /// Time between the beginnings of two faults, in milliseconds. Most last longer, so they overlap.
 const GAP_MS: std::ops::RangeInclusive<u64> = 100..=1_200;
+/// Time between two times that connections go silent, in milliseconds.
+const SILENCE_GAP_MS: std::ops::RangeInclusive<u64> = 300..=3_000;
 /// How long a fault lasts, in milliseconds.
 const LAST_MS: std::ops::RangeInclusive<u64> = 200..=4_000;
 /// A daemon that was told to stop is started again after this; it takes 2.6 s for the platform to
@@ -55,6 +58,12 @@
     Forget,
     /// Two machines are due for upkeep, one at a time.
     Wave(u64),
+    /// The open connections of a daemon to the store go silent for good.
+    SilentStoreLine(usize, Silence),
+    /// The open connections of all daemons to the interface for machines go silent for good.
+    SilentMachinesLine(Silence),
+    /// Both, of all daemons.
+    SilentLines(Silence),
 }
 
 impl Action {
@@ -82,6 +91,12 @@
                 tokio::spawn(async move { machines.crash(&id).await });
             }
             Action::Forget => site.store.forget_history(),
+            Action::SilentStoreLine(node, way) => site.nodes[*node].store_line.silence_open(*way),
+            Action::SilentMachinesLine(way) => site.machines_line.silence_open(*way),
+            Action::SilentLines(way) => {
+                site.machines_line.silence_open(*way);
+                site.nodes.iter().for_each(|node| node.store_line.silence_open(*way));
+            }
             Action::Wave(number) => {
                 let first = *number as usize % WORKERS;
                 site.wave(*number, &[name(first), name((first + 1) % WORKERS)], 1);
@@ -104,8 +119,13 @@
     node.start()
 }
 
-/// Draws faults for `time`, in the order of their times.
-pub(super) fn draw(rng: &mut StdRng, time: Duration) -> Vec<(Duration, Action)> {
+/// Draws faults for `time`, in the order of their times. Connections that go silent are drawn by a
+/// generator of their own, so that the other faults of a seed stay what they were.
+pub(super) fn draw(
+    rng: &mut StdRng,
+    silent_rng: &mut StdRng,
+    time: Duration,
+) -> Vec<(Duration, Action)> {
     let mut schedule = Vec::new();
     let mut at = FIRST;
     let mut waves = 0;
@@ -115,10 +135,26 @@
         schedule.extend(end.map(|(after, end)| (at + after, end)));
         at += Duration::from_millis(rng.random_range(GAP_MS));
     }
+    let mut at = FIRST;
+    while at < time {
+        schedule.push((at, silence(silent_rng)));
+        at += Duration::from_millis(silent_rng.random_range(SILENCE_GAP_MS));
+    }
     schedule.sort_by_key(|(at, _)| *at);
     schedule
 }
 
+/// Draws connections that go silent.
+fn silence(rng: &mut StdRng) -> Action {
+    let node = rng.random_range(0..NODES);
+    let way = [Silence::Both, Silence::Requests, Silence::Answers][rng.random_range(0..3)];
+    match rng.random_range(0..4) {
+        0 | 1 => Action::SilentStoreLine(node, way),
+        2 => Action::SilentMachinesLine(way),
+        _ => Action::SilentLines(way),
+    }
+}
+
 /// Draws a fault: how it begins, and after what time it ends, unless it is over at once.
 ///
 /// What is drawn, and in which order, decides what a seed means: a change here makes the seeds in
