dial, serve: what is known after two tries; one loop for an accepted connection

Found by reading: a call that was sent twice told too much. If the first try was slow and refused, the second, which had just been sent, could still be done, but the refusal counted as certain; and if the first never got a connection, a second without an answer was taken for one that was not sent. A job could so be refused and run.

Change: while one try is open a refusal of the other is not certain, and nothing was received only if neither try was sent. Test: a slow refusal with a second try under way leaves that one open; fails before. The two loops of an accepted connection are one; an error of a peer is copied instead of made anew.

--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -74,7 +74,7 @@
 }
 
 /// Why there is no answer.
-#[derive(Debug, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum PeerError {
     /// There is no connection, so the request was not sent.
     #[error("no connection to the peer")]
--- a/lib/src/batch/peer/line.rs
+++ b/lib/src/batch/peer/line.rs
@@ -99,15 +99,13 @@
             break why;
         }
     };
-    if matches!(ended, PeerError::Silent) {
+    if ended == PeerError::Silent {
         let addr = addr.to_string();
         log::info!(peer = addr.as_str(), requests = open.waiting.len(); "connection given up as silent");
     }
     for (_, reply) in open.waiting {
-        let why =
-            if matches!(ended, PeerError::Silent) { PeerError::Silent } else { PeerError::Closed };
         // Whoever asked may have given up.
-        let _ = reply.send(Err(why));
+        let _ = reply.send(Err(ended));
     }
     Some(ended)
 }
--- a/testutils/tests/test_silent.rs
+++ b/testutils/tests/test_silent.rs
@@ -8,6 +8,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +18,7 @@
 use futures_util::future::join_all;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use spokelift_lib::batch::peer;
 use spokelift_lib::batch::peer::Peers;
 use spokelift_lib::batch::peer::Reply;
@@ -182,6 +185,30 @@
     panic!("of the ends that made and accepted the connection are probed: {:?}", ends());
 }
 
+/// A request that was sent twice is refused by one try. The other may be carried out all the same, so
+/// nobody may be told that it was not.
+#[tokio::test]
+async fn a_refusal_of_one_try_leaves_the_other_open() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let line = Proxy::start(listener.local_addr().unwrap()).await.unwrap();
+    let (_open, closed) = watch::channel(false);
+    let tries = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(serve(listener, closed, move |_| {
+        let number = tries.fetch_add(1, Ordering::SeqCst);
+        async move {
+            // The first try is refused once the second one is under way, which gets no answer.
+            sleep(if number == 0 { WAIT } else { WAIT * 10 }).await;
+            let mut response = Response::new(full("busy"));
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            response
+        }
+    }));
+    let exchanged = call_again(&Dialer::new(WAIT), line.addr).await.unwrap();
+    assert_eq!(exchanged.response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(line.opened(), 2);
+    assert!(exchanged.other_is_open);
+}
+
 /// A peer that answers every request at once but those for a view, which wait until `held` is notified.
 async fn start_peer(held: Arc<Notify>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/transport/src/dial/exchange.rs
+++ b/transport/src/dial/exchange.rs
@@ -67,8 +67,8 @@
 pub struct Exchanged {
     /// The answer.
     pub response: Response<Bytes>,
-    /// The request was sent a second time as well, and the other try has no answer: it may have been
-    /// carried out, or may be carried out later.
+    /// The request was sent a second time as well, and the other try has no answer yet: it may have
+    /// been carried out, or may be carried out later.
     pub other_is_open: bool,
 }
 
@@ -91,8 +91,9 @@
 
     /// Sends a request that does no harm if it is received twice. If its answer is overdue, by what
     /// the address took lately, it is sent again on a new connection: the first one may be silent,
-    /// which a slow server cannot be told from. The same if its connection is cut. The first answer counts; if it is that of the second
-    /// try, all connections there that have not answered since the first are given up.
+    /// which a slow server cannot be told from. The same if its connection is cut. The first answer
+    /// counts; if it is that of the second try, all connections there that have not answered since the
+    /// first are given up.
     ///
     /// With every connection silent a call to the store is answered after 0.2 s instead of none within
     /// its 0.6 s.
@@ -127,31 +128,36 @@
         let second = request()?;
         let second = async { read(self.send_on_new(addr, second).await, limits.bytes).await };
         let second = timeout(left, second);
+        let second = async { second.await.unwrap_or(Err(ExchangeError::Timeout)) };
+        let open = |response| Ok(Exchanged { response, other_is_open: true });
         if let Some(cut) = cut {
             return match second.await {
-                Ok(Ok(response)) => Ok(Exchanged { response, other_is_open: true }),
-                _ => Err(cut),
+                Ok(response) => open(response),
+                Err(_) => Err(cut),
             };
         }
         let mut second = std::pin::pin!(second);
         tokio::select! {
-            done = &mut first => {
-                if done.is_ok() {
+            done = &mut first => match done {
+                Ok(response) => {
                     // It was slow, not silent.
                     self.idle.learn(addr, begun.elapsed().saturating_sub(limits.held));
-                    return alone(done);
+                    open(response)
                 }
-                match second.await {
-                    Ok(Ok(response)) => Ok(Exchanged { response, other_is_open: true }),
-                    _ => alone(done),
-                }
-            }
+                Err(error) => match second.await {
+                    Ok(response) => open(response),
+                    Err(other) => Err(less_certain(error, other)),
+                },
+            },
             done = &mut second => match done {
-                Ok(Ok(response)) => {
+                Ok(response) => {
                     self.note_unanswered(addr, begun, true);
-                    Ok(Exchanged { response, other_is_open: true })
+                    open(response)
                 }
-                _ => alone(first.await),
+                Err(error) => match first.await {
+                    Ok(response) => open(response),
+                    Err(other) => Err(less_certain(other, error)),
+                },
             },
         }
     }
@@ -166,6 +172,14 @@
     done.map(|response| Exchanged { response, other_is_open: false })
 }
 
+/// What is known after two tries: nothing was received only if neither was sent.
+fn less_certain(first: ExchangeError, second: ExchangeError) -> ExchangeError {
+    match first {
+        ExchangeError::NotSent(_) => second,
+        first => first,
+    }
+}
+
 async fn read(
     sent: Result<Response<Answer>, SendError>,
     limit: usize,
--- a/transport/src/serve.rs
+++ b/transport/src/serve.rs
@@ -93,28 +93,25 @@
     let stream = Noted::new(stream, phase.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let mut is_closing = false;
     loop {
         let due_at = match phase.due() {
             Due::Later(at) => at,
-            Due::Close => break,
             Due::Cut => return,
+            Due::Close if is_closing => break,
+            Due::Close => {
+                connection.as_mut().graceful_shutdown();
+                is_closing = true;
+                continue;
+            }
         };
         tokio::select! {
             // An error here is the caller's own: it went away or sent no HTTP.
             _ = connection.as_mut() => return,
-            _ = stop.wait_for(|stop| *stop) => break,
-            () = sleep_until(due_at.into()) => {}
-        }
-    }
-    connection.as_mut().graceful_shutdown();
-    loop {
-        let due_at = match phase.due() {
-            Due::Later(at) => at,
-            Due::Close => break,
-            Due::Cut => return,
-        };
-        tokio::select! {
-            _ = connection.as_mut() => return,
+            _ = stop.wait_for(|stop| *stop), if !is_closing => {
+                connection.as_mut().graceful_shutdown();
+                is_closing = true;
+            }
             () = sleep_until(due_at.into()) => {}
         }
     }
