--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -35,7 +35,7 @@
 use crate::batch::demand::Demand;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
-use crate::batch::worker::Worker;
+use crate::batch::worker::table::Table;
 
 /// Order of steps that wait for room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -54,6 +54,20 @@
     pub step: u16,
 }
 
+impl Rank {
+    /// The rank of a step of a job, in one repetition. It stays the same as long as the job is known.
+    pub fn of(entry: &Entry, time: u32, step: u16) -> Rank {
+        Rank {
+            ends: !entry.lasts(),
+            priority: entry.accepted.priority,
+            objective_at: entry.objective_at(time),
+            job: entry.id,
+            time,
+            step,
+        }
+    }
+}
+
 /// What is to be sent to a worker.
 #[derive(Debug)]
 pub enum Order {
@@ -143,9 +157,19 @@
     /// The jobs.
     pub jobs: HashMap<JobId, Entry>,
     /// The workers.
-    pub workers: HashMap<WorkerId, Worker>,
+    pub workers: Table,
     /// Steps with tasks that wait for room.
     pub ready: BTreeSet<Rank>,
+    /// Something may be placed that could not be before, beside what has become free on workers.
+    pub(super) stirred: bool,
+    /// Workers may be marked as unfenced.
+    pub(super) has_unfenced: bool,
+    /// Jobs may be marked as inherited.
+    has_inherited: bool,
+    /// Jobs with tasks that last, as long as they have not ended.
+    pub lasting: HashSet<JobId>,
+    /// Jobs of runs that were found on workers before the jobs were heard of.
+    strangers: HashSet<JobId>,
     /// The earlier scheduler had ended before it gave up the lead, so it can have started nothing of
     /// jobs that were not in the store when this one read it.
     pub predecessor_is_done: bool,
@@ -166,6 +190,8 @@
     roster: Vec<Record>,
     /// Orders to be sent.
     pub outbox: Vec<Order>,
+    /// Workers that were weighed for a task, over all.
+    pub weighed: u64,
     /// How long the tasks waited that were ordered to start.
     pub waits: Vec<Duration>,
     /// A newer scheduler was heard of.
@@ -187,8 +213,13 @@
         Cell {
             token,
             jobs: HashMap::new(),
-            workers: HashMap::new(),
+            workers: Table::default(),
             ready: BTreeSet::new(),
+            stirred: false,
+            has_unfenced: false,
+            has_inherited: false,
+            lasting: HashSet::new(),
+            strangers: HashSet::new(),
             predecessor_is_done: false,
             unasked: HashSet::new(),
             gone: HashMap::new(),
@@ -199,6 +230,7 @@
             dirty: HashSet::new(),
             roster: Vec::new(),
             outbox: Vec::new(),
+            weighed: 0,
             waits: Vec::new(),
             fenced: false,
             renewed_at: None,
--- a/lib/src/batch/cell/answers.rs
+++ b/lib/src/batch/cell/answers.rs
@@ -20,7 +20,7 @@
 impl Cell {
     /// A start was taken.
     pub fn on_started(&mut self, id: &str, task: TaskName, run: Run, now: Instant) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         let Some(slot) = worker.slots.get_mut(&task).filter(|slot| slot.run == run) else { return };
         if slot.phase == Phase::Starting {
             slot.phase = Phase::Live(now);
@@ -46,7 +46,7 @@
             self.fenced = true;
             return;
         }
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         let rest = match why {
             Some(Refusal::NoRoom) => REST_FULL,
             Some(Refusal::Unhealthy) => REST_UNHEALTHY,
@@ -54,9 +54,10 @@
             _ => Duration::ZERO,
         };
         worker.rest_until = worker.rest_until.max(now + rest);
-        if worker.slots.get(&task).is_some_and(|slot| slot.run == run)
-            && let Some(slot) = worker.remove(&task)
-        {
+        let is_there = worker.slots.get(&task).is_some_and(|slot| slot.run == run);
+        let slot = if is_there { worker.remove(&task) } else { None };
+        drop(worker);
+        if let Some(slot) = slot {
             self.run_gone(task, slot);
         }
         if why == Some(Refusal::Ticket) {
@@ -70,16 +71,18 @@
     /// A start had no answer: it may have been taken, or may be taken later. The run is stopped,
     /// so that the worker refuses it from then on, before the task is started elsewhere.
     pub fn on_unanswered(&mut self, id: &str, task: TaskName, run: Run, now: Instant) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         worker.rest_until = worker.rest_until.max(now + REST_UNANSWERED);
-        if worker.slots.get(&task).is_some_and(|slot| slot.run == run) {
+        let is_there = worker.slots.get(&task).is_some_and(|slot| slot.run == run);
+        drop(worker);
+        if is_there {
             self.stop_run(id, task);
         }
     }
 
     /// A worker has taken a stop.
     pub fn on_stopped(&mut self, id: &str, task: TaskName, run: Run, now: Instant) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         if let Some(slot) = worker.slots.get_mut(&task).filter(|slot| slot.run == run) {
             slot.phase = Phase::Stopping(Some(now));
         }
--- a/lib/src/batch/cell/flush.rs
+++ b/lib/src/batch/cell/flush.rs
@@ -3,13 +3,12 @@
 use crate::batch::cell::Cell;
 use crate::batch::cell::Flush;
 use crate::batch::record;
-use crate::batch::worker::Worker;
 
 impl Cell {
     /// Whether [`Cell::take_flush`] would return anything.
     pub fn needs_flush(&self) -> bool {
-        let unsaid = |worker: &Worker| worker.processed > worker.durable;
-        !self.dirty.is_empty() || !self.roster.is_empty() || self.workers.values().any(unsaid)
+        let has_unsaid = self.workers.unsaid().next().is_some();
+        !self.dirty.is_empty() || !self.roster.is_empty() || has_unsaid
     }
 
     /// Takes the changes since the last time.
@@ -22,10 +21,10 @@
                 flush.ended.push(id);
             }
         }
-        for worker in self.workers.values().filter(|worker| worker.reopening) {
+        for worker in self.workers.reopening() {
             flush.reopened.push(worker.peer.id.clone());
         }
-        for worker in self.workers.values().filter(|worker| worker.processed > worker.durable) {
+        for worker in self.workers.unsaid() {
             let id = worker.peer.id.clone();
             let early = self.early.iter().filter(|early| early.worker == id);
             let held = early.map(|early| early.end.number - 1).min();
@@ -42,12 +41,12 @@
             }
         }
         for id in &flush.reopened {
-            if let Some(worker) = self.workers.get_mut(id) {
+            if let Some(mut worker) = self.workers.get_mut(id) {
                 worker.reopening = false;
             }
         }
         for (id, processed) in &flush.processed {
-            if let Some(worker) = self.workers.get_mut(id) {
+            if let Some(mut worker) = self.workers.get_mut(id) {
                 worker.durable = worker.durable.max(*processed);
             }
         }
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -1,5 +1,6 @@
 //! Jobs: taken in, opened step by step, ended and let go of.
 
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -35,6 +36,7 @@
         // starting tasks, also of jobs that only arrive now.
         let may_be_started = !self.predecessor_is_done && !self.unasked.is_empty();
         entry.inherited = inherited.is_some() || may_be_started;
+        self.has_inherited |= entry.inherited;
         if let Some(progress) = inherited {
             entry.restore(progress);
         }
@@ -51,6 +53,9 @@
         if inherited.is_none() {
             self.demand.arrived(&entry, Instant::now());
         }
+        if entry.is_active() && entry.lasts() {
+            self.lasting.insert(id);
+        }
         self.jobs.insert(id, entry);
         for time in 0..times {
             self.open_steps(id, time);
@@ -62,8 +67,13 @@
     /// Runs that were found on workers before the job was heard of count for its tasks.
     fn claim_found(&mut self, entry: &mut Entry) {
         let id = entry.id;
-        for worker in self.workers.values_mut() {
+        if !self.strangers.remove(&id) {
+            return;
+        }
+        self.workers.for_each_mut(|worker| {
+            let mut found = false;
             for (name, slot) in worker.slots.iter_mut().filter(|(name, _)| name.job == id) {
+                found = true;
                 let Some(step) = entry.step(name.step) else { continue };
                 slot.room = Entry::room_of(step);
                 slot.kind = Entry::kind_of(step);
@@ -74,26 +84,37 @@
                     task.last_run = task.last_run.max(slot.run);
                 }
             }
-            worker.recount();
-        }
+            if found {
+                worker.recount();
+            }
+        });
     }
 
     /// Stops runs that were found on workers and whose job has still not been heard of.
     pub fn stop_unknown(&mut self, now: Instant) {
+        if !self.strangers.is_empty() {
+            self.stop_strangers(now);
+        }
+        let waits = |early: &Early| now.saturating_duration_since(early.told_at) <= UNKNOWN_JOB;
+        self.early.retain(waits);
+    }
+
+    fn stop_strangers(&mut self, now: Instant) {
+        let mut left = HashSet::new();
         let mut unknown = Vec::new();
         for worker in self.workers.values() {
-            for (name, slot) in &worker.slots {
-                let old = now.saturating_duration_since(slot.since) > UNKNOWN_JOB;
-                if old && !self.jobs.contains_key(&name.job) {
+            let found = worker.slots.iter().filter(|(name, _)| self.strangers.contains(&name.job));
+            for (name, slot) in found {
+                left.insert(name.job);
+                if now.saturating_duration_since(slot.since) > UNKNOWN_JOB {
                     unknown.push((worker.peer.id.clone(), *name));
                 }
             }
         }
+        self.strangers = left;
         for (worker, task) in unknown {
             self.stop_run(&worker, task);
         }
-        let waits = |early: &Early| now.saturating_duration_since(early.told_at) <= UNKNOWN_JOB;
-        self.early.retain(waits);
     }
 
     /// Opens the repetitions that are due at `wall`, the time since 1970.
@@ -143,14 +164,7 @@
         if !entry.is_active() {
             return;
         }
-        let rank = Rank {
-            ends: !entry.lasts(),
-            priority: entry.accepted.priority,
-            objective_at: entry.objective_at(name.time),
-            job: name.job,
-            time: name.time,
-            step: name.step,
-        };
+        let rank = Rank::of(entry, name.time, name.step);
         let Some(run) = entry.step_run(name.time, name.step).filter(|run| run.open) else { return };
         let Some(task) = run.tasks.get_mut(name.index as usize) else { return };
         if task.done || task.runs > 0 {
@@ -159,6 +173,7 @@
         task.waiting_since.get_or_insert_with(Instant::now);
         run.waiting.insert(name.index);
         self.ready.insert(rank);
+        self.stirred = true;
     }
 
     /// Cancels a job; `None` if it is not known.
@@ -177,13 +192,18 @@
         entry.end = Some(state);
         entry.ended_at = Some(Instant::now());
         let runs = entry.runs();
+        for (time, repetition) in (0..).zip(&entry.times) {
+            for (step, _) in (0..).zip(&repetition.steps) {
+                self.ready.remove(&Rank::of(entry, time, step));
+            }
+        }
+        self.lasting.remove(&id);
         self.dirty.insert(id);
         log::info!(
             job = format!("{id:016x}").as_str(),
             state = format!("{state:?}").as_str();
             "job ended"
         );
-        self.ready.retain(|rank| rank.job != id);
         // Most jobs end with nothing left to stop, and there are thousands of runs to look through.
         if runs > 0 {
             self.stop_where(|task| task.job == id);
@@ -192,18 +212,20 @@
 
     /// Stops all runs of tasks that fit.
     pub fn stop_where(&mut self, fits: impl Fn(&TaskName) -> bool) {
-        for worker in self.workers.values_mut() {
+        let outbox = &mut self.outbox;
+        self.workers.for_each_mut(|worker| {
             for (task, slot) in &mut worker.slots {
                 if fits(task) {
-                    order_stop(&mut self.outbox, &worker.peer, *task, slot);
+                    order_stop(outbox, &worker.peer, *task, slot);
                 }
             }
-        }
+        });
     }
 
     /// Stops one run so that it can go on elsewhere.
     pub fn stop_run(&mut self, id: &str, task: TaskName) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
+        let worker = &mut *worker;
         let Some(slot) = worker.slots.get_mut(&task) else { return };
         order_stop(&mut self.outbox, &worker.peer, task, slot);
     }
--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -37,7 +37,7 @@
     /// different connections overtake each other, and an older one would show runs that are over.
     /// What it lists of ends is listed again.
     pub fn on_look(&mut self, id: &str, sent: Instant, now: Instant, seen: Seen) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         worker.misses = 0;
         if worker.clock.is_some_and(|(last, _)| seen.clock <= last) {
             return;
@@ -52,7 +52,9 @@
             worker.fenced = true;
             worker.rest_until = now;
         }
-        if let Some(machine) = worker.entry.machine.clone() {
+        let machine = worker.entry.machine.clone();
+        drop(worker);
+        if let Some(machine) = machine {
             self.end_other_lives(&machine, id);
         }
         self.unasked.remove(id);
@@ -68,7 +70,7 @@
 
     /// A run has ended. Ends are listed until they are acknowledged, so one may be seen again.
     fn on_end(&mut self, id: &str, end: &End, now: Instant) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         if end.number <= worker.processed {
             return;
         }
@@ -77,6 +79,7 @@
             Some(slot) if slot.run == end.run => worker.remove(&end.task),
             _ => None,
         };
+        drop(worker);
         self.count_failure(id, end.outcome, now);
         if self.jobs.contains_key(&end.task.job) {
             self.apply_end(id, end, slot, now);
@@ -163,7 +166,7 @@
 
     /// Counts failures in a row of a worker; one that fails everything rests.
     fn count_failure(&mut self, id: &str, outcome: Outcome, now: Instant) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         match outcome {
             Outcome::Done => worker.failures = 0,
             Outcome::Failed => {
@@ -184,7 +187,7 @@
     /// Matches what a worker says it runs with what it should run.
     fn adopt(&mut self, id: &str, running: &[Running], now: Instant) {
         for told in running {
-            let Some(worker) = self.workers.get_mut(id) else { return };
+            let Some(mut worker) = self.workers.get_mut(id) else { return };
             match worker.slots.get_mut(&told.task) {
                 Some(slot) if slot.run == told.run => refresh(slot, told, now),
                 Some(_) => {
@@ -192,7 +195,10 @@
                     let peer = worker.peer.clone();
                     self.outbox.push(Order::Stop { peer, task: told.task, run: told.run });
                 }
-                None => self.adopt_unknown(id, told, now),
+                None => {
+                    drop(worker);
+                    self.adopt_unknown(id, told, now);
+                }
             }
         }
     }
@@ -213,7 +219,10 @@
             wanted;
             "unknown run found"
         );
-        if let Some(worker) = self.workers.get_mut(id) {
+        if !self.jobs.contains_key(&told.task.job) {
+            self.strangers.insert(told.task.job);
+        }
+        if let Some(mut worker) = self.workers.get_mut(id) {
             worker.insert(told.task, slot);
         }
         if !wanted {
@@ -253,7 +262,7 @@
 
     /// Removes runs that a look should have shown and did not.
     fn drop_missing(&mut self, id: &str, sent: Instant, running: &[Running]) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         let shown: HashSet<(TaskName, Run)> =
             running.iter().map(|told| (told.task, told.run)).collect();
         let missing = worker.slots.iter().filter(|(task, slot)| {
@@ -265,14 +274,16 @@
             settled && !shown.contains(&(**task, slot.run))
         });
         let missing: Vec<TaskName> = missing.map(|(task, _)| *task).collect();
-        for (task, slot) in take_slots(worker, &missing) {
+        let taken = take_slots(&mut worker, &missing);
+        drop(worker);
+        for (task, slot) in taken {
             self.run_gone(task, slot);
         }
     }
 
     /// A look had no answer.
     pub fn on_miss(&mut self, id: &str) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         worker.misses += 1;
         if worker.fenced && !worker.noted_silent {
             worker.noted_silent = true;
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -31,8 +31,8 @@
         if self.gone.contains_key(&id) {
             return false;
         }
-        if let Some(known) = self.workers.get_mut(&id) {
-            known.update(entry);
+        if self.workers.contains_key(&id) {
+            self.workers.update(&id, entry);
             return false;
         }
         let worker = Worker::new(peer, entry, now);
@@ -49,7 +49,7 @@
     /// The worker that lives on a machine gets no more work.
     pub fn cordon_on(&mut self, machine: &Machine) {
         let id = machine.worker.as_ref();
-        if let Some(worker) = id.and_then(|id| self.workers.get_mut(id)) {
+        if let Some(mut worker) = id.and_then(|id| self.workers.get_mut(id)) {
             worker.cordoned = true;
         }
     }
@@ -58,11 +58,8 @@
     /// later one is told by answers only, since reads of the store and of the list of machines may
     /// be seconds old.
     pub fn end_other_lives(&mut self, machine: &str, current: &str) {
-        let lived = |worker: &&Worker| {
-            worker.entry.machine.as_deref() == Some(machine) && worker.peer.id != current
-        };
         let met_at = self.workers.get(current).map(|worker| worker.met_at);
-        let gone = self.workers.values().filter(lived);
+        let gone = self.workers.on_box(machine).filter(|worker| worker.peer.id != current);
         let gone: Vec<(WorkerId, bool)> =
             gone.map(|worker| (worker.peer.id.clone(), Some(worker.met_at) < met_at)).collect();
         for (id, was_met_first) in gone {
@@ -77,11 +74,8 @@
 
     /// A machine was moved to a pool: the workers that it had in another one are dead.
     pub fn end_lives_elsewhere(&mut self, machine: &str, pool: &str) {
-        let lived = |worker: &&Worker| {
-            worker.entry.machine.as_deref() == Some(machine) && worker.entry.service != pool
-        };
-        let dead: Vec<WorkerId> =
-            self.workers.values().filter(lived).map(|worker| worker.peer.id.clone()).collect();
+        let dead = self.workers.on_box(machine).filter(|worker| worker.entry.service != pool);
+        let dead: Vec<WorkerId> = dead.map(|worker| worker.peer.id.clone()).collect();
         for id in dead {
             self.bury(&id, "its machine has moved");
         }
@@ -143,7 +137,7 @@
     /// The store no longer lists a worker. It may still run what it was told. It is excused for a
     /// while if the store was away lately.
     pub fn unlist(&mut self, id: &str, excused_until: Option<Instant>) {
-        if let Some(worker) = self.workers.get_mut(id) {
+        if let Some(mut worker) = self.workers.get_mut(id) {
             worker.listed = false;
             worker.excused_until = excused_until;
         }
@@ -172,9 +166,10 @@
     /// Everything on a silent worker has lapsed by now; it may come back.
     pub fn lapse(&mut self, id: &str) {
         self.unasked.remove(id);
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         let tasks: Vec<TaskName> = worker.slots.keys().copied().collect();
-        let slots = take_slots(worker, &tasks);
+        let slots = take_slots(&mut worker, &tasks);
+        drop(worker);
         if !slots.is_empty() {
             log::info!(worker = id, runs = slots.len(); "leases lapsed");
         }
@@ -235,6 +230,10 @@
 
     /// Once every worker has been asked, nothing of an earlier scheduler is in doubt.
     pub fn clear_inherited(&mut self) {
+        if !std::mem::take(&mut self.has_inherited) {
+            return;
+        }
+        self.stirred = true;
         for entry in self.jobs.values_mut() {
             entry.inherited = false;
         }
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -70,11 +70,11 @@
 fn uncordon(scheduler: &Scheduler, busy: &HashSet<MachineId>, list: &[Machine]) {
     let free = list.iter().filter(|machine| !busy.contains(&machine.id));
     let workers: HashSet<&WorkerId> = free.filter_map(|machine| machine.worker.as_ref()).collect();
-    for worker in scheduler.cell().workers.values_mut() {
-        if workers.contains(&worker.peer.id) {
+    scheduler.cell().workers.for_each_mut(|worker| {
+        if worker.cordoned && workers.contains(&worker.peer.id) {
             worker.cordoned = false;
         }
-    }
+    });
 }
 
 /// Tells what each service has and wants.
--- a/lib/src/batch/neighbours.rs
+++ b/lib/src/batch/neighbours.rs
@@ -26,9 +26,10 @@
     /// Slows tasks that take leftovers where a serving task is near its limit, and lets them work
     /// again where all are well below.
     pub fn spare_users(&mut self, now: Instant) {
-        for worker in self.workers.values_mut() {
-            if !worker.serves_beside_fillers() {
-                continue;
+        let outbox = &mut self.outbox;
+        self.workers.for_each_mut(|worker| {
+            if worker.lasting.tasks == 0 || !worker.serves_beside_fillers() {
+                return;
             }
             let strain = strain(worker);
             let peer = worker.peer.clone();
@@ -37,14 +38,9 @@
                 slot.pace = percent;
                 slot.paced_at = Some(now);
                 log::info!(task = task.to_string().as_str(), worker = peer.id.as_str(), percent, strain_percent = (strain * 100.0) as u64; "pace");
-                self.outbox.push(Order::Pace {
-                    peer: peer.clone(),
-                    task: *task,
-                    run: slot.run,
-                    percent,
-                });
+                outbox.push(Order::Pace { peer: peer.clone(), task: *task, run: slot.run, percent });
             }
-        }
+        });
     }
 
     /// Stops tasks on workers that are about to leave where stopping loses nothing: tasks that
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -4,7 +4,6 @@
 mod gang;
 mod room;
 
-use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,6 +20,7 @@
 use crate::batch::place::fit::Ask;
 use crate::batch::place::fit::allows;
 use crate::batch::place::fit::cost;
+use crate::batch::place::fit::is_ideal;
 use crate::batch::turn::is_sole_holder;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
@@ -30,26 +30,45 @@
     /// Starts what waits, as far as there is room, in the order of rank. What cannot reach its
     /// objective any more comes after everything that can.
     pub fn place(&mut self, now: Instant, wall: Duration) {
-        self.withhold_unfenced();
-        let tops = self.top_room(now);
+        self.stirred = false;
+        self.workers.take_freed();
+        self.withhold_unfenced(now);
         let doubt = self.doubt();
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
         let wall_ms = wall.as_millis() as u64;
         let (hopeful, late): (Vec<Rank>, Vec<Rank>) =
             ranks.into_iter().partition(|rank| !rank.ends || self.is_hopeful(rank, wall_ms));
         for rank in hopeful.into_iter().chain(late) {
-            self.place_step(rank, now, &tops, &doubt);
+            self.place_step(rank, now, &doubt);
         }
     }
 
     /// Keeps work from workers that were met after another node may have claimed the lead: it can have
     /// read the list of workers without them, and start the same task on one that it knows. A task ran
     /// twice for 0.3 s that way, on a worker met 2.1 s after the last renewal.
-    fn withhold_unfenced(&mut self) {
+    fn withhold_unfenced(&mut self, now: Instant) {
         let renewed_at = self.renewed_at;
-        for worker in self.workers.values_mut() {
-            worker.unfenced = !is_sole_holder(renewed_at, worker.met_at);
+        let may_withhold = !is_sole_holder(renewed_at, now);
+        if !may_withhold && !self.has_unfenced {
+            return;
         }
+        let mut has_unfenced = false;
+        self.workers.for_each_mut(|worker| {
+            worker.unfenced = !is_sole_holder(renewed_at, worker.met_at);
+            has_unfenced |= worker.unfenced;
+        });
+        self.has_unfenced = has_unfenced;
+    }
+
+    /// Whether a round of placing may start something that the last one could not, but for what
+    /// passes by itself with time.
+    pub fn needs_placing(&mut self) -> bool {
+        self.workers.take_freed() || self.stirred
+    }
+
+    /// Time has passed: rests may be over, and objectives out of reach.
+    pub fn stir(&mut self) {
+        self.stirred = true;
     }
 
     /// Whether a step can still be done by its objective, by the client's guess.
@@ -59,19 +78,15 @@
         wall_ms + step <= rank.objective_at
     }
 
-    /// The most processor left on any worker of each service; a step that needs more is passed
-    /// over without a look at the workers.
-    fn top_room(&self, now: Instant) -> HashMap<String, u32> {
-        let mut tops = HashMap::new();
-        for worker in self.workers.values().filter(|worker| worker.takes_work(now)) {
-            let top = tops.entry(worker.entry.service.clone()).or_insert(0);
-            *top = worker.free.cpu.max(*top);
-        }
-        tops
+    /// The most processor left on any worker of a service that takes work; none takes any if there is
+    /// no such worker.
+    fn top_room(&self, service: &str, now: Instant) -> Option<u32> {
+        let mut open = self.workers.open_with(service, 0).rev();
+        open.find(|worker| worker.takes_work(now)).map(|worker| worker.free.cpu)
     }
 
     /// Starts what waits of a step, as far as there is room.
-    fn place_step(&mut self, rank: Rank, now: Instant, tops: &HashMap<String, u32>, doubt: &Doubt) {
+    fn place_step(&mut self, rank: Rank, now: Instant, doubt: &Doubt) {
         let Some(entry) = self.jobs.get(&rank.job) else {
             self.ready.remove(&rank);
             return;
@@ -82,8 +97,7 @@
         }
         let Some(step) = entry.step(rank.step) else { return };
         let need = Entry::room_of(step);
-        let crowded = tops.get(service).is_none_or(|top| *top < need.cpu);
-        if crowded && rank.ends {
+        if rank.ends && self.top_room(service, now).is_none_or(|top| top < need.cpu) {
             return;
         }
         let (service, step) = (service.clone(), step.clone());
@@ -133,12 +147,19 @@
     ) -> Option<WorkerId> {
         let avoid = self.jobs.get_mut(&task.job)?.task(task)?.avoid.clone();
         let ask = Ask::new(task, service, step, &avoid);
-        let candidates = self
-            .workers
-            .values()
-            .filter(|worker| allows(worker, &ask, now) && self.is_permitted(task, worker, now));
-        let best = candidates.min_by_key(|worker| cost(worker, &ask));
-        best.map(|worker| worker.peer.id.clone())
+        let mut weighed = 0;
+        let mut fits = |worker: &&Worker| {
+            weighed += 1;
+            allows(worker, &ask, now) && self.is_permitted(task, worker, now)
+        };
+        let near = step.data_rack.iter();
+        let near = near.flat_map(|rack| self.workers.open_on_rack(service, rack, ask.need.cpu));
+        let near = best(near.filter(&mut fits), &ask);
+        let any = best(self.workers.open_with(service, ask.need.cpu).filter(&mut fits), &ask);
+        let best = near.into_iter().chain(any).min_by_key(|worker| cost(worker, &ask));
+        let best = best.map(|worker| worker.peer.id.clone());
+        self.weighed += weighed;
+        best
     }
 
     /// Whether the advice service lets a task run on a worker, where its queue needs that.
@@ -154,17 +175,16 @@
         if !self.jobs.get(&task.job).is_some_and(|entry| entry.accepted.needs_advice) {
             return;
         }
-        let open = self.workers.values().filter(|worker| worker.entry.service == service);
-        let mut open: Vec<&Worker> = open.filter(|worker| worker.takes_work(now)).collect();
-        open.sort_by_key(|worker| std::cmp::Reverse(worker.free.cpu));
-        let ids = open.into_iter().map(|worker| worker.peer.id.clone());
+        let open = self.workers.open_with(service, 0).rev();
+        let open = open.filter(|worker| worker.takes_work(now));
+        let ids = open.map(|worker| worker.peer.id.clone());
         self.advices.ask((task.job, task.time, task.step), ids);
     }
 
     /// Orders a start and takes the task's room.
     fn start(&mut self, name: TaskName, id: &str, step: &Step, now: Instant) {
         let token = self.token;
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
         let Some(lease_until) = worker.grant(now) else { return };
         let Some(entry) = self.jobs.get_mut(&name.job) else { return };
         let spec = entry.accepted.job.spec.clone();
@@ -191,6 +211,7 @@
             "start"
         );
         let peer = worker.peer.clone();
+        drop(worker);
         let ticket = self.advices.ticket((name.job, name.time, name.step), id, now);
         let ticket = ticket.cloned().unwrap_or_default();
         self.outbox.push(Order::Start {
@@ -204,3 +225,18 @@
         });
     }
 }
+
+/// The best of some workers on which a task may run, those with the least processor left first. A task
+/// that ends by itself wants the first one that nothing speaks against, so the others are not looked at.
+fn best<'a>(workers: impl Iterator<Item = &'a Worker>, ask: &Ask<'_>) -> Option<&'a Worker> {
+    let mut best: Option<&Worker> = None;
+    for worker in workers {
+        if best.is_none_or(|best| cost(worker, ask) < cost(best, ask)) {
+            best = Some(worker);
+        }
+        if best.is_some_and(|best| is_ideal(best, ask)) {
+            break;
+        }
+    }
+    best
+}
--- a/lib/src/batch/place/fit.rs
+++ b/lib/src/batch/place/fit.rs
@@ -97,6 +97,12 @@
     hindrance(worker, ask, now).is_none()
 }
 
+/// Whether no worker with as much processor left or more, and no nearer to the data, can cost less.
+pub(super) fn is_ideal(worker: &Worker, ask: &Ask<'_>) -> bool {
+    let avoided = ask.avoid.contains(&worker.peer.id);
+    ask.kind == Kind::Works && !avoided && worker.failures == 0
+}
+
 /// Order of preference among workers that may run the task; the least comes first.
 pub(super) fn cost(worker: &Worker, ask: &Ask<'_>) -> (bool, bool, u32, u32, u32) {
     let avoided = ask.avoid.contains(&worker.peer.id);
@@ -117,7 +123,7 @@
     // Tasks that last stand together, so that other machines are free to be moved.
     let lasting = match ask.kind {
         Kind::Works => 0,
-        _ => worker.slots.values().filter(|slot| slot.kind != Kind::Works).count() as u32,
+        _ => worker.lasting.tasks,
     };
     // The fullest worker that has room comes first, so that others become empty and can be moved or
     // switched off.
--- a/lib/src/batch/place/gang.rs
+++ b/lib/src/batch/place/gang.rs
@@ -78,7 +78,7 @@
     fn racks(&self, service: &str, step: &Step) -> Vec<Option<String>> {
         let mut racks = Vec::new();
         if step.same_rack {
-            let workers = self.workers.values().filter(|worker| worker.entry.service == service);
+            let workers = self.workers.of_service(service);
             let mut names: Vec<String> =
                 workers.filter_map(|worker| worker.entry.rack().map(str::to_owned)).collect();
             names.sort();
@@ -131,7 +131,8 @@
             let fits = worker.fits(room) && allows(worker, &ask, now);
             apart && on_rack && fits && self.is_permitted(task, worker, now)
         };
-        let best = self.workers.values().filter(fits).min_by_key(|worker| cost(worker, &ask));
+        let open = self.workers.open_with(service, ask.need.cpu);
+        let best = open.filter(fits).min_by_key(|worker| cost(worker, &ask));
         best.map(|worker| worker.peer.id.clone())
     }
 }
--- a/lib/src/batch/place/room.rs
+++ b/lib/src/batch/place/room.rs
@@ -37,7 +37,7 @@
         let ask = Ask::new(name, service, step, &[]);
         let usable = self
             .workers
-            .values()
+            .of_service(service)
             .filter(|worker| matches!(hindrance(worker, &ask, now), None | Some(Hindrance::Room)));
         let plans =
             usable.filter_map(|worker| Some((victims(worker, need, now)?, worker.peer.id.clone())));
--- a/lib/src/batch/pool/load.rs
+++ b/lib/src/batch/pool/load.rs
@@ -6,7 +6,6 @@
 use spokelift_platform::job::Step;
 
 use crate::batch::cell::Cell;
-use crate::batch::worker::Kind;
 use crate::batch::worker::Worker;
 
 /// Time in which work that waits should be done by the machines asked for: about as long as a
@@ -130,8 +129,7 @@
         load.has += u64::from(worker.entry.room.cpu);
         load.used += u64::from(worker.entry.room.cpu - worker.free.cpu.min(worker.entry.room.cpu));
         load.workers += 1;
-        let lasting = worker.slots.values().filter(|slot| slot.kind != Kind::Works);
-        load.lasting += lasting.map(|slot| u64::from(slot.room.cpu)).sum::<u64>();
+        load.lasting += u64::from(worker.lasting.cpu);
     }
 }
 
@@ -160,8 +158,12 @@
 
 /// How many empty workers of a service a gang needs, all of whose tasks run at once.
 fn workers_for_gang(cell: &Cell, service: &str, step: &Step) -> u64 {
-    let of_service = cell.workers.values().filter(|worker| worker.entry.service == service);
-    let Some(room) = of_service.map(|worker| worker.entry.room).max_by_key(|room| room.cpu) else {
+    let Some(room) = cell
+        .workers
+        .of_service(service)
+        .map(|worker| worker.entry.room)
+        .max_by_key(|room| room.cpu)
+    else {
         return 0;
     };
     let by_cpu = room.cpu.checked_div(step.cpu).unwrap_or(u32::MAX);
@@ -176,15 +178,15 @@
 
 /// What is free on the usable workers of a service that have a label.
 fn free_with_label(cell: &Cell, service: &str, label: &str, now: Instant) -> u64 {
-    let usable = |worker: &&Worker| worker.entry.service == service && worker.takes_work(now);
     let has = |worker: &&Worker| worker.entry.labels.iter().any(|known| known == label);
-    let workers = cell.workers.values().filter(usable).filter(has);
+    let workers = cell.workers.open_with(service, 0).filter(|worker| worker.takes_work(now));
+    let workers = workers.filter(has);
     workers.map(|worker| u64::from(worker.free.cpu)).sum()
 }
 
 /// Adds over how many workers lasting tasks must be spread.
 fn add_least(loads: &mut BTreeMap<String, Load>, cell: &Cell) {
-    for entry in cell.jobs.values().filter(|entry| entry.is_active() && entry.lasts()) {
+    for entry in cell.lasting.iter().filter_map(|id| cell.jobs.get(id)) {
         let load = loads.entry(entry.accepted.service.clone()).or_default();
         let spread = entry.accepted.job.steps.iter().filter(|step| step.max_per_worker > 0);
         let most = spread.map(|step| step.count.div_ceil(step.max_per_worker)).max().unwrap_or(0);
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -272,7 +272,9 @@
         scheduler.work.notified().await;
         let (orders, waits) = {
             let mut cell = scheduler.cell();
-            cell.place(Instant::now(), wall_clock());
+            if cell.needs_placing() {
+                cell.place(Instant::now(), wall_clock());
+            }
             (std::mem::take(&mut cell.outbox), std::mem::take(&mut cell.waits))
         };
         for waited in waits {
--- a/lib/src/batch/scheduler/look.rs
+++ b/lib/src/batch/scheduler/look.rs
@@ -39,7 +39,7 @@
 pub(super) fn spawn_looks(scheduler: &Arc<Scheduler>, id: WorkerId) {
     let met_at = {
         let mut cell = scheduler.cell();
-        let Some(worker) = cell.workers.get_mut(&id).filter(|worker| !worker.looked_at) else {
+        let Some(mut worker) = cell.workers.get_mut(&id).filter(|worker| !worker.looked_at) else {
             return;
         };
         worker.looked_at = true;
@@ -123,7 +123,7 @@
     now: Instant,
 ) -> Option<(Peer, Look)> {
     let mut cell = scheduler.cell();
-    let worker = cell.workers.get_mut(id).filter(|worker| worker.met_at == met_at)?;
+    let mut worker = cell.workers.get_mut(id).filter(|worker| worker.met_at == met_at)?;
     let waits = worker.clock.is_some() && worker.misses == 0 && worker.processed == worker.durable;
     let wait = match (waits, worker.serves_beside_fillers()) {
         (false, _) => Duration::ZERO,
--- a/lib/src/batch/scheduler/send.rs
+++ b/lib/src/batch/scheduler/send.rs
@@ -92,7 +92,7 @@
 /// Learns how long answers of a worker take; `None` if there was none.
 fn note_answer(scheduler: &Scheduler, peer: &Peer, took: Option<Duration>) {
     let mut cell = scheduler.cell();
-    let Some(worker) = cell.workers.get_mut(&peer.id) else { return };
+    let Some(mut worker) = cell.workers.get_mut(&peer.id) else { return };
     match took {
         Some(took) => worker.note_answer(took),
         None => worker.note_no_answer(),
--- a/lib/src/batch/scheduler/tick.rs
+++ b/lib/src/batch/scheduler/tick.rs
@@ -38,6 +38,7 @@
             }
             cell.spare_users(now);
             cell.forget_gone(now);
+            cell.stir();
         }
         scheduler.kick();
     }
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -226,10 +226,11 @@
 /// Tasks that end by themselves are let end, unless `hurry`. Of a step that lasts, at most as many
 /// tasks are away at once as it allows.
 pub fn empty(cell: &mut Cell, id: &str, hurry: bool) -> bool {
-    let Some(worker) = cell.workers.get_mut(id) else { return true };
+    let Some(mut worker) = cell.workers.get_mut(id) else { return true };
     worker.cordoned = true;
     let tasks: Vec<(TaskName, Phase)> =
         worker.slots.iter().map(|(task, slot)| (*task, slot.phase)).collect();
+    drop(worker);
     for (task, phase) in &tasks {
         if !matches!(phase, Phase::Live(_)) {
             continue;
--- a/lib/src/batch/upkeep/away.rs
+++ b/lib/src/batch/upkeep/away.rs
@@ -23,6 +23,7 @@
     };
     // What a silent worker runs may be gone by now.
     let answering = cell.workers.values().filter(|worker| worker.misses == 0);
+    let answering = answering.filter(|worker| worker.lasting.tasks > 0);
     let working = answering.flat_map(|worker| worker.slots.iter()).filter(|(task, slot)| {
         other(task) && matches!(slot.phase, Phase::Live(_)) && slot.percent >= 100
     });
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -1,5 +1,7 @@
 //! A worker in the scheduler's memory: its room, its lease and what may run on it.
 
+pub mod table;
+
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -126,6 +128,15 @@
     Resting,
 }
 
+/// Tasks that do not end by themselves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Lasting {
+    /// How many.
+    pub tasks: u32,
+    /// What they take, in thousandths of a core.
+    pub cpu: u32,
+}
+
 /// A worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -135,6 +146,8 @@
     pub entry: Entry,
     /// What is left of its room.
     pub free: Room,
+    /// What of its slots does not end by itself.
+    pub lasting: Lasting,
     /// What may run there.
     pub slots: HashMap<TaskName, Slot>,
     /// The highest end that was taken into account.
@@ -180,6 +193,7 @@
         Worker {
             peer,
             free: entry.room,
+            lasting: Lasting::default(),
             entry,
             slots: HashMap::new(),
             processed: 0,
@@ -255,6 +269,18 @@
         }
     }
 
+    /// Whether it takes work but for what passes by itself with time: a rest, or that the store does not
+    /// list it for a while.
+    pub fn is_open(&self) -> bool {
+        let closed = !self.fenced
+            || self.unfenced
+            || self.entry.draining
+            || self.cordoned
+            || self.misses > 0
+            || self.reopening;
+        !closed
+    }
+
     /// Whether the store does not list it, and has had the time to list it again. It has left or
     /// is about to.
     pub fn is_missing(&self, now: Instant) -> bool {
@@ -289,6 +315,10 @@
         self.free.cpu = self.free.cpu.saturating_sub(slot.room.cpu);
         self.free.memory_mb = self.free.memory_mb.saturating_sub(slot.room.memory_mb);
         self.free.gpu = self.free.gpu.saturating_sub(slot.room.gpu);
+        if slot.kind != Kind::Works {
+            self.lasting.tasks += 1;
+            self.lasting.cpu += slot.room.cpu;
+        }
         self.slots.insert(task, slot);
     }
 
@@ -313,7 +343,12 @@
     /// Works out what is left of its room.
     pub fn recount(&mut self) {
         let mut free = self.entry.room;
+        self.lasting = Lasting::default();
         for slot in self.slots.values() {
+            if slot.kind != Kind::Works {
+                self.lasting.tasks += 1;
+                self.lasting.cpu += slot.room.cpu;
+            }
             free.cpu = free.cpu.saturating_sub(slot.room.cpu);
             free.memory_mb = free.memory_mb.saturating_sub(slot.room.memory_mb);
             free.gpu = free.gpu.saturating_sub(slot.room.gpu);
--- /dev/null
+++ b/lib/src/batch/worker/table.rs
@@ -0,0 +1,356 @@
+//! All workers, with indexes that are kept up as each of them changes.
+//!
+//! A scheduler of a large site starts thousands of tasks a second among a thousand workers and more. What
+//! is asked for each task (a worker with room, another life on the same box, ends the store does not know
+//! of) is therefore looked up, never searched for among all workers.
+//!
+//! Invariant: the indexes say of each worker what [`Standing::of`] says. A worker is changed only through
+//! a [`Handle`], which brings them up to date as it is dropped.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::ops::Deref;
+use std::ops::DerefMut;
+use std::ops::Index as IndexById;
+
+use spokelift_platform::machine::MachineId;
+use spokelift_platform::worker::Entry;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::WorkerId;
+
+use crate::batch::worker::Worker;
+
+/// Number of a worker in the order in which they were met.
+type Number = u64;
+/// Workers by the processor that is left on them, in thousandths of a core.
+type ByFree = BTreeSet<(u32, Number)>;
+
+/// All workers.
+#[derive(Default)]
+pub struct Table {
+    numbers: HashMap<WorkerId, Number>,
+    workers: BTreeMap<Number, Worker>,
+    last: Number,
+    index: Index,
+}
+
+#[derive(Default)]
+struct Index {
+    services: HashMap<String, Service>,
+    boxes: HashMap<MachineId, BTreeSet<Number>>,
+    /// Workers with ends that the store does not know of.
+    unsaid: BTreeSet<Number>,
+    /// Workers that are heard of again, which the store does not know.
+    reopening: BTreeSet<Number>,
+    /// A worker has got more room, or takes work again.
+    has_freed: bool,
+}
+
+/// The workers of a service.
+#[derive(Default)]
+struct Service {
+    members: BTreeSet<Number>,
+    /// Those that are not closed, but for a time.
+    open: ByFree,
+    /// The same by rack.
+    racks: HashMap<String, ByFree>,
+}
+
+/// What the indexes say of a worker.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Standing {
+    open: bool,
+    free: Room,
+    unsaid: bool,
+    reopening: bool,
+}
+
+impl Standing {
+    fn of(worker: &Worker) -> Standing {
+        Standing {
+            open: worker.is_open(),
+            free: worker.free,
+            unsaid: worker.processed > worker.durable,
+            reopening: worker.reopening,
+        }
+    }
+
+    /// Whether a task may fit now that did not before.
+    fn has_more_than(&self, before: &Standing) -> bool {
+        let more = self.free.cpu > before.free.cpu
+            || self.free.memory_mb > before.free.memory_mb
+            || self.free.gpu > before.free.gpu;
+        self.open && (!before.open || more)
+    }
+}
+
+/// A worker that may be changed. The indexes follow as it is dropped.
+pub struct Handle<'a> {
+    worker: &'a mut Worker,
+    index: &'a mut Index,
+    number: Number,
+    before: Standing,
+}
+
+impl Deref for Handle<'_> {
+    type Target = Worker;
+
+    fn deref(&self) -> &Worker {
+        self.worker
+    }
+}
+
+impl DerefMut for Handle<'_> {
+    fn deref_mut(&mut self) -> &mut Worker {
+        self.worker
+    }
+}
+
+impl Drop for Handle<'_> {
+    fn drop(&mut self) {
+        let after = Standing::of(self.worker);
+        if after != self.before {
+            self.index.leave(self.number, self.worker, &self.before);
+            self.index.enter(self.number, self.worker, &after);
+            self.index.has_freed |= after.has_more_than(&self.before);
+        }
+    }
+}
+
+impl Index {
+    fn enter(&mut self, number: Number, worker: &Worker, standing: &Standing) {
+        let service = self.services.entry(worker.entry.service.clone()).or_default();
+        service.members.insert(number);
+        if standing.open {
+            let place = (standing.free.cpu, number);
+            service.open.insert(place);
+            if let Some(rack) = worker.entry.rack() {
+                service.racks.entry(rack.to_owned()).or_default().insert(place);
+            }
+        }
+        if standing.unsaid {
+            self.unsaid.insert(number);
+        }
+        if standing.reopening {
+            self.reopening.insert(number);
+        }
+    }
+
+    fn leave(&mut self, number: Number, worker: &Worker, standing: &Standing) {
+        if let Some(service) = self.services.get_mut(&worker.entry.service) {
+            let place = (standing.free.cpu, number);
+            service.members.remove(&number);
+            service.open.remove(&place);
+            if let Some(rack) = worker.entry.rack().and_then(|rack| service.racks.get_mut(rack)) {
+                rack.remove(&place);
+            }
+        }
+        self.unsaid.remove(&number);
+        self.reopening.remove(&number);
+    }
+
+    fn live_on(&mut self, number: Number, worker: &Worker) {
+        if let Some(name) = &worker.entry.machine {
+            self.boxes.entry(name.clone()).or_default().insert(number);
+        }
+    }
+
+    fn leave_box(&mut self, number: Number, worker: &Worker) {
+        let Some(name) = &worker.entry.machine else { return };
+        let Some(lives) = self.boxes.get_mut(name) else { return };
+        lives.remove(&number);
+        if lives.is_empty() {
+            self.boxes.remove(name);
+        }
+    }
+}
+
+impl Table {
+    /// How many workers there are.
+    pub fn len(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+
+    /// Whether a worker is known.
+    pub fn contains_key(&self, id: &str) -> bool {
+        self.numbers.contains_key(id)
+    }
+
+    /// A worker.
+    pub fn get(&self, id: &str) -> Option<&Worker> {
+        self.workers.get(self.numbers.get(id)?)
+    }
+
+    /// A worker that is to be changed.
+    pub fn get_mut(&mut self, id: &str) -> Option<Handle<'_>> {
+        let number = *self.numbers.get(id)?;
+        self.handle(number)
+    }
+
+    fn handle(&mut self, number: Number) -> Option<Handle<'_>> {
+        let worker = self.workers.get_mut(&number)?;
+        let before = Standing::of(worker);
+        Some(Handle { worker, index: &mut self.index, number, before })
+    }
+
+    /// Changes each worker.
+    pub fn for_each_mut(&mut self, mut change: impl FnMut(&mut Worker)) {
+        for (number, worker) in &mut self.workers {
+            let before = Standing::of(worker);
+            change(&mut Handle { worker, index: &mut self.index, number: *number, before });
+        }
+    }
+
+    /// All workers, in the order in which they were met.
+    pub fn values(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
+    /// Ids of all workers, in no order.
+    pub fn keys(&self) -> impl Iterator<Item = &WorkerId> {
+        self.numbers.keys()
+    }
+
+    /// Adds a worker that is not known.
+    pub fn insert(&mut self, id: WorkerId, worker: Worker) {
+        self.remove(&id);
+        self.last += 1;
+        let standing = Standing::of(&worker);
+        self.index.enter(self.last, &worker, &standing);
+        self.index.live_on(self.last, &worker);
+        self.index.has_freed |= standing.open;
+        self.numbers.insert(id, self.last);
+        self.workers.insert(self.last, worker);
+    }
+
+    /// Removes a worker.
+    pub fn remove(&mut self, id: &str) -> Option<Worker> {
+        let number = self.numbers.remove(id)?;
+        let worker = self.workers.remove(&number)?;
+        self.index.leave(number, &worker, &Standing::of(&worker));
+        self.index.leave_box(number, &worker);
+        Some(worker)
+    }
+
+    /// Takes over the changed entry of a worker; `false` if it is not known.
+    pub fn update(&mut self, id: &str, entry: Entry) -> bool {
+        let Some(number) = self.numbers.get(id).copied() else { return false };
+        let Some(worker) = self.workers.get_mut(&number) else { return false };
+        let before = Standing::of(worker);
+        self.index.leave(number, worker, &before);
+        self.index.leave_box(number, worker);
+        worker.update(entry);
+        let after = Standing::of(worker);
+        self.index.enter(number, worker, &after);
+        self.index.live_on(number, worker);
+        self.index.has_freed |= after.has_more_than(&before);
+        true
+    }
+
+    /// The workers of a service.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Worker> {
+        let members = self.index.services.get(service).map(|service| &service.members);
+        members.into_iter().flatten().filter_map(|number| self.workers.get(number))
+    }
+
+    /// The workers of a service that are open, as [`Worker::is_open`] says, and have so much processor
+    /// left: those with the least left first.
+    pub fn open_with(&self, service: &str, cpu: u32) -> impl DoubleEndedIterator<Item = &Worker> {
+        let open = self.index.services.get(service).map(|service| &service.open);
+        self.with_free(open, cpu)
+    }
+
+    /// The same on one rack.
+    pub fn open_on_rack(
+        &self,
+        service: &str,
+        rack: &str,
+        cpu: u32,
+    ) -> impl DoubleEndedIterator<Item = &Worker> {
+        let open = self.index.services.get(service).and_then(|service| service.racks.get(rack));
+        self.with_free(open, cpu)
+    }
+
+    fn with_free<'a>(
+        &'a self,
+        open: Option<&'a ByFree>,
+        cpu: u32,
+    ) -> impl DoubleEndedIterator<Item = &'a Worker> {
+        let open = open.into_iter().flat_map(move |open| open.range((cpu, 0)..));
+        open.filter_map(|(_, number)| self.workers.get(number))
+    }
+
+    /// The workers that live on a box, as far as they say so.
+    pub fn on_box(&self, name: &str) -> impl Iterator<Item = &Worker> {
+        let lives = self.index.boxes.get(name);
+        lives.into_iter().flatten().filter_map(|number| self.workers.get(number))
+    }
+
+    /// Workers with ends that the store does not know of.
+    pub fn unsaid(&self) -> impl Iterator<Item = &Worker> {
+        self.index.unsaid.iter().filter_map(|number| self.workers.get(number))
+    }
+
+    /// Workers that are heard of again, which the store does not know.
+    pub fn reopening(&self) -> impl Iterator<Item = &Worker> {
+        self.index.reopening.iter().filter_map(|number| self.workers.get(number))
+    }
+
+    /// Whether a worker has got more room, or takes work again, since the last time this was asked.
+    pub fn take_freed(&mut self) -> bool {
+        std::mem::take(&mut self.index.has_freed)
+    }
+
+    /// Compares the indexes with what a look at every worker gives; the differences in words.
+    pub fn faults(&self) -> Vec<String> {
+        let mut counted = Index::default();
+        for (number, worker) in &self.workers {
+            counted.enter(*number, worker, &Standing::of(worker));
+            counted.live_on(*number, worker);
+        }
+        let mut faults = Vec::new();
+        let mut compare = |what: &str, same: bool| {
+            if !same {
+                faults.push(format!("{what} differ from a full count"));
+            }
+        };
+        compare("boxes", counted.boxes == self.index.boxes);
+        compare("unsaid ends", counted.unsaid == self.index.unsaid);
+        compare("reopening workers", counted.reopening == self.index.reopening);
+        let none = Service::default();
+        let names = self.index.services.keys().chain(counted.services.keys());
+        for name in names {
+            let kept = self.index.services.get(name).unwrap_or(&none);
+            let counted = counted.services.get(name).unwrap_or(&none);
+            compare("members", kept.members == counted.members);
+            compare("open workers", kept.open == counted.open);
+            let on_racks = |service: &Service| -> BTreeSet<(u32, Number)> {
+                service.racks.values().flatten().copied().collect()
+            };
+            compare("workers on racks", on_racks(kept) == on_racks(counted));
+        }
+        faults
+    }
+}
+
+impl IndexById<&str> for Table {
+    type Output = Worker;
+
+    fn index(&self, id: &str) -> &Worker {
+        self.get(id).expect("the worker is known")
+    }
+}
+
+impl IndexById<&WorkerId> for Table {
+    type Output = Worker;
+
+    fn index(&self, id: &WorkerId) -> &Worker {
+        &self[id.as_str()]
+    }
+}
--- /dev/null
+++ b/lib/tests/test_table.rs
@@ -0,0 +1,263 @@
+//! The indexes of workers: they say what a look at every worker would, whatever happens, and they keep
+//! the cost of one placement away from the size of the site.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use proptest::prelude::*;
+use spokelift_lib::batch::cell::Cell;
+use spokelift_lib::batch::cell::Order;
+use spokelift_lib::batch::record::Accepted;
+use spokelift_platform::job::Job;
+use spokelift_platform::job::Step;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::End;
+use spokelift_platform::worker::Entry;
+use spokelift_platform::worker::Outcome;
+use spokelift_platform::worker::Peer;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::Run;
+use spokelift_platform::worker::Running;
+use spokelift_platform::worker::Seen;
+
+const TOKEN: u64 = 7;
+const SERVICES: [&str; 3] = ["one", "two", "three"];
+
+fn addr() -> SocketAddr {
+    "127.0.0.1:1".parse().unwrap()
+}
+
+fn entry(number: usize, draining: bool) -> Entry {
+    Entry {
+        service: SERVICES[number % SERVICES.len()].to_owned(),
+        address: addr(),
+        hall: "hall-1".to_owned(),
+        draining,
+        room: Room { cpu: 8_000, memory_mb: 8_000, gpu: 0 },
+        labels: vec![format!("r1-{}", number % 4)],
+        leaves_in_ms: None,
+        machine: Some(format!("m{}", number / 2)),
+    }
+}
+
+fn accepted(service: &str, step: Step) -> Accepted {
+    Accepted {
+        job: Job {
+            spec: "x".to_owned(),
+            steps: vec![step],
+            repetitions: 0,
+            first_run_ms: 0,
+            interval_ms: 0,
+        },
+        queue: "q".to_owned(),
+        service: service.to_owned(),
+        priority: 0,
+        max_attempts: 2,
+        needs_advice: false,
+        objective_ms: 600,
+        stretch_percent: 160,
+        at: Duration::from_secs(1),
+    }
+}
+
+fn step(count: u32) -> Step {
+    Step { count, cpu: 1_000, memory_mb: 100, estimate_ms: 500, ..Step::default() }
+}
+
+/// What may happen to a worker or a job.
+#[derive(Clone, Debug)]
+enum Happening {
+    Meet(usize),
+    Drain(usize),
+    Unlist(usize),
+    Look(usize),
+    Miss(usize),
+    Bury(usize),
+    Lapse(usize),
+    Job { service: usize, tasks: u32, lasts: bool, rack: Option<usize> },
+    Cancel(u64),
+    Refuse,
+    Flush,
+    Place,
+}
+
+fn happening() -> impl Strategy<Value = Happening> {
+    let worker = 0..12_usize;
+    prop_oneof![
+        3 => worker.clone().prop_map(Happening::Meet),
+        1 => worker.clone().prop_map(Happening::Drain),
+        1 => worker.clone().prop_map(Happening::Unlist),
+        8 => worker.clone().prop_map(Happening::Look),
+        2 => worker.clone().prop_map(Happening::Miss),
+        1 => worker.clone().prop_map(Happening::Bury),
+        1 => worker.prop_map(Happening::Lapse),
+        4 => (0..3_usize, 1..6_u32, any::<bool>(), prop::option::of(0..4_usize)).prop_map(
+            |(service, tasks, lasts, rack)| Happening::Job { service, tasks, lasts, rack }
+        ),
+        1 => (1..20_u64).prop_map(Happening::Cancel),
+        1 => Just(Happening::Refuse),
+        2 => Just(Happening::Flush),
+        6 => Just(Happening::Place),
+    ]
+}
+
+/// A scheduler's state, and what the workers run by what they were told.
+struct Bed {
+    cell: Cell,
+    now: Instant,
+    clock: u64,
+    jobs: u64,
+    running: Vec<(String, TaskName, Run)>,
+}
+
+impl Bed {
+    fn new() -> Bed {
+        let cell = Cell::new(TOKEN);
+        Bed { cell, now: Instant::now(), clock: 1_000, jobs: 0, running: Vec::new() }
+    }
+
+    fn meet(&mut self, number: usize, draining: bool) {
+        let peer = Peer { id: format!("w{number}"), addr: addr() };
+        self.cell.meet(peer, entry(number, draining), self.now);
+    }
+
+    /// A worker answers a look; the oldest half of what it runs has ended.
+    fn look(&mut self, number: usize) {
+        let id = format!("w{number}");
+        let sent = self.now;
+        self.tick();
+        let processed = self.cell.workers.get(&id).map_or(0, |worker| worker.processed);
+        let (mine, others): (Vec<_>, Vec<_>) =
+            self.running.drain(..).partition(|(worker, ..)| *worker == id);
+        self.running = others;
+        let (over, on) = mine.split_at(mine.len() / 2);
+        let ended = (processed + 1..).zip(over).map(|(number, (_, task, run))| End {
+            number,
+            task: *task,
+            run: *run,
+            outcome: if number % 5 == 0 { Outcome::Failed } else { Outcome::Done },
+            checkpoint: String::new(),
+        });
+        let ended = ended.collect();
+        let running = on.iter().map(|(_, task, run)| Running {
+            task: *task,
+            run: *run,
+            checkpoint: String::new(),
+            percent: 100,
+            figure: 0,
+        });
+        let seen = Seen { clock: self.clock, running: running.collect(), ended };
+        self.running.extend_from_slice(on);
+        self.cell.on_look(&id, sent, self.now, seen);
+    }
+
+    fn tick(&mut self) {
+        self.now += Duration::from_millis(20);
+        self.clock += 20;
+    }
+
+    /// Places what waits; the workers take all orders, but for a start if `refuse`.
+    fn place(&mut self, refuse: bool) {
+        self.cell.place(self.now, Duration::from_secs(1));
+        for order in std::mem::take(&mut self.cell.outbox) {
+            match order {
+                Order::Start { peer, task, run, .. } if refuse => {
+                    self.cell.on_refused(&peer.id, task, run, None, self.now);
+                }
+                Order::Start { peer, task, run, .. } => {
+                    self.cell.on_started(&peer.id, task, run, self.now);
+                    self.running.push((peer.id, task, run));
+                }
+                Order::Stop { peer, task, run } => {
+                    self.cell.on_stopped(&peer.id, task, run, self.now);
+                    self.running.retain(|known| *known != (peer.id.clone(), task, run));
+                }
+                Order::Pace { .. } => {}
+            }
+        }
+    }
+
+    fn happen(&mut self, what: Happening) {
+        self.tick();
+        match what {
+            Happening::Meet(number) => self.meet(number, false),
+            Happening::Drain(number) => self.meet(number, true),
+            Happening::Unlist(number) => self.cell.unlist(&format!("w{number}"), None),
+            Happening::Look(number) => self.look(number),
+            Happening::Miss(number) => self.cell.on_miss(&format!("w{number}")),
+            Happening::Bury(number) => {
+                let id = format!("w{number}");
+                self.running.retain(|(worker, ..)| *worker != id);
+                self.cell.bury(&id, "a test");
+            }
+            Happening::Lapse(number) => {
+                let id = format!("w{number}");
+                self.running.retain(|(worker, ..)| *worker != id);
+                self.cell.lapse(&id);
+            }
+            Happening::Job { service, tasks, lasts, rack } => {
+                let data_rack = rack.map(|rack| format!("r1-{rack}"));
+                let step = Step { long_running: lasts, data_rack, ..step(tasks) };
+                self.jobs += 1;
+                self.cell.admit(self.jobs, accepted(SERVICES[service], step), None);
+            }
+            Happening::Cancel(job) => drop(self.cell.cancel(job)),
+            Happening::Refuse => self.place(true),
+            Happening::Flush => {
+                let flush = self.cell.take_flush();
+                self.cell.on_flushed(&flush);
+            }
+            Happening::Place => self.place(false),
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn indexes_say_what_a_full_count_says(
+        happenings in prop::collection::vec(happening(), 1..120),
+    ) {
+        let mut bed = Bed::new();
+        for what in happenings {
+            let told = format!("{what:?}");
+            bed.happen(what);
+            prop_assert_eq!(bed.cell.workers.faults(), Vec::<String>::new(), "after {}", told);
+        }
+    }
+}
+
+/// Workers weighed for each of 200 tasks that are placed one after the other, at a site of so many
+/// workers of the service and of another one.
+fn weighed_for_each(own: usize, other: usize, rack: Option<&str>) -> f64 {
+    const TASKS: u32 = 200;
+    let mut bed = Bed::new();
+    for number in 0..own + other {
+        let service = if number < own { "one" } else { "two" };
+        let peer = Peer { id: format!("w{number}"), addr: addr() };
+        let machine = Some(format!("m{number}"));
+        let entry = Entry { service: service.to_owned(), machine, ..entry(number, false) };
+        bed.cell.meet(peer, entry, bed.now);
+        bed.look(number);
+    }
+    for _ in 0..TASKS {
+        bed.jobs += 1;
+        let step = Step { data_rack: rack.map(str::to_owned), ..step(1) };
+        bed.cell.admit(bed.jobs, accepted("one", step), None);
+        bed.place(false);
+        bed.tick();
+    }
+    assert_eq!(bed.running.len(), TASKS as usize);
+    bed.cell.weighed as f64 / f64::from(TASKS)
+}
+
+/// Before there were indexes, each task weighed every worker of the site: 1,100 here.
+#[test]
+fn a_placement_does_not_weigh_the_whole_site() {
+    for rack in [None, Some("r1-1")] {
+        let small = weighed_for_each(50, 50, rack);
+        let large = weighed_for_each(300, 800, rack);
+        assert!(small <= 4.0, "{small} at 50 workers, rack {rack:?}");
+        assert!(large <= small + 1.0, "{large} at 300 workers of 1,100, {small} at 50, {rack:?}");
+    }
+}
