--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -358,6 +358,7 @@
     Services(BatchServices),
     Queues(BatchQueues),
     Workers(BatchWorkers),
+    Shares(BatchShares),
     Waves(BatchWaves),
     Explain(Explain),
     Submit(BatchSubmit),
@@ -379,6 +380,11 @@
 #[argh(subcommand, name = "workers")]
 pub struct BatchWorkers {}
 
+/// Which node looks after how many workers for the scheduler.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "shares")]
+pub struct BatchShares {}
+
 /// Waves of upkeep, and how far they are.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "waves")]
--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -15,10 +15,9 @@
 use spokelift_lib::daemon::Sockets;
 use spokelift_lib::log_limit::Limited;
 use spokelift_lib::log_limit::Pipe;
+use spokelift_lib::settings::NodeSettings;
 use spokelift_lib::settings::Setting;
 use spokelift_lib::settings::Settings;
-use spokelift_lib::settings::read_site_key;
-use spokelift_lib::state::account::KeyHash;
 use tokio::runtime::Runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -104,6 +103,9 @@
     /// how long a plan's last steps wait for boxes that are down [30000]
     #[argh(option)]
     down_grace_ms: Option<String>,
+    /// workers that one node looks after for the scheduler, on the users' platform [100]
+    #[argh(option)]
+    workers_per_share: Option<String>,
     /// address to send metrics to
     #[argh(option)]
     statsd: Option<String>,
@@ -135,6 +137,7 @@
             "snapshot-every" => &self.snapshot_every,
             "snapshot-s" => &self.snapshot_s,
             "down-grace-ms" => &self.down_grace_ms,
+            "workers-per-share" => &self.workers_per_share,
             "statsd" => &self.statsd,
             _ => return None,
         };
@@ -193,8 +196,8 @@
         Ok(settings) => settings,
         Err(error) => return unusable(&error),
     };
-    let site_key = match read_site_key(|setting| args.value(setting)) {
-        Ok(site_key) => site_key,
+    let options = match NodeSettings::resolve(|setting| args.value(setting)) {
+        Ok(options) => options,
         Err(error) => return unusable(&error),
     };
     if args.check {
@@ -203,14 +206,14 @@
     }
     // One thread: these boxes have a share of one core, and each wake-up of another is charged.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    finish(runtime, serve_platform(settings, site_key))
+    finish(runtime, serve_platform(settings, options))
 }
 
 /// Serves until SIGTERM. Nothing in the settings changes while the process runs, so SIGHUP is
 /// only noted.
 async fn serve_platform(
     settings: spokelift_platform::settings::Settings,
-    site_key: Option<KeyHash>,
+    options: NodeSettings,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
@@ -226,7 +229,7 @@
         }
         stop.send_replace(true);
     });
-    spokelift_lib::batch::node::run(settings, site_key, stopping).await?;
+    spokelift_lib::batch::node::run(settings, options, stopping).await?;
     Ok(())
 }
 
--- a/cli/src/command/batch.rs
+++ b/cli/src/command/batch.rs
@@ -32,6 +32,10 @@
             let workers: Vec<view::Worker> = viewer.get(&path("workers")).await?;
             show(json, &workers, |workers| output::batch_workers(workers))
         }
+        BatchAction::Shares(_) => {
+            let shares: Vec<view::Share> = viewer.get(&path("shares")).await?;
+            show(json, &shares, |shares| output::batch_shares(shares))
+        }
         BatchAction::Waves(_) => {
             let waves: Vec<view::Wave> = viewer.get(&path("waves")).await?;
             show(json, &waves, |waves| output::batch_waves(waves))
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -277,6 +277,15 @@
     table(&["WORKER", "BOX", "SERVICE", "RUNS", "FREE", "CLOSED"], workers.iter().map(row))
 }
 
+/// Which node looks after how many workers, one a line.
+pub fn batch_shares(shares: &[view::Share]) -> String {
+    let row = |share: &view::Share| {
+        let carrier = share.carrier.map_or("the scheduler's own".to_owned(), cell);
+        vec![cell(share.number), carrier, cell(share.workers)]
+    };
+    table(&["SHARE", "NODE", "WORKERS"], shares.iter().map(row))
+}
+
 /// Waves of upkeep, one a line.
 pub fn batch_waves(waves: &[view::Wave]) -> String {
     let row = |wave: &view::Wave| {
--- /dev/null
+++ b/lib/src/batch/carry/look.rs
@@ -0,0 +1,147 @@
+//! Looks at workers: each renews a lease and hears what has ended.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::call::CallError;
+use spokelift_platform::worker::Look;
+use spokelift_platform::worker::Refusal;
+use spokelift_platform::worker::Seen;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::batch::carry::Carrier;
+use crate::batch::carry::charge::Charge;
+use crate::batch::carry::message::Event;
+use crate::batch::worker::table::Number;
+
+/// How long a look waits for an end; a lease is renewed at each look.
+const LOOK_WAIT: Duration = Duration::from_millis(1_200);
+/// The same where tasks that serve stand beside tasks that take leftovers.
+const LOOK_WAIT_CLOSELY: Duration = Duration::from_millis(600);
+/// How long a look may take beyond its wait.
+const LOOK: Duration = Duration::from_millis(600);
+/// How long a look may take that does not wait for an end; answers come in about 2 ms.
+const LOOK_NOW: Duration = Duration::from_millis(300);
+/// Longest pause between looks at a worker that does not answer.
+const LOOK_PAUSE: Duration = Duration::from_millis(400);
+/// How long the ends of one look wait for the store before the worker is looked at again.
+const AWAIT_DURABLE: Duration = Duration::from_millis(300);
+/// Time between questions whether there is a licence again.
+const LICENSE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Looks at one worker again and again: renews its lease, hears what ends.
+pub(super) async fn look(carrier: Arc<Carrier>, number: Number, charge: Arc<Charge>) {
+    loop {
+        while !carrier.license.holds() {
+            sleep(LICENSE_PAUSE).await;
+        }
+        let sent = Instant::now();
+        let message = next_look(&carrier, &charge, sent);
+        match carrier.tools.workers.look(&charge.peer, &message, LOOK).await {
+            Ok(seen) => {
+                tell_seen(&carrier, number, &charge, sent, seen);
+                await_durable(&charge).await;
+            }
+            Err(error) => {
+                if !is_worth_another(&carrier, number, &charge, &error) {
+                    return;
+                }
+                sleep(LOOK_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Looks at a worker once, without waiting for an end, and beside the looks that do. Used to learn
+/// at once what became of an order: the next look may be 1.2 s away.
+pub(super) async fn look_now(carrier: &Carrier, number: Number, charge: &Charge) -> Option<Seen> {
+    let seen = {
+        let state = charge.state();
+        state.clock?;
+        state.durable
+    };
+    let look = Look { token: carrier.token, seen, lease_until: None, wait_ms: 0 };
+    let sent = Instant::now();
+    match carrier.tools.workers.look(&charge.peer, &look, LOOK_NOW).await {
+        Ok(seen) => {
+            tell_seen(carrier, number, charge, sent, seen.clone());
+            Some(seen)
+        }
+        // The looks that go on tell whether the worker is silent.
+        Err(error) => {
+            log::debug!("worker {} does not answer at once: {error}", charge.peer.id);
+            None
+        }
+    }
+}
+
+fn tell_seen(carrier: &Carrier, number: Number, charge: &Charge, sent: Instant, mut seen: Seen) {
+    let now = Instant::now();
+    let (sent, at) = (carrier.moment(sent), carrier.moment(now));
+    // Told under the lock: of two answers the later one must be told last.
+    let mut state = charge.state();
+    if state.take(&mut seen, now) {
+        let lease_until = state.lease_until;
+        carrier.tell(Event::Seen { number, sent, at, lease_until, seen });
+    }
+}
+
+/// Takes in that a look failed; `false` if the worker is not to be looked at again.
+fn is_worth_another(carrier: &Carrier, number: Number, charge: &Charge, error: &CallError) -> bool {
+    carrier.tools.counters.count("batch.look.failed");
+    match Refusal::of(error) {
+        Some(Refusal::Fenced) => {
+            carrier.tell(Event::Fenced);
+            return false;
+        }
+        Some(Refusal::OtherLife) => {
+            carrier.tell(Event::OtherLife { number });
+            return false;
+        }
+        _ => {}
+    }
+    log::debug!("worker {} does not answer: {error}", charge.peer.id);
+    let mut state = charge.state();
+    state.misses += 1;
+    let lease_until = state.lease_until;
+    drop(state);
+    carrier.tell(Event::Missed { number, lease_until });
+    true
+}
+
+fn next_look(carrier: &Carrier, charge: &Charge, now: Instant) -> Look {
+    let mut state = charge.state();
+    let waits = state.clock.is_some() && state.misses == 0 && state.told == state.durable;
+    let wait = match (waits, state.closely) {
+        (false, _) => Duration::ZERO,
+        (true, true) => LOOK_WAIT_CLOSELY,
+        (true, false) => LOOK_WAIT,
+    };
+    Look {
+        token: carrier.token,
+        seen: state.durable,
+        lease_until: state.grant(now),
+        wait_ms: wait.as_millis() as u64,
+    }
+}
+
+/// Waits until the store knows of the ends that the worker has listed.
+async fn await_durable(charge: &Charge) {
+    let durable = async {
+        loop {
+            let known = charge.durable.notified();
+            let waits = {
+                let state = charge.state();
+                state.told > state.durable
+            };
+            if !waits {
+                return;
+            }
+            known.await;
+        }
+    };
+    // While the store is away, the worker is looked at all the same, to renew its lease.
+    let _ = timeout(AWAIT_DURABLE, durable).await;
+}
--- /dev/null
+++ b/lib/src/batch/carry/message.rs
@@ -0,0 +1,167 @@
+//! What a scheduler and its carriers say to each other.
+
+use serde::Deserialize;
+use serde::Serialize;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::Peer;
+use spokelift_platform::worker::Refusal;
+use spokelift_platform::worker::Run;
+use spokelift_platform::worker::Seen;
+use spokelift_platform::worker::WorkerMs;
+
+use crate::batch::worker::table::Number;
+
+/// Microseconds since a carrier began, by its own steady clock.
+pub type Moment = u64;
+
+/// A task to be started.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Start {
+    /// The worker.
+    pub number: Number,
+    /// The task.
+    pub task: TaskName,
+    /// Number of the start.
+    pub run: Run,
+    /// Where to go on from.
+    pub checkpoint: String,
+    /// Permission, where the queue needs one.
+    pub ticket: String,
+}
+
+/// What a scheduler wants of a carrier.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Look after a worker from now on.
+    Take {
+        /// Its number.
+        number: Number,
+        /// How it is called.
+        peer: Peer,
+        /// Ends up to this one may be forgotten by the worker.
+        durable: u64,
+    },
+    /// Look after a worker no more.
+    Leave {
+        /// Its number.
+        number: Number,
+    },
+    /// Ends up to this one may be forgotten by the worker.
+    Durable {
+        /// The worker.
+        number: Number,
+        /// The highest end whose effect the store knows of.
+        end: u64,
+    },
+    /// Tasks that serve stand beside tasks that take leftovers there, or no longer do.
+    Watch {
+        /// The worker.
+        number: Number,
+        /// Look more often.
+        closely: bool,
+    },
+    /// Start tasks of one job.
+    Start {
+        /// The job's text.
+        spec: String,
+        /// The tasks.
+        starts: Vec<Start>,
+    },
+    /// Stop a run.
+    Stop {
+        /// The worker.
+        number: Number,
+        /// The task.
+        task: TaskName,
+        /// Its run.
+        run: Run,
+    },
+    /// Let a task work at a share of its speed.
+    Pace {
+        /// The worker.
+        number: Number,
+        /// The task.
+        task: TaskName,
+        /// Its run.
+        run: Run,
+        /// The share, in hundredths.
+        percent: u32,
+    },
+    /// Do nothing more.
+    End,
+}
+
+/// What a carrier saw.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Event {
+    /// A look was answered.
+    Seen {
+        /// The worker.
+        number: Number,
+        /// When the look was sent.
+        sent: Moment,
+        /// When the answer had come.
+        at: Moment,
+        /// The latest end of a lease that this carrier has asked for there.
+        lease_until: WorkerMs,
+        /// The answer; ends that were told before are left out.
+        seen: Seen,
+    },
+    /// A look had no answer.
+    Missed {
+        /// The worker.
+        number: Number,
+        /// The latest end of a lease that this carrier has asked for there; it asks for no more until
+        /// the worker answers.
+        lease_until: WorkerMs,
+    },
+    /// A worker has heard of a later scheduler.
+    Fenced,
+    /// Another life answers at the worker's address.
+    OtherLife {
+        /// The worker.
+        number: Number,
+    },
+    /// A start was taken.
+    Started {
+        /// The worker.
+        number: Number,
+        /// The task.
+        task: TaskName,
+        /// Its run.
+        run: Run,
+        /// When that was known.
+        at: Moment,
+    },
+    /// A start was not taken and never will be.
+    NotStarted {
+        /// The worker.
+        number: Number,
+        /// The task.
+        task: TaskName,
+        /// Its run.
+        run: Run,
+        /// Why, if the worker said so.
+        why: Option<Refusal>,
+    },
+    /// A start had no answer, and a look did not show the run.
+    Unanswered {
+        /// The worker.
+        number: Number,
+        /// The task.
+        task: TaskName,
+        /// Its run.
+        run: Run,
+    },
+    /// A stop was taken, or the worker will not run it in any case.
+    Stopped {
+        /// The worker.
+        number: Number,
+        /// The task.
+        task: TaskName,
+        /// Its run.
+        run: Run,
+        /// When that was known.
+        at: Moment,
+    },
+}
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -29,12 +29,12 @@
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Token;
 use spokelift_platform::worker::WorkerId;
-use spokelift_platform::worker::WorkerMs;
 
 use crate::batch::advice::Advices;
 use crate::batch::demand::Demand;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
+use crate::batch::worker::table::Number;
 use crate::batch::worker::table::Table;
 
 /// Order of steps that wait for room.
@@ -79,10 +79,6 @@
         task: TaskName,
         /// Number of the start.
         run: Run,
-        /// The job's text.
-        spec: String,
-        /// End of the lease.
-        lease_until: WorkerMs,
         /// Where to go on from.
         checkpoint: String,
         /// Permission, where the queue needs one.
@@ -108,6 +104,25 @@
         /// The share, in hundredths.
         percent: u32,
     },
+    /// Look more often, or no longer.
+    Watch {
+        /// The worker.
+        peer: Peer,
+        /// More often.
+        closely: bool,
+    },
+}
+
+impl Order {
+    /// The worker it goes to.
+    pub fn peer(&self) -> &Peer {
+        match self {
+            Order::Start { peer, .. }
+            | Order::Stop { peer, .. }
+            | Order::Pace { peer, .. }
+            | Order::Watch { peer, .. } => peer,
+        }
+    }
 }
 
 /// Changes that the store is to know of.
@@ -190,6 +205,8 @@
     roster: Vec<Record>,
     /// Orders to be sent.
     pub outbox: Vec<Order>,
+    /// Workers that are not known any more, by number.
+    pub removed: Vec<Number>,
     /// Workers that were weighed for a task, over all.
     pub weighed: u64,
     /// How long the tasks waited that were ordered to start.
@@ -230,6 +247,7 @@
             dirty: HashSet::new(),
             roster: Vec::new(),
             outbox: Vec::new(),
+            removed: Vec::new(),
             weighed: 0,
             waits: Vec::new(),
             fenced: false,
--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -14,6 +14,7 @@
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Running;
 use spokelift_platform::worker::Seen;
+use spokelift_platform::worker::WorkerMs;
 
 use crate::batch::cell::Cell;
 use crate::batch::cell::Early;
@@ -39,6 +40,7 @@
     pub fn on_look(&mut self, id: &str, sent: Instant, now: Instant, seen: Seen) {
         let Some(mut worker) = self.workers.get_mut(id) else { return };
         worker.misses = 0;
+        worker.handed_over = false;
         if worker.clock.is_some_and(|(last, _)| seen.clock <= last) {
             return;
         }
@@ -281,6 +283,13 @@
         }
     }
 
+    /// A look was answered; its carrier has asked for a lease until then at the latest.
+    pub fn note_lease(&mut self, id: &str, until: WorkerMs) {
+        if let Some(mut worker) = self.workers.get_mut(id) {
+            worker.lease_until = worker.lease_until.max(until);
+        }
+    }
+
     /// A look had no answer.
     pub fn on_miss(&mut self, id: &str) {
         let Some(mut worker) = self.workers.get_mut(id) else { return };
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -9,12 +9,15 @@
 use spokelift_platform::worker;
 use spokelift_platform::worker::Peer;
 use spokelift_platform::worker::Room;
+use spokelift_platform::worker::Run;
 use spokelift_platform::worker::WorkerId;
 
 use crate::batch::cell::Cell;
 use crate::batch::cell::Doubt;
+use crate::batch::cell::Order;
 use crate::batch::record;
 use crate::batch::record::Known;
+use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
 use crate::batch::worker::Worker;
 
@@ -91,7 +94,7 @@
 
     /// An earlier scheduler knew that a worker's life is over.
     pub fn inherit_gone(&mut self, id: WorkerId, now: Instant) {
-        self.workers.remove(&id);
+        self.removed.extend(self.workers.remove(&id).map(|worker| worker.number));
         self.gone.insert(id, now);
     }
 
@@ -157,6 +160,7 @@
         let Some(worker) = self.workers.remove(id) else { return };
         log::info!(worker = id, why, runs = worker.slots.len(); "worker gone");
         self.unasked.remove(id);
+        self.removed.push(worker.number);
         self.roster.push(record::forget_worker(id));
         for (task, slot) in worker.slots {
             self.run_gone(task, slot);
@@ -185,6 +189,27 @@
         lapsed.map(|worker| (worker.peer.id.clone(), worker.listed)).collect()
     }
 
+    /// A worker passes from a carrier that may act until `last` to another one. What the first was told
+    /// to start and did not answer for is stopped before it is started elsewhere; what it was told to
+    /// stop is told again.
+    pub fn hand_over(&mut self, id: &str, last: Instant) {
+        let Some(mut worker) = self.workers.get_mut(id) else { return };
+        worker.hand_over(last);
+        let peer = worker.peer.clone();
+        let runs = worker.slots.iter().map(|(task, slot)| (*task, slot.run, slot.phase));
+        let runs: Vec<(TaskName, Run, Phase)> = runs.collect();
+        drop(worker);
+        for (task, run, phase) in runs {
+            match phase {
+                Phase::Starting => self.stop_run(id, task),
+                Phase::Stopping(None) => {
+                    self.outbox.push(Order::Stop { peer: peer.clone(), task, run });
+                }
+                Phase::Live(_) | Phase::Stopping(Some(_)) => {}
+            }
+        }
+    }
+
     /// A run is known to be gone: its task waits for room again, with what the run has saved.
     pub(super) fn run_gone(&mut self, name: TaskName, slot: Slot) {
         let Some(entry) = self.jobs.get_mut(&name.job) else { return };
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -3,6 +3,7 @@
 //! nothing that must be right.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -75,6 +76,17 @@
         Some(f64::from(cpu) >= f64::from(strongest) * STRONG_SHARE)
     }
 
+    /// The strongest of the other nodes, with their processor in thousandths of a core; not those that
+    /// are left out, nor such as did not answer lately.
+    pub fn strongest(&self, count: usize, without: &HashSet<SocketAddr>) -> Vec<(SocketAddr, u32)> {
+        let mut nodes: Vec<Entry> = self.entries().iter().flatten().cloned().collect();
+        nodes.retain(|node| !without.contains(&node.addr) && !self.is_shunned(node.addr));
+        nodes.shuffle(&mut rand::rng());
+        nodes.sort_by_key(|node| std::cmp::Reverse(node.cpu));
+        nodes.truncate(count);
+        nodes.into_iter().map(|node| (node.addr, node.cpu)).collect()
+    }
+
     /// How many of the other nodes have a lower address: a number that each node has for itself,
     /// from 0, as far as they know of each other.
     pub fn rank(&self, own: SocketAddr) -> usize {
--- a/lib/src/batch/lead.rs
+++ b/lib/src/batch/lead.rs
@@ -181,7 +181,7 @@
         if node.is_stopping() {
             scheduler.settle().await;
             // Whoever follows relies on that nothing is started after the release.
-            scheduler.end();
+            scheduler.end_with_carriers().await;
             release(node, view, scheduler.turn.end(Instant::now())).await;
             return "the node stops";
         }
--- a/lib/src/batch/neighbours.rs
+++ b/lib/src/batch/neighbours.rs
@@ -28,7 +28,12 @@
     pub fn spare_users(&mut self, now: Instant) {
         let outbox = &mut self.outbox;
         self.workers.for_each_mut(|worker| {
-            if worker.lasting.tasks == 0 || !worker.serves_beside_fillers() {
+            let closely = worker.lasting.tasks > 0 && worker.serves_beside_fillers();
+            if worker.watched_closely != closely && !worker.handed_over {
+                worker.watched_closely = closely;
+                outbox.push(Order::Watch { peer: worker.peer.clone(), closely });
+            }
+            if !closely {
                 return;
             }
             let strain = strain(worker);
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -25,6 +25,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::batch::carry::Tools;
+use crate::batch::carry::remote::Carried;
 use crate::batch::commit;
 use crate::batch::contact::Contact;
 use crate::batch::contact::count_connections;
@@ -45,7 +47,7 @@
 use crate::listen::StartError;
 use crate::listen::listen;
 use crate::metrics::Counters;
-use crate::state::account::KeyHash;
+use crate::settings::NodeSettings;
 use crate::transport::dial::Body;
 use crate::transport::dial::Dialer;
 use crate::transport::dial::full;
@@ -61,9 +63,8 @@
 pub struct Node {
     /// The settings of the platform.
     pub settings: Settings,
-    /// Hash of the site operator's secret; without one, nobody may change anything through the
-    /// operators' port.
-    pub site_key: Option<KeyHash>,
+    /// What is set beside them.
+    pub options: NodeSettings,
     /// Random number of this life of the node.
     pub life: u64,
     /// The platform's store.
@@ -84,6 +85,8 @@
     pub peers: Peers,
     /// Where the other nodes are.
     pub directory: Directory,
+    /// Workers that are carried for a scheduler on another node.
+    pub carried: Carried,
     /// Counters.
     pub counters: Counters,
     /// How long answers to clients, waits of tasks and writes of jobs take.
@@ -97,7 +100,7 @@
 
 impl Node {
     /// A node with nothing known yet.
-    pub fn new(settings: Settings, site_key: Option<KeyHash>, counters: Counters) -> Arc<Node> {
+    pub fn new(settings: Settings, options: NodeSettings, counters: Counters) -> Arc<Node> {
         let watch = count_connections(&settings, counters.clone());
         let dialer = Dialer::new(CONNECT).watched(watch);
         Arc::new(Node {
@@ -108,10 +111,11 @@
             way: Way::default(),
             commits: commit::Queue::default(),
             dialer,
-            site_key,
+            options,
             life: rand::random(),
             peers: Peers::default(),
             directory: Directory::default(),
+            carried: Carried::default(),
             counters,
             latencies: Latencies::default(),
             config: Mutex::default(),
@@ -123,6 +127,11 @@
         })
     }
 
+    /// What carrying out orders about workers takes.
+    pub fn tools(&self) -> Tools {
+        Tools { workers: self.workers.clone(), counters: self.counters.clone() }
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> Option<Arc<Config>> {
         self.config.lock().expect("no holder of the configuration panics").clone()
@@ -240,7 +249,7 @@
 /// [`StartError`] if it cannot listen.
 pub async fn run(
     settings: Settings,
-    site_key: Option<KeyHash>,
+    options: NodeSettings,
     mut stop: watch::Receiver<bool>,
 ) -> Result<(), StartError> {
     let counters = Counters::new(None).map_err(StartError::Metrics)?;
@@ -251,7 +260,7 @@
     let metrics = listen("metrics", metrics_addr).await?;
     let peers = listen("peers", peer_addr).await?;
     log::info!(node = settings.node.as_str(), hall = settings.hall.as_str(); "starts");
-    let node = Node::new(settings, site_key, counters);
+    let node = Node::new(settings, options, counters);
     let tasks = [
         tokio::spawn(peer::serve(node.clone(), peers)),
         tokio::spawn(operator::run(node.clone())),
@@ -272,6 +281,7 @@
         let _ = stop.wait_for(|stop| *stop).await;
         log::info!("stops: the platform is told first");
         node.stopping.send_replace(true);
+        node.carried.end();
         sleep(STOP_DELAY).await;
         close.send_replace(true);
     };
--- a/lib/src/batch/node/operate.rs
+++ b/lib/src/batch/node/operate.rs
@@ -95,7 +95,7 @@
 
 /// Without a key of the site in the node's settings, nobody may change anything.
 fn check_credential(node: &Node, head: &Parts) -> Result<(), ApiError> {
-    let key = node.site_key.ok_or(ApiError::Credential)?;
+    let key = node.options.site_key.ok_or(ApiError::Credential)?;
     let credential = bearer(head)?;
     let valid = credential.account == SITE && credential.matches(&[key]);
     if valid { Ok(()) } else { Err(ApiError::Credential) }
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -25,6 +25,8 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::batch::carry::remote::Errand;
+use crate::batch::carry::remote::Report;
 use crate::batch::node::Node;
 use crate::batch::record::Accepted;
 use crate::batch::relay;
@@ -50,6 +52,10 @@
     Pending(String),
     /// Make this call to the store, since the sender is turned away there.
     Relay(relay::Call),
+    /// Carry out these commands about workers.
+    Carry(Box<Errand>),
+    /// What was seen at workers that are carried for the receiver.
+    Report(Box<Report>),
     /// Show operators what this path names.
     View(String),
     /// Only answer, so that the sender knows that the connection works.
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -185,9 +185,7 @@
     fn start(&mut self, name: TaskName, id: &str, step: &Step, now: Instant) {
         let token = self.token;
         let Some(mut worker) = self.workers.get_mut(id) else { return };
-        let Some(lease_until) = worker.grant(now) else { return };
         let Some(entry) = self.jobs.get_mut(&name.job) else { return };
-        let spec = entry.accepted.job.spec.clone();
         let Some(task) = entry.task(name) else { return };
         let run = next_run(task, token);
         task.last_run = run;
@@ -214,15 +212,7 @@
         drop(worker);
         let ticket = self.advices.ticket((name.job, name.time, name.step), id, now);
         let ticket = ticket.cloned().unwrap_or_default();
-        self.outbox.push(Order::Start {
-            peer,
-            task: name,
-            run,
-            spec,
-            lease_until,
-            checkpoint,
-            ticket,
-        });
+        self.outbox.push(Order::Start { peer, task: name, run, checkpoint, ticket });
     }
 }
 
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -1,6 +1,7 @@
 //! Moves machines between pools as the load turns from service to service.
 
 pub mod load;
+mod source;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -18,16 +19,16 @@
 use spokelift_platform::machine::MachineId;
 use spokelift_platform::machine::Machines;
 use spokelift_platform::machine::Status;
-use spokelift_platform::worker::WorkerId;
 
 use crate::batch::cell::Cell;
 use crate::batch::pool::load::Load;
 use crate::batch::pool::load::loads;
 use crate::batch::pool::load::spare;
+use crate::batch::pool::source::Sources;
+use crate::batch::pool::source::Taker;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::empty;
-use crate::batch::worker::Kind;
 
 /// How long a machine must have been idle before it is switched off. A move to the reserve and one
 /// back cost as much as about two seconds of a machine.
@@ -48,6 +49,9 @@
     ordered: bool,
 }
 
+/// The boxes as the platform lists them, by id.
+type Listed<'a> = HashMap<&'a str, &'a Machine>;
+
 /// Moves under way.
 #[derive(Default)]
 pub struct Pools {
@@ -82,27 +86,28 @@
         taken: &HashSet<MachineId>,
         orders: usize,
     ) {
-        self.settle(scheduler, list);
+        let listed: Listed<'_> =
+            list.iter().map(|machine| (machine.id.as_str(), machine)).collect();
+        self.settle(&scheduler.cell(), &listed);
         self.note_idle(&scheduler.cell(), list);
         if !scheduler.may_order_machines() {
             return;
         }
         if let Some(config) = scheduler.node.config() {
-            self.choose(&mut scheduler.cell(), &config, list, taken);
+            self.choose(&mut scheduler.cell(), &config, list, &listed, taken);
             self.release(&mut scheduler.cell(), &config, list, taken);
         }
-        let mut emptied = self.emptied(scheduler, list);
+        let mut emptied = self.emptied(&mut scheduler.cell(), &listed);
         emptied.truncate(orders);
         self.order(scheduler, machines, emptied).await;
     }
 
     /// Lets go of moves that are done or have failed.
-    fn settle(&mut self, scheduler: &Scheduler, list: &[Machine]) {
-        let workers: HashSet<WorkerId> = scheduler.cell().workers.keys().cloned().collect();
+    fn settle(&mut self, cell: &Cell, listed: &Listed<'_>) {
         self.moves.retain(|id, under_way| {
-            let machine = list.iter().find(|machine| machine.id == *id);
+            let machine = listed.get(id.as_str());
             let arrived = machine.is_some_and(|machine| {
-                let joined = machine.worker.as_ref().is_some_and(|worker| workers.contains(worker));
+                let joined = cell.worker_on(machine).is_some();
                 // A machine that is switched off has no worker that would join.
                 let joined = joined || under_way.is_off;
                 machine.pool == under_way.to && machine.status == Status::Up && joined
@@ -118,17 +123,20 @@
         cell: &mut Cell,
         config: &Config,
         list: &[Machine],
+        listed: &Listed<'_>,
         taken: &HashSet<MachineId>,
     ) {
         let mut loads = loads(cell, Instant::now());
         let mut left = (list.len() * AT_ONCE_PERCENT / 100).saturating_sub(self.moves.len());
-        self.fetch_labels(cell, config, list, taken, &mut loads);
-        let mut short = self.short(config, list, &loads);
+        let free = list.iter().filter(|machine| self.is_free(machine, taken));
+        let mut sources = Sources::new(cell, config, free);
+        self.fetch_labels(cell, listed, &mut sources, &mut loads);
+        let mut short = self.short(config, listed, &loads);
         while left > 0
             && let Some((missing, service)) = short.pop()
         {
-            let wanted = (service.as_str(), &|_: &Machine| true);
-            let Some(machine) = self.source(cell, config, list, taken, &loads, wanted) else {
+            let Some(machine) = sources.take(&loads, &self.with_coming(&loads, &service), |_| true)
+            else {
                 return;
             };
             let size = u64::from(machine.room.cpu);
@@ -146,9 +154,8 @@
     fn fetch_labels(
         &mut self,
         cell: &mut Cell,
-        config: &Config,
-        list: &[Machine],
-        taken: &HashSet<MachineId>,
+        listed: &Listed<'_>,
+        sources: &mut Sources<'_>,
         loads: &mut BTreeMap<String, Load>,
     ) {
         let lacks = loads.iter().flat_map(|(service, load)| {
@@ -157,12 +164,10 @@
         let lacks: Vec<(String, String, u64)> = lacks.collect();
         for (service, label, missing) in lacks {
             let has_label = |machine: &Machine| machine.labels.contains(&label);
-            let mut missing = missing.saturating_sub(self.coming(&service, list, has_label));
+            let mut missing = missing.saturating_sub(self.coming(&service, listed, has_label));
             while missing > 0 {
-                let wanted = (service.as_str(), &has_label);
-                let Some(machine) = self.source(cell, config, list, taken, loads, wanted) else {
-                    break;
-                };
+                let to = self.with_coming(loads, &service);
+                let Some(machine) = sources.take(loads, &to, has_label) else { break };
                 self.fetch(cell, loads, machine, &service, missing);
                 missing = missing.saturating_sub(u64::from(machine.room.cpu).max(1));
             }
@@ -196,13 +201,13 @@
     fn short(
         &self,
         config: &Config,
-        list: &[Machine],
+        listed: &Listed<'_>,
         loads: &BTreeMap<String, Load>,
     ) -> Vec<(u64, String)> {
         let mut short = Vec::new();
         for service in config.services.iter().filter(|service| !service.is_reserve) {
             let load = loads.get(&service.name).cloned().unwrap_or_default();
-            let coming = self.coming(&service.name, list, |_| true);
+            let coming = self.coming(&service.name, listed, |_| true);
             let unspread = load.least.saturating_sub(load.workers) * load.size();
             let missing = load.wanted().max(load.has + unspread).saturating_sub(load.has + coming);
             if missing > 0 {
@@ -226,7 +231,9 @@
         let now = Instant::now();
         for machine in list {
             if cell.worker_on(machine).is_some_and(|worker| worker.slots.is_empty()) {
-                self.idle.entry(machine.id.clone()).or_insert(now);
+                if !self.idle.contains_key(&machine.id) {
+                    self.idle.insert(machine.id.clone(), now);
+                }
             } else {
                 self.idle.remove(&machine.id);
             }
@@ -274,64 +281,28 @@
     }
 
     /// Processor of the machines that fit and are on their way to a service.
-    fn coming(&self, service: &str, list: &[Machine], fits: impl Fn(&Machine) -> bool) -> u64 {
+    fn coming(&self, service: &str, listed: &Listed<'_>, fits: impl Fn(&Machine) -> bool) -> u64 {
         let coming = self.moves.iter().filter(|(_, under_way)| under_way.to == service);
-        let machines = coming.filter_map(|(id, _)| list.iter().find(|machine| machine.id == *id));
+        let machines = coming.filter_map(|(id, _)| listed.get(id.as_str()));
         let machines = machines.filter(|machine| fits(machine));
         machines.map(|machine| u64::from(machine.room.cpu)).sum()
     }
 
-    /// A machine that fits for the service `to`: one that is switched off, else the least used one
-    /// without lasting tasks of a service that can give it.
-    fn source<'a>(
-        &self,
-        cell: &Cell,
-        config: &Config,
-        list: &'a [Machine],
-        taken: &HashSet<MachineId>,
-        loads: &BTreeMap<String, Load>,
-        (to, fits): (&str, &impl Fn(&Machine) -> bool),
-    ) -> Option<&'a Machine> {
-        let free = |machine: &&Machine| {
-            machine.pool != to && self.is_free(machine, taken) && fits(machine)
-        };
-        let is_reserve = |machine: &&Machine| {
-            config.service(&machine.pool).is_some_and(|service| service.is_reserve)
-        };
-        if let Some(machine) = list.iter().filter(free).find(is_reserve) {
-            return Some(machine);
-        }
-        let candidates =
-            list.iter().filter(free).filter(|machine| self.can_give(machine, loads, to));
-        let loaded = candidates.filter_map(|machine| {
-            let worker = cell.worker_on(machine)?;
-            let lasting = worker.slots.values().filter(|slot| slot.kind != Kind::Works).count();
-            Some((lasting, worker.entry.room.cpu - worker.free.cpu, machine))
-        });
-        let best = loaded.min_by_key(|(lasting, used, _)| (*lasting, *used));
-        best.filter(|(lasting, _, _)| *lasting == 0).map(|(_, _, machine)| machine)
-    }
-
-    /// Whether the pool of a machine can do without it, beside those already chosen.
-    fn can_give(&self, machine: &Machine, loads: &BTreeMap<String, Load>, to: &str) -> bool {
-        let size = u64::from(machine.room.cpu);
-        let mut other = loads.get(to).cloned().unwrap_or_default();
-        other.has +=
-            self.moves.values().filter(|under_way| under_way.to == to).count() as u64 * size;
-        loads
-            .get(&machine.pool)
-            .is_some_and(|load| load.can_spare(size) || load.can_share(size, &other))
+    /// A service that may be given boxes, and how many are on their way to it.
+    fn with_coming<'a>(&self, loads: &BTreeMap<String, Load>, service: &'a str) -> Taker<'a> {
+        let load = loads.get(service).cloned().unwrap_or_default();
+        let coming = self.moves.values().filter(|under_way| under_way.to == service).count();
+        Taker { service, load, coming: coming as u64 }
     }
 
     /// Machines under way that are empty and have not been ordered to move.
-    fn emptied(&self, scheduler: &Scheduler, list: &[Machine]) -> Vec<MachineId> {
-        let mut cell = scheduler.cell();
+    fn emptied(&self, cell: &mut Cell, listed: &Listed<'_>) -> Vec<MachineId> {
         let mut ready = Vec::new();
         for (id, under_way) in self.moves.iter().filter(|(_, under_way)| !under_way.ordered) {
-            let machine = list.iter().find(|machine| machine.id == *id);
+            let machine = listed.get(id.as_str());
             let worker = machine.and_then(|machine| machine.worker.as_ref());
             let hurry = under_way.since.elapsed() > EMPTY_TIME;
-            if worker.is_none_or(|worker| empty(&mut cell, worker, hurry)) {
+            if worker.is_none_or(|worker| empty(cell, worker, hurry)) {
                 ready.push(id.clone());
             }
         }
--- /dev/null
+++ b/lib/src/batch/pool/source.rs
@@ -0,0 +1,92 @@
+//! From where a box is taken for a service that is short.
+
+use std::collections::BTreeMap;
+
+use spokelift_platform::config::Config;
+use spokelift_platform::machine::Machine;
+
+use crate::batch::cell::Cell;
+use crate::batch::pool::load::Load;
+
+/// A service that may be given a box.
+pub(super) struct Taker<'a> {
+    /// Its name.
+    pub service: &'a str,
+    /// What it has and wants.
+    pub load: Load,
+    /// Boxes on their way to it.
+    pub coming: u64,
+}
+
+/// Boxes that may be moved, each pool's in the order in which it gives them. They are sorted once for a
+/// round: a rise at a large site asks for a hundred boxes in one round.
+pub(super) struct Sources<'a> {
+    /// Those that are switched off.
+    off: Vec<&'a Machine>,
+    /// Those without tasks that last, by pool, the most used ones first, with the processor in use.
+    pools: BTreeMap<&'a str, Vec<(u32, &'a Machine)>>,
+}
+
+impl<'a> Sources<'a> {
+    /// Sorts boxes that are up and needed for nothing else.
+    pub(super) fn new(
+        cell: &Cell,
+        config: &Config,
+        free: impl Iterator<Item = &'a Machine>,
+    ) -> Sources<'a> {
+        let (mut off, mut pools) = (Vec::new(), BTreeMap::<&str, Vec<_>>::new());
+        let is_reserve = |pool: &str| config.service(pool).is_some_and(|pool| pool.is_reserve);
+        let mut reserves = BTreeMap::<&str, bool>::new();
+        for machine in free {
+            let pool = machine.pool.as_str();
+            if *reserves.entry(pool).or_insert_with(|| is_reserve(pool)) {
+                off.push(machine);
+            } else if let Some(worker) = cell.worker_on(machine)
+                && worker.lasting.tasks == 0
+            {
+                let used = worker.entry.room.cpu.saturating_sub(worker.free.cpu);
+                pools.entry(pool).or_default().push((used, machine));
+            }
+        }
+        off.reverse();
+        for machines in pools.values_mut() {
+            machines.reverse();
+            machines.sort_by_key(|(used, _)| std::cmp::Reverse(*used));
+        }
+        Sources { off, pools }
+    }
+
+    /// Takes a box that fits for a service: one that is switched off, else the least used one of a
+    /// service that can give it.
+    pub(super) fn take(
+        &mut self,
+        loads: &BTreeMap<String, Load>,
+        to: &Taker<'_>,
+        fits: impl Fn(&Machine) -> bool,
+    ) -> Option<&'a Machine> {
+        if let Some(place) = self.off.iter().rposition(|machine| fits(machine)) {
+            return Some(self.off.remove(place));
+        }
+        let others = self.pools.iter().filter(|(pool, _)| **pool != to.service);
+        let offers = others.filter_map(|(pool, machines)| {
+            let gives = |machine: &Machine| fits(machine) && can_give(machine, loads, to);
+            let place = machines.iter().rposition(|(_, machine)| gives(machine))?;
+            Some((machines[place].0, *pool, place))
+        });
+        let (_, pool, place) = offers.min_by_key(|(used, _, _)| *used)?;
+        let (_, machine) = self.pools.get_mut(pool)?.remove(place);
+        Some(machine)
+    }
+}
+
+/// Whether the pool of a box can do without it, beside those already chosen.
+fn can_give(machine: &Machine, loads: &BTreeMap<String, Load>, to: &Taker<'_>) -> bool {
+    let size = u64::from(machine.room.cpu);
+    let Some(load) = loads.get(&machine.pool) else { return false };
+    if load.can_spare(size) {
+        return true;
+    }
+    let mut other = to.load.clone();
+    other.has += to.coming * size;
+    load.can_share(size, &other)
+}
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -1,12 +1,13 @@
 //! The tasks of the node that holds the lead: they look at workers, start and stop what the
 //! [`Cell`] says, and keep the store informed.
 
+mod deal;
+mod events;
 mod flush;
 mod follow;
 mod forget;
 mod load;
-mod look;
-mod send;
+pub mod share;
 mod tick;
 
 use std::sync::Arc;
@@ -27,19 +28,28 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::batch::advice;
+use crate::batch::carry::Carrier;
+use crate::batch::carry::license::License;
 use crate::batch::cell::Cell;
 use crate::batch::fleet;
 use crate::batch::node::Node;
 use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
+use crate::batch::scheduler::deal::assign_all;
+use crate::batch::scheduler::deal::await_ready;
+use crate::batch::scheduler::deal::begin_shares;
+use crate::batch::scheduler::deal::deal;
+use crate::batch::scheduler::deal::end_all;
+use crate::batch::scheduler::deal::pass_on;
+use crate::batch::scheduler::events::follow_own;
+use crate::batch::scheduler::events::take_report;
 use crate::batch::scheduler::flush::flush;
 use crate::batch::scheduler::follow::follow_jobs;
 use crate::batch::scheduler::follow::follow_workers;
 use crate::batch::scheduler::forget::forget;
 use crate::batch::scheduler::load::load;
 use crate::batch::scheduler::load::load_workers;
-use crate::batch::scheduler::look::spawn_all_looks;
-use crate::batch::scheduler::send::send;
+use crate::batch::scheduler::share::Shares;
 use crate::batch::scheduler::tick::tick;
 use crate::batch::turn::Turn;
 use crate::batch::turn::is_sole_holder;
@@ -69,6 +79,8 @@
     /// Number of this scheduler.
     pub token: Token,
     cell: Mutex<Cell>,
+    /// Which node looks after which worker.
+    shares: Shares,
     /// Something may be started.
     work: Notify,
     /// The advice service may be asked something.
@@ -96,10 +108,13 @@
         let mut cell = Cell::new(token);
         cell.predecessor_is_done = predecessor_is_done;
         cell.renewed_at = Some(now);
+        let (own, events) = Carrier::begin(node.tools(), token, License::unbounded());
+        let base = own.began_at();
         let scheduler = Arc::new(Scheduler {
             node,
             token,
             cell: Mutex::new(cell),
+            shares: Shares::new(token, own),
             work: Notify::new(),
             questions: Notify::new(),
             flush: Notify::new(),
@@ -108,13 +123,21 @@
             turn,
             over: CancellationToken::new(),
         });
+        scheduler.spawn(follow_own(scheduler.clone(), base, events));
         scheduler.spawn(run(scheduler.clone()));
         scheduler
     }
 
-    /// Ends all tasks of the scheduler.
+    /// Ends all tasks of the scheduler. Carriers on other nodes end as their licences run out.
     pub fn end(&self) {
         self.over.cancel();
+        self.shares.end_own();
+    }
+
+    /// The same, and waits until nothing more can come of its carriers.
+    pub async fn end_with_carriers(self: &Arc<Self>) {
+        self.over.cancel();
+        end_all(self).await;
     }
 
     /// Runs a task until the scheduler ends.
@@ -185,8 +208,14 @@
             Request::State(id) => Reply::State(self.cell().jobs.get(&id).map(|job| job.shown())),
             Request::Pending(queue) => Reply::Pending(self.cell().pending(&queue)),
             Request::Cancel(id) => self.cancel(id).await,
-            Request::View(path) => Reply::View(view::show(&self.cell(), &self.node.waves(), &path)),
+            Request::View(path) => {
+                let (waves, shares) = (self.node.waves(), self.shares.view());
+                Reply::View(view::show(&self.cell(), &waves, &shares, &path))
+            }
             Request::Relay(call) => Reply::Relayed(self.node.relay_for_peer(call).await),
+            Request::Report(report) => take_report(self, *report),
+            // The node itself carries.
+            Request::Carry(_) => Reply::NotReady,
             Request::Ping => Reply::Done,
         }
     }
@@ -226,13 +255,16 @@
         );
     }
     scheduler.node.set_scheduler(Some(scheduler.clone()));
-    spawn_all_looks(&scheduler);
+    begin_shares(&scheduler);
+    await_ready(&scheduler).await;
+    assign_all(&scheduler);
     scheduler.spawn(follow_workers(scheduler.clone(), workers_end));
     for (partition, end) in (0..).zip(job_ends) {
         scheduler.spawn(follow_jobs(scheduler.clone(), partition, end));
     }
     scheduler.spawn(flush(scheduler.clone()));
     scheduler.spawn(tick(scheduler.clone()));
+    scheduler.spawn(deal(scheduler.clone()));
     scheduler.spawn(forget(scheduler.clone()));
     scheduler.spawn(fleet::run(scheduler.clone()));
     scheduler.spawn(advice::run(scheduler.clone()));
@@ -270,24 +302,18 @@
 async fn work(scheduler: Arc<Scheduler>) {
     loop {
         scheduler.work.notified().await;
-        let (orders, waits) = {
+        let (waits, needs_flush, backlog) = {
             let mut cell = scheduler.cell();
             if cell.needs_placing() {
                 cell.place(Instant::now(), wall_clock());
             }
-            (std::mem::take(&mut cell.outbox), std::mem::take(&mut cell.waits))
+            pass_on(&scheduler, &mut cell);
+            (std::mem::take(&mut cell.waits), cell.needs_flush(), cell.ready.len())
         };
         for waited in waits {
             scheduler.node.latencies.record("batch.start.wait", waited);
         }
-        for order in orders {
-            scheduler.spawn(send(scheduler.clone(), order));
-        }
         scheduler.questions.notify_one();
-        let (needs_flush, backlog) = {
-            let cell = scheduler.cell();
-            (cell.needs_flush(), cell.ready.len())
-        };
         if needs_flush {
             scheduler.kick_flush();
         }
--- a/lib/src/batch/scheduler/flush.rs
+++ b/lib/src/batch/scheduler/flush.rs
@@ -8,6 +8,8 @@
 use spokelift_platform::store::Record;
 use tokio::time::sleep;
 
+use crate::batch::carry::message::Command;
+use crate::batch::cell::Flush;
 use crate::batch::record;
 use crate::batch::scheduler::CALL;
 use crate::batch::scheduler::PAUSE;
@@ -31,10 +33,22 @@
             }
         }
         scheduler.cell().on_flushed(&changes);
+        tell_durable(&scheduler, &changes);
         scheduler.flushed.send_modify(|count| *count += 1);
     }
 }
 
+/// Tells carriers which ends their workers may forget.
+fn tell_durable(scheduler: &Scheduler, changes: &Flush) {
+    let cell = scheduler.cell();
+    for (id, end) in &changes.processed {
+        if let Some(worker) = cell.workers.get(id) {
+            let number = worker.number;
+            scheduler.shares.send(number, Command::Durable { number, end: *end });
+        }
+    }
+}
+
 /// Appends records until that is done; `false` if a newer scheduler has come.
 async fn write(scheduler: &Scheduler, records: &[Record], sequence: u64) -> bool {
     loop {
--- a/lib/src/batch/scheduler/follow.rs
+++ b/lib/src/batch/scheduler/follow.rs
@@ -14,10 +14,9 @@
 use crate::batch::scheduler::CALL;
 use crate::batch::scheduler::LOAD;
 use crate::batch::scheduler::Scheduler;
+use crate::batch::scheduler::deal::assign_all;
 use crate::batch::scheduler::load::load_workers;
 use crate::batch::scheduler::load::take_worker;
-use crate::batch::scheduler::look::spawn_all_looks;
-use crate::batch::scheduler::look::spawn_looks;
 
 /// Time between reads of workers' entries. A worker that drains must get nothing new after 2 s.
 /// A worker that joins a pool is found as late as that.
@@ -39,10 +38,12 @@
         match scheduler.node.read_topic(WORKER_TOPIC, from, Duration::ZERO, CALL).await {
             Ok(page) => {
                 from += page.records.len() as Offset;
+                let mut is_new = false;
                 for record in &page.records {
-                    if let Some(id) = take_worker(&scheduler, record, excused_until) {
-                        spawn_looks(&scheduler, id);
-                    }
+                    is_new |= take_worker(&scheduler, record, excused_until).is_some();
+                }
+                if is_new {
+                    assign_all(&scheduler);
                 }
                 if !page.records.is_empty() {
                     scheduler.kick();
@@ -52,7 +53,7 @@
                 match load_workers(&scheduler, excused_until).await {
                     Ok(end) => {
                         from = end;
-                        spawn_all_looks(&scheduler);
+                        assign_all(&scheduler);
                     }
                     Err(error) => log::warn!("the workers cannot be read: {error}"),
                 }
--- /dev/null
+++ b/lib/src/batch/scheduler/share.rs
@@ -0,0 +1,395 @@
+//! Dealing out the workers to carriers: which node looks after which worker, and what becomes of a
+//! share whose carrier is lost.
+//!
+//! The scheduler decides everything; carriers hold the connections and send what it decides. On a site of
+//! few workers its own node has the only share. On a large one the calls to workers would take all its
+//! processor: 1,100 workers mean some 150,000 calls in 45 s. There other nodes have the shares, and the
+//! scheduler gets a few hundred messages a second, each with many events.
+//!
+//! A carrier that is not heard of is given up, and its workers go to others at once. What it may still
+//! do is bounded by its licence, and counted in the leases of its workers.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::worker::Token;
+use tokio::sync::Notify;
+
+use crate::batch::carry::Carrier;
+use crate::batch::carry::message::Command;
+use crate::batch::carry::message::Moment;
+use crate::batch::carry::remote::ACTS_ON;
+use crate::batch::carry::remote::Errand;
+use crate::batch::carry::remote::Report;
+use crate::batch::carry::remote::Session;
+use crate::batch::view;
+use crate::batch::worker::table::Number;
+
+/// Number of a share of this scheduler; the one of its own node is [`OWN`].
+pub type ShareId = u64;
+/// The share of the scheduler's own node.
+pub const OWN: ShareId = 0;
+
+/// How long a carrier may be silent before it is given up: more than three heartbeats. Its workers are not looked
+/// at meanwhile, and what ends there is not heard of.
+const SILENT: Duration = Duration::from_millis(700);
+/// How long a node may take to say that it carries a share; it does so at once.
+const BEGIN: Duration = Duration::from_millis(500);
+/// A share with more than this part of what it should have, in hundredths, gives workers to others.
+const CROWDED_PERCENT: usize = 125;
+/// How late the timers of a carrier may be before its share goes to others: clients of that node would
+/// soon wait as well.
+const LATE: Duration = Duration::from_millis(250);
+/// Reports in a row that tell of such lateness.
+const LATE_REPORTS: u32 = 4;
+
+/// A share on another node.
+struct Remote {
+    addr: SocketAddr,
+    /// Processor of the node, in thousandths of a core.
+    weight: u32,
+    workers: HashSet<Number>,
+    commands: Vec<Command>,
+    /// Number of the last message made of commands.
+    sequence: u64,
+    /// Wakes the task that sends them.
+    wake: Arc<Notify>,
+    /// When something was last heard of it.
+    heard_at: Instant,
+    /// When its last report was acknowledged.
+    acked_at: Option<Instant>,
+    /// The moment from which it counts its own, by our clock or later.
+    base: Option<Instant>,
+    /// Number of the last report that was taken; it has workers only after the first one.
+    reports: u64,
+    late_reports: u32,
+}
+
+/// Why a share is taken back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// Nothing was heard of it for a while.
+    Silent,
+    /// The node does not carry it any more, or never did.
+    Refused,
+    /// No connection could be made to the node.
+    Gone,
+    /// The node has too much to do.
+    Late,
+}
+
+/// All shares of a scheduler.
+pub struct Shares {
+    token: Token,
+    own: Arc<Carrier>,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    remotes: HashMap<ShareId, Remote>,
+    places: HashMap<Number, ShareId>,
+    last: ShareId,
+}
+
+/// A report that was taken: what it tells, and from when its moments count.
+#[derive(Debug)]
+pub struct Told {
+    /// The report.
+    pub report: Report,
+    /// From when its moments count.
+    pub base: Instant,
+}
+
+/// What becomes of a report.
+#[derive(Debug)]
+pub enum Taken {
+    /// It is new.
+    New(Told),
+    /// It was taken before.
+    Again,
+    /// The share is not that node's any more.
+    Stale,
+}
+
+impl Shares {
+    /// Nothing is dealt out yet.
+    pub fn new(token: Token, own: Arc<Carrier>) -> Shares {
+        Shares { token, own, state: Mutex::default() }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the shares panics")
+    }
+
+    /// Begins a share on another node; what wakes the task that is to send its commands.
+    pub fn begin(&self, addr: SocketAddr, weight: u32, now: Instant) -> (ShareId, Arc<Notify>) {
+        let mut state = self.state();
+        state.last += 1;
+        let id = state.last;
+        let wake = Arc::new(Notify::new());
+        // The first message begins the share, whether there are commands or not.
+        wake.notify_one();
+        let remote = Remote {
+            addr,
+            weight: weight.max(1),
+            workers: HashSet::new(),
+            commands: Vec::new(),
+            sequence: 0,
+            wake: wake.clone(),
+            heard_at: now,
+            acked_at: None,
+            base: None,
+            reports: 0,
+            late_reports: 0,
+        };
+        state.remotes.insert(id, remote);
+        (id, wake)
+    }
+
+    /// Gives a worker to the share that has the fewest for its node's processor.
+    pub fn assign(&self, number: Number, command: Command) {
+        let mut state = self.state();
+        let load = |remote: &Remote| remote.workers.len() as f64 / f64::from(remote.weight);
+        let ready = state.remotes.iter().filter(|(_, remote)| remote.reports > 0);
+        let least = ready.min_by(|(_, one), (_, other)| load(one).total_cmp(&load(other)));
+        let share = least.map_or(OWN, |(id, _)| *id);
+        state.places.insert(number, share);
+        if let Some(remote) = state.remotes.get_mut(&share) {
+            remote.workers.insert(number);
+        }
+        self.push(&mut state, share, command);
+    }
+
+    /// Whether a worker is in some share.
+    pub fn is_assigned(&self, number: Number) -> bool {
+        self.state().places.contains_key(&number)
+    }
+
+    /// Whether each share that was begun is carried.
+    pub fn all_ready(&self) -> bool {
+        self.state().remotes.values().all(|remote| remote.reports > 0)
+    }
+
+    /// The share that has the most workers beyond its part, and which ones it has; none while no other
+    /// node carries, or where all have about their part.
+    pub fn crowded(&self) -> Option<(ShareId, Vec<Number>)> {
+        let state = self.state();
+        let ready = || state.remotes.iter().filter(|(_, remote)| remote.reports > 0);
+        let weight: usize = ready().map(|(_, remote)| remote.weight as usize).sum();
+        if weight == 0 {
+            return None;
+        }
+        let members = |share: ShareId| {
+            let places = state.places.iter().filter(move |(_, place)| **place == share);
+            places.map(|(number, _)| *number).collect::<Vec<Number>>()
+        };
+        let own = members(OWN);
+        if !own.is_empty() {
+            return Some((OWN, own));
+        }
+        let crowded = ready().find(|(_, remote)| {
+            let part = state.places.len() * remote.weight as usize / weight;
+            remote.workers.len() > part * CROWDED_PERCENT / 100 + 1
+        });
+        crowded.map(|(id, _)| (*id, members(*id)))
+    }
+
+    /// Sends a command to the share that has the worker.
+    pub fn send(&self, number: Number, command: Command) {
+        let mut state = self.state();
+        if let Some(share) = state.places.get(&number).copied() {
+            self.push(&mut state, share, command);
+        }
+    }
+
+    /// A worker is to be looked after no more.
+    pub fn leave(&self, number: Number) {
+        let mut state = self.state();
+        let Some(share) = state.places.remove(&number) else { return };
+        if let Some(remote) = state.remotes.get_mut(&share) {
+            remote.workers.remove(&number);
+        }
+        self.push(&mut state, share, Command::Leave { number });
+    }
+
+    fn push(&self, state: &mut State, share: ShareId, command: Command) {
+        let Some(remote) = state.remotes.get_mut(&share) else {
+            return self.own.obey(command);
+        };
+        match (remote.commands.last_mut(), command) {
+            // Tasks of one job share its text.
+            (
+                Some(Command::Start { spec, starts }),
+                Command::Start { spec: other, starts: more },
+            ) if *spec == other
+                && starts.last().map(|start| start.task.job)
+                    == more.first().map(|start| start.task.job) =>
+            {
+                starts.extend(more);
+            }
+            (_, command) => remote.commands.push(command),
+        }
+        remote.wake.notify_one();
+    }
+
+    /// Takes the commands of a share as one message; nothing if there are none. The first message is
+    /// made also without any. `None` once the share is over.
+    pub fn next_errand(&self, share: ShareId, own: SocketAddr) -> Option<Option<Errand>> {
+        let mut state = self.state();
+        let remote = state.remotes.get_mut(&share)?;
+        if remote.commands.is_empty() && remote.sequence > 0 {
+            return Some(None);
+        }
+        remote.sequence += 1;
+        Some(Some(Errand {
+            scheduler: own,
+            session: Session { token: self.token, share },
+            sequence: remote.sequence,
+            commands: std::mem::take(&mut remote.commands),
+        }))
+    }
+
+    /// The message that ends a share. It is the next one or, if that is under way, comes too early: the
+    /// share is refused then, and its carrier ends at once as well.
+    pub fn last_errand(&self, share: ShareId, own: SocketAddr) -> Option<Errand> {
+        let mut state = self.state();
+        let remote = state.remotes.get_mut(&share)?;
+        remote.commands.clear();
+        remote.sequence += 1;
+        let session = Session { token: self.token, share };
+        let (sequence, commands) = (remote.sequence, vec![Command::End]);
+        Some(Errand { scheduler: own, session, sequence, commands })
+    }
+
+    /// Whether a share is still dealt out, and where.
+    pub fn addr_of(&self, share: ShareId) -> Option<SocketAddr> {
+        Some(self.state().remotes.get(&share)?.addr)
+    }
+
+    /// Takes a report of another node. Each counts once, in its order.
+    pub fn take(&self, report: Report, now: Instant) -> Taken {
+        let mut state = self.state();
+        let is_ours = report.session.token == self.token;
+        let remote = state.remotes.get_mut(&report.session.share).filter(|_| is_ours);
+        let Some(remote) = remote else { return Taken::Stale };
+        if report.sequence > remote.reports + 1 {
+            return Taken::Stale;
+        }
+        remote.heard_at = now;
+        // Its licence runs from when it sent this, so it is over by then plus the licence's length.
+        remote.acked_at = Some(now);
+        if report.sequence <= remote.reports {
+            return Taken::Again;
+        }
+        remote.reports = report.sequence;
+        let is_late = Duration::from_millis(report.late_ms) > LATE;
+        remote.late_reports = if is_late { remote.late_reports + 1 } else { 0 };
+        let base = *remote.base.get_or_insert_with(|| before(now, report.made_at));
+        Taken::New(Told { report, base })
+    }
+
+    /// Those of some workers that are in a share.
+    pub fn in_share(
+        &self,
+        share: ShareId,
+        numbers: impl Iterator<Item = Number>,
+    ) -> HashSet<Number> {
+        let state = self.state();
+        numbers.filter(|number| state.places.get(number) == Some(&share)).collect()
+    }
+
+    /// Shares that are to be taken back.
+    pub fn lost(&self, now: Instant) -> Vec<(ShareId, Lost)> {
+        let state = self.state();
+        let lost = state.remotes.iter().filter_map(|(id, remote)| {
+            let patience = if remote.reports > 0 { SILENT } else { BEGIN };
+            if now.saturating_duration_since(remote.heard_at) > patience {
+                return Some((*id, Lost::Silent));
+            }
+            (remote.late_reports >= LATE_REPORTS).then_some((*id, Lost::Late))
+        });
+        lost.collect()
+    }
+
+    /// This node was itself late by so much: that nothing was heard meanwhile says nothing.
+    pub fn excuse(&self, late: Duration) {
+        for remote in self.state().remotes.values_mut() {
+            remote.heard_at += late;
+        }
+    }
+
+    /// Takes a share back; its workers, and until when its carrier may act.
+    pub fn take_back(&self, share: ShareId, now: Instant) -> Option<(Vec<Number>, Instant)> {
+        let mut state = self.state();
+        let remote = state.remotes.remove(&share)?;
+        for number in &remote.workers {
+            state.places.remove(number);
+        }
+        remote.wake.notify_one();
+        let last = remote.acked_at.map_or(now, |at| at + ACTS_ON);
+        Some((remote.workers.into_iter().collect(), last))
+    }
+
+    /// Takes workers out of a share, to be dealt out anew; until when its carrier may act for them.
+    pub fn take_out(&self, share: ShareId, numbers: &[Number], now: Instant) -> Instant {
+        let mut state = self.state();
+        for number in numbers.iter().copied() {
+            if state.places.get(&number) != Some(&share) {
+                continue;
+            }
+            state.places.remove(&number);
+            if let Some(remote) = state.remotes.get_mut(&share) {
+                remote.workers.remove(&number);
+            }
+            self.push(&mut state, share, Command::Leave { number });
+        }
+        state.remotes.get(&share).and_then(|remote| remote.acked_at).map_or(now, |at| at + ACTS_ON)
+    }
+
+    /// The nodes that have shares.
+    pub fn addrs(&self) -> HashSet<SocketAddr> {
+        self.state().remotes.values().map(|remote| remote.addr).collect()
+    }
+
+    /// Each share as operators see it.
+    pub fn view(&self) -> Vec<view::Share> {
+        let state = self.state();
+        let own = state.places.values().filter(|place| **place == OWN).count();
+        let mut shares = vec![view::Share { number: OWN, carrier: None, workers: own }];
+        shares.extend(state.remotes.iter().map(|(id, remote)| view::Share {
+            number: *id,
+            carrier: Some(remote.addr),
+            workers: remote.workers.len(),
+        }));
+        shares.sort_by_key(|share| share.number);
+        shares
+    }
+
+    /// Until when any carrier may act, once all have been ended without an answer.
+    pub fn last_act(&self) -> Option<Instant> {
+        let state = self.state();
+        state.remotes.values().filter_map(|remote| remote.acked_at).max().map(|at| at + ACTS_ON)
+    }
+
+    /// All shares on other nodes.
+    pub fn ids(&self) -> Vec<ShareId> {
+        self.state().remotes.keys().copied().collect()
+    }
+
+    /// Ends the share of this node.
+    pub fn end_own(&self) {
+        self.own.end();
+    }
+}
+
+/// A moment so many microseconds before another, or as early as the clock can tell.
+fn before(now: Instant, moment: Moment) -> Instant {
+    now.checked_sub(Duration::from_micros(moment)).unwrap_or(now)
+}
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -116,6 +117,17 @@
     pub over: bool,
 }
 
+/// The workers that one node looks after for the scheduler.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// Number of the share; 0 is that of the scheduler's own node.
+    pub number: u64,
+    /// Where the node answers other nodes; none for the scheduler's own.
+    pub carrier: Option<SocketAddr>,
+    /// How many workers it looks after.
+    pub workers: usize,
+}
+
 /// A job that was taken.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Submitted {
@@ -136,10 +148,11 @@
 }
 
 /// Shows what `path` names, as JSON; `None` if there is no such thing.
-pub fn show(cell: &Cell, waves: &[wave::Wave], path: &str) -> Option<String> {
+pub fn show(cell: &Cell, waves: &[wave::Wave], shares: &[Share], path: &str) -> Option<String> {
     let now = Instant::now();
     let shown = match path.strip_prefix(PATH)? {
         "services" => serde_json::to_string(&services(cell, now)),
+        "shares" => serde_json::to_string(shares),
         "queues" => serde_json::to_string(&queues(cell)),
         "waves" => serde_json::to_string(&self::waves(cell, waves)),
         "workers" => serde_json::to_string(&workers(cell, now)),
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -15,6 +15,7 @@
 use thiserror::Error;
 
 use crate::batch::record::Known;
+use crate::batch::worker::table::Number;
 
 /// How long a lease is granted for, from each look on. Long enough for another node to take the
 /// lead and look in its turn (about 3 s), short enough that the tasks of a worker that has fallen
@@ -25,12 +26,6 @@
 /// Added to the end of a lease before what ran under it counts as gone.
 const LEASE_SLACK: Duration = Duration::from_millis(100);
 
-/// Least and longest time for which a start may go without an answer before a look asks for the run.
-/// Answers come in about 2 ms; those of a holder that is short of processor in up to 0.5 s.
-const PATIENCE: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(500));
-/// How many times as long as the last answer took the next one may take.
-const PATIENCE_RATIO: u32 = 4;
-
 /// How sure it is that a run is on the worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
@@ -110,6 +105,9 @@
     /// The store does not list it.
     #[error("not listed")]
     NotListed,
+    /// Another carrier looks after it now, and has not heard from it yet.
+    #[error("handed over")]
+    HandedOver,
     /// It is about to leave.
     #[error("draining")]
     Draining,
@@ -140,6 +138,8 @@
 /// A worker.
 #[derive(Debug)]
 pub struct Worker {
+    /// Its number, by which the scheduler's carriers know it.
+    pub number: Number,
     /// How it is called.
     pub peer: Peer,
     /// What it says of itself.
@@ -173,14 +173,16 @@
     pub cordoned: bool,
     /// Runs in a row that failed, of different tasks.
     pub failures: u32,
-    /// How long a start may go without an answer before a look asks for the run.
-    pub patience: Duration,
     /// When it was met.
     pub met_at: Instant,
     /// It was met when another node may already have claimed the lead.
     pub unfenced: bool,
-    /// A task looks at it.
-    pub looked_at: bool,
+    /// Its carrier was told to look more often.
+    pub watched_closely: bool,
+    /// Another carrier looks after it now, and has not heard from it yet.
+    pub handed_over: bool,
+    /// A carrier that was given up may have extended its lease, but no further than to here.
+    pub lapses_after: Option<Instant>,
     /// The store has, or is about to have, a record that it fell silent.
     pub noted_silent: bool,
     /// It is heard of again, and the store does not know that yet.
@@ -191,6 +193,7 @@
     /// A worker that has not been asked yet.
     pub fn new(peer: Peer, entry: Entry, now: Instant) -> Worker {
         Worker {
+            number: 0,
             peer,
             free: entry.room,
             lasting: Lasting::default(),
@@ -207,10 +210,11 @@
             excused_until: None,
             cordoned: false,
             failures: 0,
-            patience: PATIENCE.0,
             met_at: now,
             unfenced: false,
-            looked_at: false,
+            watched_closely: false,
+            handed_over: false,
+            lapses_after: None,
             noted_silent: false,
             reopening: false,
         }
@@ -238,21 +242,25 @@
         Some(clock + now.saturating_duration_since(told).as_millis() as WorkerMs)
     }
 
-    /// End of a lease granted now; `None` until the worker has told its clock.
-    pub fn grant(&mut self, now: Instant) -> Option<WorkerMs> {
-        let until = self.clock_at(now)? + LEASE.as_millis() as WorkerMs;
-        self.lease_until = self.lease_until.max(until);
-        Some(until)
+    /// A carrier that may have extended the lease until `last` is given up for another one.
+    pub fn hand_over(&mut self, last: Instant) {
+        self.handed_over = true;
+        self.watched_closely = false;
+        let lapsed = last + LEASE.div_f64(SLOWEST_CLOCK) + LEASE_SLACK;
+        self.lapses_after = self.lapses_after.max(Some(lapsed));
     }
 
     /// When every lease that was asked for has run out for certain, if the worker hears nothing
     /// more from anyone. An earlier scheduler asked for no longer leases than this one.
     pub fn lapses_at(&self) -> Instant {
-        let Some((clock, told)) = self.clock else {
-            return self.met_at + LEASE.div_f64(SLOWEST_CLOCK) + LEASE_SLACK;
+        let (from, left) = match self.clock {
+            Some((clock, told)) => {
+                (told, Duration::from_millis(self.lease_until.saturating_sub(clock)))
+            }
+            None => (self.met_at, LEASE),
         };
-        let left = Duration::from_millis(self.lease_until.saturating_sub(clock));
-        told + left.div_f64(SLOWEST_CLOCK) + LEASE_SLACK
+        let lapses_at = from + left.div_f64(SLOWEST_CLOCK) + LEASE_SLACK;
+        self.lapses_after.map_or(lapses_at, |after| after.max(lapses_at))
     }
 
     /// Why it may not be given new tasks; `None` if it may.
@@ -261,6 +269,7 @@
             worker if !worker.fenced => Some(Closed::NotAsked),
             worker if worker.unfenced => Some(Closed::Unfenced),
             worker if worker.is_missing(now) => Some(Closed::NotListed),
+            worker if worker.handed_over => Some(Closed::HandedOver),
             worker if worker.entry.draining => Some(Closed::Draining),
             worker if worker.cordoned => Some(Closed::Cordoned),
             worker if worker.misses > 0 || worker.reopening => Some(Closed::Silent),
@@ -274,6 +283,7 @@
     pub fn is_open(&self) -> bool {
         let closed = !self.fenced
             || self.unfenced
+            || self.handed_over
             || self.entry.draining
             || self.cordoned
             || self.misses > 0
@@ -292,17 +302,6 @@
         self.closed(now).is_none()
     }
 
-    /// A start was answered, after `took`. A worker that is slow to answer is given more time.
-    pub fn note_answer(&mut self, took: Duration) {
-        let patience = (self.patience / 2).max(took * PATIENCE_RATIO);
-        self.patience = patience.clamp(PATIENCE.0, PATIENCE.1);
-    }
-
-    /// A start had no answer in time: it was lost, or the time was too short.
-    pub fn note_no_answer(&mut self) {
-        self.patience = (self.patience * 2).min(PATIENCE.1);
-    }
-
     /// Whether a task of this size fits beside what may run there.
     pub fn fits(&self, need: Room) -> bool {
         need.cpu <= self.free.cpu
--- a/lib/src/batch/worker/table.rs
+++ b/lib/src/batch/worker/table.rs
@@ -21,8 +21,8 @@
 
 use crate::batch::worker::Worker;
 
-/// Number of a worker in the order in which they were met.
-type Number = u64;
+/// Number of a worker in the order in which a scheduler met them; no two lives share one.
+pub type Number = u64;
 /// Workers by the processor that is left on them, in thousandths of a core.
 type ByFree = BTreeSet<(u32, Number)>;
 
@@ -187,6 +187,11 @@
         self.workers.get(self.numbers.get(id)?)
     }
 
+    /// Id of the worker with a number.
+    pub fn id_of(&self, number: Number) -> Option<&WorkerId> {
+        self.workers.get(&number).map(|worker| &worker.peer.id)
+    }
+
     /// A worker that is to be changed.
     pub fn get_mut(&mut self, id: &str) -> Option<Handle<'_>> {
         let number = *self.numbers.get(id)?;
@@ -221,6 +226,7 @@
     pub fn insert(&mut self, id: WorkerId, worker: Worker) {
         self.remove(&id);
         self.last += 1;
+        let worker = Worker { number: self.last, ..worker };
         let standing = Standing::of(&worker);
         self.index.enter(self.last, &worker, &standing);
         self.index.live_on(self.last, &worker);
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -81,6 +81,7 @@
     "snapshot-every", "batches on the log between two snapshots", "16 to 1000000", Some("2000");
     "snapshot-s", "most seconds between two snapshots; the log must keep three times that", "1 to 86400", Some("600");
     "down-grace-ms", "how long a plan's last steps wait for boxes that are down", "0 to 3600000", Some("30000");
+    "workers-per-share", "workers that one node looks after for the scheduler, on the users' platform", "1 to 100000", Some("100");
     "statsd", "address to send metrics to", "IP:PORT, or empty for none", Some("");
 }
 
@@ -290,30 +291,43 @@
     }
 }
 
-/// Reads the hash of the site operator's secret, where it may be left out.
-///
-/// ```
-/// use spokelift_lib::settings::read_site_key;
-/// assert_eq!(read_site_key(|_| None), Ok(None));
-/// assert!(read_site_key(|_| Some("no hash".to_owned())).is_err());
-/// ```
-///
-/// # Errors
-///
-/// [`SettingsError`] if it is given and is no hash.
-pub fn read_site_key(
-    get: impl Fn(&Setting) -> Option<String>,
-) -> Result<Option<KeyHash>, SettingsError> {
-    const FLAG: &str = "site-key-hash";
-    if get(find(FLAG)).is_none() {
-        return Ok(None);
-    }
-    let mut reader = Reader { get, faults: Vec::new() };
-    let site_key = reader.value(FLAG, parse_hash);
-    if reader.faults.is_empty() {
-        Ok(site_key)
-    } else {
-        Err(SettingsError { faults: reader.faults })
+/// What a node on the users' platform is told beside the platform's own settings file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Hash of the site operator's secret; without one, nobody may change anything through the
+    /// operators' port.
+    pub site_key: Option<KeyHash>,
+    /// Workers that one node looks after for the scheduler.
+    pub workers_per_share: usize,
+}
+
+impl NodeSettings {
+    /// Checks the values that `get` gives for each setting, and names every fault at once.
+    ///
+    /// ```
+    /// use spokelift_lib::settings::NodeSettings;
+    /// let settings = NodeSettings::resolve(|_| None).unwrap();
+    /// assert_eq!((settings.site_key, settings.workers_per_share), (None, 100));
+    /// assert!(NodeSettings::resolve(|_| Some("no hash, no number".to_owned())).is_err());
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] names those that cannot be used.
+    pub fn resolve(
+        get: impl Fn(&Setting) -> Option<String>,
+    ) -> Result<NodeSettings, SettingsError> {
+        const KEY: &str = "site-key-hash";
+        let has_key = get(find(KEY)).is_some();
+        let mut reader = Reader { get, faults: Vec::new() };
+        let site_key = if has_key { reader.value(KEY, parse_hash) } else { None };
+        let workers_per_share = reader.number("workers-per-share", 1..=100_000);
+        match workers_per_share {
+            Some(workers_per_share) if reader.faults.is_empty() => {
+                Ok(NodeSettings { site_key, workers_per_share })
+            }
+            _ => Err(SettingsError { faults: reader.faults }),
+        }
     }
 }
 
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -129,6 +129,13 @@
         self.cell.on_look(id, sent, self.now, seen);
     }
 
+    /// A worker does not answer; its carrier tells until when it has asked for a lease, at a start.
+    fn miss(&mut self, id: &str) {
+        let clock = 1_000 + (self.now - self.begun).as_millis() as u64;
+        self.cell.note_lease(id, clock + LEASE.as_millis() as u64);
+        self.cell.on_miss(id);
+    }
+
     fn look_at_all(&mut self) {
         let ids: Vec<String> = self.cell.workers.keys().cloned().collect();
         for id in ids {
@@ -183,6 +190,31 @@
     assert_eq!(bed.cell.jobs[&1].end, Some(JobState::Succeeded));
 }
 
+#[test]
+fn a_worker_that_passes_to_another_carrier_takes_nothing_until_it_answers() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(3)]), None);
+    let starts = bed.place();
+    bed.cell.on_started("w0", starts[0].1, starts[0].2, bed.now);
+    let last = bed.now + Duration::from_secs(2);
+    bed.cell.hand_over("w0", last);
+    // What was not answered for may have been started, so it is stopped first.
+    let mut stops: Vec<TaskName> = bed.stops().into_iter().map(|(_, task, _)| task).collect();
+    stops.sort();
+    assert_eq!(stops, [task(1, 0, 1), task(1, 0, 2)]);
+    bed.cell.admit(2, accepted(vec![step(1)]), None);
+    assert_eq!(bed.place(), []);
+    // The first carrier may have extended the lease as long as it could act.
+    bed.cell.on_miss("w0");
+    assert_eq!(bed.cell.lapsed(last + LEASE), []);
+    assert_eq!(bed.cell.lapsed(last + LEASE * 2), [("w0".to_owned(), true)]);
+    bed.look("w0", &[(task(1, 0, 0), TOKEN)], &[]);
+    let flush = bed.cell.take_flush();
+    bed.cell.on_flushed(&flush);
+    assert_eq!(bed.place(), [("w0".to_owned(), task(2, 0, 0), TOKEN)]);
+}
+
 #[test]
 fn an_end_is_shown_and_acknowledged_only_once_the_store_knows() {
     let mut bed = Bed::new(1);
@@ -342,7 +374,7 @@
     bed.look_at_all();
     bed.cell.admit(1, accepted(vec![step(1)]), None);
     let (worker, name, _) = bed.start().remove(0);
-    bed.cell.on_miss(&worker);
+    bed.miss(&worker);
     assert_eq!(bed.cell.lapsed(bed.now + LEASE / 2), []);
     let later = bed.now + LEASE + Duration::from_millis(500);
     assert_eq!(bed.cell.lapsed(later), [(worker.clone(), true)]);
--- a/lib/tests/test_table.rs
+++ b/lib/tests/test_table.rs
@@ -173,7 +173,7 @@
                     self.cell.on_stopped(&peer.id, task, run, self.now);
                     self.running.retain(|known| *known != (peer.id.clone(), task, run));
                 }
-                Order::Pace { .. } => {}
+                Order::Pace { .. } | Order::Watch { .. } => {}
             }
         }
     }
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -12,6 +12,7 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
+use spokelift_lib::batch::view;
 use spokelift_lib::transport::dial::Dialer;
 use spokelift_lib::transport::dial::full;
 use spokelift_platform::store::OPERATOR_TOPIC;
@@ -79,7 +80,20 @@
         reserve: usize,
         turn_gap: Duration,
     ) -> io::Result<Site> {
-        Site::begin(program, &vec![CPU_SHARE; nodes], workers, reserve, turn_gap).await
+        let cpu_shares = vec![CPU_SHARE; nodes];
+        Site::begin(program, &cpu_shares, workers, reserve, (turn_gap, None)).await
+    }
+
+    /// The same where one node looks after so many workers for the scheduler.
+    pub async fn start_sharing(
+        program: &str,
+        nodes: usize,
+        workers: usize,
+        reserve: usize,
+        workers_per_share: usize,
+    ) -> io::Result<Site> {
+        let settings = (TURN_GAP, Some(workers_per_share));
+        Site::begin(program, &vec![CPU_SHARE; nodes], workers, reserve, settings).await
     }
 
     /// The same with nodes that have these shares of a core.
@@ -89,7 +103,7 @@
         workers: usize,
         reserve: usize,
     ) -> io::Result<Site> {
-        Site::begin(program, cpu_shares, workers, reserve, TURN_GAP).await
+        Site::begin(program, cpu_shares, workers, reserve, (TURN_GAP, None)).await
     }
 
     async fn begin(
@@ -97,7 +111,7 @@
         cpu_shares: &[f64],
         workers: usize,
         reserve: usize,
-        turn_gap: Duration,
+        (turn_gap, workers_per_share): (Duration, Option<usize>),
     ) -> io::Result<Site> {
         let (store, ledger) = (Store::default(), Ledger::default());
         let machines = Machines::start(&store, &ledger).await?;
@@ -115,7 +129,7 @@
         let mut site = Site { store, machines, machines_line, ledger, nodes, dialer, advice };
         for (number, cpu_share) in cpu_shares.iter().copied().enumerate() {
             let (machines, advice) = (site.machines_line.addr, site.advice.addr);
-            let place = Place { number, cpu_share, turn_gap, machines, advice };
+            let place = Place { number, cpu_share, turn_gap, workers_per_share, machines, advice };
             let node = Node::prepare(program, &site.store, &place).await?;
             node.start()?;
             site.nodes.push(node);
@@ -165,6 +179,22 @@
         String::from_utf8(response.body().to_vec()).ok()
     }
 
+    /// What operators see under a path of the views, by whichever node answers.
+    pub async fn view(&self, path: &str) -> Option<String> {
+        for node in self.nodes.iter().filter(|node| node.is_running()) {
+            let uri = format!("{}{path}", view::PATH);
+            let request = Request::builder().uri(uri).header("host", HOST).body(full(""));
+            let request = request.expect("the tests make sound requests");
+            let answer = self.dialer.exchange(node.operate_addr, request, 65_536, ANSWER).await;
+            if let Ok(answer) = answer
+                && answer.status() == 200
+            {
+                return String::from_utf8(answer.body().to_vec()).ok();
+            }
+        }
+        None
+    }
+
     /// Hands in a job; 0 if there is no answer.
     pub async fn submit(&self, node: usize, id: &str, job: Value) -> u16 {
         self.submit_to("q", node, id, job).await
--- a/testutils/src/platform/site/node.rs
+++ b/testutils/src/platform/site/node.rs
@@ -44,6 +44,8 @@
     pub(super) cpu_share: f64,
     /// Least time between the turns of two schedulers.
     pub(super) turn_gap: Duration,
+    /// Workers that one node looks after for the scheduler; none for the daemon's default.
+    pub(super) workers_per_share: Option<usize>,
     /// Where the platform's machines are listed and ordered.
     pub(super) machines: SocketAddr,
     /// Where the advice service answers.
@@ -64,6 +66,7 @@
     /// Where the process writes its log, unless it writes to the test's own output.
     output: PathBuf,
     program: String,
+    workers_per_share: Option<usize>,
     child: Mutex<Option<Child>>,
 }
 
@@ -77,7 +80,7 @@
         let client_line = Proxy::start(front).await?;
         let peers = peers.port();
         let file = std::env::temp_dir().join(format!("spokelift-{ip}.toml"));
-        let Place { number, cpu_share, turn_gap, machines, advice } = place;
+        let Place { number, cpu_share, turn_gap, workers_per_share, machines, advice } = place;
         let text = format!(
             "node = \"node-{number}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
              portRange = [{peers}, {operate}]\nheartbeatMs = 500\nadvice = \"{advice}\"\n\
@@ -94,8 +97,17 @@
         let output = file.with_extension("log");
         let program = program.to_owned();
         let operate_addr = SocketAddr::new(ip, peers + 1);
-        let child = Mutex::default();
-        Ok(Node { door, store_line, client_line, operate_addr, file, output, program, child })
+        Ok(Node {
+            door,
+            store_line,
+            client_line,
+            operate_addr,
+            file,
+            output,
+            program,
+            workers_per_share: *workers_per_share,
+            child: Mutex::default(),
+        })
     }
 
     /// Starts the process; one that still runs is killed first.
@@ -105,6 +117,9 @@
         let mut command = Command::new(&self.program);
         command.arg("--platform").env(spokelift_platform::settings::VARIABLE, &self.file);
         command.env("SPOKELIFT_SITE_KEY_HASH", format_hash(&hash_secret(secret)));
+        if let Some(workers) = self.workers_per_share {
+            command.env("SPOKELIFT_WORKERS_PER_SHARE", workers.to_string());
+        }
         if std::env::var_os("SPOKELIFT_TEST_LOG").is_none() {
             let output = OpenOptions::new().create(true).append(true).open(&self.output)?;
             command.stdout(output.try_clone()?).stderr(output);
--- a/testutils/src/platform/soak.rs
+++ b/testutils/src/platform/soak.rs
@@ -32,6 +32,9 @@
 const RESERVE: usize = 2;
 /// Machines of a soak.
 pub const MACHINES: usize = WORKERS + RESERVE;
+/// Workers that one node looks after for the scheduler, with an even seed; with an odd one the
+/// scheduler's node looks after all.
+const WORKERS_PER_SHARE: usize = 3;
 /// Clients that hand in jobs side by side.
 const CLIENTS: u64 = 3;
 /// Tells the generator of connections that go silent from that of the other faults.
@@ -62,7 +65,11 @@
 ///
 /// If the site cannot be started.
 pub async fn play(program: &str, seed: u64, time: Duration) -> io::Result<Report> {
-    let site = Arc::new(Site::start(program, NODES, WORKERS, RESERVE).await?);
+    let site = match seed % 2 {
+        0 => Site::start_sharing(program, NODES, WORKERS, RESERVE, WORKERS_PER_SHARE).await?,
+        _ => Site::start(program, NODES, WORKERS, RESERVE).await?,
+    };
+    let site = Arc::new(site);
     let mut rng = StdRng::seed_from_u64(seed);
     let mut silent_rng = StdRng::seed_from_u64(seed ^ SILENT_SEED);
     let schedule = schedule::draw(&mut rng, &mut silent_rng, time);
