turn, scheduler: orders about boxes are announced in the store, so a successor rests only those

Cause: after a holder of the lead that fell silent every box rested for 3 s, since nobody knew what it had ordered last (timeline: holder loses power at 8.0 s, next one claims at 10.3, begins at 10.4, first order at 13.4 s; 3.1 s of the 5.4 are the rest, and a rise lasts 5 s).

Ruled out: reading and looks of the new holder (0.1 s at 881 workers), starts (from 10.5 s).

Change: before a box is ordered, a record of all boxes ordered within the gap is written to the progress topic, whose writer is fenced by the successor's first append; the successor leaves alone only those.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -134,6 +134,8 @@
     pub ended: Vec<JobId>,
     /// Workers of which it tells that they are heard of again.
     pub reopened: Vec<WorkerId>,
+    /// Announcements of orders to boxes up to this one are among them.
+    pub announcement: u64,
     /// Ends of each worker that are taken into account by then.
     pub processed: Vec<(WorkerId, u64)>,
 }
@@ -203,6 +205,10 @@
     dirty: HashSet<JobId>,
     /// Workers that the store is to know of, or to forget.
     roster: Vec<Record>,
+    /// Number of the last announcement of orders to boxes.
+    announcement: u64,
+    /// The last one that the store knows.
+    announced: u64,
     /// Orders to be sent.
     pub outbox: Vec<Order>,
     /// Workers that are not known any more, by number.
@@ -246,6 +252,8 @@
             scheduled: BTreeSet::new(),
             dirty: HashSet::new(),
             roster: Vec::new(),
+            announcement: 0,
+            announced: 0,
             outbox: Vec::new(),
             removed: Vec::new(),
             weighed: 0,
--- a/lib/src/batch/cell/flush.rs
+++ b/lib/src/batch/cell/flush.rs
@@ -1,10 +1,26 @@
 //! What the store is to know.
 
+use std::collections::HashSet;
+
+use spokelift_platform::machine::MachineId;
+
 use crate::batch::cell::Cell;
 use crate::batch::cell::Flush;
 use crate::batch::record;
 
 impl Cell {
+    /// The store is to know that these boxes are about to be ordered; the announcement's number.
+    pub fn announce(&mut self, boxes: &HashSet<MachineId>) -> u64 {
+        self.roster.push(record::ordered(boxes));
+        self.announcement += 1;
+        self.announcement
+    }
+
+    /// Whether the store knows of an announcement.
+    pub fn is_announced(&self, number: u64) -> bool {
+        self.announced >= number
+    }
+
     /// Whether [`Cell::take_flush`] would return anything.
     pub fn needs_flush(&self) -> bool {
         let has_unsaid = self.workers.unsaid().next().is_some();
@@ -13,7 +29,8 @@
 
     /// Takes the changes since the last time.
     pub fn take_flush(&mut self) -> Flush {
-        let mut flush = Flush { records: std::mem::take(&mut self.roster), ..Flush::default() };
+        let records = std::mem::take(&mut self.roster);
+        let mut flush = Flush { records, announcement: self.announcement, ..Flush::default() };
         for id in std::mem::take(&mut self.dirty) {
             let Some(entry) = self.jobs.get(&id) else { continue };
             flush.records.push(record::progress(id, &entry.progress()));
@@ -35,6 +52,7 @@
 
     /// The store knows of these changes.
     pub fn on_flushed(&mut self, flush: &Flush) {
+        self.announced = self.announced.max(flush.announcement);
         for id in &flush.ended {
             if let Some(entry) = self.jobs.get_mut(id) {
                 entry.end_is_durable = true;
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -312,7 +312,7 @@
     /// Orders moves, all at once: one after another, they would take a second and more on a large
     /// site.
     async fn order(&mut self, scheduler: &Scheduler, machines: &Machines, ids: Vec<MachineId>) {
-        if !scheduler.may_order_machines() {
+        if ids.is_empty() || !scheduler.announce(&ids).await || !scheduler.may_order_machines() {
             return;
         }
         let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -1,6 +1,7 @@
 //! What the store keeps: jobs and how far they are, workers that may run something, and waves
 //! whose upkeep has begun.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
 const WORKER_PREFIX: &str = "worker/";
 /// Start of the keys in [`PROGRESS_TOPIC`] that name workers whose life is over.
 const GONE_PREFIX: &str = "gone/";
+/// Key in [`PROGRESS_TOPIC`] of the boxes that were ordered lately or are about to be.
+const ORDERED_KEY: &str = "ordered";
 /// Start of the keys in [`PROGRESS_TOPIC`] that tell how far waves are.
 const WAVE_PREFIX: &str = "wave/";
 
@@ -122,6 +125,8 @@
     Gone(WorkerId),
     /// The machines of a wave whose upkeep has begun.
     Wave(u64, Vec<MachineId>),
+    /// Boxes that were ordered lately or are about to be.
+    Ordered(HashSet<MachineId>),
     /// A key was dropped.
     Dropped,
 }
@@ -220,6 +225,11 @@
     Record::set(wave_key(number), encode(&begun))
 }
 
+/// The record of the boxes that were ordered lately or are about to be.
+pub fn ordered(boxes: &HashSet<MachineId>) -> Record {
+    Record::set(ORDERED_KEY, encode(boxes))
+}
+
 /// The record that lets go of a wave.
 pub fn forget_wave(number: u64) -> Record {
     Record::drop_key(wave_key(number))
@@ -264,6 +274,9 @@
             let number = number.parse().map_err(|_| RecordError::Key(record.key.clone()))?;
             return Ok(ProgressRecord::Wave(number, decode(&record.key, value)?));
         }
+        if record.key == ORDERED_KEY {
+            return Ok(ProgressRecord::Ordered(decode(&record.key, value)?));
+        }
         let id = id_of(&record.key)?;
         Ok(ProgressRecord::Progress(id, decode(&record.key, value)?))
     }
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -19,6 +19,7 @@
 use std::time::UNIX_EPOCH;
 
 use spokelift_platform::job::JobId;
+use spokelift_platform::machine::MachineId;
 use spokelift_platform::store::Offset;
 use spokelift_platform::worker::Token;
 use tokio::sync::Notify;
@@ -65,6 +66,8 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// How long a client's cancel waits for the store.
 const AWAIT_CANCEL: Duration = Duration::from_millis(700);
+/// How long orders about boxes wait for the store to know of them; a slow one takes about 0.4 s.
+const ANNOUNCE: Duration = Duration::from_millis(900);
 /// Steps that wait, above which a round of placing is dear and every change should not cause one.
 const BACKLOG: usize = 60;
 /// Pause between rounds then; a task runs for about a second.
@@ -168,6 +171,28 @@
         self.turn.may_order(now) && is_sole_holder(self.cell().renewed_at, now)
     }
 
+    /// Makes sure that the store knows that boxes are about to be ordered; `false` if it does not.
+    pub async fn announce(&self, boxes: &[MachineId]) -> bool {
+        let Some(all) = self.turn.unannounced(boxes, Instant::now()) else { return true };
+        let number = self.cell().announce(&all);
+        self.kick_flush();
+        let mut flushed = self.flushed.subscribe();
+        let known = async {
+            while !self.cell().is_announced(number) {
+                if flushed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        if timeout(ANNOUNCE, known).await.is_err() {
+            self.node.counters.count("batch.machines.not-announced");
+            log::debug!("the store does not know of {} orders about boxes in time", boxes.len());
+            return false;
+        }
+        self.turn.set_announced(all);
+        true
+    }
+
     /// Something may be started, or is to be sent.
     pub fn kick(&self) {
         self.work.notify_one();
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -8,6 +8,7 @@
 use futures_util::future::try_join_all;
 use spokelift_platform::call::CallError;
 use spokelift_platform::job::JobId;
+use spokelift_platform::machine::MachineId;
 use spokelift_platform::store::Guard;
 use spokelift_platform::store::Newest;
 use spokelift_platform::store::Offset;
@@ -38,6 +39,7 @@
     let reads = partitions.map(|number| node.read_newest(record::job_partition(number), LOAD));
     let jobs = try_join_all(reads).await?;
     let mut cell = scheduler.cell();
+    scheduler.turn.inherit(ordered(&kept.records));
     let progress = take_progress(&mut cell, &kept.records);
     take_jobs(&mut cell, &jobs, progress);
     Ok(jobs.iter().map(|newest| newest.end).collect())
@@ -56,13 +58,22 @@
                 cell.begun.insert(number, begun.into_iter().collect());
             }
             Ok(ProgressRecord::Gone(id)) => cell.inherit_gone(id, Instant::now()),
-            Ok(ProgressRecord::Dropped) => {}
+            Ok(ProgressRecord::Ordered(_) | ProgressRecord::Dropped) => {}
             Err(error) => log::error!("a record of progress cannot be used: {error}"),
         }
     }
     progress
 }
 
+/// Boxes that the scheduler before may have ordered last.
+fn ordered(records: &[Record]) -> HashSet<MachineId> {
+    let ordered = records.iter().filter_map(|record| match ProgressRecord::decode(record) {
+        Ok(ProgressRecord::Ordered(boxes)) => Some(boxes),
+        _ => None,
+    });
+    ordered.flatten().collect()
+}
+
 /// Takes in the jobs in the order in which they were accepted, then what clients cancelled: a
 /// cancel can only be taken in once its job is known. A job that several nodes were sent may lie in
 /// several partitions; the first one accepted counts.
--- a/lib/src/batch/turn.rs
+++ b/lib/src/batch/turn.rs
@@ -1,6 +1,9 @@
 //! When a scheduler may order boxes. No box is ordered by two schedulers within the time that the
-//! platform names, so a new scheduler leaves alone what the one before may have ordered last: every
-//! box if that one fell silent, and those that it names if it gave up the lead.
+//! platform names, so a new scheduler leaves alone what the one before may have ordered last: those that
+//! it names if it gave up the lead, and if it fell silent those that it had announced in the store. A
+//! box is announced before it is ordered, and a scheduler that has a successor can announce nothing more,
+//! so what the successor reads is all. With every box resting, a silent scheduler cost 3 s without an
+//! order, where rises of load last 5 s.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -45,6 +48,10 @@
 struct State {
     /// When boxes were last ordered.
     ordered: HashMap<MachineId, Instant>,
+    /// Boxes that the store knows of as ordered, or about to be.
+    announced: HashSet<MachineId>,
+    /// Boxes that the one before had announced; none until the store was read.
+    inherited: Option<HashSet<MachineId>>,
     is_over: bool,
 }
 
@@ -59,23 +66,60 @@
     }
 
     /// The boxes of before that are still left alone; none once the time is over.
-    fn still_resting(&self, now: Instant) -> Resting {
-        match &self.resting {
+    fn still_resting(&self, state: &State, now: Instant) -> Resting {
+        match (&self.resting, &state.inherited) {
             _ if now.saturating_duration_since(self.began_at) >= self.gap => {
                 Resting::These(HashSet::new())
             }
-            resting => resting.clone(),
+            (Resting::Every, Some(inherited)) => Resting::These(inherited.clone()),
+            (resting, _) => resting.clone(),
         }
     }
 
+    /// The store was read: these boxes were announced before.
+    pub fn inherit(&self, boxes: HashSet<MachineId>) {
+        self.state().inherited = Some(boxes);
+    }
+
+    /// What the store is to know before these boxes are ordered: all that may have been ordered lately.
+    /// `None` if it knows of them.
+    pub fn unannounced(&self, boxes: &[MachineId], now: Instant) -> Option<HashSet<MachineId>> {
+        let state = self.state();
+        if boxes.iter().all(|target| state.announced.contains(target)) {
+            return None;
+        }
+        let mut all: HashSet<MachineId> = boxes.iter().cloned().collect();
+        all.extend(self.recent(&state, now));
+        if let Resting::These(resting) = self.still_resting(&state, now) {
+            all.extend(resting);
+        }
+        Some(all)
+    }
+
+    /// The store knows of these boxes.
+    pub fn set_announced(&self, boxes: HashSet<MachineId>) {
+        self.state().announced = boxes;
+    }
+
+    fn recent<'a>(
+        &'a self,
+        state: &'a State,
+        now: Instant,
+    ) -> impl Iterator<Item = MachineId> + 'a {
+        let is_recent = move |at: Instant| now.saturating_duration_since(at) < self.gap;
+        let recent = state.ordered.iter().filter(move |(_, at)| is_recent(**at));
+        recent.map(|(target, _)| target.clone())
+    }
+
     /// Whether any box may be ordered now.
     pub fn may_order(&self, now: Instant) -> bool {
-        self.still_resting(now) != Resting::Every && !self.state().is_over
+        let state = self.state();
+        self.still_resting(&state, now) != Resting::Every && !state.is_over
     }
 
     /// Boxes that are left alone for now, where others are not.
     pub fn resting(&self, now: Instant) -> HashSet<MachineId> {
-        match self.still_resting(now) {
+        match self.still_resting(&self.state(), now) {
             Resting::Every => HashSet::new(),
             Resting::These(boxes) => boxes,
         }
@@ -104,10 +148,10 @@
     pub fn end(&self, now: Instant) -> Resting {
         let mut state = self.state();
         state.is_over = true;
-        let Resting::These(mut boxes) = self.still_resting(now) else { return Resting::Every };
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < self.gap;
-        let recent = state.ordered.iter().filter(|(_, at)| is_recent(**at));
-        boxes.extend(recent.map(|(target, _)| target.clone()));
+        let Resting::These(mut boxes) = self.still_resting(&state, now) else {
+            return Resting::Every;
+        };
+        boxes.extend(self.recent(&state, now));
         Resting::These(boxes)
     }
 }
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -252,7 +252,10 @@
     ids: &[MachineId],
     listed: &Listed<'_>,
 ) {
-    if !scheduler.may_order_machines() {
+    if ids.is_empty() || !scheduler.may_order_machines() {
+        return;
+    }
+    if !scheduler.announce(ids).await || !scheduler.may_order_machines() {
         return;
     }
     let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
--- a/lib/tests/test_turn.rs
+++ b/lib/tests/test_turn.rs
@@ -43,6 +43,31 @@
     assert_eq!(turn.end(now), these(["a", "b"]));
 }
 
+/// A scheduler that fell silent in a rise cost 3 s without an order about any box: nobody knew what it had
+/// ordered last. Now it announces boxes in the store first, and only those rest.
+#[test]
+fn after_a_silent_scheduler_only_announced_boxes_rest() {
+    let now = Instant::now();
+    let boxes = |targets: &[&str]| -> HashSet<String> {
+        targets.iter().map(|target| (*target).to_owned()).collect()
+    };
+    let turn = Turn::new(GAP, Resting::Every, now);
+    assert!(!turn.may_order(now), "the store has not been read");
+    turn.inherit(boxes(&["a"]));
+    assert!(turn.may_order(now));
+    assert_eq!(turn.resting(now), boxes(&["a"]));
+    assert!(turn.resting(now + GAP).is_empty());
+    // Whoever follows is told of what still rests as well.
+    let all = turn.unannounced(&["b".to_owned()], now).unwrap();
+    assert_eq!(all, boxes(&["a", "b"]));
+    turn.set_announced(all);
+    assert!(turn.begin_order("b", now));
+    assert_eq!(turn.unannounced(&["b".to_owned()], now), None);
+    assert_eq!(turn.unannounced(&["c".to_owned()], now).unwrap(), boxes(&["a", "b", "c"]));
+    assert_eq!(turn.unannounced(&["c".to_owned()], now + GAP).unwrap(), boxes(&["c"]));
+    assert_eq!(turn.end(now), these(["a", "b"]));
+}
+
 #[test]
 fn a_turn_that_is_over_orders_nothing() {
     let now = Instant::now();
