scheduler, upkeep: no more workers pass on than are too many; a box whose worker has not answered is not empty

A worker that did not answer was passed on each time, each time with a later bound of its lease, so its service stayed in doubt: for 8 s nothing was started for a service with 900 free workers. Now only what is too many passes on, and only workers that answer and have no order open. An unasked worker's box is not empty now; the same holds for sources and idle boxes.

Tests first seen to fail: a_box_whose_worker_has_not_answered_is_not_empty, a_share_with_too_many_workers_gives_away_no_ more_than_those (by its interface), only_a_worker_that_has_answered_and_has_no_order_open_passes_to_another_carrier_unasked.

--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -29,6 +29,7 @@
 use crate::batch::scheduler::Scheduler;
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::empty;
+use crate::batch::worker::Worker;
 
 /// How long a machine must have been idle before it is switched off. A move to the reserve and one
 /// back cost as much as about two seconds of a machine.
@@ -230,7 +231,8 @@
     fn note_idle(&mut self, cell: &Cell, list: &[Machine]) {
         let now = Instant::now();
         for machine in list {
-            if cell.worker_on(machine).is_some_and(|worker| worker.slots.is_empty()) {
+            let is_idle = |worker: &Worker| worker.fenced && worker.slots.is_empty();
+            if cell.worker_on(machine).is_some_and(is_idle) {
                 if !self.idle.contains_key(&machine.id) {
                     self.idle.insert(machine.id.clone(), now);
                 }
--- a/lib/src/batch/pool/source.rs
+++ b/lib/src/batch/pool/source.rs
@@ -23,7 +23,7 @@
 pub(super) struct Sources<'a> {
     /// Those that are switched off.
     off: Vec<&'a Machine>,
-    /// Those without tasks that last, by pool, the most used ones first, with the processor in use.
+    /// Those whose workers have answered and run no tasks that last, by pool, the most used ones first, with the processor in use.
     pools: BTreeMap<&'a str, Vec<(u32, &'a Machine)>>,
 }
 
@@ -42,6 +42,7 @@
             if *reserves.entry(pool).or_insert_with(|| is_reserve(pool)) {
                 off.push(machine);
             } else if let Some(worker) = cell.worker_on(machine)
+                && worker.fenced
                 && worker.lasting.tasks == 0
             {
                 let used = worker.entry.room.cpu.saturating_sub(worker.free.cpu);
--- a/lib/src/batch/scheduler/deal.rs
+++ b/lib/src/batch/scheduler/deal.rs
@@ -21,7 +21,6 @@
 use crate::batch::scheduler::Scheduler;
 use crate::batch::scheduler::share::Lost;
 use crate::batch::scheduler::share::ShareId;
-use crate::batch::worker::Phase;
 use crate::batch::worker::Worker;
 use crate::batch::worker::table::Number;
 
@@ -133,18 +132,20 @@
 }
 
 /// Workers of a share that has too many go to others; those of this node's own share do where any other
-/// node carries. Workers with an order under way stay until it is answered.
+/// node carries. Those that are not calm stay for now.
 fn balance(scheduler: &Scheduler) {
-    let Some((share, numbers)) = scheduler.shares.crowded() else { return };
-    let is_calm =
-        |worker: &&Worker| worker.slots.values().all(|slot| matches!(slot.phase, Phase::Live(_)));
+    let Some(crowded) = scheduler.shares.crowded() else { return };
+    let most = crowded.too_many.min(HANDED_OVER);
     let calm: Vec<Number> = {
         let cell = scheduler.cell();
-        let known =
-            numbers.iter().filter_map(|number| cell.workers.get(cell.workers.id_of(*number)?));
-        known.filter(is_calm).map(|worker| worker.number).take(HANDED_OVER).collect()
+        let workers = crowded.workers.iter();
+        let known = workers.filter_map(|number| cell.workers.get(cell.workers.id_of(*number)?));
+        known.filter(|worker| worker.is_calm()).map(|worker| worker.number).take(most).collect()
     };
-    let last = scheduler.shares.take_out(share, &calm, Instant::now());
+    if calm.is_empty() {
+        return;
+    }
+    let last = scheduler.shares.take_out(crowded.share, &calm, Instant::now());
     hand_over(scheduler, &calm, last);
 }
 
--- a/lib/src/batch/scheduler/share.rs
+++ b/lib/src/batch/scheduler/share.rs
@@ -98,6 +98,18 @@
     last: ShareId,
 }
 
+/// A share that has too many workers.
+#[derive(Debug)]
+pub struct Crowded {
+    /// Its number.
+    pub share: ShareId,
+    /// All its workers.
+    pub workers: Vec<Number>,
+    /// How many of them others should have. Not more may be passed on: the others would have too many then,
+    /// and pass them on in turn.
+    pub too_many: usize,
+}
+
 /// A report that was taken: what it tells, and from when its moments count.
 #[derive(Debug)]
 pub struct Told {
@@ -177,9 +189,9 @@
         self.state().remotes.values().all(|remote| remote.reports > 0)
     }
 
-    /// The share that has the most workers beyond its part, and which ones it has; none while no other
-    /// node carries, or where all have about their part.
-    pub fn crowded(&self) -> Option<(ShareId, Vec<Number>)> {
+    /// A share that has too many workers; none while no other node carries, or where all have about their
+    /// part.
+    pub fn crowded(&self) -> Option<Crowded> {
         let state = self.state();
         let ready = || state.remotes.iter().filter(|(_, remote)| remote.reports > 0);
         let weight: usize = ready().map(|(_, remote)| remote.weight as usize).sum();
@@ -192,13 +204,14 @@
         };
         let own = members(OWN);
         if !own.is_empty() {
-            return Some((OWN, own));
+            return Some(Crowded { share: OWN, too_many: own.len(), workers: own });
         }
-        let crowded = ready().find(|(_, remote)| {
+        ready().find_map(|(id, remote)| {
             let part = state.places.len() * remote.weight as usize / weight;
-            remote.workers.len() > part * CROWDED_PERCENT / 100 + 1
-        });
-        crowded.map(|(id, _)| (*id, members(*id)))
+            let is_crowded = remote.workers.len() > part * CROWDED_PERCENT / 100 + 1;
+            let too_many = remote.workers.len().saturating_sub(part);
+            is_crowded.then(|| Crowded { share: *id, workers: members(*id), too_many })
+        })
     }
 
     /// Sends a command to the share that has the worker.
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -224,10 +224,14 @@
 /// Moves what it may off a worker; returns whether nothing is left there.
 ///
 /// Tasks that end by themselves are let end, unless `hurry`. Of a step that lasts, at most as many
-/// tasks are away at once as it allows.
+/// tasks are away at once as it allows. What runs on a worker that has not answered this scheduler is not
+/// known.
 pub fn empty(cell: &mut Cell, id: &str, hurry: bool) -> bool {
     let Some(mut worker) = cell.workers.get_mut(id) else { return true };
     worker.cordoned = true;
+    if !worker.fenced {
+        return false;
+    }
     let tasks: Vec<(TaskName, Phase)> =
         worker.slots.iter().map(|(task, slot)| (*task, slot.phase)).collect();
     drop(worker);
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -291,6 +291,13 @@
         !closed
     }
 
+    /// Whether it may pass to another carrier that is no worse: it answers the one that it has, and no
+    /// order to it is open.
+    pub fn is_calm(&self) -> bool {
+        let is_live = |slot: &Slot| matches!(slot.phase, Phase::Live(_));
+        self.fenced && !self.handed_over && self.misses == 0 && self.slots.values().all(is_live)
+    }
+
     /// Whether the store does not list it, and has had the time to list it again. It has left or
     /// is about to.
     pub fn is_missing(&self, now: Instant) -> bool {
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -190,6 +190,34 @@
     assert_eq!(bed.cell.jobs[&1].end, Some(JobState::Succeeded));
 }
 
+#[test]
+fn only_a_worker_that_has_answered_and_has_no_order_open_passes_to_another_carrier_unasked() {
+    let mut bed = Bed::new(1);
+    assert!(!bed.cell.workers["w0"].is_calm());
+    bed.look_at_all();
+    assert!(bed.cell.workers["w0"].is_calm());
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    let (worker, task, run) = bed.place().remove(0);
+    assert!(!bed.cell.workers["w0"].is_calm());
+    bed.cell.on_started(&worker, task, run, bed.now);
+    assert!(bed.cell.workers["w0"].is_calm());
+    bed.cell.hand_over("w0", bed.now);
+    assert!(!bed.cell.workers["w0"].is_calm());
+    bed.look("w0", &[(task, run)], &[]);
+    bed.cell.on_miss("w0");
+    assert!(!bed.cell.workers["w0"].is_calm());
+}
+
+/// Tasks that last were ended beyond what their steps may miss: 0.3 s after it began, a scheduler moved
+/// boxes whose workers had not answered it yet. It knew of no runs there and took them for empty.
+#[test]
+fn a_box_whose_worker_has_not_answered_is_not_empty() {
+    let mut bed = Bed::new(1);
+    assert!(!upkeep::empty(&mut bed.cell, "w0", true));
+    bed.look_at_all();
+    assert!(upkeep::empty(&mut bed.cell, "w0", true));
+}
+
 #[test]
 fn a_worker_that_passes_to_another_carrier_takes_nothing_until_it_answers() {
     let mut bed = Bed::new(1);
--- a/lib/tests/test_carry.rs
+++ b/lib/tests/test_carry.rs
@@ -206,7 +206,36 @@
     assert_eq!(shares.in_share(strong, 2..52).len(), 40);
     let sizes: Vec<usize> = shares.view().iter().map(|share| share.workers).collect();
     assert_eq!(sizes, [1, 10, 40]);
-    assert_matches!(shares.crowded(), Some((OWN, numbers)) if numbers == [1]);
+    let crowded = shares.crowded().unwrap();
+    assert_eq!((crowded.share, crowded.workers, crowded.too_many), (OWN, vec![1], 1));
+}
+
+/// For 8 s nothing was started for a service with 900 free workers: the scheduler passed a hundred workers
+/// from a share that had a few too many to others, which then had too many, and so on without end. A worker
+/// of an earlier scheduler that did not answer was passed on each time, and counted each time as one that
+/// might run something for another lease.
+#[tokio::test]
+async fn a_share_with_too_many_workers_gives_away_no_more_than_those() {
+    let (shares, now) = (shares(), Instant::now());
+    let (one, _) = shares.begin(addr(), 100, now);
+    let (two, _) = shares.begin("127.0.0.1:2".parse().unwrap(), 100, now);
+    for share in [one, two] {
+        assert_matches!(shares.take(report(share, 1, 0), now), Taken::New(_));
+    }
+    for number in 0..120 {
+        shares.assign(number, take_command(number));
+    }
+    assert!(shares.crowded().is_none());
+    for number in shares.in_share(two, 0..120).into_iter().take(40) {
+        shares.leave(number);
+    }
+    let crowded = shares.crowded().unwrap();
+    assert_eq!((crowded.share, crowded.workers.len(), crowded.too_many), (one, 60, 20));
+    shares.take_out(one, &crowded.workers[..crowded.too_many], now);
+    for number in &crowded.workers[..crowded.too_many] {
+        shares.assign(*number, take_command(*number));
+    }
+    assert!(shares.crowded().is_none());
 }
 
 #[tokio::test]
