cell, scheduler: a job whose node told this scheduler waits for no unasked worker once all nodes know it

Cause: after a holder of the lead fell silent, jobs that arrive count as perhaps started by it until every worker was asked.

Ruled out: taking a worker whose address refuses connections for dead (a cut may reset connections while it runs on), and trusting the list of boxes (it may be seconds old).

Change: a job of which the accepting node told this scheduler, 1 s after it began, is known to no earlier one. A job that was read in the store only stays in doubt.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -190,6 +190,9 @@
     /// The earlier scheduler had ended before it gave up the lead, so it can have started nothing of
     /// jobs that were not in the store when this one read it.
     pub predecessor_is_done: bool,
+    /// From when on every node that reaches the store knows of this scheduler, and tells it, and no earlier
+    /// one, of the jobs that it takes.
+    pub known_from: Option<Instant>,
     /// Workers that may run something of an earlier scheduler and have not been asked.
     pub unasked: HashSet<WorkerId>,
     /// Workers whose life is known to be over, and since when. The store may list them for a while.
@@ -244,6 +247,7 @@
             lasting: HashSet::new(),
             strangers: HashSet::new(),
             predecessor_is_done: false,
+            known_from: None,
             unasked: HashSet::new(),
             gone: HashMap::new(),
             silent_with: HashMap::new(),
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -26,15 +26,32 @@
 const UNKNOWN_JOB: Duration = Duration::from_millis(3_000);
 
 impl Cell {
-    /// Takes in a job; one that is known already stays as it is.
+    /// Takes in a job of which the node that took it tells; one that is known already stays as it is.
+    pub fn admit_told(&mut self, id: JobId, accepted: Accepted) -> bool {
+        let is_known = self.known_from.is_some_and(|from| Instant::now() >= from);
+        self.take_in(id, accepted, None, !is_known)
+    }
+
+    /// Takes in a job that was read in the store; one that is known already stays as it is.
     pub fn admit(&mut self, id: JobId, accepted: Accepted, inherited: Option<&Progress>) -> bool {
+        self.take_in(id, accepted, inherited, true)
+    }
+
+    fn take_in(
+        &mut self,
+        id: JobId,
+        accepted: Accepted,
+        inherited: Option<&Progress>,
+        others_may_know: bool,
+    ) -> bool {
         if self.jobs.contains_key(&id) {
             return false;
         }
         let mut entry = Entry::new(id, accepted);
         // Until every worker has heard of this scheduler, an earlier one that fell silent may go on
-        // starting tasks, also of jobs that only arrive now.
-        let may_be_started = !self.predecessor_is_done && !self.unasked.is_empty();
+        // starting tasks, also of jobs that only arrive now, if it hears of them.
+        let may_be_started =
+            others_may_know && !self.predecessor_is_done && !self.unasked.is_empty();
         entry.inherited = inherited.is_some() || may_be_started;
         self.has_inherited |= entry.inherited;
         if let Some(progress) = inherited {
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -66,6 +66,9 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// How long a client's cancel waits for the store.
 const AWAIT_CANCEL: Duration = Duration::from_millis(700);
+/// How long after it began every node knows of a scheduler: they read the record of the lead at least each
+/// half second.
+const KNOWN: Duration = Duration::from_millis(1_000);
 /// How long orders about boxes wait for the store to know of them; a slow one takes about 0.4 s.
 const ANNOUNCE: Duration = Duration::from_millis(900);
 /// Steps that wait, above which a round of placing is dear and every change should not cause one.
@@ -225,7 +228,7 @@
     pub async fn answer(&self, request: Request) -> Reply {
         match request {
             Request::Submitted(id, accepted) => {
-                if self.cell().admit(id, *accepted, None) {
+                if self.cell().admit_told(id, *accepted) {
                     self.kick();
                 }
                 Reply::Done
@@ -271,6 +274,7 @@
     {
         let mut cell = scheduler.cell();
         cell.unasked = cell.workers.keys().cloned().collect();
+        cell.known_from = Some(Instant::now() + KNOWN);
         log::info!(
             token = scheduler.token,
             jobs = cell.jobs.len(),
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -301,6 +301,23 @@
     assert_eq!(bed.place(), []);
 }
 
+/// A worker that had died with its box just before the holder did stayed unasked for 5.6 s; nothing of its
+/// service was started meanwhile, with 900 workers free, jobs that came seconds later included.
+#[test]
+fn a_job_whose_node_told_this_scheduler_waits_for_no_worker_once_all_nodes_know_it() {
+    let mut bed = Bed::new(2);
+    bed.cell.unasked = bed.cell.workers.keys().cloned().collect();
+    bed.look("w0", &[], &[]);
+    // Nodes that have not heard of this scheduler yet tell the earlier one.
+    bed.cell.admit_told(1, accepted(vec![step(1)]));
+    assert_eq!(bed.place(), []);
+    bed.cell.known_from = Some(Instant::now());
+    bed.cell.admit_told(2, accepted(vec![step(1)]));
+    // What is only read in the store may have been told to the earlier one.
+    bed.cell.admit(3, accepted(vec![step(1)]), None);
+    assert_eq!(bed.start(), [("w0".to_owned(), task(2, 0, 0), TOKEN)]);
+}
+
 #[test]
 fn a_job_that_arrives_after_the_earlier_scheduler_gave_up_the_lead_waits_for_no_worker() {
     let mut bed = Bed::new(2);
