--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -298,6 +298,7 @@
 pub enum BenchKind {
     State(BenchState),
     Plan(BenchPlan),
+    Batch(BenchBatch),
 }
 
 /// Measure the agreed state: records a second, memory, snapshots, time to ready, cost of control.
@@ -342,6 +343,22 @@
     pub json: bool,
 }
 
+/// Measure what batch work costs the scheduler at three sizes of a site: time and comparisons for each
+/// task, without a network.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "batch")]
+pub struct BenchBatch {
+    /// seconds of load that are played, 2 to 120
+    #[argh(option, default = "20")]
+    pub seconds: u32,
+    /// seed of the load
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print a last line of JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Batch work on the users' platform; --daemon is then the daemon's metrics address. Showing needs
 /// no credential there, submit and cancel need that of the site.
 #[derive(FromArgs, Debug)]
--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -1,5 +1,6 @@
 //! Measurements of the product against its own baselines, in one run.
 
+mod batch;
 mod generate;
 mod plan;
 mod probe;
@@ -13,6 +14,7 @@
 /// Runs a measurement and prints its results.
 pub fn run(args: &Bench, json: bool) -> Result<(), Error> {
     match &args.kind {
+        BenchKind::Batch(args) => batch::run(args, json || args.json),
         BenchKind::Plan(args) => plan::run(args, json || args.json),
         BenchKind::State(args) => state::run(args, json || args.json),
     }
--- /dev/null
+++ b/cli/src/bench/batch.rs
@@ -0,0 +1,323 @@
+//! What batch work costs the scheduler: a cell of workers plays a load that turns from service to service,
+//! in time of its own and without a network, and each part of the work is timed.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Serialize;
+use spokelift_lib::batch::cell::Cell;
+use spokelift_lib::batch::cell::Order;
+use spokelift_lib::batch::pool::load::loads;
+use spokelift_lib::batch::record::Accepted;
+use spokelift_platform::job::Job;
+use spokelift_platform::job::Step;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::End;
+use spokelift_platform::worker::Entry;
+use spokelift_platform::worker::Outcome;
+use spokelift_platform::worker::Peer;
+use spokelift_platform::worker::Room;
+use spokelift_platform::worker::Run;
+use spokelift_platform::worker::Running;
+use spokelift_platform::worker::Seen;
+
+use crate::args::BenchBatch;
+use crate::bench::slope::Slope;
+use crate::bench::slope::fit;
+use crate::error::Error;
+
+/// Workers of the sites that are played.
+const SIZES: [usize; 3] = [50, 350, 1_100];
+/// Services, among which the workers are divided evenly.
+const SERVICES: usize = 5;
+/// Time between two looks at what has happened.
+const STEP: Duration = Duration::from_millis(5);
+/// How long a service's demand is high; the next one's is then.
+const TURN: Duration = Duration::from_secs(5);
+/// Tasks that arrive a second for each worker of the site, in the mean: about half of what they can run.
+const TASKS_PER_WORKER: f64 = 1.3;
+/// Tasks of a job, what each takes, and how long it runs.
+const TASKS: u32 = 8;
+const CPU: u32 = 4_500;
+const RUNS: Duration = Duration::from_millis(800);
+/// How long a start and a look take.
+const ANSWER: Duration = Duration::from_millis(4);
+/// Time between two rounds about boxes, each of which counts the loads three times.
+const BOXES: Duration = Duration::from_millis(300);
+const LOADS_IN_ROUND: u32 = 3;
+
+/// One size's results.
+#[derive(Clone, Debug, Serialize)]
+struct Row {
+    workers: usize,
+    jobs: u64,
+    tasks: u64,
+    rounds: u64,
+    /// Microseconds for each task, by part.
+    micros: BTreeMap<&'static str, f64>,
+    micros_in_all: f64,
+    /// Workers weighed for each task.
+    weighed: f64,
+}
+
+/// All results.
+#[derive(Debug, Serialize)]
+struct Report {
+    rows: Vec<Row>,
+    /// Microseconds a task, by workers of the site.
+    slope: Slope,
+}
+
+/// Plays the load at each size and prints what it cost.
+pub fn run(args: &BenchBatch, json: bool) -> Result<(), Error> {
+    let time = Duration::from_secs(u64::from(args.seconds.clamp(2, 120)));
+    let rows: Vec<Row> =
+        SIZES.iter().map(|workers| Bed::new(*workers, args.seed).play(time)).collect();
+    let points = rows.iter().map(|row| (row.workers as f64, row.micros_in_all));
+    let report = Report { slope: fit(points), rows };
+    println!("{}", table(&report));
+    if json {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    Ok(())
+}
+
+fn table(report: &Report) -> String {
+    let mut lines = Vec::new();
+    for row in &report.rows {
+        let parts = row.micros.iter().map(|(part, micros)| format!("{part} {micros:.1}"));
+        let parts = parts.collect::<Vec<_>>().join(", ");
+        lines.push(format!(
+            "{} workers: {} tasks of {} jobs, {} rounds, {:.1} us a task ({parts}), {:.1} workers weighed",
+            row.workers, row.tasks, row.jobs, row.rounds, row.micros_in_all, row.weighed
+        ));
+    }
+    lines.push(format!(
+        "slope: {:.1} us a task + {:.4} a worker",
+        report.slope.base, report.slope.per
+    ));
+    lines.join("\n")
+}
+
+/// Something that a worker tells later.
+enum News {
+    Started(TaskName, Run),
+    Ended(TaskName, Run),
+}
+
+struct Bed {
+    cell: Cell,
+    rng: StdRng,
+    workers: usize,
+    begun: Instant,
+    now: Instant,
+    jobs: u64,
+    /// What workers tell, by when.
+    news: BTreeMap<(Instant, usize), Vec<News>>,
+    running: Vec<Vec<(TaskName, Run)>>,
+    last_end: Vec<u64>,
+    spent: BTreeMap<&'static str, Duration>,
+    rounds: u64,
+    tasks: u64,
+}
+
+impl Bed {
+    fn new(workers: usize, seed: u64) -> Bed {
+        let now = Instant::now();
+        let mut bed = Bed {
+            cell: Cell::new(1),
+            rng: StdRng::seed_from_u64(seed),
+            workers,
+            begun: now,
+            now,
+            jobs: 0,
+            news: BTreeMap::new(),
+            running: vec![Vec::new(); workers],
+            last_end: vec![0; workers],
+            spent: BTreeMap::new(),
+            rounds: 0,
+            tasks: 0,
+        };
+        for number in 0..workers {
+            let addr = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 1);
+            bed.cell.meet(Peer { id: id(number), addr }, entry(number, addr), now);
+            bed.look(number, Vec::new());
+        }
+        bed.spent.clear();
+        bed
+    }
+
+    /// Times a part of the work.
+    fn timed<T>(&mut self, part: &'static str, work: impl FnOnce(&mut Bed) -> T) -> T {
+        let begun = Instant::now();
+        let done = work(self);
+        *self.spent.entry(part).or_default() += begun.elapsed();
+        done
+    }
+
+    fn play(mut self, time: Duration) -> Row {
+        let mut boxes_at = self.now;
+        while self.now - self.begun < time {
+            self.now += STEP;
+            self.arrive();
+            self.tell();
+            self.place();
+            self.flush();
+            if self.now >= boxes_at {
+                boxes_at = self.now + BOXES;
+                self.timed("loads", |bed| {
+                    for _ in 0..LOADS_IN_ROUND {
+                        std::hint::black_box(loads(&bed.cell, bed.now));
+                    }
+                });
+            }
+        }
+        let tasks = self.tasks.max(1) as f64;
+        let each = |time: &Duration| time.as_secs_f64() * 1e6 / tasks;
+        let micros: BTreeMap<_, _> =
+            self.spent.iter().map(|(part, time)| (*part, each(time))).collect();
+        Row {
+            workers: self.workers,
+            jobs: self.jobs,
+            tasks: self.tasks,
+            rounds: self.rounds,
+            micros_in_all: micros.values().sum(),
+            micros,
+            weighed: self.cell.weighed as f64 / tasks,
+        }
+    }
+
+    /// Jobs arrive: most for the service whose turn it is.
+    fn arrive(&mut self) {
+        let turn = (self.now - self.begun).as_millis() / TURN.as_millis();
+        let high = turn as usize % SERVICES;
+        let jobs_per_s = TASKS_PER_WORKER * self.workers as f64 / f64::from(TASKS);
+        for service in 0..SERVICES {
+            let share = if service == high { 0.8 } else { 0.05 };
+            if self.rng.random::<f64>() < jobs_per_s * share * STEP.as_secs_f64() {
+                self.jobs += 1;
+                let (job, accepted) = (self.jobs, accepted(service));
+                self.timed("admit", |bed| bed.cell.admit(job, accepted, None));
+            }
+        }
+    }
+
+    /// Workers tell what was started and what has ended.
+    fn tell(&mut self) {
+        let later = self.news.split_off(&(self.now, usize::MAX));
+        for ((_, worker), news) in std::mem::replace(&mut self.news, later) {
+            let mut ended = Vec::new();
+            for told in news {
+                match told {
+                    News::Started(task, run) => {
+                        let now = self.now;
+                        self.timed("start", |bed| bed.cell.on_started(&id(worker), task, run, now));
+                    }
+                    News::Ended(task, run) => {
+                        self.running[worker].retain(|known| *known != (task, run));
+                        self.last_end[worker] += 1;
+                        let (number, checkpoint) = (self.last_end[worker], String::new());
+                        ended.push(End { number, task, run, outcome: Outcome::Done, checkpoint });
+                    }
+                }
+            }
+            if !ended.is_empty() {
+                self.look(worker, ended);
+            }
+        }
+    }
+
+    fn look(&mut self, worker: usize, ended: Vec<End>) {
+        let running = self.running[worker].iter().map(|(task, run)| Running {
+            task: *task,
+            run: *run,
+            checkpoint: String::new(),
+            percent: 50,
+            figure: 0,
+        });
+        let clock = 1_000 + (self.now - self.begun).as_micros() as u64;
+        let seen = Seen { clock, running: running.collect(), ended };
+        let now = self.now;
+        self.timed("look", |bed| bed.cell.on_look(&id(worker), now - ANSWER, now, seen));
+    }
+
+    fn place(&mut self) {
+        let (now, wall) = (self.now, self.now - self.begun);
+        self.timed("place", |bed| {
+            if bed.cell.needs_placing() {
+                bed.rounds += 1;
+                bed.cell.place(now, wall);
+            }
+        });
+        for order in std::mem::take(&mut self.cell.outbox) {
+            let Order::Start { peer, task, run, .. } = order else { continue };
+            let worker: usize = peer.id[1..].parse().expect("ids are made from numbers");
+            self.tasks += 1;
+            self.running[worker].push((task, run));
+            let mut say = |after: Duration, news: News| {
+                self.news.entry((now + after, worker)).or_default().push(news);
+            };
+            say(ANSWER, News::Started(task, run));
+            say(RUNS, News::Ended(task, run));
+        }
+    }
+
+    fn flush(&mut self) {
+        self.timed("flush", |bed| {
+            if bed.cell.needs_flush() {
+                let flush = bed.cell.take_flush();
+                bed.cell.on_flushed(&flush);
+            }
+        });
+    }
+}
+
+fn id(number: usize) -> String {
+    format!("w{number}")
+}
+
+fn entry(number: usize, address: SocketAddr) -> Entry {
+    Entry {
+        service: format!("service-{}", number % SERVICES),
+        address,
+        hall: "hall-1".to_owned(),
+        draining: false,
+        room: Room { cpu: 32_000, memory_mb: 128_000, gpu: 0 },
+        labels: vec![format!("r1-{}", number / 12)],
+        leaves_in_ms: None,
+        machine: Some(format!("m{number}")),
+    }
+}
+
+fn accepted(service: usize) -> Accepted {
+    let step = Step {
+        count: TASKS,
+        cpu: CPU,
+        memory_mb: 1_000,
+        estimate_ms: RUNS.as_millis() as u64,
+        ..Step::default()
+    };
+    Accepted {
+        job: Job {
+            spec: "bench".to_owned(),
+            steps: vec![step],
+            repetitions: 0,
+            first_run_ms: 0,
+            interval_ms: 0,
+        },
+        queue: format!("queue-{service}"),
+        service: format!("service-{service}"),
+        priority: 0,
+        max_attempts: 3,
+        needs_advice: false,
+        objective_ms: 600,
+        stretch_percent: 160,
+        at: Duration::ZERO,
+    }
+}
--- a/lib/src/batch/carry/remote.rs
+++ b/lib/src/batch/carry/remote.rs
@@ -16,7 +16,6 @@
 
 use crate::batch::carry::Carrier;
 use crate::batch::carry::Tools;
-use crate::batch::carry::license::LICENSE;
 use crate::batch::carry::license::License;
 use crate::batch::carry::message::Command;
 use crate::batch::carry::message::Event;
@@ -211,6 +210,3 @@
     }
     false
 }
-
-/// How long after a scheduler's last acknowledgement its carrier may still act.
-pub const ACTS_ON: Duration = LICENSE;
--- a/lib/src/batch/scheduler/share.rs
+++ b/lib/src/batch/scheduler/share.rs
@@ -22,9 +22,9 @@
 use tokio::sync::Notify;
 
 use crate::batch::carry::Carrier;
+use crate::batch::carry::license::LICENSE;
 use crate::batch::carry::message::Command;
 use crate::batch::carry::message::Moment;
-use crate::batch::carry::remote::ACTS_ON;
 use crate::batch::carry::remote::Errand;
 use crate::batch::carry::remote::Report;
 use crate::batch::carry::remote::Session;
@@ -346,7 +346,7 @@
             state.places.remove(number);
         }
         remote.wake.notify_one();
-        let last = remote.acked_at.map_or(now, |at| at + ACTS_ON);
+        let last = remote.acked_at.map_or(now, |at| at + LICENSE);
         Some((remote.workers.into_iter().collect(), last))
     }
 
@@ -363,7 +363,7 @@
             }
             self.push(&mut state, share, Command::Leave { number });
         }
-        state.remotes.get(&share).and_then(|remote| remote.acked_at).map_or(now, |at| at + ACTS_ON)
+        state.remotes.get(&share).and_then(|remote| remote.acked_at).map_or(now, |at| at + LICENSE)
     }
 
     /// The nodes that have shares.
@@ -388,7 +388,7 @@
     /// Until when any carrier may act, once all have been ended without an answer.
     pub fn last_act(&self) -> Option<Instant> {
         let state = self.state();
-        state.remotes.values().filter_map(|remote| remote.acked_at).max().map(|at| at + ACTS_ON)
+        state.remotes.values().filter_map(|remote| remote.acked_at).max().map(|at| at + LICENSE)
     }
 
     /// All shares on other nodes.
--- a/lib/src/batch/worker/table.rs
+++ b/lib/src/batch/worker/table.rs
@@ -255,7 +255,8 @@
         let after = Standing::of(worker);
         self.index.enter(number, worker, &after);
         self.index.live_on(number, worker);
-        self.index.has_freed |= after.has_more_than(&before);
+        // It may only now be listed again, which its standing does not say.
+        self.index.has_freed |= after.open;
         true
     }
 
--- a/lib/tests/test_carry.rs
+++ b/lib/tests/test_carry.rs
@@ -16,7 +16,6 @@
 use spokelift_lib::batch::carry::message::Command;
 use spokelift_lib::batch::carry::message::Event;
 use spokelift_lib::batch::carry::message::Start;
-use spokelift_lib::batch::carry::remote::ACTS_ON;
 use spokelift_lib::batch::carry::remote::Carried;
 use spokelift_lib::batch::carry::remote::Errand;
 use spokelift_lib::batch::carry::remote::Report;
@@ -277,8 +276,7 @@
     assert_matches!(shares.take(report(share, 1, 0), acked), Taken::New(_));
     shares.assign(7, take_command(7));
     let (workers, last) = shares.take_back(share, now + Duration::from_secs(9)).unwrap();
-    assert_eq!((workers, last), (vec![7], acked + ACTS_ON));
-    assert_eq!(ACTS_ON, LICENSE);
+    assert_eq!((workers, last), (vec![7], acked + LICENSE));
     assert_matches!(shares.take(report(share, 2, 0), now), Taken::Stale);
     assert!(shares.take_back(share, now).is_none());
     assert!(!shares.is_assigned(7));
--- a/lib/tests/test_table.rs
+++ b/lib/tests/test_table.rs
@@ -109,12 +109,21 @@
     clock: u64,
     jobs: u64,
     running: Vec<(String, TaskName, Run)>,
+    /// Some tasks end failed.
+    some_fail: bool,
 }
 
 impl Bed {
     fn new() -> Bed {
         let cell = Cell::new(TOKEN);
-        Bed { cell, now: Instant::now(), clock: 1_000, jobs: 0, running: Vec::new() }
+        Bed {
+            cell,
+            now: Instant::now(),
+            clock: 1_000,
+            jobs: 0,
+            running: Vec::new(),
+            some_fail: true,
+        }
     }
 
     fn meet(&mut self, number: usize, draining: bool) {
@@ -132,11 +141,12 @@
             self.running.drain(..).partition(|(worker, ..)| *worker == id);
         self.running = others;
         let (over, on) = mine.split_at(mine.len() / 2);
+        let some_fail = self.some_fail;
         let ended = (processed + 1..).zip(over).map(|(number, (_, task, run))| End {
             number,
             task: *task,
             run: *run,
-            outcome: if number % 5 == 0 { Outcome::Failed } else { Outcome::Done },
+            outcome: if some_fail && number % 5 == 0 { Outcome::Failed } else { Outcome::Done },
             checkpoint: String::new(),
         });
         let ended = ended.collect();
@@ -227,6 +237,49 @@
     }
 }
 
+/// What waits although an open worker of its service has room for it.
+fn left_waiting(bed: &Bed) -> Vec<String> {
+    let mut left = Vec::new();
+    for rank in &bed.cell.ready {
+        let entry = &bed.cell.jobs[&rank.job];
+        let step = &entry.accepted.job.steps[usize::from(rank.step)];
+        let service = &entry.accepted.service;
+        let fits = |worker: &&spokelift_lib::batch::worker::Worker| {
+            worker.takes_work(bed.now)
+                && worker.free.cpu >= step.cpu
+                && worker.free.memory_mb >= step.memory_mb
+        };
+        left.extend(
+            bed.cell.workers.of_service(service).find(fits).map(|worker| {
+                format!("{rank:?} fits on {} with {:?}", worker.peer.id, worker.free)
+            }),
+        );
+    }
+    left
+}
+
+proptest! {
+    /// A round of placing is made only when something may be placed that could not be before; this says
+    /// that nothing is passed over for that.
+    #[test]
+    fn nothing_that_could_run_waits_although_rounds_are_left_out(
+        happenings in prop::collection::vec(happening(), 1..120),
+    ) {
+        // Rests end with time alone, which is looked at apart.
+        let mut bed = Bed { some_fail: false, ..Bed::new() };
+        for what in happenings {
+            let told = format!("{what:?}");
+            if !matches!(what, Happening::Place | Happening::Refuse) {
+                bed.happen(what);
+            }
+            if bed.cell.needs_placing() {
+                bed.place(false);
+            }
+            prop_assert_eq!(left_waiting(&bed), Vec::<String>::new(), "after {}", told);
+        }
+    }
+}
+
 /// Workers weighed for each of 200 tasks that are placed one after the other, at a site of so many
 /// workers of the service and of another one.
 fn weighed_for_each(own: usize, other: usize, rack: Option<&str>) -> f64 {
