--- a/lib/src/batch/scheduler/share.rs
+++ b/lib/src/batch/scheduler/share.rs
@@ -9,6 +9,8 @@
 //! A carrier that is not heard of is given up, and its workers go to others at once. What it may still
 //! do is bounded by its licence, and counted in the leases of its workers.
 
+mod remote;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -24,65 +26,23 @@
 use crate::batch::carry::Carrier;
 use crate::batch::carry::license::LICENSE;
 use crate::batch::carry::message::Command;
-use crate::batch::carry::message::Moment;
 use crate::batch::carry::remote::Errand;
 use crate::batch::carry::remote::Report;
 use crate::batch::carry::remote::Session;
+use crate::batch::scheduler::share::remote::Remote;
+use crate::batch::scheduler::share::remote::Sequence;
 use crate::batch::view;
 use crate::batch::worker::table::Number;
 
+pub use crate::batch::scheduler::share::remote::Lost;
+
 /// Number of a share of this scheduler; the one of its own node is [`OWN`].
 pub type ShareId = u64;
 /// The share of the scheduler's own node.
 pub const OWN: ShareId = 0;
 
-/// How long a carrier may be silent before it is given up: more than three heartbeats. Its workers are not looked
-/// at meanwhile, and what ends there is not heard of.
-const SILENT: Duration = Duration::from_millis(700);
-/// How long a node may take to say that it carries a share; it does so at once.
-const BEGIN: Duration = Duration::from_millis(500);
 /// A share with more than this part of what it should have, in hundredths, gives workers to others.
 const CROWDED_PERCENT: usize = 125;
-/// How late the timers of a carrier may be before its share goes to others: clients of that node would
-/// soon wait as well.
-const LATE: Duration = Duration::from_millis(250);
-/// Reports in a row that tell of such lateness.
-const LATE_REPORTS: u32 = 4;
-
-/// A share on another node.
-struct Remote {
-    addr: SocketAddr,
-    /// Processor of the node, in thousandths of a core.
-    weight: u32,
-    workers: HashSet<Number>,
-    commands: Vec<Command>,
-    /// Number of the last message made of commands.
-    sequence: u64,
-    /// Wakes the task that sends them.
-    wake: Arc<Notify>,
-    /// When something was last heard of it.
-    heard_at: Instant,
-    /// When its last report was acknowledged.
-    acked_at: Option<Instant>,
-    /// The moment from which it counts its own, by our clock or later.
-    base: Option<Instant>,
-    /// Number of the last report that was taken; it has workers only after the first one.
-    reports: u64,
-    late_reports: u32,
-}
-
-/// Why a share is taken back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lost {
-    /// Nothing was heard of it for a while.
-    Silent,
-    /// The node does not carry it any more, or never did.
-    Refused,
-    /// No connection could be made to the node.
-    Gone,
-    /// The node has too much to do.
-    Late,
-}
 
 /// All shares of a scheduler.
 pub struct Shares {
@@ -148,19 +108,7 @@
         let wake = Arc::new(Notify::new());
         // The first message begins the share, whether there are commands or not.
         wake.notify_one();
-        let remote = Remote {
-            addr,
-            weight: weight.max(1),
-            workers: HashSet::new(),
-            commands: Vec::new(),
-            sequence: 0,
-            wake: wake.clone(),
-            heard_at: now,
-            acked_at: None,
-            base: None,
-            reports: 0,
-            late_reports: 0,
-        };
+        let remote = Remote::new(addr, weight, wake.clone(), now);
         state.remotes.insert(id, remote);
         (id, wake)
     }
@@ -168,9 +116,8 @@
     /// Gives a worker to the share that has the fewest for its node's processor.
     pub fn assign(&self, number: Number, command: Command) {
         let mut state = self.state();
-        let load = |remote: &Remote| remote.workers.len() as f64 / f64::from(remote.weight);
-        let ready = state.remotes.iter().filter(|(_, remote)| remote.reports > 0);
-        let least = ready.min_by(|(_, one), (_, other)| load(one).total_cmp(&load(other)));
+        let ready = state.remotes.iter().filter(|(_, remote)| remote.is_ready());
+        let least = ready.min_by(|(_, one), (_, other)| one.load().total_cmp(&other.load()));
         let share = least.map_or(OWN, |(id, _)| *id);
         state.places.insert(number, share);
         if let Some(remote) = state.remotes.get_mut(&share) {
@@ -186,14 +133,14 @@
 
     /// Whether each share that was begun is carried.
     pub fn all_ready(&self) -> bool {
-        self.state().remotes.values().all(|remote| remote.reports > 0)
+        self.state().remotes.values().all(|remote| remote.is_ready())
     }
 
     /// A share that has too many workers; none while no other node carries, or where all have about their
     /// part.
     pub fn crowded(&self) -> Option<Crowded> {
         let state = self.state();
-        let ready = || state.remotes.iter().filter(|(_, remote)| remote.reports > 0);
+        let ready = || state.remotes.iter().filter(|(_, remote)| remote.is_ready());
         let weight: usize = ready().map(|(_, remote)| remote.weight as usize).sum();
         if weight == 0 {
             return None;
@@ -236,20 +183,7 @@
         let Some(remote) = state.remotes.get_mut(&share) else {
             return self.own.obey(command);
         };
-        match (remote.commands.last_mut(), command) {
-            // Tasks of one job share its text.
-            (
-                Some(Command::Start { spec, starts }),
-                Command::Start { spec: other, starts: more },
-            ) if *spec == other
-                && starts.last().map(|start| start.task.job)
-                    == more.first().map(|start| start.task.job) =>
-            {
-                starts.extend(more);
-            }
-            (_, command) => remote.commands.push(command),
-        }
-        remote.wake.notify_one();
+        remote.push(command);
     }
 
     /// Takes the commands of a share as one message; nothing if there are none. The first message is
@@ -257,16 +191,8 @@
     pub fn next_errand(&self, share: ShareId, own: SocketAddr) -> Option<Option<Errand>> {
         let mut state = self.state();
         let remote = state.remotes.get_mut(&share)?;
-        if remote.commands.is_empty() && remote.sequence > 0 {
-            return Some(None);
-        }
-        remote.sequence += 1;
-        Some(Some(Errand {
-            scheduler: own,
-            session: Session { token: self.token, share },
-            sequence: remote.sequence,
-            commands: std::mem::take(&mut remote.commands),
-        }))
+        let session = Session { token: self.token, share };
+        Some(remote.next_errand(session, own))
     }
 
     /// The message that ends a share. It is the next one or, if that is under way, comes too early: the
@@ -274,11 +200,7 @@
     pub fn last_errand(&self, share: ShareId, own: SocketAddr) -> Option<Errand> {
         let mut state = self.state();
         let remote = state.remotes.get_mut(&share)?;
-        remote.commands.clear();
-        remote.sequence += 1;
-        let session = Session { token: self.token, share };
-        let (sequence, commands) = (remote.sequence, vec![Command::End]);
-        Some(Errand { scheduler: own, session, sequence, commands })
+        Some(remote.last_errand(Session { token: self.token, share }, own))
     }
 
     /// Whether a share is still dealt out, and where.
@@ -292,20 +214,11 @@
         let is_ours = report.session.token == self.token;
         let remote = state.remotes.get_mut(&report.session.share).filter(|_| is_ours);
         let Some(remote) = remote else { return Taken::Stale };
-        if report.sequence > remote.reports + 1 {
-            return Taken::Stale;
+        match remote.take(&report, now) {
+            Sequence::Next(base) => Taken::New(Told { report, base }),
+            Sequence::Again => Taken::Again,
+            Sequence::Gap => Taken::Stale,
         }
-        remote.heard_at = now;
-        // Its licence runs from when it sent this, so it is over by then plus the licence's length.
-        remote.acked_at = Some(now);
-        if report.sequence <= remote.reports {
-            return Taken::Again;
-        }
-        remote.reports = report.sequence;
-        let is_late = Duration::from_millis(report.late_ms) > LATE;
-        remote.late_reports = if is_late { remote.late_reports + 1 } else { 0 };
-        let base = *remote.base.get_or_insert_with(|| before(now, report.made_at));
-        Taken::New(Told { report, base })
     }
 
     /// Those of some workers that are in a share.
@@ -321,13 +234,7 @@
     /// Shares that are to be taken back.
     pub fn lost(&self, now: Instant) -> Vec<(ShareId, Lost)> {
         let state = self.state();
-        let lost = state.remotes.iter().filter_map(|(id, remote)| {
-            let patience = if remote.reports > 0 { SILENT } else { BEGIN };
-            if now.saturating_duration_since(remote.heard_at) > patience {
-                return Some((*id, Lost::Silent));
-            }
-            (remote.late_reports >= LATE_REPORTS).then_some((*id, Lost::Late))
-        });
+        let lost = state.remotes.iter().filter_map(|(id, remote)| Some((*id, remote.lost(now)?)));
         lost.collect()
     }
 
@@ -401,8 +308,3 @@
         self.own.end();
     }
 }
-
-/// A moment so many microseconds before another, or as early as the clock can tell.
-fn before(now: Instant, moment: Moment) -> Instant {
-    now.checked_sub(Duration::from_micros(moment)).unwrap_or(now)
-}
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -236,12 +236,6 @@
         self.clock.map(|(_, told)| told)
     }
 
-    /// The worker's clock now, as far as can be told.
-    pub fn clock_at(&self, now: Instant) -> Option<WorkerMs> {
-        let (clock, told) = self.clock?;
-        Some(clock + now.saturating_duration_since(told).as_millis() as WorkerMs)
-    }
-
     /// A carrier that may have extended the lease until `last` is given up for another one.
     pub fn hand_over(&mut self, last: Instant) {
         self.handed_over = true;
