tests: more jobs for the boxes ordered again after silent connections

The test waits until 12 boxes are in the pool at once. The test had passed for another reason than its story needs, so nothing of the check is narrowed.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -719,13 +719,15 @@
 /// to the interface for boxes one call at a time.
 #[tokio::test]
 async fn boxes_are_ordered_again_at_once_after_connections_went_silent() {
+    const JOBS: u64 = 24;
     let site = Site::start(PROGRAM, 1, 1, 16).await.unwrap();
-    // More than the pool holds, so that many boxes are ordered side by side.
-    for number in 1..=8 {
+    // More than the pool holds, so that many boxes are ordered side by side, and so much that more are
+    // wanted when the first ten have come: no more may be under way at once.
+    for number in 1..=JOBS {
         assert_eq!(site.submit(0, &id(number), job(16, 600)).await, 200);
     }
     site.until("boxes have come", async |site| site.machines.in_pool("work") >= 12).await;
-    for number in 1..=8 {
+    for number in 1..=JOBS {
         site.until_succeeded(&id(number)).await;
     }
     let opened = site.machines_line.opened();
@@ -733,7 +735,7 @@
     site.until("boxes have gone", async |site| site.machines.in_pool("work") <= 5).await;
     site.machines_line.silence_open(Silence::Both);
     // More than those boxes bear, until it is cancelled.
-    assert_eq!(site.submit(0, &id(9), lasting(100)).await, 200);
+    assert_eq!(site.submit(0, &id(JOBS + 1), lasting(100)).await, 200);
     site.until("boxes have come again", async |site| site.machines.in_pool("work") >= 7).await;
     let unanswered = counter(&site, 0, "call_machines_unknown").await;
     assert!(unanswered <= 3, "{unanswered} calls about boxes without an answer");
