--- a/lib/src/batch/cell/answers.rs
+++ b/lib/src/batch/cell/answers.rs
@@ -21,6 +21,7 @@
     /// A start was taken.
     pub fn on_started(&mut self, id: &str, task: TaskName, run: Run, now: Instant) {
         let Some(mut worker) = self.workers.get_mut(id) else { return };
+        worker.heard_at = worker.heard_at.max(now);
         let Some(slot) = worker.slots.get_mut(&task).filter(|slot| slot.run == run) else { return };
         if slot.phase == Phase::Starting {
             slot.phase = Phase::Live(now);
--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -45,6 +45,7 @@
             return;
         }
         worker.clock = Some((seen.clock, now));
+        worker.heard_at = worker.heard_at.max(now);
         if worker.noted_silent {
             worker.noted_silent = false;
             worker.reopening = true;
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -156,6 +156,8 @@
     pub durable: u64,
     /// The worker's clock, and when it was told.
     pub clock: Option<(WorkerMs, Instant)>,
+    /// When it last answered a look or a start.
+    pub heard_at: Instant,
     /// The latest end of a lease that was ever asked for.
     pub lease_until: WorkerMs,
     /// It has seen this scheduler's token.
@@ -202,6 +204,7 @@
             processed: 0,
             durable: 0,
             clock: None,
+            heard_at: now,
             lease_until: 0,
             fenced: false,
             misses: 0,
@@ -272,6 +275,16 @@
         }
     }
 
+    /// Whether its end is no surprise: it has said that it leaves, or is being emptied.
+    pub fn leaves(&self) -> bool {
+        self.entry.draining || self.cordoned
+    }
+
+    /// For how long a run had been on it when it last answered. It may have gone on for longer.
+    pub fn lived(&self, slot: &Slot) -> Duration {
+        self.heard_at.saturating_duration_since(slot.since)
+    }
+
     /// Whether it takes work but for what passes by itself with time: a rest, or that the store does not
     /// list it for a while.
     pub fn is_open(&self) -> bool {
