testutils: a site has begun once each of its daemons answers clients

Cause of a_job_is_served_from_end_to_end seen red once: the test hands a job to the second node, and the site waited only for the first, so a node that does not listen yet refuses the connection (answer 0). Ruled out: the product, which had not begun to listen. The site's wait is stricter now (each daemon, not the first); the test is unchanged.

--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -62,7 +62,8 @@
 
 impl Site {
     /// Starts daemons of `program`, with `workers` machines in pool `work` and `reserve` in pool
-    /// `spare`, and waits until one of them answers clients.
+    /// `spare`, and waits until each of them answers clients: one that does not listen yet refuses
+    /// connections, which says nothing of the product.
     pub async fn start(
         program: &str,
         nodes: usize,
@@ -134,7 +135,10 @@
             node.start()?;
             site.nodes.push(node);
         }
-        site.until("a daemon answers", async |site| site.pending(0).await.is_some()).await;
+        for number in 0..site.nodes.len() {
+            site.until("each daemon answers", async |site| site.pending(number).await.is_some())
+                .await;
+        }
         Ok(site)
     }
 
