cell, place: a task that brings down the workers that start it is isolated and given up

Cause: only ends that a worker tells count against a task, and a worker that crashed tells none. Its tasks went back to wait without a mark, and to the same worker as the task that had brought it down, so the circle went on for ever and tasks beside it were never done. Ruled out by the record: a count lost at a takeover (one token throughout), crashes taken for lapses (no lapsed lease). Class: work lost with its executor was not counted.

Change: a crash is another life in a worker's place, unannounced and not ordered. It leaves a mark on each task that was there, by how long the run had been there when the worker was last heard of. A suspect's next run begins where nothing else has just begun, and nothing beside it for 0.2 s. Given up after two such crashes with one of them alone, three in a row for a task that lasts, four in any case. Written to the store under a key of its own, from the second crash on before the next start. A line, two counters, batch explain.

--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -326,5 +326,13 @@
             lines.push(format!("  held from {workers} worker(s) by: {why}"));
         }
     }
+    for task in &job.crashed {
+        let (time, step, index) = task.place;
+        let given_up = if task.given_up { ", given up for it" } else { "" };
+        lines.push(format!("task {index} of step {step}, time {time}: workers crashed{given_up}"));
+        for crash in &task.crashes {
+            lines.push(format!("  {} ({})", crash.worker, crash.evidence));
+        }
+    }
     lines.join("\n")
 }
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -9,6 +9,7 @@
 pub mod cell;
 pub mod commit;
 pub mod contact;
+pub mod crash;
 pub mod demand;
 pub mod directory;
 pub mod document;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -9,6 +9,7 @@
 //! - An end is acknowledged to the worker only after the store knows of its effect.
 
 mod answers;
+mod crashes;
 mod flush;
 mod jobs;
 mod looks;
@@ -31,6 +32,9 @@
 use spokelift_platform::worker::WorkerId;
 
 use crate::batch::advice::Advices;
+use crate::batch::cell::crashes::Lost;
+pub use crate::batch::cell::crashes::Tally;
+use crate::batch::crash::Repeats;
 use crate::batch::demand::Demand;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
@@ -136,6 +140,8 @@
     pub reopened: Vec<WorkerId>,
     /// Announcements of orders to boxes up to this one are among them.
     pub announcement: u64,
+    /// Tasks of which it tells how many workers crashed under them.
+    pub crashes: Vec<(TaskName, usize)>,
     /// Ends of each worker that are taken into account by then.
     pub processed: Vec<(WorkerId, u64)>,
 }
@@ -206,6 +212,16 @@
     /// Repetitions that are not due yet: when, since 1970.
     scheduled: BTreeSet<(Duration, JobId, u32)>,
     dirty: HashSet<JobId>,
+    /// Jobs with tasks under which workers crashed, of which the store is to know.
+    crashed: HashSet<JobId>,
+    /// Tasks of some job may be suspects.
+    pub(super) suspects: bool,
+    /// How often crashes come under the same tasks again.
+    pub(super) repeats: Repeats,
+    /// Silent workers whose leases have run out, and that may have crashed.
+    lost: HashMap<WorkerId, Lost>,
+    /// Crashes that were counted, and what came of them.
+    pub tally: Tally,
     /// Workers that the store is to know of, or to forget.
     roster: Vec<Record>,
     /// Number of the last announcement of orders to boxes.
@@ -255,6 +271,11 @@
             waves_over: HashSet::new(),
             scheduled: BTreeSet::new(),
             dirty: HashSet::new(),
+            crashed: HashSet::new(),
+            suspects: false,
+            repeats: Repeats::default(),
+            lost: HashMap::new(),
+            tally: Tally::default(),
             roster: Vec::new(),
             announcement: 0,
             announced: 0,
--- a/lib/src/batch/cell/answers.rs
+++ b/lib/src/batch/cell/answers.rs
@@ -23,6 +23,7 @@
         let Some(mut worker) = self.workers.get_mut(id) else { return };
         worker.heard_at = worker.heard_at.max(now);
         let Some(slot) = worker.slots.get_mut(&task).filter(|slot| slot.run == run) else { return };
+        slot.taken = true;
         if slot.phase == Phase::Starting {
             slot.phase = Phase::Live(now);
         }
--- /dev/null
+++ b/lib/src/batch/cell/crashes.rs
@@ -0,0 +1,198 @@
+//! Workers that crash, and what that says of the tasks that were on them.
+//!
+//! A crash is certain once another life is found on the worker's box or at its address. A worker that only
+//! fell silent may be cut off and run on, so nothing is counted for that; what was on it is remembered until
+//! it answers again, another life is found in its place, or [`REMEMBER_LOST`] has passed.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::ingress::JobState;
+use spokelift_platform::job::JobId;
+use spokelift_platform::job::TaskName;
+use spokelift_platform::machine::MachineId;
+use spokelift_platform::worker::WorkerId;
+
+use crate::batch::cell::Cell;
+use crate::batch::crash;
+use crate::batch::crash::Crash;
+use crate::batch::crash::Evidence;
+use crate::batch::record::Crashes;
+use crate::batch::worker::Slot;
+use crate::batch::worker::Worker;
+
+/// How long it is remembered what was on a silent worker whose leases have run out. One that crashes is back
+/// after some seconds.
+const REMEMBER_LOST: Duration = Duration::from_millis(30_000);
+/// Runs that the line of a crash names. Whichever brought a worker down was among the last that it had
+/// taken; a worker takes about one each 50 ms at full load.
+const YOUNGEST_TOLD: usize = 4;
+
+/// A silent worker whose leases have run out, and what was on it.
+pub(super) struct Lost {
+    machine: Option<MachineId>,
+    met_at: Instant,
+    lost_at: Instant,
+    tasks: Vec<(TaskName, Evidence)>,
+}
+
+/// What has been counted since it was last asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Workers that crashed.
+    pub workers: u64,
+    /// Tasks that were given up for it.
+    pub given_up: u64,
+}
+
+impl Cell {
+    /// A worker's life is over for certain, and it did not say that it would leave.
+    pub(super) fn count_crash(&mut self, id: &str) {
+        let Some(worker) = self.workers.get(id).filter(|worker| !worker.leaves()) else {
+            self.lost.remove(id);
+            return;
+        };
+        tell_youngest(worker);
+        self.tally.workers += 1;
+        let tasks = self.tasks_on(worker);
+        let lost = self.lost.remove(id).into_iter().flat_map(|lost| lost.tasks);
+        self.record_crash(id, tasks.into_iter().chain(lost).collect());
+    }
+
+    /// Everything on a silent worker has lapsed. It may have crashed, which another life would show.
+    pub(super) fn note_lost(&mut self, id: &str) {
+        let Some(worker) = self.workers.get(id).filter(|worker| !worker.leaves()) else { return };
+        let tasks = self.tasks_on(worker);
+        if tasks.is_empty() {
+            return;
+        }
+        let (machine, met_at) = (worker.entry.machine.clone(), worker.met_at);
+        let lost = Lost { machine, met_at, lost_at: Instant::now(), tasks };
+        self.lost.insert(id.to_owned(), lost);
+    }
+
+    /// A worker has answered, so it has not crashed, and those before it on its box have.
+    pub(super) fn settle_lost(&mut self, id: &str) {
+        self.silent_with.remove(id);
+        self.lost.remove(id);
+        let Some(worker) = self.workers.get(id) else { return };
+        let (Some(machine), met_at) = (&worker.entry.machine, worker.met_at) else { return };
+        let earlier = self
+            .lost
+            .iter()
+            .filter(|(_, lost)| lost.machine.as_ref() == Some(machine) && lost.met_at < met_at);
+        let earlier: Vec<WorkerId> = earlier.map(|(id, _)| id.clone()).collect();
+        for id in earlier {
+            if let Some(lost) = self.lost.remove(&id) {
+                self.tally.workers += 1;
+                self.record_crash(&id, lost.tasks);
+            }
+        }
+    }
+
+    /// Lets go of silent workers that will not be heard of any more.
+    pub fn forget_lost(&mut self, now: Instant) {
+        self.lost.retain(|_, lost| now.saturating_duration_since(lost.lost_at) <= REMEMBER_LOST);
+    }
+
+    /// The tasks that may have been on a worker, and what its crash says of each.
+    fn tasks_on(&self, worker: &Worker) -> Vec<(TaskName, Evidence)> {
+        let is_young =
+            |slot: &Slot| !slot.adopted && (!slot.taken || worker.lived(slot) <= crash::JUST_BEGUN);
+        let young = worker.slots.iter().filter(|(_, slot)| is_young(slot));
+        let jobs: HashSet<JobId> = young.map(|(task, _)| task.job).collect();
+        let evidence = |slot: &Slot| match slot {
+            slot if !slot.taken => Evidence::Unsure,
+            slot if !is_young(slot) => Evidence::Earlier,
+            _ if jobs.len() == 1 => Evidence::Alone,
+            _ => Evidence::Among,
+        };
+        let slots = worker.slots.iter().map(|(task, slot)| (*task, evidence(slot)));
+        let inherited = self.silent_with.get(&worker.peer.id);
+        let inherited = inherited.into_iter().flatten().map(|task| (*task, Evidence::Unsure));
+        slots.chain(inherited).collect()
+    }
+
+    /// Counts a crash for tasks, and gives up those that have had too many.
+    fn record_crash(&mut self, worker: &str, tasks: Vec<(TaskName, Evidence)>) {
+        let is_repeat = tasks.iter().any(|(name, evidence)| {
+            let task = self.jobs.get_mut(&name.job).and_then(|entry| entry.task(*name));
+            task.is_some_and(|task| crash::is_repeat(&task.crashes, *evidence))
+        });
+        self.repeats.crashed(is_repeat);
+        for (name, evidence) in tasks {
+            let Some(entry) = self.jobs.get_mut(&name.job) else { continue };
+            let lasts = entry.step(name.step).is_some_and(|step| step.long_running);
+            let Some(task) = entry.task(name).filter(|task| !task.done) else { continue };
+            if task.crashes.iter().any(|crash| crash.worker == worker) {
+                continue;
+            }
+            self.crashed.insert(name.job);
+            if lasts && evidence == Evidence::Earlier {
+                // It can be at work on a worker for a while without harm.
+                task.crashes.clear();
+                continue;
+            }
+            task.crashes.push(Crash { worker: worker.to_owned(), evidence });
+            self.suspects = true;
+            if crash::is_given_up(&task.crashes, lasts) && entry.is_active() {
+                self.give_up(name);
+            }
+        }
+    }
+
+    /// A task brings down each worker that starts it: its job cannot be done.
+    fn give_up(&mut self, name: TaskName) {
+        let Some(task) = self.jobs.get_mut(&name.job).and_then(|entry| entry.task(name)) else {
+            return;
+        };
+        let workers = task.crashes.iter().map(|crash| crash.worker.as_str());
+        log::warn!(
+            task = name.to_string().as_str(),
+            crashes = task.crashes.len(),
+            workers = workers.collect::<Vec<&str>>().join(",").as_str();
+            "task given up, workers crash under it"
+        );
+        self.tally.given_up += 1;
+        self.end_job(name.job, JobState::Failed);
+    }
+
+    /// Takes over what the store knows of crashes.
+    pub fn restore_crashes(&mut self, crashes: &HashMap<JobId, Crashes>) {
+        for (id, crashes) in crashes {
+            if let Some(entry) = self.jobs.get_mut(id) {
+                entry.restore_crashes(crashes);
+                self.suspects = true;
+            }
+        }
+    }
+
+    /// A run of a task that lasts has ended other than by a crash after it had been at work for a while, so
+    /// the crashes before it say nothing of the task.
+    pub(super) fn clear_crashes(&mut self, name: TaskName) {
+        let Some(task) = self.jobs.get_mut(&name.job).and_then(|entry| entry.task(name)) else {
+            return;
+        };
+        if !task.crashes.is_empty() {
+            task.crashes.clear();
+            self.crashed.insert(name.job);
+        }
+    }
+}
+
+/// Tells which runs had only just begun on a worker that has crashed: one of them may be why.
+fn tell_youngest(worker: &Worker) {
+    let lived = |(task, slot): (&TaskName, &Slot)| (worker.lived(slot).as_millis() as u64, *task);
+    let mut runs: Vec<(u64, TaskName)> = worker.slots.iter().map(lived).collect();
+    runs.sort();
+    let youngest = runs.iter().take(YOUNGEST_TOLD);
+    let youngest: Vec<String> = youngest.map(|(lived, task)| format!("{task}:{lived}")).collect();
+    log::info!(
+        worker = worker.peer.id.as_str(),
+        runs = runs.len(),
+        youngest_ms = youngest.join(",").as_str();
+        "worker crashed"
+    );
+}
--- a/lib/src/batch/cell/flush.rs
+++ b/lib/src/batch/cell/flush.rs
@@ -2,11 +2,13 @@
 
 use std::collections::HashSet;
 
+use spokelift_platform::job::TaskName;
 use spokelift_platform::machine::MachineId;
 
 use crate::batch::cell::Cell;
 use crate::batch::cell::Flush;
 use crate::batch::record;
+use crate::batch::record::Crashes;
 
 impl Cell {
     /// The store is to know that these boxes are about to be ordered; the announcement's number.
@@ -24,7 +26,7 @@
     /// Whether [`Cell::take_flush`] would return anything.
     pub fn needs_flush(&self) -> bool {
         let has_unsaid = self.workers.unsaid().next().is_some();
-        !self.dirty.is_empty() || !self.roster.is_empty() || has_unsaid
+        !self.dirty.is_empty() || !self.crashed.is_empty() || !self.roster.is_empty() || has_unsaid
     }
 
     /// Takes the changes since the last time.
@@ -38,6 +40,22 @@
                 flush.ended.push(id);
             }
         }
+        for id in std::mem::take(&mut self.crashed) {
+            let Some(entry) = self.jobs.get(&id) else { continue };
+            let crashed = entry.crashed();
+            let crashes: Crashes =
+                crashed.map(|(place, task)| (place, task.crashes.clone())).collect();
+            let record = match crashes.is_empty() {
+                true => record::forget_crashes(id),
+                false => record::crashes(id, &crashes),
+            };
+            flush.records.push(record);
+            let counted = crashes.iter().map(|((time, step, index), crashes)| {
+                let name = TaskName { job: id, time: *time, step: *step, index: *index };
+                (name, crashes.len())
+            });
+            flush.crashes.extend(counted);
+        }
         for worker in self.workers.reopening() {
             flush.reopened.push(worker.peer.id.clone());
         }
@@ -58,6 +76,13 @@
                 entry.end_is_durable = true;
             }
         }
+        for (name, crashes) in &flush.crashes {
+            let task = self.jobs.get_mut(&name.job).and_then(|entry| entry.task(*name));
+            if let Some(task) = task {
+                task.known_crashes = *crashes;
+                self.stirred = true;
+            }
+        }
         for id in &flush.reopened {
             if let Some(mut worker) = self.workers.get_mut(id) {
                 worker.reopening = false;
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -280,9 +280,12 @@
     /// Lets go of a finished job, which no partition keeps any more. That comes first: a job whose
     /// end the store has forgotten would be run again by the next scheduler.
     pub fn let_go(&mut self, id: JobId) {
-        if self.jobs.remove(&id).is_some() {
+        if let Some(entry) = self.jobs.remove(&id) {
             self.advices.forget(id);
             self.roster.push(record::forget_progress(id));
+            if entry.crashed().next().is_some() {
+                self.roster.push(record::forget_crashes(id));
+            }
         }
     }
 
--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -28,6 +28,8 @@
 
 /// Failures in a row, of different tasks, after which a worker is taken to fail everything.
 const FAILURES_IN_A_ROW: u32 = 3;
+/// How long a run of a task that lasts must have been on a worker to show that it does it no harm.
+const AT_WORK: Duration = Duration::from_millis(3_000);
 /// How long a worker that fails everything rests; one task then tries it again.
 const REST_FAILING: Duration = Duration::from_millis(6_000);
 
@@ -60,6 +62,7 @@
         if let Some(machine) = machine {
             self.end_other_lives(&machine, id);
         }
+        self.settle_lost(id);
         self.unasked.remove(id);
         for end in &seen.ended {
             self.on_end(id, end, now);
@@ -117,6 +120,9 @@
         if let Some(slot) = slot {
             task.runs = task.runs.saturating_sub(1);
             self.learn_time(end, &step, &slot, now);
+            if step.long_running && now.saturating_duration_since(slot.since) > AT_WORK {
+                self.clear_crashes(end.task);
+            }
         }
         match end.outcome {
             Outcome::Done if !step.long_running => self.on_done(end.task, step.gang),
@@ -213,7 +219,7 @@
         let (room, kind) = self.shape(told.task);
         let wanted = self.count_found(told);
         let phase = if wanted { Phase::Live(now) } else { Phase::Stopping(None) };
-        let mut slot = Slot::new(told.run, phase, room, kind, now);
+        let mut slot = Slot { adopted: true, ..Slot::new(told.run, phase, room, kind, now) };
         refresh(&mut slot, told, now);
         log::info!(
             task = told.task.to_string().as_str(),
@@ -304,6 +310,7 @@
 
 /// Takes over what a worker tells of a run.
 fn refresh(slot: &mut Slot, told: &Running, now: Instant) {
+    slot.taken = true;
     if slot.phase == Phase::Starting {
         slot.phase = Phase::Live(now);
     }
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -25,9 +25,6 @@
 /// for three heartbeats, about 5 s; a scheduler that begins then would wait 5.6 s for its lease before
 /// it starts anything of that service.
 const REMEMBER_GONE: Duration = Duration::from_millis(15_000);
-/// Runs that the line of a crash names. Whichever brought a worker down was among the last that it had
-/// taken; a worker takes about one each 50 ms at full load.
-const YOUNGEST_TOLD: usize = 4;
 
 impl Cell {
     /// Takes in a worker's entry; returns whether it is new. An entry of a worker whose life is over
@@ -83,6 +80,10 @@
         let dead = self.workers.on_box(machine).filter(|worker| worker.entry.service != pool);
         let dead: Vec<WorkerId> = dead.map(|worker| worker.peer.id.clone()).collect();
         for id in dead {
+            // Ordered, so nothing that it ran is to blame.
+            if let Some(mut worker) = self.workers.get_mut(&id) {
+                worker.cordoned = true;
+            }
             self.bury(&id, "its machine has moved");
         }
     }
@@ -90,9 +91,7 @@
     /// A worker's life is over for certain: the next scheduler is to know, since the store may list
     /// it for a while.
     pub fn bury(&mut self, id: &str, why: &str) {
-        if let Some(worker) = self.workers.get(id).filter(|worker| !worker.leaves()) {
-            tell_youngest(worker);
-        }
+        self.count_crash(id);
         self.remove_worker(id, why);
         self.gone.insert(id.to_owned(), Instant::now());
         self.roster.push(record::gone(id));
@@ -173,8 +172,16 @@
         }
     }
 
+    /// A worker is silent, its leases have run out, and the store does not list it: its tasks wait for room
+    /// again.
+    pub fn remove_silent(&mut self, id: &str) {
+        self.note_lost(id);
+        self.remove_worker(id, "silent and not listed");
+    }
+
     /// Everything on a silent worker has lapsed by now; it may come back.
     pub fn lapse(&mut self, id: &str) {
+        self.note_lost(id);
         self.unasked.remove(id);
         let Some(mut worker) = self.workers.get_mut(id) else { return };
         let tasks: Vec<TaskName> = worker.slots.keys().copied().collect();
@@ -271,21 +278,6 @@
     }
 }
 
-/// Tells which runs had only just begun on a worker that has crashed: one of them may be why.
-fn tell_youngest(worker: &Worker) {
-    let lived = |(task, slot): (&TaskName, &Slot)| (worker.lived(slot).as_millis() as u64, *task);
-    let mut runs: Vec<(u64, TaskName)> = worker.slots.iter().map(lived).collect();
-    runs.sort();
-    let youngest = runs.iter().take(YOUNGEST_TOLD);
-    let youngest: Vec<String> = youngest.map(|(lived, task)| format!("{task}:{lived}")).collect();
-    log::info!(
-        worker = worker.peer.id.as_str(),
-        runs = runs.len(),
-        youngest_ms = youngest.join(",").as_str();
-        "worker crashed"
-    );
-}
-
 /// Takes the slots of these tasks out of a worker.
 pub(super) fn take_slots(worker: &mut Worker, tasks: &[TaskName]) -> Vec<(TaskName, Slot)> {
     tasks.iter().filter_map(|task| Some((*task, worker.remove(task)?))).collect()
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -11,8 +11,11 @@
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::WorkerId;
 
+use crate::batch::crash::Crash;
 use crate::batch::record::Accepted;
+use crate::batch::record::Crashes;
 use crate::batch::record::Progress;
+use crate::batch::record::TaskPlace;
 use crate::batch::worker::Kind;
 
 /// One task.
@@ -27,6 +30,10 @@
     /// The runs that failed. They are told apart by number, since a worker that was silent may
     /// tell of an early one last, and a new scheduler is told again of some.
     pub failed: Vec<Run>,
+    /// Workers that crashed under it.
+    pub crashes: Vec<Crash>,
+    /// How many of these the store knows.
+    pub known_crashes: usize,
     /// Where its next run goes on from; empty for the start.
     pub checkpoint: String,
     /// Workers it failed or stood still on; others are preferred.
@@ -37,6 +44,18 @@
     pub made_room_at: Option<Instant>,
 }
 
+/// Crashes under a task from which on the store must know of all before it is started again. A scheduler
+/// that is lost then takes no more than one with it, which the limits of [`crate::batch::crash`] allow for;
+/// the tasks beside a poison task, which have one, wait for nothing.
+const CRASHES_TO_KNOW: usize = 2;
+
+impl Task {
+    /// Whether it waits for the store to know under how many workers it crashed.
+    pub fn awaits_store(&self) -> bool {
+        self.crashes.len() >= CRASHES_TO_KNOW && self.known_crashes < self.crashes.len()
+    }
+}
+
 /// The tasks of a step in one repetition.
 #[derive(Clone, Debug)]
 pub struct StepRun {
@@ -235,6 +254,29 @@
         progress
     }
 
+    /// The tasks under which workers crashed.
+    pub fn crashed(&self) -> impl Iterator<Item = (TaskPlace, &Task)> {
+        let steps = (0..).zip(&self.times).flat_map(|(time, repetition)| {
+            (0..).zip(&repetition.steps).map(move |(step, run)| (time, step, run))
+        });
+        let tasks = steps.flat_map(|(time, step, run)| {
+            (0..).zip(&run.tasks).map(move |(index, task)| ((time, step, index), task))
+        });
+        tasks.filter(|(_, task)| !task.crashes.is_empty())
+    }
+
+    /// Takes over the crashes that the store knows of.
+    pub fn restore_crashes(&mut self, crashes: &Crashes) {
+        for ((time, step, index), crashes) in crashes {
+            self.open_time(*time);
+            let name = TaskName { job: self.id, time: *time, step: *step, index: *index };
+            if let Some(task) = self.task(name) {
+                task.crashes.clone_from(crashes);
+                task.known_crashes = crashes.len();
+            }
+        }
+    }
+
     /// Takes over what the store kept.
     pub fn restore(&mut self, progress: &Progress) {
         self.begun = progress.begun;
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -2,6 +2,7 @@
 
 pub mod fit;
 mod gang;
+mod quarantine;
 mod room;
 
 use std::time::Duration;
@@ -16,11 +17,15 @@
 use crate::batch::cell::Order;
 use crate::batch::cell::Rank;
 use crate::batch::cell::next_run;
+use crate::batch::crash::is_suspect;
 use crate::batch::job::Entry;
+use crate::batch::job::StepRun;
+use crate::batch::job::Task;
 use crate::batch::place::fit::Ask;
 use crate::batch::place::fit::allows;
 use crate::batch::place::fit::cost;
 use crate::batch::place::fit::is_ideal;
+use crate::batch::place::quarantine::Suspicion;
 use crate::batch::turn::is_sole_holder;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
@@ -36,13 +41,35 @@
         let doubt = self.doubt();
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
         let wall_ms = wall.as_millis() as u64;
+        let (suspect, others) = self.take_suspects(ranks);
         let (hopeful, late): (Vec<Rank>, Vec<Rank>) =
-            ranks.into_iter().partition(|rank| !rank.ends || self.is_hopeful(rank, wall_ms));
-        for rank in hopeful.into_iter().chain(late) {
+            others.into_iter().partition(|rank| !rank.ends || self.is_hopeful(rank, wall_ms));
+        for rank in suspect.into_iter().chain(hopeful).chain(late) {
             self.place_step(rank, now, &doubt);
         }
     }
 
+    /// Steps with tasks that may have brought down a worker come first: a worker on which nothing has just
+    /// begun, often the next life of the one that crashed, is soon taken by others.
+    fn take_suspects(&mut self, ranks: Vec<Rank>) -> (Vec<Rank>, Vec<Rank>) {
+        if !std::mem::take(&mut self.suspects) {
+            return (Vec::new(), ranks);
+        }
+        let (suspect, others): (Vec<Rank>, Vec<Rank>) =
+            ranks.into_iter().partition(|rank| self.waits_as_suspect(rank));
+        self.suspects = !suspect.is_empty();
+        (suspect, others)
+    }
+
+    /// Whether a task that may have brought down a worker waits in a step.
+    pub fn waits_as_suspect(&self, rank: &Rank) -> bool {
+        let repetition = self.jobs.get(&rank.job).and_then(|job| job.times.get(rank.time as usize));
+        let run = repetition.and_then(|repetition| repetition.steps.get(usize::from(rank.step)));
+        let is_suspect = |task: &Task| is_suspect(&task.crashes, self.repeats);
+        let any = |run: &StepRun| run.waiting.iter().any(|at| is_suspect(&run.tasks[*at as usize]));
+        run.is_some_and(any)
+    }
+
     /// Keeps work from workers that were met after another node may have claimed the lead: it can have
     /// read the list of workers without them, and start the same task on one that it knows. A task ran
     /// twice for 0.3 s that way, on a worker met 2.1 s after the last renewal.
@@ -121,8 +148,15 @@
             if doubt.tasks.contains(&task) {
                 continue;
             }
-            let Some(worker) = self.choose(task, service, step, now) else {
+            let suspicion = self.suspicion(task, now);
+            if suspicion == Suspicion::AwaitsStore {
+                continue;
+            }
+            let Some(worker) = self.choose(task, service, step, suspicion, now) else {
                 self.ask_advice(task, service, now);
+                if suspicion == Suspicion::Isolate {
+                    continue;
+                }
                 if !rank.ends {
                     self.make_room(task, service, step, now);
                 }
@@ -130,6 +164,9 @@
                 break;
             };
             self.start(task, &worker, step, now);
+            if suspicion != Suspicion::None {
+                self.begin_quarantine(task.job, &worker, now);
+            }
             left -= 1;
         }
         if left == 0 {
@@ -143,10 +180,11 @@
         task: TaskName,
         service: &str,
         step: &Step,
+        suspicion: Suspicion,
         now: Instant,
     ) -> Option<WorkerId> {
         let avoid = self.jobs.get_mut(&task.job)?.task(task)?.avoid.clone();
-        let ask = Ask::new(task, service, step, &avoid);
+        let ask = Ask::new(task, service, step, &avoid).with(suspicion);
         let mut weighed = 0;
         let mut fits = |worker: &&Worker| {
             weighed += 1;
--- a/lib/src/batch/place/fit.rs
+++ b/lib/src/batch/place/fit.rs
@@ -10,6 +10,8 @@
 
 use crate::batch::cell::Cell;
 use crate::batch::job::Entry;
+use crate::batch::place::quarantine;
+use crate::batch::place::quarantine::Suspicion;
 use crate::batch::worker::Closed;
 use crate::batch::worker::Kind;
 use crate::batch::worker::Worker;
@@ -23,6 +25,8 @@
     kind: Kind,
     /// Workers on which the task has failed.
     avoid: &'a [WorkerId],
+    /// Whether it may have brought down a worker.
+    suspicion: Suspicion,
 }
 
 impl<'a> Ask<'a> {
@@ -34,7 +38,12 @@
         avoid: &'a [WorkerId],
     ) -> Ask<'a> {
         let (need, kind) = (Entry::room_of(step), Entry::kind_of(step));
-        Ask { task, service, step, need, kind, avoid }
+        Ask { task, service, step, need, kind, avoid, suspicion: Suspicion::None }
+    }
+
+    /// The same for a task that may have brought down a worker.
+    pub(super) fn with(self, suspicion: Suspicion) -> Ask<'a> {
+        Ask { suspicion, ..self }
     }
 }
 
@@ -53,6 +62,9 @@
     /// As many tasks of the step as allowed may run there.
     #[error("spread of the step")]
     Spread,
+    /// A worker crashed as the task began, and tasks of other jobs have just begun there.
+    #[error("a suspect begins by itself")]
+    NotIsolated,
     /// There is not enough room.
     #[error("no room")]
     Room,
@@ -64,9 +76,16 @@
     if worker.entry.service != ask.service {
         return Some(Hindrance::Service);
     }
-    if let Some(closed) = worker.closed(now) {
+    let is_own_quarantine = |closed: &Closed| {
+        *closed == Closed::Quarantined
+            && worker.quarantine.is_some_and(|(job, _)| job == ask.task.job)
+    };
+    if let Some(closed) = worker.closed(now).filter(|closed| !is_own_quarantine(closed)) {
         return Some(Hindrance::Closed(closed));
     }
+    if ask.suspicion == Suspicion::Isolate && quarantine::has_young(worker, ask.task.job, now) {
+        return Some(Hindrance::NotIsolated);
+    }
     if step.requires.as_ref().is_some_and(|label| !worker.entry.labels.contains(label)) {
         return Some(Hindrance::Label);
     }
@@ -100,11 +119,17 @@
 /// Whether no worker with as much processor left or more, and no nearer to the data, can cost less.
 pub(super) fn is_ideal(worker: &Worker, ask: &Ask<'_>) -> bool {
     let avoided = ask.avoid.contains(&worker.peer.id);
-    ask.kind == Kind::Works && !avoided && worker.failures == 0
+    let is_free = ask.suspicion == Suspicion::None;
+    is_free && ask.kind == Kind::Works && !avoided && worker.failures == 0
 }
 
 /// Order of preference among workers that may run the task; the least comes first.
-pub(super) fn cost(worker: &Worker, ask: &Ask<'_>) -> (bool, bool, u32, u32, u32) {
+pub(super) fn cost(worker: &Worker, ask: &Ask<'_>) -> (bool, usize, bool, u32, u32, u32) {
+    // What runs beside a suspect may be lost.
+    let at_stake = match ask.suspicion {
+        Suspicion::None => 0,
+        _ => quarantine::at_stake(worker, ask.task.job),
+    };
     let avoided = ask.avoid.contains(&worker.peer.id);
     let far = match &ask.step.data_rack {
         Some(rack) => !worker.entry.labels.contains(rack),
@@ -127,5 +152,5 @@
     };
     // The fullest worker that has room comes first, so that others become empty and can be moved or
     // switched off.
-    (avoided, far, crowd as u32 + worker.failures, u32::MAX - lasting, worker.free.cpu)
+    (avoided, at_stake, far, crowd as u32 + worker.failures, u32::MAX - lasting, worker.free.cpu)
 }
--- a/lib/src/batch/place/gang.rs
+++ b/lib/src/batch/place/gang.rs
@@ -15,6 +15,7 @@
 use crate::batch::place::fit::Ask;
 use crate::batch::place::fit::allows;
 use crate::batch::place::fit::cost;
+use crate::batch::place::quarantine::Suspicion;
 use crate::batch::worker::Worker;
 
 /// What members of a gang that are being placed take of each worker: room, and their number.
@@ -43,6 +44,11 @@
         if members.iter().any(|member| doubt.tasks.contains(member)) {
             return;
         }
+        let awaits_store =
+            |member: &TaskName| self.suspicion(*member, now) == Suspicion::AwaitsStore;
+        if members.iter().any(awaits_store) {
+            return;
+        }
         let racks = self.racks(service, step);
         let mut choices = racks
             .iter()
--- /dev/null
+++ b/lib/src/batch/place/quarantine.rs
@@ -0,0 +1,70 @@
+//! Where a task begins that may have brought down a worker: where the least is lost if it does so again, and
+//! no other job's task has just begun or is about to, so that a second crash speaks against it alone.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::job::JobId;
+use spokelift_platform::job::TaskName;
+
+use crate::batch::cell::Cell;
+use crate::batch::crash::JUST_BEGUN;
+use crate::batch::crash::is_suspect;
+use crate::batch::worker::Worker;
+
+/// How long after a suspect was ordered to start no other job's task begins on its worker: longer than
+/// [`JUST_BEGUN`] by the time in which a start is answered and a broken connection seen.
+const QUARANTINE: Duration = Duration::from_millis(JUST_BEGUN.as_millis() as u64 + 50);
+/// How long a suspect waits for a worker on which nothing has just begun. After that it begins where it can:
+/// it may be innocent, and tasks run for about a second.
+const AWAIT_QUARANTINE: Duration = Duration::from_millis(1_000);
+
+/// Whether a task may have brought down a worker, and what that means for its next start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Suspicion {
+    /// Nothing speaks against it.
+    None,
+    /// It begins where no other job's task has just begun.
+    Isolate,
+    /// It has waited so long for such a worker that it begins anywhere.
+    Overdue,
+    /// It begins once the store knows under how many workers it crashed.
+    AwaitsStore,
+}
+
+impl Cell {
+    /// What speaks against a task.
+    pub(super) fn suspicion(&self, name: TaskName, now: Instant) -> Suspicion {
+        let repetition = self.jobs.get(&name.job).and_then(|job| job.times.get(name.time as usize));
+        let run = repetition.and_then(|repetition| repetition.steps.get(usize::from(name.step)));
+        let Some(task) = run.and_then(|run| run.tasks.get(name.index as usize)) else {
+            return Suspicion::None;
+        };
+        let has_waited = |since: Instant| now.saturating_duration_since(since) >= AWAIT_QUARANTINE;
+        match task {
+            task if task.awaits_store() => Suspicion::AwaitsStore,
+            task if !is_suspect(&task.crashes, self.repeats) => Suspicion::None,
+            task if task.waiting_since.is_some_and(has_waited) => Suspicion::Overdue,
+            _ => Suspicion::Isolate,
+        }
+    }
+
+    /// A suspect task was started on a worker: nothing else begins there for a moment.
+    pub(super) fn begin_quarantine(&mut self, job: JobId, id: &str, now: Instant) {
+        if let Some(mut worker) = self.workers.get_mut(id) {
+            worker.quarantine = Some((job, now + QUARANTINE));
+        }
+    }
+}
+
+/// Whether a task of another job has just begun on a worker, or may have.
+pub(super) fn has_young(worker: &Worker, job: JobId, now: Instant) -> bool {
+    let is_young = |since: Instant| now.saturating_duration_since(since) < QUARANTINE;
+    let mut others = worker.slots.iter().filter(|(task, _)| task.job != job);
+    others.any(|(_, slot)| !slot.taken || is_young(slot.since))
+}
+
+/// Runs of other jobs on a worker.
+pub(super) fn at_stake(worker: &Worker, job: JobId) -> usize {
+    worker.slots.keys().filter(|task| task.job != job).count()
+}
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -19,6 +19,8 @@
 use spokelift_platform::worker::WorkerId;
 use thiserror::Error;
 
+use crate::batch::crash::Crash;
+
 /// Topic with the jobs as accepted, by id. Every node writes to it, to one of a few partitions.
 pub const JOB_TOPIC: &str = "keyed.jobs";
 /// Most partitions of [`JOB_TOPIC`] in use. The store takes the appends of a partition in turn, at
@@ -36,6 +38,8 @@
 const GONE_PREFIX: &str = "gone/";
 /// Key in [`PROGRESS_TOPIC`] of the boxes that were ordered lately or are about to be.
 const ORDERED_KEY: &str = "ordered";
+/// Start of the keys in [`PROGRESS_TOPIC`] that tell under which tasks workers crashed, by job.
+const CRASHES_PREFIX: &str = "crashes/";
 /// Start of the keys in [`PROGRESS_TOPIC`] that tell how far waves are.
 const WAVE_PREFIX: &str = "wave/";
 
@@ -78,6 +82,10 @@
     pub failed: Vec<(TaskPlace, Vec<Run>)>,
 }
 
+/// Tasks of a job under which workers crashed. Apart from [`Progress`], whose records of before this was
+/// kept must still be read.
+pub type Crashes = Vec<(TaskPlace, Vec<Crash>)>;
+
 /// Why a record cannot be used.
 #[derive(Debug, Error)]
 pub enum RecordError {
@@ -119,6 +127,8 @@
 pub enum ProgressRecord {
     /// How far a job is.
     Progress(JobId, Progress),
+    /// Tasks of a job under which workers crashed.
+    Crashes(JobId, Crashes),
     /// A worker that may run something.
     Worker(WorkerId, Known),
     /// A worker whose life is over.
@@ -159,6 +169,10 @@
     format!("{GONE_PREFIX}{id}")
 }
 
+fn crashes_key(id: JobId) -> String {
+    format!("{CRASHES_PREFIX}{id:016x}")
+}
+
 fn wave_key(number: u64) -> String {
     format!("{WAVE_PREFIX}{number}")
 }
@@ -204,6 +218,16 @@
     Record::drop_key(job_key(id))
 }
 
+/// The record of the tasks of a job under which workers crashed.
+pub fn crashes(id: JobId, crashes: &Crashes) -> Record {
+    Record::set(crashes_key(id), encode(crashes))
+}
+
+/// The record that lets go of them.
+pub fn forget_crashes(id: JobId) -> Record {
+    Record::drop_key(crashes_key(id))
+}
+
 /// The record of a worker that may run something from now on.
 pub fn worker(id: &str, known: &Known) -> Record {
     Record::set(worker_key(id), encode(known))
@@ -267,6 +291,9 @@
         if let Some(id) = record.key.strip_prefix(WORKER_PREFIX) {
             return Ok(ProgressRecord::Worker(id.to_owned(), decode(&record.key, value)?));
         }
+        if let Some(id) = record.key.strip_prefix(CRASHES_PREFIX) {
+            return Ok(ProgressRecord::Crashes(id_of(id)?, decode(&record.key, value)?));
+        }
         if let Some(id) = record.key.strip_prefix(GONE_PREFIX) {
             return Ok(ProgressRecord::Gone(id.to_owned()));
         }
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -331,14 +331,17 @@
 async fn work(scheduler: Arc<Scheduler>) {
     loop {
         scheduler.work.notified().await;
-        let (waits, needs_flush, backlog) = {
+        let (waits, tally, needs_flush, backlog) = {
             let mut cell = scheduler.cell();
             if cell.needs_placing() {
                 cell.place(Instant::now(), wall_clock());
             }
             pass_on(&scheduler, &mut cell);
-            (std::mem::take(&mut cell.waits), cell.needs_flush(), cell.ready.len())
+            let (waits, tally) = (std::mem::take(&mut cell.waits), std::mem::take(&mut cell.tally));
+            (waits, tally, cell.needs_flush(), cell.ready.len())
         };
+        scheduler.node.counters.add("batch.worker.crashed", tally.workers);
+        scheduler.node.counters.add("batch.task.given-up", tally.given_up);
         for waited in waits {
             scheduler.node.latencies.record("batch.start.wait", waited);
         }
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -21,6 +21,7 @@
 
 use crate::batch::cell::Cell;
 use crate::batch::record;
+use crate::batch::record::Crashes;
 use crate::batch::record::JobRecord;
 use crate::batch::record::Progress;
 use crate::batch::record::ProgressRecord;
@@ -40,19 +41,26 @@
     let jobs = try_join_all(reads).await?;
     let mut cell = scheduler.cell();
     scheduler.turn.inherit(ordered(&kept.records));
-    let progress = take_progress(&mut cell, &kept.records);
+    let (progress, crashes) = take_progress(&mut cell, &kept.records);
     take_jobs(&mut cell, &jobs, progress);
+    cell.restore_crashes(&crashes);
     Ok(jobs.iter().map(|newest| newest.end).collect())
 }
 
-/// Takes in the records of the progress topic; returns how far jobs are.
-fn take_progress(cell: &mut Cell, records: &[Record]) -> HashMap<JobId, Progress> {
-    let mut progress = HashMap::new();
+/// Takes in the records of the progress topic; returns how far jobs are, and under which tasks workers crashed.
+fn take_progress(
+    cell: &mut Cell,
+    records: &[Record],
+) -> (HashMap<JobId, Progress>, HashMap<JobId, Crashes>) {
+    let (mut progress, mut crashes) = (HashMap::new(), HashMap::new());
     for record in records {
         match ProgressRecord::decode(record) {
             Ok(ProgressRecord::Progress(id, told)) => {
                 progress.insert(id, told);
             }
+            Ok(ProgressRecord::Crashes(id, told)) => {
+                crashes.insert(id, told);
+            }
             Ok(ProgressRecord::Worker(id, known)) => cell.meet_known(id, known, Instant::now()),
             Ok(ProgressRecord::Wave(number, begun)) => {
                 cell.begun.insert(number, begun.into_iter().collect());
@@ -62,7 +70,7 @@
             Err(error) => log::error!("a record of progress cannot be used: {error}"),
         }
     }
-    progress
+    (progress, crashes)
 }
 
 /// Boxes that the scheduler before may have ordered last.
--- a/lib/src/batch/scheduler/tick.rs
+++ b/lib/src/batch/scheduler/tick.rs
@@ -22,11 +22,7 @@
             let mut cell = scheduler.cell();
             cell.open_due(wall_clock());
             for (id, listed) in cell.lapsed(now) {
-                if listed {
-                    cell.lapse(&id)
-                } else {
-                    cell.remove_worker(&id, "silent and not listed")
-                }
+                if listed { cell.lapse(&id) } else { cell.remove_silent(&id) }
             }
             if cell.unasked.is_empty() {
                 cell.clear_inherited();
@@ -38,6 +34,7 @@
             }
             cell.spare_users(now);
             cell.forget_gone(now);
+            cell.forget_lost(now);
             cell.stir();
         }
         scheduler.kick();
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -15,9 +15,13 @@
 use spokelift_platform::wave;
 
 use crate::batch::cell::Cell;
+use crate::batch::crash::Crash;
+use crate::batch::crash::is_given_up;
+use crate::batch::job::Entry;
 use crate::batch::place::fit::Hindrance;
 use crate::batch::place::fit::hindrance_of;
 use crate::batch::pool::load::loads;
+use crate::batch::record::TaskPlace;
 use crate::batch::worker::Phase;
 
 /// Path of the views on the operators' port.
@@ -83,6 +87,20 @@
     pub state: JobState,
     /// Steps that are not done.
     pub steps: Vec<Step>,
+    /// Tasks under which workers crashed.
+    #[serde(default)]
+    pub crashed: Vec<Crashed>,
+}
+
+/// A task under which workers crashed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Crashed {
+    /// Its repetition, step and index.
+    pub place: TaskPlace,
+    /// The workers, and what each crash says of the task.
+    pub crashes: Vec<Crash>,
+    /// The job has failed for it.
+    pub given_up: bool,
 }
 
 /// A step that is not done.
@@ -250,7 +268,18 @@
     }
     let accepted = &entry.accepted;
     let (queue, service) = (accepted.queue.clone(), accepted.service.clone());
-    Some(Job { id: format!("{id:016x}"), queue, service, state: entry.shown(), steps })
+    let (state, crashed) = (entry.shown(), crashed(entry));
+    Some(Job { id: format!("{id:016x}"), queue, service, state, steps, crashed })
+}
+
+fn crashed(entry: &Entry) -> Vec<Crashed> {
+    let has_failed = entry.end == Some(JobState::Failed);
+    let shown = entry.crashed().map(|(place, task)| {
+        let lasts = entry.step(place.1).is_some_and(|step| step.long_running);
+        let given_up = has_failed && is_given_up(&task.crashes, lasts);
+        Crashed { place, crashes: task.crashes.clone(), given_up }
+    });
+    shown.collect()
 }
 
 fn runs(cell: &Cell, job: JobId, place: (u32, u16), now: Instant) -> Vec<(String, String, f64)> {
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use spokelift_platform::job::JobId;
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::Entry;
 use spokelift_platform::worker::Peer;
@@ -44,6 +45,10 @@
     pub run: Run,
     /// How sure it is there.
     pub phase: Phase,
+    /// The worker is known to have taken it.
+    pub taken: bool,
+    /// It was found on the worker, so it may be older than `since` says.
+    pub adopted: bool,
     /// What it takes.
     pub room: Room,
     /// When it was ordered.
@@ -83,6 +88,8 @@
         Slot {
             run,
             phase,
+            taken: false,
+            adopted: false,
             room,
             since: now,
             percent: 0,
@@ -124,6 +131,9 @@
     /// It failed lately.
     #[error("resting")]
     Resting,
+    /// A task that may bring it down has just been started there.
+    #[error("quarantined for a suspect task")]
+    Quarantined,
 }
 
 /// Tasks that do not end by themselves.
@@ -175,6 +185,8 @@
     pub cordoned: bool,
     /// Runs in a row that failed, of different tasks.
     pub failures: u32,
+    /// The job of a suspect task that was started there, and until when no other job's task is.
+    pub quarantine: Option<(JobId, Instant)>,
     /// When it was met.
     pub met_at: Instant,
     /// It was met when another node may already have claimed the lead.
@@ -213,6 +225,7 @@
             excused_until: None,
             cordoned: false,
             failures: 0,
+            quarantine: None,
             met_at: now,
             unfenced: false,
             watched_closely: false,
@@ -271,6 +284,9 @@
             worker if worker.cordoned => Some(Closed::Cordoned),
             worker if worker.misses > 0 || worker.reopening => Some(Closed::Silent),
             worker if worker.rest_until > now => Some(Closed::Resting),
+            worker if worker.quarantine.is_some_and(|(_, until)| until > now) => {
+                Some(Closed::Quarantined)
+            }
             _ => None,
         }
     }
