upkeep: telling the operator how far a wave is holds up nothing else

Cause: a round of waves and moves waited for the store to take the word that a wave is running or over, up to 0.8 s each time and again after a lost answer, before any box could be ordered. Its answer changes nothing at once. Change: the word is written beside the rounds, one at a time; the wave is let go of once it was taken.

--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -22,6 +22,7 @@
 use spokelift_platform::store::STATUS_TOPIC;
 use spokelift_platform::wave::Wave;
 use spokelift_platform::worker::WorkerId;
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 use crate::batch::cell::Cell;
@@ -130,8 +131,8 @@
     taken: &HashSet<MachineId>,
     orders: &mut usize,
 ) {
-    if course.told.is_none() {
-        tell(scheduler, course, false).await;
+    if course.wants_word(false) {
+        tell(scheduler, course, false);
     }
     let listed: Listed<'_> = list.iter().map(|machine| (machine.id.as_str(), machine)).collect();
     let config = scheduler.node.config();
@@ -140,7 +141,9 @@
     course.settle_down(least, config.as_deref(), &listed, answered_at);
     let left = course.left();
     if !left.iter().any(|id| listed.contains_key(id.as_str())) {
-        tell(scheduler, course, true).await;
+        if course.wants_word(true) {
+            tell(scheduler, course, true);
+        }
         return;
     }
     choose_next(&mut scheduler.cell(), course, &left, &listed, taken);
@@ -312,17 +315,24 @@
     course.goes_down(id, before);
 }
 
-async fn tell(scheduler: &Scheduler, course: &mut Course, succeeded: bool) {
-    let record = Wave::status(course.wave.number, succeeded);
-    let written = scheduler.node.append(STATUS_TOPIC, &[record], &Guard::None, CALL).await;
-    match written {
-        Ok(_) => {
-            let took_s = course.seen_at.elapsed().as_secs();
-            log::info!(wave = course.wave.number, succeeded, took_s; "wave told");
-            course.told = Some(succeeded);
-        }
-        Err(error) => {
-            log::info!("the state of wave {} was not written: {error}", course.wave.number)
+/// Tells the operator how far a wave is. Nothing else waits for that: a store that is slow or loses answers
+/// would hold up every order about boxes for up to [`CALL`].
+fn tell(scheduler: &Arc<Scheduler>, course: &mut Course, succeeded: bool) {
+    let (written, told) = oneshot::channel();
+    course.telling = Some((succeeded, told));
+    let (wave, seen_at) = (course.wave.number, course.seen_at);
+    let shared = scheduler.clone();
+    scheduler.spawn(async move {
+        let record = Wave::status(wave, succeeded);
+        let done = shared.node.append(STATUS_TOPIC, &[record], &Guard::None, CALL).await;
+        match &done {
+            Ok(_) => {
+                let took_s = seen_at.elapsed().as_secs();
+                log::info!(wave, succeeded, took_s; "wave told");
+            }
+            Err(error) => log::info!("the state of wave {wave} was not written: {error}"),
         }
-    }
+        // Nobody listens once the scheduler has ended.
+        let _ = written.send(done.is_ok());
+    });
 }
--- a/lib/src/batch/upkeep/course.rs
+++ b/lib/src/batch/upkeep/course.rs
@@ -11,6 +11,8 @@
 use spokelift_platform::machine::Status;
 use spokelift_platform::wave::Wave;
 use spokelift_platform::worker::WorkerId;
+use tokio::sync::oneshot;
+use tokio::sync::oneshot::error::TryRecvError;
 
 /// Machines as the platform lists them, by id.
 pub(super) type Listed<'a> = HashMap<&'a str, &'a Machine>;
@@ -36,6 +38,8 @@
     pub(super) emptying: HashMap<MachineId, Instant>,
     /// What the operator has been told: none, running, succeeded.
     pub(super) told: Option<bool>,
+    /// What the operator is being told, and where it shows whether that was written.
+    pub(super) telling: Option<(bool, oneshot::Receiver<bool>)>,
 }
 
 impl Course {
@@ -48,9 +52,25 @@
             unanswered: HashSet::new(),
             emptying: HashMap::new(),
             told: None,
+            telling: None,
         }
     }
 
+    /// Whether the operator is to be told how far the wave is now: it was not, and is not being told. One
+    /// word is under way at a time, so that none overtakes a later one.
+    pub(super) fn wants_word(&mut self, succeeded: bool) -> bool {
+        if let Some((word, written)) = &mut self.telling {
+            match written.try_recv() {
+                Ok(true) => self.told = Some(*word),
+                Err(TryRecvError::Empty) => return false,
+                // It was not written, or the scheduler ends.
+                Ok(false) | Err(TryRecvError::Closed) => {}
+            }
+            self.telling = None;
+        }
+        self.told.is_none_or(|told| !told && succeeded)
+    }
+
     /// Machines whose upkeep has not begun.
     pub(super) fn left(&self) -> Vec<MachineId> {
         let machines = self.wave.machines.iter();
