testutils: no process is forked while ports are chosen

Cause: the tests of a file run side by side, each starting daemons. A process that was forked for one of them and not yet replaced has a copy of every socket, so a port that another test had just chosen and let go was still taken when its daemon wanted it (address in use, seen in the daemon's own output). Change: ports are chosen, and processes started, one at a time.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -1,6 +1,7 @@
 //! Real daemons on the stand-in of the users' platform: what clients are told holds, and no task
 //! runs twice, whatever fails.
 
+use std::process::Stdio;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,6 +16,7 @@
 use spokelift_testutils::platform::site::node::SITE_KEY;
 use spokelift_testutils::platform::store::Fault;
 use spokelift_testutils::platform::worker;
+use spokelift_testutils::ports;
 use spokelift_testutils::proxy;
 use spokelift_testutils::proxy::Flow;
 use spokelift_testutils::proxy::Silence;
@@ -631,7 +633,8 @@
 fn tool(site: &Site, node: usize, words: &[&str]) -> (Option<i32>, String) {
     let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_spokelift"));
     command.arg("--daemon").arg(site.nodes[node].operate_addr.to_string()).args(words);
-    let output = command.env("NO_COLOR", "1").output().unwrap();
+    command.env("NO_COLOR", "1").stdout(Stdio::piped()).stderr(Stdio::piped());
+    let output = ports::spawn(&mut command).unwrap().wait_with_output().unwrap();
     let text = [output.stdout, output.stderr].concat();
     (output.status.code(), String::from_utf8(text).unwrap())
 }
--- a/lib/tests/test_turn.rs
+++ b/lib/tests/test_turn.rs
@@ -1,6 +1,7 @@
 //! Which boxes a new scheduler leaves alone, and for how long.
 
 use std::collections::HashSet;
+use std::slice::from_ref;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -102,7 +103,7 @@
     let told = turn.announce_ahead(HashSet::new(), now).unwrap();
     assert_eq!(told, HashSet::from([a.clone()]));
     turn.begin_announcement(2, told);
-    assert!(turn.unannounced(&[b.clone()], now).is_some(), "the store may know no longer");
+    assert!(turn.unannounced(from_ref(&b), now).is_some(), "the store may know no longer");
     assert_eq!(turn.unannounced(&[a], now), None, "it knows either way");
     turn.note_announced(2);
     assert!(turn.unannounced(&[b], now).is_some());
@@ -118,10 +119,10 @@
     turn.begin_announcement(1, HashSet::from([a.clone()]));
     turn.note_announced(1);
     turn.begin_announcement(2, HashSet::from([b.clone()]));
-    assert!(turn.unannounced(&[a.clone()], now).is_some());
+    assert!(turn.unannounced(from_ref(&a), now).is_some());
     // Neither is one known that an earlier answer is about.
     turn.note_announced(1);
-    assert!(turn.unannounced(&[b.clone()], now).is_some());
+    assert!(turn.unannounced(from_ref(&b), now).is_some());
     turn.note_announced(2);
     assert!(turn.unannounced(&[b], now).is_none());
     assert!(turn.unannounced(&[a], now).is_some());
--- a/testutils/src/platform/site/node.rs
+++ b/testutils/src/platform/site/node.rs
@@ -124,7 +124,7 @@
             let output = OpenOptions::new().create(true).append(true).open(&self.output)?;
             command.stdout(output.try_clone()?).stderr(output);
         }
-        *self.child() = Some(command.spawn()?);
+        *self.child() = Some(ports::spawn(&mut command)?);
         Ok(())
     }
 
--- a/testutils/src/ports.rs
+++ b/testutils/src/ports.rs
@@ -4,10 +4,32 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::process::Child;
+use std::process::Command;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 
 /// Tries to find two neighbouring ports; all but a few ports are free.
 const TRIES: usize = 64;
 
+/// Held while ports are held and while a process is started: one that has been forked and not yet replaced has
+/// a copy of every socket, so a port that was let go meanwhile is still taken when its daemon wants it.
+static FORK: Mutex<()> = Mutex::new(());
+
+fn lock() -> MutexGuard<'static, ()> {
+    FORK.lock().expect("no holder panics")
+}
+
+/// Starts a process that takes none of the ports that are being chosen with it.
+///
+/// # Errors
+///
+/// What starting it answers.
+pub fn spawn(command: &mut Command) -> io::Result<Child> {
+    let _forks = lock();
+    command.spawn()
+}
+
 /// `N` ports that are free now. All are held until the last is chosen: the system may choose a port
 /// again as soon as it was let go, and two sockets of one daemon would then want the same
 /// (measured: 6 of 60,000 choices of three).
@@ -22,6 +44,7 @@
 /// # Ok::<(), std::io::Error>(())
 /// ```
 pub fn free<const N: usize>(ip: IpAddr) -> io::Result<[SocketAddr; N]> {
+    let _forks = lock();
     let held = hold::<N>(ip)?;
     addresses(&held)
 }
@@ -32,6 +55,7 @@
 ///
 /// What binding them answers.
 pub fn free_and_pair<const N: usize>(ip: IpAddr) -> io::Result<([SocketAddr; N], SocketAddr)> {
+    let _forks = lock();
     let held = hold::<N>(ip)?;
     for _ in 0..TRIES {
         let first = TcpListener::bind((ip, 0))?;
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -12,6 +12,8 @@
 use nix::unistd::Pid;
 use spokelift_lib::daemon::Addrs;
 
+use crate::ports;
+
 /// A daemon's process; killed when dropped.
 pub struct Process {
     /// Where it listens.
@@ -26,7 +28,7 @@
         for (flag, value) in flags {
             command.arg(format!("--{flag}")).arg(value);
         }
-        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn()?;
+        let mut child = ports::spawn(command.stdout(Stdio::piped()).stderr(Stdio::null()))?;
         let stdout = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
         let mut line = String::new();
         BufReader::new(stdout).read_line(&mut line)?;
