--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -572,6 +572,29 @@
     assert_sound(&site);
 }
 
+/// Users of a service whose demand rose while the store was slow waited for boxes that were idle elsewhere: each
+/// order waited until the store knew of it, 1.2 s on average, behind whatever else was being written.
+#[tokio::test]
+async fn machines_move_without_waiting_for_a_store_that_is_slow() {
+    let site = Site::start(PROGRAM, 2, 2, 6).await.unwrap();
+    site.store.set_append_time(Duration::from_millis(300));
+    let ahead = async |site: &Site| {
+        let ahead = "batch_machines_announced_ahead";
+        counter(site, 0, ahead).await + counter(site, 1, ahead).await
+    };
+    for number in 0..16 {
+        site.insist(&id(number), job(8, 700)).await;
+    }
+    site.until("all are announced", async |site| ahead(site).await > 0).await;
+    site.until("machines were moved", async |site| site.machines.in_pool("work") > 4).await;
+    site.store.set_append_time(Duration::ZERO);
+    for number in 0..16 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert!(ahead(&site).await <= 2, "once is enough for each scheduler");
+    assert_sound(&site);
+}
+
 #[tokio::test]
 async fn after_a_planned_stop_the_next_scheduler_moves_machines_at_once() {
     // Longer than anything is awaited here.
