--- a/lib/src/batch/advice.rs
+++ b/lib/src/batch/advice.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::batch::scheduler::Scheduler;
+use crate::transport::clock;
 
 /// A step of a job in one repetition.
 pub type StepName = (JobId, u32, u16);
@@ -123,7 +124,7 @@
             log::info!(job = format!("{:016x}", step.0).as_str(), step = step.2; "no advice: {error}");
             sleep(PAUSE).await;
         }
-        scheduler.cell().advices.answered(step, workers, answer.ok(), Instant::now());
+        scheduler.cell().advices.answered(step, workers, answer.ok(), clock::now());
         scheduler.kick();
     }
 }
--- a/lib/src/batch/carry.rs
+++ b/lib/src/batch/carry.rs
@@ -33,6 +33,7 @@
 use crate::batch::carry::message::Moment;
 use crate::batch::worker::table::Number;
 use crate::metrics::Counters;
+use crate::transport::clock;
 
 /// What a carrier needs of its node.
 #[derive(Clone)]
@@ -69,7 +70,7 @@
             tools,
             token,
             license,
-            began_at: Instant::now(),
+            began_at: clock::now(),
             charges: Mutex::default(),
             events,
             over: CancellationToken::new(),
--- a/lib/src/batch/carry/license.rs
+++ b/lib/src/batch/carry/license.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::transport::clock;
+
 /// How long a carrier acts after it has sent a report that the scheduler then acknowledged. Several
 /// heartbeats, so that a scheduler which is late by a second does not stop its carriers, and far less
 /// than a lease, by which the work of a lost carrier's workers may have to wait longer.
@@ -50,6 +52,6 @@
     pub fn holds(&self) -> bool {
         let Some(until) = &self.until else { return true };
         let until = *until.lock().expect("no holder of the time panics");
-        until.is_some_and(|until| Instant::now() < until)
+        until.is_some_and(|until| clock::now() < until)
     }
 }
--- a/lib/src/batch/carry/look.rs
+++ b/lib/src/batch/carry/look.rs
@@ -15,6 +15,7 @@
 use crate::batch::carry::charge::Charge;
 use crate::batch::carry::message::Event;
 use crate::batch::worker::table::Number;
+use crate::transport::clock;
 
 /// How long a look waits for an end; a lease is renewed at each look.
 const LOOK_WAIT: Duration = Duration::from_millis(1_200);
@@ -37,7 +38,7 @@
         while !carrier.license.holds() {
             sleep(LICENSE_PAUSE).await;
         }
-        let sent = Instant::now();
+        let sent = clock::now();
         let message = next_look(&carrier, &charge, sent);
         match carrier.tools.workers.look(&charge.peer, &message, LOOK).await {
             Ok(seen) => {
@@ -63,7 +64,7 @@
         state.durable
     };
     let look = Look { token: carrier.token, seen, lease_until: None, wait_ms: 0 };
-    let sent = Instant::now();
+    let sent = clock::now();
     match carrier.tools.workers.look(&charge.peer, &look, LOOK_NOW).await {
         Ok(seen) => {
             tell_seen(carrier, number, charge, sent, seen.clone());
@@ -78,7 +79,7 @@
 }
 
 fn tell_seen(carrier: &Carrier, number: Number, charge: &Charge, sent: Instant, mut seen: Seen) {
-    let now = Instant::now();
+    let now = clock::now();
     let (sent, at) = (carrier.moment(sent), carrier.moment(now));
     // Told under the lock: of two answers the later one must be told last.
     let mut state = charge.state();
--- a/lib/src/batch/carry/order.rs
+++ b/lib/src/batch/carry/order.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use spokelift_platform::call::CallError;
 use spokelift_platform::job::TaskName;
@@ -19,6 +18,7 @@
 use crate::batch::carry::message::Event;
 use crate::batch::carry::message::Start;
 use crate::batch::worker::table::Number;
+use crate::transport::clock;
 
 /// How long a start may take in all: the longest patience with a worker, and a look.
 const START: Duration = Duration::from_millis(1_000);
@@ -51,7 +51,7 @@
     let refused = |why| Some(Event::NotStarted { number, task, run, why });
     let charge = carrier.charge(number);
     let Some(charge) = charge.filter(|_| carrier.license.holds()) else { return refused(None) };
-    let Some(lease_until) = charge.state().grant(Instant::now()) else { return refused(None) };
+    let Some(lease_until) = charge.state().grant(clock::now()) else { return refused(None) };
     let message = worker::Start {
         task,
         run,
@@ -63,7 +63,7 @@
     };
     let error = match send_start(carrier, number, &charge, &message).await {
         Taken::Yes => {
-            let at = carrier.moment(Instant::now());
+            let at = carrier.moment(clock::now());
             return Some(Event::Started { number, task, run, at });
         }
         Taken::Shown => return None,
@@ -116,19 +116,19 @@
     start: &worker::Start<'_>,
 ) -> Taken {
     let patience = charge.state().patience;
-    let begun = Instant::now();
+    let begun = clock::now();
     let sent = carrier.tools.workers.start(&charge.peer, start, START);
     let mut sent = std::pin::pin!(sent);
     if let Ok(answer) = timeout(patience, &mut sent).await {
-        charge.state().note_answer(begun.elapsed());
+        charge.state().note_answer(clock::since(begun));
         return answer.map_or_else(Taken::No, |_| Taken::Yes);
     }
     carrier.tools.counters.count("batch.start.no-answer");
-    let asked = Instant::now();
+    let asked = clock::now();
     let seen = look_now(carrier, number, charge).await;
     // Where this node itself is late, the look was as late as the answer to the start is.
-    if let Ok(answer) = timeout(asked.elapsed(), &mut sent).await {
-        charge.state().note_answer(begun.elapsed());
+    if let Ok(answer) = timeout(clock::since(asked), &mut sent).await {
+        charge.state().note_answer(clock::since(begun));
         return answer.map_or_else(Taken::No, |_| Taken::Yes);
     }
     charge.state().note_no_answer();
@@ -156,7 +156,7 @@
 async fn stop_one(carrier: &Carrier, number: Number, charge: &Charge, (task, run): RunName) {
     loop {
         let sent = carrier.tools.workers.stop(&charge.peer, task, run, carrier.token, ORDER).await;
-        let at = carrier.moment(Instant::now());
+        let at = carrier.moment(clock::now());
         let stopped = Event::Stopped { number, task, run, at };
         match sent {
             Ok(()) => {
--- a/lib/src/batch/carry/remote.rs
+++ b/lib/src/batch/carry/remote.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
-use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,6 +22,7 @@
 use crate::batch::peer::Peers;
 use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
+use crate::transport::clock;
 
 /// Events within this time go to the scheduler in one report. A report costs the scheduler about as
 /// much as one answer of a worker does, and tasks run for half a second and more.
@@ -158,7 +158,7 @@
         let report = Report {
             session: line.session,
             sequence,
-            made_at: carrier.moment(Instant::now()),
+            made_at: carrier.moment(clock::now()),
             late_ms: late.as_millis() as u64,
             events: gathered,
         };
@@ -178,9 +178,9 @@
     if gathered.is_empty() {
         return gathered;
     }
-    let begun = Instant::now();
+    let begun = clock::now();
     sleep(GATHER).await;
-    *late = (*late - *late / 4).max(begun.elapsed().saturating_sub(GATHER));
+    *late = (*late - *late / 4).max(clock::since(begun).saturating_sub(GATHER));
     while gathered.len() < MAX_EVENTS
         && let Ok(event) = events.try_recv()
     {
@@ -191,9 +191,9 @@
 
 /// Sends a report until it is acknowledged; `false` if the share is over.
 async fn deliver(line: &Line, carrier: &Carrier, report: Report) -> bool {
-    let begun = Instant::now();
-    while !carrier.is_over() && begun.elapsed() < GIVE_UP {
-        let sent = Instant::now();
+    let begun = clock::now();
+    while !carrier.is_over() && clock::since(begun) < GIVE_UP {
+        let sent = clock::now();
         let request = Request::Report(Box::new(report.clone()));
         match line.peers.ask_once(line.scheduler, request).await {
             Ok(Reply::Done) => {
--- a/lib/src/batch/cell/crashes.rs
+++ b/lib/src/batch/cell/crashes.rs
@@ -22,6 +22,7 @@
 use crate::batch::record::Crashes;
 use crate::batch::worker::Slot;
 use crate::batch::worker::Worker;
+use crate::transport::clock;
 
 /// How long it is remembered what was on a silent worker whose leases have run out. One that crashes is back
 /// after some seconds.
@@ -69,7 +70,7 @@
             return;
         }
         let (machine, met_at) = (worker.entry.machine.clone(), worker.met_at);
-        let lost = Lost { machine, met_at, lost_at: Instant::now(), tasks };
+        let lost = Lost { machine, met_at, lost_at: clock::now(), tasks };
         self.lost.insert(id.to_owned(), lost);
     }
 
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -20,6 +20,7 @@
 use crate::batch::record::Progress;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
+use crate::transport::clock;
 
 /// How long a run whose job is not known goes on: the record of the job may still be on its way
 /// from the store.
@@ -28,7 +29,7 @@
 impl Cell {
     /// Takes in a job of which the node that took it tells; one that is known already stays as it is.
     pub fn admit_told(&mut self, id: JobId, accepted: Accepted) -> bool {
-        let is_known = self.known_from.is_some_and(|from| Instant::now() >= from);
+        let is_known = self.known_from.is_some_and(|from| clock::now() >= from);
         self.take_in(id, accepted, None, !is_known)
     }
 
@@ -68,7 +69,7 @@
             }
         }
         if inherited.is_none() {
-            self.demand.arrived(&entry, Instant::now());
+            self.demand.arrived(&entry, clock::now());
         }
         if entry.is_active() && entry.lasts() {
             self.lasting.insert(id);
@@ -77,7 +78,7 @@
         for time in 0..times {
             self.open_steps(id, time);
         }
-        self.apply_early(id, Instant::now());
+        self.apply_early(id, clock::now());
         true
     }
 
@@ -187,7 +188,7 @@
         if task.done || task.runs > 0 {
             return;
         }
-        task.waiting_since.get_or_insert_with(Instant::now);
+        task.waiting_since.get_or_insert_with(clock::now);
         run.waiting.insert(name.index);
         self.ready.insert(rank);
         self.stirred = true;
@@ -207,7 +208,7 @@
     pub(super) fn end_job(&mut self, id: JobId, state: JobState) {
         let Some(entry) = self.jobs.get_mut(&id) else { return };
         entry.end = Some(state);
-        entry.ended_at = Some(Instant::now());
+        entry.ended_at = Some(clock::now());
         let runs = entry.runs();
         for (time, repetition) in (0..).zip(&entry.times) {
             for (step, _) in (0..).zip(&repetition.steps) {
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -20,6 +20,7 @@
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
 use crate::batch::worker::Worker;
+use crate::transport::clock;
 
 /// How long a worker whose life is over is remembered. The store lists one that died with its machine
 /// for three heartbeats, about 5 s; a scheduler that begins then would wait 5.6 s for its lease before
@@ -93,7 +94,7 @@
     pub fn bury(&mut self, id: &str, why: &str) {
         self.count_crash(id);
         self.remove_worker(id, why);
-        self.gone.insert(id.to_owned(), Instant::now());
+        self.gone.insert(id.to_owned(), clock::now());
         self.roster.push(record::gone(id));
     }
 
--- a/lib/src/batch/commit.rs
+++ b/lib/src/batch/commit.rs
@@ -26,6 +26,7 @@
 use crate::batch::node::Node;
 use crate::batch::record;
 use crate::batch::record::Accepted;
+use crate::transport::clock;
 
 /// How long one append may take before it is tried again: about four times what nine nodes need in
 /// turn at a store that is 60 times slower than usual.
@@ -189,7 +190,7 @@
     ///
     /// Once a write has had no answer, the job may be taken whatever later tries say.
     pub async fn commit(&self, id: JobId, accepted: Accepted, until: Instant) -> Written {
-        let now = Instant::now();
+        let now = clock::now();
         let pace = *self.commits.pace();
         if pace.is_silent(now) {
             self.counters.count("batch.submit.refused.silent");
@@ -217,11 +218,11 @@
             Ok(Ok(written)) => written,
             // The writer has not sent it and will not.
             Err(_) if !claimed.swap(true, Ordering::AcqRel) => {
-                Written::Refused(self.commits.pace().come_back(Instant::now()))
+                Written::Refused(self.commits.pace().come_back(clock::now()))
             }
             Ok(Err(_)) | Err(_) => Written::Unknown,
         };
-        self.latencies.record("batch.submit.write", now.elapsed());
+        self.latencies.record("batch.submit.write", clock::since(now));
         if written == Written::Kept {
             self.tell_submitted(id, accepted);
         }
@@ -256,7 +257,7 @@
 
 /// Waits until the store answers again. Meanwhile nothing is sent that could be kept unheard.
 async fn await_answer(node: &Node) {
-    let since = Instant::now();
+    let since = clock::now();
     log::info!("jobs are refused: the store gives no answer");
     loop {
         sleep(PROBE_PAUSE).await;
@@ -269,7 +270,7 @@
         }
     }
     node.commits.pace().set_silent(false);
-    let silent_ms = since.elapsed().as_millis() as u64;
+    let silent_ms = clock::since(since).as_millis() as u64;
     log::info!(silent_ms; "the store answers again");
 }
 
@@ -290,9 +291,9 @@
     }
     let records: Vec<Record> = batch.iter().map(|waiting| waiting.record.clone()).collect();
     let partition = node.partition_for_jobs();
-    node.commits.pace().begin(Instant::now());
+    node.commits.pace().begin(clock::now());
     let written = node.append(partition, &records, &Guard::None, WRITE).await;
-    node.commits.pace().end(Instant::now(), written.is_ok());
+    node.commits.pace().end(clock::now(), written.is_ok());
     if let Err(error) = written {
         node.counters.count("batch.submit.write-failed");
         node.commits.failures.fetch_add(1, Ordering::Relaxed);
@@ -309,7 +310,7 @@
 /// Takes in that a batch was not written: answers the clients whose time is over, and all of them
 /// while the store is away; returns what is to be tried again.
 fn retry_or_refuse(node: &Node, batch: Vec<Waiting>, error: &CallError) -> Vec<Waiting> {
-    let now = Instant::now();
+    let now = clock::now();
     let pace = *node.commits.pace();
     let is_away = pace.away(now).is_some_and(|away| away >= GRACE);
     let mut left = Vec::new();
--- a/lib/src/batch/contact.rs
+++ b/lib/src/batch/contact.rs
@@ -10,6 +10,7 @@
 use spokelift_platform::settings::Settings;
 
 use crate::metrics::Counters;
+use crate::transport::clock;
 use crate::transport::dial::Event;
 use crate::transport::dial::Watch;
 
@@ -51,13 +52,13 @@
             Err(error @ (CallError::Unknown(_) | CallError::NotSent(_))) => {
                 let lost = lost.get_or_insert_with(|| {
                     log::warn!(service; "no answer: {error}");
-                    Lost { since: Instant::now(), calls: 0 }
+                    Lost { since: clock::now(), calls: 0 }
                 });
                 lost.calls += 1;
             }
             Ok(_) | Err(_) => {
                 if let Some(Lost { since, calls }) = lost.take() {
-                    let lost_ms = since.elapsed().as_millis() as u64;
+                    let lost_ms = clock::since(since).as_millis() as u64;
                     log::info!(service, lost_ms, calls; "answers again");
                 }
             }
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 
 use crate::batch::node::Node;
+use crate::transport::clock;
 
 /// Topic with the nodes, by name.
 const TOPIC: &str = "keyed.nodes";
@@ -102,13 +103,13 @@
     /// A node has not answered.
     pub fn shun(&self, addr: SocketAddr) {
         let mut shunned = self.shunned.lock().expect("no holder of the addresses panics");
-        shunned.retain(|_, since| since.elapsed() < SHUNNED);
-        shunned.insert(addr, Instant::now());
+        shunned.retain(|_, since| clock::since(*since) < SHUNNED);
+        shunned.insert(addr, clock::now());
     }
 
     fn is_shunned(&self, addr: SocketAddr) -> bool {
         let shunned = self.shunned.lock().expect("no holder of the addresses panics");
-        shunned.get(&addr).is_some_and(|since| since.elapsed() < SHUNNED)
+        shunned.get(&addr).is_some_and(|since| clock::since(*since) < SHUNNED)
     }
 
     /// A few of the other nodes: first the one that last was of help, then others at random, and
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -3,7 +3,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use spokelift_platform::machine::Machine;
 use spokelift_platform::machine::MachineId;
@@ -15,6 +14,7 @@
 use crate::batch::scheduler::Scheduler;
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::Waves;
+use crate::transport::clock;
 
 /// Time between two rounds. Each costs a call to list the machines while something is under way.
 const ROUND: Duration = Duration::from_millis(150);
@@ -34,16 +34,16 @@
     let Some(machines) = scheduler.node.machines.clone() else { return };
     let mut waves = Waves::begin(&scheduler).await;
     let mut pools = Pools::default();
-    let mut told_at = Instant::now();
+    let mut told_at = clock::now();
     let rate = scheduler.node.settings.machine_orders_per_s;
-    let mut last_round = Instant::now();
+    let mut last_round = clock::now();
     loop {
         sleep(ROUND).await;
-        let mut orders = orders_in(last_round.elapsed(), rate);
-        last_round = Instant::now();
+        let mut orders = orders_in(clock::since(last_round), rate);
+        last_round = clock::now();
         let under_way = waves.take(&scheduler);
-        if told_at.elapsed() >= TELL {
-            told_at = Instant::now();
+        if clock::since(told_at) >= TELL {
+            told_at = clock::now();
             tell_loads(&scheduler);
         }
         if !under_way && !pools.wants_list(&scheduler) {
@@ -60,7 +60,7 @@
             }
         };
         scheduler.announce_ahead(|| list.iter().map(|machine| machine.id.clone()).collect());
-        let resting = scheduler.turn.resting(Instant::now());
+        let resting = scheduler.turn.resting(clock::now());
         let taken = &pools.busy() | &resting;
         waves.advance(&scheduler, &machines, &list, &taken, &mut orders).await;
         let taken = &waves.busy() | &resting;
@@ -99,7 +99,7 @@
 
 /// Tells what each service has and wants.
 fn tell_loads(scheduler: &Scheduler) {
-    for (service, load) in loads(&scheduler.cell(), Instant::now()) {
+    for (service, load) in loads(&scheduler.cell(), clock::now()) {
         log::info!(
             service = service.as_str(),
             workers = load.workers,
--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -26,6 +26,7 @@
 use crate::batch::peer::Reply;
 use crate::batch::submit;
 use crate::batch::submit::Known;
+use crate::transport::clock;
 use crate::transport::dial::Body;
 use crate::transport::dial::full;
 
@@ -41,13 +42,13 @@
 
 /// Answers a client.
 pub async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let started = Instant::now();
+    let started = clock::now();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let response = answer(&node, request, started).await;
     let status = response.status().as_u16();
-    let took_ms = started.elapsed().as_millis() as u64;
-    node.latencies.record(&format!("batch.client.{method}"), started.elapsed());
+    let took_ms = clock::since(started).as_millis() as u64;
+    node.latencies.record(&format!("batch.client.{method}"), clock::since(started));
     node.counters.count(&format!("batch.client.{method}.{status}"));
     log::info!(method = method.as_str(), path = path.as_str(), status, took_ms; "client");
     response
--- a/lib/src/batch/lead.rs
+++ b/lib/src/batch/lead.rs
@@ -11,7 +11,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -26,6 +25,7 @@
 use crate::batch::scheduler::Scheduler;
 use crate::batch::turn::Resting;
 use crate::batch::turn::Turn;
+use crate::transport::clock;
 
 /// Topic with the one record of the lead.
 const TOPIC: &str = "keyed.lead";
@@ -98,8 +98,8 @@
         } else if !view.is_free(&node) {
             view.free_since = None;
         } else if !node.is_stopping() {
-            let since = *view.free_since.get_or_insert_with(Instant::now);
-            let left = view.reserve(&node).saturating_sub(since.elapsed());
+            let since = *view.free_since.get_or_insert_with(clock::now);
+            let left = view.reserve(&node).saturating_sub(clock::since(since));
             if left.is_zero() {
                 claim(&node, &mut view).await;
             } else {
@@ -118,7 +118,7 @@
             view.take(record, newest.end.saturating_sub(1));
         }
         view.end = Some(newest.end);
-        view.heard_at = Instant::now();
+        view.heard_at = clock::now();
         // A claim of an earlier scheduler of this life cannot be told from a renewal here.
         if view.is_mine(node) {
             view.lead = None;
@@ -131,7 +131,7 @@
             view.take_page(end, &page);
             if view.interrupted {
                 view.interrupted = false;
-                view.heard_at = Instant::now();
+                view.heard_at = clock::now();
             }
             Ok(())
         }
@@ -161,7 +161,7 @@
     let token: Token = view.offset + 1;
     log::info!(token; "holds the lead");
     node.counters.count("batch.lead.held");
-    let turn = Turn::new(node.settings.turn_gap, view.resting(node), Instant::now());
+    let turn = Turn::new(node.settings.turn_gap, view.resting(node), clock::now());
     let scheduler = Scheduler::begin(node.clone(), token, turn, view.was_released());
     let why = renew(node, view, &scheduler).await;
     scheduler.end();
@@ -182,14 +182,14 @@
             scheduler.settle().await;
             // Whoever follows relies on that nothing is started after the release.
             scheduler.end_with_carriers().await;
-            release(node, view, scheduler.turn.end(Instant::now())).await;
+            release(node, view, scheduler.turn.end(clock::now())).await;
             return "the node stops";
         }
         if scheduler.is_fenced() {
             return "a worker or the store has heard of a newer holder";
         }
         let Some(end) = view.end else { return "the end of the topic is not known" };
-        let sent = Instant::now();
+        let sent = clock::now();
         let first_sent = *tried_at.get_or_insert(sent);
         let record = Lead::held(node, renewals + 1).record();
         match node.append(TOPIC, &[record], &Guard::At(end), CALL).await {
@@ -198,7 +198,7 @@
                 renewals += 1;
                 tried_at = None;
                 scheduler.set_renewed(sent);
-                node.wait_stopping(RENEW.saturating_sub(sent.elapsed())).await;
+                node.wait_stopping(RENEW.saturating_sub(clock::since(sent))).await;
             }
             Err(error) => {
                 node.counters.count("batch.lead.renew-failed");
--- a/lib/src/batch/lead/view.rs
+++ b/lib/src/batch/lead/view.rs
@@ -13,6 +13,7 @@
 use crate::batch::lead::TAKEOVER;
 use crate::batch::node::Node;
 use crate::batch::turn::Resting;
+use crate::transport::clock;
 
 /// The claim of each node waits up to this much longer, so that few collide.
 const SPREAD: Duration = Duration::from_millis(250);
@@ -49,7 +50,7 @@
             lead: None,
             previous: None,
             offset: 0,
-            heard_at: Instant::now(),
+            heard_at: clock::now(),
             free_since: None,
             interrupted: false,
             spread: SPREAD.mul_f64(rand::random::<f64>()),
@@ -61,7 +62,7 @@
         self.lead = None;
         // It says nothing of the turn that has just ended.
         self.previous = None;
-        self.heard_at = Instant::now();
+        self.heard_at = clock::now();
     }
 
     /// Whether this life of this node holds the lead.
@@ -84,7 +85,7 @@
             Some(lead) if lead.node == node.settings.node && node.is_strong() != Some(false) => {
                 true
             }
-            Some(_) => self.heard_at.elapsed() > TAKEOVER + self.spread,
+            Some(_) => clock::since(self.heard_at) > TAKEOVER + self.spread,
         }
     }
 
@@ -104,7 +105,7 @@
             Ok(lead) => self.replace(lead, offset),
             Err(error) => log::error!("the record of the lead does not decode: {error}"),
         }
-        self.heard_at = Instant::now();
+        self.heard_at = clock::now();
     }
 
     fn replace(&mut self, lead: Lead, offset: Offset) {
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -48,11 +48,14 @@
 use crate::listen::listen;
 use crate::metrics::Counters;
 use crate::settings::NodeSettings;
+use crate::transport::clock;
 use crate::transport::dial::Body;
 use crate::transport::dial::Dialer;
 use crate::transport::dial::full;
 use crate::transport::serve::serve;
 
+/// Time between looks whether this node was suspended.
+const WATCH: Duration = Duration::from_millis(100);
 /// How long a connection may take to be made; halls are about 1 ms apart.
 const CONNECT: Duration = Duration::from_millis(400);
 /// How long a node goes on serving after SIGTERM. The platform asks each second whether it is
@@ -267,6 +270,7 @@
         tokio::spawn(lead::run(node.clone())),
         tokio::spawn(directory::run(node.clone())),
         tokio::spawn(commit::run(node.clone())),
+        tokio::spawn(watch_suspension(node.clone())),
     ];
     let (close, closed) = watch::channel(false);
     let shared = node.clone();
@@ -293,6 +297,21 @@
     Ok(())
 }
 
+/// Tells when this node was suspended: what follows from it follows from [`clock::now`], which counts that time.
+async fn watch_suspension(node: Arc<Node>) {
+    let mut known = clock::suspended();
+    loop {
+        sleep(WATCH).await;
+        let suspended = clock::suspended();
+        if suspended > known {
+            let away_ms = (suspended - known).as_millis() as u64;
+            log::warn!(away_ms; "this node was suspended");
+            node.counters.count("node.suspended");
+            known = suspended;
+        }
+    }
+}
+
 /// Tells the platform whether clients may be sent here.
 async fn ready(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let known = request.uri().path() == READINESS_PATH;
--- a/lib/src/batch/node/operate.rs
+++ b/lib/src/batch/node/operate.rs
@@ -27,6 +27,7 @@
 use crate::call::bearer;
 use crate::protocol::api::ApiError;
 use crate::state::account::SITE;
+use crate::transport::clock;
 use crate::transport::dial::Body;
 use crate::transport::dial::full;
 
@@ -70,7 +71,7 @@
     check_credential(node, &head)?;
     let path = head.uri.path().strip_prefix(view::PATH).unwrap_or_default();
     let words: Vec<&str> = path.split('/').collect();
-    let until = Instant::now() + CHANGE;
+    let until = clock::now() + CHANGE;
     match (&head.method, &words[..]) {
         (&Method::POST, ["queues", queue, "jobs", id]) => {
             let id = parse_id(id).ok_or(ApiError::Malformed)?;
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -30,6 +30,7 @@
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::empty;
 use crate::batch::worker::Worker;
+use crate::transport::clock;
 
 /// How long a machine must have been idle before it is switched off. A move to the reserve and one
 /// back cost as much as about two seconds of a machine.
@@ -64,7 +65,7 @@
 impl Pools {
     /// Whether moves are under way or wanted.
     pub fn wants_list(&self, scheduler: &Scheduler) -> bool {
-        let loads = loads(&scheduler.cell(), Instant::now());
+        let loads = loads(&scheduler.cell(), clock::now());
         let spare = spare(loads.values().map(|load| load.workers).sum());
         let unfit = |load: &Load| {
             let short = load.wanted() > load.has || load.least > load.workers;
@@ -113,7 +114,7 @@
                 let joined = joined || under_way.is_off;
                 machine.pool == under_way.to && machine.status == Status::Up && joined
             });
-            machine.is_some() && !arrived && under_way.since.elapsed() < MOVE_TIME
+            machine.is_some() && !arrived && clock::since(under_way.since) < MOVE_TIME
         });
     }
 
@@ -127,7 +128,7 @@
         listed: &Listed<'_>,
         taken: &HashSet<MachineId>,
     ) {
-        let mut loads = loads(cell, Instant::now());
+        let mut loads = loads(cell, clock::now());
         let mut left = (list.len() * AT_ONCE_PERCENT / 100).saturating_sub(self.moves.len());
         let free = list.iter().filter(|machine| self.is_free(machine, taken));
         let mut sources = Sources::new(cell, config, free);
@@ -222,14 +223,14 @@
     /// Begins the move of a machine; its worker gets no more work.
     fn begin(&mut self, cell: &mut Cell, machine: &Machine, to: &str, is_off: bool) {
         cell.cordon_on(machine);
-        let since = Instant::now();
+        let since = clock::now();
         let under_way = Move { to: to.to_owned(), is_off, since, ordered: false };
         self.moves.insert(machine.id.clone(), under_way);
     }
 
     /// Notes which machines run nothing.
     fn note_idle(&mut self, cell: &Cell, list: &[Machine]) {
-        let now = Instant::now();
+        let now = clock::now();
         for machine in list {
             let is_idle = |worker: &Worker| worker.fenced && worker.slots.is_empty();
             if cell.worker_on(machine).is_some_and(is_idle) {
@@ -254,7 +255,7 @@
         let Some(reserve) = config.services.iter().find(|service| service.is_reserve) else {
             return;
         };
-        let mut loads = loads(cell, Instant::now());
+        let mut loads = loads(cell, clock::now());
         let spare = spare(list.len() as u64);
         for machine in list {
             let is_empty = cell.worker_on(machine).is_some_and(|worker| worker.slots.is_empty());
@@ -272,7 +273,7 @@
 
     /// Whether a machine has been idle long enough to be switched off.
     fn is_rested(&self, machine: &Machine) -> bool {
-        self.idle.get(&machine.id).is_some_and(|since| since.elapsed() >= IDLE_TIME)
+        self.idle.get(&machine.id).is_some_and(|since| clock::since(*since) >= IDLE_TIME)
     }
 
     /// Whether a machine is up and neither moved nor needed otherwise. `taken` are those in waves.
@@ -303,7 +304,7 @@
         for (id, under_way) in self.moves.iter().filter(|(_, under_way)| !under_way.ordered) {
             let machine = listed.get(id.as_str());
             let worker = machine.and_then(|machine| machine.worker.as_ref());
-            let hurry = under_way.since.elapsed() > EMPTY_TIME;
+            let hurry = clock::since(under_way.since) > EMPTY_TIME;
             if worker.is_none_or(|worker| empty(cell, worker, hurry)) {
                 ready.push((under_way.is_off, id.clone()));
             }
@@ -322,7 +323,7 @@
         }
         let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
         let moves = &self.moves;
-        let now = Instant::now();
+        let now = clock::now();
         let ids = ids.iter().filter(|id| scheduler.turn.begin_order(id, now));
         let calls = ids.filter_map(|id| {
             let to = &moves.get(id)?.to;
--- a/lib/src/batch/relay.rs
+++ b/lib/src/batch/relay.rs
@@ -29,6 +29,7 @@
 use crate::batch::peer;
 use crate::batch::peer::PeerError;
 use crate::batch::peer::Reply;
+use crate::transport::clock;
 use crate::transport::dial::ExchangeError;
 
 /// How long one call to the store for a peer may take.
@@ -120,7 +121,7 @@
     /// that more writes would only make all of them later.
     fn is_no_help(&self) -> bool {
         let state = self.state.lock().expect("no holder of the state panics");
-        state.is_shut || state.under_way.iter().any(|sent| sent.elapsed() >= HEDGE)
+        state.is_shut || state.under_way.iter().any(|sent| clock::since(*sent) >= HEDGE)
     }
 
     fn begin(&self, sent: Instant) {
@@ -214,7 +215,7 @@
         guard: &Guard,
         wait: Duration,
     ) -> Result<Appended, CallError> {
-        let sent = Instant::now();
+        let sent = clock::now();
         self.way.begin(sent);
         let _under_way = UnderWay(&self.way, sent);
         let done = self.store.append(partition, records, guard, wait).await;
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -57,6 +57,7 @@
 use crate::batch::turn::Turn;
 use crate::batch::turn::is_sole_holder;
 use crate::batch::view;
+use crate::transport::clock;
 
 /// Name under which the store knows the writer of the progress topic.
 const PRODUCER: &str = "scheduler";
@@ -113,7 +114,7 @@
         turn: Turn,
         predecessor_is_done: bool,
     ) -> Arc<Scheduler> {
-        let now = Instant::now();
+        let now = clock::now();
         let mut cell = Cell::new(token);
         cell.predecessor_is_done = predecessor_is_done;
         cell.renewed_at = Some(now);
@@ -174,14 +175,14 @@
     /// Whether orders about machines may be given now, but for those that are left alone: the turn
     /// of an earlier holder must be over for some time, and that of a later one cannot have begun.
     pub fn may_order_machines(&self) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         self.turn.may_order(now) && is_sole_holder(self.cell().renewed_at, now)
     }
 
     /// Makes sure that the store knows that boxes are about to be ordered; `false` if it does not.
     pub async fn announce(&self, boxes: &[MachineId]) -> bool {
         self.note_announced();
-        let Some(all) = self.turn.unannounced(boxes, Instant::now()) else { return true };
+        let Some(all) = self.turn.unannounced(boxes, clock::now()) else { return true };
         let number = self.turn.awaited(boxes).unwrap_or_else(|| self.tell_store(all));
         let mut flushed = self.flushed.subscribe();
         let known = async {
@@ -215,9 +216,9 @@
 
     /// While the store is late every box is announced ahead, so that orders do not wait for it.
     pub fn announce_ahead(&self, every: impl FnOnce() -> HashSet<MachineId>) {
-        let late = self.store_pace().is_late(Instant::now());
+        let late = self.store_pace().is_late(clock::now());
         let boxes = if late { every() } else { HashSet::new() };
-        let Some(all) = self.turn.announce_ahead(boxes, Instant::now()) else { return };
+        let Some(all) = self.turn.announce_ahead(boxes, clock::now()) else { return };
         log::info!(late, boxes = all.len(); "boxes announced ahead");
         if late {
             self.node.counters.count("batch.machines.announced-ahead");
@@ -308,12 +309,12 @@
     {
         let mut cell = scheduler.cell();
         cell.unasked = cell.workers.keys().cloned().collect();
-        cell.known_from = Some(Instant::now() + KNOWN);
+        cell.known_from = Some(clock::now() + KNOWN);
         log::info!(
             token = scheduler.token,
             jobs = cell.jobs.len(),
             workers = cell.workers.len(),
-            took_ms = scheduler.began_at.elapsed().as_millis() as u64;
+            took_ms = clock::since(scheduler.began_at).as_millis() as u64;
             "scheduler begins"
         );
     }
@@ -368,7 +369,7 @@
         let (waits, tally, needs_flush, backlog) = {
             let mut cell = scheduler.cell();
             if cell.needs_placing() {
-                cell.place(Instant::now(), wall_clock());
+                cell.place(clock::now(), wall_clock());
             }
             pass_on(&scheduler, &mut cell);
             let (waits, tally) = (std::mem::take(&mut cell.waits), std::mem::take(&mut cell.tally));
--- a/lib/src/batch/scheduler/deal.rs
+++ b/lib/src/batch/scheduler/deal.rs
@@ -23,6 +23,7 @@
 use crate::batch::scheduler::share::ShareId;
 use crate::batch::worker::Worker;
 use crate::batch::worker::table::Number;
+use crate::transport::clock;
 
 /// Shares' worth of workers, in hundredths, up to which the scheduler's node carries alone: messages
 /// between nodes would cost it as much as the calls to so few workers.
@@ -42,10 +43,10 @@
 
 /// Watches over the shares as long as the scheduler lasts.
 pub(super) async fn deal(scheduler: Arc<Scheduler>) {
-    let mut last = Instant::now();
+    let mut last = clock::now();
     loop {
         sleep(ROUND).await;
-        let now = Instant::now();
+        let now = clock::now();
         scheduler.shares.excuse((now - last).saturating_sub(ROUND));
         last = now;
         for (share, why) in scheduler.shares.lost(now) {
@@ -70,7 +71,7 @@
     }
     let directory = &scheduler.node.directory;
     for (addr, cpu) in directory.strongest(wanted, &has) {
-        let (share, wake) = scheduler.shares.begin(addr, cpu, Instant::now());
+        let (share, wake) = scheduler.shares.begin(addr, cpu, clock::now());
         let to = addr.to_string();
         log::info!(share, carrier = to.as_str(), cpu; "share begins");
         scheduler.node.counters.count("batch.share.begun");
@@ -80,8 +81,8 @@
 
 /// Waits a moment for the nodes that are to carry.
 pub(super) async fn await_ready(scheduler: &Scheduler) {
-    let begun = Instant::now();
-    while !scheduler.shares.all_ready() && begun.elapsed() < AWAIT_READY {
+    let begun = clock::now();
+    while !scheduler.shares.all_ready() && clock::since(begun) < AWAIT_READY {
         sleep(STEP).await;
     }
 }
@@ -104,7 +105,7 @@
 /// Takes a share back, and deals its workers out to others.
 fn take_back(scheduler: &Arc<Scheduler>, share: ShareId, why: Lost) {
     let Some(addr) = scheduler.shares.addr_of(share) else { return };
-    let Some((workers, last)) = scheduler.shares.take_back(share, Instant::now()) else { return };
+    let Some((workers, last)) = scheduler.shares.take_back(share, clock::now()) else { return };
     let from = addr.to_string();
     log::warn!(
         share,
@@ -145,7 +146,7 @@
     if calm.is_empty() {
         return;
     }
-    let last = scheduler.shares.take_out(crowded.share, &calm, Instant::now());
+    let last = scheduler.shares.take_out(crowded.share, &calm, clock::now());
     hand_over(scheduler, &calm, last);
 }
 
@@ -230,7 +231,7 @@
     }
     if let Some(last) = scheduler.shares.last_act() {
         log::info!("waits for carriers that do not answer");
-        sleep(last.saturating_duration_since(Instant::now())).await;
+        sleep(last.saturating_duration_since(clock::now())).await;
     }
 }
 
--- a/lib/src/batch/scheduler/events.rs
+++ b/lib/src/batch/scheduler/events.rs
@@ -17,6 +17,7 @@
 use crate::batch::scheduler::share::ShareId;
 use crate::batch::scheduler::share::Taken;
 use crate::batch::worker::table::Number;
+use crate::transport::clock;
 
 /// Most events that are taken in at once.
 const MAX_EVENTS: usize = 1_024;
@@ -36,7 +37,7 @@
 /// Takes in a report of another node.
 pub(super) fn take_report(scheduler: &Scheduler, report: Report) -> Reply {
     let share = report.session.share;
-    match scheduler.shares.take(report, Instant::now()) {
+    match scheduler.shares.take(report, clock::now()) {
         Taken::New(told) => take(scheduler, share, told.base, told.report.events),
         Taken::Again => {}
         Taken::Stale => return Reply::NotReady,
@@ -82,7 +83,7 @@
     }
     let Some(id) = cell.workers.id_of(number).cloned() else { return };
     let id = id.as_str();
-    let now = Instant::now();
+    let now = clock::now();
     let instant = |moment: Moment| base + Duration::from_micros(moment);
     match event {
         Event::Seen { sent, at, lease_until, seen, .. } => {
--- a/lib/src/batch/scheduler/flush.rs
+++ b/lib/src/batch/scheduler/flush.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use spokelift_platform::store::Guard;
 use spokelift_platform::store::Producer;
@@ -16,6 +15,7 @@
 use crate::batch::scheduler::PAUSE;
 use crate::batch::scheduler::PRODUCER;
 use crate::batch::scheduler::Scheduler;
+use crate::transport::clock;
 
 /// Changes within this time go to the store in one append.
 const GATHER: Duration = Duration::from_millis(12);
@@ -29,11 +29,11 @@
         let changes = scheduler.cell().take_flush();
         if !changes.records.is_empty() {
             sequence += 1;
-            scheduler.store_pace().begin(Instant::now());
+            scheduler.store_pace().begin(clock::now());
             if !write(&scheduler, &changes.records, sequence).await {
                 return;
             }
-            scheduler.store_pace().end(Instant::now());
+            scheduler.store_pace().end(clock::now());
         }
         scheduler.cell().on_flushed(&changes);
         tell_durable(&scheduler, &changes);
--- a/lib/src/batch/scheduler/follow.rs
+++ b/lib/src/batch/scheduler/follow.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use spokelift_platform::store::Offset;
 use spokelift_platform::store::Record;
@@ -17,6 +16,7 @@
 use crate::batch::scheduler::deal::assign_all;
 use crate::batch::scheduler::load::load_workers;
 use crate::batch::scheduler::load::take_worker;
+use crate::transport::clock;
 
 /// Time between reads of workers' entries. A worker that drains must get nothing new after 2 s.
 /// A worker that joins a pool is found as late as that.
@@ -59,7 +59,7 @@
                 }
             }
             Err(error) => {
-                excused_until = Some(Instant::now() + EXCUSED);
+                excused_until = Some(clock::now() + EXCUSED);
                 log::debug!("the workers cannot be followed: {error}");
             }
         }
--- a/lib/src/batch/scheduler/forget.rs
+++ b/lib/src/batch/scheduler/forget.rs
@@ -4,7 +4,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use futures_util::future::join_all;
 use spokelift_platform::job::JobId;
@@ -16,6 +15,7 @@
 use crate::batch::record;
 use crate::batch::scheduler::CALL;
 use crate::batch::scheduler::Scheduler;
+use crate::transport::clock;
 
 /// Time between looks for such jobs.
 const LOOK: Duration = Duration::from_millis(500);
@@ -27,7 +27,7 @@
     let keep = scheduler.node.settings.status_time + KEEP_EXTRA;
     loop {
         sleep(LOOK).await;
-        let finished = scheduler.cell().finished(keep, Instant::now());
+        let finished = scheduler.cell().finished(keep, clock::now());
         if finished.is_empty() {
             continue;
         }
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -28,6 +28,7 @@
 use crate::batch::scheduler::LOAD;
 use crate::batch::scheduler::PRODUCER;
 use crate::batch::scheduler::Scheduler;
+use crate::transport::clock;
 
 /// Bars earlier schedulers from the progress topic, then reads it and the jobs; returns the end of
 /// each partition with jobs.
@@ -61,11 +62,11 @@
             Ok(ProgressRecord::Crashes(id, told)) => {
                 crashes.insert(id, told);
             }
-            Ok(ProgressRecord::Worker(id, known)) => cell.meet_known(id, known, Instant::now()),
+            Ok(ProgressRecord::Worker(id, known)) => cell.meet_known(id, known, clock::now()),
             Ok(ProgressRecord::Wave(number, begun)) => {
                 cell.begun.insert(number, begun.into_iter().collect());
             }
-            Ok(ProgressRecord::Gone(id)) => cell.inherit_gone(id, Instant::now()),
+            Ok(ProgressRecord::Gone(id)) => cell.inherit_gone(id, clock::now()),
             Ok(ProgressRecord::Ordered(_) | ProgressRecord::Dropped) => {}
             Err(error) => log::error!("a record of progress cannot be used: {error}"),
         }
@@ -157,6 +158,6 @@
             "worker drains"
         );
     }
-    let new = cell.meet(peer.clone(), entry, Instant::now());
+    let new = cell.meet(peer.clone(), entry, clock::now());
     new.then_some(peer.id)
 }
--- a/lib/src/batch/scheduler/tick.rs
+++ b/lib/src/batch/scheduler/tick.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use tokio::time::sleep;
 
 use crate::batch::scheduler::Scheduler;
 use crate::batch::scheduler::wall_clock;
 use crate::batch::upkeep;
+use crate::transport::clock;
 
 /// Time between looks at clocks: leases, due times, rests.
 const TICK: Duration = Duration::from_millis(100);
@@ -17,7 +17,7 @@
 pub(super) async fn tick(scheduler: Arc<Scheduler>) {
     loop {
         sleep(TICK).await;
-        let now = Instant::now();
+        let now = clock::now();
         {
             let mut cell = scheduler.cell();
             cell.open_due(wall_clock());
--- a/lib/src/batch/submit.rs
+++ b/lib/src/batch/submit.rs
@@ -17,6 +17,7 @@
 use crate::batch::peer::Reply;
 use crate::batch::record;
 use crate::batch::record::Accepted;
+use crate::transport::clock;
 
 /// How long the write of a wish to cancel may take.
 const WRITE: Duration = Duration::from_millis(600);
@@ -58,7 +59,7 @@
             Some(Reply::NotReady) | None => {}
             answered => return answered,
         }
-        if Instant::now() + PAUSE >= until {
+        if clock::now() + PAUSE >= until {
             return None;
         }
         sleep(PAUSE).await;
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -7,7 +7,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use futures_util::future::join_all;
 use spokelift_platform::call::CallError;
@@ -33,6 +32,7 @@
 use crate::batch::upkeep::course::Course;
 use crate::batch::upkeep::course::Listed;
 use crate::batch::worker::Phase;
+use crate::transport::clock;
 
 /// Pause after the states of waves could not be read.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -147,7 +147,7 @@
         return;
     }
     choose_next(&mut scheduler.cell(), course, &left, &listed, taken);
-    if scheduler.began_at.elapsed() < SETTLE {
+    if clock::since(scheduler.began_at) < SETTLE {
         return;
     }
     let empty = emptied(&mut scheduler.cell(), course, &listed);
@@ -160,7 +160,7 @@
 fn emptied(cell: &mut Cell, course: &Course, listed: &Listed<'_>) -> Vec<MachineId> {
     let mut ready = Vec::new();
     for (id, since) in &course.emptying {
-        let hurry = since.elapsed() > EMPTY_TIME;
+        let hurry = clock::since(*since) > EMPTY_TIME;
         if worker_of(listed, id).is_none_or(|worker| empty(cell, &worker, hurry)) {
             ready.push(id.clone());
         }
@@ -186,7 +186,7 @@
     }
     // Machines beyond these are taken only where they can be spared.
     let mut owed = course.at_once(left.len()).saturating_sub(course.under_way());
-    let mut loads = loads(cell, Instant::now());
+    let mut loads = loads(cell, clock::now());
     for machine in candidates(cell, course, left, listed, taken) {
         let size = u64::from(machine.room.cpu);
         let load = loads.get_mut(&machine.pool);
@@ -201,7 +201,7 @@
         }
         cell.cordon_on(machine);
         log::info!(machine = machine.id.as_str(), wave = course.wave.number, spare, pool = machine.pool.as_str(); "empties for upkeep");
-        course.emptying.insert(machine.id.clone(), Instant::now());
+        course.emptying.insert(machine.id.clone(), clock::now());
     }
 }
 
@@ -267,7 +267,7 @@
     }
     let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
     let number = course.wave.number;
-    let now = Instant::now();
+    let now = clock::now();
     let ids: Vec<&MachineId> =
         ids.iter().filter(|id| scheduler.turn.begin_order(id, now)).collect();
     let calls = ids.iter().map(|id| async move { machines.upkeep(holder, id, number, CALL).await });
@@ -327,7 +327,7 @@
         let done = shared.node.append(STATUS_TOPIC, &[record], &Guard::None, CALL).await;
         match &done {
             Ok(_) => {
-                let took_s = seen_at.elapsed().as_secs();
+                let took_s = clock::since(seen_at).as_secs();
                 log::info!(wave, succeeded, took_s; "wave told");
             }
             Err(error) => log::info!("the state of wave {wave} was not written: {error}"),
--- a/lib/src/batch/upkeep/course.rs
+++ b/lib/src/batch/upkeep/course.rs
@@ -14,6 +14,8 @@
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
 
+use crate::transport::clock;
+
 /// Machines as the platform lists them, by id.
 pub(super) type Listed<'a> = HashMap<&'a str, &'a Machine>;
 
@@ -46,7 +48,7 @@
     pub(super) fn new(wave: Wave, begun: HashSet<MachineId>) -> Course {
         Course {
             wave,
-            seen_at: Instant::now(),
+            seen_at: clock::now(),
             begun,
             down: HashMap::new(),
             unanswered: HashSet::new(),
@@ -100,14 +102,14 @@
     /// How many machines must be empty or down at a time for the wave to be done in time.
     pub(super) fn at_once(&self, left: usize) -> usize {
         let aim = self.wave.duration.mul_f64(AIM_SHARE);
-        let remaining = aim.saturating_sub(self.seen_at.elapsed()).max(CYCLE);
+        let remaining = aim.saturating_sub(clock::since(self.seen_at)).max(CYCLE);
         let needed = left as f64 * CYCLE.as_secs_f64() / remaining.as_secs_f64();
         needed.ceil() as usize
     }
 
     /// Notes that a machine goes down, and which worker lived there.
     pub(super) fn goes_down(&mut self, id: &str, before: Option<WorkerId>) {
-        self.down.insert(id.to_owned(), (Instant::now(), before));
+        self.down.insert(id.to_owned(), (clock::now(), before));
     }
 
     /// Lets go of machines that are back. A machine counts as down for `least` at the least, until
@@ -134,7 +136,7 @@
                 let lives_again = machine.worker.is_some() && machine.worker != *before;
                 machine.status == Status::Up && (lives_again || lived_on || is_off(machine))
             });
-            unanswered.contains(id) || !back || Instant::now() < over
+            unanswered.contains(id) || !back || clock::now() < over
         });
     }
 }
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -23,6 +23,7 @@
 use crate::batch::pool::load::loads;
 use crate::batch::record::TaskPlace;
 use crate::batch::worker::Phase;
+use crate::transport::clock;
 
 /// Path of the views on the operators' port.
 pub const PATH: &str = "/v1/batch/";
@@ -167,7 +168,7 @@
 
 /// Shows what `path` names, as JSON; `None` if there is no such thing.
 pub fn show(cell: &Cell, waves: &[wave::Wave], shares: &[Share], path: &str) -> Option<String> {
-    let now = Instant::now();
+    let now = clock::now();
     let shown = match path.strip_prefix(PATH)? {
         "services" => serde_json::to_string(&services(cell, now)),
         "shares" => serde_json::to_string(shares),
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -9,7 +9,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -41,6 +40,7 @@
 use crate::state::account::CredentialError;
 use crate::state::account::Role;
 use crate::state::id::AccountId;
+use crate::transport::clock;
 use crate::transport::dial::Body;
 use crate::transport::dial::BodyError;
 use crate::transport::dial::full;
@@ -95,7 +95,7 @@
 }
 
 async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Refused> {
-    let begun = Instant::now();
+    let begun = clock::now();
     let (head, body) = request.into_parts();
     let account = credential(node, &head)?;
     // A request on a connection that was open when the stop began is still served.
--- a/lib/src/call/attempt.rs
+++ b/lib/src/call/attempt.rs
@@ -23,6 +23,7 @@
 use crate::protocol::worker::REFUSED;
 use crate::state::id::AccountId;
 use crate::state::id::BoxId;
+use crate::transport::clock;
 use crate::transport::dial::Answer;
 use crate::transport::dial::Body;
 use crate::transport::dial::SendError;
@@ -91,7 +92,7 @@
 
     /// Another attempt is safe if this one has run nothing, or if running twice does no harm.
     fn may_retry(&self, failed: Refused, payload: &Payload) -> bool {
-        let in_time = Instant::now() < self.deadline;
+        let in_time = clock::now() < self.deadline;
         let sendable = !matches!(payload, Payload::Used);
         let safe = failed.outcome == Outcome::NotRun || self.repeatable;
         in_time && sendable && safe && failed.reason != Reason::Stale
@@ -99,7 +100,7 @@
 
     async fn slot(&self, tried: &[BoxId]) -> Result<Slot, Reason> {
         let settings = &self.node.settings;
-        let queue_end = Instant::now() + settings.queue_wait;
+        let queue_end = clock::now() + settings.queue_wait;
         let deadline = self.deadline.min(queue_end);
         self.node.routes.acquire(&self.route, &settings.hall, tried, deadline).await
     }
@@ -115,7 +116,7 @@
         };
         let request = forward::request(self, id, body);
         let sent = self.node.dialer.send(slot.lane().addr, request);
-        match timeout_at(self.deadline.into(), sent).await {
+        match timeout_at(clock::timer(self.deadline), sent).await {
             Ok(Ok(response)) => self.judge(slot, id, response),
             Ok(Err(SendError::NotSent(request, _))) => {
                 payload.give_back(request.into_body());
--- a/lib/src/call/forward.rs
+++ b/lib/src/call/forward.rs
@@ -30,6 +30,7 @@
 use crate::metrics::Counters;
 use crate::protocol::call::REQUEST;
 use crate::protocol::worker::work_path;
+use crate::transport::clock;
 use crate::transport::dial::Answer;
 use crate::transport::dial::Body;
 use crate::transport::dial::BodyError;
@@ -84,7 +85,7 @@
 
 impl Whole {
     pub(super) fn new(answer: Answer, slot: Slot, deadline: Instant, counters: Counters) -> Whole {
-        let limit = Box::pin(sleep_until(deadline.into()));
+        let limit = Box::pin(sleep_until(clock::timer(deadline)));
         Whole { answer, slot: Some(slot), limit, counters }
     }
 
--- a/lib/src/coordination/append.rs
+++ b/lib/src/coordination/append.rs
@@ -9,7 +9,6 @@
 use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use governor::DefaultDirectRateLimiter;
 use governor::Quota;
@@ -35,6 +34,7 @@
 use crate::state::record::Body;
 use crate::state::record::MAX_BATCH;
 use crate::state::record::Record;
+use crate::transport::clock;
 use crate::transport::dial::ExchangeError;
 use crate::transport::dial::Limits;
 use crate::transport::dial::full;
@@ -199,7 +199,7 @@
 /// clock has gone back since. Known once the log's end was reached.
 async fn writing_incarnation(node: &Node) -> Incarnation {
     let mut changes = node.replica.changes();
-    while node.replica.log_age(Instant::now()).is_none() {
+    while node.replica.log_age(clock::now()).is_none() {
         let _ = timeout(MIN_BACKOFF, changes.changed()).await;
     }
     let fleet = node.replica.fleet();
--- a/lib/src/coordination/catch_up.rs
+++ b/lib/src/coordination/catch_up.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::SinkExt;
@@ -32,6 +31,7 @@
 use crate::state::fleet::Fleet;
 use crate::state::id::Offset;
 use crate::state::snapshot;
+use crate::transport::clock;
 
 /// How often a daemon looks whether it should catch up.
 const LOOK: Duration = Duration::from_millis(100);
@@ -98,7 +98,7 @@
 pub async fn run(node: Arc<Node>) {
     loop {
         sleep(LOOK).await;
-        let now = Instant::now();
+        let now = clock::now();
         let log_age = node.replica.log_age(now);
         if log_age.is_some_and(|age| age < LOG_TROUBLE) {
             continue;
--- a/lib/src/coordination/drive.rs
+++ b/lib/src/coordination/drive.rs
@@ -29,6 +29,7 @@
 use crate::state::record::Body;
 use crate::state::record::Claim;
 use crate::state::wave;
+use crate::transport::clock;
 
 /// How often the plans are looked at when nothing changes.
 const LOOK: Duration = Duration::from_millis(300);
@@ -58,7 +59,7 @@
 /// Plans that this daemon should drive and does not: those whose holder is gone or was an earlier
 /// life of this daemon, and that fall to it by rendezvous hash.
 fn wanted(node: &Node, driving: &BTreeMap<PlanId, Driving>) -> Vec<(PlanId, u32)> {
-    let now = Instant::now();
+    let now = clock::now();
     let live = node.live();
     let own = node.settings.id;
     let fleet = node.replica.fleet();
@@ -191,8 +192,8 @@
             *only_down_since = None;
             return;
         }
-        let since = *only_down_since.get_or_insert_with(Instant::now);
-        if since.elapsed() >= self.node.settings.down_grace {
+        let since = *only_down_since.get_or_insert_with(clock::now);
+        if clock::since(since) >= self.node.settings.down_grace {
             look.skip = blocked;
         }
     }
--- a/lib/src/coordination/drive/step.rs
+++ b/lib/src/coordination/drive/step.rs
@@ -22,6 +22,7 @@
 use crate::state::plan::Progress;
 use crate::state::plan::Step;
 use crate::state::record::Body;
+use crate::transport::clock;
 use crate::transport::dial::ExchangeError;
 
 /// Pause between two looks at a box.
@@ -224,13 +225,13 @@
     ///
     /// Returns an outcome if that was not to be had; the box then serves as before.
     async fn drain(&self, target: &Target, permit: Offset) -> Result<Option<Outcome>, StepError> {
-        let begun = Instant::now();
+        let begun = clock::now();
         if !self.order_until(target, Order::Drain).await? {
             return Ok(Some(Outcome::Lost));
         }
         let mut idle = 0;
         while idle < IDLE_LOOKS {
-            if begun.elapsed() > target.drain_limit {
+            if clock::since(begun) > target.drain_limit {
                 self.order_until(target, Order::Resume).await?;
                 return Ok(Some(Outcome::DrainLimit));
             }
@@ -250,7 +251,7 @@
     /// it. Its quorum case needs a majority that knows no more than it does, so a majority that
     /// has applied the permit, the freshness limit ago, rules that out.
     fn is_released(&self, target: &Target, permit: Offset, begun: Instant) -> bool {
-        let releases = self.node.members.releases(&target.id, permit, Instant::now());
+        let releases = self.node.members.releases(&target.id, permit, clock::now());
         if releases.holding > 0 || self.node.routes.busy_boxes().contains(&target.id) {
             return false;
         }
@@ -258,12 +259,12 @@
             return true;
         }
         let majority = 2 * (releases.released + 1) > self.node.members.configured();
-        majority && begun.elapsed() > self.node.settings.max_age + SILENT_MARGIN
+        majority && clock::since(begun) > self.node.settings.max_age + SILENT_MARGIN
     }
 
     /// Gives an order until the box takes it. Returns false when it has not for too long.
     async fn order_until(&self, target: &Target, order: Order) -> Result<bool, StepError> {
-        let begun = Instant::now();
+        let begun = clock::now();
         loop {
             self.check_epoch()?;
             let command = Command { fence: self.fence(target), action: order.clone() };
@@ -274,7 +275,7 @@
                 }
                 Err(_) => self.node.counters.count("drive.order.failed"),
             }
-            if begun.elapsed() > target.lost_after {
+            if clock::since(begun) > target.lost_after {
                 return Ok(false);
             }
             sleep(LOOK).await;
@@ -287,14 +288,14 @@
         target: &Target,
         reached: impl Fn(&Status) -> bool,
     ) -> Result<bool, StepError> {
-        let begun = Instant::now();
+        let begun = clock::now();
         loop {
             self.check_epoch()?;
             let status = tend::status(&self.node, target.addr).await;
             if matches!(&status, Ok(status) if reached(status)) {
                 return Ok(true);
             }
-            if begun.elapsed() > target.lost_after {
+            if clock::since(begun) > target.lost_after {
                 return Ok(false);
             }
             sleep(LOOK).await;
--- a/lib/src/coordination/follow.rs
+++ b/lib/src/coordination/follow.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::Request;
@@ -20,6 +19,7 @@
 use crate::state::record::Batch;
 use crate::state::record::Body;
 use crate::state::snapshot::Assembly;
+use crate::transport::clock;
 use crate::transport::dial::ExchangeError;
 use crate::transport::dial::Limits;
 use crate::transport::dial::full;
@@ -92,7 +92,7 @@
 }
 
 async fn step(node: &Arc<Node>, seek: &mut Seek) -> Result<(), FollowError> {
-    let begun = Instant::now();
+    let begun = clock::now();
     let applied = node.replica.fleet().next;
     let from = applied.max(seek.from);
     let page = read(node, from).await?;
--- a/lib/src/coordination/member.rs
+++ b/lib/src/coordination/member.rs
@@ -34,6 +34,7 @@
 use crate::state::id::DaemonId;
 use crate::state::id::Incarnation;
 use crate::state::id::Offset;
+use crate::transport::clock;
 
 /// Shortest pause between two beats to the same peer.
 const MIN_GAP: Duration = Duration::from_millis(100);
@@ -298,7 +299,7 @@
     let mut changes = node.replica.changes();
     loop {
         let beat = own_beat(&node);
-        if let Some((addr, frame)) = node.members.frame(peer, beat, Instant::now()) {
+        if let Some((addr, frame)) = node.members.frame(peer, beat, clock::now()) {
             let bytes = frame.seal(&node.settings.peer_key);
             node.counters.add("peer.sent.bytes", bytes.len() as u64);
             // A datagram that cannot be sent is one that is lost.
@@ -313,7 +314,7 @@
 }
 
 fn own_beat(node: &Node) -> Beat {
-    let now = Instant::now();
+    let now = clock::now();
     let log_age = node.replica.log_age(now);
     Beat {
         next: node.replica.next(),
@@ -345,7 +346,7 @@
             continue;
         };
         let frame = Frame::open(&node.settings.peer_key, &bytes[..size]);
-        let taken = frame.and_then(|frame| node.members.take_in(frame, Instant::now()));
+        let taken = frame.and_then(|frame| node.members.take_in(frame, clock::now()));
         match taken {
             Ok(()) => node.counters.count("peer.received"),
             Err(error) => node.counters.count(error.counter()),
@@ -356,10 +357,10 @@
 /// Watches this daemon's own clock, and forgives the peers when it was late.
 pub async fn watch_pauses(node: Arc<Node>) {
     let interval = node.settings.heartbeat;
-    let mut last = Instant::now();
+    let mut last = clock::now();
     loop {
         sleep(interval).await;
-        let now = Instant::now();
+        let now = clock::now();
         if now.duration_since(last) > interval * LATE_TICKS {
             node.counters.count("member.paused");
             node.members.forgive(now);
--- a/lib/src/coordination/node.rs
+++ b/lib/src/coordination/node.rs
@@ -24,6 +24,7 @@
 use crate::state::id::BoxId;
 use crate::state::id::DaemonId;
 use crate::state::id::Incarnation;
+use crate::transport::clock;
 use crate::transport::dial::Dialer;
 
 /// How long a connection to a target or to the platform may take to be made.
@@ -78,7 +79,7 @@
             routes,
             dialer: Dialer::new(CONNECT_TIMEOUT),
             suspects: Mutex::default(),
-            started: Instant::now(),
+            started: clock::now(),
             stopping: AtomicBool::new(false),
             deviant: AtomicBool::new(false),
             applying: tokio::sync::Mutex::default(),
@@ -90,7 +91,7 @@
         if self.deviant.load(Ordering::SeqCst) {
             return Basis::Stale;
         }
-        let now = Instant::now();
+        let now = clock::now();
         let max_age = self.settings.max_age;
         let own = Own {
             next: self.replica.next(),
@@ -144,7 +145,7 @@
 
     /// The daemons that share the duties now.
     pub fn live(&self) -> Vec<DaemonId> {
-        self.members.live(Instant::now(), self.is_serving())
+        self.members.live(clock::now(), self.is_serving())
     }
 }
 
--- a/lib/src/coordination/route.rs
+++ b/lib/src/coordination/route.rs
@@ -30,6 +30,7 @@
 use crate::state::id::HallId;
 use crate::state::id::ServiceId;
 use crate::state::id::ServiceKey;
+use crate::transport::clock;
 
 /// How long a box that could not be reached, or turned a request away, is avoided.
 const AVOID: Duration = Duration::from_secs(1);
@@ -139,24 +140,24 @@
 
     fn is_leaving(&self) -> bool {
         let shut = self.shut.lock().expect("no holder panics");
-        shut.leaving.is_some_and(|until| Instant::now() < until)
+        shut.leaving.is_some_and(|until| clock::now() < until)
     }
 
     fn is_avoided(&self) -> bool {
         let shut = self.shut.lock().expect("no holder panics");
-        shut.avoid.is_some_and(|until| Instant::now() < until)
+        shut.avoid.is_some_and(|until| clock::now() < until)
     }
 
     /// Prefers other lanes for a while.
     pub fn avoid(&self) {
         let mut shut = self.shut.lock().expect("no holder panics");
-        shut.avoid = Some(Instant::now() + AVOID);
+        shut.avoid = Some(clock::now() + AVOID);
     }
 
     /// Sends nothing more here: the box itself said that it is leaving.
     pub fn set_leaving(&self) {
         let mut shut = self.shut.lock().expect("no holder panics");
-        shut.leaving = Some(Instant::now() + LEAVING);
+        shut.leaving = Some(clock::now() + LEAVING);
     }
 }
 
@@ -316,7 +317,7 @@
             return Err(Reason::QueueFull);
         }
         loop {
-            let left = deadline.saturating_duration_since(Instant::now());
+            let left = deadline.saturating_duration_since(clock::now());
             if left.is_zero() {
                 return Err(Reason::Busy);
             }
--- a/lib/src/coordination/snapshot.rs
+++ b/lib/src/coordination/snapshot.rs
@@ -28,6 +28,7 @@
 use crate::state::record::Body;
 use crate::state::snapshot;
 use crate::state::snapshot::Chunk;
+use crate::transport::clock;
 
 /// How often a daemon looks whether a snapshot is due and whether it differs.
 const LOOK: Duration = Duration::from_millis(500);
@@ -117,13 +118,13 @@
         // A snapshot that is not whole yet must not put off the next one.
         let at = match (whole, inner.seen) {
             (false, Some(seen)) => seen.at,
-            _ => Instant::now(),
+            _ => clock::now(),
         };
         inner.seen = Some(Seen { mark: chunk.mark, parts, at });
     }
 
     fn age(&self) -> Option<Duration> {
-        self.inner().seen.map(|seen| seen.at.elapsed())
+        self.inner().seen.map(|seen| clock::since(seen.at))
     }
 }
 
@@ -155,9 +156,9 @@
     let mut tried: Option<Instant> = None;
     loop {
         sleep(LOOK).await;
-        let written_by_now = tried.is_none_or(|tried| tried.elapsed() >= WRITING);
+        let written_by_now = tried.is_none_or(|tried| clock::since(tried) >= WRITING);
         if written_by_now && let Some(after) = due_after(&node) {
-            tried = Some(Instant::now());
+            tried = Some(clock::now());
             // Refused if another daemon marked meanwhile.
             let _ = node.appender.submit(new_id(), Body::Mark { after }).await;
         }
@@ -188,7 +189,7 @@
 /// A peer of the majority, if this daemon is not of it.
 fn differs(node: &Node) -> Option<SocketAddr> {
     let own = node.history.hashed()?;
-    let peers = node.members.hashes(Instant::now());
+    let peers = node.members.hashes(clock::now());
     let other = majority_against(own, &peers)?;
     node.counters.count("snapshot.differs");
     let agreeing = peers.iter().find(|(_, hashed)| *hashed == other);
--- a/lib/src/coordination/tend.rs
+++ b/lib/src/coordination/tend.rs
@@ -31,6 +31,7 @@
 use crate::state::id::Offset;
 use crate::state::id::ServiceKey;
 use crate::state::record::Body;
+use crate::transport::clock;
 use crate::transport::dial::Body as HttpBody;
 use crate::transport::dial::ExchangeError;
 use crate::transport::dial::full;
@@ -182,9 +183,9 @@
             continue;
         }
         rounds.refresh(&node);
-        let tended = rounds.due(&node, Instant::now());
+        let tended = rounds.due(&node, clock::now());
         let answers = poll_all(&node, &tended).await;
-        let now = Instant::now();
+        let now = clock::now();
         let mut down = Vec::new();
         let mut up = Vec::new();
         for (tended, answered) in tended.into_iter().zip(answers) {
--- a/lib/src/log_limit.rs
+++ b/lib/src/log_limit.rs
@@ -19,6 +19,8 @@
 use log::Metadata;
 use log::Record;
 
+use crate::transport::clock;
+
 /// Lines a second. A line costs about 15 microseconds of processor, so these take half a hundredth
 /// of a core; a busy site of fifty boxes writes about 300.
 const LINES_PER_S: f64 = 400.0;
@@ -79,7 +81,7 @@
 impl<L: Log> Limited<L> {
     /// Limits what `inner` gets.
     pub fn new(inner: L) -> Limited<L> {
-        Limited { inner, budget: Mutex::new(Budget::new(Instant::now())) }
+        Limited { inner, budget: Mutex::new(Budget::new(clock::now())) }
     }
 }
 
@@ -93,7 +95,7 @@
             return;
         }
         let mut budget = self.budget.lock().expect("no holder of the budget panics");
-        let taken = budget.take(record.level(), Instant::now());
+        let taken = budget.take(record.level(), clock::now());
         drop(budget);
         match taken {
             None => {}
@@ -130,9 +132,9 @@
 impl Progress {
     /// Waits for the lines so far, though not for ever.
     pub fn settle(&self) {
-        let until = Instant::now() + LAST;
+        let until = clock::now() + LAST;
         let waits = || self.written.load(Ordering::Acquire) < self.sent.load(Ordering::Acquire);
-        while waits() && Instant::now() < until {
+        while waits() && clock::now() < until {
             thread::sleep(GATHER / 10);
         }
     }
--- a/lib/src/operate/change.rs
+++ b/lib/src/operate/change.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use tokio::time::sleep;
 
@@ -25,6 +24,7 @@
 use crate::state::planner::Planner;
 use crate::state::record::Body;
 use crate::state::record::Control;
+use crate::transport::clock;
 
 /// How long an accepted change waits to be seen in force on every live daemon before the answer
 /// says where it is so far.
@@ -72,11 +72,11 @@
 }
 
 async fn wait_in_force(node: &Node, position: Offset) -> Vec<DaemonId> {
-    let begun = Instant::now();
+    let begun = clock::now();
     loop {
         let in_force = in_force(node, position);
-        let live = node.members.offsets(Instant::now()).len() + 1;
-        if in_force.len() >= live || begun.elapsed() > IN_FORCE_WAIT {
+        let live = node.members.offsets(clock::now()).len() + 1;
+        if in_force.len() >= live || clock::since(begun) > IN_FORCE_WAIT {
             return in_force;
         }
         sleep(LOOK).await;
@@ -85,7 +85,7 @@
 
 /// Live daemons that have applied everything before a position.
 fn in_force(node: &Node, position: Offset) -> Vec<DaemonId> {
-    let peers = node.members.offsets(Instant::now());
+    let peers = node.members.offsets(clock::now());
     let applied = peers.into_iter().filter(|(_, own)| *own >= position);
     let mut daemons: Vec<DaemonId> = applied.map(|(id, _)| id).collect();
     if node.replica.next() >= position {
--- a/lib/src/operate/view.rs
+++ b/lib/src/operate/view.rs
@@ -1,7 +1,5 @@
 //! What operators see; an account's operator sees only what is the account's.
 
-use std::time::Instant;
-
 use crate::coordination::node::Node;
 use crate::metrics::Totals;
 use crate::protocol::api::ApiError;
@@ -15,6 +13,7 @@
 use crate::state::id::PlanId;
 use crate::state::id::format_plan;
 use crate::state::plan::Plan;
+use crate::transport::clock;
 
 pub(super) fn status(node: &Node) -> StatusView {
     let (next, configured) = {
@@ -27,7 +26,7 @@
         basis: node.basis().as_str().to_owned(),
         next,
         configured,
-        peers: node.members.offsets(Instant::now()),
+        peers: node.members.offsets(clock::now()),
         inflight: node.routes.inflight(),
     }
 }
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -16,6 +16,7 @@
 use spokelift_lib::batch::turn::RENEWED;
 use spokelift_lib::batch::upkeep;
 use spokelift_lib::batch::worker::LEASE;
+use spokelift_lib::transport::clock;
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
@@ -86,7 +87,7 @@
 impl Bed {
     /// A scheduler with workers `w0`, `w1` and so on, on machines `m0`, `m1` and so on.
     fn new(workers: usize) -> Bed {
-        let now = Instant::now();
+        let now = clock::now();
         let mut bed = Bed { cell: Cell::new(TOKEN), begun: now, now };
         for number in 0..workers {
             bed.meet(&format!("w{number}"), &format!("m{number}"));
@@ -311,7 +312,7 @@
     // Nodes that have not heard of this scheduler yet tell the earlier one.
     bed.cell.admit_told(1, accepted(vec![step(1)]));
     assert_eq!(bed.place(), []);
-    bed.cell.known_from = Some(Instant::now());
+    bed.cell.known_from = Some(clock::now());
     bed.cell.admit_told(2, accepted(vec![step(1)]));
     // What is only read in the store may have been told to the earlier one.
     bed.cell.admit(3, accepted(vec![step(1)]), None);
@@ -728,7 +729,7 @@
     let flush = bed.cell.take_flush();
     bed.cell.on_flushed(&flush);
     let keep = Duration::from_secs(1);
-    let later = Instant::now() + Duration::from_secs(60);
+    let later = clock::now() + Duration::from_secs(60);
     // Nobody knows yet where the store keeps it; a record left there would be a new job to the next
     // scheduler.
     assert!(bed.cell.finished(keep, later).is_empty());
--- a/lib/tests/test_carry.rs
+++ b/lib/tests/test_carry.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
-use std::time::Instant;
 
 use assert_matches::assert_matches;
 use spokelift_lib::batch::carry::Carrier;
@@ -26,6 +25,7 @@
 use spokelift_lib::batch::scheduler::share::Shares;
 use spokelift_lib::batch::scheduler::share::Taken;
 use spokelift_lib::metrics::Counters;
+use spokelift_lib::transport::clock;
 use spokelift_lib::transport::dial::Dialer;
 use spokelift_lib::transport::dial::full;
 use spokelift_lib::transport::serve::serve;
@@ -127,7 +127,7 @@
     carrier.obey(start(1));
     assert_matches!(next(&mut events).await, Event::NotStarted { number: 1, why: None, .. });
     assert_eq!(*asked.lock().unwrap(), Vec::<String>::new());
-    carrier.license.extend(Instant::now());
+    carrier.license.extend(clock::now());
     assert_matches!(next(&mut events).await, Event::Seen { lease_until: 0, .. });
     carrier.obey(start(1));
     assert_matches!(next(&mut events).await, Event::Started { number: 1, .. });
@@ -190,7 +190,7 @@
 
 #[tokio::test]
 async fn workers_go_to_nodes_that_carry_by_their_processor() {
-    let (shares, now) = (shares(), Instant::now());
+    let (shares, now) = (shares(), clock::now());
     let (weak, _) = shares.begin(addr(), 100, now);
     let (strong, _) = shares.begin("127.0.0.1:2".parse().unwrap(), 400, now);
     shares.assign(1, take_command(1));
@@ -215,7 +215,7 @@
 /// might run something for another lease.
 #[tokio::test]
 async fn a_share_with_too_many_workers_gives_away_no_more_than_those() {
-    let (shares, now) = (shares(), Instant::now());
+    let (shares, now) = (shares(), clock::now());
     let (one, _) = shares.begin(addr(), 100, now);
     let (two, _) = shares.begin("127.0.0.1:2".parse().unwrap(), 100, now);
     for share in [one, two] {
@@ -239,7 +239,7 @@
 
 #[tokio::test]
 async fn reports_count_once_and_in_their_order() {
-    let (shares, now) = (shares(), Instant::now());
+    let (shares, now) = (shares(), clock::now());
     let (share, _) = shares.begin(addr(), 100, now);
     assert_matches!(shares.take(report(share, 1, 0), now), Taken::New(_));
     assert_matches!(shares.take(report(share, 1, 0), now), Taken::Again);
@@ -252,7 +252,7 @@
 
 #[tokio::test]
 async fn a_silent_or_late_carrier_is_lost_unless_this_node_was_late() {
-    let (shares, now) = (shares(), Instant::now());
+    let (shares, now) = (shares(), clock::now());
     let (share, _) = shares.begin(addr(), 100, now);
     assert_eq!(shares.lost(now + Duration::from_millis(400)), []);
     assert_eq!(shares.lost(now + Duration::from_millis(600)), [(share, Lost::Silent)]);
@@ -270,7 +270,7 @@
 
 #[tokio::test]
 async fn what_a_lost_carrier_may_still_do_is_bounded_by_its_last_acknowledgement() {
-    let (shares, now) = (shares(), Instant::now());
+    let (shares, now) = (shares(), clock::now());
     let (share, _) = shares.begin(addr(), 100, now);
     let acked = now + Duration::from_millis(100);
     assert_matches!(shares.take(report(share, 1, 0), acked), Taken::New(_));
--- a/lib/tests/test_commit.rs
+++ b/lib/tests/test_commit.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use spokelift_lib::batch::commit::Pace;
+use spokelift_lib::transport::clock;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -19,7 +20,7 @@
 
 #[test]
 fn a_job_waits_for_the_append_under_way_and_its_own() {
-    let start = Instant::now();
+    let start = clock::now();
     let mut pace = after(start, &[true]);
     assert_eq!(pace.wait(start + SECOND), SECOND);
     pace.begin(start + SECOND);
@@ -29,14 +30,14 @@
 
 #[test]
 fn a_pace_that_is_old_or_failed_refuses_nobody() {
-    let start = Instant::now();
+    let start = clock::now();
     assert_eq!(after(start, &[true]).wait(start + SECOND * 3), Duration::ZERO);
     assert_eq!(after(start, &[true, false]).wait(start + SECOND * 2), Duration::ZERO);
 }
 
 #[test]
 fn an_outage_lasts_from_its_first_failure_to_the_next_append_that_is_done() {
-    let start = Instant::now();
+    let start = clock::now();
     assert_eq!(after(start, &[true]).away(start + SECOND), None);
     let pace = after(start, &[true, false, false]);
     assert_eq!(pace.away(start + SECOND * 3), Some(SECOND));
@@ -45,7 +46,7 @@
 
 #[test]
 fn clients_come_back_after_about_as_long_as_the_store_has_been_away() {
-    let start = Instant::now();
+    let start = clock::now();
     let pace = after(start, &[false]);
     let come_back = |seconds: f64| pace.come_back(start + SECOND + SECOND.mul_f64(seconds));
     assert_eq!(come_back(0.1), Duration::from_millis(800));
--- a/lib/tests/test_crash.rs
+++ b/lib/tests/test_crash.rs
@@ -14,6 +14,7 @@
 use spokelift_lib::batch::record::Crashes;
 use spokelift_lib::batch::record::Progress;
 use spokelift_lib::batch::record::ProgressRecord;
+use spokelift_lib::transport::clock;
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
@@ -77,7 +78,7 @@
     fn of(first: u32, boxes: u32) -> Bed {
         let mut bed = Bed {
             cell: Cell::new(TOKEN),
-            now: Instant::now(),
+            now: clock::now(),
             clock: 1_000,
             lives: HashMap::new(),
             running: Vec::new(),
--- a/lib/tests/test_crash_load.rs
+++ b/lib/tests/test_crash_load.rs
@@ -24,6 +24,7 @@
 use spokelift_lib::batch::cell::Cell;
 use spokelift_lib::batch::cell::Order;
 use spokelift_lib::batch::record::Accepted;
+use spokelift_lib::transport::clock;
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
@@ -105,7 +106,7 @@
     fn new() -> Play {
         let mut play = Play {
             cell: Cell::new(10),
-            begun: Instant::now(),
+            begun: clock::now(),
             ms: 0,
             lives: BTreeMap::new(),
             back: Vec::new(),
--- a/lib/tests/test_demand.rs
+++ b/lib/tests/test_demand.rs
@@ -6,6 +6,7 @@
 use spokelift_lib::batch::demand::Demand;
 use spokelift_lib::batch::job::Entry;
 use spokelift_lib::batch::record::Accepted;
+use spokelift_lib::transport::clock;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::Step;
 
@@ -50,7 +51,7 @@
 #[test]
 fn a_rise_is_seen_at_once_and_a_fall_slowly() {
     let mut demand = Demand::default();
-    let now = arrive(&mut demand, Instant::now(), 10, Duration::from_secs(6));
+    let now = arrive(&mut demand, clock::now(), 10, Duration::from_secs(6));
     assert!((9..=12).contains(&cores(&demand, now)), "{}", cores(&demand, now));
     let now = arrive(&mut demand, now, 40, Duration::from_millis(500));
     assert!(cores(&demand, now) > 23, "{}", cores(&demand, now));
--- a/lib/tests/test_log_limit.rs
+++ b/lib/tests/test_log_limit.rs
@@ -8,15 +8,15 @@
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
 use std::time::Duration;
-use std::time::Instant;
 
 use log::Level;
 use spokelift_lib::log_limit::Budget;
 use spokelift_lib::log_limit::Pipe;
+use spokelift_lib::transport::clock;
 
 #[test]
 fn a_storm_of_lines_is_cut_and_counted() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut budget = Budget::new(now);
     let passed = (0..10_000).filter(|_| budget.take(Level::Info, now).is_some()).count();
     assert_eq!(passed, 1_000);
@@ -63,17 +63,17 @@
         pipe.write_all(format!("line {number}\n").as_bytes()).unwrap();
     }
     drop(release);
-    let until = Instant::now() + Duration::from_secs(30);
+    let until = clock::now() + Duration::from_secs(30);
     let contains = |text: &str| {
         let seen = seen.lock().unwrap();
         String::from_utf8_lossy(&seen).contains(text)
     };
-    while !contains("line 4000\n") && Instant::now() < until {
+    while !contains("line 4000\n") && clock::now() < until {
         progress.settle();
     }
     assert!(contains("line 4000\n"));
     // The queue may still be full behind the lines that were seen, and then this one is lost too.
-    while !contains("the end\n") && Instant::now() < until {
+    while !contains("the end\n") && clock::now() < until {
         pipe.write_all(b"the end\n").unwrap();
         progress.settle();
     }
--- a/lib/tests/test_table.rs
+++ b/lib/tests/test_table.rs
@@ -9,6 +9,7 @@
 use spokelift_lib::batch::cell::Cell;
 use spokelift_lib::batch::cell::Order;
 use spokelift_lib::batch::record::Accepted;
+use spokelift_lib::transport::clock;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::Step;
 use spokelift_platform::job::TaskName;
@@ -120,14 +121,7 @@
 impl Bed {
     fn new() -> Bed {
         let cell = Cell::new(TOKEN);
-        Bed {
-            cell,
-            now: Instant::now(),
-            clock: 1_000,
-            jobs: 0,
-            running: Vec::new(),
-            some_fail: true,
-        }
+        Bed { cell, now: clock::now(), clock: 1_000, jobs: 0, running: Vec::new(), some_fail: true }
     }
 
     fn meet(&mut self, number: usize, draining: bool) {
--- a/lib/tests/test_turn.rs
+++ b/lib/tests/test_turn.rs
@@ -3,10 +3,10 @@
 use std::collections::HashSet;
 use std::slice::from_ref;
 use std::time::Duration;
-use std::time::Instant;
 
 use spokelift_lib::batch::turn::Resting;
 use spokelift_lib::batch::turn::Turn;
+use spokelift_lib::transport::clock;
 
 const GAP: Duration = Duration::from_secs(3);
 
@@ -16,7 +16,7 @@
 
 #[test]
 fn after_a_silent_scheduler_every_box_rests() {
-    let now = Instant::now();
+    let now = clock::now();
     let turn = Turn::new(GAP, Resting::Every, now);
     assert!(!turn.may_order(now + GAP / 2));
     assert!(turn.may_order(now + GAP));
@@ -26,7 +26,7 @@
 
 #[test]
 fn only_boxes_that_were_ordered_lately_rest() {
-    let now = Instant::now();
+    let now = clock::now();
     let turn = Turn::new(GAP, Resting::Every, now);
     assert!(turn.begin_order("a", now + GAP));
     assert!(turn.begin_order("b", now + GAP * 2));
@@ -35,7 +35,7 @@
 
 #[test]
 fn boxes_that_the_one_before_ordered_rest_and_are_passed_on() {
-    let now = Instant::now();
+    let now = clock::now();
     let turn = Turn::new(GAP, these(["a"]), now);
     assert!(turn.may_order(now));
     assert_eq!(turn.resting(now), HashSet::from(["a".to_owned()]));
@@ -48,7 +48,7 @@
 /// ordered last. Now it announces boxes in the store first, and only those rest.
 #[test]
 fn after_a_silent_scheduler_only_announced_boxes_rest() {
-    let now = Instant::now();
+    let now = clock::now();
     let boxes = |targets: &[&str]| -> HashSet<String> {
         targets.iter().map(|target| (*target).to_owned()).collect()
     };
@@ -72,7 +72,7 @@
 
 #[test]
 fn a_turn_that_is_over_orders_nothing() {
-    let now = Instant::now();
+    let now = clock::now();
     let turn = Turn::new(GAP, these([]), now);
     turn.end(now);
     assert!(!turn.may_order(now));
@@ -83,7 +83,7 @@
 /// lasts 5 s. Now every box is announced ahead while it is.
 #[test]
 fn while_the_store_is_late_no_order_waits_once_every_box_was_announced() {
-    let now = Instant::now();
+    let now = clock::now();
     let (a, b, c) = ("a".to_owned(), "b".to_owned(), "c".to_owned());
     let every = HashSet::from([a.clone(), b.clone(), c.clone()]);
     let turn = Turn::new(GAP, these([]), now);
@@ -113,7 +113,7 @@
 /// before went on being ordered, although a successor may read nothing of them.
 #[test]
 fn boxes_of_an_announcement_that_is_being_replaced_are_announced_again() {
-    let now = Instant::now();
+    let now = clock::now();
     let (a, b) = ("a".to_owned(), "b".to_owned());
     let turn = Turn::new(GAP, these([]), now);
     turn.begin_announcement(1, HashSet::from([a.clone()]));
--- a/transport/src/dial.rs
+++ b/transport/src/dial.rs
@@ -28,6 +28,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::clock;
 pub use crate::dial::answer::Answer;
 use crate::dial::answer::Home;
 pub use crate::dial::exchange::ExchangeError;
@@ -221,7 +222,7 @@
         request: Request<Body>,
         kept: bool,
     ) -> Result<Response<Answer>, SendError> {
-        let mut pending = Pending { dialer: self, addr, kept, sent: Instant::now(), over: false };
+        let mut pending = Pending { dialer: self, addr, kept, sent: clock::now(), over: false };
         match sender.try_send_request(request).await {
             Ok(response) => {
                 pending.over = true;
@@ -255,7 +256,7 @@
     /// Takes in that a request was given up, or its connection ended, while nothing had come on that
     /// connection since `since`.
     fn note_unanswered(&self, addr: SocketAddr, since: Instant, kept: bool) {
-        if since.elapsed() >= SILENCE {
+        if clock::since(since) >= SILENCE {
             let given_up = self.idle.give_up_unproven(addr, since);
             self.tell(addr, Event::Unanswered { kept, given_up });
         }
--- a/transport/src/dial/answer.rs
+++ b/transport/src/dial/answer.rs
@@ -14,6 +14,7 @@
 use hyper::body::SizeHint;
 use hyper::client::conn::http1::SendRequest;
 
+use crate::clock;
 use crate::dial::Body;
 use crate::dial::BodyError;
 use crate::dial::Dialer;
@@ -37,7 +38,7 @@
 
 impl Answer {
     pub(super) fn new(incoming: Incoming, home: Home) -> Answer {
-        Answer { incoming, home: Some(home), heard_at: Instant::now() }
+        Answer { incoming, home: Some(home), heard_at: clock::now() }
     }
 
     /// The rest of the answer is not waited for, or does not come.
@@ -75,7 +76,7 @@
         let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
         match frame {
             Some(Ok(frame)) => {
-                self.heard_at = Instant::now();
+                self.heard_at = clock::now();
                 if self.incoming.is_end_stream() {
                     self.settle();
                 }
--- a/transport/src/dial/exchange.rs
+++ b/transport/src/dial/exchange.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -12,6 +11,7 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::clock;
 use crate::dial::Answer;
 use crate::dial::Body;
 use crate::dial::BodyError;
@@ -85,10 +85,10 @@
         limit: usize,
         wait: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let begun = Instant::now();
+        let begun = clock::now();
         let done = self.once(addr, request, limit, wait).await;
         if done.is_ok() {
-            self.idle.learn(addr, begun.elapsed());
+            self.idle.learn(addr, clock::since(begun));
         }
         done
     }
@@ -122,7 +122,7 @@
         request: impl Fn() -> Result<Request<Body>, hyper::http::Error>,
         limits: Limits,
     ) -> Result<Exchanged, ExchangeError> {
-        let begun = Instant::now();
+        let begun = clock::now();
         let first = self.once(addr, request()?, limits.bytes, limits.wait);
         let mut first = std::pin::pin!(first);
         let overdue = limits.held + self.overdue(addr);
@@ -133,13 +133,13 @@
             }
             Ok(done) => {
                 if limits.held.is_zero() && done.is_ok() {
-                    self.idle.learn(addr, begun.elapsed());
+                    self.idle.learn(addr, clock::since(begun));
                 }
                 return alone(done);
             }
             Err(_) => None,
         };
-        let left = limits.wait.saturating_sub(begun.elapsed());
+        let left = limits.wait.saturating_sub(clock::since(begun));
         let second = request()?;
         let second = async { read(self.send_on_new(addr, second).await, limits.bytes).await };
         let second = timeout(left, second);
@@ -156,7 +156,7 @@
             done = &mut first => match done {
                 Ok(response) => {
                     // It was slow, not silent.
-                    self.idle.learn(addr, begun.elapsed().saturating_sub(limits.held));
+                    self.idle.learn(addr, clock::since(begun).saturating_sub(limits.held));
                     open(response)
                 }
                 Err(error) => match second.await {
--- a/transport/src/dial/idle.rs
+++ b/transport/src/dial/idle.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::sync::Semaphore;
 
+use crate::clock;
 use crate::dial::Body;
 use crate::dial::KEPT;
 use crate::dial::MAX_CONNECTING;
@@ -64,8 +65,8 @@
     pub(super) fn take(&self, addr: SocketAddr, within: Duration) -> Option<SendRequest<Body>> {
         let mut remotes = self.remotes();
         let idle = &mut remotes.get_mut(&addr)?.idle;
-        idle.retain(|kept| kept.proven_at.elapsed() <= KEPT);
-        let last = idle.pop_if(|kept| kept.proven_at.elapsed() <= within);
+        idle.retain(|kept| clock::since(kept.proven_at) <= KEPT);
+        let last = idle.pop_if(|kept| clock::since(kept.proven_at) <= within);
         last.map(|kept| kept.sender)
     }
 
@@ -74,7 +75,7 @@
         let mut remotes = self.remotes();
         let idle = &mut remotes.entry(addr).or_default().idle;
         if idle.len() < MAX_IDLE {
-            idle.push(Kept { sender, proven_at: Instant::now() });
+            idle.push(Kept { sender, proven_at: clock::now() });
         }
     }
 
--- a/transport/src/serve.rs
+++ b/transport/src/serve.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep_until;
 
+use crate::clock;
 use crate::dial::Body;
 use crate::serve::phase::Due;
 use crate::serve::phase::Noted;
@@ -112,7 +113,7 @@
                 connection.as_mut().graceful_shutdown();
                 is_closing = true;
             }
-            () = sleep_until(due_at.into()) => {}
+            () = sleep_until(clock::timer(due_at)) => {}
         }
     }
     // The rest of a long answer may still be on its way.
--- a/transport/src/serve/phase.rs
+++ b/transport/src/serve/phase.rs
@@ -15,6 +15,8 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::clock;
+
 /// How long a caller may take to send a request's head.
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
 /// How long a connection may be without a request. Longer than any client that we know keeps one: a
@@ -50,7 +52,7 @@
 
 impl Phase {
     pub(super) fn new() -> Phase {
-        Phase(Arc::new(Mutex::new(Doing::Idle(Instant::now()))))
+        Phase(Arc::new(Mutex::new(Doing::Idle(clock::now()))))
     }
 
     fn set(&self, doing: Doing) {
@@ -61,7 +63,7 @@
     fn on_bytes(&self) {
         let mut doing = self.0.lock().expect("no holder of the phase panics");
         if matches!(*doing, Doing::Idle(_)) {
-            *doing = Doing::Head(Instant::now());
+            *doing = Doing::Head(clock::now());
         }
     }
 
@@ -72,18 +74,18 @@
 
     /// Its answer is known. What is left of it may still be on its way.
     pub(super) fn end_answer(&self) {
-        self.set(Doing::Idle(Instant::now()));
+        self.set(Doing::Idle(clock::now()));
     }
 
     /// What is due now.
     pub(super) fn due(&self) -> Due {
         let doing = *self.0.lock().expect("no holder of the phase panics");
         match doing {
-            Doing::Idle(since) if since.elapsed() >= IDLE_LIMIT => Due::Close,
-            Doing::Head(since) if since.elapsed() >= HEAD_LIMIT => Due::Cut,
+            Doing::Idle(since) if clock::since(since) >= IDLE_LIMIT => Due::Close,
+            Doing::Head(since) if clock::since(since) >= HEAD_LIMIT => Due::Cut,
             Doing::Head(since) => Due::Later(since + HEAD_LIMIT),
             // A head may begin at any time.
-            Doing::Idle(_) | Doing::Answering => Due::Later(Instant::now() + HEAD_LIMIT),
+            Doing::Idle(_) | Doing::Answering => Due::Later(clock::now() + HEAD_LIMIT),
         }
     }
 }
