platform, record: a job that nobody could keep in memory is refused, whoever wrote it

Cause, found while looking for work that brings down who takes it: repetitions had no bound, nor all steps together. A job of 4,294,967,295 repetitions was answered 200; whoever schedules keeps a record of each, 100 GB, so the node would end, and its successor would read the same job. Times and objectives no longer wrap.

--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -156,7 +156,7 @@
         for step in &self.accepted.job.steps {
             let before = step.after.iter().filter_map(|earlier| ends.get(usize::from(*earlier)));
             let start = before.copied().max().unwrap_or(0);
-            ends.push(start + step.estimate_ms);
+            ends.push(start.saturating_add(step.estimate_ms));
         }
         ends.into_iter().max().unwrap_or(0)
     }
@@ -166,7 +166,8 @@
     pub fn objective_at(&self, time: u32) -> u64 {
         let from = self.accepted.job.due(time).unwrap_or(self.accepted.at);
         let stretch = u64::from(self.accepted.stretch_percent);
-        from.as_millis() as u64 + self.accepted.objective_ms + self.chain_ms() * stretch / 100
+        let chain = self.chain_ms().saturating_mul(stretch) / 100;
+        (from.as_millis() as u64).saturating_add(self.accepted.objective_ms).saturating_add(chain)
     }
 
     /// What a task of a step takes of a worker's room.
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::Job;
+use spokelift_platform::job::JobError;
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::parse_id;
 use spokelift_platform::machine::MachineId;
@@ -92,6 +93,9 @@
     /// Its key is none of ours.
     #[error("unknown key {0:?}")]
     Key(String),
+    /// It holds a job that no node would have accepted.
+    #[error("the job of {0:?} cannot be used")]
+    Job(String, #[source] JobError),
     /// Its value does not decode.
     #[error("the value of {0:?} does not decode")]
     Value(String, #[source] postcard::Error),
@@ -276,7 +280,11 @@
             return Ok(JobRecord::Cancel(id_of(id)?));
         }
         let id = id_of(&record.key)?;
-        Ok(JobRecord::Accepted(id, Box::new(decode(&record.key, value)?)))
+        let accepted: Accepted = decode(&record.key, value)?;
+        // Whoever wrote it: a job too large to keep would bring down each scheduler in turn.
+        let unusable = |error| RecordError::Job(record.key.clone(), error);
+        accepted.job.check().map_err(unusable)?;
+        Ok(JobRecord::Accepted(id, Box::new(accepted)))
     }
 }
 
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -11,8 +11,10 @@
 use spokelift_lib::batch::cell::Order;
 use spokelift_lib::batch::pool::load::loads;
 use spokelift_lib::batch::record::Accepted;
+use spokelift_lib::batch::record::JobRecord;
 use spokelift_lib::batch::record::Progress;
 use spokelift_lib::batch::record::ProgressRecord;
+use spokelift_lib::batch::record::RecordError;
 use spokelift_lib::batch::turn::RENEWED;
 use spokelift_lib::batch::upkeep;
 use spokelift_lib::batch::worker::LEASE;
@@ -748,3 +750,11 @@
     assert_eq!(ends(&mut bed), 1);
     assert!(bed.cell.finished(keep, later).is_empty());
 }
+
+#[test]
+fn a_record_of_a_job_that_nobody_could_keep_in_memory_is_not_taken_in() {
+    let mut job = accepted(vec![step(1)]);
+    job.job.repetitions = u32::MAX;
+    let record = spokelift_lib::batch::record::accepted(1, &job);
+    assert_matches!(JobRecord::decode(&record), Err(RecordError::Job(..)));
+}
