place: room is made for what a shrunken worker is short of, too

Cause, by reading: what is left of a worker's room is never below zero, so on one whose room has shrunk below what runs there, a task that lasts had as much stopped as it asks for itself, found no room all the same, and had more stopped 1.5 s later. Change: the balance counts what is missing. The test fails before (one stopped, three needed).

--- a/lib/src/batch/place/room.rs
+++ b/lib/src/batch/place/room.rs
@@ -69,17 +69,44 @@
         .filter(|(_, slot)| slot.kind == Kind::Works && matches!(slot.phase, Phase::Live(_)))
         .collect();
     works.sort_by_key(|(_, slot)| std::cmp::Reverse(slot.since));
-    let mut free = worker.free;
+    let mut free = Balance::of(worker);
     let (mut lost, mut tasks) = (0, Vec::new());
     for (task, slot) in works {
-        if need.cpu <= free.cpu && need.memory_mb <= free.memory_mb {
+        if free.has(need) {
             break;
         }
-        free.cpu += slot.room.cpu;
-        free.memory_mb += slot.room.memory_mb;
+        free.add(slot.room);
         let ran = now.saturating_duration_since(slot.since).as_millis() as u64;
         lost += ran * u64::from(slot.room.cpu) / 1_000;
         tasks.push(*task);
     }
-    (need.cpu <= free.cpu && need.memory_mb <= free.memory_mb).then_some((lost, tasks))
+    free.has(need).then_some((lost, tasks))
+}
+
+/// What is left of a worker's room, or missing where the room has shrunk below what runs there.
+struct Balance {
+    cpu: i64,
+    memory_mb: i64,
+}
+
+impl Balance {
+    fn of(worker: &Worker) -> Balance {
+        let room = worker.entry.room;
+        let used = |part: fn(&Room) -> u32| -> i64 {
+            worker.slots.values().map(|slot| i64::from(part(&slot.room))).sum()
+        };
+        Balance {
+            cpu: i64::from(room.cpu) - used(|room| room.cpu),
+            memory_mb: i64::from(room.memory_mb) - used(|room| room.memory_mb),
+        }
+    }
+
+    fn add(&mut self, room: Room) {
+        self.cpu += i64::from(room.cpu);
+        self.memory_mb += i64::from(room.memory_mb);
+    }
+
+    fn has(&self, need: Room) -> bool {
+        i64::from(need.cpu) <= self.cpu && i64::from(need.memory_mb) <= self.memory_mb
+    }
 }
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -751,6 +751,48 @@
     assert!(bed.cell.finished(keep, later).is_empty());
 }
 
+/// A worker's room halves while it is full: it gets nothing, nothing is stopped, and it gets more once it fits.
+#[test]
+fn a_worker_whose_room_has_shrunk_gets_nothing_until_what_it_runs_fits() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(4)]), None);
+    let started = bed.start();
+    assert_eq!(started.len(), 4);
+    let resize = |bed: &mut Bed, cpu: u32| {
+        let peer = Peer { id: "w0".to_owned(), addr: addr() };
+        let room = Room { cpu, memory_mb: 4_000, gpu: 0 };
+        bed.cell.meet(peer, Entry { room, ..entry("m0") }, bed.now);
+    };
+    resize(&mut bed, 2_000);
+    bed.cell.admit(2, accepted(vec![step(1)]), None);
+    assert_eq!(bed.start(), []);
+    assert_eq!(bed.stops(), []);
+    let runs: Vec<(TaskName, Run)> = started.iter().map(|(_, task, run)| (*task, *run)).collect();
+    // Two have ended: the other two fill it.
+    let ends = [(1, runs[0].0, runs[0].1, Outcome::Done), (2, runs[1].0, runs[1].1, Outcome::Done)];
+    bed.look("w0", &runs[2..], &ends);
+    assert_eq!(bed.start(), []);
+    resize(&mut bed, 4_000);
+    assert_eq!(bed.start().len(), 1);
+}
+
+/// A task that lasts gets the room of enough others: of a worker that is two tasks over its room, three have to be
+/// stopped for one.
+#[test]
+fn room_is_made_for_what_is_missing_too() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(4)]), None);
+    assert_eq!(bed.start().len(), 4);
+    let peer = Peer { id: "w0".to_owned(), addr: addr() };
+    let room = Room { cpu: 2_000, memory_mb: 4_000, gpu: 0 };
+    bed.cell.meet(peer, Entry { room, ..entry("m0") }, bed.now);
+    bed.cell.admit(2, accepted(vec![lasting(1)]), None);
+    bed.cell.place(bed.now, Duration::from_secs(1));
+    assert_eq!(bed.stops().len(), 3);
+}
+
 #[test]
 fn a_record_of_a_job_that_nobody_could_keep_in_memory_is_not_taken_in() {
     let mut job = accepted(vec![step(1)]);
