platform, cell: an entry that no worker writes names no worker to use

Cause, by reading: any state but ready counted as draining, so an unknown one was met as a worker that leaves, and a takeover waited 5.6 s for it; a missing room was a room of zero; an unreadable entry left the older one of that id in force, with a line at error level each time it was read. A known worker whose entry is overwritten gets nothing new, and what it runs is looked after; its own next entry ends that. A line at the first and at each change of reason, counters batch.worker.entry.REASON, batch workers shows them, at most 256.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -10,6 +10,8 @@
 use serde_json::Value;
 use serde_json::json;
 use spokelift_lib::batch::lead::TAKEOVER;
+use spokelift_platform::store::Record;
+use spokelift_platform::store::WORKER_TOPIC;
 use spokelift_testutils::file::File;
 use spokelift_testutils::platform::advice::GOOD_MACHINE;
 use spokelift_testutils::platform::site::Site;
@@ -803,3 +805,38 @@
     assert!(unanswered <= 3, "{unanswered} calls about boxes without an answer");
     assert_sound(&site);
 }
+
+/// Entries of other writers among those of the workers name no worker to use, hold up nobody, and are shown.
+#[tokio::test]
+async fn entries_that_no_worker_writes_hold_up_nothing_and_are_shown() {
+    let site = Site::start(PROGRAM, 2, 3, 0).await.unwrap();
+    let foreign = [
+        ("x-bytes", "\u{0}\u{1}not json".to_owned()),
+        ("x-state", json!({ "service": "work", "address": "127.0.0.1:1", "zone": "h", "version": "v1", "slots": 8, "state": "resting", "coldRemainingMs": 0, "seq": 0, "capacity": { "cpu": 8000, "memMb": 8000 } }).to_string()),
+        ("x-half", json!({ "service": "work", "address": 7 }).to_string()),
+    ];
+    for (key, value) in &foreign {
+        site.store.put(WORKER_TOPIC, Record::set(*key, value.clone()));
+    }
+    for number in 0..4 {
+        site.insist(&id(number), job(3, 100)).await;
+    }
+    for number in 0..4 {
+        site.until_succeeded(&id(number)).await;
+    }
+    let holder = site.leader().unwrap();
+    let shown = |node: usize| tool(&site, node, &["batch", "workers"]).1;
+    for why in ["unusable entry: unreadable", "unusable entry: state", "unusable entry: misshapen"]
+    {
+        site.until(why, async |_| shown(holder).contains(why)).await;
+    }
+    // The next scheduler waits for none of them.
+    site.nodes[holder].kill();
+    for number in 4..8 {
+        site.insist(&id(number), job(3, 100)).await;
+    }
+    for number in 4..8 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_sound(&site);
+}
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -15,6 +15,7 @@
 mod looks;
 mod workers;
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -201,6 +202,8 @@
     pub known_from: Option<Instant>,
     /// Workers that may run something of an earlier scheduler and have not been asked.
     pub unasked: HashSet<WorkerId>,
+    /// Entries in the store that name no worker to use, and why.
+    pub unusable: BTreeMap<WorkerId, &'static str>,
     /// Workers whose life is known to be over, and since when. The store may list them for a while.
     gone: HashMap<WorkerId, Instant>,
     /// Tasks that may be on workers which had fallen silent under an earlier scheduler.
@@ -265,6 +268,7 @@
             predecessor_is_done: false,
             known_from: None,
             unasked: HashSet::new(),
+            unusable: BTreeMap::new(),
             gone: HashMap::new(),
             silent_with: HashMap::new(),
             begun: HashMap::new(),
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -27,11 +27,15 @@
 /// it starts anything of that service.
 const REMEMBER_GONE: Duration = Duration::from_millis(15_000);
 
+/// Most unusable entries that are remembered and told of: more of them say nothing more.
+const MOST_UNUSABLE: usize = 256;
+
 impl Cell {
     /// Takes in a worker's entry; returns whether it is new. An entry of a worker whose life is over
     /// says nothing.
     pub fn meet(&mut self, peer: Peer, entry: worker::Entry, now: Instant) -> bool {
         let id = peer.id.clone();
+        self.unusable.remove(&id);
         if self.gone.contains_key(&id) {
             return false;
         }
@@ -45,6 +49,18 @@
         true
     }
 
+    /// An entry names no worker to use; returns whether that is news. A worker that is known by its id gets
+    /// nothing new, and what it runs goes on: somebody else has written over its entry.
+    pub fn note_unusable(&mut self, id: &str, why: &'static str) -> bool {
+        if let Some(mut worker) = self.workers.get_mut(id) {
+            worker.unusable = true;
+        }
+        if !self.unusable.contains_key(id) && self.unusable.len() >= MOST_UNUSABLE {
+            return false;
+        }
+        self.unusable.insert(id.to_owned(), why) != Some(why)
+    }
+
     /// The worker that lives on a machine, by the platform's list.
     pub fn worker_on(&self, machine: &Machine) -> Option<&Worker> {
         self.workers.get(machine.worker.as_ref()?)
@@ -146,6 +162,7 @@
     /// The store no longer lists a worker. It may still run what it was told. It is excused for a
     /// while if the store was away lately.
     pub fn unlist(&mut self, id: &str, excused_until: Option<Instant>) {
+        self.unusable.remove(id);
         if let Some(mut worker) = self.workers.get_mut(id) {
             worker.listed = false;
             worker.excused_until = excused_until;
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -143,8 +143,10 @@
     let entry = match worker::Entry::decode(value) {
         Ok(entry) => entry,
         Err(error) => {
-            scheduler.node.counters.count("batch.worker.entry-unreadable");
-            log::error!("the entry of worker {} does not decode: {error}", record.key);
+            scheduler.node.counters.count(&format!("batch.worker.entry.{}", error.name()));
+            if scheduler.cell().note_unusable(&record.key, error.name()) {
+                log::warn!(worker = record.key.as_str(); "an entry names no worker to use: {error}");
+            }
             return None;
         }
     };
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -223,6 +223,15 @@
             closed: worker.closed(now).map(|why| why.to_string()),
         })
         .collect();
+    let unknown = cell.unusable.iter().filter(|(id, _)| !cell.workers.contains_key(id));
+    shown.extend(unknown.map(|(id, why)| Worker {
+        id: id.clone(),
+        machine: String::new(),
+        service: String::new(),
+        runs: 0,
+        free: 0.0,
+        closed: Some(format!("unusable entry: {why}")),
+    }));
     shown.sort_by(|one, other| (&one.service, &one.id).cmp(&(&other.service, &other.id)));
     shown
 }
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -115,6 +115,9 @@
     /// Another carrier looks after it now, and has not heard from it yet.
     #[error("handed over")]
     HandedOver,
+    /// Its entry in the store is none that a worker writes.
+    #[error("unusable entry")]
+    Unusable,
     /// It is about to leave.
     #[error("draining")]
     Draining,
@@ -176,6 +179,8 @@
     pub misses: u32,
     /// It gets nothing new until then.
     pub rest_until: Instant,
+    /// Its entry in the store was replaced by one that no worker writes.
+    pub unusable: bool,
     /// The store lists it.
     pub listed: bool,
     /// The store may not list it for a while and it takes work all the same, until then: entries
@@ -221,6 +226,7 @@
             fenced: false,
             misses: 0,
             rest_until: now,
+            unusable: false,
             listed: true,
             excused_until: None,
             cordoned: false,
@@ -279,6 +285,7 @@
             worker if !worker.fenced => Some(Closed::NotAsked),
             worker if worker.unfenced => Some(Closed::Unfenced),
             worker if worker.is_missing(now) => Some(Closed::NotListed),
+            worker if worker.unusable => Some(Closed::Unusable),
             worker if worker.handed_over => Some(Closed::HandedOver),
             worker if worker.entry.draining => Some(Closed::Draining),
             worker if worker.cordoned => Some(Closed::Cordoned),
@@ -306,6 +313,7 @@
     pub fn is_open(&self) -> bool {
         let closed = !self.fenced
             || self.unfenced
+            || self.unusable
             || self.handed_over
             || self.entry.draining
             || self.cordoned
@@ -361,6 +369,7 @@
     /// Takes over a changed entry.
     pub fn update(&mut self, entry: Entry) {
         self.entry = entry;
+        self.unusable = false;
         if !self.listed {
             // It was emptied as one that leaves, and stays after all.
             self.cordoned = false;
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -751,6 +751,37 @@
     assert!(bed.cell.finished(keep, later).is_empty());
 }
 
+#[test]
+fn a_worker_whose_entry_was_overwritten_gets_nothing_new_and_keeps_what_it_runs() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(1)]), None);
+    let (_, _, run) = bed.start().remove(0);
+    assert!(bed.cell.note_unusable("w0", "misshapen"));
+    assert!(!bed.cell.note_unusable("w0", "misshapen"), "told once");
+    bed.cell.admit(2, accepted(vec![step(1)]), None);
+    bed.look("w0", &[(task(1, 0, 0), run)], &[]);
+    assert_eq!(bed.start(), []);
+    assert_eq!(bed.stops(), [], "nothing is taken from it");
+    bed.look("w0", &[], &[(1, task(1, 0, 0), run, Outcome::Done)]);
+    assert_eq!(bed.cell.jobs[&1].end, Some(JobState::Succeeded));
+    // Its own entry is back.
+    bed.meet("w0", "m0");
+    assert_eq!(bed.start().len(), 1);
+}
+
+#[test]
+fn entries_of_others_are_remembered_in_bounds() {
+    let mut bed = Bed::new(1);
+    for number in 0..1_000 {
+        bed.cell.note_unusable(&format!("x{number}"), "unreadable");
+    }
+    assert_eq!(bed.cell.unusable.len(), 256);
+    assert_eq!(bed.cell.workers.len(), 1);
+    bed.cell.unlist("x0", None);
+    assert_eq!(bed.cell.unusable.len(), 255);
+}
+
 /// A worker's room halves while it is full: it gets nothing, nothing is stopped, and it gets more once it fits.
 #[test]
 fn a_worker_whose_room_has_shrunk_gets_nothing_until_what_it_runs_fits() {
--- a/lib/tests/test_table.rs
+++ b/lib/tests/test_table.rs
@@ -1,6 +1,7 @@
 //! The indexes of workers: they say what a look at every worker would, whatever happens, and they keep
 //! the cost of one placement away from the size of the site.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -76,6 +77,8 @@
     Meet(usize),
     Drain(usize),
     Unlist(usize),
+    Resize(usize, u32),
+    Overwrite(usize),
     Look(usize),
     Miss(usize),
     Bury(usize),
@@ -93,6 +96,8 @@
         3 => worker.clone().prop_map(Happening::Meet),
         1 => worker.clone().prop_map(Happening::Drain),
         1 => worker.clone().prop_map(Happening::Unlist),
+        2 => (worker.clone(), 0..12_000_u32).prop_map(|(number, cpu)| Happening::Resize(number, cpu)),
+        1 => worker.clone().prop_map(Happening::Overwrite),
         8 => worker.clone().prop_map(Happening::Look),
         2 => worker.clone().prop_map(Happening::Miss),
         1 => worker.clone().prop_map(Happening::Bury),
@@ -167,7 +172,17 @@
 
     /// Places what waits; the workers take all orders, but for a start if `refuse`.
     fn place(&mut self, refuse: bool) {
+        let before = self.runs();
         self.cell.place(self.now, Duration::from_secs(1));
+        for worker in self.cell.workers.values() {
+            let used: u32 = worker.slots.values().map(|slot| slot.room.cpu).sum();
+            let is_same = before.get(&worker.peer.id) == Some(&worker.slots.len());
+            assert!(
+                is_same || used <= worker.entry.room.cpu,
+                "{} is over its room",
+                worker.peer.id
+            );
+        }
         for order in std::mem::take(&mut self.cell.outbox) {
             match order {
                 Order::Start { peer, task, run, .. } if refuse => {
@@ -186,12 +201,26 @@
         }
     }
 
+    /// How many runs may be on each worker.
+    fn runs(&self) -> HashMap<String, usize> {
+        let workers = self.cell.workers.values();
+        workers.map(|worker| (worker.peer.id.clone(), worker.slots.len())).collect()
+    }
+
     fn happen(&mut self, what: Happening) {
         self.tick();
         match what {
             Happening::Meet(number) => self.meet(number, false),
             Happening::Drain(number) => self.meet(number, true),
             Happening::Unlist(number) => self.cell.unlist(&format!("w{number}"), None),
+            Happening::Resize(number, cpu) => {
+                let peer = Peer { id: format!("w{number}"), addr: addr() };
+                let room = Room { cpu, ..entry(number, false).room };
+                self.cell.meet(peer, Entry { room, ..entry(number, false) }, self.now);
+            }
+            Happening::Overwrite(number) => {
+                self.cell.note_unusable(&format!("w{number}"), "misshapen");
+            }
             Happening::Look(number) => self.look(number),
             Happening::Miss(number) => self.cell.on_miss(&format!("w{number}")),
             Happening::Bury(number) => {
