testutils: the soak has tasks that bring down their workers; rooms that change in a run of real processes

Workers of the stand-in can change their room and take whatever they are told: no start goes over what they said 1.5 s before (fails with the room of a known worker left as it was first told: four tasks over it).

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -840,3 +840,32 @@
     }
     assert_sound(&site);
 }
+
+/// Workers that take whatever they are told, whose room changes under full load: no start goes over it.
+#[tokio::test]
+async fn starts_keep_within_rooms_that_change() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    let rooms = [8_000, 2_000, 6_000, 1_000];
+    let submits = async {
+        for number in 0..40 {
+            site.insist(&id(number), job(8, 400)).await;
+            sleep(Duration::from_millis(250)).await;
+        }
+    };
+    let resizes = async {
+        for round in 0..rooms.len() {
+            for (number, worker) in site.machines.workers().iter().enumerate() {
+                worker.resize(rooms[(round + number) % rooms.len()], false);
+            }
+            sleep(Duration::from_secs(3)).await;
+        }
+        for worker in site.machines.workers() {
+            worker.resize(8_000, false);
+        }
+    };
+    tokio::join!(submits, resizes);
+    for number in 0..40 {
+        site.until_succeeded(&id(number)).await;
+    }
+    assert_sound(&site);
+}
--- a/testutils/src/platform/ledger.rs
+++ b/testutils/src/platform/ledger.rs
@@ -21,6 +21,8 @@
     /// Tasks that were ever done, also where the end is lost.
     ever_done: HashSet<String>,
     starts: HashMap<String, u32>,
+    /// How often each task was lost with its worker.
+    lost: HashMap<String, u32>,
     /// Workers that each task has brought down, and its starts after the third.
     crashes: HashMap<String, (u32, u32)>,
     /// Tasks of each step of the jobs that clients sent; empty where nobody says.
@@ -106,6 +108,23 @@
         }
     }
 
+    /// A start brought a worker that does not guard its room over it.
+    pub(super) fn over_room(&self, task: &str, used: u64, room: u64) {
+        self.lock().faults.push(format!("{task} brings its worker to {used} of {room}"));
+    }
+
+    /// A task was on a worker that has crashed.
+    pub(super) fn lost_with_worker(&self, task: &str) {
+        *self.lock().lost.entry(task.to_owned()).or_default() += 1;
+    }
+
+    /// The most workers that were lost under one task of a job.
+    pub fn lost_with_workers(&self, job: &str) -> u32 {
+        let ledger = self.lock();
+        let of_job = ledger.lost.iter().filter(|(task, _)| task.starts_with(job));
+        of_job.map(|(_, lost)| *lost).max().unwrap_or(0)
+    }
+
     /// A task has brought its worker down.
     pub(super) fn crashed_under(&self, task: &str) {
         self.lock().crashes.entry(task.to_owned()).or_default().0 += 1;
--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -40,6 +40,8 @@
     fence: u64,
 }
 
+/// Status of a machine whose worker has crashed.
+const DOWN: &str = "down";
 /// The pool whose machines are switched off.
 pub const RESERVE: &str = "spare";
 
@@ -129,7 +131,7 @@
 
     /// Crashes a machine's worker; another life begins a moment later.
     pub async fn crash(&self, id: &str) {
-        self.take_down(id, "down");
+        self.take_down(id, DOWN);
         self.bring_up(id.to_owned(), AWAY).await;
     }
 
@@ -156,7 +158,10 @@
         if let Some(machine) = state.machines.get_mut(id) {
             machine.status = status;
             if let Some(worker) = machine.worker.take() {
-                worker.crash();
+                match status {
+                    DOWN => worker.crash(),
+                    _ => worker.end(),
+                }
             }
         }
         let down = state.machines.values().filter(|machine| machine.status == "upkeep").count();
--- a/testutils/src/platform/soak.rs
+++ b/testutils/src/platform/soak.rs
@@ -50,6 +50,8 @@
     pub unknown: usize,
     /// Jobs whose cancelling was acknowledged.
     pub cancelled: usize,
+    /// Accepted jobs with tasks that bring down their workers.
+    pub poison: usize,
     /// Starts that workers saw.
     pub starts: u32,
     /// Faults brought about, with their times.
@@ -99,6 +101,7 @@
         refused: count(|told| told.refused),
         unknown: count(|told| !told.accepted && !told.refused),
         cancelled: count(|told| told.cancelled),
+        poison: count(|told| told.accepted && told.poison),
         starts: site.ledger.starts(),
         faults,
         broken,
--- a/testutils/src/platform/soak/client.rs
+++ b/testutils/src/platform/soak/client.rs
@@ -20,6 +20,12 @@
 const LASTING: f64 = 0.12;
 /// Share of jobs that end by themselves after which a client asks while they run.
 const ASKED: f64 = 0.2;
+/// Of so many jobs, by their ids, one has tasks that bring down their workers.
+const POISON_IN: u64 = 25;
+/// After how many milliseconds they do.
+const KILLS_AFTER: u32 = 15;
+/// Workers that must have crashed under a task before its job may be given up.
+const CRASHES: u32 = 2;
 /// How often a client asks for a job to be cancelled, and the pause between: together 10 s, longer
 /// than the longest fault and a takeover.
 const CANCEL_ATTEMPTS: usize = 50;
@@ -39,6 +45,8 @@
 pub(super) struct Told {
     pub(super) id: String,
     pub(super) lasts: bool,
+    /// Its tasks bring down their workers.
+    pub(super) poison: bool,
     pub(super) accepted: bool,
     /// Every answer said that it was not taken.
     pub(super) refused: bool,
@@ -55,14 +63,20 @@
 ) {
     while Instant::now() < until {
         let lasts = rng.random_bool(LASTING);
-        let id = format!("{:016x}", rng.random::<u64>());
+        let id = rng.random::<u64>();
+        let poison = id.is_multiple_of(POISON_IN);
+        let id = format!("{id:016x}");
         let steps: Vec<u32> = match lasts {
             true => vec![rng.random_range(1..=3)],
             false => (0..rng.random_range(1..=3)).map(|_| rng.random_range(1..=5)).collect(),
         };
         site.ledger.expect(&id, &steps);
-        let mut one = Told { id, lasts, ..Told::default() };
-        let job = job(&steps, lasts, rng.random_range(30..=300));
+        let mut one = Told { id, lasts, poison, ..Told::default() };
+        let mut job = job(&steps, lasts, rng.random_range(30..=300));
+        if poison {
+            let spec = job["spec"].as_str().unwrap_or_default();
+            job["spec"] = json!(format!("{spec} kills={KILLS_AFTER}"));
+        }
         submit(&site, &mut rng, &mut one, &job).await;
         if one.accepted {
             follow(&site, &mut rng, &mut one).await;
@@ -111,7 +125,7 @@
     }
     sleep(Duration::from_millis(rng.random_range(100..=900))).await;
     if let Ok(state) = site.state(rng.random_range(0..NODES), &told.id).await
-        && (state == "failed" || state == "canceled")
+        && (state == "failed" && !may_be_given_up(site, told) || state == "canceled")
     {
         told.broken.push(format!("{} is shown as {state} without cause", told.id));
     }
@@ -120,6 +134,11 @@
     }
 }
 
+/// Whether a job may be shown as failed: enough workers crashed under one of its tasks.
+pub(super) fn may_be_given_up(site: &Site, told: &Told) -> bool {
+    site.ledger.lost_with_workers(&told.id) >= CRASHES
+}
+
 /// Asks for a job to be cancelled until an answer comes.
 async fn cancel(site: &Site, rng: &mut StdRng, told: &mut Told, accepted: Instant) {
     for _ in 0..CANCEL_ATTEMPTS {
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -43,6 +43,28 @@
 /// Machines whose workers are brought down by a task.
 pub type Downs = mpsc::UnboundedSender<String>;
 
+/// The processor a worker has, in thousandths of a core.
+struct Room {
+    cpu: u64,
+    /// What it had before that changed, and when it did.
+    before: u64,
+    changed: Instant,
+    /// It refuses what does not fit.
+    guarded: bool,
+}
+
+impl Room {
+    /// How much may be started by what its entry says, or said a moment ago.
+    fn allowed(&self) -> u64 {
+        let is_new = self.changed.elapsed() < KNOWN;
+        if is_new { self.cpu.max(self.before) } else { self.cpu }
+    }
+}
+
+/// How long after a worker's room has shrunk starts may still go by what it was: a heartbeat, a read of the entry,
+/// and a start under way.
+const KNOWN: Duration = Duration::from_millis(1_500);
+
 /// What is wrong with a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -117,7 +139,7 @@
     /// Where it says that a task brings it down.
     downs: Downs,
     born: Instant,
-    cpu: u64,
+    room: Mutex<Room>,
     memory: u64,
     ledger: Ledger,
     state: Mutex<State>,
@@ -157,7 +179,12 @@
             machine: machine.to_owned(),
             downs: downs.clone(),
             born: Instant::now(),
-            cpu: shape.cpu,
+            room: Mutex::new(Room {
+                cpu: shape.cpu,
+                before: shape.cpu,
+                changed: Instant::now(),
+                guarded: true,
+            }),
             memory: shape.memory,
             ledger: ledger.clone(),
             state: Mutex::default(),
@@ -169,12 +196,15 @@
             let inner = shared.clone();
             async move { inner.answer(request).await }
         });
-        let entry = entry(addr, machine, shape, "ready");
+        let (shape, machine_name) = (shape.clone(), machine.to_owned());
         let (store, key, life) = (store.clone(), id.clone(), inner.clone());
-        let mut over = stopped;
+        let (beating, mut over) = (inner.clone(), stopped);
         tokio::spawn(async move {
             let beats = async {
                 loop {
+                    let cpu = beating.room().cpu;
+                    let entry =
+                        entry(addr, &machine_name, &Shape { cpu, ..shape.clone() }, "ready");
                     store.put(WORKER_TOPIC, Record::set(key.clone(), entry.to_string()));
                     sleep(HEARTBEAT).await;
                 }
@@ -196,8 +226,22 @@
         self.inner.state().fault = fault;
     }
 
-    /// Ends the life with all it runs.
+    /// Sets how much processor it has, which its next heartbeat tells, and whether it refuses what does not fit.
+    pub fn resize(&self, cpu: u64, guarded: bool) {
+        let mut room = self.inner.room();
+        *room = Room { cpu, before: room.allowed(), changed: Instant::now(), guarded };
+    }
+
+    /// Ends the life with all it runs, although nobody ordered that.
     pub fn crash(&self) {
+        for task in self.inner.state().runs.keys() {
+            self.inner.ledger.lost_with_worker(task);
+        }
+        self.end();
+    }
+
+    /// Ends the life with all it runs.
+    pub fn end(&self) {
         let mut state = self.inner.state();
         // What arrives before the server is gone starts nothing.
         state.fault = Fault::Cut;
@@ -235,6 +279,10 @@
         self.state.lock().expect("no holder panics")
     }
 
+    fn room(&self) -> MutexGuard<'_, Room> {
+        self.room.lock().expect("no holder panics")
+    }
+
     fn clock(&self) -> u64 {
         CLOCK_START + self.born.elapsed().as_millis() as u64
     }
@@ -339,9 +387,14 @@
         let (cpu, memory) = (figure(spec, "cpu=").unwrap_or(0), figure(spec, "mem=").unwrap_or(0));
         let used: u64 = state.runs.values().map(|running| running.cpu).sum();
         let taken: u64 = state.runs.values().map(|running| running.memory).sum();
-        if used + cpu > self.cpu || taken + memory > self.memory {
+        let room = self.room();
+        if room.guarded && (used + cpu > room.cpu || taken + memory > self.memory) {
             return Err("room");
         }
+        if cpu > 0 && used + cpu > room.allowed() {
+            self.ledger.over_room(&task, used + cpu, room.allowed());
+        }
+        drop(room);
         let until =
             figure(spec, "ms=").map(|millis| Instant::now() + Duration::from_millis(millis));
         state.runs.insert(task.clone(), Running { run, until, ends_at: None, cpu, memory });
