--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -1,7 +1,6 @@
 //! The scheduler's state, step by step: what is started, and when what may run elsewhere is known
 //! to be gone.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,7 +19,6 @@
 use spokelift_lib::batch::worker::LEASE;
 use spokelift_lib::transport::clock;
 use spokelift_platform::ingress::JobState;
-use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::Step;
 use spokelift_platform::job::TaskName;
@@ -33,6 +31,9 @@
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Running;
 use spokelift_platform::worker::Seen;
+use spokelift_testutils::batch;
+use spokelift_testutils::batch::accepted;
+use spokelift_testutils::batch::addr;
 
 const TOKEN: u64 = 10;
 const MILLI: Duration = Duration::from_millis(1);
@@ -45,39 +46,12 @@
     Step { long_running: true, may_miss: Some(1), max_per_worker: 1, ..step(count) }
 }
 
-fn accepted(steps: Vec<Step>) -> Accepted {
-    Accepted {
-        job: Job { spec: "x".to_owned(), steps, repetitions: 0, first_run_ms: 0, interval_ms: 0 },
-        queue: "q".to_owned(),
-        service: "work".to_owned(),
-        priority: 0,
-        max_attempts: 2,
-        needs_advice: false,
-        objective_ms: 600,
-        stretch_percent: 160,
-        at: Duration::from_secs(1),
-    }
-}
-
 fn task(job: JobId, step: u16, index: u32) -> TaskName {
     TaskName { job, time: 0, step, index }
 }
 
 fn entry(machine: &str) -> Entry {
-    Entry {
-        service: "work".to_owned(),
-        address: addr(),
-        hall: "hall-1".to_owned(),
-        draining: false,
-        room: Room { cpu: 4_000, memory_mb: 4_000, gpu: 0 },
-        labels: vec!["r1-1".to_owned()],
-        leaves_in_ms: None,
-        machine: Some(machine.to_owned()),
-    }
-}
-
-fn addr() -> SocketAddr {
-    "127.0.0.1:1".parse().unwrap()
+    batch::entry(machine, 4_000)
 }
 
 struct Bed {
--- a/lib/tests/test_crash.rs
+++ b/lib/tests/test_crash.rs
@@ -2,7 +2,6 @@
 //! and what that costs the tasks beside them.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,22 +9,22 @@
 use spokelift_lib::batch::cell::Order;
 use spokelift_lib::batch::crash::Evidence;
 use spokelift_lib::batch::record;
-use spokelift_lib::batch::record::Accepted;
 use spokelift_lib::batch::record::Crashes;
 use spokelift_lib::batch::record::Progress;
 use spokelift_lib::batch::record::ProgressRecord;
 use spokelift_lib::transport::clock;
 use spokelift_platform::ingress::JobState;
-use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::Step;
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::Entry;
 use spokelift_platform::worker::Peer;
-use spokelift_platform::worker::Room;
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Running;
 use spokelift_platform::worker::Seen;
+use spokelift_testutils::batch::accepted;
+use spokelift_testutils::batch::addr;
+use spokelift_testutils::batch::entry;
 
 const TOKEN: u64 = 10;
 /// Time between two looks at a worker here.
@@ -35,28 +34,10 @@
     Step { count, cpu: 1_000, memory_mb: 100, estimate_ms: 500, ..Step::default() }
 }
 
-fn accepted(steps: Vec<Step>) -> Accepted {
-    Accepted {
-        job: Job { spec: "x".to_owned(), steps, repetitions: 0, first_run_ms: 0, interval_ms: 0 },
-        queue: "q".to_owned(),
-        service: "work".to_owned(),
-        priority: 0,
-        max_attempts: 2,
-        needs_advice: false,
-        objective_ms: 600,
-        stretch_percent: 160,
-        at: Duration::from_secs(1),
-    }
-}
-
 fn task(job: JobId, step: u16, index: u32) -> TaskName {
     TaskName { job, time: 0, step, index }
 }
 
-fn addr() -> SocketAddr {
-    "127.0.0.1:1".parse().unwrap()
-}
-
 /// A scheduler's state, and what its workers run.
 struct Bed {
     cell: Cell,
@@ -102,17 +83,7 @@
         self.count += 1;
         let id = format!("w{}", self.count);
         self.lives.insert(machine.to_owned(), id.clone());
-        let entry = Entry {
-            service: "work".to_owned(),
-            address: addr(),
-            hall: "hall-1".to_owned(),
-            draining: false,
-            room: Room { cpu: 8_000, memory_mb: 8_000, gpu: 0 },
-            labels: vec!["r1-1".to_owned()],
-            leaves_in_ms: None,
-            machine: Some(machine.to_owned()),
-        };
-        self.cell.meet(Peer { id: id.clone(), addr: addr() }, entry, self.now);
+        self.cell.meet(Peer { id: id.clone(), addr: addr() }, entry(machine, 8_000), self.now);
         id
     }
 
--- a/lib/tests/test_mutated.rs
+++ b/lib/tests/test_mutated.rs
@@ -2,7 +2,6 @@
 //! flipped. Each is decoded into something sound or refused with a typed error, and what is decoded can be taken in.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -27,6 +26,8 @@
 use spokelift_platform::wave::Wave;
 use spokelift_platform::worker::Entry;
 use spokelift_platform::worker::Peer;
+use spokelift_testutils::batch;
+use spokelift_testutils::batch::addr;
 
 /// Cases for each decoder here; `PROPTEST_CASES` runs more by hand.
 const CASES: u32 = 256;
@@ -39,10 +40,6 @@
     }
 }
 
-fn addr() -> SocketAddr {
-    "127.0.0.1:1".parse().unwrap()
-}
-
 /// A value of some other type or size.
 fn other() -> impl Strategy<Value = Value> {
     let leaf = prop_oneof![
@@ -173,17 +170,7 @@
 }
 
 fn accepted(job: Job) -> Accepted {
-    Accepted {
-        job,
-        queue: "q".to_owned(),
-        service: "work".to_owned(),
-        priority: 0,
-        max_attempts: 2,
-        needs_advice: false,
-        objective_ms: 600,
-        stretch_percent: 160,
-        at: Duration::from_secs(1),
-    }
+    Accepted { job, ..batch::accepted(Vec::new()) }
 }
 
 /// Records as schedulers and nodes write them.
--- a/lib/tests/test_suspended.rs
+++ b/lib/tests/test_suspended.rs
@@ -1,7 +1,6 @@
 //! A box that was suspended for some seconds: the steady clock stood still meanwhile, so by that clock its lead was
 //! renewed a moment ago. Each test lets the process believe that it was suspended, which moves only this clock on.
 
-use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -9,15 +8,14 @@
 use spokelift_lib::batch::carry::license::License;
 use spokelift_lib::batch::cell::Cell;
 use spokelift_lib::batch::cell::Order;
-use spokelift_lib::batch::record::Accepted;
 use spokelift_lib::batch::turn::is_sole_holder;
 use spokelift_lib::transport::clock;
-use spokelift_platform::job::Job;
 use spokelift_platform::job::Step;
-use spokelift_platform::worker::Entry;
 use spokelift_platform::worker::Peer;
-use spokelift_platform::worker::Room;
 use spokelift_platform::worker::Seen;
+use spokelift_testutils::batch::accepted;
+use spokelift_testutils::batch::addr;
+use spokelift_testutils::batch::entry;
 
 const AWAY: Duration = Duration::from_secs(6);
 
@@ -28,10 +26,6 @@
     CLOCK.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
-fn addr() -> SocketAddr {
-    "127.0.0.1:1".parse().unwrap()
-}
-
 #[test]
 fn the_time_away_counts() {
     let _clock = lock();
@@ -75,39 +69,11 @@
     let mut cell = Cell::new(10);
     cell.renewed_at = Some(clock::now());
     clock::pretend_suspended(AWAY);
-    let entry = Entry {
-        service: "work".to_owned(),
-        address: addr(),
-        hall: "hall-1".to_owned(),
-        draining: false,
-        room: Room { cpu: 4_000, memory_mb: 4_000, gpu: 0 },
-        labels: Vec::new(),
-        leaves_in_ms: None,
-        machine: Some("m0".to_owned()),
-    };
-    cell.meet(Peer { id: "w0".to_owned(), addr: addr() }, entry, clock::now());
+    cell.meet(Peer { id: "w0".to_owned(), addr: addr() }, entry("m0", 4_000), clock::now());
     let seen = Seen { clock: 1_000, running: Vec::new(), ended: Vec::new() };
     cell.on_look("w0", clock::now(), clock::now(), seen);
     let step = Step { count: 1, cpu: 1_000, ..Step::default() };
-    let job = Job {
-        spec: String::new(),
-        steps: vec![step],
-        repetitions: 0,
-        first_run_ms: 0,
-        interval_ms: 0,
-    };
-    let accepted = Accepted {
-        job,
-        queue: "q".to_owned(),
-        service: "work".to_owned(),
-        priority: 0,
-        max_attempts: 2,
-        needs_advice: false,
-        objective_ms: 600,
-        stretch_percent: 160,
-        at: Duration::from_secs(1),
-    };
-    cell.admit(1, accepted, None);
+    cell.admit(1, accepted(vec![step]), None);
     cell.place(clock::now(), Duration::from_secs(1));
     let started = cell.outbox.iter().filter(|order| matches!(order, Order::Start { .. })).count();
     assert_eq!(started, 0);
--- a/lib/tests/test_table.rs
+++ b/lib/tests/test_table.rs
@@ -2,7 +2,6 @@
 //! the cost of one placement away from the size of the site.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,7 +10,6 @@
 use spokelift_lib::batch::cell::Order;
 use spokelift_lib::batch::record::Accepted;
 use spokelift_lib::transport::clock;
-use spokelift_platform::job::Job;
 use spokelift_platform::job::Step;
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::End;
@@ -22,6 +20,8 @@
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Running;
 use spokelift_platform::worker::Seen;
+use spokelift_testutils::batch;
+use spokelift_testutils::batch::addr;
 
 const TOKEN: u64 = 7;
 /// Time between two rounds of placing that nothing but time asks for.
@@ -30,10 +30,6 @@
 const SUSPECTS_WAIT: Duration = Duration::from_millis(1_300);
 const SERVICES: [&str; 3] = ["one", "two", "three"];
 
-fn addr() -> SocketAddr {
-    "127.0.0.1:1".parse().unwrap()
-}
-
 fn entry(number: usize, draining: bool) -> Entry {
     Entry {
         service: SERVICES[number % SERVICES.len()].to_owned(),
@@ -48,23 +44,7 @@
 }
 
 fn accepted(service: &str, step: Step) -> Accepted {
-    Accepted {
-        job: Job {
-            spec: "x".to_owned(),
-            steps: vec![step],
-            repetitions: 0,
-            first_run_ms: 0,
-            interval_ms: 0,
-        },
-        queue: "q".to_owned(),
-        service: service.to_owned(),
-        priority: 0,
-        max_attempts: 2,
-        needs_advice: false,
-        objective_ms: 600,
-        stretch_percent: 160,
-        at: Duration::from_secs(1),
-    }
+    Accepted { service: service.to_owned(), ..batch::accepted(vec![step]) }
 }
 
 fn step(count: u32) -> Step {
--- /dev/null
+++ b/testutils/src/batch.rs
@@ -0,0 +1,51 @@
+//! Samples for tests of batch work that need no process: an accepted job, a worker's entry.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use spokelift_lib::batch::record::Accepted;
+use spokelift_platform::job::Job;
+use spokelift_platform::job::Step;
+use spokelift_platform::worker::Entry;
+use spokelift_platform::worker::Room;
+
+/// An address at which nothing is called.
+pub fn addr() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// A job of service `work` that runs these steps once, accepted a second after 1970.
+///
+/// ```
+/// use spokelift_platform::job::Step;
+/// use spokelift_testutils::batch::accepted;
+/// assert_eq!(accepted(vec![Step::default()]).service, "work");
+/// ```
+pub fn accepted(steps: Vec<Step>) -> Accepted {
+    Accepted {
+        job: Job { spec: "x".to_owned(), steps, repetitions: 0, first_run_ms: 0, interval_ms: 0 },
+        queue: "q".to_owned(),
+        service: "work".to_owned(),
+        priority: 0,
+        max_attempts: 2,
+        needs_advice: false,
+        objective_ms: 600,
+        stretch_percent: 160,
+        at: Duration::from_secs(1),
+    }
+}
+
+/// The entry of a worker of service `work` on a machine, with so much processor in thousandths of a core, and as
+/// many megabytes of memory.
+pub fn entry(machine: &str, cpu: u32) -> Entry {
+    Entry {
+        service: "work".to_owned(),
+        address: addr(),
+        hall: "hall-1".to_owned(),
+        draining: false,
+        room: Room { cpu, memory_mb: cpu, gpu: 0 },
+        labels: vec!["r1-1".to_owned()],
+        leaves_in_ms: None,
+        machine: Some(machine.to_owned()),
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![warn(missing_docs)]
 
+pub mod batch;
 pub mod boxes;
 pub mod caller;
 pub mod entry;
