--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -812,7 +812,7 @@
     let site = Site::start(PROGRAM, 2, 3, 0).await.unwrap();
     let foreign = [
         ("x-bytes", "\u{0}\u{1}not json".to_owned()),
-        ("x-state", json!({ "service": "work", "address": "127.0.0.1:1", "zone": "h", "version": "v1", "slots": 8, "state": "resting", "coldRemainingMs": 0, "seq": 0, "capacity": { "cpu": 8000, "memMb": 8000 } }).to_string()),
+        ("x-state", worker::entry_in_state("resting").to_string()),
         ("x-half", json!({ "service": "work", "address": 7 }).to_string()),
     ];
     for (key, value) in &foreign {
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -259,6 +259,13 @@
     }
 }
 
+/// The entry of a worker of service `work` at which nothing is called, in a state of one's own.
+pub fn entry_in_state(state: &str) -> Value {
+    let shape =
+        Shape { service: "work".to_owned(), rack: "r1-0".to_owned(), cpu: 8_000, memory: 8_000 };
+    entry(SocketAddr::from(([127, 0, 0, 1], 1)), "m-none", &shape, state)
+}
+
 fn entry(addr: SocketAddr, machine: &str, shape: &Shape, state: &str) -> Value {
     json!({
         "service": shape.service, "address": addr.to_string(), "zone": "hall-1", "version": "v1",
