--- a/lib/tests/test_turn.rs
+++ b/lib/tests/test_turn.rs
@@ -4,6 +4,7 @@
 use std::slice::from_ref;
 use std::time::Duration;
 
+use spokelift_lib::batch::announce::Pace;
 use spokelift_lib::batch::turn::Resting;
 use spokelift_lib::batch::turn::Turn;
 use spokelift_lib::transport::clock;
@@ -127,3 +128,64 @@
     assert!(turn.unannounced(&[b], now).is_none());
     assert!(turn.unannounced(&[a], now).is_some());
 }
+
+/// Rounds of orders each 150 ms for 8 s, in each of which one more box is wanted; the store takes a write in 10 ms, and
+/// in `late` as long as a store 70 times slower, one at a time. Returns the longest time that a box waited.
+fn longest_wait(late: std::ops::Range<u64>, ahead: bool) -> u64 {
+    const ROUND_MS: u64 = 150;
+    let begun = clock::now();
+    let at = |ms: u64| begun + Duration::from_millis(ms);
+    let turn = Turn::new(GAP, these([]), begun);
+    let every: HashSet<String> = (0..60).map(|number| format!("m{number}")).collect();
+    let mut pace = Pace::default();
+    // The last announcement that was made, the last one that the store knows, and the write under way: until when, and
+    // up to which announcement. What is announced meanwhile goes into the next write.
+    let (mut made, mut known, mut write) = (0, 0, None);
+    let mut wanted: Vec<(u64, String)> = Vec::new();
+    let mut longest = 0;
+    for now in (0..9_000).step_by(10) {
+        if let Some((_, number)) = write.take_if(|(until, _)| *until <= now) {
+            known = number;
+            turn.note_announced(number);
+            pace.end(at(now));
+        }
+        if now % ROUND_MS == 0 && now < 8_000 {
+            wanted.push((now, format!("m{}", now / ROUND_MS)));
+            let boxes = if ahead && pace.is_late(at(now)) { every.clone() } else { HashSet::new() };
+            if let Some(all) = turn.announce_ahead(boxes, at(now)) {
+                made += 1;
+                turn.begin_announcement(made, all);
+            }
+            let targets: Vec<String> = wanted.iter().map(|(_, target)| target.clone()).collect();
+            let untold = turn.unannounced(&targets, at(now));
+            if let Some(all) = untold.filter(|_| turn.awaited(&targets).is_none()) {
+                made += 1;
+                turn.begin_announcement(made, all);
+            }
+        }
+        if write.is_none() && made > known {
+            pace.begin(at(now));
+            write = Some((now + if late.contains(&now) { 350 } else { 10 }, made));
+        }
+        wanted.retain(|(since, target)| {
+            let may_go = turn.unannounced(std::slice::from_ref(target), at(now)).is_none();
+            if may_go {
+                turn.begin_order(target, at(now));
+                longest = longest.max(now - since);
+            }
+            !may_go
+        });
+    }
+    longest
+}
+
+/// The load of a rise beside a store that is slow from 2 s to 7 s: once all boxes are announced no order waits, so the
+/// longest wait is that of the first announcements. Without it each round waits for its own.
+#[test]
+fn in_a_rise_beside_a_slow_store_boxes_wait_for_the_first_announcements_only() {
+    assert!(longest_wait(0..0, true) <= 150);
+    let (with, without) = (longest_wait(2_000..7_000, true), longest_wait(2_000..7_000, false));
+    println!("longest wait {with} ms, {without} ms without");
+    assert!(with <= 1_050, "{with} ms");
+    assert!(without > 2 * with, "{without} ms without, {with} ms with");
+}
