crash: workers that fall silent together say little of what ran on them

Cause: each crash was weighed by itself, and the time that a run had lived is a lower bound (the answer to its start, if nothing else was heard), so where three in ten workers crash each 3 s a task that was there twice looked like one that brings workers down. A job whose 24 tasks last was failed for one of them, which stopped the others (AVAIL).

Ruled out: tasks that do bring down workers (copies of the sites with none give up as many); a base rate of crashes (with 14 jobs a second, one in 20 of them poison, first crashes alone are as frequent as in a storm, 0.06 and 0.1 a worker and second); more starts for all (2.3 crashes a poison task would become 4).

Change: of each worker it is known between when and when it fell silent. A crash beside two others and a tenth of all workers, of the service or in all, is evidence `Shared`: it counts only towards the five starts that the platform allows, and not towards how often tasks are to blame. That a task had run for a while says nothing then, and is not counted. A silent worker's tasks are noted as lost once, not at each tick.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -36,6 +36,7 @@
 use crate::batch::cell::crashes::Lost;
 pub use crate::batch::cell::crashes::Tally;
 use crate::batch::crash::Repeats;
+use crate::batch::crash::silence::Silences;
 use crate::batch::demand::Demand;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
@@ -223,6 +224,8 @@
     pub(super) repeats: Repeats,
     /// Silent workers whose leases have run out, and that may have crashed.
     lost: HashMap<WorkerId, Lost>,
+    /// When workers that are not known any more fell silent.
+    silences: Silences,
     /// Crashes that were counted, and what came of them.
     pub tally: Tally,
     /// Workers that the store is to know of, or to forget.
@@ -279,6 +282,7 @@
             suspects: false,
             repeats: Repeats::default(),
             lost: HashMap::new(),
+            silences: Silences::default(),
             tally: Tally::default(),
             roster: Vec::new(),
             announcement: 0,
--- a/lib/src/batch/cell/crashes.rs
+++ b/lib/src/batch/cell/crashes.rs
@@ -19,7 +19,9 @@
 use crate::batch::crash;
 use crate::batch::crash::Crash;
 use crate::batch::crash::Evidence;
+use crate::batch::crash::silence::explains;
 use crate::batch::record::Crashes;
+use crate::batch::worker::Kind;
 use crate::batch::worker::Slot;
 use crate::batch::worker::Worker;
 use crate::transport::clock;
@@ -39,6 +41,14 @@
     tasks: Vec<(TaskName, Evidence)>,
 }
 
+/// Workers that may have fallen silent in the same moment as another.
+struct Beside {
+    /// Those of its service.
+    of_service: usize,
+    /// All of them.
+    in_all: usize,
+}
+
 /// What has been counted since it was last asked.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -55,7 +65,7 @@
             self.lost.remove(id);
             return;
         };
-        tell_youngest(worker);
+        tell_youngest(worker, &self.silent_beside(worker));
         self.tally.workers += 1;
         let tasks = self.tasks_on(worker);
         let lost = self.lost.remove(id).into_iter().flat_map(|lost| lost.tasks);
@@ -65,6 +75,10 @@
     /// Everything on a silent worker has lapsed. It may have crashed, which another life would show.
     pub(super) fn note_lost(&mut self, id: &str) {
         let Some(worker) = self.workers.get(id).filter(|worker| !worker.leaves()) else { return };
+        // It stays silent, and what was on it is remembered already.
+        if worker.slots.is_empty() && self.lost.contains_key(id) {
+            return;
+        }
         let tasks = self.tasks_on(worker);
         if tasks.is_empty() {
             return;
@@ -95,6 +109,7 @@
 
     /// Lets go of silent workers that will not be heard of any more.
     pub fn forget_lost(&mut self, now: Instant) {
+        self.silences.forget(now);
         self.lost.retain(|_, lost| now.saturating_duration_since(lost.lost_at) <= REMEMBER_LOST);
     }
 
@@ -110,19 +125,61 @@
             _ if jobs.len() == 1 => Evidence::Alone,
             _ => Evidence::Among,
         };
-        let slots = worker.slots.iter().map(|(task, slot)| (*task, evidence(slot)));
+        let is_shared = !worker.slots.is_empty() && self.has_company(worker);
+        let slots = worker.slots.iter().filter_map(|(task, slot)| match evidence(slot) {
+            // That it had run for a while still speaks for one that lasts.
+            Evidence::Earlier if is_shared && slot.kind == Kind::Works => None,
+            Evidence::Earlier => Some((*task, Evidence::Earlier)),
+            _ if is_shared => Some((*task, Evidence::Shared)),
+            own => Some((*task, own)),
+        });
         let inherited = self.silent_with.get(&worker.peer.id);
         let inherited = inherited.into_iter().flatten().map(|task| (*task, Evidence::Unsure));
         slots.chain(inherited).collect()
     }
 
+    /// Other workers that may have fallen silent in the same moment.
+    fn silent_beside(&self, worker: &Worker) -> Beside {
+        let now = clock::now();
+        let silence = worker.silence(now);
+        let known = self.workers.values().filter(|other| {
+            other.number != worker.number
+                && other.fell_silent()
+                && other.silence(now).meets(&silence)
+        });
+        let known = known.map(|other| other.entry.service.as_str());
+        let services: Vec<&str> = known.chain(self.silences.services(&silence)).collect();
+        let service = &worker.entry.service;
+        let of_service = services.iter().filter(|name| *name == service).count();
+        Beside { of_service, in_all: services.len() }
+    }
+
+    /// Whether so many others fell silent in the same moment as a worker, of its service or in all, that its crash
+    /// says little of its tasks.
+    fn has_company(&self, worker: &Worker) -> bool {
+        let beside = self.silent_beside(worker);
+        let workers = self.workers.of_service(&worker.entry.service).count();
+        explains(beside.of_service, workers) || explains(beside.in_all, self.workers.len())
+    }
+
+    /// Remembers when a worker that will not be known any more fell silent.
+    pub(super) fn note_silence(&mut self, worker: &Worker) {
+        let now = clock::now();
+        if worker.fell_silent() {
+            self.silences.note(&worker.entry.service, worker.silence(now), now);
+        }
+    }
+
     /// Counts a crash for tasks, and gives up those that have had too many.
     fn record_crash(&mut self, worker: &str, tasks: Vec<(TaskName, Evidence)>) {
         let is_repeat = tasks.iter().any(|(name, evidence)| {
             let task = self.jobs.get_mut(&name.job).and_then(|entry| entry.task(*name));
             task.is_some_and(|task| crash::is_repeat(&task.crashes, *evidence))
         });
-        self.repeats.crashed(is_repeat);
+        // Where others crashed as well, that says nothing of whether tasks are to blame.
+        if !tasks.iter().any(|(_, evidence)| *evidence == Evidence::Shared) {
+            self.repeats.crashed(is_repeat);
+        }
         for (name, evidence) in tasks {
             let Some(entry) = self.jobs.get_mut(&name.job) else { continue };
             let lasts = entry.step(name.step).is_some_and(|step| step.long_running);
@@ -183,8 +240,9 @@
     }
 }
 
-/// Tells which runs had only just begun on a worker that has crashed: one of them may be why.
-fn tell_youngest(worker: &Worker) {
+/// Tells which runs had only just begun on a worker that has crashed, one of which may be why, and how many
+/// others fell silent with it, which speaks for all of them.
+fn tell_youngest(worker: &Worker, beside: &Beside) {
     let lived = |(task, slot): (&TaskName, &Slot)| (worker.lived(slot).as_millis() as u64, *task);
     let mut runs: Vec<(u64, TaskName)> = worker.slots.iter().map(lived).collect();
     runs.sort();
@@ -193,6 +251,8 @@
     log::info!(
         worker = worker.peer.id.as_str(),
         runs = runs.len(),
+        silent_beside = beside.in_all,
+        of_service = beside.of_service,
         youngest_ms = youngest.join(",").as_str();
         "worker crashed"
     );
--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -25,6 +25,7 @@
 use crate::batch::worker::Kind;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
+use crate::transport::clock;
 
 /// Failures in a row, of different tasks, after which a worker is taken to fail everything.
 const FAILURES_IN_A_ROW: u32 = 3;
@@ -42,6 +43,7 @@
     pub fn on_look(&mut self, id: &str, sent: Instant, now: Instant, seen: Seen) {
         let Some(mut worker) = self.workers.get_mut(id) else { return };
         worker.misses = 0;
+        worker.missed_at = None;
         worker.handed_over = false;
         if worker.clock.is_some_and(|(last, _)| seen.clock <= last) {
             return;
@@ -301,6 +303,7 @@
     pub fn on_miss(&mut self, id: &str) {
         let Some(mut worker) = self.workers.get_mut(id) else { return };
         worker.misses += 1;
+        worker.missed_at.get_or_insert_with(clock::now);
         if worker.fenced && !worker.noted_silent {
             worker.noted_silent = true;
             self.roster.push(record::worker(id, &worker.known()));
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -182,6 +182,7 @@
     pub fn remove_worker(&mut self, id: &str, why: &str) {
         let Some(worker) = self.workers.remove(id) else { return };
         log::info!(worker = id, why, runs = worker.slots.len(); "worker gone");
+        self.note_silence(&worker);
         self.unasked.remove(id);
         self.removed.push(worker.number);
         self.roster.push(record::forget_worker(id));
--- a/lib/src/batch/crash.rs
+++ b/lib/src/batch/crash.rs
@@ -6,6 +6,8 @@
 //! One that had only just begun is a suspect: its next run begins where no other job's task has just begun
 //! (see [`crate::batch::place`]), so that a second crash speaks against nobody else.
 
+pub mod silence;
+
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -27,6 +29,9 @@
 /// of 2 s has four such runs once in 500 where 30% of all workers crash each 3 s for reasons of their own.
 const MOST: usize = 4;
 
+/// Crashes of any kind after which it is given up: the platform allows no more than five starts.
+const MOST_OF_ALL: usize = 5;
+
 /// Share of crashes under a task that had been a suspect before, from which on a task is tried by itself
 /// after the first crash. About half are where tasks are to blame, 3 to 10 in a hundred where 30% of all
 /// workers crash each 3 s whatever they run.
@@ -81,6 +86,15 @@
     Unsure,
     /// It had run for a while.
     Earlier,
+    /// It had just begun, or may have, and other workers fell silent in the same moment: see [`silence`].
+    Shared,
+}
+
+impl Evidence {
+    /// Whether it may speak against the task.
+    fn is_suspicious(self) -> bool {
+        !matches!(self, Evidence::Earlier | Evidence::Shared)
+    }
 }
 
 impl std::fmt::Display for Evidence {
@@ -90,6 +104,7 @@
             Evidence::Among => "it had just begun there, as others had",
             Evidence::Unsure => "it may not have begun there",
             Evidence::Earlier => "it had run there for a while",
+            Evidence::Shared => "others crashed in the same moment",
         })
     }
 }
@@ -117,7 +132,7 @@
 /// assert!(is_suspect(&[crash(Evidence::Among), crash(Evidence::Among)], repeats));
 /// ```
 pub fn is_suspect(crashes: &[Crash], repeats: Repeats) -> bool {
-    let young = crashes.iter().filter(|crash| crash.evidence != Evidence::Earlier).count();
+    let young = crashes.iter().filter(|crash| crash.evidence.is_suspicious()).count();
     young >= MOST_AS_SUSPECT || young > 0 && repeats.are_common()
 }
 
@@ -139,6 +154,10 @@
 /// // Its neighbours may be to blame both times.
 /// assert!(!is_given_up(&[among.clone(), among], false));
 /// assert!(is_given_up(&[alone.clone(), alone.clone(), alone], true));
+/// // Many workers crashed each time, whatever they ran.
+/// let shared = crash(Evidence::Shared);
+/// assert!(!is_given_up(&vec![shared.clone(); 4], false));
+/// assert!(is_given_up(&vec![shared; 5], false));
 /// ```
 pub fn is_given_up(crashes: &[Crash], lasts: bool) -> bool {
     let count = |wanted: &[Evidence]| {
@@ -146,8 +165,10 @@
     };
     let is_clear = count(&[Evidence::Alone]) > 0;
     let young = count(&[Evidence::Alone, Evidence::Among]);
-    match lasts {
+    let own = crashes.len() - count(&[Evidence::Shared]);
+    let is_over = match lasts {
         true => is_clear && young >= MOST_LASTING,
-        false => is_clear && young >= MOST_AS_SUSPECT || crashes.len() >= MOST,
-    }
+        false => is_clear && young >= MOST_AS_SUSPECT || own >= MOST,
+    };
+    is_over || crashes.len() >= MOST_OF_ALL
 }
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -15,6 +15,7 @@
 use spokelift_platform::worker::WorkerMs;
 use thiserror::Error;
 
+use crate::batch::crash::silence::Silence;
 use crate::batch::record::Known;
 use crate::batch::worker::table::Number;
 
@@ -177,6 +178,8 @@
     pub fenced: bool,
     /// Looks in a row without an answer.
     pub misses: u32,
+    /// When the first of them failed.
+    pub missed_at: Option<Instant>,
     /// It gets nothing new until then.
     pub rest_until: Instant,
     /// Its entry in the store was replaced by one that no worker writes.
@@ -225,6 +228,7 @@
             lease_until: 0,
             fenced: false,
             misses: 0,
+            missed_at: None,
             rest_until: now,
             unusable: false,
             listed: true,
@@ -253,6 +257,17 @@
         }
     }
 
+    /// Whether it fell silent although nobody had ordered or announced that.
+    pub fn fell_silent(&self) -> bool {
+        self.misses > 0 && !self.leaves()
+    }
+
+    /// Between when and when it fell silent, as far as is known now.
+    pub fn silence(&self, now: Instant) -> Silence {
+        let missed_at = self.missed_at.unwrap_or(now).max(self.heard_at);
+        Silence { heard_at: self.heard_at, missed_at }
+    }
+
     /// When it last answered a look.
     pub fn answered_at(&self) -> Option<Instant> {
         self.clock.map(|(_, told)| told)
--- a/testutils/src/batch/play.rs
+++ b/testutils/src/batch/play.rs
@@ -193,6 +193,11 @@
     fn crash(&mut self, id: &str) {
         let Some(life) = self.lives.remove(id) else { return };
         self.cell.on_miss(id);
+        let now = self.now();
+        // A look is under way at every worker, so the connection breaks as it crashes.
+        if let Some(mut worker) = self.cell.workers.get_mut(id) {
+            worker.missed_at = Some(now);
+        }
         self.back.push((self.ms + BACK_MS, life.machine));
     }
 
