stuck: tell why a task that lasts waits beside room

Needed to tell the hypotheses of the wave over takeovers apart: in the clean case two tasks waited 18 s beside 30 free cores, and no line said which rule kept them away. Ruled out as enough: `batch explain`, which is asked of a live site only, and said "no room" without what there was too little of.

Each second, for the first 16 steps that last and wait: one whose task has waited for 3 s although a worker that answers has room for it is told with what keeps it from how many workers, when found and when the reasons change; counter batch.task.waits-beside-room. "no room" names processor, memory or accelerators, in `batch explain` too.

No decision changes.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -27,6 +27,7 @@
 pub mod record;
 pub mod relay;
 pub mod scheduler;
+pub mod stuck;
 pub mod submit;
 pub mod turn;
 pub mod upkeep;
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -12,6 +12,8 @@
 use crate::batch::pool::Pools;
 use crate::batch::pool::load::loads;
 use crate::batch::scheduler::Scheduler;
+use crate::batch::stuck::Teller;
+use crate::batch::stuck::stuck;
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::Waves;
 use crate::transport::clock;
@@ -35,6 +37,7 @@
     let mut waves = Waves::begin(&scheduler).await;
     let mut pools = Pools::default();
     let mut told_at = clock::now();
+    let mut teller = Teller::default();
     let rate = scheduler.node.settings.machine_orders_per_s;
     let mut last_round = clock::now();
     loop {
@@ -45,6 +48,9 @@
         if clock::since(told_at) >= TELL {
             told_at = clock::now();
             tell_loads(&scheduler);
+            let waiting = stuck(&scheduler.cell(), clock::now());
+            let first = teller.tell(&waiting) as u64;
+            scheduler.node.counters.add("batch.task.waits-beside-room", first);
         }
         if !under_way && !pools.wants_list(&scheduler) {
             continue;
--- a/lib/src/batch/place/fit.rs
+++ b/lib/src/batch/place/fit.rs
@@ -1,5 +1,6 @@
 //! Whether a worker may run a task, and how well it suits.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use spokelift_platform::job::Step;
@@ -14,6 +15,7 @@
 use crate::batch::place::quarantine::Suspicion;
 use crate::batch::worker::Closed;
 use crate::batch::worker::Kind;
+use crate::batch::worker::Lack;
 use crate::batch::worker::Worker;
 
 /// What is asked of a worker.
@@ -66,8 +68,8 @@
     #[error("a suspect begins by itself")]
     NotIsolated,
     /// There is not enough room.
-    #[error("no room")]
-    Room,
+    #[error("no room: {0}")]
+    Room(Lack),
 }
 
 /// Why a worker may not run the task now; `None` if it may.
@@ -93,10 +95,7 @@
     if crowded || worker.slots.contains_key(&ask.task) {
         return Some(Hindrance::Spread);
     }
-    if worker.clock.is_none() || !worker.fits(ask.need) {
-        return Some(Hindrance::Room);
-    }
-    None
+    worker.lack(ask.need).map(Hindrance::Room)
 }
 
 /// Why a worker may not run a task of a known job now; `None` if it may.
@@ -111,6 +110,18 @@
     hindrance(worker, &Ask::new(task, &entry.accepted.service, step, &[]), now)
 }
 
+/// What keeps a task from how many workers of its service.
+pub fn held_by(cell: &Cell, task: TaskName, now: Instant) -> BTreeMap<String, usize> {
+    let mut held_by: BTreeMap<String, usize> = BTreeMap::new();
+    let Some(entry) = cell.jobs.get(&task.job) else { return held_by };
+    for worker in cell.workers.of_service(&entry.accepted.service) {
+        let why = hindrance_of(cell, worker, task, now);
+        let why = why.map_or("nothing".to_owned(), |why| why.to_string());
+        *held_by.entry(why).or_default() += 1;
+    }
+    held_by
+}
+
 /// Whether a worker may run the task now.
 pub(super) fn allows(worker: &Worker, ask: &Ask<'_>, now: Instant) -> bool {
     hindrance(worker, ask, now).is_none()
--- a/lib/src/batch/place/room.rs
+++ b/lib/src/batch/place/room.rs
@@ -35,10 +35,9 @@
         let need = Entry::room_of(step);
         // Room is made only where nothing else keeps the task away.
         let ask = Ask::new(name, service, step, &[]);
-        let usable = self
-            .workers
-            .of_service(service)
-            .filter(|worker| matches!(hindrance(worker, &ask, now), None | Some(Hindrance::Room)));
+        let usable = self.workers.of_service(service).filter(|worker| {
+            matches!(hindrance(worker, &ask, now), None | Some(Hindrance::Room(_)))
+        });
         let plans =
             usable.filter_map(|worker| Some((victims(worker, need, now)?, worker.peer.id.clone())));
         let Some(((lost, tasks), worker)) = plans.min_by_key(|((lost, _), _)| *lost) else {
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -18,8 +18,7 @@
 use crate::batch::crash::Crash;
 use crate::batch::crash::is_given_up;
 use crate::batch::job::Entry;
-use crate::batch::place::fit::Hindrance;
-use crate::batch::place::fit::hindrance_of;
+use crate::batch::place::fit::held_by;
 use crate::batch::pool::load::loads;
 use crate::batch::record::TaskPlace;
 use crate::batch::worker::Phase;
@@ -259,17 +258,13 @@
     for (time, repetition) in entry.times.iter().enumerate() {
         for (step, run) in repetition.steps.iter().enumerate().filter(|(_, run)| run.left > 0) {
             let place = (time as u32, step as u16);
-            let mut held_by: BTreeMap<String, usize> = BTreeMap::new();
-            if let Some(index) = run.waiting.first() {
-                let task = TaskName { job: id, time: place.0, step: place.1, index: *index };
-                for worker in cell.workers.values() {
-                    let why = hindrance_of(cell, worker, task, now);
-                    if why != Some(Hindrance::Service) {
-                        let why = why.map_or("nothing".to_owned(), |why| why.to_string());
-                        *held_by.entry(why).or_default() += 1;
-                    }
-                }
-            }
+            let waits = run.waiting.first().map(|index| TaskName {
+                job: id,
+                time: place.0,
+                step: place.1,
+                index: *index,
+            });
+            let held_by = waits.map(|task| held_by(cell, task, now)).unwrap_or_default();
             let waits_for_turn = !run.open;
             let waiting = run.waiting.len();
             let runs = runs(cell, id, place, now);
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -140,6 +140,23 @@
     Quarantined,
 }
 
+/// What a worker has too little of for a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Lack {
+    /// It has not answered, so what runs there is not known.
+    #[error("not known")]
+    Unknown,
+    /// Processor.
+    #[error("processor")]
+    Processor,
+    /// Memory.
+    #[error("memory")]
+    Memory,
+    /// Accelerators.
+    #[error("accelerators")]
+    Accelerator,
+}
+
 /// Tasks that do not end by themselves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Lasting {
@@ -357,9 +374,18 @@
 
     /// Whether a task of this size fits beside what may run there.
     pub fn fits(&self, need: Room) -> bool {
-        need.cpu <= self.free.cpu
-            && need.memory_mb <= self.free.memory_mb
-            && need.gpu <= self.free.gpu
+        self.lack(need).is_none()
+    }
+
+    /// What there is too little of for a task of this size; `None` if it fits.
+    pub fn lack(&self, need: Room) -> Option<Lack> {
+        match self.free {
+            _ if self.clock.is_none() => Some(Lack::Unknown),
+            free if need.cpu > free.cpu => Some(Lack::Processor),
+            free if need.memory_mb > free.memory_mb => Some(Lack::Memory),
+            free if need.gpu > free.gpu => Some(Lack::Accelerator),
+            _ => None,
+        }
     }
 
     /// Adds a run and takes its room.
