trial: name each budget breach

The count stays; the ledger now writes down when it was, which box was told to drain, and which boxes of its pool were out since when and why, and the trial prints it.

--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -118,6 +118,9 @@
     for harm in stage.ledger.harms(stage.begun) {
         println!("{harm}");
     }
+    for breach in stage.ledger.breaches(stage.begun) {
+        println!("budget breach {breach}");
+    }
     let statuses = stage.totals().await;
     stage.strike().await;
     Ok(Report::new(counts, rollout, config_everywhere, over, statuses))
--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -62,6 +62,8 @@
     cut_by_planned_stop: u64,
     work_after_leaving: u64,
     budget_breaches: u64,
+    /// Each of them: when, the box that was told to drain, and which boxes of its pool were out and why.
+    breaches: Vec<(Instant, String)>,
     boxes_in_two_pools: u64,
     over_slots: u64,
     moves: u64,
@@ -203,6 +205,15 @@
         self.inner().calls.entry(token).or_default().notes.push(note);
     }
 
+    /// One line for each time that a box was told to drain beyond the budget of its pool. Times count from `since`.
+    pub fn breaches(&self, since: Instant) -> Vec<String> {
+        let inner = self.inner();
+        let lines = inner.breaches.iter().map(|(at, line)| {
+            format!("at {} ms: {line}", at.saturating_duration_since(since).as_millis())
+        });
+        lines.collect()
+    }
+
     /// One line for each request that was lost, doubled, crossed or falsely told: what the caller was
     /// told, where it ran, and what was noted. Times count from `since`.
     pub fn harms(&self, since: Instant) -> Vec<String> {
@@ -275,6 +286,10 @@
         let pool = state.pool;
         let breach = pool.is_some_and(|pool| inner.out_of(pool) > inner.pools[pool].max_out);
         inner.budget_breaches += u64::from(breach);
+        if let Some(pool) = pool.filter(|_| breach) {
+            let line = inner.breach(target, pool);
+            inner.breaches.push((Instant::now(), line));
+        }
     }
 
     /// A worker was told to serve again.
@@ -350,6 +365,23 @@
         used.map(|(index, _)| index).collect()
     }
 
+    /// What is to be said of a box that was told to drain beyond the budget of its pool.
+    fn breach(&self, target: &BoxId, pool: usize) -> String {
+        let ms = |since: Option<Instant>| since.map(|since| since.elapsed().as_millis());
+        let own = self.boxes.iter().filter(|(_, state)| state.pool == Some(pool));
+        let out = own.filter(|(_, state)| state.out_since.is_some() || state.dead_since.is_some());
+        let out = out.map(|(name, state)| {
+            let (drains, dead) = (ms(state.out_since), ms(state.dead_since));
+            format!(
+                "{name} told {drains:?} ms ago, dead {dead:?} ms, in transit {}",
+                state.in_transit
+            )
+        });
+        let (name, most) = (&self.pools[pool].name, self.pools[pool].max_out);
+        let out: Vec<String> = out.collect();
+        format!("{target} is told to drain, {name} may have {most} out: {}", out.join("; "))
+    }
+
     /// Boxes of a pool that are out, as far as anyone can know.
     fn out_of(&self, pool: usize) -> usize {
         let is_own = |state: &&BoxState| state.pool == Some(pool) && !state.in_transit;
