upkeep: a wave loses no task that lasts, whoever schedules

It waited, its step may miss no second one, so the others could not follow, the box was never empty, and its room, the only one that fitted, was closed to the task. `waits beside room` showed it: `cordoned: 1, no room: memory: 3`. Restarts brought it on since each scheduler began the wave's time anew, stood still for 3 s, and so fell behind and emptied more boxes at once. Ruled out: that waiting tasks are not seen (they are, the load counts them), a spread that is not met (named by the new lines in other cases only), the order of waiting tasks alone, jobs in doubt after a takeover (over within 5.6 s).

A box being emptied goes back into service for a task that fits nowhere else. What has no place counts as wanted, so a box is fetched, also where sums hide that memory is short. When a wave was first seen lies in the store; a successor orders empty boxes at once, counts as down what its predecessor may have ordered, and waits 1.5 s in place of 3 s after one that had ended. Refused boxes are put off, for moves as well. A box is closed only while somebody holds it. Jobs that have run go before others of their priority. A run that is found no longer waits.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -24,6 +24,7 @@
 pub mod peer;
 pub mod place;
 pub mod pool;
+pub mod put_off;
 pub mod record;
 pub mod relay;
 pub mod scheduler;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -209,8 +209,13 @@
     gone: HashMap<WorkerId, Instant>,
     /// Tasks that may be on workers which had fallen silent under an earlier scheduler.
     silent_with: HashMap<WorkerId, HashSet<TaskName>>,
+    /// What lasts and needs room that is not there, by service, in thousandths of a core: it waits, or is on boxes
+    /// that should be emptied.
+    pub unhoused: BTreeMap<String, u64>,
     /// Machines of waves whose upkeep has begun.
     pub begun: HashMap<u64, HashSet<MachineId>>,
+    /// When a scheduler first saw each wave, since 1970.
+    pub waves_seen: HashMap<u64, Duration>,
     /// Waves that are over.
     pub waves_over: HashSet<u64>,
     /// Repetitions that are not due yet: when, since 1970.
@@ -274,7 +279,9 @@
             unusable: BTreeMap::new(),
             gone: HashMap::new(),
             silent_with: HashMap::new(),
+            unhoused: BTreeMap::new(),
             begun: HashMap::new(),
+            waves_seen: HashMap::new(),
             waves_over: HashSet::new(),
             scheduled: BTreeSet::new(),
             dirty: HashSet::new(),
--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -265,6 +265,8 @@
         task.last_run = task.last_run.max(told.run);
         let wanted = active && !task.done && task.runs == 0;
         task.runs += 1;
+        // It does not wait, whatever was thought before this run was found.
+        task.waiting_since = None;
         if wanted && let Some(run) = entry.step_run(told.task.time, told.task.step) {
             run.waiting.remove(&told.task.index);
         }
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -27,6 +27,14 @@
 /// it starts anything of that service.
 const REMEMBER_GONE: Duration = Duration::from_millis(15_000);
 
+/// How long after every node knows of a scheduler, a second after it began, it ends no task that lasts of its own
+/// accord. By then every stop of its predecessor has been seen to be over, also one that was late.
+const SETTLE: Duration = Duration::from_millis(2_000);
+/// The same where the predecessor had ended before it gave up the lead: each of its stops has been answered or
+/// given up, and takes 0.9 s at most. Nodes that are restarted in turn hold the lead for about 2 s each, and with the
+/// longer time a wave stood still meanwhile.
+const SETTLE_AFTER_DONE: Duration = Duration::from_millis(500);
+
 /// Most unusable entries that are remembered and told of: more of them say nothing more.
 const MOST_UNUSABLE: usize = 256;
 
@@ -262,12 +270,39 @@
         self.roster.push(record::wave(wave, &machines));
     }
 
+    /// What lasts on a worker has to go elsewhere before its box can be emptied, and has no place there.
+    pub fn note_unhoused(&mut self, id: &str) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let cpu = u64::from(worker.lasting.cpu).max(1);
+        *self.unhoused.entry(worker.entry.service.clone()).or_default() += cpu;
+    }
+
     /// A wave is over.
     pub fn wave_over(&mut self, wave: u64) {
         self.waves_over.insert(wave);
         if self.begun.remove(&wave).is_some() {
             self.roster.push(record::forget_wave(wave));
         }
+        if self.waves_seen.remove(&wave).is_some() {
+            self.roster.push(record::forget_wave_seen(wave));
+        }
+    }
+
+    /// When a wave was first seen, since 1970: now, at `wall`, unless an earlier scheduler saw it.
+    pub fn wave_seen(&mut self, wave: u64, wall: Duration) -> Duration {
+        if let Some(seen) = self.waves_seen.get(&wave) {
+            return *seen;
+        }
+        self.waves_seen.insert(wave, wall);
+        self.roster.push(record::wave_seen(wave, wall));
+        wall
+    }
+
+    /// Whether what an earlier scheduler was doing is over: stops that it gave may still be under way, and a look
+    /// shows their tasks as running until then.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        let settle = if self.predecessor_is_done { SETTLE_AFTER_DONE } else { SETTLE };
+        self.known_from.is_none_or(|from| now >= from + settle)
     }
 
     /// What an earlier scheduler may have started on workers that have not been asked.
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -3,12 +3,14 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use spokelift_platform::machine::Machine;
 use spokelift_platform::machine::MachineId;
 use spokelift_platform::worker::WorkerId;
 use tokio::time::sleep;
 
+use crate::batch::cell::Cell;
 use crate::batch::pool::Pools;
 use crate::batch::pool::load::loads;
 use crate::batch::scheduler::Scheduler;
@@ -16,6 +18,7 @@
 use crate::batch::stuck::stuck;
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::Waves;
+use crate::batch::upkeep::places::Places;
 use crate::transport::clock;
 
 /// Time between two rounds. Each costs a call to list the machines while something is under way.
@@ -28,6 +31,9 @@
 /// boxes; counted by the pause alone, 260 orders a second went out where 590 are taken, and after a
 /// loss of power 500 boxes waited for theirs.
 const CATCH_UP: Duration = Duration::from_millis(500);
+/// How long a task that lasts waits for a place before a box is fetched for it, whatever the sums say: a start takes
+/// some milliseconds, room that is made for it about a second.
+const AWAIT_PLACE: Duration = Duration::from_millis(1_000);
 /// Time between lines in the log about what each service has and wants.
 const TELL: Duration = Duration::from_millis(1_000);
 
@@ -45,6 +51,7 @@
         let mut orders = orders_in(clock::since(last_round), rate);
         last_round = clock::now();
         let under_way = waves.take(&scheduler);
+        note_homeless(&mut scheduler.cell(), clock::now());
         if clock::since(told_at) >= TELL {
             told_at = clock::now();
             tell_loads(&scheduler);
@@ -53,6 +60,7 @@
             scheduler.node.counters.add("batch.task.waits-beside-room", first);
         }
         if !under_way && !pools.wants_list(&scheduler) {
+            uncordon(&mut scheduler.cell(), &HashSet::new(), &[]);
             continue;
         }
         let listed = machines.list(CALL).await;
@@ -67,17 +75,29 @@
         };
         scheduler.announce_ahead(|| list.iter().map(|machine| machine.id.clone()).collect());
         let resting = scheduler.turn.resting(clock::now());
-        let taken = &pools.busy() | &resting;
-        waves.advance(&scheduler, &machines, &list, &taken, &mut orders).await;
+        let moving = pools.busy();
+        waves.advance(&scheduler, &machines, &list, &moving, &resting, &mut orders).await;
         let taken = &waves.busy() | &resting;
         pools.advance(&scheduler, &machines, &list, &taken, orders).await;
-        let mut busy = waves.busy();
-        busy.extend(pools.busy());
-        uncordon(&scheduler, &busy, &list);
+        uncordon(&mut scheduler.cell(), &(&waves.busy() | &pools.busy()), &list);
         scheduler.kick();
     }
 }
 
+/// Notes which services have tasks that last and have waited for a place in vain.
+fn note_homeless(cell: &mut Cell, now: Instant) {
+    let places = Places::new(cell, now);
+    let homeless = places.all_homeless().filter_map(|(service, task)| {
+        let entry = cell.jobs.get(&task.job)?;
+        let run = entry.times.get(task.time as usize)?.steps.get(usize::from(task.step))?;
+        let since = run.tasks.get(task.index as usize)?.waiting_since?;
+        let is_long = now.saturating_duration_since(since) >= AWAIT_PLACE;
+        let need = u64::from(entry.step(task.step)?.cpu).max(1);
+        is_long.then(|| (service.clone(), need))
+    });
+    cell.unhoused = homeless.collect();
+}
+
 /// How many orders a round may give, so long after the last one began, at the platform's rate of orders
 /// a second.
 ///
@@ -92,14 +112,17 @@
     (rate * ORDERS_SHARE * time.min(CATCH_UP).as_secs_f64()).max(1.0) as usize
 }
 
-/// Workers on machines that are no longer being emptied take work again.
-fn uncordon(scheduler: &Scheduler, busy: &HashSet<MachineId>, list: &[Machine]) {
-    let free = list.iter().filter(|machine| !busy.contains(&machine.id));
-    let workers: HashSet<&WorkerId> = free.filter_map(|machine| machine.worker.as_ref()).collect();
-    scheduler.cell().workers.for_each_mut(|worker| {
-        if worker.cordoned && workers.contains(&worker.peer.id) {
-            worker.cordoned = false;
-        }
+/// Workers take work again unless their box is being emptied, or they leave without a word. A box is told by the
+/// worker's own word, or by the list where it says nothing; the list may be older than the worker.
+pub fn uncordon(cell: &mut Cell, busy: &HashSet<MachineId>, list: &[Machine]) {
+    let emptied = list.iter().filter(|machine| busy.contains(&machine.id));
+    let emptied: HashSet<&WorkerId> =
+        emptied.filter_map(|machine| machine.worker.as_ref()).collect();
+    let now = clock::now();
+    cell.workers.for_each_mut(|worker| {
+        let on_busy = worker.entry.machine.as_ref().is_some_and(|name| busy.contains(name));
+        let has_owner = on_busy || emptied.contains(&worker.peer.id) || worker.is_missing(now);
+        worker.cordoned &= has_owner;
     });
 }
 
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -42,13 +42,22 @@
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
         let wall_ms = wall.as_millis() as u64;
         let (suspect, others) = self.take_suspects(ranks);
-        let (hopeful, late): (Vec<Rank>, Vec<Rank>) =
+        let (mut hopeful, late): (Vec<Rank>, Vec<Rank>) =
             others.into_iter().partition(|rank| !rank.ends || self.is_hopeful(rank, wall_ms));
+        self.begun_first(&mut hopeful);
         for rank in suspect.into_iter().chain(hopeful).chain(late) {
             self.place_step(rank, now, &doubt);
         }
     }
 
+    /// Of the tasks that last and are of one priority, those of jobs that have run before come first: their users
+    /// miss them, and while one is away its step lets no other be moved.
+    fn begun_first(&self, ranks: &mut [Rank]) {
+        let lasting = ranks.partition_point(|rank| !rank.ends);
+        let is_new = |rank: &Rank| self.jobs.get(&rank.job).is_none_or(|entry| !entry.begun);
+        ranks[..lasting].sort_by_key(|rank| (rank.priority, is_new(rank)));
+    }
+
     /// Steps with tasks that may have brought down a worker come first: a worker on which nothing has just
     /// begun, often the next life of the one that crashed, is soon taken by others.
     fn take_suspects(&mut self, ranks: Vec<Rank>) -> (Vec<Rank>, Vec<Rank>) {
--- a/lib/src/batch/place/fit.rs
+++ b/lib/src/batch/place/fit.rs
@@ -29,6 +29,8 @@
     avoid: &'a [WorkerId],
     /// Whether it may have brought down a worker.
     suspicion: Suspicion,
+    /// A box that is being emptied would do.
+    ignores_cordon: bool,
 }
 
 impl<'a> Ask<'a> {
@@ -40,7 +42,16 @@
         avoid: &'a [WorkerId],
     ) -> Ask<'a> {
         let (need, kind) = (Entry::room_of(step), Entry::kind_of(step));
-        Ask { task, service, step, need, kind, avoid, suspicion: Suspicion::None }
+        Ask {
+            task,
+            service,
+            step,
+            need,
+            kind,
+            avoid,
+            suspicion: Suspicion::None,
+            ignores_cordon: false,
+        }
     }
 
     /// The same for a task that may have brought down a worker.
@@ -82,7 +93,10 @@
         *closed == Closed::Quarantined
             && worker.quarantine.is_some_and(|(job, _)| job == ask.task.job)
     };
-    if let Some(closed) = worker.closed(now).filter(|closed| !is_own_quarantine(closed)) {
+    let is_ignored = |closed: &Closed| {
+        is_own_quarantine(closed) || *closed == Closed::Cordoned && ask.ignores_cordon
+    };
+    if let Some(closed) = worker.closed(now).filter(|closed| !is_ignored(closed)) {
         return Some(Hindrance::Closed(closed));
     }
     if ask.suspicion == Suspicion::Isolate && quarantine::has_young(worker, ask.task.job, now) {
@@ -110,6 +124,20 @@
     hindrance(worker, &Ask::new(task, &entry.accepted.service, step, &[]), now)
 }
 
+/// Whether a worker may run a task of a known job now, with the permission that its queue needs.
+pub fn accepts(cell: &Cell, worker: &Worker, task: TaskName, now: Instant) -> bool {
+    hindrance_of(cell, worker, task, now).is_none() && cell.is_permitted(task, worker, now)
+}
+
+/// Whether a worker would take a task of a known job if its box were not being emptied.
+pub fn would_accept(cell: &Cell, worker: &Worker, task: TaskName, now: Instant) -> bool {
+    let Some(entry) = cell.jobs.get(&task.job) else { return false };
+    let Some(step) = entry.step(task.step) else { return false };
+    let ask = Ask::new(task, &entry.accepted.service, step, &[]);
+    let ask = Ask { ignores_cordon: true, ..ask };
+    hindrance(worker, &ask, now).is_none() && cell.is_permitted(task, worker, now)
+}
+
 /// What keeps a task from how many workers of its service.
 pub fn held_by(cell: &Cell, task: TaskName, now: Instant) -> BTreeMap<String, usize> {
     let mut held_by: BTreeMap<String, usize> = BTreeMap::new();
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -26,6 +26,7 @@
 use crate::batch::pool::load::spare;
 use crate::batch::pool::source::Sources;
 use crate::batch::pool::source::Taker;
+use crate::batch::put_off::PutOff;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::empty;
@@ -58,6 +59,8 @@
 #[derive(Default)]
 pub struct Pools {
     moves: HashMap<MachineId, Move>,
+    /// Machines that refused to move.
+    put_off: PutOff,
     /// Machines on which nothing runs, and since when that is known.
     idle: HashMap<MachineId, Instant>,
 }
@@ -68,7 +71,7 @@
         let loads = loads(&scheduler.cell(), clock::now());
         let spare = spare(loads.values().map(|load| load.workers).sum());
         let unfit = |load: &Load| {
-            let short = load.wanted() > load.has || load.least > load.workers;
+            let short = load.wanted() > load.has || load.least > load.workers || load.unhoused > 0;
             short || !load.lacks.is_empty() || load.has_excess(load.size(), spare)
         };
         !self.moves.is_empty() || loads.values().any(unfit)
@@ -211,7 +214,8 @@
             let load = loads.get(&service.name).cloned().unwrap_or_default();
             let coming = self.coming(&service.name, listed, |_| true);
             let unspread = load.least.saturating_sub(load.workers) * load.size();
-            let missing = load.wanted().max(load.has + unspread).saturating_sub(load.has + coming);
+            let needed = load.wanted().max(load.has + unspread).max(load.has + load.unhoused);
+            let missing = needed.saturating_sub(load.has + coming);
             if missing > 0 {
                 short.push((missing, service.name.clone()));
             }
@@ -280,6 +284,7 @@
     fn is_free(&self, machine: &Machine, taken: &HashSet<MachineId>) -> bool {
         machine.status == Status::Up
             && !taken.contains(&machine.id)
+            && !self.put_off.contains(&machine.id, clock::now())
             && !self.moves.contains_key(&machine.id)
     }
 
@@ -343,11 +348,16 @@
         match answer {
             Ok(()) => {
                 under_way.ordered = true;
+                self.put_off.remove(id);
                 scheduler.cell().end_lives_elsewhere(id, &under_way.to);
             }
             Err(error) if machine::is_fenced(&error) => scheduler.cell().fenced = true,
             Err(error) if error.is_certain() => {
-                log::info!(machine = id; "move refused: {error}");
+                let reason = error.reason();
+                scheduler.node.counters.count(&format!("batch.move.refused.{reason}"));
+                if !error.is_turned_away() && self.put_off.add(id, reason, clock::now()) {
+                    log::info!(machine = id, reason; "move refused");
+                }
                 self.moves.remove(id);
             }
             // It may have been done; asking again does no harm.
--- a/lib/src/batch/pool/load.rs
+++ b/lib/src/batch/pool/load.rs
@@ -48,6 +48,8 @@
     /// Labels that waiting tasks require, and by how much what they ask for is over what is free on
     /// workers that have them.
     pub lacks: BTreeMap<String, u64>,
+    /// What lasts and has no place on any of its workers, though there may be room in all.
+    pub unhoused: u64,
     /// Workers it needs at the least, since tasks that last must be spread over so many, or since a
     /// gang that waits fits on no fewer.
     pub least: u64,
@@ -114,6 +116,7 @@
     add_least(&mut loads, cell);
     for (service, load) in &mut loads {
         load.rate = cell.demand.rate(service, now);
+        load.unhoused = cell.unhoused.get(service).copied().unwrap_or(0);
         for (label, asked) in &mut load.lacks {
             *asked = asked.saturating_sub(free_with_label(cell, service, label, now));
         }
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -41,6 +41,8 @@
 const ORDERED_KEY: &str = "ordered";
 /// Start of the keys in [`PROGRESS_TOPIC`] that tell under which tasks workers crashed, by job.
 const CRASHES_PREFIX: &str = "crashes/";
+/// Start of the keys in [`PROGRESS_TOPIC`] that tell when waves were first seen.
+const WAVE_SEEN_PREFIX: &str = "wave-seen/";
 /// Start of the keys in [`PROGRESS_TOPIC`] that tell how far waves are.
 const WAVE_PREFIX: &str = "wave/";
 
@@ -139,6 +141,8 @@
     Gone(WorkerId),
     /// The machines of a wave whose upkeep has begun.
     Wave(u64, Vec<MachineId>),
+    /// When a scheduler first saw a wave, since 1970.
+    WaveSeen(u64, Duration),
     /// Boxes that were ordered lately or are about to be.
     Ordered(HashSet<MachineId>),
     /// A key was dropped.
@@ -181,6 +185,14 @@
     format!("{WAVE_PREFIX}{number}")
 }
 
+fn wave_seen_key(number: u64) -> String {
+    format!("{WAVE_SEEN_PREFIX}{number}")
+}
+
+fn wave_number(record: &Record, number: &str) -> Result<u64, RecordError> {
+    number.parse().map_err(|_| RecordError::Key(record.key.clone()))
+}
+
 /// How many partitions of [`JOB_TOPIC`] are in use, where a topic has so many.
 pub fn job_partitions(of_topic: u16) -> u16 {
     of_topic.clamp(1, JOB_PARTITIONS)
@@ -253,6 +265,16 @@
     Record::set(wave_key(number), encode(&begun))
 }
 
+/// The record of when a wave was first seen, since 1970.
+pub fn wave_seen(number: u64, at: Duration) -> Record {
+    Record::set(wave_seen_key(number), encode(&at))
+}
+
+/// The record that lets go of that.
+pub fn forget_wave_seen(number: u64) -> Record {
+    Record::drop_key(wave_seen_key(number))
+}
+
 /// The record of the boxes that were ordered lately or are about to be.
 pub fn ordered(boxes: &HashSet<MachineId>) -> Record {
     Record::set(ORDERED_KEY, encode(boxes))
@@ -306,9 +328,13 @@
             return Ok(ProgressRecord::Gone(id.to_owned()));
         }
         if let Some(number) = record.key.strip_prefix(WAVE_PREFIX) {
-            let number = number.parse().map_err(|_| RecordError::Key(record.key.clone()))?;
+            let number = wave_number(record, number)?;
             return Ok(ProgressRecord::Wave(number, decode(&record.key, value)?));
         }
+        if let Some(number) = record.key.strip_prefix(WAVE_SEEN_PREFIX) {
+            let number = wave_number(record, number)?;
+            return Ok(ProgressRecord::WaveSeen(number, decode(&record.key, value)?));
+        }
         if record.key == ORDERED_KEY {
             return Ok(ProgressRecord::Ordered(decode(&record.key, value)?));
         }
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -391,6 +391,6 @@
 }
 
 /// Time since 1970. A clock before that is as good as one that stands at 1970.
-fn wall_clock() -> Duration {
+pub fn wall_clock() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -66,6 +66,9 @@
             Ok(ProgressRecord::Wave(number, begun)) => {
                 cell.begun.insert(number, begun.into_iter().collect());
             }
+            Ok(ProgressRecord::WaveSeen(number, at)) => {
+                cell.waves_seen.insert(number, at);
+            }
             Ok(ProgressRecord::Gone(id)) => cell.inherit_gone(id, clock::now()),
             Ok(ProgressRecord::Ordered(_) | ProgressRecord::Dropped) => {}
             Err(error) => log::error!("a record of progress cannot be used: {error}"),
--- a/lib/src/batch/upkeep/away.rs
+++ b/lib/src/batch/upkeep/away.rs
@@ -1,9 +1,11 @@
-//! Whether a task that lasts may be ended now, so that no more of its step are away than allowed.
+//! Whether tasks that last may be ended now, so that no more of its step are away than allowed.
 
 use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::WorkerId;
 
 use crate::batch::cell::Cell;
 use crate::batch::worker::Phase;
+use crate::batch::worker::Worker;
 
 /// Whether a task runs until its job is cancelled.
 pub(super) fn is_lasting(cell: &Cell, task: TaskName) -> bool {
@@ -14,20 +16,36 @@
 /// Whether a task may be ended now: with it, no more tasks of its step are away than allowed.
 /// Every other task counts as away that is not known to be at work.
 pub(super) fn may_leave(cell: &Cell, name: TaskName) -> bool {
+    may_leave_of_step(cell, name, |_, task| task.index == name.index)
+}
+
+/// Whether all tasks on a worker that last may be ended now, at once.
+pub(super) fn may_leave_together(cell: &Cell, id: &WorkerId) -> bool {
+    let Some(worker) = cell.workers.get(id) else { return true };
+    let mut lasting = worker.slots.keys().filter(|task| is_lasting(cell, **task));
+    lasting.all(|name| may_leave_of_step(cell, *name, |on, _| on.peer.id == *id))
+}
+
+/// Whether a task may be ended now, and with it all of its step that `leave`.
+fn may_leave_of_step(
+    cell: &Cell,
+    name: TaskName,
+    leave: impl Fn(&Worker, &TaskName) -> bool,
+) -> bool {
     let Some(entry) = cell.jobs.get(&name.job) else { return true };
     let Some(step) = entry.step(name.step) else { return true };
     let Some(allowed) = step.may_miss else { return true };
-    let other = |task: &TaskName| {
-        let same = (task.job, task.time, task.step) == (name.job, name.time, name.step);
-        same && task.index != name.index
-    };
+    let of_step =
+        |task: &TaskName| (task.job, task.time, task.step) == (name.job, name.time, name.step);
     // What a silent worker runs may be gone by now.
     let answering = cell.workers.values().filter(|worker| worker.misses == 0);
     let answering = answering.filter(|worker| worker.lasting.tasks > 0);
-    let working = answering.flat_map(|worker| worker.slots.iter()).filter(|(task, slot)| {
-        other(task) && matches!(slot.phase, Phase::Live(_)) && slot.percent >= 100
+    let slots = answering.flat_map(|worker| worker.slots.iter().map(move |slot| (worker, slot)));
+    let staying = slots.filter(|(worker, (task, slot))| {
+        let at_work = matches!(slot.phase, Phase::Live(_)) && slot.percent >= 100;
+        of_step(task) && at_work && !leave(worker, task)
     });
-    let others = step.count.saturating_sub(1);
-    let away = others.saturating_sub(working.count() as u32);
+    // The last of those that leave is itself not away as it is ended.
+    let away = step.count.saturating_sub(staying.count() as u32).saturating_sub(1);
     away < allowed
 }
--- a/lib/src/batch/upkeep/course.rs
+++ b/lib/src/batch/upkeep/course.rs
@@ -14,10 +14,10 @@
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
 
-use crate::transport::clock;
+use crate::batch::put_off::PutOff;
 
 /// Machines as the platform lists them, by id.
-pub(super) type Listed<'a> = HashMap<&'a str, &'a Machine>;
+pub type Listed<'a> = HashMap<&'a str, &'a Machine>;
 
 /// Share of a wave's time in which it is planned to be done; the rest is for what goes wrong.
 const AIM_SHARE: f64 = 0.6;
@@ -26,7 +26,7 @@
 const CYCLE: Duration = Duration::from_millis(6_000);
 
 /// What is known of one wave.
-pub(super) struct Course {
+pub struct Course {
     pub(super) wave: Wave,
     pub(super) seen_at: Instant,
     /// Machines whose upkeep has begun.
@@ -36,6 +36,10 @@
     /// Machines whose order had no answer. Each counts as down, and is ordered again until there is
     /// an answer: the order may have been lost on the way, and then nothing else would end it.
     pub(super) unanswered: HashSet<MachineId>,
+    /// Machines that an earlier scheduler may have ordered just now, and that may be down.
+    resting: HashSet<MachineId>,
+    /// Machines that are left alone for a while.
+    pub(super) put_off: PutOff,
     /// Machines that are being emptied, since when.
     pub(super) emptying: HashMap<MachineId, Instant>,
     /// What the operator has been told: none, running, succeeded.
@@ -45,13 +49,16 @@
 }
 
 impl Course {
-    pub(super) fn new(wave: Wave, begun: HashSet<MachineId>) -> Course {
+    /// A wave that was first seen so long ago, by whichever scheduler.
+    pub fn new(wave: Wave, begun: HashSet<MachineId>, age: Duration, now: Instant) -> Course {
         Course {
             wave,
-            seen_at: clock::now(),
+            seen_at: now.checked_sub(age).unwrap_or(now),
+            resting: HashSet::new(),
             begun,
             down: HashMap::new(),
             unanswered: HashSet::new(),
+            put_off: PutOff::default(),
             emptying: HashMap::new(),
             told: None,
             telling: None,
@@ -73,8 +80,29 @@
         self.told.is_none_or(|told| !told && succeeded)
     }
 
+    /// A machine is no longer being emptied, and is left alone for a while, for a reason: its place goes to the next.
+    /// Returns whether that is news.
+    pub(super) fn put_off(&mut self, id: &str, reason: &str, now: Instant) -> bool {
+        self.emptying.remove(id);
+        self.put_off.add(id, reason, now)
+    }
+
+    /// The upkeep of a machine has begun.
+    pub fn begins(&mut self, id: &str, before: Option<WorkerId>, now: Instant) {
+        self.unanswered.remove(id);
+        self.put_off.remove(id);
+        self.emptying.remove(id);
+        self.begun.insert(id.to_owned());
+        self.goes_down(id, before, now);
+    }
+
+    /// Whether a machine is being emptied, or is down.
+    pub fn holds(&self, id: &str) -> bool {
+        self.emptying.contains_key(id) || self.down.contains_key(id)
+    }
+
     /// Machines whose upkeep has not begun.
-    pub(super) fn left(&self) -> Vec<MachineId> {
+    pub fn left(&self) -> Vec<MachineId> {
         let machines = self.wave.machines.iter();
         machines.filter(|id| !self.begun.contains(*id)).cloned().collect()
     }
@@ -96,20 +124,27 @@
 
     /// How many more machines may go down now.
     fn may_go_down(&self) -> usize {
-        self.wave.max_down.saturating_sub(self.down.len())
+        let resting = self.resting.iter().filter(|id| !self.down.contains_key(*id)).count();
+        self.wave.max_down.saturating_sub(self.down.len() + resting)
+    }
+
+    /// Takes in which machines an earlier scheduler may have ordered just now.
+    pub(super) fn note_resting(&mut self, resting: &HashSet<MachineId>) {
+        let of_wave = self.wave.machines.iter().filter(|id| resting.contains(*id));
+        self.resting = of_wave.cloned().collect();
     }
 
     /// How many machines must be empty or down at a time for the wave to be done in time.
-    pub(super) fn at_once(&self, left: usize) -> usize {
+    pub(super) fn at_once(&self, left: usize, now: Instant) -> usize {
         let aim = self.wave.duration.mul_f64(AIM_SHARE);
-        let remaining = aim.saturating_sub(clock::since(self.seen_at)).max(CYCLE);
+        let remaining = aim.saturating_sub(now.saturating_duration_since(self.seen_at)).max(CYCLE);
         let needed = left as f64 * CYCLE.as_secs_f64() / remaining.as_secs_f64();
         needed.ceil() as usize
     }
 
     /// Notes that a machine goes down, and which worker lived there.
-    pub(super) fn goes_down(&mut self, id: &str, before: Option<WorkerId>) {
-        self.down.insert(id.to_owned(), (clock::now(), before));
+    pub fn goes_down(&mut self, id: &str, before: Option<WorkerId>, now: Instant) {
+        self.down.insert(id.to_owned(), (now, before));
     }
 
     /// Lets go of machines that are back. A machine counts as down for `least` at the least, until
@@ -117,17 +152,23 @@
     /// worker from before answers still: then an earlier scheduler had its upkeep done already, and
     /// the order that came again did nothing. One of the reserve is switched off and gets no other
     /// worker. `answered_at` tells when a worker last answered.
-    pub(super) fn settle_down(
+    pub fn settle_down(
         &mut self,
         least: Duration,
         config: Option<&Config>,
         listed: &Listed<'_>,
         answered_at: impl Fn(&WorkerId) -> Option<Instant>,
+        now: Instant,
     ) {
         let is_off = |machine: &Machine| {
             let service = config.and_then(|config| config.service(&machine.pool));
             service.is_some_and(|service| service.is_reserve)
         };
+        // An earlier scheduler ordered it.
+        let of_wave = self.wave.machines.iter().filter_map(|id| listed.get(id.as_str()));
+        for machine in of_wave.filter(|machine| machine.status == Status::Upkeep) {
+            self.down.entry(machine.id.clone()).or_insert((now, None));
+        }
         let unanswered = &self.unanswered;
         self.down.retain(|id, (since, before)| {
             let over = *since + least;
@@ -136,7 +177,7 @@
                 let lives_again = machine.worker.is_some() && machine.worker != *before;
                 machine.status == Status::Up && (lives_again || lived_on || is_off(machine))
             });
-            unanswered.contains(id) || !back || clock::now() < over
+            unanswered.contains(id) || !back || now < over
         });
     }
 }
--- /dev/null
+++ b/lib/src/batch/upkeep/off.rs
@@ -0,0 +1,98 @@
+//! What is moved off a worker whose box is to be ordered away.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::WorkerId;
+
+use crate::batch::cell::Cell;
+use crate::batch::upkeep::away::is_lasting;
+use crate::batch::upkeep::away::may_leave;
+use crate::batch::upkeep::away::may_leave_together;
+use crate::batch::upkeep::places::Places;
+use crate::batch::worker::Phase;
+use crate::transport::clock;
+
+/// How long tasks on a box may take to end by themselves before they are stopped, and how long tasks that last
+/// wait there for a place elsewhere before the box is taken with all of them away at once.
+pub const EMPTY_TIME: Duration = Duration::from_millis(4_000);
+
+/// Moves what it may off a worker; returns whether nothing is left there.
+///
+/// Tasks that end by themselves are let end, unless `hurry`. Of a step that lasts, at most as many
+/// tasks are away at once as it allows. What runs on a worker that has not answered this scheduler is not
+/// known.
+pub fn empty(cell: &mut Cell, id: &str, hurry: bool) -> bool {
+    let Some(tasks) = begin(cell, id) else { return false };
+    let settled = cell.is_settled(clock::now());
+    for task in live(&tasks) {
+        let stop = match is_lasting(cell, task) {
+            true => settled && may_leave(cell, task),
+            false => hurry,
+        };
+        if stop {
+            move_off(cell, id, task, hurry);
+        }
+    }
+    tasks.is_empty()
+}
+
+/// The same for a worker whose box need not go now: a task that lasts is moved off only if it has a place elsewhere,
+/// or, with `hurry`, if all may be away together, so that they are back once the box is.
+pub fn empty_gently(
+    cell: &mut Cell,
+    id: &WorkerId,
+    hurry: bool,
+    places: &mut Places,
+    now: Instant,
+) -> bool {
+    let Some(tasks) = begin(cell, id) else { return false };
+    let settled = cell.is_settled(now);
+    let together = hurry && may_leave_together(cell, id);
+    for task in live(&tasks) {
+        let stop = match is_lasting(cell, task) {
+            true => {
+                let may_leave = settled && may_leave(cell, task);
+                may_leave && (together || places.claim(cell, task, Some(id), now))
+            }
+            false => hurry,
+        };
+        if stop {
+            move_off(cell, id, task, hurry);
+        }
+    }
+    tasks.is_empty()
+}
+
+/// Whether all tasks that last could leave a worker: each has a place elsewhere, or all may be away together. The
+/// places are taken if so.
+pub fn could_empty(cell: &Cell, id: &WorkerId, places: &mut Places, now: Instant) -> bool {
+    let Some(worker) = cell.workers.get(id) else { return true };
+    let lasting: Vec<TaskName> =
+        worker.slots.keys().copied().filter(|task| is_lasting(cell, *task)).collect();
+    let mut trial = places.clone();
+    if lasting.iter().all(|task| trial.claim(cell, *task, Some(id), now)) {
+        *places = trial;
+        return true;
+    }
+    may_leave_together(cell, id)
+}
+
+/// Closes a worker to new tasks; returns what may run there, and none if that is not known.
+fn begin(cell: &mut Cell, id: &str) -> Option<Vec<(TaskName, Phase)>> {
+    let Some(mut worker) = cell.workers.get_mut(id) else { return Some(Vec::new()) };
+    worker.cordoned = true;
+    let tasks = worker.slots.iter().map(|(task, slot)| (*task, slot.phase));
+    worker.fenced.then(|| tasks.collect())
+}
+
+fn live(tasks: &[(TaskName, Phase)]) -> impl Iterator<Item = TaskName> {
+    let live = tasks.iter().filter(|(_, phase)| matches!(phase, Phase::Live(_)));
+    live.map(|(task, _)| *task)
+}
+
+fn move_off(cell: &mut Cell, id: &str, task: TaskName, hurry: bool) {
+    log::info!(task = task.to_string().as_str(), worker = id, hurry; "moves off");
+    cell.stop_run(id, task);
+}
