--- a/testutils/tests/test_mutated.rs
+++ b/testutils/tests/test_mutated.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use serde::Serialize;
+use serde::Serializer;
+use serde::ser::SerializeTuple;
 use serde_json::Value;
 use serde_json::json;
 use spokelift_lib::batch::cell::Cell;
@@ -16,6 +19,14 @@
 use spokelift_lib::batch::record::Known;
 use spokelift_lib::batch::record::Progress;
 use spokelift_lib::batch::record::ProgressRecord;
+use spokelift_lib::protocol::boxes;
+use spokelift_lib::protocol::catch_up;
+use spokelift_lib::protocol::log;
+use spokelift_lib::protocol::wire::Beat;
+use spokelift_lib::protocol::wire::Frame;
+use spokelift_lib::protocol::wire::derive_key;
+use spokelift_lib::protocol::worker;
+use spokelift_lib::state::plan::Intent;
 use spokelift_lib::transport::clock;
 use spokelift_platform::config::Config;
 use spokelift_platform::ingress::JobState;
@@ -274,3 +285,75 @@
         let _ = decode_records(bytes.into());
     }
 }
+
+/// Bytes as they are, without a length before them.
+struct Raw(Vec<u8>);
+
+impl Serialize for Raw {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = to.serialize_tuple(self.0.len())?;
+        self.0.iter().try_for_each(|byte| tuple.serialize_element(byte))?;
+        tuple.end()
+    }
+}
+
+/// What the older home's platform answers, and what operators send it.
+fn answers() -> Vec<Value> {
+    let listed = json!({
+        "name": "box-1", "addr": "127.0.0.1:1", "hall": "hall-1", "rack": "r1", "slots": 8,
+        "memory_mb": 100, "leaving": false,
+    });
+    vec![
+        json!({ "first": 1, "next": 3, "records": [{ "offset": 1, "data": "YWJj" }] }),
+        json!({ "offset": 7 }),
+        json!({ "version": 3, "whole": true, "boxes": [listed], "gone": ["box-2"] }),
+        json!({ "fence": 3, "draining": false, "inflight": 0, "jobs": [], "rebooted_for": null }),
+        json!({ "fence": 3, "action": { "kind": "reboot", "operation": 4 } }),
+        json!({ "kind": "maintain", "pools": ["front"] }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn answers_of_the_older_home_are_decoded_or_refused(
+        which in 0..6_usize,
+        mutations in prop::collection::vec(mutation(), 1..4),
+    ) {
+        let bytes = mutated(&answers()[which], &mutations);
+        if let Ok(page) = serde_json::from_slice::<log::Page>(&bytes) {
+            page.records.iter().for_each(|item| drop(item.bytes()));
+        }
+        if let Ok(list) = serde_json::from_slice::<boxes::List>(&bytes) {
+            list.boxes.iter().for_each(|listed| drop(listed.shape()));
+        }
+        let _ = serde_json::from_slice::<log::Appended>(&bytes);
+        let _ = serde_json::from_slice::<worker::Status>(&bytes);
+        let _ = serde_json::from_slice::<worker::Command>(&bytes);
+        let _ = serde_json::from_slice::<Intent>(&bytes);
+    }
+
+    #[test]
+    fn datagrams_are_opened_or_refused(mutations in prop::collection::vec(mutation(), 1..6)) {
+        let key = derive_key("shared");
+        let beat = Beat { next: 9, busy: vec![1, 2], serving: true, ..Beat::default() };
+        let frame = Frame { from: 1, incarnation: 2, sequence: 3, to: 4, echo: None, beat };
+        let good = frame.seal(&key);
+        let mut bytes = good.clone();
+        mutations.iter().for_each(|mutation| mutate_bytes(&mut bytes, mutation));
+        let opened = Frame::open(&key, &bytes);
+        prop_assert!(bytes == good || opened.is_err(), "{opened:?}");
+    }
+
+    #[test]
+    fn pieces_of_a_peer_with_the_key_are_read_or_refused(
+        bytes in prop::collection::vec(any::<u8>(), 0..300),
+    ) {
+        let key = derive_key("shared");
+        let sealed = catch_up::seal(&key, &Raw(bytes));
+        let _ = catch_up::open::<catch_up::Piece>(&key, &sealed);
+        let _ = catch_up::open::<catch_up::Request>(&key, &sealed);
+        let _ = catch_up::open::<catch_up::Greeting>(&key, &sealed);
+    }
+}
