--- a/lib/src/batch/cell/crashes.rs
+++ b/lib/src/batch/cell/crashes.rs
@@ -173,7 +173,7 @@
     /// Counts a crash for tasks, and gives up those that have had too many.
     fn record_crash(&mut self, worker: &str, tasks: Vec<(TaskName, Evidence)>) {
         let is_repeat = tasks.iter().any(|(name, evidence)| {
-            let task = self.jobs.get_mut(&name.job).and_then(|entry| entry.task(*name));
+            let task = self.jobs.get(&name.job).and_then(|entry| entry.seen_task(*name));
             task.is_some_and(|task| crash::is_repeat(&task.crashes, *evidence))
         });
         // Where others crashed as well, that says nothing of whether tasks are to blame.
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -3,7 +3,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use spokelift_platform::machine::Machine;
 use spokelift_platform::machine::MachineId;
@@ -31,9 +30,6 @@
 /// boxes; counted by the pause alone, 260 orders a second went out where 590 are taken, and after a
 /// loss of power 500 boxes waited for theirs.
 const CATCH_UP: Duration = Duration::from_millis(500);
-/// How long a task that lasts waits for a place before a box is fetched for it, whatever the sums say: a start takes
-/// some milliseconds, room that is made for it about a second.
-const AWAIT_PLACE: Duration = Duration::from_millis(1_000);
 /// Time between lines in the log about what each service has and wants.
 const TELL: Duration = Duration::from_millis(1_000);
 
@@ -51,7 +47,10 @@
         let mut orders = orders_in(clock::since(last_round), rate);
         last_round = clock::now();
         let under_way = waves.take(&scheduler);
-        note_homeless(&mut scheduler.cell(), clock::now());
+        {
+            let (mut cell, now) = (scheduler.cell(), clock::now());
+            cell.unhoused = Places::new(&cell, now).unhoused(&cell, now);
+        }
         if clock::since(told_at) >= TELL {
             told_at = clock::now();
             tell_loads(&scheduler);
@@ -84,20 +83,6 @@
     }
 }
 
-/// Notes which services have tasks that last and have waited for a place in vain.
-fn note_homeless(cell: &mut Cell, now: Instant) {
-    let places = Places::new(cell, now);
-    let homeless = places.all_homeless().filter_map(|(service, task)| {
-        let entry = cell.jobs.get(&task.job)?;
-        let run = entry.times.get(task.time as usize)?.steps.get(usize::from(task.step))?;
-        let since = run.tasks.get(task.index as usize)?.waiting_since?;
-        let is_long = now.saturating_duration_since(since) >= AWAIT_PLACE;
-        let need = u64::from(entry.step(task.step)?.cpu).max(1);
-        is_long.then(|| (service.clone(), need))
-    });
-    cell.unhoused = homeless.collect();
-}
-
 /// How many orders a round may give, so long after the last one began, at the platform's rate of orders
 /// a second.
 ///
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -140,6 +140,16 @@
         self.times.get_mut(time as usize)?.steps.get_mut(usize::from(step))
     }
 
+    /// The same, to look at.
+    pub fn seen_run(&self, time: u32, step: u16) -> Option<&StepRun> {
+        self.times.get(time as usize)?.steps.get(usize::from(step))
+    }
+
+    /// A task to look at, if its repetition is due.
+    pub fn seen_task(&self, name: TaskName) -> Option<&Task> {
+        self.seen_run(name.time, name.step)?.tasks.get(name.index as usize)
+    }
+
     /// A task, if its repetition is due.
     pub fn task(&mut self, name: TaskName) -> Option<&mut Task> {
         self.step_run(name.time, name.step)?.tasks.get_mut(name.index as usize)
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -72,8 +72,7 @@
 
     /// Whether a task that may have brought down a worker waits in a step.
     pub fn waits_as_suspect(&self, rank: &Rank) -> bool {
-        let repetition = self.jobs.get(&rank.job).and_then(|job| job.times.get(rank.time as usize));
-        let run = repetition.and_then(|repetition| repetition.steps.get(usize::from(rank.step)));
+        let run = self.jobs.get(&rank.job).and_then(|job| job.seen_run(rank.time, rank.step));
         let is_suspect = |task: &Task| is_suspect(&task.crashes, self.repeats);
         let any = |run: &StepRun| run.waiting.iter().any(|at| is_suspect(&run.tasks[*at as usize]));
         run.is_some_and(any)
--- a/lib/src/batch/place/quarantine.rs
+++ b/lib/src/batch/place/quarantine.rs
@@ -35,9 +35,7 @@
 impl Cell {
     /// What speaks against a task.
     pub(super) fn suspicion(&self, name: TaskName, now: Instant) -> Suspicion {
-        let repetition = self.jobs.get(&name.job).and_then(|job| job.times.get(name.time as usize));
-        let run = repetition.and_then(|repetition| repetition.steps.get(usize::from(name.step)));
-        let Some(task) = run.and_then(|run| run.tasks.get(name.index as usize)) else {
+        let Some(task) = self.jobs.get(&name.job).and_then(|job| job.seen_task(name)) else {
             return Suspicion::None;
         };
         let has_waited = |since: Instant| now.saturating_duration_since(since) >= AWAIT_QUARANTINE;
--- a/lib/src/batch/pool/load.rs
+++ b/lib/src/batch/pool/load.rs
@@ -141,8 +141,7 @@
     for rank in &cell.ready {
         let Some(entry) = cell.jobs.get(&rank.job) else { continue };
         let Some(step) = entry.step(rank.step).filter(|step| !step.fills) else { continue };
-        let repetition = entry.times.get(rank.time as usize);
-        let run = repetition.and_then(|time| time.steps.get(usize::from(rank.step)));
+        let run = entry.seen_run(rank.time, rank.step);
         let waiting = run.map_or(0, |run| run.waiting.len() as u64) * u64::from(step.cpu);
         let load = loads.entry(entry.accepted.service.clone()).or_default();
         load.waiting += waiting;
--- a/lib/src/batch/stuck.rs
+++ b/lib/src/batch/stuck.rs
@@ -39,7 +39,7 @@
 fn stuck_step(cell: &Cell, rank: &Rank, now: Instant) -> Option<Stuck> {
     let entry = cell.jobs.get(&rank.job)?;
     let step = entry.step(rank.step)?;
-    let run = entry.times.get(rank.time as usize)?.steps.get(usize::from(rank.step))?;
+    let run = entry.seen_run(rank.time, rank.step)?;
     let index = *run.waiting.first()?;
     let since = run.tasks.get(index as usize)?.waiting_since?;
     let waited = now.saturating_duration_since(since);
--- a/lib/src/batch/upkeep/places.rs
+++ b/lib/src/batch/upkeep/places.rs
@@ -4,8 +4,10 @@
 //! so that the box never becomes empty, and its room lies idle. What waits already, and what is being stopped, comes
 //! first; a place that one task will take is no place for the next.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use spokelift_platform::job::TaskName;
@@ -23,6 +25,10 @@
 /// Most steps that wait and are given places ahead of what is moved off. With so many waiting, nothing is left.
 const MOST_WAITING: usize = 64;
 
+/// How long a task that lasts waits for a place before a box is fetched for it, whatever the sums say: a start takes
+/// some milliseconds, room that is made for it about a second.
+const AWAIT_PLACE: Duration = Duration::from_millis(1_000);
+
 /// Room that is free and not yet meant for another task.
 #[derive(Clone, Debug, Default)]
 pub struct Places {
@@ -40,8 +46,7 @@
         let lasting = cell.ready.iter().take_while(|rank| !rank.ends).take(MOST_WAITING);
         for rank in lasting {
             let Some(entry) = cell.jobs.get(&rank.job) else { continue };
-            let repetition = entry.times.get(rank.time as usize);
-            let run = repetition.and_then(|time| time.steps.get(usize::from(rank.step)));
+            let run = entry.seen_run(rank.time, rank.step);
             for index in run.into_iter().flat_map(|run| &run.waiting) {
                 let task =
                     TaskName { job: rank.job, time: rank.time, step: rank.step, index: *index };
@@ -67,14 +72,16 @@
         self.homeless.get(service).copied()
     }
 
-    /// Services of which a task waits and has no place, and the first such task of each.
-    pub fn all_homeless(&self) -> impl Iterator<Item = (&String, TaskName)> {
-        self.homeless.iter().map(|(service, task)| (service, *task))
-    }
-
-    /// The name of a service of which a task waits and has no place, as it is kept here.
-    pub fn name_of(&self, service: &str) -> Option<&str> {
-        self.homeless.get_key_value(service).map(|(name, _)| name.as_str())
+    /// What the first task of each service that has waited for long and has no place takes of a core, in thousandths.
+    pub fn unhoused(&self, cell: &Cell, now: Instant) -> BTreeMap<String, u64> {
+        let homeless = self.homeless.iter().filter_map(|(service, task)| {
+            let entry = cell.jobs.get(&task.job)?;
+            let since = entry.seen_task(*task)?.waiting_since?;
+            let need = u64::from(entry.step(task.step)?.cpu).max(1);
+            let is_long = now.saturating_duration_since(since) >= AWAIT_PLACE;
+            is_long.then(|| (service.clone(), need))
+        });
+        homeless.collect()
     }
 
     /// Takes a place for a task, not on this worker; `false` if there is none.
--- a/lib/src/batch/upkeep/plan.rs
+++ b/lib/src/batch/upkeep/plan.rs
@@ -71,7 +71,7 @@
     now: Instant,
 ) {
     let mut released: Vec<(MachineId, WorkerId)> = Vec::new();
-    let mut served: HashSet<&str> = HashSet::new();
+    let mut served: HashSet<String> = HashSet::new();
     for id in course.emptying.keys() {
         let Some(worker) = worker_of(listed, id).and_then(|worker| cell.workers.get(&worker))
         else {
@@ -85,7 +85,7 @@
             continue;
         }
         if would_accept(cell, worker, task, now) {
-            served.extend(places.name_of(service));
+            served.insert(service.to_owned());
             released.push((id.clone(), worker.peer.id.clone()));
         }
     }
