testutils: a box that moves in is missed in its new pool once it has served there

Cause: the ledger's count; a box told to drain that has its new jobs and does not serve yet counted as out of its new pool, so two boxes drained there in those milliseconds made three. Ruled out: the killed box (no box was dead) and the log's rule (both permissions came before the box was that pool's).

--- a/testutils/src/ledger.rs
+++ b/testutils/src/ledger.rs
@@ -102,7 +102,8 @@
     out_since: Option<Instant>,
     draining_since: Option<Instant>,
     dead_since: Option<Instant>,
-    /// It was told to run nothing: on its way to another pool, it is out of none.
+    /// It was told to run nothing, and does not serve again yet: on its way to another pool, it is out of none. A box
+    /// that has never served in a pool cannot be missed there.
     in_transit: bool,
     inflight: BTreeSet<Token>,
 }
@@ -265,7 +266,8 @@
         let pools = inner.pools_of(jobs);
         inner.boxes_in_two_pools += u64::from(pools.len() > 1);
         let state = inner.boxes.entry(target.clone()).or_default();
-        state.in_transit = jobs.is_empty();
+        // One that has new jobs and was told to drain does not serve them yet.
+        state.in_transit = jobs.is_empty() || state.in_transit && state.draining_since.is_some();
         let Some(pool) = pools.first().copied() else {
             return;
         };
@@ -297,6 +299,7 @@
         let mut inner = self.inner();
         let state = inner.boxes.entry(target.clone()).or_default();
         state.draining_since = None;
+        state.in_transit = false;
         let out = state.out_since.take().map(|since| since.elapsed());
         inner.out_time += out.unwrap_or_default();
     }
--- a/testutils/tests/test_budget.rs
+++ b/testutils/tests/test_budget.rs
@@ -52,6 +52,16 @@
     assert_eq!(ledger.counts().budget_breaches, 1);
 }
 
+#[test]
+fn a_box_that_gets_its_first_jobs_counts_at_once() {
+    let (ledger, [one, _, moving]) = ledger();
+    ledger.jobs(&moving, &[]);
+    ledger.jobs(&moving, &[job("second")]);
+    ledger.draining(&moving);
+    ledger.draining(&one);
+    assert_eq!(ledger.counts().budget_breaches, 1);
+}
+
 #[test]
 fn a_box_counts_in_its_pool_until_it_has_left() {
     let (ledger, [one, two, moving]) = ledger();
