crash: crashes beside others count towards four, as all others do

Cause: with evidence Shared a task had five crashes in place of four, and every daemon was killed meanwhile, so crashes that a scheduler had not written down came on top.

Change: four crashes of any kind, five for a task that lasts.

--- a/lib/src/batch/crash.rs
+++ b/lib/src/batch/crash.rs
@@ -29,8 +29,9 @@
 /// of 2 s has four such runs once in 500 where 30% of all workers crash each 3 s for reasons of their own.
 const MOST: usize = 4;
 
-/// Crashes of any kind after which it is given up: the platform allows no more than five starts.
-const MOST_OF_ALL: usize = 5;
+/// The same for a task that lasts: as many as the platform allows starts. It is started again all day long, and with four,
+/// 3 of 320 such jobs were given up in a storm of crashes beside poison tasks.
+const MOST_OF_ALL_LASTING: usize = 5;
 
 /// Share of crashes under a task that had been a suspect before, from which on a task is tried by itself
 /// after the first crash. About half are where tasks are to blame, 3 to 10 in a hundred where 30% of all
@@ -156,8 +157,8 @@
 /// assert!(is_given_up(&[alone.clone(), alone.clone(), alone], true));
 /// // Many workers crashed each time, whatever they ran.
 /// let shared = crash(Evidence::Shared);
-/// assert!(!is_given_up(&vec![shared.clone(); 4], false));
-/// assert!(is_given_up(&vec![shared; 5], false));
+/// assert!(!is_given_up(&vec![shared.clone(); 3], false));
+/// assert!(is_given_up(&vec![shared; 4], false));
 /// ```
 pub fn is_given_up(crashes: &[Crash], lasts: bool) -> bool {
     let count = |wanted: &[Evidence]| {
@@ -165,10 +166,8 @@
     };
     let is_clear = count(&[Evidence::Alone]) > 0;
     let young = count(&[Evidence::Alone, Evidence::Among]);
-    let own = crashes.len() - count(&[Evidence::Shared]);
-    let is_over = match lasts {
-        true => is_clear && young >= MOST_LASTING,
-        false => is_clear && young >= MOST_AS_SUSPECT || own >= MOST,
-    };
-    is_over || crashes.len() >= MOST_OF_ALL
+    match lasts {
+        true => is_clear && young >= MOST_LASTING || crashes.len() >= MOST_OF_ALL_LASTING,
+        false => is_clear && young >= MOST_AS_SUSPECT || crashes.len() >= MOST,
+    }
 }
