crash, fleet: crashes beside others count less for tasks that last only; only listed workers are opened

Cause of the first: evidence Shared for tasks that end by themselves put off giving them up, and crashes were lost with schedulers.

--- a/lib/src/batch/cell/crashes.rs
+++ b/lib/src/batch/cell/crashes.rs
@@ -125,13 +125,14 @@
             _ if jobs.len() == 1 => Evidence::Alone,
             _ => Evidence::Among,
         };
-        let is_shared = !worker.slots.is_empty() && self.has_company(worker);
-        let slots = worker.slots.iter().filter_map(|(task, slot)| match evidence(slot) {
-            // That it had run for a while still speaks for one that lasts.
-            Evidence::Earlier if is_shared && slot.kind == Kind::Works => None,
-            Evidence::Earlier => Some((*task, Evidence::Earlier)),
-            _ if is_shared => Some((*task, Evidence::Shared)),
-            own => Some((*task, own)),
+        let is_shared = worker.lasting.tasks > 0 && self.has_company(worker);
+        // Only for tasks that last: with others counted so as well, up to a twelfth of the plays of the soak started
+        // a task that brings down its workers too often, on eight workers whose schedulers were lost meanwhile.
+        let slots = worker.slots.iter().map(|(task, slot)| match evidence(slot) {
+            // That it had run for a while speaks for one that lasts.
+            Evidence::Earlier => (*task, Evidence::Earlier),
+            _ if is_shared && slot.kind != Kind::Works => (*task, Evidence::Shared),
+            own => (*task, own),
         });
         let inherited = self.silent_with.get(&worker.peer.id);
         let inherited = inherited.into_iter().flatten().map(|task| (*task, Evidence::Unsure));
@@ -176,10 +177,7 @@
             let task = self.jobs.get(&name.job).and_then(|entry| entry.seen_task(*name));
             task.is_some_and(|task| crash::is_repeat(&task.crashes, *evidence))
         });
-        // Where others crashed as well, that says nothing of whether tasks are to blame.
-        if !tasks.iter().any(|(_, evidence)| *evidence == Evidence::Shared) {
-            self.repeats.crashed(is_repeat);
-        }
+        self.repeats.crashed(is_repeat);
         for (name, evidence) in tasks {
             let Some(entry) = self.jobs.get_mut(&name.job) else { continue };
             let lasts = entry.step(name.step).is_some_and(|step| step.long_running);
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -59,7 +59,6 @@
             scheduler.node.counters.add("batch.task.waits-beside-room", first);
         }
         if !under_way && !pools.wants_list(&scheduler) {
-            uncordon(&mut scheduler.cell(), &HashSet::new(), &[]);
             continue;
         }
         let listed = machines.list(CALL).await;
@@ -97,17 +96,15 @@
     (rate * ORDERS_SHARE * time.min(CATCH_UP).as_secs_f64()).max(1.0) as usize
 }
 
-/// Workers take work again unless their box is being emptied, or they leave without a word. A box is told by the
-/// worker's own word, or by the list where it says nothing; the list may be older than the worker.
+/// Workers on boxes that nobody empties take work again. Only those that the list names as living there now: one that
+/// lived on a box before it was ordered is known until the next life answers, and must stay closed until then.
 pub fn uncordon(cell: &mut Cell, busy: &HashSet<MachineId>, list: &[Machine]) {
-    let emptied = list.iter().filter(|machine| busy.contains(&machine.id));
-    let emptied: HashSet<&WorkerId> =
-        emptied.filter_map(|machine| machine.worker.as_ref()).collect();
-    let now = clock::now();
+    let free = list.iter().filter(|machine| !busy.contains(&machine.id));
+    let workers: HashSet<&WorkerId> = free.filter_map(|machine| machine.worker.as_ref()).collect();
     cell.workers.for_each_mut(|worker| {
-        let on_busy = worker.entry.machine.as_ref().is_some_and(|name| busy.contains(name));
-        let has_owner = on_busy || emptied.contains(&worker.peer.id) || worker.is_missing(now);
-        worker.cordoned &= has_owner;
+        if worker.cordoned && workers.contains(&worker.peer.id) {
+            worker.cordoned = false;
+        }
     });
 }
 
