tests: keys, owners and bounds of accounts, and a node that the store turns away, failing

Accounts of the operator's configuration are not read at all: calls without a key, or with one that no configuration held, are answered with 200, any caller sees and cancels any job, and an account runs what there is room for.

--- /dev/null
+++ b/cli/tests/test_accounts.rs
@@ -0,0 +1,156 @@
+//! Accounts on the users' platform, with real daemons: who may call, what each account may see, what it may have
+//! running, and how soon every node knows of a change.
+//!
+//! On a site whose operator has configured accounts the daemons took jobs from anybody, showed and cancelled them for
+//! anybody, and ran as much of one account as there was room for: a call without a key was answered with 200, and so
+//! was one with a key that no configuration had ever held. A node that the store turned away learned of no later
+//! configuration for as long as that lasted.
+
+use std::time::Duration;
+
+use hyper::Method;
+use serde_json::Value;
+use serde_json::json;
+use spokelift_testutils::platform::site::Site;
+use spokelift_testutils::platform::site::config::Account;
+use spokelift_testutils::platform::store::Fault;
+use tokio::time::sleep;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
+/// Time between looks at what runs.
+const PAUSE: Duration = Duration::from_millis(20);
+
+fn id(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+fn path(number: u64) -> String {
+    format!("/q/{}", id(number))
+}
+
+fn job(tasks: u32, millis: u32) -> Value {
+    let step = json!({ "count": tasks, "cpu": 1000, "memMb": 100, "estimateMs": millis });
+    json!({ "spec": format!("ms={millis} cpu=1000 mem=100"), "steps": [step] })
+}
+
+fn assert_sound(site: &Site) {
+    assert_eq!(site.ledger.faults(), Vec::<String>::new());
+}
+
+/// Two accounts, one of them with two keys.
+fn accounts() -> Vec<Account> {
+    let mut first = Account::new("first", "key-of-first");
+    first.keys.push("second-key-of-first".to_owned());
+    vec![first, Account::new("other", "key-of-other")]
+}
+
+/// Waits until each node asks for a key.
+async fn until_keys_count(site: &Site) {
+    for node in 0..site.nodes.len() {
+        site.until("a call without a key is refused", async |site| {
+            site.call_with(&[], node, Method::GET, &path(99), Value::Null).await.0 == 401
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn a_call_bears_a_key_of_an_account() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    site.configure(2, &accounts());
+    until_keys_count(&site).await;
+    let post = |headers: Vec<(&'static str, &'static [u8])>| {
+        let site = &site;
+        async move { site.call_with(&headers, 0, Method::POST, &path(1), job(1, 10)).await.0 }
+    };
+    assert_eq!(post(vec![]).await, 401);
+    assert_eq!(post(vec![("authorization", b"Bearer no-such-key")]).await, 401);
+    assert_eq!(post(vec![("authorization", b"Bearer ")]).await, 401);
+    assert_eq!(post(vec![("authorization", b"Basic key-of-first")]).await, 401);
+    assert_eq!(post(vec![("authorization", b"Bearer \xff\xfe")]).await, 401);
+    let good: (&str, &[u8]) = ("authorization", b"Bearer key-of-first");
+    assert_eq!(post(vec![good, good]).await, 401, "two keys name nobody");
+    assert_eq!(site.ledger.starts(), 0);
+    assert_eq!(post(vec![("authorization", b"bearer key-of-first")]).await, 200);
+    assert_eq!(post(vec![good]).await, 200);
+    site.until("the job has run", async |site| site.ledger.done() == 1).await;
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_job_belongs_to_its_account() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    site.configure(2, &accounts());
+    until_keys_count(&site).await;
+    let call = async |key: &str, method: Method, body: Value| {
+        site.call_as(key, 1, method, &path(1), body).await.0
+    };
+    let lasting = json!({
+        "spec": "cpu=500 mem=100",
+        "steps": [{ "count": 1, "cpu": 500, "memMb": 100, "estimateMs": 100, "longRunning": true }],
+    });
+    assert_eq!(call("key-of-first", Method::POST, lasting.clone()).await, 200);
+    site.until("it runs", async |site| site.ledger.running(&id(1)) == 1).await;
+    assert_eq!(call("key-of-first", Method::GET, Value::Null).await, 200);
+    assert_eq!(call("second-key-of-first", Method::GET, Value::Null).await, 200);
+    assert_eq!(call("key-of-other", Method::GET, Value::Null).await, 410);
+    assert_eq!(call("key-of-other", Method::DELETE, Value::Null).await, 410);
+    // The job of another account is not to be seen at a public queue either.
+    let (status, _) =
+        site.call_with(&[], 0, Method::GET, &format!("/open/{}", id(1)), Value::Null).await;
+    assert_eq!(status, 410);
+    // Nor after the holder of the lead has been replaced.
+    site.nodes[site.leader().unwrap()].kill();
+    let seen = async |site: &Site| {
+        let node = usize::from(site.nodes[1].is_running());
+        site.call_as("second-key-of-first", node, Method::GET, &path(1), Value::Null).await.0 == 200
+    };
+    site.until("the next holder knows it", seen).await;
+    let node = usize::from(site.nodes[1].is_running());
+    let (status, _) =
+        site.call_as("key-of-other", node, Method::DELETE, &path(1), Value::Null).await;
+    assert_eq!(status, 410);
+    let (status, _) =
+        site.call_as("second-key-of-first", node, Method::DELETE, &path(1), Value::Null).await;
+    assert_eq!(status, 200);
+    site.until("it is gone", async |site| site.ledger.running(&id(1)) == 0).await;
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn an_account_runs_no_more_than_its_maximum() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    let mut accounts = accounts();
+    accounts[0].maximum = (2_000, 0);
+    site.configure(2, &accounts);
+    until_keys_count(&site).await;
+    let (status, _) = site.call_as("key-of-first", 0, Method::POST, &path(1), job(8, 150)).await;
+    assert_eq!(status, 200);
+    let mut most = 0;
+    while site.ledger.done() < 8 {
+        most = most.max(site.ledger.running(&id(1)));
+        sleep(PAUSE).await;
+    }
+    assert_eq!(most, 2, "tasks at once");
+    assert_sound(&site);
+}
+
+#[tokio::test]
+async fn a_node_that_the_store_does_not_answer_learns_of_a_new_key() {
+    let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
+    site.configure(2, &accounts());
+    until_keys_count(&site).await;
+    let cut = (0..3).find(|node| site.leader() != Some(*node)).unwrap();
+    site.nodes[cut].door.set(Fault::Silent);
+    let mut later = accounts();
+    later[1].keys = vec!["new-key-of-other".to_owned()];
+    site.configure(3, &later);
+    site.until("the new key counts there", async |site| {
+        let path = path(9);
+        site.call_as("new-key-of-other", cut, Method::GET, &path, Value::Null).await.0 == 410
+    })
+    .await;
+    let (status, _) = site.call_as("key-of-other", cut, Method::GET, &path(9), Value::Null).await;
+    assert_eq!(status, 401);
+    assert_sound(&site);
+}
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -1,6 +1,6 @@
 //! A site: the platform's stand-ins around real daemons.
 
-mod config;
+pub mod config;
 pub mod node;
 
 use std::io;
@@ -25,8 +25,10 @@
 use crate::platform::ledger::Ledger;
 use crate::platform::machines::Machines;
 use crate::platform::machines::RESERVE;
+use crate::platform::site::config::Account;
 use crate::platform::site::config::HOST;
 use crate::platform::site::config::config;
+use crate::platform::site::config::config_with;
 use crate::platform::site::node::Node;
 use crate::platform::site::node::Place;
 use crate::platform::store;
@@ -160,11 +162,32 @@
         Ok(())
     }
 
-    /// Calls a node as a client; status 0 if there is no answer.
+    /// Publishes a configuration with these accounts.
+    pub fn configure(&self, version: u64, accounts: &[Account]) {
+        let config = config_with(version, accounts).to_string();
+        self.store.put(OPERATOR_TOPIC, Record::set("config", config));
+    }
+
+    /// Calls a node as a client without a key; status 0 if there is no answer.
     async fn call(&self, node: usize, method: Method, path: &str, body: Value) -> (u16, Value) {
+        self.call_with(&[], node, method, path, body).await
+    }
+
+    /// Calls a node as a client with these headers; status 0 if there is no answer.
+    pub async fn call_with(
+        &self,
+        headers: &[(&str, &[u8])],
+        node: usize,
+        method: Method,
+        path: &str,
+        body: Value,
+    ) -> (u16, Value) {
         let addr = self.nodes[node].client_line.addr;
         let body = if body.is_null() { String::new() } else { body.to_string() };
-        let request = Request::builder().method(method).uri(path).header("host", HOST);
+        let mut request = Request::builder().method(method).uri(path).header("host", HOST);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
         let request = request.body(full(body)).expect("the tests make sound requests");
         match self.dialer.exchange(addr, request, 65_536, ANSWER).await {
             Ok(response) => {
@@ -210,6 +233,19 @@
         self.call(node, Method::POST, &format!("/{queue}/{id}"), job).await.0
     }
 
+    /// Calls a node with a key of an account; status 0 if there is no answer.
+    pub async fn call_as(
+        &self,
+        key: &str,
+        node: usize,
+        method: Method,
+        path: &str,
+        body: Value,
+    ) -> (u16, Value) {
+        let bearer = format!("Bearer {key}");
+        self.call_with(&[("authorization", bearer.as_bytes())], node, method, path, body).await
+    }
+
     /// Hands in a job again and again, at one node after another, as clients do.
     pub async fn insist(&self, id: &str, job: Value) {
         for attempt in 0..200 {
--- a/testutils/src/platform/site/config.rs
+++ b/testutils/src/platform/site/config.rs
@@ -33,3 +33,41 @@
         "limits": { "maxBodyBytes": 262144 },
     })
 }
+
+/// An account that the operator has configured.
+#[derive(Clone, Debug, Default)]
+pub struct Account {
+    /// Its name.
+    pub name: String,
+    /// Its keys.
+    pub keys: Vec<String>,
+    /// What it may have running: processor in thousandths of a core, and memory in megabytes; 0 for no bound.
+    pub maximum: (u64, u64),
+}
+
+impl Account {
+    /// An account with one key and no bound.
+    pub fn new(name: &str, key: &str) -> Account {
+        Account { name: name.to_owned(), keys: vec![key.to_owned()], maximum: (0, 0) }
+    }
+}
+
+/// The same with accounts, whose jobs queue `q` takes; queue `open` is public.
+pub(super) fn config_with(version: u64, accounts: &[Account]) -> Value {
+    let mut config = config();
+    let mut own = queue("q", &Value::Null);
+    own["public"] = json!(false);
+    let mut open = queue("open", &Value::Null);
+    open["public"] = json!(true);
+    config["version"] = json!(version);
+    config["routes"] = json!([own, open]);
+    let accounts = accounts.iter().map(|account| {
+        let (cpu, memory) = account.maximum;
+        json!({
+            "name": account.name, "apiKeys": account.keys, "priority": 1, "weight": 10,
+            "maximum": { "cpu": cpu, "memMb": memory, "gpu": 0 },
+        })
+    });
+    config["tenants"] = accounts.collect();
+    config
+}
