batch: a call bears a key of an account, and a job belongs to it

Cause: the accounts of the operator's configuration were not read, so any call was served and any job shown to and cancelled by anybody.

Change: platform/ decodes accounts, keys and public queues; batch/config keeps the keys as hashes only, batch/admit finds the queue and the caller before the body is read (401 with WWW-Authenticate, counters batch.client.refused.REASON, a line with the version), batch/caller says which jobs are a caller's. The owner stands in the record of the job (records of before are read, theirs is nobody's) and in its key, so that two accounts that choose one id write two records; the later one is refused with 503 and let go of. A wish to cancel names who has it. One reader of bearer tokens for both homes.

Ruled out: looking keys up one after another in constant time as the older home does for one account's few: 100,000 keys would cost as many comparisons a call; a look-up by hash tells nothing either.

--- a/cli/src/bench/batch.rs
+++ b/cli/src/bench/batch.rs
@@ -323,5 +323,6 @@
         objective_ms: 600,
         stretch_percent: 160,
         at: Duration::ZERO,
+        account: None,
     }
 }
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -4,11 +4,14 @@
 //! node at a time holds the lead ([`lead`]) and runs the scheduler ([`scheduler`]), whose state is
 //! a [`cell`]: jobs, workers and what runs where. See `docs/design/on-the-platform.md`.
 
+pub mod admit;
 pub mod advice;
 pub mod announce;
+pub mod caller;
 pub mod carry;
 pub mod cell;
 pub mod commit;
+pub mod config;
 pub mod contact;
 pub mod crash;
 pub mod demand;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -42,6 +42,7 @@
 use crate::batch::demand::Demand;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
+use crate::batch::record::JobKey;
 use crate::batch::worker::table::Number;
 use crate::batch::worker::table::Table;
 
@@ -156,8 +157,8 @@
 /// A finished job that is to be let go of.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Finished {
-    /// Its id.
-    pub id: JobId,
+    /// Its id and its account.
+    pub key: JobKey,
     /// The store may keep the wish to cancel it.
     pub cancelled: bool,
     /// Partitions that keep it.
@@ -226,6 +227,8 @@
     /// Repetitions that are not due yet: when, since 1970.
     scheduled: BTreeSet<(Duration, JobId, u32)>,
     dirty: HashSet<JobId>,
+    /// Records of jobs under ids that are another account's, by partition.
+    foreign: BTreeSet<(JobKey, u16)>,
     /// Jobs with tasks under which workers crashed, of which the store is to know.
     crashed: HashSet<JobId>,
     /// Tasks of some job may be suspects.
@@ -294,6 +297,7 @@
             waves_over: HashSet::new(),
             scheduled: BTreeSet::new(),
             dirty: HashSet::new(),
+            foreign: BTreeSet::new(),
             crashed: HashSet::new(),
             suspects: false,
             repeats: Repeats::default(),
--- a/lib/src/batch/commit.rs
+++ b/lib/src/batch/commit.rs
@@ -61,6 +61,8 @@
     Kept,
     /// It was not taken and never will be. It may be sent again after this time.
     Refused(Duration),
+    /// It was not taken and never will be under this id. The caller is told no more than that.
+    Occupied(Duration),
     /// It may have been taken.
     Unknown,
 }
@@ -189,7 +191,12 @@
     /// Has a job written to the store before `until`, and tells the holder of the lead.
     ///
     /// Once a write has had no answer, the job may be taken whatever later tries say.
-    pub async fn commit(&self, id: JobId, accepted: Accepted, until: Instant) -> Written {
+    pub async fn commit(
+        self: &Arc<Self>,
+        id: JobId,
+        accepted: Accepted,
+        until: Instant,
+    ) -> Written {
         let now = clock::now();
         let pace = *self.commits.pace();
         if pace.is_silent(now) {
@@ -223,10 +230,16 @@
             Ok(Err(_)) | Err(_) => Written::Unknown,
         };
         self.latencies.record("batch.submit.write", clock::since(now));
-        if written == Written::Kept {
+        if written != Written::Kept {
+            return written;
+        }
+        if accepted.account.is_none() {
             self.tell_submitted(id, accepted);
+        } else if self.is_occupied(id, accepted).await {
+            self.counters.count("batch.submit.refused.occupied");
+            return Written::Occupied(self.commits.pace().come_back(now));
         }
-        written
+        Written::Kept
     }
 }
 
--- /dev/null
+++ b/lib/src/batch/config.rs
@@ -0,0 +1,132 @@
+//! The configuration in force: what the operator has published, with the accounts' keys as hashes.
+//!
+//! In this form it passes from node to node, so that no key is kept or sent in clear text beyond its decoding.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::ops::Deref;
+
+use hyper::HeaderMap;
+use serde::Deserialize;
+use serde::Serialize;
+use spokelift_platform::config;
+use spokelift_platform::config::Maximum;
+use spokelift_platform::config::Queue;
+
+use crate::batch::caller::Caller;
+use crate::protocol::bearer;
+use crate::state::account::CredentialError;
+use crate::state::account::KeyHash;
+use crate::state::account::hash_secret;
+use crate::state::id::AccountId;
+
+/// An account, as far as it matters after its keys were read.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Account {
+    /// Its share against other accounts.
+    pub weight: f64,
+    /// What it may have running at once.
+    pub maximum: Maximum,
+    /// How many keys it has.
+    pub keys: usize,
+}
+
+/// A configuration in force.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Config {
+    published: config::Config,
+    accounts: BTreeMap<AccountId, Account>,
+    owners: HashMap<KeyHash, AccountId>,
+}
+
+impl Deref for Config {
+    type Target = config::Config;
+
+    fn deref(&self) -> &config::Config {
+        &self.published
+    }
+}
+
+impl Config {
+    /// The configuration that an operator has published.
+    ///
+    /// An account that stands there twice has the keys of both and the lower of their bounds. A key that two accounts
+    /// have, or that is empty, is nobody's: it must not show one account the jobs of another.
+    pub fn new(mut published: config::Config) -> Config {
+        let mut config = Config::default();
+        let mut shared = HashSet::new();
+        for listed in published.accounts.iter_mut().flatten() {
+            let id: AccountId = listed.name.as_str().into();
+            config.add_account(&id, listed);
+            for key in std::mem::take(&mut listed.keys) {
+                let hash = hash_secret(key.text().trim());
+                let before = config.owners.insert(hash, id.clone());
+                if key.text().trim().is_empty() || before.is_some_and(|before| before != id) {
+                    shared.insert(hash);
+                }
+            }
+        }
+        if !shared.is_empty() {
+            log::warn!(keys = shared.len(); "keys that are empty or belong to several accounts count for none");
+        }
+        config.owners.retain(|hash, _| !shared.contains(hash));
+        for owner in config.owners.values() {
+            if let Some(account) = config.accounts.get_mut(owner) {
+                account.keys += 1;
+            }
+        }
+        Config { published, ..config }
+    }
+
+    fn add_account(&mut self, id: &AccountId, listed: &config::Account) {
+        let (weight, maximum) = (listed.weight.max(0.0), listed.maximum);
+        let account = self.accounts.entry(id.clone());
+        account
+            .and_modify(|account| account.maximum = lower(account.maximum, maximum))
+            .or_insert(Account { weight, maximum, keys: 0 });
+    }
+
+    /// Decodes what the operator has published.
+    ///
+    /// # Errors
+    ///
+    /// The error of the JSON library.
+    pub fn decode(bytes: &[u8]) -> Result<Config, serde_json::Error> {
+        config::Config::decode(bytes).map(Config::new)
+    }
+
+    /// The accounts.
+    pub fn accounts(&self) -> &BTreeMap<AccountId, Account> {
+        &self.accounts
+    }
+
+    /// Who a call at a queue is from.
+    ///
+    /// The key is looked up by its hash, so how long that takes tells nothing of the keys there are.
+    ///
+    /// # Errors
+    ///
+    /// [`CredentialError`] if the queue needs a key and the call bears none that is in force.
+    pub fn caller(&self, queue: &Queue, headers: &HeaderMap) -> Result<Caller, CredentialError> {
+        if !self.needs_key(queue) {
+            return Ok(Caller::Anyone { queue: queue.name.clone() });
+        }
+        let hash = hash_secret(bearer::token(headers)?);
+        let owner = self.owners.get(&hash).ok_or(CredentialError::Unknown)?;
+        Ok(Caller::Account(owner.clone()))
+    }
+}
+
+/// The lower of two bounds, of which 0 is none.
+fn lower(one: Maximum, other: Maximum) -> Maximum {
+    let lower = |one: u64, other: u64| match (one, other) {
+        (0, bound) | (bound, 0) => bound,
+        (one, other) => one.min(other),
+    };
+    Maximum {
+        cpu: lower(one.cpu, other.cpu),
+        memory_mb: lower(one.memory_mb, other.memory_mb),
+        gpu: lower(one.gpu, other.gpu),
+    }
+}
--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -12,15 +12,20 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
-use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
+use hyper::header::WWW_AUTHENTICATE;
 use spokelift_platform::ingress;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::parse_id;
 
+use crate::batch::admit::Admitted;
+use crate::batch::admit::Refusal;
+use crate::batch::admit::admit;
+use crate::batch::caller::Caller;
 use crate::batch::commit::Written;
+use crate::batch::config::Config;
 use crate::batch::node::Node;
 use crate::batch::peer;
 use crate::batch::peer::Reply;
@@ -54,34 +59,32 @@
     response
 }
 
-async fn answer(node: &Node, request: Request<Incoming>, started: Instant) -> Response<Body> {
+async fn answer(node: &Arc<Node>, request: Request<Incoming>, started: Instant) -> Response<Body> {
     let Some(config) = node.config() else {
         return come_back(503, COME_BACK);
     };
-    let host = request.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
-    let host = host.split(':').next().unwrap_or("").to_owned();
-    let path = request.uri().path().to_owned();
-    let Some(queue) = config.queue(&host, &path) else {
-        return status(404);
+    let (head, body) = request.into_parts();
+    let Admitted { queue, caller, rest } = match admit(&config, &head) {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refuse(node, &config, &refusal),
     };
-    let deadline = ingress::deadline(request.headers()).unwrap_or(DEFAULT_DEADLINE);
+    let deadline = ingress::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
     let until = started + deadline.mul_f64(ANSWER_SHARE);
-    let rest = &path[queue.path_prefix.len()..];
-    if rest.is_empty() && request.method() == Method::GET {
-        return pending(node, queue.name.clone(), until).await;
+    if rest.is_empty() && head.method == Method::GET {
+        return pending(node, queue.name.clone(), caller, until).await;
     }
     let Some(id) = parse_id(rest.trim_start_matches('/')) else {
         return status(404);
     };
-    match *request.method() {
-        Method::GET => state(node, id, until).await,
-        Method::DELETE => cancel(node, id, until).await,
+    match head.method {
+        Method::GET => state(node, id, caller, until).await,
+        Method::DELETE => cancel(node, id, caller, until).await,
         Method::POST => {
             let limit = match config.limits.body_bytes {
                 0 => BODY_LIMIT,
                 limit => limit,
             };
-            let body = Limited::new(request.into_body(), limit).collect().await;
+            let body = Limited::new(body, limit).collect().await;
             let Ok(body) = body else { return too_large() };
             let job = match Job::decode(&body.to_bytes()) {
                 Ok(job) => job,
@@ -90,12 +93,27 @@
                     return status(400);
                 }
             };
-            written(node.commit(id, submit::accept(job, queue), until).await)
+            written(node.commit(id, submit::accept(job, &queue, &caller), until).await)
         }
         _ => status(405),
     }
 }
 
+/// Refuses a call that no queue takes from this caller, before its body is read.
+fn refuse(node: &Node, config: &Config, refusal: &Refusal) -> Response<Body> {
+    let (why, version) = (refusal.to_string(), config.version);
+    node.counters.count(&format!("batch.client.refused.{}", refusal.name()));
+    log::info!(why = why.as_str(), version; "client refused");
+    match refusal {
+        Refusal::NoQueue => status(404),
+        Refusal::Credential(_) => {
+            let mut response = status(401);
+            response.headers_mut().insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+            response
+        }
+    }
+}
+
 fn status(code: u16) -> Response<Body> {
     let response = Response::builder().status(code);
     response.body(full(Bytes::new())).expect("a status makes an answer")
@@ -126,29 +144,29 @@
 fn written(outcome: Written) -> Response<Body> {
     match outcome {
         Written::Kept => status(200),
-        Written::Refused(wait) => come_back(503, wait),
+        Written::Refused(wait) | Written::Occupied(wait) => come_back(503, wait),
         Written::Unknown => status(504),
     }
 }
 
-async fn state(node: &Node, id: JobId, until: Instant) -> Response<Body> {
-    match submit::state(node, id, until).await {
+async fn state(node: &Node, id: JobId, caller: Caller, until: Instant) -> Response<Body> {
+    match submit::state(node, id, caller, until).await {
         Known::State(state) => json(ingress::job_answer(state)),
         Known::NoJob => status(410),
         Known::CancelKept | Known::NoAnswer => come_back(503, COME_BACK),
     }
 }
 
-async fn cancel(node: &Node, id: JobId, until: Instant) -> Response<Body> {
-    match submit::cancel(node, id, until).await {
+async fn cancel(node: &Node, id: JobId, caller: Caller, until: Instant) -> Response<Body> {
+    match submit::cancel(node, id, caller, until).await {
         Known::State(_) | Known::CancelKept => status(200),
         Known::NoJob => status(410),
         Known::NoAnswer => come_back(503, COME_BACK),
     }
 }
 
-async fn pending(node: &Node, queue: String, until: Instant) -> Response<Body> {
-    match submit::ask(node, &peer::Request::Pending(queue), until).await {
+async fn pending(node: &Node, queue: String, caller: Caller, until: Instant) -> Response<Body> {
+    match submit::ask(node, &peer::Request::Pending(queue, caller), until).await {
         Some(Reply::Pending(pending)) => json(ingress::queue_answer(pending)),
         _ => come_back(503, COME_BACK),
     }
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -13,7 +13,6 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use spokelift_platform::call::CallError;
-use spokelift_platform::config::Config;
 use spokelift_platform::ingress::READINESS_PATH;
 use spokelift_platform::job::JobId;
 use spokelift_platform::machine::Machines;
@@ -28,6 +27,7 @@
 use crate::batch::carry::Tools;
 use crate::batch::carry::remote::Carried;
 use crate::batch::commit;
+use crate::batch::config::Config;
 use crate::batch::contact::Contact;
 use crate::batch::contact::count_connections;
 use crate::batch::directory;
@@ -58,6 +58,8 @@
 const WATCH: Duration = Duration::from_millis(100);
 /// How long a connection may take to be made; halls are about 1 ms apart.
 const CONNECT: Duration = Duration::from_millis(400);
+/// How long the answer to a job waits for the holder of the lead to say whose its id is; usually that takes 3 ms.
+const OWNER: Duration = Duration::from_millis(150);
 /// How long a node goes on serving after SIGTERM. The platform asks each second whether it is
 /// ready, and stops sending new connections after two misses.
 const STOP_DELAY: Duration = Duration::from_millis(2_600);
@@ -243,6 +245,15 @@
             self.peers.tell(addr, request);
         }
     }
+
+    /// The same for a job of an account; whether its id is that of another account's job, as far as the holder
+    /// says so at once.
+    pub async fn is_occupied(self: &Arc<Self>, id: JobId, accepted: Accepted) -> bool {
+        let (node, request) = (self.clone(), peer::Request::Submitted(id, Box::new(accepted)));
+        // Goes on beyond the time, so that the holder is told again if a connection ends.
+        let told = tokio::spawn(async move { node.ask_lead(request).await });
+        matches!(timeout(OWNER, told).await, Ok(Ok(Some(Reply::Occupied))))
+    }
 }
 
 /// Runs a node until `stop` turns true and the requests in flight have ended.
--- a/lib/src/batch/node/operate.rs
+++ b/lib/src/batch/node/operate.rs
@@ -16,6 +16,7 @@
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::parse_id;
 
+use crate::batch::caller::Caller;
 use crate::batch::commit::Written;
 use crate::batch::document::Job;
 use crate::batch::node::Node;
@@ -66,7 +67,7 @@
 }
 
 /// Submits or cancels a job for the site's operator.
-async fn change(node: &Node, request: Request<Incoming>) -> Result<String, ApiError> {
+async fn change(node: &Arc<Node>, request: Request<Incoming>) -> Result<String, ApiError> {
     let (head, body) = request.into_parts();
     check_credential(node, &head)?;
     let path = head.uri.path().strip_prefix(view::PATH).unwrap_or_default();
@@ -103,7 +104,7 @@
 }
 
 async fn submit_job(
-    node: &Node,
+    node: &Arc<Node>,
     queue: &str,
     id: JobId,
     body: &[u8],
@@ -114,15 +115,15 @@
     let queue = queue.ok_or(ApiError::NotFound { what: "queue".into() })?;
     let job = Job::decode(body);
     let job = job.map_err(|error| ApiError::Job { cause: error.to_string().into() })?;
-    match node.commit(id, submit::accept(job, queue), until).await {
+    match node.commit(id, submit::accept(job, queue, &Caller::Site), until).await {
         Written::Kept => Ok(answer(&view::Submitted { id: format!("{id:016x}") })),
-        Written::Refused(_) => Err(ApiError::JobRefused),
+        Written::Refused(_) | Written::Occupied(_) => Err(ApiError::JobRefused),
         Written::Unknown => Err(ApiError::JobUnknown { job: format!("{id:016x}").into() }),
     }
 }
 
 async fn cancel_job(node: &Node, id: JobId, until: Instant) -> Result<String, ApiError> {
-    match submit::cancel(node, id, until).await {
+    match submit::cancel(node, id, Caller::Site, until).await {
         Known::State(state) => Ok(answer(&view::Cancelled { state: Some(state) })),
         Known::CancelKept => Ok(answer(&view::Cancelled { state: None })),
         Known::NoJob => Err(ApiError::NotFound { what: "job".into() }),
--- a/lib/src/batch/operator.rs
+++ b/lib/src/batch/operator.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use spokelift_platform::call::CallError;
-use spokelift_platform::config::Config;
 use spokelift_platform::store::CONFIG_KEY;
 use spokelift_platform::store::OPERATOR_TOPIC;
 use spokelift_platform::store::Offset;
@@ -13,6 +12,7 @@
 use spokelift_platform::wave::Wave;
 use tokio::time::sleep;
 
+use crate::batch::config::Config;
 use crate::batch::node::Node;
 
 /// How long a read waits for news. A connection that died silently is found out by then, and a
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -25,6 +25,7 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::batch::caller::Caller;
 use crate::batch::carry::remote::Errand;
 use crate::batch::carry::remote::Report;
 use crate::batch::node::Node;
@@ -44,12 +45,12 @@
 pub enum Request {
     /// The store has taken this job.
     Submitted(JobId, Box<Accepted>),
-    /// How far is this job?
-    State(JobId),
-    /// Cancel this job.
-    Cancel(JobId),
-    /// How many jobs of this queue have not begun?
-    Pending(String),
+    /// How far is this job of the caller's?
+    State(JobId, Caller),
+    /// Cancel this job of the caller's.
+    Cancel(JobId, Caller),
+    /// How many jobs of this queue that the caller may count have not begun?
+    Pending(String, Caller),
     /// Make this call to the store, since the sender is turned away there.
     Relay(relay::Call),
     /// Carry out these commands about workers.
@@ -75,6 +76,8 @@
     Relayed(relay::Answer),
     /// The view in JSON; none if there is no such thing.
     View(Option<String>),
+    /// The id is that of another account's job.
+    Occupied,
     /// The receiver does not hold the lead, or has only just taken it.
     NotReady,
 }
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -20,7 +20,11 @@
 use spokelift_platform::worker::Run;
 use thiserror::Error;
 
+use crate::batch::caller::Caller;
 use crate::batch::crash::Crash;
+use crate::state::account::format_hash;
+use crate::state::account::hash_secret;
+use crate::state::id::AccountId;
 
 /// Topic with the jobs as accepted, by id. Every node writes to it, to one of a few partitions.
 pub const JOB_TOPIC: &str = "keyed.jobs";
@@ -36,6 +40,10 @@
 /// Start of the keys in [`PROGRESS_TOPIC`] that name lives of workers which may run something. Records of before lives were
 /// told apart name the worker's id alone.
 const WORKER_PREFIX: &str = "worker/";
+/// Stands between a job's id and its account in the keys of [`JOB_TOPIC`].
+const OWNER_SEPARATOR: char = '/';
+/// Digits of the hash of an account's name in them.
+const OWNER_DIGITS: usize = 16;
 /// Start of the keys in [`PROGRESS_TOPIC`] that name lives of workers that are over.
 const GONE_PREFIX: &str = "gone/";
 /// Key in [`PROGRESS_TOPIC`] of the boxes that were ordered lately or are about to be.
@@ -68,6 +76,52 @@
     pub stretch_percent: u32,
     /// When it was accepted, since 1970, by the clock of the node that took it.
     pub at: Duration,
+    /// The account whose key it was handed in with; none at a queue that asks for none, and in records of before
+    /// accounts were known.
+    pub account: Option<AccountId>,
+}
+
+/// A job as records of before accounts were known keep it: without the last field.
+#[derive(Deserialize)]
+struct Ownerless {
+    job: Job,
+    queue: String,
+    service: String,
+    priority: u32,
+    max_attempts: u32,
+    needs_advice: bool,
+    objective_ms: u64,
+    stretch_percent: u32,
+    at: Duration,
+}
+
+impl From<Ownerless> for Accepted {
+    fn from(kept: Ownerless) -> Accepted {
+        let Ownerless { job, queue, service, priority, max_attempts, needs_advice, .. } = kept;
+        let Ownerless { objective_ms, stretch_percent, at, .. } = kept;
+        Accepted {
+            job,
+            queue,
+            service,
+            priority,
+            max_attempts,
+            needs_advice,
+            objective_ms,
+            stretch_percent,
+            at,
+            account: None,
+        }
+    }
+}
+
+/// A job's record: which job, and whose. Two accounts that choose one id write two records, of which neither takes the
+/// place of the other.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct JobKey {
+    /// The job.
+    pub id: JobId,
+    /// Its account.
+    pub account: Option<AccountId>,
 }
 
 /// Which of a job's tasks: repetition, step and index.
@@ -124,7 +178,7 @@
     /// A job was accepted.
     Accepted(JobId, Box<Accepted>),
     /// A client wants a job cancelled.
-    Cancel(JobId),
+    Cancel(JobId, Caller),
     /// A key was dropped.
     Dropped,
 }
@@ -166,8 +220,21 @@
     format!("{id:016x}")
 }
 
-fn cancel_key(id: JobId) -> String {
-    format!("{CANCEL_PREFIX}{id:016x}")
+/// The key of what an account says of a job: the job's id, and a short hash of the account's name.
+fn owned_key(key: &JobKey) -> String {
+    let id = job_key(key.id);
+    let Some(account) = &key.account else { return id };
+    let hash = format_hash(&hash_secret(account));
+    format!("{id}{OWNER_SEPARATOR}{}", &hash[..OWNER_DIGITS])
+}
+
+/// The job that such a key names.
+fn id_of_owned(key: &str) -> Result<JobId, RecordError> {
+    id_of(key.split_once(OWNER_SEPARATOR).map_or(key, |(id, _)| id))
+}
+
+fn cancel_key(key: &JobKey) -> String {
+    format!("{CANCEL_PREFIX}{}", owned_key(key))
 }
 
 fn worker_key(life: &Life) -> String {
@@ -206,23 +273,26 @@
 
 /// The record of an accepted job.
 pub fn accepted(id: JobId, accepted: &Accepted) -> Record {
-    Record::set(job_key(id), encode(accepted))
+    let key = JobKey { id, account: accepted.account.clone() };
+    Record::set(owned_key(&key), encode(accepted))
 }
 
 /// The record that asks for a job to be cancelled; it lies in the first partition.
-pub fn cancel(id: JobId) -> Record {
-    // The value says nothing, but a record without one would drop the key.
-    Record::set(cancel_key(id), encode(&true))
+pub fn cancel(id: JobId, caller: &Caller) -> Record {
+    let key = JobKey { id, account: caller.account().cloned() };
+    Record::set(cancel_key(&key), encode(caller))
 }
 
 /// The record that lets go of a job in a partition of [`JOB_TOPIC`].
-pub fn forget_job(id: JobId) -> Record {
-    Record::drop_key(job_key(id))
+pub fn forget_job(key: &JobKey) -> Record {
+    Record::drop_key(owned_key(key))
 }
 
-/// The record that lets go of a wish to cancel a job.
-pub fn forget_cancel(id: JobId) -> Record {
-    Record::drop_key(cancel_key(id))
+/// The records that let go of wishes to cancel a job: its account's, and those of whoever has none.
+pub fn forget_cancel(key: &JobKey) -> impl Iterator<Item = Record> {
+    let anyone = JobKey { id: key.id, account: None };
+    let keys = [cancel_key(key), cancel_key(&anyone)];
+    keys.into_iter().map(Record::drop_key)
 }
 
 /// The record of a job's progress.
@@ -291,6 +361,22 @@
     Record::drop_key(worker_key(life))
 }
 
+/// Who wants a job cancelled. Records of before accounts were known say only that somebody does.
+fn canceller(record: &Record, value: &[u8]) -> Result<Caller, RecordError> {
+    if value == encode(&true) {
+        return Ok(Caller::Site);
+    }
+    decode(&record.key, value)
+}
+
+fn decode_accepted(key: &str, value: &[u8]) -> Result<Accepted, RecordError> {
+    let owned: Result<Accepted, RecordError> = decode(key, value);
+    owned.or_else(|error| {
+        let ownerless: Result<Ownerless, RecordError> = decode(key, value);
+        ownerless.map(Accepted::from).map_err(|_| error)
+    })
+}
+
 impl JobRecord {
     /// Reads a record of [`JOB_TOPIC`].
     ///
@@ -299,11 +385,11 @@
     /// [`RecordError`] if it is none of ours.
     pub fn decode(record: &Record) -> Result<JobRecord, RecordError> {
         let Some(value) = &record.value else { return Ok(JobRecord::Dropped) };
-        if let Some(id) = record.key.strip_prefix(CANCEL_PREFIX) {
-            return Ok(JobRecord::Cancel(id_of(id)?));
+        if let Some(key) = record.key.strip_prefix(CANCEL_PREFIX) {
+            return Ok(JobRecord::Cancel(id_of_owned(key)?, canceller(record, value)?));
         }
-        let id = id_of(&record.key)?;
-        let accepted: Accepted = decode(&record.key, value)?;
+        let id = id_of_owned(&record.key)?;
+        let accepted = decode_accepted(&record.key, value)?;
         // Whoever wrote it: a job too large to keep would bring down each scheduler in turn.
         let unusable = |error| RecordError::Job(record.key.clone(), error);
         accepted.job.check().map_err(unusable)?;
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -31,6 +31,7 @@
 
 use crate::batch::advice;
 use crate::batch::announce;
+use crate::batch::caller::Caller;
 use crate::batch::carry::Carrier;
 use crate::batch::carry::license::License;
 use crate::batch::cell::Cell;
@@ -38,6 +39,7 @@
 use crate::batch::node::Node;
 use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
+use crate::batch::record::Accepted;
 use crate::batch::scheduler::deal::assign_all;
 use crate::batch::scheduler::deal::await_ready;
 use crate::batch::scheduler::deal::begin_shares;
@@ -263,15 +265,10 @@
     /// Answers a node on a client's behalf.
     pub async fn answer(&self, request: Request) -> Reply {
         match request {
-            Request::Submitted(id, accepted) => {
-                if self.cell().admit_told(id, *accepted) {
-                    self.kick();
-                }
-                Reply::Done
-            }
-            Request::State(id) => Reply::State(self.cell().jobs.get(&id).map(|job| job.shown())),
-            Request::Pending(queue) => Reply::Pending(self.cell().pending(&queue)),
-            Request::Cancel(id) => self.cancel(id).await,
+            Request::Submitted(id, accepted) => self.admit(id, *accepted),
+            Request::State(id, caller) => Reply::State(self.cell().state(id, &caller)),
+            Request::Pending(queue, caller) => Reply::Pending(self.cell().pending(&queue, &caller)),
+            Request::Cancel(id, caller) => self.cancel(id, &caller).await,
             Request::View(path) => {
                 let (waves, shares) = (self.node.waves(), self.shares.view());
                 Reply::View(view::show(&self.cell(), &waves, &shares, &path))
@@ -284,8 +281,21 @@
         }
     }
 
-    async fn cancel(&self, id: JobId) -> Reply {
-        let Some(state) = self.cell().cancel(id) else { return Reply::State(None) };
+    /// Takes in a job that the store keeps.
+    fn admit(&self, id: JobId, accepted: Accepted) -> Reply {
+        let mut cell = self.cell();
+        let owner = accepted.account.clone();
+        if cell.admit_told(id, accepted) {
+            drop(cell);
+            self.kick();
+        } else if !cell.is_of(id, owner.as_ref()) {
+            return Reply::Occupied;
+        }
+        Reply::Done
+    }
+
+    async fn cancel(&self, id: JobId, caller: &Caller) -> Reply {
+        let Some(state) = self.cell().cancel_for(id, caller) else { return Reply::State(None) };
         self.kick();
         self.kick_flush();
         let mut flushed = self.flushed.subscribe();
--- a/lib/src/batch/scheduler/follow.rs
+++ b/lib/src/batch/scheduler/follow.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use crate::batch::record;
+use crate::batch::record::JobKey;
 use crate::batch::record::JobRecord;
 use crate::batch::scheduler::CALL;
 use crate::batch::scheduler::LOAD;
@@ -96,12 +97,13 @@
         match JobRecord::decode(record) {
             Ok(JobRecord::Accepted(id, job)) => {
                 let mut cell = scheduler.cell();
+                let owner = job.account.clone();
                 changed |= cell.admit(id, *job, None);
-                cell.note_kept(id, partition);
+                cell.note_kept(JobKey { id, account: owner }, partition);
             }
-            Ok(JobRecord::Cancel(id)) => {
+            Ok(JobRecord::Cancel(id, caller)) => {
                 changed = true;
-                scheduler.cell().cancel(id);
+                scheduler.cell().cancel_for(id, &caller);
                 scheduler.kick_flush();
             }
             Ok(JobRecord::Dropped) => {}
--- a/lib/src/batch/scheduler/forget.rs
+++ b/lib/src/batch/scheduler/forget.rs
@@ -27,20 +27,33 @@
     let keep = scheduler.node.settings.status_time + KEEP_EXTRA;
     loop {
         sleep(LOOK).await;
+        drop_foreign(&scheduler).await;
         let finished = scheduler.cell().finished(keep, clock::now());
         if finished.is_empty() {
             continue;
         }
         let still_kept = drop_records(&scheduler, &finished).await;
         let mut cell = scheduler.cell();
-        for job in finished.iter().filter(|job| !still_kept.contains(&job.id)) {
-            cell.let_go(job.id);
+        for job in finished.iter().filter(|job| !still_kept.contains(&job.key.id)) {
+            cell.let_go(job.key.id);
         }
         drop(cell);
         scheduler.kick_flush();
     }
 }
 
+/// Drops the records of jobs under ids that are another account's: their senders were told that they are not taken.
+async fn drop_foreign(scheduler: &Scheduler) {
+    let foreign = scheduler.cell().take_foreign();
+    for (key, number) in foreign {
+        let (partition, record) = (record::job_partition(number), record::forget_job(&key));
+        if let Err(error) = scheduler.node.append(partition, &[record], &Guard::None, CALL).await {
+            log::warn!("a job that was not taken stays in the store for now: {error}");
+            scheduler.cell().note_foreign(key, number);
+        }
+    }
+}
+
 /// Drops the records of jobs in each partition that keeps one; returns the jobs of which one is
 /// left. They are tried again.
 async fn drop_records(scheduler: &Scheduler, finished: &[Finished]) -> HashSet<JobId> {
@@ -52,10 +65,10 @@
     };
     for job in finished {
         for partition in &job.kept_in {
-            add(*partition, job.id, record::forget_job(job.id));
+            add(*partition, job.key.id, record::forget_job(&job.key));
         }
         if job.cancelled {
-            add(0, job.id, record::forget_cancel(job.id));
+            record::forget_cancel(&job.key).for_each(|record| add(0, job.key.id, record));
         }
     }
     let drops = by_partition.into_iter().map(|(partition, (ids, records))| async move {
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -23,6 +23,7 @@
 use crate::batch::cell::Cell;
 use crate::batch::record;
 use crate::batch::record::Crashes;
+use crate::batch::record::JobKey;
 use crate::batch::record::JobRecord;
 use crate::batch::record::Progress;
 use crate::batch::record::ProgressRecord;
@@ -97,7 +98,7 @@
         for record in &newest.records {
             match JobRecord::decode(record) {
                 Ok(JobRecord::Accepted(id, job)) => accepted.push((id, job, partition)),
-                Ok(JobRecord::Cancel(id)) => cancelled.push(id),
+                Ok(JobRecord::Cancel(id, caller)) => cancelled.push((id, caller)),
                 Ok(JobRecord::Dropped) => {}
                 Err(error) => log::error!("the record of a job cannot be used: {error}"),
             }
@@ -106,11 +107,12 @@
     accepted.sort_by_key(|(_, job, _)| job.at);
     for (id, job, partition) in accepted {
         let progress = progress.remove(&id).unwrap_or_default();
+        let owner = job.account.clone();
         cell.admit(id, *job, Some(&progress));
-        cell.note_kept(id, partition);
+        cell.note_kept(JobKey { id, account: owner }, partition);
     }
-    for id in cancelled {
-        cell.cancel(id);
+    for (id, caller) in cancelled {
+        cell.cancel_for(id, &caller);
     }
 }
 
--- a/lib/src/batch/submit.rs
+++ b/lib/src/batch/submit.rs
@@ -12,6 +12,7 @@
 use spokelift_platform::store::Guard;
 use tokio::time::sleep;
 
+use crate::batch::caller::Caller;
 use crate::batch::node::Node;
 use crate::batch::peer;
 use crate::batch::peer::Reply;
@@ -37,8 +38,8 @@
     NoAnswer,
 }
 
-/// A job as accepted now, with what its queue says of it.
-pub fn accept(job: Job, queue: &config::Queue) -> Accepted {
+/// A job as accepted now from a caller, with what its queue says of it.
+pub fn accept(job: Job, queue: &config::Queue, caller: &Caller) -> Accepted {
     Accepted {
         job,
         queue: queue.name.clone(),
@@ -49,6 +50,7 @@
         objective_ms: queue.objective_ms,
         stretch_percent: (queue.stretch * 100.0) as u32,
         at: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+        account: caller.account().cloned(),
     }
 }
 
@@ -66,22 +68,22 @@
     }
 }
 
-/// Asks how far a job is.
-pub async fn state(node: &Node, id: JobId, until: Instant) -> Known {
-    match ask(node, &peer::Request::State(id), until).await {
+/// Asks how far a job of the caller's is.
+pub async fn state(node: &Node, id: JobId, caller: Caller, until: Instant) -> Known {
+    match ask(node, &peer::Request::State(id, caller), until).await {
         Some(Reply::State(Some(state))) => Known::State(state),
         Some(Reply::State(None)) => Known::NoJob,
         _ => Known::NoAnswer,
     }
 }
 
-/// Cancels a job. If nobody who knows it can be asked, the wish is kept in the store.
-pub async fn cancel(node: &Node, id: JobId, until: Instant) -> Known {
-    match ask(node, &peer::Request::Cancel(id), until).await {
+/// Cancels a job of the caller's. If nobody who knows it can be asked, the wish is kept in the store.
+pub async fn cancel(node: &Node, id: JobId, caller: Caller, until: Instant) -> Known {
+    match ask(node, &peer::Request::Cancel(id, caller.clone()), until).await {
         Some(Reply::State(Some(state))) => Known::State(state),
         Some(Reply::State(None)) => Known::NoJob,
         _ => {
-            let record = record::cancel(id);
+            let record = record::cancel(id, &caller);
             match node.append(record::JOB_TOPIC, &[record], &Guard::None, WRITE).await {
                 Ok(_) => Known::CancelKept,
                 Err(error) => {
--- a/lib/src/batch/upkeep/course.rs
+++ b/lib/src/batch/upkeep/course.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use spokelift_platform::config::Config;
 use spokelift_platform::machine::Machine;
 use spokelift_platform::machine::MachineId;
 use spokelift_platform::machine::Status;
@@ -14,6 +13,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
 
+use crate::batch::config::Config;
 use crate::batch::put_off::PutOff;
 
 /// Machines as the platform lists them, by id.
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -19,7 +19,6 @@
 use hyper::StatusCode;
 use hyper::body::Body as HttpBody;
 use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::RETRY_AFTER;
@@ -28,6 +27,7 @@
 use crate::call::attempt::Call;
 use crate::call::attempt::Payload;
 use crate::coordination::node::Node;
+use crate::protocol::bearer;
 use crate::protocol::call::CALL;
 use crate::protocol::call::DEADLINE;
 use crate::protocol::call::HEALTH;
@@ -133,10 +133,7 @@
 
 /// The credential in a request's head.
 pub(crate) fn bearer(head: &Parts) -> Result<Credential<'_>, CredentialError> {
-    let value = head.headers.get(AUTHORIZATION).ok_or(CredentialError::Missing)?;
-    let text = value.to_str().map_err(|_| CredentialError::Malformed)?;
-    let token = text.strip_prefix("Bearer ").ok_or(CredentialError::Malformed)?;
-    Credential::parse(token)
+    Credential::parse(bearer::token(&head.headers)?)
 }
 
 fn repeatable(head: &Parts) -> Result<bool, Refused> {
--- a/lib/src/protocol.rs
+++ b/lib/src/protocol.rs
@@ -1,6 +1,7 @@
 //! Protocol layer: the messages exchanged with callers, operators, peers and the platform.
 
 pub mod api;
+pub mod bearer;
 pub mod boxes;
 pub mod call;
 pub mod catch_up;
--- a/lib/src/state/account.rs
+++ b/lib/src/state/account.rs
@@ -41,7 +41,7 @@
 ///
 /// An unknown account and a wrong secret are the same error on purpose: the answer must not tell
 /// a stranger which accounts exist.
-#[derive(Debug, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum CredentialError {
     /// No credential was given.
     #[error("no credential was given")]
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -10,6 +10,7 @@
 use spokelift_lib::batch::cell::Order;
 use spokelift_lib::batch::pool::load::loads;
 use spokelift_lib::batch::record::Accepted;
+use spokelift_lib::batch::record::JobKey;
 use spokelift_lib::batch::record::JobRecord;
 use spokelift_lib::batch::record::Progress;
 use spokelift_lib::batch::record::ProgressRecord;
@@ -715,9 +716,10 @@
     // Nobody knows yet where the store keeps it; a record left there would be a new job to the next
     // scheduler.
     assert!(bed.cell.finished(keep, later).is_empty());
-    bed.cell.note_kept(1, 3);
-    bed.cell.note_kept(1, 7);
-    let finished = [Finished { id: 1, cancelled: true, kept_in: [3, 7].into() }];
+    let key = JobKey { id: 1, account: None };
+    bed.cell.note_kept(key.clone(), 3);
+    bed.cell.note_kept(key.clone(), 7);
+    let finished = [Finished { key, cancelled: true, kept_in: [3, 7].into() }];
     assert_eq!(bed.cell.finished(keep, later), finished);
     // Its end is forgotten last, once no partition keeps it.
     let ends = |bed: &mut Bed| {
--- a/lib/tests/test_crash.rs
+++ b/lib/tests/test_crash.rs
@@ -10,6 +10,7 @@
 use spokelift_lib::batch::crash::Evidence;
 use spokelift_lib::batch::record;
 use spokelift_lib::batch::record::Crashes;
+use spokelift_lib::batch::record::JobKey;
 use spokelift_lib::batch::record::Progress;
 use spokelift_lib::batch::record::ProgressRecord;
 use spokelift_lib::transport::clock;
@@ -466,7 +467,7 @@
 fn the_record_of_crashes_is_let_go_of_with_its_job() {
     let mut bed = Bed::new(2);
     bed.cell.admit(1, accepted(vec![step(1)]), None);
-    bed.cell.note_kept(1, 0);
+    bed.cell.note_kept(JobKey { id: 1, account: None }, 0);
     let (worker, _) = bed.start().remove(0);
     bed.crash(&worker);
     assert!(!bed.crashes_in_store().is_empty());
--- a/lib/tests/test_demand.rs
+++ b/lib/tests/test_demand.rs
@@ -30,6 +30,7 @@
         objective_ms: 600,
         stretch_percent: 160,
         at: Duration::ZERO,
+        account: None,
     };
     Entry::new(1, accepted)
 }
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -34,6 +34,7 @@
         objective_ms: 600,
         stretch_percent: 160,
         at: Duration::from_secs(1),
+        account: None,
     }
 }
 
