cell: nothing of an account is started above its bound

Cause: nothing counted what an account has running.

Change: each slot names its claim (account and what the task asks for, also of work that fills); the table keeps one total an account as slots come and go, equal to a full count (property test). A step's tasks start while they are within the bound, a gang whole or not at all; what is held makes no room, takes no turn and wants no boxes. After a takeover the room of workers that have not been asked counts as running for an account, up to what its jobs of before have left, or the tasks that the store names for a silent worker. Lowered bounds stop nothing.

Ruled out: counting only what the holder itself started, which is what a killed holder breaks.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -35,5 +35,6 @@
 pub mod submit;
 pub mod turn;
 pub mod upkeep;
+pub mod usage;
 pub mod view;
 pub mod worker;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -9,6 +9,7 @@
 //! - An end is acknowledged to the worker only after the store knows of its effect.
 
 mod answers;
+mod bounds;
 mod crashes;
 mod flush;
 mod jobs;
@@ -35,6 +36,7 @@
 use spokelift_platform::worker::WorkerId;
 
 use crate::batch::advice::Advices;
+use crate::batch::cell::bounds::Bounds;
 use crate::batch::cell::crashes::Lost;
 pub use crate::batch::cell::crashes::Tally;
 use crate::batch::crash::Repeats;
@@ -191,6 +193,8 @@
     pub workers: Table,
     /// Steps with tasks that wait for room.
     pub ready: BTreeSet<Rank>,
+    /// What accounts may have running.
+    bounds: Bounds,
     /// Something may be placed that could not be before, beside what has become free on workers.
     pub(super) stirred: bool,
     /// Workers may be marked as unfenced.
@@ -280,6 +284,7 @@
             jobs: HashMap::new(),
             workers: Table::default(),
             ready: BTreeSet::new(),
+            bounds: Bounds::default(),
             stirred: false,
             has_unfenced: false,
             has_inherited: false,
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -10,6 +10,7 @@
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::Life;
 use spokelift_platform::worker::Peer;
+use spokelift_platform::worker::Run;
 
 use crate::batch::caller::Caller;
 use crate::batch::cell::Cell;
@@ -73,7 +74,9 @@
                 _ => entry.times[time as usize].due = true,
             }
         }
-        if inherited.is_none() {
+        // Boxes that were fetched for work which its account may not run would stand idle.
+        let may_run = entry.accepted.job.steps.iter().all(|step| !self.is_at_bound(&entry, step));
+        if inherited.is_none() && may_run {
             self.demand.arrived(&entry, clock::now());
         }
         if entry.is_active() && entry.lasts() {
@@ -94,22 +97,19 @@
             return;
         }
         self.workers.for_each_mut(|worker| {
-            let mut found = false;
-            for (name, slot) in worker.slots.iter_mut().filter(|(name, _)| name.job == id) {
-                found = true;
+            let found = worker.slots.iter().filter(|(name, _)| name.job == id);
+            let found: Vec<(TaskName, Run)> = found.map(|(name, slot)| (*name, slot.run)).collect();
+            for (name, run) in found {
                 let Some(step) = entry.step(name.step) else { continue };
-                slot.room = Entry::room_of(step);
-                slot.kind = Entry::kind_of(step);
+                let (room, kind) = (Entry::room_of(step), Entry::kind_of(step));
+                worker.identify(&name, room, kind, entry.claim(name.step));
                 entry.open_time(name.time);
                 entry.begun = true;
-                if let Some(task) = entry.task(*name) {
+                if let Some(task) = entry.task(name) {
                     task.runs += 1;
-                    task.last_run = task.last_run.max(slot.run);
+                    task.last_run = task.last_run.max(run);
                 }
             }
-            if found {
-                worker.recount();
-            }
         });
     }
 
--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -222,9 +222,10 @@
         let Some(worker) = self.workers.get(life) else { return };
         let peer = worker.peer.clone();
         let (room, kind) = self.shape(told.task);
+        let claim = self.claim_of(told.task);
         let wanted = self.count_found(told);
         let phase = if wanted { Phase::Live(now) } else { Phase::Stopping(None) };
-        let mut slot = Slot { adopted: true, ..Slot::new(told.run, phase, room, kind, now) };
+        let mut slot = Slot { adopted: true, claim, ..Slot::new(told.run, phase, room, kind, now) };
         refresh(&mut slot, told, now);
         log::info!(
             task = told.task.to_string().as_str(),
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -16,6 +16,8 @@
 use crate::batch::record::Crashes;
 use crate::batch::record::Progress;
 use crate::batch::record::TaskPlace;
+use crate::batch::usage::Claim;
+use crate::batch::usage::Usage;
 use crate::batch::worker::Kind;
 
 /// One task.
@@ -186,6 +188,12 @@
         Room { cpu, memory_mb: step.memory_mb, gpu: step.gpu }
     }
 
+    /// What a run of a step counts for, if the job belongs to an account.
+    pub fn claim(&self, step: u16) -> Option<Claim> {
+        let account = self.accepted.account.clone()?;
+        Some(Claim { account, usage: Usage::of(self.step(step)?, 1) })
+    }
+
     /// What kind of neighbour a task of a step is.
     pub fn kind_of(step: &Step) -> Kind {
         match step {
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -27,6 +27,7 @@
 use crate::batch::place::fit::is_ideal;
 use crate::batch::place::quarantine::Suspicion;
 use crate::batch::turn::is_sole_holder;
+use crate::batch::usage::Usage;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
 use crate::batch::worker::Worker;
@@ -38,6 +39,7 @@
         self.stirred = false;
         self.workers.take_freed();
         self.withhold_unfenced(now);
+        self.note_hidden();
         let doubt = self.doubt();
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
         let wall_ms = wall.as_millis() as u64;
@@ -148,6 +150,7 @@
     /// Starts tasks of a step, each by itself, until one finds no worker.
     fn place_tasks(&mut self, rank: Rank, service: &str, step: &Step, now: Instant, doubt: &Doubt) {
         let Some(entry) = self.jobs.get_mut(&rank.job) else { return };
+        let (account, one) = (entry.accepted.account.clone(), Usage::of(step, 1));
         let Some(run) = entry.step_run(rank.time, rank.step) else { return };
         let waiting: Vec<u32> = run.waiting.iter().copied().collect();
         let mut left = waiting.len();
@@ -160,6 +163,9 @@
             if suspicion == Suspicion::AwaitsStore {
                 continue;
             }
+            if !self.may_run(account.as_ref(), one) {
+                break;
+            }
             let Some(worker) = self.choose(task, service, step, suspicion, now) else {
                 self.ask_advice(task, service, now);
                 if suspicion == Suspicion::Isolate {
@@ -242,7 +248,7 @@
             run.waiting.remove(&name.index);
         }
         let slot = Slot::new(run, Phase::Starting, Entry::room_of(step), Entry::kind_of(step), now);
-        worker.insert(name, slot);
+        worker.insert(name, Slot { claim: entry.claim(name.step), ..slot });
         let waited = waited.unwrap_or_default();
         self.waits.push(waited);
         let waited_ms = waited.as_millis() as u64;
--- a/lib/src/batch/place/fit.rs
+++ b/lib/src/batch/place/fit.rs
@@ -18,6 +18,9 @@
 use crate::batch::worker::Lack;
 use crate::batch::worker::Worker;
 
+/// What holds a task whose account has as much running as it may.
+const AT_BOUND: &str = "its account is at its bound";
+
 /// What is asked of a worker.
 pub(super) struct Ask<'a> {
     task: TaskName,
@@ -142,6 +145,11 @@
 pub fn held_by(cell: &Cell, task: TaskName, now: Instant) -> BTreeMap<String, usize> {
     let mut held_by: BTreeMap<String, usize> = BTreeMap::new();
     let Some(entry) = cell.jobs.get(&task.job) else { return held_by };
+    if entry.step(task.step).is_some_and(|step| cell.is_at_bound(entry, step)) {
+        let workers = cell.workers.of_service(&entry.accepted.service).count();
+        held_by.insert(AT_BOUND.to_owned(), workers);
+        return held_by;
+    }
     for worker in cell.workers.of_service(&entry.accepted.service) {
         let why = hindrance_of(cell, worker, task, now);
         let why = why.map_or("nothing".to_owned(), |why| why.to_string());
--- a/lib/src/batch/place/gang.rs
+++ b/lib/src/batch/place/gang.rs
@@ -16,6 +16,7 @@
 use crate::batch::place::fit::allows;
 use crate::batch::place::fit::cost;
 use crate::batch::place::quarantine::Suspicion;
+use crate::batch::usage::Usage;
 use crate::batch::worker::Worker;
 
 /// What members of a gang that are being placed take of each worker: room, and their number.
@@ -37,9 +38,14 @@
         if run.waiting.len() < run.tasks.len() {
             return;
         }
+        let all = Usage::of(step, run.tasks.len() as u64);
         let indices = 0..run.tasks.len() as u32;
+        let account = entry.accepted.account.clone();
         let members: Vec<TaskName> =
             indices.map(|index| TaskName { job, time, step: number, index }).collect();
+        if !self.may_run(account.as_ref(), all) {
+            return;
+        }
         // One member that may run elsewhere holds up all, since they run together or not at all.
         if members.iter().any(|member| doubt.tasks.contains(member)) {
             return;
--- a/lib/src/batch/pool/load.rs
+++ b/lib/src/batch/pool/load.rs
@@ -6,6 +6,10 @@
 use spokelift_platform::job::Step;
 
 use crate::batch::cell::Cell;
+use crate::batch::job::Entry;
+use crate::batch::usage::Claim;
+use crate::batch::usage::Totals;
+use crate::batch::usage::Usage;
 use crate::batch::worker::Worker;
 
 /// Time in which work that waits should be done by the machines asked for: about as long as a
@@ -136,13 +140,47 @@
     }
 }
 
+/// What accounts may still start, as waiting tasks are counted one step after the other. Boxes are not wanted for what an
+/// account may not run.
+#[derive(Default)]
+struct Budgets {
+    counted: Totals,
+}
+
+impl Budgets {
+    /// How many of the waiting tasks of a step their account may start beside those counted before.
+    fn take(&mut self, cell: &Cell, entry: &Entry, step: &Step, tasks: u64) -> u64 {
+        let Some(account) = &entry.accepted.account else { return tasks };
+        let counted = self.counted.of(account);
+        let may_start = |tasks: u64| {
+            let more = counted.plus(Usage::of(step, tasks));
+            cell.may_run(Some(account), more)
+        };
+        let least = if step.gang { tasks.max(1) } else { 1 };
+        let (mut low, mut high) = (0, tasks);
+        if may_start(tasks) {
+            low = tasks;
+        } else if !may_start(least) || step.gang {
+            high = 0;
+        }
+        while high > low + 1 {
+            let middle = low.midpoint(high);
+            if may_start(middle) { low = middle } else { high = middle }
+        }
+        self.counted.add(&Claim { account: account.clone(), usage: Usage::of(step, low) });
+        low
+    }
+}
+
 /// Adds the tasks that wait, but for those that take only what others leave unused.
 fn add_waiting(loads: &mut BTreeMap<String, Load>, cell: &Cell) {
+    let mut budgets = Budgets::default();
     for rank in &cell.ready {
         let Some(entry) = cell.jobs.get(&rank.job) else { continue };
         let Some(step) = entry.step(rank.step).filter(|step| !step.fills) else { continue };
         let run = entry.seen_run(rank.time, rank.step);
-        let waiting = run.map_or(0, |run| run.waiting.len() as u64) * u64::from(step.cpu);
+        let tasks = run.map_or(0, |run| run.waiting.len() as u64);
+        let waiting = budgets.take(cell, entry, step, tasks) * u64::from(step.cpu);
         let load = loads.entry(entry.accepted.service.clone()).or_default();
         load.waiting += waiting;
         if step.gang && waiting > 0 {
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -378,7 +378,9 @@
     loop {
         scheduler.work.notified().await;
         let (waits, tally, needs_flush, backlog) = {
+            let config = scheduler.node.config();
             let mut cell = scheduler.cell();
+            config.iter().for_each(|config| cell.set_bounds(config));
             if cell.needs_placing() {
                 cell.place(clock::now(), wall_clock());
             }
--- /dev/null
+++ b/lib/src/batch/usage.rs
@@ -0,0 +1,120 @@
+//! What accounts have running, and whether more of them may start.
+
+use std::collections::HashMap;
+
+use spokelift_platform::config::Maximum;
+use spokelift_platform::job::Step;
+use spokelift_platform::worker::Room;
+
+use crate::state::id::AccountId;
+
+/// A sum of what tasks ask for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor, in thousandths of a core.
+    pub cpu: u64,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub gpu: u64,
+}
+
+impl From<Room> for Usage {
+    fn from(room: Room) -> Usage {
+        Usage { cpu: room.cpu.into(), memory_mb: room.memory_mb.into(), gpu: room.gpu.into() }
+    }
+}
+
+impl Usage {
+    /// What so many tasks of a step ask for, also those that take only what others leave unused.
+    pub fn of(step: &Step, tasks: u64) -> Usage {
+        Usage {
+            cpu: u64::from(step.cpu) * tasks,
+            memory_mb: u64::from(step.memory_mb) * tasks,
+            gpu: u64::from(step.gpu) * tasks,
+        }
+    }
+
+    /// The sum of both.
+    pub fn plus(self, other: Usage) -> Usage {
+        Usage {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            gpu: self.gpu.saturating_add(other.gpu),
+        }
+    }
+
+    /// What is left without the other; never less than nothing.
+    pub fn minus(self, other: Usage) -> Usage {
+        Usage {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            gpu: self.gpu.saturating_sub(other.gpu),
+        }
+    }
+
+    /// The lower of both, part by part.
+    pub fn lower(self, other: Usage) -> Usage {
+        Usage {
+            cpu: self.cpu.min(other.cpu),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            gpu: self.gpu.min(other.gpu),
+        }
+    }
+
+    /// Whether this is within a bound, of whose parts 0 is none.
+    ///
+    /// ```
+    /// use spokelift_lib::batch::usage::Usage;
+    /// use spokelift_platform::config::Maximum;
+    /// let bound = Maximum { cpu: 100, memory_mb: 0, gpu: 0 };
+    /// assert!(Usage { cpu: 100, memory_mb: 9_000, gpu: 1 }.is_within(&bound));
+    /// assert!(!Usage { cpu: 101, ..Usage::default() }.is_within(&bound));
+    /// ```
+    pub fn is_within(self, bound: &Maximum) -> bool {
+        let within = |used: u64, bound: u64| bound == 0 || used <= bound;
+        within(self.cpu, bound.cpu)
+            && within(self.memory_mb, bound.memory_mb)
+            && within(self.gpu, bound.gpu)
+    }
+}
+
+/// A part of what an account has running: one run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The account.
+    pub account: AccountId,
+    /// What the run asks for.
+    pub usage: Usage,
+}
+
+/// What each account has running.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Totals(HashMap<AccountId, Usage>);
+
+impl Totals {
+    /// What an account has running.
+    pub fn of(&self, account: &AccountId) -> Usage {
+        self.0.get(account).copied().unwrap_or_default()
+    }
+
+    /// A run may have begun.
+    pub fn add(&mut self, claim: &Claim) {
+        let total = self.0.entry(claim.account.clone()).or_default();
+        *total = total.plus(claim.usage);
+    }
+
+    /// A run is known to be gone.
+    pub fn remove(&mut self, claim: &Claim) {
+        let Some(total) = self.0.get_mut(&claim.account) else { return };
+        *total = total.minus(claim.usage);
+        if *total == Usage::default() {
+            self.0.remove(&claim.account);
+        }
+    }
+
+    /// Each account that has something running.
+    pub fn iter(&self) -> impl Iterator<Item = (&AccountId, &Usage)> {
+        self.0.iter()
+    }
+}
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -18,6 +18,7 @@
 
 use crate::batch::crash::silence::Silence;
 use crate::batch::record::Known;
+use crate::batch::usage::Claim;
 use crate::batch::worker::table::Number;
 
 /// How long a lease is granted for, from each look on. Long enough for another node to take the
@@ -69,6 +70,8 @@
     pub pace: u32,
     /// The task serves users, takes leftovers, or neither.
     pub kind: Kind,
+    /// What it counts for, if its job belongs to an account.
+    pub claim: Option<Claim>,
 }
 
 /// What kind of neighbour a task is.
@@ -101,6 +104,7 @@
             paced_at: None,
             pace: 100,
             kind,
+            claim: None,
         }
     }
 }
@@ -167,6 +171,13 @@
     pub cpu: u32,
 }
 
+/// Claims of runs that came and went.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Changes {
+    pub(super) came: Vec<Claim>,
+    pub(super) went: Vec<Claim>,
+}
+
 /// A worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -182,8 +193,10 @@
     pub free: Room,
     /// What of its slots does not end by itself.
     pub lasting: Lasting,
-    /// What may run there.
+    /// What may run there. Slots are added and removed by [`Worker::insert`] and [`Worker::remove`], which keep the sums.
     pub slots: HashMap<TaskName, Slot>,
+    /// Claims of runs that came and went since the table last took them in.
+    pub(super) claims: Changes,
     /// The highest end that was taken into account.
     pub processed: u64,
     /// The highest end whose effect the store knows of.
@@ -285,6 +298,7 @@
             lasting: Lasting::default(),
             entry,
             slots: HashMap::new(),
+            claims: Changes::default(),
             processed: 0,
             durable: 0,
             clock: None,
@@ -450,12 +464,23 @@
             self.lasting.tasks += 1;
             self.lasting.cpu += slot.room.cpu;
         }
+        self.claims.came.extend(slot.claim.clone());
         self.slots.insert(task, slot);
     }
 
+    /// Whose a run is has become known, and what it takes.
+    pub fn identify(&mut self, task: &TaskName, room: Room, kind: Kind, claim: Option<Claim>) {
+        let Some(slot) = self.slots.get_mut(task) else { return };
+        self.claims.went.extend(slot.claim.take());
+        self.claims.came.extend(claim.clone());
+        (slot.room, slot.kind, slot.claim) = (room, kind, claim);
+        self.recount();
+    }
+
     /// Removes a run that is known to be gone.
     pub fn remove(&mut self, task: &TaskName) -> Option<Slot> {
         let slot = self.slots.remove(task)?;
+        self.claims.went.extend(slot.claim.clone());
         self.recount();
         Some(slot)
     }
--- a/lib/src/batch/worker/table.rs
+++ b/lib/src/batch/worker/table.rs
@@ -20,6 +20,8 @@
 use spokelift_platform::worker::Room;
 use spokelift_platform::worker::WorkerId;
 
+use crate::batch::usage::Totals;
+use crate::batch::worker::Changes;
 use crate::batch::worker::Worker;
 
 /// Number of a worker in the order in which a scheduler met them; no two lives share one.
@@ -54,6 +56,8 @@
     unsaid: BTreeSet<Number>,
     /// Workers that are heard of again, which the store does not know.
     reopening: BTreeSet<Number>,
+    /// What accounts may have running, over all workers.
+    totals: Totals,
     /// A worker has got more room, or takes work again.
     has_freed: bool,
 }
@@ -126,6 +130,7 @@
             self.index.enter(self.number, self.worker, &after);
             self.index.has_freed |= after.has_more_than(&self.before);
         }
+        self.index.take_claims(self.worker);
     }
 }
 
@@ -161,6 +166,32 @@
         self.reopening.remove(&number);
     }
 
+    /// Takes in which runs of accounts came and went on a worker.
+    fn take_claims(&mut self, worker: &mut Worker) {
+        for claim in worker.claims.went.drain(..) {
+            self.totals.remove(&claim);
+            // Its account may be below its bound now, wherever its tasks would start.
+            self.has_freed = true;
+        }
+        for claim in worker.claims.came.drain(..) {
+            self.totals.add(&claim);
+        }
+    }
+
+    /// Counts all that may run on a worker.
+    fn add_claims(&mut self, worker: &Worker) {
+        worker
+            .slots
+            .values()
+            .filter_map(|slot| slot.claim.as_ref())
+            .for_each(|c| self.totals.add(c));
+    }
+
+    fn remove_claims(&mut self, worker: &Worker) {
+        let claims = worker.slots.values().filter_map(|slot| slot.claim.as_ref());
+        claims.for_each(|claim| self.totals.remove(claim));
+    }
+
     fn live_on(&mut self, number: Number, worker: &Worker) {
         if let Some(name) = &worker.entry.machine {
             self.boxes.entry(name.clone()).or_default().insert(number);
@@ -270,7 +301,9 @@
         let life = worker.peer.life.clone();
         self.remove(&life);
         let number = self.next_number();
-        let worker = Worker { number, fence: number, ..worker };
+        let claims = Changes::default();
+        let worker = Worker { number, fence: number, claims, ..worker };
+        self.index.add_claims(&worker);
         let standing = Standing::of(&worker);
         self.index.enter(self.last, &worker, &standing);
         self.index.live_on(self.last, &worker);
@@ -294,6 +327,7 @@
         let worker = self.workers.remove(&number)?;
         self.index.leave(number, &worker, &Standing::of(&worker));
         self.index.leave_box(number, &worker);
+        self.index.remove_claims(&worker);
         Some(worker)
     }
 
@@ -352,6 +386,11 @@
         lives.into_iter().flatten().filter_map(|number| self.workers.get(number))
     }
 
+    /// What accounts may have running, over all workers.
+    pub fn totals(&self) -> &Totals {
+        &self.index.totals
+    }
+
     /// Workers with ends that the store does not know of.
     pub fn unsaid(&self) -> impl Iterator<Item = &Worker> {
         self.index.unsaid.iter().filter_map(|number| self.workers.get(number))
@@ -373,6 +412,7 @@
         for (number, worker) in &self.workers {
             counted.enter(*number, worker, &Standing::of(worker));
             counted.live_on(*number, worker);
+            counted.add_claims(worker);
         }
         let mut faults = Vec::new();
         let mut compare = |what: &str, same: bool| {
@@ -380,6 +420,7 @@
                 faults.push(format!("{what} differ from a full count"));
             }
         };
+        compare("totals of accounts", counted.totals == self.index.totals);
         compare("boxes", counted.boxes == self.index.boxes);
         compare("unsaid ends", counted.unsaid == self.index.unsaid);
         compare("reopening workers", counted.reopening == self.index.reopening);
