view, intake: accounts shown to operators, what no bound allows refused at once

spokelift batch accounts shows use against the bound, weight, keys (their number), and the tasks that wait and that are held; explain names the account and the reason "its account is at its bound". A job with a task, or a gang, wider than its account may run is answered with 429 before it is written (counter batch.submit.refused.too-wide): it would wait until its deadline. Shown by test_accounts with real daemons: 429 for a gang of 3 cores under a bound of 2, two of five tasks at work, three held, no key in any view.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -372,6 +372,7 @@
 #[derive(FromArgs, Debug)]
 #[argh(subcommand)]
 pub enum BatchAction {
+    Accounts(BatchAccounts),
     Services(BatchServices),
     Queues(BatchQueues),
     Workers(BatchWorkers),
@@ -382,6 +383,11 @@
     Cancel(BatchCancel),
 }
 
+/// What each account has running against what it may, and what of its work waits for that.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "accounts")]
+pub struct BatchAccounts {}
+
 /// What each service has, uses and wants.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "services")]
--- a/cli/src/command/batch.rs
+++ b/cli/src/command/batch.rs
@@ -20,6 +20,10 @@
     let viewer = Client::new(daemon(args)?, "");
     let json = args.json;
     match action {
+        BatchAction::Accounts(_) => {
+            let accounts: view::account::Accounts = viewer.get(&path("accounts")).await?;
+            show(json, &accounts, output::batch_accounts)
+        }
         BatchAction::Services(_) => {
             let services: Vec<view::Service> = viewer.get(&path("services")).await?;
             show(json, &services, |services| output::batch_services(services))
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -252,6 +252,28 @@
     table(&head, services.iter().map(row))
 }
 
+/// Accounts of batch work, one a line, and the version that their bounds are of; processor in cores.
+pub fn batch_accounts(shown: &view::account::Accounts) -> String {
+    let row = |account: &view::account::Account| {
+        let most = |bound: f64| if bound == 0.0 { "-".to_owned() } else { format!("{bound:.0}") };
+        vec![
+            cell(&account.name),
+            cell(account.weight),
+            cell(account.keys),
+            format!("{:.1}", account.cores),
+            most(account.most_cores),
+            cell(account.memory_mb),
+            most(account.most_memory_mb as f64),
+            cell(account.waiting),
+            cell(account.held),
+        ]
+    };
+    let head =
+        ["ACCOUNT", "WEIGHT", "KEYS", "CORES", "MOST", "MEMORY MB", "MOST", "WAITING", "HELD"];
+    let rows = table(&head, shown.accounts.iter().map(row));
+    format!("configuration {}\n{rows}", shown.version)
+}
+
 /// Queues of batch work, one a line.
 pub fn batch_queues(queues: &[view::Queue]) -> String {
     let row = |queue: &view::Queue| {
@@ -310,8 +332,10 @@
 /// A job: where its tasks run and what holds those that wait.
 pub fn batch_job(job: &view::Job) -> String {
     let state = format!("{:?}", job.state).to_lowercase();
-    let mut lines =
-        vec![format!("job {} of queue {}, service {}: {state}", job.id, job.queue, job.service)];
+    let owner = job.account.as_ref().map(|account| format!(", account {account}"));
+    let owner = owner.unwrap_or_default();
+    let (id, queue, service) = (&job.id, &job.queue, &job.service);
+    let mut lines = vec![format!("job {id} of queue {queue}, service {service}{owner}: {state}")];
     for step in &job.steps {
         let (time, number) = step.place;
         let turn = if step.waits_for_turn { ", its turn has not come" } else { "" };
--- a/cli/tests/test_accounts.rs
+++ b/cli/tests/test_accounts.rs
@@ -11,6 +11,7 @@
 use hyper::Method;
 use serde_json::Value;
 use serde_json::json;
+use spokelift_lib::batch::view::account::Accounts;
 use spokelift_testutils::platform::site::Site;
 use spokelift_testutils::platform::site::config::Account;
 use spokelift_testutils::platform::store::Fault;
@@ -154,3 +155,30 @@
     assert_eq!(status, 401);
     assert_sound(&site);
 }
+
+#[tokio::test]
+async fn what_no_bound_allows_is_refused_at_once_and_operators_see_the_rest() {
+    let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
+    let mut accounts = accounts();
+    accounts[0].maximum = (2_000, 0);
+    site.configure(2, &accounts);
+    until_keys_count(&site).await;
+    let gang = json!({ "count": 3, "cpu": 1000, "memMb": 100, "estimateMs": 10, "gang": true });
+    let gang = json!({ "spec": "ms=10 cpu=1000 mem=100", "steps": [gang] });
+    let submit = async |key: &str, number: u64, job: Value| {
+        site.call_as(key, 0, Method::POST, &path(number), job).await.0
+    };
+    assert_eq!(submit("key-of-first", 1, gang.clone()).await, 429);
+    assert_eq!(submit("key-of-other", 2, gang).await, 200);
+    assert_eq!(submit("key-of-first", 3, job(5, 60_000)).await, 200);
+    site.until("two of five run", async |site| site.ledger.running(&id(3)) == 2).await;
+    let shown = site.view("accounts").await.unwrap();
+    let shown: Accounts = serde_json::from_str(&shown).unwrap();
+    let first = &shown.accounts[0];
+    assert_eq!((shown.version, first.name.as_str(), first.keys), (2, "first", 2));
+    assert_eq!((first.cores, first.most_cores, first.held), (2.0, 2.0, 3));
+    let explained = site.view(&format!("jobs/{}", id(3))).await.unwrap();
+    assert!(explained.contains("its account is at its bound"), "{explained}");
+    assert!(!explained.contains("key-of-first") && !format!("{shown:?}").contains("key-of-first"));
+    assert_sound(&site);
+}
--- a/lib/src/batch/config.rs
+++ b/lib/src/batch/config.rs
@@ -13,8 +13,11 @@
 use spokelift_platform::config;
 use spokelift_platform::config::Maximum;
 use spokelift_platform::config::Queue;
+use spokelift_platform::job::Job;
+use thiserror::Error;
 
 use crate::batch::caller::Caller;
+use crate::batch::usage::too_wide;
 use crate::protocol::bearer;
 use crate::state::account::CredentialError;
 use crate::state::account::KeyHash;
@@ -101,6 +104,17 @@
         &self.accounts
     }
 
+    /// Checks that the account of a caller may run each step of a job at all.
+    ///
+    /// # Errors
+    ///
+    /// [`TooWide`] names the first step that it may not.
+    pub fn check_bound(&self, caller: &Caller, job: &Job) -> Result<(), TooWide> {
+        let account = caller.account().and_then(|id| self.accounts.get(id));
+        let Some(account) = account else { return Ok(()) };
+        too_wide(&job.steps, &account.maximum).map_or(Ok(()), |step| Err(TooWide(step)))
+    }
+
     /// Who a call at a queue is from.
     ///
     /// The key is looked up by its hash, so how long that takes tells nothing of the keys there are.
@@ -118,6 +132,11 @@
     }
 }
 
+/// Why a job of an account cannot be served as its bound is now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("step {0} is wider than its account may run")]
+pub struct TooWide(pub usize);
+
 /// The lower of two bounds, of which 0 is none.
 fn lower(one: Maximum, other: Maximum) -> Maximum {
     let lower = |one: u64, other: u64| match (one, other) {
--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -100,6 +100,11 @@
                     return status(400);
                 }
             };
+            if let Err(error) = config.check_bound(&caller, &job) {
+                node.counters.count("batch.submit.refused.too-wide");
+                log::info!(job = format!("{id:016x}").as_str(); "job is not taken: {error}");
+                return come_back(429, COME_BACK);
+            }
             written(node.commit(id, submit::accept(job, &queue, &caller), until).await)
         }
         _ => status(405),
--- a/lib/src/batch/usage.rs
+++ b/lib/src/batch/usage.rs
@@ -79,6 +79,23 @@
     }
 }
 
+/// The first step of a job of which no part could ever start within a bound: one of its tasks, or the whole of a gang,
+/// is above it.
+///
+/// ```
+/// use spokelift_lib::batch::usage::too_wide;
+/// use spokelift_platform::config::Maximum;
+/// use spokelift_platform::job::Step;
+/// let bound = Maximum { cpu: 1_000, ..Maximum::default() };
+/// let step = |gang| Step { count: 4, cpu: 500, gang, ..Step::default() };
+/// assert_eq!(too_wide(&[step(false)], &bound), None);
+/// assert_eq!(too_wide(&[step(false), step(true)], &bound), Some(1));
+/// ```
+pub fn too_wide(steps: &[Step], bound: &Maximum) -> Option<usize> {
+    let least = |step: &Step| Usage::of(step, if step.gang { step.count.into() } else { 1 });
+    steps.iter().position(|step| step.count > 0 && !least(step).is_within(bound))
+}
+
 /// A part of what an account has running: one run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Claim {
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -1,5 +1,7 @@
 //! What operators see of batch work: services, queues, workers, and why a job waits.
 
+pub mod account;
+
 use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -83,6 +85,9 @@
     pub queue: String,
     /// Its service.
     pub service: String,
+    /// The account that it belongs to, if any.
+    #[serde(default)]
+    pub account: Option<String>,
     /// What clients are told.
     pub state: JobState,
     /// Steps that are not done.
@@ -169,6 +174,7 @@
 pub fn show(cell: &Cell, waves: &[wave::Wave], shares: &[Share], path: &str) -> Option<String> {
     let now = clock::now();
     let shown = match path.strip_prefix(PATH)? {
+        "accounts" => serde_json::to_string(&account::accounts(cell)),
         "services" => serde_json::to_string(&services(cell, now)),
         "shares" => serde_json::to_string(shares),
         "queues" => serde_json::to_string(&queues(cell)),
@@ -273,8 +279,9 @@
     }
     let accepted = &entry.accepted;
     let (queue, service) = (accepted.queue.clone(), accepted.service.clone());
+    let account = accepted.account.as_ref().map(ToString::to_string);
     let (state, crashed) = (entry.shown(), crashed(entry));
-    Some(Job { id: format!("{id:016x}"), queue, service, state, steps, crashed })
+    Some(Job { id: format!("{id:016x}"), queue, service, account, state, steps, crashed })
 }
 
 fn crashed(entry: &Entry) -> Vec<Crashed> {
--- /dev/null
+++ b/lib/src/batch/view/account.rs
@@ -0,0 +1,84 @@
+//! What operators see of accounts.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use spokelift_platform::config::Version;
+
+use crate::batch::cell::Cell;
+use crate::batch::usage::Usage;
+use crate::batch::view::cores;
+use crate::state::id::AccountId;
+
+/// An account: what it uses of what it may.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Account {
+    /// Its name.
+    pub name: String,
+    /// Its share against other accounts.
+    pub weight: f64,
+    /// How many keys it has.
+    pub keys: usize,
+    /// Cores of its tasks that run, and on workers that have not been asked yet of those that may.
+    pub cores: f64,
+    /// Cores that they may have; 0 for no bound.
+    pub most_cores: f64,
+    /// Memory of these tasks, in megabytes.
+    pub memory_mb: u64,
+    /// Memory that they may have, in megabytes; 0 for no bound.
+    pub most_memory_mb: u64,
+    /// Tasks that wait for room.
+    pub waiting: u64,
+    /// Tasks that wait since the account has as much running as it may.
+    pub held: u64,
+}
+
+/// The accounts, and of which version of the configuration they are.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Accounts {
+    /// The version.
+    pub version: Version,
+    /// The accounts, by name.
+    pub accounts: Vec<Account>,
+}
+
+/// The accounts of the configuration, and those that vanished from it and still have work.
+pub fn accounts(cell: &Cell) -> Accounts {
+    let mut shown: BTreeMap<AccountId, Account> = BTreeMap::new();
+    for (id, account) in cell.config().into_iter().flat_map(|config| config.accounts()) {
+        let entry = shown.entry(id.clone()).or_default();
+        (entry.weight, entry.keys) = (account.weight, account.keys);
+    }
+    for id in cell.workers.totals().iter().map(|(id, _)| id) {
+        shown.entry(id.clone()).or_default();
+    }
+    for rank in &cell.ready {
+        let Some(entry) = cell.jobs.get(&rank.job) else { continue };
+        let (Some(owner), Some(step)) = (&entry.accepted.account, entry.step(rank.step)) else {
+            continue;
+        };
+        let tasks = entry.seen_run(rank.time, rank.step).map_or(0, |run| run.waiting.len() as u64);
+        let account = shown.entry(owner.clone()).or_default();
+        match cell.is_at_bound(entry, step) {
+            true => account.held += tasks,
+            false => account.waiting += tasks,
+        }
+    }
+    let accounts = shown.into_iter().map(|(id, account)| with_usage(cell, &id, account));
+    let version = cell.config().map_or(0, |config| config.version);
+    Accounts { version, accounts: accounts.collect() }
+}
+
+fn with_usage(cell: &Cell, id: &AccountId, account: Account) -> Account {
+    let Usage { cpu, memory_mb, .. } = cell.usage_of(id);
+    let bound = cell.bound_of(id).copied().unwrap_or_default();
+    Account {
+        name: id.to_string(),
+        cores: cores(cpu),
+        most_cores: cores(bound.cpu),
+        memory_mb,
+        most_memory_mb: bound.memory_mb,
+        ..account
+    }
+}
