place: modest accounts come before what others want above their share

Work of no account counts as one of the least weight (test). The share is of all workers, not of one service's: an account whose share is wider than a pool can still fill that pool.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -44,6 +44,7 @@
 use crate::batch::demand::Demand;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
+use crate::batch::place::fair::Allowances;
 use crate::batch::record::JobKey;
 use crate::batch::worker::table::Number;
 use crate::batch::worker::table::Table;
@@ -58,6 +59,8 @@
     pub ends: bool,
     /// Rank of the queue.
     pub priority: u32,
+    /// Its account had sent more jobs than its weight a second.
+    pub beyond: bool,
     /// When it should be done, in milliseconds since 1970.
     pub objective_at: u64,
     /// The job.
@@ -74,6 +77,7 @@
         Rank {
             ends: !entry.lasts(),
             priority: entry.accepted.priority,
+            beyond: entry.beyond,
             objective_at: entry.objective_at(time),
             job: entry.id,
             time,
@@ -195,6 +199,8 @@
     pub ready: BTreeSet<Rank>,
     /// What accounts may have running.
     bounds: Bounds,
+    /// What accounts may still send within their weights.
+    pub(super) allowances: Allowances,
     /// Something may be placed that could not be before, beside what has become free on workers.
     pub(super) stirred: bool,
     /// Workers may be marked as unfenced.
@@ -285,6 +291,7 @@
             workers: Table::default(),
             ready: BTreeSet::new(),
             bounds: Bounds::default(),
+            allowances: Allowances::default(),
             stirred: false,
             has_unfenced: false,
             has_inherited: false,
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -64,6 +64,7 @@
         if let Some(progress) = inherited {
             entry.restore(progress);
         }
+        entry.beyond = self.goes_beyond(entry.accepted.account.as_ref(), entry.accepted.at);
         self.claim_found(&mut entry);
         let times = entry.accepted.job.times();
         for time in 0..times {
--- a/lib/src/batch/config.rs
+++ b/lib/src/batch/config.rs
@@ -60,6 +60,11 @@
         let mut config = Config::default();
         let mut shared = HashSet::new();
         for listed in published.accounts.iter_mut().flatten() {
+            if listed.name.is_empty() {
+                log::warn!("an account without a name counts for none");
+                listed.keys.clear();
+                continue;
+            }
             let id: AccountId = listed.name.as_str().into();
             config.add_account(&id, listed);
             for key in std::mem::take(&mut listed.keys) {
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -18,6 +18,7 @@
 use crate::batch::record::TaskPlace;
 use crate::batch::usage::Claim;
 use crate::batch::usage::Usage;
+use crate::batch::usage::owner;
 use crate::batch::worker::Kind;
 
 /// One task.
@@ -111,6 +112,8 @@
     /// It was accepted before this scheduler began, so tasks of it may run on workers that have
     /// not been asked yet.
     pub inherited: bool,
+    /// Its account had sent more jobs than its weight a second when it came.
+    pub beyond: bool,
 }
 
 impl Entry {
@@ -129,6 +132,7 @@
             ended_at: None,
             kept_in: BTreeSet::new(),
             inherited: false,
+            beyond: false,
         }
     }
 
@@ -188,9 +192,9 @@
         Room { cpu, memory_mb: step.memory_mb, gpu: step.gpu }
     }
 
-    /// What a run of a step counts for, if the job belongs to an account.
+    /// What a run of a step counts for, and for whom.
     pub fn claim(&self, step: u16) -> Option<Claim> {
-        let account = self.accepted.account.clone()?;
+        let account = owner(self.accepted.account.as_ref());
         Some(Claim { account, usage: Usage::of(self.step(step)?, 1) })
     }
 
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -1,5 +1,6 @@
 //! Which worker a task is started on.
 
+pub mod fair;
 pub mod fit;
 mod gang;
 mod quarantine;
@@ -47,9 +48,16 @@
         let (mut hopeful, late): (Vec<Rank>, Vec<Rank>) =
             others.into_iter().partition(|rank| !rank.ends || self.is_hopeful(rank, wall_ms));
         self.begun_first(&mut hopeful);
-        for rank in suspect.into_iter().chain(hopeful).chain(late) {
+        let ends = hopeful.partition_point(|rank| !rank.ends);
+        let ending = hopeful.split_off(ends);
+        for rank in suspect.into_iter().chain(hopeful) {
             self.place_step(rank, now, &doubt);
         }
+        for ranks in [ending, late] {
+            for ranks in by_priority(ranks) {
+                self.place_fairly(ranks, now, &doubt);
+            }
+        }
     }
 
     /// Of the tasks that last and are of one priority, those of jobs that have run before come first: their users
@@ -268,6 +276,14 @@
     }
 }
 
+/// Steps that end by themselves, those of each priority together, the first ones first, and of these those that
+/// their accounts sent within their weights.
+fn by_priority(ranks: Vec<Rank>) -> Vec<Vec<Rank>> {
+    let same =
+        |one: &Rank, other: &Rank| (one.priority, one.beyond) == (other.priority, other.beyond);
+    ranks.chunk_by(same).map(<[Rank]>::to_vec).collect()
+}
+
 /// The best of some workers on which a task may run, those with the least processor left first. A task
 /// that ends by itself wants the first one that nothing speaks against, so the others are not looked at.
 fn best<'a>(workers: impl Iterator<Item = &'a Worker>, ask: &Ask<'_>) -> Option<&'a Worker> {
--- a/lib/src/batch/usage.rs
+++ b/lib/src/batch/usage.rs
@@ -1,6 +1,7 @@
 //! What accounts have running, and whether more of them may start.
 
 use std::collections::HashMap;
+use std::sync::LazyLock;
 
 use spokelift_platform::config::Maximum;
 use spokelift_platform::job::Step;
@@ -96,6 +97,14 @@
     steps.iter().position(|step| step.count > 0 && !least(step).is_within(bound))
 }
 
+/// Stands for whoever has no account where shares are compared; it has no bound.
+static NOBODY: LazyLock<AccountId> = LazyLock::new(|| AccountId::from(""));
+
+/// The account that a job's runs count for.
+pub fn owner(account: Option<&AccountId>) -> AccountId {
+    account.unwrap_or(&NOBODY).clone()
+}
+
 /// A part of what an account has running: one run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Claim {
--- a/lib/src/batch/view/account.rs
+++ b/lib/src/batch/view/account.rs
@@ -50,7 +50,7 @@
         let entry = shown.entry(id.clone()).or_default();
         (entry.weight, entry.keys) = (account.weight, account.keys);
     }
-    for id in cell.workers.totals().iter().map(|(id, _)| id) {
+    for id in cell.workers.totals().iter().map(|(id, _)| id).filter(|id| !id.is_empty()) {
         shown.entry(id.clone()).or_default();
     }
     for rank in &cell.ready {
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -70,7 +70,7 @@
     pub pace: u32,
     /// The task serves users, takes leftovers, or neither.
     pub kind: Kind,
-    /// What it counts for, if its job belongs to an account.
+    /// What it counts for, and for whom; none while its job is not known.
     pub claim: Option<Claim>,
 }
 
--- a/lib/src/batch/worker/table.rs
+++ b/lib/src/batch/worker/table.rs
@@ -21,6 +21,7 @@
 use spokelift_platform::worker::WorkerId;
 
 use crate::batch::usage::Totals;
+use crate::batch::usage::Usage;
 use crate::batch::worker::Changes;
 use crate::batch::worker::Worker;
 
@@ -58,6 +59,8 @@
     reopening: BTreeSet<Number>,
     /// What accounts may have running, over all workers.
     totals: Totals,
+    /// The room of all workers.
+    room: Usage,
     /// A worker has got more room, or takes work again.
     has_freed: bool,
 }
@@ -138,6 +141,7 @@
     fn enter(&mut self, number: Number, worker: &Worker, standing: &Standing) {
         let service = self.services.entry(worker.entry.service.clone()).or_default();
         service.members.insert(number);
+        self.room = self.room.plus(worker.entry.room.into());
         if standing.open {
             let place = (standing.free.cpu, number);
             service.open.insert(place);
@@ -154,6 +158,7 @@
     }
 
     fn leave(&mut self, number: Number, worker: &Worker, standing: &Standing) {
+        self.room = self.room.minus(worker.entry.room.into());
         if let Some(service) = self.services.get_mut(&worker.entry.service) {
             let place = (standing.free.cpu, number);
             service.members.remove(&number);
@@ -386,6 +391,11 @@
         lives.into_iter().flatten().filter_map(|number| self.workers.get(number))
     }
 
+    /// The room of all workers.
+    pub fn room(&self) -> Usage {
+        self.index.room
+    }
+
     /// What accounts may have running, over all workers.
     pub fn totals(&self) -> &Totals {
         &self.index.totals
@@ -420,6 +430,7 @@
                 faults.push(format!("{what} differ from a full count"));
             }
         };
+        compare("room", counted.room == self.index.room);
         compare("totals of accounts", counted.totals == self.index.totals);
         compare("boxes", counted.boxes == self.index.boxes);
         compare("unsaid ends", counted.unsaid == self.index.unsaid);
--- a/lib/tests/test_account_load.rs
+++ b/lib/tests/test_account_load.rs
@@ -5,6 +5,7 @@
 
 use spokelift_testutils::batch::play::Served;
 use spokelift_testutils::batch::play::play_accounts;
+use spokelift_testutils::batch::play::play_beside_nobody;
 
 const MODEST: usize = 19;
 /// Jobs a second of a modest account; together a quarter of what the workers bear.
@@ -39,3 +40,15 @@
         "{alone:?} alone, {beside:?} beside {greedy:?}"
     );
 }
+
+/// The same where the flood is of no account: it counts as one.
+#[test]
+fn a_flood_of_nobody_takes_nothing_from_accounts() {
+    let mut rates = vec![MODEST_PER_S; MODEST];
+    rates.push(GREEDY_PER_S);
+    let served = play_beside_nobody(&rates, 1);
+    let (modest, nobody) = (&served[..MODEST], served[MODEST]);
+    let jobs: u32 = modest.iter().map(|account| account.jobs).sum();
+    let in_time: u32 = modest.iter().map(|account| account.in_time).sum();
+    assert!(in_time * 100 >= jobs * 97, "{in_time} of {jobs} beside {nobody:?}");
+}
--- a/testutils/src/batch/play.rs
+++ b/testutils/src/batch/play.rs
@@ -16,6 +16,7 @@
 use spokelift_lib::batch::cell::Order;
 use spokelift_lib::batch::config::Config;
 use spokelift_lib::batch::record::Accepted;
+use spokelift_lib::state::id::AccountId;
 use spokelift_lib::transport::clock;
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::JobId;
@@ -214,11 +215,11 @@
         self.admit(id, steps);
     }
 
-    fn hand_in_for(&mut self, id: JobId, account: usize) {
+    fn hand_in_for(&mut self, id: JobId, account: Option<AccountId>) {
         let step = Step { count: 6, cpu: 2_300, estimate_ms: RUN_MS, ..Step::default() };
         let steps = vec![step.clone(), Step { after: vec![0], ..step }];
         self.handed_in.insert(id, self.ms);
-        let (at, account) = (Duration::from_millis(self.ms), Some(name(account).into()));
+        let at = Duration::from_millis(self.ms);
         self.cell.admit(id, Accepted { max_attempts: 3, at, account, ..accepted(steps) }, None);
     }
 
@@ -362,6 +363,20 @@
 /// Plays accounts of one weight that hand in so many jobs a second each, for 10 s, and lets that run out for 10 s; what
 /// each of them got. The arrivals of an account do not depend on the others. The workers bear about 21 jobs a second.
 pub fn play_accounts(jobs_per_s: &[f64], seed: u64) -> Vec<Served> {
+    play_owned(jobs_per_s, seed, |account| Some(name(account).into()))
+}
+
+/// The same where the jobs of the last account are nobody's.
+pub fn play_beside_nobody(jobs_per_s: &[f64], seed: u64) -> Vec<Served> {
+    let last = jobs_per_s.len() - 1;
+    play_owned(jobs_per_s, seed, |account| (account != last).then(|| name(account).into()))
+}
+
+fn play_owned(
+    jobs_per_s: &[f64],
+    seed: u64,
+    owner: impl Fn(usize) -> Option<AccountId>,
+) -> Vec<Served> {
     let mut play = Play::new();
     let accounts =
         (0..jobs_per_s.len()).map(|account| json!({ "name": name(account), "weight": 10 }));
@@ -378,7 +393,7 @@
             if arrives && rng.random::<f64>() < jobs_per_s[account] * STEP_MS as f64 / 1_000.0 {
                 job += 1;
                 owners.insert(job, account);
-                play.hand_in_for(job, account);
+                play.hand_in_for(job, owner(account));
             }
         }
         play.step(Vec::new());
