testutils: a soak with accounts whose keys and bounds change

Judged: nobody else's key shows or cancels a job, no start lifts the account whose bound stays above it.

--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use spokelift_testutils::platform::soak;
+use spokelift_testutils::platform::soak::HAS_ACCOUNTS_FROM;
 use spokelift_testutils::platform::soak::KEEPS_IDS_FROM;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
@@ -38,6 +39,13 @@
     play(seeds.start + KEEPS_IDS_FROM..seeds.end + KEEPS_IDS_FROM).await;
 }
 
+/// The same with accounts whose keys and bounds change.
+#[tokio::test(flavor = "multi_thread")]
+async fn random_faults_break_no_promise_where_accounts_change() {
+    let seeds = seeds();
+    play(seeds.start + HAS_ACCOUNTS_FROM..seeds.end + HAS_ACCOUNTS_FROM).await;
+}
+
 async fn play(seeds: Range<u64>) {
     let mut failed = Vec::new();
     for seed in seeds {
--- a/testutils/src/platform/ledger.rs
+++ b/testutils/src/platform/ledger.rs
@@ -32,6 +32,10 @@
     /// Jobs of which nothing may start any more, and since when.
     barred: HashMap<String, Instant>,
     faults: Vec<String>,
+    /// Accounts of jobs.
+    owners: HashMap<String, String>,
+    /// Most tasks that accounts may have running.
+    most: HashMap<String, u32>,
 }
 
 /// A task under which so many workers have crashed may be started [`MORE_STARTS`] times more.
@@ -68,6 +72,18 @@
     }
 }
 
+impl LedgerInner {
+    /// Whether a start that has been counted lifts its account above its bound, and by how much.
+    fn check_bound(&self, task: &str) -> Option<String> {
+        let owner = self.owners.get(parts(task).0)?;
+        let most = *self.most.get(owner)?;
+        let of_owner = |task: &&String| self.owners.get(parts(task).0) == Some(owner);
+        let running = self.running.iter().filter(|(task, _)| of_owner(task));
+        let running: u32 = running.map(|(_, running)| running).sum();
+        (running > most).then(|| format!("{task} lifts {owner} to {running} tasks of {most}"))
+    }
+}
+
 impl Ledger {
     fn lock(&self) -> MutexGuard<'_, LedgerInner> {
         self.inner.lock().expect("no holder panics")
@@ -82,6 +98,8 @@
         let running = ledger.running.entry(task.to_owned()).or_default();
         *running += 1;
         ledger.away.remove(task);
+        let above = ledger.check_bound(task);
+        ledger.faults.extend(above);
         let running = ledger.running.entry(task.to_owned()).or_default();
         if *running > 1 {
             ledger.faults.push(format!("two runs of {task} at once, the later one is {run}"));
@@ -155,6 +173,21 @@
         self.lock().sent.insert(job.to_owned(), steps.to_vec());
     }
 
+    /// A job belongs to an account.
+    pub fn own(&self, job: &str, account: &str) {
+        self.lock().owners.insert(job.to_owned(), account.to_owned());
+    }
+
+    /// An account may have no more tasks than that running.
+    pub fn bound(&self, account: &str, most: u32) {
+        self.lock().most.insert(account.to_owned(), most);
+    }
+
+    /// The account of a job.
+    pub fn owner(&self, job: &str) -> Option<String> {
+        self.lock().owners.get(job).cloned()
+    }
+
     /// Nothing of a job may start any more, beginning at a time.
     pub fn bar(&self, job: &str, since: Instant) {
         self.lock().barred.insert(job.to_owned(), since);
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -63,6 +63,11 @@
     advice: Advice,
 }
 
+/// The key that an account has as long as it is there.
+pub fn key_of(account: &str) -> String {
+    format!("key-of-{account}")
+}
+
 impl Site {
     /// Starts daemons of `program`, with `workers` machines in pool `work` and `reserve` in pool
     /// `spare`, and waits until each of them answers clients: one that does not listen yet refuses
@@ -168,9 +173,14 @@
         self.store.put(OPERATOR_TOPIC, Record::set("config", config));
     }
 
-    /// Calls a node as a client without a key; status 0 if there is no answer.
+    /// Calls a node as the client whose job the path names, without a key if it is nobody's; status 0 if there is no
+    /// answer.
     async fn call(&self, node: usize, method: Method, path: &str, body: Value) -> (u16, Value) {
-        self.call_with(&[], node, method, path, body).await
+        let job = path.rsplit('/').next().unwrap_or_default();
+        match self.ledger.owner(job) {
+            Some(account) => self.call_as(&key_of(&account), node, method, path, body).await,
+            None => self.call_with(&[], node, method, path, body).await,
+        }
     }
 
     /// Calls a node as a client with these headers; status 0 if there is no answer.
--- a/testutils/src/platform/soak.rs
+++ b/testutils/src/platform/soak.rs
@@ -4,6 +4,7 @@
 //! A seed gives the jobs and the schedule of faults; the processes' own timing differs from run to
 //! run.
 
+mod accounts;
 mod client;
 mod judge;
 mod schedule;
@@ -38,6 +39,10 @@
 const WORKERS_PER_SHARE: usize = 3;
 /// From this seed on workers start again under the id that they had. Below it each life has an id of its own.
 pub const KEEPS_IDS_FROM: u64 = 1_000;
+/// From this seed on jobs belong to accounts, whose keys and bounds change.
+pub const HAS_ACCOUNTS_FROM: u64 = 2_000;
+/// Tells the generator of what accounts may from that of the other faults.
+const ACCOUNT_SEED: u64 = 0xacc0_1247;
 /// Clients that hand in jobs side by side.
 const CLIENTS: u64 = 3;
 /// Tells the generator of connections that go silent from that of the other faults.
@@ -89,17 +94,29 @@
     });
     let waves: Vec<u64> = waves.collect();
     let told: Arc<Mutex<Vec<Told>>> = Arc::default();
+    let mut account_rng = StdRng::seed_from_u64(seed ^ ACCOUNT_SEED);
+    let has_accounts = seed >= HAS_ACCOUNTS_FROM;
+    if has_accounts {
+        accounts::begin(&site, &mut account_rng).await;
+    }
     let until = Instant::now() + time;
+    let changes = site.clone();
+    let changes = tokio::spawn(async move {
+        if has_accounts {
+            accounts::change(&changes, account_rng, until).await;
+        }
+    });
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let rng = StdRng::seed_from_u64(seed ^ (number + 1) << 32);
-            tokio::spawn(client::run(site.clone(), rng, until, told.clone()))
+            tokio::spawn(client::run(site.clone(), rng, until, told.clone(), has_accounts))
         })
         .collect();
     let faults = run_schedule(&site, schedule).await;
     for client in clients {
         client.await.map_err(io::Error::other)?;
     }
+    changes.await.map_err(io::Error::other)?;
     site.mend()?;
     let told = std::mem::take(&mut *told.lock().expect("no holder panics"));
     let broken = judge(&site, &told, &waves).await;
--- /dev/null
+++ b/testutils/src/platform/soak/accounts.rs
@@ -0,0 +1,80 @@
+//! Accounts in a soak: their keys and bounds change while faults come, and nobody may see the jobs of another.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::platform::site::Site;
+use crate::platform::site::config::Account;
+use crate::platform::site::key_of;
+use crate::platform::soak::NODES;
+use crate::platform::soak::client::CPU;
+
+/// The accounts. The bound of the first one never changes, so a start above it is a fault whichever version counts.
+pub(super) const ACCOUNTS: [&str; 3] = ["tight", "wide", "other"];
+/// Most tasks of the first one at once.
+const MOST: u32 = 4;
+/// Time between two versions of the configuration, in milliseconds.
+const GAP_MS: std::ops::RangeInclusive<u64> = 150..=1_500;
+/// Pause between tries until the first version is in force.
+const PAUSE: Duration = Duration::from_millis(25);
+
+fn accounts(rng: &mut StdRng) -> Vec<Account> {
+    let account = |(place, name): (usize, &&str)| {
+        let mut account = Account::new(name, &key_of(name));
+        account.keys.push(format!("rotated-{}", rng.random::<u32>()));
+        let most = if place == 0 { MOST } else { rng.random_range(0..20) };
+        account.maximum = (u64::from(most * CPU), 0);
+        account
+    };
+    ACCOUNTS.iter().enumerate().map(account).collect()
+}
+
+/// Puts the first version in force at every daemon.
+pub(super) async fn begin(site: &Site, rng: &mut StdRng) {
+    site.ledger.bound(ACCOUNTS[0], MOST);
+    site.configure(2, &accounts(rng));
+    for node in 0..NODES {
+        site.until("keys count", async |site| {
+            sleep(PAUSE).await;
+            site.call_with(&[], node, Method::GET, "/q/0000000000000001", Value::Null).await.0
+                == 401
+        })
+        .await;
+    }
+}
+
+/// Publishes one version after another until the time is over.
+pub(super) async fn change(site: &Site, mut rng: StdRng, until: Instant) {
+    let mut version = 2;
+    while Instant::now() < until {
+        sleep(Duration::from_millis(rng.random_range(GAP_MS))).await;
+        version += rng.random_range(1..4);
+        site.configure(version, &accounts(&mut rng));
+    }
+}
+
+/// Calls about a job as somebody else does; what is wrong with the answers.
+pub(super) async fn pry(site: &Site, rng: &mut StdRng, job: &str) -> Vec<String> {
+    let Some(owner) = site.ledger.owner(job) else { return Vec::new() };
+    let stranger = ACCOUNTS.iter().find(|account| **account != owner).expect("there are several");
+    let path = format!("/q/{job}");
+    let mut broken = Vec::new();
+    for (key, method) in [
+        (key_of(stranger), Method::GET),
+        (key_of(stranger), Method::DELETE),
+        ("no-such-key".to_owned(), Method::GET),
+    ] {
+        let node = rng.random_range(0..NODES);
+        let (status, _) = site.call_as(&key, node, method.clone(), &path, Value::Null).await;
+        if status == 200 {
+            broken.push(format!("{method} of {job}, which is {owner}'s, is served to {key}"));
+        }
+    }
+    broken
+}
--- a/testutils/src/platform/soak/client.rs
+++ b/testutils/src/platform/soak/client.rs
@@ -13,6 +13,8 @@
 
 use crate::platform::site::Site;
 use crate::platform::soak::NODES;
+use crate::platform::soak::accounts;
+use crate::platform::soak::accounts::ACCOUNTS;
 
 /// How often a client sends a job before it gives up.
 const ATTEMPTS: usize = 6;
@@ -32,7 +34,7 @@
 const CANCEL_PAUSE: Duration = Duration::from_millis(200);
 /// Processor of a task in thousandths of a core, and its memory in MB: 26 of them fill the
 /// processor of a machine of the site.
-const CPU: u32 = 300;
+pub(super) const CPU: u32 = 300;
 const MEMORY_MB: u32 = 50;
 /// Time after which an accepted job must be known: a bound of the platform's pages.
 const KNOWN: Duration = Duration::from_secs(3);
@@ -60,6 +62,7 @@
     mut rng: StdRng,
     until: Instant,
     told: Arc<Mutex<Vec<Told>>>,
+    has_accounts: bool,
 ) {
     while Instant::now() < until {
         let lasts = rng.random_bool(LASTING);
@@ -70,6 +73,9 @@
             true => vec![rng.random_range(1..=3)],
             false => (0..rng.random_range(1..=3)).map(|_| rng.random_range(1..=5)).collect(),
         };
+        if has_accounts {
+            site.ledger.own(&id, ACCOUNTS[(number_of(&id) % ACCOUNTS.len() as u64) as usize]);
+        }
         site.ledger.expect(&id, &steps);
         let mut one = Told { id, lasts, poison, ..Told::default() };
         let mut job = job(&steps, lasts, rng.random_range(30..=300));
@@ -86,6 +92,10 @@
     }
 }
 
+fn number_of(id: &str) -> u64 {
+    u64::from_str_radix(id, 16).unwrap_or_default()
+}
+
 /// A job of steps, each after the one before it, with so many tasks in each.
 fn job(steps: &[u32], lasts: bool, millis: u32) -> Value {
     let room = format!("cpu={CPU} mem={MEMORY_MB}");
@@ -123,6 +133,7 @@
     if !told.lasts && !rng.random_bool(ASKED) {
         return;
     }
+    told.broken.extend(accounts::pry(site, rng, &told.id).await);
     sleep(Duration::from_millis(rng.random_range(100..=900))).await;
     if let Ok(state) = site.state(rng.random_range(0..NODES), &told.id).await
         && (state == "failed" && !may_be_given_up(site, told) || state == "canceled")
