intake, carry: the path of a refused call in its line, a counter for answers off the clock

A 401 or 404 can be followed from its id to its reason and the version that it rests on. An answer by a clock that the life asked cannot have was taken in without a counter: batch.worker.off-clock. No decision changes.

--- a/lib/src/batch/carry/order.rs
+++ b/lib/src/batch/carry/order.rs
@@ -91,6 +91,7 @@
 /// Tells if a clock that an answer shows is not that of this life; 0 if it shows none.
 fn tell_clock(carrier: &Carrier, number: Number, charge: &Charge, clock: WorkerMs) {
     if clock > 0 && charge.state().is_off(clock, clock::now()) {
+        carrier.tools.counters.count("batch.worker.off-clock");
         carrier.tell(Event::OffClock { number });
     }
 }
--- a/lib/src/batch/intake.rs
+++ b/lib/src/batch/intake.rs
@@ -15,6 +15,7 @@
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use hyper::header::WWW_AUTHENTICATE;
+use hyper::http::request::Parts;
 use spokelift_platform::ingress;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
@@ -73,7 +74,7 @@
     }
     let Admitted { queue, caller, rest } = match admitted {
         Ok(admitted) => admitted,
-        Err(refusal) => return refuse(node, &config, &refusal),
+        Err(refusal) => return refuse(node, &config, &head, &refusal),
     };
     let deadline = ingress::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
     let until = started + deadline.mul_f64(ANSWER_SHARE);
@@ -112,10 +113,11 @@
 }
 
 /// Refuses a call that no queue takes from this caller, before its body is read.
-fn refuse(node: &Node, config: &Config, refusal: &Refusal) -> Response<Body> {
+fn refuse(node: &Node, config: &Config, head: &Parts, refusal: &Refusal) -> Response<Body> {
     let (why, version) = (refusal.to_string(), config.version);
+    let path = head.uri.path();
     node.counters.count(&format!("batch.client.refused.{}", refusal.name()));
-    log::info!(why = why.as_str(), version; "client refused");
+    log::info!(path, why = why.as_str(), version; "client refused");
     match refusal {
         Refusal::NoQueue => status(404),
         Refusal::Credential(_) => {
