--- a/lib/tests/test_accounts.rs
+++ b/lib/tests/test_accounts.rs
@@ -20,6 +20,8 @@
 use spokelift_platform::job::Step;
 use spokelift_platform::store::Record;
 use spokelift_testutils::batch;
+use spokelift_testutils::batch::published;
+use spokelift_testutils::batch::published::published;
 
 const MISSING: Refusal = Refusal::Credential(CredentialError::Missing);
 const MALFORMED: Refusal = Refusal::Credential(CredentialError::Malformed);
@@ -27,19 +29,12 @@
 
 /// Queue `q` asks for a key, `open` does not, `silent` does not say.
 fn config(accounts: Value) -> Config {
-    let queue = |name: &str| json!({ "name": name, "host": "h", "pathPrefix": format!("/{name}/"), "service": "work" });
-    let (mut own, mut open) = (queue("q"), queue("open"));
-    own["public"] = json!(false);
-    open["public"] = json!(true);
-    let mut config = json!({ "version": 1, "routes": [own, open, queue("silent")] });
-    if !accounts.is_null() {
-        config["tenants"] = accounts;
-    }
-    Config::decode(config.to_string().as_bytes()).unwrap()
+    let queues = [("q", Some(false)), ("open", Some(true)), ("silent", None)];
+    Config::decode(&published(1, &queues, accounts)).unwrap()
 }
 
 fn account(name: &str, keys: &[&str]) -> Value {
-    json!({ "name": name, "apiKeys": keys, "weight": 3, "maximum": { "cpu": 100, "memMb": 0 } })
+    published::account(name, keys, 100)
 }
 
 fn call(path: &str, credentials: &[&[u8]]) -> Parts {
@@ -108,8 +103,8 @@
     let config = self::config(json!([{ "name": "many", "apiKeys": many }]));
     assert_eq!(caller(&config, &[b"Bearer key-99999"]), Ok(of("many")));
     for broken in [json!({ "cpu": -1 }), json!({ "cpu": "much" })] {
-        let text = json!({ "version": 2, "tenants": [{ "name": "a", "maximum": broken }] });
-        assert!(Config::decode(text.to_string().as_bytes()).is_err());
+        let text = published(2, &[], json!([{ "name": "a", "maximum": broken }]));
+        assert!(Config::decode(&text).is_err());
     }
 }
 
--- a/lib/tests/test_bounds.rs
+++ b/lib/tests/test_bounds.rs
@@ -31,6 +31,8 @@
 use spokelift_platform::worker::Seen;
 use spokelift_testutils::batch;
 use spokelift_testutils::batch::addr;
+use spokelift_testutils::batch::published;
+use spokelift_testutils::batch::published::published;
 
 const TOKEN: u64 = 7;
 /// Processor and memory of a worker.
@@ -47,11 +49,9 @@
 
 /// A configuration with these bounds of processor.
 fn config(version: u64, bounds: &[(&str, u64)]) -> Arc<Config> {
-    let accounts =
-        bounds.iter().map(|(name, cpu)| json!({ "name": name, "maximum": { "cpu": cpu } }));
-    let accounts: Vec<_> = accounts.collect();
-    let text = json!({ "version": version, "tenants": accounts }).to_string();
-    Arc::new(Config::decode(text.as_bytes()).unwrap())
+    let accounts = bounds.iter().map(|(name, cpu)| published::account(name, &[], *cpu));
+    let text = published(version, &[], accounts.collect());
+    Arc::new(Config::decode(&text).unwrap())
 }
 
 /// A scheduler's state, and what the workers run by what they were told.
@@ -178,9 +178,8 @@
 fn memory_bounds_as_processor_does_and_what_fills_counts() {
     let mut bed = Bed::new(3);
     let maximum = json!({ "cpu": 5_000, "memMb": 250 });
-    let text =
-        json!({ "version": 1, "tenants": [{ "name": "a", "maximum": maximum }] }).to_string();
-    bed.cell.set_bounds(&Arc::new(Config::decode(text.as_bytes()).unwrap()));
+    let text = published(1, &[], json!([{ "name": "a", "maximum": maximum }]));
+    bed.cell.set_bounds(&Arc::new(Config::decode(&text).unwrap()));
     bed.submit("a", Step { long_running: true, fills: true, ..step(1) });
     bed.submit("a", step(4));
     assert_eq!(bed.place().len(), 2);
--- a/lib/tests/test_names.rs
+++ b/lib/tests/test_names.rs
@@ -5,7 +5,8 @@
 use std::path::PathBuf;
 
 /// Names of fields, calls and headers of the platform.
-const NAMES: [&str; 17] = [
+const NAMES: [&str; 18] = [
+    "apiKeys",
     "pathPrefix",
     "fencingToken",
     "run-start",
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -1,6 +1,7 @@
 //! Samples for tests of batch work that need no process: an accepted job, a worker's entry.
 
 pub mod play;
+pub mod published;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/testutils/src/batch/play.rs
+++ b/testutils/src/batch/play.rs
@@ -33,6 +33,7 @@
 
 use crate::batch::accepted;
 use crate::batch::addr;
+use crate::batch::published::published;
 
 const WORKERS: usize = 12;
 /// Ids of jobs that last begin here.
@@ -381,8 +382,8 @@
     let accounts =
         (0..jobs_per_s.len()).map(|account| json!({ "name": name(account), "weight": 10 }));
     let accounts: Vec<Value> = accounts.collect();
-    let config = json!({ "version": 1, "tenants": accounts }).to_string();
-    let config = Config::decode(config.as_bytes()).expect("the configuration is sound");
+    let config =
+        Config::decode(&published(1, &[], accounts.into())).expect("the configuration is sound");
     play.cell.set_bounds(&Arc::new(config));
     let seeds = (0..jobs_per_s.len() as u64).map(|account| seed * 1_000 + account);
     let mut rngs: Vec<StdRng> = seeds.map(StdRng::seed_from_u64).collect();
--- /dev/null
+++ b/testutils/src/batch/published.rs
@@ -0,0 +1,36 @@
+//! What the operator of the users' platform publishes, as bytes in the store.
+
+use serde_json::Value;
+use serde_json::json;
+
+/// A configuration with queues of host `h` and service `work`, each at the path of its name, which say whether they are
+/// public or do not, and with accounts unless these are null.
+///
+/// ```
+/// use serde_json::Value;
+/// use spokelift_lib::batch::config::Config;
+/// use spokelift_testutils::batch::published::published;
+/// let config = Config::decode(&published(3, &[("q", Some(true))], Value::Null)).unwrap();
+/// assert_eq!((config.version, config.queues.len()), (3, 1));
+/// ```
+pub fn published(version: u64, queues: &[(&str, Option<bool>)], accounts: Value) -> Vec<u8> {
+    let queues = queues.iter().map(|(name, is_public)| {
+        let mut queue = json!({
+            "name": name, "host": "h", "pathPrefix": format!("/{name}/"), "service": "work",
+        });
+        if let Some(is_public) = is_public {
+            queue["public"] = json!(is_public);
+        }
+        queue
+    });
+    let mut config = json!({ "version": version, "routes": queues.collect::<Vec<_>>() });
+    if !accounts.is_null() {
+        config["tenants"] = accounts;
+    }
+    config.to_string().into_bytes()
+}
+
+/// An account with keys and a bound of processor, in thousandths of a core.
+pub fn account(name: &str, keys: &[&str], cpu: u64) -> Value {
+    json!({ "name": name, "apiKeys": keys, "weight": 3, "maximum": { "cpu": cpu, "memMb": 0 } })
+}
--- a/testutils/tests/test_spread.rs
+++ b/testutils/tests/test_spread.rs
@@ -11,13 +11,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use serde_json::json;
 use spokelift_lib::batch::config::Config;
 use spokelift_lib::batch::node::Node;
 use spokelift_lib::batch::peer;
 use spokelift_lib::metrics::Counters;
 use spokelift_lib::settings::NodeSettings;
 use spokelift_platform::settings::Settings;
+use spokelift_testutils::batch::published;
+use spokelift_testutils::batch::published::published;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
@@ -69,9 +70,8 @@
 }
 
 fn config(version: u64, key: &str) -> Config {
-    let accounts = json!([{ "name": "a", "apiKeys": [key], "maximum": { "cpu": version } }]);
-    let text = json!({ "version": version, "tenants": accounts }).to_string();
-    Config::decode(text.as_bytes()).unwrap()
+    let accounts = [published::account("a", &[key], version)];
+    Config::decode(&published(version, &[], accounts.into_iter().collect())).unwrap()
 }
 
 async fn until(what: &str, holds: impl Fn() -> bool) {
