--- a/testutils/src/platform/soak/accounts.rs
+++ b/testutils/src/platform/soak/accounts.rs
@@ -59,22 +59,31 @@
     }
 }
 
-/// Calls about a job as somebody else does; what is wrong with the answers.
+/// Calls about a job as somebody else does; what is wrong with the answers, and with the job after them.
+///
+/// While nobody who knows the job can be asked, the wish of anybody to cancel any job is kept with 200; it must do
+/// nothing to the jobs of others.
 pub(super) async fn pry(site: &Site, rng: &mut StdRng, job: &str) -> Vec<String> {
     let Some(owner) = site.ledger.owner(job) else { return Vec::new() };
     let stranger = ACCOUNTS.iter().find(|account| **account != owner).expect("there are several");
+    let stranger = key_of(stranger);
     let path = format!("/q/{job}");
-    let mut broken = Vec::new();
-    for (key, method) in [
-        (key_of(stranger), Method::GET),
-        (key_of(stranger), Method::DELETE),
-        ("no-such-key".to_owned(), Method::GET),
-    ] {
+    let call = async |rng: &mut StdRng, key: &str, method: Method| {
         let node = rng.random_range(0..NODES);
-        let (status, _) = site.call_as(&key, node, method.clone(), &path, Value::Null).await;
-        if status == 200 {
-            broken.push(format!("{method} of {job}, which is {owner}'s, is served to {key}"));
+        site.call_as(key, node, method, &path, Value::Null).await.0
+    };
+    let mut broken = Vec::new();
+    if call(rng, &stranger, Method::GET).await == 200 {
+        broken.push(format!("{job}, which is {owner}'s, is shown to {stranger}"));
+    }
+    call(rng, &stranger, Method::DELETE).await;
+    for method in [Method::GET, Method::DELETE] {
+        if call(rng, "no-such-key", method.clone()).await == 200 {
+            broken.push(format!("{method} of {job} is served to an unknown key"));
         }
     }
+    if site.state(rng.random_range(0..NODES), job).await.is_ok_and(|state| state == "canceled") {
+        broken.push(format!("{job}, which is {owner}'s, was cancelled by {stranger}"));
+    }
     broken
 }
