bounds, spread: what a large site pays for accounts it does not have

By reading, not traced: just after a takeover each round of placing went over all workers and jobs for what may be hidden, also where no account has a bound; and each version opened connections to three other nodes.

--- a/lib/src/batch/cell/bounds.rs
+++ b/lib/src/batch/cell/bounds.rs
@@ -28,6 +28,10 @@
     known: HashMap<AccountId, Maximum>,
     /// What an earlier scheduler may have running on workers that have not been asked.
     hidden: Totals,
+    /// Workers that had not been asked and jobs that had come when that was worked out.
+    hidden_for: (usize, usize),
+    /// Jobs that have come.
+    pub(super) arrivals: usize,
 }
 
 impl Cell {
@@ -83,8 +87,15 @@
     /// store names for those that had fallen silent, and on the others no more than they have room for, nor more than
     /// the account's jobs of before have left to run.
     pub(in crate::batch) fn note_hidden(&mut self) {
+        let has_bounds = self.bounds.known.values().any(|bound| *bound != Maximum::default());
+        // What jobs have left only falls in between, so what was worked out is no less than there is.
+        let now_for = if has_bounds { (self.unasked.len(), self.bounds.arrivals) } else { (0, 0) };
+        if now_for == self.bounds.hidden_for {
+            return;
+        }
+        self.bounds.hidden_for = now_for;
         self.bounds.hidden = Totals::default();
-        if self.unasked.is_empty() {
+        if now_for.0 == 0 {
             return;
         }
         let mut hidden = Totals::default();
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -84,6 +84,7 @@
             self.lasting.insert(id);
         }
         self.jobs.insert(id, entry);
+        self.bounds.arrivals += 1;
         for time in 0..times {
             self.open_steps(id, time);
         }
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -127,6 +127,18 @@
         shunned.get(&addr).is_some_and(|since| clock::since(*since) < SHUNNED)
     }
 
+    /// A few of the other nodes, not such as did not answer lately: the same ones each time, and others for each node
+    /// that asks, so that few connections are needed and all nodes are reached over some others.
+    pub fn chosen_peers(&self, own: SocketAddr, count: usize) -> Vec<SocketAddr> {
+        let mut addrs = self.addrs();
+        addrs.retain(|addr| !self.is_shunned(*addr));
+        addrs.sort_by_cached_key(|addr| {
+            *blake3::hash(format!("{own} {addr}").as_bytes()).as_bytes()
+        });
+        addrs.truncate(count);
+        addrs
+    }
+
     /// A few of the other nodes at random, not such as did not answer lately.
     pub fn random_peers(&self, count: usize) -> Vec<SocketAddr> {
         let mut addrs = self.addrs();
--- a/lib/src/batch/spread.rs
+++ b/lib/src/batch/spread.rs
@@ -43,7 +43,7 @@
     /// Tells a few nodes that a version is in force here.
     pub fn tell_version(&self, version: Version) {
         let from = self.settings.peer_addr();
-        for addr in self.directory.random_peers(TOLD) {
+        for addr in self.directory.chosen_peers(from, TOLD) {
             self.counters.count("batch.config.told");
             self.peers.tell(addr, Request::Newer { version, from });
         }
