bounds: members of a gang count until their worker has been asked

The case: a gang runs, a scheduler takes over, one worker tells of the end of its member, which stands for all of the gang, and the members on workers that have not been asked counted for nothing any more.

Change: while workers have not been asked, all members of a gang of before count, whatever ends were told.

--- a/lib/src/batch/cell/bounds.rs
+++ b/lib/src/batch/cell/bounds.rs
@@ -129,7 +129,9 @@
             let Some(account) = &entry.accepted.account else { continue };
             for repetition in &entry.times {
                 for (step, run) in entry.accepted.job.steps.iter().zip(&repetition.steps) {
-                    let usage = Usage::of(step, run.left as u64);
+                    // One end stands for all of a gang, whose other members may not have been seen to be over.
+                    let tasks = if step.gang { run.tasks.len() } else { run.left };
+                    let usage = Usage::of(step, tasks as u64);
                     left.add(&Claim { account: account.clone(), usage });
                 }
             }
