--- a/lib/src/batch/cell/bounds.rs
+++ b/lib/src/batch/cell/bounds.rs
@@ -116,26 +116,35 @@
                 (None, None) => {}
             }
         }
-        for (account, left) in self.inherited_left().iter() {
+        let (left, filling) = self.inherited_left();
+        for (account, left) in left.iter() {
             hidden.add(&Claim { account: account.clone(), usage: left.lower(room) });
         }
+        // What takes only leftovers is not held to the room.
+        for (account, left) in filling.iter() {
+            hidden.add(&Claim { account: account.clone(), usage: *left });
+        }
         self.bounds.hidden = hidden;
     }
 
-    /// What the tasks ask for that are left of accounts' jobs of before.
-    fn inherited_left(&self) -> Totals {
-        let mut left = Totals::default();
+    /// What the tasks ask for that are left of accounts' jobs of before, and apart those that take only leftovers.
+    fn inherited_left(&self) -> (Totals, Totals) {
+        let (mut left, mut filling) = (Totals::default(), Totals::default());
         for entry in self.jobs.values().filter(|entry| entry.inherited) {
             let Some(account) = &entry.accepted.account else { continue };
-            for repetition in &entry.times {
-                for (step, run) in entry.accepted.job.steps.iter().zip(&repetition.steps) {
-                    // One end stands for all of a gang, whose other members may not have been seen to be over.
-                    let tasks = if step.gang { run.tasks.len() } else { run.left };
-                    let usage = Usage::of(step, tasks as u64);
-                    left.add(&Claim { account: account.clone(), usage });
+            for repetition in entry.times.iter().filter(|repetition| repetition.due) {
+                for (number, step) in entry.accepted.job.steps.iter().enumerate() {
+                    let tasks = match repetition.steps.get(number) {
+                        // One end stands for all of a gang, whose other members may not have been seen to be over.
+                        Some(run) if !step.gang => run.left as u64,
+                        // Of a job that has ended, steps are not opened; its runs may not have been stopped yet.
+                        Some(_) | None => step.count.into(),
+                    };
+                    let claim = Claim { account: account.clone(), usage: Usage::of(step, tasks) };
+                    if step.fills { filling.add(&claim) } else { left.add(&claim) }
                 }
             }
         }
-        left
+        (left, filling)
     }
 }
