spread: nodes that begin together do not all tell the seeds

Cause: before the directory was read, a node told its first version to the seeds of its settings. Where all of 300 nodes begin at once, after all were killed, three weak ones heard from each of them.

Change: versions are told only to nodes of the directory.

--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -72,6 +72,12 @@
         Directory { seeds, ..Directory::default() }
     }
 
+    /// The other nodes, with their processor in thousandths of a core.
+    pub fn learn(&self, nodes: impl IntoIterator<Item = (SocketAddr, u32)>) {
+        let entries = nodes.into_iter().map(|(addr, cpu)| Entry { addr, cpu });
+        *self.entries() = Some(entries.collect());
+    }
+
     /// Where the other nodes answer, as far as is known.
     fn addrs(&self) -> Vec<SocketAddr> {
         match &*self.entries() {
@@ -128,9 +134,12 @@
     }
 
     /// A few of the other nodes, not such as did not answer lately: the same ones each time, and others for each node
-    /// that asks, so that few connections are needed and all nodes are reached over some others.
+    /// that asks, so that few connections are needed and all nodes are reached over some others. None before the
+    /// directory has been read: where all nodes begin at once, the few seeds would hear from each of them.
     pub fn chosen_peers(&self, own: SocketAddr, count: usize) -> Vec<SocketAddr> {
-        let mut addrs = self.addrs();
+        let entries = self.entries();
+        let mut addrs: Vec<SocketAddr> = entries.iter().flatten().map(|entry| entry.addr).collect();
+        drop(entries);
         addrs.retain(|addr| !self.is_shunned(*addr));
         addrs.sort_by_cached_key(|addr| {
             *blake3::hash(format!("{own} {addr}").as_bytes()).as_bytes()
@@ -172,7 +181,9 @@
     loop {
         sleep(pauses.next().unwrap_or(REFRESH)).await;
         match read(&node, addr).await {
-            Ok(entries) => *node.directory.entries() = Some(entries),
+            Ok(entries) => {
+                node.directory.learn(entries.into_iter().map(|entry| (entry.addr, entry.cpu)));
+            }
             Err(error) => {
                 log::debug!("the other nodes cannot be read: {error}");
                 sleep(PAUSE).await;
--- a/testutils/tests/test_spread.rs
+++ b/testutils/tests/test_spread.rs
@@ -64,9 +64,11 @@
         let options = NodeSettings::resolve(|_| None).unwrap();
         let node = Node::new(settings, options, Counters::new(None).unwrap());
         tokio::spawn(peer::serve(node.clone(), listener));
+        node.directory
+            .learn(addrs.iter().filter(|other| **other != addr).map(|other| (*other, 250)));
         node
     };
-    listeners.into_iter().zip(addrs).map(begin).collect()
+    listeners.into_iter().zip(addrs.clone()).map(begin).collect()
 }
 
 fn config(version: u64, key: &str) -> Config {
