spread: a test: a node is deaf to newer versions while a teller is silent

Fails: a node that was told of version 5 by nodes that then answer nobody passes over version 8, of which another node tells it in that time (spread::on_version drops whatever comes while a fetch is under way, up to the 0.9 s of a peer's answer), and nobody tells it again. Found by reading; the version never arrives in 30 s.

--- a/testutils/tests/test_spread.rs
+++ b/testutils/tests/test_spread.rs
@@ -2,6 +2,9 @@
 //!
 //! A node that the store leaves without an answer read the operator's records through another node only after its own
 //! read had run out: the last of 33 nodes acted on a version 4.3 s after the first, where 3 s are allowed.
+//!
+//! A node that was told of a version by one that then fell silent was deaf for as long as it waited for that one's
+//! answer: whoever told it of a newer version in that time was passed over, and nobody told it again.
 
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -20,6 +23,7 @@
 use spokelift_testutils::batch::published::published;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// How long something awaited may take.
 const WAIT: Duration = Duration::from_secs(30);
@@ -93,6 +97,25 @@
     until("all have version 8", || all_have(8)).await;
 }
 
+/// A node that has told of a version and answers nobody.
+async fn silent_teller() -> (SocketAddr, TcpListener) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    (listener.local_addr().unwrap(), listener)
+}
+
+#[tokio::test]
+async fn a_version_is_fetched_beside_tellers_that_have_fallen_silent() {
+    let nodes = nodes(2).await;
+    let silent = [silent_teller().await, silent_teller().await, silent_teller().await];
+    for (addr, _) in &silent {
+        nodes[1].on_version(5, *addr);
+    }
+    let asked = timeout(WAIT, silent[0].1.accept()).await.unwrap();
+    assert!(asked.is_ok(), "the silent node is asked");
+    assert!(nodes[0].set_config(config(8, "k8")));
+    until("the other node has it", || nodes[1].config_version() == 8).await;
+}
+
 #[tokio::test]
 async fn no_node_goes_back_to_an_older_version() {
     let nodes = nodes(3).await;
