spread: a silent teller does not make a node deaf to newer versions

Symptom: a node told of a version by one that then answers nothing passed over newer versions that others told it, for as long as it waited for the answer (0.9 s). Cause: one fetch at a time, and on_version returned while it was under way. Change: four tellers are remembered, the newest version first; two are asked at once. Ruled out: a shorter wait for the answer (a whole configuration over a slow link).

--- a/lib/src/batch/spread.rs
+++ b/lib/src/batch/spread.rs
@@ -7,8 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,6 +23,10 @@
 /// Nodes that are told of a new version by each node that has put it in force: with half of all cut off from the store,
 /// one in twenty of them is told by nobody else at first.
 const TOLD: usize = 3;
+/// Nodes whose configuration is fetched at once, so that one that is silent does not hold up another.
+const FETCHES: usize = 2;
+/// Nodes that wait to have theirs fetched; of more, who has the oldest version is passed over.
+const TELLERS: usize = 4;
 /// How long a call that would be refused waits for a newer configuration.
 const ASK: Duration = Duration::from_millis(150);
 /// Least time between two such questions of a node, however many calls would be refused.
@@ -35,8 +38,37 @@
 #[derive(Default)]
 pub struct Spread {
     asked_at: Mutex<Option<Instant>>,
-    /// A version is being fetched.
-    fetches: AtomicBool,
+    tellers: Mutex<Tellers>,
+}
+
+/// Nodes that have told of versions newer than the one in force here.
+#[derive(Default)]
+struct Tellers {
+    /// Tasks that fetch versions.
+    fetches: usize,
+    waiting: Vec<(Version, SocketAddr)>,
+}
+
+impl Tellers {
+    /// A node has told of a version; returns whether one more task is to fetch versions.
+    fn add(&mut self, version: Version, from: SocketAddr) -> bool {
+        self.waiting.retain(|(_, addr)| *addr != from);
+        self.waiting.push((version, from));
+        self.waiting.sort_unstable();
+        let passed_over = self.waiting.len().saturating_sub(TELLERS);
+        self.waiting.drain(..passed_over);
+        let may_begin = self.fetches < FETCHES;
+        self.fetches += usize::from(may_begin);
+        may_begin
+    }
+
+    /// Whose version is fetched next, the newest first; `None` ends the task that asks.
+    fn next(&mut self, in_force: Version) -> Option<SocketAddr> {
+        self.waiting.retain(|(version, _)| *version > in_force);
+        let next = self.waiting.pop();
+        self.fetches -= usize::from(next.is_none());
+        next.map(|(_, addr)| addr)
+    }
 }
 
 impl Node {
@@ -51,29 +83,35 @@
 
     /// Another node has a version in force.
     pub fn on_version(self: &Arc<Self>, version: Version, from: SocketAddr) {
-        if self.config_version() >= version || self.spread.fetches.swap(true, Ordering::AcqRel) {
+        if self.config_version() >= version || !self.tellers().add(version, from) {
             return;
         }
         let node = self.clone();
         tokio::spawn(async move {
-            node.fetch_config(from).await;
-            node.spread.fetches.store(false, Ordering::Release);
+            while let Some(from) = node.next_teller() {
+                node.fetch_config(from).await;
+            }
         });
     }
 
-    /// Fetches the configuration of another node if that is newer; returns whether it was.
-    async fn fetch_config(&self, from: SocketAddr) -> bool {
-        let reply = self.peers.ask(from, Request::Config(self.config_version())).await;
-        match reply {
+    fn tellers(&self) -> MutexGuard<'_, Tellers> {
+        self.spread.tellers.lock().expect("no holder of the tellers panics")
+    }
+
+    fn next_teller(&self) -> Option<SocketAddr> {
+        let in_force = self.config_version();
+        self.tellers().next(in_force)
+    }
+
+    /// Fetches the configuration of another node and puts it in force if it is newer.
+    async fn fetch_config(&self, from: SocketAddr) {
+        match self.peers.ask(from, Request::Config(self.config_version())).await {
             Ok(Reply::Config(Some(config))) => {
                 self.counters.count("batch.config.from-peer");
-                self.set_config(*config)
-            }
-            Ok(_) => false,
-            Err(error) => {
-                log::debug!("no configuration from {from}: {error}");
-                false
+                self.set_config(*config);
             }
+            Ok(_) => log::debug!("no newer configuration at {from}"),
+            Err(error) => log::debug!("no configuration from {from}: {error}"),
         }
     }
 
