cell: accounts cost nothing where they say nothing

A job read at a takeover was checked against its account's bound for a demand that is not counted then; and every run of nobody's account that ended asked for a round of placing.

--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -76,8 +76,8 @@
             }
         }
         // Boxes that were fetched for work which its account may not run would stand idle.
-        let may_run = entry.accepted.job.steps.iter().all(|step| !self.is_at_bound(&entry, step));
-        if inherited.is_none() && may_run {
+        let may_run = |step| !self.is_at_bound(&entry, step);
+        if inherited.is_none() && entry.accepted.job.steps.iter().all(may_run) {
             self.demand.arrived(&entry, clock::now());
         }
         if entry.is_active() && entry.lasts() {
--- a/lib/src/batch/usage.rs
+++ b/lib/src/batch/usage.rs
@@ -114,6 +114,13 @@
     pub usage: Usage,
 }
 
+impl Claim {
+    /// Whether there may be a bound to what it is a part of.
+    pub fn has_bound(&self) -> bool {
+        self.account != *NOBODY
+    }
+}
+
 /// What each account has running.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Totals(HashMap<AccountId, Usage>);
--- a/lib/src/batch/worker/table.rs
+++ b/lib/src/batch/worker/table.rs
@@ -176,7 +176,7 @@
         for claim in worker.claims.went.drain(..) {
             self.totals.remove(&claim);
             // Its account may be below its bound now, wherever its tasks would start.
-            self.has_freed = true;
+            self.has_freed |= claim.has_bound();
         }
         for claim in worker.claims.came.drain(..) {
             self.totals.add(&claim);
