upkeep: what a worker said counts for 1.5 s, not until a look is given up

Cause: only a failed look (1.8 s) told that a worker is silent. Change: a task counts as at work where its worker has answered within LOOK_WAIT and 0.3 s.

--- a/lib/src/batch/carry/look.rs
+++ b/lib/src/batch/carry/look.rs
@@ -17,11 +17,10 @@
 use crate::batch::carry::charge::Charge;
 use crate::batch::carry::charge::State;
 use crate::batch::carry::message::Event;
+use crate::batch::worker::LOOK_WAIT;
 use crate::batch::worker::table::Number;
 use crate::transport::clock;
 
-/// How long a look waits for an end; a lease is renewed at each look.
-const LOOK_WAIT: Duration = Duration::from_millis(1_200);
 /// The same where tasks that serve stand beside tasks that take leftovers.
 const LOOK_WAIT_CLOSELY: Duration = Duration::from_millis(600);
 /// How long a look may take beyond its wait.
--- a/lib/src/batch/upkeep/away.rs
+++ b/lib/src/batch/upkeep/away.rs
@@ -1,12 +1,20 @@
 //! Whether tasks that last may be ended now, so that no more of its step are away than allowed.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::Life;
 
 use crate::batch::cell::Cell;
+use crate::batch::worker::LOOK_WAIT;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Worker;
 
+/// For how long an answer shows that tasks are at work: a worker that answers does so by then, also one that holds a look
+/// back until something ends.
+const FRESH: Duration = LOOK_WAIT.saturating_add(Duration::from_millis(300));
+
 /// Whether a task runs until its job is cancelled.
 pub(super) fn is_lasting(cell: &Cell, task: TaskName) -> bool {
     let entry = cell.jobs.get(&task.job);
@@ -15,21 +23,22 @@
 
 /// Whether a task may be ended now: with it, no more tasks of its step are away than allowed.
 /// Every other task counts as away that is not known to be at work.
-pub(super) fn may_leave(cell: &Cell, name: TaskName) -> bool {
-    may_leave_of_step(cell, name, |_, task| task.index == name.index)
+pub(super) fn may_leave(cell: &Cell, name: TaskName, now: Instant) -> bool {
+    may_leave_of_step(cell, name, now, |_, task| task.index == name.index)
 }
 
 /// Whether all tasks on a worker that last may be ended now, at once.
-pub(super) fn may_leave_together(cell: &Cell, life: &Life) -> bool {
+pub(super) fn may_leave_together(cell: &Cell, life: &Life, now: Instant) -> bool {
     let Some(worker) = cell.workers.get(life) else { return true };
     let mut lasting = worker.slots.keys().filter(|task| is_lasting(cell, **task));
-    lasting.all(|name| may_leave_of_step(cell, *name, |on, _| on.peer.life == *life))
+    lasting.all(|name| may_leave_of_step(cell, *name, now, |on, _| on.peer.life == *life))
 }
 
 /// Whether a task may be ended now, and with it all of its step that `leave`.
 fn may_leave_of_step(
     cell: &Cell,
     name: TaskName,
+    now: Instant,
     leave: impl Fn(&Worker, &TaskName) -> bool,
 ) -> bool {
     let Some(entry) = cell.jobs.get(&name.job) else { return true };
@@ -37,9 +46,13 @@
     let Some(allowed) = step.may_miss else { return true };
     let of_step =
         |task: &TaskName| (task.job, task.time, task.step) == (name.job, name.time, name.step);
-    // What a silent worker runs may be gone by now.
-    let answering = cell.workers.values().filter(|worker| worker.misses == 0);
-    let answering = answering.filter(|worker| worker.lasting.tasks > 0);
+    // What a silent worker runs may be gone by now, also where the look at it has not been given up yet.
+    let is_heard = |worker: &&Worker| {
+        let answered_at = worker.answered_at().filter(|_| worker.misses == 0);
+        answered_at.is_some_and(|at| now.saturating_duration_since(at) <= FRESH)
+    };
+    let answering = cell.workers.values().filter(|worker| worker.lasting.tasks > 0);
+    let answering = answering.filter(is_heard);
     let slots = answering.flat_map(|worker| worker.slots.iter().map(move |slot| (worker, slot)));
     let staying = slots.filter(|(worker, (task, slot))| {
         let at_work = matches!(slot.phase, Phase::Live(_)) && slot.percent >= 100;
--- a/lib/src/batch/upkeep/off.rs
+++ b/lib/src/batch/upkeep/off.rs
@@ -25,10 +25,11 @@
 /// known.
 pub fn empty(cell: &mut Cell, life: &Life, hurry: bool) -> bool {
     let Some(tasks) = begin(cell, life) else { return false };
-    let settled = cell.is_settled(clock::now());
+    let now = clock::now();
+    let settled = cell.is_settled(now);
     for task in live(&tasks) {
         let stop = match is_lasting(cell, task) {
-            true => settled && may_leave(cell, task),
+            true => settled && may_leave(cell, task, now),
             false => hurry,
         };
         if stop {
@@ -49,11 +50,11 @@
 ) -> bool {
     let Some(tasks) = begin(cell, life) else { return false };
     let settled = cell.is_settled(now);
-    let together = hurry && may_leave_together(cell, life);
+    let together = hurry && may_leave_together(cell, life, now);
     for task in live(&tasks) {
         let stop = match is_lasting(cell, task) {
             true => {
-                let may_leave = settled && may_leave(cell, task);
+                let may_leave = settled && may_leave(cell, task, now);
                 may_leave && (together || places.claim(cell, task, Some(life), now))
             }
             false => hurry,
@@ -76,7 +77,7 @@
         *places = trial;
         return true;
     }
-    may_leave_together(cell, life)
+    may_leave_together(cell, life, now)
 }
 
 /// Closes a worker to new tasks; returns what may run there, and none if that is not known.
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -21,6 +21,8 @@
 use crate::batch::usage::Claim;
 use crate::batch::worker::table::Number;
 
+/// How long a look waits for an end; a lease is renewed at each look.
+pub const LOOK_WAIT: Duration = Duration::from_millis(1_200);
 /// How long a lease is granted for, from each look on. Long enough for another node to take the
 /// lead and look in its turn (about 3 s), short enough that the tasks of a worker that has fallen
 /// silent are soon started elsewhere.
