place: a test: a run of a job not yet known is stopped to make room

Fails: [9, 1] stopped, where stopping job 1's task makes the room. A run whose job has not been heard of is held for one that ends by itself and takes no room; as the one found last it is the first to go, though its job may last. Found by reading while AVAIL was traced; no play is known in which it came.

--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -473,6 +473,26 @@
     assert_eq!(bed.stops().len(), 1);
 }
 
+/// What happens: room is made for a task that lasts, and beside the one that gives it another run is stopped, of a job that has not
+/// been heard of and may last itself.
+/// Why: nothing is known of such a run, so it counts as one that ends by itself and takes no room; the youngest are
+/// stopped first, and it was found last.
+/// Shown by: reading; no play is known in which it came.
+#[test]
+fn a_run_whose_job_is_not_known_is_not_stopped_to_make_room() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    bed.cell.admit(1, accepted(vec![step(4)]), None);
+    let mut runs: Vec<(TaskName, Run)> =
+        bed.start().into_iter().map(|(_, name, run)| (name, run)).collect();
+    runs.push((task(9, 0, 0), 3));
+    bed.look("w0", &runs, &[]);
+    bed.cell.admit(2, accepted(vec![lasting(1)]), None);
+    bed.cell.place(bed.now, Duration::from_secs(1));
+    let stopped: Vec<JobId> = bed.stops().into_iter().map(|(_, name, _)| name.job).collect();
+    assert_eq!(stopped, [1]);
+}
+
 #[test]
 fn a_newer_scheduler_ends_this_one() {
     let mut bed = Bed::new(1);
