place: only runs that take room are stopped to make it

Symptom: a run whose job was not known yet was stopped where room was made for a task that lasts, and gave none. Cause: it counted as one that ends by itself, of no size. Change: runs without room are passed over.

--- a/lib/src/batch/place/room.rs
+++ b/lib/src/batch/place/room.rs
@@ -62,11 +62,10 @@
 /// The tasks to stop on a worker so that `need` fits, youngest first, and the core-milliseconds
 /// of work that are lost; `None` if that cannot make enough room.
 fn victims(worker: &Worker, need: Room, now: Instant) -> Option<(u64, Vec<TaskName>)> {
-    let mut works: Vec<(&TaskName, &Slot)> = worker
-        .slots
-        .iter()
-        .filter(|(_, slot)| slot.kind == Kind::Works && matches!(slot.phase, Phase::Live(_)))
-        .collect();
+    // Of a run without room its job is not known yet.
+    let works = |slot: &Slot| slot.kind == Kind::Works && slot.room != Room::default();
+    let live = worker.slots.iter().filter(|(_, slot)| matches!(slot.phase, Phase::Live(_)));
+    let mut works: Vec<(&TaskName, &Slot)> = live.filter(|(_, slot)| works(slot)).collect();
     works.sort_by_key(|(_, slot)| std::cmp::Reverse(slot.since));
     let mut free = Balance::of(worker);
     let (mut lost, mut tasks) = (0, Vec::new());
