--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -276,6 +276,9 @@
     /// on the platform, how long faults come, 2 to 600 [12]
     #[argh(option, default = "12")]
     pub seconds: u64,
+    /// on the platform, jobs belong to accounts, whose keys and bounds change
+    #[argh(switch)]
+    pub accounts: bool,
     /// on the other sites, requests a second over all entry boxes, 1 to 2000 [300]
     #[argh(option, default = "300")]
     pub load: u32,
@@ -299,6 +302,7 @@
     State(BenchState),
     Plan(BenchPlan),
     Batch(BenchBatch),
+    Keys(BenchKeys),
 }
 
 /// Measure the agreed state: records a second, memory, snapshots, time to ready, cost of control.
@@ -359,6 +363,21 @@
     pub json: bool,
 }
 
+/// Measure what calls with unknown keys cost a daemon, and callers with good keys beside them.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "keys")]
+pub struct BenchKeys {
+    /// seconds of each part, 2 to 60
+    #[argh(option, default = "5")]
+    pub seconds: u32,
+    /// calls a second with unknown keys, 100 to 20000
+    #[argh(option, default = "10000")]
+    pub unknown: u32,
+    /// print a last line of JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Batch work on the users' platform; --daemon is then the daemon's metrics address. Showing needs
 /// no credential there, submit and cancel need that of the site.
 #[derive(FromArgs, Debug)]
--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -2,6 +2,7 @@
 
 mod batch;
 mod generate;
+mod keys;
 mod plan;
 mod probe;
 mod slope;
@@ -15,6 +16,7 @@
 pub fn run(args: &Bench, json: bool) -> Result<(), Error> {
     match &args.kind {
         BenchKind::Batch(args) => batch::run(args, json || args.json),
+        BenchKind::Keys(args) => keys::run(args, json || args.json),
         BenchKind::Plan(args) => plan::run(args, json || args.json),
         BenchKind::State(args) => state::run(args, json || args.json),
     }
--- /dev/null
+++ b/cli/src/bench/keys.rs
@@ -0,0 +1,175 @@
+//! What calls with unknown keys cost: one real daemon on the stand-in of the users' platform answers callers with good
+//! keys, first alone, then beside a flood of calls whose keys no configuration has held.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use serde::Serialize;
+use serde_json::Value;
+use spokelift_testutils::platform::site::Site;
+use spokelift_testutils::platform::site::config::Account;
+use spokelift_testutils::platform::site::key_of;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::sleep;
+
+use crate::args::BenchKeys;
+use crate::bench::probe::process_seconds;
+use crate::error::Error;
+use crate::trial;
+
+/// Daemons of the site; the first one is called.
+const DAEMONS: usize = 2;
+/// Boxes of the site. Nothing runs on them.
+const BOXES: usize = 4;
+/// The account with a good key.
+const ACCOUNT: &str = "good";
+/// Callers with a good key, and the pause of each between two calls.
+const GOOD: usize = 4;
+const GOOD_PAUSE: Duration = Duration::from_millis(10);
+/// Connections over which calls with unknown keys come.
+const FLOODS: u32 = 32;
+/// Pause between tries until the accounts are in force.
+const PAUSE: Duration = Duration::from_millis(25);
+/// A job that nobody has handed in.
+const PATH: &str = "/q/00000000000000aa";
+
+/// What one part showed.
+#[derive(Debug, Default, Serialize)]
+struct Part {
+    /// Answers a second to unknown keys, all of them refusals.
+    refused_per_s: f64,
+    /// Answers a second to good keys.
+    served_per_s: f64,
+    /// Calls with good keys that were refused as unknown, or had no answer.
+    harmed: usize,
+    /// Time to the answer with a good key, in microseconds.
+    median_us: u64,
+    p99_us: u64,
+    /// Processor time of the daemon, in cores.
+    cores: f64,
+}
+
+/// Both parts.
+#[derive(Debug, Serialize)]
+struct Report {
+    alone: Part,
+    flooded: Part,
+    /// Processor time of the daemon for each call with an unknown key, in microseconds.
+    cost_us: f64,
+}
+
+/// Measures both parts and prints them.
+pub fn run(args: &BenchKeys, json: bool) -> Result<(), Error> {
+    let seconds = u64::from(args.seconds.clamp(2, 60));
+    let unknown = args.unknown.clamp(100, 20_000);
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let report = runtime.block_on(measure(Duration::from_secs(seconds), unknown))?;
+    println!("{}", table(&report));
+    if json {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    Ok(())
+}
+
+async fn measure(time: Duration, unknown: u32) -> Result<Report, Error> {
+    let program = trial::daemon()?;
+    let site = Site::start(&program.to_string_lossy(), DAEMONS, BOXES, 0).await?;
+    let site = Arc::new(site);
+    site.configure(2, &[Account::new(ACCOUNT, &key_of(ACCOUNT))]);
+    while site.call_as("unknown", 0, Method::GET, PATH, Value::Null).await.0 != 401 {
+        sleep(PAUSE).await;
+    }
+    let alone = play(&site, time, 0).await;
+    let flooded = play(&site, time, unknown).await;
+    let more = (flooded.cores - alone.cores).max(0.0);
+    let cost_us = more / flooded.refused_per_s.max(1.0) * 1e6;
+    Ok(Report { alone, flooded, cost_us })
+}
+
+/// Plays good callers beside so many calls a second with unknown keys.
+async fn play(site: &Arc<Site>, time: Duration, unknown: u32) -> Part {
+    let began = Instant::now();
+    let until = began + time;
+    let used = || site.nodes[0].process().map_or(0.0, process_seconds);
+    let before = used();
+    let floods = if unknown == 0 { 0 } else { FLOODS };
+    let floods: Vec<_> = (0..floods)
+        .map(|number| tokio::spawn(flood(site.clone(), number, unknown, until)))
+        .collect();
+    let good: Vec<_> = (0..GOOD).map(|_| tokio::spawn(call_well(site.clone(), until))).collect();
+    let (mut times, mut harmed, mut refused) = (Vec::new(), 0, 0);
+    for task in good {
+        let (answers, failed) = task.await.expect("a caller does not panic");
+        times.extend(answers);
+        harmed += failed;
+    }
+    for task in floods {
+        refused += task.await.expect("a caller does not panic");
+    }
+    let took = began.elapsed().as_secs_f64();
+    times.sort_unstable();
+    let quantile = |share: f64| {
+        let place = (times.len() as f64 * share) as usize;
+        times.get(place).map_or(0, |time: &Duration| time.as_micros() as u64)
+    };
+    Part {
+        refused_per_s: f64::from(refused) / took,
+        served_per_s: times.len() as f64 / took,
+        harmed,
+        median_us: quantile(0.5),
+        p99_us: quantile(0.99),
+        cores: (used() - before) / took,
+    }
+}
+
+/// Calls with keys that nobody has, each another one; returns how many were refused.
+async fn flood(site: Arc<Site>, number: u32, per_s: u32, until: Instant) -> u32 {
+    let mut ticks = interval(Duration::from_secs(1) * FLOODS / per_s);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
+    let (mut refused, mut call) = (0, 0);
+    while Instant::now() < until {
+        ticks.tick().await;
+        call += 1;
+        let key = format!("unknown-{number}-{call}");
+        let (status, _) = site.call_as(&key, 0, Method::GET, PATH, Value::Null).await;
+        refused += u32::from(status == 401);
+    }
+    refused
+}
+
+/// Calls with a good key; returns how long each answer took, and how many calls were harmed.
+async fn call_well(site: Arc<Site>, until: Instant) -> (Vec<Duration>, usize) {
+    let (mut times, mut harmed) = (Vec::new(), 0);
+    while Instant::now() < until {
+        let began = Instant::now();
+        let (status, _) = site.call_as(&key_of(ACCOUNT), 0, Method::GET, PATH, Value::Null).await;
+        match status {
+            // Nobody has handed the job in.
+            410 => times.push(began.elapsed()),
+            _ => harmed += 1,
+        }
+        sleep(GOOD_PAUSE).await;
+    }
+    (times, harmed)
+}
+
+fn table(report: &Report) -> String {
+    let line = |what: &str, part: &Part| {
+        format!(
+            "{what:8} unknown keys refused/s {:8.0}, good keys served/s {:6.0} (harmed {}), median {} us, p99 {} us, \
+             cores {:.3}",
+            part.refused_per_s,
+            part.served_per_s,
+            part.harmed,
+            part.median_us,
+            part.p99_us,
+            part.cores,
+        )
+    };
+    let cost =
+        format!("an unknown key costs the daemon {:.1} us of processor time", report.cost_us);
+    [line("alone", &report.alone), line("flooded", &report.flooded), cost].join("\n")
+}
--- a/cli/src/bench/probe.rs
+++ b/cli/src/bench/probe.rs
@@ -24,6 +24,12 @@
     ticks.sum::<u64>() as f64 / TICKS_PER_S
 }
 
+/// Processor time of another process, in seconds; 0 where the system does not say.
+pub fn process_seconds(process: u32) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    ticks_of(&stat, "").unwrap_or(0) as f64 / TICKS_PER_S
+}
+
 /// User and system ticks of a `stat` line, if its name begins with `prefix`.
 fn ticks_of(stat: &str, prefix: &str) -> Option<u64> {
     let (head, tail) = stat.rsplit_once(')')?;
--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -23,6 +23,7 @@
 use crate::client::Client;
 use crate::error::Error;
 use crate::output;
+pub use crate::trial::batch::daemon;
 use crate::trial::load::Load;
 pub use crate::trial::log_file::redirect_log;
 use crate::trial::report::Report;
--- a/cli/src/trial/batch.rs
+++ b/cli/src/trial/batch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use spokelift_testutils::platform::soak;
+use spokelift_testutils::platform::soak::HAS_ACCOUNTS_FROM;
 use spokelift_testutils::platform::soak::MACHINES;
 use spokelift_testutils::platform::soak::NODES;
 use spokelift_testutils::platform::soak::Report;
@@ -19,7 +20,8 @@
 /// Plays the faults of a seed and prints what came of it.
 pub async fn play(args: &Trial, json: bool) -> Result<(), Error> {
     let program = daemon()?;
-    let (seed, seconds) = (args.seed, args.seconds);
+    let seed = if args.accounts { args.seed + HAS_ACCOUNTS_FROM } else { args.seed };
+    let seconds = args.seconds;
     println!("seed {seed}: {NODES} daemons, {MACHINES} boxes, faults for {seconds} s");
     let program = program.to_string_lossy();
     let report = soak::play(&program, seed, Duration::from_secs(seconds)).await?;
@@ -33,7 +35,8 @@
     }
 }
 
-fn daemon() -> Result<PathBuf, Error> {
+/// The daemon's program.
+pub fn daemon() -> Result<PathBuf, Error> {
     let path = std::env::current_exe()?.with_file_name(DAEMON);
     match path.exists() {
         true => Ok(path),
--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -59,15 +59,37 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-#[test]
-fn the_trial_of_the_tool_breaks_no_promise() {
+/// Runs a command of the tool that ends with a line of JSON; returns what it printed.
+fn told(args: &[&str]) -> (String, serde_json::Value) {
     let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_spokelift"));
-    let output =
-        command.args(["--json", "trial", "--seconds", "4", "--seed", "3"]).output().unwrap();
+    let output = command.arg("--json").args(args).output().unwrap();
     let text = String::from_utf8(output.stdout).unwrap();
     assert_eq!(output.status.code(), Some(0), "{text}");
+    let last = serde_json::from_str(text.lines().last().unwrap()).unwrap();
+    (text, last)
+}
+
+#[test]
+fn the_trial_of_the_tool_breaks_no_promise() {
+    let (text, report) = told(&["trial", "--seconds", "4", "--seed", "3"]);
     assert!(text.contains("promises broken                  0"), "{text}");
-    let report = text.lines().last().unwrap();
-    let report: serde_json::Value = serde_json::from_str(report).unwrap();
     assert!(report["accepted"].as_u64() > Some(0), "{report}");
 }
+
+#[test]
+fn the_trial_with_accounts_breaks_no_promise() {
+    let (text, report) = told(&["trial", "--seconds", "4", "--seed", "3", "--accounts"]);
+    assert!(text.contains("promises broken                  0"), "{text}");
+    assert!(report["accepted"].as_u64() > Some(0), "{report}");
+}
+
+/// A flood of keys that nobody has harms no caller with a good one.
+#[test]
+fn unknown_keys_are_refused_and_good_ones_served() {
+    let (text, report) = told(&["bench", "keys", "--seconds", "2", "--unknown", "500"]);
+    for part in ["alone", "flooded"] {
+        assert_eq!(report[part]["harmed"].as_u64(), Some(0), "{text}");
+        assert!(report[part]["served_per_s"].as_f64() > Some(0.0), "{text}");
+    }
+    assert!(report["flooded"]["refused_per_s"].as_f64() > Some(0.0), "{text}");
+}
--- a/testutils/src/platform/site/node.rs
+++ b/testutils/src/platform/site/node.rs
@@ -160,6 +160,11 @@
         }
     }
 
+    /// Number of the process, if it was started.
+    pub fn process(&self) -> Option<u32> {
+        self.child().as_ref().map(Child::id)
+    }
+
     /// Whether the process runs.
     pub fn is_running(&self) -> bool {
         match self.child().as_mut().map(Child::try_wait) {
