--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -10,6 +10,7 @@
 
 mod answers;
 mod bounds;
+mod calls;
 mod crashes;
 mod flush;
 mod jobs;
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -1,6 +1,5 @@
 //! Jobs: taken in, opened step by step, ended and let go of.
 
-use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,20 +11,15 @@
 use spokelift_platform::worker::Peer;
 use spokelift_platform::worker::Run;
 
-use crate::batch::caller::Caller;
 use crate::batch::cell::Cell;
 use crate::batch::cell::Early;
-use crate::batch::cell::Finished;
 use crate::batch::cell::Order;
 use crate::batch::cell::Rank;
 use crate::batch::job::Entry;
-use crate::batch::record;
 use crate::batch::record::Accepted;
-use crate::batch::record::JobKey;
 use crate::batch::record::Progress;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
-use crate::state::id::AccountId;
 use crate::transport::clock;
 
 /// How long a run whose job is not known goes on: the record of the job may still be on its way
@@ -255,82 +249,6 @@
         order_stop(&mut self.outbox, &worker.peer, task, slot);
     }
 
-    /// The state that a job is shown in to a caller; `None` if there is none of theirs.
-    pub fn state(&self, id: JobId, caller: &Caller) -> Option<JobState> {
-        let entry = self.jobs.get(&id).filter(|entry| caller.may_use(&entry.accepted));
-        entry.map(Entry::shown)
-    }
-
-    /// Cancels a job for a caller; `None` if there is none of theirs.
-    pub fn cancel_for(&mut self, id: JobId, caller: &Caller) -> Option<JobState> {
-        self.state(id, caller)?;
-        self.cancel(id)
-    }
-
-    /// Whether a job is known and belongs to an account, or to none.
-    pub fn is_of(&self, id: JobId, account: Option<&AccountId>) -> bool {
-        self.jobs.get(&id).is_some_and(|entry| entry.accepted.account.as_ref() == account)
-    }
-
-    /// Jobs of a queue that a caller may count, none of whose tasks has begun.
-    pub fn pending(&self, queue: &str, caller: &Caller) -> u32 {
-        let waits =
-            |entry: &&Entry| entry.accepted.queue == queue && entry.is_active() && !entry.begun;
-        let waiting = self.jobs.values().filter(waits);
-        waiting.filter(|entry| caller.may_use(&entry.accepted)).count() as u32
-    }
-
-    /// A partition keeps a job. Until that is known the job is not let go of: what is left behind
-    /// there would be taken for a new job by the next scheduler.
-    pub fn note_kept(&mut self, key: JobKey, partition: u16) {
-        match self.jobs.get_mut(&key.id) {
-            Some(entry) if entry.accepted.account == key.account => {
-                entry.kept_in.insert(partition);
-            }
-            Some(_) => self.note_foreign(key, partition),
-            None => {}
-        }
-    }
-
-    /// A partition keeps a job under an id that is another account's; it is to be let go of.
-    pub fn note_foreign(&mut self, key: JobKey, partition: u16) {
-        if self.foreign.insert((key, partition)) {
-            log::info!("a job under the id of another account's is not taken");
-        }
-    }
-
-    /// Takes the records of such jobs.
-    pub fn take_foreign(&mut self) -> BTreeSet<(JobKey, u16)> {
-        std::mem::take(&mut self.foreign)
-    }
-
-    /// Jobs that ended longer than `keep` ago and may be let go of in the store.
-    pub fn finished(&self, keep: Duration, now: Instant) -> Vec<Finished> {
-        let is_old = |entry: &&Entry| {
-            let ended = entry.ended_at.is_some_and(|at| now.saturating_duration_since(at) > keep);
-            ended && entry.end_is_durable && !entry.kept_in.is_empty()
-        };
-        let old = self.jobs.values().filter(is_old);
-        let finished = old.map(|entry| Finished {
-            key: JobKey { id: entry.id, account: entry.accepted.account.clone() },
-            cancelled: entry.cancelled,
-            kept_in: entry.kept_in.clone(),
-        });
-        finished.collect()
-    }
-
-    /// Lets go of a finished job, which no partition keeps any more. That comes first: a job whose
-    /// end the store has forgotten would be run again by the next scheduler.
-    pub fn let_go(&mut self, id: JobId) {
-        if let Some(entry) = self.jobs.remove(&id) {
-            self.advices.forget(id);
-            self.roster.push(record::forget_progress(id));
-            if entry.crashed().next().is_some() {
-                self.roster.push(record::forget_crashes(id));
-            }
-        }
-    }
-
     /// A task, or the gang that it belongs to, is done.
     pub(super) fn on_done(&mut self, name: TaskName, gang: bool) {
         let Some(entry) = self.jobs.get_mut(&name.job) else { return };
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -1,6 +1,7 @@
 //! Moves machines between pools as the load turns from service to service.
 
 pub mod load;
+mod order;
 mod source;
 
 use std::collections::BTreeMap;
@@ -10,11 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures_util::future::join_all;
-use spokelift_platform::call::CallError;
 use spokelift_platform::config::Config;
-use spokelift_platform::machine;
-use spokelift_platform::machine::Holder;
 use spokelift_platform::machine::Machine;
 use spokelift_platform::machine::MachineId;
 use spokelift_platform::machine::Machines;
@@ -28,7 +25,6 @@
 use crate::batch::pool::source::Taker;
 use crate::batch::put_off::PutOff;
 use crate::batch::scheduler::Scheduler;
-use crate::batch::upkeep::CALL;
 use crate::batch::upkeep::empty;
 use crate::batch::upkeep::plan::worker_of;
 use crate::batch::worker::Worker;
@@ -319,49 +315,4 @@
         ready.sort();
         ready.into_iter().map(|(_, id)| id).collect()
     }
-
-    /// Orders moves, all at once: one after another, they would take a second and more on a large
-    /// site.
-    async fn order(&mut self, scheduler: &Scheduler, machines: &Machines, ids: Vec<MachineId>) {
-        if ids.is_empty() || !scheduler.announce(&ids).await || !scheduler.may_order_machines() {
-            return;
-        }
-        let holder = Holder { node: &scheduler.node.settings.node, token: scheduler.token };
-        let moves = &self.moves;
-        let now = clock::now();
-        let ids = ids.iter().filter(|id| scheduler.turn.begin_order(id, now));
-        let calls = ids.filter_map(|id| {
-            let to = &moves.get(id)?.to;
-            Some(async move { (id, machines.shift(holder, id, to, CALL).await) })
-        });
-        let answers = join_all(calls).await;
-        for (id, answer) in answers {
-            self.on_answer(scheduler, id, answer);
-        }
-    }
-
-    fn on_answer(&mut self, scheduler: &Scheduler, id: &str, answer: Result<(), CallError>) {
-        scheduler.node.note_machines(&answer);
-        let Some(under_way) = self.moves.get_mut(id) else { return };
-        let ok = answer.is_ok();
-        log::info!(machine = id, to = under_way.to.as_str(), ok; "move ordered");
-        match answer {
-            Ok(()) => {
-                under_way.ordered = true;
-                self.put_off.remove(id);
-                scheduler.cell().end_lives_elsewhere(id, &under_way.to);
-            }
-            Err(error) if machine::is_fenced(&error) => scheduler.cell().fenced = true,
-            Err(error) if error.is_certain() => {
-                let reason = error.reason();
-                scheduler.node.counters.count(&format!("batch.move.refused.{reason}"));
-                if !error.is_turned_away() && self.put_off.add(id, reason, clock::now()) {
-                    log::info!(machine = id, reason; "move refused");
-                }
-                self.moves.remove(id);
-            }
-            // It may have been done; asking again does no harm.
-            Err(error) => log::info!(machine = id; "move without an answer: {error}"),
-        }
-    }
 }
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -1,6 +1,9 @@
 //! What the store keeps: jobs and how far they are, workers that may run something, and waves
 //! whose upkeep has begun.
 
+mod accepted;
+mod job;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,7 +12,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use spokelift_platform::ingress::JobState;
-use spokelift_platform::job::Job;
 use spokelift_platform::job::JobError;
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::parse_id;
@@ -22,9 +24,11 @@
 
 use crate::batch::caller::Caller;
 use crate::batch::crash::Crash;
+pub use crate::batch::record::accepted::Accepted;
+pub use crate::batch::record::accepted::JobKey;
+pub use crate::batch::record::job::JobRecord;
 use crate::state::account::format_hash;
 use crate::state::account::hash_secret;
-use crate::state::id::AccountId;
 
 /// Topic with the jobs as accepted, by id. Every node writes to it, to one of a few partitions.
 pub const JOB_TOPIC: &str = "keyed.jobs";
@@ -55,75 +59,6 @@
 /// Start of the keys in [`PROGRESS_TOPIC`] that tell how far waves are.
 const WAVE_PREFIX: &str = "wave/";
 
-/// A job as it was accepted.
-#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
-pub struct Accepted {
-    /// The job.
-    pub job: Job,
-    /// The queue it was handed in at.
-    pub queue: String,
-    /// The service that queue used then.
-    pub service: String,
-    /// Rank of the queue; 0 comes first.
-    pub priority: u32,
-    /// How often a task may fail before the job fails.
-    pub max_attempts: u32,
-    /// Its steps need the permission of the advice service.
-    pub needs_advice: bool,
-    /// Fixed part of the objective of the job's time, in milliseconds.
-    pub objective_ms: u64,
-    /// Part of the objective that grows with the longest chain of work, in hundredths.
-    pub stretch_percent: u32,
-    /// When it was accepted, since 1970, by the clock of the node that took it.
-    pub at: Duration,
-    /// The account whose key it was handed in with; none at a queue that asks for none, and in records of before
-    /// accounts were known.
-    pub account: Option<AccountId>,
-}
-
-/// A job as records of before accounts were known keep it: without the last field.
-#[derive(Deserialize)]
-struct Ownerless {
-    job: Job,
-    queue: String,
-    service: String,
-    priority: u32,
-    max_attempts: u32,
-    needs_advice: bool,
-    objective_ms: u64,
-    stretch_percent: u32,
-    at: Duration,
-}
-
-impl From<Ownerless> for Accepted {
-    fn from(kept: Ownerless) -> Accepted {
-        let Ownerless { job, queue, service, priority, max_attempts, needs_advice, .. } = kept;
-        let Ownerless { objective_ms, stretch_percent, at, .. } = kept;
-        Accepted {
-            job,
-            queue,
-            service,
-            priority,
-            max_attempts,
-            needs_advice,
-            objective_ms,
-            stretch_percent,
-            at,
-            account: None,
-        }
-    }
-}
-
-/// A job's record: which job, and whose. Two accounts that choose one id write two records, of which neither takes the
-/// place of the other.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct JobKey {
-    /// The job.
-    pub id: JobId,
-    /// Its account.
-    pub account: Option<AccountId>,
-}
-
 /// Which of a job's tasks: repetition, step and index.
 pub type TaskPlace = (u32, u16, u32);
 
@@ -172,17 +107,6 @@
     pub silent_with: Option<Vec<(JobId, TaskPlace)>>,
 }
 
-/// A record of [`JOB_TOPIC`].
-#[derive(Debug, PartialEq)]
-pub enum JobRecord {
-    /// A job was accepted.
-    Accepted(JobId, Box<Accepted>),
-    /// A client wants a job cancelled.
-    Cancel(JobId, Caller),
-    /// A key was dropped.
-    Dropped,
-}
-
 /// A record of [`PROGRESS_TOPIC`].
 #[derive(Debug, PartialEq)]
 pub enum ProgressRecord {
@@ -361,42 +285,6 @@
     Record::drop_key(worker_key(life))
 }
 
-/// Who wants a job cancelled. Records of before accounts were known say only that somebody does.
-fn canceller(record: &Record, value: &[u8]) -> Result<Caller, RecordError> {
-    if value == encode(&true) {
-        return Ok(Caller::Site);
-    }
-    decode(&record.key, value)
-}
-
-fn decode_accepted(key: &str, value: &[u8]) -> Result<Accepted, RecordError> {
-    let owned: Result<Accepted, RecordError> = decode(key, value);
-    owned.or_else(|error| {
-        let ownerless: Result<Ownerless, RecordError> = decode(key, value);
-        ownerless.map(Accepted::from).map_err(|_| error)
-    })
-}
-
-impl JobRecord {
-    /// Reads a record of [`JOB_TOPIC`].
-    ///
-    /// # Errors
-    ///
-    /// [`RecordError`] if it is none of ours.
-    pub fn decode(record: &Record) -> Result<JobRecord, RecordError> {
-        let Some(value) = &record.value else { return Ok(JobRecord::Dropped) };
-        if let Some(key) = record.key.strip_prefix(CANCEL_PREFIX) {
-            return Ok(JobRecord::Cancel(id_of_owned(key)?, canceller(record, value)?));
-        }
-        let id = id_of_owned(&record.key)?;
-        let accepted = decode_accepted(&record.key, value)?;
-        // Whoever wrote it: a job too large to keep would bring down each scheduler in turn.
-        let unusable = |error| RecordError::Job(record.key.clone(), error);
-        accepted.job.check().map_err(unusable)?;
-        Ok(JobRecord::Accepted(id, Box::new(accepted)))
-    }
-}
-
 impl ProgressRecord {
     /// Reads a record of [`PROGRESS_TOPIC`].
     ///
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -1,6 +1,8 @@
 //! The tasks of the node that holds the lead: they look at workers, start and stop what the
 //! [`Cell`] says, and keep the store informed.
 
+mod answer;
+mod boxes;
 mod deal;
 mod events;
 mod flush;
@@ -10,7 +12,6 @@
 pub mod share;
 mod tick;
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -19,8 +20,6 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use spokelift_platform::job::JobId;
-use spokelift_platform::machine::MachineId;
 use spokelift_platform::store::Offset;
 use spokelift_platform::worker::Token;
 use tokio::sync::Notify;
@@ -31,15 +30,11 @@
 
 use crate::batch::advice;
 use crate::batch::announce;
-use crate::batch::caller::Caller;
 use crate::batch::carry::Carrier;
 use crate::batch::carry::license::License;
 use crate::batch::cell::Cell;
 use crate::batch::fleet;
 use crate::batch::node::Node;
-use crate::batch::peer::Reply;
-use crate::batch::peer::Request;
-use crate::batch::record::Accepted;
 use crate::batch::scheduler::deal::assign_all;
 use crate::batch::scheduler::deal::await_ready;
 use crate::batch::scheduler::deal::begin_shares;
@@ -47,7 +42,6 @@
 use crate::batch::scheduler::deal::end_all;
 use crate::batch::scheduler::deal::pass_on;
 use crate::batch::scheduler::events::follow_own;
-use crate::batch::scheduler::events::take_report;
 use crate::batch::scheduler::flush::flush;
 use crate::batch::scheduler::follow::follow_jobs;
 use crate::batch::scheduler::follow::follow_workers;
@@ -57,8 +51,6 @@
 use crate::batch::scheduler::share::Shares;
 use crate::batch::scheduler::tick::tick;
 use crate::batch::turn::Turn;
-use crate::batch::turn::is_sole_holder;
-use crate::batch::view;
 use crate::transport::clock;
 
 /// Name under which the store knows the writer of the progress topic.
@@ -69,13 +61,9 @@
 const CALL: Duration = Duration::from_millis(700);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(150);
-/// How long a client's cancel waits for the store.
-const AWAIT_CANCEL: Duration = Duration::from_millis(700);
 /// How long after it began every node knows of a scheduler: they read the record of the lead at least each
 /// half second.
 const KNOWN: Duration = Duration::from_millis(1_000);
-/// How long orders about boxes wait for the store to know of them; a slow one takes about 0.4 s.
-const ANNOUNCE: Duration = Duration::from_millis(900);
 /// Steps that wait, above which a round of placing is dear and every change should not cause one.
 const BACKLOG: usize = 60;
 /// Pause between rounds then; a task runs for about a second.
@@ -175,65 +163,6 @@
         self.cell().renewed_at = Some(sent);
     }
 
-    /// Whether orders about machines may be given now, but for those that are left alone: the turn
-    /// of an earlier holder must be over for some time, and that of a later one cannot have begun.
-    pub fn may_order_machines(&self) -> bool {
-        let now = clock::now();
-        self.turn.may_order(now) && is_sole_holder(self.cell().renewed_at, now)
-    }
-
-    /// Makes sure that the store knows that boxes are about to be ordered; `false` if it does not.
-    pub async fn announce(&self, boxes: &[MachineId]) -> bool {
-        self.note_announced();
-        let Some(all) = self.turn.unannounced(boxes, clock::now()) else { return true };
-        let number = self.turn.awaited(boxes).unwrap_or_else(|| self.tell_store(all));
-        let mut flushed = self.flushed.subscribe();
-        let known = async {
-            while self.cell().announced() < number {
-                if flushed.changed().await.is_err() {
-                    return;
-                }
-            }
-        };
-        if timeout(ANNOUNCE, known).await.is_err() {
-            self.node.counters.count("batch.machines.not-announced");
-            log::debug!("the store does not know of {} orders about boxes in time", boxes.len());
-            return false;
-        }
-        self.note_announced();
-        true
-    }
-
-    /// Has the store told of boxes that may be ordered; returns the announcement's number.
-    fn tell_store(&self, boxes: HashSet<MachineId>) -> u64 {
-        let number = self.cell().announce(&boxes);
-        self.turn.begin_announcement(number, boxes);
-        self.kick_flush();
-        number
-    }
-
-    fn note_announced(&self) {
-        let announced = self.cell().announced();
-        self.turn.note_announced(announced);
-    }
-
-    /// While the store is late every box is announced ahead, so that orders do not wait for it.
-    pub fn announce_ahead(&self, every: impl FnOnce() -> HashSet<MachineId>) {
-        let late = self.store_pace().is_late(clock::now());
-        let boxes = if late { every() } else { HashSet::new() };
-        let Some(all) = self.turn.announce_ahead(boxes, clock::now()) else { return };
-        log::info!(late, boxes = all.len(); "boxes announced ahead");
-        if late {
-            self.node.counters.count("batch.machines.announced-ahead");
-        }
-        self.tell_store(all);
-    }
-
-    /// How fast the store takes changes.
-    fn store_pace(&self) -> MutexGuard<'_, announce::Pace> {
-        self.store_pace.lock().expect("no holder of the pace panics")
-    }
-
     /// Something may be started, or is to be sent.
     pub fn kick(&self) {
         self.work.notify_one();
@@ -261,56 +190,6 @@
             );
         }
     }
-
-    /// Answers a node on a client's behalf.
-    pub async fn answer(&self, request: Request) -> Reply {
-        match request {
-            Request::Submitted(id, accepted) => self.admit(id, *accepted),
-            Request::State(id, caller) => Reply::State(self.cell().state(id, &caller)),
-            Request::Pending(queue, caller) => Reply::Pending(self.cell().pending(&queue, &caller)),
-            Request::Cancel(id, caller) => self.cancel(id, &caller).await,
-            Request::View(path) => {
-                let (waves, shares) = (self.node.waves(), self.shares.view());
-                Reply::View(view::show(&self.cell(), &waves, &shares, &path))
-            }
-            Request::Relay(call) => Reply::Relayed(self.node.relay_for_peer(call).await),
-            Request::Report(report) => take_report(self, *report),
-            // The node itself carries, and knows the configuration.
-            Request::Carry(_) | Request::Newer { .. } | Request::Config(_) => Reply::NotReady,
-            Request::Ping => Reply::Done,
-        }
-    }
-
-    /// Takes in a job that the store keeps.
-    fn admit(&self, id: JobId, accepted: Accepted) -> Reply {
-        let mut cell = self.cell();
-        let owner = accepted.account.clone();
-        if cell.admit_told(id, accepted) {
-            drop(cell);
-            self.kick();
-        } else if !cell.is_of(id, owner.as_ref()) {
-            return Reply::Occupied;
-        }
-        Reply::Done
-    }
-
-    async fn cancel(&self, id: JobId, caller: &Caller) -> Reply {
-        let Some(state) = self.cell().cancel_for(id, caller) else { return Reply::State(None) };
-        self.kick();
-        self.kick_flush();
-        let mut flushed = self.flushed.subscribe();
-        let durable = async {
-            while self.cell().jobs.get(&id).is_some_and(|job| !job.end_is_durable) {
-                if flushed.changed().await.is_err() {
-                    return;
-                }
-            }
-        };
-        match timeout(AWAIT_CANCEL, durable).await {
-            Ok(()) => Reply::State(Some(state)),
-            Err(_) => Reply::NotReady,
-        }
-    }
 }
 
 /// Reads the store, then runs the tasks of the scheduler.
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -1,5 +1,8 @@
 //! A worker in the scheduler's memory: its room, its lease and what may run on it.
 
+mod closed;
+mod life;
+mod slot;
 pub mod table;
 
 use std::collections::HashMap;
@@ -11,14 +14,20 @@
 use spokelift_platform::worker::Entry;
 use spokelift_platform::worker::Peer;
 use spokelift_platform::worker::Room;
-use spokelift_platform::worker::Run;
-use spokelift_platform::worker::Token;
 use spokelift_platform::worker::WorkerMs;
-use thiserror::Error;
 
 use crate::batch::crash::silence::Silence;
 use crate::batch::record::Known;
 use crate::batch::usage::Claim;
+pub use crate::batch::worker::closed::Closed;
+pub use crate::batch::worker::closed::Lack;
+pub use crate::batch::worker::life::is_off_clock;
+pub use crate::batch::worker::life::token;
+use crate::batch::worker::slot::Changes;
+pub use crate::batch::worker::slot::Kind;
+pub use crate::batch::worker::slot::Lasting;
+pub use crate::batch::worker::slot::Phase;
+pub use crate::batch::worker::slot::Slot;
 use crate::batch::worker::table::Number;
 
 /// How long a look waits for an end; a lease is renewed at each look.
@@ -32,154 +41,6 @@
 /// Added to the end of a lease before what ran under it counts as gone.
 const LEASE_SLACK: Duration = Duration::from_millis(100);
 
-/// How sure it is that a run is on the worker.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Phase {
-    /// The order to start is on its way.
-    Starting,
-    /// The worker has taken it; since when that is known.
-    Live(Instant),
-    /// It is being stopped; since when the worker is known to have taken the stop.
-    Stopping(Option<Instant>),
-}
-
-/// A run that may be on the worker. Its room counts until it is known to be gone.
-#[derive(Clone, Debug)]
-pub struct Slot {
-    /// Its number.
-    pub run: Run,
-    /// How sure it is there.
-    pub phase: Phase,
-    /// The worker is known to have taken it.
-    pub taken: bool,
-    /// It was found on the worker, so it may be older than `since` says.
-    pub adopted: bool,
-    /// What it takes.
-    pub room: Room,
-    /// When it was ordered.
-    pub since: Instant,
-    /// How far it is, in hundredths.
-    pub percent: u32,
-    /// When `percent` last rose.
-    pub moved_at: Instant,
-    /// Where it could go on from elsewhere.
-    pub checkpoint: String,
-    /// Processor in use, or tail of answer times in milliseconds.
-    pub figure: u64,
-    /// When `pace` was last set.
-    pub paced_at: Option<Instant>,
-    /// Share of its speed it is let work at, in hundredths.
-    pub pace: u32,
-    /// The task serves users, takes leftovers, or neither.
-    pub kind: Kind,
-    /// What it counts for, and for whom; none while its job is not known.
-    pub claim: Option<Claim>,
-}
-
-/// What kind of neighbour a task is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
-    /// It serves users of its own under a limit of the tail, in milliseconds.
-    Serves(u64),
-    /// It takes what others leave unused.
-    Fills,
-    /// It ends by itself.
-    Works,
-    /// It runs until it is cancelled, without a limit of its own.
-    Lasts,
-}
-
-impl Slot {
-    /// A run that has just been ordered or found.
-    pub fn new(run: Run, phase: Phase, room: Room, kind: Kind, now: Instant) -> Slot {
-        Slot {
-            run,
-            phase,
-            taken: false,
-            adopted: false,
-            room,
-            since: now,
-            percent: 0,
-            moved_at: now,
-            checkpoint: String::new(),
-            figure: 0,
-            paced_at: None,
-            pace: 100,
-            kind,
-            claim: None,
-        }
-    }
-}
-
-/// Why a worker is given nothing new.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum Closed {
-    /// It has not answered this scheduler yet.
-    #[error("not asked yet")]
-    NotAsked,
-    /// The store does not list it.
-    #[error("not listed")]
-    NotListed,
-    /// Another carrier looks after it now, and has not heard from it yet.
-    #[error("handed over")]
-    HandedOver,
-    /// Its entry in the store is none that a worker writes.
-    #[error("unusable entry")]
-    Unusable,
-    /// It is about to leave.
-    #[error("draining")]
-    Draining,
-    /// It was met so long after the lead was last renewed that a later scheduler may not know it, and
-    /// so would not have told it to refuse this one.
-    #[error("unknown to a later scheduler")]
-    Unfenced,
-    /// It is being emptied for upkeep or a move.
-    #[error("cordoned")]
-    Cordoned,
-    /// It did not answer the last look.
-    #[error("silent")]
-    Silent,
-    /// It failed lately.
-    #[error("resting")]
-    Resting,
-    /// A task that may bring it down has just been started there.
-    #[error("quarantined for a suspect task")]
-    Quarantined,
-}
-
-/// What a worker has too little of for a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum Lack {
-    /// It has not answered, so what runs there is not known.
-    #[error("not known")]
-    Unknown,
-    /// Processor.
-    #[error("processor")]
-    Processor,
-    /// Memory.
-    #[error("memory")]
-    Memory,
-    /// Accelerators.
-    #[error("accelerators")]
-    Accelerator,
-}
-
-/// Tasks that do not end by themselves.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Lasting {
-    /// How many.
-    pub tasks: u32,
-    /// What they take, in thousandths of a core.
-    pub cpu: u32,
-}
-
-/// Claims of runs that came and went.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Changes {
-    pub(super) came: Vec<Claim>,
-    pub(super) went: Vec<Claim>,
-}
-
 /// A worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -249,46 +110,6 @@
     pub is_later_life: bool,
 }
 
-/// How many bits of a [`Token`] tell the lives apart that one scheduler has met.
-const LIFE_BITS: u32 = 20;
-
-/// By how much two answers' clocks may seem apart since the answers were on their way.
-const ON_THE_WAY: Duration = Duration::from_millis(1_000);
-
-/// Whether a clock that showed `last` cannot show `clock` so much later: another life has answered.
-///
-/// ```
-/// use std::time::Duration;
-/// use spokelift_lib::batch::worker::is_off_clock;
-/// let passed = Duration::from_millis(10_000);
-/// assert!(!is_off_clock(50_000, 60_000, passed));
-/// assert!(!is_off_clock(50_000, 59_800, passed));
-/// assert!(is_off_clock(50_000, 400, passed));
-/// assert!(is_off_clock(50_000, 90_000, passed));
-/// ```
-pub fn is_off_clock(last: WorkerMs, clock: WorkerMs, passed: Duration) -> bool {
-    let slack = ON_THE_WAY.as_millis() as WorkerMs;
-    let latest = last + passed.as_millis() as WorkerMs + slack;
-    let earliest = last + passed.mul_f64(SLOWEST_CLOCK).as_millis() as WorkerMs;
-    clock > latest || clock + slack < earliest
-}
-
-/// What a worker is to know a scheduler by: higher with each scheduler, and with each life that it meets.
-///
-/// A later life of a worker has seen no token, no stop and no acknowledgement. An order that was meant for the life before
-/// and is carried out late would do there what it was to do then: start a task that has been started elsewhere since, extend
-/// a lease, or acknowledge ends that nobody has heard of. With a number of its own for each life, the first look at the later
-/// one bars all of them.
-///
-/// ```
-/// use spokelift_lib::batch::worker::token;
-/// assert!(token(7, 1) < token(7, 2));
-/// assert!(token(7, u64::MAX) < token(8, 1));
-/// ```
-pub fn token(scheduler: Token, fence: Number) -> Token {
-    (scheduler << LIFE_BITS) | fence.min((1 << LIFE_BITS) - 1)
-}
-
 impl Worker {
     /// A worker that has not been asked yet.
     pub fn new(peer: Peer, entry: Entry, now: Instant) -> Worker {
@@ -380,25 +201,6 @@
         self.lapses_after.map_or(lapses_at, |after| after.max(lapses_at))
     }
 
-    /// Why it may not be given new tasks; `None` if it may.
-    pub fn closed(&self, now: Instant) -> Option<Closed> {
-        match self {
-            worker if !worker.fenced => Some(Closed::NotAsked),
-            worker if worker.unfenced => Some(Closed::Unfenced),
-            worker if worker.is_missing(now) => Some(Closed::NotListed),
-            worker if worker.unusable => Some(Closed::Unusable),
-            worker if worker.handed_over => Some(Closed::HandedOver),
-            worker if worker.entry.draining => Some(Closed::Draining),
-            worker if worker.cordoned => Some(Closed::Cordoned),
-            worker if worker.misses > 0 || worker.reopening => Some(Closed::Silent),
-            worker if worker.rest_until > now => Some(Closed::Resting),
-            worker if worker.quarantine.is_some_and(|(_, until)| until > now) => {
-                Some(Closed::Quarantined)
-            }
-            _ => None,
-        }
-    }
-
     /// Whether its end is no surprise: it has said that it leaves, or is being emptied.
     pub fn leaves(&self) -> bool {
         self.entry.draining || self.cordoned
@@ -409,54 +211,6 @@
         self.heard_at.saturating_duration_since(slot.since)
     }
 
-    /// Whether it takes work but for what passes by itself with time: a rest, or that the store does not
-    /// list it for a while.
-    pub fn is_open(&self) -> bool {
-        let closed = !self.fenced
-            || self.unfenced
-            || self.unusable
-            || self.handed_over
-            || self.entry.draining
-            || self.cordoned
-            || self.misses > 0
-            || self.reopening;
-        !closed
-    }
-
-    /// Whether it may pass to another carrier that is no worse: it answers the one that it has, and no
-    /// order to it is open.
-    pub fn is_calm(&self) -> bool {
-        let is_live = |slot: &Slot| matches!(slot.phase, Phase::Live(_));
-        self.fenced && !self.handed_over && self.misses == 0 && self.slots.values().all(is_live)
-    }
-
-    /// Whether the store does not list it, and has had the time to list it again. It has left or
-    /// is about to.
-    pub fn is_missing(&self, now: Instant) -> bool {
-        !self.listed && self.excused_until.is_none_or(|until| until <= now)
-    }
-
-    /// Whether it may be given new tasks.
-    pub fn takes_work(&self, now: Instant) -> bool {
-        self.closed(now).is_none()
-    }
-
-    /// Whether a task of this size fits beside what may run there.
-    pub fn fits(&self, need: Room) -> bool {
-        self.lack(need).is_none()
-    }
-
-    /// What there is too little of for a task of this size; `None` if it fits.
-    pub fn lack(&self, need: Room) -> Option<Lack> {
-        match self.free {
-            _ if self.clock.is_none() => Some(Lack::Unknown),
-            free if need.cpu > free.cpu => Some(Lack::Processor),
-            free if need.memory_mb > free.memory_mb => Some(Lack::Memory),
-            free if need.gpu > free.gpu => Some(Lack::Accelerator),
-            _ => None,
-        }
-    }
-
     /// Adds a run and takes its room.
     pub fn insert(&mut self, task: TaskName, slot: Slot) {
         self.free.cpu = self.free.cpu.saturating_sub(slot.room.cpu);
--- a/lib/src/batch/worker/table.rs
+++ b/lib/src/batch/worker/table.rs
@@ -7,6 +7,8 @@
 //! Invariant: the indexes say of each worker what [`Standing::of`] says. A worker is changed only through
 //! a [`Handle`], which brings them up to date as it is dropped.
 
+mod index;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -14,21 +16,21 @@
 use std::ops::DerefMut;
 use std::ops::Index as IndexById;
 
-use spokelift_platform::machine::MachineId;
 use spokelift_platform::worker::Entry;
 use spokelift_platform::worker::Life;
-use spokelift_platform::worker::Room;
 use spokelift_platform::worker::WorkerId;
 
 use crate::batch::usage::Totals;
 use crate::batch::usage::Usage;
 use crate::batch::worker::Changes;
 use crate::batch::worker::Worker;
+use crate::batch::worker::table::index::ByFree;
+use crate::batch::worker::table::index::Index;
+use crate::batch::worker::table::index::Service;
+use crate::batch::worker::table::index::Standing;
 
 /// Number of a worker in the order in which a scheduler met them; no two lives share one.
 pub type Number = u64;
-/// Workers by the processor that is left on them, in thousandths of a core.
-type ByFree = BTreeSet<(u32, Number)>;
 
 /// All workers.
 #[derive(Default)]
@@ -49,60 +51,6 @@
     fence: Number,
 }
 
-#[derive(Default)]
-struct Index {
-    services: HashMap<String, Service>,
-    boxes: HashMap<MachineId, BTreeSet<Number>>,
-    /// Workers with ends that the store does not know of.
-    unsaid: BTreeSet<Number>,
-    /// Workers that are heard of again, which the store does not know.
-    reopening: BTreeSet<Number>,
-    /// What accounts may have running, over all workers.
-    totals: Totals,
-    /// The room of all workers.
-    room: Usage,
-    /// A worker has got more room, or takes work again.
-    has_freed: bool,
-}
-
-/// The workers of a service.
-#[derive(Default)]
-struct Service {
-    members: BTreeSet<Number>,
-    /// Those that are not closed, but for a time.
-    open: ByFree,
-    /// The same by rack.
-    racks: HashMap<String, ByFree>,
-}
-
-/// What the indexes say of a worker.
-#[derive(Clone, Copy, PartialEq, Eq)]
-struct Standing {
-    open: bool,
-    free: Room,
-    unsaid: bool,
-    reopening: bool,
-}
-
-impl Standing {
-    fn of(worker: &Worker) -> Standing {
-        Standing {
-            open: worker.is_open(),
-            free: worker.free,
-            unsaid: worker.processed > worker.durable,
-            reopening: worker.reopening,
-        }
-    }
-
-    /// Whether a task may fit now that did not before.
-    fn has_more_than(&self, before: &Standing) -> bool {
-        let more = self.free.cpu > before.free.cpu
-            || self.free.memory_mb > before.free.memory_mb
-            || self.free.gpu > before.free.gpu;
-        self.open && (!before.open || more)
-    }
-}
-
 /// A worker that may be changed. The indexes follow as it is dropped.
 pub struct Handle<'a> {
     worker: &'a mut Worker,
@@ -137,82 +85,6 @@
     }
 }
 
-impl Index {
-    fn enter(&mut self, number: Number, worker: &Worker, standing: &Standing) {
-        let service = self.services.entry(worker.entry.service.clone()).or_default();
-        service.members.insert(number);
-        self.room = self.room.plus(worker.entry.room.into());
-        if standing.open {
-            let place = (standing.free.cpu, number);
-            service.open.insert(place);
-            if let Some(rack) = worker.entry.rack() {
-                service.racks.entry(rack.to_owned()).or_default().insert(place);
-            }
-        }
-        if standing.unsaid {
-            self.unsaid.insert(number);
-        }
-        if standing.reopening {
-            self.reopening.insert(number);
-        }
-    }
-
-    fn leave(&mut self, number: Number, worker: &Worker, standing: &Standing) {
-        self.room = self.room.minus(worker.entry.room.into());
-        if let Some(service) = self.services.get_mut(&worker.entry.service) {
-            let place = (standing.free.cpu, number);
-            service.members.remove(&number);
-            service.open.remove(&place);
-            if let Some(rack) = worker.entry.rack().and_then(|rack| service.racks.get_mut(rack)) {
-                rack.remove(&place);
-            }
-        }
-        self.unsaid.remove(&number);
-        self.reopening.remove(&number);
-    }
-
-    /// Takes in which runs of accounts came and went on a worker.
-    fn take_claims(&mut self, worker: &mut Worker) {
-        for claim in worker.claims.went.drain(..) {
-            self.totals.remove(&claim);
-            // Its account may be below its bound now, wherever its tasks would start.
-            self.has_freed |= claim.has_bound();
-        }
-        for claim in worker.claims.came.drain(..) {
-            self.totals.add(&claim);
-        }
-    }
-
-    /// Counts all that may run on a worker.
-    fn add_claims(&mut self, worker: &Worker) {
-        worker
-            .slots
-            .values()
-            .filter_map(|slot| slot.claim.as_ref())
-            .for_each(|c| self.totals.add(c));
-    }
-
-    fn remove_claims(&mut self, worker: &Worker) {
-        let claims = worker.slots.values().filter_map(|slot| slot.claim.as_ref());
-        claims.for_each(|claim| self.totals.remove(claim));
-    }
-
-    fn live_on(&mut self, number: Number, worker: &Worker) {
-        if let Some(name) = &worker.entry.machine {
-            self.boxes.entry(name.clone()).or_default().insert(number);
-        }
-    }
-
-    fn leave_box(&mut self, number: Number, worker: &Worker) {
-        let Some(name) = &worker.entry.machine else { return };
-        let Some(lives) = self.boxes.get_mut(name) else { return };
-        lives.remove(&number);
-        if lives.is_empty() {
-            self.boxes.remove(name);
-        }
-    }
-}
-
 impl Table {
     /// How many workers there are.
     pub fn len(&self) -> usize {
