--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -123,11 +123,15 @@
         shunned.get(&addr).is_some_and(|since| clock::since(*since) < SHUNNED)
     }
 
+    /// The other nodes but for those that did not answer lately.
+    fn answering(&self) -> Vec<SocketAddr> {
+        self.addrs().into_iter().filter(|addr| !self.is_shunned(*addr)).collect()
+    }
+
     /// A few of the other nodes, not such as did not answer lately: the same ones each time, and others for each node
     /// that asks, so that few connections are needed and all nodes are reached over some others.
     pub fn chosen_peers(&self, own: SocketAddr, count: usize) -> Vec<SocketAddr> {
-        let mut addrs = self.addrs();
-        addrs.retain(|addr| !self.is_shunned(*addr));
+        let mut addrs = self.answering();
         addrs.sort_by_cached_key(|addr| {
             *blake3::hash(format!("{own} {addr}").as_bytes()).as_bytes()
         });
@@ -137,8 +141,7 @@
 
     /// A few of the other nodes at random, not such as did not answer lately.
     pub fn random_peers(&self, count: usize) -> Vec<SocketAddr> {
-        let mut addrs = self.addrs();
-        addrs.retain(|addr| !self.is_shunned(*addr));
+        let mut addrs = self.answering();
         addrs.shuffle(&mut rand::rng());
         addrs.truncate(count);
         addrs
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -1,6 +1,7 @@
 //! A node on the platform: what its tasks share, and how it starts and stops.
 
 mod answer;
+mod config;
 mod operate;
 
 use std::collections::BTreeMap;
@@ -8,13 +9,11 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
-use std::time::Instant;
 
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use spokelift_platform::call::CallError;
-use spokelift_platform::config::Version;
 use spokelift_platform::ingress::READINESS_PATH;
 use spokelift_platform::job::JobId;
 use spokelift_platform::machine::Machines;
@@ -29,7 +28,6 @@
 use crate::batch::carry::Tools;
 use crate::batch::carry::remote::Carried;
 use crate::batch::commit;
-use crate::batch::config::Config;
 use crate::batch::contact::Contact;
 use crate::batch::contact::count_connections;
 use crate::batch::directory;
@@ -37,6 +35,7 @@
 use crate::batch::intake;
 use crate::batch::lead;
 use crate::batch::lead::Lead;
+use crate::batch::node::config::InForce;
 use crate::batch::node::operate::operate;
 use crate::batch::operator;
 use crate::batch::peer;
@@ -101,8 +100,7 @@
     pub counters: Counters,
     /// How long answers to clients, waits of tasks and writes of jobs take.
     pub latencies: Latencies,
-    config: Mutex<Option<Arc<Config>>>,
-    config_since: Mutex<Option<Instant>>,
+    config: Mutex<Option<InForce>>,
     waves: Mutex<BTreeMap<u64, Wave>>,
     lead: Mutex<Option<Lead>>,
     scheduler: Mutex<Option<Arc<Scheduler>>>,
@@ -131,7 +129,6 @@
             counters,
             latencies: Latencies::default(),
             config: Mutex::default(),
-            config_since: Mutex::default(),
             waves: Mutex::default(),
             lead: Mutex::default(),
             scheduler: Mutex::default(),
@@ -145,43 +142,6 @@
         Tools { workers: self.workers.clone(), counters: self.counters.clone() }
     }
 
-    /// The configuration in force.
-    pub fn config(&self) -> Option<Arc<Config>> {
-        self.config.lock().expect("no holder of the configuration panics").clone()
-    }
-
-    /// Version of the configuration in force; 0 if there is none.
-    pub fn config_version(&self) -> Version {
-        self.config().map_or(0, |config| config.version)
-    }
-
-    /// For how long that version has been in force here.
-    pub fn config_age(&self) -> Option<Duration> {
-        let since = *self.config_since.lock().expect("no holder of the time panics");
-        since.map(clock::since)
-    }
-
-    /// Puts a configuration in force and tells others of it, unless a newer one is; returns whether it was put in
-    /// force.
-    pub fn set_config(&self, config: Config) -> bool {
-        let mut current = self.config.lock().expect("no holder of the configuration panics");
-        if current.as_ref().is_some_and(|current| current.version >= config.version) {
-            return false;
-        }
-        let version = config.version;
-        log::info!(
-            version,
-            queues = config.queues.len(),
-            accounts = config.accounts().len();
-            "configuration in force"
-        );
-        *current = Some(Arc::new(config));
-        drop(current);
-        *self.config_since.lock().expect("no holder of the time panics") = Some(clock::now());
-        self.tell_version(version);
-        true
-    }
-
     /// The waves asked for.
     pub fn waves(&self) -> Vec<Wave> {
         self.waves.lock().expect("no holder of the waves panics").values().cloned().collect()
--- /dev/null
+++ b/lib/src/batch/node/config.rs
@@ -0,0 +1,60 @@
+//! The configuration in force at a node.
+
+use std::sync::Arc;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use spokelift_platform::config::Version;
+
+use crate::batch::config::Config;
+use crate::batch::node::Node;
+use crate::transport::clock;
+
+/// A configuration, and since when it has been in force here.
+pub(super) struct InForce {
+    config: Arc<Config>,
+    since: Instant,
+}
+
+impl Node {
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.in_force().as_ref().map(|in_force| in_force.config.clone())
+    }
+
+    fn in_force(&self) -> MutexGuard<'_, Option<InForce>> {
+        self.config.lock().expect("no holder of the configuration panics")
+    }
+
+    /// Version of the configuration in force; 0 if there is none.
+    pub fn config_version(&self) -> Version {
+        self.config().map_or(0, |config| config.version)
+    }
+
+    /// For how long that version has been in force here.
+    pub fn config_age(&self) -> Option<Duration> {
+        self.in_force().as_ref().map(|in_force| clock::since(in_force.since))
+    }
+
+    /// Puts a configuration in force and tells others of it, unless a newer one is; returns whether it was put in
+    /// force.
+    pub fn set_config(&self, config: Config) -> bool {
+        let mut in_force = self.in_force();
+        let current = in_force.as_ref().map(|in_force| in_force.config.version);
+        if current.is_some_and(|current| current >= config.version) {
+            return false;
+        }
+        let version = config.version;
+        log::info!(
+            version,
+            queues = config.queues.len(),
+            accounts = config.accounts().len();
+            "configuration in force"
+        );
+        *in_force = Some(InForce { config: Arc::new(config), since: clock::now() });
+        drop(in_force);
+        self.tell_version(version);
+        true
+    }
+}
