upkeep: a test: a box whose worker is not known counts as empty right after a takeover

Fails: upkeep::empty is true for a worker that neither the store lists nor an earlier scheduler's record names, 1 s before every node knows of this scheduler. Same class as runs of unknown jobs: what is not known is taken for the harmless kind. Found by reading; no play is known in which it came.

--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -198,6 +198,25 @@
     assert!(upkeep::empty(&mut bed.cell, &"w0".into(), true));
 }
 
+/// What happens: a scheduler that has just begun orders the upkeep of a box though a worker lives there, which runs what an
+/// earlier scheduler has started.
+/// Why: the store does not list that worker (its entry ran out while the store was slow), and had not been told of it either;
+/// a box whose worker was not known counted as empty.
+/// Shown by: reading, while tasks away beside each other were traced; no play is known in which it came.
+#[test]
+fn a_box_whose_worker_is_not_known_is_not_empty_until_all_of_before_has_lapsed() {
+    let mut bed = Bed::new(1);
+    bed.look_at_all();
+    let now = clock::now();
+    bed.cell.known_from = Some(now + Duration::from_secs(1));
+    assert!(!upkeep::empty(&mut bed.cell, &"elsewhere".into(), false));
+    // One whose life is known to be over runs nothing.
+    bed.cell.inherit_gone("over".into(), now);
+    assert!(upkeep::empty(&mut bed.cell, &"over".into(), false));
+    bed.cell.known_from = Some(now - LEASE - Duration::from_secs(1));
+    assert!(upkeep::empty(&mut bed.cell, &"elsewhere".into(), false));
+}
+
 #[test]
 fn a_worker_that_passes_to_another_carrier_takes_nothing_until_it_answers() {
     let mut bed = Bed::new(1);
