upkeep: a box whose worker is not known is not empty until leases of before have lapsed

Symptom: upkeep or a move may be ordered for a box on which an earlier scheduler's tasks run. Cause: a worker that the cell does not know was taken for one that runs nothing. Change: not before known_from + LEASE, unless its life is known to be over. Ruled out: waiting until its entry comes (a box whose worker never writes one would never have its upkeep).

--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -16,6 +16,7 @@
 use crate::batch::cell::lives::unlisted;
 use crate::batch::record;
 use crate::batch::record::Known;
+use crate::batch::worker::LEASE;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Slot;
 use crate::batch::worker::Worker;
@@ -248,6 +249,13 @@
         wall
     }
 
+    /// Whether a worker that is not known may run what an earlier scheduler has started: the store does not list it, and was
+    /// not told of it in time.
+    pub fn may_run_unseen(&self, id: &str, now: Instant) -> bool {
+        let lapsed = self.known_from.is_none_or(|from| now >= from + LEASE);
+        !lapsed && !self.gone.keys().any(|life| life.id == id)
+    }
+
     /// Whether what an earlier scheduler was doing is over: stops that it gave may still be under way, and a look
     /// shows their tasks as running until then.
     pub fn is_settled(&self, now: Instant) -> bool {
--- a/lib/src/batch/upkeep/off.rs
+++ b/lib/src/batch/upkeep/off.rs
@@ -24,8 +24,8 @@
 /// tasks are away at once as it allows. What runs on a worker that has not answered this scheduler is not
 /// known.
 pub fn empty(cell: &mut Cell, life: &Life, hurry: bool) -> bool {
-    let Some(tasks) = begin(cell, life) else { return false };
     let now = clock::now();
+    let Some(tasks) = begin(cell, life, now) else { return false };
     let settled = cell.is_settled(now);
     for task in live(&tasks) {
         let stop = match is_lasting(cell, task) {
@@ -48,7 +48,7 @@
     places: &mut Places,
     now: Instant,
 ) -> bool {
-    let Some(tasks) = begin(cell, life) else { return false };
+    let Some(tasks) = begin(cell, life, now) else { return false };
     let settled = cell.is_settled(now);
     let together = hurry && may_leave_together(cell, life, now);
     for task in live(&tasks) {
@@ -81,8 +81,11 @@
 }
 
 /// Closes a worker to new tasks; returns what may run there, and none if that is not known.
-fn begin(cell: &mut Cell, life: &Life) -> Option<Vec<(TaskName, Phase)>> {
-    let Some(mut worker) = cell.workers.get_mut(life) else { return Some(Vec::new()) };
+fn begin(cell: &mut Cell, life: &Life, now: Instant) -> Option<Vec<(TaskName, Phase)>> {
+    if !cell.workers.contains_key(life) {
+        return (!cell.may_run_unseen(&life.id, now)).then(Vec::new);
+    }
+    let mut worker = cell.workers.get_mut(life)?;
     worker.cordoned = true;
     let tasks = worker.slots.iter().map(|(task, slot)| (*task, slot.phase));
     worker.fenced.then(|| tasks.collect())
