--- a/cli/src/trial/batch.rs
+++ b/cli/src/trial/batch.rs
@@ -20,7 +20,8 @@
 /// Plays the faults of a seed and prints what came of it.
 pub async fn play(args: &Trial, json: bool) -> Result<(), Error> {
     let program = daemon()?;
-    let seed = if args.accounts { args.seed + HAS_ACCOUNTS_FROM } else { args.seed };
+    let first = if args.accounts { HAS_ACCOUNTS_FROM } else { 0 };
+    let seed = args.seed.saturating_add(first);
     let seconds = args.seconds;
     println!("seed {seed}: {NODES} daemons, {MACHINES} boxes, faults for {seconds} s");
     let program = program.to_string_lossy();
--- a/lib/src/batch/place/room.rs
+++ b/lib/src/batch/place/room.rs
@@ -62,7 +62,7 @@
 /// The tasks to stop on a worker so that `need` fits, youngest first, and the core-milliseconds
 /// of work that are lost; `None` if that cannot make enough room.
 fn victims(worker: &Worker, need: Room, now: Instant) -> Option<(u64, Vec<TaskName>)> {
-    // Of a run without room its job is not known yet.
+    // The job of a run that takes no room may not be known yet, and its stop would give nothing.
     let works = |slot: &Slot| slot.kind == Kind::Works && slot.room != Room::default();
     let live = worker.slots.iter().filter(|(_, slot)| matches!(slot.phase, Phase::Live(_)));
     let mut works: Vec<(&TaskName, &Slot)> = live.filter(|(_, slot)| works(slot)).collect();
