cell: lives of workers end by the list of boxes, not only by their leases

One service had hundreds of free cores and started nothing for up to 14 s, for one worker that was lost between two schedulers.

Cause: a worker that does not answer may run on, so its whole service was in doubt until its leases were over, 5.7 s after a scheduler met it; each takeover began that anew.

Change: a life whose box the platform's list shows as down, under way or with another worker is over, if it was met and last answered before the list was asked for; likewise a silent one whose box two lists in a row lack. Why it suffices: a list that is asked for after a life was met shows a later state.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -10,6 +10,7 @@
 
 mod answers;
 mod bounds;
+mod boxes;
 mod calls;
 mod crashes;
 mod flush;
@@ -226,6 +227,8 @@
     gone: HashMap<Life, Instant>,
     /// Tasks that may be on workers which had fallen silent under an earlier scheduler.
     silent_with: HashMap<Life, HashSet<TaskName>>,
+    /// Silent workers whose boxes the last list of boxes did not name.
+    without_box: HashSet<Life>,
     /// What lasts and needs room that is not there, by service, in thousandths of a core: it waits, or is on boxes
     /// that should be emptied.
     pub unhoused: BTreeMap<String, u64>,
@@ -304,6 +307,7 @@
             unusable: BTreeMap::new(),
             gone: HashMap::new(),
             silent_with: HashMap::new(),
+            without_box: HashSet::new(),
             unhoused: BTreeMap::new(),
             begun: HashMap::new(),
             waves_seen: HashMap::new(),
--- a/lib/src/batch/cell/crashes.rs
+++ b/lib/src/batch/cell/crashes.rs
@@ -58,6 +58,8 @@
     pub given_up: u64,
     /// Lives of workers that are over, for whatever cause.
     pub ended: u64,
+    /// Those of which the list of boxes showed it.
+    pub ended_by_list: u64,
 }
 
 impl Cell {
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -175,7 +175,7 @@
 
     /// Workers that are silent and whose leases have run out.
     pub fn lapsed(&self, now: Instant) -> Vec<(Life, bool)> {
-        let silent = self.workers.values().filter(|worker| worker.misses > 0 || !worker.fenced);
+        let silent = self.workers.values().filter(|worker| worker.is_silent());
         let lapsed = silent.filter(|worker| worker.lapses_at() <= now);
         lapsed.map(|worker| (worker.peer.life.clone(), worker.listed)).collect()
     }
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -58,9 +58,11 @@
             let first = teller.tell(&waiting) as u64;
             scheduler.node.counters.add("batch.task.waits-beside-room", first);
         }
-        if !under_way && !pools.wants_list(&scheduler) {
+        let awaits_silent = scheduler.cell().awaits_silent();
+        if !under_way && !awaits_silent && !pools.wants_list(&scheduler) {
             continue;
         }
+        let asked_at = clock::now();
         let listed = machines.list(CALL).await;
         scheduler.node.note_machines(&listed);
         let list = match listed {
@@ -71,6 +73,7 @@
                 continue;
             }
         };
+        scheduler.cell().end_lives_by_list(&list, asked_at);
         scheduler.announce_ahead(|| list.iter().map(|machine| machine.id.clone()).collect());
         let resting = scheduler.turn.resting(clock::now());
         let moving = pools.busy();
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -270,6 +270,7 @@
         scheduler.node.counters.add("batch.worker.crashed", tally.workers);
         scheduler.node.counters.add("batch.task.given-up", tally.given_up);
         scheduler.node.counters.add("batch.worker.gone", tally.ended);
+        scheduler.node.counters.add("batch.worker.gone-by-list", tally.ended_by_list);
         for waited in waits {
             scheduler.node.latencies.record("batch.start.wait", waited);
         }
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Whether it did not answer the last look, or has not answered any.
+    pub fn is_silent(&self) -> bool {
+        self.misses > 0 || !self.fenced
+    }
+
     /// Whether it fell silent although nobody had ordered or announced that.
     pub fn fell_silent(&self) -> bool {
         self.misses > 0 && !self.leaves()
--- a/lib/tests/test_lives.rs
+++ b/lib/tests/test_lives.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,6 +19,8 @@
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::Step;
 use spokelift_platform::job::TaskName;
+use spokelift_platform::machine::Machine;
+use spokelift_platform::machine::Status;
 use spokelift_platform::store::Record;
 use spokelift_platform::worker::Born;
 use spokelift_platform::worker::End;
@@ -25,6 +28,7 @@
 use spokelift_platform::worker::Life;
 use spokelift_platform::worker::Outcome;
 use spokelift_platform::worker::Peer;
+use spokelift_platform::worker::Room;
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Running;
 use spokelift_platform::worker::Seen;
@@ -253,6 +257,12 @@
     /// The oldest start without an answer is carried out.
     Late,
     Flush,
+    /// A worker's box goes down; it is up again once its worker starts again.
+    Down(usize),
+    /// The list of boxes is asked for.
+    AskList,
+    /// The list that was asked for first arrives.
+    List,
     /// So much time passes, in milliseconds.
     Pass(u64),
     TakeOver,
@@ -269,9 +279,12 @@
             .prop_map(|(worker, is_lost)| Happening::Look { worker, is_lost }),
         6 => worker.clone().prop_map(Happening::Work),
         4 => (1..6_u32).prop_map(Happening::Job),
-        8 => prop::option::weighted(0.2, worker).prop_map(|loses| Happening::Place { loses }),
+        8 => prop::option::weighted(0.2, worker.clone()).prop_map(|loses| Happening::Place { loses }),
         2 => Just(Happening::Late),
         4 => Just(Happening::Flush),
+        2 => worker.clone().prop_map(Happening::Down),
+        3 => Just(Happening::AskList),
+        3 => Just(Happening::List),
         2 => (1..9_000_u64).prop_map(Happening::Pass),
         1 => Just(Happening::TakeOver),
     ]
@@ -284,6 +297,10 @@
     now: Instant,
     store: BTreeMap<String, Record>,
     processes: Vec<Process>,
+    /// Workers whose boxes are down.
+    down: Vec<bool>,
+    /// Lists of boxes that were asked for, when, and have not arrived.
+    lists: VecDeque<(Instant, Vec<Machine>)>,
     /// The birth of the life before on each worker.
     before: Vec<Option<Born>>,
     late: Vec<Late>,
@@ -311,6 +328,8 @@
             now,
             store: BTreeMap::new(),
             processes: processes.collect(),
+            down: vec![false; WORKERS],
+            lists: VecDeque::new(),
             before: vec![None; WORKERS],
             late: Vec::new(),
             jobs: 0,
@@ -337,6 +356,32 @@
         let born = birth * 1_000 + 500 - self.births.min(499);
         self.before[worker] = Some(self.processes[worker].born);
         self.processes[worker] = Process::new(born, clock, self.now);
+        self.down[worker] = false;
+    }
+
+    /// Everything on the box dies.
+    fn go_down(&mut self, worker: usize) {
+        self.processes[worker].runs.clear();
+        self.processes[worker].ended.clear();
+        self.down[worker] = true;
+    }
+
+    fn ask_list(&mut self) {
+        let boxes = self.down.iter().enumerate().map(|(worker, down)| Machine {
+            id: format!("m{worker}"),
+            pool: "work".to_owned(),
+            status: if *down { Status::Down } else { Status::Up },
+            labels: Vec::new(),
+            room: Room::default(),
+            worker: (!down).then(|| name(worker)),
+        });
+        self.lists.push_back((self.now, boxes.collect()));
+    }
+
+    fn take_list(&mut self) {
+        if let Some((asked_at, list)) = self.lists.pop_front() {
+            self.cell.end_lives_by_list(&list, asked_at);
+        }
     }
 
     /// A look at a life reaches whoever lives under its id.
@@ -351,6 +396,9 @@
 
     fn look_at(&mut self, worker: usize, life: &Life, is_lost: bool) {
         let Some(known) = self.cell.workers.get(life) else { return };
+        if self.down[worker] {
+            return self.cell.on_miss(life);
+        }
         let born = self.processes[worker].born;
         let is_same = self.connected.insert(life.clone(), born) == Some(born) && known.misses == 0;
         let token = token(self.token, known.fence);
@@ -446,7 +494,9 @@
                     let lease = clock + age + LEASE.as_millis() as u64;
                     self.cell.note_lease(&life, lease);
                     let late = Late { worker, token, lease, task, run };
-                    if loses == Some(worker) {
+                    if self.down[worker] {
+                        self.cell.on_unanswered(&life, task, run, self.now);
+                    } else if loses == Some(worker) {
                         self.late.push(late);
                         self.cell.on_unanswered(&life, task, run, self.now);
                     } else if self.start(&late) {
@@ -462,6 +512,7 @@
                         self.cell.on_refused(&life, task, run, None, self.now);
                     }
                 }
+                Order::Stop { .. } if self.down[worker] => {}
                 Order::Stop { task, run, .. } => {
                     let process = &mut self.processes[worker];
                     if !process.obeys(token) {
@@ -488,7 +539,8 @@
         }
         let late = self.late.remove(0);
         let life = Life::new(name(late.worker), Some(self.processes[late.worker].born));
-        if self.cell.workers.get(&life).is_some_and(|known| known.fenced) {
+        if !self.down[late.worker] && self.cell.workers.get(&life).is_some_and(|known| known.fenced)
+        {
             self.start(&late);
         }
     }
@@ -565,6 +617,9 @@
             Happening::Place { loses } => self.place(loses),
             Happening::Late => self.carry_out_late(),
             Happening::Flush => self.flush(),
+            Happening::Down(worker) => self.go_down(worker),
+            Happening::AskList => self.ask_list(),
+            Happening::List => self.take_list(),
             Happening::Pass(millis) => self.pass(Duration::from_millis(millis)),
             Happening::TakeOver => self.take_over(),
         }
@@ -573,6 +628,9 @@
 
     /// Nothing more fails: every job ends, and what is known of workers is what there is.
     fn settle(&mut self) {
+        for worker in (0..WORKERS).filter(|worker| self.down[*worker]).collect::<Vec<usize>>() {
+            self.start_again(worker, 1_000, 100);
+        }
         for _ in 0..ROUNDS {
             for worker in 0..WORKERS {
                 self.entry(worker, false);
--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -149,6 +149,11 @@
         self.bring_up(id.to_owned(), AWAY).await;
     }
 
+    /// Crashes a machine's worker; no other one begins there.
+    pub fn lose(&self, id: &str) {
+        self.take_down(id, DOWN);
+    }
+
     /// From now on workers start again under the id that they had on their machine in their service, on clocks that
     /// begin below and above those of the lives before, each second time at another address.
     pub fn keep_ids(&self) {
