upkeep: no move beside tasks on workers that leave, and theirs wait for moves under way

Cause: five tasks of a step that may miss three were stopped in one moment, three for a wave and two on a worker that had said that it leaves, which counted for nothing. Their stops were carried out before that of the wave's last one, which had been decided first.

Change: a task on a worker that has said that it leaves counts as away; where it would be one too many its stop waits for those of its step under way on workers that stay and answer. Why this fix works: of both orders in which the two decisions can be made, neither leaves two kinds of stops on their way above the bound.

Two of the three new tests failed before, each without its half of the change; the third holds that nobody waits for silence.

--- a/lib/src/batch/neighbours.rs
+++ b/lib/src/batch/neighbours.rs
@@ -1,11 +1,8 @@
-//! Tasks that disturb each other on one worker, and tasks that must leave theirs.
+//! Tasks that disturb each other on one worker.
 
 use std::time::Duration;
 use std::time::Instant;
 
-use spokelift_platform::job::TaskName;
-use spokelift_platform::worker::Life;
-
 use crate::batch::cell::Cell;
 use crate::batch::cell::Order;
 use crate::batch::worker::Kind;
@@ -47,27 +44,6 @@
             }
         });
     }
-
-    /// Stops tasks on workers that are about to leave where stopping loses nothing: tasks that
-    /// last are started elsewhere, and tasks that save their progress go on elsewhere.
-    pub fn leave_draining(&mut self) {
-        let mut leaving: Vec<(Life, TaskName)> = Vec::new();
-        for worker in self.workers.values().filter(|worker| worker.entry.draining && worker.listed)
-        {
-            for (task, slot) in &worker.slots {
-                let Some(entry) = self.jobs.get(&task.job) else { continue };
-                let Some(step) = entry.step(task.step) else { continue };
-                let moves = step.long_running || (step.checkpointing && !step.gang);
-                if moves && matches!(slot.phase, Phase::Live(_)) {
-                    leaving.push((worker.peer.life.clone(), *task));
-                }
-            }
-        }
-        for (worker, task) in leaving {
-            log::info!(task = task.to_string().as_str(), worker:% = worker; "leaves a draining worker");
-            self.stop_run(&worker, task);
-        }
-    }
 }
 
 /// The highest tail among the serving tasks, as a share of its limit.
--- a/lib/src/batch/scheduler/tick.rs
+++ b/lib/src/batch/scheduler/tick.rs
@@ -28,7 +28,7 @@
                 cell.clear_inherited();
             }
             cell.stop_unknown(now);
-            cell.leave_draining();
+            upkeep::leave_draining(&mut cell, now);
             for life in cell.leaving_unannounced(now) {
                 upkeep::empty(&mut cell, &life, false);
             }
--- a/lib/src/batch/upkeep.rs
+++ b/lib/src/batch/upkeep.rs
@@ -30,6 +30,7 @@
 use crate::batch::upkeep::course::Course;
 use crate::batch::upkeep::course::Listed;
 pub use crate::batch::upkeep::off::empty;
+pub use crate::batch::upkeep::off::leave_draining;
 use crate::transport::clock;
 
 /// Pause after the states of waves could not be read.
--- a/lib/src/batch/upkeep/away.rs
+++ b/lib/src/batch/upkeep/away.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use spokelift_platform::job::JobId;
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::Life;
 
@@ -15,6 +16,14 @@
 /// back until something ends.
 const FRESH: Duration = LOOK_WAIT.saturating_add(Duration::from_millis(300));
 
+/// A step of a job, in one repetition.
+pub(super) type StepName = (JobId, u32, u16);
+
+/// The step of a task.
+pub(super) fn step_of(task: TaskName) -> StepName {
+    (task.job, task.time, task.step)
+}
+
 /// Whether a task runs until its job is cancelled.
 pub(super) fn is_lasting(cell: &Cell, task: TaskName) -> bool {
     let entry = cell.jobs.get(&task.job);
@@ -22,7 +31,8 @@
 }
 
 /// Whether a task may be ended now: with it, no more tasks of its step are away than allowed.
-/// Every other task counts as away that is not known to be at work.
+/// Every other task counts as away that is not known to be at work, and that is on a worker that has said that it leaves: it will
+/// be away at any moment.
 pub(super) fn may_leave(cell: &Cell, name: TaskName, now: Instant) -> bool {
     may_leave_of_step(cell, name, now, |_, task| task.index == name.index)
 }
@@ -44,19 +54,17 @@
     let Some(entry) = cell.jobs.get(&name.job) else { return true };
     let Some(step) = entry.step(name.step) else { return true };
     let Some(allowed) = step.may_miss else { return true };
-    let of_step =
-        |task: &TaskName| (task.job, task.time, task.step) == (name.job, name.time, name.step);
     // What a silent worker runs may be gone by now, also where the look at it has not been given up yet.
     let is_heard = |worker: &&Worker| {
         let answered_at = worker.answered_at().filter(|_| worker.misses == 0);
         answered_at.is_some_and(|at| now.saturating_duration_since(at) <= FRESH)
     };
     let answering = cell.workers.values().filter(|worker| worker.lasting.tasks > 0);
-    let answering = answering.filter(is_heard);
+    let answering = answering.filter(|worker| !worker.is_announced_to_leave()).filter(is_heard);
     let slots = answering.flat_map(|worker| worker.slots.iter().map(move |slot| (worker, slot)));
     let staying = slots.filter(|(worker, (task, slot))| {
         let at_work = matches!(slot.phase, Phase::Live(_)) && slot.percent >= 100;
-        of_step(task) && at_work && !leave(worker, task)
+        step_of(**task) == step_of(name) && at_work && !leave(worker, task)
     });
     // The last of those that leave is itself not away as it is ended.
     let away = step.count.saturating_sub(staying.count() as u32).saturating_sub(1);
--- a/lib/src/batch/upkeep/off.rs
+++ b/lib/src/batch/upkeep/off.rs
@@ -1,5 +1,6 @@
 //! What is moved off a worker whose box is to be ordered away.
 
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -7,11 +8,14 @@
 use spokelift_platform::worker::Life;
 
 use crate::batch::cell::Cell;
+use crate::batch::upkeep::away::StepName;
 use crate::batch::upkeep::away::is_lasting;
 use crate::batch::upkeep::away::may_leave;
 use crate::batch::upkeep::away::may_leave_together;
+use crate::batch::upkeep::away::step_of;
 use crate::batch::upkeep::places::Places;
 use crate::batch::worker::Phase;
+use crate::batch::worker::Worker;
 use crate::transport::clock;
 
 /// How long tasks on a box may take to end by themselves before they are stopped, and how long tasks that last
@@ -80,6 +84,44 @@
     may_leave_together(cell, life, now)
 }
 
+/// Stops tasks on workers that are about to leave where stopping loses nothing: tasks that last are started elsewhere, and
+/// tasks that save their progress go on elsewhere.
+///
+/// They may all be away at once, which no other task of their step may join. So where the step has too many away
+/// with them, stops of it that are under way on workers that stay are awaited: theirs may be carried out after these.
+pub fn leave_draining(cell: &mut Cell, now: Instant) {
+    let leaving = cell.workers.values().filter(|worker| worker.is_announced_to_leave());
+    let leaving: Vec<(Life, TaskName)> = leaving
+        .flat_map(|worker| live_on(worker).map(|task| (worker.peer.life.clone(), task)))
+        .filter(|(_, task)| moves(cell, *task))
+        .collect();
+    if leaving.is_empty() {
+        return;
+    }
+    let stopping = steps_being_moved(cell);
+    for (life, task) in leaving {
+        if stopping.contains(&step_of(task)) && !may_leave(cell, task, now) {
+            continue;
+        }
+        log::info!(task = task.to_string().as_str(), worker:% = life; "leaves a draining worker");
+        cell.stop_run(&life, task);
+    }
+}
+
+/// Whether a task goes on elsewhere as well as where it is.
+fn moves(cell: &Cell, task: TaskName) -> bool {
+    let step = cell.jobs.get(&task.job).and_then(|entry| entry.step(task.step));
+    step.is_some_and(|step| step.long_running || (step.checkpointing && !step.gang))
+}
+
+/// Steps with stops under way on workers that stay and answer.
+fn steps_being_moved(cell: &Cell) -> HashSet<StepName> {
+    let staying = |worker: &&Worker| !worker.is_announced_to_leave() && !worker.is_silent();
+    let slots = cell.workers.values().filter(staying).flat_map(|worker| &worker.slots);
+    let stopping = slots.filter(|(_, slot)| matches!(slot.phase, Phase::Stopping(_)));
+    stopping.map(|(task, _)| step_of(*task)).collect()
+}
+
 /// Closes a worker to new tasks; returns what may run there, and none if that is not known.
 fn begin(cell: &mut Cell, life: &Life, now: Instant) -> Option<Vec<(TaskName, Phase)>> {
     if !cell.workers.contains_key(life) {
@@ -91,6 +133,11 @@
     worker.fenced.then(|| tasks.collect())
 }
 
+fn live_on(worker: &Worker) -> impl Iterator<Item = TaskName> {
+    let live = worker.slots.iter().filter(|(_, slot)| matches!(slot.phase, Phase::Live(_)));
+    live.map(|(task, _)| *task)
+}
+
 fn live(tasks: &[(TaskName, Phase)]) -> impl Iterator<Item = TaskName> {
     let live = tasks.iter().filter(|(_, phase)| matches!(phase, Phase::Live(_)));
     live.map(|(task, _)| *task)
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -206,6 +206,11 @@
         self.lapses_after.map_or(lapses_at, |after| after.max(lapses_at))
     }
 
+    /// Whether it has said that it leaves, by its entry in the store.
+    pub fn is_announced_to_leave(&self) -> bool {
+        self.entry.draining && self.listed
+    }
+
     /// Whether its end is no surprise: it has said that it leaves, or is being emptied.
     pub fn leaves(&self) -> bool {
         self.entry.draining || self.cordoned
--- a/lib/tests/test_upkeep.rs
+++ b/lib/tests/test_upkeep.rs
@@ -9,6 +9,9 @@
 use spokelift_lib::transport::clock;
 use spokelift_platform::job::Step;
 use spokelift_platform::job::TaskName;
+use spokelift_platform::worker::End;
+use spokelift_platform::worker::Entry;
+use spokelift_platform::worker::Outcome;
 use spokelift_platform::worker::Peer;
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Running;
@@ -125,3 +128,71 @@
     assert_eq!(task.runs, 1);
     assert_eq!(task.waiting_since, None);
 }
+
+/// A scheduler with two workers that each run a task of a step of which one may be away, and an empty third one.
+fn with_two_at_work() -> (Cell, Instant, Vec<(TaskName, Run)>) {
+    let (mut cell, now) = (Cell::new(10), clock::now());
+    cell.admit(1, accepted(vec![Step { max_per_worker: 1, ..lasting(2) }]), None);
+    for id in ["w0", "w1"] {
+        meet(&mut cell, id, now);
+        look(&mut cell, id, 1, &[], now);
+    }
+    let runs = start(&mut cell, now);
+    let on = |cell: &Cell, id: &str| cell.workers[id].slots.keys().copied().collect::<Vec<_>>();
+    for id in ["w0", "w1"] {
+        let mine: Vec<(TaskName, Run)> =
+            runs.iter().filter(|(task, _)| on(&cell, id).contains(task)).copied().collect();
+        assert_eq!(mine.len(), 1);
+        look(&mut cell, id, 2, &mine, now);
+    }
+    meet(&mut cell, "w2", now);
+    look(&mut cell, "w2", 1, &[], now);
+    (cell, now, runs)
+}
+
+fn say_draining(cell: &mut Cell, id: &str, now: Instant) {
+    let draining = Entry { draining: true, ..entry(&format!("m-{id}"), 8_000) };
+    cell.meet(Peer { life: id.into(), addr: addr() }, draining, now);
+}
+
+/// Both were stopped in the same moment, so one more was away than allowed.
+#[test]
+fn no_task_is_moved_off_beside_a_worker_that_has_said_that_it_leaves() {
+    let (mut cell, now, _) = with_two_at_work();
+    say_draining(&mut cell, "w1", now);
+    upkeep::empty(&mut cell, &"w0".into(), false);
+    assert_eq!(stops(&mut cell), 0);
+    // What is on a worker that leaves goes whatever else is away.
+    upkeep::leave_draining(&mut cell, now);
+    assert_eq!(stops(&mut cell), 1);
+}
+
+/// The stop on the leaving worker may be carried out first, and then the other task is one too many.
+#[test]
+fn a_task_on_a_leaving_worker_waits_for_the_stop_of_another_of_its_step() {
+    let (mut cell, now, runs) = with_two_at_work();
+    upkeep::empty(&mut cell, &"w0".into(), false);
+    assert_eq!(stops(&mut cell), 1);
+    say_draining(&mut cell, "w1", now);
+    upkeep::leave_draining(&mut cell, now);
+    assert_eq!(stops(&mut cell), 0);
+    // It is over.
+    let (task, run) = runs[usize::from(!cell.workers["w0"].slots.contains_key(&runs[0].0))];
+    let end = End { number: 1, task, run, outcome: Outcome::Stopped, checkpoint: String::new() };
+    let seen = Seen { clock: 3, running: Vec::new(), ended: vec![end], born: None };
+    cell.on_look(&"w0".into(), now, now, seen);
+    upkeep::leave_draining(&mut cell, now);
+    assert_eq!(stops(&mut cell), 1);
+}
+
+/// A worker that does not answer may never end its run, and the other worker is about to leave.
+#[test]
+fn a_task_on_a_leaving_worker_waits_for_no_worker_that_is_silent() {
+    let (mut cell, now, _) = with_two_at_work();
+    upkeep::empty(&mut cell, &"w0".into(), false);
+    assert_eq!(stops(&mut cell), 1);
+    cell.on_miss(&"w0".into());
+    say_draining(&mut cell, "w1", now);
+    upkeep::leave_draining(&mut cell, now);
+    assert_eq!(stops(&mut cell), 1);
+}
