cell: what is left of a silent worker's leases passes on from scheduler to scheduler

Cause: each scheduler counted the leases of a worker that it had never reached from when it met it. Evidence: test_unheard, in which a task is never started with a takeover each 0.8 to 5.7 s; it failed before.

Change: for how long no scheduler has heard of a worker is told to the store each 0.5 s and taken off the next one's wait. Leases are extended only once the scheduler has heard of the worker and the store has let go of that record. Why it is safe: whoever extends a lease has dropped the record first, so a record says that nobody has.

The model of test_lives grants by the same rule and has lists, cuts and takeovers.

--- a/lib/src/batch/carry.rs
+++ b/lib/src/batch/carry.rs
@@ -79,8 +79,13 @@
     /// Carries out a command; what becomes of it is told as an event.
     pub fn obey(self: &Arc<Self>, command: Command) {
         match command {
-            Command::Take { number, peer, durable, token } => {
-                self.take(number, Charge::new(peer, durable, token));
+            Command::Take { number, peer, durable, token, grants } => {
+                self.take(number, Charge::new(peer, durable, token, grants));
+            }
+            Command::Grant { number } => {
+                if let Some(charge) = self.charge(number) {
+                    charge.set_granting();
+                }
             }
             Command::Leave { number } => self.leave(number),
             Command::Durable { number, end } => {
--- a/lib/src/batch/carry/charge.rs
+++ b/lib/src/batch/carry/charge.rs
@@ -30,6 +30,8 @@
     state: Mutex<State>,
     /// The store knows of more of its ends.
     pub durable: Notify,
+    /// Its leases are extended from now on.
+    pub granting: Notify,
     /// It is looked after no more.
     pub over: CancellationToken,
 }
@@ -46,6 +48,8 @@
     pub durable: u64,
     /// Looks in a row without an answer.
     pub misses: u32,
+    /// Its leases are extended.
+    pub grants: bool,
     /// It is to be looked at more often.
     pub closely: bool,
     /// How long a start may go without an answer before a look asks for the run.
@@ -53,18 +57,20 @@
 }
 
 impl Charge {
-    pub(super) fn new(peer: Peer, durable: u64, token: Token) -> Charge {
+    pub(super) fn new(peer: Peer, durable: u64, token: Token, grants: bool) -> Charge {
         let state = State {
             clock: None,
             lease_until: 0,
             told: durable,
             durable,
             misses: 0,
+            grants,
             closely: false,
             patience: PATIENCE.0,
         };
         let (state, over) = (Mutex::new(state), CancellationToken::new());
-        Charge { peer, token, state, durable: Notify::new(), over }
+        let (durable, granting) = (Notify::new(), Notify::new());
+        Charge { peer, token, state, durable, granting, over }
     }
 
     pub(super) fn state(&self) -> MutexGuard<'_, State> {
@@ -77,14 +83,19 @@
         drop(state);
         self.durable.notify_one();
     }
+
+    pub(super) fn set_granting(&self) {
+        self.state().grants = true;
+        self.granting.notify_one();
+    }
 }
 
 impl State {
-    /// End of a lease granted now; none until the worker has told its clock, and none while it is
-    /// silent: what it does not answer may still be carried out, and its lease would never be known to
+    /// End of a lease granted now; none before its leases may be extended, none until the worker has told its clock, and
+    /// none while it is silent: what it does not answer may still be carried out, and its lease would never be known to
     /// have run out.
     pub(super) fn grant(&mut self, now: Instant) -> Option<WorkerMs> {
-        let (clock, told) = self.clock.filter(|_| self.misses == 0)?;
+        let (clock, told) = self.clock.filter(|_| self.grants && self.misses == 0)?;
         let age = now.saturating_duration_since(told).as_millis() as WorkerMs;
         let until = clock + age + LEASE.as_millis() as WorkerMs;
         self.lease_until = self.lease_until.max(until);
--- a/lib/src/batch/carry/look.rs
+++ b/lib/src/batch/carry/look.rs
@@ -31,6 +31,8 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(400);
 /// How long the ends of one look wait for the store before the worker is looked at again.
 const AWAIT_DURABLE: Duration = Duration::from_millis(300);
+/// How long the next look at a worker waits for its leases to be extended.
+const AWAIT_GRANTING: Duration = Duration::from_millis(300);
 /// Time between questions whether there is a licence again.
 const LICENSE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -47,6 +49,7 @@
                 if !tell_seen(&carrier, number, &charge, sent, seen) {
                     return;
                 }
+                await_granting(&charge).await;
                 await_durable(&charge).await;
             }
             Err(error) => {
@@ -144,7 +147,8 @@
 
 fn next_look(charge: &Charge, now: Instant) -> Look {
     let mut state = charge.state();
-    let waits = state.clock.is_some() && state.misses == 0 && state.told == state.durable;
+    let is_settled = state.grants && state.told == state.durable;
+    let waits = state.clock.is_some() && state.misses == 0 && is_settled;
     let wait = match (waits, state.closely) {
         (false, _) => Duration::ZERO,
         (true, true) => LOOK_WAIT_CLOSELY,
@@ -160,6 +164,17 @@
     }
 }
 
+/// Waits until the leases of a worker that has answered may be extended, so that the next look does so.
+async fn await_granting(charge: &Charge) {
+    let granting = async {
+        while !charge.state().grants {
+            charge.granting.notified().await;
+        }
+    };
+    // While the store is away, the worker is looked at all the same, to hear of its ends.
+    let _ = timeout(AWAIT_GRANTING, granting).await;
+}
+
 /// Waits until the store knows of the ends that the worker has listed.
 async fn await_durable(charge: &Charge) {
     let durable = async {
--- a/lib/src/batch/carry/message.rs
+++ b/lib/src/batch/carry/message.rs
@@ -44,6 +44,8 @@
         durable: u64,
         /// What orders to it carry; a worker that has seen a higher one refuses them.
         token: Token,
+        /// Its leases are extended from its first answer on, and not only once a [`Command::Grant`] has come.
+        grants: bool,
     },
     /// Look after a worker no more.
     Leave {
@@ -57,6 +59,11 @@
         /// The highest end whose effect the store knows of.
         end: u64,
     },
+    /// The leases of a worker are extended from now on.
+    Grant {
+        /// The worker.
+        number: Number,
+    },
     /// Tasks that serve stand beside tasks that take leftovers there, or no longer do.
     Watch {
         /// The worker.
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -17,6 +17,7 @@
 mod jobs;
 mod lives;
 mod looks;
+mod unheard;
 mod workers;
 
 use std::collections::BTreeMap;
@@ -124,6 +125,11 @@
         /// The share, in hundredths.
         percent: u32,
     },
+    /// Extend the leases of a worker from now on.
+    Grant {
+        /// The worker.
+        peer: Peer,
+    },
     /// Look more often, or no longer.
     Watch {
         /// The worker.
@@ -140,6 +146,7 @@
             Order::Start { peer, .. }
             | Order::Stop { peer, .. }
             | Order::Pace { peer, .. }
+            | Order::Grant { peer }
             | Order::Watch { peer, .. } => peer,
         }
     }
--- a/lib/src/batch/cell/flush.rs
+++ b/lib/src/batch/cell/flush.rs
@@ -87,6 +87,7 @@
             if let Some(mut worker) = self.workers.get_mut(life) {
                 worker.reopening = false;
             }
+            self.grant(life);
         }
         for (life, processed) in &flush.processed {
             if let Some(mut worker) = self.workers.get_mut(life) {
--- a/lib/src/batch/cell/looks.rs
+++ b/lib/src/batch/cell/looks.rs
@@ -66,6 +66,7 @@
             }
         }
         drop(worker);
+        self.note_heard(life);
         self.end_other_lives(life, sent);
         self.settle_lost(life);
         self.unasked.remove(life);
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -145,6 +145,9 @@
         self.unasked.remove(life);
         self.removed.push(worker.number);
         self.roster.push(record::forget_worker(life));
+        if !worker.unheard_told.is_zero() {
+            self.roster.push(record::forget_unheard(life));
+        }
         for (task, slot) in worker.slots {
             self.run_gone(task, slot);
         }
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -48,6 +48,8 @@
 const OWNER_SEPARATOR: char = '/';
 /// Digits of the hash of an account's name in them.
 const OWNER_DIGITS: usize = 16;
+/// Start of the keys in [`PROGRESS_TOPIC`] that tell for how long no scheduler has heard of workers.
+const UNHEARD_PREFIX: &str = "unheard/";
 /// Start of the keys in [`PROGRESS_TOPIC`] that name lives of workers that are over.
 const GONE_PREFIX: &str = "gone/";
 /// Key in [`PROGRESS_TOPIC`] of the boxes that were ordered lately or are about to be.
@@ -116,6 +118,8 @@
     Crashes(JobId, Crashes),
     /// A worker that may run something.
     Worker(Life, Known),
+    /// For how long no scheduler has heard of a worker.
+    Unheard(Life, Duration),
     /// A worker whose life is over.
     Gone(Life),
     /// The machines of a wave whose upkeep has begun.
@@ -165,6 +169,10 @@
     format!("{WORKER_PREFIX}{life}")
 }
 
+fn unheard_key(life: &Life) -> String {
+    format!("{UNHEARD_PREFIX}{life}")
+}
+
 fn gone_key(life: &Life) -> String {
     format!("{GONE_PREFIX}{life}")
 }
@@ -244,6 +252,16 @@
     Record::set(worker_key(life), encode(known))
 }
 
+/// The record of how long no scheduler has heard of a worker.
+pub fn unheard(life: &Life, time: Duration) -> Record {
+    Record::set(unheard_key(life), encode(&time))
+}
+
+/// The record that lets go of that.
+pub fn forget_unheard(life: &Life) -> Record {
+    Record::drop_key(unheard_key(life))
+}
+
 /// The record of a worker whose life is over.
 pub fn gone(life: &Life) -> Record {
     // The value says nothing, but a record without one would drop the key.
@@ -299,6 +317,9 @@
         if let Some(id) = record.key.strip_prefix(CRASHES_PREFIX) {
             return Ok(ProgressRecord::Crashes(id_of(id)?, decode(&record.key, value)?));
         }
+        if let Some(id) = record.key.strip_prefix(UNHEARD_PREFIX) {
+            return Ok(ProgressRecord::Unheard(Life::from(id), decode(&record.key, value)?));
+        }
         if let Some(id) = record.key.strip_prefix(GONE_PREFIX) {
             return Ok(ProgressRecord::Gone(Life::from(id)));
         }
--- a/lib/src/batch/scheduler/deal.rs
+++ b/lib/src/batch/scheduler/deal.rs
@@ -101,7 +101,7 @@
 fn take_command(cell: &Cell, worker: &Worker) -> Command {
     let (number, peer, durable) = (worker.number, worker.peer.clone(), worker.durable);
     let token = token(cell.token, worker.fence);
-    Command::Take { number, peer, durable, token }
+    Command::Take { number, peer, durable, token, grants: worker.granted }
 }
 
 /// Takes a share back, and deals its workers out to others.
@@ -182,6 +182,7 @@
         }
         Order::Stop { task, run, .. } => Command::Stop { number, task, run },
         Order::Pace { task, run, percent, .. } => Command::Pace { number, task, run, percent },
+        Order::Grant { .. } => Command::Grant { number },
         Order::Watch { closely, .. } => Command::Watch { number, closely },
     }
 }
--- a/lib/src/batch/scheduler/flush.rs
+++ b/lib/src/batch/scheduler/flush.rs
@@ -37,7 +37,7 @@
         }
         scheduler.cell().on_flushed(&changes);
         tell_durable(&scheduler, &changes);
-        if !changes.crashes.is_empty() {
+        if !changes.crashes.is_empty() || !changes.reopened.is_empty() {
             scheduler.kick();
         }
         scheduler.flushed.send_modify(|count| *count += 1);
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use futures_util::future::try_join_all;
@@ -45,6 +46,7 @@
     let mut cell = scheduler.cell();
     scheduler.turn.inherit(ordered(&kept.records));
     let (progress, crashes) = take_progress(&mut cell, &kept.records);
+    cell.restore_unheard(unheard(&kept.records));
     take_jobs(&mut cell, &jobs, progress);
     cell.restore_crashes(&crashes);
     Ok(jobs.iter().map(|newest| newest.end).collect())
@@ -72,7 +74,9 @@
                 cell.waves_seen.insert(number, at);
             }
             Ok(ProgressRecord::Gone(id)) => cell.inherit_gone(id, clock::now()),
-            Ok(ProgressRecord::Ordered(_) | ProgressRecord::Dropped) => {}
+            Ok(
+                ProgressRecord::Ordered(_) | ProgressRecord::Unheard(..) | ProgressRecord::Dropped,
+            ) => {}
             Err(error) => log::error!("a record of progress cannot be used: {error}"),
         }
     }
@@ -88,6 +92,15 @@
     ordered.flatten().collect()
 }
 
+/// For how long earlier schedulers have not heard of workers.
+fn unheard(records: &[Record]) -> Vec<(Life, Duration)> {
+    let unheard = records.iter().filter_map(|record| match ProgressRecord::decode(record) {
+        Ok(ProgressRecord::Unheard(life, time)) => Some((life, time)),
+        _ => None,
+    });
+    unheard.collect()
+}
+
 /// Takes in the jobs in the order in which they were accepted, then what clients cancelled: a
 /// cancel can only be taken in once its job is known. A job that several nodes were sent may lie in
 /// several partitions; the first one accepted counts.
--- a/lib/src/batch/scheduler/tick.rs
+++ b/lib/src/batch/scheduler/tick.rs
@@ -24,6 +24,7 @@
             for (life, listed) in cell.lapsed(now) {
                 if listed { cell.lapse(&life) } else { cell.remove_silent(&life) }
             }
+            cell.note_unheard(now);
             if cell.unasked.is_empty() {
                 cell.clear_inherited();
             }
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -101,6 +101,12 @@
     pub handed_over: bool,
     /// A carrier that was given up may have extended its lease, but no further than to here.
     pub lapses_after: Option<Instant>,
+    /// For how long earlier schedulers had not heard of it, and had granted it nothing.
+    pub unheard: Duration,
+    /// For how long nobody has heard of it, as the store knows or is about to; zero if it has no record.
+    pub unheard_told: Duration,
+    /// Its leases are extended.
+    pub granted: bool,
     /// The store has, or is about to have, a record that it fell silent.
     pub noted_silent: bool,
     /// It is heard of again, and the store does not know that yet.
@@ -142,6 +148,9 @@
             watched_closely: false,
             handed_over: false,
             lapses_after: None,
+            unheard: Duration::ZERO,
+            unheard_told: Duration::ZERO,
+            granted: false,
             noted_silent: false,
             reopening: false,
             is_later_life: false,
@@ -196,13 +205,13 @@
     /// When every lease that was asked for has run out for certain, if the worker hears nothing
     /// more from anyone. An earlier scheduler asked for no longer leases than this one.
     pub fn lapses_at(&self) -> Instant {
-        let (from, left) = match self.clock {
+        let longest = |lease: Duration| lease.div_f64(SLOWEST_CLOCK) + LEASE_SLACK;
+        let lapses_at = match self.clock {
             Some((clock, told)) => {
-                (told, Duration::from_millis(self.lease_until.saturating_sub(clock)))
+                told + longest(Duration::from_millis(self.lease_until.saturating_sub(clock)))
             }
-            None => (self.met_at, LEASE),
+            None => self.met_at + longest(LEASE).saturating_sub(self.unheard),
         };
-        let lapses_at = from + left.div_f64(SLOWEST_CLOCK) + LEASE_SLACK;
         self.lapses_after.map_or(lapses_at, |after| after.max(lapses_at))
     }
 
@@ -211,6 +220,11 @@
         self.entry.draining && self.listed
     }
 
+    /// For how long nobody has heard of it by `now`, if it has not answered this scheduler.
+    pub fn unheard_for(&self, now: Instant) -> Duration {
+        self.unheard + now.saturating_duration_since(self.met_at)
+    }
+
     /// Whether its end is no surprise: it has said that it leaves, or is being emptied.
     pub fn leaves(&self) -> bool {
         self.entry.draining || self.cordoned
--- a/lib/tests/test_bounds.rs
+++ b/lib/tests/test_bounds.rs
@@ -147,7 +147,7 @@
                     self.cell.on_stopped(&peer.life, task, run, self.now);
                     self.running.retain(|known| *known != (peer.life.to_string(), task, run));
                 }
-                Order::Pace { .. } | Order::Watch { .. } => {}
+                Order::Grant { .. } | Order::Pace { .. } | Order::Watch { .. } => {}
             }
         }
         started
--- a/lib/tests/test_lives.rs
+++ b/lib/tests/test_lives.rs
@@ -404,7 +404,7 @@
         let token = token(self.token, known.fence);
         // Over a new connection, and after a look without an answer, nothing is acknowledged or granted.
         let durable = if is_same { known.durable } else { 0 };
-        let lease = known.clock.filter(|_| is_same);
+        let lease = known.clock.filter(|_| is_same && known.granted);
         let (now, sent) = (self.now, self.now - Duration::from_millis(1));
         let lease = lease.map(|(clock, told)| {
             let age = now.saturating_duration_since(told).as_millis() as u64;
@@ -526,7 +526,7 @@
                     }
                     self.cell.on_stopped(&life, task, run, self.now);
                 }
-                Order::Pace { .. } | Order::Watch { .. } => {}
+                Order::Grant { .. } | Order::Pace { .. } | Order::Watch { .. } => {}
             }
         }
     }
@@ -572,6 +572,7 @@
         for (life, listed) in self.cell.lapsed(self.now) {
             if listed { self.cell.lapse(&life) } else { self.cell.remove_silent(&life) }
         }
+        self.cell.note_unheard(self.now);
         if self.cell.unasked.is_empty() {
             self.cell.clear_inherited();
         }
@@ -583,14 +584,17 @@
         self.token += 1;
         self.cell = Cell::new(self.token);
         let mut progress: HashMap<JobId, Progress> = HashMap::new();
+        let mut unheard = Vec::new();
         for record in self.store.values() {
             match ProgressRecord::decode(record).unwrap() {
                 ProgressRecord::Worker(life, known) => self.cell.meet_known(life, known, self.now),
                 ProgressRecord::Gone(life) => self.cell.inherit_gone(life, self.now),
                 ProgressRecord::Progress(job, told) => drop(progress.insert(job, told)),
+                ProgressRecord::Unheard(life, time) => unheard.push((life, time)),
                 _ => {}
             }
         }
+        self.cell.restore_unheard(unheard);
         for (job, size) in self.sizes.clone() {
             let told = progress.remove(&job).unwrap_or_default();
             self.cell.admit(job, accepted(vec![step(size)]), Some(&told));
--- a/lib/tests/test_wave_plan.rs
+++ b/lib/tests/test_wave_plan.rs
@@ -194,7 +194,7 @@
                         self.check_stop(task)?;
                     }
                 }
-                Order::Pace { .. } | Order::Watch { .. } => {}
+                Order::Grant { .. } | Order::Pace { .. } | Order::Watch { .. } => {}
             }
         }
         Ok(())
--- a/testutils/src/batch/play.rs
+++ b/testutils/src/batch/play.rs
@@ -266,7 +266,7 @@
                     }
                     self.cell.on_stopped(&peer.life, task, run, self.now());
                 }
-                Order::Pace { .. } | Order::Watch { .. } => {}
+                Order::Grant { .. } | Order::Pace { .. } | Order::Watch { .. } => {}
             }
         }
         doomed
--- a/testutils/tests/test_carry.rs
+++ b/testutils/tests/test_carry.rs
@@ -95,7 +95,7 @@
     let answers = [look(100, "[]"), look(100, DONE), look(101, DONE)];
     let (peer, _) = worker(&answers).await;
     let (carrier, mut events) = Carrier::begin(tools(), License::unbounded());
-    carrier.obey(Command::Take { number: 1, peer, durable: 0, token: TOKEN });
+    carrier.obey(Command::Take { number: 1, peer, durable: 0, token: TOKEN, grants: true });
     assert_matches!(next(&mut events).await, Event::Seen { seen, .. } if seen.clock == 100 && seen.ended.is_empty());
     assert_matches!(next(&mut events).await, Event::Seen { seen, .. } => {
         assert_eq!((seen.clock, seen.ended.len()), (101, 1));
@@ -107,7 +107,7 @@
     let answers = [look(100, DONE), look(500, DONE), look(900, DONE)];
     let (peer, _) = worker(&answers).await;
     let (carrier, mut events) = Carrier::begin(tools(), License::unbounded());
-    carrier.obey(Command::Take { number: 1, peer, durable: 0, token: TOKEN });
+    carrier.obey(Command::Take { number: 1, peer, durable: 0, token: TOKEN, grants: true });
     assert_matches!(next(&mut events).await, Event::Seen { seen, .. } if seen.ended.len() == 1);
     assert_matches!(next(&mut events).await, Event::Seen { seen, .. } if seen.ended.is_empty());
 }
@@ -123,7 +123,7 @@
 async fn without_a_licence_nothing_is_started_and_no_lease_is_extended() {
     let (peer, asked) = worker(&[look(100, "[]")]).await;
     let (carrier, mut events) = Carrier::begin(tools(), License::bounded());
-    carrier.obey(Command::Take { number: 1, peer, durable: 0, token: TOKEN });
+    carrier.obey(Command::Take { number: 1, peer, durable: 0, token: TOKEN, grants: true });
     carrier.obey(start(1));
     assert_matches!(next(&mut events).await, Event::NotStarted { number: 1, why: None, .. });
     assert_eq!(*asked.lock().unwrap(), Vec::<String>::new());
@@ -141,7 +141,7 @@
     let (carrier, mut events) = Carrier::begin(tools(), License::unbounded());
     carrier.obey(start(1));
     assert_matches!(next(&mut events).await, Event::NotStarted { .. });
-    carrier.obey(Command::Take { number: 1, peer, durable: 0, token: TOKEN });
+    carrier.obey(Command::Take { number: 1, peer, durable: 0, token: TOKEN, grants: true });
     carrier.obey(start(1));
     assert_matches!(next(&mut events).await, Event::NotStarted { .. });
     assert!(!asked.lock().unwrap().iter().any(|path| path == "/api/run-start"));
@@ -185,7 +185,7 @@
 
 fn take_command(number: u64) -> Command {
     let peer = Peer { life: format!("w{number}").into(), addr: addr() };
-    Command::Take { number, peer, durable: 0, token: TOKEN }
+    Command::Take { number, peer, durable: 0, token: TOKEN, grants: true }
 }
 
 #[tokio::test]
