pool: a box has joined its pool once its worker has answered

Cause: a move was done once the worker was known, and the worker counts in the load once it has answered; a round in between counted it in neither and fetched another box. Evidence: with the boxes and logs in the check's message, 16 of 200 runs beside eight busy processes fail, each with a second move just before the first start on the box that had come.

Change: until its worker has answered a box counts as coming. Why it works: the two counts change hands at one moment.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -557,7 +557,7 @@
     });
     site.insist(&id(1), json!({ "spec": "ms=100 cpu=1000 mem=100", "steps": [step] })).await;
     site.until_succeeded(&id(1)).await;
-    assert_eq!(site.machines.in_pool("work"), 3);
+    assert_eq!(site.machines.in_pool("work"), 3, "{}", site.account());
     assert_sound(&site);
 }
 
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -62,6 +62,12 @@
     idle: HashMap<MachineId, Instant>,
 }
 
+/// Whether the worker of a box that was moved has answered. Until then it counts in no load, and another box would be fetched
+/// for what it was fetched for.
+pub fn has_joined(cell: &Cell, machine: &Machine) -> bool {
+    cell.worker_on(machine).is_some_and(|worker| worker.fenced)
+}
+
 impl Pools {
     /// Whether moves are under way or wanted.
     pub fn wants_list(&self, scheduler: &Scheduler) -> bool {
@@ -109,7 +115,7 @@
         self.moves.retain(|id, under_way| {
             let machine = listed.get(id.as_str());
             let arrived = machine.is_some_and(|machine| {
-                let joined = cell.worker_on(machine).is_some();
+                let joined = has_joined(cell, machine);
                 // A machine that is switched off has no worker that would join.
                 let joined = joined || under_way.is_off;
                 machine.pool == under_way.to && machine.status == Status::Up && joined
--- a/lib/tests/test_box_list.rs
+++ b/lib/tests/test_box_list.rs
@@ -6,6 +6,8 @@
 
 use spokelift_lib::batch::cell::Cell;
 use spokelift_lib::batch::cell::Order;
+use spokelift_lib::batch::pool::has_joined;
+use spokelift_lib::batch::pool::load::loads;
 use spokelift_lib::batch::record::Progress;
 use spokelift_lib::transport::clock;
 use spokelift_platform::job::JobId;
@@ -250,3 +252,16 @@
     let told: Vec<String> = crashes.map(|crash| crash.evidence.to_string()).collect();
     assert_eq!(told, ["others crashed in the same moment"; 3]);
 }
+
+/// A second box was fetched for what the first one had been fetched for.
+#[test]
+fn a_box_has_joined_its_pool_once_its_worker_counts_in_the_load() {
+    let mut bed = Bed::new(1);
+    let arrived = machine(0, Status::Up, Some("w0"));
+    let counts = |cell: &Cell, now| loads(cell, now).get("work").map_or(0, |load| load.workers);
+    assert!(!has_joined(&bed.cell, &arrived));
+    assert_eq!(counts(&bed.cell, bed.now), 0);
+    bed.look(0);
+    assert!(has_joined(&bed.cell, &arrived));
+    assert_eq!(counts(&bed.cell, bed.now), 1);
+}
--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -133,6 +133,17 @@
         self.state().machines.values().filter(|machine| machine.shape.service == pool).count()
     }
 
+    /// A line for each machine: its pool, its status and its worker.
+    pub fn account(&self) -> String {
+        let state = self.state();
+        let lines = state.machines.iter().map(|(id, machine)| {
+            let worker = machine.worker.as_ref().map(|worker| worker.id.as_str());
+            let (pool, rack) = (&machine.shape.service, &machine.shape.rack);
+            format!("{id} pool={pool} rack={rack} {} {}", machine.status, worker.unwrap_or("-"))
+        });
+        lines.collect::<Vec<String>>().join("\n")
+    }
+
     /// Machines of a wave whose upkeep has begun, and the most that were down at once.
     pub fn upkept(&self, wave: u64) -> (usize, usize) {
         let state = self.state();
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -335,8 +335,13 @@
             }
             sleep(PAUSE).await;
         }
-        let accounts: Vec<String> = self.nodes.iter().map(Node::account).collect();
-        panic!("not within a minute: {what}\n{}", accounts.join("\n"));
+        panic!("not within a minute: {what}\n{}", self.account());
+    }
+
+    /// What the machines are and what the daemons have written, for the message of a check.
+    pub fn account(&self) -> String {
+        let nodes: Vec<String> = self.nodes.iter().map(Node::account).collect();
+        format!("{}\n{}", self.machines.account(), nodes.join("\n"))
     }
 
     /// Waits until a job has succeeded, by whichever node answers.
