--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -22,9 +22,8 @@
 use crate::batch::worker::Worker;
 use crate::transport::clock;
 
-/// How long a worker whose life is over is remembered. The store lists one that died with its machine
-/// for three heartbeats, about 5 s; a scheduler that begins then would wait 5.6 s for its lease before
-/// it starts anything of that service.
+/// How long a worker whose life is over is remembered: longer than the store lists one that died with its machine, three
+/// heartbeats, since a scheduler that begins then would wait for its leases.
 const REMEMBER_GONE: Duration = Duration::from_millis(15_000);
 
 /// How long after every node knows of a scheduler, a second after it began, it ends no task that lasts of its own
--- a/lib/src/batch/crash.rs
+++ b/lib/src/batch/crash.rs
@@ -14,37 +14,30 @@
 use serde::Serialize;
 use spokelift_platform::worker::Life;
 
-/// A run that had been on a worker for no longer when the worker was last heard of had only just begun.
-/// A worker at full load answers a look or a start each 50 ms, so of the 13 tasks on it about three, mostly
-/// of one or two jobs, are that young.
+/// A run that had been on a worker for no longer when the worker was last heard of had only just begun: a few of the runs
+/// on a worker at full load, of which something is heard at each start.
 pub const JUST_BEGUN: Duration = Duration::from_millis(150);
-/// Crashes under a suspect after which it is given up: as early as the platform allows it. A task that
-/// goes on takes 13 others with it each time.
+/// Crashes under a suspect after which it is given up: as early as the platform allows it, since a task that goes on takes
+/// all others on its worker with it each time.
 const MOST_AS_SUSPECT: usize = 2;
-/// The same for a task that lasts. It is restarted all day long, and 30% of all workers crashing each 3 s
-/// hit one run in 60 as it begins.
+/// The same for a task that lasts: it is restarted all day long, so crashes of other causes hit it more often as it begins.
 const MOST_LASTING: usize = 3;
 /// Crashes under a task, however long it had run, after which it is given up. The platform allows two more
-/// starts after the third crash; one of them is left for what a lost scheduler had not written down. A task
-/// of 2 s has four such runs once in 500 where 30% of all workers crash each 3 s for reasons of their own.
+/// starts after the third crash; one of them is left for what a lost scheduler had not written down.
 const MOST: usize = 4;
-
-/// The same for a task that lasts: as many as the platform allows starts. It is started again all day long, and with four,
-/// 3 of 320 such jobs were given up in a storm of crashes beside poison tasks.
+/// The same for a task that lasts: as many as the platform allows starts, since it is started again all day long.
 const MOST_OF_ALL_LASTING: usize = 5;
 
-/// Share of crashes under a task that had been a suspect before, from which on a task is tried by itself
-/// after the first crash. About half are where tasks are to blame, 3 to 10 in a hundred where 30% of all
-/// workers crash each 3 s whatever they run.
+/// Share of crashes under a task that had been a suspect before, from which on a task is tried by itself after the first
+/// crash. About half are where tasks are to blame, few where workers crash whatever they run.
 const REPEATED: f64 = 0.25;
 /// Weight of the newest crash in that share.
 const NEWEST: f64 = 0.1;
 /// The share before any crash was seen: the first poison task should meet a scheduler that looks for it.
 const REPEATED_AT_FIRST: f64 = 0.5;
 
-/// How often crashes come under the same tasks again, as this scheduler sees it. Where workers crash for
-/// reasons of their own, trying every task that was there by itself only costs room: 0.015 of a day's worth
-/// (mean of 24 days at 49 workers of which 30% crashed each 3 s).
+/// How often crashes come under the same tasks again, as this scheduler sees it. Where workers crash for reasons of their
+/// own, trying every task that was there by itself only costs room.
 #[derive(Clone, Copy, Debug)]
 pub struct Repeats(f64);
 
--- a/lib/src/batch/crash/silence.rs
+++ b/lib/src/batch/crash/silence.rs
@@ -1,16 +1,14 @@
 //! Workers that fell silent in the same moment.
 //!
 //! A task that brings down its worker does so at a time of its own. Where many workers crash together, something
-//! else did it: a rack without power, a bad release, a cut network. Three in ten workers of a site crashing each
-//! 3 s had up to 24 jobs given up in 30 s, none of which had brought down any (349 workers), and 13 of 5,339 in the
-//! played load of `test_crash_storm`.
+//! else did it: a rack without power, a bad release, a cut network. One that held a task which had crashed another
+//! worker before explains itself, and does not count.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
-/// Least number of other workers that fell silent in the same moment. In a service of 12 workers, 1.6 of which
-/// were brought down a second by tasks, two others did so by chance in one crash of 200.
+/// Least number of other workers that fell silent in the same moment: with one other, chance would do.
 const LEAST: usize = 2;
 /// The same as a share of the workers, in hundredths: among many, several tasks may bring down
 /// their workers at once.
