--- a/lib/src/batch/crash/silence.rs
+++ b/lib/src/batch/crash/silence.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Least number of other workers that fell silent in the same moment: with one other, chance would do.
+/// Least number of other workers that fell silent in the same moment: one other may be chance.
 const LEAST: usize = 2;
 /// The same as a share of the workers, in hundredths: among many, several tasks may bring down
 /// their workers at once.
