testutils: a store that takes a scheduler's changes stands once

Cause: test_lives and test_unheard each wrote the changes of a cell into a map of records, line for line alike. Change: testutils::batch::flush does so for both; checks and models are as they were.

--- a/lib/tests/test_lives.rs
+++ b/lib/tests/test_lives.rs
@@ -21,7 +21,6 @@
 use spokelift_platform::job::TaskName;
 use spokelift_platform::machine::Machine;
 use spokelift_platform::machine::Status;
-use spokelift_platform::store::Record;
 use spokelift_platform::worker::Born;
 use spokelift_platform::worker::End;
 use spokelift_platform::worker::Entry;
@@ -295,7 +294,7 @@
     cell: Cell,
     token: Token,
     now: Instant,
-    store: BTreeMap<String, Record>,
+    store: batch::Store,
     processes: Vec<Process>,
     /// Workers whose boxes are down.
     down: Vec<bool>,
@@ -326,7 +325,7 @@
             cell: Cell::new(TOKEN),
             token: TOKEN,
             now,
-            store: BTreeMap::new(),
+            store: batch::Store::new(),
             processes: processes.collect(),
             down: vec![false; WORKERS],
             lists: VecDeque::new(),
@@ -546,14 +545,7 @@
     }
 
     fn flush(&mut self) {
-        let flush = self.cell.take_flush();
-        for record in &flush.records {
-            match record.value {
-                Some(_) => self.store.insert(record.key.clone(), record.clone()),
-                None => self.store.remove(&record.key),
-            };
-        }
-        self.cell.on_flushed(&flush);
+        batch::flush(&mut self.cell, &mut self.store);
     }
 
     fn pass(&mut self, time: Duration) {
--- a/lib/tests/test_unheard.rs
+++ b/lib/tests/test_unheard.rs
@@ -1,6 +1,5 @@
 //! A worker that is silent over several takeovers holds up what it may run no longer than its leases last.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,7 +10,6 @@
 use spokelift_lib::batch::worker::LEASE;
 use spokelift_lib::transport::clock;
 use spokelift_platform::job::Step;
-use spokelift_platform::store::Record;
 use spokelift_platform::worker::Life;
 use spokelift_platform::worker::Peer;
 use spokelift_platform::worker::Seen;
@@ -28,7 +26,7 @@
     cell: Cell,
     token: u64,
     now: Instant,
-    store: BTreeMap<String, Record>,
+    store: batch::Store,
 }
 
 fn peer(id: &str) -> Peer {
@@ -43,7 +41,7 @@
     /// A scheduler of which the first worker has a task; the second has room.
     fn new() -> Bed {
         let now = clock::now();
-        let mut bed = Bed { cell: Cell::new(1), token: 1, now, store: BTreeMap::new() };
+        let mut bed = Bed { cell: Cell::new(1), token: 1, now, store: batch::Store::new() };
         bed.meet_all();
         bed.flush();
         bed
@@ -56,14 +54,7 @@
     }
 
     fn flush(&mut self) {
-        let flush = self.cell.take_flush();
-        for record in &flush.records {
-            match record.value {
-                Some(_) => self.store.insert(record.key.clone(), record.clone()),
-                None => self.store.remove(&record.key),
-            };
-        }
-        self.cell.on_flushed(&flush);
+        batch::flush(&mut self.cell, &mut self.store);
     }
 
     /// Another scheduler takes over; only one worker answers it.
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -3,12 +3,15 @@
 pub mod play;
 pub mod published;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use spokelift_lib::batch::cell::Cell;
 use spokelift_lib::batch::record::Accepted;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::Step;
+use spokelift_platform::store::Record;
 use spokelift_platform::worker::Entry;
 use spokelift_platform::worker::Room;
 
@@ -54,3 +57,26 @@
         born: None,
     }
 }
+
+/// What a store keeps of the progress topic: the newest record of each key.
+pub type Store = BTreeMap<String, Record>;
+
+/// A store takes the changes of a scheduler, which then knows that it has.
+///
+/// ```
+/// use spokelift_lib::batch::cell::Cell;
+/// use spokelift_testutils::batch::{flush, Store};
+/// let mut store = Store::new();
+/// flush(&mut Cell::new(1), &mut store);
+/// assert!(store.is_empty());
+/// ```
+pub fn flush(cell: &mut Cell, store: &mut Store) {
+    let flush = cell.take_flush();
+    for record in &flush.records {
+        match record.value {
+            Some(_) => store.insert(record.key.clone(), record.clone()),
+            None => store.remove(&record.key),
+        };
+    }
+    cell.on_flushed(&flush);
+}
