relay: reads of a node that the store does not answer go to a peer at once

Cause: a read went to the store first, and to a peer only when its own time was over, also when the call before had had no answer. A holder of the lead that is cut off from the store thus read its workers' entries each second in place of each 0.15 s, and boxes that were moved stood idle as long.

Ruled out: the lead's renewals (317 ms at most), and appends, which take 16 ms after the first second.

Change: while the last call had no answer a read goes both ways at once, a peer waits for news, and the own way asks for none, so that it is seen to be open again at once.

--- a/lib/src/batch/relay.rs
+++ b/lib/src/batch/relay.rs
@@ -22,7 +22,6 @@
 use spokelift_platform::store::Record;
 use spokelift_platform::store::Store;
 
-use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::batch::node::Node;
@@ -37,8 +36,8 @@
 /// How long an append may go without an answer before a peer is asked to do it as well. The store
 /// answers within 5 ms in calm.
 const HEDGE: Duration = Duration::from_millis(300);
-/// Pause after a read through another node.
-const READ_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time that a peer waits for news in a read, so that it answers before it is taken not to.
+const PEER_POLL: Duration = Duration::from_millis(300);
 
 /// A call to the store that a peer is to make.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,6 +57,8 @@
         partition: Partition,
         /// The offset.
         from: Offset,
+        /// How long to wait for news.
+        long_poll: Duration,
     },
     /// Read the newest record of each key.
     Newest {
@@ -223,7 +224,8 @@
         done
     }
 
-    /// Reads a partition, through another node if the store turns this one away.
+    /// Reads a partition, through another node if the store turns this one away. Then it may wait for news less
+    /// long than asked, as the store's own answer is only to show that this node is served again.
     ///
     /// # Errors
     ///
@@ -236,24 +238,15 @@
         wait: Duration,
     ) -> Result<Page, CallError> {
         let partition = partition.into();
-        let done = self.store.read(&partition, from, long_poll, wait).await;
-        self.way.note(&done);
-        let error = match done {
-            Err(error) if error.is_turned_away() => error,
-            done => return done,
-        };
-        match self.relay(Call::Read { partition, from }).await {
-            Some(Answer::Page(page)) => {
-                self.counters.count("batch.store.read-through-peer");
-                // Not to ask the peer without pause, since it does not wait for news.
-                sleep(READ_PAUSE).await;
-                Ok(page)
-            }
-            Some(Answer::Refused { status, reason }) => {
-                Err(CallError::Refused { status, reason, body: Bytes::new() })
-            }
-            _ => Err(error),
-        }
+        let own_poll = if self.way.is_shut() { Duration::ZERO } else { long_poll };
+        let direct = self.store.read(&partition, from, own_poll, wait);
+        let long_poll = long_poll.min(PEER_POLL);
+        let call = Call::Read { partition: partition.clone(), from, long_poll };
+        self.read(direct, call, |answer| match answer {
+            Answer::Page(page) => Some(page),
+            _ => None,
+        })
+        .await
     }
 
     /// Reads the newest records of a partition, through another node if the store turns this one away.
@@ -267,16 +260,57 @@
         wait: Duration,
     ) -> Result<Newest, CallError> {
         let partition = partition.into();
-        let done = self.store.newest(&partition, wait).await;
-        self.way.note(&done);
-        let error = match done {
-            Err(error) if error.is_turned_away() => error,
-            done => return done,
+        let direct = self.store.newest(&partition, wait);
+        let call = Call::Newest { partition: partition.clone() };
+        self.read(direct, call, |answer| match answer {
+            Answer::Newest(newest) => Some(newest),
+            _ => None,
+        })
+        .await
+    }
+
+    /// Reads from the store; while its door is shut, through a peer at the same time, since a store that says nothing
+    /// would hold up each read for its whole time.
+    async fn read<T>(
+        &self,
+        direct: impl Future<Output = Result<T, CallError>>,
+        call: Call,
+        take: impl Fn(Answer) -> Option<T>,
+    ) -> Result<T, CallError> {
+        let is_shut = self.way.is_shut();
+        let direct = async {
+            let done = direct.await;
+            self.way.note(&done);
+            done
+        };
+        let relayed = async { self.taken(self.relay(call).await, take) };
+        let (mut direct, mut relayed) = (std::pin::pin!(direct), std::pin::pin!(relayed));
+        let done = tokio::select! {
+            done = &mut direct => done,
+            relayed = &mut relayed, if is_shut => match relayed {
+                Some(done) => return done,
+                None => return direct.await,
+            },
         };
-        match self.relay(Call::Newest { partition }).await {
-            Some(Answer::Newest(newest)) => Ok(newest),
-            _ => Err(error),
+        match done {
+            Err(error) if error.is_turned_away() => relayed.await.unwrap_or(Err(error)),
+            done => done,
+        }
+    }
+
+    /// What a peer read, or why the store refuses it; `None` if the peers could not ask it.
+    fn taken<T>(
+        &self,
+        answer: Option<Answer>,
+        take: impl Fn(Answer) -> Option<T>,
+    ) -> Option<Result<T, CallError>> {
+        let answer = answer?;
+        if let Answer::Refused { status, reason } = answer {
+            return Some(Err(CallError::Refused { status, reason, body: Bytes::new() }));
         }
+        let read = take(answer)?;
+        self.counters.count("batch.store.read-through-peer");
+        Some(Ok(read))
     }
 
     /// Has one of a few peers make a call; `None` if none answered, so that it is not known.
@@ -331,8 +365,9 @@
             let appended = store.append(&partition, &records, &guard, PEER_CALL).await;
             appended.map(Answer::Appended)
         }
-        Call::Read { partition, from } => {
-            let page = store.read(&partition, from, Duration::ZERO, PEER_CALL).await;
+        Call::Read { partition, from, long_poll } => {
+            let long_poll = long_poll.min(PEER_POLL);
+            let page = store.read(&partition, from, long_poll, PEER_CALL).await;
             page.map(Answer::Page)
         }
         Call::Newest { partition } => store.newest(&partition, PEER_CALL).await.map(Answer::Newest),
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -5,15 +5,22 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use spokelift_lib::batch::cell::Cell;
+use spokelift_lib::batch::node::Node;
+use spokelift_lib::batch::peer;
 use spokelift_lib::batch::record::Accepted;
+use spokelift_lib::metrics::Counters;
+use spokelift_lib::settings::NodeSettings;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::Step;
+use spokelift_platform::settings::Settings;
 use spokelift_platform::store::Record;
 use spokelift_platform::worker::Entry;
 use spokelift_platform::worker::Room;
+use tokio::net::TcpListener;
 
 /// An address at which nothing is called.
 pub fn addr() -> SocketAddr {
@@ -80,3 +87,19 @@
     }
     cell.on_flushed(&flush);
 }
+
+/// A node that answers its peers on a listener and has no tasks of its own.
+pub fn node(listener: TcpListener, store: SocketAddr) -> Arc<Node> {
+    let addr = listener.local_addr().expect("a listener has an address");
+    let (ip, port) = (addr.ip(), addr.port());
+    let text = format!(
+        "node = \"n-{addr}\"\nip = \"{ip}\"\nzone = \"hall-1\"\nportRange = [{port}, {}]\n\
+         [listen]\nfront = \"{ip}:1\"\nreadiness = \"{ip}:1\"\n[platform]\naddress = \"{store}\"\n",
+        u32::from(port) + 1,
+    );
+    let settings = Settings::decode(&text).expect("the settings decode");
+    let options = NodeSettings::resolve(|_| None).expect("every setting has a value");
+    let node = Node::new(settings, options, Counters::new(None).expect("no metrics are sent"));
+    tokio::spawn(peer::serve(node.clone(), listener));
+    node
+}
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -90,6 +90,11 @@
         self.fault.lock().expect("no holder panics").0 = fault;
     }
 
+    /// How many requests have come through it.
+    pub fn asked(&self) -> u64 {
+        self.fault.lock().expect("no holder panics").1
+    }
+
     fn take(&self) -> (Fault, u64) {
         let mut fault = self.fault.lock().expect("no holder panics");
         fault.1 += 1;
--- a/testutils/tests/test_spread.rs
+++ b/testutils/tests/test_spread.rs
@@ -15,10 +15,7 @@
 
 use spokelift_lib::batch::config::Config;
 use spokelift_lib::batch::node::Node;
-use spokelift_lib::batch::peer;
-use spokelift_lib::metrics::Counters;
-use spokelift_lib::settings::NodeSettings;
-use spokelift_platform::settings::Settings;
+use spokelift_testutils::batch;
 use spokelift_testutils::batch::published;
 use spokelift_testutils::batch::published::published;
 use tokio::net::TcpListener;
@@ -55,16 +52,7 @@
     let addrs: Vec<SocketAddr> =
         listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
     let begin = |(listener, addr): (TcpListener, SocketAddr)| {
-        let (ip, port) = (addr.ip(), addr.port());
-        let text = format!(
-            "node = \"n-{ip}\"\nip = \"{ip}\"\nzone = \"hall-1\"\nportRange = [{port}, {}]\n\
-             [listen]\nfront = \"{ip}:1\"\nreadiness = \"{ip}:1\"\n[platform]\naddress = \"127.0.0.1:1\"\n",
-            u32::from(port) + 1,
-        );
-        let settings = Settings::decode(&text).unwrap();
-        let options = NodeSettings::resolve(|_| None).unwrap();
-        let node = Node::new(settings, options, Counters::new(None).unwrap());
-        tokio::spawn(peer::serve(node.clone(), listener));
+        let node = batch::node(listener, batch::addr());
         node.directory
             .learn(addrs.iter().filter(|other| **other != addr).map(|other| (*other, 250)));
         node
