scheduler: a takeover decodes each record of progress once

It was decoded up to three times: for how far jobs are, again for the boxes ordered last, and, since, a third time for workers not heard of. One pass collects all four. What is taken in, and in which order, is as before.

--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -44,27 +44,37 @@
     let reads = partitions.map(|number| node.read_newest(record::job_partition(number), LOAD));
     let jobs = try_join_all(reads).await?;
     let mut cell = scheduler.cell();
-    scheduler.turn.inherit(ordered(&kept.records));
-    let (progress, crashes) = take_progress(&mut cell, &kept.records);
-    cell.restore_unheard(unheard(&kept.records));
-    take_jobs(&mut cell, &jobs, progress);
-    cell.restore_crashes(&crashes);
+    let kept = take_progress(&mut cell, &kept.records);
+    scheduler.turn.inherit(kept.ordered);
+    cell.restore_unheard(kept.unheard);
+    take_jobs(&mut cell, &jobs, kept.progress);
+    cell.restore_crashes(&kept.crashes);
     Ok(jobs.iter().map(|newest| newest.end).collect())
 }
 
-/// Takes in the records of the progress topic; returns how far jobs are, and under which tasks workers crashed.
-fn take_progress(
-    cell: &mut Cell,
-    records: &[Record],
-) -> (HashMap<JobId, Progress>, HashMap<JobId, Crashes>) {
-    let (mut progress, mut crashes) = (HashMap::new(), HashMap::new());
+/// What the progress topic says that is taken in once all of it is read.
+#[derive(Default)]
+struct Kept {
+    /// How far jobs are.
+    progress: HashMap<JobId, Progress>,
+    /// Under which tasks workers crashed.
+    crashes: HashMap<JobId, Crashes>,
+    /// Boxes that the scheduler before may have ordered last.
+    ordered: HashSet<MachineId>,
+    /// For how long earlier schedulers have not heard of workers.
+    unheard: Vec<(Life, Duration)>,
+}
+
+/// Takes in the records of the progress topic; returns what is taken in after them.
+fn take_progress(cell: &mut Cell, records: &[Record]) -> Kept {
+    let mut kept = Kept::default();
     for record in records {
         match ProgressRecord::decode(record) {
             Ok(ProgressRecord::Progress(id, told)) => {
-                progress.insert(id, told);
+                kept.progress.insert(id, told);
             }
             Ok(ProgressRecord::Crashes(id, told)) => {
-                crashes.insert(id, told);
+                kept.crashes.insert(id, told);
             }
             Ok(ProgressRecord::Worker(id, known)) => cell.meet_known(id, known, clock::now()),
             Ok(ProgressRecord::Wave(number, begun)) => {
@@ -74,31 +84,13 @@
                 cell.waves_seen.insert(number, at);
             }
             Ok(ProgressRecord::Gone(id)) => cell.inherit_gone(id, clock::now()),
-            Ok(
-                ProgressRecord::Ordered(_) | ProgressRecord::Unheard(..) | ProgressRecord::Dropped,
-            ) => {}
+            Ok(ProgressRecord::Ordered(boxes)) => kept.ordered.extend(boxes),
+            Ok(ProgressRecord::Unheard(life, time)) => kept.unheard.push((life, time)),
+            Ok(ProgressRecord::Dropped) => {}
             Err(error) => log::error!("a record of progress cannot be used: {error}"),
         }
     }
-    (progress, crashes)
-}
-
-/// Boxes that the scheduler before may have ordered last.
-fn ordered(records: &[Record]) -> HashSet<MachineId> {
-    let ordered = records.iter().filter_map(|record| match ProgressRecord::decode(record) {
-        Ok(ProgressRecord::Ordered(boxes)) => Some(boxes),
-        _ => None,
-    });
-    ordered.flatten().collect()
-}
-
-/// For how long earlier schedulers have not heard of workers.
-fn unheard(records: &[Record]) -> Vec<(Life, Duration)> {
-    let unheard = records.iter().filter_map(|record| match ProgressRecord::decode(record) {
-        Ok(ProgressRecord::Unheard(life, time)) => Some((life, time)),
-        _ => None,
-    });
-    unheard.collect()
+    kept
 }
 
 /// Takes in the jobs in the order in which they were accepted, then what clients cancelled: a
