relay: the wait of a read for a peer is bounded in one place

The asker and the peer that serves both cut it to PEER_POLL; the peer's cut is the one that holds for whoever asks. The same wait comes of it.

--- a/lib/src/batch/relay.rs
+++ b/lib/src/batch/relay.rs
@@ -57,7 +57,7 @@
         partition: Partition,
         /// The offset.
         from: Offset,
-        /// How long to wait for news.
+        /// How long to wait for news, at most `PEER_POLL`.
         long_poll: Duration,
     },
     /// Read the newest record of each key.
@@ -240,7 +240,6 @@
         let partition = partition.into();
         let own_poll = if self.way.is_shut() { Duration::ZERO } else { long_poll };
         let direct = self.store.read(&partition, from, own_poll, wait);
-        let long_poll = long_poll.min(PEER_POLL);
         let call = Call::Read { partition: partition.clone(), from, long_poll };
         self.read(direct, call, |answer| match answer {
             Answer::Page(page) => Some(page),
