carry: one wait for what the store has to know after a look

await_granting stood beside await_durable: the same loop over a Notify, with a time of its own of the same 0.3 s. One function takes the condition. The two waits follow each other as before; test_carry passes unchanged.

--- a/lib/src/batch/carry/look.rs
+++ b/lib/src/batch/carry/look.rs
@@ -10,6 +10,7 @@
 use spokelift_platform::worker::Look;
 use spokelift_platform::worker::Refusal;
 use spokelift_platform::worker::Seen;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -29,10 +30,8 @@
 const LOOK_NOW: Duration = Duration::from_millis(300);
 /// Longest pause between looks at a worker that does not answer.
 const LOOK_PAUSE: Duration = Duration::from_millis(400);
-/// How long the ends of one look wait for the store before the worker is looked at again.
-const AWAIT_DURABLE: Duration = Duration::from_millis(300);
-/// How long the next look at a worker waits for its leases to be extended.
-const AWAIT_GRANTING: Duration = Duration::from_millis(300);
+/// How long what one look has brought waits for the store before the worker is looked at again.
+const AWAIT_STORE: Duration = Duration::from_millis(300);
 /// Time between questions whether there is a licence again.
 const LICENSE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -49,8 +48,9 @@
                 if !tell_seen(&carrier, number, &charge, sent, seen) {
                     return;
                 }
-                await_granting(&charge).await;
-                await_durable(&charge).await;
+                // The next look extends its leases, and acknowledges the ends that it has listed.
+                await_store(&charge, &charge.granting, |state| state.grants).await;
+                await_store(&charge, &charge.durable, |state| state.told <= state.durable).await;
             }
             Err(error) => {
                 if !is_worth_another(&carrier, number, &charge, &error) {
@@ -164,32 +164,17 @@
     }
 }
 
-/// Waits until the leases of a worker that has answered may be extended, so that the next look does so.
-async fn await_granting(charge: &Charge) {
-    let granting = async {
-        while !charge.state().grants {
-            charge.granting.notified().await;
-        }
-    };
-    // While the store is away, the worker is looked at all the same, to hear of its ends.
-    let _ = timeout(AWAIT_GRANTING, granting).await;
-}
-
-/// Waits until the store knows of the ends that the worker has listed.
-async fn await_durable(charge: &Charge) {
-    let durable = async {
+/// Waits until what is known of a worker is so, for up to [`AWAIT_STORE`].
+async fn await_store(charge: &Charge, changed: &Notify, is_done: impl Fn(&State) -> bool) {
+    let done = async {
         loop {
-            let known = charge.durable.notified();
-            let waits = {
-                let state = charge.state();
-                state.told > state.durable
-            };
-            if !waits {
+            let change = changed.notified();
+            if is_done(&charge.state()) {
                 return;
             }
-            known.await;
+            change.await;
         }
     };
-    // While the store is away, the worker is looked at all the same, to renew its lease.
-    let _ = timeout(AWAIT_DURABLE, durable).await;
+    // While the store is away, the worker is looked at all the same, to renew its lease and to hear of its ends.
+    let _ = timeout(AWAIT_STORE, done).await;
 }
