upkeep: what is live on a worker is told apart by one function

live_on did for a worker what live does for tasks and phases; begin and steps_being_moved walked the slots for the same pairs. phases gives them, live filters them. The tests of upkeep and waves pass unchanged.

--- a/lib/src/batch/upkeep/off.rs
+++ b/lib/src/batch/upkeep/off.rs
@@ -31,7 +31,7 @@
     let now = clock::now();
     let Some(tasks) = begin(cell, life, now) else { return false };
     let settled = cell.is_settled(now);
-    for task in live(&tasks) {
+    for task in live(tasks.iter().copied()) {
         let stop = match is_lasting(cell, task) {
             true => settled && may_leave(cell, task, now),
             false => hurry,
@@ -55,7 +55,7 @@
     let Some(tasks) = begin(cell, life, now) else { return false };
     let settled = cell.is_settled(now);
     let together = hurry && may_leave_together(cell, life, now);
-    for task in live(&tasks) {
+    for task in live(tasks.iter().copied()) {
         let stop = match is_lasting(cell, task) {
             true => {
                 let may_leave = settled && may_leave(cell, task, now);
@@ -92,7 +92,7 @@
 pub fn leave_draining(cell: &mut Cell, now: Instant) {
     let leaving = cell.workers.values().filter(|worker| worker.is_announced_to_leave());
     let leaving: Vec<(Life, TaskName)> = leaving
-        .flat_map(|worker| live_on(worker).map(|task| (worker.peer.life.clone(), task)))
+        .flat_map(|worker| live(phases(worker)).map(|task| (worker.peer.life.clone(), task)))
         .filter(|(_, task)| moves(cell, *task))
         .collect();
     if leaving.is_empty() {
@@ -117,9 +117,9 @@
 /// Steps with stops under way on workers that stay and answer.
 fn steps_being_moved(cell: &Cell) -> HashSet<StepName> {
     let staying = |worker: &&Worker| !worker.is_announced_to_leave() && !worker.is_silent();
-    let slots = cell.workers.values().filter(staying).flat_map(|worker| &worker.slots);
-    let stopping = slots.filter(|(_, slot)| matches!(slot.phase, Phase::Stopping(_)));
-    stopping.map(|(task, _)| step_of(*task)).collect()
+    let tasks = cell.workers.values().filter(staying).flat_map(phases);
+    let stopping = tasks.filter(|(_, phase)| matches!(phase, Phase::Stopping(_)));
+    stopping.map(|(task, _)| step_of(task)).collect()
 }
 
 /// Closes a worker to new tasks; returns what may run there, and none if that is not known.
@@ -129,18 +129,16 @@
     }
     let mut worker = cell.workers.get_mut(life)?;
     worker.cordoned = true;
-    let tasks = worker.slots.iter().map(|(task, slot)| (*task, slot.phase));
-    worker.fenced.then(|| tasks.collect())
+    worker.fenced.then(|| phases(&worker).collect())
 }
 
-fn live_on(worker: &Worker) -> impl Iterator<Item = TaskName> {
-    let live = worker.slots.iter().filter(|(_, slot)| matches!(slot.phase, Phase::Live(_)));
-    live.map(|(task, _)| *task)
+fn phases(worker: &Worker) -> impl Iterator<Item = (TaskName, Phase)> {
+    worker.slots.iter().map(|(task, slot)| (*task, slot.phase))
 }
 
-fn live(tasks: &[(TaskName, Phase)]) -> impl Iterator<Item = TaskName> {
-    let live = tasks.iter().filter(|(_, phase)| matches!(phase, Phase::Live(_)));
-    live.map(|(task, _)| *task)
+fn live(tasks: impl Iterator<Item = (TaskName, Phase)>) -> impl Iterator<Item = TaskName> {
+    let live = tasks.filter(|(_, phase)| matches!(phase, Phase::Live(_)));
+    live.map(|(task, _)| task)
 }
 
 fn move_off(cell: &mut Cell, life: &Life, task: TaskName, hurry: bool) {
