cell: what lapses is let go of by one function

tick, the model of lives and the tests of workers not heard of each spelled out the same steps, so a change of the scheduler's order would not have reached the tests. let_lapse holds them; test_unheard now has the scheduler's order (what lapsed first, then what the store is told). No assertion changed.

--- a/lib/src/batch/cell/unheard.rs
+++ b/lib/src/batch/cell/unheard.rs
@@ -20,7 +20,7 @@
 
 impl Cell {
     /// The store is to know for how long workers have not been heard of that this scheduler has not reached.
-    pub fn note_unheard(&mut self, now: Instant) {
+    pub(super) fn note_unheard(&mut self, now: Instant) {
         let is_due = |worker: &&Worker| {
             worker.clock.is_none() && worker.unheard_for(now) >= worker.unheard_told + TELL_UNHEARD
         };
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -182,6 +182,17 @@
         lapsed.map(|worker| (worker.peer.life.clone(), worker.listed)).collect()
     }
 
+    /// Lets go of what has lapsed, and tells the store of workers that are still waited for.
+    pub fn let_lapse(&mut self, now: Instant) {
+        for (life, listed) in self.lapsed(now) {
+            if listed { self.lapse(&life) } else { self.remove_silent(&life) }
+        }
+        self.note_unheard(now);
+        if self.unasked.is_empty() {
+            self.clear_inherited();
+        }
+    }
+
     /// A worker passes from a carrier that may act until `last` to another one. What the first was told
     /// to start and did not answer for is stopped before it is started elsewhere; what it was told to
     /// stop is told again.
--- a/lib/src/batch/scheduler/tick.rs
+++ b/lib/src/batch/scheduler/tick.rs
@@ -21,13 +21,7 @@
         {
             let mut cell = scheduler.cell();
             cell.open_due(wall_clock());
-            for (life, listed) in cell.lapsed(now) {
-                if listed { cell.lapse(&life) } else { cell.remove_silent(&life) }
-            }
-            cell.note_unheard(now);
-            if cell.unasked.is_empty() {
-                cell.clear_inherited();
-            }
+            cell.let_lapse(now);
             cell.stop_unknown(now);
             upkeep::leave_draining(&mut cell, now);
             for life in cell.leaving_unannounced(now) {
--- a/lib/tests/test_lives.rs
+++ b/lib/tests/test_lives.rs
@@ -561,13 +561,7 @@
     }
 
     fn tick(&mut self) {
-        for (life, listed) in self.cell.lapsed(self.now) {
-            if listed { self.cell.lapse(&life) } else { self.cell.remove_silent(&life) }
-        }
-        self.cell.note_unheard(self.now);
-        if self.cell.unasked.is_empty() {
-            self.cell.clear_inherited();
-        }
+        self.cell.let_lapse(self.now);
         self.cell.stir();
     }
 
--- a/lib/tests/test_unheard.rs
+++ b/lib/tests/test_unheard.rs
@@ -80,13 +80,7 @@
     fn pass(&mut self) {
         self.now += TICK;
         self.cell.on_miss(&"silent".into());
-        self.cell.note_unheard(self.now);
-        for (life, listed) in self.cell.lapsed(self.now) {
-            if listed { self.cell.lapse(&life) } else { self.cell.remove_silent(&life) }
-        }
-        if self.cell.unasked.is_empty() {
-            self.cell.clear_inherited();
-        }
+        self.cell.let_lapse(self.now);
         self.flush();
     }
 
