--- a/lib/tests/test_box_list.rs
+++ b/lib/tests/test_box_list.rs
@@ -17,7 +17,6 @@
 use spokelift_platform::machine::Status;
 use spokelift_platform::worker::Life;
 use spokelift_platform::worker::Peer;
-use spokelift_platform::worker::Room;
 use spokelift_platform::worker::Seen;
 use spokelift_testutils::batch;
 use spokelift_testutils::batch::accepted;
@@ -31,14 +30,7 @@
 }
 
 fn machine(number: usize, status: Status, worker: Option<&str>) -> Machine {
-    Machine {
-        id: format!("m{number}"),
-        pool: "work".to_owned(),
-        status,
-        labels: Vec::new(),
-        room: Room::default(),
-        worker: worker.map(str::to_owned),
-    }
+    batch::machine(&format!("m{number}"), status, worker)
 }
 
 /// A scheduler with worker `w0` on box `m0` and so on, each with room for one task.
--- a/lib/tests/test_lives.rs
+++ b/lib/tests/test_lives.rs
@@ -27,7 +27,6 @@
 use spokelift_platform::worker::Life;
 use spokelift_platform::worker::Outcome;
 use spokelift_platform::worker::Peer;
-use spokelift_platform::worker::Room;
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Running;
 use spokelift_platform::worker::Seen;
@@ -366,13 +365,12 @@
     }
 
     fn ask_list(&mut self) {
-        let boxes = self.down.iter().enumerate().map(|(worker, down)| Machine {
-            id: format!("m{worker}"),
-            pool: "work".to_owned(),
-            status: if *down { Status::Down } else { Status::Up },
-            labels: Vec::new(),
-            room: Room::default(),
-            worker: (!down).then(|| name(worker)),
+        let boxes = self.down.iter().enumerate().map(|(worker, down)| {
+            let (id, name) = (format!("m{worker}"), name(worker));
+            match down {
+                true => batch::machine(&id, Status::Down, None),
+                false => batch::machine(&id, Status::Up, Some(&name)),
+            }
         });
         self.lists.push_back((self.now, boxes.collect()));
     }
--- a/lib/tests/test_wave_plan.rs
+++ b/lib/tests/test_wave_plan.rs
@@ -32,6 +32,7 @@
 use spokelift_platform::worker::Run;
 use spokelift_platform::worker::Running;
 use spokelift_platform::worker::Seen;
+use spokelift_testutils::batch;
 use spokelift_testutils::batch::accepted;
 use spokelift_testutils::batch::addr;
 use spokelift_testutils::batch::entry;
@@ -215,13 +216,11 @@
     }
 
     fn list(&self) -> Vec<Machine> {
-        let rows = self.boxes.iter().map(|(name, life)| Machine {
-            id: name.clone(),
-            pool: "work".to_owned(),
-            status: if life.is_some() { Status::Up } else { Status::Upkeep },
-            labels: Vec::new(),
-            room: Room { cpu: ROOM, memory_mb: ROOM, gpu: 0 },
-            worker: life.as_ref().map(|life| life.worker.clone()),
+        let room = Room { cpu: ROOM, memory_mb: ROOM, gpu: 0 };
+        let rows = self.boxes.iter().map(|(name, life)| {
+            let status = if life.is_some() { Status::Up } else { Status::Upkeep };
+            let worker = life.as_ref().map(|life| life.worker.as_str());
+            Machine { room, ..batch::machine(name, status, worker) }
         });
         rows.collect()
     }
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -16,6 +16,8 @@
 use spokelift_lib::settings::NodeSettings;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::Step;
+use spokelift_platform::machine::Machine;
+use spokelift_platform::machine::Status;
 use spokelift_platform::settings::Settings;
 use spokelift_platform::store::Record;
 use spokelift_platform::worker::Entry;
@@ -65,6 +67,18 @@
     }
 }
 
+/// A box in the pool of service `work`, as the platform lists it.
+pub fn machine(id: &str, status: Status, worker: Option<&str>) -> Machine {
+    Machine {
+        id: id.to_owned(),
+        pool: "work".to_owned(),
+        status,
+        labels: Vec::new(),
+        room: Room::default(),
+        worker: worker.map(str::to_owned),
+    }
+}
+
 /// What a store keeps of the progress topic: the newest record of each key.
 pub type Store = BTreeMap<String, Record>;
 
