batch: nothing is started in a data hall that the operator has evacuated

Change: platform/ decodes the record by its key; each node keeps the evacuated halls as of an offset of the operator's topic, and a scheduler reads the topic again before its first placement. A worker in such a hall is unschedulable, so no way to start a task gets past it and its capacity counts as missing at once; its boxes are neither fetched nor switched off. What runs there goes on. batch services and batch explain name the evacuation. The stand-in, the trial and the soak evacuate halls and check starts there.

--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -246,9 +246,14 @@
         let figures = [service.has, service.used, service.waiting, service.wanted];
         let mut row = vec![cell(&service.name), cell(service.workers)];
         row.extend(figures.iter().map(|figure| format!("{figure:.0}")));
+        let halls: Vec<&str> = service.evacuated_halls.iter().map(String::as_str).collect();
+        row.push(match service.evacuated {
+            0 => "-".to_owned(),
+            workers => format!("{workers} in {}", halls.join(", ")),
+        });
         row
     };
-    let head = ["SERVICE", "WORKERS", "HAS", "USED", "WAITING", "WANTED"];
+    let head = ["SERVICE", "WORKERS", "HAS", "USED", "WAITING", "WANTED", "EVACUATED"];
     table(&head, services.iter().map(row))
 }
 
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -19,6 +19,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod document;
+pub mod evacuated_halls;
 pub mod fleet;
 pub mod gossip;
 pub mod interference;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -14,6 +14,7 @@
 mod caller_jobs;
 mod crashes;
 mod flush;
+mod halls;
 mod incarnations;
 mod jobs;
 mod polls;
@@ -25,6 +26,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -46,6 +48,7 @@
 use crate::batch::crash::RepeatRate;
 use crate::batch::crash::outage::Outages;
 use crate::batch::demand::Demand;
+use crate::batch::evacuated_halls::HallNames;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
 use crate::batch::place::fair::Allowances;
@@ -210,6 +213,8 @@
     pub ready: BTreeSet<Rank>,
     /// Quotas of the accounts.
     quotas: Quotas,
+    /// The evacuated halls; [`Worker::hall_evacuated`] says the same of each worker.
+    evacuated_halls: Arc<HallNames>,
     /// The job rate that each account has left within its weight.
     pub(super) allowances: Allowances,
     /// Something may have become placeable for a reason other than resources freed on a worker.
@@ -308,6 +313,7 @@
             workers: Table::default(),
             ready: BTreeSet::new(),
             quotas: Quotas::default(),
+            evacuated_halls: Arc::default(),
             allowances: Allowances::default(),
             placement_pending: false,
             has_fencing_uncertain: false,
--- a/lib/src/batch/cell/incarnations.rs
+++ b/lib/src/batch/cell/incarnations.rs
@@ -34,6 +34,7 @@
             return false;
         }
         if self.workers.update(&peer.incarnation, entry.clone()) {
+            self.update_hall(&peer.incarnation);
             self.update_address(&peer);
             return false;
         }
@@ -68,7 +69,8 @@
     /// Adds a worker. If its id has had another incarnation, it is not known yet which of them is
     /// the later one, and the later one may execute orders meant for the earlier: see
     /// [`Worker::may_be_later_incarnation`].
-    pub(super) fn insert_worker(&mut self, worker: Worker) {
+    pub(super) fn insert_worker(&mut self, mut worker: Worker) {
+        worker.hall_evacuated = self.evacuated_halls.contains(&worker.entry.hall);
         let id = worker.peer.incarnation.id.clone();
         let has_others = self.workers.current(&id).is_some()
             || self.ended_incarnations.keys().any(|ended| ended.id == id);
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod config;
+mod halls;
 mod operator_api;
 
 use std::collections::BTreeMap;
@@ -33,6 +34,7 @@
 use crate::batch::directory::Directory;
 use crate::batch::dispatch::Context;
 use crate::batch::dispatch::remote::RemoteDispatch;
+use crate::batch::evacuated_halls::EvacuatedHalls;
 use crate::batch::gossip::Gossip;
 use crate::batch::leader;
 use crate::batch::leader::LeaderLease;
@@ -103,6 +105,7 @@
     pub latencies: Latencies,
     config: Mutex<Option<InForce>>,
     waves: Mutex<BTreeMap<u64, Wave>>,
+    evacuated_halls: Mutex<EvacuatedHalls>,
     leader_lease: Mutex<Option<LeaderLease>>,
     scheduler: Mutex<Option<Arc<Scheduler>>>,
     stopping: watch::Sender<bool>,
@@ -131,6 +134,7 @@
             latencies: Latencies::default(),
             config: Mutex::default(),
             waves: Mutex::default(),
+            evacuated_halls: Mutex::default(),
             leader_lease: Mutex::default(),
             scheduler: Mutex::default(),
             stopping: watch::Sender::new(false),
--- a/lib/src/batch/operator.rs
+++ b/lib/src/batch/operator.rs
@@ -1,9 +1,11 @@
-//! Follows the records that the operator writes: the configuration and the maintenance waves.
+//! Follows the records that the operator writes: the configuration, the maintenance waves and the
+//! evacuations of data halls.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use spokelift_platform::call::CallError;
+use spokelift_platform::evacuation;
 use spokelift_platform::store::CONFIG_KEY;
 use spokelift_platform::store::OPERATOR_TOPIC;
 use spokelift_platform::store::Offset;
@@ -44,20 +46,46 @@
 /// Applies the records from `from` on, or the newest ones if it is `None`; returns the offset after
 /// them.
 async fn follow(node: &Node, from: Option<Offset>) -> Result<Offset, CallError> {
-    let Some(from) = from else {
-        let newest = node.read_newest(OPERATOR_TOPIC, CALL_TIMEOUT).await?;
-        for record in &newest.records {
-            apply_record(node, record);
-        }
-        return Ok(newest.end);
-    };
+    let Some(from) = from else { return read_all(node, CALL_TIMEOUT).await };
     let page = node.read_topic(OPERATOR_TOPIC, from, LONG_POLL, CALL_TIMEOUT).await?;
-    for record in &page.records {
+    for (offset, record) in (from..).zip(&page.records) {
         apply_record(node, record);
+        if let Some(hall) = evacuated_hall(node, record) {
+            node.set_hall_evacuated(hall, record.value.is_some(), offset);
+        }
     }
     Ok(from + page.records.len() as Offset)
 }
 
+/// Reads and applies the newest record of each key; returns the offset to read on from.
+///
+/// # Errors
+///
+/// As of [`Node::read_newest`].
+pub async fn read_all(node: &Node, call_timeout: Duration) -> Result<Offset, CallError> {
+    let newest = node.read_newest(OPERATOR_TOPIC, call_timeout).await?;
+    for record in &newest.records {
+        apply_record(node, record);
+    }
+    let present = newest.records.iter().filter(|record| record.value.is_some());
+    let halls = present.filter_map(|record| evacuated_hall(node, record)).map(str::to_owned);
+    node.replace_evacuated_halls(halls.collect(), newest.end);
+    Ok(newest.end)
+}
+
+/// The hall that a record evacuates or takes back; `None` for records of other kinds. Its value
+/// says nothing more, so an evacuation with an invalid value is one all the same.
+fn evacuated_hall<'a>(node: &Node, record: &'a Record) -> Option<&'a str> {
+    let hall = evacuation::hall_of(&record.key)?;
+    let is_valid = record.value.as_ref().is_none_or(|value| evacuation::is_valid(value));
+    if hall.is_empty() || !is_valid {
+        node.counters.count("batch.operator.evacuation-invalid");
+        let reason = if hall.is_empty() { "it names no hall" } else { "its value is no object" };
+        log::warn!(key = record.key.as_str(), reason; "invalid evacuation of a hall");
+    }
+    Some(hall).filter(|hall| !hall.is_empty())
+}
+
 fn apply_record(node: &Node, record: &Record) {
     let Some(value) = &record.value else { return };
     if record.key == CONFIG_KEY {
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -19,6 +19,7 @@
 
 use crate::batch::cell::Cell;
 use crate::batch::deferral::Deferrals;
+use crate::batch::evacuated_halls::HallNames;
 use crate::batch::maintenance::evacuate;
 use crate::batch::maintenance::plan::listed_incarnation;
 use crate::batch::pool::load::Load;
@@ -60,6 +61,8 @@
     deferrals: Deferrals,
     /// Boxes on which nothing runs, and since when this is known.
     idle_since: HashMap<MachineId, Instant>,
+    /// The evacuated halls. Their boxes stay where they are.
+    evacuated_halls: Arc<HallNames>,
 }
 
 /// Whether the worker of a moved box has answered this scheduler. Until then it counts in no load,
@@ -101,6 +104,8 @@
     ) {
         let listed: MachinesById<'_> =
             list.iter().map(|machine| (machine.id.as_str(), machine)).collect();
+        self.evacuated_halls = scheduler.cell().evacuated_halls().clone();
+        self.cancel_moves_to_evacuated_halls(&listed);
         self.remove_finished(&scheduler.cell(), &listed);
         self.update_idle(&scheduler.cell(), list);
         if !scheduler.may_order_boxes() {
@@ -129,6 +134,18 @@
         });
     }
 
+    /// Cancels moves that are not ordered yet and would bring a box of an evacuated hall into
+    /// service.
+    fn cancel_moves_to_evacuated_halls(&mut self, listed: &MachinesById<'_>) {
+        let evacuated_halls = &self.evacuated_halls;
+        self.moves.retain(|id, under_way| {
+            let machine = listed.get(id.as_str());
+            let is_evacuated =
+                machine.is_some_and(|machine| evacuated_halls.contains(&machine.hall));
+            under_way.is_ordered || under_way.is_switch_off || !is_evacuated
+        });
+    }
+
     /// Starts moves of boxes to services with less than they want: switched-off boxes first, then
     /// lightly used boxes of services that can give them.
     fn fetch_for_shortages(
@@ -296,16 +313,17 @@
             .is_some_and(|since| clock::since(*since) >= IDLE_BEFORE_OFF)
     }
 
-    /// Whether a box is up, not moving, not deferred and not in `taken`.
+    /// Whether a box is up, not moving, not deferred, not in an evacuated hall and not in `taken`.
     fn is_free(&self, machine: &Machine, taken: &HashSet<MachineId>) -> bool {
         machine.status == Status::Up
+            && !self.evacuated_halls.contains(&machine.hall)
             && !taken.contains(&machine.id)
             && !self.deferrals.is_deferred(&machine.id, clock::now())
             && !self.moves.contains_key(&machine.id)
     }
 
     /// CPU, in thousandths of a core, of the boxes on their way to a service for which `fits`
-    /// holds.
+    /// holds, without those in evacuated halls.
     fn incoming_cpu(
         &self,
         service: &str,
@@ -314,7 +332,8 @@
     ) -> u64 {
         let incoming = self.moves.iter().filter(|(_, under_way)| under_way.to == service);
         let machines = incoming.filter_map(|(id, _)| listed.get(id.as_str()));
-        let machines = machines.filter(|machine| fits(machine));
+        let machines = machines
+            .filter(|machine| fits(machine) && !self.evacuated_halls.contains(&machine.hall));
         machines.map(|machine| u64::from(machine.capacity.cpu)).sum()
     }
 
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -260,6 +260,7 @@
             let config = scheduler.node.config();
             let mut cell = scheduler.cell();
             config.iter().for_each(|config| cell.set_quotas(config));
+            cell.set_evacuated_halls(scheduler.node.evacuated_halls());
             if cell.needs_placement() {
                 cell.place_ready(clock::now(), wall_clock());
             }
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -22,6 +22,7 @@
 use spokelift_platform::worker::WorkerId;
 
 use crate::batch::cell::Cell;
+use crate::batch::operator;
 use crate::batch::record;
 use crate::batch::record::Crashes;
 use crate::batch::record::JobKey;
@@ -44,7 +45,10 @@
     let reads =
         partitions.map(|number| node.read_newest(record::job_partition(number), LOAD_TIMEOUT));
     let jobs = try_join_all(reads).await?;
+    // An evacuation that this node has not read yet must hold before the first placement.
+    operator::read_all(node, LOAD_TIMEOUT).await?;
     let mut cell = scheduler.cell();
+    cell.set_evacuated_halls(node.evacuated_halls());
     let loaded = apply_progress(&mut cell, &newest.records);
     scheduler.order_window.set_inherited(loaded.ordered);
     cell.restore_unreachable(loaded.unreachable);
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -3,6 +3,7 @@
 pub mod account;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,6 +45,12 @@
     pub waiting: f64,
     /// Cores that the service should have.
     pub wanted: f64,
+    /// Number of its workers in evacuated halls.
+    #[serde(default)]
+    pub evacuated: u64,
+    /// These halls.
+    #[serde(default)]
+    pub evacuated_halls: BTreeSet<String>,
 }
 
 /// A queue.
@@ -188,13 +195,24 @@
 
 /// The services.
 pub fn services(cell: &Cell, now: Instant) -> Vec<Service> {
-    let shown = loads(cell, now).into_iter().map(|(name, load)| Service {
-        name,
-        workers: load.workers,
-        has: cores(load.capacity),
-        used: cores(load.used),
-        waiting: cores(load.waiting),
-        wanted: cores(load.wanted()),
+    let mut loads = loads(cell, now);
+    let mut evacuated: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for worker in cell.workers.values().filter(|worker| worker.hall_evacuated) {
+        evacuated.entry(&worker.entry.service).or_default().push(&worker.entry.hall);
+        loads.entry(worker.entry.service.clone()).or_default();
+    }
+    let shown = loads.into_iter().map(|(name, load)| {
+        let halls = evacuated.remove(name.as_str()).unwrap_or_default();
+        Service {
+            name,
+            workers: load.workers,
+            has: cores(load.capacity),
+            used: cores(load.used),
+            waiting: cores(load.waiting),
+            wanted: cores(load.wanted()),
+            evacuated: halls.len() as u64,
+            evacuated_halls: halls.into_iter().map(str::to_owned).collect(),
+        }
     });
     shown.collect()
 }
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -59,6 +59,7 @@
 /// | backing off | it gets nothing new until `backoff_until`, after failures |
 /// | cordoned | it is being emptied for maintenance or a move |
 /// | draining | its entry says that it is about to leave |
+/// | evacuated | the operator has evacuated its hall |
 /// | quarantined | a suspect task was just started on it |
 #[derive(Debug)]
 pub struct Worker {
@@ -106,6 +107,8 @@
     pub unlisted_grace_until: Option<Instant>,
     /// It is being emptied for maintenance or a move.
     pub cordoned: bool,
+    /// Its hall is evacuated.
+    pub hall_evacuated: bool,
     /// Consecutive failed runs of different tasks.
     pub failures: u32,
     /// The job of a suspect task that was started there, and until when tasks of other jobs are
@@ -164,6 +167,7 @@
             listed: true,
             unlisted_grace_until: None,
             cordoned: false,
+            hall_evacuated: false,
             failures: 0,
             quarantine: None,
             discovered_at: now,
--- a/lib/src/batch/worker/schedulable.rs
+++ b/lib/src/batch/worker/schedulable.rs
@@ -27,6 +27,9 @@
     /// It is about to leave.
     #[error("draining")]
     Draining,
+    /// The operator has evacuated its hall.
+    #[error("its hall is evacuated")]
+    HallEvacuated,
     /// It was discovered so long after the last renewal of the leader lease that a later scheduler
     /// may not know it. Such a scheduler would not have fenced this one on it.
     #[error("unknown to a later scheduler")]
@@ -73,6 +76,7 @@
             worker if worker.has_invalid_entry => Some(Unschedulable::InvalidEntry),
             worker if worker.handed_over => Some(Unschedulable::HandedOver),
             worker if worker.entry.draining => Some(Unschedulable::Draining),
+            worker if worker.hall_evacuated => Some(Unschedulable::HallEvacuated),
             worker if worker.cordoned => Some(Unschedulable::Cordoned),
             worker if worker.failed_polls > 0 || worker.recovering => {
                 Some(Unschedulable::Unresponsive)
@@ -94,6 +98,7 @@
             || self.handed_over
             || self.entry.draining
             || self.cordoned
+            || self.hall_evacuated
             || self.failed_polls > 0
             || self.recovering;
         !ineligible
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -516,6 +516,8 @@
             used: 1.5,
             waiting: 0.5,
             wanted: 2.0,
+            evacuated: 3,
+            evacuated_halls: BTreeSet::from(["hall-1".to_owned()]),
         },
     );
     let queue = view::Queue { name: "q".to_owned(), pending: 1, running: 2, ended: 3 };
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -73,6 +73,7 @@
         id: id.to_owned(),
         pool: "work".to_owned(),
         status,
+        hall: "hall-1".to_owned(),
         labels: Vec::new(),
         capacity: Resources::default(),
         worker: worker.map(str::to_owned),
--- a/testutils/src/platform/ledger.rs
+++ b/testutils/src/platform/ledger.rs
@@ -37,6 +37,10 @@
     owners: HashMap<String, String>,
     /// Largest number of running tasks per account.
     max_running: HashMap<String, u32>,
+    /// The evacuated data halls, and since when.
+    evacuated_halls: HashMap<String, Instant>,
+    /// Number of starts in each data hall.
+    starts_by_hall: HashMap<String, u32>,
 }
 
 /// Number of workers that a task has crashed when only [`MAX_STARTS_AFTER_CRASHES`] further starts
@@ -45,6 +49,9 @@
 /// Number of starts of a task that are allowed after [`CRASH_LIMIT`] crashes.
 const MAX_STARTS_AFTER_CRASHES: u32 = 2;
 
+/// Time after the evacuation of a data hall from which no task may start there.
+const EVACUATION_LIMIT: Duration = Duration::from_millis(5_000);
+
 /// The job and the step in a task's name.
 fn parse_task(task: &str) -> (&str, usize) {
     let mut parts = task.split('.');
@@ -88,16 +95,31 @@
     }
 }
 
+impl LedgerInner {
+    /// The violation if a task starts in a hall that has been evacuated for longer than
+    /// [`EVACUATION_LIMIT`].
+    fn check_hall(&self, task: &str, hall: &str) -> Option<String> {
+        let evacuated_for = self.evacuated_halls.get(hall)?.elapsed();
+        (evacuated_for > EVACUATION_LIMIT).then(|| {
+            let ms = evacuated_for.as_millis();
+            format!("{task} was started in {hall}, {ms} ms after its evacuation")
+        })
+    }
+}
+
 impl Ledger {
     fn lock(&self) -> MutexGuard<'_, LedgerInner> {
         self.inner.lock().expect("no thread panics while it holds the lock")
     }
 
-    /// Records that a run of a task has started.
-    pub(super) fn record_start(&self, task: &str, run: u64) {
+    /// Records that a run of a task has started in a data hall.
+    pub(super) fn record_start(&self, task: &str, run: u64, hall: &str) {
         let mut ledger = self.lock();
         let violation = ledger.check_start(task);
         ledger.violations.extend(violation);
+        let violation = ledger.check_hall(task, hall);
+        ledger.violations.extend(violation);
+        *ledger.starts_by_hall.entry(hall.to_owned()).or_default() += 1;
         *ledger.starts.entry(task.to_owned()).or_default() += 1;
         let running = ledger.running.entry(task.to_owned()).or_default();
         *running += 1;
@@ -201,6 +223,21 @@
         self.lock().starts_forbidden_from.insert(job.to_owned(), since);
     }
 
+    /// Records that a data hall is evacuated from now on.
+    pub fn evacuate_hall(&self, hall: &str) {
+        self.lock().evacuated_halls.insert(hall.to_owned(), Instant::now());
+    }
+
+    /// Records that a data hall was taken back.
+    pub fn take_back_hall(&self, hall: &str) {
+        self.lock().evacuated_halls.remove(hall);
+    }
+
+    /// Number of starts in a data hall.
+    pub fn starts_in_hall(&self, hall: &str) -> u32 {
+        self.lock().starts_by_hall.get(hall).copied().unwrap_or(0)
+    }
+
     /// Number of starts of a job's tasks.
     pub fn starts_of(&self, job: &str) -> u32 {
         let ledger = self.lock();
@@ -209,7 +246,7 @@
     }
 
     /// All violations so far: tasks that ran twice or again after they were done, starts before
-    /// their time or after a cancellation, exceeded quotas and capacities.
+    /// their time, after a cancellation or in an evacuated hall, exceeded quotas and capacities.
     pub fn violations(&self) -> Vec<String> {
         self.lock().violations.clone()
     }
--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -135,6 +135,11 @@
         self.state().machines.values().filter(|machine| machine.shape.service == pool).count()
     }
 
+    /// The pool that a machine is in, or moves to.
+    pub fn pool_of(&self, id: &str) -> Option<String> {
+        Some(self.state().machines.get(id)?.shape.service.clone())
+    }
+
     /// A line for each machine: its pool, its status and its worker.
     pub fn describe(&self) -> String {
         let state = self.state();
@@ -311,7 +316,7 @@
                 let worker = worker.map(|worker| worker.id.clone()).unwrap_or_default();
                 json!({
                     "machine": id, "pool": machine.shape.service, "state": machine.status,
-                    "zone": "hall-1",
+                    "zone": machine.shape.hall,
                     "labels": ["a", machine.shape.rack], "id": worker,
                     "capacity": {
                         "cpu": machine.shape.cpu, "memMb": machine.shape.memory_mb, "gpu": 0,
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -63,6 +63,14 @@
     advice: Advice,
 }
 
+/// The data halls of a site.
+pub const HALLS: [&str; 2] = ["hall-1", "hall-2"];
+
+/// The data hall of a machine: the racks, of two machines each, stand in the halls in turn.
+pub fn hall_of(machine: usize) -> &'static str {
+    HALLS[machine / 2 % HALLS.len()]
+}
+
 /// The key that an account has in every version of the configuration.
 pub fn account_key(account: &str) -> String {
     format!("key-of-{account}")
@@ -128,7 +136,8 @@
         for number in 0..workers + reserve {
             let service = if number < workers { "work" } else { RESERVE };
             let rack = format!("r1-{}", number / 2);
-            let shape = Shape { service: service.to_owned(), rack, cpu: 8_000, memory_mb: 8_000 };
+            let shape = Shape::of_work(hall_of(number), &rack);
+            let shape = Shape { service: service.to_owned(), ..shape };
             machines.add(&format!("m-{number}"), shape).await?;
         }
         store.put(OPERATOR_TOPIC, Record::set("config", config().to_string()));
@@ -160,8 +169,26 @@
         Ok(site)
     }
 
-    /// Ends every fault and starts the daemons that do not run.
+    /// Evacuates a data hall.
+    pub fn evacuate_hall(&self, hall: &str) {
+        self.store.put(OPERATOR_TOPIC, Record::set(format!("evacuate/{hall}"), "{}"));
+        self.ledger.evacuate_hall(hall);
+    }
+
+    /// Writes a record to the operator's topic.
+    pub fn put_operator_record(&self, key: &str, value: &str) {
+        self.store.put(OPERATOR_TOPIC, Record::set(key, value));
+    }
+
+    /// Takes a data hall back.
+    pub fn take_back_hall(&self, hall: &str) {
+        self.ledger.take_back_hall(hall);
+        self.store.put(OPERATOR_TOPIC, Record::tombstone(format!("evacuate/{hall}")));
+    }
+
+    /// Ends every fault, takes back all halls, and starts the daemons that do not run.
     pub fn end_faults(&self) -> io::Result<()> {
+        HALLS.iter().for_each(|hall| self.take_back_hall(hall));
         for node in &self.nodes {
             node.store_endpoint.set_fault(store::Fault::None);
             node.store_proxy.set_fault(proxy::Fault::default());
--- a/testutils/src/platform/soak.rs
+++ b/testutils/src/platform/soak.rs
@@ -48,6 +48,8 @@
 const CLIENTS: u64 = 3;
 /// Separates the random numbers of black-holed connections from those of the other faults.
 const BLACK_HOLE_SEED_MASK: u64 = 0x51_1e47;
+/// Separates the random numbers of evacuated halls from those of the other faults.
+const EVACUATION_SEED_MASK: u64 = 0xe7ac_4a11;
 
 /// The results of a soak test.
 #[derive(Debug, Default, Serialize)]
@@ -91,7 +93,9 @@
     }
     let mut rng = StdRng::seed_from_u64(seed);
     let mut black_hole_rng = StdRng::seed_from_u64(seed ^ BLACK_HOLE_SEED_MASK);
-    let schedule = schedule::draw_schedule(&mut rng, &mut black_hole_rng, time);
+    let mut evacuation_rng = StdRng::seed_from_u64(seed ^ EVACUATION_SEED_MASK);
+    let schedule =
+        schedule::draw_schedule(&mut rng, &mut black_hole_rng, &mut evacuation_rng, time);
     let waves = schedule.iter().filter_map(|(_, action)| match action {
         Action::MaintenanceWave(number) => Some(*number),
         _ => None,
--- a/testutils/src/platform/soak/schedule.rs
+++ b/testutils/src/platform/soak/schedule.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use crate::platform::site::HALLS;
 use crate::platform::site::Site;
 use crate::platform::soak::NODES;
 use crate::platform::soak::WORKERS;
@@ -58,6 +59,10 @@
     CompactStore,
     /// Requests maintenance of two machines, one at a time.
     MaintenanceWave(u64),
+    /// Evacuates a data hall.
+    EvacuateHall(&'static str),
+    /// Takes a data hall back.
+    TakeBackHall(&'static str),
     /// Turns the open connections of a daemon to the store into black holes.
     BlackHoleStoreConnections(usize, Direction),
     /// Turns the open connections of all daemons to the machines API into black holes.
@@ -102,6 +107,8 @@
                 site.machines_proxy.black_hole_open(*direction);
                 site.nodes.iter().for_each(|node| node.store_proxy.black_hole_open(*direction));
             }
+            Action::EvacuateHall(hall) => site.evacuate_hall(hall),
+            Action::TakeBackHall(hall) => site.take_back_hall(hall),
             Action::MaintenanceWave(number) => {
                 let first = *number as usize % WORKERS;
                 site.request_wave(
@@ -128,11 +135,12 @@
     node.start()
 }
 
-/// Draws the faults for `time`, sorted by their times. Black holes have their own random generator,
-/// so that they leave the other faults of a seed unchanged.
+/// Draws the faults for `time`, sorted by their times. Black holes and evacuations have their own
+/// random generators, so that they leave the other faults of a seed unchanged.
 pub(super) fn draw_schedule(
     rng: &mut StdRng,
     black_hole_rng: &mut StdRng,
+    evacuation_rng: &mut StdRng,
     time: Duration,
 ) -> Vec<(Duration, Action)> {
     let mut schedule = Vec::new();
@@ -149,10 +157,27 @@
         schedule.push((at, draw_black_hole(black_hole_rng)));
         at += Duration::from_millis(black_hole_rng.random_range(BLACK_HOLE_INTERVAL_MS));
     }
+    schedule.extend(draw_evacuation(evacuation_rng, time));
     schedule.sort_by_key(|(at, _)| *at);
     schedule
 }
 
+/// Draws the evacuation of a hall in the first quarter of `time`; in half of all cases the other
+/// hall is evacuated as well for a while.
+fn draw_evacuation(rng: &mut StdRng, time: Duration) -> Vec<(Duration, Action)> {
+    let start = FIRST_FAULT_AT + time.mul_f64(rng.random_range(0.0..0.25));
+    let first = rng.random_range(0..HALLS.len());
+    let mut drawn = vec![(start, Action::EvacuateHall(HALLS[first]))];
+    if rng.random_bool(0.5) {
+        let other = HALLS[(first + 1) % HALLS.len()];
+        let at = start + Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        drawn.push((at, Action::EvacuateHall(other)));
+        let until = at + Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        drawn.push((until, Action::TakeBackHall(other)));
+    }
+    drawn
+}
+
 /// Draws the connections and the direction of a black hole.
 fn draw_black_hole(rng: &mut StdRng) -> Action {
     let node = rng.random_range(0..NODES);
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -182,6 +182,7 @@
     clock_start_ms: u64,
     current: CurrentIncarnation,
     machine: String,
+    hall: String,
     /// Receives the machine's id if a task crashes the worker.
     crash_sender: CrashSender,
     started_at: Instant,
@@ -207,6 +208,8 @@
 pub struct Shape {
     /// Its service.
     pub service: String,
+    /// Its data hall.
+    pub hall: String,
     /// Its rack.
     pub rack: String,
     /// Its processor capacity, in thousandths of a core.
@@ -215,6 +218,14 @@
     pub memory_mb: u64,
 }
 
+impl Shape {
+    /// A worker of service `work` with eight cores and 8 GB.
+    pub fn of_work(hall: &str, rack: &str) -> Shape {
+        let (hall, rack) = (hall.to_owned(), rack.to_owned());
+        Shape { service: "work".to_owned(), hall, rack, cpu: 8_000, memory_mb: 8_000 }
+    }
+}
+
 impl Worker {
     /// Starts an incarnation on a machine.
     pub async fn start(
@@ -242,6 +253,7 @@
             current: current.clone(),
             keeps_entry: AtomicBool::new(false),
             machine: machine.to_owned(),
+            hall: shape.hall.clone(),
             crash_sender: crash_sender.clone(),
             started_at: Instant::now(),
             cpu_capacity: Mutex::new(CpuCapacity {
@@ -360,8 +372,7 @@
 /// The entry of a worker of service `work` in the given state, with an address on which nothing
 /// listens.
 pub fn entry_in_state(state: &str) -> Value {
-    let shape =
-        Shape { service: "work".to_owned(), rack: "r1-0".to_owned(), cpu: 8_000, memory_mb: 8_000 };
+    let shape = Shape::of_work("hall-1", "r1-0");
     entry(SocketAddr::from(([127, 0, 0, 1], 1)), "m-none", &shape, state)
 }
 
@@ -378,7 +389,7 @@
 
 fn entry(addr: SocketAddr, machine: &str, shape: &Shape, state: &str) -> Value {
     json!({
-        "service": shape.service, "address": addr.to_string(), "zone": "hall-1", "version": "v1",
+        "service": shape.service, "address": addr.to_string(), "zone": shape.hall, "version": "v1",
         "slots": 8, "state": state, "coldRemainingMs": 0, "seq": 0,
         "capacity": { "cpu": shape.cpu, "memMb": shape.memory_mb, "gpu": 0 },
         "labels": ["a", shape.rack], "machine": machine,
@@ -541,7 +552,7 @@
             task.clone(),
             RunningTask { run, done_at, stops_at: None, cpu, memory_mb: memory },
         );
-        self.ledger.record_start(&task, run);
+        self.ledger.record_start(&task, run, &self.hall);
         if let Some(after) = spec_number(spec, "kills=").filter(|_| task.ends_with(".0")) {
             tokio::spawn(self.clone().crash_after(task, run, Duration::from_millis(after)));
         }
--- a/testutils/tests/test_ended.rs
+++ b/testutils/tests/test_ended.rs
@@ -37,8 +37,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_start_that_arrives_as_its_worker_crashes_leaves_no_run() {
     let (store, (shutdowns, _kept)) = (Store::default(), mpsc::unbounded_channel());
-    let shape =
-        Shape { service: "work".to_owned(), rack: "r1-0".to_owned(), cpu: 8_000, memory_mb: 8_000 };
+    let shape = Shape::of_work("hall-1", "r1-0");
     let mut remaining_runs = 0;
     for number in 0..WORKERS {
         let ledger = Ledger::default();
