leader, operator: a fixed number of nodes watch the store, in turns

Change: beyond 16 nodes each node rests between turns of 2 s for a random time, so that 12 preferred leaders and 4 others watch the lease, and 16 nodes the operator's topic, whatever the size of the site. The first one that reads of a new leader tells its gossip peers, as is done for configurations; each node's successor by address is one of them, so that news reaches every node. A node that rests asks a peer for a newer configuration once a second. A node whose leader does not answer, is none, or has not renewed its lease reads the topic at once; a leader that may have been replaced admits no reported job and marks what it says of jobs as unconfirmed (Request::Leader and Reply::Unconfirmed are new, after the known variants). Fencing is as before.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -9,7 +9,7 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
-use spokelift_lib::batch::leader::TAKEOVER_TIMEOUT;
+use spokelift_lib::batch::leader::lease::TAKEOVER_TIMEOUT;
 use spokelift_platform::store::Record;
 use spokelift_platform::store::WORKER_TOPIC;
 use spokelift_testutils::platform::advice::ADVISED_MACHINE;
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -40,4 +40,5 @@
 pub mod submit;
 pub mod usage;
 pub mod view;
+pub mod watch;
 pub mod worker;
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -87,7 +87,22 @@
     pub fn is_preferred_leader(&self, cpu: u32) -> Option<bool> {
         let entries = self.entries();
         let largest = entries.as_ref()?.iter().map(|entry| entry.cpu).max().unwrap_or(0);
-        Some(f64::from(cpu) >= f64::from(largest) * PREFERRED_CPU_FRACTION)
+        Some(is_preferred(cpu, largest))
+    }
+
+    /// Number of other nodes that are preferred leaders if a node with this CPU is one, and are not
+    /// if it is not.
+    pub fn count_alike(&self, cpu: u32) -> usize {
+        let entries = self.entries();
+        let cpus = || entries.iter().flatten().map(|entry| entry.cpu);
+        let largest = cpus().max().unwrap_or(0).max(cpu);
+        let is_alike = |other: &u32| is_preferred(*other, largest) == is_preferred(cpu, largest);
+        cpus().filter(is_alike).count()
+    }
+
+    /// Number of other nodes; `None` until they have been read.
+    pub fn count(&self) -> Option<usize> {
+        self.entries().as_ref().map(Vec::len)
     }
 
     /// Up to `count` of the other nodes, those with the most CPU first, with their CPU in thousandths
@@ -149,6 +164,14 @@
         addrs
     }
 
+    /// The next of the other nodes after `own` in the order of their addresses, the first one after
+    /// the last, without those that did not answer recently; `None` if there is none.
+    pub fn successor(&self, own: SocketAddr) -> Option<SocketAddr> {
+        let addrs = self.responsive_addrs();
+        let next = addrs.iter().filter(|addr| **addr > own).min();
+        next.or(addrs.iter().min()).copied()
+    }
+
     /// Up to `count` random other nodes, without those that did not answer recently.
     pub fn random_peers(&self, count: usize) -> Vec<SocketAddr> {
         let mut addrs = self.responsive_addrs();
@@ -170,6 +193,10 @@
     }
 }
 
+fn is_preferred(cpu: u32, largest: u32) -> bool {
+    f64::from(cpu) >= f64::from(largest) * PREFERRED_CPU_FRACTION
+}
+
 /// Writes this node's entry, and reads the entries of the other nodes at intervals.
 pub async fn run(node: Arc<Node>) {
     let addr = node.settings.peer_addr();
--- a/lib/src/batch/gossip.rs
+++ b/lib/src/batch/gossip.rs
@@ -1,9 +1,11 @@
-//! Gossip of configuration versions, for nodes that cannot reach the store.
+//! Gossip: what is new passes from node to node, since only some nodes watch the store at a time,
+//! and some cannot reach it.
 //!
-//! Each node reads the operator's records itself. A node that the store rejects or does not answer
-//! learns of a newer version from other nodes: a node that has put a version in force announces its
-//! number to a few peers, and a peer with an older version fetches the whole configuration from the
-//! sender and announces it in turn.
+//! A node that has put a version of the configuration in force announces its number to a few peers,
+//! and a peer with an older version fetches the whole configuration from the sender and announces it
+//! in turn. A new leader is announced in the same way, with the record of its lease (see
+//! `node::leadership`). Announcements may be lost, so a node that does not watch the store also asks a
+//! peer for a newer configuration at intervals.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,6 +15,7 @@
 use std::time::Instant;
 
 use spokelift_platform::config::Version;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::batch::config::Config;
@@ -21,9 +24,12 @@
 use crate::batch::peer::Request;
 use crate::transport::clock;
 
-/// Number of peers to which a node announces a new version. With half of all nodes cut off from the
-/// store, one in twenty of these gets no announcement in the first round.
+/// Number of peers to which a node announces news, in addition to its successor in the order of
+/// addresses, through which the news reaches every node.
 const FANOUT: usize = 3;
+/// Time between two requests of a resting node for a newer configuration. Announcements take less
+/// than 0.1 s; a version must be in force within 3 s also where they are lost.
+const SYNC_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Maximum number of concurrent fetches, so that a sender that does not answer does not delay the
 /// fetch from another one.
 const MAX_FETCHES: usize = 2;
@@ -76,11 +82,34 @@
     }
 }
 
+/// Asks one peer after another for a newer configuration while this node does not watch the
+/// operator's topic, until the process ends.
+pub async fn run(node: Arc<Node>) {
+    let mut round = 0;
+    loop {
+        sleep(SYNC_INTERVAL).await;
+        let peers = node.gossip_peers();
+        if node.operator_turns.is_watching() || peers.is_empty() {
+            continue;
+        }
+        node.fetch_config(peers[round % peers.len()]).await;
+        round += 1;
+    }
+}
+
 impl Node {
+    /// The peers to which this node announces news.
+    pub fn gossip_peers(&self) -> Vec<SocketAddr> {
+        let own = self.settings.peer_addr();
+        let mut peers = self.directory.stable_peers(own, FANOUT);
+        peers.extend(self.directory.successor(own).filter(|addr| !peers.contains(addr)));
+        peers
+    }
+
     /// Announces to a few nodes that a version is in force at this node.
     pub fn announce_version(&self, version: Version) {
         let from = self.settings.peer_addr();
-        for addr in self.directory.stable_peers(from, FANOUT) {
+        for addr in self.gossip_peers() {
             self.counters.count("batch.config.told");
             self.peers.notify(addr, Request::Newer { version, from });
         }
@@ -116,7 +145,10 @@
                 self.set_config(*config);
             }
             Ok(_) => log::debug!("no newer configuration at {from}"),
-            Err(error) => log::debug!("no configuration from {from}: {error}"),
+            Err(error) => {
+                self.directory.mark_unresponsive(from);
+                log::debug!("no configuration from {from}: {error}");
+            }
         }
     }
 
--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -1,25 +1,25 @@
 //! Leader election: one node at a time schedules, by a lease in the store.
 //!
 //! The leader renews its lease by appends that succeed only if nobody else has appended since.
-//! Another node may claim the lease once it has read no renewal for [`TAKEOVER_TIMEOUT`], or at
+//! Another node may claim the lease once it has read no renewal for [`lease::TAKEOVER_TIMEOUT`], or at
 //! once if the leader has released it. The fencing token that workers compare is derived from the
 //! offset of the claim, so a leader that comes back after a pause or a partition is refused by
 //! every worker that has been called by its successor.
 
+pub mod lease;
 mod view;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
 use spokelift_platform::store::Guard;
 use spokelift_platform::store::Offset;
-use spokelift_platform::store::Record;
 use spokelift_platform::worker::Token;
 use tokio::time::sleep;
 
+use crate::batch::leader::lease::KEY;
+use crate::batch::leader::lease::LeaderLease;
+use crate::batch::leader::lease::RENEW_INTERVAL;
 use crate::batch::leader::view::View;
 use crate::batch::node::Node;
 use crate::batch::order_window::HeldBoxes;
@@ -29,13 +29,7 @@
 
 /// Topic with the record of the leader lease.
 const TOPIC: &str = "keyed.lead";
-/// Key of the record of the leader lease.
-const KEY: &str = "lead";
-/// Time between renewals. Each renewal costs one call to the store and a read by each node.
-const RENEW_INTERVAL: Duration = Duration::from_millis(600);
-/// Time without a renewal after which another node claims the lease: three and a half renewals.
-pub const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2_100);
-/// Long-poll time of a read of the topic; shorter than [`TAKEOVER_TIMEOUT`] so that missing
+/// Long-poll time of a read of the topic; shorter than [`lease::TAKEOVER_TIMEOUT`] so that missing
 /// renewals are noticed in time.
 const LONG_POLL: Duration = Duration::from_millis(500);
 /// Time between checks of a free lease that is left to other nodes until the claim delay is over.
@@ -45,61 +39,50 @@
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
-/// The leader lease, as it is written to the store.
-#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
-pub struct LeaderLease {
-    /// Name of the leader's node.
-    pub node: String,
-    /// Incarnation of the leader's node; a node that restarts is another leader.
-    #[serde(rename = "life")]
-    pub incarnation: u64,
-    /// Address at which the leader answers other nodes.
-    pub addr: SocketAddr,
-    /// Whether the leader has released the lease.
-    pub released: bool,
-    /// Number of renewals by this leader.
-    pub renewals: u32,
-    /// Boxes that the next leader must not order at first.
-    #[serde(rename = "resting")]
-    pub held_boxes: HeldBoxes,
-}
-
-impl LeaderLease {
-    /// A claim or a renewal. It holds all boxes: if nothing follows it, nobody knows which boxes
+impl Node {
+    /// A claim or a renewal of the lease by this node. It holds all boxes: if nothing follows it, nobody knows which boxes
     /// this leader has ordered.
-    fn held_by(node: &Node, renewals: u32) -> LeaderLease {
-        let settings = &node.settings;
+    fn held_lease(&self, renewals: u32) -> LeaderLease {
+        let settings = &self.settings;
         let addr = settings.peer_addr();
-        let (node, incarnation) = (settings.node.clone(), node.incarnation);
+        let (node, incarnation) = (settings.node.clone(), self.incarnation);
         let held_boxes = HeldBoxes::All;
         LeaderLease { node, incarnation, addr, released: false, renewals, held_boxes }
     }
 
-    /// A release by the leader.
-    fn released_by(node: &Node, held_boxes: HeldBoxes) -> LeaderLease {
-        LeaderLease { released: true, held_boxes, ..LeaderLease::held_by(node, 0) }
-    }
-
-    fn to_record(&self) -> Record {
-        let value = postcard::to_stdvec(self).expect("a leader lease can be encoded by postcard");
-        Record::set(KEY, value)
+    /// A release of the lease by this node.
+    fn released_lease(&self, held_boxes: HeldBoxes) -> LeaderLease {
+        LeaderLease { released: true, held_boxes, ..self.held_lease(0) }
     }
 }
 
-/// Follows the leader lease, claims it when it is free, and schedules while this node holds it.
+/// Follows the leader lease in turns with other nodes, claims it when it is free, and schedules
+/// while this node holds it.
 pub async fn run(node: Arc<Node>) {
     let mut view = View::new();
     loop {
-        if let Err(error) = follow(&node, &mut view).await {
+        if view.has_new_renewal
+            && let Some(group) = node.lease_watchers()
+            && node.lease_turns.rest(group).await
+        {
+            view.resume();
+        }
+        let followed = follow(&node, &mut view).await;
+        node.lease_turns.finish_read();
+        if let Err(error) = followed {
             node.counters.count("batch.lead.follow-failed");
             log::debug!("cannot read the leader lease: {error}");
             view.is_interrupted = true;
+            view.has_new_renewal = false;
             sleep(RETRY_DELAY).await;
             continue;
         }
-        node.set_leader_lease(view.lease.clone().filter(|lease| !lease.released));
+        if let Some(lease) = &view.lease {
+            node.set_leader_lease(view.lease_offset, lease);
+        }
         if view.is_own(&node) {
             run_scheduler(&node, &mut view).await;
+            node.clear_own_lease();
         } else if !view.is_claimable(&node) {
             view.free_since = None;
         } else if !node.is_stopping() {
@@ -122,6 +105,7 @@
         for record in newest.records.iter().filter(|record| record.key == KEY) {
             view.apply_record(record, newest.end.saturating_sub(1));
         }
+        view.has_new_renewal = false;
         view.topic_end = Some(newest.end);
         view.last_contact = clock::now();
         // A claim by an earlier scheduler of this incarnation looks like a renewal here.
@@ -134,6 +118,7 @@
     match node.read_topic(TOPIC, end, wait, CALL_TIMEOUT).await {
         Ok(page) => {
             view.apply_page(end, &page);
+            view.has_new_renewal = !page.records.is_empty() && view.is_held();
             if view.is_interrupted {
                 view.is_interrupted = false;
                 view.last_contact = clock::now();
@@ -153,7 +138,7 @@
 /// the known end wins, also if the answer to this append is lost.
 async fn claim_lease(node: &Node, view: &mut View) {
     let Some(end) = view.topic_end else { return };
-    let record = LeaderLease::held_by(node, 0).to_record();
+    let record = node.held_lease(0).to_record();
     let claimed = node.append(TOPIC, &[record], &Guard::EndsAt(end), CALL_TIMEOUT).await;
     log::info!(at = end, ok = claimed.is_ok(); "sent a claim for the leader lease");
     if claimed.is_err() {
@@ -166,6 +151,7 @@
     let token: Token = view.lease_offset + 1;
     log::info!(token; "became leader");
     node.counters.count("batch.lead.held");
+    node.operator_turns.start();
     let order_window =
         OrderWindow::new(node.settings.handover_gap, view.held_boxes(node), clock::now());
     let scheduler = Scheduler::start(node.clone(), token, order_window, view.was_released());
@@ -201,7 +187,7 @@
         let Some(end) = view.topic_end else { return "the end of the lease topic is unknown" };
         let sent = clock::now();
         let first_sent = *first_sent_at.get_or_insert(sent);
-        let record = LeaderLease::held_by(node, renewals + 1).to_record();
+        let record = node.held_lease(renewals + 1).to_record();
         match node.append(TOPIC, &[record], &Guard::EndsAt(end), CALL_TIMEOUT).await {
             Ok(appended) => {
                 view.topic_end = Some(appended.end);
@@ -247,7 +233,7 @@
 
 async fn release_lease(node: &Node, view: &View, held_boxes: HeldBoxes) {
     let Some(end) = view.topic_end else { return };
-    let record = LeaderLease::released_by(node, held_boxes).to_record();
+    let record = node.released_lease(held_boxes).to_record();
     if let Err(error) = node.append(TOPIC, &[record], &Guard::EndsAt(end), CALL_TIMEOUT).await {
         // The other nodes then wait for the takeover timeout.
         log::warn!("cannot release the leader lease: {error}");
--- a/lib/src/batch/leader/view.rs
+++ b/lib/src/batch/leader/view.rs
@@ -8,9 +8,9 @@
 use spokelift_platform::store::Page;
 use spokelift_platform::store::Record;
 
-use crate::batch::leader::LeaderLease;
-use crate::batch::leader::RENEW_INTERVAL;
-use crate::batch::leader::TAKEOVER_TIMEOUT;
+use crate::batch::leader::lease::LeaderLease;
+use crate::batch::leader::lease::RENEW_INTERVAL;
+use crate::batch::leader::lease::TAKEOVER_TIMEOUT;
 use crate::batch::node::Node;
 use crate::batch::order_window::HeldBoxes;
 use crate::transport::clock;
@@ -39,6 +39,8 @@
     pub(super) free_since: Option<Instant>,
     /// Whether the last read of the topic failed.
     pub(super) is_interrupted: bool,
+    /// Whether the last read showed a renewal or a claim that came after the read before.
+    pub(super) has_new_renewal: bool,
     /// Additional random wait of this node before a claim.
     claim_jitter: Duration,
 }
@@ -54,10 +56,24 @@
             last_contact: clock::now(),
             free_since: None,
             is_interrupted: false,
+            has_new_renewal: false,
             claim_jitter: CLAIM_JITTER.mul_f64(rand::random::<f64>()),
         }
     }
 
+    /// Reads the topic anew after a rest, in which nothing was read: how long the lease has not been
+    /// renewed counts from now.
+    pub(super) fn resume(&mut self) {
+        self.topic_end = None;
+        self.has_new_renewal = false;
+        self.last_contact = clock::now();
+    }
+
+    /// Whether some node holds the lease, as far as was read.
+    pub(super) fn is_held(&self) -> bool {
+        self.lease.as_ref().is_some_and(|lease| !lease.released)
+    }
+
     /// Forgets this node's own lease after it has ended.
     pub(super) fn clear_own_lease(&mut self) {
         self.lease = None;
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod config;
 mod halls;
+mod leadership;
 mod operator_api;
 
 use std::collections::BTreeMap;
@@ -16,7 +17,6 @@
 use hyper::body::Incoming;
 use spokelift_platform::call::CallError;
 use spokelift_platform::ingress::READINESS_PATH;
-use spokelift_platform::job::JobId;
 use spokelift_platform::machine::Machines;
 use spokelift_platform::settings::Settings;
 use spokelift_platform::store::Store;
@@ -35,18 +35,18 @@
 use crate::batch::dispatch::Context;
 use crate::batch::dispatch::remote::RemoteDispatch;
 use crate::batch::evacuated_halls::EvacuatedHalls;
+use crate::batch::gossip;
 use crate::batch::gossip::Gossip;
 use crate::batch::leader;
-use crate::batch::leader::LeaderLease;
+use crate::batch::leader::lease::KnownLease;
 use crate::batch::node::config::InForce;
 use crate::batch::node::operator_api::handle_operator;
 use crate::batch::operator;
 use crate::batch::peer;
 use crate::batch::peer::Peers;
-use crate::batch::peer::Reply;
-use crate::batch::record::Accepted;
 use crate::batch::relay::Route;
 use crate::batch::scheduler::Scheduler;
+use crate::batch::watch::Turns;
 use crate::latency::Latencies;
 use crate::listen::StartError;
 use crate::listen::listen;
@@ -62,9 +62,6 @@
 const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout for opening a connection; halls are about 1 ms apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long the answer to a submission waits for the leader to check whether the job's id is in
-/// use; the check usually takes 3 ms.
-const ID_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long a node keeps serving after SIGTERM. The platform probes readiness once a second and
 /// stops sending new connections after two failed probes.
 const STOP_DELAY: Duration = Duration::from_millis(2_600);
@@ -99,6 +96,10 @@
     pub remote_dispatch: RemoteDispatch,
     /// Exchange of configuration versions with other nodes.
     pub gossip: Gossip,
+    /// This node's turns to watch the topic of the leader lease.
+    pub lease_turns: Turns,
+    /// This node's turns to watch the operator's topic.
+    pub operator_turns: Turns,
     /// Counters.
     pub counters: Counters,
     /// Latencies of answers to clients, waits of tasks and writes of jobs.
@@ -106,7 +107,7 @@
     config: Mutex<Option<InForce>>,
     waves: Mutex<BTreeMap<u64, Wave>>,
     evacuated_halls: Mutex<EvacuatedHalls>,
-    leader_lease: Mutex<Option<LeaderLease>>,
+    known_lease: Mutex<KnownLease>,
     scheduler: Mutex<Option<Arc<Scheduler>>>,
     stopping: watch::Sender<bool>,
 }
@@ -130,12 +131,14 @@
             directory: Directory::default(),
             remote_dispatch: RemoteDispatch::default(),
             gossip: Gossip::default(),
+            lease_turns: Turns::default(),
+            operator_turns: Turns::default(),
             counters,
             latencies: Latencies::default(),
             config: Mutex::default(),
             waves: Mutex::default(),
             evacuated_halls: Mutex::default(),
-            leader_lease: Mutex::default(),
+            known_lease: Mutex::default(),
             scheduler: Mutex::default(),
             stopping: watch::Sender::new(false),
             settings,
@@ -172,26 +175,6 @@
         });
     }
 
-    /// Sets the current leader lease; `None` if it is released.
-    pub fn set_leader_lease(&self, lease: Option<LeaderLease>) {
-        *self.leader_lease.lock().expect("no thread panics while it holds the leader lease lock") =
-            lease;
-    }
-
-    /// Whether no other node has much more CPU than this one; `None` until the others are known.
-    pub fn is_preferred_leader(&self) -> Option<bool> {
-        self.directory.is_preferred_leader(self.settings.cpu)
-    }
-
-    /// Address of the leader, if it is another node.
-    pub fn remote_leader(&self) -> Option<SocketAddr> {
-        let lease = self
-            .leader_lease
-            .lock()
-            .expect("no thread panics while it holds the leader lease lock");
-        lease.as_ref().filter(|lease| lease.incarnation != self.incarnation).map(|lease| lease.addr)
-    }
-
     /// The scheduler, while this node is the leader and has read the store.
     pub fn scheduler(&self) -> Option<Arc<Scheduler>> {
         self.scheduler.lock().expect("no thread panics while it holds the scheduler lock").clone()
@@ -215,48 +198,10 @@
         let _ = timeout(time, stopping.wait_for(|stopping| *stopping)).await;
     }
 
-    /// Sends a request to the leader, which may be this node; `None` if there is no leader or it
-    /// does not answer.
-    pub async fn ask_leader(&self, request: peer::Request) -> Option<Reply> {
-        if let Some(scheduler) = self.scheduler() {
-            return Some(scheduler.answer(request).await);
-        }
-        let addr = self.remote_leader()?;
-        match self.peers.ask(addr, request).await {
-            Ok(reply) => Some(reply),
-            Err(error) => {
-                self.counters.count("batch.peer.no-answer");
-                log::debug!("the leader at {addr} does not answer: {error}");
-                None
-            }
-        }
-    }
-
     /// Records the result of a call to the interface for machines.
     pub fn record_machines_result<T>(&self, result: &Result<T, CallError>) {
         self.machines_availability.record_result("machines", &self.counters, result);
     }
-
-    /// Reports a job that the store has taken to the leader. If that fails, the leader finds the
-    /// job when it next reads the store.
-    pub fn report_submitted(&self, id: JobId, accepted: Accepted) {
-        let request = peer::Request::Submitted(id, Box::new(accepted));
-        if let Some(scheduler) = self.scheduler() {
-            tokio::spawn(async move { scheduler.answer(request).await });
-        } else if let Some(addr) = self.remote_leader() {
-            self.peers.notify(addr, request);
-        }
-    }
-
-    /// Reports a job of an account like [`Node::report_submitted`], and returns whether its id is in
-    /// use by another account's job. `false` also if the leader does not answer within
-    /// `ID_CHECK_TIMEOUT`.
-    pub async fn is_id_in_use(self: &Arc<Self>, id: JobId, accepted: Accepted) -> bool {
-        let (node, request) = (self.clone(), peer::Request::Submitted(id, Box::new(accepted)));
-        // The task outlives the timeout, so that the report is sent again if a connection ends.
-        let reply = tokio::spawn(async move { node.ask_leader(request).await });
-        matches!(timeout(ID_CHECK_TIMEOUT, reply).await, Ok(Ok(Some(Reply::IdInUse))))
-    }
 }
 
 /// Runs a node until `stop` turns true and the requests in flight have ended.
@@ -281,6 +226,7 @@
     let tasks = [
         tokio::spawn(peer::serve(node.clone(), peers)),
         tokio::spawn(operator::run(node.clone())),
+        tokio::spawn(gossip::run(node.clone())),
         tokio::spawn(leader::run(node.clone())),
         tokio::spawn(directory::run(node.clone())),
         tokio::spawn(commit::run(node.clone())),
--- a/lib/src/batch/node/answer.rs
+++ b/lib/src/batch/node/answer.rs
@@ -25,10 +25,14 @@
                 self.on_version(version, from);
                 Reply::Done
             }
+            Request::Leader { offset, lease } => {
+                self.set_leader_lease(offset, &lease);
+                Reply::Done
+            }
             Request::Config(version) => Reply::Config(self.config_newer_than(version)),
             Request::Relay(call) => Reply::Relayed(self.relay_for_peer(call).await),
             request => match self.scheduler() {
-                Some(scheduler) => scheduler.answer(request).await,
+                Some(scheduler) => scheduler.answer_peer(request).await,
                 None => Reply::NotReady,
             },
         }
--- /dev/null
+++ b/lib/src/batch/node/leadership.rs
@@ -0,0 +1,140 @@
+//! What a node knows of the leader, and its requests to it.
+//!
+//! A node that watches the lease topic knows of a new leader from there and tells a few others,
+//! which tell others in turn. A node that has missed that finds out when the leader it knows does
+//! not answer, answers that it is not the leader, or has not renewed its lease; it then reads the
+//! topic at once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use spokelift_platform::job::JobId;
+use spokelift_platform::store::Offset;
+use tokio::time::timeout;
+
+use crate::batch::leader::lease::KnownLease;
+use crate::batch::leader::lease::LeaderLease;
+use crate::batch::node::Node;
+use crate::batch::peer;
+use crate::batch::peer::Reply;
+use crate::batch::record::Accepted;
+use crate::batch::watch::Group;
+
+/// How long the answer to a submission waits for the leader to check whether the job's id is in
+/// use; the check usually takes 3 ms.
+const ID_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a request waits for the lease topic to be read where the leader that answered may have
+/// been replaced.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
+/// Age of the last read up to which it confirms what such a leader answered; a node that watches
+/// reads once in half a second.
+const CONFIRMED_FOR: Duration = Duration::from_millis(700);
+/// Number of preferred leaders that watch the lease topic at a time. With so many, one of them
+/// claims a free lease as soon as if all of them watched.
+const PREFERRED_WATCHERS: usize = 12;
+/// The same of the other nodes, which claim the lease if no preferred leader is left.
+const OTHER_WATCHERS: usize = 4;
+
+impl Node {
+    fn lock_lease(&self) -> MutexGuard<'_, KnownLease> {
+        self.known_lease.lock().expect("no thread panics while it holds the leader lease lock")
+    }
+
+    /// Applies a record of the leader lease, which stands at `offset` in its topic, unless a later
+    /// one is known. If it names another leader than before, a few other nodes are told.
+    pub fn set_leader_lease(&self, offset: Offset, lease: &LeaderLease) {
+        if !self.lock_lease().apply(offset, lease) {
+            return;
+        }
+        for addr in self.gossip_peers() {
+            self.counters.count("batch.lead.told");
+            let request = peer::Request::Leader { offset, lease: Box::new(lease.clone()) };
+            self.peers.notify(addr, request);
+        }
+    }
+
+    /// Forgets the leader lease if this node held it.
+    pub fn clear_own_lease(&self) {
+        self.lock_lease().clear_own(self.incarnation);
+    }
+
+    /// Whether this node holds the leader lease, as far as it knows.
+    pub fn holds_lease(&self) -> bool {
+        let known = self.lock_lease();
+        known.lease().is_some_and(|lease| lease.incarnation == self.incarnation)
+    }
+
+    /// Whether no other node has much more CPU than this one; `None` until the others are known.
+    pub fn is_preferred_leader(&self) -> Option<bool> {
+        self.directory.is_preferred_leader(self.settings.cpu)
+    }
+
+    /// The nodes that watch the lease topic in turns with this one; `None` until the others are
+    /// known.
+    pub fn lease_watchers(&self) -> Option<Group> {
+        let is_preferred = self.is_preferred_leader()?;
+        let watchers = if is_preferred { PREFERRED_WATCHERS } else { OTHER_WATCHERS };
+        let nodes = self.directory.count_alike(self.settings.cpu) + 1;
+        Some(Group { nodes, watchers })
+    }
+
+    /// Address of the leader, if it is another node.
+    pub fn remote_leader(&self) -> Option<SocketAddr> {
+        let known = self.lock_lease();
+        let lease = known.lease().filter(|lease| lease.incarnation != self.incarnation);
+        lease.map(|lease| lease.addr)
+    }
+
+    /// Sends a request to the leader, which may be this node; `None` if there is no leader or it
+    /// does not answer.
+    pub async fn ask_leader(&self, request: peer::Request) -> Option<Reply> {
+        if let Some(scheduler) = self.scheduler() {
+            return Some(scheduler.answer(request).await);
+        }
+        let Some(addr) = self.remote_leader() else {
+            self.lease_turns.start();
+            return None;
+        };
+        match self.peers.ask(addr, request.clone()).await {
+            Ok(Reply::Unconfirmed(reply)) => {
+                self.lease_turns.refresh(CONFIRMED_FOR, CONFIRM_TIMEOUT).await;
+                match self.remote_leader().filter(|leader| *leader != addr) {
+                    Some(leader) => self.peers.ask(leader, request).await.ok(),
+                    None => Some(*reply),
+                }
+            }
+            Ok(Reply::NotReady) => {
+                if !self.lock_lease().is_recent() {
+                    self.lease_turns.start();
+                }
+                Some(Reply::NotReady)
+            }
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                self.lease_turns.start();
+                self.counters.count("batch.peer.no-answer");
+                log::debug!("the leader at {addr} does not answer: {error}");
+                None
+            }
+        }
+    }
+
+    /// Reports a job that the store has taken to the leader. If that fails, the leader finds the
+    /// job when it next reads the store.
+    pub fn report_submitted(self: &Arc<Self>, id: JobId, accepted: Accepted) {
+        let (node, request) = (self.clone(), peer::Request::Submitted(id, Box::new(accepted)));
+        tokio::spawn(async move { node.ask_leader(request).await });
+    }
+
+    /// Reports a job of an account like [`Node::report_submitted`], and returns whether its id is in
+    /// use by another account's job. `false` also if the leader does not answer within
+    /// `ID_CHECK_TIMEOUT`.
+    pub async fn is_id_in_use(self: &Arc<Self>, id: JobId, accepted: Accepted) -> bool {
+        let (node, request) = (self.clone(), peer::Request::Submitted(id, Box::new(accepted)));
+        // The task outlives the timeout, so that the report is sent again if a connection ends.
+        let reply = tokio::spawn(async move { node.ask_leader(request).await });
+        matches!(timeout(ID_CHECK_TIMEOUT, reply).await, Ok(Ok(Some(Reply::IdInUse))))
+    }
+}
--- a/lib/src/batch/operator.rs
+++ b/lib/src/batch/operator.rs
@@ -16,6 +16,7 @@
 
 use crate::batch::config::Config;
 use crate::batch::node::Node;
+use crate::batch::watch::Group;
 
 /// Long-poll time of a read. It bounds how long a connection that no longer delivers data goes
 /// unnoticed, and a configuration must be in force within 2 s.
@@ -25,11 +26,26 @@
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
-/// Follows the operator's records until the process ends.
+/// Number of nodes that watch the operator's topic at a time. One of them would suffice unless the
+/// store rejects it or its announcements are lost.
+const WATCHERS: usize = 16;
+
+/// Follows the operator's records until the process ends. A node other than the leader rests
+/// between its turns; it learns of new configurations by gossip, and the rest concerns only the
+/// leader.
 pub async fn run(node: Arc<Node>) {
     let mut from = None;
     loop {
-        match follow(&node, from).await {
+        if from.is_some()
+            && !node.holds_lease()
+            && let Some(others) = node.directory.count()
+        {
+            let group = Group { nodes: others + 1, watchers: WATCHERS };
+            node.operator_turns.rest(group).await;
+        }
+        let followed = follow(&node, from).await;
+        node.operator_turns.finish_read();
+        match followed {
             Ok(next) => from = Some(next),
             Err(error) => {
                 node.counters.count("batch.operator.follow-failed");
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -17,6 +17,7 @@
 use spokelift_platform::config::Version;
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::JobId;
+use spokelift_platform::store::Offset;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -30,6 +31,7 @@
 use crate::batch::config::Config;
 use crate::batch::dispatch::remote::Commands;
 use crate::batch::dispatch::remote::Report;
+use crate::batch::leader::lease::LeaderLease;
 use crate::batch::node::Node;
 use crate::batch::record::Accepted;
 use crate::batch::relay;
@@ -74,6 +76,13 @@
     View(String),
     /// Returns [`Reply::Done`] at once; checks that the connection works.
     Ping,
+    /// Names the leader by a record of the leader lease.
+    Leader {
+        /// Where the record stands in its topic.
+        offset: Offset,
+        /// The record.
+        lease: Box<LeaderLease>,
+    },
 }
 
 /// The answer to a [`Request`].
@@ -97,6 +106,8 @@
     /// The receiver is not the leader or its scheduler is not ready yet, or it has not accepted the
     /// commands.
     NotReady,
+    /// The reply of a leader that may have been replaced, since it has not renewed its lease.
+    Unconfirmed(Box<Reply>),
 }
 
 /// Why a request to a peer has no answer.
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -6,18 +6,37 @@
 use tokio::time::timeout;
 
 use crate::batch::caller::Caller;
+use crate::batch::leader::lease::TAKEOVER_TIMEOUT;
 use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
 use crate::batch::record::Accepted;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::scheduler::events::take_report;
 use crate::batch::view;
+use crate::transport::clock;
 
 /// How long the cancel of a client waits until the store has it.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(700);
 
 impl Scheduler {
-    /// Answers a request of another node.
+    /// Answers a request of another node. If this scheduler may have been replaced, what it says of
+    /// jobs is marked as [`Reply::Unconfirmed`].
+    pub async fn answer_peer(&self, request: Request) -> Reply {
+        let reply = self.answer(request).await;
+        let is_about_jobs = matches!(reply, Reply::State(_) | Reply::Pending(_) | Reply::View(_));
+        if is_about_jobs && self.may_be_replaced() {
+            return Reply::Unconfirmed(Box::new(reply));
+        }
+        reply
+    }
+
+    /// Whether another node may have claimed the leader lease.
+    fn may_be_replaced(&self) -> bool {
+        let renewed_at = self.cell().renewed_at;
+        renewed_at.is_some_and(|at| clock::since(at) > TAKEOVER_TIMEOUT)
+    }
+
+    /// Answers a request of this node, or of another one.
     pub async fn answer(&self, request: Request) -> Reply {
         match request {
             Request::Submitted(id, accepted) => self.admit(id, *accepted),
@@ -33,13 +52,20 @@
             Request::Relay(call) => Reply::Relayed(self.node.relay_for_peer(call).await),
             Request::Report(report) => take_report(self, *report),
             // Answered by the node itself.
-            Request::Dispatch(_) | Request::Newer { .. } | Request::Config(_) => Reply::NotReady,
+            Request::Dispatch(_)
+            | Request::Newer { .. }
+            | Request::Config(_)
+            | Request::Leader { .. } => Reply::NotReady,
             Request::Ping => Reply::Done,
         }
     }
 
-    /// Admits a job whose record is in the store.
+    /// Admits a job whose record is in the store. A scheduler that may have been replaced leaves the
+    /// job to the next one, which would not know of starts here.
     fn admit(&self, id: JobId, accepted: Accepted) -> Reply {
+        if self.may_be_replaced() {
+            return Reply::NotReady;
+        }
         let mut cell = self.cell();
         let owner = accepted.account.clone();
         if cell.admit_reported(id, accepted) {
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -21,7 +21,7 @@
 use spokelift_lib::batch::dispatch::remote::Commands;
 use spokelift_lib::batch::dispatch::remote::Report;
 use spokelift_lib::batch::dispatch::remote::Session;
-use spokelift_lib::batch::leader::LeaderLease;
+use spokelift_lib::batch::leader::lease::LeaderLease;
 use spokelift_lib::batch::order_window::HeldBoxes;
 use spokelift_lib::batch::peer::Reply;
 use spokelift_lib::batch::peer::Request;
@@ -203,15 +203,18 @@
     lines.record("forget-wave-seen", &record::forget_wave_seen(3));
     lines.record("ordered", &record::ordered(&HashSet::from(["m-1".to_owned()])));
     for held_boxes in [HeldBoxes::All, HeldBoxes::Only(HashSet::from(["m-1".to_owned()]))] {
-        let lease = LeaderLease {
-            node: "n-1".to_owned(),
-            incarnation: 5,
-            addr: addr(),
-            released: true,
-            renewals: 2,
-            held_boxes,
-        };
-        lines.postcard("lead", &lease);
+        lines.postcard("lead", &lease(held_boxes));
+    }
+}
+
+fn lease(held_boxes: HeldBoxes) -> LeaderLease {
+    LeaderLease {
+        node: "n-1".to_owned(),
+        incarnation: 5,
+        addr: addr(),
+        released: true,
+        renewals: 2,
+        held_boxes,
     }
 }
 
@@ -308,6 +311,7 @@
         Request::Config(3),
         Request::View("/v1/batch/shares".to_owned()),
         Request::Ping,
+        Request::Leader { offset: 9, lease: Box::new(lease(HeldBoxes::All)) },
     ];
     for (number, request) in (1_u64..).zip(requests) {
         lines.postcard("request", &(number, request));
@@ -337,6 +341,7 @@
         Reply::NotReady,
     ];
     replies.extend(states.map(|state| Reply::State(Some(state))));
+    replies.push(Reply::Unconfirmed(Box::new(Reply::Pending(7))));
     for (number, reply) in (1_u64..).zip(replies) {
         lines.postcard("reply", &(number, reply));
     }
@@ -586,6 +591,7 @@
         Unschedulable::Unresponsive,
         Unschedulable::BackingOff,
         Unschedulable::Quarantined,
+        Unschedulable::HallEvacuated,
     ];
     lines.json("closed", &closed.map(|closed| closed.to_string()));
     let lack = [Shortage::Unknown, Shortage::Processor, Shortage::Memory, Shortage::Accelerator];
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -341,7 +341,7 @@
     /// The index of the leader according to the leader lease in the store.
     pub fn leader(&self) -> Option<usize> {
         let record = self.store.get("keyed.lead", "lead")?;
-        let lease: spokelift_lib::batch::leader::LeaderLease =
+        let lease: spokelift_lib::batch::leader::lease::LeaderLease =
             postcard::from_bytes(&record).ok()?;
         lease.node.strip_prefix("node-")?.parse().ok()
     }
--- a/testutils/tests/test_gossip.rs
+++ b/testutils/tests/test_gossip.rs
@@ -15,7 +15,9 @@
 use std::time::Instant;
 
 use spokelift_lib::batch::config::Config;
+use spokelift_lib::batch::leader::lease::LeaderLease;
 use spokelift_lib::batch::node::Node;
+use spokelift_lib::batch::order_window::HeldBoxes;
 use spokelift_testutils::batch;
 use spokelift_testutils::batch::published;
 use spokelift_testutils::batch::published::published_config;
@@ -55,8 +57,8 @@
         listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
     let start = |(listener, addr): (TcpListener, SocketAddr)| {
         let node = batch::node(listener, batch::unused_addr());
-        node.directory
-            .set_nodes(addrs.iter().filter(|other| **other != addr).map(|other| (*other, 250)));
+        let others = addrs.iter().filter(|other| **other != addr);
+        node.directory.set_nodes(others.map(|other| (*other, node.settings.cpu)));
         node
     };
     listeners.into_iter().zip(addrs.clone()).map(start).collect()
@@ -90,6 +92,35 @@
     wait_until("all have version 8", || all_have(8)).await;
 }
 
+fn lease_of(addr: SocketAddr, incarnation: u64) -> LeaderLease {
+    LeaderLease {
+        node: format!("n-{addr}"),
+        incarnation,
+        addr,
+        released: false,
+        renewals: 0,
+        held_boxes: HeldBoxes::All,
+    }
+}
+
+/// Guards against nodes that do not watch the lease topic and go on asking an earlier leader.
+#[tokio::test]
+async fn a_new_leader_becomes_known_to_nodes_that_do_not_watch_the_store() {
+    let nodes = nodes(40).await;
+    let addr = |number: usize| nodes[number].settings.peer_addr();
+    nodes[3].set_leader_lease(7, &lease_of(addr(5), 1));
+    let all_know = |leader: SocketAddr| {
+        let others = nodes.iter().filter(|node| node.settings.peer_addr() != leader);
+        others.into_iter().all(|node| node.remote_leader() == Some(leader))
+    };
+    wait_until("all know the first leader", || all_know(addr(5))).await;
+    nodes[9].set_leader_lease(20, &lease_of(addr(8), 2));
+    wait_until("all know the second leader", || all_know(addr(8))).await;
+    // A late announcement of the first one changes nothing.
+    nodes[1].set_leader_lease(8, &lease_of(addr(5), 1));
+    assert!(all_know(addr(8)));
+}
+
 /// Address of a node that accepts connections and answers no request.
 async fn unresponsive_node() -> (SocketAddr, TcpListener) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
