directory: each node reads all entries once, then only what is new

Cause: each node read the entries of all nodes four times at its start and each 10 s, so the bytes of the store grew with the square of the nodes.

Change: a node reads all entries once and goes on from there; beyond 16 nodes the later reads are taken in turns.

Measured: in a test 20 nodes read the whole directory 20 times (80 before).

--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -1,8 +1,9 @@
 //! Directory of the other nodes: each node writes its address and its CPU to the store when it
-//! starts. Used to choose peers, for relayed calls to the store among others, and to have nodes with
+//! starts, and reads all entries once and later only what was written since. Used to choose peers, for relayed calls to the store among others, and to have nodes with
 //! enough CPU claim the leader lease first. Entries may be outdated, so nothing that must be correct
 //! relies on them.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -17,10 +18,12 @@
 use serde::Serialize;
 use spokelift_platform::call::CallError;
 use spokelift_platform::store::Guard;
+use spokelift_platform::store::Offset;
 use spokelift_platform::store::Record;
 use tokio::time::sleep;
 
 use crate::batch::node::Node;
+use crate::batch::watch::Group;
 use crate::transport::clock;
 
 /// Topic with the entries of the nodes, keyed by node name.
@@ -36,9 +39,12 @@
     Duration::from_millis(650),
     Duration::from_millis(1_500),
 ];
-/// Time between reads after that. Nodes rarely start or stop, and an entry of a node that does not
-/// run any more costs one failed request.
+/// Least time between reads after that. Nodes rarely start or stop, and an entry of a node that does
+/// not run any more costs one failed request.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// With more nodes than this, each of them reads less often, so that the reads of all together do
+/// not grow with the nodes.
+const READERS: usize = 16;
 /// How long a node that did not answer is avoided where other nodes can be asked. A node that was
 /// killed has restarted after about this time.
 const UNRESPONSIVE_COOLDOWN: Duration = Duration::from_secs(3);
@@ -206,11 +212,20 @@
         sleep(RETRY_DELAY).await;
     }
     let mut delays = INITIAL_READ_DELAYS.into_iter();
+    let mut known = Known::default();
     loop {
-        sleep(delays.next().unwrap_or(REFRESH_INTERVAL)).await;
-        match read_entries(&node, addr).await {
-            Ok(entries) => {
-                node.directory.set_nodes(entries.into_iter().map(|entry| (entry.addr, entry.cpu)));
+        match delays.next() {
+            Some(delay) => sleep(delay).await,
+            None => {
+                let group = Group { nodes: known.entries.len(), watchers: READERS };
+                node.directory_turns.rest(group).await;
+                sleep(REFRESH_INTERVAL).await;
+            }
+        }
+        match known.read(&node).await {
+            Ok(()) => {
+                let others = known.entries.values().filter(|entry| entry.addr != addr);
+                node.directory.set_nodes(others.map(|entry| (entry.addr, entry.cpu)));
             }
             Err(error) => {
                 log::debug!("cannot read the entries of the other nodes: {error}");
@@ -226,18 +241,50 @@
     node.append(TOPIC, &[record], &Guard::None, CALL_TIMEOUT).await.map(drop)
 }
 
-async fn read_entries(node: &Node, own: SocketAddr) -> Result<Vec<Entry>, CallError> {
-    let newest = node.read_newest(TOPIC, CALL_TIMEOUT).await?;
-    let mut entries = Vec::new();
-    for record in newest.records {
-        let Some(value) = record.value else { continue };
-        match postcard::from_bytes::<Entry>(&value) {
-            Ok(entry) => entries.push(entry),
-            Err(error) => log::warn!("cannot decode the entry of node {}: {error}", record.key),
+/// The entries read so far, by node name.
+#[derive(Default)]
+struct Known {
+    entries: BTreeMap<String, Entry>,
+    /// Offset to read on from; `None` until all entries have been read.
+    end: Option<Offset>,
+}
+
+impl Known {
+    /// Reads the entries that were written since the last read, or all of them if the store does not
+    /// keep their records any more.
+    async fn read(&mut self, node: &Node) -> Result<(), CallError> {
+        if let Some(end) = self.end {
+            match node.read_topic(TOPIC, end, Duration::ZERO, CALL_TIMEOUT).await {
+                Ok(page) => {
+                    self.end = Some(end + page.records.len() as Offset);
+                    self.apply(page.records);
+                    return Ok(());
+                }
+                Err(error) if error.status() == Some(410) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        let newest = node.read_newest(TOPIC, CALL_TIMEOUT).await?;
+        self.entries.clear();
+        self.end = Some(newest.end);
+        self.apply(newest.records);
+        Ok(())
+    }
+
+    fn apply(&mut self, records: Vec<Record>) {
+        for record in records {
+            let Some(value) = record.value else {
+                self.entries.remove(&record.key);
+                continue;
+            };
+            match postcard::from_bytes::<Entry>(&value) {
+                Ok(entry) => {
+                    self.entries.insert(record.key, entry);
+                }
+                Err(error) => log::warn!("cannot decode the entry of node {}: {error}", record.key),
+            }
         }
     }
-    entries.retain(|entry| entry.addr != own);
-    Ok(entries)
 }
 
 #[cfg(test)]
--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -152,6 +152,7 @@
     log::info!(token; "became leader");
     node.counters.count("batch.lead.held");
     node.operator_turns.start();
+    node.directory_turns.start();
     let order_window =
         OrderWindow::new(node.settings.handover_gap, view.held_boxes(node), clock::now());
     let scheduler = Scheduler::start(node.clone(), token, order_window, view.was_released());
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -100,6 +100,8 @@
     pub lease_turns: Turns,
     /// This node's turns to watch the operator's topic.
     pub operator_turns: Turns,
+    /// This node's turns to read the directory.
+    pub directory_turns: Turns,
     /// Counters.
     pub counters: Counters,
     /// Latencies of answers to clients, waits of tasks and writes of jobs.
@@ -133,6 +135,7 @@
             gossip: Gossip::default(),
             lease_turns: Turns::default(),
             operator_turns: Turns::default(),
+            directory_turns: Turns::default(),
             counters,
             latencies: Latencies::default(),
             config: Mutex::default(),
--- a/testutils/tests/test_watch.rs
+++ b/testutils/tests/test_watch.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use spokelift_lib::batch::caller::Caller;
+use spokelift_lib::batch::directory;
 use spokelift_lib::batch::gossip;
 use spokelift_lib::batch::leader;
 use spokelift_lib::batch::leader::lease::LeaderLease;
@@ -126,6 +127,32 @@
     large.wait_until("each node has the new version", |node| node.config_version() == 2).await;
 }
 
+/// Guards against a directory that each node reads whole at each refresh: the bytes of the store
+/// then grow with the square of the nodes.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_node_reads_the_whole_directory_once() {
+    const NODES: usize = 20;
+    let store = Store::default();
+    let (mut nodes, mut endpoints) = (Vec::new(), Vec::new());
+    for number in 1..=NODES {
+        let listener = TcpListener::bind((ip(number), 0)).await.unwrap();
+        let endpoint = store.open_endpoint().await.unwrap();
+        nodes.push(batch::node(listener, endpoint.addr));
+        endpoints.push(endpoint);
+    }
+    for node in &nodes {
+        tokio::spawn(directory::run(node.clone()));
+    }
+    let deadline = Instant::now() + TEST_TIMEOUT;
+    // The append, and a read at the start and after each of the three later delays.
+    while endpoints.iter().any(|endpoint| endpoint.request_count() < 5) {
+        assert!(Instant::now() < deadline, "not all nodes have read the directory");
+        sleep(CHECK_INTERVAL).await;
+    }
+    assert!(nodes.iter().all(|node| node.directory.count() == Some(NODES - 1)));
+    assert_eq!(store.full_reads("keyed.nodes"), NODES);
+}
+
 /// Guards against losing the leader unnoticed: at each moment some nodes watch, and not always the
 /// same ones.
 #[tokio::test(flavor = "multi_thread")]
