costs: each node counts its calls, messages and boxes; batch costs adds them up

Cause: nothing told which node makes how many calls of which kind, so what grows with the fleet had to be guessed from code.

Change: each call to the platform is counted by kind and topic with its bytes, each message between nodes by name, moves and the time of boxes in pools at the leader. spokelift batch costs asks all nodes of a site, or reads the lines that nodes write each 10 s.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -397,6 +397,7 @@
     Queues(BatchQueues),
     Workers(BatchWorkers),
     Shares(BatchShares),
+    Costs(BatchCosts),
     Waves(BatchWaves),
     Explain(Explain),
     Submit(BatchSubmit),
@@ -428,6 +429,15 @@
 #[argh(subcommand, name = "shares")]
 pub struct BatchShares {}
 
+/// Add up what the nodes cost the site: calls to the platform, messages, moves and time of boxes.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "costs")]
+pub struct BatchCosts {
+    /// read the log lines of nodes in this file, in place of asking the nodes
+    #[argh(option)]
+    pub log: Option<std::path::PathBuf>,
+}
+
 /// List the maintenance waves and their progress.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "waves")]
--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -1,6 +1,7 @@
 //! Executes the subcommands.
 
 mod batch;
+pub mod costs;
 
 use std::io::Read;
 use std::net::SocketAddr;
--- a/cli/src/command/batch.rs
+++ b/cli/src/command/batch.rs
@@ -6,9 +6,11 @@
 
 use crate::args::Args;
 use crate::args::BatchAction;
+use crate::args::BatchCosts;
 use crate::args::BatchSubmit;
 use crate::client::Client;
 use crate::command::client;
+use crate::command::costs;
 use crate::command::daemon;
 use crate::command::show;
 use crate::error::Error;
@@ -16,9 +18,12 @@
 
 /// Executes a `batch` command.
 pub async fn run(args: &Args, action: &BatchAction) -> Result<(), Error> {
+    let json = args.json;
+    if let BatchAction::Costs(BatchCosts { log: Some(path) }) = action {
+        return show(json, &costs::of_log(path)?, |rows| output::batch_costs(rows));
+    }
     // Read-only endpoints need no credential.
     let viewer = Client::new(daemon(args)?, "");
-    let json = args.json;
     match action {
         BatchAction::Accounts(_) => {
             let accounts: view::account::Accounts = viewer.get(&api_path("accounts")).await?;
@@ -40,6 +45,10 @@
             let shards: Vec<view::Shard> = viewer.get(&api_path("shares")).await?;
             show(json, &shards, |shards| output::batch_shares(shards))
         }
+        BatchAction::Costs(_) => {
+            let rows = costs::of_site(&viewer).await?;
+            show(json, &rows, |rows| output::batch_costs(rows))
+        }
         BatchAction::Waves(_) => {
             let waves: Vec<view::Wave> = viewer.get(&api_path("waves")).await?;
             show(json, &waves, |waves| output::batch_waves(waves))
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -5,6 +5,7 @@
 
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
+use spokelift_lib::batch::costs::Cost;
 use spokelift_lib::batch::view;
 use spokelift_lib::protocol::api::BoxView;
 use spokelift_lib::protocol::api::JobView;
@@ -20,6 +21,8 @@
 use spokelift_lib::state::plan::Reason;
 use spokelift_lib::state::plan::Step;
 
+use crate::command::costs;
+
 fn table(head: &[&str], rows: impl IntoIterator<Item = Vec<String>>) -> String {
     let mut table = Table::new();
     table.load_preset(NOTHING);
@@ -257,6 +260,26 @@
     table(&head, services.iter().map(row))
 }
 
+/// Costs of a site, one kind a line.
+pub fn batch_costs(rows: &[costs::Row]) -> String {
+    let row = |row: &costs::Row| {
+        let Cost { count, sent_bytes, received_bytes } = row.total;
+        let mean = row.total.count as f64 / row.nodes.max(1) as f64;
+        let kilobytes = |bytes: u64| format!("{:.0}", bytes as f64 / 1_000.0);
+        vec![
+            cell(&row.kind),
+            cell(count),
+            cell(row.nodes),
+            format!("{mean:.1}"),
+            cell(row.most),
+            kilobytes(sent_bytes),
+            kilobytes(received_bytes),
+        ]
+    };
+    let head = ["COST", "COUNT", "NODES", "PER NODE", "MOST", "SENT KB", "RECEIVED KB"];
+    table(&head, rows.iter().map(row))
+}
+
 /// Accounts of batch jobs, one a line, under the version of the configuration that sets their
 /// quotas; processor time in cores.
 pub fn batch_accounts(listing: &view::account::Accounts) -> String {
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -13,6 +13,7 @@
 pub mod client_api;
 pub mod commit;
 pub mod config;
+pub mod costs;
 pub mod crash;
 pub mod deferral;
 pub mod demand;
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -80,7 +80,7 @@
     }
 
     /// Addresses of the other nodes.
-    fn addrs(&self) -> Vec<SocketAddr> {
+    pub fn addrs(&self) -> Vec<SocketAddr> {
         self.entries().iter().flatten().map(|entry| entry.addr).collect()
     }
 
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -10,6 +10,8 @@
 use tokio::time::sleep;
 
 use crate::batch::cell::Cell;
+use crate::batch::costs;
+use crate::batch::costs::Cost;
 use crate::batch::maintenance::CALL_TIMEOUT;
 use crate::batch::maintenance::Waves;
 use crate::batch::maintenance::reservations::Reservations;
@@ -45,8 +47,10 @@
     let mut last_round = clock::now();
     loop {
         sleep(ROUND_INTERVAL).await;
-        let mut orders = order_budget(clock::since(last_round), rate);
+        let elapsed = clock::since(last_round);
+        let mut orders = order_budget(elapsed, rate);
         last_round = clock::now();
+        count_box_time(&scheduler, elapsed);
         let has_waves = waves.add_new(&scheduler);
         {
             let (mut cell, now) = (scheduler.cell(), clock::now());
@@ -115,6 +119,14 @@
     });
 }
 
+/// Counts the time of the boxes in pools since the last round. A switched-off box has no worker.
+fn count_box_time(scheduler: &Scheduler, elapsed: Duration) {
+    let cell = scheduler.cell();
+    let boxes = cell.workers.values().filter(|worker| worker.listed).count() as u64;
+    let count = boxes * elapsed.as_millis() as u64;
+    costs::add(&scheduler.node.counters, costs::BOX_TIME, Cost { count, ..Cost::default() });
+}
+
 /// Logs the load of each service.
 fn log_loads(scheduler: &Scheduler) {
     for (service, load) in loads(&scheduler.cell(), clock::now()) {
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -30,6 +30,7 @@
 use crate::batch::availability::count_connections;
 use crate::batch::client_api;
 use crate::batch::commit;
+use crate::batch::costs;
 use crate::batch::directory;
 use crate::batch::directory::Directory;
 use crate::batch::dispatch::Context;
@@ -118,7 +119,9 @@
     /// A node that has no configuration and knows no leader and no other nodes yet.
     pub fn new(settings: Settings, options: NodeSettings, counters: Counters) -> Arc<Node> {
         let handler = count_connections(&settings, counters.clone());
-        let dialer = Dialer::new(CONNECT_TIMEOUT).with_event_handler(handler);
+        let dialer = Dialer::new(CONNECT_TIMEOUT)
+            .with_event_handler(handler)
+            .with_exchange_handler(costs::count_exchanges(counters.clone()));
         Arc::new(Node {
             store: Store::new(settings.store, dialer.clone()),
             workers: WorkerClient::new(dialer.clone()),
@@ -129,7 +132,7 @@
             dialer,
             options,
             incarnation: rand::random(),
-            peers: Peers::default(),
+            peers: Peers::new(counters.clone()),
             directory: Directory::default(),
             remote_dispatch: RemoteDispatch::default(),
             gossip: Gossip::default(),
@@ -233,6 +236,7 @@
         tokio::spawn(leader::run(node.clone())),
         tokio::spawn(directory::run(node.clone())),
         tokio::spawn(commit::run(node.clone())),
+        tokio::spawn(costs::run(node.counters.clone())),
         tokio::spawn(watch_suspension(node.clone())),
     ];
     let (close, closed) = watch::channel(false);
--- a/lib/src/batch/node/operator_api.rs
+++ b/lib/src/batch/node/operator_api.rs
@@ -1,5 +1,6 @@
 //! HTTP interface of a node for operators: metrics, views of batch work and changes of jobs.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -18,6 +19,7 @@
 
 use crate::batch::caller::Caller;
 use crate::batch::commit::WriteOutcome;
+use crate::batch::costs;
 use crate::batch::document::Job;
 use crate::batch::node::Node;
 use crate::batch::peer;
@@ -59,6 +61,11 @@
 }
 
 async fn show_view(node: &Node, path: String) -> Result<String, ApiError> {
+    match path.strip_prefix(view::PATH) {
+        Some("nodes") => return Ok(to_json(&operator_addrs(node))),
+        Some("costs") => return Ok(costs::to_json(&costs::of(&node.counters.totals()))),
+        _ => {}
+    }
     match node.ask_leader(peer::Request::View(path)).await {
         Some(Reply::View(Some(view))) => Ok(view),
         Some(Reply::View(None)) => Err(ApiError::NotFound { what: "view or job".into() }),
@@ -66,6 +73,15 @@
     }
 }
 
+/// Addresses at which this node and the others answer operators.
+fn operator_addrs(node: &Node) -> Vec<SocketAddr> {
+    let settings = &node.settings;
+    let distance = settings.metrics_port.wrapping_sub(settings.peer_port);
+    let of_peer = |addr: SocketAddr| SocketAddr::new(addr.ip(), addr.port().wrapping_add(distance));
+    let others = node.directory.addrs();
+    std::iter::once(settings.peer_addr()).chain(others).map(of_peer).collect()
+}
+
 /// Submits or cancels a job for the operator of the site.
 async fn change_job(node: &Arc<Node>, request: Request<Incoming>) -> Result<String, ApiError> {
     let (head, body) = request.into_parts();
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -35,6 +35,7 @@
 use crate::batch::node::Node;
 use crate::batch::record::Accepted;
 use crate::batch::relay;
+use crate::metrics::Counters;
 use crate::transport::socket;
 
 /// Timeout for opening a connection to a peer; halls are about 1 ms apart.
@@ -85,6 +86,26 @@
     },
 }
 
+impl Request {
+    /// Its name in counters.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Request::Submitted(..) => "submitted",
+            Request::State(..) => "state",
+            Request::Cancel(..) => "cancel",
+            Request::Pending(..) => "pending",
+            Request::Relay(_) => "relay",
+            Request::Dispatch(_) => "dispatch",
+            Request::Report(_) => "report",
+            Request::Newer { .. } => "newer",
+            Request::Config(_) => "config",
+            Request::View(_) => "view",
+            Request::Ping => "ping",
+            Request::Leader { .. } => "leader",
+        }
+    }
+}
+
 /// The answer to a [`Request`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
@@ -137,9 +158,16 @@
 #[derive(Clone, Default)]
 pub struct Peers {
     connections: Arc<Mutex<HashMap<SocketAddr, RequestSender>>>,
+    /// Counts messages; `None` if they are not counted.
+    counters: Option<Counters>,
 }
 
 impl Peers {
+    /// Connections without peers, which count their messages.
+    pub fn new(counters: Counters) -> Peers {
+        Peers { counters: Some(counters), ..Peers::default() }
+    }
+
     /// Sends a request to a peer and returns its answer. If the connection ends or is unresponsive,
     /// the request is sent once more on a new connection, so the peer may receive it twice.
     ///
@@ -192,7 +220,7 @@
         }
         let (sender, queue) = mpsc::channel(QUEUE_CAPACITY);
         connections.insert(addr, sender.clone());
-        tokio::spawn(connection::run(addr, queue));
+        tokio::spawn(connection::run(addr, queue, self.counters.clone()));
         sender
     }
 }
--- a/lib/src/batch/peer/connection.rs
+++ b/lib/src/batch/peer/connection.rs
@@ -19,6 +19,7 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::batch::costs;
 use crate::batch::peer::Answer;
 use crate::batch::peer::CONNECT_TIMEOUT;
 use crate::batch::peer::PeerError;
@@ -26,6 +27,7 @@
 use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
 use crate::batch::peer::encode;
+use crate::metrics::Counters;
 use crate::transport::socket;
 
 /// Time without data on a connection with pending requests after which the peer is pinged. Most
@@ -41,9 +43,13 @@
 
 /// Opens a connection and sends the queued requests over it, until the connection fails or is
 /// unresponsive, or all senders of requests are dropped.
-pub(super) async fn run(addr: SocketAddr, mut queue: mpsc::Receiver<PendingRequest>) {
+pub(super) async fn run(
+    addr: SocketAddr,
+    mut queue: mpsc::Receiver<PendingRequest>,
+    counters: Option<Counters>,
+) {
     let why = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
-        Ok(Ok(stream)) => match exchange(addr, stream, &mut queue).await {
+        Ok(Ok(stream)) => match exchange(addr, stream, &mut queue, counters).await {
             Some(why) => why,
             None => return,
         },
@@ -60,8 +66,9 @@
 /// An open connection with its pending requests.
 struct Connection {
     frames: Frames,
-    /// Requests without an answer yet, by number.
-    pending: HashMap<u64, oneshot::Sender<Answer>>,
+    /// Requests without an answer yet, by number, with their names.
+    pending: HashMap<u64, (&'static str, oneshot::Sender<Answer>)>,
+    counters: Option<Counters>,
     /// Number of the last request.
     last_number: u64,
     /// When data was last received, or when the first of the pending requests was sent if that is
@@ -77,6 +84,7 @@
     addr: SocketAddr,
     stream: TcpStream,
     queue: &mut mpsc::Receiver<PendingRequest>,
+    counters: Option<Counters>,
 ) -> Option<PeerError> {
     if let Err(error) = socket::set_options(&stream) {
         log::debug!("cannot set up the connection to the peer at {addr}: {error}");
@@ -86,6 +94,7 @@
     let mut connection = Connection {
         frames,
         pending: HashMap::new(),
+        counters,
         last_number: PING_NUMBER,
         last_activity: Instant::now(),
         is_pinged: false,
@@ -117,7 +126,7 @@
             "closed an unresponsive connection"
         );
     }
-    for (_, reply) in connection.pending {
+    for (_, (_, reply)) in connection.pending {
         // The sender of the request may have timed out.
         let _ = reply.send(Err(why));
     }
@@ -136,14 +145,14 @@
             self.is_pinged = false;
         }
         self.last_number += 1;
-        self.pending.insert(self.last_number, reply);
+        self.pending.insert(self.last_number, (request.name(), reply));
         self.write(self.last_number, request).await
     }
 
     /// Pings the peer, or returns [`PeerError::Unresponsive`] if the last ping was not answered.
     /// Requests whose senders have timed out are dropped.
     async fn check_liveness(&mut self) -> Result<(), PeerError> {
-        self.pending.retain(|_, reply| !reply.is_closed());
+        self.pending.retain(|_, (_, reply)| !reply.is_closed());
         if self.is_pinged {
             return Err(PeerError::Unresponsive);
         }
@@ -153,7 +162,11 @@
 
     /// Writes a message. A connection that accepts no data in time counts as unresponsive too.
     async fn write(&mut self, number: u64, request: Request) -> Result<(), PeerError> {
-        let write = self.frames.send(encode(&(number, request)));
+        let message = encode(&(number, &request));
+        if let Some(counters) = &self.counters {
+            costs::count_message(counters, request.name(), message.len(), 0);
+        }
+        let write = self.frames.send(message);
         match timeout(PING_AFTER + PING_TIMEOUT, write).await {
             Ok(written) => written.map_err(|_| PeerError::Closed),
             Err(_) => Err(PeerError::Unresponsive),
@@ -168,7 +181,12 @@
             PeerError::Closed
         })?;
         // The sender of the request may have timed out; a ping is not among the pending requests.
-        let _ = self.pending.remove(&number).map(|sender| sender.send(Ok(reply)));
+        if let Some((name, sender)) = self.pending.remove(&number) {
+            if let Some(counters) = &self.counters {
+                costs::count_message(counters, name, 0, frame.len());
+            }
+            let _ = sender.send(Ok(reply));
+        }
         Ok(())
     }
 }
--- a/lib/src/batch/pool/order.rs
+++ b/lib/src/batch/pool/order.rs
@@ -7,6 +7,7 @@
 use spokelift_platform::machine::MachineId;
 use spokelift_platform::machine::Machines;
 
+use crate::batch::costs;
 use crate::batch::maintenance::CALL_TIMEOUT;
 use crate::batch::pool::Pools;
 use crate::batch::scheduler::Scheduler;
@@ -46,6 +47,7 @@
         log::info!(machine = id, to = under_way.to.as_str(), ok; "move ordered");
         match answer {
             Ok(()) => {
+                costs::count(&scheduler.node.counters, costs::BOX_MOVES, 0, 0);
                 under_way.is_ordered = true;
                 self.deferrals.forget(id);
                 scheduler.cell().end_incarnations_elsewhere(id, &under_way.to);
--- a/transport/src/dial.rs
+++ b/transport/src/dial.rs
@@ -121,6 +121,9 @@
 /// Called with each [`Event`] of a connection to an address.
 pub type EventHandler = Arc<dyn Fn(SocketAddr, Event) + Send + Sync>;
 
+/// Called with the path of an exchange, and the bytes of the bodies that were sent and received.
+pub type ExchangeHandler = Arc<dyn Fn(&str, usize, usize) + Send + Sync>;
+
 impl fmt::Debug for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -136,12 +139,13 @@
     pool: Arc<ConnectionPool>,
     connect_timeout: Duration,
     on_event: Option<EventHandler>,
+    on_exchange: Option<ExchangeHandler>,
 }
 
 impl Dialer {
     /// Creates a dialer that waits up to `connect_timeout` for a connection.
     pub fn new(connect_timeout: Duration) -> Dialer {
-        Dialer { pool: Arc::default(), connect_timeout, on_event: None }
+        Dialer { pool: Arc::default(), connect_timeout, on_event: None, on_exchange: None }
     }
 
     /// Returns the same dialer, which calls `handler` with each event of its connections.
@@ -158,6 +162,18 @@
         Dialer { on_event: Some(handler), ..self }
     }
 
+    /// Returns the same dialer, which calls `handler` with each exchange that is recorded.
+    pub fn with_exchange_handler(self, handler: ExchangeHandler) -> Dialer {
+        Dialer { on_exchange: Some(handler), ..self }
+    }
+
+    /// Records an exchange, with the bytes of the bodies that were sent and received.
+    pub fn record_exchange(&self, path: &str, sent: usize, received: usize) {
+        if let Some(handler) = &self.on_exchange {
+            handler(path, sent, received);
+        }
+    }
+
     fn emit(&self, addr: SocketAddr, event: Event) {
         if let Some(handler) = &self.on_event {
             handler(addr, event);
