pool: spare boxes of a service follow the rises of its demand once they are known

Cause: each service kept 5 % of all boxes of the site beyond what it wants, so what was kept grew with the site and not with the demand.

Change: the need of each service is followed over the 3 s that a fetched box takes to arrive; after a first period of ten minutes the largest rise of the last two periods sets the spare boxes, at most the 5 % that hold before that.

Measured: the same spare boxes at 350 and 6,000 boxes under the same demand (doc test of spare_machines).

--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -1,5 +1,6 @@
 //! The scheduler's control loop for boxes: maintenance waves and moves between pools.
 
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use crate::batch::maintenance::Waves;
 use crate::batch::maintenance::reservations::Reservations;
 use crate::batch::pool::Pools;
+use crate::batch::pool::load::Load;
 use crate::batch::pool::load::loads;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::stuck::Reporter;
@@ -56,15 +58,17 @@
             let (mut cell, now) = (scheduler.cell(), clock::now());
             cell.unplaced_cpu = Reservations::new(&cell, now).unplaced_cpu(&cell, now);
         }
+        let loads = loads(&scheduler.cell(), clock::now());
+        pools.record_need(&loads);
         if clock::since(logged_at) >= LOAD_LOG_INTERVAL {
             logged_at = clock::now();
-            log_loads(&scheduler);
+            log_loads(&loads);
             let waiting = stuck_tasks(&scheduler.cell(), clock::now());
             let first = reporter.report(&waiting) as u64;
             scheduler.node.counters.add("batch.task.waits-beside-room", first);
         }
         let is_blocked = scheduler.cell().is_blocked_by_unresponsive();
-        if !has_waves && !is_blocked && !pools.needs_machine_list(&scheduler) {
+        if !has_waves && !is_blocked && !pools.needs_machine_list(&loads) {
             continue;
         }
         let requested_at = clock::now();
@@ -128,8 +132,8 @@
 }
 
 /// Logs the load of each service.
-fn log_loads(scheduler: &Scheduler) {
-    for (service, load) in loads(&scheduler.cell(), clock::now()) {
+fn log_loads(loads: &BTreeMap<String, Load>) {
+    for (service, load) in loads {
         log::info!(
             service = service.as_str(),
             workers = load.workers,
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -2,6 +2,7 @@
 
 pub mod load;
 mod order;
+pub mod rise;
 mod source;
 
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
 use crate::batch::pool::load::Load;
 use crate::batch::pool::load::loads;
 use crate::batch::pool::load::spare_machines;
+use crate::batch::pool::rise::Rises;
 use crate::batch::pool::source::Recipient;
 use crate::batch::pool::source::Sources;
 use crate::batch::scheduler::Scheduler;
@@ -61,6 +63,8 @@
     deferrals: Deferrals,
     /// Boxes on which nothing runs, and since when this is known.
     idle_since: HashMap<MachineId, Instant>,
+    /// How much the needs of services rise within the time of a move.
+    rises: Rises,
     /// The evacuated halls. Their boxes stay where they are.
     evacuated_halls: Arc<HallNames>,
 }
@@ -73,10 +77,10 @@
 
 impl Pools {
     /// Whether moves are under way or needed, so that the platform's list of machines is needed.
-    pub fn needs_machine_list(&self, scheduler: &Scheduler) -> bool {
-        let loads = loads(&scheduler.cell(), clock::now());
-        let spare = spare_machines(loads.values().map(|load| load.workers).sum());
-        let needs_moves = |load: &Load| {
+    pub fn needs_machine_list(&self, loads: &BTreeMap<String, Load>) -> bool {
+        let machines = loads.values().map(|load| load.workers).sum();
+        let needs_moves = |(service, load): (&String, &Load)| {
+            let spare = self.spare_machines(service, load, machines);
             let short = load.wanted() > load.capacity
                 || load.min_workers > load.workers
                 || load.unplaced > 0;
@@ -84,7 +88,20 @@
                 || !load.label_shortages.is_empty()
                 || load.has_excess(load.mean_worker_cpu(), spare)
         };
-        !self.moves.is_empty() || loads.values().any(needs_moves)
+        !self.moves.is_empty() || loads.iter().any(needs_moves)
+    }
+
+    /// How many boxes a service keeps beyond what it wants, on a site with `machines` boxes.
+    fn spare_machines(&self, service: &str, load: &Load, machines: u64) -> u64 {
+        spare_machines(machines, load.mean_worker_cpu(), self.rises.largest(service))
+    }
+
+    /// Records what the services need now.
+    pub fn record_need(&mut self, loads: &BTreeMap<String, Load>) {
+        let now = clock::now();
+        for (service, load) in loads {
+            self.rises.record(service, load.need(), now);
+        }
     }
 
     /// Boxes with a move under way.
@@ -290,7 +307,6 @@
             return;
         };
         let mut loads = loads(cell, clock::now());
-        let spare = spare_machines(list.len() as u64);
         for machine in list {
             let is_empty =
                 cell.worker_on(machine).is_some_and(|worker| worker.allocations.is_empty());
@@ -298,8 +314,11 @@
                 continue;
             }
             let size = u64::from(machine.capacity.cpu);
-            let load = loads.get_mut(&machine.pool);
-            let Some(load) = load.filter(|load| load.has_excess(size, spare)) else { continue };
+            let Some(load) = loads.get_mut(&machine.pool) else { continue };
+            let spare = self.spare_machines(&machine.pool, load, list.len() as u64);
+            if !load.has_excess(size, spare) {
+                continue;
+            }
             load.remove_machine(size);
             log::info!(machine = machine.id.as_str(), from = machine.pool.as_str(); "switching off idle box");
             self.start_move(cell, machine, &reserve.name, true);
--- a/lib/src/batch/pool/load.rs
+++ b/lib/src/batch/pool/load.rs
@@ -28,9 +28,9 @@
 /// a wide job requests about a hundred cores at once, and a box that was switched off is back only
 /// after 2 s.
 const MIN_SPARE_MACHINES: u64 = 3;
-/// The same as a percentage of all boxes of the site: on a large site the load rises by more boxes
-/// within those 2 s.
-const SPARE_PERCENT: u64 = 5;
+/// Number of boxes that a service keeps beyond what it wants while the rises of its demand are not
+/// known, and the largest number afterwards, as a percentage of all boxes of the site.
+const MAX_SPARE_PERCENT: u64 = 5;
 
 /// Load of a service. Unless stated otherwise, amounts are CPU in thousandths of a core.
 #[derive(Clone, Debug, Default)]
@@ -69,6 +69,11 @@
         (steady + self.backlog / BACKLOG_CLEAR_MS) * 100 / UTILIZATION_PERCENT
     }
 
+    /// What its running and waiting tasks need.
+    pub(super) fn need(&self) -> u64 {
+        self.used + self.waiting
+    }
+
     /// Ratio of a capacity to what is wanted.
     fn supply_ratio(&self, capacity: u64) -> f64 {
         capacity as f64 / self.wanted().max(1) as f64
@@ -110,9 +115,22 @@
     }
 }
 
-/// How many boxes a service keeps beyond what it wants, on a site with `machines` boxes.
-pub(super) fn spare_machines(machines: u64) -> u64 {
-    (machines * SPARE_PERCENT / 100).max(MIN_SPARE_MACHINES)
+/// How many boxes with `size` thousandths of a core a service keeps beyond what it wants, on a site
+/// with `machines` boxes. `rise` is how much more it may need before a fetched box arrives, in
+/// thousandths of a core, if that is known.
+///
+/// ```
+/// use spokelift_lib::batch::pool::load::spare_machines;
+/// assert_eq!(spare_machines(6_000, 32_000, None), 300);
+/// // Once the demand is known, the size of the site does not count.
+/// assert_eq!(spare_machines(350, 32_000, Some(320_000)), 12);
+/// assert_eq!(spare_machines(6_000, 32_000, Some(320_000)), 12);
+/// ```
+pub fn spare_machines(machines: u64, size: u64, rise: Option<u64>) -> u64 {
+    let most = (machines * MAX_SPARE_PERCENT / 100).max(MIN_SPARE_MACHINES);
+    let Some(rise) = rise else { return most };
+    let needed = rise * 100 / UTILIZATION_PERCENT;
+    needed.div_ceil(size.max(1)).clamp(MIN_SPARE_MACHINES, most)
 }
 
 /// The load of each service.
