--- a/lib/src/batch/costs.rs
+++ b/lib/src/batch/costs.rs
@@ -28,7 +28,7 @@
 /// What one kind of cost sums up to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cost {
-    /// How often it was incurred.
+    /// Number of calls, messages or orders; for times their sum.
     pub count: u64,
     /// Bytes of bodies and messages that were sent.
     pub sent_bytes: u64,
@@ -39,13 +39,10 @@
 /// Costs by kind.
 pub type Costs = BTreeMap<String, Cost>;
 
-/// Counts one incurrence of a cost.
+/// Counts one call, message or order of a kind, with the bytes sent and received.
 pub fn count(counters: &Counters, kind: &str, sent: usize, received: usize) {
-    add(
-        counters,
-        kind,
-        Cost { count: 1, sent_bytes: sent as u64, received_bytes: received as u64 },
-    );
+    let cost = Cost { count: 1, sent_bytes: sent as u64, received_bytes: received as u64 };
+    add(counters, kind, cost);
 }
 
 /// Counts a cost.
@@ -55,7 +52,7 @@
     counters.add(&format!("{PREFIX}{kind}.received"), cost.received_bytes);
 }
 
-/// Counts a message to another node of the kind `name`, or the answer to one.
+/// Counts a message to another node, by its name, or the answer to one: then nothing is sent.
 pub fn count_message(counters: &Counters, name: &str, sent: usize, received: usize) {
     let count = u64::from(sent > 0);
     let cost = Cost { count, sent_bytes: sent as u64, received_bytes: received as u64 };
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -1,7 +1,7 @@
 //! Directory of the other nodes: each node writes its address and its CPU to the store when it
-//! starts, and reads all entries once and later only what was written since. Used to choose peers, for relayed calls to the store among others, and to have nodes with
-//! enough CPU claim the leader lease first. Entries may be outdated, so nothing that must be correct
-//! relies on them.
+//! starts, reads all entries once, and later only what was written since. Used to choose peers, for
+//! relayed calls to the store among others, and to have nodes with enough CPU claim the leader lease
+//! first. Entries may be outdated, so nothing that must be correct relies on them.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -40,8 +40,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
 impl Node {
-    /// A claim or a renewal of the lease by this node. It holds all boxes: if nothing follows it, nobody knows which boxes
-    /// this leader has ordered.
+    /// A claim or a renewal of the lease by this node. It holds all boxes: if nothing follows it,
+    /// nobody knows which boxes this leader has ordered.
     fn held_lease(&self, renewals: u32) -> LeaderLease {
         let settings = &self.settings;
         let addr = settings.peer_addr();
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -61,8 +61,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Time after its start by which every node knows of a scheduler: nodes read the record of the leader lease at
-/// least every half second.
+/// Time after its start by which every node that reports jobs to a leader reports them to this scheduler: an earlier
+/// one admits none once it may have been replaced.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1_000);
 /// Number of waiting steps above which a placement round is too expensive to run after every change.
 const BACKLOG_STEPS: usize = 60;
