--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -180,21 +180,6 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Length of the longest path from the start of a step to the end of the job by the client's
-    /// estimates, in milliseconds; 0 if there is no such step.
-    pub fn remaining_path_ms(&self, step: u16) -> u64 {
-        let steps = &self.accepted.job.steps;
-        let mut paths = vec![0; steps.len()];
-        for number in (0..steps.len()).rev() {
-            let after = (number..).zip(&steps[number..]).filter(|(_, later)| {
-                later.after.iter().any(|earlier| usize::from(*earlier) == number)
-            });
-            let rest = after.map(|(later, _)| paths[later]).max().unwrap_or(0);
-            paths[number] = steps[number].estimate_ms.saturating_add(rest);
-        }
-        paths.get(usize::from(step)).copied().unwrap_or(0)
-    }
-
     /// When the job, or a repetition of it, should be done to meet its objective, in milliseconds
     /// since the Unix epoch.
     pub fn objective_at(&self, repetition: u32) -> u64 {
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -122,13 +122,11 @@
         self.placement_pending = true;
     }
 
-    /// Whether a job can still finish by its objective if this step starts now: its remaining steps
-    /// by the client's estimates, corrected by how these have fitted the queue so far.
+    /// Whether a step can still finish by its objective, by the client's estimate of the run time.
     fn can_meet_objective(&self, rank: &Rank, wall_ms: u64) -> bool {
         let Some(entry) = self.jobs.get(&rank.job) else { return true };
-        let ratio = self.demand.run_time_ratio(&entry.accepted.queue);
-        let rest = entry.remaining_path_ms(rank.step) as f64 * ratio;
-        wall_ms + rest as u64 <= rank.objective_at
+        let step = entry.step(rank.step).map_or(0, |step| step.estimate_ms);
+        wall_ms + step <= rank.objective_at
     }
 
     /// The most free CPU, in thousandths of a core, on any schedulable worker of a service; `None`
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -256,21 +256,25 @@
 
     /// The operator's view under a path, from any running node; `None` if none answers with 200.
     pub async fn operator_view(&self, path: &str) -> Option<String> {
-        for node in self.nodes.iter().filter(|node| node.is_running()) {
-            let uri = format!("{}{path}", view::PATH);
-            let request = Request::builder().uri(uri).header("host", HOST).body(full(""));
-            let request = request.expect("the tests make valid requests");
-            let answer =
-                self.dialer.exchange(node.operator_addr, request, 65_536, ANSWER_TIMEOUT).await;
-            if let Ok(answer) = answer
-                && answer.status() == 200
-            {
-                return String::from_utf8(answer.body().to_vec()).ok();
+        for (number, _) in self.nodes.iter().enumerate().filter(|(_, node)| node.is_running()) {
+            if let Some(view) = self.view_of(number, path).await {
+                return Some(view);
             }
         }
         None
     }
 
+    /// The operator's view under a path from a node; `None` if it does not answer with 200.
+    pub async fn view_of(&self, node: usize, path: &str) -> Option<String> {
+        let addr = self.nodes[node].operator_addr;
+        let uri = format!("{}{path}", view::PATH);
+        let request = Request::builder().uri(uri).header("host", HOST).body(full(""));
+        let request = request.expect("the tests make valid requests");
+        let answer = self.dialer.exchange(addr, request, 65_536, ANSWER_TIMEOUT).await.ok()?;
+        let body = (answer.status() == 200).then(|| answer.body().to_vec())?;
+        String::from_utf8(body).ok()
+    }
+
     /// Submits a job to queue `q`; returns the status, or 0 if there is no answer.
     pub async fn submit(&self, node: usize, id: &str, job: Value) -> u16 {
         self.submit_to("q", node, id, job).await
