--- a/lib/src/batch/node/leadership.rs
+++ b/lib/src/batch/node/leadership.rs
@@ -31,8 +31,8 @@
 /// Age of the last read up to which it confirms what such a leader answered; a node that watches
 /// reads once in half a second.
 const CONFIRMED_FOR: Duration = Duration::from_millis(700);
-/// Number of preferred leaders that watch the lease topic at a time. With so many, one of them
-/// claims a free lease as soon as if all of them watched.
+/// Number of preferred leaders that watch the lease topic at a time. Each delays its claim of a free
+/// lease at random; among several, the shortest delay is small.
 const PREFERRED_WATCHERS: usize = 12;
 /// The same of the other nodes, which claim the lease if no preferred leader is left.
 const OTHER_WATCHERS: usize = 4;
--- a/lib/src/batch/operator.rs
+++ b/lib/src/batch/operator.rs
@@ -43,9 +43,7 @@
             let group = Group { nodes: others + 1, watchers: WATCHERS };
             node.operator_turns.rest(group).await;
         }
-        let followed = follow(&node, from).await;
-        node.operator_turns.finish_read();
-        match followed {
+        match follow(&node, from).await {
             Ok(next) => from = Some(next),
             Err(error) => {
                 node.counters.count("batch.operator.follow-failed");
