lib: interfaces of learned run times, outlooks and demand above the accounts' rates

Change: batch::run_time takes the ratios out of batch::demand and answers with a distribution, still one mean; Cell::run_time, expected_empty_at and remaining_path; batch::outlook and Request::Outlook, which no node sends yet; Load::over_rate, which is 0 yet.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -19,6 +19,7 @@
 mod jobs;
 mod polls;
 mod quotas;
+mod run_times;
 mod unreachable;
 mod workers;
 
@@ -53,6 +54,7 @@
 use crate::batch::job::Task;
 use crate::batch::place::fair::Allowances;
 use crate::batch::record::JobKey;
+use crate::batch::run_time::RunTimes;
 use crate::batch::worker::table::Table;
 use crate::batch::worker::table::WorkerNumber;
 
@@ -300,6 +302,8 @@
     early_ends: Vec<EarlyEnd>,
     /// Observed load.
     pub demand: Demand,
+    /// Observed run times.
+    pub run_times: RunTimes,
     /// Answers of the advice service.
     pub advice: AdviceCache,
 }
@@ -353,6 +357,7 @@
             renewed_at: None,
             early_ends: Vec::new(),
             demand: Demand::default(),
+            run_times: RunTimes::default(),
             advice: AdviceCache::default(),
         }
     }
--- a/lib/src/batch/cell/polls.rs
+++ b/lib/src/batch/cell/polls.rs
@@ -23,6 +23,7 @@
 use crate::batch::cell::workers::remove_allocations;
 use crate::batch::job::Entry;
 use crate::batch::record;
+use crate::batch::run_time::Observation;
 use crate::batch::worker::Allocation;
 use crate::batch::worker::Class;
 use crate::batch::worker::Phase;
@@ -159,17 +160,20 @@
         self.requeue(end.task);
     }
 
-    /// Compares the run time with the client's estimate. Runs resumed from a checkpoint are left
-    /// out, as they may have done only a part of the work.
+    /// Records how long a run lasted. Runs resumed from a checkpoint are left out, as they may have
+    /// done only a part of the work.
     fn record_run_time(&mut self, end: &End, step: &Step, allocation: &Allocation, now: Instant) {
-        let is_whole_run = end.outcome == Outcome::Done && !step.long_running;
-        if !is_whole_run || !allocation.checkpoint.is_empty() {
+        if step.long_running || !allocation.checkpoint.is_empty() {
             return;
         }
         let Some(entry) = self.jobs.get(&end.task.job) else { return };
-        let estimate = Duration::from_millis(step.estimate_ms);
-        let run_time = now.saturating_duration_since(allocation.ordered_at);
-        self.demand.record_run(&entry.accepted.queue, estimate, run_time);
+        self.run_times.record(&Observation {
+            queue: &entry.accepted.queue,
+            step: end.task.step,
+            estimate: Duration::from_millis(step.estimate_ms),
+            lasted: now.saturating_duration_since(allocation.ordered_at),
+            is_done: end.outcome == Outcome::Done,
+        });
     }
 
     /// Counts a failed run and fails the job at its limit of attempts. A long-running task is
--- a/lib/src/batch/demand.rs
+++ b/lib/src/batch/demand.rs
@@ -1,10 +1,11 @@
-//! Rate of arriving work for each service, and actual run times against estimates.
+//! Rate of arriving work for each service.
 
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::batch::job::Entry;
+use crate::batch::run_time::RunTimes;
 
 /// Time in which an arrival's weight falls to 1/e. Load shifts between services within seconds; a
 /// machine takes about two to be moved.
@@ -12,10 +13,6 @@
 /// The same for the estimate that follows a rise first. It is noisy, so it counts only where it is
 /// the higher one: an unneeded machine costs little, one that comes late costs jobs.
 const SHORT_ARRIVAL_DECAY: Duration = Duration::from_millis(600);
-/// Weight of the newest run in the mean ratio of run time to estimate.
-const RUN_TIME_RATIO_WEIGHT: f64 = 0.05;
-/// Range to which each ratio is clamped, so that a few outliers do not distort the mean.
-const RUN_TIME_RATIO_BOUNDS: (f64, f64) = (0.3, 3.0);
 
 /// Arriving work of one service.
 #[derive(Clone, Copy, Debug)]
@@ -27,47 +24,24 @@
     at: Instant,
 }
 
-/// Estimates of arriving work and run times.
+/// Estimates of arriving work.
 #[derive(Default)]
 pub struct Demand {
     arrivals: HashMap<String, Arrival>,
-    /// Mean ratio of actual run time to the client's estimate, by queue.
-    run_time_ratios: HashMap<String, f64>,
 }
 
 impl Demand {
     /// Records the arrival of a job.
-    pub fn record_arrival(&mut self, entry: &Entry, now: Instant) {
-        let ratio = self.run_time_ratio(&entry.accepted.queue);
-        let finite_steps =
-            entry.accepted.job.steps.iter().filter(|step| !step.long_running && !step.best_effort);
-        let work: f64 = finite_steps
-            .map(|step| f64::from(step.count) * f64::from(step.cpu) * step.estimate_ms as f64)
-            .sum();
+    pub fn record_arrival(&mut self, entry: &Entry, run_times: &RunTimes, now: Instant) {
+        let work = finite_work(entry, run_times);
         let arrival = self.arrivals.entry(entry.accepted.service.clone());
         let arrival = arrival.or_insert(Arrival { work: 0.0, recent_work: 0.0, at: now });
         let age = now.saturating_duration_since(arrival.at);
-        arrival.work = decayed(arrival.work, age, ARRIVAL_DECAY) + work * ratio;
-        arrival.recent_work = decayed(arrival.recent_work, age, SHORT_ARRIVAL_DECAY) + work * ratio;
+        arrival.work = decayed(arrival.work, age, ARRIVAL_DECAY) + work;
+        arrival.recent_work = decayed(arrival.recent_work, age, SHORT_ARRIVAL_DECAY) + work;
         arrival.at = now;
     }
 
-    /// Records how long a finished run took, with the client's estimate.
-    pub fn record_run(&mut self, queue: &str, estimate: Duration, run_time: Duration) {
-        if estimate.is_zero() {
-            return;
-        }
-        let ratio = run_time.as_secs_f64() / estimate.as_secs_f64();
-        let mean = self.run_time_ratios.entry(queue.to_owned()).or_insert(1.0);
-        *mean += RUN_TIME_RATIO_WEIGHT
-            * (ratio.clamp(RUN_TIME_RATIO_BOUNDS.0, RUN_TIME_RATIO_BOUNDS.1) - *mean);
-    }
-
-    /// Mean ratio of actual run time to the client's estimate; 1 if no run was recorded.
-    pub fn run_time_ratio(&self, queue: &str) -> f64 {
-        self.run_time_ratios.get(queue).copied().unwrap_or(1.0)
-    }
-
     /// CPU that the arriving work of a service keeps busy, in thousandths of a core.
     pub fn rate(&self, service: &str, now: Instant) -> u64 {
         let Some(arrival) = self.arrivals.get(service) else { return 0 };
@@ -79,6 +53,18 @@
     }
 }
 
+/// Work of a job's steps that end by themselves, in thousandths of a core times milliseconds.
+fn finite_work(entry: &Entry, run_times: &RunTimes) -> f64 {
+    let steps = (0..).zip(&entry.accepted.job.steps);
+    let finite_steps = steps.filter(|(_, step)| !step.long_running && !step.best_effort);
+    let work = finite_steps.map(|(number, step)| {
+        let estimate = Duration::from_millis(step.estimate_ms);
+        let run_time = run_times.of(&entry.accepted.queue, number, estimate).mean();
+        f64::from(step.count) * f64::from(step.cpu) * run_time.as_secs_f64() * 1_000.0
+    });
+    work.sum()
+}
+
 /// Decays a weighted sum by `age`.
 fn decayed(work: f64, age: Duration, decay_time: Duration) -> f64 {
     work * (-age.as_secs_f64() / decay_time.as_secs_f64()).exp()
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -33,6 +33,7 @@
 use crate::batch::dispatch::remote::Report;
 use crate::batch::leader::lease::LeaderLease;
 use crate::batch::node::Node;
+use crate::batch::outlook::Outlook;
 use crate::batch::record::Accepted;
 use crate::batch::relay;
 use crate::metrics::Counters;
@@ -84,6 +85,8 @@
         /// The record.
         lease: Box<LeaderLease>,
     },
+    /// Passes on the leader's outlook.
+    Outlook(Box<Outlook>),
 }
 
 impl Request {
@@ -102,6 +105,7 @@
             Request::View(_) => "view",
             Request::Ping => "ping",
             Request::Leader { .. } => "leader",
+            Request::Outlook(_) => "outlook",
         }
     }
 }
--- a/lib/src/batch/pool/load.rs
+++ b/lib/src/batch/pool/load.rs
@@ -47,6 +47,9 @@
     pub backlog: u64,
     /// What the arriving work keeps busy on average.
     pub arrival_rate: u64,
+    /// The part of [`Load::wanted`] that only jobs above the rates of their accounts ask for. It
+    /// takes no box from a service.
+    pub over_rate: u64,
     /// Number of schedulable workers.
     pub workers: u64,
     /// By label that waiting tasks require: how much their requests exceed the free CPU on workers
@@ -69,6 +72,11 @@
         (steady + self.backlog / BACKLOG_CLEAR_MS) * 100 / UTILIZATION_PERCENT
     }
 
+    /// What it should have for the jobs that accounts send within their rates.
+    pub fn wanted_within_rates(&self) -> u64 {
+        self.wanted().saturating_sub(self.over_rate)
+    }
+
     /// What its running and waiting tasks need.
     pub(super) fn need(&self) -> u64 {
         self.used + self.waiting
@@ -214,9 +222,9 @@
         if let Some(label) = &step.requires {
             *load.label_shortages.entry(label.clone()).or_default() += waiting;
         }
-        let estimate = step.estimate_ms as f64 * cell.demand.run_time_ratio(&entry.accepted.queue);
-        load.backlog +=
-            waiting * if step.long_running { BACKLOG_CLEAR_MS } else { estimate as u64 };
+        let run_time =
+            cell.run_time(entry, rank.step).map_or(0, |run| run.mean().as_millis() as u64);
+        load.backlog += waiting * if step.long_running { BACKLOG_CLEAR_MS } else { run_time };
     }
 }
 
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -55,7 +55,8 @@
             Request::Dispatch(_)
             | Request::Newer { .. }
             | Request::Config(_)
-            | Request::Leader { .. } => Reply::NotReady,
+            | Request::Leader { .. }
+            | Request::Outlook(_) => Reply::NotReady,
             Request::Ping => Reply::Done,
         }
     }
--- a/lib/tests/test_demand.rs
+++ b/lib/tests/test_demand.rs
@@ -6,6 +6,7 @@
 use spokelift_lib::batch::demand::Demand;
 use spokelift_lib::batch::job::Entry;
 use spokelift_lib::batch::record::Accepted;
+use spokelift_lib::batch::run_time::RunTimes;
 use spokelift_lib::transport::clock;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::Step;
@@ -40,7 +41,7 @@
     let gap = Duration::from_secs(1) / per_s;
     let count = (time.as_secs_f64() * f64::from(per_s)) as u32;
     for number in 0..count {
-        demand.record_arrival(&entry(), from + gap * number);
+        demand.record_arrival(&entry(), &RunTimes::default(), from + gap * number);
     }
     from + time
 }
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -23,6 +23,8 @@
 use spokelift_lib::batch::dispatch::remote::Session;
 use spokelift_lib::batch::leader::lease::LeaderLease;
 use spokelift_lib::batch::order_window::HeldBoxes;
+use spokelift_lib::batch::outlook;
+use spokelift_lib::batch::outlook::Outlook;
 use spokelift_lib::batch::peer::Reply;
 use spokelift_lib::batch::peer::Request;
 use spokelift_lib::batch::record;
@@ -152,6 +154,12 @@
     }
 }
 
+fn outlook() -> Outlook {
+    let service =
+        outlook::Service { capacity: 64_000, incoming: 32_000, ahead: 7, ahead_over_rate: 300 };
+    Outlook { leader: 3, number: 4, services: [("work".to_owned(), service)].into() }
+}
+
 fn stored(lines: &mut Lines) {
     let key = JobKey { id: 0x5c0e, account: Some("clinics".into()) };
     let anyone = Caller::Anyone { queue: "q".to_owned() };
@@ -312,6 +320,7 @@
         Request::View("/v1/batch/shares".to_owned()),
         Request::Ping,
         Request::Leader { offset: 9, lease: Box::new(lease(HeldBoxes::All)) },
+        Request::Outlook(Box::new(outlook())),
     ];
     for (number, request) in (1_u64..).zip(requests) {
         lines.postcard("request", &(number, request));
