platform: the messages of workers stand in files of their own

Change: moves only, into worker/{entry,incarnation,order,poll,client}.rs; the decoding of a poll's body stands beside its type. test_names looks for the names of orders in worker/order.rs, where they stand now.

--- a/lib/tests/test_names.rs
+++ b/lib/tests/test_names.rs
@@ -54,6 +54,6 @@
     }
     assert_eq!(leaks, Vec::<String>::new());
     // The check finds such names where they belong.
-    let decoded = fs::read_to_string(root.join("platform/src/worker.rs")).unwrap();
+    let decoded = fs::read_to_string(root.join("platform/src/worker/order.rs")).unwrap();
     assert!(decoded.contains("fencingToken"));
 }
