gossip, peer, dial: configurations of any size reach every node

A version that a slow link carries for longer than 0.6 s never reached some nodes: a connection between nodes counted whole frames as life, and the configuration was one frame, so it was closed with every request on it and the next transfer began from nothing; a request had 0.9 s for its whole answer; a read of the store 0.6 s, and its second copy shared the link; four nodes fetched all of it from one sender at once.

Now a node asks for a version in parts of 16 KB, so that other requests pass between them and the rest is fetched from another sender if one fails; what is sent is the difference from the asker's version where the sender had that version too, else the whole, compressed (flate2, miniz_oxide); the result is checked by digest. A node serves two others at a time and names those it has served. Bytes that arrive keep a connection, a request or a read of the store alive while they progress, bounded overall. A node without an announced version after a second reads the store. Request::Config is answered as before; a node that closes the connection on Request::ConfigPart is asked by it.

test_encoding: new lines for the new messages, no earlier line changed.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -303,6 +303,7 @@
     Plan(BenchPlan),
     Batch(BenchBatch),
     Keys(BenchKeys),
+    Config(BenchConfig),
 }
 
 /// Measure the replicated state: records a second, memory, snapshots, time to ready, and the cost
@@ -364,6 +365,25 @@
     pub json: bool,
 }
 
+/// Measure how long a version of the configuration takes to reach all nodes, over links of a limited
+/// rate and with a third of the nodes turned away by the store.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "config")]
+pub struct BenchConfig {
+    /// nodes, 1 to 600
+    #[argh(option, default = "33")]
+    pub nodes: u32,
+    /// routes of the configuration, 1 to 100000
+    #[argh(option, default = "5000")]
+    pub routes: u32,
+    /// rate of each link in Mbit/s, 1 to 1000
+    #[argh(option, default = "10")]
+    pub mbit: u32,
+    /// print a last line of JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Measure the cost of calls with unknown keys for a daemon, and their effect on callers with valid keys.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "keys")]
--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -1,6 +1,7 @@
 //! Benchmarks: each measures the product and its baselines in one run.
 
 mod batch;
+mod config;
 mod generate;
 mod keys;
 mod plan;
@@ -16,6 +17,7 @@
 pub fn run(args: &Bench, json: bool) -> Result<(), Error> {
     match &args.kind {
         BenchKind::Batch(args) => batch::run(args, json || args.json),
+        BenchKind::Config(args) => config::run(args, json || args.json),
         BenchKind::Keys(args) => keys::run(args, json || args.json),
         BenchKind::Plan(args) => plan::run(args, json || args.json),
         BenchKind::State(args) => state::run(args, json || args.json),
--- a/lib/src/batch/config.rs
+++ b/lib/src/batch/config.rs
@@ -3,8 +3,10 @@
 //! Nodes send it to each other in this form, so that no key is stored or sent in clear text after
 //! it is decoded.
 
+pub mod parcel;
+pub mod transfer;
+
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::ops::Deref;
 
@@ -41,7 +43,8 @@
 pub struct Config {
     published: config::Config,
     accounts: BTreeMap<AccountId, Account>,
-    owners: HashMap<KeyHash, AccountId>,
+    /// Ordered, so that every node encodes a version to the same bytes.
+    owners: BTreeMap<KeyHash, AccountId>,
 }
 
 impl Deref for Config {
--- a/lib/src/batch/gossip.rs
+++ b/lib/src/batch/gossip.rs
@@ -2,15 +2,20 @@
 //! and some cannot reach it.
 //!
 //! A node that has put a version of the configuration in force announces its number to a few peers,
-//! and a peer with an older version fetches the whole configuration from the sender and announces it
-//! in turn. A new leader is announced in the same way, with the record of its lease (see
+//! and a peer with an older version fetches what changed from the sender, in parts (see
+//! `config::transfer`), and announces it in turn. A new leader is announced in the same way, with the record of its lease (see
 //! `node::leadership`). Announcements may be lost, so a node that does not watch the store also asks a
-//! peer for a newer configuration at intervals.
+//! peer for a newer configuration at intervals. A node that its peers have not brought up to date a
+//! while after an announcement reads the store.
+
+mod fetch;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,8 +24,13 @@
 use tokio::time::timeout;
 
 use crate::batch::config::Config;
+use crate::batch::config::transfer::Arrival;
+use crate::batch::config::transfer::Fetched;
+use crate::batch::config::transfer::OlderNodes;
+use crate::batch::config::transfer::PartReply;
+use crate::batch::config::transfer::PartRequest;
+use crate::batch::config::transfer::Source;
 use crate::batch::node::Node;
-use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
 use crate::transport::clock;
 
@@ -34,7 +44,12 @@
 /// fetch from another one.
 const MAX_FETCHES: usize = 2;
 /// Maximum number of senders to fetch from; beyond it, those with the oldest versions are dropped.
-const MAX_PENDING_SENDERS: usize = 4;
+const MAX_PENDING_SENDERS: usize = 8;
+/// How long after an announcement a node without that version reads the store. A version must be in
+/// force within 3 s.
+const STORE_DELAY: Duration = Duration::from_millis(1_000);
+/// Mean delay before another sender is asked after one that sends to enough others.
+const BUSY_DELAY: Duration = Duration::from_millis(20);
 /// How long a client's request that would be refused waits for a newer configuration.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Smallest time between two rounds of asking peers for a newer configuration, however many requests
@@ -42,12 +57,30 @@
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of peers asked in one round.
 const ASKED_PEERS: usize = 2;
+/// Maximum number of concurrent fetches for clients' requests: more would share this node's link with
+/// those that are under way.
+const MAX_ASKED_FETCHES: usize = 4;
 
 /// A node's state of the gossip.
 #[derive(Default)]
 pub struct Gossip {
     asked_at: Mutex<Option<Instant>>,
+    /// Number of fetches that were started for clients' requests and have not ended.
+    asked_fetches: AtomicUsize,
     senders: Mutex<Senders>,
+    /// What this node sends to others.
+    source: Mutex<Source>,
+    /// What arrives from others.
+    arrival: Mutex<Option<Arrival>>,
+    /// Nodes that know no parts.
+    older_nodes: Mutex<OlderNodes>,
+}
+
+impl Gossip {
+    /// What the node sends to others.
+    pub fn source(&self) -> MutexGuard<'_, Source> {
+        self.source.lock().expect("no thread panics while it holds the source lock")
+    }
 }
 
 /// Nodes that have announced versions newer than the one in force at this node.
@@ -55,30 +88,45 @@
 struct Senders {
     /// Number of tasks that fetch configurations.
     active_fetches: usize,
-    /// Senders to fetch from, with their versions, the oldest version first.
+    /// Senders to fetch from, with their versions, in the order in which they are asked.
     pending: Vec<(Version, SocketAddr)>,
+    /// The newest version that was announced.
+    newest: Version,
 }
 
 impl Senders {
     /// Adds a sender of an announcement; returns whether to start one more task that fetches.
     fn add(&mut self, version: Version, from: SocketAddr) -> bool {
-        self.pending.retain(|(_, addr)| *addr != from);
-        self.pending.push((version, from));
-        self.pending.sort_unstable();
-        let excess = self.pending.len().saturating_sub(MAX_PENDING_SENDERS);
-        self.pending.drain(..excess);
+        self.insert(version, from);
         let may_start = self.active_fetches < MAX_FETCHES;
         self.active_fetches += usize::from(may_start);
         may_start
     }
 
-    /// Removes and returns the sender with the newest version above `in_force`. `None` if there is
-    /// none; the calling task must end then and is not counted any more.
-    fn next_sender(&mut self, in_force: Version) -> Option<SocketAddr> {
+    /// Adds a sender after all others of its version or newer ones.
+    fn insert(&mut self, version: Version, from: SocketAddr) {
+        self.pending.retain(|(_, addr)| *addr != from);
+        self.pending.push((version, from));
+        self.pending.sort_by_key(|(version, _)| std::cmp::Reverse(*version));
+        self.pending.truncate(MAX_PENDING_SENDERS);
+    }
+
+    /// Removes and returns the first sender with the newest version above `in_force`. `None` if there
+    /// is none; the calling task must end then and is not counted any more.
+    fn next_sender(&mut self, in_force: Version) -> Option<(Version, SocketAddr)> {
         self.pending.retain(|(version, _)| *version > in_force);
-        let next = self.pending.pop();
-        self.active_fetches -= usize::from(next.is_none());
-        next.map(|(_, addr)| addr)
+        if self.pending.is_empty() {
+            self.active_fetches -= 1;
+            return None;
+        }
+        Some(self.pending.remove(0))
+    }
+
+    /// Records an announced version; returns whether it is the newest one so far.
+    fn is_newest(&mut self, version: Version) -> bool {
+        let is_newest = version > self.newest;
+        self.newest = self.newest.max(version);
+        is_newest
     }
 }
 
@@ -117,39 +165,68 @@
 
     /// Handles the announcement of a version by the node at `from`.
     pub fn on_version(self: &Arc<Self>, version: Version, from: SocketAddr) {
-        if self.config_version() >= version || !self.senders().add(version, from) {
+        if self.config_version() >= version {
             return;
         }
-        let node = self.clone();
-        tokio::spawn(async move {
-            while let Some(from) = node.next_sender() {
-                node.fetch_config(from).await;
+        let (may_fetch, is_newest) = {
+            let mut senders = self.senders();
+            (senders.add(version, from), senders.is_newest(version))
+        };
+        if is_newest {
+            tokio::spawn(self.clone().read_store_unless_in_force(version));
+        }
+        if may_fetch {
+            tokio::spawn(self.clone().fetch_from_senders());
+        }
+    }
+
+    async fn fetch_from_senders(self: Arc<Self>) {
+        while let Some((version, from)) = self.next_sender() {
+            if let Fetched::Busy(others) = self.fetch_config(from).await {
+                self.add_senders(version, &others, from);
+                sleep(BUSY_DELAY.mul_f64(2.0 * rand::random::<f64>())).await;
             }
-        });
+        }
+    }
+
+    /// Adds the senders that a busy one names, and then that one again.
+    fn add_senders(&self, version: Version, others: &[SocketAddr], busy: SocketAddr) {
+        let own = self.settings.peer_addr();
+        let mut senders = self.senders();
+        for addr in others.iter().filter(|addr| **addr != own) {
+            senders.insert(version, *addr);
+        }
+        senders.insert(version, busy);
+    }
+
+    /// Starts a turn of reading the operator's topic, unless the peers have brought this node up to
+    /// date within `STORE_DELAY`.
+    async fn read_store_unless_in_force(self: Arc<Self>, version: Version) {
+        sleep(STORE_DELAY).await;
+        if self.config_version() < version {
+            self.counters.count("batch.config.late-from-peers");
+            log::info!(version, in_force = self.config_version(); "configuration late from peers; reading the store");
+            self.operator_turns.start();
+        }
     }
 
     fn senders(&self) -> MutexGuard<'_, Senders> {
         self.gossip.senders.lock().expect("no thread panics while it holds the senders lock")
     }
 
-    fn next_sender(&self) -> Option<SocketAddr> {
+    fn next_sender(&self) -> Option<(Version, SocketAddr)> {
         let in_force = self.config_version();
         self.senders().next_sender(in_force)
     }
 
-    /// Fetches the configuration of another node and puts it in force, if it is newer.
-    async fn fetch_config(&self, from: SocketAddr) {
-        match self.peers.ask(from, Request::Config(self.config_version())).await {
-            Ok(Reply::Config(Some(config))) => {
-                self.counters.count("batch.config.from-peer");
-                self.set_config(*config);
-            }
-            Ok(_) => log::debug!("no newer configuration at {from}"),
-            Err(error) => {
-                self.directory.mark_unresponsive(from);
-                log::debug!("no configuration from {from}: {error}");
-            }
+    /// The part of the configuration in force here that another node asks for.
+    pub fn config_part(&self, request: &PartRequest) -> PartReply {
+        let Some(config) = self.config() else { return PartReply::NotNewer };
+        let reply = self.gossip.source().answer(&config, request, clock::now());
+        if matches!(reply, PartReply::Busy(_)) {
+            self.counters.count("batch.config.busy");
         }
+        reply
     }
 
     /// The configuration in force at this node, if it is newer than `version`.
@@ -159,21 +236,26 @@
     }
 
     /// Asks a few nodes for a configuration newer than the one in force at this node, which would
-    /// refuse a client's request. `None` if none arrives within `ASK_TIMEOUT`, or if the last round
-    /// of asking was less than `MIN_ASK_INTERVAL` ago.
-    pub async fn fetch_newer_config(&self) -> Option<Arc<Config>> {
+    /// refuse a client's request. `None` if none arrives within `ASK_TIMEOUT`, if the last round of
+    /// asking was less than `MIN_ASK_INTERVAL` ago, or if enough fetches of earlier rounds are under way.
+    pub async fn fetch_newer_config(self: &Arc<Self>) -> Option<Arc<Config>> {
         let before = self.config_version();
-        if !self.try_start_asking(clock::now()) {
+        let under_way = self.gossip.asked_fetches.load(Ordering::Relaxed);
+        if under_way >= MAX_ASKED_FETCHES || !self.try_start_asking(clock::now()) {
             return None;
         }
         self.counters.count("batch.config.asked");
-        let fetches = self
-            .directory
-            .random_peers(ASKED_PEERS)
-            .into_iter()
-            .map(|addr| self.fetch_config(addr));
+        // A configuration that arrives later is put in force all the same.
+        let fetch = |addr| {
+            let node = self.clone();
+            self.gossip.asked_fetches.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                node.fetch_config(addr).await;
+                node.gossip.asked_fetches.fetch_sub(1, Ordering::Relaxed);
+            })
+        };
+        let fetches = self.directory.random_peers(ASKED_PEERS).into_iter().map(fetch);
         let fetches = futures_util::future::join_all(fetches);
-        // After a timeout, a configuration from a peer that answered in time is in force all the same.
         let _ = timeout(ASK_TIMEOUT, fetches).await;
         self.config().filter(|config| config.version > before)
     }
--- a/lib/src/batch/node/answer.rs
+++ b/lib/src/batch/node/answer.rs
@@ -30,6 +30,7 @@
                 Reply::Done
             }
             Request::Config(version) => Reply::Config(self.config_newer_than(version)),
+            Request::ConfigPart(request) => Reply::ConfigPart(self.config_part(&request)),
             Request::Relay(call) => Reply::Relayed(self.relay_for_peer(call).await),
             request => match self.scheduler() {
                 Some(scheduler) => scheduler.answer_peer(request).await,
--- a/lib/src/batch/node/config.rs
+++ b/lib/src/batch/node/config.rs
@@ -46,6 +46,9 @@
             return false;
         }
         let version = config.version;
+        if let Some(previous) = in_force.as_ref() {
+            self.gossip.source().replace(&previous.config);
+        }
         log::info!(
             version,
             queues = config.queues.len(),
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -23,12 +23,13 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::batch::caller::Caller;
 use crate::batch::config::Config;
+use crate::batch::config::transfer::PartReply;
+use crate::batch::config::transfer::PartRequest;
 use crate::batch::dispatch::remote::Commands;
 use crate::batch::dispatch::remote::Report;
 use crate::batch::leader::lease::LeaderLease;
@@ -37,11 +38,14 @@
 use crate::batch::record::Accepted;
 use crate::batch::relay;
 use crate::metrics::Counters;
+use crate::transport::progress::Progress;
+use crate::transport::progress::timeout_without_progress;
 use crate::transport::socket;
 
 /// Timeout for opening a connection to a peer; halls are about 1 ms apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout of a request to a peer. The slowest requests wait for one write to the store.
+/// Timeout of a request to a peer. The slowest requests wait for one write to the store. An answer
+/// that is arriving by then is awaited while it progresses.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum number of requests queued for one connection; further ones fail at once.
 const QUEUE_CAPACITY: usize = 1_024;
@@ -72,7 +76,8 @@
         /// Address at which that node answers other nodes.
         from: SocketAddr,
     },
-    /// Returns the configuration in force, if it is newer than this version.
+    /// Returns the configuration in force, if it is newer than this version. Nodes that know
+    /// [`Request::ConfigPart`] send it only to those that do not.
     Config(Version),
     /// To the leader: returns the operator's view at this path.
     View(String),
@@ -87,6 +92,9 @@
     },
     /// Passes on the leader's outlook.
     Outlook(Box<Outlook>),
+    /// Returns a part of the configuration in force, if it is newer. A node that does not know this
+    /// request closes the connection.
+    ConfigPart(PartRequest),
 }
 
 impl Request {
@@ -106,6 +114,7 @@
             Request::Ping => "ping",
             Request::Leader { .. } => "leader",
             Request::Outlook(_) => "outlook",
+            Request::ConfigPart(_) => "config-part",
         }
     }
 }
@@ -133,6 +142,8 @@
     NotReady,
     /// The reply of a leader that may have been replaced, since it has not renewed its lease.
     Unconfirmed(Box<Reply>),
+    /// A part of the configuration, or why there is none.
+    ConfigPart(PartReply),
 }
 
 /// Why a request to a peer has no answer.
@@ -153,8 +164,10 @@
 }
 
 type Answer = Result<Reply, PeerError>;
-/// A request, and the channel for its answer.
-type PendingRequest = (Request, oneshot::Sender<Answer>);
+/// The channel for the answer to a request, and how far the answer has arrived.
+type Pending = (oneshot::Sender<Answer>, Arc<Progress>);
+/// A request that is to be sent.
+type PendingRequest = (Request, Pending);
 /// Queues requests for the connection to a peer.
 type RequestSender = mpsc::Sender<PendingRequest>;
 
@@ -179,15 +192,17 @@
     ///
     /// [`PeerError`]; only [`PeerError::NotSent`] means that the peer has not received the request.
     pub async fn ask(&self, addr: SocketAddr, request: Request) -> Result<Reply, PeerError> {
+        let progress = Arc::default();
         let answer = async {
-            match self.send(addr, request.clone()).await {
+            match self.send(addr, request.clone(), &progress).await {
                 Err(first @ (PeerError::Closed | PeerError::Unresponsive)) => {
-                    self.send(addr, request).await.map_err(|_| first)
+                    self.send(addr, request, &progress).await.map_err(|_| first)
                 }
                 result => result,
             }
         };
-        timeout(REQUEST_TIMEOUT, answer).await.unwrap_or(Err(PeerError::Timeout))
+        let answer = timeout_without_progress(REQUEST_TIMEOUT, &progress, answer).await;
+        answer.unwrap_or(Err(PeerError::Timeout))
     }
 
     /// Like [`Peers::ask`], but sends the request only once: for requests whose answer shows their
@@ -197,7 +212,10 @@
     ///
     /// [`PeerError`]; only [`PeerError::NotSent`] means that the peer has not received the request.
     pub async fn ask_once(&self, addr: SocketAddr, request: Request) -> Result<Reply, PeerError> {
-        timeout(REQUEST_TIMEOUT, self.send(addr, request)).await.unwrap_or(Err(PeerError::Timeout))
+        let progress = Arc::default();
+        let answer = self.send(addr, request, &progress);
+        let answer = timeout_without_progress(REQUEST_TIMEOUT, &progress, answer).await;
+        answer.unwrap_or(Err(PeerError::Timeout))
     }
 
     /// Sends a request to a peer in the background and ignores its answer.
@@ -210,9 +228,15 @@
         });
     }
 
-    async fn send(&self, addr: SocketAddr, request: Request) -> Result<Reply, PeerError> {
+    async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request,
+        progress: &Arc<Progress>,
+    ) -> Result<Reply, PeerError> {
         let (sender, answer) = oneshot::channel();
-        self.connection(addr).try_send((request, sender)).map_err(|_| PeerError::NotSent)?;
+        let pending = (sender, progress.clone());
+        self.connection(addr).try_send((request, pending)).map_err(|_| PeerError::NotSent)?;
         answer.await.unwrap_or(Err(PeerError::Closed))
     }
 
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -55,6 +55,7 @@
             Request::Dispatch(_)
             | Request::Newer { .. }
             | Request::Config(_)
+            | Request::ConfigPart(_)
             | Request::Leader { .. }
             | Request::Outlook(_) => Reply::NotReady,
             Request::Ping => Reply::Done,
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -13,6 +13,10 @@
 use serde_json::json;
 use spokelift_lib::batch::caller::Caller;
 use spokelift_lib::batch::config::Config;
+use spokelift_lib::batch::config::parcel::Label;
+use spokelift_lib::batch::config::transfer::Part;
+use spokelift_lib::batch::config::transfer::PartReply;
+use spokelift_lib::batch::config::transfer::PartRequest;
 use spokelift_lib::batch::crash::Crash;
 use spokelift_lib::batch::crash::Evidence;
 use spokelift_lib::batch::dispatch::message::Command;
@@ -290,6 +294,22 @@
     Config::decode(&published::published_config(3, &[("q", Some(true))], accounts)).unwrap()
 }
 
+fn part_request(base: Option<u64>, part: Option<([u8; 32], u32)>) -> PartRequest {
+    PartRequest { from: addr(), in_force: 2, base, part }
+}
+
+fn part_replies() -> [PartReply; 4] {
+    let label = Label { version: 3, base: None, digest: [8; 32], parcel: [9; 32], length: 300 };
+    let whole = Part { label: label.clone(), number: 0, bytes: vec![1, 2] };
+    let changed = Part { label: Label { base: Some(2), ..label }, number: 300, bytes: Vec::new() };
+    [
+        PartReply::NotNewer,
+        PartReply::Busy(vec![addr()]),
+        PartReply::Part(Box::new(whole)),
+        PartReply::Part(Box::new(changed)),
+    ]
+}
+
 fn between_nodes(lines: &mut Lines) {
     let session = Session { token: 1 << 20, shard: 2 };
     let partition = Partition { topic: "keyed.jobs".to_owned(), number: 3 };
@@ -321,6 +341,8 @@
         Request::Ping,
         Request::Leader { offset: 9, lease: Box::new(lease(HeldBoxes::All)) },
         Request::Outlook(Box::new(outlook())),
+        Request::ConfigPart(part_request(None, None)),
+        Request::ConfigPart(part_request(Some(2), Some(([7; 32], 300)))),
     ];
     for (number, request) in (1_u64..).zip(requests) {
         lines.postcard("request", &(number, request));
@@ -351,6 +373,7 @@
     ];
     replies.extend(states.map(|state| Reply::State(Some(state))));
     replies.push(Reply::Unconfirmed(Box::new(Reply::Pending(7))));
+    replies.extend(part_replies().map(Reply::ConfigPart));
     for (number, reply) in (1_u64..).zip(replies) {
         lines.postcard("reply", &(number, reply));
     }
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -106,6 +106,11 @@
 /// Starts a node that serves its peers on `listener` and runs none of its background tasks.
 pub fn node(listener: TcpListener, store: SocketAddr) -> Arc<Node> {
     let addr = listener.local_addr().expect("a listener has an address");
+    node_behind(listener, addr, store)
+}
+
+/// Like [`node`], for a node that others reach at `addr`, such as that of a proxy to `listener`.
+pub fn node_behind(listener: TcpListener, addr: SocketAddr, store: SocketAddr) -> Arc<Node> {
     let (ip, port) = (addr.ip(), addr.port());
     let settings_text = format!(
         "node = \"n-{addr}\"\nip = \"{ip}\"\nzone = \"hall-1\"\nportRange = [{port}, {}]\n\
--- a/testutils/src/batch/published.rs
+++ b/testutils/src/batch/published.rs
@@ -31,6 +31,22 @@
     config.to_string().into_bytes()
 }
 
+/// A configuration of `count` queues of many services, of which no two look alike.
+pub fn large_config(version: u64, count: u32) -> Vec<u8> {
+    let queue = |number: u32| {
+        let scrambled = u64::from(number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let (host, path) = (scrambled >> 32, scrambled & 0xffff_ffff);
+        json!({
+            "name": format!("queue-{number}"), "host": format!("{host:08x}.example"),
+            "pathPrefix": format!("/{path:08x}/"), "timeoutMs": 1_000 + number,
+            "priority": number % 5, "service": format!("service-{}", number % 40),
+            "maxAttempts": 3,
+        })
+    };
+    let queues: Vec<Value> = (0..count).map(queue).collect();
+    json!({ "version": version, "routes": queues }).to_string().into_bytes()
+}
+
 /// An account with API keys and a quota of `cpu` thousandths of a core.
 pub fn account(name: &str, keys: &[&str], cpu: u64) -> Value {
     json!({ "name": name, "apiKeys": keys, "weight": 3, "maximum": { "cpu": cpu, "memMb": 0 } })
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -1,5 +1,5 @@
-//! Fault-injecting proxies: for TCP connections, which they can delay, stall, cut, refuse or
-//! black-hole, and for datagrams.
+//! Fault-injecting proxies: for TCP connections, which they can delay, slow down, stall, cut, refuse
+//! or black-hole, and for datagrams.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,7 +17,9 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 /// How the proxy handles the bytes of one direction.
@@ -32,6 +34,8 @@
     Hold,
     /// Forwards this many bytes of each connection, then closes it.
     CutAfter(u64),
+    /// Forwards this many bytes a second of all connections together.
+    Limit(u64),
 }
 
 /// Faults of a TCP proxy.
@@ -104,6 +108,8 @@
             faults: fault_rx,
             black_holes: black_hole_rx,
             forwarded_bytes: forwarded_bytes.clone(),
+            requests: LinkUse::default(),
+            answers: LinkUse::default(),
         };
         let task = tokio::spawn(accept_connections(
             listener,
@@ -158,6 +164,24 @@
     faults: watch::Receiver<Fault>,
     black_holes: watch::Receiver<BlackHoles>,
     forwarded_bytes: Arc<AtomicU64>,
+    requests: LinkUse,
+    answers: LinkUse,
+}
+
+/// Until when one direction of the proxy is in use; `None` before its first bytes.
+#[derive(Clone, Default)]
+struct LinkUse(Arc<Mutex<Option<Instant>>>);
+
+impl LinkUse {
+    /// Takes the time for `bytes` at a rate in bytes a second; returns when they have passed.
+    fn take(&self, bytes: usize, rate: u64) -> Instant {
+        let mut until = self.0.lock().expect("no thread panics while it holds the lock");
+        let now = Instant::now();
+        let start = until.map_or(now, |until| until.max(now));
+        let end = start + Duration::from_secs_f64(bytes as f64 / rate.max(1) as f64);
+        *until = Some(end);
+        end
+    }
 }
 
 async fn accept_connections(
@@ -179,7 +203,8 @@
     context: ConnectionContext,
     number: u64,
 ) {
-    let ConnectionContext { faults, black_holes, forwarded_bytes } = context;
+    let ConnectionContext { faults, black_holes, forwarded_bytes, requests, answers } = context;
+    let (request_link, answer_link) = (requests, answers);
     if faults.borrow().refuse {
         return;
     }
@@ -201,6 +226,7 @@
         &forwarded_bytes,
         request,
         is_request_lost,
+        &request_link,
     );
     let answers = forward_bytes(
         server_read,
@@ -209,6 +235,7 @@
         &forwarded_bytes,
         |fault| fault.answer,
         is_answer_lost,
+        &answer_link,
     );
     let mut answers = std::pin::pin!(answers);
     // The end of one direction, or a refusal, closes both. A server that stops reading a request
@@ -242,6 +269,7 @@
     forwarded_bytes: &AtomicU64,
     flow: impl Fn(&Fault) -> Flow,
     is_black_hole: impl Fn() -> bool,
+    link: &LinkUse,
 ) -> End {
     let mut buffer = vec![0; 16 * 1024];
     let mut forwarded = 0;
@@ -260,6 +288,7 @@
             Flow::Hold => {
                 let _ = faults.wait_for(|fault| flow(fault) != Flow::Hold).await;
             }
+            Flow::Limit(rate) => sleep_until(link.take(read, rate)).await,
             Flow::CutAfter(limit) => {
                 let remaining = (limit.saturating_sub(forwarded)) as usize;
                 bytes = &bytes[..remaining.min(read)];
--- a/transport/src/dial/exchange.rs
+++ b/transport/src/dial/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -9,7 +10,6 @@
 use hyper::Response;
 use hyper::body::Body as HttpBody;
 use thiserror::Error;
-use tokio::time::timeout;
 
 use crate::clock;
 use crate::dial::Body;
@@ -20,6 +20,8 @@
 use crate::dial::ResponseBody;
 use crate::dial::SendError;
 use crate::dial::UNANSWERED_AFTER;
+use crate::progress::Progress;
+use crate::progress::timeout_without_progress;
 
 /// A response is overdue, and the request is sent a second time, after this multiple of the recent
 /// response time.
@@ -56,7 +58,8 @@
 pub struct Limits {
     /// Maximum size of the response's body, in bytes.
     pub max_bytes: usize,
-    /// Time limit for the whole exchange.
+    /// Time limit for the exchange. A response that is arriving by then is read on while it
+    /// progresses.
     pub timeout: Duration,
     /// Part of `timeout` for which the server may hold the response back on purpose, as in a long
     /// poll.
@@ -74,8 +77,8 @@
 }
 
 impl Dialer {
-    /// Sends a request once and reads the whole response, at most `limit` bytes, within
-    /// `time_limit`.
+    /// Sends a request once and reads the whole response, at most `limit` bytes. It must have begun
+    /// within `time_limit`, and is then read on while it progresses.
     ///
     /// # Errors
     ///
@@ -88,10 +91,10 @@
         limit: usize,
         time_limit: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let started_at = clock::now();
-        let result = self.exchange_once(addr, request, limit, time_limit).await;
+        let (started_at, progress) = (clock::now(), Progress::default());
+        let result = self.exchange_once(addr, request, limit, time_limit, &progress).await;
         if result.is_ok() {
-            self.pool.record_latency(addr, clock::since(started_at));
+            self.pool.record_latency(addr, response_time(started_at, &progress));
         }
         result
     }
@@ -102,17 +105,21 @@
         request: Request<Body>,
         limit: usize,
         time_limit: Duration,
+        progress: &Progress,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let sent = async {
-            read_response(self.send_within(addr, request, EXCHANGE_MAX_IDLE).await, limit).await
+            let sent = self.send_within(addr, request, EXCHANGE_MAX_IDLE).await;
+            read_response(sent, limit, progress).await
         };
-        timeout(time_limit, sent).await.map_err(|_| ExchangeError::Timeout)?
+        let result = timeout_without_progress(time_limit, progress, sent).await;
+        result.unwrap_or(Err(ExchangeError::Timeout))
     }
 
     /// Sends a request that may safely be received twice. If its response is overdue, by the recent
     /// response times of this address or of all, or if its connection is cut, a second copy is sent
     /// on a new connection: the first connection may be dead, which looks the same as a slow
-    /// server. The first response counts. If it is that of the second copy, all connections to the
+    /// server. A response that is arriving is not overdue, however long it takes: a second copy
+    /// would only share its link. The first response counts. If it is that of the second copy, all connections to the
     /// address that have had no response since the first copy was sent are closed.
     ///
     /// If all connections are dead, a call to the store gets its response after 0.3 s; without the
@@ -128,28 +135,33 @@
         mut request: impl FnMut() -> Result<Request<Body>, hyper::http::Error>,
         limits: Limits,
     ) -> Result<HedgedResponse, ExchangeError> {
-        let started_at = clock::now();
-        let first = self.exchange_once(addr, request()?, limits.max_bytes, limits.timeout);
+        let (started_at, progress) = (clock::now(), Progress::default());
+        let (max_bytes, time_limit) = (limits.max_bytes, limits.timeout);
+        let first = self.exchange_once(addr, request()?, max_bytes, time_limit, &progress);
         let mut first = std::pin::pin!(first);
         let overdue = limits.long_poll + self.hedge_delay(addr);
-        let cut_error = match timeout(overdue.min(limits.timeout), &mut first).await {
+        let overdue = overdue.min(time_limit);
+        let cut_error = match timeout_without_progress(overdue, &progress, &mut first).await {
             // The connection ended, perhaps before the request was received.
-            Ok(Err(error @ (ExchangeError::Cut(_) | ExchangeError::Body(BodyError::Cut(_))))) => {
+            Some(Err(error @ (ExchangeError::Cut(_) | ExchangeError::Body(BodyError::Cut(_))))) => {
                 Some(error)
             }
-            Ok(result) => {
+            Some(result) => {
                 if limits.long_poll.is_zero() && result.is_ok() {
-                    self.pool.record_latency(addr, clock::since(started_at));
+                    self.pool.record_latency(addr, response_time(started_at, &progress));
                 }
                 return unhedged(result);
             }
-            Err(_) => None,
+            None => None,
         };
-        let remaining = limits.timeout.saturating_sub(clock::since(started_at));
+        let remaining = time_limit.saturating_sub(clock::since(started_at));
         let second = request()?;
-        let second =
-            async { read_response(self.send_on_new(addr, second).await, limits.max_bytes).await };
-        let second = timeout(remaining, second);
+        let second_progress = Progress::default();
+        let second = async {
+            let sent = self.send_on_new(addr, second).await;
+            read_response(sent, max_bytes, &second_progress).await
+        };
+        let second = timeout_without_progress(remaining, &second_progress, second);
         let second = async { second.await.unwrap_or(Err(ExchangeError::Timeout)) };
         let other_pending = |response| Ok(HedgedResponse { response, is_other_pending: true });
         if let Some(cut_error) = cut_error {
@@ -163,7 +175,8 @@
             result = &mut first => match result {
                 Ok(response) => {
                     // The connection was slow, not dead.
-                    let latency = clock::since(started_at).saturating_sub(limits.long_poll);
+                    let latency = response_time(started_at, &progress);
+                    let latency = latency.saturating_sub(limits.long_poll);
                     self.pool.record_latency(addr, latency);
                     other_pending(response)
                 }
@@ -205,21 +218,37 @@
     }
 }
 
+/// Time until the response to a request sent at `started_at` began to arrive.
+fn response_time(started_at: Instant, progress: &Progress) -> Duration {
+    let arrived_at = progress.started_at().unwrap_or_else(clock::now);
+    arrived_at.saturating_duration_since(started_at)
+}
+
 async fn read_response(
     sent: Result<Response<ResponseBody>, SendError>,
     limit: usize,
+    progress: &Progress,
 ) -> Result<Response<Bytes>, ExchangeError> {
     let response = sent.map_err(|error| match error {
         SendError::NotSent(_, cause) => ExchangeError::NotSent(cause),
         SendError::Cut(cause) => ExchangeError::Cut(cause),
     })?;
+    progress.advance();
     let (head, body) = response.into_parts();
-    let bytes = collect_body(body, limit).await?;
+    let bytes = collect(body, limit, || progress.advance()).await?;
     Ok(Response::from_parts(head, bytes))
 }
 
 /// Reads a body to its end, at most `limit` bytes.
 pub async fn collect_body<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: HttpBody<Data = Bytes, Error = BodyError>,
+{
+    collect(body, limit, || ()).await
+}
+
+/// Reads a body to its end, at most `limit` bytes; calls `on_data` for each frame.
+async fn collect<B>(body: B, limit: usize, on_data: impl Fn()) -> Result<Bytes, BodyError>
 where
     B: HttpBody<Data = Bytes, Error = BodyError>,
 {
@@ -231,6 +260,7 @@
                 return Err(BodyError::TooLarge);
             }
             bytes.extend_from_slice(&data);
+            on_data();
         }
     }
     Ok(bytes.into())
