--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -165,6 +165,7 @@
         log::set_max_level(logger.filter());
         log::set_boxed_logger(Box::new(RateLimited::new(logger))).expect("no logger has been set");
         let code = run_platform(&args);
+        log::logger().flush();
         progress.wait_written();
         return code;
     }
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -388,5 +388,19 @@
             lines.push(format!("  {} ({})", crash.worker, crash.evidence));
         }
     }
+    lines.extend(job.history.iter().map(decision));
+    if job.left_out > 0 {
+        lines.push(format!("{} decisions before the latest ones are left out", job.left_out));
+    }
     lines.join("\n")
 }
+
+fn decision(decision: &view::history::Decision) -> String {
+    let (age_s, what) = (decision.age_s, &decision.what);
+    match decision.place {
+        Some((time, step, index)) => {
+            format!("{age_s:.3} s ago, task {index} of step {step}, time {time}: {what}")
+        }
+        None => format!("{age_s:.3} s ago: {what}"),
+    }
+}
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -23,6 +23,7 @@
 pub mod evacuated_halls;
 pub mod fleet;
 pub mod gossip;
+pub mod history;
 pub mod interference;
 pub mod job;
 pub mod leader;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -50,6 +50,7 @@
 use crate::batch::crash::outage::Outages;
 use crate::batch::demand::Demand;
 use crate::batch::evacuated_halls::HallNames;
+use crate::batch::history::History;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
 use crate::batch::place::fair::Allowances;
@@ -94,6 +95,11 @@
             step,
         }
     }
+
+    /// The first task of the step.
+    pub fn first_task(&self) -> TaskName {
+        TaskName { job: self.job, repetition: self.repetition, step: self.step, index: 0 }
+    }
 }
 
 /// A message to be sent to a worker.
@@ -306,6 +312,8 @@
     pub run_times: RunTimes,
     /// Answers of the advice service.
     pub advice: AdviceCache,
+    /// What was decided about each job, for operators.
+    pub history: History,
 }
 
 impl Cell {
@@ -359,6 +367,7 @@
             demand: Demand::default(),
             run_times: RunTimes::default(),
             advice: AdviceCache::default(),
+            history: History::default(),
         }
     }
 }
--- a/lib/src/batch/cell/answers.rs
+++ b/lib/src/batch/cell/answers.rs
@@ -9,6 +9,7 @@
 use spokelift_platform::worker::Run;
 
 use crate::batch::cell::Cell;
+use crate::batch::history::Decision;
 use crate::batch::worker::Phase;
 
 /// Backoff of a worker that did not answer an order.
@@ -83,6 +84,8 @@
         let allocation = if is_allocated { worker.remove(&task) } else { None };
         drop(worker);
         if let Some(allocation) = allocation {
+            let why = refusal.map_or_else(|| "not sent".to_owned(), |why| format!("{why:?}"));
+            self.history.record(task, Decision::NotAccepted { worker: incarnation.clone(), why });
             self.release_run(task, allocation);
         }
         if refusal == Some(Refusal::Ticket) {
@@ -109,7 +112,7 @@
             worker.allocations.get(&task).is_some_and(|allocation| allocation.run == run);
         drop(worker);
         if is_allocated {
-            self.stop_run(incarnation, task);
+            self.stop_for(incarnation, task, "no answer to its start");
         }
     }
 
--- a/lib/src/batch/cell/crashes.rs
+++ b/lib/src/batch/cell/crashes.rs
@@ -21,6 +21,7 @@
 use crate::batch::crash::Crash;
 use crate::batch::crash::Evidence;
 use crate::batch::crash::outage::is_correlated;
+use crate::batch::history::Decision;
 use crate::batch::record::Crashes;
 use crate::batch::worker::Allocation;
 use crate::batch::worker::Worker;
@@ -230,6 +231,7 @@
                 task.crashes.clear();
                 continue;
             }
+            self.history.record(name, Decision::Crashed { worker: worker.clone() });
             task.crashes.push(Crash { worker: worker.clone(), evidence });
             self.has_suspects = true;
             if crash::is_abandoned(&task.crashes, is_long_running) && entry.is_active() {
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -15,6 +15,7 @@
 use crate::batch::cell::EarlyEnd;
 use crate::batch::cell::Order;
 use crate::batch::cell::Rank;
+use crate::batch::history::Decision;
 use crate::batch::job::Entry;
 use crate::batch::record::Accepted;
 use crate::batch::record::Progress;
@@ -139,7 +140,7 @@
         }
         self.unknown_jobs = still_unknown;
         for (worker, task) in timed_out {
-            self.stop_run(&worker, task);
+            self.stop_for(&worker, task, "its job is not known");
         }
     }
 
@@ -235,6 +236,7 @@
             state = format!("{state:?}").as_str();
             "job ended"
         );
+        self.history.record_job(id, Decision::Ended(state));
         // Most jobs end with no run left, and the search covers all runs of all workers.
         if runs > 0 {
             self.stop_where(|task| task.job == id);
@@ -261,6 +263,12 @@
         order_stop(&mut self.outbox, &worker.peer, task, allocation);
     }
 
+    /// Stops one run for a reason that its job's history shows.
+    pub fn stop_for(&mut self, incarnation: &Incarnation, task: TaskName, why: &'static str) {
+        self.history.record(task, Decision::Stopped { worker: incarnation.clone(), why });
+        self.stop_run(incarnation, task);
+    }
+
     /// Marks a task as done, or all tasks of its step if it is a gang.
     pub(super) fn on_done(&mut self, name: TaskName, gang: bool) {
         let Some(entry) = self.jobs.get_mut(&name.job) else { return };
--- a/lib/src/batch/cell/polls.rs
+++ b/lib/src/batch/cell/polls.rs
@@ -21,6 +21,7 @@
 use crate::batch::cell::EarlyEnd;
 use crate::batch::cell::Order;
 use crate::batch::cell::workers::remove_allocations;
+use crate::batch::history::Decision;
 use crate::batch::job::Entry;
 use crate::batch::record;
 use crate::batch::run_time::Observation;
@@ -200,6 +201,8 @@
             limit;
             "task failed"
         );
+        let worker = incarnation.clone();
+        self.history.record(end.task, Decision::Failed { worker, failed, limit });
         if ends_job {
             self.end_job(end.task.job, JobState::Failed);
         }
@@ -268,6 +271,7 @@
             wanted;
             "unknown run found"
         );
+        self.history.record(reported.task, Decision::Found { worker: incarnation.clone(), wanted });
         if !self.jobs.contains_key(&reported.task.job) {
             self.unknown_jobs.insert(reported.task.job);
         }
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -15,6 +15,7 @@
 use crate::batch::cell::Order;
 use crate::batch::cell::PossibleRuns;
 use crate::batch::cell::incarnations::unlisted_worker;
+use crate::batch::history::Decision;
 use crate::batch::record;
 use crate::batch::record::StoredWorker;
 use crate::batch::worker::Allocation;
@@ -170,6 +171,7 @@
             self.pending_records.push(record::forget_unreachable(incarnation));
         }
         for (task, allocation) in worker.allocations {
+            self.history.record(task, Decision::Lost { worker: incarnation.clone() });
             self.release_run(task, allocation);
         }
     }
@@ -193,6 +195,7 @@
             log::info!(worker:% = incarnation, runs = allocations.len(); "worker leases expired");
         }
         for (task, allocation) in allocations {
+            self.history.record(task, Decision::Lost { worker: incarnation.clone() });
             self.release_run(task, allocation);
         }
     }
@@ -235,7 +238,7 @@
         drop(worker);
         for (task, run, phase) in runs {
             match phase {
-                Phase::Starting => self.stop_run(incarnation, task),
+                Phase::Starting => self.stop_for(incarnation, task, "its dispatcher was lost"),
                 Phase::Stopping(None) => {
                     self.outbox.push(Order::Stop { peer: peer.clone(), task, run });
                 }
--- a/lib/src/batch/maintenance/evacuation.rs
+++ b/lib/src/batch/maintenance/evacuation.rs
@@ -118,7 +118,7 @@
             worker:% = incarnation;
             "moving task off a draining worker"
         );
-        cell.stop_run(&incarnation, task);
+        cell.stop_for(&incarnation, task, "its worker is draining");
     }
 }
 
@@ -166,5 +166,5 @@
         hurry;
         "moving task off worker"
     );
-    cell.stop_run(incarnation, task);
+    cell.stop_for(incarnation, task, "its worker is being emptied");
 }
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -19,6 +19,7 @@
 use crate::batch::cell::Rank;
 use crate::batch::cell::next_run;
 use crate::batch::crash::is_suspect;
+use crate::batch::history::Decision;
 use crate::batch::job::Entry;
 use crate::batch::job::StepRun;
 use crate::batch::job::Task;
@@ -48,6 +49,7 @@
         let (mut on_time, late): (Vec<Rank>, Vec<Rank>) = others
             .into_iter()
             .partition(|rank| !rank.is_finite || self.can_meet_objective(rank, wall_ms));
+        late.iter().for_each(|rank| self.history.record(rank.first_task(), Decision::PutLast));
         self.sort_started_first(&mut on_time);
         let first_finite = on_time.partition_point(|rank| !rank.is_finite);
         let finite = on_time.split_off(first_finite);
@@ -187,6 +189,7 @@
                 continue;
             }
             if !self.has_quota_for(account.as_ref(), one) {
+                self.history.record(task, Decision::HeldByQuota);
                 break;
             }
             let Some(worker) = self.choose_worker(task, service, step, suspicion, now) else {
@@ -294,6 +297,7 @@
             free_cpu = worker.free.cpu;
             "start"
         );
+        self.history.record(name, Decision::Started { worker: incarnation.clone(), run, waited });
         let peer = worker.peer.clone();
         drop(worker);
         let ticket = self.advice.ticket((name.job, name.repetition, name.step), incarnation, now);
--- a/lib/src/batch/place/preempt.rs
+++ b/lib/src/batch/place/preempt.rs
@@ -54,7 +54,7 @@
             "preempting batch tasks"
         );
         for task in tasks {
-            self.stop_run(&worker, task);
+            self.stop_for(&worker, task, "preempted by a long-running task");
         }
     }
 }
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -1,6 +1,7 @@
 //! Views of batch work on the operators' API: services, queues, workers, jobs, waves and shards.
 
 pub mod account;
+pub mod history;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -102,6 +103,16 @@
     /// Tasks under which workers crashed.
     #[serde(default)]
     pub crashed: Vec<Crashed>,
+    /// What the present leader decided about it, in order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub history: Vec<history::Decision>,
+    /// Number of decisions that are left out of the history, before the latest ones.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub left_out: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// A task under which workers crashed.
@@ -301,7 +312,9 @@
     let (queue, service) = (accepted.queue.clone(), accepted.service.clone());
     let account = accepted.account.as_ref().map(ToString::to_string);
     let (state, crashed) = (entry.visible_state(), crashed(entry));
-    Some(Job { id: format!("{id:016x}"), queue, service, account, state, steps, crashed })
+    let (history, left_out) = history::of_job(cell, id, now);
+    let id = format!("{id:016x}");
+    Some(Job { id, queue, service, account, state, steps, crashed, history, left_out })
 }
 
 fn crashed(entry: &Entry) -> Vec<Crashed> {
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -569,6 +569,24 @@
                 crashes: vec![crash(Evidence::OnlyRecent), crash(Evidence::Correlated)],
                 given_up: true,
             }],
+            history: Vec::new(),
+            left_out: 0,
+        },
+    );
+    let decision =
+        |place, what: &str| view::history::Decision { age_s: 0.5, place, what: what.to_owned() };
+    lines.json(
+        "job-history",
+        &view::Job {
+            id: "5c0e".to_owned(),
+            queue: "q".to_owned(),
+            service: "work".to_owned(),
+            account: None,
+            state: JobState::Failed,
+            steps: Vec::new(),
+            crashed: Vec::new(),
+            history: vec![decision(Some((1, 2, 3)), "lost with i-1"), decision(None, "job ended")],
+            left_out: 4,
         },
     );
     let wave = view::Wave { number: 3, machines: 9, begun: 4, max_down: 2, over: false };
