operator_api: a plan that is not known here is looked for on the log before it is denied

Requests at the same time share reads. An offset that holds no batch is kept once for peers that catch up.

Shown: scenario plan-not-read-yet delays what a daemon reads from the log by 0.7 s.

--- a/cli/tests/test_scenarios.rs
+++ b/cli/tests/test_scenarios.rs
@@ -37,4 +37,5 @@
     log_outage = "log-outage";
     all_restart = "all-restart";
     retention = "retention";
+    plan_not_read_yet = "plan-not-read-yet";
 }
--- a/lib/src/coordination/follow.rs
+++ b/lib/src/coordination/follow.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::Request;
@@ -96,7 +97,7 @@
     let started_at = clock::now();
     let applied = node.replica.fleet().next;
     let from = applied.max(search.next_offset);
-    let page = read_page(node, from).await?;
+    let page = read_page(node, from, LONG_POLL).await?;
     if page.next < applied {
         return Err(FollowError::LogRegressed { end: page.next, applied });
     }
@@ -105,13 +106,39 @@
         return search_snapshot(node, &page, search).await;
     }
     *search = SnapshotSearch::default();
-    apply_batches(node, batches(&page)).await;
-    if node.replica.next() == page.next {
-        node.replica.record_log_read(started_at);
+    apply_page(node, &page, started_at).await;
+    Ok(())
+}
+
+/// Applies the log up to the end that it has now or later, beside the task that follows it.
+/// Concurrent calls share reads.
+pub async fn read_to_end(node: &Arc<Node>) -> Result<(), FollowError> {
+    let asked_at = clock::now();
+    let _reading = node.read_lock.lock().await;
+    while !node.replica.is_log_read_since(asked_at) {
+        let started_at = clock::now();
+        let applied = node.replica.fleet().next;
+        let page = read_page(node, applied, Duration::ZERO).await?;
+        if page.next < applied {
+            return Err(FollowError::LogRegressed { end: page.next, applied });
+        }
+        if page.first > applied {
+            // The task that follows the log searches for a snapshot.
+            return Err(FollowError::NoSnapshot);
+        }
+        apply_page(node, &page, started_at).await;
     }
     Ok(())
 }
 
+/// Applies the batches of a page, and records a read that has reached the log's end.
+async fn apply_page(node: &Arc<Node>, page: &Page, started_at: Instant) {
+    apply_batches(node, batches(page)).await;
+    if node.replica.next() >= page.next {
+        node.replica.record_log_read(started_at);
+    }
+}
+
 fn batches(page: &Page) -> Vec<(Offset, Bytes)> {
     // Bytes that are not base64 are skipped like those that are not a batch.
     let bytes = |item: &Item| item.bytes().unwrap_or_default().into();
@@ -146,10 +173,10 @@
     node.replica.announce();
 }
 
-async fn read_page(node: &Node, from: Offset) -> Result<Page, ExchangeError> {
-    let path = read_path(from, MAX_RECORDS, LONG_POLL.as_millis() as u64);
+async fn read_page(node: &Node, from: Offset, long_poll: Duration) -> Result<Page, ExchangeError> {
+    let path = read_path(from, MAX_RECORDS, long_poll.as_millis() as u64);
     let request = || Request::get(&path).body(full(""));
-    let limits = Limits { max_bytes: MAX_PAGE_BYTES, timeout: READ_TIMEOUT, long_poll: LONG_POLL };
+    let limits = Limits { max_bytes: MAX_PAGE_BYTES, timeout: READ_TIMEOUT, long_poll };
     let response =
         node.dialer.exchange_hedged(node.settings.log_addr, request, limits).await?.response;
     if !response.status().is_success() {
@@ -162,9 +189,10 @@
     // A record that another program wrote, or a later version of this one, is skipped by all
     // readers alike.
     let Ok(batch) = Batch::decode(&bytes) else {
-        node.counters.count("log.read.not-a-batch");
-        node.replica.skip(offset);
-        node.history.keep_batch(offset, bytes);
+        if node.replica.skip(offset) {
+            node.counters.count("log.read.not-a-batch");
+            node.history.keep_batch(offset, bytes);
+        }
         return;
     };
     let Some(verdicts) = node.replica.apply(offset, &batch) else {
--- a/lib/src/coordination/node.rs
+++ b/lib/src/coordination/node.rs
@@ -58,6 +58,8 @@
     diverged: AtomicBool,
     /// Held while batches or a fleet are applied, so that the routes are rebuilt in their order.
     pub(crate) apply_lock: tokio::sync::Mutex<()>,
+    /// Held while the log is read to its end for requests, so that these share reads.
+    pub(crate) read_lock: tokio::sync::Mutex<()>,
 }
 
 impl Node {
@@ -83,6 +85,7 @@
             stopping: AtomicBool::new(false),
             diverged: AtomicBool::new(false),
             apply_lock: tokio::sync::Mutex::default(),
+            read_lock: tokio::sync::Mutex::default(),
         })
     }
 
--- a/lib/src/coordination/replica.rs
+++ b/lib/src/coordination/replica.rs
@@ -50,12 +50,14 @@
         (fleet.next == offset).then(|| fleet.apply(offset, batch))
     }
 
-    /// Skips an offset that holds no batch, if it is the next one.
-    pub fn skip(&self, offset: Offset) {
+    /// Skips an offset that holds no batch; returns false if it is not the next one.
+    pub fn skip(&self, offset: Offset) -> bool {
         let mut fleet = self.fleet.write().expect("no thread panics while it holds the fleet lock");
-        if fleet.next == offset {
+        let is_next = fleet.next == offset;
+        if is_next {
             fleet.next = offset + 1;
         }
+        is_next
     }
 
     /// Replaces a fleet that has diverged.
@@ -98,7 +100,7 @@
     pub fn record_log_read(&self, started_at: Instant) {
         let mut log_read =
             self.log_read_at.lock().expect("no thread panics while it holds the lock");
-        *log_read = Some(started_at);
+        *log_read = log_read.max(Some(started_at));
         self.set_complete();
     }
 
@@ -112,6 +114,12 @@
         self.complete.store(true, Ordering::SeqCst);
     }
 
+    /// Whether a read that was started at `at` or later has reached the log's end.
+    pub fn is_log_read_since(&self, at: Instant) -> bool {
+        let log_read = self.log_read_at.lock().expect("no thread panics while it holds the lock");
+        log_read.is_some_and(|started_at| started_at >= at)
+    }
+
     /// Age of the last read that reached the log's end; `None` before the first one.
     pub fn log_age(&self, now: Instant) -> Option<Duration> {
         let log_read = self.log_read_at.lock().expect("no thread panics while it holds the lock");
--- a/lib/src/operator_api.rs
+++ b/lib/src/operator_api.rs
@@ -1,6 +1,7 @@
 //! Serves the operators' HTTP API, see [`crate::protocol::api`].
 
 mod change;
+mod find;
 mod view;
 
 use std::sync::Arc;
@@ -65,10 +66,13 @@
         (&Method::GET, ["boxes"]) => Ok(to_json(&view::boxes(node, &scope))),
         (&Method::GET, ["jobs"]) => Ok(to_json(&view::jobs(node, &scope))),
         (&Method::GET, ["plans"]) => Ok(to_json(&view::plans(node, &scope))),
-        (&Method::GET, ["plans", id]) => Ok(to_json(&view::plan(node, &scope, plan_id(id)?)?)),
+        (&Method::GET, ["plans", id]) => {
+            let id = plan_id(id)?;
+            Ok(to_json(&find::find(node, || view::plan(node, &scope, id)).await?))
+        }
         (&Method::GET, ["records", id]) => {
             let id = parse_record(id).ok_or(ApiError::Malformed)?;
-            Ok(to_json(&change::record_status(node, id)?))
+            Ok(to_json(&change::record_status(node, id).await?))
         }
         (&Method::POST, ["publish"]) => {
             Ok(to_json(&change::publish(node, &scope, body_text(&body)?).await?))
--- a/lib/src/operator_api/change.rs
+++ b/lib/src/operator_api/change.rs
@@ -9,6 +9,7 @@
 use crate::coordination::append::new_record_id;
 use crate::coordination::freshness::Basis;
 use crate::coordination::node::Node;
+use crate::operator_api::find::find;
 use crate::operator_api::view;
 use crate::protocol::api::ApiError;
 use crate::protocol::api::PlanView;
@@ -97,7 +98,11 @@
 }
 
 /// Returns the verdict on a record that was submitted earlier.
-pub(super) fn record_status(node: &Node, id: RecordId) -> Result<Published, ApiError> {
+pub(super) async fn record_status(node: &Arc<Node>, id: RecordId) -> Result<Published, ApiError> {
+    find(node, || known_verdict(node, id)).await
+}
+
+fn known_verdict(node: &Node, id: RecordId) -> Result<Published, ApiError> {
     let fleet = node.replica.fleet();
     match fleet.verdict(id) {
         Some(Ok(position)) => {
@@ -139,7 +144,7 @@
 ) -> Result<PlanView, ApiError> {
     check_fresh(node)?;
     // A plan outside of the operator's scope is reported as one that does not exist.
-    view::plan(node, scope, plan)?;
+    find(node, || view::plan(node, scope, plan)).await?;
     let body = match action {
         None => Body::Confirm(plan),
         Some(action) => Body::Control { plan, action },
--- a/testutils/src/scenario.rs
+++ b/testutils/src/scenario.rs
@@ -18,6 +18,7 @@
 //! | `cut log=N`, `cut peers=N`, `cut boxes`, `mend …` | cuts or restores a daemon's links, or that to the box list | `set` |
 //! | `hold log=N` | a daemon's connections to the log stay open but transfer nothing | `set` |
 //! | `deafen daemon=N from=M` | drops the heartbeats from one daemon to another | `set` |
+//! | `slow log=N ms=M` | delays what a daemon receives from the log | `set` |
 //! | `slow peers=N ms=M`, `slow peers=N double` | delays or duplicates the heartbeats from and to a daemon | `set` |
 //! | `kill daemon=N`, `start`, `pause`, `resume`; `kill worker=NAME` | controls the process of a daemon; kills a worker | `set` |
 //! | `driver plan=NAME do=kill`, `pause`, `resume` | the same for the daemon that drives the plan | `set` |
@@ -165,8 +166,9 @@
         }
     }
 
-    fn plan_id(&self, name: &str) -> &str {
-        &self.plans[name]
+    /// The id of a plan that was named, or else the text itself as an id.
+    fn plan_id<'a>(&'a self, name: &'a str) -> &'a str {
+        self.plans.get(name).map_or(name, String::as_str)
     }
 
     async fn change_plan(&mut self, case: &mut TestCase) -> String {
@@ -304,6 +306,12 @@
     }
 
     fn slow(&mut self, case: &mut TestCase) -> String {
+        if let Some(daemon) = optional_arg::<usize>(case, "log") {
+            let delay = Flow::Delay(Duration::from_millis(required_arg(case, "ms")));
+            let fault = Fault { answer: delay, ..Fault::default() };
+            self.fixture().log_links[daemon].set_fault(fault);
+            return "set".to_owned();
+        }
         let daemon: usize = required_arg(case, "peers");
         let delay = Duration::from_millis(optional_arg(case, "ms").unwrap_or(0));
         let duplicate = take_flag(case, "double");
