outlook: jobs that can be of no use to their callers are refused at once

Cause: an entry node accepted whatever came, so in an overload jobs waited far beyond any use to their callers. Change: the leader publishes an outlook of the services that are short (its capacity, what it could get, the waiting work by priority, account's rate and due time), passed on by gossip; the node that a client calls refuses a job with 429 and a Retry-After if a fresh outlook of its leader shows that it would end later than three of its objectives (--refuse-after-objectives) and the leader confirms that it does not know the id and that the account is not below its fair share. Load::over_rate is the part of a service's demand that only jobs above their accounts' rates ask for.

--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -106,6 +106,10 @@
     /// workers that one node looks after for the scheduler, on the users' platform [100]
     #[argh(option)]
     workers_per_share: Option<String>,
+    /// a job that would be done later than this many of its objectives is refused, 0 for never, on
+    /// the users' platform [3]
+    #[argh(option)]
+    refuse_after_objectives: Option<String>,
     /// address to send metrics to
     #[argh(option)]
     statsd: Option<String>,
@@ -138,6 +142,7 @@
             "snapshot-s" => &self.snapshot_s,
             "down-grace-ms" => &self.down_grace_ms,
             "workers-per-share" => &self.workers_per_share,
+            "refuse-after-objectives" => &self.refuse_after_objectives,
             "statsd" => &self.statsd,
             _ => return None,
         };
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -302,6 +302,8 @@
     early_ends: Vec<EarlyEnd>,
     /// Observed load.
     pub demand: Demand,
+    /// The part of it by jobs above the rates of their accounts.
+    pub over_rate_demand: Demand,
     /// Observed run times.
     pub run_times: RunTimes,
     /// Answers of the advice service.
@@ -357,6 +359,7 @@
             renewed_at: None,
             early_ends: Vec::new(),
             demand: Demand::default(),
+            over_rate_demand: Demand::default(),
             run_times: RunTimes::default(),
             advice: AdviceCache::default(),
         }
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -74,7 +74,11 @@
         // Work that the account's quota holds back must not request boxes: they would be idle.
         let may_run = |step| !self.is_at_quota(&entry, step);
         if inherited.is_none() && entry.accepted.job.steps.iter().all(may_run) {
-            self.demand.record_arrival(&entry, &self.run_times, clock::now());
+            let now = clock::now();
+            self.demand.record_arrival(&entry, &self.run_times, now);
+            if entry.is_over_rate {
+                self.over_rate_demand.record_arrival(&entry, &self.run_times, now);
+            }
         }
         if entry.is_active() && entry.is_long_running() {
             self.long_running_jobs.insert(id);
--- a/lib/src/batch/client_api.rs
+++ b/lib/src/batch/client_api.rs
@@ -106,9 +106,11 @@
                 log::info!(job = format!("{id:016x}").as_str(); "job refused by the quota of its account: {error}");
                 return retry_later(429, RETRY_DELAY);
             }
-            write_response(
-                node.commit_job(id, submit::accepted_job(job, &queue, &caller), answer_by).await,
-            )
+            let accepted = submit::accepted_job(job, &queue, &caller);
+            match node.refuse_by_outlook(id, &caller, &accepted).await {
+                Some(delay) => come_back(delay),
+                None => write_response(node.commit_job(id, accepted, answer_by).await),
+            }
         }
         _ => empty_response(405),
     }
@@ -145,6 +147,15 @@
     response
 }
 
+/// Refuses a job and asks the client to come back after a delay that was planned for it alone. The
+/// part of a second is rounded at random, so that clients come back evenly spread.
+fn come_back(delay: Duration) -> Response<Body> {
+    let mut response = empty_response(429);
+    let seconds = (delay.as_secs_f64() + rand::random::<f64>()).floor().max(1.0) as u64;
+    response.headers_mut().insert(RETRY_AFTER, seconds.into());
+    response
+}
+
 fn json_response(body: Vec<u8>) -> Response<Body> {
     let response = Response::builder().header("content-type", "application/json");
     response.body(full(body)).expect("the header is valid")
--- a/lib/src/batch/commit.rs
+++ b/lib/src/batch/commit.rs
@@ -180,6 +180,12 @@
 }
 
 impl Queue {
+    /// Whether this node's appends of jobs succeed.
+    pub fn is_store_available(&self, now: Instant) -> bool {
+        let health = self.health();
+        !health.is_unresponsive(now) && health.outage_duration(now).is_none()
+    }
+
     fn health(&self) -> MutexGuard<'_, StoreHealth> {
         self.health.lock().expect("no thread panics while it holds the store health lock")
     }
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -83,6 +83,7 @@
             }
         };
         scheduler.cell().end_incarnations_by_box_list(&list, requested_at);
+        scheduler.set_boxes(&list);
         scheduler.announce_in_advance(|| list.iter().map(|machine| machine.id.clone()).collect());
         let held = scheduler.order_window.held_boxes(clock::now());
         let moving = pools.busy_machines();
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -5,6 +5,7 @@
 mod halls;
 mod leadership;
 mod operator_api;
+mod outlook;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -43,6 +44,7 @@
 use crate::batch::node::config::InForce;
 use crate::batch::node::operator_api::handle_operator;
 use crate::batch::operator;
+use crate::batch::outlook::known::Known;
 use crate::batch::peer;
 use crate::batch::peer::Peers;
 use crate::batch::relay::Route;
@@ -111,6 +113,7 @@
     waves: Mutex<BTreeMap<u64, Wave>>,
     evacuated_halls: Mutex<EvacuatedHalls>,
     known_lease: Mutex<KnownLease>,
+    outlook: Mutex<Known>,
     scheduler: Mutex<Option<Arc<Scheduler>>>,
     stopping: watch::Sender<bool>,
 }
@@ -145,6 +148,7 @@
             waves: Mutex::default(),
             evacuated_halls: Mutex::default(),
             known_lease: Mutex::default(),
+            outlook: Mutex::default(),
             scheduler: Mutex::default(),
             stopping: watch::Sender::new(false),
             settings,
--- a/lib/src/batch/node/answer.rs
+++ b/lib/src/batch/node/answer.rs
@@ -29,6 +29,10 @@
                 self.set_leader_lease(offset, &lease);
                 Reply::Done
             }
+            Request::Outlook(outlook) => {
+                self.set_outlook(*outlook);
+                Reply::Done
+            }
             Request::Config(version) => Reply::Config(self.config_newer_than(version)),
             Request::Relay(call) => Reply::Relayed(self.relay_for_peer(call).await),
             request => match self.scheduler() {
--- a/lib/src/batch/node/leadership.rs
+++ b/lib/src/batch/node/leadership.rs
@@ -80,6 +80,11 @@
         Some(Group { nodes, watchers })
     }
 
+    /// Incarnation of the leader's node; `None` if the lease is free or not known.
+    pub(super) fn leader_incarnation(&self) -> Option<u64> {
+        self.lock_lease().lease().map(|lease| lease.incarnation)
+    }
+
     /// Address of the leader, if it is another node.
     pub fn remote_leader(&self) -> Option<SocketAddr> {
         let known = self.lock_lease();
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -87,6 +87,8 @@
     },
     /// Passes on the leader's outlook.
     Outlook(Box<Outlook>),
+    /// To the leader: whether a job may be refused by the outlook of this number.
+    MayRefuse(JobId, Caller, u64),
 }
 
 impl Request {
@@ -106,6 +108,7 @@
             Request::Ping => "ping",
             Request::Leader { .. } => "leader",
             Request::Outlook(_) => "outlook",
+            Request::MayRefuse(..) => "may-refuse",
         }
     }
 }
@@ -133,6 +136,11 @@
     NotReady,
     /// The reply of a leader that may have been replaced, since it has not renewed its lease.
     Unconfirmed(Box<Reply>),
+    /// The job is not known, and its account has no claim to be served before others.
+    Refusable {
+        /// Whether the account sends it above its rate.
+        is_over_rate: bool,
+    },
 }
 
 /// Why a request to a peer has no answer.
--- a/lib/src/batch/place/fair.rs
+++ b/lib/src/batch/place/fair.rs
@@ -41,15 +41,18 @@
     /// assert!(!exceeds(second * 2));
     /// ```
     pub fn exceeds_rate(&mut self, account: &AccountId, weight: f64, at: Duration) -> bool {
-        let (left, last) = self.0.entry(account.clone()).or_insert((weight, at));
+        let left = self.left(account, weight, at);
+        let last = self.0.get(account).map_or(at, |(_, last)| at.max(*last));
+        let exceeds = left < 1.0;
+        self.0.insert(account.clone(), (if exceeds { left } else { left - 1.0 }, last));
+        exceeds
+    }
+
+    /// The number of jobs that an account may send at a time within its rate.
+    fn left(&self, account: &AccountId, weight: f64, at: Duration) -> f64 {
+        let Some((left, last)) = self.0.get(account) else { return weight };
         let since = at.saturating_sub(*last).as_secs_f64();
-        *left = (*left + since * weight).min(weight.max(1.0));
-        *last = at.max(*last);
-        if *left < 1.0 {
-            return true;
-        }
-        *left -= 1.0;
-        false
+        (left + since * weight).min(weight.max(1.0))
     }
 }
 
@@ -70,6 +73,28 @@
         self.allowances.exceeds_rate(account, weight, at)
     }
 
+    /// Whether a job that an account sends at a time since the Unix epoch would exceed its rate. It
+    /// is not counted.
+    pub(in crate::batch) fn is_over_rate_at(
+        &self,
+        account: Option<&AccountId>,
+        at: Duration,
+    ) -> bool {
+        let Some(account) = account else { return false };
+        if self.config().is_none_or(|config| !config.accounts().contains_key(account)) {
+            return false;
+        }
+        self.allowances.left(account, self.weight_of(account), at) < 1.0
+    }
+
+    /// Whether an account uses less than its fair share among the accounts with running tasks, so
+    /// that its jobs come before those of others. If no other account has any, it does not matter.
+    pub(in crate::batch) fn is_below_share(&self, account: Option<&AccountId>) -> bool {
+        let account = owner(account);
+        let shares = self.fair_shares(std::slice::from_ref(&account));
+        shares.len() > 1 && self.dominant_share(&account) < shares[&account]
+    }
+
     /// Starts waiting tasks of some steps in the order given, but defers steps whose accounts have
     /// already reached their fair share until after all others.
     pub(super) fn place_fairly(
--- a/lib/src/batch/pool/load.rs
+++ b/lib/src/batch/pool/load.rs
@@ -4,12 +4,15 @@
 use std::time::Instant;
 
 use spokelift_platform::job::Step;
+use spokelift_platform::job::TaskName;
 
 use crate::batch::cell::Cell;
 use crate::batch::job::Entry;
 use crate::batch::usage::Claim;
 use crate::batch::usage::Totals;
 use crate::batch::usage::Usage;
+use crate::batch::worker::Allocation;
+use crate::batch::worker::Class;
 use crate::batch::worker::Worker;
 
 /// Time in which the requested boxes should clear the waiting work, in milliseconds: about as long
@@ -63,13 +66,41 @@
     pub min_workers: u64,
 }
 
+/// The part of a load by tasks that end by themselves.
+#[derive(Clone, Copy, Debug, Default)]
+struct Batch {
+    /// What the running ones use.
+    running: u64,
+    /// What the arriving ones keep busy on average.
+    arrival_rate: u64,
+    /// Work of the waiting ones, in thousandths of a core times milliseconds.
+    backlog: u64,
+}
+
+impl Batch {
+    /// What a service should have for these tasks and those that last. Only a part of the running
+    /// work counts, since it ends before a box would have left.
+    fn wanted_with(&self, long_running: u64) -> u64 {
+        let running = self.running * FOLLOW_UP_PERCENT / 100;
+        let steady = long_running + self.arrival_rate.max(running);
+        (steady + self.backlog / BACKLOG_CLEAR_MS) * 100 / UTILIZATION_PERCENT
+    }
+
+    fn without(&self, other: &Batch) -> Batch {
+        Batch {
+            running: self.running.saturating_sub(other.running),
+            arrival_rate: self.arrival_rate.saturating_sub(other.arrival_rate),
+            backlog: self.backlog.saturating_sub(other.backlog),
+        }
+    }
+}
+
 impl Load {
-    /// What it should have: enough for the arriving work, and to clear the backlog. Only a part of
-    /// the running batch work counts, since it ends before a box would have left.
+    /// What it should have: enough for the arriving work, and to clear the backlog.
     pub fn wanted(&self) -> u64 {
-        let running = self.used.saturating_sub(self.long_running) * FOLLOW_UP_PERCENT / 100;
-        let steady = self.long_running + self.arrival_rate.max(running);
-        (steady + self.backlog / BACKLOG_CLEAR_MS) * 100 / UTILIZATION_PERCENT
+        let running = self.used.saturating_sub(self.long_running);
+        let batch = Batch { running, arrival_rate: self.arrival_rate, backlog: self.backlog };
+        batch.wanted_with(self.long_running)
     }
 
     /// What it should have for the jobs that accounts send within their rates.
@@ -77,6 +108,14 @@
         self.wanted().saturating_sub(self.over_rate)
     }
 
+    /// The part of what it should have that only these tasks ask for.
+    fn wanted_only_by(&self, tasks: &Batch) -> u64 {
+        let running = self.used.saturating_sub(self.long_running);
+        let all = Batch { running, arrival_rate: self.arrival_rate, backlog: self.backlog };
+        let others = all.without(tasks).wanted_with(self.long_running);
+        self.wanted().saturating_sub(others)
+    }
+
     /// What its running and waiting tasks need.
     pub(super) fn need(&self) -> u64 {
         self.used + self.waiting
@@ -145,10 +184,17 @@
 pub fn loads(cell: &Cell, now: Instant) -> BTreeMap<String, Load> {
     let mut loads = BTreeMap::new();
     add_workers(&mut loads, cell, now);
-    add_waiting(&mut loads, cell);
+    let over_rate_backlogs = add_waiting(&mut loads, cell);
     add_min_workers(&mut loads, cell);
+    let over_rate_running = over_rate_running(cell, now);
     for (service, load) in &mut loads {
         load.arrival_rate = cell.demand.rate(service, now);
+        let above = Batch {
+            running: over_rate_running.get(service).copied().unwrap_or(0),
+            arrival_rate: cell.over_rate_demand.rate(service, now),
+            backlog: over_rate_backlogs.get(service).copied().unwrap_or(0),
+        };
+        load.over_rate = load.wanted_only_by(&above);
         load.unplaced = cell.unplaced_cpu.get(service).copied().unwrap_or(0);
         for (label, requested) in &mut load.label_shortages {
             *requested = requested.saturating_sub(free_with_label(cell, service, label, now));
@@ -173,14 +219,20 @@
 /// Counts how much accounts may still start within their quotas, as the waiting tasks are counted
 /// step by step. No boxes are requested for tasks that an account may not run.
 #[derive(Default)]
-struct Budgets {
+pub(in crate::batch) struct Budgets {
     counted: Totals,
 }
 
 impl Budgets {
     /// How many of the waiting tasks of a step its account may start in addition to those counted
     /// before.
-    fn count_startable(&mut self, cell: &Cell, entry: &Entry, step: &Step, tasks: u64) -> u64 {
+    pub(in crate::batch) fn count_startable(
+        &mut self,
+        cell: &Cell,
+        entry: &Entry,
+        step: &Step,
+        tasks: u64,
+    ) -> u64 {
         let Some(account) = &entry.accepted.account else { return tasks };
         let counted = self.counted.of(account);
         let may_start = |tasks: u64| {
@@ -203,8 +255,28 @@
     }
 }
 
-/// Adds the waiting tasks, except best-effort ones.
-fn add_waiting(loads: &mut BTreeMap<String, Load>, cell: &Cell) {
+/// What the runs of jobs above the rates of their accounts use, by service, without tasks that
+/// last.
+fn over_rate_running(cell: &Cell, now: Instant) -> BTreeMap<String, u64> {
+    let mut running = BTreeMap::new();
+    for worker in cell.workers.values().filter(|worker| worker.is_schedulable(now)) {
+        let is_above = |(task, allocation): &(&TaskName, &Allocation)| {
+            let is_batch = allocation.class == Class::Batch;
+            is_batch && cell.jobs.get(&task.job).is_some_and(|entry| entry.is_over_rate)
+        };
+        let above = worker.allocations.iter().filter(is_above);
+        let cpu: u64 = above.map(|(_, allocation)| u64::from(allocation.resources.cpu)).sum();
+        if cpu > 0 {
+            *running.entry(worker.entry.service.clone()).or_default() += cpu;
+        }
+    }
+    running
+}
+
+/// Adds the waiting tasks, except best-effort ones; returns by service the work of those whose jobs
+/// are above the rates of their accounts.
+fn add_waiting(loads: &mut BTreeMap<String, Load>, cell: &Cell) -> BTreeMap<String, u64> {
+    let mut over_rate = BTreeMap::<String, u64>::new();
     let mut budgets = Budgets::default();
     for rank in &cell.ready {
         let Some(entry) = cell.jobs.get(&rank.job) else { continue };
@@ -224,8 +296,13 @@
         }
         let run_time =
             cell.run_time(entry, rank.step).map_or(0, |run| run.mean().as_millis() as u64);
-        load.backlog += waiting * if step.long_running { BACKLOG_CLEAR_MS } else { run_time };
+        let work = waiting * if step.long_running { BACKLOG_CLEAR_MS } else { run_time };
+        load.backlog += work;
+        if rank.is_over_rate && !step.long_running {
+            *over_rate.entry(entry.accepted.service.clone()).or_default() += work;
+        }
     }
+    over_rate
 }
 
 /// How many empty workers of a service a gang needs, since all its tasks run at once.
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod forget;
 mod load;
+mod outlook;
 mod rebalance;
 pub mod shard;
 mod tick;
@@ -35,6 +36,7 @@
 use crate::batch::fleet;
 use crate::batch::node::Node;
 use crate::batch::order_window::OrderWindow;
+use crate::batch::outlook::published::Published;
 use crate::batch::scheduler::events::consume_own_events;
 use crate::batch::scheduler::flush::flush;
 use crate::batch::scheduler::follow::follow_jobs;
@@ -89,6 +91,7 @@
     /// Number of completed flushes.
     flush_count: watch::Sender<u64>,
     store_latency: Mutex<StoreLatency>,
+    outlook: Mutex<Published>,
     /// When the scheduler was started.
     pub started_at: Instant,
     /// When this scheduler may order boxes.
@@ -121,6 +124,7 @@
             flush_wake: Notify::new(),
             flush_count: watch::Sender::new(0),
             store_latency: Mutex::default(),
+            outlook: Mutex::default(),
             started_at: now,
             order_window,
             cancellation: CancellationToken::new(),
@@ -222,6 +226,7 @@
     scheduler.spawn(forget_finished(scheduler.clone()));
     scheduler.spawn(fleet::run(scheduler.clone()));
     scheduler.spawn(advice::run(scheduler.clone()));
+    scheduler.spawn(scheduler.clone().publish_outlooks());
     run_placement(scheduler).await;
 }
 
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -51,6 +51,7 @@
             }
             Request::Relay(call) => Reply::Relayed(self.node.relay_for_peer(call).await),
             Request::Report(report) => take_report(self, *report),
+            Request::MayRefuse(id, caller, outlook) => self.may_refuse(id, &caller, outlook),
             // Answered by the node itself.
             Request::Dispatch(_)
             | Request::Newer { .. }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -82,6 +82,7 @@
     "snapshot-s", "most seconds between two snapshots; the log must keep three times that", "1 to 86400", Some("600");
     "down-grace-ms", "how long a plan's last steps wait for boxes that are down", "0 to 3600000", Some("30000");
     "workers-per-share", "workers that one node looks after for the scheduler, on the users' platform", "1 to 100000", Some("100");
+    "refuse-after-objectives", "a job that would be done later than this many of its objectives is refused, 0 for never, on the users' platform", "0 to 1000", Some("3");
     "statsd", "address to send metrics to", "IP:PORT, or empty for none", Some("");
 }
 
@@ -299,6 +300,9 @@
     pub site_key_hash: Option<KeyHash>,
     /// Workers that one node polls and dispatches to for the scheduler.
     pub workers_per_shard: usize,
+    /// A job is refused if it is certain to be done later than this many of its objectives; 0 for
+    /// never.
+    pub refuse_after_objectives: u32,
 }
 
 impl NodeSettings {
@@ -308,6 +312,7 @@
     /// use spokelift_lib::settings::NodeSettings;
     /// let settings = NodeSettings::resolve(|_| None).unwrap();
     /// assert_eq!((settings.site_key_hash, settings.workers_per_shard), (None, 100));
+    /// assert_eq!(settings.refuse_after_objectives, 3);
     /// assert!(NodeSettings::resolve(|_| Some("no hash, no number".to_owned())).is_err());
     /// ```
     ///
@@ -322,9 +327,12 @@
         let mut reader = Reader { get, faults: Vec::new() };
         let site_key_hash = if has_key { reader.value(KEY, parse_hash) } else { None };
         let workers_per_shard = reader.number("workers-per-share", 1..=100_000);
-        match workers_per_shard {
-            Some(workers_per_shard) if reader.faults.is_empty() => {
-                Ok(NodeSettings { site_key_hash, workers_per_shard })
+        let refuse_after_objectives = reader.number("refuse-after-objectives", 0..=1_000);
+        match (workers_per_shard, refuse_after_objectives) {
+            (Some(workers_per_shard), Some(refuse_after_objectives))
+                if reader.faults.is_empty() =>
+            {
+                Ok(NodeSettings { site_key_hash, workers_per_shard, refuse_after_objectives })
             }
             _ => Err(SettingsError { faults: reader.faults }),
         }
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -24,6 +24,7 @@
 use spokelift_lib::batch::leader::lease::LeaderLease;
 use spokelift_lib::batch::order_window::HeldBoxes;
 use spokelift_lib::batch::outlook;
+use spokelift_lib::batch::outlook::Class;
 use spokelift_lib::batch::outlook::Outlook;
 use spokelift_lib::batch::peer::Reply;
 use spokelift_lib::batch::peer::Request;
@@ -155,9 +156,11 @@
 }
 
 fn outlook() -> Outlook {
-    let service =
-        outlook::Service { capacity: 64_000, incoming: 32_000, ahead: 7, ahead_over_rate: 300 };
-    Outlook { leader: 3, number: 4, services: [("work".to_owned(), service)].into() }
+    let class = Class { priority: 1, is_over_rate: true, due_ms: 500, on_time: 7, late: 300 };
+    let classes = vec![class];
+    let service = outlook::Service { capacity: 64_000, incoming: 32_000, free: 2, classes };
+    let services = [("work".to_owned(), service)].into();
+    Outlook { leader: 3, incarnation: 77, number: 4, age_ms: 9, services }
 }
 
 fn stored(lines: &mut Lines) {
@@ -321,6 +324,7 @@
         Request::Ping,
         Request::Leader { offset: 9, lease: Box::new(lease(HeldBoxes::All)) },
         Request::Outlook(Box::new(outlook())),
+        Request::MayRefuse(0x5c0e, Caller::Account("clinics".into()), 4),
     ];
     for (number, request) in (1_u64..).zip(requests) {
         lines.postcard("request", &(number, request));
@@ -351,6 +355,7 @@
     ];
     replies.extend(states.map(|state| Reply::State(Some(state))));
     replies.push(Reply::Unconfirmed(Box::new(Reply::Pending(7))));
+    replies.push(Reply::Refusable { is_over_rate: true });
     for (number, reply) in (1_u64..).zip(replies) {
         lines.postcard("reply", &(number, reply));
     }
--- a/testutils/src/batch/simulation.rs
+++ b/testutils/src/batch/simulation.rs
@@ -3,6 +3,8 @@
 //! steps of six tasks, each 0.64 s on 2.3 cores; a crashed worker is back under another id after 2
 //! s. The results count how the other jobs fared.
 
+pub mod callers;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
