--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -95,6 +95,8 @@
     /// Returns a part of the configuration in force, if it is newer. A node that does not know this
     /// request closes the connection.
     ConfigPart(PartRequest),
+    /// To the leader: whether a job may be refused by the outlook of this number.
+    MayRefuse(JobId, Caller, u64),
 }
 
 impl Request {
@@ -115,6 +117,7 @@
             Request::Leader { .. } => "leader",
             Request::Outlook(_) => "outlook",
             Request::ConfigPart(_) => "config-part",
+            Request::MayRefuse(..) => "may-refuse",
         }
     }
 }
@@ -144,6 +147,11 @@
     Unconfirmed(Box<Reply>),
     /// A part of the configuration, or why there is none.
     ConfigPart(PartReply),
+    /// The job is not known, and its account has no claim to be served before others.
+    Refusable {
+        /// Whether the account sends it above its rate.
+        is_over_rate: bool,
+    },
 }
 
 /// Why a request to a peer has no answer.
