operator, gossip: a node that the store turns away leaves versions to its peers

Nodes that the store turns away read the operator's topic through peers; such a read passes the whole record over the links of both, is given up after 0.9 s without a byte and begun again through another peer.

Now such a node, unless it is the leader or has no version, asks a peer each second and reads through peers only if an announced version is a second late. Test a_node_that_the_store_turns_away_leaves_versions_to_its_peers.

--- a/lib/src/batch/gossip.rs
+++ b/lib/src/batch/gossip.rs
@@ -92,6 +92,8 @@
     pending: Vec<(Version, SocketAddr)>,
     /// The newest version that was announced.
     newest: Version,
+    /// The newest version that the peers did not deliver in time.
+    late: Version,
 }
 
 impl Senders {
@@ -131,13 +133,14 @@
 }
 
 /// Asks one peer after another for a newer configuration while this node does not watch the
-/// operator's topic, until the process ends.
+/// operator's topic or is turned away by the store, until the process ends.
 pub async fn run(node: Arc<Node>) {
     let mut round = 0;
     loop {
         sleep(SYNC_INTERVAL).await;
         let peers = node.gossip_peers();
-        if node.operator_turns.is_watching() || peers.is_empty() {
+        let reads_store = node.operator_turns.is_watching() && !node.store_route.is_unavailable();
+        if reads_store || peers.is_empty() {
             continue;
         }
         node.fetch_config(peers[round % peers.len()]).await;
@@ -206,10 +209,24 @@
         if self.config_version() < version {
             self.counters.count("batch.config.late-from-peers");
             log::info!(version, in_force = self.config_version(); "configuration late from peers; reading the store");
+            self.senders().late = version;
             self.operator_turns.start();
         }
     }
 
+    /// Whether this node leaves the operator's records to its peers, since the store turns it away. A
+    /// read through a peer would pass each version whole over the links of both, which the peer's
+    /// transfers share. A node reads through a peer if it is the leader, which alone needs the other
+    /// records, or has no version yet, or if the peers are late with one.
+    pub fn leaves_records_to_peers(&self) -> bool {
+        let in_force = self.config_version();
+        self.store_route.is_unavailable()
+            && !self.holds_lease()
+            && in_force > 0
+            && self.senders().late <= in_force
+            && self.directory.count().is_some_and(|others| others > 0)
+    }
+
     fn senders(&self) -> MutexGuard<'_, Senders> {
         self.gossip.senders.lock().expect("no thread panics while it holds the senders lock")
     }
--- a/lib/src/batch/operator.rs
+++ b/lib/src/batch/operator.rs
@@ -26,6 +26,9 @@
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
+/// Delay between attempts to read the store that leave the records to the peers otherwise.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Number of nodes that watch the operator's topic at a time. One of them would suffice unless the
 /// store rejects it or its announcements are lost.
 const WATCHERS: usize = 16;
@@ -45,6 +48,7 @@
         }
         match follow(&node, from).await {
             Ok(next) => from = Some(next),
+            Err(_) if node.leaves_records_to_peers() => sleep(PROBE_INTERVAL).await,
             Err(error) => {
                 node.counters.count("batch.operator.follow-failed");
                 log::debug!("cannot read the operator's records: {error}");
@@ -61,7 +65,10 @@
 /// them.
 async fn follow(node: &Node, from: Option<Offset>) -> Result<Offset, CallError> {
     let Some(from) = from else { return read_all(node, CALL_TIMEOUT).await };
-    let page = node.read_topic(OPERATOR_TOPIC, from, LONG_POLL, CALL_TIMEOUT).await?;
+    let page = match node.leaves_records_to_peers() {
+        true => node.read_topic_directly(OPERATOR_TOPIC, from, CALL_TIMEOUT).await?,
+        false => node.read_topic(OPERATOR_TOPIC, from, LONG_POLL, CALL_TIMEOUT).await?,
+    };
     for (offset, record) in (from..).zip(&page.records) {
         apply_record(node, record);
         if let Some(hall) = evacuated_hall(node, record) {
--- a/lib/src/batch/relay.rs
+++ b/lib/src/batch/relay.rs
@@ -262,6 +262,22 @@
         .await
     }
 
+    /// Reads a partition by the direct route only, without waiting for new records.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Store::read`].
+    pub async fn read_topic_directly(
+        &self,
+        partition: impl Into<Partition>,
+        from: Offset,
+        call_timeout: Duration,
+    ) -> Result<Page, CallError> {
+        let result = self.store.read(&partition.into(), from, Duration::ZERO, call_timeout).await;
+        self.store_route.record_result(&result);
+        result
+    }
+
     /// Reads the newest record of each key of a partition, through another node while the direct
     /// route is unavailable.
     ///
--- a/testutils/tests/test_config_transfer.rs
+++ b/testutils/tests/test_config_transfer.rs
@@ -22,6 +22,7 @@
 use spokelift_lib::batch::config::transfer::PartRequest;
 use spokelift_lib::batch::config::transfer::Progress;
 use spokelift_lib::batch::config::transfer::Source;
+use spokelift_lib::batch::gossip;
 use spokelift_lib::batch::node::Node;
 use spokelift_lib::batch::operator;
 use spokelift_lib::batch::peer::Reply;
@@ -33,6 +34,7 @@
 use spokelift_platform::store::Record;
 use spokelift_testutils::batch;
 use spokelift_testutils::batch::published::large_config;
+use spokelift_testutils::platform;
 use spokelift_testutils::platform::store::Store;
 use spokelift_testutils::proxy::Fault;
 use spokelift_testutils::proxy::Flow;
@@ -311,6 +313,30 @@
     assert_eq!(counter(&node, "batch.config.late-from-peers"), 1);
 }
 
+/// Reads through peers would pass a version whole over their links, again and again on slow ones.
+#[tokio::test]
+async fn a_node_that_the_store_turns_away_leaves_versions_to_its_peers() {
+    let store = Store::default();
+    let endpoints = [store.open_endpoint().await.unwrap(), store.open_endpoint().await.unwrap()];
+    endpoints[1].set_fault(platform::store::Fault::Busy);
+    store.put(OPERATOR_TOPIC, Record::set(CONFIG_KEY, large_config(1, 5)));
+    let nodes = [node_at_store(endpoints[0].addr).await, node_at_store(endpoints[1].addr).await];
+    for (node, other) in [(&nodes[0], &nodes[1]), (&nodes[1], &nodes[0])] {
+        node.directory.set_nodes([(other.settings.peer_addr(), 500)]);
+        tokio::spawn(operator::run(node.clone()));
+        tokio::spawn(gossip::run(node.clone()));
+    }
+    wait_until("both have the first", || nodes.iter().all(|node| node.config_version() == 1)).await;
+    wait_until("the store is asked again", || endpoints[1].request_count() > 2).await;
+    let through_peer = counter(&nodes[1], "batch.store.read-through-peer");
+    store.put(OPERATOR_TOPIC, Record::set(CONFIG_KEY, large_config(2, 5)));
+    wait_until("both have the second", || nodes.iter().all(|node| node.config_version() == 2))
+        .await;
+    assert_eq!(counter(&nodes[1], "batch.store.read-through-peer"), through_peer);
+    endpoints[1].set_fault(platform::store::Fault::None);
+    wait_until("the store answers again", || !nodes[1].store_route.is_unavailable()).await;
+}
+
 #[tokio::test]
 async fn a_read_of_the_store_goes_on_while_it_progresses() {
     let store = Store::default();
