--- a/lib/src/batch/history.rs
+++ b/lib/src/batch/history.rs
@@ -3,7 +3,7 @@
 //! Bounded: of a job the first decisions and the latest ones are kept, and beyond a total the
 //! oldest jobs are forgotten. A new leader begins without any.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::fmt;
 use std::fmt::Display;
@@ -133,7 +133,7 @@
 /// The decisions about all jobs.
 #[derive(Debug, Default)]
 pub struct History {
-    jobs: HashMap<JobId, OfJob>,
+    jobs: BTreeMap<JobId, OfJob>,
     /// The jobs in the order of their first decisions.
     order: VecDeque<JobId>,
     decisions: usize,
--- a/lib/src/log_limit/budget.rs
+++ b/lib/src/log_limit/budget.rs
@@ -1,6 +1,6 @@
 //! Which lines are written singly.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -30,7 +30,7 @@
     filled_at: Instant,
     second_began: Instant,
     /// Single lines of each event in this second.
-    lines: HashMap<EventId, u32>,
+    lines: BTreeMap<EventId, u32>,
     /// The same of the events beyond [`MAX_EVENTS`].
     lines_of_others: u32,
 }
@@ -42,7 +42,7 @@
             available_lines: BURST_LINES,
             filled_at: now,
             second_began: now,
-            lines: HashMap::new(),
+            lines: BTreeMap::new(),
             lines_of_others: 0,
         }
     }
--- a/lib/src/log_limit/summary.rs
+++ b/lib/src/log_limit/summary.rs
@@ -1,6 +1,6 @@
 //! The lines that are not written singly, added up by event.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use log::Level;
 
@@ -16,7 +16,7 @@
 /// Lines added up by event.
 #[derive(Debug, Default)]
 pub struct Summary {
-    events: HashMap<EventId, Event>,
+    events: BTreeMap<EventId, Event>,
     /// Lines of the events beyond the bound.
     pub other_lines: u64,
 }
