--- a/lib/src/batch/cell/crashes.rs
+++ b/lib/src/batch/cell/crashes.rs
@@ -61,6 +61,10 @@
     pub ended_incarnations: u64,
     /// Incarnations that ended according to the list of boxes.
     pub ended_by_box_list: u64,
+    /// Jobs that were put last, as nearly certain to miss their objective.
+    pub jobs_put_last: u64,
+    /// Jobs that were put last and are no longer.
+    pub jobs_put_back: u64,
 }
 
 impl Cell {
--- a/lib/src/batch/cell/flush.rs
+++ b/lib/src/batch/cell/flush.rs
@@ -9,6 +9,7 @@
 use crate::batch::cell::Flush;
 use crate::batch::record;
 use crate::batch::record::Crashes;
+use crate::transport::clock;
 
 impl Cell {
     /// Queues a record that these boxes are about to be ordered; returns the announcement's number.
@@ -61,6 +62,12 @@
             });
             flush.crashes.extend(counted);
         }
+        // Only beside other changes, so that it costs no call.
+        if !flush.records.is_empty()
+            && let Some(stored) = self.run_times.take_for_store(clock::now())
+        {
+            flush.records.push(record::run_times(&stored));
+        }
         for worker in self.workers.recovering() {
             flush.recovered.push(worker.peer.incarnation.clone());
         }
--- a/lib/src/batch/cell/polls.rs
+++ b/lib/src/batch/cell/polls.rs
@@ -6,7 +6,6 @@
 
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::JobId;
-use spokelift_platform::job::Step;
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::End;
 use spokelift_platform::worker::Incarnation;
@@ -23,7 +22,6 @@
 use crate::batch::cell::workers::remove_allocations;
 use crate::batch::job::Entry;
 use crate::batch::record;
-use crate::batch::run_time::Observation;
 use crate::batch::worker::Allocation;
 use crate::batch::worker::Class;
 use crate::batch::worker::Phase;
@@ -160,22 +158,6 @@
         self.requeue(end.task);
     }
 
-    /// Records how long a run lasted. Runs resumed from a checkpoint are left out, as they may have
-    /// done only a part of the work.
-    fn record_run_time(&mut self, end: &End, step: &Step, allocation: &Allocation, now: Instant) {
-        if step.long_running || !allocation.checkpoint.is_empty() {
-            return;
-        }
-        let Some(entry) = self.jobs.get(&end.task.job) else { return };
-        self.run_times.record(&Observation {
-            queue: &entry.accepted.queue,
-            step: end.task.step,
-            estimate: Duration::from_millis(step.estimate_ms),
-            lasted: now.saturating_duration_since(allocation.ordered_at),
-            is_done: end.outcome == Outcome::Done,
-        });
-    }
-
     /// Counts a failed run and fails the job at its limit of attempts. A long-running task is
     /// restarted however often it fails.
     fn on_failed(&mut self, incarnation: &Incarnation, end: &End, is_long_running: bool) {
--- a/lib/src/batch/cell/workers.rs
+++ b/lib/src/batch/cell/workers.rs
@@ -247,6 +247,7 @@
     /// Handles that a run is known to be over: its task is queued for placement again, with the
     /// checkpoint that the run has saved.
     pub(super) fn release_run(&mut self, name: TaskName, allocation: Allocation) {
+        self.record_cut_off(name, &allocation);
         let Some(entry) = self.jobs.get_mut(&name.job) else { return };
         let has_checkpoints = entry.step(name.step).is_some_and(|step| step.checkpointing);
         let Some(task) = entry.task_mut(name) else { return };
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -1,6 +1,7 @@
 //! A job as the scheduler sees it: its steps, its tasks and their progress.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use spokelift_platform::ingress::JobState;
@@ -45,6 +46,33 @@
     pub waiting_since: Option<Instant>,
     /// When other tasks were last preempted for it; `None` if none were.
     pub preempted_others_at: Option<Instant>,
+    /// When this scheduler last ordered its start; `None` if it has not.
+    pub ordered_at: Option<Instant>,
+}
+
+/// How long the runs of one job have taken that were done, as ratios to the client's estimates.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OwnRuns {
+    /// Their number.
+    pub count: u32,
+    /// The lowest ratio.
+    pub shortest: f64,
+    /// The highest ratio.
+    pub longest: f64,
+}
+
+impl OwnRuns {
+    /// Adds a run.
+    pub fn add(earlier: Option<OwnRuns>, ratio: f64) -> OwnRuns {
+        let Some(earlier) = earlier else {
+            return OwnRuns { count: 1, shortest: ratio, longest: ratio };
+        };
+        OwnRuns {
+            count: earlier.count + 1,
+            shortest: earlier.shortest.min(ratio),
+            longest: earlier.longest.max(ratio),
+        }
+    }
 }
 
 /// From this number of crashes on, all crashes under a task must be in the store before it is
@@ -115,6 +143,10 @@
     pub inherited: bool,
     /// On its arrival its account had submitted more jobs a second than its weight.
     pub is_over_rate: bool,
+    /// What its own runs have shown; `None` before the first one is done.
+    pub own_runs: Option<OwnRuns>,
+    /// It is placed after others, as it is nearly certain to miss its objective.
+    pub is_put_last: bool,
 }
 
 impl Entry {
@@ -135,6 +167,8 @@
             stored_in: BTreeSet::new(),
             inherited: false,
             is_over_rate: false,
+            own_runs: None,
+            is_put_last: false,
         }
     }
 
@@ -171,24 +205,38 @@
 
     /// Length of the critical path by the client's estimates, in milliseconds.
     pub fn critical_path_ms(&self) -> u64 {
-        let mut ends: Vec<u64> = Vec::new();
-        for step in &self.accepted.job.steps {
+        let path = self.longest_path(|_, step| Duration::from_millis(step.estimate_ms));
+        u64::try_from(path.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// The time that its steps take one after another, each of which takes `time_of` its number.
+    pub fn longest_path(&self, time_of: impl Fn(u16, &Step) -> Duration) -> Duration {
+        let mut ends: Vec<Duration> = Vec::new();
+        for (number, step) in (0u16..).zip(&self.accepted.job.steps) {
             let before = step.after.iter().filter_map(|earlier| ends.get(usize::from(*earlier)));
-            let start = before.copied().max().unwrap_or(0);
-            ends.push(start.saturating_add(step.estimate_ms));
+            let start = before.copied().max().unwrap_or_default();
+            ends.push(start.saturating_add(time_of(number, step)));
         }
-        ends.into_iter().max().unwrap_or(0)
+        ends.into_iter().max().unwrap_or_default()
     }
 
     /// When the job, or a repetition of it, should be done to meet its objective, in milliseconds
     /// since the Unix epoch.
     pub fn objective_at(&self, repetition: u32) -> u64 {
-        let from = self.accepted.job.due_at(repetition).unwrap_or(self.accepted.at);
+        let from = self.due_from(repetition);
+        (from.as_millis() as u64).saturating_add(self.objective_ms(self.critical_path_ms()))
+    }
+
+    /// From when the objective of the job, or of a repetition of it, counts, since the Unix epoch.
+    pub fn due_from(&self, repetition: u32) -> Duration {
+        self.accepted.job.due_at(repetition).unwrap_or(self.accepted.at)
+    }
+
+    /// Time within which it should be done if its critical path is so long, all in milliseconds.
+    pub fn objective_ms(&self, critical_path_ms: u64) -> u64 {
         let stretch = u64::from(self.accepted.stretch_percent);
-        let variable_part = self.critical_path_ms().saturating_mul(stretch) / 100;
-        (from.as_millis() as u64)
-            .saturating_add(self.accepted.objective_ms)
-            .saturating_add(variable_part)
+        let variable_part = critical_path_ms.saturating_mul(stretch) / 100;
+        self.accepted.objective_ms.saturating_add(variable_part)
     }
 
     /// Resources that a task of a step takes on a worker; best-effort tasks take no CPU.
--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -3,6 +3,7 @@
 pub mod fair;
 pub mod fit;
 mod gang;
+mod on_time;
 mod preempt;
 mod quarantine;
 
@@ -27,6 +28,7 @@
 use crate::batch::place::fit::cost;
 use crate::batch::place::fit::is_fit;
 use crate::batch::place::fit::is_ideal;
+use crate::batch::place::on_time::ByTime;
 use crate::batch::place::quarantine::Suspicion;
 use crate::batch::usage::Usage;
 use crate::batch::worker::Allocation;
@@ -34,8 +36,9 @@
 use crate::batch::worker::Worker;
 
 impl Cell {
-    /// Starts waiting tasks in rank order as far as resources allow. Steps that can no longer meet
-    /// their objective come after all that can.
+    /// Starts waiting tasks in rank order as far as resources allow. Steps of jobs that are nearly
+    /// certain to miss their objective come after all others, and those whose result will be of no
+    /// use any more come last.
     pub fn place_ready(&mut self, now: Instant, wall: Duration) {
         self.placement_pending = false;
         self.workers.take_freed();
@@ -43,18 +46,15 @@
         self.update_unpolled_usage();
         let possible_runs = self.possible_runs();
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
-        let wall_ms = wall.as_millis() as u64;
         let (suspect, others) = self.split_suspects(ranks);
-        let (mut on_time, late): (Vec<Rank>, Vec<Rank>) = others
-            .into_iter()
-            .partition(|rank| !rank.is_finite || self.can_meet_objective(rank, wall_ms));
+        let ByTime { mut on_time, late, expired } = self.split_by_time(others, now, wall);
         self.sort_started_first(&mut on_time);
         let first_finite = on_time.partition_point(|rank| !rank.is_finite);
         let finite = on_time.split_off(first_finite);
         for rank in suspect.into_iter().chain(on_time) {
             self.place_step(rank, now, &possible_runs);
         }
-        for ranks in [finite, late] {
+        for ranks in [finite, late, expired] {
             for ranks in group_by_priority(ranks) {
                 self.place_fairly(ranks, now, &possible_runs);
             }
@@ -122,13 +122,6 @@
         self.placement_pending = true;
     }
 
-    /// Whether a step can still finish by its objective, by the client's estimate of the run time.
-    fn can_meet_objective(&self, rank: &Rank, wall_ms: u64) -> bool {
-        let Some(entry) = self.jobs.get(&rank.job) else { return true };
-        let step = entry.step(rank.step).map_or(0, |step| step.estimate_ms);
-        wall_ms + step <= rank.objective_at
-    }
-
     /// The most free CPU, in thousandths of a core, on any schedulable worker of a service; `None`
     /// if no worker is schedulable.
     fn max_free_cpu(&self, service: &str, now: Instant) -> Option<u32> {
@@ -270,6 +263,7 @@
         let run = next_run(task, token);
         task.last_run = run;
         task.runs += 1;
+        task.ordered_at = Some(now);
         let waited = task.waiting_since.take().map(|since| now.saturating_duration_since(since));
         let checkpoint = task.checkpoint.clone();
         if let Some(run) = entry.step_run_mut(name.repetition, name.step) {
@@ -282,7 +276,9 @@
             Entry::class_of(step),
             now,
         );
-        worker.insert(name, Allocation { claim: entry.claim(name.step), ..allocation });
+        let is_resumed = !checkpoint.is_empty();
+        let claim = entry.claim(name.step);
+        worker.insert(name, Allocation { claim, is_resumed, ..allocation });
         let waited = waited.unwrap_or_default();
         self.wait_times.push(waited);
         let waited_ms = waited.as_millis() as u64;
--- /dev/null
+++ b/lib/src/batch/place/on_time.rs
@@ -0,0 +1,108 @@
+//! Which waiting steps still serve their callers if they start now.
+//!
+//! Under overload the order of the objectives alone starts each job so late that it is late, and
+//! the workers are busy with jobs that nobody waits for. A job that has begun is put last only if
+//! that is nearly certain, as clients' estimates may be off by a factor. One that has not begun
+//! comes after others as soon as it may be late, so that what is begun is also done in time. The
+//! order only matters while tasks wait for resources. If its tasks take longer than estimated,
+//! so does its critical path, by which its objective is measured; both are therefore looked at with
+//! the same run times: the shortest and the longest that are likely. What the job's own runs have
+//! shown replaces what is known of its queue, so that it comes back once they are out of line.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::batch::cell::Cell;
+use crate::batch::cell::Rank;
+use crate::batch::job::Entry;
+
+/// The likely run times lie between the quantiles of this fraction and of its complement.
+const UNLIKELY: f64 = 0.1;
+/// A result later than so many times the objective is of no use.
+const LATEST_FACTOR: u64 = 3;
+
+/// Steps by what their start now would achieve, each group in the order given.
+#[derive(Default)]
+pub(super) struct ByTime {
+    /// Steps that may meet their objective, and long-running ones.
+    pub(super) on_time: Vec<Rank>,
+    /// Nearly certain to miss it, but still of use.
+    pub(super) late: Vec<Rank>,
+    /// Nearly certain to be of no use.
+    pub(super) expired: Vec<Rank>,
+}
+
+/// When a job will be done, compared with its objective.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timeliness {
+    Expired,
+    Late,
+    OnTime,
+}
+
+impl Cell {
+    /// Groups waiting steps by whether they may still meet their objective.
+    pub(super) fn split_by_time(
+        &mut self,
+        ranks: Vec<Rank>,
+        now: Instant,
+        wall: Duration,
+    ) -> ByTime {
+        let mut groups = ByTime::default();
+        for rank in ranks {
+            let timeliness = match rank.is_finite {
+                true => self.timeliness(&rank, now, wall),
+                false => Timeliness::OnTime,
+            };
+            self.note_put_last(&rank, timeliness != Timeliness::OnTime);
+            let group = match timeliness {
+                Timeliness::OnTime => &mut groups.on_time,
+                Timeliness::Late => &mut groups.late,
+                Timeliness::Expired => &mut groups.expired,
+            };
+            group.push(rank);
+        }
+        groups
+    }
+
+    /// Counts jobs that are put last, and those that come back.
+    fn note_put_last(&mut self, rank: &Rank, is_put_last: bool) {
+        let Some(entry) = self.jobs.get_mut(&rank.job) else { return };
+        if entry.is_put_last == is_put_last {
+            return;
+        }
+        entry.is_put_last = is_put_last;
+        self.stats.jobs_put_last += u64::from(is_put_last);
+        self.stats.jobs_put_back += u64::from(!is_put_last);
+    }
+
+    fn timeliness(&self, rank: &Rank, now: Instant, wall: Duration) -> Timeliness {
+        let Some(entry) = self.jobs.get(&rank.job) else { return Timeliness::OnTime };
+        // A job that has not begun starts only if it is in time even with its tightest objective:
+        // nothing is lost with it, and those that have begun need the workers.
+        let likely = if entry.started { [UNLIKELY, 1.0 - UNLIKELY] } else { [UNLIKELY, UNLIKELY] };
+        let best = likely.map(|certainty| {
+            let rest = self.remaining_path_at(entry, rank.repetition, certainty, now);
+            let whole = self.critical_path(entry, certainty);
+            timeliness_of(entry, rank.repetition, wall + rest, whole)
+        });
+        best.into_iter().max().unwrap_or(Timeliness::OnTime)
+    }
+}
+
+/// How a job fares that is done at `done_at`, since the Unix epoch, and has such a critical path.
+fn timeliness_of(
+    entry: &Entry,
+    repetition: u32,
+    done_at: Duration,
+    critical_path: Duration,
+) -> Timeliness {
+    let took = done_at.saturating_sub(entry.due_from(repetition)).as_millis();
+    let critical_path_ms = u64::try_from(critical_path.as_millis()).unwrap_or(u64::MAX);
+    let objective = entry.objective_ms(critical_path_ms);
+    match u64::try_from(took).unwrap_or(u64::MAX) {
+        took if took <= objective => Timeliness::OnTime,
+        took if took <= objective.saturating_mul(LATEST_FACTOR) => Timeliness::Late,
+        _ => Timeliness::Expired,
+    }
+}
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -27,6 +27,8 @@
 pub use crate::batch::record::accepted::Accepted;
 pub use crate::batch::record::accepted::JobKey;
 pub use crate::batch::record::job::JobRecord;
+use crate::batch::run_time::StoredError;
+use crate::batch::run_time::StoredRunTimes;
 use crate::state::account::format_hash;
 use crate::state::account::hash_secret;
 
@@ -55,6 +57,8 @@
 const ENDED_PREFIX: &str = "gone/";
 /// Key in [`PROGRESS_TOPIC`] of the boxes that were ordered recently or are about to be.
 const ORDERED_KEY: &str = "ordered";
+/// Key in [`PROGRESS_TOPIC`] of the learned run times.
+const RUN_TIMES_KEY: &str = "run-times";
 /// Prefix of the keys in [`PROGRESS_TOPIC`] that record a job's tasks under which workers crashed.
 const CRASHES_PREFIX: &str = "crashes/";
 /// Prefix of the keys in [`PROGRESS_TOPIC`] that record when maintenance waves were first seen.
@@ -95,6 +99,9 @@
     /// Its value does not decode.
     #[error("the value of record {0:?} does not decode")]
     Value(String, #[source] postcard::Error),
+    /// It decodes to values that no node has written.
+    #[error("the value of record {0:?} is not valid")]
+    Content(String, #[source] StoredError),
 }
 
 /// A worker that may run something.
@@ -131,6 +138,8 @@
     WaveSeen(u64, Duration),
     /// Boxes that were ordered recently or are about to be.
     Ordered(HashSet<MachineId>),
+    /// The run times that an earlier leader had learned.
+    RunTimes(StoredRunTimes),
     /// A key was dropped.
     Dropped,
 }
@@ -297,6 +306,11 @@
     Record::set(ORDERED_KEY, encode(boxes))
 }
 
+/// The record of the learned run times.
+pub fn run_times(stored: &StoredRunTimes) -> Record {
+    Record::set(RUN_TIMES_KEY, encode(stored))
+}
+
 /// The record that drops the progress of a wave.
 pub fn forget_wave(number: u64) -> Record {
     Record::tombstone(wave_key(number))
@@ -341,6 +355,12 @@
         if record.key == ORDERED_KEY {
             return Ok(ProgressRecord::Ordered(decode(&record.key, value)?));
         }
+        if record.key == RUN_TIMES_KEY {
+            let stored: StoredRunTimes = decode(&record.key, value)?;
+            let invalid = |error| RecordError::Content(record.key.clone(), error);
+            stored.validate().map_err(invalid)?;
+            return Ok(ProgressRecord::RunTimes(stored));
+        }
         let id = id_of(&record.key)?;
         Ok(ProgressRecord::Progress(id, decode(&record.key, value)?))
     }
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -273,6 +273,8 @@
         scheduler.node.counters.add("batch.task.given-up", stats.abandoned_tasks);
         scheduler.node.counters.add("batch.worker.gone", stats.ended_incarnations);
         scheduler.node.counters.add("batch.worker.gone-by-list", stats.ended_by_box_list);
+        scheduler.node.counters.add("batch.job.put-last", stats.jobs_put_last);
+        scheduler.node.counters.add("batch.job.put-back", stats.jobs_put_back);
         for wait_time in wait_times {
             scheduler.node.latencies.record("batch.start.wait", wait_time);
         }
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -29,6 +29,7 @@
 use crate::batch::record::JobRecord;
 use crate::batch::record::Progress;
 use crate::batch::record::ProgressRecord;
+use crate::batch::run_time::RunTimes;
 use crate::batch::scheduler::LOAD_TIMEOUT;
 use crate::batch::scheduler::PRODUCER_NAME;
 use crate::batch::scheduler::Scheduler;
@@ -93,6 +94,7 @@
             Ok(ProgressRecord::Unreachable(incarnation, time)) => {
                 loaded.unreachable.push((incarnation, time))
             }
+            Ok(ProgressRecord::RunTimes(stored)) => cell.run_times = RunTimes::restore(&stored),
             Ok(ProgressRecord::Dropped) => {}
             Err(error) => log::error!("invalid progress record: {error}"),
         }
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -24,6 +24,7 @@
 use crate::batch::place::fit::count_unfit_workers;
 use crate::batch::pool::load::loads;
 use crate::batch::record::TaskPosition;
+use crate::batch::run_time::Summary;
 use crate::batch::worker::Phase;
 use crate::transport::clock;
 
@@ -64,6 +65,25 @@
     pub running: u32,
     /// Jobs that have ended, with any outcome.
     pub ended: u32,
+    /// What is known of the run times of its steps.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub run_times: Vec<RunTime>,
+}
+
+/// What is known of the run time of a step. Ratios count from the clients' estimates, or are run
+/// times in seconds where they send none.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RunTime {
+    /// Number of the step.
+    pub step: u16,
+    /// Ratio that a tenth of the runs do not exceed.
+    pub p10: f32,
+    /// Ratio that half of the runs do not exceed.
+    pub p50: f32,
+    /// Ratio that nine tenths of the runs do not exceed.
+    pub p90: f32,
+    /// Number of runs that it rests on, the older ones counting for less.
+    pub weight: f32,
 }
 
 /// A worker.
@@ -223,7 +243,10 @@
     for entry in cell.jobs.values() {
         let name = entry.accepted.queue.as_str();
         let queue = queues.entry(name).or_default();
-        queue.name = name.to_owned();
+        if queue.name.is_empty() {
+            queue.name = name.to_owned();
+            queue.run_times = cell.run_times.summaries(name).into_iter().map(run_time).collect();
+        }
         match entry.visible_state() {
             JobState::Pending => queue.pending += 1,
             JobState::Running => queue.running += 1,
@@ -233,6 +256,10 @@
     queues.into_values().collect()
 }
 
+fn run_time(Summary { step, ratios: [p10, p50, p90], weight }: Summary) -> RunTime {
+    RunTime { step, p10, p50, p90, weight }
+}
+
 /// The workers.
 pub fn workers(cell: &Cell, now: Instant) -> Vec<Worker> {
     let mut shown: Vec<Worker> = cell
--- a/lib/src/batch/worker/allocation.rs
+++ b/lib/src/batch/worker/allocation.rs
@@ -32,6 +32,8 @@
     pub adopted: bool,
     /// Resources it takes.
     pub resources: Resources,
+    /// It began at a checkpoint, so it may do only a part of the work.
+    pub is_resumed: bool,
     /// When it was ordered to start, or found.
     pub ordered_at: Instant,
     /// Its progress, in percent.
@@ -79,6 +81,7 @@
             phase,
             confirmed: false,
             adopted: false,
+            is_resumed: false,
             resources,
             ordered_at: now,
             percent: 0,
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -534,7 +534,13 @@
             evacuated_halls: BTreeSet::from(["hall-1".to_owned()]),
         },
     );
-    let queue = view::Queue { name: "q".to_owned(), pending: 1, running: 2, ended: 3 };
+    let queue = view::Queue {
+        name: "q".to_owned(),
+        pending: 1,
+        running: 2,
+        ended: 3,
+        ..view::Queue::default()
+    };
     lines.json("queue", &queue);
     lines.json(
         "worker",
--- a/testutils/src/batch/simulation.rs
+++ b/testutils/src/batch/simulation.rs
@@ -47,6 +47,9 @@
 const RESTART_MS: u64 = 2_150;
 /// Time between two polls of a worker without completed tasks, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 1_200;
+/// When slow workers are slow, in milliseconds.
+const SLOW_FROM_MS: u64 = 3_000;
+const SLOW_UNTIL_MS: u64 = 8_000;
 /// Time within which a job should complete: 600 ms and 1.6 times its critical path.
 const OBJECTIVE_MS: u64 = 600 + 2 * RUN_MS * 16 / 10;
 
@@ -61,6 +64,17 @@
     pub crash_fraction: f64,
 }
 
+/// How jobs and workers differ from what the clients say and from each other.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Variation {
+    /// Each job's estimates are wrong by up to this factor, both ways; 0 for right ones.
+    pub estimate_factor: f64,
+    /// Fraction of the workers that are slow from second 3 to 8.
+    pub slow_fraction: f64,
+    /// How many times as long everything takes there.
+    pub slow_factor: u64,
+}
+
 /// Results of one or more simulations.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outcomes {
@@ -68,6 +82,8 @@
     pub normal: u32,
     /// Of these, those that completed in time.
     pub in_time: u32,
+    /// Of these, those that completed, in no more than three times the time.
+    pub of_use: u32,
     /// Of these, those that completed.
     pub done: u32,
     /// Of these, those that were abandoned.
@@ -91,6 +107,7 @@
     pub fn add(&mut self, other: &Outcomes) {
         self.normal += other.normal;
         self.in_time += other.in_time;
+        self.of_use += other.of_use;
         self.done += other.done;
         self.abandoned += other.abandoned;
         self.long_running += other.long_running;
@@ -106,8 +123,8 @@
     machine: usize,
     polled_ms: u64,
     last_end: u64,
-    /// Each run with the time at which it completes, in milliseconds.
-    runs: BTreeMap<TaskName, (Run, u64)>,
+    /// Each run with the times at which it starts and completes, in milliseconds.
+    runs: BTreeMap<TaskName, (Run, u64, u64)>,
 }
 
 struct Simulation {
@@ -124,6 +141,7 @@
     done_ms: BTreeMap<JobId, u64>,
     long_running: Vec<JobId>,
     crashes: u32,
+    variation: Variation,
 }
 
 impl Simulation {
@@ -140,6 +158,7 @@
             done_ms: BTreeMap::new(),
             long_running: Vec::new(),
             crashes: 0,
+            variation: Variation::default(),
         };
         (0..WORKERS).for_each(|machine| simulation.start_worker(machine));
         simulation
@@ -182,8 +201,8 @@
         let completed: Vec<(TaskName, Run)> = incarnation
             .runs
             .iter()
-            .filter(|(_, (_, until))| *until <= ms)
-            .map(|(task, (run, _))| (*task, *run))
+            .filter(|(_, (_, _, until))| *until <= ms)
+            .map(|(task, (run, _, _))| (*task, *run))
             .collect();
         let mut ended = Vec::new();
         for (task, run) in completed {
@@ -192,11 +211,11 @@
             let (number, checkpoint) = (incarnation.last_end, String::new());
             ended.push(End { number, task, run, outcome: Outcome::Done, checkpoint });
         }
-        let running = incarnation.runs.iter().map(|(task, (run, _))| Running {
+        let running = incarnation.runs.iter().map(|(task, (run, from, until))| Running {
             task: *task,
             run: *run,
             checkpoint: String::new(),
-            percent: 50,
+            percent: ((ms - from) * 100 / until.saturating_sub(*from).max(1)) as u32,
             figure: 0,
         });
         let response =
@@ -215,8 +234,8 @@
         self.restarts.push((self.elapsed_ms + RESTART_MS, incarnation.machine));
     }
 
-    fn submit(&mut self, id: JobId, poison: Option<TaskName>) {
-        let step = Step { count: 6, cpu: 2_300, estimate_ms: RUN_MS, ..Step::default() };
+    fn submit(&mut self, id: JobId, poison: Option<TaskName>, estimate_ms: u64) {
+        let step = Step { count: 6, cpu: 2_300, estimate_ms, ..Step::default() };
         let steps = vec![step.clone(), Step { after: vec![0], ..step }];
         self.submitted_ms.insert(id, self.elapsed_ms);
         self.poison_tasks.extend(poison.map(|task| (id, (task, 0))));
@@ -255,8 +274,18 @@
                         continue;
                     };
                     let is_long_running = self.long_running.contains(&task.job);
-                    let until = if is_long_running { u64::MAX } else { self.elapsed_ms + RUN_MS };
-                    incarnation.runs.insert(task, (run, until));
+                    let run_ms = match self.variation {
+                        Variation { slow_fraction, slow_factor, .. }
+                            if (SLOW_FROM_MS..SLOW_UNTIL_MS).contains(&self.elapsed_ms)
+                                && (incarnation.machine as f64)
+                                    < slow_fraction * WORKERS as f64 =>
+                        {
+                            RUN_MS * slow_factor
+                        }
+                        _ => RUN_MS,
+                    };
+                    let until = if is_long_running { u64::MAX } else { self.elapsed_ms + run_ms };
+                    incarnation.runs.insert(task, (run, self.elapsed_ms, until));
                     self.cell.on_started(
                         &peer.incarnation,
                         task,
@@ -288,14 +317,14 @@
             self.crashes += u32::from(self.incarnations.contains_key(&id));
             self.crash(&id);
         }
-        let (now, later): (Vec<_>, Vec<_>) =
+        let (due, later): (Vec<_>, Vec<_>) =
             self.restarts.drain(..).partition(|(at, _)| *at <= self.elapsed_ms);
         self.restarts = later;
-        now.into_iter().for_each(|(_, machine)| self.start_worker(machine));
+        due.into_iter().for_each(|(_, machine)| self.start_worker(machine));
         let ms = self.elapsed_ms;
         let due = self.incarnations.iter().filter(|(_, incarnation)| {
             ms - incarnation.polled_ms >= POLL_INTERVAL_MS
-                || incarnation.runs.values().any(|(_, until)| *until <= ms)
+                || incarnation.runs.values().any(|(_, _, until)| *until <= ms)
         });
         let due: Vec<String> = due.map(|(id, _)| id.clone()).collect();
         due.iter().for_each(|id| self.poll(id));
@@ -324,6 +353,7 @@
             if let Some(done) = self.done_ms.get(id) {
                 outcomes.done += 1;
                 outcomes.in_time += u32::from(done - submitted <= OBJECTIVE_MS);
+                outcomes.of_use += u32::from(done - submitted <= 3 * OBJECTIVE_MS);
             }
         }
         outcomes.long_running = self.long_running.len() as u32;
@@ -352,6 +382,14 @@
     run_load(&mut simulation, load, &mut rng)
 }
 
+/// Like [`simulate`], with wrong estimates and slow workers.
+pub fn simulate_varied(load: Load, variation: Variation, seed: u64) -> Outcomes {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut simulation = Simulation::new();
+    simulation.variation = variation;
+    run_load(&mut simulation, load, &mut rng)
+}
+
 /// Like [`simulate`], with `long_running` long-running jobs submitted first.
 pub fn simulate_with_long_running(load: Load, long_running: u64, seed: u64) -> Outcomes {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -433,7 +471,10 @@
             job += 1;
             let step = rng.random_range(0..2);
             let poison = TaskName { job, repetition: 0, step, index: 0 };
-            simulation.submit(job, (rng.random::<f64>() < load.poison_fraction).then_some(poison));
+            let poison = (rng.random::<f64>() < load.poison_fraction).then_some(poison);
+            let factor = simulation.variation.estimate_factor;
+            let wrong = if factor > 0.0 { factor.powf(rng.random_range(-1.0..1.0)) } else { 1.0 };
+            simulation.submit(job, poison, (RUN_MS as f64 * wrong) as u64);
         }
         if simulation.elapsed_ms < 21_000 && simulation.elapsed_ms % 3_000 == 2_000 {
             let crashed: Vec<String> = simulation
