--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -8,6 +8,7 @@
 pub mod admit;
 pub mod advice;
 pub mod availability;
+pub mod box_list;
 pub mod box_state;
 pub mod caller;
 pub mod cell;
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -11,6 +11,7 @@
 use spokelift_platform::worker::Incarnation;
 use tokio::time::sleep;
 
+use crate::batch::box_list::BoxList;
 use crate::batch::box_state::Facts;
 use crate::batch::box_state::Purpose;
 use crate::batch::box_state::State;
@@ -40,6 +41,8 @@
 /// pause on large sites (0.3 s with 1,100 boxes), so that counting the pause alone gives 260 orders
 /// per second where the platform takes 590, and leaves 500 boxes waiting after a power loss.
 const MAX_CATCH_UP: Duration = Duration::from_millis(500);
+/// How old the list of boxes may be by which a round decides while the next one does not come.
+const MAX_LIST_AGE: Duration = Duration::from_millis(1_000);
 /// Interval of the log lines about each service's load.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -52,7 +55,8 @@
     let mut reporter = Reporter::default();
     let rate = scheduler.node.settings.machine_orders_per_s;
     let mut last_round = clock::now();
-    let mut last_list: Vec<Machine> = Vec::new();
+    let mut newest = BoxList::default();
+    let max_list_age = MAX_LIST_AGE.min(scheduler.node.settings.maintenance_time / 2);
     loop {
         sleep(ROUND_INTERVAL).await;
         let elapsed = clock::since(last_round);
@@ -81,31 +85,38 @@
         if !needs_list {
             continue;
         }
-        let requested_at = clock::now();
-        let listed = machines.list(CALL_TIMEOUT).await;
-        scheduler.node.record_machines_result(&listed);
-        let list = match listed {
-            Ok(list) => list,
+        let call = machines.clone();
+        let listed = newest.refresh(async move { call.list(CALL_TIMEOUT).await }).await;
+        if !matches!(listed, Ok(None)) {
+            scheduler.node.record_machines_result(&listed);
+        }
+        match listed {
+            Ok(Some(requested_at)) => {
+                scheduler.cell().end_incarnations_by_box_list(newest.boxes(), requested_at);
+            }
+            Ok(None) if newest.is_recent(max_list_age, clock::now()) => {
+                scheduler.node.counters.count("batch.machines.list-late");
+            }
+            Ok(None) => continue,
             Err(error) => {
                 scheduler.node.counters.count("batch.machines.list-failed");
                 log::debug!("cannot list machines: {error}");
                 if !matches!(error, CallError::Refused { .. }) {
-                    release_pending(&scheduler, &mut pools, &mut waves, &last_list);
+                    release_pending(&scheduler, &mut pools, &mut waves, newest.boxes());
                 }
                 continue;
             }
-        };
-        scheduler.cell().end_incarnations_by_box_list(&list, requested_at);
+        }
+        let list = newest.boxes();
         scheduler.announce_in_advance(|| list.iter().map(|machine| machine.id.clone()).collect());
         scheduler.announce_chosen(&pools.pending() | &waves.pending());
         let held = scheduler.order_window.held_boxes(clock::now());
         let moving = pools.busy_machines();
-        waves.advance(&scheduler, &machines, &list, &moving, &held, &mut orders).await;
+        waves.advance(&scheduler, &machines, list, &moving, &held, &mut orders).await;
         let taken = &waves.busy_machines() | &held;
-        pools.advance(&scheduler, &machines, &list, &taken, orders).await;
-        uncordon(&mut scheduler.cell(), &(&waves.busy_machines() | &pools.busy_machines()), &list);
-        record_box_states(&scheduler, &pools, &waves, &held, &list);
-        last_list = list;
+        pools.advance(&scheduler, &machines, list, &taken, orders).await;
+        uncordon(&mut scheduler.cell(), &(&waves.busy_machines() | &pools.busy_machines()), list);
+        record_box_states(&scheduler, &pools, &waves, &held, list);
         scheduler.wake();
     }
 }
--- a/lib/src/batch/maintenance/progress.rs
+++ b/lib/src/batch/maintenance/progress.rs
@@ -23,7 +23,7 @@
 /// failures.
 const PLANNED_FRACTION: f64 = 0.6;
 /// The same while a service is short of boxes: the wave then uses more of its time.
-const LATEST_FRACTION: f64 = 0.75;
+const LATEST_FRACTION: f64 = 0.65;
 /// Time for which one box takes no work: about 3 s until it is empty, 2 s of maintenance and 1 s
 /// until its new worker is discovered.
 const MACHINE_CYCLE: Duration = Duration::from_millis(6_000);
--- a/lib/src/batch/pool/fetch.rs
+++ b/lib/src/batch/pool/fetch.rs
@@ -7,7 +7,6 @@
 use spokelift_platform::config::Config;
 use spokelift_platform::machine::Machine;
 use spokelift_platform::machine::MachineId;
-use spokelift_platform::machine::Status;
 
 use crate::batch::cell::Cell;
 use crate::batch::pool::MachinesById;
@@ -40,14 +39,14 @@
     ) {
         let listed = &by_id(list);
         let mut loads = loads(cell, now);
-        let moving = self.count_moving(listed);
+        let moving = self.moves.values().filter(|under_way| !under_way.is_switch_off).count();
         let mut left = (list.len() * MAX_MOVING_PERCENT / 100).saturating_sub(moving);
         if !is_any_short(&self.cpu_shortages(config, listed, &loads), &loads) {
             return;
         }
         let free = list.iter().filter(|machine| self.is_free(machine, taken, now));
         let is_leaving = |machine: &Machine| self.is_redirectable(machine);
-        let mut sources = Sources::new(cell, config, free, is_leaving, now);
+        let mut sources = Sources::new(cell, config, free, is_leaving);
         self.fetch_labelled(cell, listed, &mut sources, &mut loads, now);
         let mut short = self.cpu_shortages(config, listed, &loads);
         while left > 0
@@ -66,16 +65,6 @@
         }
     }
 
-    /// Number of boxes on their way to a service that are not up in its pool yet.
-    fn count_moving(&self, listed: &MachinesById<'_>) -> usize {
-        let to_services = self.moves.iter().filter(|(_, under_way)| !under_way.is_switch_off);
-        let has_arrived = |id: &str, to: &str| {
-            let machine = listed.get(id);
-            machine.is_some_and(|machine| machine.pool == to && machine.status == Status::Up)
-        };
-        to_services.filter(|(id, under_way)| !has_arrived(id, &under_way.to)).count()
-    }
-
     /// Fetches boxes with labels that services are short of, beyond those already on their way.
     fn fetch_labelled(
         &mut self,
