--- a/cli/src/command/batch.rs
+++ b/cli/src/command/batch.rs
@@ -34,7 +34,7 @@
             show(json, &services, |services| output::batch_services(services))
         }
         BatchAction::Boxes(_) => {
-            let boxes: Vec<view::Box> = viewer.get(&api_path("boxes")).await?;
+            let boxes: Vec<view::boxes::Box> = viewer.get(&api_path("boxes")).await?;
             show(json, &boxes, |boxes| output::batch_boxes(boxes))
         }
         BatchAction::Queues(_) => {
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -265,8 +265,8 @@
 }
 
 /// The boxes that are not in service, one a line.
-pub fn batch_boxes(boxes: &[view::Box]) -> String {
-    let row = |shown: &view::Box| {
+pub fn batch_boxes(boxes: &[view::boxes::Box]) -> String {
+    let row = |shown: &view::boxes::Box| {
         let purpose = shown.purpose.clone().unwrap_or_else(|| "-".to_owned());
         let seconds = format!("{:.1}", shown.seconds);
         vec![cell(&shown.id), cell(&shown.state), cell(&shown.service), purpose, seconds]
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -43,6 +43,9 @@
 const MAX_CATCH_UP: Duration = Duration::from_millis(500);
 /// How old the list of boxes may be by which a round decides while the next one does not come.
 const MAX_LIST_AGE: Duration = Duration::from_millis(1_000);
+/// Number of lists in a row without an answer after which boxes that wait for their orders return to
+/// service: a single answer may be lost.
+const RELEASE_AFTER: u32 = 2;
 /// Interval of the log lines about each service's load.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -56,6 +59,7 @@
     let rate = scheduler.node.settings.machine_orders_per_s;
     let mut last_round = clock::now();
     let mut newest = BoxList::default();
+    let mut unanswered = 0;
     let max_list_age = MAX_LIST_AGE.min(scheduler.node.settings.maintenance_time / 2);
     loop {
         sleep(ROUND_INTERVAL).await;
@@ -92,6 +96,7 @@
         }
         match listed {
             Ok(Some(requested_at)) => {
+                unanswered = 0;
                 scheduler.cell().end_incarnations_by_box_list(newest.boxes(), requested_at);
             }
             Ok(None) if newest.is_recent(max_list_age, clock::now()) => {
@@ -101,7 +106,9 @@
             Err(error) => {
                 scheduler.node.counters.count("batch.machines.list-failed");
                 log::debug!("cannot list machines: {error}");
-                if !matches!(error, CallError::Refused { .. }) {
+                let is_unanswered = !matches!(error, CallError::Refused { .. });
+                unanswered = if is_unanswered { unanswered + 1 } else { 0 };
+                if unanswered >= RELEASE_AFTER {
                     release_pending(&scheduler, &mut pools, &mut waves, newest.boxes());
                 }
                 continue;
@@ -109,7 +116,6 @@
         }
         let list = newest.boxes();
         scheduler.announce_in_advance(|| list.iter().map(|machine| machine.id.clone()).collect());
-        scheduler.announce_chosen(&pools.pending() | &waves.pending());
         let held = scheduler.order_window.held_boxes(clock::now());
         let moving = pools.busy_machines();
         waves.advance(&scheduler, &machines, list, &moving, &held, &mut orders).await;
--- a/lib/src/batch/maintenance.rs
+++ b/lib/src/batch/maintenance.rs
@@ -101,12 +101,6 @@
         Some(Departure { purpose, is_ordered: progress.down.contains_key(id) })
     }
 
-    /// Boxes that are being evacuated and were not ordered.
-    pub fn pending(&self) -> HashSet<MachineId> {
-        let pending = self.waves.values().flat_map(WaveProgress::pending);
-        pending.cloned().collect()
-    }
-
     /// Ends all evacuations of boxes that were not ordered; returns their number.
     pub fn cancel_pending(&mut self) -> usize {
         self.waves.values_mut().map(|progress| progress.release_evacuating(0).len()).sum()
--- a/lib/src/batch/maintenance/progress.rs
+++ b/lib/src/batch/maintenance/progress.rs
@@ -23,7 +23,7 @@
 /// failures.
 const PLANNED_FRACTION: f64 = 0.6;
 /// The same while a service is short of boxes: the wave then uses more of its time.
-const LATEST_FRACTION: f64 = 0.65;
+const LATEST_FRACTION: f64 = 0.85;
 /// Time for which one box takes no work: about 3 s until it is empty, 2 s of maintenance and 1 s
 /// until its new worker is discovered.
 const MACHINE_CYCLE: Duration = Duration::from_millis(6_000);
@@ -133,7 +133,7 @@
     }
 
     /// Boxes that are being evacuated and were not ordered.
-    pub(super) fn pending(&self) -> impl Iterator<Item = &MachineId> {
+    fn pending(&self) -> impl Iterator<Item = &MachineId> {
         let is_pending =
             |id: &&MachineId| !self.unanswered.contains(*id) && !self.down.contains_key(*id);
         self.evacuating.keys().filter(is_pending)
--- a/lib/src/batch/order_window.rs
+++ b/lib/src/batch/order_window.rs
@@ -64,8 +64,6 @@
     /// Boxes that are announced in advance, whether or not they are to be ordered; empty unless the
     /// store is slow.
     pre_announced: HashSet<MachineId>,
-    /// Boxes that will be ordered as soon as they are empty.
-    chosen: HashSet<MachineId>,
     /// Boxes that the predecessor had announced; `None` until the store was read.
     inherited: Option<HashSet<MachineId>>,
     is_closed: bool,
@@ -118,7 +116,7 @@
         now: Instant,
     ) -> HashSet<MachineId> {
         let mut all: HashSet<MachineId> =
-            boxes.iter().chain(&state.pre_announced).chain(&state.chosen).cloned().collect();
+            boxes.iter().chain(&state.pre_announced).cloned().collect();
         all.extend(self.recently_ordered(state, now));
         if let HeldBoxes::Only(held_boxes) = self.remaining_held(state, now) {
             all.extend(held_boxes);
@@ -126,38 +124,6 @@
         all
     }
 
-    /// Sets which boxes will be ordered as soon as they are empty. Returns the announcement to write
-    /// for them, `None` if the store lists them or is about to.
-    ///
-    /// ```
-    /// # use std::time::{Duration, Instant};
-    /// # use spokelift_lib::batch::order_window::{HeldBoxes, OrderWindow};
-    /// let now = Instant::now();
-    /// let window = OrderWindow::new(Duration::from_secs(3), HeldBoxes::Only([].into()), now);
-    /// let a = "a".to_owned();
-    /// let announcement = window.set_chosen([a.clone()].into(), now).unwrap();
-    /// window.start_announcement(1, announcement);
-    /// assert!(window.set_chosen([a.clone()].into(), now).is_none());
-    /// window.confirm_announcement(1);
-    /// // An announcement for another box still names it, so that it may be ordered meanwhile.
-    /// let announcement = window.required_announcement(&["b".to_owned()], now).unwrap();
-    /// assert!(announcement.contains(&a));
-    /// ```
-    pub fn set_chosen(
-        &self,
-        boxes: HashSet<MachineId>,
-        now: Instant,
-    ) -> Option<HashSet<MachineId>> {
-        let mut state = self.state();
-        let in_flight = state.in_flight.as_ref().map(|(_, boxes)| boxes);
-        let is_announced = |id: &MachineId| {
-            in_flight.map_or(state.announced.contains(id), |in_flight| in_flight.contains(id))
-        };
-        let are_announced = boxes.iter().all(is_announced);
-        state.chosen = boxes;
-        (!are_announced).then(|| self.build_announcement(&state, &[], now))
-    }
-
     /// Sets which boxes are announced in advance; returns the announcement to write, `None` if
     /// nothing changes.
     pub fn set_pre_announced(
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -128,15 +128,6 @@
         Some(Departure { purpose, is_ordered: !under_way.is_pending() })
     }
 
-    /// Boxes that are to move to a service and were not ordered.
-    pub fn pending(&self) -> HashSet<MachineId> {
-        let pending = self
-            .moves
-            .iter()
-            .filter(|(_, under_way)| under_way.is_pending() && !under_way.is_switch_off);
-        pending.map(|(id, _)| id.clone()).collect()
-    }
-
     /// Cancels all moves that were not ordered; returns their number.
     pub fn cancel_pending(&mut self) -> usize {
         let before = self.moves.len();
--- a/lib/src/batch/pool/source.rs
+++ b/lib/src/batch/pool/source.rs
@@ -1,12 +1,27 @@
 //! Selection of boxes to move to a service that is short.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
 
 use spokelift_platform::config::Config;
 use spokelift_platform::machine::Machine;
 
 use crate::batch::cell::Cell;
 use crate::batch::pool::load::Load;
+use crate::batch::worker::Worker;
+
+/// With what certainty a box is empty at the time that it is chosen by, a fraction of 1.
+const EMPTY_CERTAINTY: f64 = 0.8;
+/// Times until boxes are empty that differ by less count as equal: orders are given once a round.
+const EMPTY_GRANULARITY: Duration = Duration::from_millis(150);
+/// Maximum number of boxes in a round for which the time until they are empty is estimated; all
+/// others are chosen last.
+const MAX_ESTIMATES: usize = 500;
+
+/// How soon a box can be given: rounds until it is empty, then its used CPU in thousandths of a
+/// core.
+type Readiness = (u32, u32);
 
 /// A service that receives a box.
 pub(super) struct Recipient<'a> {
@@ -28,9 +43,9 @@
     leaving: Vec<&'a Machine>,
     /// Boxes that are switched off.
     switched_off: Vec<&'a Machine>,
-    /// By pool, boxes whose workers have answered and run no long-running tasks, with their used
-    /// CPU in thousandths of a core; the most used ones first.
-    pools: BTreeMap<&'a str, Vec<(u32, &'a Machine)>>,
+    /// By pool, boxes whose workers have answered and run no long-running tasks; those that are
+    /// empty last come first.
+    pools: BTreeMap<&'a str, Vec<(Readiness, &'a Machine)>>,
 }
 
 impl<'a> Sources<'a> {
@@ -41,7 +56,9 @@
         config: &Config,
         free: impl Iterator<Item = &'a Machine>,
         is_leaving: impl Fn(&Machine) -> bool,
+        now: Instant,
     ) -> Sources<'a> {
+        let mut estimates = 0;
         let (mut leaving, mut switched_off) = (Vec::new(), Vec::new());
         let mut pools = BTreeMap::<&str, Vec<_>>::new();
         let is_reserve = |pool: &str| config.service(pool).is_some_and(|pool| pool.is_reserve);
@@ -56,21 +73,22 @@
                 && worker.has_token
                 && worker.long_running.tasks == 0
             {
-                let used = worker.entry.capacity.cpu.saturating_sub(worker.free.cpu);
-                pools.entry(pool).or_default().push((used, machine));
+                estimates += usize::from(!worker.allocations.is_empty());
+                let readiness = readiness(cell, worker, estimates <= MAX_ESTIMATES, now);
+                pools.entry(pool).or_default().push((readiness, machine));
             }
         }
         switched_off.reverse();
         for machines in pools.values_mut() {
             machines.reverse();
-            machines.sort_by_key(|(used, _)| std::cmp::Reverse(*used));
+            machines.sort_by_key(|(readiness, _)| std::cmp::Reverse(*readiness));
         }
         Sources { leaving, switched_off, pools }
     }
 
     /// Takes a box for which `fits` holds: one that is about to be switched off, since it is empty
-    /// and would not be available during its move; else a switched-off one, else the least used one
-    /// of a service that can give it.
+    /// and would not be available during its move; else a switched-off one, else the one that is
+    /// empty first of a service that can give it.
     pub(super) fn take_machine(
         &mut self,
         loads: &BTreeMap<String, Load>,
@@ -90,12 +108,30 @@
             let index = machines.iter().rposition(|(_, machine)| gives(machine))?;
             Some((machines[index].0, *pool, index))
         });
-        let (_, pool, index) = offers.min_by_key(|(used, _, _)| *used)?;
+        let (_, pool, index) = offers.min_by_key(|(readiness, _, _)| *readiness)?;
         let (_, machine) = self.pools.get_mut(pool)?.remove(index);
         Some(machine)
     }
 }
 
+/// How soon the box of a worker can be given. The time until it is empty is only estimated if asked
+/// for.
+fn readiness(cell: &Cell, worker: &Worker, is_estimated: bool, now: Instant) -> Readiness {
+    let used = worker.entry.capacity.cpu.saturating_sub(worker.free.cpu);
+    if worker.allocations.is_empty() {
+        return (0, used);
+    }
+    let empty_at = match is_estimated {
+        true => cell.expected_empty_at(worker, EMPTY_CERTAINTY, now),
+        false => None,
+    };
+    let rounds = empty_at.map(|at| {
+        let left = at.saturating_duration_since(now);
+        (left.as_millis() / EMPTY_GRANULARITY.as_millis()) as u32
+    });
+    (rounds.unwrap_or(u32::MAX), used)
+}
+
 /// Whether the pool of a box can give it, after those already taken.
 fn can_give(machine: &Machine, loads: &BTreeMap<String, Load>, to: &Recipient<'_>) -> bool {
     let size = u64::from(machine.capacity.cpu);
--- a/lib/src/batch/scheduler/boxes.rs
+++ b/lib/src/batch/scheduler/boxes.rs
@@ -78,15 +78,6 @@
         self.start_announcement(all);
     }
 
-    /// Announces boxes that will be ordered as soon as they are empty, so that the store has them by
-    /// then even if it turns slow. A successor of a lost leader holds them, too.
-    pub fn announce_chosen(&self, boxes: HashSet<MachineId>) {
-        self.update_announced();
-        if let Some(all) = self.order_window.set_chosen(boxes, clock::now()) {
-            self.start_announcement(all);
-        }
-    }
-
     /// How long the store takes to write changes.
     pub(super) fn store_latency(&self) -> MutexGuard<'_, store_latency::StoreLatency> {
         self.store_latency.lock().expect("no thread panics while it holds the latency lock")
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -1,6 +1,7 @@
 //! Views of batch work on the operators' API: services, queues, workers, jobs, waves and shards.
 
 pub mod account;
+pub mod boxes;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -57,21 +58,6 @@
     pub boxes: Counts,
 }
 
-/// A box that is not in service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Box {
-    /// Its id.
-    pub id: String,
-    /// Its state.
-    pub state: String,
-    /// The service that it belongs to, or to which it moves.
-    pub service: String,
-    /// What has it: a move, a switch-off or a wave; `None` if nothing has.
-    pub purpose: Option<String>,
-    /// How long it has had this state, in seconds.
-    pub seconds: f64,
-}
-
 /// A queue.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
@@ -201,7 +187,7 @@
 pub fn render(cell: &Cell, waves: &[wave::Wave], shards: &[Shard], path: &str) -> Option<String> {
     let now = clock::now();
     let shown = match path.strip_prefix(PATH)? {
-        "boxes" => serde_json::to_string(&boxes(cell, now)),
+        "boxes" => serde_json::to_string(&boxes::boxes(cell, now)),
         "accounts" => serde_json::to_string(&account::accounts(cell)),
         "services" => serde_json::to_string(&services(cell, now)),
         "shares" => serde_json::to_string(shards),
@@ -243,25 +229,6 @@
     shown.collect()
 }
 
-/// The boxes that are not in service, those with the same state for longest first.
-pub fn boxes(cell: &Cell, now: Instant) -> Vec<Box> {
-    let mut shown: Vec<Box> = cell
-        .box_states
-        .iter()
-        .map(|(id, status, since)| Box {
-            id: id.clone(),
-            state: status.state.name().to_owned(),
-            service: status.service.clone(),
-            purpose: status.purpose.as_ref().map(ToString::to_string),
-            seconds: now.saturating_duration_since(since).as_secs_f64(),
-        })
-        .collect();
-    shown.sort_by(|one, other| {
-        other.seconds.total_cmp(&one.seconds).then_with(|| one.id.cmp(&other.id))
-    });
-    shown
-}
-
 /// The queues that have jobs.
 pub fn queues(cell: &Cell) -> Vec<Queue> {
     let mut queues: BTreeMap<&str, Queue> = BTreeMap::new();
--- a/lib/tests/test_pool_moves.rs
+++ b/lib/tests/test_pool_moves.rs
@@ -27,6 +27,8 @@
 /// CPU of a box in thousandths of a core.
 const CAPACITY: u32 = 8_000;
 const BOXES: usize = 12;
+/// How many of all boxes move to services at once, in percent.
+const MAX_MOVING_PERCENT: usize = 60;
 
 /// Boxes of service `work` on which nothing runs, beside a service `other` without boxes.
 struct Site {
@@ -108,9 +110,11 @@
     assert!(leaving > 0);
     site.submit("other", 4 * BOXES as u32);
     let ready = site.round();
-    assert_eq!(site.count(&Purpose::SwitchOff), 0);
-    assert!(site.count(&Purpose::Move("other".to_owned())) >= leaving);
-    assert!(ready.len() >= leaving, "empty boxes are ordered at once");
+    let moved = site.count(&Purpose::Move("other".to_owned()));
+    assert_eq!(moved, BOXES * MAX_MOVING_PERCENT / 100);
+    // All of them were about to be switched off, and are empty.
+    assert_eq!(site.count(&Purpose::SwitchOff), leaving - moved);
+    assert_eq!(ready.len(), leaving);
 }
 
 #[test]
