--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -1,6 +1,7 @@
 //! Views of batch work on the operators' API: services, queues, workers, jobs, waves and shards.
 
 pub mod account;
+pub mod boxes;
 pub mod history;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,7 @@
 use spokelift_platform::job::parse_id;
 use spokelift_platform::wave;
 
+use crate::batch::box_state::Counts;
 use crate::batch::cell::Cell;
 use crate::batch::crash::Crash;
 use crate::batch::crash::is_abandoned;
@@ -53,6 +55,9 @@
     /// These halls.
     #[serde(default)]
     pub evacuated_halls: BTreeSet<String>,
+    /// Number of its boxes that are not in service, and of those on their way to it, by state.
+    #[serde(default, skip_serializing_if = "Counts::is_empty")]
+    pub boxes: Counts,
 }
 
 /// A queue.
@@ -213,6 +218,7 @@
 pub fn render(cell: &Cell, waves: &[wave::Wave], shards: &[Shard], path: &str) -> Option<String> {
     let now = clock::now();
     let shown = match path.strip_prefix(PATH)? {
+        "boxes" => serde_json::to_string(&boxes::boxes(cell, now)),
         "accounts" => serde_json::to_string(&account::accounts(cell)),
         "services" => serde_json::to_string(&services(cell, now)),
         "shares" => serde_json::to_string(shards),
@@ -232,7 +238,12 @@
         evacuated.entry(&worker.entry.service).or_default().push(&worker.entry.hall);
         loads.entry(worker.entry.service.clone()).or_default();
     }
+    let mut boxes = cell.box_states.counts_by_service();
+    for service in boxes.keys() {
+        loads.entry((*service).to_owned()).or_default();
+    }
     let shown = loads.into_iter().map(|(name, load)| {
+        let boxes = boxes.remove(name.as_str()).unwrap_or_default();
         let halls = evacuated.remove(name.as_str()).unwrap_or_default();
         Service {
             name,
@@ -243,6 +254,7 @@
             wanted: cores(load.wanted()),
             evacuated: halls.len() as u64,
             evacuated_halls: halls.into_iter().map(str::to_owned).collect(),
+            boxes,
         }
     });
     shown.collect()
