--- a/lib/src/batch/pool/fetch.rs
+++ b/lib/src/batch/pool/fetch.rs
@@ -18,7 +18,7 @@
 use crate::batch::pool::source::Recipient;
 use crate::batch::pool::source::Sources;
 
-/// Maximum number of boxes that are moved at once, as a percentage of all boxes.
+/// Maximum number of boxes that move to services at once, as a percentage of all boxes.
 const MAX_MOVING_PERCENT: usize = 60;
 
 /// Whether a service is short of CPU, or of boxes with a label.
@@ -39,8 +39,7 @@
     ) {
         let listed = &by_id(list);
         let mut loads = loads(cell, now);
-        let redirectable = list.iter().filter(|machine| self.is_redirectable(machine)).count();
-        let moving = self.moves.len() - redirectable;
+        let moving = self.moves.values().filter(|under_way| !under_way.is_switch_off).count();
         let mut left = (list.len() * MAX_MOVING_PERCENT / 100).saturating_sub(moving);
         if !is_any_short(&self.cpu_shortages(config, listed, &loads), &loads) {
             return;
