--- a/lib/tests/test_run_times.rs
+++ b/lib/tests/test_run_times.rs
@@ -2,12 +2,12 @@
 //! estimates are corrected, and that what a leader has learned survives it or is like new.
 
 use std::time::Duration;
-use std::time::Instant;
 
 use spokelift_lib::batch::record;
 use spokelift_lib::batch::record::ProgressRecord;
 use spokelift_lib::batch::run_time::Observation;
 use spokelift_lib::batch::run_time::RunTimes;
+use spokelift_lib::transport::clock;
 use spokelift_platform::store::Record;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -90,7 +90,7 @@
     }
     assert!(times.summaries("q0").is_empty());
     assert_eq!(times.summaries("q599").len(), 1);
-    let stored = times.take_for_store(Instant::now()).expect("nothing was stored before");
+    let stored = times.take_for_store(clock::now()).expect("nothing was stored before");
     let record = record::run_times(&stored);
     let length = record.value.as_ref().map_or(0, Vec::len);
     assert!((1..16_384).contains(&length), "{length} bytes");
@@ -101,7 +101,7 @@
 fn what_was_learned_survives_the_leader() {
     let mut times = RunTimes::default();
     record(&mut times, SECOND, SECOND * 2, true, 100);
-    let now = Instant::now();
+    let now = clock::now();
     let stored = times.take_for_store(now).expect("nothing was stored before");
     let record = record::run_times(&stored);
     let Ok(ProgressRecord::RunTimes(read)) = ProgressRecord::decode(&record) else {
@@ -124,7 +124,7 @@
 fn unreadable_records_are_refused() {
     let mut times = RunTimes::default();
     record(&mut times, SECOND, SECOND * 2, true, 100);
-    let stored = times.take_for_store(Instant::now()).expect("nothing was stored before");
+    let stored = times.take_for_store(clock::now()).expect("nothing was stored before");
     let record = record::run_times(&stored);
     let value = record.value.clone().expect("it has a value");
     let decode = |value: &[u8]| {
