--- a/lib/src/batch/place.rs
+++ b/lib/src/batch/place.rs
@@ -28,7 +28,6 @@
 use crate::batch::place::fit::cost;
 use crate::batch::place::fit::is_fit;
 use crate::batch::place::fit::is_ideal;
-use crate::batch::place::on_time::ByTime;
 use crate::batch::place::quarantine::Suspicion;
 use crate::batch::usage::Usage;
 use crate::batch::worker::Allocation;
@@ -47,7 +46,7 @@
         let possible_runs = self.possible_runs();
         let ranks: Vec<Rank> = self.ready.iter().copied().collect();
         let (suspect, others) = self.split_suspects(ranks);
-        let ByTime { mut on_time, late, expired } = self.split_by_time(others, now, wall);
+        let [mut on_time, late, expired] = self.split_by_time(others, now, wall);
         self.sort_started_first(&mut on_time);
         let first_finite = on_time.partition_point(|rank| !rank.is_finite);
         let finite = on_time.split_off(first_finite);
--- a/lib/src/batch/place/on_time.rs
+++ b/lib/src/batch/place/on_time.rs
@@ -21,17 +21,6 @@
 /// A result later than so many times the objective is of no use.
 const LATEST_FACTOR: u64 = 3;
 
-/// Steps by what their start now would achieve, each group in the order given.
-#[derive(Default)]
-pub(super) struct ByTime {
-    /// Steps that may meet their objective, and long-running ones.
-    pub(super) on_time: Vec<Rank>,
-    /// Nearly certain to miss it, but still of use.
-    pub(super) late: Vec<Rank>,
-    /// Nearly certain to be of no use.
-    pub(super) expired: Vec<Rank>,
-}
-
 /// When a job will be done, compared with its objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timeliness {
@@ -41,14 +30,15 @@
 }
 
 impl Cell {
-    /// Groups waiting steps by whether they may still meet their objective.
+    /// Groups waiting steps, each group in the order given: those that may meet their objective and
+    /// long-running ones, those that will be late but of use, and those that will be of no use.
     pub(super) fn split_by_time(
         &mut self,
         ranks: Vec<Rank>,
         now: Instant,
         wall: Duration,
-    ) -> ByTime {
-        let mut groups = ByTime::default();
+    ) -> [Vec<Rank>; 3] {
+        let [mut on_time, mut late, mut expired] = [const { Vec::new() }; 3];
         for rank in ranks {
             let timeliness = match rank.is_finite {
                 true => self.timeliness(&rank, now, wall),
@@ -56,13 +46,13 @@
             };
             self.note_put_last(&rank, timeliness != Timeliness::OnTime);
             let group = match timeliness {
-                Timeliness::OnTime => &mut groups.on_time,
-                Timeliness::Late => &mut groups.late,
-                Timeliness::Expired => &mut groups.expired,
+                Timeliness::OnTime => &mut on_time,
+                Timeliness::Late => &mut late,
+                Timeliness::Expired => &mut expired,
             };
             group.push(rank);
         }
-        groups
+        [on_time, late, expired]
     }
 
     /// Counts jobs that are put last, and those that come back.
--- a/lib/src/batch/run_time.rs
+++ b/lib/src/batch/run_time.rs
@@ -18,6 +18,7 @@
 use crate::batch::run_time::ratios::Points;
 use crate::batch::run_time::ratios::Prior;
 use crate::batch::run_time::ratios::Ratios;
+use crate::batch::run_time::stored::MAX_STEP;
 pub use crate::batch::run_time::stored::StoredError;
 use crate::batch::run_time::stored::StoredQueue;
 pub use crate::batch::run_time::stored::StoredRunTimes;
@@ -29,8 +30,6 @@
 const RATIO_BOUNDS: (f64, f64) = (0.3, 3.0);
 /// What the ratios of steps without an estimate are counted from.
 const NOMINAL_ESTIMATE: Duration = Duration::from_secs(1);
-/// Steps with this number and higher ones count as one.
-const MAX_STEP: u16 = 31;
 /// Series that are kept, some 2 KB each; the least recently seen one goes first.
 const MAX_SERIES: usize = 256;
 /// Weight from which on the learned quantiles bound the mean.
--- a/lib/src/batch/run_time/stored.rs
+++ b/lib/src/batch/run_time/stored.rs
@@ -6,11 +6,12 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::batch::run_time::MAX_STEP;
 use crate::batch::run_time::ratios::BUCKETS;
 
 /// Layout of the record. A reader of another one begins anew.
 pub(super) const VERSION: u8 = 1;
+/// Steps with this number and higher ones count as one.
+pub(super) const MAX_STEP: u16 = 31;
 /// Series that are stored; a series takes some 100 bytes.
 pub(super) const MAX_STORED_SERIES: usize = 64;
 /// Parts of a run in which weights are stored.
--- a/lib/tests/test_run_times.rs
+++ b/lib/tests/test_run_times.rs
@@ -137,7 +137,8 @@
     // Noise is refused, or is at least harmless.
     for seed in 0..2_000u32 {
         let noise = (0..40u32).map(|at| (seed.wrapping_mul(2_654_435_761) >> (at % 24)) as u8);
-        let noise: Vec<u8> = noise.enumerate().map(|(at, byte)| byte ^ (at as u8 * 37)).collect();
+        let noise: Vec<u8> =
+            noise.enumerate().map(|(at, byte)| byte ^ (at as u8).wrapping_mul(37)).collect();
         let noise = [&[1], noise.as_slice()].concat();
         let record = Record::set(record.key.clone(), noise);
         if let Ok(ProgressRecord::RunTimes(read)) = ProgressRecord::decode(&record) {
