maintenance: waves do not yield to services that are short

Cause: with waves that take only what the rest of their time requires while a service is short, a few boxes of each wave came too late.

--- a/lib/src/batch/maintenance.rs
+++ b/lib/src/batch/maintenance.rs
@@ -103,7 +103,7 @@
 
     /// Ends all evacuations of boxes that were not ordered; returns their number.
     pub fn cancel_pending(&mut self) -> usize {
-        self.waves.values_mut().map(|progress| progress.release_evacuating(0).len()).sum()
+        self.waves.values_mut().map(WaveProgress::cancel_pending).sum()
     }
 
     /// Boxes that are being evacuated or are down for a wave.
--- a/lib/src/batch/maintenance/plan.rs
+++ b/lib/src/batch/maintenance/plan.rs
@@ -1,7 +1,6 @@
 //! Chooses which boxes of a wave are evacuated next, which return to service, and which may be
 //! ordered.
 
-use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::time::Instant;
 
@@ -10,7 +9,6 @@
 use spokelift_platform::machine::Status;
 use spokelift_platform::worker::Incarnation;
 
-use crate::batch::box_state::Purpose;
 use crate::batch::cell::Cell;
 use crate::batch::maintenance::evacuation::EVACUATION_TIMEOUT;
 use crate::batch::maintenance::evacuation::evacuate_gracefully;
@@ -19,7 +17,6 @@
 use crate::batch::maintenance::progress::WaveProgress;
 use crate::batch::maintenance::reservations::Reservations;
 use crate::batch::place::fit::accepts_if_uncordoned;
-use crate::batch::pool::load::Load;
 use crate::batch::pool::load::loads;
 
 /// How many more boxes are evacuated or evacuating than may be down at once, so that the next are
@@ -41,80 +38,11 @@
     now: Instant,
 ) -> Vec<MachineId> {
     let left = progress.remaining();
-    let loads = loads(cell, now);
-    let yields = is_any_short(cell, progress, &loads, listed);
-    let required = progress.required_concurrency(left.len(), yields, now);
-    if yields {
-        release_beyond(cell, progress, required, listed);
-    }
-    let limits = Limits { required, yields, loads };
-    choose_machines(cell, progress, &left, limits, listed, taken, now);
+    choose_machines(cell, progress, &left, listed, taken, now);
     let empty = evacuate_machines(cell, progress, listed, now);
     progress.select_orders(empty, max_orders)
 }
 
-/// How many boxes of a wave are taken out of service.
-struct Limits {
-    /// How many must be evacuating or down at a time for the wave to be done in time.
-    required: usize,
-    /// Whether no more than these are taken, since a service is short of boxes.
-    yields: bool,
-    /// Load of each service, less the boxes taken from it.
-    loads: BTreeMap<String, Load>,
-}
-
-/// Whether a service wants more than it has and will soon receive. Any box could serve it, the
-/// switched-off ones too. Its own boxes that this wave has count as its: otherwise taking one of
-/// them would be the reason to return it.
-fn is_any_short(
-    cell: &Cell,
-    progress: &WaveProgress,
-    loads: &BTreeMap<String, Load>,
-    listed: &MachinesById<'_>,
-) -> bool {
-    let moving = cell.box_states.iter().filter_map(|(id, status, _)| match &status.purpose {
-        Some(Purpose::Move(to)) => Some((id, to.as_str())),
-        _ => None,
-    });
-    let own = progress.under_way();
-    let own = own.filter_map(|id| Some((id, listed.get(id.as_str())?.pool.as_str())));
-    let mut incoming: BTreeMap<&str, u64> = BTreeMap::new();
-    for (id, service) in moving.chain(own) {
-        let size = listed.get(id.as_str()).map_or(0, |machine| u64::from(machine.capacity.cpu));
-        *incoming.entry(service).or_default() += size;
-    }
-    loads.iter().any(|(service, load)| {
-        let incoming = incoming.get(service.as_str()).copied().unwrap_or(0);
-        load.wanted_within_rates() > load.capacity + incoming
-    })
-}
-
-/// Returns boxes to service that are being evacuated beyond the number that must be under way.
-fn release_beyond(
-    cell: &mut Cell,
-    progress: &mut WaveProgress,
-    required: usize,
-    listed: &MachinesById<'_>,
-) {
-    let ordered = progress.down.len();
-    let released = progress.release_evacuating(required.saturating_sub(ordered));
-    if released.is_empty() {
-        return;
-    }
-    log::info!(
-        wave = progress.wave.number,
-        boxes = released.len(),
-        required;
-        "boxes back in service: a service is short"
-    );
-    for id in released {
-        let worker = listed_incarnation(cell, listed, &id);
-        if let Some(mut worker) = worker.and_then(|worker| cell.workers.get_mut(&worker)) {
-            worker.cordoned = false;
-        }
-    }
-}
-
 /// Continues the evacuation of boxes; returns those on which nothing is left.
 fn evacuate_machines(
     cell: &mut Cell,
@@ -192,7 +120,6 @@
     cell: &mut Cell,
     progress: &mut WaveProgress,
     left: &[MachineId],
-    mut limits: Limits,
     listed: &MachinesById<'_>,
     taken: &HashSet<MachineId>,
     now: Instant,
@@ -203,12 +130,14 @@
         return;
     }
     // Beyond this number, boxes are chosen only from services that can spare them.
-    let mut required = limits.required.saturating_sub(progress.count_under_way());
+    let mut required =
+        progress.required_concurrency(left.len(), now).saturating_sub(progress.count_under_way());
+    let mut loads = loads(cell, now);
     let mut reservations = Reservations::new(cell, now);
     for machine in candidates(cell, progress, left, listed, taken, now) {
         let size = u64::from(machine.capacity.cpu);
-        let load = limits.loads.get_mut(&machine.pool);
-        let spare = !limits.yields && load.as_ref().is_none_or(|load| load.can_spare(size));
+        let load = loads.get_mut(&machine.pool);
+        let spare = load.as_ref().is_none_or(|load| load.can_spare(size));
         if free == 0 || (!spare && required == 0) {
             continue;
         }
--- a/lib/src/batch/maintenance/progress.rs
+++ b/lib/src/batch/maintenance/progress.rs
@@ -22,8 +22,6 @@
 /// Fraction of a wave's duration in which it is planned to be done; the rest is a margin for
 /// failures.
 const PLANNED_FRACTION: f64 = 0.6;
-/// The same while a service is short of boxes: the wave then uses more of its time.
-const LATEST_FRACTION: f64 = 0.85;
 /// Time for which one box takes no work: about 3 s until it is empty, 2 s of maintenance and 1 s
 /// until its new worker is discovered.
 const MACHINE_CYCLE: Duration = Duration::from_millis(6_000);
@@ -108,17 +106,12 @@
         self.mark_down(id, before, now);
     }
 
-    /// Ends the evacuation of all but `keep` boxes that were not ordered, the last chosen first;
-    /// returns those that stay in service.
-    pub(super) fn release_evacuating(&mut self, keep: usize) -> Vec<MachineId> {
-        let pending = self.pending().map(|id| (self.evacuating[id], id.clone()));
-        let mut pending: Vec<(Instant, MachineId)> = pending.collect();
-        pending.sort();
-        let released: Vec<MachineId> = pending.into_iter().skip(keep).map(|(_, id)| id).collect();
-        for id in &released {
-            self.evacuating.remove(id);
-        }
-        released
+    /// Ends all evacuations of boxes that were not ordered; returns their number.
+    pub(super) fn cancel_pending(&mut self) -> usize {
+        let before = self.evacuating.len();
+        let (down, unanswered) = (&self.down, &self.unanswered);
+        self.evacuating.retain(|id, _| down.contains_key(id) || unanswered.contains(id));
+        before - self.evacuating.len()
     }
 
     /// Whether a box is being evacuated or is down.
@@ -132,22 +125,10 @@
         machines.filter(|id| !self.started.contains(*id)).cloned().collect()
     }
 
-    /// Boxes that are being evacuated and were not ordered.
-    fn pending(&self) -> impl Iterator<Item = &MachineId> {
-        let is_pending =
-            |id: &&MachineId| !self.unanswered.contains(*id) && !self.down.contains_key(*id);
-        self.evacuating.keys().filter(is_pending)
-    }
-
-    /// Boxes that are being evacuated or are down.
-    pub(super) fn under_way(&self) -> impl Iterator<Item = &MachineId> {
-        let down = self.down.keys().filter(|id| !self.evacuating.contains_key(*id));
-        self.evacuating.keys().chain(down)
-    }
-
     /// Number of boxes that are being evacuated or are down.
     pub(super) fn count_under_way(&self) -> usize {
-        self.under_way().count()
+        let both = self.down.keys().filter(|id| self.evacuating.contains_key(*id)).count();
+        self.evacuating.len() + self.down.len() - both
     }
 
     /// Of the empty boxes, those that may be ordered now, at most `most`. Boxes with an unanswered
@@ -171,11 +152,9 @@
         self.held = of_wave.cloned().collect();
     }
 
-    /// How many boxes must be evacuating or down at a time for the wave to be done in time: the
-    /// fewest possible if it `yields` to a service that is short of boxes.
-    pub(super) fn required_concurrency(&self, left: usize, yields: bool, now: Instant) -> usize {
-        let fraction = if yields { LATEST_FRACTION } else { PLANNED_FRACTION };
-        let planned = self.wave.duration.mul_f64(fraction);
+    /// How many boxes must be evacuating or down at a time for the wave to be done in time.
+    pub(super) fn required_concurrency(&self, left: usize, now: Instant) -> usize {
+        let planned = self.wave.duration.mul_f64(PLANNED_FRACTION);
         let remaining = planned
             .saturating_sub(now.saturating_duration_since(self.first_seen_at))
             .max(MACHINE_CYCLE);
