config: the standard words for what a transfer carries

Cause: parcel, label and arrival are no terms of the field. Change: payload, manifest, download and chunk index; no behaviour, no encoding.

--- a/lib/src/batch/config.rs
+++ b/lib/src/batch/config.rs
@@ -3,7 +3,7 @@
 //! Nodes send it to each other in this form, so that no key is stored or sent in clear text after
 //! it is decoded.
 
-pub mod parcel;
+pub mod payload;
 pub mod transfer;
 
 use std::collections::BTreeMap;
--- a/lib/src/batch/config/parcel.rs
+++ b/lib/src/batch/config/payload.rs
@@ -1,10 +1,10 @@
-//! Parcels: a version of the configuration as compressed bytes, in full or as what changed since an
+//! Payloads: a version of the configuration as compressed bytes, in full or as what changed since an
 //! earlier version.
 //!
 //! All of it works on the encoded configuration as bytes, cut into chunks at positions that depend
 //! on the content only. A sender keeps no more of an earlier version than the hashes of its chunks,
 //! and a new field of the configuration changes nothing here. Nodes of one build encode a version to
-//! the same bytes, so a parcel may be put together from the parts of several senders.
+//! the same bytes, so a payload may be put together from the parts of several senders.
 
 use std::io;
 use std::io::Read;
@@ -31,36 +31,36 @@
 /// A difference is sent instead of the whole if at most this fraction of the bytes is new.
 const MAX_NEW_FRACTION: f64 = 0.75;
 
-/// Digest of an encoded configuration or of a parcel.
+/// Digest of an encoded configuration or of a payload.
 pub type Digest = [u8; 32];
 /// Hash of a chunk.
 type ChunkHash = [u8; 16];
 
-/// What identifies a parcel and says how to unpack it.
+/// What identifies a payload and says how to unpack it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Label {
-    /// The version in the parcel.
+pub struct Manifest {
+    /// The version in the payload.
     pub version: Version,
     /// The version that the receiver must have in force to unpack it; `None` if it is whole.
     pub base: Option<Version>,
     /// Digest of the encoded configuration.
     pub digest: Digest,
-    /// Digest of the parcel's bytes.
-    pub parcel: Digest,
-    /// Length of the parcel in bytes.
+    /// Digest of the payload's bytes.
+    pub payload: Digest,
+    /// Length of the payload in bytes.
     pub length: u32,
 }
 
 /// A packed version of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Parcel {
+pub struct Payload {
     /// What it is.
-    pub label: Label,
+    pub manifest: Manifest,
     /// The compressed content.
     pub bytes: Vec<u8>,
 }
 
-/// The content of a parcel before compression.
+/// The content of a payload before compression.
 #[derive(Serialize, Deserialize)]
 enum Content {
     Whole(Vec<u8>),
@@ -76,20 +76,20 @@
     New(Vec<u8>),
 }
 
-/// Why a parcel cannot be unpacked. The whole configuration is to be fetched then.
+/// Why a payload cannot be unpacked. The whole configuration is to be fetched then.
 #[derive(Debug, Error)]
 pub enum UnpackError {
-    /// The bytes are not those that the label names.
-    #[error("the parcel does not match its label")]
+    /// The bytes are not those that the manifest names.
+    #[error("the payload does not match its manifest")]
     Damaged,
-    /// The version in force is not the one that the parcel is based on.
-    #[error("the parcel is based on another version")]
+    /// The version in force is not the one that the payload is based on.
+    #[error("the payload is based on another version")]
     OtherBase,
     /// The content cannot be decompressed.
-    #[error("the parcel cannot be decompressed: {0}")]
+    #[error("the payload cannot be decompressed: {0}")]
     Compression(#[from] io::Error),
     /// The content cannot be decoded.
-    #[error("the parcel cannot be decoded: {0}")]
+    #[error("the payload cannot be decoded: {0}")]
     Decode(#[from] postcard::Error),
     /// The result is not the version that the sender has.
     #[error("the unpacked configuration differs from the sender's")]
@@ -98,26 +98,26 @@
 
 /// What a node keeps of a version that was in force earlier.
 #[derive(Clone, Debug)]
-pub struct Outline {
+pub struct ChunkIndex {
     /// The version.
     pub version: Version,
     /// Hash, offset and length of each chunk, in the order of hashes.
     chunks: Vec<(ChunkHash, u32, u32)>,
 }
 
-impl Outline {
-    /// The outline of a configuration.
-    pub fn new(config: &Config) -> Outline {
+impl ChunkIndex {
+    /// The index of a configuration.
+    pub fn new(config: &Config) -> ChunkIndex {
         let bytes = encode(config);
         let mut offset = 0;
-        let mut outline = Vec::new();
+        let mut index = Vec::new();
         for chunk in chunks(&bytes) {
-            outline.push((hash(chunk), offset, chunk.len() as u32));
+            index.push((hash(chunk), offset, chunk.len() as u32));
             offset += chunk.len() as u32;
         }
-        outline.sort_unstable();
-        outline.dedup_by_key(|(hash, _, _)| *hash);
-        Outline { version: config.version, chunks: outline }
+        index.sort_unstable();
+        index.dedup_by_key(|(hash, _, _)| *hash);
+        ChunkIndex { version: config.version, chunks: index }
     }
 
     fn find(&self, chunk: &[u8]) -> Option<(u32, u32)> {
@@ -146,7 +146,7 @@
 
 /// Packs a configuration: what changed since the base if there is one and that is worth while, else
 /// the whole.
-pub fn pack(config: &Config, base: Option<&Outline>) -> Parcel {
+pub fn pack(config: &Config, base: Option<&ChunkIndex>) -> Payload {
     let bytes = encode(config);
     let digest = *blake3::hash(&bytes).as_bytes();
     let difference = base.map(|base| (base.version, base.difference(&bytes)));
@@ -157,36 +157,36 @@
         None => (None, Content::Whole(bytes)),
     };
     let bytes = compress(&encode(&content));
-    let parcel = *blake3::hash(&bytes).as_bytes();
+    let payload = *blake3::hash(&bytes).as_bytes();
     let length = bytes.len() as u32;
-    Parcel { label: Label { version: config.version, base, digest, parcel, length }, bytes }
+    Payload { manifest: Manifest { version: config.version, base, digest, payload, length }, bytes }
 }
 
-/// Unpacks a parcel. `in_force` is the configuration in force at the receiver.
+/// Unpacks a payload. `in_force` is the configuration in force at the receiver.
 ///
 /// # Errors
 ///
 /// [`UnpackError`], if the result is not exactly the configuration that the sender has.
 pub fn unpack(
-    label: &Label,
+    manifest: &Manifest,
     bytes: &[u8],
     in_force: Option<&Config>,
 ) -> Result<Config, UnpackError> {
-    if *blake3::hash(bytes).as_bytes() != label.parcel {
+    if *blake3::hash(bytes).as_bytes() != manifest.payload {
         return Err(UnpackError::Damaged);
     }
     let encoded = match postcard::from_bytes(&decompress(bytes)?)? {
         Content::Whole(encoded) => encoded,
         Content::Difference(pieces) => {
-            let base = in_force.filter(|base| Some(base.version) == label.base);
+            let base = in_force.filter(|base| Some(base.version) == manifest.base);
             apply(&pieces, &encode(base.ok_or(UnpackError::OtherBase)?))?
         }
     };
-    if *blake3::hash(&encoded).as_bytes() != label.digest {
+    if *blake3::hash(&encoded).as_bytes() != manifest.digest {
         return Err(UnpackError::OtherResult);
     }
     let config: Config = postcard::from_bytes(&encoded)?;
-    if config.version == label.version { Ok(config) } else { Err(UnpackError::OtherResult) }
+    if config.version == manifest.version { Ok(config) } else { Err(UnpackError::OtherResult) }
 }
 
 fn apply(pieces: &[Piece], base: &[u8]) -> Result<Vec<u8>, UnpackError> {
--- a/lib/src/batch/config/transfer.rs
+++ b/lib/src/batch/config/transfer.rs
@@ -1,4 +1,4 @@
-//! Transfers of configurations between nodes: a parcel is sent in parts, each by a request of its
+//! Transfers of configurations between nodes: a payload is sent in parts, each by a request of its
 //! own, so that other messages pass between them, and what has arrived is kept when a sender fails.
 
 use std::collections::HashMap;
@@ -13,28 +13,28 @@
 use spokelift_platform::config::Version;
 
 use crate::batch::config::Config;
-use crate::batch::config::parcel::Digest;
-use crate::batch::config::parcel::Label;
-use crate::batch::config::parcel::Outline;
-use crate::batch::config::parcel::Parcel;
-use crate::batch::config::parcel::pack;
+use crate::batch::config::payload::ChunkIndex;
+use crate::batch::config::payload::Digest;
+use crate::batch::config::payload::Manifest;
+use crate::batch::config::payload::Payload;
+use crate::batch::config::payload::pack;
 
 /// Length of a part: about 13 ms on a link of 10 Mbit/s.
 pub const PART_BYTES: usize = 16 * 1024;
-/// Largest parcel that a node accepts.
+/// Largest payload that a node accepts.
 const MAX_PARCEL_BYTES: u32 = 16 * 1024 * 1024;
-/// Number of nodes to which a node sends a parcel of several parts at the same time. Further ones are
+/// Number of nodes to which a node sends a payload of several parts at the same time. Further ones are
 /// told to ask elsewhere: the sooner some have the whole, the more senders there are.
 const MAX_ASKERS: usize = 2;
 /// Time after its last request at which a node no longer counts as one that is being sent to.
 const ASKER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Number of nodes with the newest version that a busy node names.
 const MAX_NAMED: usize = 4;
-/// Number of earlier versions on which a parcel can be based.
-const MAX_OUTLINES: usize = 4;
-/// Number of packed parcels that are kept: one on each base and the whole.
-const MAX_PARCELS: usize = MAX_OUTLINES + 1;
-/// Time without a new part after which another parcel of the same version replaces an unfinished one.
+/// Number of earlier versions on which a payload can be based.
+const MAX_INDEXES: usize = 4;
+/// Number of packed payloads that are kept: one on each base and the whole.
+const MAX_PARCELS: usize = MAX_INDEXES + 1;
+/// Time without a new part after which another payload of the same version replaces an unfinished one.
 const STALE_AFTER: Duration = Duration::from_millis(500);
 
 /// A request for a part of a newer version.
@@ -44,9 +44,9 @@
     pub from: SocketAddr,
     /// The version in force there; only newer ones are of use.
     pub in_force: Version,
-    /// The version on which the parcel may be based; `None` asks for the whole.
+    /// The version on which the payload may be based; `None` asks for the whole.
     pub base: Option<Version>,
-    /// The digest of the parcel under way and the number of the part; `None` if there is none yet.
+    /// The digest of the payload under way and the number of the part; `None` if there is none yet.
     pub part: Option<(Digest, u32)>,
 }
 
@@ -57,15 +57,15 @@
     NotNewer,
     /// The node sends to enough others; these nodes have the version as well.
     Busy(Vec<SocketAddr>),
-    /// The part that was asked for, or the first one of another parcel.
+    /// The part that was asked for, or the first one of another payload.
     Part(Box<Part>),
 }
 
-/// A part of a parcel.
+/// A part of a payload.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
-    /// The parcel.
-    pub label: Label,
+    /// The payload.
+    pub manifest: Manifest,
     /// Number of the part, from 0.
     pub number: u32,
     /// Its bytes.
@@ -84,17 +84,17 @@
 /// Nodes of builds that know no parts, and since when that is known.
 pub type OlderNodes = HashMap<SocketAddr, Instant>;
 
-fn part_count(label: &Label) -> u32 {
-    label.length.div_ceil(PART_BYTES as u32).max(1)
+fn part_count(manifest: &Manifest) -> u32 {
+    manifest.length.div_ceil(PART_BYTES as u32).max(1)
 }
 
 /// What a node needs to send versions to others.
 #[derive(Debug, Default)]
 pub struct Source {
     /// Earlier versions, the oldest first.
-    outlines: VecDeque<Outline>,
-    /// Parcels of the newest version, each with the base that was asked for.
-    parcels: VecDeque<(Option<Version>, Arc<Parcel>)>,
+    indexes: VecDeque<ChunkIndex>,
+    /// Payloads of the newest version, each with the base that was asked for.
+    payloads: VecDeque<(Option<Version>, Arc<Payload>)>,
     /// Nodes that are being sent to, and when each last asked.
     askers: Vec<(SocketAddr, Instant)>,
     /// Nodes that have got the newest version from this one, the latest last.
@@ -104,11 +104,11 @@
 impl Source {
     /// Records that `previous` is replaced by a newer version.
     pub fn replace(&mut self, previous: &Config) {
-        self.parcels.clear();
+        self.payloads.clear();
         self.served.clear();
-        self.outlines.push_back(Outline::new(previous));
-        if self.outlines.len() > MAX_OUTLINES {
-            self.outlines.pop_front();
+        self.indexes.push_back(ChunkIndex::new(previous));
+        if self.indexes.len() > MAX_INDEXES {
+            self.indexes.pop_front();
         }
     }
 
@@ -117,31 +117,31 @@
         if config.version <= request.in_force {
             return PartReply::NotNewer;
         }
-        let parcel = self.parcel(config, request.base);
+        let payload = self.payload(config, request.base);
         let number = match request.part {
-            Some((digest, number)) if digest == parcel.label.parcel => number,
+            Some((digest, number)) if digest == payload.manifest.payload => number,
             _ => 0,
         };
-        let Some(bytes) = parcel.bytes.chunks(PART_BYTES).nth(number as usize) else {
+        let Some(bytes) = payload.bytes.chunks(PART_BYTES).nth(number as usize) else {
             return PartReply::NotNewer;
         };
-        if !self.admit(request.from, &parcel.label, number, now) {
+        if !self.admit(request.from, &payload.manifest, number, now) {
             return PartReply::Busy(self.served.iter().copied().collect());
         }
         PartReply::Part(Box::new(Part {
-            label: parcel.label.clone(),
+            manifest: payload.manifest.clone(),
             number,
             bytes: bytes.to_vec(),
         }))
     }
 
-    /// Takes a node among those that are being sent to; `false` if there are enough. A parcel of one
+    /// Takes a node among those that are being sent to; `false` if there are enough. A payload of one
     /// part is sent to any.
-    fn admit(&mut self, from: SocketAddr, label: &Label, number: u32, now: Instant) -> bool {
+    fn admit(&mut self, from: SocketAddr, manifest: &Manifest, number: u32, now: Instant) -> bool {
         self.askers.retain(|(addr, at)| {
             *addr != from && now.saturating_duration_since(*at) < ASKER_TIMEOUT
         });
-        let count = part_count(label);
+        let count = part_count(manifest);
         if count > 1 && self.askers.len() >= MAX_ASKERS {
             return false;
         }
@@ -156,27 +156,26 @@
         true
     }
 
-    fn parcel(&mut self, config: &Config, base: Option<Version>) -> Arc<Parcel> {
-        self.parcels.retain(|(_, parcel)| parcel.label.version == config.version);
-        let outline =
-            base.and_then(|base| self.outlines.iter().find(|outline| outline.version == base));
-        let base = outline.map(|outline| outline.version);
-        if let Some((_, parcel)) = self.parcels.iter().find(|(known, _)| *known == base) {
-            return parcel.clone();
+    fn payload(&mut self, config: &Config, base: Option<Version>) -> Arc<Payload> {
+        self.payloads.retain(|(_, payload)| payload.manifest.version == config.version);
+        let index = base.and_then(|base| self.indexes.iter().find(|index| index.version == base));
+        let base = index.map(|index| index.version);
+        if let Some((_, payload)) = self.payloads.iter().find(|(known, _)| *known == base) {
+            return payload.clone();
         }
-        let parcel = Arc::new(pack(config, outline));
-        self.parcels.push_back((base, parcel.clone()));
-        if self.parcels.len() > MAX_PARCELS {
-            self.parcels.pop_front();
+        let payload = Arc::new(pack(config, index));
+        self.payloads.push_back((base, payload.clone()));
+        if self.payloads.len() > MAX_PARCELS {
+            self.payloads.pop_front();
         }
-        parcel
+        payload
     }
 }
 
-/// A parcel of which parts have arrived.
+/// A payload of which parts have arrived.
 #[derive(Debug)]
-pub struct Arrival {
-    label: Label,
+pub struct Download {
+    manifest: Manifest,
     parts: Vec<Option<Vec<u8>>>,
     /// Which parts have been asked for.
     is_asked: Vec<bool>,
@@ -187,31 +186,31 @@
 /// What became of a part that arrived.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Progress {
-    /// The parcel lacks further parts.
+    /// The payload lacks further parts.
     Unfinished,
-    /// The parcel is complete, with these bytes.
-    Complete(Label, Vec<u8>),
-    /// The part belongs to another parcel than the one under way, or is malformed.
+    /// The payload is complete, with these bytes.
+    Complete(Manifest, Vec<u8>),
+    /// The part belongs to another payload than the one under way, or is malformed.
     Other,
 }
 
-impl Arrival {
-    fn new(label: Label, now: Instant) -> Arrival {
-        let count = part_count(&label) as usize;
-        Arrival {
-            label,
+impl Download {
+    fn new(manifest: Manifest, now: Instant) -> Download {
+        let count = part_count(&manifest) as usize;
+        Download {
+            manifest,
             parts: vec![None; count],
             is_asked: vec![false; count],
             progressed_at: now,
         }
     }
 
-    /// The version of the parcel.
+    /// The version of the payload.
     pub fn version(&self) -> Version {
-        self.label.version
+        self.manifest.version
     }
 
-    /// The part to ask for next, with the parcel's digest: one that nobody has been asked for, else
+    /// The part to ask for next, with the payload's digest: one that nobody has been asked for, else
     /// one whose answer has not come.
     pub fn next_part(&mut self) -> Option<(Digest, u32)> {
         let missing = |number: &usize| self.parts[*number].is_none();
@@ -219,30 +218,31 @@
         let mut numbers = (0..self.parts.len()).filter(missing);
         let number = numbers.clone().find(unasked).or_else(|| numbers.next())?;
         self.is_asked[number] = true;
-        Some((self.label.parcel, number as u32))
+        Some((self.manifest.payload, number as u32))
     }
 
-    /// Adds a part to the parcel under way, or starts one with it. A newer version replaces an
+    /// Adds a part to the payload under way, or starts one with it. A newer version replaces an
     /// unfinished older one.
-    pub fn accept(arrival: &mut Option<Arrival>, part: Part, now: Instant) -> Progress {
-        let Part { label, number, bytes } = part;
+    pub fn accept(download: &mut Option<Download>, part: Part, now: Instant) -> Progress {
+        let Part { manifest, number, bytes } = part;
         let number = number as usize;
-        let end = ((number + 1) * PART_BYTES).min(label.length as usize);
-        let is_well_formed = label.length <= MAX_PARCEL_BYTES
-            && number < part_count(&label) as usize
+        let end = ((number + 1) * PART_BYTES).min(manifest.length as usize);
+        let is_well_formed = manifest.length <= MAX_PARCEL_BYTES
+            && number < part_count(&manifest) as usize
             && bytes.len() + number * PART_BYTES == end;
-        let is_current = |current: &Arrival| {
-            current.label == label
-                || current.label.version > label.version
-                || current.label.version == label.version
+        let is_current = |current: &Download| {
+            current.manifest == manifest
+                || current.manifest.version > manifest.version
+                || current.manifest.version == manifest.version
                     && now.saturating_duration_since(current.progressed_at) < STALE_AFTER
         };
         if !is_well_formed {
             return Progress::Other;
         }
-        let current = arrival.take().filter(is_current);
-        let current = arrival.insert(current.unwrap_or_else(|| Arrival::new(label.clone(), now)));
-        if current.label != label {
+        let current = download.take().filter(is_current);
+        let current =
+            download.insert(current.unwrap_or_else(|| Download::new(manifest.clone(), now)));
+        if current.manifest != manifest {
             return Progress::Other;
         }
         if current.parts[number].is_none() {
@@ -253,7 +253,7 @@
             return Progress::Unfinished;
         }
         let bytes = current.parts.iter().flatten().flatten().copied().collect();
-        *arrival = None;
-        Progress::Complete(label, bytes)
+        *download = None;
+        Progress::Complete(manifest, bytes)
     }
 }
--- a/lib/src/batch/gossip.rs
+++ b/lib/src/batch/gossip.rs
@@ -24,7 +24,7 @@
 use tokio::time::timeout;
 
 use crate::batch::config::Config;
-use crate::batch::config::transfer::Arrival;
+use crate::batch::config::transfer::Download;
 use crate::batch::config::transfer::Fetched;
 use crate::batch::config::transfer::OlderNodes;
 use crate::batch::config::transfer::PartReply;
@@ -71,7 +71,7 @@
     /// What this node sends to others.
     source: Mutex<Source>,
     /// What arrives from others.
-    arrival: Mutex<Option<Arrival>>,
+    download: Mutex<Option<Download>>,
     /// Nodes that know no parts.
     older_nodes: Mutex<OlderNodes>,
 }
--- a/lib/src/batch/gossip/fetch.rs
+++ b/lib/src/batch/gossip/fetch.rs
@@ -4,9 +4,9 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use crate::batch::config::parcel::Label;
-use crate::batch::config::parcel::unpack;
-use crate::batch::config::transfer::Arrival;
+use crate::batch::config::payload::Manifest;
+use crate::batch::config::payload::unpack;
+use crate::batch::config::transfer::Download;
 use crate::batch::config::transfer::Fetched;
 use crate::batch::config::transfer::OlderNodes;
 use crate::batch::config::transfer::Part;
@@ -65,31 +65,31 @@
     fn part_request(&self, is_difference_usable: bool) -> PartRequest {
         let in_force = self.config_version();
         let base = Some(in_force).filter(|version| *version > 0 && is_difference_usable);
-        let mut arrival = self.arrival();
-        let is_outdated = |arrival: &mut Arrival| arrival.version() <= in_force;
-        arrival.take_if(is_outdated);
-        let part = arrival.as_mut().and_then(Arrival::next_part);
+        let mut download = self.download();
+        let is_outdated = |download: &mut Download| download.version() <= in_force;
+        download.take_if(is_outdated);
+        let part = download.as_mut().and_then(Download::next_part);
         PartRequest { from: self.settings.peer_addr(), in_force, base, part }
     }
 
     fn accept_part(&self, part: Part) -> Accepted {
-        let version = part.label.version;
+        let version = part.manifest.version;
         if version <= self.config_version() {
             return Accepted::InForce;
         }
-        let progress = Arrival::accept(&mut self.arrival(), part, clock::now());
+        let progress = Download::accept(&mut self.download(), part, clock::now());
         match progress {
             Progress::Unfinished => Accepted::Unfinished,
             Progress::Other => Accepted::Other,
-            Progress::Complete(label, bytes) => self.unpack_config(&label, &bytes),
+            Progress::Complete(manifest, bytes) => self.unpack_config(&manifest, &bytes),
         }
     }
 
-    fn unpack_config(&self, label: &Label, bytes: &[u8]) -> Accepted {
+    fn unpack_config(&self, manifest: &Manifest, bytes: &[u8]) -> Accepted {
         let in_force = self.config();
-        match unpack(label, bytes, in_force.as_deref()) {
+        match unpack(manifest, bytes, in_force.as_deref()) {
             Ok(config) => {
-                let kind = if label.base.is_some() { "difference" } else { "whole" };
+                let kind = if manifest.base.is_some() { "difference" } else { "whole" };
                 self.counters.count("batch.config.from-peer");
                 self.counters.count(&format!("batch.config.from-peer.{kind}"));
                 self.set_config(config);
@@ -97,7 +97,7 @@
             }
             Err(error) => {
                 self.counters.count("batch.config.unusable");
-                log::warn!(version = label.version, base = label.base; "cannot use a configuration from a peer: {error}");
+                log::warn!(version = manifest.version, base = manifest.base; "cannot use a configuration from a peer: {error}");
                 Accepted::Unusable
             }
         }
@@ -133,8 +133,8 @@
         self.gossip.older_nodes.lock().expect("no thread panics while it holds the nodes lock")
     }
 
-    fn arrival(&self) -> MutexGuard<'_, Option<Arrival>> {
-        self.gossip.arrival.lock().expect("no thread panics while it holds the arrival lock")
+    fn download(&self) -> MutexGuard<'_, Option<Download>> {
+        self.gossip.download.lock().expect("no thread panics while it holds the download lock")
     }
 }
 
@@ -144,8 +144,8 @@
     Unfinished,
     /// That version or a newer one is in force.
     InForce,
-    /// Another parcel of the same or a newer version is under way.
+    /// Another payload of the same or a newer version is under way.
     Other,
-    /// The parcel was complete but cannot be unpacked here.
+    /// The payload was complete but cannot be unpacked here.
     Unusable,
 }
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use spokelift_lib::batch::caller::Caller;
 use spokelift_lib::batch::config::Config;
-use spokelift_lib::batch::config::parcel::Label;
+use spokelift_lib::batch::config::payload::Manifest;
 use spokelift_lib::batch::config::transfer::Part;
 use spokelift_lib::batch::config::transfer::PartReply;
 use spokelift_lib::batch::config::transfer::PartRequest;
@@ -302,9 +302,11 @@
 }
 
 fn part_replies() -> [PartReply; 4] {
-    let label = Label { version: 3, base: None, digest: [8; 32], parcel: [9; 32], length: 300 };
-    let whole = Part { label: label.clone(), number: 0, bytes: vec![1, 2] };
-    let changed = Part { label: Label { base: Some(2), ..label }, number: 300, bytes: Vec::new() };
+    let manifest =
+        Manifest { version: 3, base: None, digest: [8; 32], payload: [9; 32], length: 300 };
+    let whole = Part { manifest: manifest.clone(), number: 0, bytes: vec![1, 2] };
+    let changed =
+        Part { manifest: Manifest { base: Some(2), ..manifest }, number: 300, bytes: Vec::new() };
     [
         PartReply::NotNewer,
         PartReply::Busy(vec![addr()]),
--- a/testutils/tests/test_config_transfer.rs
+++ b/testutils/tests/test_config_transfer.rs
@@ -12,11 +12,11 @@
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use spokelift_lib::batch::config::Config;
-use spokelift_lib::batch::config::parcel::Outline;
-use spokelift_lib::batch::config::parcel::UnpackError;
-use spokelift_lib::batch::config::parcel::pack;
-use spokelift_lib::batch::config::parcel::unpack;
-use spokelift_lib::batch::config::transfer::Arrival;
+use spokelift_lib::batch::config::payload::ChunkIndex;
+use spokelift_lib::batch::config::payload::UnpackError;
+use spokelift_lib::batch::config::payload::pack;
+use spokelift_lib::batch::config::payload::unpack;
+use spokelift_lib::batch::config::transfer::Download;
 use spokelift_lib::batch::config::transfer::Part;
 use spokelift_lib::batch::config::transfer::PartReply;
 use spokelift_lib::batch::config::transfer::PartRequest;
@@ -162,21 +162,21 @@
 #[test]
 fn what_does_not_fit_is_not_unpacked() {
     let (old, new) = (config(2, 500), config(3, 510));
-    let difference = pack(&new, Some(&Outline::new(&old)));
-    assert_eq!(difference.label.base, Some(2));
-    assert_eq!(unpack(&difference.label, &difference.bytes, Some(&old)).unwrap(), new);
-    let unpacked = unpack(&difference.label, &difference.bytes, None);
+    let difference = pack(&new, Some(&ChunkIndex::new(&old)));
+    assert_eq!(difference.manifest.base, Some(2));
+    assert_eq!(unpack(&difference.manifest, &difference.bytes, Some(&old)).unwrap(), new);
+    let unpacked = unpack(&difference.manifest, &difference.bytes, None);
     assert_matches!(unpacked, Err(UnpackError::OtherBase));
-    let unpacked = unpack(&difference.label, &difference.bytes, Some(&config(2, 400)));
+    let unpacked = unpack(&difference.manifest, &difference.bytes, Some(&config(2, 400)));
     assert_matches!(unpacked, Err(UnpackError::OtherResult));
     let whole = pack(&new, None);
-    assert_eq!(unpack(&whole.label, &whole.bytes, None).unwrap(), new);
+    assert_eq!(unpack(&whole.manifest, &whole.bytes, None).unwrap(), new);
     let cut_short = &whole.bytes[..whole.bytes.len() / 2];
-    assert_matches!(unpack(&whole.label, cut_short, None), Err(UnpackError::Damaged));
-    let mut label = whole.label.clone();
+    assert_matches!(unpack(&whole.manifest, cut_short, None), Err(UnpackError::Damaged));
+    let mut manifest = whole.manifest.clone();
     for noise in [&[][..], &[0xff; 40], cut_short] {
-        label.parcel = *blake3::hash(noise).as_bytes();
-        assert!(unpack(&label, noise, None).is_err());
+        manifest.payload = *blake3::hash(noise).as_bytes();
+        assert!(unpack(&manifest, noise, None).is_err());
     }
 }
 
@@ -200,26 +200,26 @@
     let now = Instant::now();
     let large = config(2, MANY_ROUTES);
     let mut sources = [Source::default(), Source::default()];
-    let mut arrival = None;
+    let mut download = None;
     let (mut next, mut asked) = (None, 0);
     loop {
         // The first sender is lost after the second part.
         let source = &mut sources[usize::from(asked >= 2)];
         let part = part_of(source.answer(&large, &request(asker(1), next), now));
         asked += 1;
-        match Arrival::accept(&mut arrival, part, now) {
-            Progress::Unfinished => next = arrival.as_mut().and_then(Arrival::next_part),
-            Progress::Complete(label, bytes) => {
-                assert_eq!(unpack(&label, &bytes, None).unwrap(), large);
+        match Download::accept(&mut download, part, now) {
+            Progress::Unfinished => next = download.as_mut().and_then(Download::next_part),
+            Progress::Complete(manifest, bytes) => {
+                assert_eq!(unpack(&manifest, &bytes, None).unwrap(), large);
                 let parts = bytes.len().div_ceil(16 * 1024);
-                // The first part was asked for before the parcel was known.
+                // The first part was asked for before the payload was known.
                 assert!(
                     asked <= parts + 1,
                     "no part but the first is sent twice: {asked} of {parts}"
                 );
                 break;
             }
-            Progress::Other => panic!("another parcel"),
+            Progress::Other => panic!("another payload"),
         }
     }
 }
@@ -230,10 +230,10 @@
     let large = config(2, MANY_ROUTES);
     let mut source = Source::default();
     let first = part_of(source.answer(&large, &request(asker(1), None), now));
-    let last = first.label.length.div_ceil(16 * 1024) - 1;
+    let last = first.manifest.length.div_ceil(16 * 1024) - 1;
     part_of(source.answer(&large, &request(asker(2), None), now));
     assert_eq!(source.answer(&large, &request(asker(3), None), now), PartReply::Busy(vec![]));
-    part_of(source.answer(&large, &request(asker(1), Some((first.label.parcel, last))), now));
+    part_of(source.answer(&large, &request(asker(1), Some((first.manifest.payload, last))), now));
     part_of(source.answer(&large, &request(asker(3), None), now));
     let reply = source.answer(&large, &request(asker(4), None), now);
     assert_eq!(reply, PartReply::Busy(vec![asker(1)]));
@@ -249,18 +249,18 @@
 fn a_malformed_part_is_not_taken() {
     let now = Instant::now();
     let good = part_of(Source::default().answer(&config(2, 500), &request(asker(1), None), now));
-    let mut arrival = None;
+    let mut download = None;
     for number in [1, 7_000, u32::MAX] {
         let part = Part { number, ..good.clone() };
-        assert_eq!(Arrival::accept(&mut arrival, part, now), Progress::Other);
+        assert_eq!(Download::accept(&mut download, part, now), Progress::Other);
     }
     let mut part = good.clone();
     part.bytes.pop();
-    assert_eq!(Arrival::accept(&mut arrival, part, now), Progress::Other);
+    assert_eq!(Download::accept(&mut download, part, now), Progress::Other);
     let mut part = good;
-    part.label.length = u32::MAX;
-    assert_eq!(Arrival::accept(&mut arrival, part, now), Progress::Other);
-    assert!(arrival.is_none());
+    part.manifest.length = u32::MAX;
+    assert_eq!(Download::accept(&mut download, part, now), Progress::Other);
+    assert!(download.is_none());
 }
 
 /// A node of a build without parts: it closes the connection on a request that it cannot decode.
