--- a/lib/src/batch/cell/run_times.rs
+++ b/lib/src/batch/cell/run_times.rs
@@ -18,7 +18,6 @@
 use crate::batch::worker::Class;
 use crate::batch::worker::Phase;
 use crate::batch::worker::Worker;
-use crate::transport::clock;
 
 /// Number of its runs from which on a job is judged by them rather than by its queue.
 const MIN_OWN_RUNS: u32 = 3;
@@ -53,15 +52,10 @@
         Some(empty_at)
     }
 
-    /// The time that the unfinished steps of a repetition take one after another with this
-    /// certainty, a fraction of 1, if each of their tasks starts as soon as it may. What runs
+    /// The time that the unfinished steps of a repetition take one after another from `now` on with
+    /// this certainty, a fraction of 1, if each of their tasks starts as soon as it may. What runs
     /// already counts with the rest of its time.
-    pub fn remaining_path(&self, entry: &Entry, repetition: u32, certainty: f64) -> Duration {
-        self.remaining_path_at(entry, repetition, certainty, clock::now())
-    }
-
-    /// [`Cell::remaining_path`] as of `now`.
-    pub fn remaining_path_at(
+    pub fn remaining_path(
         &self,
         entry: &Entry,
         repetition: u32,
--- a/lib/src/batch/place/on_time.rs
+++ b/lib/src/batch/place/on_time.rs
@@ -70,13 +70,23 @@
         self.stats.jobs_put_back += u64::from(!is_put_last);
     }
 
+    /// Whether a finite step is placed among those that may meet their objective.
+    pub(in crate::batch) fn may_be_on_time(
+        &self,
+        rank: &Rank,
+        now: Instant,
+        wall: Duration,
+    ) -> bool {
+        self.timeliness(rank, now, wall) == Timeliness::OnTime
+    }
+
     fn timeliness(&self, rank: &Rank, now: Instant, wall: Duration) -> Timeliness {
         let Some(entry) = self.jobs.get(&rank.job) else { return Timeliness::OnTime };
         // A job that has not begun starts only if it is in time even with its tightest objective:
         // nothing is lost with it, and those that have begun need the workers.
         let likely = if entry.started { [UNLIKELY, 1.0 - UNLIKELY] } else { [UNLIKELY, UNLIKELY] };
         let best = likely.map(|certainty| {
-            let rest = self.remaining_path_at(entry, rank.repetition, certainty, now);
+            let rest = self.remaining_path(entry, rank.repetition, certainty, now);
             let whole = self.critical_path(entry, certainty);
             timeliness_of(entry, rank.repetition, wall + rest, whole)
         });
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -82,7 +82,7 @@
     "snapshot-s", "most seconds between two snapshots; the log must keep three times that", "1 to 86400", Some("600");
     "down-grace-ms", "how long a plan's last steps wait for boxes that are down", "0 to 3600000", Some("30000");
     "workers-per-share", "workers that one node looks after for the scheduler, on the users' platform", "1 to 100000", Some("100");
-    "refuse-after-objectives", "a job that would be done later than this many of its objectives is refused, 0 for never, on the users' platform", "0 to 1000", Some("3");
+    "refuse-after-objectives", "a job that would be done later than this many of its objectives is refused, 0 for never, on the users' platform", "0 to 1000", Some("0");
     "statsd", "address to send metrics to", "IP:PORT, or empty for none", Some("");
 }
 
@@ -312,7 +312,7 @@
     /// use spokelift_lib::settings::NodeSettings;
     /// let settings = NodeSettings::resolve(|_| None).unwrap();
     /// assert_eq!((settings.site_key_hash, settings.workers_per_shard), (None, 100));
-    /// assert_eq!(settings.refuse_after_objectives, 3);
+    /// assert_eq!(settings.refuse_after_objectives, 0);
     /// assert!(NodeSettings::resolve(|_| Some("no hash, no number".to_owned())).is_err());
     /// ```
     ///
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -119,6 +119,7 @@
     );
     let settings = Settings::decode(&settings_text).expect("the settings decode");
     let options = NodeSettings::resolve(|_| None).expect("every setting has a value");
+    let options = NodeSettings { refuse_after_objectives: 3, ..options };
     let node = Node::new(settings, options, Counters::new(None).expect("no metrics are sent"));
     tokio::spawn(peer::serve(node.clone(), listener));
     node
