place: whether a step is in time is not looked at anew in each round

Cause: with a long queue, placement runs every few milliseconds, and each round computed two critical paths for each waiting step. Change: a verdict holds until it would change with time alone, 50 ms at most.

--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -88,6 +88,17 @@
     }
 }
 
+/// When a job will be done, compared with its objective.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timeliness {
+    /// So late that its result is of no use any more.
+    Expired,
+    /// Late.
+    Late,
+    /// In time.
+    OnTime,
+}
+
 /// The tasks of a step in one repetition.
 #[derive(Clone, Debug)]
 pub struct StepRun {
@@ -99,12 +110,21 @@
     pub waiting: BTreeSet<u32>,
     /// All steps that it depends on are done, so its tasks may start.
     pub open: bool,
+    /// Whether its job is in time if its tasks start now, and until when that is assumed; `None` if
+    /// it was not looked at yet.
+    pub timeliness: Option<(Timeliness, Instant)>,
 }
 
 impl StepRun {
     fn new(count: u32) -> StepRun {
         let tasks = vec![Task::default(); count as usize];
-        StepRun { left: tasks.len(), tasks, waiting: BTreeSet::new(), open: false }
+        StepRun {
+            left: tasks.len(),
+            tasks,
+            waiting: BTreeSet::new(),
+            open: false,
+            timeliness: None,
+        }
     }
 }
 
--- a/lib/src/batch/place/on_time.rs
+++ b/lib/src/batch/place/on_time.rs
@@ -16,20 +16,16 @@
 use crate::batch::cell::Rank;
 use crate::batch::history::Decision;
 use crate::batch::job::Entry;
+use crate::batch::job::Timeliness;
 
 /// The likely run times lie between the quantiles of this fraction and of its complement.
 const UNLIKELY: f64 = 0.1;
+/// How long a verdict on a step holds at most. With a long queue, rounds come every few
+/// milliseconds.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// A result later than so many times the objective is of no use.
 const LATEST_FACTOR: u64 = 3;
 
-/// When a job will be done, compared with its objective.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Timeliness {
-    Expired,
-    Late,
-    OnTime,
-}
-
 impl Cell {
     /// Groups waiting steps, each group in the order given: those that may meet their objective and
     /// long-running ones, those that will be late but of use, and those that will be of no use.
@@ -42,7 +38,7 @@
         let [mut on_time, mut late, mut expired] = [const { Vec::new() }; 3];
         for rank in ranks {
             let timeliness = match rank.is_finite {
-                true => self.timeliness(&rank, now, wall),
+                true => self.recent_timeliness(&rank, now, wall),
                 false => Timeliness::OnTime,
             };
             self.note_put_last(&rank, timeliness != Timeliness::OnTime);
@@ -56,6 +52,22 @@
         [on_time, late, expired]
     }
 
+    /// The timeliness of a step, by run times as known a short time ago at most.
+    fn recent_timeliness(&mut self, rank: &Rank, now: Instant, wall: Duration) -> Timeliness {
+        let entry = self.jobs.get(&rank.job);
+        let run = entry.and_then(|entry| entry.find_step_run(rank.repetition, rank.step));
+        let known = run.and_then(|run| run.timeliness).filter(|(_, until)| now < *until);
+        if let Some((known, _)) = known {
+            return known;
+        }
+        let (timeliness, holds_for) = self.timeliness(rank, now, wall);
+        let entry = self.jobs.get_mut(&rank.job);
+        if let Some(run) = entry.and_then(|entry| entry.step_run_mut(rank.repetition, rank.step)) {
+            run.timeliness = Some((timeliness, now + holds_for.min(RECHECK_INTERVAL)));
+        }
+        timeliness
+    }
+
     /// Records jobs that are put last, and counts them and those that come back.
     fn note_put_last(&mut self, rank: &Rank, is_put_last: bool) {
         let Some(entry) = self.jobs.get_mut(&rank.job) else { return };
@@ -77,11 +89,15 @@
         now: Instant,
         wall: Duration,
     ) -> bool {
-        self.timeliness(rank, now, wall) == Timeliness::OnTime
+        self.timeliness(rank, now, wall).0 == Timeliness::OnTime
     }
 
-    fn timeliness(&self, rank: &Rank, now: Instant, wall: Duration) -> Timeliness {
-        let Some(entry) = self.jobs.get(&rank.job) else { return Timeliness::OnTime };
+    /// The timeliness of a step that starts now, and for how long that holds while it waits, if no
+    /// run times are learned.
+    fn timeliness(&self, rank: &Rank, now: Instant, wall: Duration) -> (Timeliness, Duration) {
+        let Some(entry) = self.jobs.get(&rank.job) else {
+            return (Timeliness::OnTime, Duration::ZERO);
+        };
         // A job that has not begun starts only if it is in time even with its tightest objective:
         // nothing is lost with it, and those that have begun need the workers.
         let likely = if entry.started { [UNLIKELY, 1.0 - UNLIKELY] } else { [UNLIKELY, UNLIKELY] };
@@ -90,23 +106,26 @@
             let whole = self.critical_path(entry, certainty);
             timeliness_of(entry, rank.repetition, wall + rest, whole)
         });
-        best.into_iter().max().unwrap_or(Timeliness::OnTime)
+        best.into_iter().max().unwrap_or((Timeliness::OnTime, Duration::ZERO))
     }
 }
 
-/// How a job fares that is done at `done_at`, since the Unix epoch, and has such a critical path.
+/// How a job fares that is done at `done_at`, since the Unix epoch, and has such a critical path;
+/// and how much later it may be done for that to hold.
 fn timeliness_of(
     entry: &Entry,
     repetition: u32,
     done_at: Duration,
     critical_path: Duration,
-) -> Timeliness {
-    let took = done_at.saturating_sub(entry.due_from(repetition)).as_millis();
+) -> (Timeliness, Duration) {
+    let took = done_at.saturating_sub(entry.due_from(repetition));
     let critical_path_ms = u64::try_from(critical_path.as_millis()).unwrap_or(u64::MAX);
-    let objective = entry.objective_ms(critical_path_ms);
-    match u64::try_from(took).unwrap_or(u64::MAX) {
-        took if took <= objective => Timeliness::OnTime,
-        took if took <= objective.saturating_mul(LATEST_FACTOR) => Timeliness::Late,
-        _ => Timeliness::Expired,
+    let objective_ms = entry.objective_ms(critical_path_ms);
+    let objective = Duration::from_millis(objective_ms);
+    let latest = Duration::from_millis(objective_ms.saturating_mul(LATEST_FACTOR));
+    match took {
+        took if took <= objective => (Timeliness::OnTime, objective - took),
+        took if took <= latest => (Timeliness::Late, latest - took),
+        _ => (Timeliness::Expired, Duration::MAX),
     }
 }
