--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -8,6 +8,8 @@
 pub mod admit;
 pub mod advice;
 pub mod availability;
+pub mod box_list;
+pub mod box_state;
 pub mod caller;
 pub mod cell;
 pub mod client_api;
@@ -23,6 +25,7 @@
 pub mod evacuated_halls;
 pub mod fleet;
 pub mod gossip;
+pub mod history;
 pub mod interference;
 pub mod job;
 pub mod leader;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -43,6 +43,7 @@
 use spokelift_platform::worker::WorkerId;
 
 use crate::batch::advice::AdviceCache;
+use crate::batch::box_state;
 use crate::batch::cell::crashes::CrashCandidate;
 pub use crate::batch::cell::crashes::WorkerStats;
 use crate::batch::cell::quotas::Quotas;
@@ -50,6 +51,7 @@
 use crate::batch::crash::outage::Outages;
 use crate::batch::demand::Demand;
 use crate::batch::evacuated_halls::HallNames;
+use crate::batch::history::History;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
 use crate::batch::place::fair::Allowances;
@@ -94,6 +96,11 @@
             step,
         }
     }
+
+    /// The first task of the step.
+    pub fn first_task(&self) -> TaskName {
+        TaskName { job: self.job, repetition: self.repetition, step: self.step, index: 0 }
+    }
 }
 
 /// A message to be sent to a worker.
@@ -250,6 +257,8 @@
     /// CPU of long-running tasks without a place, by service, in thousandths of a core: they wait,
     /// or run on boxes that should be emptied.
     pub unplaced_cpu: BTreeMap<String, u64>,
+    /// The boxes that are not in service.
+    pub box_states: box_state::Tracker,
     /// Machines whose maintenance has started, by wave.
     pub maintenance_started: HashMap<u64, HashSet<MachineId>>,
     /// When a scheduler first saw each wave, as time since the Unix epoch.
@@ -302,10 +311,14 @@
     early_ends: Vec<EarlyEnd>,
     /// Observed load.
     pub demand: Demand,
+    /// The part of it by jobs above the rates of their accounts.
+    pub over_rate_demand: Demand,
     /// Observed run times.
     pub run_times: RunTimes,
     /// Answers of the advice service.
     pub advice: AdviceCache,
+    /// What was decided about each job, for operators.
+    pub history: History,
 }
 
 impl Cell {
@@ -332,6 +345,7 @@
             tasks_on_unresponsive: HashMap::new(),
             missing_from_box_list: HashSet::new(),
             unplaced_cpu: BTreeMap::new(),
+            box_states: box_state::Tracker::default(),
             maintenance_started: HashMap::new(),
             waves_first_seen: HashMap::new(),
             ended_waves: HashSet::new(),
@@ -357,8 +371,10 @@
             renewed_at: None,
             early_ends: Vec::new(),
             demand: Demand::default(),
+            over_rate_demand: Demand::default(),
             run_times: RunTimes::default(),
             advice: AdviceCache::default(),
+            history: History::default(),
         }
     }
 }
--- a/lib/src/batch/cell/crashes.rs
+++ b/lib/src/batch/cell/crashes.rs
@@ -21,6 +21,7 @@
 use crate::batch::crash::Crash;
 use crate::batch::crash::Evidence;
 use crate::batch::crash::outage::is_correlated;
+use crate::batch::history::Decision;
 use crate::batch::record::Crashes;
 use crate::batch::worker::Allocation;
 use crate::batch::worker::Worker;
@@ -61,6 +62,10 @@
     pub ended_incarnations: u64,
     /// Incarnations that ended according to the list of boxes.
     pub ended_by_box_list: u64,
+    /// Jobs that were put last, as nearly certain to miss their objective.
+    pub jobs_put_last: u64,
+    /// Jobs that were put last and are no longer.
+    pub jobs_put_back: u64,
 }
 
 impl Cell {
@@ -230,6 +235,7 @@
                 task.crashes.clear();
                 continue;
             }
+            self.history.record(name, Decision::Crashed { worker: worker.clone() });
             task.crashes.push(Crash { worker: worker.clone(), evidence });
             self.has_suspects = true;
             if crash::is_abandoned(&task.crashes, is_long_running) && entry.is_active() {
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -15,6 +15,7 @@
 use crate::batch::cell::EarlyEnd;
 use crate::batch::cell::Order;
 use crate::batch::cell::Rank;
+use crate::batch::history::Decision;
 use crate::batch::job::Entry;
 use crate::batch::record::Accepted;
 use crate::batch::record::Progress;
@@ -74,7 +75,11 @@
         // Work that the account's quota holds back must not request boxes: they would be idle.
         let may_run = |step| !self.is_at_quota(&entry, step);
         if inherited.is_none() && entry.accepted.job.steps.iter().all(may_run) {
-            self.demand.record_arrival(&entry, &self.run_times, clock::now());
+            let now = clock::now();
+            self.demand.record_arrival(&entry, &self.run_times, now);
+            if entry.is_over_rate {
+                self.over_rate_demand.record_arrival(&entry, &self.run_times, now);
+            }
         }
         if entry.is_active() && entry.is_long_running() {
             self.long_running_jobs.insert(id);
@@ -139,7 +144,7 @@
         }
         self.unknown_jobs = still_unknown;
         for (worker, task) in timed_out {
-            self.stop_run(&worker, task);
+            self.stop_for(&worker, task, "its job is not known");
         }
     }
 
@@ -235,6 +240,7 @@
             state = format!("{state:?}").as_str();
             "job ended"
         );
+        self.history.record_job(id, Decision::Ended(state));
         // Most jobs end with no run left, and the search covers all runs of all workers.
         if runs > 0 {
             self.stop_where(|task| task.job == id);
@@ -261,6 +267,12 @@
         order_stop(&mut self.outbox, &worker.peer, task, allocation);
     }
 
+    /// Stops one run for a reason that its job's history shows.
+    pub fn stop_for(&mut self, incarnation: &Incarnation, task: TaskName, why: &'static str) {
+        self.history.record(task, Decision::Stopped { worker: incarnation.clone(), why });
+        self.stop_run(incarnation, task);
+    }
+
     /// Marks a task as done, or all tasks of its step if it is a gang.
     pub(super) fn on_done(&mut self, name: TaskName, gang: bool) {
         let Some(entry) = self.jobs.get_mut(&name.job) else { return };
--- a/lib/src/batch/maintenance/progress.rs
+++ b/lib/src/batch/maintenance/progress.rs
@@ -106,6 +106,14 @@
         self.mark_down(id, before, now);
     }
 
+    /// Ends all evacuations of boxes that were not ordered; returns their number.
+    pub(super) fn cancel_pending(&mut self) -> usize {
+        let before = self.evacuating.len();
+        let (down, unanswered) = (&self.down, &self.unanswered);
+        self.evacuating.retain(|id, _| down.contains_key(id) || unanswered.contains(id));
+        before - self.evacuating.len()
+    }
+
     /// Whether a box is being evacuated or is down.
     pub fn is_under_way(&self, id: &str) -> bool {
         self.evacuating.contains_key(id) || self.down.contains_key(id)
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -51,10 +51,12 @@
             }
             Request::Relay(call) => Reply::Relayed(self.node.relay_for_peer(call).await),
             Request::Report(report) => take_report(self, *report),
+            Request::MayRefuse(id, caller, outlook) => self.may_refuse(id, &caller, outlook),
             // Answered by the node itself.
             Request::Dispatch(_)
             | Request::Newer { .. }
             | Request::Config(_)
+            | Request::ConfigPart(_)
             | Request::Leader { .. }
             | Request::Outlook(_) => Reply::NotReady,
             Request::Ping => Reply::Done,
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -1,6 +1,8 @@
 //! Views of batch work on the operators' API: services, queues, workers, jobs, waves and shards.
 
 pub mod account;
+pub mod boxes;
+pub mod history;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -17,6 +19,7 @@
 use spokelift_platform::job::parse_id;
 use spokelift_platform::wave;
 
+use crate::batch::box_state::Counts;
 use crate::batch::cell::Cell;
 use crate::batch::crash::Crash;
 use crate::batch::crash::is_abandoned;
@@ -24,6 +27,7 @@
 use crate::batch::place::fit::count_unfit_workers;
 use crate::batch::pool::load::loads;
 use crate::batch::record::TaskPosition;
+use crate::batch::run_time::Summary;
 use crate::batch::worker::Phase;
 use crate::transport::clock;
 
@@ -51,6 +55,9 @@
     /// These halls.
     #[serde(default)]
     pub evacuated_halls: BTreeSet<String>,
+    /// Number of its boxes that are not in service, and of those on their way to it, by state.
+    #[serde(default, skip_serializing_if = "Counts::is_empty")]
+    pub boxes: Counts,
 }
 
 /// A queue.
@@ -64,6 +71,25 @@
     pub running: u32,
     /// Jobs that have ended, with any outcome.
     pub ended: u32,
+    /// What is known of the run times of its steps.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub run_times: Vec<RunTime>,
+}
+
+/// What is known of the run time of a step. Ratios count from the clients' estimates, or are run
+/// times in seconds where they send none.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RunTime {
+    /// Number of the step.
+    pub step: u16,
+    /// Ratio that a tenth of the runs do not exceed.
+    pub p10: f32,
+    /// Ratio that half of the runs do not exceed.
+    pub p50: f32,
+    /// Ratio that nine tenths of the runs do not exceed.
+    pub p90: f32,
+    /// Number of runs that it rests on, the older ones counting for less.
+    pub weight: f32,
 }
 
 /// A worker.
@@ -102,6 +128,16 @@
     /// Tasks under which workers crashed.
     #[serde(default)]
     pub crashed: Vec<Crashed>,
+    /// What the present leader decided about it, in order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub history: Vec<history::Decision>,
+    /// Number of decisions that are left out of the history, before the latest ones.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub left_out: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// A task under which workers crashed.
@@ -182,6 +218,7 @@
 pub fn render(cell: &Cell, waves: &[wave::Wave], shards: &[Shard], path: &str) -> Option<String> {
     let now = clock::now();
     let shown = match path.strip_prefix(PATH)? {
+        "boxes" => serde_json::to_string(&boxes::boxes(cell, now)),
         "accounts" => serde_json::to_string(&account::accounts(cell)),
         "services" => serde_json::to_string(&services(cell, now)),
         "shares" => serde_json::to_string(shards),
@@ -201,7 +238,12 @@
         evacuated.entry(&worker.entry.service).or_default().push(&worker.entry.hall);
         loads.entry(worker.entry.service.clone()).or_default();
     }
+    let mut boxes = cell.box_states.counts_by_service();
+    for service in boxes.keys() {
+        loads.entry((*service).to_owned()).or_default();
+    }
     let shown = loads.into_iter().map(|(name, load)| {
+        let boxes = boxes.remove(name.as_str()).unwrap_or_default();
         let halls = evacuated.remove(name.as_str()).unwrap_or_default();
         Service {
             name,
@@ -212,6 +254,7 @@
             wanted: cores(load.wanted()),
             evacuated: halls.len() as u64,
             evacuated_halls: halls.into_iter().map(str::to_owned).collect(),
+            boxes,
         }
     });
     shown.collect()
@@ -223,7 +266,10 @@
     for entry in cell.jobs.values() {
         let name = entry.accepted.queue.as_str();
         let queue = queues.entry(name).or_default();
-        queue.name = name.to_owned();
+        if queue.name.is_empty() {
+            queue.name = name.to_owned();
+            queue.run_times = cell.run_times.summaries(name).into_iter().map(run_time).collect();
+        }
         match entry.visible_state() {
             JobState::Pending => queue.pending += 1,
             JobState::Running => queue.running += 1,
@@ -233,6 +279,10 @@
     queues.into_values().collect()
 }
 
+fn run_time(Summary { step, ratios: [p10, p50, p90], weight }: Summary) -> RunTime {
+    RunTime { step, p10, p50, p90, weight }
+}
+
 /// The workers.
 pub fn workers(cell: &Cell, now: Instant) -> Vec<Worker> {
     let mut shown: Vec<Worker> = cell
@@ -301,7 +351,9 @@
     let (queue, service) = (accepted.queue.clone(), accepted.service.clone());
     let account = accepted.account.as_ref().map(ToString::to_string);
     let (state, crashed) = (entry.visible_state(), crashed(entry));
-    Some(Job { id: format!("{id:016x}"), queue, service, account, state, steps, crashed })
+    let (history, left_out) = history::of_job(cell, id, now);
+    let id = format!("{id:016x}");
+    Some(Job { id, queue, service, account, state, steps, crashed, history, left_out })
 }
 
 fn crashed(entry: &Entry) -> Vec<Crashed> {
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -13,6 +13,10 @@
 use serde_json::json;
 use spokelift_lib::batch::caller::Caller;
 use spokelift_lib::batch::config::Config;
+use spokelift_lib::batch::config::payload::Manifest;
+use spokelift_lib::batch::config::transfer::Part;
+use spokelift_lib::batch::config::transfer::PartReply;
+use spokelift_lib::batch::config::transfer::PartRequest;
 use spokelift_lib::batch::crash::Crash;
 use spokelift_lib::batch::crash::Evidence;
 use spokelift_lib::batch::dispatch::message::Command;
@@ -24,6 +28,7 @@
 use spokelift_lib::batch::leader::lease::LeaderLease;
 use spokelift_lib::batch::order_window::HeldBoxes;
 use spokelift_lib::batch::outlook;
+use spokelift_lib::batch::outlook::Class;
 use spokelift_lib::batch::outlook::Outlook;
 use spokelift_lib::batch::peer::Reply;
 use spokelift_lib::batch::peer::Request;
@@ -155,9 +160,11 @@
 }
 
 fn outlook() -> Outlook {
-    let service =
-        outlook::Service { capacity: 64_000, incoming: 32_000, ahead: 7, ahead_over_rate: 300 };
-    Outlook { leader: 3, number: 4, services: [("work".to_owned(), service)].into() }
+    let class = Class { priority: 1, is_over_rate: true, due_ms: 500, on_time: 7, late: 300 };
+    let classes = vec![class];
+    let service = outlook::Service { capacity: 64_000, incoming: 32_000, free: 2, classes };
+    let services = [("work".to_owned(), service)].into();
+    Outlook { leader: 3, incarnation: 77, number: 4, age_ms: 9, services }
 }
 
 fn stored(lines: &mut Lines) {
@@ -290,6 +297,24 @@
     Config::decode(&published::published_config(3, &[("q", Some(true))], accounts)).unwrap()
 }
 
+fn part_request(base: Option<u64>, part: Option<([u8; 32], u32)>) -> PartRequest {
+    PartRequest { from: addr(), in_force: 2, base, part }
+}
+
+fn part_replies() -> [PartReply; 4] {
+    let manifest =
+        Manifest { version: 3, base: None, digest: [8; 32], payload: [9; 32], length: 300 };
+    let whole = Part { manifest: manifest.clone(), number: 0, bytes: vec![1, 2] };
+    let changed =
+        Part { manifest: Manifest { base: Some(2), ..manifest }, number: 300, bytes: Vec::new() };
+    [
+        PartReply::NotNewer,
+        PartReply::Busy(vec![addr()]),
+        PartReply::Part(Box::new(whole)),
+        PartReply::Part(Box::new(changed)),
+    ]
+}
+
 fn between_nodes(lines: &mut Lines) {
     let session = Session { token: 1 << 20, shard: 2 };
     let partition = Partition { topic: "keyed.jobs".to_owned(), number: 3 };
@@ -321,6 +346,9 @@
         Request::Ping,
         Request::Leader { offset: 9, lease: Box::new(lease(HeldBoxes::All)) },
         Request::Outlook(Box::new(outlook())),
+        Request::ConfigPart(part_request(None, None)),
+        Request::ConfigPart(part_request(Some(2), Some(([7; 32], 300)))),
+        Request::MayRefuse(0x5c0e, Caller::Account("clinics".into()), 4),
     ];
     for (number, request) in (1_u64..).zip(requests) {
         lines.postcard("request", &(number, request));
@@ -351,6 +379,8 @@
     ];
     replies.extend(states.map(|state| Reply::State(Some(state))));
     replies.push(Reply::Unconfirmed(Box::new(Reply::Pending(7))));
+    replies.extend(part_replies().map(Reply::ConfigPart));
+    replies.push(Reply::Refusable { is_over_rate: true });
     for (number, reply) in (1_u64..).zip(replies) {
         lines.postcard("reply", &(number, reply));
     }
@@ -532,9 +562,16 @@
             wanted: 2.0,
             evacuated: 3,
             evacuated_halls: BTreeSet::from(["hall-1".to_owned()]),
+            boxes: BTreeMap::new(),
         },
     );
-    let queue = view::Queue { name: "q".to_owned(), pending: 1, running: 2, ended: 3 };
+    let queue = view::Queue {
+        name: "q".to_owned(),
+        pending: 1,
+        running: 2,
+        ended: 3,
+        ..view::Queue::default()
+    };
     lines.json("queue", &queue);
     lines.json(
         "worker",
@@ -569,6 +606,24 @@
                 crashes: vec![crash(Evidence::OnlyRecent), crash(Evidence::Correlated)],
                 given_up: true,
             }],
+            history: Vec::new(),
+            left_out: 0,
+        },
+    );
+    let decision =
+        |place, what: &str| view::history::Decision { age_s: 0.5, place, what: what.to_owned() };
+    lines.json(
+        "job-history",
+        &view::Job {
+            id: "5c0e".to_owned(),
+            queue: "q".to_owned(),
+            service: "work".to_owned(),
+            account: None,
+            state: JobState::Failed,
+            steps: Vec::new(),
+            crashed: Vec::new(),
+            history: vec![decision(Some((1, 2, 3)), "lost with i-1"), decision(None, "job ended")],
+            left_out: 4,
         },
     );
     let wave = view::Wave { number: 3, machines: 9, begun: 4, max_down: 2, over: false };
