--- a/lib/src/batch/node/outlook.rs
+++ b/lib/src/batch/node/outlook.rs
@@ -26,7 +26,7 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// What the outlook that a node has says of a job.
-struct Hopeless {
+struct Verdict {
     /// Number of the outlook.
     number: u64,
     /// Its age.
@@ -74,27 +74,27 @@
     ) -> Option<Duration> {
         let multiple = self.options.refuse_after_objectives;
         let now = clock::now();
-        let (arrival, hopeless) = self.find_hopeless(accepted, multiple, now)?;
-        let Some(is_over_rate) = self.confirm_refusal(id, caller, hopeless.number).await else {
+        let (arrival, verdict) = self.find_refusal(accepted, multiple, now)?;
+        let Some(is_over_rate) = self.confirm_refusal(id, caller, verdict.number).await else {
             self.counters.count("batch.submit.outlook-unconfirmed");
             return None;
         };
         let arrival = Arrival { is_over_rate, ..arrival };
-        let Some(until_served) = hopeless.service.time_until_served(&arrival, multiple) else {
+        let Some(until_served) = verdict.service.time_until_served(&arrival, multiple) else {
             self.counters.count("batch.submit.outlook-within-rate");
             return None;
         };
         let nodes = self.directory.count().unwrap_or(1).max(1);
         let (name, work) = (&accepted.service, work_of(accepted));
-        let service = &hopeless.service;
+        let service = &verdict.service;
         let delay = self.outlook().plan_return(name, service, work, until_served, nodes, now);
         self.counters.count("batch.submit.refused.outlook");
         let wait = service.wait(&arrival);
         log::info!(
             job = format!("{id:016x}").as_str(),
             service = name.as_str(),
-            outlook = hopeless.number,
-            age_ms = hopeless.age.as_millis() as u64,
+            outlook = verdict.number,
+            age_ms = verdict.age.as_millis() as u64,
             over_rate = is_over_rate,
             wait_ms = wait.late.as_millis() as u64,
             objective_ms = arrival.objective.as_millis() as u64,
@@ -106,12 +106,12 @@
 
     /// The job, if by a fresh outlook of the leader it would be useless to its caller as a job
     /// above its account's rate.
-    fn find_hopeless(
+    fn find_refusal(
         &self,
         accepted: &Accepted,
         multiple: u32,
         now: Instant,
-    ) -> Option<(Arrival, Hopeless)> {
+    ) -> Option<(Arrival, Verdict)> {
         // While the store fails, an earlier attempt may have been written without an answer.
         if multiple == 0 || !self.commit_queue.is_store_available(now) {
             return None;
@@ -121,7 +121,7 @@
         let service = outlook.services.get(&accepted.service)?;
         let arrival = Arrival::of(accepted)?;
         service.time_until_served(&arrival, multiple)?;
-        Some((arrival, Hopeless { number: outlook.number, age, service: service.clone() }))
+        Some((arrival, Verdict { number: outlook.number, age, service: service.clone() }))
     }
 
     /// Asks the leader whether it has no job of this id; returns whether the caller's account sends
