--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,8 @@
-"""Case 3: an order for upkeep gets no answer and is carried out late, and the leader that gave it
-is killed at once."""
+"""Case 1: the store is down for some seconds while workers finish many short tasks."""
 
 import asyncio
 import json
 import os
-import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -12,84 +10,85 @@
 import standin  # noqa: E402
 
 DAEMONS = 6
-WORKERS = 24
-WAVE = 1
-MAXIMUM = 1
-TRIES = 5
-# An order is carried out 2 to 12 s later.
-LATE_S = (2.0, 12.0)
-PAUSE_S = 3.0
+WORKERS = 2
+JOBS = 30
+TASKS = 200
+# A task takes two thirds of a core for a quarter of a second: a worker runs 50 of them at a time.
+CPU, MEM, WORK_S = 640, 256, 0.25
+# The outages of the store on the site last 4.5 s; this is less than twice as long.
+OUTAGE_S = 7.0
 
 
-class Delay:
-    """Holds back one order in each try, and carries it out late."""
+async def hand_in(site, number):
+    job = f"{number + 1:016x}"
+    site.shapes[job] = (CPU, MEM, WORK_S, "done")
+    step = {"count": TASKS, "cpu": CPU, "memMb": MEM, "estimateMs": int(WORK_S * 1000)}
+    body = json.dumps({"spec": "short tasks", "steps": [step]}).encode()
+    for attempt in range(20):
+        daemon = site.daemons[(number + attempt) % DAEMONS]
+        status, _ = await standin.request(
+            daemon.ip, daemon.front, "POST", standin.PREFIX + job, body, 3)
+        site.record.add(f"client  POST {job} at {daemon.name}: {status}")
+        if status == 200:
+            return job
+        await asyncio.sleep(0.2)
+    raise RuntimeError(f"job {job} was not accepted")
 
-    def __init__(self, site):
-        self.site, self.is_armed = site, False
-        self.held = None
 
-    def __call__(self, order):
-        """Whether the order is held back."""
-        if self.held is not None and order == self.held[1]:
-            # The second copy of the same order is lost.
-            return True
-        if not self.is_armed:
-            return False
-        self.is_armed = False
-        self.held = (self.site.record.now(), order)
-        self.site.record.say(f"the order for upkeep of {order[0]} by {order[2]} token {order[3]} "
-                             "gets no answer")
-        leader = next(daemon for daemon in self.site.daemons if daemon.name == order[2])
-        leader.signal(signal.SIGKILL)
-        self.site.record.say(f"{leader.name}, which gave it, is killed")
-        return True
+async def state(site, job):
+    for daemon in site.daemons:
+        status, body = await standin.request(
+            daemon.ip, daemon.front, "GET", standin.PREFIX + job, b"", 3)
+        if status == 200:
+            return json.loads(body)["state"]
+    return None
 
-    async def carry_out(self):
-        """Carries the held order out, within its time, while another machine is down if one is."""
-        at, order = self.held
-        while self.site.record.now() - at < LATE_S[1] - 0.1:
-            await asyncio.sleep(0.02)
-            is_late = self.site.record.now() - at >= LATE_S[0]
-            if is_late and self.site.cloud.down_for(WAVE):
-                break
-        status, body = self.site.cloud.execute(order)
-        self.held = None
-        self.site.record.say(f"the late order for {order[0]} is carried out: {status} "
-                             f"{body.decode()}")
 
-
-def find_limit(site):
-    return [
-        f"LIMIT: the upkeep of {order[0]} begins at {at:.3f} by {order[2]} token {order[3]} while "
-        f"{down} of its wave are down, with a maximum of {MAXIMUM}"
-        for at, order, down in site.upkeeps if len(down) >= MAXIMUM
+def find_twice(site):
+    """Starts after a run of the task ended `done`, where that end was taken note of at any time."""
+    seen = {}
+    for worker, told in site.seen_at.items():
+        seen[worker] = max(number for _, number in told)
+    done = {}
+    lapsed = {worker for _, _, _, how, worker, _ in site.ends if how == "lapsed"}
+    for at, task, run, how, worker, number in site.ends:
+        noted = number <= seen.get(worker, 0) and worker not in lapsed
+        if how == "done" and noted:
+            done.setdefault(task, (at, run, worker, number))
+    broken = [
+        f"TWICE: {task} was started at {at:.3f} (run {run} on {worker}) beside run {other} on {on}"
+        for at, task, run, worker, other, on in site.overlaps
     ]
+    for at, task, run, worker, token in site.starts:
+        if task in done and at > done[task][0]:
+            ended, before, on, number = done[task]
+            broken.append(
+                f"TWICE: {task} ended done at {ended:.3f} (run {before} on {on}, end {number}, taken "
+                f"note of) and was started again at {at:.3f} (run {run} on {worker})")
+    return broken
 
 
 async def main(site, trouble):
     await site.start(DAEMONS, WORKERS)
     await asyncio.sleep(2)
-    machines = sorted(site.machines)
-    site.cloud.waves[WAVE] = set(machines)
-    delay = Delay(site)
-    site.cloud.delays = delay
-    wave = {"wave": WAVE, "machines": machines, "durationS": 60, "maximum": MAXIMUM}
-    site.store.put("keyed.op", f"wave/{WAVE}", standin.dump(wave))
-    site.record.say(f"a wave of {len(machines)} machines, {MAXIMUM} at once")
-    for _ in range(TRIES):
-        await asyncio.sleep(PAUSE_S)
-        if not trouble:
-            continue
-        delay.is_armed = True
-        while delay.held is None:
-            await asyncio.sleep(0.02)
-        await delay.carry_out()
-        if find_limit(site):
+    jobs = await asyncio.gather(*(hand_in(site, number) for number in range(JOBS)))
+    site.record.say(f"{len(jobs)} jobs of {TASKS} tasks are accepted")
+    if trouble:
+        await asyncio.sleep(0.3)
+        site.store.down = "busy"
+        site.record.say("the store is down")
+        await asyncio.sleep(OUTAGE_S)
+        site.store.down = None
+        site.record.say("the store is back")
+    left = list(jobs)
+    for _ in range(300):
+        left = [job for job in left if await state(site, job) != "succeeded"]
+        if not left:
             break
-    if not trouble:
-        await asyncio.sleep(PAUSE_S * TRIES)
-    site.record.say(f"{len(site.upkeeps)} upkeeps have begun")
-    return find_limit(site)
+        await asyncio.sleep(0.2)
+    site.record.say(f"{len(jobs) - len(left)} of {len(jobs)} jobs are shown as succeeded, "
+                    f"{len(site.starts)} starts for {JOBS * TASKS} tasks")
+    return find_twice(site)
 
 
 standin.run(main, FOLDER)
--- a/review/standin.py
+++ b/review/standin.py
@@ -61,9 +61,10 @@
         print(f"{self.now():9.3f} {text}", flush=True)
 
 
-async def serve_http(ip, port, handler, most=100_000):
+async def serve_http(ip, port, handler, most=100_000, is_half_open=lambda: False):
     """Serves HTTP/1.1 with keep-alive, on at most so many connections. The handler returns (status,
-    body), or None for silence."""
+    body), or None for silence. A connection that ends while `is_half_open` keeps its place: its
+    machine has lost power, and the server hears nothing of that."""
     open_now = set()
 
     async def on_connection(reader, writer):
@@ -99,7 +100,8 @@
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             pass
         finally:
-            open_now.discard(writer)
+            if not is_half_open():
+                open_now.discard(writer)
             writer.close()
 
     server = await asyncio.start_server(on_connection, ip, port, backlog=512, limit=1 << 24)
@@ -288,7 +290,8 @@
         self.seq = 0
 
     async def start(self, ip):
-        self.server, self.port = await serve_http(ip, 0, self.handle, CONNECTIONS)
+        self.server, self.port = await serve_http(
+            ip, 0, self.handle, CONNECTIONS, lambda: self.site.is_power_lost)
         self.address = f"{ip}:{self.port}"
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.advance())]
 
@@ -489,7 +492,8 @@
         self.name = f"front-{number}"
         self.child = None
         self.restarts = True
-        self.frozen = False
+        # For how long its machine is without power.
+        self.dark_s = 0
         ports = free_ports(ip)
         self.front, self.readiness, self.control = ports[:3]
         self.first_port = ports[3]
@@ -568,7 +572,7 @@
         self.site.record.add(f"{self.name} started, process {self.child.pid}")
 
     def is_up(self):
-        return self.child is not None and self.child.poll() is None and not self.frozen
+        return self.child is not None and self.child.poll() is None
 
     def signal(self, number):
         self.child.send_signal(number)
@@ -618,6 +622,8 @@
         self.upkeeps = []
         self.watchdog = None
         self.stopping = False
+        # A daemon has just lost power: connections that end now are half open for the workers.
+        self.is_power_lost = False
 
     def shape(self, task, spec):
         """CPU, memory, work time (None lasts) and outcome of a task, by its job's spec."""
@@ -697,11 +703,27 @@
             for daemon in self.daemons:
                 if daemon.child.poll() is not None and daemon.restarts:
                     self.record.say(f"{daemon.name} ended with {daemon.child.returncode}")
-                    await asyncio.sleep(0.5)
-                    if not self.stopping:
-                        daemon.start()
+                    daemon.restarts = False
+                    asyncio.create_task(self.restart(daemon, daemon.dark_s or 0.5))
             await asyncio.sleep(0.02)
 
+    async def restart(self, daemon, after_s):
+        await asyncio.sleep(after_s)
+        if not self.stopping:
+            daemon.dark_s = 0
+            daemon.start()
+            daemon.restarts = True
+
+    async def lose_power(self, daemon, for_s):
+        """A daemon's machine loses power for some seconds."""
+        self.record.say(f"{daemon.name} loses power for {for_s} s")
+        daemon.dark_s = for_s
+        self.is_power_lost = True
+        daemon.signal(signal.SIGKILL)
+        daemon.child.wait()
+        await asyncio.sleep(0.25)
+        self.is_power_lost = False
+
     async def all_ready(self):
         for daemon in self.daemons:
             status, _ = await request(daemon.ip, daemon.readiness, "GET", "/api/readiness", b"", 1)
