--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Case 1: the store is down for some seconds while workers finish many short tasks."""
+"""Case 3: the store is down for some seconds while workers finish many short tasks."""
 
 import asyncio
 import json
