--- a/review/further/limit/case.py
+++ b/review/further/limit/case.py
@@ -1,4 +1,4 @@
-"""Case 3: an order for upkeep gets no answer and is carried out late, and the leader that gave it
+"""An order for upkeep gets no answer and is carried out late, and the leader that gave it
 is killed at once."""
 
 import asyncio
@@ -8,7 +8,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.dirname(FOLDER))
+sys.path.insert(0, os.path.dirname(os.path.dirname(FOLDER)))
 import standin  # noqa: E402
 
 DAEMONS = 6
--- a/review/further/unasked/case.py
+++ b/review/further/unasked/case.py
@@ -1,4 +1,4 @@
-"""Case 2: long-running jobs are handed in and cancelled while the leader is killed and restarted."""
+"""Long-running jobs are handed in and cancelled while the leader is killed and restarted."""
 
 import asyncio
 import json
@@ -8,7 +8,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.dirname(FOLDER))
+sys.path.insert(0, os.path.dirname(os.path.dirname(FOLDER)))
 import standin  # noqa: E402
 
 DAEMONS = 6
