--- a/review/standin.py
+++ b/review/standin.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -567,7 +568,8 @@
         env["SPOKELIFT_NODE_FILE"] = self.file
         log = open(os.path.join(self.site.folder, f"{self.name}.log"), "ab")
         self.child = subprocess.Popen(
-            self.site.command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+            self.site.command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+            preexec_fn=end_with_parent)
         log.close()
         self.site.record.add(f"{self.name} started, process {self.child.pid}")
 
@@ -578,6 +580,12 @@
         self.child.send_signal(number)
 
 
+def end_with_parent():
+    """Has the system end this process if the script is killed."""
+    pr_set_pdeathsig = 1
+    ctypes.CDLL(None).prctl(pr_set_pdeathsig, signal.SIGKILL)
+
+
 def free_ports(ip):
     """Three free ports for the interfaces, and the first of four free ones in a row."""
     while True:
@@ -732,7 +740,7 @@
         return True
 
     def lease(self):
-        """Name of the node in the newest record of the leader lease, and how often it changed."""
+        """Name of the node in the newest record of the leader lease."""
         value = self.store.newest("keyed.lead", "lead")
         return None if value is None else value[1:1 + value[0]].decode()
 
