dispatch: few connections to a worker, all calls share one if it accepts no more

Callers saw: accepted jobs that never end after leaders have lost power (LOST).

Cause: each start, stop and poll in flight took a connection of its own, and up to 64 were kept idle for an address, as many as a worker accepts in all. A worker goes on counting the connections of a box without power. After some leaders the next one got one connection, which its waiting poll took; that poll renewed the lease, while each stop was sent on a new connection, rejected and repeated for ever.

Ruled out: jobs that are not known (their tasks wait for a stop), unresponsive workers (polls are answered).

Change: two orders in flight to a worker, up to eight while those wait for over 20 ms; three idle connections in place of 64; if a worker rejects two new connections within 2 s, its calls share one for 5 s, and polls do not wait there. A rejected connection is counted and named as such.

--- a/lib/src/batch/availability.rs
+++ b/lib/src/batch/availability.rs
@@ -90,6 +90,7 @@
         let what = match event {
             Event::Opened => "opened",
             Event::Unreachable => "unreachable",
+            Event::Rejected => "rejected",
             Event::Unanswered { is_reused: kept, closed_idle: given_up } => {
                 let addr = addr.to_string();
                 log::info!(service, addr = addr.as_str(), kept, given_up; "request without an answer");
--- a/lib/src/batch/dispatch.rs
+++ b/lib/src/batch/dispatch.rs
@@ -7,6 +7,7 @@
 //! A dispatcher may act only while its [`Lease`] is valid, so that a scheduler that has assigned the shard to another
 //! node knows when the dispatcher has stopped acting.
 
+pub mod call_limit;
 pub mod lease;
 pub mod message;
 mod order;
@@ -20,6 +21,7 @@
 use std::sync::MutexGuard;
 use std::time::Instant;
 
+use spokelift_platform::call::CallError;
 use spokelift_platform::worker::WorkerClient;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -112,7 +114,8 @@
     /// Stops all its tasks and drops all workers.
     pub fn stop(&self) {
         self.cancellation.cancel();
-        self.sessions().clear();
+        let sessions = std::mem::take(&mut *self.sessions());
+        sessions.values().for_each(|session| self.end_session(session));
     }
 
     /// Whether it was stopped.
@@ -123,7 +126,7 @@
     fn add_worker(self: &Arc<Self>, number: WorkerNumber, session: WorkerSession) {
         let session = Arc::new(session);
         if let Some(previous) = self.sessions().insert(number, session.clone()) {
-            previous.cancellation.cancel();
+            self.end_session(&previous);
         }
         let cancellation = session.cancellation.clone();
         let polls = poll::poll_worker(self.clone(), number, session);
@@ -134,7 +137,25 @@
 
     fn remove_worker(&self, number: WorkerNumber) {
         if let Some(session) = self.sessions().remove(&number) {
-            session.cancellation.cancel();
+            self.end_session(&session);
+        }
+    }
+
+    /// Ends the calls of a session and closes its connections, which count among those that the
+    /// worker accepts.
+    fn end_session(&self, session: &WorkerSession) {
+        session.cancellation.cancel();
+        self.context.workers.close_idle(&session.peer);
+    }
+
+    /// Records that a call to a worker failed.
+    fn record_error(&self, session: &WorkerSession, error: &CallError) {
+        if error.is_rejected_connection() && session.calls.record_rejection() {
+            self.context.counters.count("batch.worker.connections-exhausted");
+            log::warn!(
+                worker:% = session.peer.incarnation;
+                "worker rejects new connections, calls share one"
+            );
         }
     }
 
--- a/lib/src/batch/dispatch/order.rs
+++ b/lib/src/batch/dispatch/order.rs
@@ -50,10 +50,17 @@
 async fn start_one(dispatcher: &Dispatcher, spec: &str, start: Start) -> Option<Event> {
     let Start { number, task, run, checkpoint, ticket } = start;
     let not_started = |why| Some(Event::NotStarted { number, task, run, why });
-    let session = dispatcher.session(number);
-    let Some(session) = session.filter(|_| dispatcher.lease.is_valid()) else {
+    let Some(session) = dispatcher.session(number) else {
         return not_started(None);
     };
+    let Ok(_permit) = timeout(START_TIMEOUT, session.calls.permit_order()).await else {
+        dispatcher.context.counters.count("batch.start.not-permitted");
+        log_start_rejected(&session, (task, run), true, &"too many orders wait for an answer");
+        return not_started(None);
+    };
+    if session.cancellation.is_cancelled() || !dispatcher.lease.is_valid() {
+        return not_started(None);
+    }
     let Some(lease_until) = session.state().request_lease(clock::now()) else {
         return not_started(None);
     };
@@ -79,6 +86,7 @@
         }
         StartOutcome::Failed(error) => error,
     };
+    dispatcher.record_error(&session, &error);
     let why = Refusal::from_error(&error);
     if let CallError::Refused { body, .. } = &error {
         // A worker accepts the lease also of a start that it refuses.
@@ -189,11 +197,13 @@
     (task, run): RunName,
 ) {
     loop {
+        let permit = session.calls.permit_order().await;
         let sent = dispatcher
             .context
             .workers
             .stop_run(&session.peer, task, run, session.token, ORDER_TIMEOUT)
             .await;
+        drop(permit);
         let at = dispatcher.offset_micros(clock::now());
         let stopped = Event::Stopped { number, task, run, at };
         match sent {
@@ -202,15 +212,18 @@
                 poll_now(dispatcher, number, session).await;
                 return;
             }
-            Err(error) => match Refusal::from_error(&error) {
-                Some(Refusal::Fenced) => {
-                    return dispatcher.emit(Event::Fenced { number, token: session.token });
+            Err(error) => {
+                dispatcher.record_error(session, &error);
+                match Refusal::from_error(&error) {
+                    Some(Refusal::Fenced) => {
+                        return dispatcher.emit(Event::Fenced { number, token: session.token });
+                    }
+                    Some(Refusal::OtherLife) => return dispatcher.emit(Event::OtherId { number }),
+                    Some(Refusal::Unhealthy) | None => {}
+                    // Refused permanently: the worker knows the run or a later one.
+                    Some(_) => return dispatcher.emit(stopped),
                 }
-                Some(Refusal::OtherLife) => return dispatcher.emit(Event::OtherId { number }),
-                Some(Refusal::Unhealthy) | None => {}
-                // Refused permanently: the worker knows the run or a later one.
-                Some(_) => return dispatcher.emit(stopped),
-            },
+            }
         }
         sleep(RETRY_DELAY).await;
     }
@@ -227,9 +240,13 @@
     let shared = dispatcher.clone();
     dispatcher.spawn(async move {
         let (workers, token) = (&shared.context.workers, session.token);
+        let Ok(_permit) = timeout(ORDER_TIMEOUT, session.calls.permit_order()).await else {
+            return log::debug!("setting the pace of {} waited too long", run.0);
+        };
         if let Err(error) =
             workers.set_pace(&session.peer, run, percent, token, ORDER_TIMEOUT).await
         {
+            shared.record_error(&session, &error);
             log::debug!("setting the pace of {} failed: {error}", run.0);
         }
     });
--- a/lib/src/batch/dispatch/poll.rs
+++ b/lib/src/batch/dispatch/poll.rs
@@ -30,6 +30,8 @@
 const POLL_NOW_TIMEOUT: Duration = Duration::from_millis(300);
 /// Delay after a failed poll.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time between polls that share one connection with the orders.
+const SHARED_POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest delay of the next poll of a worker while the store does not have what the last one returned.
 const STORE_WAIT: Duration = Duration::from_millis(300);
 /// Time between checks whether the dispatch lease is valid again.
@@ -42,16 +44,24 @@
     session: Arc<WorkerSession>,
 ) {
     loop {
-        while !dispatcher.lease.is_valid() {
+        let permit = session.calls.permit_regular_poll().await;
+        if !dispatcher.lease.is_valid() {
+            drop(permit);
             sleep(LEASE_CHECK_INTERVAL).await;
+            continue;
         }
         let sent = clock::now();
         let message = next_poll(&session, sent);
-        match dispatcher.context.workers.poll(&session.peer, &message, POLL_TIMEOUT).await {
+        let answer = dispatcher.context.workers.poll(&session.peer, &message, POLL_TIMEOUT).await;
+        drop(permit);
+        match answer {
             Ok(response) => {
                 if !report_answer(&dispatcher, number, &session, sent, response) {
                     return;
                 }
+                if session.calls.is_shared() {
+                    sleep(SHARED_POLL_INTERVAL).await;
+                }
                 // The next poll renews the lease and acknowledges the listed ends.
                 await_state(&session, &session.renewal_enabled, |state| state.renews_lease).await;
                 await_state(&session, &session.durable_changed, |state| {
@@ -81,13 +91,17 @@
     // It may use another connection than the polls that wait, so another incarnation may answer it: it renews no lease
     // and acknowledges no end.
     let request = Poll { token: session.token, acknowledged_end: 0, lease_until: None, wait_ms: 0 };
+    let permit = timeout(POLL_NOW_TIMEOUT, session.calls.permit_immediate_poll()).await.ok()?;
     let sent = clock::now();
-    match dispatcher.context.workers.poll(&session.peer, &request, POLL_NOW_TIMEOUT).await {
+    let answer = dispatcher.context.workers.poll(&session.peer, &request, POLL_NOW_TIMEOUT).await;
+    drop(permit);
+    match answer {
         Ok(response) => {
             report_answer(dispatcher, number, session, sent, response.clone()).then_some(response)
         }
         // Only the regular polls decide whether the worker is unresponsive.
         Err(error) => {
+            dispatcher.record_error(session, &error);
             log::debug!("immediate poll of worker {} failed: {error}", session.peer.incarnation);
             None
         }
@@ -151,6 +165,7 @@
     error: &CallError,
 ) -> bool {
     dispatcher.context.counters.count("batch.look.failed");
+    dispatcher.record_error(session, error);
     match Refusal::from_error(error) {
         Some(Refusal::Fenced) => {
             dispatcher.emit(Event::Fenced { number, token: session.token });
@@ -172,9 +187,10 @@
 }
 
 fn next_poll(session: &WorkerSession, now: Instant) -> Poll {
+    let is_shared = session.calls.is_shared();
     let mut state = session.state();
     let is_settled = state.renews_lease && state.reported_end == state.durable_end;
-    let waits = state.clock.is_some() && state.failed_polls == 0 && is_settled;
+    let waits = state.clock.is_some() && state.failed_polls == 0 && is_settled && !is_shared;
     let wait = match (waits, state.fast_polling) {
         (false, _) => Duration::ZERO,
         (true, true) => SHORT_POLL_WAIT,
--- a/lib/src/batch/dispatch/session.rs
+++ b/lib/src/batch/dispatch/session.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::batch::dispatch::call_limit::CallLimit;
 use crate::batch::worker::WORKER_LEASE;
 use crate::batch::worker::is_clock_discontinuous;
 
@@ -29,6 +30,8 @@
     /// Fencing token of all calls to it.
     pub token: Token,
     state: Mutex<State>,
+    /// Limits the concurrent calls to it.
+    pub calls: CallLimit,
     /// Notified when [`State::durable_end`] changes.
     pub durable_changed: Notify,
     /// Notified when [`State::renews_lease`] is set.
@@ -76,7 +79,8 @@
         };
         let (state, cancellation) = (Mutex::new(state), CancellationToken::new());
         let (durable_changed, renewal_enabled) = (Notify::new(), Notify::new());
-        WorkerSession { peer, token, state, durable_changed, renewal_enabled, cancellation }
+        let calls = CallLimit::default();
+        WorkerSession { peer, token, state, calls, durable_changed, renewal_enabled, cancellation }
     }
 
     pub(super) fn state(&self) -> MutexGuard<'_, State> {
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -35,6 +35,7 @@
 use crate::batch::directory;
 use crate::batch::directory::Directory;
 use crate::batch::dispatch::Context;
+use crate::batch::dispatch::call_limit::MAX_IDLE_CONNECTIONS;
 use crate::batch::dispatch::remote::RemoteDispatch;
 use crate::batch::evacuated_halls::EvacuatedHalls;
 use crate::batch::gossip;
@@ -127,7 +128,7 @@
             .with_exchange_handler(costs::count_exchanges(counters.clone()));
         Arc::new(Node {
             store: Store::new(settings.store, dialer.clone()),
-            workers: WorkerClient::new(dialer.clone()),
+            workers: WorkerClient::new(dialer.clone().with_max_idle(MAX_IDLE_CONNECTIONS)),
             machines: settings.machines.map(|addr| Machines::new(addr, dialer.clone())),
             machines_availability: Availability::default(),
             store_route: Route::default(),
--- a/lib/src/call/attempt.rs
+++ b/lib/src/call/attempt.rs
@@ -124,7 +124,7 @@
                 payload.restore_body(request.into_body());
                 Attempt::NotRun(Reason::Unreachable)
             }
-            Ok(Err(SendError::Cut(_))) => Attempt::Unknown(Reason::Cut),
+            Ok(Err(SendError::Cut(_) | SendError::Rejected(_))) => Attempt::Unknown(Reason::Cut),
             Err(_) => Attempt::Unknown(Reason::Timeout),
         }
     }
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -24,7 +24,7 @@
 }
 
 /// Reads the body of a request as JSON; null if it is invalid.
-pub(crate) async fn read_json(body: Incoming) -> Value {
+pub async fn read_json(body: Incoming) -> Value {
     use http_body_util::BodyExt;
     match body.collect().await {
         Ok(body) => serde_json::from_slice(&body.to_bytes()).unwrap_or(Value::Null),
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -47,6 +48,8 @@
     pub answer: Flow,
     /// Whether new connections are closed at once and open ones are cut.
     pub refuse: bool,
+    /// While so many connections are open, new ones are closed at once. `None` for no limit.
+    pub max_connections: Option<usize>,
 }
 
 /// The direction of a connection that is black-holed.
@@ -77,6 +80,7 @@
     fault: Arc<watch::Sender<Fault>>,
     black_holes: Arc<watch::Sender<BlackHoles>>,
     connection_count: Arc<AtomicU64>,
+    open_connections: Arc<OpenConnections>,
     forwarded_bytes: Arc<AtomicU64>,
     _task: Arc<AbortOnDrop>,
 }
@@ -104,9 +108,11 @@
         let (black_holes, black_hole_rx) = watch::channel(BlackHoles::default());
         let forwarded_bytes = Arc::new(AtomicU64::new(0));
         let connection_count = Arc::new(AtomicU64::new(0));
+        let open_connections = Arc::<OpenConnections>::default();
         let context = ConnectionContext {
             faults: fault_rx,
             black_holes: black_hole_rx,
+            open_connections: open_connections.clone(),
             forwarded_bytes: forwarded_bytes.clone(),
             requests: LinkUse::default(),
             answers: LinkUse::default(),
@@ -119,7 +125,16 @@
         ));
         let _task = Arc::new(AbortOnDrop(task.abort_handle()));
         let (fault, black_holes) = (Arc::new(fault), Arc::new(black_holes));
-        Ok(Proxy { addr, upstream, fault, black_holes, connection_count, forwarded_bytes, _task })
+        Ok(Proxy {
+            addr,
+            upstream,
+            fault,
+            black_holes,
+            connection_count,
+            open_connections,
+            forwarded_bytes,
+            _task,
+        })
     }
 
     /// Changes the server of later connections.
@@ -152,6 +167,16 @@
         self.connection_count.load(Ordering::SeqCst)
     }
 
+    /// Number of connections that are open now.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.now.load(Ordering::SeqCst)
+    }
+
+    /// Largest number of connections that were open at the same time.
+    pub fn max_open_connections(&self) -> usize {
+        self.open_connections.max.load(Ordering::SeqCst)
+    }
+
     /// Number of bytes forwarded so far, in both directions.
     pub fn forwarded_bytes(&self) -> u64 {
         self.forwarded_bytes.load(Ordering::SeqCst)
@@ -163,6 +188,7 @@
 struct ConnectionContext {
     faults: watch::Receiver<Fault>,
     black_holes: watch::Receiver<BlackHoles>,
+    open_connections: Arc<OpenConnections>,
     forwarded_bytes: Arc<AtomicU64>,
     requests: LinkUse,
     answers: LinkUse,
@@ -197,17 +223,46 @@
     }
 }
 
+/// Numbers of open connections.
+#[derive(Default)]
+struct OpenConnections {
+    now: AtomicUsize,
+    max: AtomicUsize,
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenConnection(Arc<OpenConnections>);
+
+impl OpenConnection {
+    /// `None` if `limit` connections are open already.
+    fn count(open: &Arc<OpenConnections>, limit: Option<usize>) -> Option<OpenConnection> {
+        let connection = OpenConnection(open.clone());
+        let before = open.now.fetch_add(1, Ordering::SeqCst);
+        if limit.is_some_and(|limit| before >= limit) {
+            return None;
+        }
+        open.max.fetch_max(before + 1, Ordering::SeqCst);
+        Some(connection)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.now.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 async fn forward_connection(
     client: TcpStream,
     to: SocketAddr,
     context: ConnectionContext,
     number: u64,
 ) {
-    let ConnectionContext { faults, black_holes, forwarded_bytes, requests, answers } = context;
+    let ConnectionContext { faults, black_holes, forwarded_bytes, requests, answers, .. } = context;
     let (request_link, answer_link) = (requests, answers);
-    if faults.borrow().refuse {
-        return;
-    }
+    let Fault { refuse, max_connections, .. } = *faults.borrow();
+    let open = OpenConnection::count(&context.open_connections, max_connections);
+    let Some(_open) = open.filter(|_| !refuse) else { return };
     let Ok(server) = TcpStream::connect(to).await else {
         return;
     };
--- a/testutils/src/scenario.rs
+++ b/testutils/src/scenario.rs
@@ -291,7 +291,7 @@
 
     fn hold(&mut self, case: &mut TestCase) -> String {
         let daemon: usize = required_arg(case, "log");
-        let fault = Fault { request: Flow::Hold, answer: Flow::Hold, refuse: false };
+        let fault = Fault { request: Flow::Hold, answer: Flow::Hold, ..Fault::default() };
         self.fixture().log_links[daemon].set_fault(fault);
         "set".to_owned()
     }
--- a/testutils/tests/test_black_holes.rs
+++ b/testutils/tests/test_black_holes.rs
@@ -128,7 +128,7 @@
 async fn an_address_that_never_answers_gets_two_connections_a_call_at_most() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let proxy = Proxy::start(listener.local_addr().unwrap()).await.unwrap();
-    proxy.set_fault(Fault { answer: Flow::Hold, request: Flow::Hold, refuse: false });
+    proxy.set_fault(Fault { answer: Flow::Hold, request: Flow::Hold, ..Fault::default() });
     let dialer = Dialer::new(CALL_TIMEOUT);
     let calls = (0..OPEN_CONNECTIONS).map(|_| call_again(&dialer, proxy.addr));
     assert!(join_all(calls).await.iter().all(Result::is_err));
--- a/transport/src/dial.rs
+++ b/transport/src/dial.rs
@@ -54,6 +54,8 @@
 /// Maximum number of concurrent connection attempts to one address. Concurrent calls need a few; to
 /// an address that does not respond, this many attempts are made in each `connect_timeout`.
 const MAX_CONNECTING: usize = 8;
+/// Maximum number of idle connections to one address, unless the caller sets another.
+const MAX_IDLE_CONNECTIONS: usize = 64;
 /// How long an idle connection may take to become ready before a new one is opened.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -85,6 +87,9 @@
     NotSent(Box<Request<Body>>, NotSent),
     /// The request may have been received.
     Cut(hyper::Error),
+    /// The request may have been received. It was the first one on its connection: the server may
+    /// accept no more connections.
+    Rejected(hyper::Error),
 }
 
 /// Why a request was not sent.
@@ -108,6 +113,9 @@
     Opened,
     /// No connection could be opened.
     Unreachable,
+    /// A new connection ended before the first response on it: the server may accept no more
+    /// connections.
+    Rejected,
     /// A request got no response for at least 300 ms, and then was abandoned or its connection
     /// ended.
     Unanswered {
@@ -129,6 +137,7 @@
         match self {
             SendError::NotSent(_, cause) => f.debug_tuple("NotSent").field(cause).finish(),
             SendError::Cut(cause) => f.debug_tuple("Cut").field(cause).finish(),
+            SendError::Rejected(cause) => f.debug_tuple("Rejected").field(cause).finish(),
         }
     }
 }
@@ -138,6 +147,8 @@
 pub struct Dialer {
     pool: Arc<ConnectionPool>,
     connect_timeout: Duration,
+    /// Maximum number of idle connections to one address.
+    max_idle: usize,
     on_event: Option<EventHandler>,
     on_exchange: Option<ExchangeHandler>,
 }
@@ -145,7 +156,19 @@
 impl Dialer {
     /// Creates a dialer that waits up to `connect_timeout` for a connection.
     pub fn new(connect_timeout: Duration) -> Dialer {
-        Dialer { pool: Arc::default(), connect_timeout, on_event: None, on_exchange: None }
+        let (pool, max_idle) = (Arc::default(), MAX_IDLE_CONNECTIONS);
+        Dialer { pool, connect_timeout, max_idle, on_event: None, on_exchange: None }
+    }
+
+    /// Returns a dialer that shares the connections of this one, and keeps at most `max_idle` idle
+    /// connections to each address that it calls.
+    pub fn with_max_idle(self, max_idle: usize) -> Dialer {
+        Dialer { max_idle, ..self }
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn close_idle(&self, addr: SocketAddr) {
+        self.pool.close_idle(addr);
     }
 
     /// Returns the same dialer, which calls `handler` with each event of its connections.
@@ -256,14 +279,20 @@
                 let connection = ConnectionReturn { dialer, addr, sender, is_reused };
                 Ok(response.map(|incoming| ResponseBody::new(incoming, connection)))
             }
-            Err(mut error) => Err(match error.take_message() {
-                Some(unsent) => {
-                    pending.is_finished = true;
-                    let cause = NotSent::Closed(error.into_error());
-                    SendError::NotSent(Box::new(unsent), cause)
+            Err(mut error) => {
+                if !is_reused {
+                    self.emit(addr, Event::Rejected);
                 }
-                None => SendError::Cut(error.into_error()),
-            }),
+                Err(match error.take_message() {
+                    Some(unsent) => {
+                        pending.is_finished = true;
+                        let cause = NotSent::Closed(error.into_error());
+                        SendError::NotSent(Box::new(unsent), cause)
+                    }
+                    None if is_reused => SendError::Cut(error.into_error()),
+                    None => SendError::Rejected(error.into_error()),
+                })
+            }
         }
     }
 
--- a/transport/src/dial/exchange.rs
+++ b/transport/src/dial/exchange.rs
@@ -36,6 +36,10 @@
     /// The request may have been received.
     #[error("cut: {0}")]
     Cut(hyper::Error),
+    /// The request may have been received. It was the first one on its connection: the server may
+    /// accept no more connections.
+    #[error("a new connection was closed: {0}")]
+    Rejected(hyper::Error),
     /// The body of the response was not read to its end.
     #[error(transparent)]
     Body(#[from] BodyError),
@@ -53,6 +57,24 @@
     Request(#[from] hyper::http::Error),
 }
 
+impl ExchangeError {
+    /// Whether the server closed a new connection without a response, as one does that accepts no
+    /// more connections.
+    pub fn is_rejected_connection(&self) -> bool {
+        matches!(self, ExchangeError::Rejected(_) | ExchangeError::NotSent(NotSent::Closed(_)))
+    }
+
+    /// Whether the connection ended after the request was sent.
+    fn is_cut(&self) -> bool {
+        matches!(
+            self,
+            ExchangeError::Cut(_)
+                | ExchangeError::Rejected(_)
+                | ExchangeError::Body(BodyError::Cut(_))
+        )
+    }
+}
+
 /// Limits of an exchange.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -143,9 +165,7 @@
         let overdue = overdue.min(time_limit);
         let cut_error = match timeout_without_progress(overdue, &progress, &mut first).await {
             // The connection ended, perhaps before the request was received.
-            Some(Err(error @ (ExchangeError::Cut(_) | ExchangeError::Body(BodyError::Cut(_))))) => {
-                Some(error)
-            }
+            Some(Err(error)) if error.is_cut() => Some(error),
             Some(result) => {
                 if limits.long_poll.is_zero() && result.is_ok() {
                     self.pool.record_latency(addr, response_time(started_at, &progress));
@@ -232,6 +252,7 @@
     let response = sent.map_err(|error| match error {
         SendError::NotSent(_, cause) => ExchangeError::NotSent(cause),
         SendError::Cut(cause) => ExchangeError::Cut(cause),
+        SendError::Rejected(cause) => ExchangeError::Rejected(cause),
     })?;
     progress.advance();
     let (head, body) = response.into_parts();
--- a/transport/src/dial/response.rs
+++ b/transport/src/dial/response.rs
@@ -54,7 +54,8 @@
 
     fn return_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
-            connection.dialer.pool.put_idle(connection.addr, connection.sender);
+            let ConnectionReturn { dialer, addr, sender, .. } = connection;
+            dialer.pool.put_idle(addr, sender, dialer.max_idle);
         }
     }
 }
