cell: a run is over without an end only if the worker lists all its ends

Cause: a worker lists at most 500 ends, those after the last acknowledged one. While the store is down none is acknowledged, so a run that ends later is neither listed as running nor as ended. `remove_missing_runs` took that for proof that it was over without an end, and queued its task. A new leader took the first answer for all that the worker had done in the same way.

Ruled out: expired leases (no line), lost reports (those would hit any number).

Change: an answer that may omit ends is reported as `Event::PolledPartly` (the last variant, so that the bytes of all others stay). It releases no run, and its worker stays unpolled for a new leader. Log lines for both, which were missing.

Before, the stand-in worker listed ends without a limit; it lists 500 as the workers do.

--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -6,7 +6,7 @@
 //! - A run keeps its allocation on the worker until it is known to be over there: its end was
 //!   reported, the worker refused the start, the worker's incarnation has ended, its lease has
 //!   expired, or a poll that was sent after the worker had answered the start or the stop does not
-//!   list the run.
+//!   list the run, although it lists all ends.
 //! - An end is acknowledged to the worker only after its effect is in the store.
 
 mod answers;
@@ -242,8 +242,8 @@
     /// The time from which every node that can reach the store reports the jobs it accepts to this
     /// scheduler and no longer to an earlier one; `None` if there is no such time.
     pub known_everywhere_from: Option<Instant>,
-    /// Workers that this scheduler has had no answer from yet and that may run tasks of an earlier
-    /// one.
+    /// Workers that this scheduler has had no complete answer from yet and that may run, or may have
+    /// run, tasks of an earlier one.
     pub unpolled: HashSet<Incarnation>,
     /// Invalid worker entries in the store, by worker id, with the reason.
     pub invalid_entries: BTreeMap<WorkerId, &'static str>,
--- a/lib/src/batch/cell/polls.rs
+++ b/lib/src/batch/cell/polls.rs
@@ -49,13 +49,44 @@
         now: Instant,
         response: PollResponse,
     ) {
+        if !self.apply_answer(incarnation, sent_at, now, &response) {
+            return;
+        }
+        self.remove_missing_runs(incarnation, sent_at, &response.running);
+        self.unpolled.remove(incarnation);
+        if self.unpolled.is_empty() {
+            self.clear_inherited();
+        }
+    }
+
+    /// Applies the answer to a poll of a worker that may have more ends than it lists, as
+    /// [`Cell::on_poll`] does. A run that is not listed may have ended, whoever started it, so it is
+    /// not released, and the worker still counts as unpolled.
+    pub fn on_partial_poll(
+        &mut self,
+        incarnation: &Incarnation,
+        sent_at: Instant,
+        now: Instant,
+        response: PollResponse,
+    ) {
+        self.apply_answer(incarnation, sent_at, now, &response);
+    }
+
+    /// Applies what an answer lists; returns whether it is newer than the last one.
+    fn apply_answer(
+        &mut self,
+        incarnation: &Incarnation,
+        sent_at: Instant,
+        now: Instant,
+        response: &PollResponse,
+    ) -> bool {
         let longest_lease = self.longest_lease;
-        let Some(mut worker) = self.workers.get_mut(incarnation) else { return };
+        let Some(mut worker) = self.workers.get_mut(incarnation) else { return false };
         worker.failed_polls = 0;
         worker.first_failed_at = None;
         worker.handed_over = false;
         if worker.clock.is_some_and(|(last, _)| response.clock <= last) {
-            return;
+            return false;
         }
         worker.clock = Some((response.clock, now));
         worker.last_answer_at = worker.last_answer_at.max(now);
@@ -77,15 +108,11 @@
         self.clear_unreachable(incarnation);
         self.end_other_incarnations(incarnation, sent_at);
         self.resolve_crash_candidates(incarnation);
-        self.unpolled.remove(incarnation);
         for end in &response.ended {
             self.on_end(incarnation, end, now);
         }
         self.adopt_runs(incarnation, &response.running, now);
-        self.remove_missing_runs(incarnation, sent_at, &response.running);
-        if self.unpolled.is_empty() {
-            self.clear_inherited();
-        }
+        true
     }
 
     /// Handles the end of a run. Ends are listed until they are acknowledged, so the same one may
@@ -321,6 +348,12 @@
         let removed = remove_allocations(&mut worker, &missing);
         drop(worker);
         for (task, allocation) in removed {
+            log::info!(
+                task = task.to_string().as_str(),
+                run = allocation.run,
+                worker:% = incarnation;
+                "run is over without an end"
+            );
             self.release_run(task, allocation);
         }
     }
--- a/lib/src/batch/dispatch/message.rs
+++ b/lib/src/batch/dispatch/message.rs
@@ -207,4 +207,18 @@
         /// When that was known.
         at: OffsetMicros,
     },
+    /// A poll was answered as in [`Event::Polled`], by a worker that may have more ends than the response lists: a run
+    /// that is missing there need not be over without an end.
+    PolledPartly {
+        /// The worker.
+        number: WorkerNumber,
+        /// When the poll was sent.
+        sent: OffsetMicros,
+        /// When the response was received.
+        at: OffsetMicros,
+        /// The latest end of a lease that this dispatcher has requested there.
+        lease_until: WorkerMs,
+        /// The response, without the ends that were reported before.
+        response: PollResponse,
+    },
 }
--- a/lib/src/batch/dispatch/poll.rs
+++ b/lib/src/batch/dispatch/poll.rs
@@ -132,13 +132,27 @@
         return true;
     }
     let (sent, at) = (dispatcher.offset_micros(sent), dispatcher.offset_micros(now));
+    let may_omit_ends = response.may_omit_ends();
     if state.accept_answer(&mut response, now) {
+        if state.record_omitted_ends(may_omit_ends) {
+            log_omitted_ends(&session.peer.incarnation, may_omit_ends);
+        }
         let lease_until = state.lease_until;
-        dispatcher.emit(Event::Polled { number, sent, at, lease_until, response });
+        dispatcher.emit(match may_omit_ends {
+            true => Event::PolledPartly { number, sent, at, lease_until, response },
+            false => Event::Polled { number, sent, at, lease_until, response },
+        });
     }
     true
 }
 
+fn log_omitted_ends(incarnation: &Incarnation, may_omit_ends: bool) {
+    match may_omit_ends {
+        true => log::warn!(worker:% = incarnation; "worker lists only a part of its ends"),
+        false => log::info!(worker:% = incarnation; "worker lists all its ends again"),
+    }
+}
+
 /// Logs that a worker has restarted under its id, with the clock and the number of the last end of both incarnations.
 fn log_other_incarnation(
     incarnation: &Incarnation,
--- a/lib/src/batch/dispatch/session.rs
+++ b/lib/src/batch/dispatch/session.rs
@@ -50,6 +50,8 @@
     pub reported_end: u64,
     /// Number of the last end whose effect is in the store.
     pub durable_end: u64,
+    /// Whether the worker may have more ends than its last answer listed.
+    omits_ends: bool,
     /// Consecutive polls without an answer.
     pub failed_polls: u32,
     /// Whether polls and starts may renew its lease.
@@ -72,6 +74,7 @@
             lease_until: 0,
             reported_end: durable_end,
             durable_end,
+            omits_ends: false,
             failed_polls: 0,
             renews_lease,
             fast_polling: false,
@@ -129,6 +132,11 @@
         true
     }
 
+    /// Records whether the last answer may omit ends; returns whether that has changed.
+    pub(super) fn record_omitted_ends(&mut self, omits_ends: bool) -> bool {
+        std::mem::replace(&mut self.omits_ends, omits_ends) != omits_ends
+    }
+
     /// Whether a poll that was sent at `sent` and answered by another incarnation shows that this one has ended. A poll
     /// that was sent before the last answer of this incarnation may have been answered by an earlier one.
     pub(super) fn is_ended_by_poll(&self, sent: Instant) -> bool {
--- a/lib/src/batch/scheduler/events.rs
+++ b/lib/src/batch/scheduler/events.rs
@@ -64,6 +64,7 @@
 fn number_of(event: &Event) -> WorkerNumber {
     match event {
         Event::Polled { number, .. }
+        | Event::PolledPartly { number, .. }
         | Event::PollFailed { number, .. }
         | Event::OtherId { number }
         | Event::OtherIncarnation { number, .. }
@@ -91,6 +92,10 @@
             cell.record_lease(incarnation, lease_until);
             cell.on_poll(incarnation, instant(sent), instant(at), response);
         }
+        Event::PolledPartly { sent, at, lease_until, response, .. } => {
+            cell.record_lease(incarnation, lease_until);
+            cell.on_partial_poll(incarnation, instant(sent), instant(at), response);
+        }
         Event::PollFailed { lease_until, .. } => {
             cell.record_lease(incarnation, lease_until);
             cell.on_failed_poll(incarnation);
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -324,6 +324,9 @@
         |guard| relay::Call::Append { partition: partition.clone(), records: kept.clone(), guard };
     let commands = Commands { scheduler: addr(), session, sequence: 1, commands: commands() };
     let report = Report { session, sequence: 1, made_at: 40, late_ms: 2, events: events() };
+    let polled_partly =
+        Event::PolledPartly { number: 4, sent: 10, at: 20, lease_until: 5_500, response: seen() };
+    let partial_report = Report { events: vec![polled_partly], ..report.clone() };
     let requests = [
         Request::Submitted(0x5c0e, Box::new(accepted())),
         Request::State(0x5c0e, Caller::Operator),
@@ -349,6 +352,7 @@
         Request::ConfigPart(part_request(None, None)),
         Request::ConfigPart(part_request(Some(2), Some(([7; 32], 300)))),
         Request::MayRefuse(0x5c0e, Caller::Account("clinics".into()), 4),
+        Request::Report(Box::new(partial_report)),
     ];
     for (number, request) in (1_u64..).zip(requests) {
         lines.postcard("request", &(number, request));
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -128,6 +128,7 @@
     barred_runs: HashMap<String, u64>,
     unacknowledged_ends: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
+    poll_count: u64,
     fault: Fault,
 }
 
@@ -200,6 +201,9 @@
 /// How long the address of an earlier incarnation may take to become free.
 const REBIND_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Number of ends that an answer to a poll lists at most.
+pub const MAX_LISTED_ENDS: usize = 500;
+
 /// How long a worker with [`Fault::SlowStarts`] takes for a start.
 const SLOW_START_DELAY: Duration = Duration::from_millis(200);
 
@@ -330,6 +334,11 @@
         self.inner.state().fault = fault;
     }
 
+    /// Number of polls that it has answered.
+    pub fn poll_count(&self) -> u64 {
+        self.inner.state().poll_count
+    }
+
     /// Sets its processor capacity, which its next heartbeat publishes, and whether it refuses
     /// tasks that do not fit.
     pub fn set_cpu(&self, cpu: u64, is_enforced: bool) {
@@ -598,7 +607,8 @@
             // If no task ends in time, the answer lists no ends.
             let _ = timeout(wait, ended).await;
         }
-        let state = self.state();
+        let mut state = self.state();
+        state.poll_count += 1;
         let running: Vec<Value> = state
             .runs
             .iter()
@@ -607,6 +617,7 @@
         let ended: Vec<Value> = state
             .unacknowledged_ends
             .iter()
+            .take(MAX_LISTED_ENDS)
             .map(|(number, task, run, outcome)| json!([number, task, run, outcome, ""]))
             .collect();
         let (clock, birth_ms) = (self.clock_ms(), self.birth_ms);
