scheduler: a job is said not to exist only after the store was read to its end

Cause: each id that the leader did not know was said not to exist. A new leader learns of jobs that were stored after its first read by the report of the accepting node, sent once and lost while there is no leader, or by its next read, up to 2.4 s later.

Change: `knows_all_jobs` first makes sure that this scheduler is the only one and reads every partition to the end that it had when it was asked; else the answer is "not ready", upon which clients ask again and a cancel is written to the store. All that ask meanwhile share a read (12 calls), at most one each 100 ms. Reports are sent up to 12 times. State, cancel and `batch explain` take the same way. The follower of the jobs and this read are one module.

--- a/lib/src/batch/node/leadership.rs
+++ b/lib/src/batch/node/leadership.rs
@@ -12,6 +12,7 @@
 
 use spokelift_platform::job::JobId;
 use spokelift_platform::store::Offset;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::batch::leader::lease::KnownLease;
@@ -31,6 +32,11 @@
 /// Age of the last read up to which it confirms what such a leader answered; a node that watches
 /// reads once in half a second.
 const CONFIRMED_FOR: Duration = Duration::from_millis(700);
+/// Number of times that an accepted job is reported to the leader: together they take longer than a
+/// change of leader.
+const REPORT_ATTEMPTS: u32 = 12;
+/// Delay before an accepted job is reported again.
+const REPORT_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Number of preferred leaders that watch the lease topic at a time. Each delays its claim of a free
 /// lease at random; among several, the shortest delay is small.
 const PREFERRED_WATCHERS: usize = 12;
@@ -126,11 +132,23 @@
         }
     }
 
-    /// Reports a job that the store has taken to the leader. If that fails, the leader finds the
-    /// job when it next reads the store.
+    /// Reports a job that the store has taken to the leader, again if there is none. If that fails,
+    /// the leader finds the job when it next reads the store.
     pub fn report_submitted(self: &Arc<Self>, id: JobId, accepted: Accepted) {
         let (node, request) = (self.clone(), peer::Request::Submitted(id, Box::new(accepted)));
-        tokio::spawn(async move { node.ask_leader(request).await });
+        tokio::spawn(async move { node.report(request).await });
+    }
+
+    /// Sends a report to the leader until one takes it, a limited number of times.
+    async fn report(&self, request: peer::Request) -> Option<Reply> {
+        for _ in 1..REPORT_ATTEMPTS {
+            match self.ask_leader(request.clone()).await {
+                Some(Reply::NotReady) | None => self.counters.count("batch.report.retried"),
+                reply => return reply,
+            }
+            sleep(REPORT_RETRY_DELAY).await;
+        }
+        self.ask_leader(request).await
     }
 
     /// Reports a job of an account like [`Node::report_submitted`], and returns whether its id is in
@@ -138,8 +156,8 @@
     /// `ID_CHECK_TIMEOUT`.
     pub async fn is_id_in_use(self: &Arc<Self>, id: JobId, accepted: Accepted) -> bool {
         let (node, request) = (self.clone(), peer::Request::Submitted(id, Box::new(accepted)));
-        // The task outlives the timeout, so that the report is sent again if a connection ends.
-        let reply = tokio::spawn(async move { node.ask_leader(request).await });
+        // The task outlives the timeout, so that the report is sent again if nobody takes it.
+        let reply = tokio::spawn(async move { node.report(request).await });
         matches!(timeout(ID_CHECK_TIMEOUT, reply).await, Ok(Ok(Some(Reply::IdInUse))))
     }
 }
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -7,6 +7,7 @@
 mod flush;
 mod follow;
 mod forget;
+mod job_topic;
 mod load;
 mod outlook;
 mod rebalance;
@@ -39,9 +40,10 @@
 use crate::batch::outlook::published::Published;
 use crate::batch::scheduler::events::consume_own_events;
 use crate::batch::scheduler::flush::flush;
-use crate::batch::scheduler::follow::follow_jobs;
 use crate::batch::scheduler::follow::follow_workers;
 use crate::batch::scheduler::forget::forget_finished;
+use crate::batch::scheduler::job_topic::JobTopic;
+use crate::batch::scheduler::job_topic::follow_jobs;
 use crate::batch::scheduler::load::load;
 use crate::batch::scheduler::load::load_workers;
 use crate::batch::scheduler::rebalance::assign_unassigned;
@@ -80,6 +82,8 @@
     /// Fencing token of this scheduler; each later scheduler has a higher one.
     pub token: Token,
     cell: Mutex<Cell>,
+    /// How far the accepted jobs were read.
+    job_topic: JobTopic,
     /// Which node dispatches for which worker.
     shards: Shards,
     /// Wakes the task that places and dispatches.
@@ -118,6 +122,7 @@
             node,
             token,
             cell: Mutex::new(cell),
+            job_topic: JobTopic::default(),
             shards: Shards::new(token, own),
             placement_wake: Notify::new(),
             advice_wake: Notify::new(),
@@ -199,6 +204,7 @@
 /// Reads the store, then runs the tasks of the scheduler.
 async fn run(scheduler: Arc<Scheduler>) {
     let Some(job_ends) = load_until_done(&scheduler).await else { return };
+    let job_partitions = scheduler.job_topic.set_loaded(job_ends);
     let workers_end = load_workers_until_done(&scheduler).await;
     {
         let mut cell = scheduler.cell();
@@ -217,8 +223,8 @@
     await_shards_ready(&scheduler).await;
     assign_unassigned(&scheduler);
     scheduler.spawn(follow_workers(scheduler.clone(), workers_end));
-    for (partition, end) in (0..).zip(job_ends) {
-        scheduler.spawn(follow_jobs(scheduler.clone(), partition, end));
+    for partition in 0..job_partitions {
+        scheduler.spawn(follow_jobs(scheduler.clone(), partition));
     }
     scheduler.spawn(flush(scheduler.clone()));
     scheduler.spawn(tick(scheduler.clone()));
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -40,15 +40,12 @@
     pub async fn answer(&self, request: Request) -> Reply {
         match request {
             Request::Submitted(id, accepted) => self.admit(id, *accepted),
-            Request::State(id, caller) => Reply::State(self.cell().job_state_for(id, &caller)),
+            Request::State(id, caller) => self.state(id, &caller).await,
             Request::Pending(queue, caller) => {
                 Reply::Pending(self.cell().count_pending(&queue, &caller))
             }
             Request::Cancel(id, caller) => self.cancel(id, &caller).await,
-            Request::View(path) => {
-                let (waves, shards) = (self.node.waves(), self.shards.view());
-                Reply::View(view::render(&self.cell(), &waves, &shards, &path))
-            }
+            Request::View(path) => self.view(&path).await,
             Request::Relay(call) => Reply::Relayed(self.node.relay_for_peer(call).await),
             Request::Report(report) => take_report(self, *report),
             Request::MayRefuse(id, caller, outlook) => self.may_refuse(id, &caller, outlook),
@@ -80,7 +77,33 @@
         Reply::Done
     }
 
+    /// Whether this scheduler can tell if a job exists: it knows the job, or all jobs.
+    async fn can_tell(&self, id: JobId) -> bool {
+        let is_known = self.cell().jobs.contains_key(&id);
+        is_known || self.knows_all_jobs().await
+    }
+
+    async fn view(&self, path: &str) -> Reply {
+        if let Some(id) = view::job_in(path)
+            && !self.can_tell(id).await
+        {
+            return Reply::NotReady;
+        }
+        let (waves, shards) = (self.node.waves(), self.shards.view());
+        Reply::View(view::render(&self.cell(), &waves, &shards, path))
+    }
+
+    async fn state(&self, id: JobId, caller: &Caller) -> Reply {
+        if !self.can_tell(id).await {
+            return Reply::NotReady;
+        }
+        Reply::State(self.cell().job_state_for(id, caller))
+    }
+
     async fn cancel(&self, id: JobId, caller: &Caller) -> Reply {
+        if !self.can_tell(id).await {
+            return Reply::NotReady;
+        }
         let Some(state) = self.cell().cancel_for(id, caller) else { return Reply::State(None) };
         self.wake();
         self.wake_flush();
--- a/lib/src/batch/view.rs
+++ b/lib/src/batch/view.rs
@@ -214,6 +214,11 @@
     thousandths.into() as f64 / 1_000.0
 }
 
+/// The job that a path names; `None` if it names something else.
+pub fn job_in(path: &str) -> Option<JobId> {
+    parse_id(path.strip_prefix(PATH)?.strip_prefix("jobs/")?)
+}
+
 /// Renders the view that `path` names as JSON; `None` if there is no such view.
 pub fn render(cell: &Cell, waves: &[wave::Wave], shards: &[Shard], path: &str) -> Option<String> {
     let now = clock::now();
@@ -225,7 +230,7 @@
         "queues" => serde_json::to_string(&queues(cell)),
         "waves" => serde_json::to_string(&self::waves(cell, waves)),
         "workers" => serde_json::to_string(&workers(cell, now)),
-        other => serde_json::to_string(&job(cell, parse_id(other.strip_prefix("jobs/")?)?, now)?),
+        _ => serde_json::to_string(&job(cell, job_in(path)?, now)?),
     };
     Some(shown.expect("views serialize to JSON"))
 }
--- a/testutils/src/platform/site/config.rs
+++ b/testutils/src/platform/site/config.rs
@@ -6,7 +6,7 @@
 use crate::platform::machines::RESERVE;
 
 /// The host of the queues.
-pub(super) const HOST: &str = "site.example";
+pub const HOST: &str = "site.example";
 
 fn queue(name: &str, advice: &Value) -> Value {
     let mut queue = json!({
