scheduler: requests of the own node take the same check as those of others

Callers saw: after a leader has been suspended and replaced, it answers from the state that it had before: a job that its successor has cancelled is shown as running.

Cause: `ask_leader` asked the node's own scheduler without the check whether it may have been replaced, which requests of other nodes take.

Change: one way in. During an outage of the store answers come as before.

Test: a_leader_that_wakes_up_does_not_answer_from_its_old_state; with the wait taken out it fails (`{"state":"running"}`), passes with it.

--- a/cli/tests/test_unknown_jobs.rs
+++ b/cli/tests/test_unknown_jobs.rs
@@ -106,3 +106,27 @@
         assert!(!answer.starts_with("HTTP/1.1 410"), "{answer}");
     }
 }
+
+/// Guards against a leader that wakes up and answers from a state that its successor has changed.
+#[tokio::test]
+async fn a_leader_that_wakes_up_does_not_answer_from_its_old_state() {
+    let site = Site::start(PROGRAM, 3, 2, 0).await.unwrap();
+    for number in 0..JOBS {
+        site.submit_until_accepted(&id(number), long_running_job()).await;
+    }
+    let leader = site.leader().expect("a node leads");
+    let connections = connect(&site, leader).await;
+    site.nodes[leader].signal(Signal::SIGSTOP).unwrap();
+    site.wait_until("another node leads", async |site| site.leader() != Some(leader)).await;
+    let other = (leader + 1) % 3;
+    for number in 0..JOBS {
+        site.wait_until("a running node cancels the job", async |site| {
+            site.cancel(other, &id(number)).await == 200
+                && site.job_state(other, &id(number)).await == Ok("canceled".to_owned())
+        })
+        .await;
+    }
+    for answer in answers_after_pause(&site, leader, connections, "GET").await {
+        assert!(!answer.contains("running") && !answer.contains("pending"), "{answer}");
+    }
+}
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -306,6 +306,8 @@
     /// When the call that last renewed the leader lease was sent; `None` where no leader lease is
     /// used.
     pub renewed_at: Option<Instant>,
+    /// When the last renewal was sent of which the store shows no outcome.
+    pub renewal_failed_at: Option<Instant>,
     /// Ends of runs whose jobs are not known yet. They are acknowledged once the job arrives or the
     /// wait for it times out.
     early_ends: Vec<EarlyEnd>,
@@ -369,6 +371,7 @@
             wait_times: Vec::new(),
             is_fenced: false,
             renewed_at: None,
+            renewal_failed_at: None,
             early_ends: Vec::new(),
             demand: Demand::default(),
             over_rate_demand: Demand::default(),
--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -210,6 +210,7 @@
                     scheduler.record_renewal(first_sent);
                     continue;
                 }
+                scheduler.record_failed_renewal(sent);
                 log::debug!("cannot renew the leader lease: {error}");
                 sleep(RETRY_DELAY).await;
             }
--- a/lib/src/batch/node/leadership.rs
+++ b/lib/src/batch/node/leadership.rs
@@ -102,7 +102,7 @@
     /// does not answer.
     pub async fn ask_leader(&self, request: peer::Request) -> Option<Reply> {
         if let Some(scheduler) = self.scheduler() {
-            return Some(scheduler.answer(request).await);
+            return Some(scheduler.answer_own(request).await);
         }
         let Some(addr) = self.remote_leader() else {
             self.lease_turns.start();
--- a/lib/src/batch/node/outlook.rs
+++ b/lib/src/batch/node/outlook.rs
@@ -130,7 +130,7 @@
     async fn confirm_refusal(&self, id: JobId, caller: &Caller, number: u64) -> Option<bool> {
         let request = Request::MayRefuse(id, caller.clone(), number);
         let reply = match self.scheduler() {
-            Some(scheduler) => scheduler.answer(request).await,
+            Some(scheduler) => scheduler.answer_own(request).await,
             None => {
                 let asked = self.peers.ask_once(self.remote_leader()?, request);
                 timeout(CONFIRM_TIMEOUT, asked).await.ok()?.ok()?
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -167,11 +167,21 @@
         self.cell().is_fenced
     }
 
+    /// Whether it was stopped.
+    pub fn is_stopped(&self) -> bool {
+        self.cancellation.is_cancelled()
+    }
+
     /// Records that the leader lease was renewed by a call sent at `sent`.
     pub fn record_renewal(&self, sent: Instant) {
         self.cell().renewed_at = Some(sent);
     }
 
+    /// Records that the store answered neither a renewal sent at `sent` nor a read of the lease after it.
+    pub fn record_failed_renewal(&self, sent: Instant) {
+        self.cell().renewal_failed_at = Some(sent);
+    }
+
     /// Wakes the task that places and dispatches.
     pub fn wake(&self) {
         self.placement_wake.notify_one();
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use spokelift_platform::job::JobId;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::batch::caller::Caller;
@@ -18,6 +19,15 @@
 /// How long the cancel of a client waits until the store has it.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// How long an answer waits until it is known whether this scheduler has been replaced: a renewal, and a read of the
+/// lease if it fails, take up to 1.2 s.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_400);
+/// Time between checks of that.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(10);
+/// How long after it was sent a renewal without an answer shows that the store is unavailable: until the next one has
+/// failed as well.
+const RENEWAL_FAILURE_VALIDITY: Duration = Duration::from_millis(2_800);
+
 impl Scheduler {
     /// Answers a request of another node. If this scheduler may have been replaced, what it says of
     /// jobs is marked as [`Reply::Unconfirmed`].
@@ -30,14 +40,36 @@
         reply
     }
 
+    /// Answers a request of this node. Before it says anything of jobs, it waits until it is known whether this
+    /// scheduler has been replaced: after a pause of the process its state is out of date. While the store is
+    /// unavailable nobody can know, and it answers all the same.
+    pub async fn answer_own(&self, request: Request) -> Reply {
+        let reply = self.answer_peer(request).await;
+        let Reply::Unconfirmed(reply) = reply else { return reply };
+        let known = async {
+            while self.may_be_replaced() && !self.is_store_unavailable() && !self.is_stopped() {
+                sleep(CONFIRM_INTERVAL).await;
+            }
+        };
+        match timeout(CONFIRM_TIMEOUT, known).await {
+            Ok(()) if !self.is_stopped() => *reply,
+            _ => Reply::NotReady,
+        }
+    }
+
     /// Whether another node may have claimed the leader lease.
     fn may_be_replaced(&self) -> bool {
         let renewed_at = self.cell().renewed_at;
         renewed_at.is_some_and(|at| clock::since(at) > TAKEOVER_TIMEOUT)
     }
 
-    /// Answers a request of this node, or of another one.
-    pub async fn answer(&self, request: Request) -> Reply {
+    /// Whether the store did not answer a renewal that was sent lately.
+    fn is_store_unavailable(&self) -> bool {
+        let failed_at = self.cell().renewal_failed_at;
+        failed_at.is_some_and(|at| clock::since(at) < RENEWAL_FAILURE_VALIDITY)
+    }
+
+    async fn answer(&self, request: Request) -> Reply {
         match request {
             Request::Submitted(id, accepted) => self.admit(id, *accepted),
             Request::State(id, caller) => self.state(id, &caller).await,
