maintenance: a box that an earlier leader's order may still reach counts as down

Cause: a successor counted the announced boxes as down for 3 s, the gap between orders of two leaders, or not at all if it is the same node after a restart. Nothing had raised the fencing token of the box by then.

Change: announced boxes stay unsettled until an order of this leader has reached them (409 or 200), or for 12 s, and stay in its own announcements. In a wave they count as down, and are evacuated and ordered first.

One line of `after_an_unresponsive_scheduler_only_announced_boxes_are_on_hold` asked that a box is not passed on once it is not on hold any more: that is the fault. It is replaced by three that say until when it is passed on: until it is settled or 12 s have passed.

--- a/lib/src/batch/maintenance.rs
+++ b/lib/src/batch/maintenance.rs
@@ -84,8 +84,10 @@
         orders: &mut usize,
     ) {
         let taken = moving | held;
+        let unsettled = scheduler.order_window.unsettled(clock::now());
         for progress in self.waves.values_mut() {
             progress.set_held(held);
+            progress.set_unsettled(&unsettled);
             advance_wave(scheduler, machines, progress, list, &taken, orders).await;
             if progress.reported == Some(true) {
                 scheduler.cell().end_wave(progress.wave.number);
@@ -207,6 +209,9 @@
     scheduler.node.record_machines_result(&answer);
     let wave = progress.wave.number;
     log::info!(machine = id, wave, ok = answer.is_ok(); "maintenance ordered");
+    if machine::has_reached_machine(&answer) {
+        scheduler.order_window.settle(id);
+    }
     match answer {
         Ok(()) => {}
         Err(error) if machine::is_fenced(&error) => {
--- a/lib/src/batch/maintenance/plan.rs
+++ b/lib/src/batch/maintenance/plan.rs
@@ -126,7 +126,7 @@
 ) {
     let mut free =
         (progress.wave.max_down + EVACUATE_AHEAD).saturating_sub(progress.count_under_way());
-    if free == 0 {
+    if free == 0 && progress.unsettled.is_empty() {
         return;
     }
     // Beyond this number, boxes are chosen only from services that can spare them.
@@ -138,7 +138,8 @@
         let size = u64::from(machine.capacity.cpu);
         let load = loads.get_mut(&machine.pool);
         let spare = load.as_ref().is_none_or(|load| load.can_spare(size));
-        if free == 0 || (!spare && required == 0) {
+        let is_unsettled = progress.unsettled.contains(&machine.id);
+        if !is_unsettled && (free == 0 || (!spare && required == 0)) {
             continue;
         }
         if let Some(worker) = listed_incarnation(cell, listed, &machine.id)
@@ -150,7 +151,7 @@
             }
             continue;
         }
-        free -= 1;
+        free = free.saturating_sub(1);
         required = required.saturating_sub(1);
         if let Some(load) = load {
             load.remove_machine(size);
@@ -167,7 +168,8 @@
     }
 }
 
-/// Boxes that are up and may be evacuated next, those with the fewest runs first.
+/// Boxes that are up and may be evacuated next: the unsettled ones first, then those with the fewest
+/// runs.
 fn candidates<'a>(
     cell: &Cell,
     progress: &WaveProgress,
@@ -187,6 +189,8 @@
     let mut candidates: Vec<&Machine> = up.collect();
     let tasks =
         |machine: &Machine| cell.worker_on(machine).map_or(0, |worker| worker.allocations.len());
-    candidates.sort_by_key(|machine| (tasks(machine), &machine.id));
+    candidates.sort_by_key(|machine| {
+        (!progress.unsettled.contains(&machine.id), tasks(machine), &machine.id)
+    });
     candidates
 }
--- a/lib/src/batch/maintenance/progress.rs
+++ b/lib/src/batch/maintenance/progress.rs
@@ -40,6 +40,9 @@
     pub(super) unanswered: HashSet<MachineId>,
     /// Boxes that an earlier scheduler may just have ordered, and that may be down.
     held: HashSet<MachineId>,
+    /// Boxes that an order of an earlier scheduler may still reach. They count as down, and are
+    /// ordered first, so that they refuse that order.
+    pub(super) unsettled: HashSet<MachineId>,
     /// Boxes that are not tried again for a while.
     pub(super) deferrals: Deferrals,
     /// Boxes that are being evacuated, and since when.
@@ -64,6 +67,7 @@
             wave,
             first_seen_at: now.checked_sub(age).unwrap_or(now),
             held: HashSet::new(),
+            unsettled: HashSet::new(),
             started,
             down: HashMap::new(),
             unanswered: HashSet::new(),
@@ -132,18 +136,31 @@
     }
 
     /// Of the empty boxes, those that may be ordered now, at most `most`. Boxes with an unanswered
-    /// order come first: they count as down already.
+    /// order, of this scheduler or an earlier one, come first: they count as down already.
     pub(super) fn select_orders(&self, empty: Vec<MachineId>, most: usize) -> Vec<MachineId> {
+        let counts_as_down =
+            |id: &MachineId| self.unanswered.contains(id) || self.unsettled.contains(id);
         let (again, mut first): (Vec<MachineId>, Vec<MachineId>) =
-            empty.into_iter().partition(|id| self.unanswered.contains(id));
+            empty.into_iter().partition(counts_as_down);
         first.truncate(self.remaining_down());
         again.into_iter().chain(first).take(most).collect()
     }
 
     /// How many more boxes may go down now.
     fn remaining_down(&self) -> usize {
-        let held = self.held.iter().filter(|id| !self.down.contains_key(*id)).count();
-        self.wave.max_down.saturating_sub(self.down.len() + held)
+        let may_be_down = self.held.union(&self.unsettled);
+        let may_be_down = may_be_down.filter(|id| !self.down.contains_key(*id)).count();
+        self.wave.max_down.saturating_sub(self.down.len() + may_be_down)
+    }
+
+    /// Sets which boxes an order of an earlier scheduler may still reach. If there are more than may
+    /// be down, it had announced them in advance, and this says little of what it has ordered.
+    pub fn set_unsettled(&mut self, unsettled: &HashSet<MachineId>) {
+        let of_wave = self.wave.machines.iter().filter(|id| unsettled.contains(*id));
+        self.unsettled = of_wave.filter(|id| !self.started.contains(*id)).cloned().collect();
+        if self.unsettled.len() > self.wave.max_down {
+            self.unsettled.clear();
+        }
     }
 
     /// Sets which boxes an earlier scheduler may just have ordered.
--- a/lib/src/batch/order_window.rs
+++ b/lib/src/batch/order_window.rs
@@ -7,6 +7,10 @@
 //! announce nothing more, so what the successor reads is complete. Holding every box instead would
 //! cost 3 s without any order, while rises of load last 5 s.
 //!
+//! An order without an answer may be carried out seconds later, also after its scheduler was lost. So
+//! the boxes that the predecessor had announced stay unsettled until this scheduler has ordered them
+//! itself, which raises the fencing token of the box, or until no order can be that late.
+//!
 //! While the store is slow (see [`crate::batch::store_latency`]), every box is announced in
 //! advance, so that no order waits for an announcement. If such a scheduler fails, its successor
 //! holds every box for the 3 s.
@@ -26,6 +30,9 @@
 /// others do so after 2.1 s without a renewal at the earliest.
 pub const EXCLUSIVE_LEASE: Duration = Duration::from_millis(1_400);
 
+/// How long after it was sent an order without an answer may be carried out.
+pub const LATE_ORDER_LIMIT: Duration = Duration::from_secs(12);
+
 /// Whether it is certain that no other node had claimed leadership at `then`. `renewed_at` is when
 /// the last successful renewal was sent; `None` where there is no leader lease.
 pub fn is_sole_leader(renewed_at: Option<Instant>, then: Instant) -> bool {
@@ -66,6 +73,8 @@
     pre_announced: HashSet<MachineId>,
     /// Boxes that the predecessor had announced; `None` until the store was read.
     inherited: Option<HashSet<MachineId>>,
+    /// Boxes that the predecessor may have ordered and that this scheduler has not ordered yet.
+    unsettled: HashSet<MachineId>,
     is_closed: bool,
 }
 
@@ -92,7 +101,36 @@
 
     /// Sets the boxes that the predecessor had announced, as read from the store.
     pub fn set_inherited(&self, boxes: HashSet<MachineId>) {
-        self.state().inherited = Some(boxes);
+        let mut state = self.state();
+        state.unsettled.clone_from(&boxes);
+        state.inherited = Some(boxes);
+    }
+
+    /// Boxes that an order of the predecessor may still reach.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use spokelift_lib::batch::order_window::{HeldBoxes, OrderWindow};
+    /// let now = Instant::now();
+    /// let window = OrderWindow::new(Duration::from_secs(3), HeldBoxes::All, now);
+    /// window.set_inherited(["a".to_owned(), "b".to_owned()].into());
+    /// window.settle("a");
+    /// assert_eq!(window.unsettled(now), ["b".to_owned()].into());
+    /// assert!(window.unsettled(now + Duration::from_secs(12)).is_empty());
+    /// ```
+    pub fn unsettled(&self, now: Instant) -> HashSet<MachineId> {
+        self.remaining_unsettled(&self.state(), now)
+    }
+
+    fn remaining_unsettled(&self, state: &State, now: Instant) -> HashSet<MachineId> {
+        let is_over = now.saturating_duration_since(self.started_at) >= LATE_ORDER_LIMIT;
+        if is_over { HashSet::new() } else { state.unsettled.clone() }
+    }
+
+    /// Records that an order of this scheduler has reached a box: it refuses earlier ones from now
+    /// on.
+    pub fn settle(&self, id: &str) {
+        self.state().unsettled.remove(id);
     }
 
     /// The announcement to write before these boxes are ordered: them, all that may have been
@@ -118,6 +156,7 @@
         let mut all: HashSet<MachineId> =
             boxes.iter().chain(&state.pre_announced).cloned().collect();
         all.extend(self.recently_ordered(state, now));
+        all.extend(self.remaining_unsettled(state, now));
         if let HeldBoxes::Only(held_boxes) = self.remaining_held(state, now) {
             all.extend(held_boxes);
         }
--- a/lib/src/batch/pool/order.rs
+++ b/lib/src/batch/pool/order.rs
@@ -42,6 +42,9 @@
 
     fn on_answer(&mut self, scheduler: &Scheduler, id: &str, answer: Result<(), CallError>) {
         scheduler.node.record_machines_result(&answer);
+        if machine::has_reached_machine(&answer) {
+            scheduler.order_window.settle(id);
+        }
         let Some(under_way) = self.moves.get_mut(id) else { return };
         let ok = answer.is_ok();
         log::info!(machine = id, to = under_way.to.as_str(), ok; "move ordered");
--- a/lib/tests/test_order_window.rs
+++ b/lib/tests/test_order_window.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use spokelift_lib::batch::order_window::HeldBoxes;
+use spokelift_lib::batch::order_window::LATE_ORDER_LIMIT;
 use spokelift_lib::batch::order_window::OrderWindow;
 use spokelift_lib::batch::store_latency::StoreLatency;
 use spokelift_lib::transport::clock;
@@ -70,7 +71,12 @@
         window.required_announcement(&["c".to_owned()], now).unwrap(),
         boxes(&["a", "b", "c"])
     );
-    assert_eq!(window.required_announcement(&["c".to_owned()], now + GAP).unwrap(), boxes(&["c"]));
+    // A late order may still reach the first box, though it is no longer on hold.
+    let announced = |now| window.required_announcement(&["c".to_owned()], now).unwrap();
+    assert_eq!(announced(now + GAP), boxes(&["a", "c"]));
+    assert_eq!(announced(now + LATE_ORDER_LIMIT), boxes(&["c"]));
+    window.settle("a");
+    assert_eq!(announced(now + GAP), boxes(&["c"]));
     assert_eq!(window.close(now), only(["a", "b"]));
 }
 
@@ -203,3 +209,20 @@
     assert!(with <= 1_050, "{with} ms");
     assert!(without > 2 * with, "{without} ms without, {with} ms with");
 }
+
+/// Guards against an order of a lost scheduler that is carried out late, while its successor has as
+/// many other boxes down as may be: the successor of the successor must know of it, too.
+#[test]
+fn boxes_that_a_late_order_may_reach_stay_announced_until_they_are_ordered() {
+    let now = clock::now();
+    // The node of the lost scheduler is back, and holds no boxes.
+    let window = OrderWindow::new(GAP, only([]), now);
+    window.set_inherited(["a".to_owned(), "b".to_owned()].into());
+    let later = now + GAP * 2;
+    assert_eq!(window.unsettled(later), ["a".to_owned(), "b".to_owned()].into());
+    let announced = window.required_announcement(&["c".to_owned()], later).unwrap();
+    assert_eq!(announced, ["a", "b", "c"].map(str::to_owned).into());
+    window.settle("a");
+    let announced = window.required_announcement(&["c".to_owned()], later).unwrap();
+    assert_eq!(announced, ["b", "c"].map(str::to_owned).into());
+}
