maintenance: an unsettled box is not ordered beside as many others as may be down

Cause: unsettled boxes passed the limit as if they were down already. They count as down, but need not be: the earlier leader announces boxes before it orders them, and had announced more than it could order.

Change: an unsettled box is ordered only if all that are down, on hold or unsettled are no more than may be down.

Test: a_box_that_a_late_order_may_reach_is_not_ordered_beside_too_many_others; before `left: {"m4"}, right: {}`, passes after.

--- a/lib/src/batch/maintenance/progress.rs
+++ b/lib/src/batch/maintenance/progress.rs
@@ -136,21 +136,26 @@
     }
 
     /// Of the empty boxes, those that may be ordered now, at most `most`. Boxes with an unanswered
-    /// order, of this scheduler or an earlier one, come first: they count as down already.
+    /// order of this scheduler come first, then unsettled ones: they count as down already. An
+    /// unsettled one need not have been ordered, so it goes down only if all that may be down, with
+    /// it, are not too many.
     pub(super) fn select_orders(&self, empty: Vec<MachineId>, most: usize) -> Vec<MachineId> {
-        let counts_as_down =
-            |id: &MachineId| self.unanswered.contains(id) || self.unsettled.contains(id);
-        let (again, mut first): (Vec<MachineId>, Vec<MachineId>) =
-            empty.into_iter().partition(counts_as_down);
-        first.truncate(self.remaining_down());
-        again.into_iter().chain(first).take(most).collect()
+        let (again, empty): (Vec<MachineId>, Vec<MachineId>) =
+            empty.into_iter().partition(|id| self.unanswered.contains(id));
+        let (mut unsettled, mut first): (Vec<MachineId>, Vec<MachineId>) =
+            empty.into_iter().partition(|id| self.unsettled.contains(id));
+        let may_be_down = self.count_possibly_down();
+        if may_be_down > self.wave.max_down {
+            unsettled.clear();
+        }
+        first.truncate(self.wave.max_down.saturating_sub(may_be_down));
+        again.into_iter().chain(unsettled).chain(first).take(most).collect()
     }
 
-    /// How many more boxes may go down now.
-    fn remaining_down(&self) -> usize {
-        let may_be_down = self.held.union(&self.unsettled);
-        let may_be_down = may_be_down.filter(|id| !self.down.contains_key(*id)).count();
-        self.wave.max_down.saturating_sub(self.down.len() + may_be_down)
+    /// Number of boxes that are down, or that an earlier scheduler may have ordered.
+    fn count_possibly_down(&self) -> usize {
+        let ordered = self.held.union(&self.unsettled);
+        self.down.len() + ordered.filter(|id| !self.down.contains_key(*id)).count()
     }
 
     /// Sets which boxes an order of an earlier scheduler may still reach. If there are more than may
