leader: without renewals it acts only until another node may claim the lease

Cause: a leader that could not renew its lease went on renewing the leases of workers without a bound; its successor counts them as expired 5.5 s after it discovered the worker. Each is right alone.

Change: the leader's own dispatcher has a lease like all others: 2.1 s from each renewal, and longer only until the first of all other nodes may claim the leader lease, which it asks them each 0.3 s while renewals are overdue (`Request::ClaimDelay`). A node whose last read of the lease failed cannot claim it for 2.1 s after its next one, so in an outage of the store for all the leader goes on.

--- /dev/null
+++ b/cli/tests/test_isolated_leader.rs
@@ -0,0 +1,67 @@
+//! A leader that cannot renew its lease, with real daemons on the stand-in platform.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+use spokelift_testutils::platform::site::Site;
+use spokelift_testutils::platform::store::Fault;
+use tokio::time::sleep;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
+const JOB: &str = "0000000000000001";
+const TASKS: u32 = 3;
+/// An outage of the store that is longer than the leases of the leader and of a worker together.
+const OUTAGE: Duration = Duration::from_secs(9);
+
+/// A site of three nodes on which a long-running job runs, and the number of its leader.
+async fn start_site() -> (Site, usize) {
+    let site = Site::start(PROGRAM, 3, 2, 0).await.unwrap();
+    let step = json!({ "count": TASKS, "cpu": 100, "memMb": 10, "longRunning": true });
+    let job = json!({ "spec": "cpu=100 mem=10", "steps": [step] });
+    site.submit_until_accepted(JOB, job).await;
+    site.wait_until("the tasks run", async |site| site.ledger.running_tasks(JOB) == TASKS).await;
+    let leader = site.leader().expect("a node leads");
+    (site, leader)
+}
+
+fn set_store_fault(site: &Site, fault: Fault) {
+    site.nodes.iter().for_each(|node| node.store_endpoint.set_fault(fault));
+}
+
+fn signal_others(site: &Site, leader: usize, signal: Signal) {
+    let others = (0..site.nodes.len()).filter(|number| *number != leader);
+    others.for_each(|number| site.nodes[number].signal(signal).unwrap());
+}
+
+fn assert_no_violations(site: &Site) {
+    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+}
+
+/// Guards against two runs of a task: a leader that is cut off renews the lease of a worker for ever
+/// whose tasks its successor, which does not reach the worker, starts elsewhere.
+#[tokio::test]
+async fn a_leader_that_hears_of_nobody_lets_the_leases_of_workers_expire() {
+    let (site, leader) = start_site().await;
+    signal_others(&site, leader, Signal::SIGSTOP);
+    set_store_fault(&site, Fault::Busy);
+    site.wait_until("the leases expire", async |site| site.ledger.running_tasks(JOB) == 0).await;
+    set_store_fault(&site, Fault::None);
+    signal_others(&site, leader, Signal::SIGCONT);
+    site.wait_until("the tasks run", async |site| site.ledger.running_tasks(JOB) == TASKS).await;
+    assert_no_violations(&site);
+}
+
+/// Guards against an outage of the store that ends all tasks, although no node can take over.
+#[tokio::test]
+async fn tasks_run_on_while_the_store_is_away_for_all_nodes() {
+    for fault in [Fault::Busy, Fault::Unresponsive] {
+        let (site, _) = start_site().await;
+        set_store_fault(&site, fault);
+        sleep(OUTAGE).await;
+        set_store_fault(&site, Fault::None);
+        assert_eq!(site.ledger.running_tasks(JOB), TASKS);
+        assert_eq!(site.ledger.starts_of(JOB), TASKS, "{fault:?}");
+        assert_no_violations(&site);
+    }
+}
--- a/lib/src/batch/dispatch/lease.rs
+++ b/lib/src/batch/dispatch/lease.rs
@@ -43,9 +43,24 @@
 
     /// Extends the lease: a report that was sent at `sent` is acknowledged.
     pub fn extend(&self, sent: Instant) {
-        if let Some(until) = &self.valid_until {
-            let mut until = until.lock().expect("no thread panics while it holds the lease lock");
-            *until = (*until).max(Some(sent + DISPATCH_LEASE));
+        self.extend_until(sent + DISPATCH_LEASE);
+    }
+
+    /// Extends the lease until `until`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    /// use spokelift_lib::batch::dispatch::lease::Lease;
+    /// let lease = Lease::bounded();
+    /// lease.extend_until(Instant::now() + Duration::from_secs(60));
+    /// assert!(lease.is_valid());
+    /// ```
+    pub fn extend_until(&self, until: Instant) {
+        if let Some(valid_until) = &self.valid_until {
+            let mut valid_until =
+                valid_until.lock().expect("no thread panics while it holds the lease lock");
+            *valid_until = (*valid_until).max(Some(until));
         }
     }
 
--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -4,26 +4,33 @@
 //! Another node may claim the lease once it has read no renewal for [`lease::TAKEOVER_TIMEOUT`], or at
 //! once if the leader has released it. The fencing token that workers compare is derived from the
 //! offset of the claim, so a leader that comes back after a pause or a partition is refused by
-//! every worker that has been called by its successor.
+//! every worker that has been called by its successor. A worker that the successor does not reach
+//! is not protected by that: see [`horizon`].
 
+pub mod horizon;
 pub mod lease;
 mod view;
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use spokelift_platform::store::Guard;
 use spokelift_platform::store::Offset;
 use spokelift_platform::worker::Token;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
+use crate::batch::leader::horizon::Horizon;
 use crate::batch::leader::lease::KEY;
 use crate::batch::leader::lease::LeaderLease;
 use crate::batch::leader::lease::RENEW_INTERVAL;
+use crate::batch::leader::lease::TAKEOVER_TIMEOUT;
 use crate::batch::leader::view::View;
 use crate::batch::node::Node;
 use crate::batch::order_window::HeldBoxes;
 use crate::batch::order_window::OrderWindow;
+use crate::batch::peer;
 use crate::batch::scheduler::Scheduler;
 use crate::transport::clock;
 
@@ -36,6 +43,10 @@
 const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a call to the store; a slow store takes about 250 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time between two times of asking the other nodes for how long they do not claim the lease, while it is not renewed.
+const CLAIM_DELAY_INTERVAL: Duration = Duration::from_millis(300);
+/// Timeout of asking the other nodes for how long they do not claim the lease.
+const CLAIM_DELAY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
@@ -63,10 +74,14 @@
     loop {
         if view.has_new_renewal
             && let Some(group) = node.lease_watchers()
-            && node.lease_turns.rest(group).await
         {
-            view.resume();
+            // After a rest the lease is read anew.
+            node.set_claim_horizon(Horizon::Unread);
+            if node.lease_turns.rest(group).await {
+                view.resume();
+            }
         }
+        node.set_claim_horizon(view.horizon());
         let followed = follow(&node, &mut view).await;
         node.lease_turns.finish_read();
         if let Err(error) = followed {
@@ -74,6 +89,7 @@
             log::debug!("cannot read the leader lease: {error}");
             view.is_interrupted = true;
             view.has_new_renewal = false;
+            node.set_claim_horizon(view.horizon());
             sleep(RETRY_DELAY).await;
             continue;
         }
@@ -118,6 +134,7 @@
     match node.read_topic(TOPIC, end, wait, CALL_TIMEOUT).await {
         Ok(page) => {
             view.apply_page(end, &page);
+            view.has_pending_claim = false;
             view.has_new_renewal = !page.records.is_empty() && view.is_held();
             if view.is_interrupted {
                 view.is_interrupted = false;
@@ -139,9 +156,11 @@
 async fn claim_lease(node: &Node, view: &mut View) {
     let Some(end) = view.topic_end else { return };
     let record = node.held_lease(0).to_record();
+    node.set_claim_horizon(Horizon::Claimed);
     let claimed = node.append(TOPIC, &[record], &Guard::EndsAt(end), CALL_TIMEOUT).await;
     log::info!(at = end, ok = claimed.is_ok(); "sent a claim for the leader lease");
-    if claimed.is_err() {
+    if let Err(error) = claimed {
+        view.has_pending_claim = !error.is_known_not_done();
         sleep(RETRY_DELAY).await;
     }
 }
@@ -150,12 +169,14 @@
 async fn run_scheduler(node: &Arc<Node>, view: &mut View) {
     let token: Token = view.lease_offset + 1;
     log::info!(token; "became leader");
+    node.set_claim_horizon(Horizon::Claimed);
     node.counters.count("batch.lead.held");
     node.operator_turns.start();
     node.directory_turns.start();
     let order_window =
         OrderWindow::new(node.settings.handover_gap, view.held_boxes(node), clock::now());
     let scheduler = Scheduler::start(node.clone(), token, order_window, view.was_released());
+    scheduler.spawn(extend_while_unclaimable(node.clone(), scheduler.clone()));
     let why = renew_until_lost(node, view, &scheduler).await;
     scheduler.stop();
     node.set_scheduler(None);
@@ -218,6 +239,42 @@
     }
 }
 
+/// Lets the scheduler go on while the lease cannot be renewed and no other node claims it.
+async fn extend_while_unclaimable(node: Arc<Node>, scheduler: Arc<Scheduler>) {
+    loop {
+        sleep(CLAIM_DELAY_INTERVAL).await;
+        if scheduler.is_renewal_overdue() {
+            ask_for_claim_delays(&node, &scheduler).await;
+        }
+    }
+}
+
+/// Asks all other nodes for how long they do not claim the lease; the scheduler goes on until the first of them may. It
+/// gains nothing if one of them does not answer.
+async fn ask_for_claim_delays(node: &Node, scheduler: &Scheduler) {
+    if node.directory.count().is_none() {
+        return;
+    }
+    let asked_at = clock::now();
+    let asked = node
+        .directory
+        .addrs()
+        .into_iter()
+        .map(|addr| async move { node.peers.ask_once(addr, peer::Request::ClaimDelay).await });
+    let Ok(replies) = timeout(CLAIM_DELAY_TIMEOUT, join_all(asked)).await else { return };
+    let mut least = TAKEOVER_TIMEOUT;
+    for reply in replies {
+        match reply {
+            Ok(peer::Reply::ClaimDelay(delay)) => least = least.min(delay),
+            Ok(_) | Err(_) => {
+                node.counters.count("batch.lead.claim-delay-unknown");
+                return;
+            }
+        }
+    }
+    scheduler.record_unclaimable(asked_at + least);
+}
+
 /// Reads the records after `end` and returns whether another node holds the lease. The records may
 /// include a renewal of this node whose answer was lost.
 async fn has_other_leader(node: &Node, view: &mut View, end: Offset) -> bool {
--- a/lib/src/batch/leader/lease.rs
+++ b/lib/src/batch/leader/lease.rs
@@ -16,7 +16,7 @@
 pub(super) const KEY: &str = "lead";
 /// Time between renewals. Each renewal costs one call to the store and a read by each node that
 /// watches.
-pub(super) const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+pub const RENEW_INTERVAL: Duration = Duration::from_millis(600);
 /// Time without a renewal after which another node claims the lease: three and a half renewals.
 pub const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2_100);
 
--- a/lib/src/batch/leader/view.rs
+++ b/lib/src/batch/leader/view.rs
@@ -8,6 +8,7 @@
 use spokelift_platform::store::Page;
 use spokelift_platform::store::Record;
 
+use crate::batch::leader::horizon::Horizon;
 use crate::batch::leader::lease::LeaderLease;
 use crate::batch::leader::lease::RENEW_INTERVAL;
 use crate::batch::leader::lease::TAKEOVER_TIMEOUT;
@@ -41,6 +42,8 @@
     pub(super) is_interrupted: bool,
     /// Whether the last read showed a renewal or a claim that came after the read before.
     pub(super) has_new_renewal: bool,
+    /// Whether this node has sent a claim that may still take effect.
+    pub(super) has_pending_claim: bool,
     /// Additional random wait of this node before a claim.
     claim_jitter: Duration,
 }
@@ -57,6 +60,7 @@
             free_since: None,
             is_interrupted: false,
             has_new_renewal: false,
+            has_pending_claim: false,
             claim_jitter: CLAIM_JITTER.mul_f64(rand::random::<f64>()),
         }
     }
@@ -82,6 +86,18 @@
         self.last_contact = clock::now();
     }
 
+    /// Until when this node does not claim the lease. After a failed read it waits for
+    /// [`TAKEOVER_TIMEOUT`] from the next one on.
+    pub(super) fn horizon(&self) -> Horizon {
+        match &self.lease {
+            _ if self.has_pending_claim => Horizon::Claimed,
+            _ if self.topic_end.is_none() || self.is_interrupted => Horizon::Unread,
+            Some(lease) if !lease.released => Horizon::Read(self.last_contact),
+            // A free lease is claimed at once.
+            Some(_) | None => Horizon::Claimed,
+        }
+    }
+
     /// Whether this incarnation of this node holds the lease.
     pub(super) fn is_own(&self, node: &Node) -> bool {
         self.lease
--- a/lib/src/batch/node/answer.rs
+++ b/lib/src/batch/node/answer.rs
@@ -5,6 +5,7 @@
 use crate::batch::node::Node;
 use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
+use crate::transport::clock;
 
 impl Node {
     /// Answers a request of another node.
@@ -35,6 +36,7 @@
             }
             Request::Config(version) => Reply::Config(self.config_newer_than(version)),
             Request::ConfigPart(request) => Reply::ConfigPart(self.config_part(&request)),
+            Request::ClaimDelay => Reply::ClaimDelay(self.claim_horizon().delay(clock::now())),
             Request::Relay(call) => Reply::Relayed(self.relay_for_peer(call).await),
             request => match self.scheduler() {
                 Some(scheduler) => scheduler.answer_peer(request).await,
--- a/lib/src/batch/node/leadership.rs
+++ b/lib/src/batch/node/leadership.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::batch::leader::horizon::Horizon;
 use crate::batch::leader::lease::KnownLease;
 use crate::batch::leader::lease::LeaderLease;
 use crate::batch::node::Node;
@@ -48,6 +49,17 @@
         self.known_lease.lock().expect("no thread panics while it holds the leader lease lock")
     }
 
+    /// Until when this node does not claim the leader lease.
+    pub fn claim_horizon(&self) -> Horizon {
+        *self.claim_horizon.lock().expect("no thread panics while it holds the horizon lock")
+    }
+
+    /// Sets until when this node does not claim the leader lease.
+    pub fn set_claim_horizon(&self, horizon: Horizon) {
+        *self.claim_horizon.lock().expect("no thread panics while it holds the horizon lock") =
+            horizon;
+    }
+
     /// Applies a record of the leader lease, which stands at `offset` in its topic, unless a later
     /// one is known. If it names another leader than before, a few other nodes are told.
     pub fn set_leader_lease(&self, offset: Offset, lease: &LeaderLease) {
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -35,6 +35,8 @@
 use crate::batch::dispatch::Dispatcher;
 use crate::batch::dispatch::lease::Lease;
 use crate::batch::fleet;
+use crate::batch::leader::lease::RENEW_INTERVAL;
+use crate::batch::leader::lease::TAKEOVER_TIMEOUT;
 use crate::batch::node::Node;
 use crate::batch::order_window::OrderWindow;
 use crate::batch::outlook::published::Published;
@@ -116,7 +118,7 @@
         cell.predecessor_is_done = predecessor_is_done;
         cell.renewed_at = Some(now);
         cell.longest_lease = node.settings.longest_lease;
-        let (own, events) = Dispatcher::start(node.dispatch_context(), Lease::unbounded());
+        let (own, events) = Dispatcher::start(node.dispatch_context(), Lease::bounded());
         let time_base = own.started_at();
         let scheduler = Arc::new(Scheduler {
             node,
@@ -172,9 +174,23 @@
         self.cancellation.is_cancelled()
     }
 
-    /// Records that the leader lease was renewed by a call sent at `sent`.
+    /// Records that the leader lease was renewed by a call sent at `sent`: no other node claims it
+    /// for [`TAKEOVER_TIMEOUT`] after that.
     pub fn record_renewal(&self, sent: Instant) {
         self.cell().renewed_at = Some(sent);
+        self.shards.extend_own(sent + TAKEOVER_TIMEOUT);
+    }
+
+    /// Whether a renewal of the leader lease has not succeeded at its time.
+    pub fn is_renewal_overdue(&self) -> bool {
+        let renewed_at = self.cell().renewed_at;
+        renewed_at.is_some_and(|at| clock::since(at) > RENEW_INTERVAL * 3 / 2)
+    }
+
+    /// Records that no other node claims the leader lease before `until`, although it is not
+    /// renewed.
+    pub fn record_unclaimable(&self, until: Instant) {
+        self.shards.extend_own(until);
     }
 
     /// Records that the store answered neither a renewal sent at `sent` nor a read of the lease after it.
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -86,6 +86,7 @@
             | Request::Newer { .. }
             | Request::Config(_)
             | Request::ConfigPart(_)
+            | Request::ClaimDelay
             | Request::Leader { .. }
             | Request::Outlook(_) => Reply::NotReady,
             Request::Ping => Reply::Done,
--- a/lib/src/batch/scheduler/shard.rs
+++ b/lib/src/batch/scheduler/shard.rs
@@ -325,6 +325,11 @@
         self.state().remotes.keys().copied().collect()
     }
 
+    /// Lets the dispatcher of this node act until `until`.
+    pub fn extend_own(&self, until: Instant) {
+        self.own.lease.extend_until(until);
+    }
+
     /// Stops the dispatcher of this node.
     pub fn stop_own(&self) {
         self.own.stop();
