--- a/lib/src/batch/dispatch.rs
+++ b/lib/src/batch/dispatch.rs
@@ -7,7 +7,7 @@
 //! A dispatcher may act only while its [`Lease`] is valid, so that a scheduler that has assigned the shard to another
 //! node knows when the dispatcher has stopped acting.
 
-pub mod call_limit;
+pub mod calls;
 pub mod lease;
 pub mod message;
 mod order;
--- a/lib/src/batch/dispatch/call_limit.rs
+++ b/lib/src/batch/dispatch/calls.rs
@@ -39,7 +39,7 @@
 pub(super) type Permit<'a> = SemaphorePermit<'a>;
 
 /// The concurrent calls to one worker.
-pub(super) struct CallLimit {
+pub(super) struct Limit {
     usual_orders: Semaphore,
     extra_orders: Semaphore,
     immediate_polls: Semaphore,
@@ -56,9 +56,9 @@
     shared_until: Option<Instant>,
 }
 
-impl Default for CallLimit {
-    fn default() -> CallLimit {
-        CallLimit {
+impl Default for Limit {
+    fn default() -> Limit {
+        Limit {
             usual_orders: Semaphore::new(USUAL_ORDERS),
             extra_orders: Semaphore::new(EXTRA_ORDERS),
             immediate_polls: Semaphore::new(IMMEDIATE_POLLS),
@@ -68,7 +68,7 @@
     }
 }
 
-impl CallLimit {
+impl Limit {
     fn rejections(&self) -> MutexGuard<'_, Rejections> {
         self.rejections.lock().expect("no thread panics while it holds the rejections lock")
     }
--- a/lib/src/batch/dispatch/session.rs
+++ b/lib/src/batch/dispatch/session.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::batch::dispatch::call_limit::CallLimit;
+use crate::batch::dispatch::calls;
 use crate::batch::worker::WORKER_LEASE;
 use crate::batch::worker::is_clock_discontinuous;
 
@@ -31,7 +31,7 @@
     pub token: Token,
     state: Mutex<State>,
     /// Limits the concurrent calls to it.
-    pub calls: CallLimit,
+    pub calls: calls::Limit,
     /// Notified when [`State::durable_end`] changes.
     pub durable_changed: Notify,
     /// Notified when [`State::renews_lease`] is set.
@@ -82,7 +82,7 @@
         };
         let (state, cancellation) = (Mutex::new(state), CancellationToken::new());
         let (durable_changed, renewal_enabled) = (Notify::new(), Notify::new());
-        let calls = CallLimit::default();
+        let calls = calls::Limit::default();
         WorkerSession { peer, token, state, calls, durable_changed, renewal_enabled, cancellation }
     }
 
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -35,7 +35,7 @@
 use crate::batch::directory;
 use crate::batch::directory::Directory;
 use crate::batch::dispatch::Context;
-use crate::batch::dispatch::call_limit::MAX_IDLE_CONNECTIONS;
+use crate::batch::dispatch::calls::MAX_IDLE_CONNECTIONS;
 use crate::batch::dispatch::remote::RemoteDispatch;
 use crate::batch::evacuated_halls::EvacuatedHalls;
 use crate::batch::gossip;
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -44,7 +44,6 @@
 use crate::batch::scheduler::flush::flush;
 use crate::batch::scheduler::follow::follow_workers;
 use crate::batch::scheduler::forget::forget_finished;
-use crate::batch::scheduler::job_topic::JobTopic;
 use crate::batch::scheduler::job_topic::follow_jobs;
 use crate::batch::scheduler::load::load;
 use crate::batch::scheduler::load::load_workers;
@@ -85,7 +84,7 @@
     pub token: Token,
     cell: Mutex<Cell>,
     /// How far the accepted jobs were read.
-    job_topic: JobTopic,
+    job_topic: job_topic::Offsets,
     /// Which node dispatches for which worker.
     shards: Shards,
     /// Wakes the task that places and dispatches.
@@ -124,7 +123,7 @@
             node,
             token,
             cell: Mutex::new(cell),
-            job_topic: JobTopic::default(),
+            job_topic: job_topic::Offsets::default(),
             shards: Shards::new(token, own),
             placement_wake: Notify::new(),
             advice_wake: Notify::new(),
--- a/lib/src/batch/scheduler/job_topic.rs
+++ b/lib/src/batch/scheduler/job_topic.rs
@@ -33,14 +33,14 @@
 
 /// How far a scheduler has read the topic of accepted jobs.
 #[derive(Default)]
-pub(super) struct JobTopic {
+pub(super) struct Offsets {
     /// For each partition, the offset up to which its records are applied.
     applied: Mutex<Vec<Offset>>,
     /// When the last read of all partitions to their ends began. Locked during such a read.
     read_to_end_at: tokio::sync::Mutex<Option<Instant>>,
 }
 
-impl JobTopic {
+impl Offsets {
     fn applied(&self) -> MutexGuard<'_, Vec<Offset>> {
         self.applied.lock().expect("no thread panics while it holds the offsets lock")
     }
--- a/testutils/tests/test_worker_connections.rs
+++ b/testutils/tests/test_worker_connections.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use spokelift_lib::batch::dispatch::Context;
 use spokelift_lib::batch::dispatch::Dispatcher;
-use spokelift_lib::batch::dispatch::call_limit::MAX_IDLE_CONNECTIONS;
+use spokelift_lib::batch::dispatch::calls::MAX_IDLE_CONNECTIONS;
 use spokelift_lib::batch::dispatch::lease::Lease;
 use spokelift_lib::batch::dispatch::message::Command;
 use spokelift_lib::batch::dispatch::message::Event;
