--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -14,20 +14,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use spokelift_platform::store::Guard;
 use spokelift_platform::store::Offset;
 use spokelift_platform::worker::Token;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::batch::leader::horizon::Horizon;
-use crate::batch::leader::horizon::extend_while_unclaimable;
 use crate::batch::leader::lease::KEY;
 use crate::batch::leader::lease::LeaderLease;
 use crate::batch::leader::lease::RENEW_INTERVAL;
+use crate::batch::leader::lease::TAKEOVER_TIMEOUT;
 use crate::batch::leader::view::View;
 use crate::batch::node::Node;
 use crate::batch::order_window::HeldBoxes;
 use crate::batch::order_window::OrderWindow;
+use crate::batch::peer;
 use crate::batch::scheduler::Scheduler;
 use crate::transport::clock;
 
@@ -40,6 +43,10 @@
 const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a call to the store; a slow store takes about 250 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time between two times of asking the other nodes for how long they do not claim the lease, while it is not renewed.
+const CLAIM_DELAY_INTERVAL: Duration = Duration::from_millis(300);
+/// Timeout of asking the other nodes for how long they do not claim the lease.
+const CLAIM_DELAY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
@@ -232,6 +239,42 @@
     }
 }
 
+/// Lets the scheduler go on while the lease cannot be renewed and no other node claims it.
+async fn extend_while_unclaimable(node: Arc<Node>, scheduler: Arc<Scheduler>) {
+    loop {
+        sleep(CLAIM_DELAY_INTERVAL).await;
+        if scheduler.is_renewal_overdue() {
+            ask_for_claim_delays(&node, &scheduler).await;
+        }
+    }
+}
+
+/// Asks all other nodes for how long they do not claim the lease; the scheduler goes on until the first of them may. It
+/// gains nothing if one of them does not answer.
+async fn ask_for_claim_delays(node: &Node, scheduler: &Scheduler) {
+    if node.directory.count().is_none() {
+        return;
+    }
+    let asked_at = clock::now();
+    let asked = node
+        .directory
+        .addrs()
+        .into_iter()
+        .map(|addr| async move { node.peers.ask_once(addr, peer::Request::ClaimDelay).await });
+    let Ok(replies) = timeout(CLAIM_DELAY_TIMEOUT, join_all(asked)).await else { return };
+    let mut least = TAKEOVER_TIMEOUT;
+    for reply in replies {
+        match reply {
+            Ok(peer::Reply::ClaimDelay(delay)) => least = least.min(delay),
+            Ok(_) | Err(_) => {
+                node.counters.count("batch.lead.claim-delay-unknown");
+                return;
+            }
+        }
+    }
+    scheduler.record_unclaimable(asked_at + least);
+}
+
 /// Reads the records after `end` and returns whether another node holds the lease. The records may
 /// include a renewal of this node whose answer was lost.
 async fn has_other_leader(node: &Node, view: &mut View, end: Offset) -> bool {
--- a/lib/src/batch/leader/horizon.rs
+++ b/lib/src/batch/leader/horizon.rs
@@ -4,24 +4,10 @@
 //! has given up. It goes on only as long as every other node has said that it does not claim the
 //! lease yet. While the store is away for all, each of them keeps saying so, and service goes on.
 
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use futures_util::future::join_all;
-use tokio::time::sleep;
-use tokio::time::timeout;
-
 use crate::batch::leader::lease::TAKEOVER_TIMEOUT;
-use crate::batch::node::Node;
-use crate::batch::peer;
-use crate::batch::scheduler::Scheduler;
-use crate::transport::clock;
-
-/// Time between two times of asking the other nodes for how long they do not claim the lease, while it is not renewed.
-const CLAIM_DELAY_INTERVAL: Duration = Duration::from_millis(300);
-/// Timeout of asking the other nodes for how long they do not claim the lease.
-const CLAIM_DELAY_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// What decides when a node may claim the leader lease next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,39 +43,3 @@
         }
     }
 }
-
-/// Lets the scheduler go on while the lease cannot be renewed and no other node claims it.
-pub(super) async fn extend_while_unclaimable(node: Arc<Node>, scheduler: Arc<Scheduler>) {
-    loop {
-        sleep(CLAIM_DELAY_INTERVAL).await;
-        if scheduler.is_renewal_overdue() {
-            ask_for_claim_delays(&node, &scheduler).await;
-        }
-    }
-}
-
-/// Asks all other nodes for how long they do not claim the lease; the scheduler goes on until the first of them may. It
-/// gains nothing if one of them does not answer.
-async fn ask_for_claim_delays(node: &Node, scheduler: &Scheduler) {
-    if node.directory.count().is_none() {
-        return;
-    }
-    let asked_at = clock::now();
-    let asked = node
-        .directory
-        .addrs()
-        .into_iter()
-        .map(|addr| async move { node.peers.ask_once(addr, peer::Request::ClaimDelay).await });
-    let Ok(replies) = timeout(CLAIM_DELAY_TIMEOUT, join_all(asked)).await else { return };
-    let mut least = TAKEOVER_TIMEOUT;
-    for reply in replies {
-        match reply {
-            Ok(peer::Reply::ClaimDelay(delay)) => least = least.min(delay),
-            Ok(_) | Err(_) => {
-                node.counters.count("batch.lead.claim-delay-unknown");
-                return;
-            }
-        }
-    }
-    scheduler.record_unclaimable(asked_at + least);
-}
