cell, tests: one check for the only leader, one set-up for a suspended one

Cause: the change wrote three things a second time: that a scheduler is certain to be the only leader (`follow`, `outlook`), a leader that is suspended until another one leads (twice in test_unknown_jobs), and a fault of the store for all daemons (two tests beside eight loops).

Change: `Cell::is_sole_leader`, `suspend_leader`, `Site::set_store_fault`, used in all of these places. No assertion is touched.

--- a/cli/tests/test_isolated_leader.rs
+++ b/cli/tests/test_isolated_leader.rs
@@ -25,10 +25,6 @@
     (site, leader)
 }
 
-fn set_store_fault(site: &Site, fault: Fault) {
-    site.nodes.iter().for_each(|node| node.store_endpoint.set_fault(fault));
-}
-
 fn signal_others(site: &Site, leader: usize, signal: Signal) {
     let others = (0..site.nodes.len()).filter(|number| *number != leader);
     others.for_each(|number| site.nodes[number].signal(signal).unwrap());
@@ -44,9 +40,9 @@
 async fn a_leader_that_hears_of_nobody_lets_the_leases_of_workers_expire() {
     let (site, leader) = start_site().await;
     signal_others(&site, leader, Signal::SIGSTOP);
-    set_store_fault(&site, Fault::Busy);
+    site.set_store_fault(Fault::Busy);
     site.wait_until("the leases expire", async |site| site.ledger.running_tasks(JOB) == 0).await;
-    set_store_fault(&site, Fault::None);
+    site.set_store_fault(Fault::None);
     signal_others(&site, leader, Signal::SIGCONT);
     site.wait_until("the tasks run", async |site| site.ledger.running_tasks(JOB) == TASKS).await;
     assert_no_violations(&site);
@@ -57,9 +53,9 @@
 async fn tasks_run_on_while_the_store_is_away_for_all_nodes() {
     for fault in [Fault::Busy, Fault::Unresponsive] {
         let (site, _) = start_site().await;
-        set_store_fault(&site, fault);
+        site.set_store_fault(fault);
         sleep(OUTAGE).await;
-        set_store_fault(&site, Fault::None);
+        site.set_store_fault(Fault::None);
         assert_eq!(site.ledger.running_tasks(JOB), TASKS);
         assert_eq!(site.ledger.starts_of(JOB), TASKS, "{fault:?}");
         assert_no_violations(&site);
--- a/cli/tests/test_partial_ends.rs
+++ b/cli/tests/test_partial_ends.rs
@@ -17,7 +17,6 @@
 const TASKS_PER_JOB: u32 = 500;
 /// Number of tasks that are done before the store is back.
 const DONE_IN_OUTAGE: usize = MAX_LISTED_ENDS + 300;
-
 /// Number of polls in the outage after that.
 const FURTHER_POLLS: u64 = 3;
 
@@ -31,17 +30,13 @@
     format!("{number:016x}")
 }
 
-fn set_store_fault(site: &Site, fault: Fault) {
-    site.nodes.iter().for_each(|node| node.store_endpoint.set_fault(fault));
-}
-
 /// A site with one worker, on which more runs have ended than it lists, while the store is down.
 async fn start_site_with_unlisted_ends(nodes: usize) -> Site {
     let site = Site::start(PROGRAM, nodes, 1, 0).await.unwrap();
     for number in 0..JOBS {
         site.submit_until_accepted(&id(number), job()).await;
     }
-    set_store_fault(&site, Fault::Busy);
+    site.set_store_fault(Fault::Busy);
     site.wait_until("more tasks are done than are listed", async |site| {
         site.ledger.done_count() >= DONE_IN_OUTAGE || !site.ledger.violations().is_empty()
     })
@@ -65,7 +60,7 @@
 #[tokio::test]
 async fn tasks_whose_ends_are_not_listed_yet_are_not_started_again() {
     let site = start_site_with_unlisted_ends(1).await;
-    set_store_fault(&site, Fault::None);
+    site.set_store_fault(Fault::None);
     wait_until_all_succeeded(&site).await;
     assert_no_violations(&site);
 }
@@ -75,7 +70,7 @@
 async fn a_new_leader_waits_for_the_ends_that_are_not_listed_yet() {
     let site = start_site_with_unlisted_ends(3).await;
     site.nodes[site.leader().expect("a node leads")].kill();
-    set_store_fault(&site, Fault::None);
+    site.set_store_fault(Fault::None);
     wait_until_all_succeeded(&site).await;
     assert_no_violations(&site);
 }
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -212,18 +212,14 @@
 #[tokio::test]
 async fn submissions_are_rejected_while_the_store_does_not_respond() {
     let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
-    for node in &site.nodes {
-        node.store_endpoint.set_fault(Fault::Unresponsive);
-    }
+    site.set_store_fault(Fault::Unresponsive);
     // The outcome of the first write is unknown, since it was in flight when the store stopped
     // responding.
     assert_eq!(site.submit(0, &id(1), job(1, 10)).await, 504);
     for number in 2..8 {
         assert_eq!(site.submit(0, &id(number), job(1, 10)).await, 503);
     }
-    for node in &site.nodes {
-        node.store_endpoint.set_fault(Fault::None);
-    }
+    site.set_store_fault(Fault::None);
     site.submit_until_accepted(&id(9), job(1, 10)).await;
     site.wait_until_succeeded(&id(9)).await;
     for number in 2..8 {
@@ -255,17 +251,13 @@
 async fn lost_and_late_store_responses_lose_no_job() {
     let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
     for fault in [Fault::LosesAnswers, Fault::Late] {
-        for node in &site.nodes {
-            node.store_endpoint.set_fault(fault);
-        }
+        site.set_store_fault(fault);
         let first = if fault == Fault::Late { 10 } else { 0 };
         for number in first..first + 4 {
             let _ = site.submit(number as usize % 3, &id(number), job(2, 100)).await;
         }
         sleep(Duration::from_millis(500)).await;
-        for node in &site.nodes {
-            node.store_endpoint.set_fault(Fault::None);
-        }
+        site.set_store_fault(Fault::None);
         for number in first..first + 4 {
             site.submit_until_accepted(&id(number), job(2, 100)).await;
             site.wait_until_succeeded(&id(number)).await;
@@ -278,17 +270,13 @@
 async fn running_jobs_go_on_while_the_store_is_unavailable() {
     let site = Site::start(PROGRAM, 2, 4, 0).await.unwrap();
     site.submit_until_accepted(&id(1), job(4, 1_000)).await;
-    for node in &site.nodes {
-        node.store_endpoint.set_fault(Fault::Busy);
-    }
+    site.set_store_fault(Fault::Busy);
     let refused = site.submit(0, &id(2), job(1, 100)).await;
     assert_eq!(refused, 503);
     site.wait_until("the second step has started", async |site| site.ledger.start_count() == 8)
         .await;
     sleep(Duration::from_millis(1_500)).await;
-    for node in &site.nodes {
-        node.store_endpoint.set_fault(Fault::None);
-    }
+    site.set_store_fault(Fault::None);
     site.wait_until_succeeded(&id(1)).await;
     assert_eq!(site.job_state(0, &id(2)).await, Err(410));
     assert_eq!(site.ledger.start_count(), 8);
@@ -337,9 +325,7 @@
 #[tokio::test]
 async fn submissions_are_rejected_after_one_attempt_once_the_store_is_known_unavailable() {
     let site = Site::start(PROGRAM, 3, 4, 0).await.unwrap();
-    for node in &site.nodes {
-        node.store_endpoint.set_fault(Fault::Busy);
-    }
+    site.set_store_fault(Fault::Busy);
     // After the first rejection the node knows that the store is unavailable.
     assert_eq!(site.submit(0, &id(1), job(1, 10)).await, 503);
     let failed = async || {
@@ -352,9 +338,7 @@
         assert_eq!(site.submit(0, &id(number), job(1, 10)).await, 503);
     }
     assert_eq!(failed().await - before, 6);
-    for node in &site.nodes {
-        node.store_endpoint.set_fault(Fault::None);
-    }
+    site.set_store_fault(Fault::None);
     site.submit_until_accepted(&id(9), job(1, 10)).await;
     site.wait_until_succeeded(&id(9)).await;
     // Rejected jobs have not run.
--- a/cli/tests/test_unknown_jobs.rs
+++ b/cli/tests/test_unknown_jobs.rs
@@ -22,6 +22,8 @@
 use tokio::time::timeout;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
+/// Number of nodes where one is suspended.
+const NODES: usize = 3;
 /// Number of jobs that are cancelled.
 const JOBS: u64 = 12;
 /// Time between two of them: shorter than the interval at which a leader reads the jobs.
@@ -64,11 +66,22 @@
     answer
 }
 
-/// Opens connections to a node, for requests while it is suspended.
-async fn connect(site: &Site, node: usize) -> Vec<TcpStream> {
-    let addr = site.nodes[node].client_proxy.addr;
-    let connections = (0..JOBS).map(|_| TcpStream::connect(addr));
-    try_join_all(connections).await.unwrap()
+/// A leader that is suspended, after another node has taken over.
+struct SuspendedLeader {
+    leader: usize,
+    /// A node that runs.
+    other: usize,
+    /// Open connections to the leader, one for a request about each job.
+    connections: Vec<TcpStream>,
+}
+
+async fn suspend_leader(site: &Site) -> SuspendedLeader {
+    let leader = site.leader().expect("a node leads");
+    let addr = site.nodes[leader].client_proxy.addr;
+    let connections = try_join_all((0..JOBS).map(|_| TcpStream::connect(addr))).await.unwrap();
+    site.nodes[leader].signal(Signal::SIGSTOP).unwrap();
+    site.wait_until("another node leads", async |site| site.leader() != Some(leader)).await;
+    SuspendedLeader { leader, other: (leader + 1) % NODES, connections }
 }
 
 /// Sends a request about each job to a suspended node, resumes the node, and returns the answers.
@@ -90,12 +103,8 @@
 /// replaced it.
 #[tokio::test]
 async fn a_leader_that_wakes_up_does_not_deny_the_jobs_of_its_successor() {
-    let site = Site::start(PROGRAM, 3, 2, 0).await.unwrap();
-    let leader = site.leader().expect("a node leads");
-    let connections = connect(&site, leader).await;
-    site.nodes[leader].signal(Signal::SIGSTOP).unwrap();
-    site.wait_until("another node leads", async |site| site.leader() != Some(leader)).await;
-    let other = (leader + 1) % 3;
+    let site = Site::start(PROGRAM, NODES, 2, 0).await.unwrap();
+    let SuspendedLeader { leader, other, connections } = suspend_leader(&site).await;
     for number in 0..JOBS {
         site.wait_until("a running node accepts the job", async |site| {
             site.submit(other, &id(number), long_running_job()).await == 200
@@ -110,15 +119,11 @@
 /// Guards against a leader that wakes up and answers from a state that its successor has changed.
 #[tokio::test]
 async fn a_leader_that_wakes_up_does_not_answer_from_its_old_state() {
-    let site = Site::start(PROGRAM, 3, 2, 0).await.unwrap();
+    let site = Site::start(PROGRAM, NODES, 2, 0).await.unwrap();
     for number in 0..JOBS {
         site.submit_until_accepted(&id(number), long_running_job()).await;
     }
-    let leader = site.leader().expect("a node leads");
-    let connections = connect(&site, leader).await;
-    site.nodes[leader].signal(Signal::SIGSTOP).unwrap();
-    site.wait_until("another node leads", async |site| site.leader() != Some(leader)).await;
-    let other = (leader + 1) % 3;
+    let SuspendedLeader { leader, other, connections } = suspend_leader(&site).await;
     for number in 0..JOBS {
         site.wait_until("a running node cancels the job", async |site| {
             site.cancel(other, &id(number)).await == 200
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -54,6 +54,7 @@
 use crate::batch::history::History;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
+use crate::batch::order_window::is_sole_leader;
 use crate::batch::place::fair::Allowances;
 use crate::batch::record::JobKey;
 use crate::batch::run_time::RunTimes;
@@ -380,6 +381,11 @@
             history: History::default(),
         }
     }
+
+    /// Whether it is certain that no other node had claimed leadership at `then`.
+    pub fn is_sole_leader(&self, then: Instant) -> bool {
+        !self.is_fenced && is_sole_leader(self.renewed_at, then)
+    }
 }
 
 /// The next run number of a task. It is higher than all earlier ones, including those of earlier
--- a/lib/src/batch/scheduler/follow.rs
+++ b/lib/src/batch/scheduler/follow.rs
@@ -14,7 +14,6 @@
 use spokelift_platform::store::WORKER_TOPIC;
 use tokio::time::sleep;
 
-use crate::batch::order_window::is_sole_leader;
 use crate::batch::record;
 use crate::batch::record::JobKey;
 use crate::batch::record::JobRecord;
@@ -90,13 +89,8 @@
     /// Whether this scheduler is the only one, and knows all jobs that the store had when it was asked: then a job that
     /// it does not know does not exist. Reads what it has not read yet.
     pub(super) async fn knows_all_jobs(&self) -> bool {
-        self.is_sole_leader() && self.read_jobs_to_end().await && self.is_sole_leader()
-    }
-
-    /// Whether it is certain that no other node has claimed leadership by now.
-    fn is_sole_leader(&self) -> bool {
-        let cell = self.cell();
-        !cell.is_fenced && is_sole_leader(cell.renewed_at, clock::now())
+        let is_sole_leader = || self.cell().is_sole_leader(clock::now());
+        is_sole_leader() && self.read_jobs_to_end().await && is_sole_leader()
     }
 
     /// Reads the jobs that the store had when this was called, at once for all that ask meanwhile; `false` if the store
--- a/lib/src/batch/scheduler/outlook.rs
+++ b/lib/src/batch/scheduler/outlook.rs
@@ -11,7 +11,6 @@
 
 use crate::batch::caller::Caller;
 use crate::batch::cell::Cell;
-use crate::batch::order_window::is_sole_leader;
 use crate::batch::outlook::Outlook;
 use crate::batch::outlook::measure;
 use crate::batch::outlook::published::Published;
@@ -71,8 +70,7 @@
         let has_polled_all = cell.unpolled.is_empty();
         // Jobs may be written without their nodes' knowledge while the store is slow or loses answers.
         let store_answers = !self.store_latency().is_slow(now);
-        let is_leader = !cell.is_fenced && is_sole_leader(cell.renewed_at, now);
-        is_leader && knows_all && has_polled_all && store_answers
+        cell.is_sole_leader(now) && knows_all && has_polled_all && store_answers
     }
 
     /// Answers whether a job may be refused by the outlook of this number: it is not known here,
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -186,6 +186,11 @@
         self.store.put(OPERATOR_TOPIC, Record::tombstone(format!("evacuate/{hall}")));
     }
 
+    /// Sets the fault of the store for all daemons.
+    pub fn set_store_fault(&self, fault: store::Fault) {
+        self.nodes.iter().for_each(|node| node.store_endpoint.set_fault(fault));
+    }
+
     /// Ends every fault, takes back all halls, and starts the daemons that do not run.
     pub fn end_faults(&self) -> io::Result<()> {
         HALLS.iter().for_each(|hall| self.take_back_hall(hall));
