leader: what nodes tell a leader without renewals is a promise

Cause: one term stood for two things.

Change: `claim::State` decides, `promise` is what follows from it, in code, docs and glossary; `Request::ClaimPromise`, counter `batch.lead.promise-missing`, which counts the case of no answer in time too. The bytes between nodes are the same (test_encoding).

Measured: no change of behaviour but that count; test_encoding, test_imports and the doc tests pass.

--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -5,9 +5,9 @@
 //! once if the leader has released it. The fencing token that workers compare is derived from the
 //! offset of the claim, so a leader that comes back after a pause or a partition is refused by
 //! every worker that has been called by its successor. A worker that the successor does not reach
-//! is not protected by that: see [`horizon`].
+//! is not protected by that: see [`claim`].
 
-pub mod horizon;
+pub mod claim;
 pub mod lease;
 mod view;
 
@@ -22,7 +22,6 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::batch::leader::horizon::Horizon;
 use crate::batch::leader::lease::KEY;
 use crate::batch::leader::lease::LeaderLease;
 use crate::batch::leader::lease::RENEW_INTERVAL;
@@ -44,10 +43,10 @@
 const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a call to the store; a slow store takes about 250 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time between two times of asking the other nodes for how long they do not claim the lease, while it is not renewed.
-const CLAIM_DELAY_INTERVAL: Duration = Duration::from_millis(300);
-/// Timeout of asking the other nodes for how long they do not claim the lease.
-const CLAIM_DELAY_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time between two times of asking the other nodes for a promise, while the lease is not renewed.
+const PROMISE_INTERVAL: Duration = Duration::from_millis(300);
+/// Timeout of asking them.
+const PROMISE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
@@ -77,12 +76,12 @@
             && let Some(group) = node.lease_watchers()
         {
             // After a rest the lease is read anew.
-            node.set_claim_horizon(Horizon::Unread);
+            node.set_claim_state(claim::State::Unread);
             if node.lease_turns.rest(group).await {
                 view.resume();
             }
         }
-        node.set_claim_horizon(view.horizon());
+        node.set_claim_state(view.claim_state());
         let followed = follow(&node, &mut view).await;
         node.lease_turns.finish_read();
         if let Err(error) = followed {
@@ -90,7 +89,7 @@
             log::debug!("cannot read the leader lease: {error}");
             view.is_interrupted = true;
             view.has_new_renewal = false;
-            node.set_claim_horizon(view.horizon());
+            node.set_claim_state(view.claim_state());
             sleep(RETRY_DELAY).await;
             continue;
         }
@@ -157,7 +156,7 @@
 async fn claim_lease(node: &Node, view: &mut View) {
     let Some(end) = view.topic_end else { return };
     let record = node.held_lease(0).to_record();
-    node.set_claim_horizon(Horizon::Claimed);
+    node.set_claim_state(claim::State::Claimed);
     let claimed = node.append(TOPIC, &[record], &Guard::EndsAt(end), CALL_TIMEOUT).await;
     log::info!(at = end, ok = claimed.is_ok(); "sent a claim for the leader lease");
     // A claim that the store has taken is known as a claim only once it was read.
@@ -171,14 +170,14 @@
 async fn run_scheduler(node: &Arc<Node>, view: &mut View) {
     let token: Token = view.lease_offset + 1;
     log::info!(token; "became leader");
-    node.set_claim_horizon(Horizon::Claimed);
+    node.set_claim_state(claim::State::Claimed);
     node.counters.count("batch.lead.held");
     node.operator_turns.start();
     node.directory_turns.start();
     let order_window =
         OrderWindow::new(node.settings.handover_gap, view.held_boxes(node), clock::now());
     let scheduler = Scheduler::start(node.clone(), token, order_window, view.was_released());
-    scheduler.spawn(extend_while_unclaimable(node.clone(), scheduler.clone()));
+    scheduler.spawn(extend_by_promises(node.clone(), scheduler.clone()));
     let why = renew_until_lost(node, view, &scheduler).await;
     scheduler.stop();
     node.set_scheduler(None);
@@ -241,40 +240,38 @@
     }
 }
 
-/// Lets the scheduler go on while the lease cannot be renewed and no other node claims it.
-async fn extend_while_unclaimable(node: Arc<Node>, scheduler: Arc<Scheduler>) {
+/// Lets the scheduler go on while the lease cannot be renewed and all other nodes promise not to claim it.
+async fn extend_by_promises(node: Arc<Node>, scheduler: Arc<Scheduler>) {
     loop {
-        sleep(CLAIM_DELAY_INTERVAL).await;
+        sleep(PROMISE_INTERVAL).await;
         if scheduler.is_renewal_overdue() {
-            ask_for_claim_delays(&node, &scheduler).await;
+            ask_for_promises(&node, &scheduler).await;
         }
     }
 }
 
-/// Asks all other nodes for how long they do not claim the lease; the scheduler goes on until the first of them may. It
-/// gains nothing if one of them does not answer.
-async fn ask_for_claim_delays(node: &Node, scheduler: &Scheduler) {
+/// Asks all other nodes for how long they promise not to claim the lease; the scheduler goes on until the first promise
+/// ends. If one of them does not answer, it goes on no longer than before.
+async fn ask_for_promises(node: &Node, scheduler: &Scheduler) {
     if node.directory.count().is_none() {
         return;
     }
     let asked_at = clock::now();
-    let asked = node
-        .directory
-        .addrs()
-        .into_iter()
-        .map(|addr| async move { node.peers.ask_once(addr, peer::Request::ClaimDelay).await });
-    let Ok(replies) = timeout(CLAIM_DELAY_TIMEOUT, join_all(asked)).await else { return };
-    let mut least = TAKEOVER_TIMEOUT;
+    let asked =
+        node.directory.addrs().into_iter().map(|addr| async move {
+            node.peers.ask_once(addr, peer::Request::ClaimPromise).await
+        });
+    let Ok(replies) = timeout(PROMISE_TIMEOUT, join_all(asked)).await else {
+        return node.counters.count("batch.lead.promise-missing");
+    };
+    let mut shortest = TAKEOVER_TIMEOUT;
     for reply in replies {
         match reply {
-            Ok(peer::Reply::ClaimDelay(delay)) => least = least.min(delay),
-            Ok(_) | Err(_) => {
-                node.counters.count("batch.lead.claim-delay-unknown");
-                return;
-            }
+            Ok(peer::Reply::ClaimPromise(promise)) => shortest = shortest.min(promise),
+            Ok(_) | Err(_) => return node.counters.count("batch.lead.promise-missing"),
         }
     }
-    scheduler.record_unclaimable(asked_at + least);
+    scheduler.record_promise(asked_at + shortest);
 }
 
 /// Reads the records after `end` and returns whether another node holds the lease. The records may
--- a/lib/src/batch/leader/view.rs
+++ b/lib/src/batch/leader/view.rs
@@ -8,7 +8,7 @@
 use spokelift_platform::store::Page;
 use spokelift_platform::store::Record;
 
-use crate::batch::leader::horizon::Horizon;
+use crate::batch::leader::claim;
 use crate::batch::leader::lease::LeaderLease;
 use crate::batch::leader::lease::RENEW_INTERVAL;
 use crate::batch::leader::lease::TAKEOVER_TIMEOUT;
@@ -87,15 +87,15 @@
         self.last_contact = clock::now();
     }
 
-    /// Until when this node does not claim the lease. After a failed read it waits for
+    /// What decides when this node may claim the lease. After a failed read it waits for
     /// [`TAKEOVER_TIMEOUT`] from the next one on.
-    pub(super) fn horizon(&self) -> Horizon {
+    pub(super) fn claim_state(&self) -> claim::State {
         match &self.lease {
-            _ if self.has_pending_claim => Horizon::Claimed,
-            _ if self.topic_end.is_none() || self.is_interrupted => Horizon::Unread,
-            Some(lease) if !lease.released => Horizon::Read(self.last_contact),
+            _ if self.has_pending_claim => claim::State::Claimed,
+            _ if self.topic_end.is_none() || self.is_interrupted => claim::State::Unread,
+            Some(lease) if !lease.released => claim::State::Read(self.last_contact),
             // A free lease is claimed at once.
-            Some(_) | None => Horizon::Claimed,
+            Some(_) | None => claim::State::Claimed,
         }
     }
 
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -41,7 +41,7 @@
 use crate::batch::gossip;
 use crate::batch::gossip::Gossip;
 use crate::batch::leader;
-use crate::batch::leader::horizon::Horizon;
+use crate::batch::leader::claim;
 use crate::batch::leader::lease::KnownLease;
 use crate::batch::node::config::InForce;
 use crate::batch::node::operator_api::handle_operator;
@@ -115,7 +115,7 @@
     waves: Mutex<BTreeMap<u64, Wave>>,
     evacuated_halls: Mutex<EvacuatedHalls>,
     known_lease: Mutex<KnownLease>,
-    claim_horizon: Mutex<Horizon>,
+    claim_state: Mutex<claim::State>,
     outlook: Mutex<Known>,
     scheduler: Mutex<Option<Arc<Scheduler>>>,
     stopping: watch::Sender<bool>,
@@ -151,7 +151,7 @@
             waves: Mutex::default(),
             evacuated_halls: Mutex::default(),
             known_lease: Mutex::default(),
-            claim_horizon: Mutex::new(Horizon::Unread),
+            claim_state: Mutex::new(claim::State::Unread),
             outlook: Mutex::default(),
             scheduler: Mutex::default(),
             stopping: watch::Sender::new(false),
--- a/lib/src/batch/node/answer.rs
+++ b/lib/src/batch/node/answer.rs
@@ -36,7 +36,7 @@
             }
             Request::Config(version) => Reply::Config(self.config_newer_than(version)),
             Request::ConfigPart(request) => Reply::ConfigPart(self.config_part(&request)),
-            Request::ClaimDelay => Reply::ClaimDelay(self.claim_horizon().delay(clock::now())),
+            Request::ClaimPromise => Reply::ClaimPromise(self.claim_state().promise(clock::now())),
             Request::Relay(call) => Reply::Relayed(self.relay_for_peer(call).await),
             request => match self.scheduler() {
                 Some(scheduler) => scheduler.answer_peer(request).await,
--- a/lib/src/batch/node/leadership.rs
+++ b/lib/src/batch/node/leadership.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::batch::leader::horizon::Horizon;
+use crate::batch::leader::claim;
 use crate::batch::leader::lease::KnownLease;
 use crate::batch::leader::lease::LeaderLease;
 use crate::batch::node::Node;
@@ -49,15 +49,18 @@
         self.known_lease.lock().expect("no thread panics while it holds the leader lease lock")
     }
 
-    /// Until when this node does not claim the leader lease.
-    pub fn claim_horizon(&self) -> Horizon {
-        *self.claim_horizon.lock().expect("no thread panics while it holds the horizon lock")
+    fn lock_claim_state(&self) -> MutexGuard<'_, claim::State> {
+        self.claim_state.lock().expect("no thread panics while it holds the claim state lock")
     }
 
-    /// Sets until when this node does not claim the leader lease.
-    pub fn set_claim_horizon(&self, horizon: Horizon) {
-        *self.claim_horizon.lock().expect("no thread panics while it holds the horizon lock") =
-            horizon;
+    /// What decides when this node may claim the leader lease next.
+    pub fn claim_state(&self) -> claim::State {
+        *self.lock_claim_state()
+    }
+
+    /// Sets what decides when this node may claim the leader lease next.
+    pub fn set_claim_state(&self, state: claim::State) {
+        *self.lock_claim_state() = state;
     }
 
     /// Applies a record of the leader lease, which stands at `offset` in its topic, unless a later
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -97,9 +97,8 @@
     ConfigPart(PartRequest),
     /// To the leader: whether a job may be refused by the outlook of this number.
     MayRefuse(JobId, Caller, u64),
-    /// From a leader that cannot renew its lease: for how long the receiver certainly does not claim
-    /// it, whatever it reads.
-    ClaimDelay,
+    /// From a leader that cannot renew its lease: for how long the receiver promises not to claim it.
+    ClaimPromise,
 }
 
 impl Request {
@@ -121,7 +120,7 @@
             Request::Outlook(_) => "outlook",
             Request::ConfigPart(_) => "config-part",
             Request::MayRefuse(..) => "may-refuse",
-            Request::ClaimDelay => "claim-delay",
+            Request::ClaimPromise => "claim-promise",
         }
     }
 }
@@ -156,8 +155,8 @@
         /// Whether the account sends it above its rate.
         is_over_rate: bool,
     },
-    /// For how long this node does not claim the leader lease.
-    ClaimDelay(Duration),
+    /// For how long this node does not claim the leader lease, whatever it reads.
+    ClaimPromise(Duration),
 }
 
 /// Why a request to a peer has no answer.
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -186,9 +186,8 @@
         renewed_at.is_some_and(|at| clock::since(at) > RENEW_INTERVAL * 3 / 2)
     }
 
-    /// Records that no other node claims the leader lease before `until`, although it is not
-    /// renewed.
-    pub fn record_unclaimable(&self, until: Instant) {
+    /// Records that all other nodes promise not to claim the leader lease before `until`.
+    pub fn record_promise(&self, until: Instant) {
         self.shards.extend_own(until);
     }
 
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -353,7 +353,7 @@
         Request::ConfigPart(part_request(Some(2), Some(([7; 32], 300)))),
         Request::MayRefuse(0x5c0e, Caller::Account("clinics".into()), 4),
         Request::Report(Box::new(partial_report)),
-        Request::ClaimDelay,
+        Request::ClaimPromise,
     ];
     for (number, request) in (1_u64..).zip(requests) {
         lines.postcard("request", &(number, request));
@@ -386,7 +386,7 @@
     replies.push(Reply::Unconfirmed(Box::new(Reply::Pending(7))));
     replies.extend(part_replies().map(Reply::ConfigPart));
     replies.push(Reply::Refusable { is_over_rate: true });
-    replies.push(Reply::ClaimDelay(Duration::from_millis(2_100)));
+    replies.push(Reply::ClaimPromise(Duration::from_millis(2_100)));
     for (number, reply) in (1_u64..).zip(replies) {
         lines.postcard("reply", &(number, reply));
     }
