testutils: links between daemons and workers that can be cut, and plays of isolated leaders

Change: `platform::network` gives each daemon a link to each worker and each other daemon. The addresses in what it reads from the store and from other daemons are replaced by those of its links. Cuts are made from outside, by the direction, and what they hold up is delivered later. `site::Options` says what a site consists of.

--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -1,10 +1,13 @@
 //! Stand-ins for the users' platform, written from its published protocol: a [`store`], [`worker`]s
-//! on [`machines`], and a [`site`] that combines them with real daemons. They implement only what
-//! spokelift relies on, and faults that tests can set. [`soak`] sets the faults at random.
+//! on [`machines`], a [`network`] between them, and a [`site`] that combines them with real daemons.
+//! They implement only what spokelift relies on, and faults that tests can set. [`soak`] sets the
+//! faults at random, [`isolation`] cuts off leaders.
 
 pub mod advice;
+pub mod isolation;
 pub mod ledger;
 pub mod machines;
+pub mod network;
 pub mod site;
 pub mod soak;
 pub mod store;
--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -63,6 +64,8 @@
     busy_refusals: HashMap<String, usize>,
     /// Whether a new incarnation takes over the id of the last one on its machine in its service.
     reuses_ids: bool,
+    /// The IP address on which the workers listen; `None` for the default.
+    worker_ip: Option<IpAddr>,
     /// The latest incarnation on each machine in each service.
     last_incarnations: HashMap<(String, String), Worker>,
 }
@@ -112,6 +115,11 @@
         self.state.lock().expect("no thread panics while it holds the lock")
     }
 
+    /// Sets the IP address on which workers listen that are started from now on.
+    pub fn set_worker_ip(&self, ip: IpAddr) {
+        self.state().worker_ip = Some(ip);
+    }
+
     /// Adds a machine, with a worker unless it is in the reserve.
     pub async fn add(&self, id: &str, shape: Shape) -> std::io::Result<()> {
         let worker = self.start_worker(id, &shape, StartOptions::default()).await?;
@@ -284,6 +292,8 @@
         if shape.service == RESERVE {
             return Ok(None);
         }
+        let ip = self.state().worker_ip.unwrap_or(options.ip);
+        let options = StartOptions { ip, ..options };
         let started =
             Worker::start(&self.store, &self.ledger, id, shape, &self.crash_sender, options);
         let worker = started.await?;
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -25,6 +25,8 @@
 use crate::platform::ledger::Ledger;
 use crate::platform::machines::Machines;
 use crate::platform::machines::RESERVE;
+use crate::platform::network::Cut;
+use crate::platform::network::Network;
 use crate::platform::site::config::Account;
 use crate::platform::site::config::HOST;
 use crate::platform::site::config::config;
@@ -36,6 +38,7 @@
 use crate::platform::worker;
 use crate::platform::worker::Shape;
 use crate::proxy;
+use crate::proxy::Flow;
 use crate::proxy::Proxy;
 
 /// How long a client waits for an answer.
@@ -59,13 +62,63 @@
     pub ledger: Ledger,
     /// The daemons.
     pub nodes: Vec<Node>,
+    /// The links of the daemons; `None` if they reach workers and each other directly.
+    network: Option<Network>,
     dialer: Dialer,
-    advice: Advice,
+    _advice: Advice,
+}
+
+/// What a site consists of.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The `cpuShare` setting of each daemon: the fraction of a core that it may use.
+    pub cpu_shares: Vec<f64>,
+    /// Number of machines in pool `work`.
+    pub workers: usize,
+    /// Number of machines in pool `spare`.
+    pub reserve: usize,
+    /// Minimum time between the order windows of two schedulers.
+    pub handover_gap: Duration,
+    /// Number of workers in each shard; `None` for the daemon's default. If there are more workers,
+    /// other nodes than the leader dispatch to them.
+    pub workers_per_shard: Option<usize>,
+    /// Whether the daemons reach workers and each other by links of a [`Network`].
+    pub has_links: bool,
+}
+
+impl Options {
+    /// A site of `nodes` daemons and `workers` machines, without a reserve or links.
+    pub fn new(nodes: usize, workers: usize) -> Options {
+        Options {
+            cpu_shares: vec![CPU_SHARE; nodes],
+            workers,
+            reserve: 0,
+            handover_gap: HANDOVER_GAP,
+            workers_per_shard: None,
+            has_links: false,
+        }
+    }
+
+    /// The same with links.
+    pub fn with_links(self) -> Options {
+        Options { has_links: true, ..self }
+    }
 }
 
 /// The data halls of a site.
 pub const HALLS: [&str; 2] = ["hall-1", "hall-2"];
 
+/// Starts the links of daemons, and has the workers listen where the links lead.
+fn start_network(nodes: &[Node], machines: &Machines) -> io::Result<Network> {
+    let addrs: Vec<_> = nodes.iter().map(|node| node.peer_addr).collect();
+    let network = Network::start(&addrs)?;
+    machines.set_worker_ip(network.worker_ip());
+    for (number, node) in nodes.iter().enumerate() {
+        node.store_endpoint.set_network(network.clone(), number);
+    }
+    Ok(network)
+}
+
 /// The data hall of a machine: the racks, of two machines each, stand in the halls in turn.
 pub fn hall_of(machine: usize) -> &'static str {
     HALLS[machine / 2 % HALLS.len()]
@@ -86,7 +139,8 @@
         workers: usize,
         reserve: usize,
     ) -> io::Result<Site> {
-        Site::start_with_cpu_shares(program, &vec![CPU_SHARE; nodes], workers, reserve).await
+        let options = Options { reserve, ..Options::new(nodes, workers) };
+        Site::start_with(program, options).await
     }
 
     /// Like [`Site::start`], with this minimum time between the order windows of two schedulers.
@@ -97,8 +151,8 @@
         reserve: usize,
         handover_gap: Duration,
     ) -> io::Result<Site> {
-        let cpu_shares = vec![CPU_SHARE; nodes];
-        Site::start_with(program, &cpu_shares, workers, reserve, (handover_gap, None)).await
+        let options = Options { reserve, handover_gap, ..Options::new(nodes, workers) };
+        Site::start_with(program, options).await
     }
 
     /// Like [`Site::start`], with this number of workers in each shard, so that other nodes than
@@ -110,8 +164,9 @@
         reserve: usize,
         workers_per_shard: usize,
     ) -> io::Result<Site> {
-        let settings = (HANDOVER_GAP, Some(workers_per_shard));
-        Site::start_with(program, &vec![CPU_SHARE; nodes], workers, reserve, settings).await
+        let workers_per_shard = Some(workers_per_shard);
+        let options = Options { reserve, workers_per_shard, ..Options::new(nodes, workers) };
+        Site::start_with(program, options).await
     }
 
     /// Like [`Site::start`], with one node for each of these fractions of a core.
@@ -121,45 +176,43 @@
         workers: usize,
         reserve: usize,
     ) -> io::Result<Site> {
-        Site::start_with(program, cpu_shares, workers, reserve, (HANDOVER_GAP, None)).await
+        let options = Options::new(cpu_shares.len(), workers);
+        let options = Options { cpu_shares: cpu_shares.to_vec(), reserve, ..options };
+        Site::start_with(program, options).await
     }
 
-    async fn start_with(
-        program: &str,
-        cpu_shares: &[f64],
-        workers: usize,
-        reserve: usize,
-        (handover_gap, workers_per_shard): (Duration, Option<usize>),
-    ) -> io::Result<Site> {
+    /// Starts a site as [`Site::start`] does.
+    pub async fn start_with(program: &str, options: Options) -> io::Result<Site> {
         let (store, ledger) = (Store::default(), Ledger::default());
         let machines = Machines::start(&store, &ledger).await?;
-        for number in 0..workers + reserve {
-            let service = if number < workers { "work" } else { RESERVE };
+        let machines_proxy = Proxy::start(machines.addr).await?;
+        let advice = Advice::start(&machines).await?;
+        let mut nodes = Vec::new();
+        for (number, cpu_share) in options.cpu_shares.iter().copied().enumerate() {
+            let node = NodeOptions {
+                number,
+                cpu_share,
+                handover_gap: options.handover_gap,
+                workers_per_shard: options.workers_per_shard,
+                machines: machines_proxy.addr,
+                advice: advice.addr,
+            };
+            nodes.push(Node::prepare(program, &store, &node).await?);
+        }
+        let network =
+            if options.has_links { Some(start_network(&nodes, &machines)?) } else { None };
+        for number in 0..options.workers + options.reserve {
+            let service = if number < options.workers { "work" } else { RESERVE };
             let rack = format!("r1-{}", number / 2);
             let shape = Shape::of_work(hall_of(number), &rack);
             let shape = Shape { service: service.to_owned(), ..shape };
             machines.add(&format!("m-{number}"), shape).await?;
         }
         store.put(OPERATOR_TOPIC, Record::set("config", config().to_string()));
-        let advice = Advice::start(&machines).await?;
-        let machines_proxy = Proxy::start(machines.addr).await?;
-        let dialer = Dialer::new(ANSWER_TIMEOUT);
-        let nodes = Vec::new();
-        let mut site = Site { store, machines, machines_proxy, ledger, nodes, dialer, advice };
-        for (number, cpu_share) in cpu_shares.iter().copied().enumerate() {
-            let (machines, advice) = (site.machines_proxy.addr, site.advice.addr);
-            let options = NodeOptions {
-                number,
-                cpu_share,
-                handover_gap,
-                workers_per_shard,
-                machines,
-                advice,
-            };
-            let node = Node::prepare(program, &site.store, &options).await?;
-            node.start()?;
-            site.nodes.push(node);
-        }
+        let (dialer, _advice) = (Dialer::new(ANSWER_TIMEOUT), advice);
+        let site =
+            Site { store, machines, machines_proxy, ledger, nodes, network, dialer, _advice };
+        site.nodes.iter().try_for_each(Node::start)?;
         for number in 0..site.nodes.len() {
             site.wait_until("each daemon answers", async |site| {
                 site.pending_jobs(number).await.is_some()
@@ -169,6 +222,28 @@
         Ok(site)
     }
 
+    /// The links of the daemons.
+    ///
+    /// # Panics
+    ///
+    /// If the site was started without links.
+    pub fn network(&self) -> &Network {
+        self.network.as_ref().expect("the site was started with links")
+    }
+
+    /// Cuts the paths of some daemons to the store and to all others, as they see them.
+    pub fn isolate_nodes(&self, nodes: &[usize], cut: Cut) {
+        let flow = |is_held| if is_held { Flow::Hold } else { Flow::Pass };
+        let (request, answer) = (flow(cut.holds_outbound()), flow(cut.holds_inbound()));
+        let fault = proxy::Fault { request, answer, ..proxy::Fault::default() };
+        for node in nodes {
+            self.nodes[*node].store_proxy.set_fault(fault);
+            for other in (0..self.nodes.len()).filter(|other| !nodes.contains(other)) {
+                self.network().cut_nodes(*node, other, cut);
+            }
+        }
+    }
+
     /// Evacuates a data hall.
     pub fn evacuate_hall(&self, hall: &str) {
         self.store.put(OPERATOR_TOPIC, Record::set(format!("evacuate/{hall}"), "{}"));
--- a/testutils/src/platform/site/node.rs
+++ b/testutils/src/platform/site/node.rs
@@ -2,8 +2,6 @@
 
 use std::fs::OpenOptions;
 use std::io;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -11,8 +9,6 @@
 use std::process::Command;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,10 +29,6 @@
 pub const SITE_KEY: &str = "site:a-secret-of-the-site";
 /// Largest number of log lines in a daemon's diagnostics.
 const MAX_SHOWN_LINES: usize = 20;
-/// Number of loopback addresses of a test process; further nodes reuse them.
-const ADDRESSES_PER_PROCESS: u32 = 250;
-/// Number of loopback addresses that this process has used so far, with repetitions.
-static ADDRESSES_USED: AtomicU32 = AtomicU32::new(0);
 
 /// The settings of a daemon, and the services around it.
 pub(super) struct NodeOptions {
@@ -63,6 +55,8 @@
     pub client_proxy: Proxy,
     /// The address for operators.
     pub operator_addr: SocketAddr,
+    /// The address for other daemons.
+    pub(super) peer_addr: SocketAddr,
     settings_file: PathBuf,
     /// The file to which the process logs, unless it logs to the test's own output.
     log_file: PathBuf,
@@ -78,12 +72,12 @@
         store: &Store,
         options: &NodeOptions,
     ) -> io::Result<Node> {
-        let ip = unused_loopback_addr();
+        let ip = ports::unused_loopback_addr();
         let store_endpoint = store.open_endpoint().await?;
         let store_proxy = Proxy::start(store_endpoint.addr).await?;
         let ([front, readiness], peers) = ports::free_and_pair(ip)?;
         let client_proxy = Proxy::start(front).await?;
-        let peers = peers.port();
+        let (peer_addr, peers) = (peers, peers.port());
         let settings_file = std::env::temp_dir().join(format!("spokelift-{ip}.toml"));
         let NodeOptions { number, cpu_share, handover_gap, workers_per_shard, machines, advice } =
             options;
@@ -108,6 +102,7 @@
             store_proxy,
             client_proxy,
             operator_addr,
+            peer_addr,
             settings_file,
             log_file,
             program,
@@ -212,11 +207,3 @@
         let _ = std::fs::remove_file(&self.log_file);
     }
 }
-
-/// A loopback address that no other running test process uses, so that a port that was found free
-/// on it stays free. Addresses repeat after a while, when the daemons that had them have exited.
-fn unused_loopback_addr() -> IpAddr {
-    let number = ADDRESSES_USED.fetch_add(1, Ordering::Relaxed);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, (number % ADDRESSES_PER_PROCESS) as u8 + 1))
-}
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use base64::Engine;
@@ -23,6 +24,7 @@
 use spokelift_lib::transport::serve::serve;
 use spokelift_platform::store::Partition;
 use spokelift_platform::store::Record;
+use spokelift_platform::store::WORKER_TOPIC;
 use spokelift_platform::store::decode_records;
 use spokelift_platform::store::encode_records;
 use tokio::net::TcpListener;
@@ -32,6 +34,7 @@
 use tokio::time::timeout;
 
 use crate::platform::json_response;
+use crate::platform::network::Network;
 
 /// A fault of an endpoint of the store. Each node has its own endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -82,6 +85,8 @@
     /// The address on which it listens.
     pub addr: SocketAddr,
     fault: Arc<Mutex<(Fault, u64)>>,
+    /// The network of the daemon with this number, whose addresses replace those in the records.
+    network: Arc<OnceLock<(Network, usize)>>,
     _shutdown: Arc<watch::Sender<bool>>,
 }
 
@@ -91,6 +96,28 @@
         self.fault.lock().expect("no thread panics while it holds the lock").0 = fault;
     }
 
+    /// From now on the daemon with this number reads the addresses of its links in `network`.
+    ///
+    /// # Panics
+    ///
+    /// If it has a network already.
+    pub fn set_network(&self, network: Network, reader: usize) {
+        assert!(self.network.set((network, reader)).is_ok(), "the endpoint has a network");
+    }
+
+    /// The records of a topic as they are read here.
+    fn view_records(&self, topic: &str, records: &[Record]) -> Vec<Record> {
+        let mut records = records.to_vec();
+        let Some((network, reader)) = self.network.get() else { return records };
+        for value in records.iter_mut().filter_map(|record| record.value.as_mut()) {
+            if topic == WORKER_TOPIC {
+                network.link_worker(value);
+            }
+            network.substitute(*reader, value);
+        }
+        records
+    }
+
     /// Number of requests received so far.
     pub fn request_count(&self) -> u64 {
         self.fault.lock().expect("no thread panics while it holds the lock").1
@@ -115,6 +142,7 @@
         let endpoint = Endpoint {
             addr: listener.local_addr()?,
             fault: Arc::default(),
+            network: Arc::default(),
             _shutdown: Arc::new(shutdown),
         };
         let (store, server_endpoint) = (self.clone(), endpoint.clone());
@@ -184,23 +212,23 @@
             Fault::Busy => return json_response(503, &json!({})),
             Fault::Unresponsive => return std::future::pending().await,
             Fault::Late if is_write => {
-                let store = self.clone();
+                let (store, endpoint) = (self.clone(), endpoint.clone());
                 tokio::spawn(async move {
                     sleep(Duration::from_secs(1)).await;
-                    store.route(request).await
+                    store.route(&endpoint, request).await
                 });
                 return std::future::pending().await;
             }
             _ => {}
         }
-        let response = self.route(request).await;
+        let response = self.route(endpoint, request).await;
         if fault == Fault::LosesAnswers && is_write && count.is_multiple_of(2) {
             return std::future::pending().await;
         }
         response
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn route(&self, endpoint: &Endpoint, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
         let query: HashMap<String, String> = query
@@ -216,8 +244,8 @@
                 self.wait_append_time(partition_of(&query)).await;
                 self.append(&query, body.to_bytes())
             }
-            "/api/log-read" => self.read(&query).await,
-            "/api/log-newest" => self.newest(&query),
+            "/api/log-read" => self.read(endpoint, &query).await,
+            "/api/log-newest" => self.newest(endpoint, &query),
             _ => json_response(404, &json!({})),
         }
     }
@@ -259,7 +287,7 @@
         json_response(200, &json!({ "offset": end, "end": new_end }))
     }
 
-    async fn read(&self, query: &HashMap<String, String>) -> Response<Body> {
+    async fn read(&self, endpoint: &Endpoint, query: &HashMap<String, String>) -> Response<Body> {
         let number = |name: &str| query.get(name).and_then(|text| text.parse::<usize>().ok());
         let from = number("from").unwrap_or(0);
         let wait = Duration::from_millis(number("waitMs").unwrap_or(0) as u64);
@@ -287,16 +315,18 @@
         let mut body = Vec::new();
         body.extend((log.records.len() as u64).to_be_bytes());
         body.extend((log.first_offset as u64).to_be_bytes());
-        body.extend(encode_records(log.records.get(from..).unwrap_or_default()));
+        let records = log.records.get(from..).unwrap_or_default();
+        body.extend(encode_records(&endpoint.view_records(&query["topic"], records)));
         Response::new(full(body))
     }
 
-    fn newest(&self, query: &HashMap<String, String>) -> Response<Body> {
+    fn newest(&self, endpoint: &Endpoint, query: &HashMap<String, String>) -> Response<Body> {
         let mut logs = self.logs();
         let log = logs.entry(partition_of(query)).or_default();
         log.full_reads += 1;
         let mut newest: BTreeMap<&str, (usize, &Record)> = BTreeMap::new();
-        for (offset, record) in log.records.iter().enumerate() {
+        let records = endpoint.view_records(&query["topic"], &log.records);
+        for (offset, record) in records.iter().enumerate() {
             newest.insert(&record.key, (offset, record));
         }
         let items: Vec<_> = newest
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -3,6 +3,8 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -102,13 +104,21 @@
     pub birth_ms: u64,
     /// Whether it listens on the address of its predecessor.
     pub reuses_address: bool,
+    /// The IP address on which it listens otherwise.
+    pub ip: IpAddr,
 }
 
 impl Default for StartOptions {
     fn default() -> StartOptions {
         let birth_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let birth_ms = birth_ms.as_millis() as u64;
-        StartOptions { predecessor: None, clock_ms: CLOCK_START_MS, birth_ms, reuses_address: true }
+        StartOptions {
+            predecessor: None,
+            clock_ms: CLOCK_START_MS,
+            birth_ms,
+            reuses_address: true,
+            ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        }
     }
 }
 
@@ -243,7 +253,7 @@
         let predecessor = options.predecessor.as_ref();
         let listener = match predecessor.filter(|_| options.reuses_address) {
             Some(predecessor) => rebind(predecessor.addr).await?,
-            None => TcpListener::bind("127.0.0.1:0").await?,
+            None => TcpListener::bind((options.ip, 0)).await?,
         };
         let addr = listener.local_addr()?;
         let id = predecessor.map(|predecessor| predecessor.id.clone());
--- a/testutils/src/ports.rs
+++ b/testutils/src/ports.rs
@@ -2,16 +2,26 @@
 
 use std::io;
 use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::ops::Range;
 use std::process::Child;
 use std::process::Command;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 /// Attempts to find two neighbouring free ports; all but a few ports are free.
 const MAX_PAIR_ATTEMPTS: usize = 64;
 
+/// The last bytes of the loopback addresses of a test process. All have three digits, so that the
+/// addresses are equally long as text. Further users reuse them.
+const LAST_BYTES: Range<u32> = 100..250;
+/// Number of loopback addresses that this process has used so far, with repetitions.
+static ADDRESSES_USED: AtomicU32 = AtomicU32::new(0);
+
 /// Held while ports are bound and while a process is spawned. A process has a copy of every open
 /// socket between fork and exec, so a port released in that time would still be in use when its
 /// daemon binds it.
@@ -80,3 +90,12 @@
     }
     Ok(addrs)
 }
+
+/// A loopback address that no other running test process uses, so that a port that was found free
+/// on it stays free. Addresses repeat after a while, when the daemons that had them have exited.
+pub fn unused_loopback_addr() -> IpAddr {
+    let number = ADDRESSES_USED.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let last = LAST_BYTES.start + number % (LAST_BYTES.end - LAST_BYTES.start);
+    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, last as u8))
+}
