dispatch: dispatchers on other nodes act no longer than their leader may act itself

Callers saw: tasks that run on two workers at once (TWICE), on sites with dispatchers on other nodes, when the leader and some of the dispatchers are cut off together and the successor does not reach some workers.

Cause: a leader without renewals stops its own dispatcher, but went on acknowledging the reports of the others, and each acknowledgement lets one act for 1.5 s more.

Change: the acknowledgement says for how long the dispatcher may act: no longer than the leader itself (`Reply::Reported`).

`Lease::extend` is gone; two tests now say until when.

--- a/cli/tests/test_isolation.rs
+++ b/cli/tests/test_isolation.rs
@@ -6,11 +6,14 @@
 
 use spokelift_testutils::platform::isolation;
 use spokelift_testutils::platform::isolation::Cuts;
+use spokelift_testutils::platform::network::Cut;
 use spokelift_testutils::platform::site::Options;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
 const NODES: usize = 6;
 const WORKERS: usize = 48;
+/// So that all other nodes dispatch for the leader.
+const WORKERS_PER_SHARD: usize = 10;
 
 fn setting(name: &str) -> Option<String> {
     std::env::var(format!("SPOKELIFT_PLAY_{name}")).ok()
@@ -44,3 +47,22 @@
 async fn no_task_runs_twice_beside_an_isolated_leader() {
     run(Options::new(NODES, WORKERS).with_links(), cuts()).await;
 }
+
+/// Guards against the same by dispatchers on other nodes, whose reports an isolated leader goes on
+/// acknowledging.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_beside_the_dispatchers_of_an_isolated_leader() {
+    let options = Options::new(NODES, WORKERS).with_links();
+    let options = Options { workers_per_shard: Some(WORKERS_PER_SHARD), ..options };
+    run(options, Cuts { companions: 2, ..cuts() }).await;
+}
+
+/// Guards against the same while the renewals of the leader arrive and their answers do not, and the other
+/// way round.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_beside_a_leader_that_is_isolated_one_way() {
+    for leader_cut in [Cut::Inbound, Cut::Outbound] {
+        let cuts = Cuts { leader_cut, ..cuts() };
+        run(Options::new(NODES, WORKERS).with_links(), cuts).await;
+    }
+}
--- a/lib/src/batch/dispatch/lease.rs
+++ b/lib/src/batch/dispatch/lease.rs
@@ -1,4 +1,7 @@
 //! How long a dispatcher may act without an acknowledgement of its scheduler.
+//!
+//! The scheduler's own node may act until another node may claim the leader lease. The dispatchers on
+//! other nodes may not act for longer than that, so an acknowledgement says for how long it holds.
 
 use std::sync::Mutex;
 use std::time::Duration;
@@ -16,8 +19,7 @@
 /// An acknowledged report extends it, from the time at which the report was sent. The scheduler acknowledged it later
 /// than that, so [`DISPATCH_LEASE`] after its last acknowledgement the lease has certainly expired.
 pub struct Lease {
-    /// `None` on the scheduler's own node, which stops its dispatcher itself; inside, `None` before the first
-    /// acknowledgement.
+    /// `None` without a bound; inside, `None` before the first extension.
     valid_until: Option<Mutex<Option<Instant>>>,
 }
 
@@ -28,24 +30,10 @@
     }
 
     /// A lease that is not valid before it is extended.
-    ///
-    /// ```
-    /// use std::time::Instant;
-    /// use spokelift_lib::batch::dispatch::lease::Lease;
-    /// let lease = Lease::bounded();
-    /// assert!(!lease.is_valid());
-    /// lease.extend(Instant::now());
-    /// assert!(lease.is_valid());
-    /// ```
     pub fn bounded() -> Lease {
         Lease { valid_until: Some(Mutex::new(None)) }
     }
 
-    /// Extends the lease: a report that was sent at `sent` is acknowledged.
-    pub fn extend(&self, sent: Instant) {
-        self.extend_until(sent + DISPATCH_LEASE);
-    }
-
     /// Extends the lease until `until`.
     ///
     /// ```
@@ -53,6 +41,7 @@
     /// use std::time::Instant;
     /// use spokelift_lib::batch::dispatch::lease::Lease;
     /// let lease = Lease::bounded();
+    /// assert!(!lease.is_valid());
     /// lease.extend_until(Instant::now() + Duration::from_secs(60));
     /// assert!(lease.is_valid());
     /// ```
@@ -64,10 +53,25 @@
         }
     }
 
+    /// For how long the dispatcher may act from `now` on.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    /// use spokelift_lib::batch::dispatch::lease::Lease;
+    /// let (lease, now) = (Lease::bounded(), Instant::now());
+    /// assert_eq!(lease.remaining(now), Duration::ZERO);
+    /// lease.extend_until(now + Duration::from_secs(2));
+    /// assert_eq!(lease.remaining(now + Duration::from_secs(1)), Duration::from_secs(1));
+    /// ```
+    pub fn remaining(&self, now: Instant) -> Duration {
+        let Some(valid_until) = &self.valid_until else { return Duration::MAX };
+        let until = *valid_until.lock().expect("no thread panics while it holds the lease lock");
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Whether the dispatcher may act now.
     pub fn is_valid(&self) -> bool {
-        let Some(until) = &self.valid_until else { return true };
-        let until = *until.lock().expect("no thread panics while it holds the lease lock");
-        until.is_some_and(|until| clock::now() < until)
+        !self.remaining(clock::now()).is_zero()
     }
 }
--- a/lib/src/batch/dispatch/remote.rs
+++ b/lib/src/batch/dispatch/remote.rs
@@ -219,8 +219,8 @@
         let sent = clock::now();
         let request = Request::Report(Box::new(report.clone()));
         match uplink.peers.ask_once(uplink.scheduler, request).await {
-            Ok(Reply::Done) => {
-                dispatcher.lease.extend(sent);
+            Ok(Reply::Reported(valid_for)) => {
+                dispatcher.lease.extend_until(sent + valid_for);
                 return true;
             }
             Ok(_) => return false,
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -157,6 +157,8 @@
     },
     /// For how long this node does not claim the leader lease, whatever it reads.
     ClaimPromise(Duration),
+    /// The report was received; for how long after it was sent the dispatcher may act.
+    Reported(Duration),
 }
 
 /// Why a request to a peer has no answer.
--- a/lib/src/batch/scheduler/events.rs
+++ b/lib/src/batch/scheduler/events.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// Applies a report of a dispatcher on another node.
+/// Applies a report of a dispatcher on another node. The dispatcher may act on no longer than this scheduler may act itself.
 pub(super) fn take_report(scheduler: &Scheduler, report: Report) -> Reply {
     let shard = report.session.shard;
     match scheduler.shards.take_report(report, clock::now()) {
@@ -44,7 +44,7 @@
         ReportOutcome::Duplicate => {}
         ReportOutcome::Stale => return Reply::NotReady,
     }
-    Reply::Done
+    Reply::Reported(scheduler.shards.dispatch_lease(clock::now()))
 }
 
 fn apply_events(scheduler: &Scheduler, shard: ShardId, time_base: Instant, events: Vec<Event>) {
--- a/lib/src/batch/scheduler/shard.rs
+++ b/lib/src/batch/scheduler/shard.rs
@@ -325,6 +325,11 @@
         self.state().remotes.keys().copied().collect()
     }
 
+    /// For how long a dispatcher on another node may act whose report is acknowledged at `now`.
+    pub fn dispatch_lease(&self, now: Instant) -> Duration {
+        self.own.lease.remaining(now).min(DISPATCH_LEASE)
+    }
+
     /// Lets the dispatcher of this node act until `until`.
     pub fn extend_own(&self, until: Instant) {
         self.own.lease.extend_until(until);
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -387,6 +387,7 @@
     replies.extend(part_replies().map(Reply::ConfigPart));
     replies.push(Reply::Refusable { is_over_rate: true });
     replies.push(Reply::ClaimPromise(Duration::from_millis(2_100)));
+    replies.push(Reply::Reported(Duration::from_millis(1_500)));
     for (number, reply) in (1_u64..).zip(replies) {
         lines.postcard("reply", &(number, reply));
     }
--- a/lib/tests/test_suspended.rs
+++ b/lib/tests/test_suspended.rs
@@ -60,7 +60,7 @@
 fn a_dispatcher_that_wakes_up_has_no_valid_lease() {
     let _clock = lock();
     let lease = Lease::bounded();
-    lease.extend(clock::now());
+    lease.extend_until(clock::now() + SUSPENDED_TIME / 2);
     clock::simulate_suspension(SUSPENDED_TIME);
     assert!(!lease.is_valid());
 }
--- a/testutils/tests/test_dispatch.rs
+++ b/testutils/tests/test_dispatch.rs
@@ -149,7 +149,7 @@
     dispatcher.execute(start(1));
     assert_matches!(next(&mut events).await, Event::NotStarted { number: 1, why: None, .. });
     assert_eq!(*paths.lock().unwrap(), Vec::<String>::new());
-    dispatcher.lease.extend(clock::now());
+    dispatcher.lease.extend_until(clock::now() + DISPATCH_LEASE);
     assert_matches!(next(&mut events).await, Event::Polled { lease_until: 0, .. });
     dispatcher.execute(start(1));
     assert_matches!(next(&mut events).await, Event::Started { number: 1, .. });
@@ -316,3 +316,16 @@
     assert!(shards.reclaim(shard, now).is_none());
     assert!(!shards.is_assigned(7));
 }
+
+/// Guards against a dispatcher on another node that renews leases of workers for a scheduler which
+/// may have a successor.
+#[tokio::test]
+async fn a_report_lets_a_dispatcher_act_no_longer_than_its_scheduler_may() {
+    let (own, _) = Dispatcher::start(context(), Lease::bounded());
+    let (shards, now) = (Shards::new(TOKEN, own), clock::now());
+    assert_eq!(shards.dispatch_lease(now), Duration::ZERO);
+    shards.extend_own(now + DISPATCH_LEASE * 2);
+    assert_eq!(shards.dispatch_lease(now), DISPATCH_LEASE);
+    assert_eq!(shards.dispatch_lease(now + DISPATCH_LEASE * 3 / 2), DISPATCH_LEASE / 2);
+    assert_eq!(shards.dispatch_lease(now + DISPATCH_LEASE * 2), Duration::ZERO);
+}
