leader: a node is bound by what it promises a leader without renewals

Cause, found on reading what docs/design/leadership.md lists as open (a claim that the store carries out seconds late): a node computed its promise from what it had read, and decided about a claim from what it read later. So a promise could be broken by a late claim, by a free lease that is read next, by a request that did not name its leader, by a gap between two promises, and by a leader that counts its lease from when it read its own claim. Also, a read of the lease that hangs lowered the promise until it failed.

Change: `claim::Claims` holds promises and claims under one lock: a node either has promised, or may send a claim; after a claim it promises nothing until the record at its offset was read. `Request::ClaimPromise` names the leader. A promise extends only a lease that has not ended; what a node promised last counts if one answer is missing. The lease of a new leader counts from when its claim was first sent.

--- a/lib/src/batch/dispatch/lease.rs
+++ b/lib/src/batch/dispatch/lease.rs
@@ -4,6 +4,7 @@
 //! other nodes may not act for longer than that, so an acknowledgement says for how long it holds.
 
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -29,6 +30,12 @@
         Lease { valid_until: None }
     }
 
+    /// `None` without a bound.
+    fn lock(&self) -> Option<MutexGuard<'_, Option<Instant>>> {
+        let valid_until = self.valid_until.as_ref()?;
+        Some(valid_until.lock().expect("no thread panics while it holds the lease lock"))
+    }
+
     /// A lease that is not valid before it is extended.
     pub fn bounded() -> Lease {
         Lease { valid_until: Some(Mutex::new(None)) }
@@ -46,9 +53,29 @@
     /// assert!(lease.is_valid());
     /// ```
     pub fn extend_until(&self, until: Instant) {
-        if let Some(valid_until) = &self.valid_until {
-            let mut valid_until =
-                valid_until.lock().expect("no thread panics while it holds the lease lock");
+        if let Some(mut valid_until) = self.lock() {
+            *valid_until = (*valid_until).max(Some(until));
+        }
+    }
+
+    /// Extends the lease until `until` if it is valid at `now`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    /// use spokelift_lib::batch::dispatch::lease::Lease;
+    /// let (lease, now) = (Lease::bounded(), Instant::now());
+    /// let second = Duration::from_secs(1);
+    /// lease.extend_until(now + second);
+    /// lease.extend_if_valid(now, now + second * 2);
+    /// assert_eq!(lease.remaining(now), second * 2);
+    /// lease.extend_if_valid(now + second * 3, now + second * 4);
+    /// assert_eq!(lease.remaining(now), second * 2);
+    /// ```
+    pub fn extend_if_valid(&self, now: Instant, until: Instant) {
+        if let Some(mut valid_until) = self.lock()
+            && valid_until.is_some_and(|valid_until| now < valid_until)
+        {
             *valid_until = (*valid_until).max(Some(until));
         }
     }
@@ -65,9 +92,8 @@
     /// assert_eq!(lease.remaining(now + Duration::from_secs(1)), Duration::from_secs(1));
     /// ```
     pub fn remaining(&self, now: Instant) -> Duration {
-        let Some(valid_until) = &self.valid_until else { return Duration::MAX };
-        let until = *valid_until.lock().expect("no thread panics while it holds the lease lock");
-        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+        let Some(valid_until) = self.lock() else { return Duration::MAX };
+        valid_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     /// Whether the dispatcher may act now.
--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -11,8 +11,11 @@
 pub mod lease;
 mod view;
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::future::join_all;
 use spokelift_platform::call::CallError;
@@ -39,14 +42,16 @@
 /// Long-poll time of a read of the topic; shorter than [`lease::TAKEOVER_TIMEOUT`] so that missing
 /// renewals are noticed in time.
 const LONG_POLL: Duration = Duration::from_millis(500);
+/// How long a read of the topic usually takes at most; a slow store adds about 250 ms to the long poll.
+const USUAL_READ_TIME: Duration = Duration::from_millis(800);
 /// Time between checks of a free lease that is left to other nodes until the claim delay is over.
 const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a call to the store; a slow store takes about 250 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time between two times of asking the other nodes for a promise, while the lease is not renewed.
 const PROMISE_INTERVAL: Duration = Duration::from_millis(300);
-/// Timeout of asking them.
-const PROMISE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Timeout of asking one of them. The promise of one that answers later counts for less.
+const PROMISE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
@@ -76,28 +81,31 @@
             && let Some(group) = node.lease_watchers()
         {
             // After a rest the lease is read anew.
-            node.set_claim_state(claim::State::Unread);
+            node.claims.set_state(claim::State::Unread);
             if node.lease_turns.rest(group).await {
                 view.resume();
             }
         }
-        node.set_claim_state(view.claim_state());
-        let followed = follow(&node, &mut view).await;
+        node.claims.set_state(view.claim_state());
+        let followed = follow_in_time(&node, &mut view).await;
         node.lease_turns.finish_read();
+        view.topic_end.into_iter().for_each(|end| node.claims.record_read(end));
         if let Err(error) = followed {
             node.counters.count("batch.lead.follow-failed");
             log::debug!("cannot read the leader lease: {error}");
             view.is_interrupted = true;
             view.has_new_renewal = false;
-            node.set_claim_state(view.claim_state());
+            node.claims.set_state(view.claim_state());
             sleep(RETRY_DELAY).await;
             continue;
         }
         if let Some(lease) = &view.lease {
             node.set_leader_lease(view.lease_offset, lease);
         }
-        if view.is_own(&node) {
-            run_scheduler(&node, &mut view).await;
+        if view.is_own(&node)
+            && let Some(claimed_at) = node.claims.sent_at(view.lease_offset)
+        {
+            run_scheduler(&node, &mut view, claimed_at).await;
             node.clear_own_lease();
         } else if !view.is_claimable(&node) {
             view.free_since = None;
@@ -105,7 +113,7 @@
             let since = *view.free_since.get_or_insert_with(clock::now);
             let left = view.claim_delay(&node).saturating_sub(clock::since(since));
             if left.is_zero() {
-                claim_lease(&node, &mut view).await;
+                claim_lease(&node, &view).await;
             } else {
                 sleep(left.min(CLAIM_CHECK_INTERVAL)).await;
             }
@@ -115,6 +123,19 @@
 
 type CallResult<T> = Result<T, CallError>;
 
+/// Reads the topic on. While that takes longer than usual, this node promises as much as one that cannot read
+/// it; its promises bind it if the read succeeds after all.
+async fn follow_in_time(node: &Node, view: &mut View) -> CallResult<()> {
+    let mut read = std::pin::pin!(follow(node, view));
+    match timeout(USUAL_READ_TIME, &mut read).await {
+        Ok(followed) => followed,
+        Err(_) => {
+            node.claims.set_state(claim::State::Unread);
+            read.await
+        }
+    }
+}
+
 async fn follow(node: &Node, view: &mut View) -> CallResult<()> {
     let Some(end) = view.topic_end else {
         let newest = node.read_newest(TOPIC, CALL_TIMEOUT).await?;
@@ -134,7 +155,6 @@
     match node.read_topic(TOPIC, end, wait, CALL_TIMEOUT).await {
         Ok(page) => {
             view.apply_page(end, &page);
-            view.has_pending_claim = false;
             view.has_new_renewal = !page.records.is_empty() && view.is_held();
             if view.is_interrupted {
                 view.is_interrupted = false;
@@ -151,32 +171,36 @@
     }
 }
 
-/// Appends a claim. Whether it succeeded shows when the topic is read on: the first record after
-/// the known end wins, also if the answer to this append is lost.
-async fn claim_lease(node: &Node, view: &mut View) {
+/// Appends a claim, unless a promise binds this node. Whether it succeeded shows when the topic is read
+/// on: the first record after the known end wins, also if the answer to this append is lost.
+async fn claim_lease(node: &Node, view: &View) {
     let Some(end) = view.topic_end else { return };
+    let sent = clock::now();
+    if !node.claims.start_claim(end, sent) {
+        node.counters.count("batch.lead.claim-promised");
+        return sleep(CLAIM_CHECK_INTERVAL).await;
+    }
     let record = node.held_lease(0).to_record();
-    node.set_claim_state(claim::State::Claimed);
     let claimed = node.append(TOPIC, &[record], &Guard::EndsAt(end), CALL_TIMEOUT).await;
     log::info!(at = end, ok = claimed.is_ok(); "sent a claim for the leader lease");
-    // A claim that the store has taken is known as a claim only once it was read.
-    view.has_pending_claim = !claimed.as_ref().is_err_and(CallError::is_known_not_done);
-    if claimed.is_err() {
+    // A claim that came too late is decided at once by reading on.
+    if claimed.is_err_and(|error| error.status() != Some(412)) {
         sleep(RETRY_DELAY).await;
     }
 }
 
-/// Schedules until the lease is lost or released.
-async fn run_scheduler(node: &Arc<Node>, view: &mut View) {
+/// Schedules until the lease is lost or released. The claim of the lease was sent at `claimed_at`.
+async fn run_scheduler(node: &Arc<Node>, view: &mut View, claimed_at: Instant) {
     let token: Token = view.lease_offset + 1;
     log::info!(token; "became leader");
-    node.set_claim_state(claim::State::Claimed);
+    node.claims.set_state(claim::State::Claimed);
     node.counters.count("batch.lead.held");
     node.operator_turns.start();
     node.directory_turns.start();
     let order_window =
         OrderWindow::new(node.settings.handover_gap, view.held_boxes(node), clock::now());
-    let scheduler = Scheduler::start(node.clone(), token, order_window, view.was_released());
+    let was_released = view.was_released();
+    let scheduler = Scheduler::start(node.clone(), token, order_window, claimed_at, was_released);
     scheduler.spawn(extend_by_promises(node.clone(), scheduler.clone()));
     let why = renew_until_lost(node, view, &scheduler).await;
     scheduler.stop();
@@ -240,38 +264,48 @@
     }
 }
 
+/// When the promise of each of the other nodes ends.
+type Promises = HashMap<SocketAddr, Instant>;
+
 /// Lets the scheduler go on while the lease cannot be renewed and all other nodes promise not to claim it.
 async fn extend_by_promises(node: Arc<Node>, scheduler: Arc<Scheduler>) {
+    let mut promises = Promises::new();
     loop {
         sleep(PROMISE_INTERVAL).await;
         if scheduler.is_renewal_overdue() {
-            ask_for_promises(&node, &scheduler).await;
+            ask_for_promises(&node, &scheduler, &mut promises).await;
         }
     }
 }
 
 /// Asks all other nodes for how long they promise not to claim the lease; the scheduler goes on until the first promise
-/// ends. If one of them does not answer, it goes on no longer than before.
-async fn ask_for_promises(node: &Node, scheduler: &Scheduler) {
+/// ends. What a node promised last counts until it answers again.
+async fn ask_for_promises(node: &Node, scheduler: &Scheduler, promises: &mut Promises) {
     if node.directory.count().is_none() {
         return;
     }
+    let addrs = node.directory.addrs();
     let asked_at = clock::now();
-    let asked =
-        node.directory.addrs().into_iter().map(|addr| async move {
-            node.peers.ask_once(addr, peer::Request::ClaimPromise).await
-        });
-    let Ok(replies) = timeout(PROMISE_TIMEOUT, join_all(asked)).await else {
-        return node.counters.count("batch.lead.promise-missing");
+    let (token, incarnation) = (scheduler.token, node.incarnation);
+    let ask = async |addr| {
+        let request = peer::Request::ClaimPromise { token, incarnation };
+        (addr, timeout(PROMISE_TIMEOUT, node.peers.ask_once(addr, request)).await)
     };
-    let mut shortest = TAKEOVER_TIMEOUT;
-    for reply in replies {
+    for (addr, reply) in join_all(addrs.iter().copied().map(ask)).await {
         match reply {
-            Ok(peer::Reply::ClaimPromise(promise)) => shortest = shortest.min(promise),
-            Ok(_) | Err(_) => return node.counters.count("batch.lead.promise-missing"),
+            Ok(Ok(peer::Reply::ClaimPromise(promise))) => {
+                log::debug!(peer:% = addr, promise_ms = promise.as_millis() as u64; "promised not to claim");
+                promises.insert(addr, asked_at + promise);
+            }
+            Ok(_) | Err(_) => node.counters.count("batch.lead.promise-missing"),
         }
     }
-    scheduler.record_promise(asked_at + shortest);
+    let ends = addrs.iter().map(|addr| promises.get(addr).copied());
+    let ends: Option<Vec<Instant>> = ends.collect();
+    if let Some(ends) = ends {
+        let first = ends.into_iter().min().unwrap_or(asked_at + TAKEOVER_TIMEOUT);
+        scheduler.record_promise(first);
+    }
 }
 
 /// Reads the records after `end` and returns whether another node holds the lease. The records may
--- a/lib/src/batch/leader/lease.rs
+++ b/lib/src/batch/leader/lease.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use spokelift_platform::store::Offset;
 use spokelift_platform::store::Record;
+use spokelift_platform::worker::Token;
 
 use crate::batch::order_window::HeldBoxes;
 use crate::transport::clock;
@@ -75,6 +76,30 @@
         self.known.is_some_and(|(_, learned_at)| clock::since(learned_at) < TAKEOVER_TIMEOUT)
     }
 
+    /// Whether the leader with this token, in this incarnation of its node, has a successor.
+    ///
+    /// ```
+    /// use spokelift_lib::batch::leader::lease::KnownLease;
+    /// use spokelift_lib::batch::leader::lease::LeaderLease;
+    /// use spokelift_lib::batch::order_window::HeldBoxes;
+    /// let (addr, held_boxes) = ("127.0.0.1:1".parse()?, HeldBoxes::All);
+    /// let (node, incarnation) = ("node-1".to_owned(), 1);
+    /// let lease = LeaderLease { node, incarnation, addr, released: false, renewals: 0, held_boxes };
+    /// let mut known = KnownLease::default();
+    /// known.apply(7, &lease);
+    /// known.apply(8, &LeaderLease { renewals: 1, ..lease.clone() });
+    /// assert!(!known.has_successor(8, 1));
+    /// known.apply(9, &LeaderLease { incarnation: 2, ..lease });
+    /// assert!(known.has_successor(8, 1) && !known.has_successor(10, 2));
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn has_successor(&self, token: Token, incarnation: u64) -> bool {
+        // The token is the offset after the claim.
+        let is_later = self.known.is_some_and(|(offset, _)| offset >= token);
+        let is_same = |lease: &LeaderLease| lease.incarnation == incarnation;
+        is_later && !self.lease.as_ref().is_some_and(is_same)
+    }
+
     /// The record; `None` if the lease is free.
     pub fn lease(&self) -> Option<&LeaderLease> {
         self.lease.as_ref()
--- a/lib/src/batch/leader/view.rs
+++ b/lib/src/batch/leader/view.rs
@@ -42,9 +42,6 @@
     pub(super) is_interrupted: bool,
     /// Whether the last read showed a renewal or a claim that came after the read before.
     pub(super) has_new_renewal: bool,
-    /// Whether this node has sent a claim that may have taken effect, or still may, and has not read
-    /// the lease since.
-    pub(super) has_pending_claim: bool,
     /// Additional random wait of this node before a claim.
     claim_jitter: Duration,
 }
@@ -61,7 +58,6 @@
             free_since: None,
             is_interrupted: false,
             has_new_renewal: false,
-            has_pending_claim: false,
             claim_jitter: CLAIM_JITTER.mul_f64(rand::random::<f64>()),
         }
     }
@@ -91,7 +87,6 @@
     /// [`TAKEOVER_TIMEOUT`] from the next one on.
     pub(super) fn claim_state(&self) -> claim::State {
         match &self.lease {
-            _ if self.has_pending_claim => claim::State::Claimed,
             _ if self.topic_end.is_none() || self.is_interrupted => claim::State::Unread,
             Some(lease) if !lease.released => claim::State::Read(self.last_contact),
             // A free lease is claimed at once.
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -41,7 +41,7 @@
 use crate::batch::gossip;
 use crate::batch::gossip::Gossip;
 use crate::batch::leader;
-use crate::batch::leader::claim;
+use crate::batch::leader::claim::Claims;
 use crate::batch::leader::lease::KnownLease;
 use crate::batch::node::config::InForce;
 use crate::batch::node::operator_api::handle_operator;
@@ -101,6 +101,8 @@
     pub remote_dispatch: RemoteDispatch,
     /// Exchange of configuration versions with other nodes.
     pub gossip: Gossip,
+    /// This node's promises not to claim the leader lease, and its claims.
+    pub claims: Claims,
     /// This node's turns to watch the topic of the leader lease.
     pub lease_turns: Turns,
     /// This node's turns to watch the operator's topic.
@@ -115,7 +117,6 @@
     waves: Mutex<BTreeMap<u64, Wave>>,
     evacuated_halls: Mutex<EvacuatedHalls>,
     known_lease: Mutex<KnownLease>,
-    claim_state: Mutex<claim::State>,
     outlook: Mutex<Known>,
     scheduler: Mutex<Option<Arc<Scheduler>>>,
     stopping: watch::Sender<bool>,
@@ -142,6 +143,7 @@
             directory: Directory::default(),
             remote_dispatch: RemoteDispatch::default(),
             gossip: Gossip::default(),
+            claims: Claims::default(),
             lease_turns: Turns::default(),
             operator_turns: Turns::default(),
             directory_turns: Turns::default(),
@@ -151,7 +153,6 @@
             waves: Mutex::default(),
             evacuated_halls: Mutex::default(),
             known_lease: Mutex::default(),
-            claim_state: Mutex::new(claim::State::Unread),
             outlook: Mutex::default(),
             scheduler: Mutex::default(),
             stopping: watch::Sender::new(false),
--- a/lib/src/batch/node/answer.rs
+++ b/lib/src/batch/node/answer.rs
@@ -5,7 +5,6 @@
 use crate::batch::node::Node;
 use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
-use crate::transport::clock;
 
 impl Node {
     /// Answers a request of another node.
@@ -36,7 +35,9 @@
             }
             Request::Config(version) => Reply::Config(self.config_newer_than(version)),
             Request::ConfigPart(request) => Reply::ConfigPart(self.config_part(&request)),
-            Request::ClaimPromise => Reply::ClaimPromise(self.claim_state().promise(clock::now())),
+            Request::ClaimPromise { token, incarnation } => {
+                Reply::ClaimPromise(self.promise_to(token, incarnation))
+            }
             Request::Relay(call) => Reply::Relayed(self.relay_for_peer(call).await),
             request => match self.scheduler() {
                 Some(scheduler) => scheduler.answer_peer(request).await,
--- a/lib/src/batch/node/leadership.rs
+++ b/lib/src/batch/node/leadership.rs
@@ -12,10 +12,10 @@
 
 use spokelift_platform::job::JobId;
 use spokelift_platform::store::Offset;
+use spokelift_platform::worker::Token;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::batch::leader::claim;
 use crate::batch::leader::lease::KnownLease;
 use crate::batch::leader::lease::LeaderLease;
 use crate::batch::node::Node;
@@ -23,6 +23,7 @@
 use crate::batch::peer::Reply;
 use crate::batch::record::Accepted;
 use crate::batch::watch::Group;
+use crate::transport::clock;
 
 /// How long the answer to a submission waits for the leader to check whether the job's id is in
 /// use; the check usually takes 3 ms.
@@ -49,18 +50,13 @@
         self.known_lease.lock().expect("no thread panics while it holds the leader lease lock")
     }
 
-    fn lock_claim_state(&self) -> MutexGuard<'_, claim::State> {
-        self.claim_state.lock().expect("no thread panics while it holds the claim state lock")
-    }
-
-    /// What decides when this node may claim the leader lease next.
-    pub fn claim_state(&self) -> claim::State {
-        *self.lock_claim_state()
-    }
-
-    /// Sets what decides when this node may claim the leader lease next.
-    pub fn set_claim_state(&self, state: claim::State) {
-        *self.lock_claim_state() = state;
+    /// Promises the leader with this token, in this incarnation of its node, not to claim the leader
+    /// lease; returns for how long. A leader that has a successor is promised nothing.
+    pub(super) fn promise_to(&self, token: Token, incarnation: u64) -> Duration {
+        if self.lock_lease().has_successor(token, incarnation) {
+            return Duration::ZERO;
+        }
+        self.claims.promise(clock::now())
     }
 
     /// Applies a record of the leader lease, which stands at `offset` in its topic, unless a later
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -18,6 +18,7 @@
 use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::JobId;
 use spokelift_platform::store::Offset;
+use spokelift_platform::worker::Token;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -98,7 +99,12 @@
     /// To the leader: whether a job may be refused by the outlook of this number.
     MayRefuse(JobId, Caller, u64),
     /// From a leader that cannot renew its lease: for how long the receiver promises not to claim it.
-    ClaimPromise,
+    ClaimPromise {
+        /// Fencing token of the leader.
+        token: Token,
+        /// Incarnation of its node.
+        incarnation: u64,
+    },
 }
 
 impl Request {
@@ -120,7 +126,7 @@
             Request::Outlook(_) => "outlook",
             Request::ConfigPart(_) => "config-part",
             Request::MayRefuse(..) => "may-refuse",
-            Request::ClaimPromise => "claim-promise",
+            Request::ClaimPromise { .. } => "claim-promise",
         }
     }
 }
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -105,17 +105,17 @@
 }
 
 impl Scheduler {
-    /// Starts a scheduler: it reads the store, then polls every worker, then starts tasks.
+    /// Starts a scheduler: it reads the store, then polls every worker, then starts tasks. `claimed_at`
+    /// is when the claim of the leader lease was sent.
     pub fn start(
         node: Arc<Node>,
         token: Token,
         order_window: OrderWindow,
+        claimed_at: Instant,
         predecessor_is_done: bool,
     ) -> Arc<Scheduler> {
-        let now = clock::now();
         let mut cell = Cell::new(token);
         cell.predecessor_is_done = predecessor_is_done;
-        cell.renewed_at = Some(now);
         cell.longest_lease = node.settings.longest_lease;
         let (own, events) = Dispatcher::start(node.dispatch_context(), Lease::bounded());
         let time_base = own.started_at();
@@ -131,10 +131,11 @@
             flush_count: watch::Sender::new(0),
             store_latency: Mutex::default(),
             outlook: Mutex::default(),
-            started_at: now,
+            started_at: clock::now(),
             order_window,
             cancellation: CancellationToken::new(),
         });
+        scheduler.record_renewal(claimed_at);
         scheduler.spawn(consume_own_events(scheduler.clone(), time_base, events));
         scheduler.spawn(run(scheduler.clone()));
         scheduler
@@ -173,8 +174,8 @@
         self.cancellation.is_cancelled()
     }
 
-    /// Records that the leader lease was renewed by a call sent at `sent`: no other node claims it
-    /// for [`TAKEOVER_TIMEOUT`] after that.
+    /// Records that the leader lease was claimed or renewed by a call sent at `sent`: no other node
+    /// claims it for [`TAKEOVER_TIMEOUT`] after that.
     pub fn record_renewal(&self, sent: Instant) {
         self.cell().renewed_at = Some(sent);
         self.shards.extend_own(sent + TAKEOVER_TIMEOUT);
@@ -186,9 +187,11 @@
         renewed_at.is_some_and(|at| clock::since(at) > RENEW_INTERVAL * 3 / 2)
     }
 
-    /// Records that all other nodes promise not to claim the leader lease before `until`.
+    /// Records that all other nodes promise not to claim the leader lease before `until`. That is of
+    /// use only if each promise was given before the last one ended: in between, a node may have claimed
+    /// the lease and may be gone again.
     pub fn record_promise(&self, until: Instant) {
-        self.shards.extend_own(until);
+        self.shards.extend_own_if_valid(until);
     }
 
     /// Records that the store answered neither a renewal sent at `sent` nor a read of the lease after it.
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -86,7 +86,7 @@
             | Request::Newer { .. }
             | Request::Config(_)
             | Request::ConfigPart(_)
-            | Request::ClaimPromise
+            | Request::ClaimPromise { .. }
             | Request::Leader { .. }
             | Request::Outlook(_) => Reply::NotReady,
             Request::Ping => Reply::Done,
--- a/lib/src/batch/scheduler/shard.rs
+++ b/lib/src/batch/scheduler/shard.rs
@@ -33,6 +33,7 @@
 use crate::batch::scheduler::shard::remote::ReportOrder;
 use crate::batch::view;
 use crate::batch::worker::table::WorkerNumber;
+use crate::transport::clock;
 
 pub use crate::batch::scheduler::shard::remote::Lost;
 
@@ -335,6 +336,11 @@
         self.own.lease.extend_until(until);
     }
 
+    /// Lets the dispatcher of this node act until `until` if it may act now.
+    pub fn extend_own_if_valid(&self, until: Instant) {
+        self.own.lease.extend_if_valid(clock::now(), until);
+    }
+
     /// Stops the dispatcher of this node.
     pub fn stop_own(&self) {
         self.own.stop();
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -353,7 +353,7 @@
         Request::ConfigPart(part_request(Some(2), Some(([7; 32], 300)))),
         Request::MayRefuse(0x5c0e, Caller::Account("clinics".into()), 4),
         Request::Report(Box::new(partial_report)),
-        Request::ClaimPromise,
+        Request::ClaimPromise { token: 9, incarnation: 3 },
     ];
     for (number, request) in (1_u64..).zip(requests) {
         lines.postcard("request", &(number, request));
