dispatch: a worker's lease counts from the check of the dispatch lease

Cause, found by reading: the check of the lease and the reckoning of the worker's lease read the clock one after the other. A process that is paused in between requests a lease that its successor does not know of, up to the length of the pause longer.

Change: the check returns the time at which it was made (`lease::Validity`), and only with that a worker's lease can be requested.

Test: `a_worker_lease_counts_from_the_check_of_the_dispatch_lease`; it asks for the new type, so it does not compile before.

--- a/lib/src/batch/dispatch/lease.rs
+++ b/lib/src/batch/dispatch/lease.rs
@@ -8,6 +8,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use spokelift_platform::worker::WorkerMs;
+
+use crate::batch::worker::WORKER_LEASE;
 use crate::transport::clock;
 
 /// How long a dispatcher may act after it sent a report that the scheduler acknowledged. It spans several heartbeats,
@@ -48,9 +51,9 @@
     /// use std::time::Instant;
     /// use spokelift_lib::batch::dispatch::lease::Lease;
     /// let lease = Lease::bounded();
-    /// assert!(!lease.is_valid());
+    /// assert!(lease.check().is_none());
     /// lease.extend_until(Instant::now() + Duration::from_secs(60));
-    /// assert!(lease.is_valid());
+    /// assert!(lease.check().is_some());
     /// ```
     pub fn extend_until(&self, until: Instant) {
         if let Some(mut valid_until) = self.lock() {
@@ -96,8 +99,44 @@
         valid_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Whether the dispatcher may act now.
-    pub fn is_valid(&self) -> bool {
-        !self.remaining(clock::now()).is_zero()
+    /// The present time, if the dispatcher may act now.
+    pub fn check(&self) -> Option<Validity> {
+        let at = clock::now();
+        (!self.remaining(at).is_zero()).then_some(Validity { at })
+    }
+}
+
+/// A time at which a dispatcher might act. What it then does is reckoned from this time, however long
+/// its process is suspended or waits for the processor meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub struct Validity {
+    at: Instant,
+}
+
+impl Validity {
+    /// The time.
+    pub fn at(self) -> Instant {
+        self.at
+    }
+
+    /// The end of a worker's lease that lasts [`WORKER_LEASE`] from this time on, by the clock of the
+    /// worker, which was received with the reading `clock`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::time::Instant;
+    /// use spokelift_lib::batch::dispatch::lease::Lease;
+    /// use spokelift_lib::batch::worker::WORKER_LEASE;
+    /// let (lease, second) = (Lease::unbounded(), Duration::from_secs(1));
+    /// let validity = lease.check().unwrap();
+    /// let lease_ms = WORKER_LEASE.as_millis() as u64;
+    /// assert_eq!(validity.worker_lease(8_000, validity.at() - second), 9_000 + lease_ms);
+    /// assert_eq!(validity.worker_lease(8_000, validity.at() + second), 7_000 + lease_ms);
+    /// ```
+    pub fn worker_lease(self, clock: WorkerMs, received_at: Instant) -> WorkerMs {
+        let millis = |time: Duration| time.as_millis() as WorkerMs;
+        let age = self.at.saturating_duration_since(received_at);
+        let early = received_at.saturating_duration_since(self.at);
+        (clock + millis(age) + millis(WORKER_LEASE)).saturating_sub(millis(early))
     }
 }
--- a/lib/src/batch/dispatch/order.rs
+++ b/lib/src/batch/dispatch/order.rs
@@ -58,10 +58,9 @@
         log_start_rejected(&session, (task, run), true, &"too many orders wait for an answer");
         return not_started(None);
     };
-    if session.cancellation.is_cancelled() || !dispatcher.lease.is_valid() {
-        return not_started(None);
-    }
-    let Some(lease_until) = session.state().request_lease(clock::now()) else {
+    let validity = dispatcher.lease.check().filter(|_| !session.cancellation.is_cancelled());
+    let lease_until = validity.and_then(|validity| session.state().request_lease(validity));
+    let Some(lease_until) = lease_until else {
         return not_started(None);
     };
     let message = worker::Start {
--- a/lib/src/batch/dispatch/poll.rs
+++ b/lib/src/batch/dispatch/poll.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::batch::dispatch::Dispatcher;
+use crate::batch::dispatch::lease::Validity;
 use crate::batch::dispatch::message::Event;
 use crate::batch::dispatch::session::State;
 use crate::batch::dispatch::session::WorkerSession;
@@ -45,13 +46,13 @@
 ) {
     loop {
         let permit = session.calls.permit_regular_poll().await;
-        if !dispatcher.lease.is_valid() {
+        let Some(validity) = dispatcher.lease.check() else {
             drop(permit);
             sleep(LEASE_CHECK_INTERVAL).await;
             continue;
-        }
-        let sent = clock::now();
-        let message = next_poll(&session, sent);
+        };
+        let sent = validity.at();
+        let message = next_poll(&session, validity);
         let answer = dispatcher.context.workers.poll(&session.peer, &message, POLL_TIMEOUT).await;
         drop(permit);
         match answer {
@@ -200,7 +201,7 @@
     true
 }
 
-fn next_poll(session: &WorkerSession, now: Instant) -> Poll {
+fn next_poll(session: &WorkerSession, validity: Validity) -> Poll {
     let is_shared = session.calls.is_shared();
     let mut state = session.state();
     let is_settled = state.renews_lease && state.reported_end == state.durable_end;
@@ -215,7 +216,7 @@
     Poll {
         token: session.token,
         acknowledged_end,
-        lease_until: state.request_lease(now),
+        lease_until: state.request_lease(validity),
         wait_ms: wait.as_millis() as u64,
     }
 }
--- a/lib/src/batch/dispatch/session.rs
+++ b/lib/src/batch/dispatch/session.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::batch::dispatch::calls;
-use crate::batch::worker::WORKER_LEASE;
+use crate::batch::dispatch::lease::Validity;
 use crate::batch::worker::is_clock_discontinuous;
 
 /// Shortest and longest time to wait for the answer to a start before a poll checks for the run. Answers come in
@@ -104,14 +104,13 @@
 }
 
 impl State {
-    /// Requests a lease; returns its end by the clock of the worker. `None` before its lease may be renewed, until it
-    /// has reported its clock, and while it is unresponsive: it may still carry out a call that it does not answer,
-    /// and the lease would then never be known to have expired.
-    pub(super) fn request_lease(&mut self, now: Instant) -> Option<WorkerMs> {
+    /// Requests a lease from the time on at which the dispatcher might act; returns its end by the clock of the worker.
+    /// `None` before its lease may be renewed, until it has reported its clock, and while it is unresponsive: it may
+    /// still carry out a call that it does not answer, and the lease would then never be known to have expired.
+    pub(super) fn request_lease(&mut self, validity: Validity) -> Option<WorkerMs> {
         let (clock, received_at) =
             self.clock.filter(|_| self.renews_lease && self.failed_polls == 0)?;
-        let age = now.saturating_duration_since(received_at).as_millis() as WorkerMs;
-        let until = clock + age + WORKER_LEASE.as_millis() as WorkerMs;
+        let until = validity.worker_lease(clock, received_at);
         self.lease_until = self.lease_until.max(until);
         Some(until)
     }
--- a/lib/tests/test_suspended.rs
+++ b/lib/tests/test_suspended.rs
@@ -10,6 +10,7 @@
 use spokelift_lib::batch::cell::Order;
 use spokelift_lib::batch::dispatch::lease::Lease;
 use spokelift_lib::batch::order_window::is_sole_leader;
+use spokelift_lib::batch::worker::WORKER_LEASE;
 use spokelift_lib::transport::clock;
 use spokelift_platform::job::Step;
 use spokelift_platform::worker::Peer;
@@ -62,7 +63,21 @@
     let lease = Lease::bounded();
     lease.extend_until(clock::now() + SUSPENDED_TIME / 2);
     clock::simulate_suspension(SUSPENDED_TIME);
-    assert!(!lease.is_valid());
+    assert!(lease.check().is_none());
+}
+
+/// Guards against a worker's lease that its successor does not know of: the dispatcher is suspended after the check of
+/// its own lease and before it requests that of the worker.
+#[test]
+fn a_worker_lease_counts_from_the_check_of_the_dispatch_lease() {
+    let _clock = lock();
+    let (lease, lease_ms) = (Lease::bounded(), WORKER_LEASE.as_millis() as u64);
+    lease.extend_until(clock::now() + SUSPENDED_TIME / 2);
+    let validity = lease.check().unwrap();
+    clock::simulate_suspension(SUSPENDED_TIME);
+    assert_eq!(validity.worker_lease(1_000, validity.at()), 1_000 + lease_ms);
+    let answered_later = 1_000 + SUSPENDED_TIME.as_millis() as u64;
+    assert!(validity.worker_lease(answered_later, clock::now()) <= 1_000 + lease_ms);
 }
 
 /// A later scheduler may have polled every worker that it knows, but not this one. This one would accept a start of the
