soak: cut paths between daemons, and between single daemons and workers

Change: seeds from 3,000 on play on a site with links; `soak::cuts` cuts paths to single workers each 0.05 to 0.4 s, and between daemons or of up to half of them to all else each 1 to 5 s, both ways or one, for 0.5 to 10 s, beside all other faults. The other seeds keep their schedules. `SPOKELIFT_SOAK_PROGRAM` plays another build.

--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -1,12 +1,13 @@
 //! Soak tests: real daemons under random faults keep the guarantees given to clients.
 //! `SPOKELIFT_SOAK_SEEDS=FIRST..END` and `SPOKELIFT_SOAK_S=SECONDS` select other seeds and a longer
-//! run.
+//! run, `SPOKELIFT_SOAK_PROGRAM=PATH` another build of the daemon.
 
 use std::ops::Range;
 use std::time::Duration;
 
 use spokelift_testutils::platform::soak;
 use spokelift_testutils::platform::soak::ACCOUNTS_FROM_SEED;
+use spokelift_testutils::platform::soak::LINKS_FROM_SEED;
 use spokelift_testutils::platform::soak::REUSED_IDS_FROM_SEED;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
@@ -47,10 +48,18 @@
     run_seeds(seeds.start + ACCOUNTS_FROM_SEED..seeds.end + ACCOUNTS_FROM_SEED).await;
 }
 
+/// As above, with daemons that are cut off from each other and from some of the workers.
+#[tokio::test(flavor = "multi_thread")]
+async fn random_faults_violate_no_guarantee_with_cut_links() {
+    let seeds = seeds();
+    run_seeds(seeds.start + LINKS_FROM_SEED..seeds.end + LINKS_FROM_SEED).await;
+}
+
 async fn run_seeds(seeds: Range<u64>) {
     let mut failed = Vec::new();
+    let program = std::env::var("SPOKELIFT_SOAK_PROGRAM").unwrap_or_else(|_| PROGRAM.to_owned());
     for seed in seeds {
-        let report = soak::run(PROGRAM, seed, duration()).await.unwrap();
+        let report = soak::run(&program, seed, duration()).await.unwrap();
         println!("seed {seed}: {report:#?}");
         assert!(report.accepted > 0, "seed {seed}: no job was accepted");
         if !report.violations.is_empty() {
--- a/testutils/src/platform/network.rs
+++ b/testutils/src/platform/network.rs
@@ -145,6 +145,14 @@
         self.worker_cuts().entry((node, machine.to_owned())).or_default().send_replace(cut);
     }
 
+    /// Restores all paths.
+    pub fn restore(&self) {
+        let worker_cuts = self.worker_cuts();
+        for link in self.inner.node_cuts.values().chain(worker_cuts.values()) {
+            link.send_replace(Cut::None);
+        }
+    }
+
     fn worker_cuts(&self) -> MutexGuard<'_, HashMap<(NodeNumber, String), LinkCut>> {
         self.inner.worker_cuts.lock().expect("no thread panics while it holds the lock")
     }
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -269,6 +269,7 @@
     /// Ends every fault, takes back all halls, and starts the daemons that do not run.
     pub fn end_faults(&self) -> io::Result<()> {
         HALLS.iter().for_each(|hall| self.take_back_hall(hall));
+        self.network.iter().for_each(Network::restore);
         for node in &self.nodes {
             node.store_endpoint.set_fault(store::Fault::None);
             node.store_proxy.set_fault(proxy::Fault::default());
@@ -416,6 +417,11 @@
         self.store.put(OPERATOR_TOPIC, Record::set(format!("wave/{number}"), wave.to_string()));
     }
 
+    /// Whether the store has a status of a wave.
+    pub fn has_wave_status(&self, number: u64) -> bool {
+        self.store.get(STATUS_TOPIC, &format!("wave/{number}")).is_some()
+    }
+
     /// Whether the status of a wave in the store says that it succeeded.
     pub fn has_wave_succeeded(&self, number: u64) -> bool {
         let status = self.store.get(STATUS_TOPIC, &format!("wave/{number}"));
--- a/testutils/src/platform/soak.rs
+++ b/testutils/src/platform/soak.rs
@@ -7,6 +7,7 @@
 mod accounts;
 mod checks;
 mod client;
+mod cuts;
 mod schedule;
 
 use std::io;
@@ -21,6 +22,7 @@
 use serde::Serialize;
 use tokio::time::sleep;
 
+use crate::platform::site::Options;
 use crate::platform::site::Site;
 use crate::platform::soak::checks::find_violations;
 use crate::platform::soak::client::ClientJob;
@@ -42,6 +44,9 @@
 pub const REUSED_IDS_FROM_SEED: u64 = 1_000;
 /// From this seed on, jobs belong to accounts, whose keys and quotas change.
 pub const ACCOUNTS_FROM_SEED: u64 = 2_000;
+/// From this seed on, the daemons have links, which are cut; their workers have ids of their own, and there
+/// are no accounts.
+pub const LINKS_FROM_SEED: u64 = 3_000;
 /// Separates the random numbers of the accounts from those of the other faults.
 const ACCOUNT_SEED_MASK: u64 = 0xacc0_1247;
 /// Number of clients that submit jobs concurrently.
@@ -50,6 +55,8 @@
 const BLACK_HOLE_SEED_MASK: u64 = 0x51_1e47;
 /// Separates the random numbers of evacuated halls from those of the other faults.
 const EVACUATION_SEED_MASK: u64 = 0xe7ac_4a11;
+/// Separates the random numbers of cut links from those of the other faults.
+const CUT_SEED_MASK: u64 = 0xc075;
 
 /// The results of a soak test.
 #[derive(Debug, Default, Serialize)]
@@ -83,19 +90,21 @@
 ///
 /// If the site cannot be started.
 pub async fn run(program: &str, seed: u64, time: Duration) -> io::Result<Report> {
-    let site = match seed % 2 {
-        0 => Site::start_sharded(program, NODES, WORKERS, RESERVE, WORKERS_PER_SHARD).await?,
-        _ => Site::start(program, NODES, WORKERS, RESERVE).await?,
-    };
+    let has_links = seed >= LINKS_FROM_SEED;
+    let site = Site::start_with(program, site_options(seed, has_links)).await?;
     let site = Arc::new(site);
-    if seed >= REUSED_IDS_FROM_SEED {
+    if seed >= REUSED_IDS_FROM_SEED && !has_links {
         site.machines.reuse_ids();
     }
     let mut rng = StdRng::seed_from_u64(seed);
     let mut black_hole_rng = StdRng::seed_from_u64(seed ^ BLACK_HOLE_SEED_MASK);
     let mut evacuation_rng = StdRng::seed_from_u64(seed ^ EVACUATION_SEED_MASK);
-    let schedule =
+    let mut schedule =
         schedule::draw_schedule(&mut rng, &mut black_hole_rng, &mut evacuation_rng, time);
+    if has_links {
+        schedule.extend(cuts::draw_cuts(&mut StdRng::seed_from_u64(seed ^ CUT_SEED_MASK), time));
+        schedule.sort_by_key(|(at, _)| *at);
+    }
     let waves = schedule.iter().filter_map(|(_, action)| match action {
         Action::MaintenanceWave(number) => Some(*number),
         _ => None,
@@ -103,7 +112,7 @@
     let waves: Vec<u64> = waves.collect();
     let client_jobs: Arc<Mutex<Vec<ClientJob>>> = Arc::default();
     let mut account_rng = StdRng::seed_from_u64(seed ^ ACCOUNT_SEED_MASK);
-    let has_accounts = seed >= ACCOUNTS_FROM_SEED;
+    let has_accounts = seed >= ACCOUNTS_FROM_SEED && !has_links;
     if has_accounts {
         accounts::publish_first(&site, &mut account_rng).await;
     }
@@ -155,6 +164,12 @@
     })
 }
 
+/// The site of a seed.
+fn site_options(seed: u64, has_links: bool) -> Options {
+    let workers_per_shard = seed.is_multiple_of(2).then_some(WORKERS_PER_SHARD);
+    Options { reserve: RESERVE, workers_per_shard, has_links, ..Options::new(NODES, WORKERS) }
+}
+
 /// Saves what helps to explain a violated guarantee: the daemons' logs and the operator views.
 async fn save_diagnostics(
     site: &Site,
--- a/testutils/src/platform/soak/schedule.rs
+++ b/testutils/src/platform/soak/schedule.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use crate::platform::network::Cut;
 use crate::platform::site::HALLS;
 use crate::platform::site::Site;
 use crate::platform::soak::NODES;
@@ -70,6 +71,12 @@
     /// Turns the open connections of all daemons to the store and the machines API into black
     /// holes.
     BlackHoleAllConnections(Direction),
+    /// Cuts the paths of some daemons to the store and to all others.
+    IsolateNodes(Vec<usize>, Cut),
+    /// Cuts the path between two daemons.
+    CutNodes(usize, usize, Cut),
+    /// Cuts the path between a daemon and a machine's worker.
+    CutWorker(usize, usize, Cut),
 }
 
 impl Action {
@@ -107,6 +114,11 @@
                 site.machines_proxy.black_hole_open(*direction);
                 site.nodes.iter().for_each(|node| node.store_proxy.black_hole_open(*direction));
             }
+            Action::IsolateNodes(nodes, cut) => site.isolate_nodes(nodes, *cut),
+            Action::CutNodes(one, other, cut) => site.network().cut_nodes(*one, *other, *cut),
+            Action::CutWorker(node, machine, cut) => {
+                site.network().cut_worker(*node, &machine_id(*machine), *cut)
+            }
             Action::EvacuateHall(hall) => site.evacuate_hall(hall),
             Action::TakeBackHall(hall) => site.take_back_hall(hall),
             Action::MaintenanceWave(number) => {
