maintenance: a status of a wave that the store writes late replaces no later one

Operators saw: a wave that has succeeded is shown as running for ever.

Cause: statuses were appended without a condition. One without an answer counted as over, so `succeeded` could be written while the store still held `running`, and carried it out afterwards; the second copy of a slow append through another node does the same. Found on reading all appends for the class of the late claim.

Change: one task writes the statuses in order, numbered by the scheduler's token as its own changes are, each until the store has it. The store refuses late ones, and those of earlier leaders. `flush::write` takes the topic.

Test: `a_status_that_the_store_writes_late_replaces_no_later_one`.

--- a/cli/tests/test_waves.rs
+++ b/cli/tests/test_waves.rs
@@ -6,7 +6,9 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
+use spokelift_platform::store::STATUS_TOPIC;
 use spokelift_testutils::platform::site::Site;
+use spokelift_testutils::platform::store::Fault;
 use tokio::time::sleep;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
@@ -159,3 +161,24 @@
     assert!(max_down <= 2, "{max_down} machines were down at once");
     assert_eq!(site.ledger.violations(), Vec::<String>::new());
 }
+
+/// Guards against a wave that the operator sees as running for ever: the store carries out the write of
+/// an earlier status after that of a later one.
+#[tokio::test]
+async fn a_status_that_the_store_writes_late_replaces_no_later_one() {
+    let site = Site::start(PROGRAM, 2, 1, 0).await.unwrap();
+    site.wait_until("a node leads", async |site| site.leader().is_some()).await;
+    let leader = site.leader().unwrap();
+    // The leader writes the first status through the other node, while its own write is under way.
+    site.nodes[leader].store_endpoint.set_fault(Fault::Late);
+    site.request_wave(1, &["m-none".to_owned()], 1);
+    site.wait_until("the wave has a status", async |site| site.has_wave_status(1)).await;
+    site.nodes[leader].store_endpoint.set_fault(Fault::None);
+    site.wait_until("the wave succeeds", async |site| site.has_wave_succeeded(1)).await;
+    let appends = site.store.append_count(STATUS_TOPIC);
+    site.wait_until("the late write is carried out", async |site| {
+        site.store.append_count(STATUS_TOPIC) > appends
+    })
+    .await;
+    assert!(site.has_wave_succeeded(1));
+}
--- a/lib/src/batch/maintenance.rs
+++ b/lib/src/batch/maintenance.rs
@@ -6,6 +6,7 @@
 pub mod plan;
 pub mod progress;
 pub mod reservations;
+pub mod status;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -19,10 +20,10 @@
 use spokelift_platform::machine::Machine;
 use spokelift_platform::machine::MachineId;
 use spokelift_platform::machine::Machines;
-use spokelift_platform::store::Guard;
 use spokelift_platform::store::STATUS_TOPIC;
 use spokelift_platform::wave::Wave;
 use spokelift_platform::worker::Incarnation;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
@@ -32,27 +33,30 @@
 pub use crate::batch::maintenance::evacuation::evacuate_draining;
 use crate::batch::maintenance::progress::MachinesById;
 use crate::batch::maintenance::progress::WaveProgress;
+use crate::batch::maintenance::status::Status;
 use crate::batch::scheduler::Scheduler;
+use crate::batch::scheduler::flush::write;
 use crate::batch::scheduler::wall_clock;
 use crate::transport::clock;
 
 /// Delay before the status records of waves are read again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Timeout of a call about machines, and of reading and writing wave status records.
+/// Timeout of a call about machines, and of reading wave status records.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// The waves under way, by number.
-#[derive(Default)]
+/// The waves under way.
 pub struct Waves {
+    /// By number.
     waves: HashMap<u64, WaveProgress>,
+    statuses: status::Queue,
 }
 
 impl Waves {
     /// Reads from the store which waves earlier schedulers have finished.
-    pub async fn restore(scheduler: &Scheduler) -> Waves {
+    pub async fn restore(scheduler: &Arc<Scheduler>) -> Waves {
         let finished = read_finished(scheduler).await;
         scheduler.cell().ended_waves = finished;
-        Waves::default()
+        Waves { waves: HashMap::new(), statuses: start_writing_statuses(scheduler) }
     }
 
     /// Adds new waves; returns whether any wave is under way.
@@ -76,7 +80,7 @@
     /// scheduler may just have ordered them.
     pub async fn advance(
         &mut self,
-        scheduler: &Arc<Scheduler>,
+        scheduler: &Scheduler,
         machines: &Machines,
         list: &[Machine],
         moving: &HashSet<MachineId>,
@@ -88,7 +92,8 @@
         for progress in self.waves.values_mut() {
             progress.set_held(held);
             progress.set_unsettled(&unsettled);
-            advance_wave(scheduler, machines, progress, list, &taken, orders).await;
+            let statuses = &self.statuses;
+            advance_wave(scheduler, machines, statuses, progress, list, &taken, orders).await;
             if progress.reported == Some(true) {
                 scheduler.cell().end_wave(progress.wave.number);
             }
@@ -118,6 +123,18 @@
     }
 }
 
+/// Starts the task that writes the statuses of waves. It is not the one that orders boxes, since a store
+/// that is slow or loses answers would delay every order.
+fn start_writing_statuses(scheduler: &Arc<Scheduler>) -> status::Queue {
+    let (statuses, queue) = mpsc::unbounded_channel();
+    let shared = scheduler.clone();
+    scheduler.spawn(status::write_all(queue, move |record, sequence| {
+        let scheduler = shared.clone();
+        async move { write(&scheduler, STATUS_TOPIC, &[record], sequence).await }
+    }));
+    statuses
+}
+
 /// Reads which waves earlier schedulers have finished; retries until the store answers.
 async fn read_finished(scheduler: &Scheduler) -> HashSet<u64> {
     loop {
@@ -138,15 +155,16 @@
 
 /// Advances one wave.
 async fn advance_wave(
-    scheduler: &Arc<Scheduler>,
+    scheduler: &Scheduler,
     machines: &Machines,
+    statuses: &status::Queue,
     progress: &mut WaveProgress,
     list: &[Machine],
     taken: &HashSet<MachineId>,
     orders: &mut usize,
 ) {
     if progress.needs_report(false) {
-        report_status(scheduler, progress, false);
+        report_status(statuses, progress, false);
     }
     let listed: MachinesById<'_> =
         list.iter().map(|machine| (machine.id.as_str(), machine)).collect();
@@ -160,7 +178,7 @@
     progress.update_down(min_down_time, config.as_deref(), &listed, answers, clock::now());
     if !progress.remaining().iter().any(|id| listed.contains_key(id.as_str())) {
         if progress.needs_report(true) {
-            report_status(scheduler, progress, true);
+            report_status(statuses, progress, true);
         }
         return;
     }
@@ -244,24 +262,11 @@
     progress.mark_started(id, before, clock::now());
 }
 
-/// Writes the status of a wave for the operator, in a task of its own: a store that is slow or
-/// loses answers would otherwise delay every order about boxes by up to [`CALL_TIMEOUT`].
-fn report_status(scheduler: &Arc<Scheduler>, progress: &mut WaveProgress, succeeded: bool) {
+/// Has the status of a wave written for the operator.
+fn report_status(statuses: &status::Queue, progress: &mut WaveProgress, succeeded: bool) {
     let (written, result) = oneshot::channel();
     progress.pending_report = Some((succeeded, result));
     let (wave, first_seen_at) = (progress.wave.number, progress.first_seen_at);
-    let shared = scheduler.clone();
-    scheduler.spawn(async move {
-        let record = Wave::status_record(wave, succeeded);
-        let done = shared.node.append(STATUS_TOPIC, &[record], &Guard::None, CALL_TIMEOUT).await;
-        match &done {
-            Ok(_) => {
-                let took_s = clock::since(first_seen_at).as_secs();
-                log::info!(wave, succeeded, took_s; "wave status written");
-            }
-            Err(error) => log::info!("status of wave {wave} was not written: {error}"),
-        }
-        // The receiver is gone once the scheduler has ended.
-        let _ = written.send(done.is_ok());
-    });
+    // The queue is closed once the scheduler has ended.
+    let _ = statuses.send(Status { wave, succeeded, first_seen_at, written });
 }
--- a/lib/src/batch/maintenance/progress.rs
+++ b/lib/src/batch/maintenance/progress.rs
@@ -50,8 +50,8 @@
     /// Status last written for the operator: `None` if none was, `false` for running, `true` for
     /// succeeded.
     pub(super) reported: Option<bool>,
-    /// Status that is being written, and the channel that says whether that succeeded.
-    pub(super) pending_report: Option<(bool, oneshot::Receiver<bool>)>,
+    /// Status that is being written, and the channel that says when the store has it.
+    pub(super) pending_report: Option<(bool, oneshot::Receiver<()>)>,
 }
 
 impl WaveProgress {
@@ -78,15 +78,14 @@
         }
     }
 
-    /// Whether the status is still to be written, after taking in the result of the last write. One
-    /// write is under way at a time, so that none overtakes a later one.
+    /// Whether the status is still to be written, after taking in the result of the last write.
     pub(super) fn needs_report(&mut self, succeeded: bool) -> bool {
         if let Some((status, written)) = &mut self.pending_report {
             match written.try_recv() {
-                Ok(true) => self.reported = Some(*status),
+                Ok(()) => self.reported = Some(*status),
                 Err(TryRecvError::Empty) => return false,
-                // The write failed, or the scheduler ends.
-                Ok(false) | Err(TryRecvError::Closed) => {}
+                // The scheduler ends.
+                Err(TryRecvError::Closed) => {}
             }
             self.pending_report = None;
         }
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -4,7 +4,7 @@
 mod answer;
 mod boxes;
 mod events;
-mod flush;
+pub mod flush;
 mod follow;
 mod forget;
 mod job_topic;
--- a/lib/src/batch/scheduler/flush.rs
+++ b/lib/src/batch/scheduler/flush.rs
@@ -30,7 +30,7 @@
         if !changes.records.is_empty() {
             sequence += 1;
             scheduler.store_latency().start_change(clock::now());
-            if !write(&scheduler, &changes.records, sequence).await {
+            if !write(&scheduler, record::PROGRESS_TOPIC, &changes.records, sequence).await {
                 return;
             }
             scheduler.store_latency().finish_change(clock::now());
@@ -55,13 +55,14 @@
     }
 }
 
-/// Appends records, and retries until that succeeds; `false` if a newer scheduler has fenced this one off.
-async fn write(scheduler: &Scheduler, records: &[Record], sequence: u64) -> bool {
+/// Appends records to a topic to which only schedulers write, and retries until that succeeds; `false` if a newer
+/// scheduler has fenced this one off. `sequence` numbers the writes of this scheduler to the topic.
+pub async fn write(scheduler: &Scheduler, topic: &str, records: &[Record], sequence: u64) -> bool {
     loop {
         let producer =
             Producer { name: PRODUCER_NAME.to_owned(), epoch: scheduler.token, sequence };
         let guard = Guard::Producer(producer);
-        match scheduler.node.append(record::PROGRESS_TOPIC, records, &guard, STORE_TIMEOUT).await {
+        match scheduler.node.append(topic, records, &guard, STORE_TIMEOUT).await {
             Ok(_) => return true,
             Err(error) if error.status() == Some(409) => {
                 log::warn!("the store rejected a write: fenced off by a newer scheduler: {error}");
@@ -70,7 +71,7 @@
             }
             Err(error) => {
                 scheduler.node.counters.count("batch.flush.failed");
-                log::debug!("writing changes to the store failed: {error}");
+                log::debug!("writing to topic {topic} failed: {error}");
                 sleep(RETRY_DELAY).await;
             }
         }
