leader: a node that joins tells the leader, which goes on only with its promise

Callers saw: tasks that run on two workers at once (TWICE), when the store rejects all nodes but one that has just joined and that does not reach some workers.

Cause: a leader without renewals goes on by the promises of the nodes in its directory, which it reads each 10 s. It did not know the new node and could not read of it; the others, which could not read the lease, kept promising.

Change: a node that joins tells the leader (`Request::Joined`). Until a leader knows it, it claims a held lease `MAX_EXTENSION` later than others, and a leader goes on by promises no longer than that after its last renewal. A new leader reads the directory at once, and uses promises only once it has.

Test: `a_node_that_joins_while_the_store_rejects_all_others_runs_nothing_twice`.

--- a/cli/tests/test_isolated_leader.rs
+++ b/cli/tests/test_isolated_leader.rs
@@ -4,6 +4,8 @@
 
 use nix::sys::signal::Signal;
 use serde_json::json;
+use spokelift_testutils::platform::network::Cut;
+use spokelift_testutils::platform::site::Options;
 use spokelift_testutils::platform::site::Site;
 use spokelift_testutils::platform::store::Fault;
 use tokio::time::sleep;
@@ -12,17 +14,22 @@
 const JOB: &str = "0000000000000001";
 const TASKS: u32 = 3;
 /// An outage of the store that is longer than the leases of the leader and of a worker together.
-const OUTAGE: Duration = Duration::from_secs(9);
+const OUTAGE: Duration = Duration::from_secs(10);
 
 /// A site of three nodes on which a long-running job runs, and the number of its leader.
 async fn start_site() -> (Site, usize) {
     let site = Site::start(PROGRAM, 3, 2, 0).await.unwrap();
+    submit_job(&site).await;
+    let leader = site.leader().expect("a node leads");
+    (site, leader)
+}
+
+/// Submits a long-running job to a daemon that runs, and waits until its tasks run.
+async fn submit_job(site: &Site) {
     let step = json!({ "count": TASKS, "cpu": 100, "memMb": 10, "longRunning": true });
     let job = json!({ "spec": "cpu=100 mem=10", "steps": [step] });
     site.submit_until_accepted(JOB, job).await;
     site.wait_until("the tasks run", async |site| site.ledger.running_tasks(JOB) == TASKS).await;
-    let leader = site.leader().expect("a node leads");
-    (site, leader)
 }
 
 fn signal_others(site: &Site, leader: usize, signal: Signal) {
@@ -61,3 +68,33 @@
         assert_no_violations(&site);
     }
 }
+
+/// Guards against two runs of a task: a node joins while the store rejects all others, and takes over, since the
+/// leader does not know it and goes on by the promises of the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_joins_while_the_store_rejects_all_others_runs_nothing_twice() {
+    for is_cut_off in [false, true] {
+        let options = Options { stopped_nodes: 1, ..Options::new(3, 2).with_links() };
+        let site = Site::start_with(PROGRAM, options).await.unwrap();
+        let (others, joining) = (0..2, 2);
+        submit_job(&site).await;
+        for machine in ["m-0", "m-1"] {
+            let is_idle = site.machines.worker(machine).is_some_and(|worker| worker.is_idle());
+            site.network().cut_worker(
+                joining,
+                machine,
+                if is_idle { Cut::None } else { Cut::Both },
+            );
+        }
+        for node in others {
+            site.nodes[node].store_endpoint.set_fault(Fault::Busy);
+            let cut = if is_cut_off { Cut::Both } else { Cut::None };
+            site.network().cut_nodes(joining, node, cut);
+        }
+        site.nodes[joining].start().unwrap();
+        // A takeover and the lease of a worker take less.
+        sleep(OUTAGE).await;
+        assert_no_violations(&site);
+        assert_eq!(site.ledger.running_tasks(JOB), TASKS, "cut off: {is_cut_off}");
+    }
+}
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -1,7 +1,8 @@
 //! Directory of the other nodes: each node writes its address and its CPU to the store when it
 //! starts, reads all entries once, and later only what was written since. Used to choose peers, for
 //! relayed calls to the store among others, and to have nodes with enough CPU claim the leader lease
-//! first. Entries may be outdated, so nothing that must be correct relies on them.
+//! first. Entries may be outdated. The leader must know every node that may claim its lease, so a
+//! node that has joined also tells the leader.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -10,6 +11,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,9 +23,12 @@
 use spokelift_platform::store::Guard;
 use spokelift_platform::store::Offset;
 use spokelift_platform::store::Record;
+use tokio::sync::Notify;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::batch::node::Node;
+use crate::batch::peer;
 use crate::batch::watch::Group;
 use crate::transport::clock;
 
@@ -39,6 +45,8 @@
     Duration::from_millis(650),
     Duration::from_millis(1_500),
 ];
+/// Time between two times of telling the leader of this node.
+const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Least time between reads after that. Nodes rarely start or stop, and an entry of a node that does
 /// not run any more costs one failed request.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
@@ -66,6 +74,14 @@
 #[derive(Default)]
 pub struct Directory {
     entries: Mutex<Option<Vec<Entry>>>,
+    /// Nodes that have said that they have joined, and of which nothing was read yet.
+    joined: Mutex<Vec<Entry>>,
+    /// When the last read that succeeded began; `None` before the first.
+    read_at: Mutex<Option<Instant>>,
+    /// Has the directory read at once.
+    refresh: Notify,
+    /// Whether every leader knows this node, or will when it has read the directory.
+    is_known_to_leaders: AtomicBool,
     /// The node that last relayed a call to the store for this one.
     preferred_relay: Mutex<Option<SocketAddr>>,
     /// Nodes that did not answer, and when they were last asked.
@@ -76,7 +92,57 @@
     /// Sets the other nodes, with their CPU in thousandths of a core.
     pub fn set_nodes(&self, nodes: impl IntoIterator<Item = (SocketAddr, u32)>) {
         let entries = nodes.into_iter().map(|(addr, cpu)| Entry { addr, cpu });
-        *self.entries() = Some(entries.collect());
+        let mut entries: Vec<Entry> = entries.collect();
+        let mut joined = self.joined();
+        joined.retain(|node| entries.iter().all(|entry| entry.addr != node.addr));
+        entries.extend(joined.iter().cloned());
+        *self.entries() = Some(entries);
+    }
+
+    /// Adds a node that has joined, until its entry is read.
+    pub fn add_joined(&self, addr: SocketAddr, cpu: u32) {
+        let (mut joined, mut entries) = (self.joined(), self.entries());
+        let known = entries.iter().flatten().chain(joined.iter());
+        if known.into_iter().any(|entry| entry.addr == addr) {
+            return;
+        }
+        let entry = Entry { addr, cpu };
+        entries.iter_mut().for_each(|entries| entries.push(entry.clone()));
+        joined.push(entry);
+    }
+
+    fn joined(&self) -> MutexGuard<'_, Vec<Entry>> {
+        self.joined.lock().expect("no thread panics while it holds the joined lock")
+    }
+
+    /// Has the directory read at once.
+    pub fn refresh(&self) {
+        self.refresh.notify_one();
+    }
+
+    /// Waits until the directory is to be read at once, at most for `time`.
+    async fn await_refresh(&self, time: Duration) {
+        // When the time is over, it is read as well.
+        let _ = timeout(time, self.refresh.notified()).await;
+    }
+
+    fn read_at(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.read_at.lock().expect("no thread panics while it holds the time lock")
+    }
+
+    /// Whether a read that began after `then` has succeeded.
+    pub fn is_read_since(&self, then: Instant) -> bool {
+        self.read_at().is_some_and(|at| at >= then)
+    }
+
+    /// Whether every leader knows this node, or will when it has read the directory.
+    pub fn is_known_to_leaders(&self) -> bool {
+        self.is_known_to_leaders.load(Ordering::Relaxed)
+    }
+
+    /// Records that a leader knows this node; later ones read of it.
+    pub fn set_known_to_leaders(&self) {
+        self.is_known_to_leaders.store(true, Ordering::Relaxed);
     }
 
     /// Addresses of the other nodes.
@@ -207,25 +273,28 @@
 pub async fn run(node: Arc<Node>) {
     let addr = node.settings.peer_addr();
     let own = Entry { addr, cpu: node.settings.cpu };
-    while let Err(error) = write_entry(&node, &own).await {
-        log::debug!("cannot write the entry of this node: {error}");
+    let mut known = Known::default();
+    while let Err(error) = join(&node, &own, &mut known).await {
+        log::debug!("cannot join the other nodes: {error}");
         sleep(RETRY_DELAY).await;
     }
+    tokio::spawn(tell_leader(node.clone(), own));
     let mut delays = INITIAL_READ_DELAYS.into_iter();
-    let mut known = Known::default();
     loop {
         match delays.next() {
-            Some(delay) => sleep(delay).await,
+            Some(delay) => node.directory.await_refresh(delay).await,
             None => {
                 let group = Group { nodes: known.entries.len(), watchers: READERS };
                 node.directory_turns.rest(group).await;
-                sleep(REFRESH_INTERVAL).await;
+                node.directory.await_refresh(REFRESH_INTERVAL).await;
             }
         }
+        let read_at = clock::now();
         match known.read(&node).await {
             Ok(()) => {
                 let others = known.entries.values().filter(|entry| entry.addr != addr);
                 node.directory.set_nodes(others.map(|entry| (entry.addr, entry.cpu)));
+                *node.directory.read_at() = Some(read_at);
             }
             Err(error) => {
                 log::debug!("cannot read the entries of the other nodes: {error}");
@@ -235,6 +304,30 @@
     }
 }
 
+/// Writes this node's entry, unless it is there since an earlier start: then every leader has read it,
+/// or will.
+async fn join(node: &Node, own: &Entry, known: &mut Known) -> Result<(), CallError> {
+    known.read(node).await?;
+    if known.entries.get(&node.settings.node) == Some(own) {
+        node.directory.set_known_to_leaders();
+        return Ok(());
+    }
+    write_entry(node, own).await
+}
+
+/// Tells the leader that this node has joined, until a leader knows it or this node leads.
+async fn tell_leader(node: Arc<Node>, own: Entry) {
+    while !node.holds_lease() {
+        if let Some(leader) = node.remote_leader() {
+            let request = peer::Request::Joined { addr: own.addr, cpu: own.cpu };
+            if matches!(node.peers.ask(leader, request).await, Ok(peer::Reply::Done)) {
+                return node.directory.set_known_to_leaders();
+            }
+        }
+        sleep(JOIN_INTERVAL).await;
+    }
+}
+
 async fn write_entry(node: &Node, own: &Entry) -> Result<(), CallError> {
     let value = postcard::to_stdvec(own).expect("an entry can be encoded by postcard");
     let record = Record::set(node.settings.node.as_str(), value);
--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -195,8 +195,10 @@
     log::info!(token; "became leader");
     node.claims.set_state(claim::State::Claimed);
     node.counters.count("batch.lead.held");
+    node.directory.set_known_to_leaders();
     node.operator_turns.start();
     node.directory_turns.start();
+    node.directory.refresh();
     let order_window =
         OrderWindow::new(node.settings.handover_gap, view.held_boxes(node), clock::now());
     let was_released = view.was_released();
@@ -281,7 +283,7 @@
 /// Asks all other nodes for how long they promise not to claim the lease; the scheduler goes on until the first promise
 /// ends. What a node promised last counts until it answers again.
 async fn ask_for_promises(node: &Node, scheduler: &Scheduler, promises: &mut Promises) {
-    if node.directory.count().is_none() {
+    if !node.directory.is_read_since(scheduler.started_at) {
         return;
     }
     let addrs = node.directory.addrs();
--- a/lib/src/batch/leader/lease.rs
+++ b/lib/src/batch/leader/lease.rs
@@ -21,6 +21,10 @@
 /// Time without a renewal after which another node claims the lease: three and a half renewals.
 pub const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2_100);
 
+/// How long after its last renewal a leader goes on by the promises of other nodes at most: longer than any
+/// outage of the store that tasks should outlive. A node that no leader knows waits for as long before it claims a lease.
+pub const MAX_EXTENSION: Duration = Duration::from_secs(60);
+
 /// The leader lease, as it is written to the store.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct LeaderLease {
--- a/lib/src/batch/leader/view.rs
+++ b/lib/src/batch/leader/view.rs
@@ -10,6 +10,7 @@
 
 use crate::batch::leader::claim;
 use crate::batch::leader::lease::LeaderLease;
+use crate::batch::leader::lease::MAX_EXTENSION;
 use crate::batch::leader::lease::RENEW_INTERVAL;
 use crate::batch::leader::lease::TAKEOVER_TIMEOUT;
 use crate::batch::node::Node;
@@ -119,6 +120,10 @@
             {
                 true
             }
+            // A leader that does not know this node goes on without its promise.
+            Some(_) if !node.directory.is_known_to_leaders() => {
+                clock::since(self.last_contact) > TAKEOVER_TIMEOUT + MAX_EXTENSION
+            }
             Some(_) => clock::since(self.last_contact) > TAKEOVER_TIMEOUT + self.claim_jitter,
         }
     }
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -105,6 +105,13 @@
         /// Incarnation of its node.
         incarnation: u64,
     },
+    /// To the leader: a node has joined, of which the leader may not have read in the directory.
+    Joined {
+        /// Address at which the node answers other nodes.
+        addr: SocketAddr,
+        /// Its CPU, in thousandths of a core.
+        cpu: u32,
+    },
 }
 
 impl Request {
@@ -127,6 +134,7 @@
             Request::ConfigPart(_) => "config-part",
             Request::MayRefuse(..) => "may-refuse",
             Request::ClaimPromise { .. } => "claim-promise",
+            Request::Joined { .. } => "joined",
         }
     }
 }
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -35,6 +35,7 @@
 use crate::batch::dispatch::Dispatcher;
 use crate::batch::dispatch::lease::Lease;
 use crate::batch::fleet;
+use crate::batch::leader::lease::MAX_EXTENSION;
 use crate::batch::leader::lease::RENEW_INTERVAL;
 use crate::batch::leader::lease::TAKEOVER_TIMEOUT;
 use crate::batch::node::Node;
@@ -191,7 +192,9 @@
     /// use only if each promise was given before the last one ended: in between, a node may have claimed
     /// the lease and may be gone again.
     pub fn record_promise(&self, until: Instant) {
-        self.shards.extend_own_if_valid(until);
+        let renewed_at = self.cell().renewed_at;
+        let latest = renewed_at.map_or(until, |at| at + MAX_EXTENSION);
+        self.shards.extend_own_if_valid(until.min(latest));
     }
 
     /// Records that the store answered neither a renewal sent at `sent` nor a read of the lease after it.
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -81,6 +81,10 @@
             Request::Relay(call) => Reply::Relayed(self.node.relay_for_peer(call).await),
             Request::Report(report) => take_report(self, *report),
             Request::MayRefuse(id, caller, outlook) => self.may_refuse(id, &caller, outlook),
+            Request::Joined { addr, cpu } => {
+                self.node.directory.add_joined(addr, cpu);
+                Reply::Done
+            }
             // Answered by the node itself.
             Request::Dispatch(_)
             | Request::Newer { .. }
--- a/lib/tests/test_encoding.rs
+++ b/lib/tests/test_encoding.rs
@@ -354,6 +354,7 @@
         Request::MayRefuse(0x5c0e, Caller::Account("clinics".into()), 4),
         Request::Report(Box::new(partial_report)),
         Request::ClaimPromise { token: 9, incarnation: 3 },
+        Request::Joined { addr: addr(), cpu: 500 },
     ];
     for (number, request) in (1_u64..).zip(requests) {
         lines.postcard("request", &(number, request));
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -84,6 +84,8 @@
     pub workers_per_shard: Option<usize>,
     /// Whether the daemons reach workers and each other by links of a [`Network`].
     pub has_links: bool,
+    /// Number of daemons, the last ones, that are not started.
+    pub stopped_nodes: usize,
 }
 
 impl Options {
@@ -96,6 +98,7 @@
             handover_gap: HANDOVER_GAP,
             workers_per_shard: None,
             has_links: false,
+            stopped_nodes: 0,
         }
     }
 
@@ -212,8 +215,9 @@
         let (dialer, _advice) = (Dialer::new(ANSWER_TIMEOUT), advice);
         let site =
             Site { store, machines, machines_proxy, ledger, nodes, network, dialer, _advice };
-        site.nodes.iter().try_for_each(Node::start)?;
-        for number in 0..site.nodes.len() {
+        let started = 0..site.nodes.len() - options.stopped_nodes;
+        site.nodes[started.clone()].iter().try_for_each(Node::start)?;
+        for number in started {
             site.wait_until("each daemon answers", async |site| {
                 site.pending_jobs(number).await.is_some()
             })
