leader: only one that is certain to lead acknowledges a node that joins

A new leader asked for the directory to be read before its own time began, so the read could count as one of before.

Change: `Scheduler::add_joined` acknowledges while no other node can have claimed the lease; the read is asked for after the scheduler has started.

--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -45,11 +45,11 @@
     Duration::from_millis(650),
     Duration::from_millis(1_500),
 ];
-/// Time between two times of telling the leader of this node.
-const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Least time between reads after that. Nodes rarely start or stop, and an entry of a node that does
 /// not run any more costs one failed request.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// Time between two times of telling the leader of this node.
+const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 /// With more nodes than this, each of them reads less often, so that the reads of all together do
 /// not grow with the nodes.
 const READERS: usize = 16;
@@ -74,13 +74,13 @@
 #[derive(Default)]
 pub struct Directory {
     entries: Mutex<Option<Vec<Entry>>>,
-    /// Nodes that have said that they have joined, and of which nothing was read yet.
+    /// Nodes that have told this one that they have joined, and whose entries it has not read yet.
     joined: Mutex<Vec<Entry>>,
     /// When the last read that succeeded began; `None` before the first.
     read_at: Mutex<Option<Instant>>,
-    /// Has the directory read at once.
+    /// Notified when the directory is to be read at once.
     refresh: Notify,
-    /// Whether every leader knows this node, or will when it has read the directory.
+    /// Whether the leader knows this node, and later ones will once they have read the directory.
     is_known_to_leaders: AtomicBool,
     /// The node that last relayed a call to the store for this one.
     preferred_relay: Mutex<Option<SocketAddr>>,
@@ -102,12 +102,14 @@
     /// Adds a node that has joined, until its entry is read.
     pub fn add_joined(&self, addr: SocketAddr, cpu: u32) {
         let (mut joined, mut entries) = (self.joined(), self.entries());
-        let known = entries.iter().flatten().chain(joined.iter());
-        if known.into_iter().any(|entry| entry.addr == addr) {
+        let mut known = entries.iter().flatten().chain(joined.iter());
+        if known.any(|entry| entry.addr == addr) {
             return;
         }
         let entry = Entry { addr, cpu };
-        entries.iter_mut().for_each(|entries| entries.push(entry.clone()));
+        if let Some(entries) = entries.as_mut() {
+            entries.push(entry.clone());
+        }
         joined.push(entry);
     }
 
@@ -135,12 +137,12 @@
         self.read_at().is_some_and(|at| at >= then)
     }
 
-    /// Whether every leader knows this node, or will when it has read the directory.
+    /// Whether the leader knows this node, and later ones will once they have read the directory.
     pub fn is_known_to_leaders(&self) -> bool {
         self.is_known_to_leaders.load(Ordering::Relaxed)
     }
 
-    /// Records that a leader knows this node; later ones read of it.
+    /// Records that the leader knows this node, and that later ones will once they have read the directory.
     pub fn set_known_to_leaders(&self) {
         self.is_known_to_leaders.store(true, Ordering::Relaxed);
     }
@@ -304,8 +306,7 @@
     }
 }
 
-/// Writes this node's entry, unless it is there since an earlier start: then every leader has read it,
-/// or will.
+/// Writes this node's entry, unless it is there since an earlier start: then the leader has read it.
 async fn join(node: &Node, own: &Entry, known: &mut Known) -> Result<(), CallError> {
     known.read(node).await?;
     if known.entries.get(&node.settings.node) == Some(own) {
--- a/lib/src/batch/dispatch/lease.rs
+++ b/lib/src/batch/dispatch/lease.rs
@@ -23,7 +23,7 @@
 /// An acknowledged report extends it, from the time at which the report was sent. The scheduler acknowledged it later
 /// than that, so [`DISPATCH_LEASE`] after its last acknowledgement the lease has certainly expired.
 pub struct Lease {
-    /// `None` without a bound; inside, `None` before the first extension.
+    /// `None` if it is unbounded; inside, `None` before the first extension.
     valid_until: Option<Mutex<Option<Instant>>>,
 }
 
@@ -33,12 +33,6 @@
         Lease { valid_until: None }
     }
 
-    /// `None` without a bound.
-    fn lock(&self) -> Option<MutexGuard<'_, Option<Instant>>> {
-        let valid_until = self.valid_until.as_ref()?;
-        Some(valid_until.lock().expect("no thread panics while it holds the lease lock"))
-    }
-
     /// A lease that is not valid before it is extended.
     pub fn bounded() -> Lease {
         Lease { valid_until: Some(Mutex::new(None)) }
@@ -104,6 +98,12 @@
         let at = clock::now();
         (!self.remaining(at).is_zero()).then_some(Validity { at })
     }
+
+    /// `None` if the lease is unbounded.
+    fn lock(&self) -> Option<MutexGuard<'_, Option<Instant>>> {
+        let valid_until = self.valid_until.as_ref()?;
+        Some(valid_until.lock().expect("no thread panics while it holds the lease lock"))
+    }
 }
 
 /// A time at which a dispatcher might act. What it then does is reckoned from this time, however long
--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -198,11 +198,12 @@
     node.directory.set_known_to_leaders();
     node.operator_turns.start();
     node.directory_turns.start();
-    node.directory.refresh();
     let order_window =
         OrderWindow::new(node.settings.handover_gap, view.held_boxes(node), clock::now());
     let was_released = view.was_released();
     let scheduler = Scheduler::start(node.clone(), token, order_window, claimed_at, was_released);
+    // Promises are of use only from all nodes that were known to an earlier leader.
+    node.directory.refresh();
     scheduler.spawn(extend_by_promises(node.clone(), scheduler.clone()));
     let why = renew_until_lost(node, view, &scheduler).await;
     scheduler.stop();
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -1,5 +1,6 @@
 //! Answers requests of other nodes.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use spokelift_platform::job::JobId;
@@ -81,10 +82,7 @@
             Request::Relay(call) => Reply::Relayed(self.node.relay_for_peer(call).await),
             Request::Report(report) => take_report(self, *report),
             Request::MayRefuse(id, caller, outlook) => self.may_refuse(id, &caller, outlook),
-            Request::Joined { addr, cpu } => {
-                self.node.directory.add_joined(addr, cpu);
-                Reply::Done
-            }
+            Request::Joined { addr, cpu } => self.add_joined(addr, cpu),
             // Answered by the node itself.
             Request::Dispatch(_)
             | Request::Newer { .. }
@@ -97,6 +95,16 @@
         }
     }
 
+    /// Takes note of a node that has joined. If this scheduler may have been replaced, the node is not
+    /// known to the leader by that.
+    fn add_joined(&self, addr: SocketAddr, cpu: u32) -> Reply {
+        self.node.directory.add_joined(addr, cpu);
+        match self.cell().is_sole_leader(clock::now()) {
+            true => Reply::Done,
+            false => Reply::NotReady,
+        }
+    }
+
     /// Admits a job whose record is in the store. A scheduler that may have been replaced leaves the
     /// job to the next one, which would not know of starts here.
     fn admit(&self, id: JobId, accepted: Accepted) -> Reply {
