leader: a node is known to every leader that claims the lease after it has joined

Callers saw: a site without a leader for a minute, where the first leader is killed before it has acknowledged the other nodes.

Change: a node writes its entry before it first reads the lease. A leader whose claim stands after what it read then reads the entry when it reads the directory, so the node need not be acknowledged by it (`View::is_known_to`).

Test: `a_node_takes_over_from_a_leader_that_is_killed_at_its_start` failed before (no leader within a minute), passes after.

--- a/cli/tests/test_isolated_leader.rs
+++ b/cli/tests/test_isolated_leader.rs
@@ -98,3 +98,14 @@
         assert_eq!(site.ledger.running_tasks(JOB), TASKS, "cut off: {is_cut_off}");
     }
 }
+
+/// Guards against a site without a leader for a minute: the first one is killed before it has
+/// acknowledged any other node.
+#[tokio::test]
+async fn a_node_takes_over_from_a_leader_that_is_killed_at_its_start() {
+    let site = Site::start(PROGRAM, 2, 1, 0).await.unwrap();
+    site.wait_until("a node leads", async |site| site.leader().is_some()).await;
+    let leader = site.leader().unwrap();
+    site.nodes[leader].kill();
+    site.wait_until("the other one leads", async |site| site.leader() == Some(1 - leader)).await;
+}
--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -24,6 +24,7 @@
 use spokelift_platform::store::Offset;
 use spokelift_platform::store::Record;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -80,6 +81,8 @@
     read_at: Mutex<Option<Instant>>,
     /// Notified when the directory is to be read at once.
     refresh: Notify,
+    /// Whether this node's entry is in the store.
+    is_written: watch::Sender<bool>,
     /// Whether the leader knows this node, and later ones will once they have read the directory.
     is_known_to_leaders: AtomicBool,
     /// The node that last relayed a call to the store for this one.
@@ -137,6 +140,12 @@
         self.read_at().is_some_and(|at| at >= then)
     }
 
+    /// Waits until this node's entry is in the store.
+    pub async fn await_written(&self) {
+        // The sender lives as long as the directory.
+        let _ = self.is_written.subscribe().wait_for(|is_written| *is_written).await;
+    }
+
     /// Whether the leader knows this node, and later ones will once they have read the directory.
     pub fn is_known_to_leaders(&self) -> bool {
         self.is_known_to_leaders.load(Ordering::Relaxed)
@@ -280,6 +289,7 @@
         log::debug!("cannot join the other nodes: {error}");
         sleep(RETRY_DELAY).await;
     }
+    node.directory.is_written.send_replace(true);
     tokio::spawn(tell_leader(node.clone(), own));
     let mut delays = INITIAL_READ_DELAYS.into_iter();
     loop {
--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -75,6 +75,7 @@
 /// Follows the leader lease in turns with other nodes, claims it when it is free, and schedules
 /// while this node holds it.
 pub async fn run(node: Arc<Node>) {
+    node.directory.await_written().await;
     let mut view = View::new();
     loop {
         if view.has_new_renewal
@@ -143,7 +144,7 @@
             view.apply_record(record, newest.end.saturating_sub(1));
         }
         view.has_new_renewal = false;
-        view.topic_end = Some(newest.end);
+        view.set_read_to(newest.end);
         view.last_contact = clock::now();
         // A claim by an earlier scheduler of this incarnation looks like a renewal here.
         if view.is_own(node) {
--- a/lib/src/batch/leader/view.rs
+++ b/lib/src/batch/leader/view.rs
@@ -29,6 +29,9 @@
 pub(super) struct View {
     /// Offset after the last record read; `None` until the topic has been read.
     pub(super) topic_end: Option<Offset>,
+    /// End of the topic when it was first read; `None` before. This node's entry in the directory is older, so a
+    /// leader that claims the lease later reads it.
+    first_end: Option<Offset>,
     /// The last record read; `None` if there is none, or after this node's own lease has ended.
     pub(super) lease: Option<LeaderLease>,
     /// The last record of the leader before the one in `lease`.
@@ -52,6 +55,7 @@
     pub(super) fn new() -> View {
         View {
             topic_end: None,
+            first_end: None,
             lease: None,
             previous_lease: None,
             lease_offset: 0,
@@ -121,13 +125,21 @@
                 true
             }
             // A leader that does not know this node goes on without its promise.
-            Some(_) if !node.directory.is_known_to_leaders() => {
+            Some(lease) if !self.is_known_to(lease) && !node.directory.is_known_to_leaders() => {
                 clock::since(self.last_contact) > TAKEOVER_TIMEOUT + MAX_EXTENSION
             }
             Some(_) => clock::since(self.last_contact) > TAKEOVER_TIMEOUT + self.claim_jitter,
         }
     }
 
+    /// Whether the leader of the record in `lease` knows this node once it has read the directory: its claim came
+    /// after this node's entry.
+    fn is_known_to(&self, lease: &LeaderLease) -> bool {
+        // The records of one leader follow each other: the claim, then its renewals.
+        let claimed_at = self.lease_offset.saturating_sub(Offset::from(lease.renewals));
+        self.first_end.is_some_and(|end| claimed_at >= end)
+    }
+
     /// How long this node leaves a free lease to others.
     pub(super) fn claim_delay(&self, node: &Node) -> Duration {
         let first = if self.lease.is_none() { FIRST_CLAIM_DELAY } else { Duration::ZERO };
@@ -181,6 +193,12 @@
         self.previous_lease.as_ref().is_some_and(|previous| previous.released)
     }
 
+    /// Records that the whole topic was read, up to `end`.
+    pub(super) fn set_read_to(&mut self, end: Offset) {
+        self.topic_end = Some(end);
+        self.first_end.get_or_insert(end);
+    }
+
     /// Applies a page of records that starts at offset `from`.
     pub(super) fn apply_page(&mut self, from: Offset, page: &Page) {
         for (offset, record) in (from..).zip(&page.records) {
