--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -9,6 +9,7 @@
 use spokelift_testutils::platform::soak::ACCOUNTS_FROM_SEED;
 use spokelift_testutils::platform::soak::LINKS_FROM_SEED;
 use spokelift_testutils::platform::soak::REUSED_IDS_FROM_SEED;
+use spokelift_testutils::setting;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
 /// Default seeds.
@@ -17,16 +18,11 @@
 const TIME_S: u64 = 8;
 
 fn seeds() -> Range<u64> {
-    let Ok(text) = std::env::var("SPOKELIFT_SOAK_SEEDS") else { return SEEDS };
-    let (first, end) = text.split_once("..").expect("SPOKELIFT_SOAK_SEEDS is FIRST..END");
-    let number = |text: &str| text.parse().expect("a seed is a number");
-    number(first)..number(end)
+    setting::range("SPOKELIFT_SOAK_SEEDS", SEEDS)
 }
 
 fn duration() -> Duration {
-    let text = std::env::var("SPOKELIFT_SOAK_S").ok();
-    let seconds = text.map(|text| text.parse().expect("SPOKELIFT_SOAK_S is a number"));
-    Duration::from_secs(seconds.unwrap_or(TIME_S))
+    Duration::from_secs(setting::number("SPOKELIFT_SOAK_S", TIME_S))
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -57,7 +53,7 @@
 
 async fn run_seeds(seeds: Range<u64>) {
     let mut failed = Vec::new();
-    let program = std::env::var("SPOKELIFT_SOAK_PROGRAM").unwrap_or_else(|_| PROGRAM.to_owned());
+    let program = setting::text("SPOKELIFT_SOAK_PROGRAM", PROGRAM);
     for seed in seeds {
         let report = soak::run(&program, seed, duration()).await.unwrap();
         println!("seed {seed}: {report:#?}");
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod process;
 pub mod proxy;
 pub mod scenario;
+pub mod setting;
 pub mod site;
 pub mod temp_file;
 pub mod worker;
