leader: following the lease does not wait for the directory

Cause: since a node did not read the lease before its entry in the directory was written, so that a node without the one task would never do the other.

Change: the end of the lease topic counts from the first read that began with the entry written.

--- a/lib/src/batch/directory.rs
+++ b/lib/src/batch/directory.rs
@@ -24,7 +24,6 @@
 use spokelift_platform::store::Offset;
 use spokelift_platform::store::Record;
 use tokio::sync::Notify;
-use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -82,7 +81,7 @@
     /// Notified when the directory is to be read at once.
     refresh: Notify,
     /// Whether this node's entry is in the store.
-    is_written: watch::Sender<bool>,
+    is_written: AtomicBool,
     /// Whether the leader knows this node, and later ones will once they have read the directory.
     is_known_to_leaders: AtomicBool,
     /// The node that last relayed a call to the store for this one.
@@ -140,10 +139,9 @@
         self.read_at().is_some_and(|at| at >= then)
     }
 
-    /// Waits until this node's entry is in the store.
-    pub async fn await_written(&self) {
-        // The sender lives as long as the directory.
-        let _ = self.is_written.subscribe().wait_for(|is_written| *is_written).await;
+    /// Whether this node's entry is in the store.
+    pub fn is_written(&self) -> bool {
+        self.is_written.load(Ordering::Relaxed)
     }
 
     /// Whether the leader knows this node, and later ones will once they have read the directory.
@@ -289,7 +287,7 @@
         log::debug!("cannot join the other nodes: {error}");
         sleep(RETRY_DELAY).await;
     }
-    node.directory.is_written.send_replace(true);
+    node.directory.is_written.store(true, Ordering::Relaxed);
     tokio::spawn(tell_leader(node.clone(), own));
     let mut delays = INITIAL_READ_DELAYS.into_iter();
     loop {
--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -75,7 +75,6 @@
 /// Follows the leader lease in turns with other nodes, claims it when it is free, and schedules
 /// while this node holds it.
 pub async fn run(node: Arc<Node>) {
-    node.directory.await_written().await;
     let mut view = View::new();
     loop {
         if view.has_new_renewal
@@ -88,6 +87,7 @@
             }
         }
         node.claims.set_state(view.claim_state());
+        let has_joined = node.directory.is_written();
         let followed = follow_in_time(&node, &mut view).await;
         node.lease_turns.finish_read();
         view.topic_end.into_iter().for_each(|end| node.claims.record_read(end));
@@ -100,6 +100,9 @@
             sleep(RETRY_DELAY).await;
             continue;
         }
+        if has_joined {
+            view.record_joined_read();
+        }
         if let Some(lease) = &view.lease {
             node.set_leader_lease(view.lease_offset, lease);
         }
@@ -144,7 +147,7 @@
             view.apply_record(record, newest.end.saturating_sub(1));
         }
         view.has_new_renewal = false;
-        view.set_read_to(newest.end);
+        view.topic_end = Some(newest.end);
         view.last_contact = clock::now();
         // A claim by an earlier scheduler of this incarnation looks like a renewal here.
         if view.is_own(node) {
--- a/lib/src/batch/leader/view.rs
+++ b/lib/src/batch/leader/view.rs
@@ -29,9 +29,9 @@
 pub(super) struct View {
     /// Offset after the last record read; `None` until the topic has been read.
     pub(super) topic_end: Option<Offset>,
-    /// End of the topic when it was first read; `None` before. This node's entry in the directory is older, so a
-    /// leader that claims the lease later reads it.
-    first_end: Option<Offset>,
+    /// End of the topic when it was first read with this node's entry in the directory; `None` before. A leader
+    /// that claims the lease later reads the entry.
+    joined_end: Option<Offset>,
     /// The last record read; `None` if there is none, or after this node's own lease has ended.
     pub(super) lease: Option<LeaderLease>,
     /// The last record of the leader before the one in `lease`.
@@ -55,7 +55,7 @@
     pub(super) fn new() -> View {
         View {
             topic_end: None,
-            first_end: None,
+            joined_end: None,
             lease: None,
             previous_lease: None,
             lease_offset: 0,
@@ -137,7 +137,7 @@
     fn is_known_to(&self, lease: &LeaderLease) -> bool {
         // The records of one leader follow each other: the claim, then its renewals.
         let claimed_at = self.lease_offset.saturating_sub(Offset::from(lease.renewals));
-        self.first_end.is_some_and(|end| claimed_at >= end)
+        self.joined_end.is_some_and(|end| claimed_at >= end)
     }
 
     /// How long this node leaves a free lease to others.
@@ -193,10 +193,9 @@
         self.previous_lease.as_ref().is_some_and(|previous| previous.released)
     }
 
-    /// Records that the whole topic was read, up to `end`.
-    pub(super) fn set_read_to(&mut self, end: Offset) {
-        self.topic_end = Some(end);
-        self.first_end.get_or_insert(end);
+    /// Records that the topic was read with this node's entry in the directory.
+    pub(super) fn record_joined_read(&mut self) {
+        self.joined_end = self.joined_end.or(self.topic_end);
     }
 
     /// Applies a page of records that starts at offset `from`.
