testutils: the links of a site end with it

Cause: the endpoint of a store kept the network of its site for as long as the process, so that links of earlier sites stayed open. With more than 150 loopback addresses used, the fifth play in one process could not open a link ("only links to workers use this IP address").

Change: an endpoint has a weak reference. Nothing that a site does changes.

--- a/testutils/src/platform/network.rs
+++ b/testutils/src/platform/network.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::Weak;
 
 use serde_json::Value;
 use tokio::io::AsyncReadExt;
@@ -72,7 +73,8 @@
     inner: Arc<Inner>,
 }
 
-struct Inner {
+/// The links of a network.
+pub(super) struct Inner {
     /// The IP address of all workers.
     workers: IpAddr,
     /// For each daemon, the IP address of its links to the workers.
@@ -126,6 +128,16 @@
         Ok(Network { inner: Arc::new(inner) })
     }
 
+    /// A reference that does not keep the links.
+    pub(super) fn downgrade(&self) -> Weak<Inner> {
+        Arc::downgrade(&self.inner)
+    }
+
+    /// The network of a reference; `None` if it has ended.
+    pub(super) fn upgrade(inner: &Weak<Inner>) -> Option<Network> {
+        inner.upgrade().map(|inner| Network { inner })
+    }
+
     /// The IP address on which the workers listen.
     pub fn worker_ip(&self) -> IpAddr {
         self.inner.workers
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -117,7 +117,7 @@
     let network = Network::start(&addrs)?;
     machines.set_worker_ip(network.worker_ip());
     for (number, node) in nodes.iter().enumerate() {
-        node.store_endpoint.set_network(network.clone(), number);
+        node.store_endpoint.set_network(&network, number);
     }
     Ok(network)
 }
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
+use std::sync::Weak;
 use std::time::Duration;
 
 use base64::Engine;
@@ -34,6 +35,7 @@
 use tokio::time::timeout;
 
 use crate::platform::json_response;
+use crate::platform::network;
 use crate::platform::network::Network;
 
 /// A fault of an endpoint of the store. Each node has its own endpoint.
@@ -86,7 +88,7 @@
     pub addr: SocketAddr,
     fault: Arc<Mutex<(Fault, u64)>>,
     /// The network of the daemon with this number, whose addresses replace those in the records.
-    network: Arc<OnceLock<(Network, usize)>>,
+    network: Arc<OnceLock<(Weak<network::Inner>, usize)>>,
     _shutdown: Arc<watch::Sender<bool>>,
 }
 
@@ -101,7 +103,8 @@
     /// # Panics
     ///
     /// If it has a network already.
-    pub fn set_network(&self, network: Network, reader: usize) {
+    pub fn set_network(&self, network: &Network, reader: usize) {
+        let network = network.downgrade();
         assert!(self.network.set((network, reader)).is_ok(), "the endpoint has a network");
     }
 
@@ -109,6 +112,7 @@
     fn view_records(&self, topic: &str, records: &[Record]) -> Vec<Record> {
         let mut records = records.to_vec();
         let Some((network, reader)) = self.network.get() else { return records };
+        let Some(network) = Network::upgrade(network) else { return records };
         for value in records.iter_mut().filter_map(|record| record.value.as_mut()) {
             if topic == WORKER_TOPIC {
                 network.link_worker(value);
