dispatch: a lease always has an end

Cause: since the leader's own dispatcher has a lease like all others, only tests asked for one without an end, and each method carried the case.

Change: `Lease` is its end; `Lease::unbounded` and `bounded` are gone (`Lease::default`). The tests that need a long one share `batch::long_lease`; no assertion is touched. `Validity` and `request_lease` say "allowed to act" and "count from" for what they do.

--- a/lib/src/batch/dispatch/lease.rs
+++ b/lib/src/batch/dispatch/lease.rs
@@ -22,37 +22,27 @@
 ///
 /// An acknowledged report extends it, from the time at which the report was sent. The scheduler acknowledged it later
 /// than that, so [`DISPATCH_LEASE`] after its last acknowledgement the lease has certainly expired.
+#[derive(Default)]
 pub struct Lease {
-    /// `None` if it is unbounded; inside, `None` before the first extension.
-    valid_until: Option<Mutex<Option<Instant>>>,
+    /// `None` before the first extension.
+    valid_until: Mutex<Option<Instant>>,
 }
 
 impl Lease {
-    /// A lease that does not expire; the dispatcher acts until it is stopped.
-    pub fn unbounded() -> Lease {
-        Lease { valid_until: None }
-    }
-
-    /// A lease that is not valid before it is extended.
-    pub fn bounded() -> Lease {
-        Lease { valid_until: Some(Mutex::new(None)) }
-    }
-
-    /// Extends the lease until `until`.
+    /// Extends the lease until `until`. It is not valid before.
     ///
     /// ```
     /// use std::time::Duration;
     /// use std::time::Instant;
     /// use spokelift_lib::batch::dispatch::lease::Lease;
-    /// let lease = Lease::bounded();
+    /// let lease = Lease::default();
     /// assert!(lease.check().is_none());
     /// lease.extend_until(Instant::now() + Duration::from_secs(60));
     /// assert!(lease.check().is_some());
     /// ```
     pub fn extend_until(&self, until: Instant) {
-        if let Some(mut valid_until) = self.lock() {
-            *valid_until = (*valid_until).max(Some(until));
-        }
+        let mut valid_until = self.lock();
+        *valid_until = (*valid_until).max(Some(until));
     }
 
     /// Extends the lease until `until` if it is valid at `now`.
@@ -61,7 +51,7 @@
     /// use std::time::Duration;
     /// use std::time::Instant;
     /// use spokelift_lib::batch::dispatch::lease::Lease;
-    /// let (lease, now) = (Lease::bounded(), Instant::now());
+    /// let (lease, now) = (Lease::default(), Instant::now());
     /// let second = Duration::from_secs(1);
     /// lease.extend_until(now + second);
     /// lease.extend_if_valid(now, now + second * 2);
@@ -70,9 +60,8 @@
     /// assert_eq!(lease.remaining(now), second * 2);
     /// ```
     pub fn extend_if_valid(&self, now: Instant, until: Instant) {
-        if let Some(mut valid_until) = self.lock()
-            && valid_until.is_some_and(|valid_until| now < valid_until)
-        {
+        let mut valid_until = self.lock();
+        if valid_until.is_some_and(|valid_until| now < valid_until) {
             *valid_until = (*valid_until).max(Some(until));
         }
     }
@@ -83,14 +72,13 @@
     /// use std::time::Duration;
     /// use std::time::Instant;
     /// use spokelift_lib::batch::dispatch::lease::Lease;
-    /// let (lease, now) = (Lease::bounded(), Instant::now());
+    /// let (lease, now) = (Lease::default(), Instant::now());
     /// assert_eq!(lease.remaining(now), Duration::ZERO);
     /// lease.extend_until(now + Duration::from_secs(2));
     /// assert_eq!(lease.remaining(now + Duration::from_secs(1)), Duration::from_secs(1));
     /// ```
     pub fn remaining(&self, now: Instant) -> Duration {
-        let Some(valid_until) = self.lock() else { return Duration::MAX };
-        valid_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+        self.lock().map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     /// The present time, if the dispatcher may act now.
@@ -99,15 +87,13 @@
         (!self.remaining(at).is_zero()).then_some(Validity { at })
     }
 
-    /// `None` if the lease is unbounded.
-    fn lock(&self) -> Option<MutexGuard<'_, Option<Instant>>> {
-        let valid_until = self.valid_until.as_ref()?;
-        Some(valid_until.lock().expect("no thread panics while it holds the lease lock"))
+    fn lock(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.valid_until.lock().expect("no thread panics while it holds the lease lock")
     }
 }
 
-/// A time at which a dispatcher might act. What it then does is reckoned from this time, however long
-/// its process is suspended or waits for the processor meanwhile.
+/// A time at which a dispatcher was allowed to act. The leases that it then requests count from this
+/// time, however long its process is suspended or waits for the processor meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct Validity {
     at: Instant,
@@ -127,7 +113,8 @@
     /// use std::time::Instant;
     /// use spokelift_lib::batch::dispatch::lease::Lease;
     /// use spokelift_lib::batch::worker::WORKER_LEASE;
-    /// let (lease, second) = (Lease::unbounded(), Duration::from_secs(1));
+    /// let (lease, second) = (Lease::default(), Duration::from_secs(1));
+    /// lease.extend_until(Instant::now() + second);
     /// let validity = lease.check().unwrap();
     /// let lease_ms = WORKER_LEASE.as_millis() as u64;
     /// assert_eq!(validity.worker_lease(8_000, validity.at() - second), 9_000 + lease_ms);
--- a/lib/src/batch/dispatch/remote.rs
+++ b/lib/src/batch/dispatch/remote.rs
@@ -140,7 +140,7 @@
     scheduler: SocketAddr,
     session: Session,
 ) -> Arc<Dispatcher> {
-    let (dispatcher, events) = Dispatcher::start(context.clone(), Lease::bounded());
+    let (dispatcher, events) = Dispatcher::start(context.clone(), Lease::default());
     let addr = scheduler.to_string();
     log::info!(scheduler = addr.as_str(), token = session.token, share = session.shard; "dispatcher started");
     context.counters.count("batch.carry.begun");
--- a/lib/src/batch/dispatch/session.rs
+++ b/lib/src/batch/dispatch/session.rs
@@ -104,7 +104,7 @@
 }
 
 impl State {
-    /// Requests a lease from the time on at which the dispatcher might act; returns its end by the clock of the worker.
+    /// Requests a lease as of the time at which the dispatcher was allowed to act; returns its end by the clock of the worker.
     /// `None` before its lease may be renewed, until it has reported its clock, and while it is unresponsive: it may
     /// still carry out a call that it does not answer, and the lease would then never be known to have expired.
     pub(super) fn request_lease(&mut self, validity: Validity) -> Option<WorkerMs> {
--- a/lib/src/batch/scheduler.rs
+++ b/lib/src/batch/scheduler.rs
@@ -118,7 +118,7 @@
         let mut cell = Cell::new(token);
         cell.predecessor_is_done = predecessor_is_done;
         cell.longest_lease = node.settings.longest_lease;
-        let (own, events) = Dispatcher::start(node.dispatch_context(), Lease::bounded());
+        let (own, events) = Dispatcher::start(node.dispatch_context(), Lease::default());
         let time_base = own.started_at();
         let scheduler = Arc::new(Scheduler {
             node,
--- a/lib/tests/test_suspended.rs
+++ b/lib/tests/test_suspended.rs
@@ -60,7 +60,7 @@
 #[test]
 fn a_dispatcher_that_wakes_up_has_no_valid_lease() {
     let _clock = lock();
-    let lease = Lease::bounded();
+    let lease = Lease::default();
     lease.extend_until(clock::now() + SUSPENDED_TIME / 2);
     clock::simulate_suspension(SUSPENDED_TIME);
     assert!(lease.check().is_none());
@@ -71,7 +71,7 @@
 #[test]
 fn a_worker_lease_counts_from_the_check_of_the_dispatch_lease() {
     let _clock = lock();
-    let (lease, lease_ms) = (Lease::bounded(), WORKER_LEASE.as_millis() as u64);
+    let (lease, lease_ms) = (Lease::default(), WORKER_LEASE.as_millis() as u64);
     lease.extend_until(clock::now() + SUSPENDED_TIME / 2);
     let validity = lease.check().unwrap();
     clock::simulate_suspension(SUSPENDED_TIME);
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use spokelift_lib::batch::cell::Cell;
+use spokelift_lib::batch::dispatch::lease::Lease;
 use spokelift_lib::batch::node::Node;
 use spokelift_lib::batch::peer;
 use spokelift_lib::batch::record::Accepted;
 use spokelift_lib::metrics::Counters;
 use spokelift_lib::settings::NodeSettings;
+use spokelift_lib::transport::clock;
 use spokelift_platform::job::Job;
 use spokelift_platform::job::Step;
 use spokelift_platform::machine::Machine;
@@ -24,6 +26,13 @@
 use spokelift_platform::worker::Resources;
 use tokio::net::TcpListener;
 
+/// A dispatch lease that outlasts every test.
+pub fn long_lease() -> Lease {
+    let lease = Lease::default();
+    lease.extend_until(clock::now() + Duration::from_secs(3_600));
+    lease
+}
+
 /// An address on which nothing listens.
 pub fn unused_addr() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1))
--- a/testutils/tests/test_dispatch.rs
+++ b/testutils/tests/test_dispatch.rs
@@ -32,6 +32,7 @@
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::Peer;
 use spokelift_platform::worker::WorkerClient;
+use spokelift_testutils::batch;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
@@ -96,7 +97,7 @@
 async fn an_end_in_a_skipped_response_is_reported_with_the_next_one() {
     let answers = [poll(100, "[]"), poll(100, DONE), poll(101, DONE)];
     let (peer, _) = worker(&answers).await;
-    let (dispatcher, mut events) = Dispatcher::start(context(), Lease::unbounded());
+    let (dispatcher, mut events) = Dispatcher::start(context(), batch::long_lease());
     dispatcher.execute(Command::AddWorker {
         number: 1,
         peer,
@@ -116,7 +117,7 @@
 async fn an_end_is_reported_once() {
     let answers = [poll(100, DONE), poll(500, DONE), poll(900, DONE)];
     let (peer, _) = worker(&answers).await;
-    let (dispatcher, mut events) = Dispatcher::start(context(), Lease::unbounded());
+    let (dispatcher, mut events) = Dispatcher::start(context(), batch::long_lease());
     dispatcher.execute(Command::AddWorker {
         number: 1,
         peer,
@@ -138,7 +139,7 @@
 #[tokio::test]
 async fn without_a_dispatch_lease_nothing_is_started_and_no_worker_lease_is_extended() {
     let (peer, paths) = worker(&[poll(100, "[]")]).await;
-    let (dispatcher, mut events) = Dispatcher::start(context(), Lease::bounded());
+    let (dispatcher, mut events) = Dispatcher::start(context(), Lease::default());
     dispatcher.execute(Command::AddWorker {
         number: 1,
         peer,
@@ -160,7 +161,7 @@
 #[tokio::test]
 async fn nothing_is_started_on_a_worker_that_has_not_answered_this_dispatcher() {
     let (peer, paths) = worker(&[]).await;
-    let (dispatcher, mut events) = Dispatcher::start(context(), Lease::unbounded());
+    let (dispatcher, mut events) = Dispatcher::start(context(), batch::long_lease());
     dispatcher.execute(start(1));
     assert_matches!(next(&mut events).await, Event::NotStarted { .. });
     dispatcher.execute(Command::AddWorker {
@@ -206,7 +207,7 @@
 }
 
 fn shards() -> Shards {
-    let (own, _) = Dispatcher::start(context(), Lease::unbounded());
+    let (own, _) = Dispatcher::start(context(), batch::long_lease());
     Shards::new(TOKEN, own)
 }
 
@@ -321,7 +322,7 @@
 /// may have a successor.
 #[tokio::test]
 async fn a_report_lets_a_dispatcher_act_no_longer_than_its_scheduler_may() {
-    let (own, _) = Dispatcher::start(context(), Lease::bounded());
+    let (own, _) = Dispatcher::start(context(), Lease::default());
     let (shards, now) = (Shards::new(TOKEN, own), clock::now());
     assert_eq!(shards.dispatch_lease(now), Duration::ZERO);
     shards.extend_own(now + DISPATCH_LEASE * 2);
--- a/testutils/tests/test_worker_connections.rs
+++ b/testutils/tests/test_worker_connections.rs
@@ -18,7 +18,6 @@
 use spokelift_lib::batch::dispatch::Context;
 use spokelift_lib::batch::dispatch::Dispatcher;
 use spokelift_lib::batch::dispatch::calls::MAX_IDLE_CONNECTIONS;
-use spokelift_lib::batch::dispatch::lease::Lease;
 use spokelift_lib::batch::dispatch::message::Command;
 use spokelift_lib::batch::dispatch::message::Event;
 use spokelift_lib::batch::dispatch::message::Start;
@@ -31,6 +30,7 @@
 use spokelift_platform::job::TaskName;
 use spokelift_platform::worker::Peer;
 use spokelift_platform::worker::WorkerClient;
+use spokelift_testutils::batch;
 use spokelift_testutils::platform::read_json;
 use spokelift_testutils::proxy::Fault;
 use spokelift_testutils::proxy::Proxy;
@@ -72,7 +72,7 @@
         let dialer = Dialer::new(CONNECT_TIMEOUT).with_max_idle(MAX_IDLE_CONNECTIONS);
         let workers = WorkerClient::new(dialer);
         let context = Context { workers, counters: Counters::new(None).unwrap() };
-        let (dispatcher, events) = Dispatcher::start(context, Lease::unbounded());
+        let (dispatcher, events) = Dispatcher::start(context, batch::long_lease());
         let peer = Peer { incarnation: "w1".into(), addr: proxy.addr };
         dispatcher.execute(Command::AddWorker {
             number: WORKER,
