leader: the first promise to end, in one step; comments

Cause: the least of optional times was collected twice; a constant's comment said of a late answer what is true of none; some lines were too long.

Change: `None` is less than any time, so `min` finds the node that has promised nothing. No change of behaviour.

--- a/lib/src/batch/leader.rs
+++ b/lib/src/batch/leader.rs
@@ -50,7 +50,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time between two times of asking the other nodes for a promise, while the lease is not renewed.
 const PROMISE_INTERVAL: Duration = Duration::from_millis(300);
-/// Timeout of asking one of them. The promise of one that answers later counts for less.
+/// Timeout of asking one of them; until it answers again, its last promise counts.
 const PROMISE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
@@ -300,17 +300,17 @@
     for (addr, reply) in join_all(addrs.iter().copied().map(ask)).await {
         match reply {
             Ok(Ok(peer::Reply::ClaimPromise(promise))) => {
-                log::debug!(peer:% = addr, promise_ms = promise.as_millis() as u64; "promised not to claim");
+                let promise_ms = promise.as_millis() as u64;
+                log::debug!(peer:% = addr, promise_ms; "node promised not to claim the lease");
                 promises.insert(addr, asked_at + promise);
             }
             Ok(_) | Err(_) => node.counters.count("batch.lead.promise-missing"),
         }
     }
-    let ends = addrs.iter().map(|addr| promises.get(addr).copied());
-    let ends: Option<Vec<Instant>> = ends.collect();
-    if let Some(ends) = ends {
-        let first = ends.into_iter().min().unwrap_or(asked_at + TAKEOVER_TIMEOUT);
-        scheduler.record_promise(first);
+    // `None`, a node that has promised nothing yet, is less than any time.
+    let first_end = addrs.iter().map(|addr| promises.get(addr).copied()).min();
+    if let Some(until) = first_end.unwrap_or(Some(asked_at + TAKEOVER_TIMEOUT)) {
+        scheduler.record_promise(until);
     }
 }
 
--- a/lib/src/batch/leader/claim.rs
+++ b/lib/src/batch/leader/claim.rs
@@ -100,7 +100,7 @@
         self.lock().state = state;
     }
 
-    /// Records that the lease topic was read up to an offset, without its record.
+    /// Records that all records of the lease topic before this offset were read.
     pub fn record_read(&self, read_to: Offset) {
         let mut inner = self.lock();
         inner.read_to = inner.read_to.max(read_to);
--- a/lib/src/batch/leader/lease.rs
+++ b/lib/src/batch/leader/lease.rs
@@ -22,7 +22,8 @@
 pub const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(2_100);
 
 /// How long after its last renewal a leader goes on by the promises of other nodes at most: longer than any
-/// outage of the store that tasks should outlive. A node that no leader knows waits for as long before it claims a lease.
+/// outage of the store that tasks should outlive. A node that the leader does not know waits for as long before it
+/// claims the lease.
 pub const MAX_EXTENSION: Duration = Duration::from_secs(60);
 
 /// The leader lease, as it is written to the store.
--- a/lib/src/batch/scheduler/events.rs
+++ b/lib/src/batch/scheduler/events.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// Applies a report of a dispatcher on another node. The dispatcher may act on no longer than this scheduler may act itself.
+/// Applies a report of a dispatcher on another node. The dispatcher may act no longer than this scheduler may itself.
 pub(super) fn take_report(scheduler: &Scheduler, report: Report) -> Reply {
     let shard = report.session.shard;
     match scheduler.shards.take_report(report, clock::now()) {
