maintenance: one field for the status of a wave, one place for the answer to an order

Cause: since statuses are written in order until the store has them, what was reported and what is being written say the same, and no write fails. The two places that take the answer to an order of a box recorded it alike.

Change: `WaveProgress` keeps its last status with the channel for it (`report`, `has_ended`); `Scheduler::record_order_answer` serves waves and moves. A wave ends in the round in which the store has its status, not in the next one. `status::Update`, `flush::write` are called by their modules.

--- a/lib/src/batch/maintenance.rs
+++ b/lib/src/batch/maintenance.rs
@@ -24,7 +24,6 @@
 use spokelift_platform::wave::Wave;
 use spokelift_platform::worker::Incarnation;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 use crate::batch::box_state::Departure;
@@ -33,9 +32,8 @@
 pub use crate::batch::maintenance::evacuation::evacuate_draining;
 use crate::batch::maintenance::progress::MachinesById;
 use crate::batch::maintenance::progress::WaveProgress;
-use crate::batch::maintenance::status::Status;
 use crate::batch::scheduler::Scheduler;
-use crate::batch::scheduler::flush::write;
+use crate::batch::scheduler::flush;
 use crate::batch::scheduler::wall_clock;
 use crate::transport::clock;
 
@@ -94,11 +92,10 @@
             progress.set_unsettled(&unsettled);
             let statuses = &self.statuses;
             advance_wave(scheduler, machines, statuses, progress, list, &taken, orders).await;
-            if progress.reported == Some(true) {
-                scheduler.cell().end_wave(progress.wave.number);
-            }
         }
-        self.waves.retain(|_, progress| progress.reported != Some(true));
+        for (number, _) in self.waves.extract_if(|_, progress| progress.has_ended()) {
+            scheduler.cell().end_wave(number);
+        }
     }
 
     /// The maintenance that has a box; `None` if none has.
@@ -130,7 +127,7 @@
     let shared = scheduler.clone();
     scheduler.spawn(status::write_all(queue, move |record, sequence| {
         let scheduler = shared.clone();
-        async move { write(&scheduler, STATUS_TOPIC, &[record], sequence).await }
+        async move { flush::write(&scheduler, STATUS_TOPIC, &[record], sequence).await }
     }));
     statuses
 }
@@ -163,9 +160,7 @@
     taken: &HashSet<MachineId>,
     orders: &mut usize,
 ) {
-    if progress.needs_report(false) {
-        report_status(statuses, progress, false);
-    }
+    progress.report(statuses, false);
     let listed: MachinesById<'_> =
         list.iter().map(|machine| (machine.id.as_str(), machine)).collect();
     let config = scheduler.node.config();
@@ -177,9 +172,7 @@
     };
     progress.update_down(min_down_time, config.as_deref(), &listed, answers, clock::now());
     if !progress.remaining().iter().any(|id| listed.contains_key(id.as_str())) {
-        if progress.needs_report(true) {
-            report_status(statuses, progress, true);
-        }
+        progress.report(statuses, true);
         return;
     }
     let ready =
@@ -224,12 +217,9 @@
     before: Option<Incarnation>,
     answer: Result<(), CallError>,
 ) {
-    scheduler.node.record_machines_result(&answer);
+    scheduler.record_order_answer(id, &answer);
     let wave = progress.wave.number;
     log::info!(machine = id, wave, ok = answer.is_ok(); "maintenance ordered");
-    if machine::has_reached_machine(&answer) {
-        scheduler.order_window.settle(id);
-    }
     match answer {
         Ok(()) => {}
         Err(error) if machine::is_fenced(&error) => {
@@ -261,12 +251,3 @@
     // store would not be written again.
     progress.mark_started(id, before, clock::now());
 }
-
-/// Has the status of a wave written for the operator.
-fn report_status(statuses: &status::Queue, progress: &mut WaveProgress, succeeded: bool) {
-    let (written, result) = oneshot::channel();
-    progress.pending_report = Some((succeeded, result));
-    let (wave, first_seen_at) = (progress.wave.number, progress.first_seen_at);
-    // The queue is closed once the scheduler has ended.
-    let _ = statuses.send(Status { wave, succeeded, first_seen_at, written });
-}
--- a/lib/src/batch/maintenance/progress.rs
+++ b/lib/src/batch/maintenance/progress.rs
@@ -11,10 +11,10 @@
 use spokelift_platform::wave::Wave;
 use spokelift_platform::worker::Incarnation;
 use tokio::sync::oneshot;
-use tokio::sync::oneshot::error::TryRecvError;
 
 use crate::batch::config::Config;
 use crate::batch::deferral::Deferrals;
+use crate::batch::maintenance::status;
 
 /// The machines as the platform lists them, by id.
 pub type MachinesById<'a> = HashMap<&'a str, &'a Machine>;
@@ -47,11 +47,9 @@
     pub(super) deferrals: Deferrals,
     /// Boxes that are being evacuated, and since when.
     pub(super) evacuating: HashMap<MachineId, Instant>,
-    /// Status last written for the operator: `None` if none was, `false` for running, `true` for
-    /// succeeded.
-    pub(super) reported: Option<bool>,
-    /// Status that is being written, and the channel that says when the store has it.
-    pub(super) pending_report: Option<(bool, oneshot::Receiver<()>)>,
+    /// Whether the last status for the operator says that the wave has succeeded, and the channel that
+    /// says when the store has it; `None` before the first.
+    status: Option<(bool, oneshot::Receiver<()>)>,
 }
 
 impl WaveProgress {
@@ -73,23 +71,28 @@
             unanswered: HashSet::new(),
             deferrals: Deferrals::default(),
             evacuating: HashMap::new(),
-            reported: None,
-            pending_report: None,
+            status: None,
         }
     }
 
-    /// Whether the status is still to be written, after taking in the result of the last write.
-    pub(super) fn needs_report(&mut self, succeeded: bool) -> bool {
-        if let Some((status, written)) = &mut self.pending_report {
-            match written.try_recv() {
-                Ok(()) => self.reported = Some(*status),
-                Err(TryRecvError::Empty) => return false,
-                // The scheduler ends.
-                Err(TryRecvError::Closed) => {}
-            }
-            self.pending_report = None;
+    /// Has the status written for the operator, unless the last one says the same or more.
+    pub(super) fn report(&mut self, statuses: &status::Queue, succeeded: bool) {
+        if self.status.as_ref().is_some_and(|(last, _)| *last || !succeeded) {
+            return;
+        }
+        let (written, is_written) = oneshot::channel();
+        self.status = Some((succeeded, is_written));
+        let (wave, first_seen_at) = (self.wave.number, self.first_seen_at);
+        // The queue is closed once the scheduler has ended.
+        let _ = statuses.send(status::Update { wave, succeeded, first_seen_at, written });
+    }
+
+    /// Whether the store has just got the status that the wave has succeeded.
+    pub(super) fn has_ended(&mut self) -> bool {
+        match &mut self.status {
+            Some((true, is_written)) => is_written.try_recv().is_ok(),
+            Some((false, _)) | None => false,
         }
-        self.reported.is_none_or(|reported| !reported && succeeded)
     }
 
     /// Ends the evacuation of a box and defers it for a reason, so that another box takes its
--- a/lib/src/batch/maintenance/status.rs
+++ b/lib/src/batch/maintenance/status.rs
@@ -13,7 +13,7 @@
 use crate::transport::clock;
 
 /// A status that is to be written.
-pub struct Status {
+pub struct Update {
     /// Number of the wave.
     pub wave: u64,
     /// Whether the wave has succeeded; otherwise it is running.
@@ -25,16 +25,16 @@
 }
 
 /// Queues statuses; each is written after the one before.
-pub type Queue = mpsc::UnboundedSender<Status>;
+pub type Queue = mpsc::UnboundedSender<Update>;
 
 /// Writes queued statuses until the queue is closed. `write` writes the record with this number, and returns `false` if
 /// no more can be written.
 pub async fn write_all<Written: Future<Output = bool>>(
-    mut queue: mpsc::UnboundedReceiver<Status>,
+    mut queue: mpsc::UnboundedReceiver<Update>,
     write: impl Fn(Record, u64) -> Written,
 ) {
     let mut sequence = 0;
-    while let Some(Status { wave, succeeded, first_seen_at, written }) = queue.recv().await {
+    while let Some(Update { wave, succeeded, first_seen_at, written }) = queue.recv().await {
         sequence += 1;
         if !write(Wave::status_record(wave, succeeded), sequence).await {
             return;
--- a/lib/src/batch/pool/order.rs
+++ b/lib/src/batch/pool/order.rs
@@ -41,10 +41,7 @@
     }
 
     fn on_answer(&mut self, scheduler: &Scheduler, id: &str, answer: Result<(), CallError>) {
-        scheduler.node.record_machines_result(&answer);
-        if machine::has_reached_machine(&answer) {
-            scheduler.order_window.settle(id);
-        }
+        scheduler.record_order_answer(id, &answer);
         let Some(under_way) = self.moves.get_mut(id) else { return };
         let ok = answer.is_ok();
         log::info!(machine = id, to = under_way.to.as_str(), ok; "move ordered");
--- a/lib/src/batch/scheduler/boxes.rs
+++ b/lib/src/batch/scheduler/boxes.rs
@@ -4,6 +4,8 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use spokelift_platform::call::CallError;
+use spokelift_platform::machine;
 use spokelift_platform::machine::MachineId;
 use tokio::time::timeout;
 
@@ -23,6 +25,14 @@
         self.order_window.may_order(now) && is_sole_leader(self.cell().renewed_at, now)
     }
 
+    /// Records the answer to an order to a box.
+    pub fn record_order_answer(&self, id: &str, answer: &Result<(), CallError>) {
+        self.node.record_machines_result(answer);
+        if machine::has_reached_machine(answer) {
+            self.order_window.settle(id);
+        }
+    }
+
     /// Makes sure that the store has an announcement of orders to these boxes; `false` if it did not get it in time.
     pub async fn announce_orders(&self, boxes: &[MachineId]) -> bool {
         self.update_announced();
