testutils: one check for violations, one loop for a soak's draws, less copying in the store

Cause: five test files had the same check as a function and five more had it written out; the cuts of the soak repeated the loop of the schedule twice; an endpoint of the store copied all records of a topic where the newest of each key are read; a pair stood for what a link replaces in either direction.

Change: `Site::assert_no_violations`, `schedule::draw_at_intervals`, `Endpoint::view` for one record, `network::Rewrites`; ranges of seeds for reused ids and accounts. No assertion and no draw is changed.

--- a/cli/tests/test_accounts.rs
+++ b/cli/tests/test_accounts.rs
@@ -34,10 +34,6 @@
     json!({ "spec": format!("ms={millis} cpu=1000 mem=100"), "steps": [step] })
 }
 
-fn assert_no_violations(site: &Site) {
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
-}
-
 /// Two accounts, one of them with two keys.
 fn accounts() -> Vec<Account> {
     let mut first = Account::new("first", "key-of-first");
@@ -75,7 +71,7 @@
     assert_eq!(post(vec![("authorization", b"bearer key-of-first")]).await, 200);
     assert_eq!(post(vec![good]).await, 200);
     site.wait_until("the job has run", async |site| site.ledger.done_count() == 1).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -115,7 +111,7 @@
         site.call_as("second-key-of-first", node, Method::DELETE, &path(1), Value::Null).await;
     assert_eq!(status, 200);
     site.wait_until("it has ended", async |site| site.ledger.running_tasks(&id(1)) == 0).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -133,7 +129,7 @@
         sleep(POLL_INTERVAL).await;
     }
     assert_eq!(max_running, 2, "concurrent tasks");
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -154,7 +150,7 @@
     let (status, _) =
         site.call_as("key-of-other", cut_off, Method::GET, &path(9), Value::Null).await;
     assert_eq!(status, 401);
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -181,5 +177,5 @@
     let explained = site.operator_view(&format!("jobs/{}", id(3))).await.unwrap();
     assert!(explained.contains("its account is at its bound"), "{explained}");
     assert!(!explained.contains("key-of-first") && !format!("{view:?}").contains("key-of-first"));
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
--- a/cli/tests/test_begin.rs
+++ b/cli/tests/test_begin.rs
@@ -60,5 +60,5 @@
         assert_eq!(starts, u32::from(*status == 200), "job {number} got {status}");
     }
     assert_eq!(site.ledger.starts_of(&id(0)), 0);
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+    site.assert_no_violations();
 }
--- a/cli/tests/test_evacuated_halls.rs
+++ b/cli/tests/test_evacuated_halls.rs
@@ -46,7 +46,7 @@
     for id in &ids {
         site.wait_until_succeeded(id).await;
     }
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+    site.assert_no_violations();
     let moved = |machine: &str| site.machines.pool_of(machine).is_some_and(|pool| pool != RESERVE);
     assert!(!moved("m-4") && !moved("m-5"), "a box was fetched in the evacuated hall");
     assert!(moved("m-3") || moved("m-6") || moved("m-7"), "no box was fetched in the other hall");
@@ -66,7 +66,7 @@
     site.submit_until_accepted(&id, job(40, 2_000)).await;
     site.wait_until_succeeded(&id).await;
     assert!(site.ledger.starts_in_hall("hall-1") > starts_before);
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+    site.assert_no_violations();
 }
 
 /// Guards against an operator who cannot see why jobs wait, and against records that stop a node
--- a/cli/tests/test_isolated_leader.rs
+++ b/cli/tests/test_isolated_leader.rs
@@ -37,10 +37,6 @@
     others.for_each(|number| site.nodes[number].signal(signal).unwrap());
 }
 
-fn assert_no_violations(site: &Site) {
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
-}
-
 /// Guards against two runs of a task: a leader that is cut off renews the lease of a worker for ever
 /// whose tasks its successor, which does not reach the worker, starts elsewhere.
 #[tokio::test]
@@ -52,7 +48,7 @@
     site.set_store_fault(Fault::None);
     signal_others(&site, leader, Signal::SIGCONT);
     site.wait_until("the tasks run", async |site| site.ledger.running_tasks(JOB) == TASKS).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// Guards against an outage of the store that ends all tasks, although no node can take over.
@@ -65,7 +61,7 @@
         site.set_store_fault(Fault::None);
         assert_eq!(site.ledger.running_tasks(JOB), TASKS);
         assert_eq!(site.ledger.starts_of(JOB), TASKS, "{fault:?}");
-        assert_no_violations(&site);
+        site.assert_no_violations();
     }
 }
 
@@ -94,7 +90,7 @@
         site.nodes[joining].start().unwrap();
         // A takeover and the lease of a worker take less.
         sleep(OUTAGE).await;
-        assert_no_violations(&site);
+        site.assert_no_violations();
         assert_eq!(site.ledger.running_tasks(JOB), TASKS, "cut off: {is_cut_off}");
     }
 }
--- a/cli/tests/test_lost_worker.rs
+++ b/cli/tests/test_lost_worker.rs
@@ -42,5 +42,5 @@
         all_started = site.ledger.starts_of(JOB) == 4;
     }
     assert!(all_started, "no task was started while {} leaders were lost", lost_leaders.len());
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+    site.assert_no_violations();
 }
--- a/cli/tests/test_partial_ends.rs
+++ b/cli/tests/test_partial_ends.rs
@@ -53,16 +53,12 @@
     }
 }
 
-fn assert_no_violations(site: &Site) {
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
-}
-
 #[tokio::test]
 async fn tasks_whose_ends_are_not_listed_yet_are_not_started_again() {
     let site = start_site_with_unlisted_ends(1).await;
     site.set_store_fault(Fault::None);
     wait_until_all_succeeded(&site).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// Guards against a new leader that takes the first answer of a worker for all that it has.
@@ -72,5 +68,5 @@
     site.nodes[site.leader().expect("a node leads")].kill();
     site.set_store_fault(Fault::None);
     wait_until_all_succeeded(&site).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -46,10 +46,6 @@
     format!("{number:016x}")
 }
 
-fn assert_no_violations(site: &Site) {
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
-}
-
 /// Waits until all nodes know the addresses of the others.
 async fn wait_for_node_discovery(site: &Site) {
     let all_known = async |site: &Site| {
@@ -80,7 +76,7 @@
     let large = json!({ "spec": "x".repeat(300_000), "steps": [] });
     assert_eq!(site.submit(0, &id(3), large).await, 413);
     assert_eq!(site.job_state(0, &id(3)).await, Err(410));
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -91,7 +87,7 @@
     assert_eq!(site.cancel(1, &id(1)).await, 200);
     site.wait_until("no task runs", async |site| site.ledger.running_tasks(&id(1)) == 0).await;
     assert_eq!(site.job_state(0, &id(1)).await, Ok("canceled".to_owned()));
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -106,7 +102,7 @@
         site.wait_until_succeeded(&id(number)).await;
     }
     assert_eq!(site.ledger.done_count(), 64);
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -126,7 +122,7 @@
     }
     site.wait_until("the node with capacity leads", async |site| site.leader() == Some(2)).await;
     site.wait_until("all tasks run", async |site| site.ledger.running_tasks(&id(1)) == 2).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -150,7 +146,7 @@
     for number in 0..12 {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -176,7 +172,7 @@
         site.nodes[leader].store_endpoint.set_fault(Fault::None);
     }
     site.wait_until_succeeded(&id(1)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -206,7 +202,7 @@
         site.wait_until_succeeded(&id(number)).await;
     }
     assert_eq!(site.leader(), Some(leader));
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -225,7 +221,7 @@
     for number in 2..8 {
         assert_eq!(site.job_state(0, &id(number)).await, Err(410));
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -244,7 +240,7 @@
         site.wait_until_succeeded(&id(number)).await;
     }
     assert_eq!(site.ledger.done_count(), 48);
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -263,7 +259,7 @@
             site.wait_until_succeeded(&id(number)).await;
         }
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -280,7 +276,7 @@
     site.wait_until_succeeded(&id(1)).await;
     assert_eq!(site.job_state(0, &id(2)).await, Err(410));
     assert_eq!(site.ledger.start_count(), 8);
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -297,7 +293,7 @@
     for number in jobs {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -319,7 +315,7 @@
     for number in 0..4 {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -343,7 +339,7 @@
     site.wait_until_succeeded(&id(9)).await;
     // Rejected jobs have not run.
     assert_eq!(site.ledger.start_count(), 2);
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -356,7 +352,7 @@
     for number in 0..4 {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -370,7 +366,7 @@
     for number in 0..6 {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// A task that crashes each worker that starts it is abandoned after a few crashes. A crashed
@@ -394,7 +390,7 @@
     for number in 2..8 {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
     assert!(site.ledger.crashes_by_job(&id(1)) >= 2, "no task is abandoned after a single crash");
     let (code, shown) = tool(&site, 0, &["batch", "explain", &id(1)]);
     assert_eq!(code, Some(0), "{shown}");
@@ -417,7 +413,7 @@
     site.wait_until("its leases have expired", async |_| worker.is_idle()).await;
     site.wait_until("all tasks run elsewhere", async |site| site.ledger.running_tasks(&id(1)) == 3)
         .await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -432,7 +428,7 @@
     for number in 0..4 {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -445,7 +441,7 @@
     site.wait_until_succeeded(&id(1)).await;
     // None of the runs was stopped and started again.
     assert_eq!(site.ledger.start_count(), 6);
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -456,7 +452,7 @@
     }
     site.submit_until_accepted(&id(1), job(6, 100)).await;
     site.wait_until_succeeded(&id(1)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -477,7 +473,7 @@
         site.job_state(0, &id(20)).await.is_ok_and(|state| state == "failed")
     })
     .await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -493,7 +489,7 @@
     assert!(max_down <= 2, "{max_down} machines were down at once");
     site.wait_until("all tasks run again", async |site| site.ledger.running_tasks(&id(1)) == 4)
         .await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -531,7 +527,7 @@
     // Workers that were not rebooted take tasks.
     site.submit_until_accepted(&id(1), job(24, 100)).await;
     site.wait_until_succeeded(&id(1)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -550,7 +546,7 @@
         site.wait_until_succeeded(&id(number)).await;
     }
     assert_eq!(site.ledger.running_tasks(&id(1)), 2);
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -566,7 +562,7 @@
     .await;
     site.wait_until_succeeded(&id(1)).await;
     assert_eq!(site.machines.count_in_pool("work"), 3, "{}", site.diagnostics());
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -580,7 +576,7 @@
     for number in 0..12 {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// Orders for machines do not wait for a slow store. If each order waits until the store has
@@ -605,7 +601,7 @@
         site.wait_until_succeeded(&id(number)).await;
     }
     assert!(ahead(&site).await <= 2, "each scheduler announces at most once");
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -629,7 +625,7 @@
         site.machines.count_in_pool("work") > before
     })
     .await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -648,7 +644,7 @@
     for number in 0..4 {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test]
@@ -667,7 +663,7 @@
         site.wait_until_succeeded(&id(number)).await;
     }
     assert_eq!(site.ledger.start_count(), 12);
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// Runs the command line tool; returns its exit code, and its standard output and error.
@@ -735,7 +731,7 @@
     site.wait_until("no task runs", async |site| site.ledger.running_tasks(&job) == 0).await;
     let (code, _) = tool(&site, 1, &["--key", SITE_KEY, "batch", "cancel", &id(8)]);
     assert_eq!(code, Some(3));
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -762,7 +758,7 @@
     let (code, _) = tool(&site, 0, &["--key", "site:another", "batch", "cancel", &id(1)]);
     assert_eq!(code, Some(3));
     assert_eq!(site.ledger.start_count(), 0);
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -833,7 +829,7 @@
         .await;
     let unanswered = counter(&site, 0, "call_machines_unknown").await;
     assert!(unanswered <= 3, "{unanswered} calls about boxes without an answer");
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// Unusable worker entries are ignored for placement, delay no takeover, and are shown to
@@ -869,7 +865,7 @@
     for number in 4..8 {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// No start exceeds the capacity of workers that accept every start and whose capacity changes
@@ -899,5 +895,5 @@
     for number in 0..40 {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
--- a/cli/tests/test_restarted_workers.rs
+++ b/cli/tests/test_restarted_workers.rs
@@ -35,10 +35,6 @@
     format!("{number:016x}")
 }
 
-fn assert_no_violations(site: &Site) {
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
-}
-
 /// A site with one worker that has reported `ends` ends, some of which its scheduler has
 /// acknowledged.
 async fn start_site_with_ends(ends: u32) -> Site {
@@ -64,7 +60,7 @@
     site.machines.restart("m-0", RESTART_PAUSE, with_clock_ahead(&site)).await;
     site.submit_until_accepted(&id(2), job(4, 100)).await;
     site.wait_until_succeeded(&id(2)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
     assert_eq!(site.ledger.starts_of(&id(2)), 4);
 }
 
@@ -95,7 +91,7 @@
     let options = StartOptions { clock_ms: 10, ..StartOptions::default() };
     site.machines.restart("m-0", Duration::ZERO, options).await;
     site.wait_until_succeeded(&id(2)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
     assert_eq!(site.ledger.starts_of(&id(2)), 32);
 }
 
@@ -109,7 +105,7 @@
     site.machines.restart("m-0", RESTART_PAUSE, options).await;
     site.submit_until_accepted(&id(2), job(4, 100)).await;
     site.wait_until_succeeded(&id(2)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// Guards against a worker that is never called again: the entry of a known id updates everything
@@ -121,7 +117,7 @@
     site.machines.restart("m-0", RESTART_PAUSE, options).await;
     site.submit_until_accepted(&id(2), job(4, 100)).await;
     site.wait_until_succeeded(&id(2)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// Guards against a task that runs twice at once. The run of a start without an answer is stopped
@@ -145,9 +141,9 @@
     let options = StartOptions { clock_ms: 10, ..StartOptions::default() };
     site.machines.restart("m-0", Duration::ZERO, options).await;
     sleep((LATE_START_DELAY + RESTART_PAUSE).saturating_sub(submitted_at.elapsed())).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
     site.wait_until_succeeded(&id(1)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
     assert_eq!(site.ledger.starts_of(&id(1)), 1);
 }
 
@@ -167,7 +163,7 @@
     site.wait_until_succeeded(&id(2)).await;
     site.submit_until_accepted(&id(3), job(16, 50)).await;
     site.wait_until_succeeded(&id(3)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// Dispatchers on other nodes distinguish incarnations as the leader's own dispatcher does.
@@ -190,7 +186,7 @@
     site.wait_until_succeeded(&id(2)).await;
     site.submit_until_accepted(&id(3), job(40, 50)).await;
     site.wait_until_succeeded(&id(3)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// The machine list contains only ids, so a box that is back from maintenance is listed as before.
@@ -212,7 +208,7 @@
     site.wait_until("its tasks run", async |site| site.ledger.running_tasks(&id(1)) == 4).await;
     site.submit_until_accepted(&id(2), job(8, 50)).await;
     site.wait_until_succeeded(&id(2)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
 }
 
 /// The entry of a later incarnation cannot be read for a while, so the scheduler knows of it only
@@ -226,6 +222,6 @@
     site.nodes[0].store_endpoint.set_fault(store::Fault::None);
     site.submit_until_accepted(&id(2), job(4, 100)).await;
     site.wait_until_succeeded(&id(2)).await;
-    assert_no_violations(&site);
+    site.assert_no_violations();
     assert_eq!(site.ledger.starts_of(&id(2)), 4);
 }
--- a/cli/tests/test_shares.rs
+++ b/cli/tests/test_shares.rs
@@ -62,7 +62,7 @@
     for number in numbers {
         site.wait_until_succeeded(&id(number)).await;
     }
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+    site.assert_no_violations();
 }
 
 #[tokio::test]
--- a/cli/tests/test_waves.rs
+++ b/cli/tests/test_waves.rs
@@ -74,7 +74,7 @@
     })
     .await;
     site.wait_until("all tasks run", async |site| site.ledger.running_tasks(&job) == 14).await;
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+    site.assert_no_violations();
 }
 
 /// As above, with free processor elsewhere but no free memory.
@@ -91,7 +91,7 @@
     })
     .await;
     site.wait_until("all tasks run", async |site| site.ledger.running_tasks(&job) == 14).await;
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+    site.assert_no_violations();
 }
 
 /// As above, with boxes in the reserve. The tasks on a box that is being evacuated need resources
@@ -105,7 +105,7 @@
     site.request_wave(7, &machines(2), 1);
     wait_without_long_interruption(&site, &job, async |site| site.has_wave_succeeded(7)).await;
     site.wait_until("all tasks run", async |site| site.ledger.running_tasks(&job) == 15).await;
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+    site.assert_no_violations();
 }
 
 /// Guards against a box that is ordered again in each round, every 0.17 s, because it is about to
@@ -159,7 +159,7 @@
     let (maintained, max_down) = site.machines.maintenance_counts(7);
     assert_eq!(maintained, 6);
     assert!(max_down <= 2, "{max_down} machines were down at once");
-    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+    site.assert_no_violations();
 }
 
 /// Guards against a wave that the operator sees as running for ever: the store carries out the write of
--- a/testutils/src/platform/network.rs
+++ b/testutils/src/platform/network.rs
@@ -118,7 +118,8 @@
         let mut node_cuts = HashMap::new();
         for ((from, to), ip) in &node_links {
             let cut = LinkCut::default();
-            let rewrites = (substitutions[*to].clone(), substitutions[*from].clone());
+            let (requests, answers) = (substitutions[*to].clone(), substitutions[*from].clone());
+            let rewrites = Rewrites { requests, answers };
             let link = SocketAddr::new(*ip, nodes[*to].port());
             serve_link(link, nodes[*to], cut.subscribe(), Some(rewrites))?;
             node_cuts.insert((*from, *to), cut);
@@ -224,6 +225,14 @@
     }
 }
 
+/// What a link between daemons replaces in their messages.
+struct Rewrites {
+    /// In requests, which the daemon at its end reads.
+    requests: Substitution,
+    /// In answers, which the daemon reads that has opened the connection.
+    answers: Substitution,
+}
+
 /// Replaces each of the keys, which are equally long, by its value.
 fn replace_all(bytes: &mut [u8], pairs: &HashMap<Vec<u8>, Vec<u8>>) {
     let Some(length) = pairs.keys().next().map(Vec::len) else { return };
@@ -238,13 +247,13 @@
     }
 }
 
-/// Serves a link to `to` in the background, until its cut can no longer be set. With substitutions for requests
-/// and answers, the connections carry messages with a length before each.
+/// Serves a link to `to` in the background, until its cut can no longer be set. With `rewrites`, its connections carry
+/// messages with a length before each.
 fn serve_link(
     link: SocketAddr,
     to: SocketAddr,
     cut: watch::Receiver<Cut>,
-    rewrites: Option<(Substitution, Substitution)>,
+    rewrites: Option<Rewrites>,
 ) -> io::Result<()> {
     let listener = std::net::TcpListener::bind(link)?;
     listener.set_nonblocking(true)?;
@@ -271,7 +280,7 @@
     client: TcpStream,
     to: SocketAddr,
     mut cut: watch::Receiver<Cut>,
-    rewrites: Option<Arc<(Substitution, Substitution)>>,
+    rewrites: Option<Arc<Rewrites>>,
 ) -> io::Result<()> {
     if *cut.borrow() != Cut::None {
         // It cannot be opened before the link is restored, and by then its client has given it up.
@@ -283,11 +292,21 @@
     server.set_nodelay(true)?;
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
-    let rewrites = rewrites.as_deref().map(|(requests, answers)| (requests, answers));
-    let (rewrite_requests, rewrite_answers) = rewrites.unzip();
-    let held = (Cut::holds_outbound, Cut::holds_inbound);
-    let requests = forward_bytes(client_read, server_write, cut.clone(), held.0, rewrite_requests);
-    let answers = forward_bytes(server_read, client_write, cut, held.1, rewrite_answers);
+    let rewrites = rewrites.as_deref();
+    let requests = forward_bytes(
+        client_read,
+        server_write,
+        cut.clone(),
+        Cut::holds_outbound,
+        rewrites.map(|rewrites| &rewrites.requests),
+    );
+    let answers = forward_bytes(
+        server_read,
+        client_write,
+        cut,
+        Cut::holds_inbound,
+        rewrites.map(|rewrites| &rewrites.answers),
+    );
     tokio::select! {
         end = requests => end,
         end = answers => end,
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -479,6 +479,16 @@
         format!("{}\n{}", self.machines.describe(), nodes.join("\n"))
     }
 
+    /// Checks that the ledger has seen no violation of a guarantee.
+    ///
+    /// # Panics
+    ///
+    /// If it has.
+    #[track_caller]
+    pub fn assert_no_violations(&self) {
+        assert_eq!(self.ledger.violations(), Vec::<String>::new());
+    }
+
     /// Waits until any node shows a job as succeeded.
     pub async fn wait_until_succeeded(&self, id: &str) {
         let succeeded = async |site: &Site| {
--- a/testutils/src/platform/soak.rs
+++ b/testutils/src/platform/soak.rs
@@ -91,9 +91,10 @@
 /// If the site cannot be started.
 pub async fn run(program: &str, seed: u64, time: Duration) -> io::Result<Report> {
     let has_links = seed >= LINKS_FROM_SEED;
+    let has_accounts = (ACCOUNTS_FROM_SEED..LINKS_FROM_SEED).contains(&seed);
     let site = Site::start_with(program, site_options(seed, has_links)).await?;
     let site = Arc::new(site);
-    if seed >= REUSED_IDS_FROM_SEED && !has_links {
+    if (REUSED_IDS_FROM_SEED..LINKS_FROM_SEED).contains(&seed) {
         site.machines.reuse_ids();
     }
     let mut rng = StdRng::seed_from_u64(seed);
@@ -112,7 +113,6 @@
     let waves: Vec<u64> = waves.collect();
     let client_jobs: Arc<Mutex<Vec<ClientJob>>> = Arc::default();
     let mut account_rng = StdRng::seed_from_u64(seed ^ ACCOUNT_SEED_MASK);
-    let has_accounts = seed >= ACCOUNTS_FROM_SEED && !has_links;
     if has_accounts {
         accounts::publish_first(&site, &mut account_rng).await;
     }
--- a/testutils/src/platform/soak/cuts.rs
+++ b/testutils/src/platform/soak/cuts.rs
@@ -11,6 +11,7 @@
 use crate::platform::soak::MACHINES;
 use crate::platform::soak::NODES;
 use crate::platform::soak::schedule::Action;
+use crate::platform::soak::schedule::draw_at_intervals;
 
 /// Time between two cuts of links to workers, in milliseconds: at any time, some are cut.
 const WORKER_INTERVAL_MS: RangeInclusive<u64> = 50..=400;
@@ -20,32 +21,25 @@
 /// lease of a worker together.
 const DURATION_MS: RangeInclusive<u64> = 500..=10_000;
 
+/// Draws a cut, with the action that restores what it cuts.
+type DrawCut = fn(&mut StdRng) -> (Action, Action);
+
 /// Draws the cuts for `time`, in no order.
 pub(super) fn draw_cuts(rng: &mut StdRng, time: Duration) -> Vec<(Duration, Action)> {
     let mut cuts = Vec::new();
-    draw_at_intervals(rng, WORKER_INTERVAL_MS, time, &mut cuts, draw_worker_cut);
-    draw_at_intervals(rng, NODE_INTERVAL_MS, time, &mut cuts, draw_node_cut);
-    cuts
-}
-
-/// Draws a cut at each interval until `time`, with the action that restores the path.
-fn draw_at_intervals(
-    rng: &mut StdRng,
-    interval_ms: RangeInclusive<u64>,
-    time: Duration,
-    cuts: &mut Vec<(Duration, Action)>,
-    draw: fn(&mut StdRng) -> (Action, Action),
-) {
-    let mut at = Duration::ZERO;
-    while at < time {
-        let (start, end) = draw(rng);
-        let duration = Duration::from_millis(rng.random_range(DURATION_MS));
-        cuts.push((at, start));
-        cuts.push((at + duration, end));
-        at += Duration::from_millis(rng.random_range(interval_ms.clone()));
+    let kinds: [(_, DrawCut); 2] =
+        [(WORKER_INTERVAL_MS, draw_worker_cut), (NODE_INTERVAL_MS, draw_node_cut)];
+    for (interval_ms, draw) in kinds {
+        draw_at_intervals(rng, Duration::ZERO..time, interval_ms, |rng, at| {
+            let (start, end) = draw(rng);
+            let duration = Duration::from_millis(rng.random_range(DURATION_MS));
+            cuts.extend([(at, start), (at + duration, end)]);
+        });
     }
+    cuts
 }
 
+/// Cuts the path between a daemon and a worker.
 fn draw_worker_cut(rng: &mut StdRng) -> (Action, Action) {
     let (node, machine) = (rng.random_range(0..NODES), rng.random_range(0..MACHINES));
     let cut = draw_cut(rng);
--- a/testutils/src/platform/soak/schedule.rs
+++ b/testutils/src/platform/soak/schedule.rs
@@ -1,6 +1,8 @@
 //! The faults of a soak test and their schedule.
 
 use std::io;
+use std::ops::Range;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
@@ -19,11 +21,11 @@
 use crate::proxy::Flow;
 
 /// Time between the starts of two faults, in milliseconds. Most last longer, so they overlap.
-const FAULT_INTERVAL_MS: std::ops::RangeInclusive<u64> = 100..=1_200;
+const FAULT_INTERVAL_MS: RangeInclusive<u64> = 100..=1_200;
 /// Time between two black holes, in milliseconds.
-const BLACK_HOLE_INTERVAL_MS: std::ops::RangeInclusive<u64> = 300..=3_000;
+const BLACK_HOLE_INTERVAL_MS: RangeInclusive<u64> = 300..=3_000;
 /// Duration of a fault, in milliseconds.
-const FAULT_DURATION_MS: std::ops::RangeInclusive<u64> = 200..=4_000;
+const FAULT_DURATION_MS: RangeInclusive<u64> = 200..=4_000;
 /// Time after which a daemon that received SIGTERM is started again: the platform takes 2.6 s to
 /// detect the stop, and the last requests take a little longer.
 const RESTART_DELAY: Duration = Duration::from_millis(4_500);
@@ -156,24 +158,35 @@
     time: Duration,
 ) -> Vec<(Duration, Action)> {
     let mut schedule = Vec::new();
-    let mut at = FIRST_FAULT_AT;
     let mut waves = 0;
-    while at < time {
+    let times = FIRST_FAULT_AT..time;
+    draw_at_intervals(rng, times.clone(), FAULT_INTERVAL_MS, |rng, at| {
         let (start, end) = draw_fault(rng, &mut waves);
         schedule.push((at, start));
         schedule.extend(end.map(|(after, end)| (at + after, end)));
-        at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
-    }
-    let mut at = FIRST_FAULT_AT;
-    while at < time {
-        schedule.push((at, draw_black_hole(black_hole_rng)));
-        at += Duration::from_millis(black_hole_rng.random_range(BLACK_HOLE_INTERVAL_MS));
-    }
+    });
+    draw_at_intervals(black_hole_rng, times, BLACK_HOLE_INTERVAL_MS, |rng, at| {
+        schedule.push((at, draw_black_hole(rng)));
+    });
     schedule.extend(draw_evacuation(evacuation_rng, time));
     schedule.sort_by_key(|(at, _)| *at);
     schedule
 }
 
+/// Draws something at the start of `times`, and again after each interval until their end.
+pub(super) fn draw_at_intervals(
+    rng: &mut StdRng,
+    times: Range<Duration>,
+    interval_ms: RangeInclusive<u64>,
+    mut draw: impl FnMut(&mut StdRng, Duration),
+) {
+    let mut at = times.start;
+    while at < times.end {
+        draw(rng, at);
+        at += Duration::from_millis(rng.random_range(interval_ms.clone()));
+    }
+}
+
 /// Draws the evacuation of a hall in the first quarter of `time`; in half of all cases the other
 /// hall is evacuated as well for a while.
 fn draw_evacuation(rng: &mut StdRng, time: Duration) -> Vec<(Duration, Action)> {
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -108,18 +108,17 @@
         assert!(self.network.set((network, reader)).is_ok(), "the endpoint has a network");
     }
 
-    /// The records of a topic as they are read here.
-    fn view_records(&self, topic: &str, records: &[Record]) -> Vec<Record> {
-        let mut records = records.to_vec();
-        let Some((network, reader)) = self.network.get() else { return records };
-        let Some(network) = Network::upgrade(network) else { return records };
-        for value in records.iter_mut().filter_map(|record| record.value.as_mut()) {
+    /// A record of a topic as it is read here.
+    fn view(&self, topic: &str, record: &Record) -> Record {
+        let mut record = record.clone();
+        let Some((network, reader)) = self.network.get() else { return record };
+        if let (Some(network), Some(value)) = (Network::upgrade(network), &mut record.value) {
             if topic == WORKER_TOPIC {
                 network.link_worker(value);
             }
             network.substitute(*reader, value);
         }
-        records
+        record
     }
 
     /// Number of requests received so far.
@@ -320,7 +319,8 @@
         body.extend((log.records.len() as u64).to_be_bytes());
         body.extend((log.first_offset as u64).to_be_bytes());
         let records = log.records.get(from..).unwrap_or_default();
-        body.extend(encode_records(&endpoint.view_records(&query["topic"], records)));
+        let view = |record| endpoint.view(&query["topic"], record);
+        body.extend(encode_records(&records.iter().map(view).collect::<Vec<Record>>()));
         Response::new(full(body))
     }
 
@@ -329,14 +329,13 @@
         let log = logs.entry(partition_of(query)).or_default();
         log.full_reads += 1;
         let mut newest: BTreeMap<&str, (usize, &Record)> = BTreeMap::new();
-        let records = endpoint.view_records(&query["topic"], &log.records);
-        for (offset, record) in records.iter().enumerate() {
+        for (offset, record) in log.records.iter().enumerate() {
             newest.insert(&record.key, (offset, record));
         }
         let items: Vec<_> = newest
             .values()
             .filter_map(|(offset, record)| {
-                let value = STANDARD.encode(record.value.as_ref()?);
+                let value = STANDARD.encode(endpoint.view(&query["topic"], record).value?);
                 Some(json!({ "key": record.key, "value": value, "offset": offset }))
             })
             .collect();
