--- a/cli/tests/test_isolated_leader.rs
+++ b/cli/tests/test_isolated_leader.rs
@@ -70,7 +70,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_joins_while_the_store_rejects_all_others_runs_nothing_twice() {
     for is_cut_off in [false, true] {
-        let options = Options { stopped_nodes: 1, ..Options::new(3, 2).with_links() };
+        let options = Options { has_links: true, stopped_nodes: 1, ..Options::new(3, 2) };
         let site = Site::start_with(PROGRAM, options).await.unwrap();
         let (others, joining) = (0..2, 2);
         submit_job(&site).await;
--- a/cli/tests/test_isolation.rs
+++ b/cli/tests/test_isolation.rs
@@ -17,6 +17,10 @@
 /// of a test process.
 const FEW_NODES: usize = 4;
 
+fn options(nodes: usize) -> Options {
+    Options { has_links: true, ..Options::new(nodes, WORKERS) }
+}
+
 fn cuts() -> Cuts {
     Cuts { rounds: setting::number("SPOKELIFT_PLAY_ROUNDS", 1), ..Cuts::default() }
 }
@@ -35,15 +39,14 @@
 /// tasks its successor, which does not reach them, starts elsewhere.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_task_runs_twice_beside_an_isolated_leader() {
-    run(Options::new(NODES, WORKERS).with_links(), cuts()).await;
+    run(options(NODES), cuts()).await;
 }
 
 /// Guards against two runs of a task: dispatchers on other nodes, whose reports an isolated leader goes on
 /// acknowledging, renew the leases.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_task_runs_twice_beside_the_dispatchers_of_an_isolated_leader() {
-    let options = Options::new(NODES, WORKERS).with_links();
-    let options = Options { workers_per_shard: Some(WORKERS_PER_SHARD), ..options };
+    let options = Options { workers_per_shard: Some(WORKERS_PER_SHARD), ..options(NODES) };
     run(options, Cuts { companions: 2, ..cuts() }).await;
 }
 
@@ -53,6 +56,6 @@
 async fn no_task_runs_twice_beside_a_leader_that_is_isolated_one_way() {
     for leader_cut in [Cut::Inbound, Cut::Outbound] {
         let cuts = Cuts { leader_cut, ..cuts() };
-        run(Options::new(FEW_NODES, WORKERS).with_links(), cuts).await;
+        run(options(FEW_NODES), cuts).await;
     }
 }
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -13,6 +13,7 @@
 use spokelift_platform::store::Record;
 use spokelift_platform::store::WORKER_TOPIC;
 use spokelift_testutils::platform::advice::ADVISED_MACHINE;
+use spokelift_testutils::platform::site::Options;
 use spokelift_testutils::platform::site::Site;
 use spokelift_testutils::platform::site::node::SITE_KEY;
 use spokelift_testutils::platform::store::Fault;
@@ -107,7 +108,8 @@
 
 #[tokio::test]
 async fn a_node_with_capacity_becomes_leader_before_others() {
-    let site = Site::start_with_cpu_shares(PROGRAM, &[0.1, 0.1, 0.5, 0.1], 3, 0).await.unwrap();
+    let options = Options { cpu_shares: vec![0.1, 0.1, 0.5, 0.1], ..Options::new(4, 3) };
+    let site = Site::start_with(PROGRAM, options).await.unwrap();
     assert_eq!(site.leader(), Some(2));
     site.submit_until_accepted(&id(1), long_running_job(2)).await;
     site.nodes[2].kill();
@@ -608,7 +610,8 @@
 async fn after_a_planned_stop_the_next_scheduler_moves_machines_at_once() {
     // Longer than any wait in this test.
     let handover_gap = Duration::from_secs(600);
-    let site = Site::start_with_handover_gap(PROGRAM, 2, 2, 4, handover_gap).await.unwrap();
+    let options = Options { reserve: 4, handover_gap, ..Options::new(2, 2) };
+    let site = Site::start_with(PROGRAM, options).await.unwrap();
     // Long-running tasks, so that the next scheduler needs the machines moved by the first as well.
     site.submit_until_accepted(&id(0), long_running_job(40)).await;
     site.wait_until("the first moves machines", async |site| {
--- a/cli/tests/test_restarted_workers.rs
+++ b/cli/tests/test_restarted_workers.rs
@@ -12,6 +12,7 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
+use spokelift_testutils::platform::site::Options;
 use spokelift_testutils::platform::site::Site;
 use spokelift_testutils::platform::store;
 use spokelift_testutils::platform::worker::Fault;
@@ -169,7 +170,8 @@
 /// Dispatchers on other nodes distinguish incarnations as the leader's own dispatcher does.
 #[tokio::test]
 async fn remote_dispatchers_distinguish_later_incarnations_from_earlier_ones() {
-    let site = Site::start_sharded(PROGRAM, 3, 4, 0, 1).await.unwrap();
+    let options = Options { workers_per_shard: Some(1), ..Options::new(3, 4) };
+    let site = Site::start_with(PROGRAM, options).await.unwrap();
     site.submit_until_accepted(&id(1), job(40, 50)).await;
     site.wait_until_succeeded(&id(1)).await;
     site.submit_until_accepted(&id(2), job(40, 1_500)).await;
--- a/cli/tests/test_shares.rs
+++ b/cli/tests/test_shares.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 use serde_json::json;
 use spokelift_lib::batch::view;
+use spokelift_testutils::platform::site::Options;
 use spokelift_testutils::platform::site::Site;
 use tokio::time::sleep;
 
@@ -38,8 +39,13 @@
     own.iter().all(|shard| shard.workers == 0) && others.iter().any(|shard| shard.workers > 0)
 }
 
+/// A site of so many nodes on which others than the leader dispatch, if there are any.
+fn sharded(nodes: usize) -> Options {
+    Options { workers_per_shard: Some(2), ..Options::new(nodes, WORKERS) }
+}
+
 async fn start_site() -> Site {
-    let site = Site::start_sharded(PROGRAM, NODES, WORKERS, 0, 2).await.unwrap();
+    let site = Site::start_with(PROGRAM, sharded(NODES)).await.unwrap();
     site.wait_until("other nodes dispatch to all workers", is_all_dispatched_remotely).await;
     site
 }
@@ -110,7 +116,7 @@
 
 #[tokio::test]
 async fn a_single_node_dispatches_to_all_workers_itself() {
-    let site = Site::start_sharded(PROGRAM, 1, WORKERS, 0, 2).await.unwrap();
+    let site = Site::start_with(PROGRAM, sharded(1)).await.unwrap();
     submit_jobs(&site, 0..2).await;
     assert_all_succeed(&site, 0..2).await;
     assert!(!is_all_dispatched_remotely(&site).await);
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -101,11 +101,6 @@
             stopped_nodes: 0,
         }
     }
-
-    /// The same with links.
-    pub fn with_links(self) -> Options {
-        Options { has_links: true, ..self }
-    }
 }
 
 /// The data halls of a site.
@@ -146,44 +141,6 @@
         Site::start_with(program, options).await
     }
 
-    /// Like [`Site::start`], with this minimum time between the order windows of two schedulers.
-    pub async fn start_with_handover_gap(
-        program: &str,
-        nodes: usize,
-        workers: usize,
-        reserve: usize,
-        handover_gap: Duration,
-    ) -> io::Result<Site> {
-        let options = Options { reserve, handover_gap, ..Options::new(nodes, workers) };
-        Site::start_with(program, options).await
-    }
-
-    /// Like [`Site::start`], with this number of workers in each shard, so that other nodes than
-    /// the leader dispatch to workers.
-    pub async fn start_sharded(
-        program: &str,
-        nodes: usize,
-        workers: usize,
-        reserve: usize,
-        workers_per_shard: usize,
-    ) -> io::Result<Site> {
-        let workers_per_shard = Some(workers_per_shard);
-        let options = Options { reserve, workers_per_shard, ..Options::new(nodes, workers) };
-        Site::start_with(program, options).await
-    }
-
-    /// Like [`Site::start`], with one node for each of these fractions of a core.
-    pub async fn start_with_cpu_shares(
-        program: &str,
-        cpu_shares: &[f64],
-        workers: usize,
-        reserve: usize,
-    ) -> io::Result<Site> {
-        let options = Options::new(cpu_shares.len(), workers);
-        let options = Options { cpu_shares: cpu_shares.to_vec(), reserve, ..options };
-        Site::start_with(program, options).await
-    }
-
     /// Starts a site as [`Site::start`] does.
     pub async fn start_with(program: &str, options: Options) -> io::Result<Site> {
         let (store, ledger) = (Store::default(), Ledger::default());
