--- a/review/standin2/platform2.py
+++ b/review/standin2/platform2.py
@@ -102,6 +102,59 @@
             writer.close()
 
 
+class Link:
+    """A proxy between two daemons; a cut one forwards nothing and says nothing."""
+
+    def __init__(self, target):
+        self.target, self.cut = target, False
+        self.addr = None
+
+    async def start(self, ip):
+        port = 0
+        while not 20000 <= port < 30000:  # encoded as long as the ports that the daemons are given
+            try:
+                server = await asyncio.start_server(self.connection, ip, random.randrange(20000, 30000))
+            except OSError:
+                continue
+            port = server.sockets[0].getsockname()[1]
+        self.addr = (ip, port)
+        return self
+
+    async def connection(self, reader, writer):
+        async def pass_on(source, sink):
+            try:
+                while True:
+                    data = await source.read(65536)
+                    while self.cut:
+                        await asyncio.sleep(0.02)
+                    if not data:
+                        break
+                    sink.write(data)
+                    await sink.drain()
+            except (ConnectionError, OSError):
+                pass
+            finally:
+                sink.close()
+        try:
+            while self.cut:
+                await asyncio.sleep(0.02)
+            other_reader, other_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(pass_on(reader, other_writer), pass_on(other_reader, writer))
+
+
+def encoded_address(addr):
+    """An address as the daemons write it in their records."""
+    ip, port = addr
+    raw = bytes([0]) + bytes(int(part) for part in ip.split("."))
+    while port >= 0x80:
+        raw += bytes([port & 0x7F | 0x80])
+        port >>= 7
+    return raw + bytes([port])
+
+
 class Log:
     def __init__(self):
         self.records = []  # (key, value or None)
@@ -123,6 +176,7 @@
         self.logs = {}
         self.fault = lambda node, path, topic, part, body: None
         self.servers = {}
+        self.views = {}
         self.calls = 0
         self.writes = 0
 
@@ -180,11 +234,18 @@
             await asyncio.sleep(0.002)
             return answer
         if path == "/api/log-read":
-            return await self.read(topic, part, query)
+            return await self.read(topic, part, query, self.views.get(node))
         if path == "/api/log-newest":
-            return self.newest(topic, part, query)
+            return self.newest(topic, part, query, self.views.get(node))
         return 404, {}
 
+    @staticmethod
+    def seen(value, view):
+        """A record as a daemon sees it that reaches the others through proxies."""
+        for real, proxy in view or ():
+            value = value.replace(real, proxy)
+        return value
+
     async def append(self, topic, part, query, body):
         log = self.log(topic, part)
         async with log.turn:
@@ -222,7 +283,7 @@
             log.wake()
             return 200, {"offset": end, "end": len(log.records)}
 
-    async def read(self, topic, part, query):
+    async def read(self, topic, part, query, view=None):
         log = self.log(topic, part)
         start = int(query["from"])
         until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
@@ -239,7 +300,7 @@
         out = [struct.pack(">QQ", len(log.records), log.first)]
         size = 0
         for key, value in log.records[start:]:
-            value = value or b""
+            value = self.seen(value or b"", view if topic in ("keyed.nodes", "keyed.lead") else None)
             raw = key.encode()
             out.append(struct.pack(">IB", 1 + len(raw) + len(value), len(raw)) + raw + value)
             size += len(out[-1])
@@ -247,7 +308,7 @@
                 break
         return 200, b"".join(out)
 
-    def newest(self, topic, part, query):
+    def newest(self, topic, part, query, view=None):
         log = self.log(topic, part)
         newest = {}
         for offset, (key, value) in enumerate(log.records):
@@ -260,6 +321,7 @@
                 more = True
                 break
             offset, value = newest[key]
+            value = self.seen(value, view if topic in ("keyed.nodes", "keyed.lead") else None)
             size += len(value)
             items.append({"key": key, "value": base64.b64encode(value).decode(), "offset": offset})
         return 200, {"items": items, "more": more, "end": len(log.records)}
@@ -506,6 +568,7 @@
                                    "labels": labels(n) + ["r1-%d" % (n // per_rack)], "capacity": {"cpu": cpu, "memMb": 32000, "gpu": 0}, "worker": None, "fence": 0}
         self.services = services
         self.waves_done = {}
+        self.has_links, self.links = False, {}
         self.count = daemons
         self.daemons = []
         self.folder = tempfile.mkdtemp(prefix="spokelift-review-")
@@ -628,12 +691,26 @@
             d = Daemon(self, n, "127.%d.%d.%d" % (random.randrange(2, 250), base, random.randrange(2, 250)))
             await d.prepare(cloud.addr, advice.addr)
             self.daemons.append(d)
+        if self.has_links:
+            for one in self.daemons:
+                for other in self.daemons:
+                    if one is not other:
+                        self.links[one, other] = await Link(other.peer).start("127.0.0.1")
+                self.store.views[one.name] = [(encoded_address(other.peer), encoded_address(self.links[one, other].addr))
+                                              for other in self.daemons if other is not one]
         for d in self.daemons:
             d.start()
         while not all([await d.ready() for d in self.daemons]):
             await asyncio.sleep(0.1)
         await asyncio.sleep(2.5)
 
+    def cut_off(self, daemon, is_cut):
+        """Cuts a daemon off from all others, which reach the store, the workers and the clients as before."""
+        for (one, other), link in self.links.items():
+            if daemon in (one, other):
+                link.cut = is_cut
+        self.record.line("%s %s the other machines" % (daemon.name, "is cut off from" if is_cut else "reaches"))
+
     def leader(self):
         """The daemon that holds the lease, by the newest record in the store."""
         raw = self.store.get("keyed.lead", "lead")
@@ -683,6 +760,7 @@
     async def prepare(self, cloud, advice):
         front, readiness, control, peers = free_ports(self.ip, 4)
         peers = random.randrange(20000, 30000)
+        self.peer = (self.ip, peers)
         self.front, self.readiness = "%s:%d" % (self.ip, front), "%s:%d" % (self.ip, readiness)
         store = await self.site.store.endpoint(self.name)
         self.file = os.path.join(self.site.folder, self.name + ".toml")
