scheduler: a cancel that is read before its job applies when the job arrives

Cause: cancels are in the first partition of the topic of jobs, jobs in any. A scheduler that read the cancel while the partition of the job could not be read found no job, took that for nothing to cancel, and dropped it. Only a later scheduler would have applied it.

Change: Cell::cancel_for keeps such a cancel, and admit_job applies it in the step in which the job becomes known, read, reported or loaded. It is forgotten after the time for which a cancelled job is kept, once the store was read to its end. The same holds for cancels that a new scheduler loads without their jobs, which were dropped as well.

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -22,6 +22,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod document;
+pub mod early_cancels;
 pub mod evacuated_halls;
 pub mod fleet;
 pub mod gossip;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -50,6 +50,7 @@
 use crate::batch::crash::RepeatRate;
 use crate::batch::crash::outage::Outages;
 use crate::batch::demand::Demand;
+use crate::batch::early_cancels::EarlyCancels;
 use crate::batch::evacuated_halls::HallNames;
 use crate::batch::history::History;
 use crate::batch::job::Entry;
@@ -312,6 +313,8 @@
     /// Ends of runs whose jobs are not known yet. They are acknowledged once the job arrives or the
     /// wait for it times out.
     early_ends: Vec<EarlyEnd>,
+    /// Cancels that apply to no known job.
+    pub early_cancels: EarlyCancels,
     /// Observed load.
     pub demand: Demand,
     /// The part of it by jobs above the rates of their accounts.
@@ -374,6 +377,7 @@
             renewed_at: None,
             renewal_failed_at: None,
             early_ends: Vec::new(),
+            early_cancels: EarlyCancels::default(),
             demand: Demand::default(),
             over_rate_demand: Demand::default(),
             run_times: RunTimes::default(),
--- a/lib/src/batch/cell/caller_jobs.rs
+++ b/lib/src/batch/cell/caller_jobs.rs
@@ -14,6 +14,7 @@
 use crate::batch::record;
 use crate::batch::record::JobKey;
 use crate::state::id::AccountId;
+use crate::transport::clock;
 
 impl Cell {
     /// The state of a job as shown to a caller; `None` if no such job belongs to them.
@@ -22,10 +23,16 @@
         entry.map(Entry::visible_state)
     }
 
-    /// Cancels a job for a caller and returns its state; `None` if no such job belongs to them.
+    /// Cancels a job for a caller and returns its state; `None` if no such job belongs to them. The
+    /// cancel is kept then, and applies if such a job arrives later.
     pub fn cancel_for(&mut self, id: JobId, caller: &Caller) -> Option<JobState> {
-        self.job_state_for(id, caller)?;
-        self.cancel(id)
+        if self.job_state_for(id, caller).is_some() {
+            return self.cancel(id);
+        }
+        if self.early_cancels.keep(id, caller, clock::now()) {
+            log::info!(job = format!("{id:016x}").as_str(); "cancel kept: its job is not known");
+        }
+        None
     }
 
     /// Whether a job is known and belongs to `account`; `None` stands for jobs without an account.
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -61,6 +61,7 @@
         if let Some(progress) = inherited {
             entry.restore(progress);
         }
+        let is_cancelled = self.early_cancels.take(id, &entry.accepted);
         entry.is_over_rate = self.exceeds_rate(entry.accepted.account.as_ref(), entry.accepted.at);
         self.claim_found_runs(&mut entry);
         let repetitions = entry.accepted.job.repetition_count();
@@ -73,7 +74,7 @@
             }
         }
         // Work that the account's quota holds back must not request boxes: they would be idle.
-        let may_run = |step| !self.is_at_quota(&entry, step);
+        let may_run = |step| !is_cancelled && !self.is_at_quota(&entry, step);
         if inherited.is_none() && entry.accepted.job.steps.iter().all(may_run) {
             let now = clock::now();
             self.demand.record_arrival(&entry, &self.run_times, now);
@@ -90,6 +91,10 @@
             self.open_steps(id, repetition);
         }
         self.apply_early_ends(id, clock::now());
+        if is_cancelled {
+            self.history.record_job(id, Decision::CancelledBefore);
+            self.cancel(id);
+        }
         true
     }
 
--- a/lib/src/batch/record.rs
+++ b/lib/src/batch/record.rs
@@ -227,6 +227,11 @@
     Record::set(cancel_key(&key), encode(caller))
 }
 
+/// The record that drops a caller's cancellation request for a job.
+pub fn forget_cancel_by(id: JobId, caller: &Caller) -> Record {
+    Record::tombstone(cancel_key(&JobKey { id, account: caller.account().cloned() }))
+}
+
 /// The record that drops a job from a partition of [`JOB_TOPIC`].
 pub fn forget_job(key: &JobKey) -> Record {
     Record::tombstone(owned_key(key))
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use spokelift_platform::ingress::JobState;
 use spokelift_platform::job::JobId;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -145,13 +146,24 @@
         Reply::State(self.cell().job_state_for(id, caller))
     }
 
+    /// Cancels a job for a caller and returns its state; if no such job is known, keeps the cancel until it is.
+    pub(super) fn apply_cancel(&self, id: JobId, caller: &Caller) -> Option<JobState> {
+        let state = self.cell().cancel_for(id, caller);
+        match state {
+            Some(_) => {
+                self.wake();
+                self.wake_flush();
+            }
+            None => self.node.counters.count("batch.cancel.kept"),
+        }
+        state
+    }
+
     async fn cancel(&self, id: JobId, caller: &Caller) -> Reply {
         if !self.can_tell(id).await {
             return Reply::NotReady;
         }
-        let Some(state) = self.cell().cancel_for(id, caller) else { return Reply::State(None) };
-        self.wake();
-        self.wake_flush();
+        let Some(state) = self.apply_cancel(id, caller) else { return Reply::State(None) };
         let mut flushed = self.flush_count.subscribe();
         let durable = async {
             while self.cell().jobs.get(&id).is_some_and(|job| !job.end_is_durable) {
--- a/lib/src/batch/scheduler/follow.rs
+++ b/lib/src/batch/scheduler/follow.rs
@@ -95,7 +95,7 @@
 
     /// Reads the jobs that the store had when this was called, at once for all that ask meanwhile; `false` if the store
     /// does not answer.
-    async fn read_jobs_to_end(&self) -> bool {
+    pub(super) async fn read_jobs_to_end(&self) -> bool {
         let asked_at = clock::now();
         let mut read_at = self.job_topic.read_to_end_at.lock().await;
         if read_at.is_some_and(|at| at >= asked_at) {
@@ -160,9 +160,7 @@
                 cell.record_stored_in(JobKey { id, account: owner }, partition);
             }
             Ok(JobRecord::Cancel(id, caller)) => {
-                changed = true;
-                scheduler.cell().cancel_for(id, &caller);
-                scheduler.wake_flush();
+                scheduler.apply_cancel(id, &caller);
             }
             Ok(JobRecord::Dropped) => {}
             Err(error) => log::error!("invalid job record: {error}"),
--- a/lib/src/batch/scheduler/forget.rs
+++ b/lib/src/batch/scheduler/forget.rs
@@ -22,12 +22,16 @@
 /// How much longer a finished job is kept than clients were promised.
 const KEEP_EXTRA: Duration = Duration::from_secs(15);
 
+/// Maximum number of jobs whose cancels are deleted from the store in one append.
+const MAX_FORGOTTEN_CANCELS: usize = 1_000;
+
 /// Forgets finished jobs until the scheduler stops.
 pub(super) async fn forget_finished(scheduler: Arc<Scheduler>) {
     let keep = scheduler.node.settings.status_retention + KEEP_EXTRA;
     loop {
         sleep(FORGET_INTERVAL).await;
         delete_id_conflicts(&scheduler).await;
+        forget_early_cancels(&scheduler, keep).await;
         let finished = scheduler.cell().finished_jobs(keep, clock::now());
         if finished.is_empty() {
             continue;
@@ -57,6 +61,29 @@
     }
 }
 
+/// Forgets the cancels whose jobs have not arrived for as long as a cancelled job is kept. A job that the store has had
+/// for longer may not have been read yet, so the store is read to its end first.
+async fn forget_early_cancels(scheduler: &Scheduler, keep: Duration) {
+    let old = || scheduler.cell().early_cancels.older_than(keep, clock::now());
+    if old().is_empty() || !scheduler.read_jobs_to_end().await {
+        return;
+    }
+    let mut old = old();
+    old.truncate(MAX_FORGOTTEN_CANCELS);
+    let requests =
+        old.iter().flat_map(|(id, callers)| callers.iter().map(move |caller| (*id, caller)));
+    let records: Vec<Record> =
+        requests.map(|(id, caller)| record::forget_cancel_by(id, caller)).collect();
+    let deleted =
+        scheduler.node.append(record::JOB_TOPIC, &records, &Guard::None, STORE_TIMEOUT).await;
+    if let Err(error) = deleted {
+        log::warn!(jobs = old.len(); "deleting cancels of unknown jobs failed, will retry: {error}");
+        return;
+    }
+    let mut cell = scheduler.cell();
+    old.iter().for_each(|(id, _)| cell.early_cancels.forget(*id));
+}
+
 /// Deletes the records of jobs in each partition that has one; returns the jobs of which one could not be deleted.
 /// They are tried again.
 async fn delete_records(scheduler: &Scheduler, finished: &[FinishedJob]) -> HashSet<JobId> {
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -102,8 +102,7 @@
     loaded
 }
 
-/// Admits the jobs in the order in which they were accepted, then applies the cancels of clients: a cancel can only
-/// be applied once its job is known. A job that was sent to several nodes may be in several partitions; the one
+/// Admits the jobs in the order in which they were accepted, then applies the cancels of clients. A job that was sent to several nodes may be in several partitions; the one
 /// accepted first counts.
 fn apply_jobs(
     cell: &mut Cell,
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -181,9 +181,9 @@
         sleep(time).await;
     }
 
-    /// Appends to the first partition of a topic directly, without the protocol.
-    pub fn put(&self, topic: &str, record: Record) {
-        self.logs().entry(topic.into()).or_default().records.push(record);
+    /// Appends to a partition directly, without the protocol. The name of a topic stands for its first partition.
+    pub fn put(&self, partition: impl Into<Partition>, record: Record) {
+        self.logs().entry(partition.into()).or_default().records.push(record);
         self.inner.appended.notify_waiters();
     }
 
