submit: a cancel that is answered 410 is in the store first

What callers saw: a job was handed in, the store left its record unanswered, and the client got 504. It cancelled and got 410: no such job.

Cause: the leader reads the store to its end before it denies a job, but a record that is still on its way is in no store yet. The answer 410 acknowledges the cancel; nothing remembered it for the record that came.

Evidence: on the code before, all seven writes of the job are left unanswered, the 410 is sent while the store has none of them, one leader runs throughout, and the tasks start 0.4 s later.

Change: unless the leader knows the job, the node writes the cancel to the store before it answers, and answers 503 if it cannot. Cancels that wait at a node share an append.

--- a/cli/tests/test_early_cancels.rs
+++ b/cli/tests/test_early_cancels.rs
@@ -57,15 +57,45 @@
     assert_never_started(&site).await;
 }
 
+/// Has the leader replaced by the other node.
+async fn replace_leader(site: &Site) {
+    let leader = site.leader().expect("a node leads");
+    site.nodes[leader].kill();
+    let other = (leader + 1) % NODES;
+    // What it says of a job it says only once it has read the store.
+    site.wait_until("another node leads, and has read the store", async |site| {
+        site.leader() == Some(other) && site.job_state(other, &text(NEXT_JOB)).await == Err(410)
+    })
+    .await;
+    site.nodes[leader].start().unwrap();
+}
+
 /// The same, if the cancel is known only to a leader that is lost before the job arrives.
 #[tokio::test]
 async fn a_cancel_that_is_read_before_its_job_outlives_its_leader() {
     let site = Site::start(PROGRAM, NODES, 1, 0).await.unwrap();
     site.store.put(JOB_TOPIC, record::cancel(JOB, &Caller::Operator));
-    let leader = site.leader().expect("a node leads");
-    site.nodes[leader].kill();
-    site.wait_until("another node leads", async |site| site.leader() != Some(leader)).await;
-    site.nodes[leader].start().unwrap();
+    replace_leader(&site).await;
+    put_job(&site, JOB);
+    assert_never_started(&site).await;
+}
+
+/// Guards against forgetting a cancel that was answered with 410: the record of the job may still be
+/// on its way to the store, since a write without an answer may be carried out seconds later.
+#[tokio::test]
+async fn a_job_whose_cancel_was_answered_410_is_never_started() {
+    let site = Site::start(PROGRAM, NODES, 1, 0).await.unwrap();
+    assert_eq!(site.cancel(0, &text(JOB)).await, 410);
+    put_job(&site, JOB);
+    assert_never_started(&site).await;
+}
+
+/// The same, if the leader that gave the answer is lost before the job arrives.
+#[tokio::test]
+async fn a_cancel_that_was_answered_410_outlives_its_leader() {
+    let site = Site::start(PROGRAM, NODES, 1, 0).await.unwrap();
+    assert_eq!(site.cancel(0, &text(JOB)).await, 410);
+    replace_leader(&site).await;
     put_job(&site, JOB);
     assert_never_started(&site).await;
 }
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -11,6 +11,7 @@
 pub mod box_list;
 pub mod box_state;
 pub mod caller;
+pub mod cancel_queue;
 pub mod cell;
 pub mod client_api;
 pub mod commit;
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -29,6 +29,7 @@
 
 use crate::batch::availability::Availability;
 use crate::batch::availability::count_connections;
+use crate::batch::cancel_queue;
 use crate::batch::client_api;
 use crate::batch::commit;
 use crate::batch::costs;
@@ -51,6 +52,7 @@
 use crate::batch::peer::Peers;
 use crate::batch::relay::Route;
 use crate::batch::scheduler::Scheduler;
+use crate::batch::submit;
 use crate::batch::watch::Turns;
 use crate::latency::Latencies;
 use crate::listen::StartError;
@@ -85,6 +87,8 @@
     pub store_route: Route,
     /// Jobs that wait to be written to the store.
     pub commit_queue: commit::Queue,
+    /// Cancels that wait to be written to the store.
+    pub cancel_queue: cancel_queue::Queue,
     /// Client of the workers.
     pub workers: WorkerClient,
     /// Client of the platform's interface for machines, if there is one.
@@ -136,6 +140,7 @@
             machines_availability: Availability::default(),
             store_route: Route::default(),
             commit_queue: commit::Queue::default(),
+            cancel_queue: cancel_queue::Queue::default(),
             dialer,
             options,
             incarnation: rand::random(),
@@ -245,6 +250,7 @@
         tokio::spawn(leader::run(node.clone())),
         tokio::spawn(directory::run(node.clone())),
         tokio::spawn(commit::run(node.clone())),
+        tokio::spawn(submit::write_cancels(node.clone())),
         tokio::spawn(costs::run(node.counters.clone())),
         tokio::spawn(watch_suspension(node.clone())),
     ];
--- a/lib/src/batch/submit.rs
+++ b/lib/src/batch/submit.rs
@@ -1,5 +1,6 @@
 //! Submission, state queries and cancellation of jobs at any node, for clients and operators.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -32,7 +33,7 @@
     State(JobState),
     /// The cancel request was written to the store; the state of the job is unknown.
     CancelStored,
-    /// There is no such job.
+    /// There is no such job. If it was to be cancelled, the store has the cancel.
     NoJob,
     /// The leader did not answer in time; a cancel request was not written either.
     NoAnswer,
@@ -81,21 +82,34 @@
     }
 }
 
-/// Cancels a job of the caller. If the leader does not answer, the cancel request is written to the
-/// store instead.
+/// Cancels a job of the caller. Unless the leader knows the job, the cancel is written to the store:
+/// the leader may not answer, or the job's record may still be on its way to the store, whoever was
+/// asked about it and whatever was answered.
 pub async fn cancel_job(node: &Node, id: JobId, caller: Caller, deadline: Instant) -> JobAnswer {
-    match ask_leader_until(node, &peer::Request::Cancel(id, caller.clone()), deadline).await {
-        Some(Reply::State(Some(state))) => JobAnswer::State(state),
+    let request = peer::Request::Cancel(id, caller.clone());
+    let answer = match ask_leader_until(node, &request, deadline).await {
+        Some(Reply::State(Some(state))) => return JobAnswer::State(state),
         Some(Reply::State(None)) => JobAnswer::NoJob,
-        _ => {
-            let record = record::cancel(id, &caller);
-            match node.append(record::JOB_TOPIC, &[record], &Guard::None, WRITE_TIMEOUT).await {
-                Ok(_) => JobAnswer::CancelStored,
-                Err(error) => {
-                    let job = format!("{id:016x}");
-                    log::info!(job = job.as_str(); "cancel request not written: {error}");
-                    JobAnswer::NoAnswer
-                }
+        _ => JobAnswer::CancelStored,
+    };
+    if node.cancel_queue.write(record::cancel(id, &caller), WRITE_TIMEOUT).await {
+        return answer;
+    }
+    let job = format!("{id:016x}");
+    log::info!(job = job.as_str(); "cancel request not written");
+    JobAnswer::NoAnswer
+}
+
+/// Writes cancels to the store until the process ends.
+pub async fn write_cancels(node: Arc<Node>) {
+    let mut batches = node.cancel_queue.batches();
+    while let Some(batch) = batches.next().await {
+        let records = batch.records();
+        match node.append(record::JOB_TOPIC, &records, &Guard::None, WRITE_TIMEOUT).await {
+            Ok(_) => batch.confirm(),
+            Err(error) => {
+                node.counters.count("batch.cancel.write-failed");
+                log::info!(cancels = records.len(); "cancels not written: {error}");
             }
         }
     }
