platform: a row that cannot be read does not hide the list of boxes

What operators would see: one odd row in the platform's list of boxes (nested too deeply, a number out of range, an unknown state), and no box is moved and no wave goes on any more.

Cause: the answer was decoded as one value, so one row made all of it unusable.

Change: each row is decoded by itself. A box whose row cannot be read is listed as Status::Unreadable, which proves nothing: it has not ended, is not back from its maintenance, and is not ordered. If a row names no box, that holds for all known boxes that the list leaves out, since a box left out counts as removed.

Without the check in plan::evacuate_machines the simulated wave orders a box with tasks on it (a_wave_keeps_its_limits_while_rows_of_the_list_cannot_be_read).

--- a/lib/src/batch/box_list.rs
+++ b/lib/src/batch/box_list.rs
@@ -3,12 +3,16 @@
 //! Calls about boxes may be slow. Rounds then go on with the last list for a while, so that orders
 //! do not wait for the next one.
 
+use std::collections::HashSet;
 use std::future::Future;
 use std::time::Duration;
 use std::time::Instant;
 
 use spokelift_platform::call::CallError;
+use spokelift_platform::machine::List;
 use spokelift_platform::machine::Machine;
+use spokelift_platform::machine::MachineId;
+use spokelift_platform::machine::Status;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -20,13 +24,15 @@
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(3_000);
 
 /// Answer to a call for the list.
-type Answer = Result<Vec<Machine>, CallError>;
+type Answer = Result<List, CallError>;
 
 /// The newest list, and the call for the next one.
 #[derive(Default)]
 pub struct BoxList {
     pending: Option<(Instant, JoinHandle<Answer>)>,
     boxes: Vec<Machine>,
+    /// Rows of the last list that name no box.
+    unnamed_rows: usize,
     requested_at: Option<Instant>,
 }
 
@@ -50,7 +56,7 @@
         self.pending = None;
         // The task only ends without an answer as the process does.
         let Ok(answer) = answer else { return Ok(None) };
-        self.boxes = answer?;
+        List { machines: self.boxes, unnamed_rows: self.unnamed_rows } = answer?;
         self.requested_at = Some(requested_at);
         Ok(Some(requested_at))
     }
@@ -60,6 +66,24 @@
         &self.boxes
     }
 
+    /// Number of rows of the last list that cannot be read, whether they name a box or not.
+    pub fn unreadable_rows(&self) -> usize {
+        let is_unreadable = |listed: &&Machine| listed.status == Status::Unreadable;
+        self.boxes.iter().filter(is_unreadable).count() + self.unnamed_rows
+    }
+
+    /// Adds those of `known` that the last list leaves out as [`Status::Unreadable`] if it has rows that
+    /// name no box: each may be the row of any of them, so none counts as removed by this list.
+    pub fn keep_known(&mut self, known: HashSet<MachineId>) {
+        if self.unnamed_rows == 0 {
+            return;
+        }
+        let listed: HashSet<&MachineId> = self.boxes.iter().map(|listed| &listed.id).collect();
+        let left_out = known.iter().filter(|id| !listed.contains(*id));
+        let left_out: Vec<Machine> = left_out.map(|id| Machine::unreadable(id.as_str())).collect();
+        self.boxes.extend(left_out);
+    }
+
     /// Whether the last list was requested less than `max_age` ago.
     pub fn is_recent(&self, max_age: Duration, now: Instant) -> bool {
         self.requested_at.is_some_and(|at| now.saturating_duration_since(at) < max_age)
--- a/lib/src/batch/box_state.rs
+++ b/lib/src/batch/box_state.rs
@@ -113,11 +113,12 @@
     pub is_empty: bool,
 }
 
-/// The state of a box; `None` if it is in service.
+/// The state of a box; `None` if it is in service, or if the list does not say.
 pub fn state_of(facts: &Facts<'_>) -> Option<State> {
     match facts.listed.status {
         Listed::Maintenance => return Some(State::Maintenance),
         Listed::Moving | Listed::Down => return Some(State::Down),
+        Listed::Unreadable => return None,
         Listed::Up => {}
     }
     match &facts.departure {
--- a/lib/src/batch/cell/boxes.rs
+++ b/lib/src/batch/cell/boxes.rs
@@ -118,5 +118,6 @@
                 machine.worker.as_ref().is_some_and(|id| *id != worker.peer.incarnation.id);
             is_replaced.then_some(EndReason::Replaced)
         }
+        Status::Unreadable => None,
     }
 }
--- a/lib/src/batch/fleet.rs
+++ b/lib/src/batch/fleet.rs
@@ -97,6 +97,7 @@
         match listed {
             Ok(Some(requested_at)) => {
                 unanswered = 0;
+                take_unreadable_rows(&scheduler, &mut newest, &waves, &pools);
                 scheduler.cell().end_incarnations_by_box_list(newest.boxes(), requested_at);
             }
             Ok(None) if newest.is_recent(max_list_age, clock::now()) => {
@@ -128,6 +129,20 @@
     }
 }
 
+/// Keeps the boxes that are known and that the list may have in a row which cannot be read.
+fn take_unreadable_rows(scheduler: &Scheduler, list: &mut BoxList, waves: &Waves, pools: &Pools) {
+    let rows = list.unreadable_rows();
+    if rows == 0 {
+        return;
+    }
+    scheduler.node.counters.add("batch.machines.unreadable-rows", rows as u64);
+    log::warn!(rows; "the list of boxes has rows that cannot be read");
+    let cell = scheduler.cell();
+    let of_workers = cell.workers.values().filter_map(|worker| worker.entry.machine.clone());
+    let in_use = waves.machines().cloned().chain(pools.busy_machines());
+    list.keep_known(of_workers.chain(in_use).collect());
+}
+
 /// Returns boxes to service that were to be ordered but were not: while the platform does not
 /// answer calls about boxes, no order can be given. Boxes whose order may have been carried out
 /// stay as they are.
--- a/lib/src/batch/maintenance.rs
+++ b/lib/src/batch/maintenance.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// All boxes of the waves.
+    pub fn machines(&self) -> impl Iterator<Item = &MachineId> {
+        self.waves.values().flat_map(|progress| &progress.wave.machines)
+    }
+
     /// The maintenance that has a box; `None` if none has.
     pub fn departure(&self, id: &str) -> Option<Departure> {
         let progress = self.waves.values().find(|progress| progress.is_under_way(id))?;
--- a/lib/src/batch/maintenance/plan.rs
+++ b/lib/src/batch/maintenance/plan.rs
@@ -54,6 +54,9 @@
     uncordon_needed(cell, progress, listed, &reservations, now);
     let mut ready = Vec::new();
     for (id, since) in &progress.evacuating {
+        if is_unreadable(listed, id) {
+            continue;
+        }
         let hurry = now.saturating_duration_since(*since) > EVACUATION_TIMEOUT;
         let worker = listed_incarnation(cell, listed, id);
         if worker
@@ -107,6 +110,12 @@
     }
 }
 
+/// Whether the platform's list has a box in a form that cannot be read. It must not be ordered: the list does not say
+/// which worker is on it.
+pub fn is_unreadable(listed: &MachinesById<'_>, id: &str) -> bool {
+    listed.get(id).is_some_and(|machine| machine.status == Status::Unreadable)
+}
+
 /// The worker incarnation on a box by the platform's list; one without a birth time if the worker
 /// is unknown here.
 pub fn listed_incarnation(cell: &Cell, listed: &MachinesById<'_>, id: &str) -> Option<Incarnation> {
--- a/lib/src/batch/pool.rs
+++ b/lib/src/batch/pool.rs
@@ -27,6 +27,7 @@
 use crate::batch::deferral::Deferrals;
 use crate::batch::evacuated_halls::HallNames;
 use crate::batch::maintenance::evacuate;
+use crate::batch::maintenance::plan::is_unreadable;
 use crate::batch::maintenance::plan::listed_incarnation;
 use crate::batch::pool::load::Load;
 use crate::batch::pool::load::spare_machines;
@@ -255,7 +256,11 @@
         now: Instant,
     ) -> Vec<MachineId> {
         let mut ready: Vec<(bool, MachineId)> = Vec::new();
-        for (id, under_way) in self.moves.iter().filter(|(_, under_way)| !under_way.is_ordered) {
+        let waiting = self
+            .moves
+            .iter()
+            .filter(|(id, under_way)| !under_way.is_ordered && !is_unreadable(listed, id));
+        for (id, under_way) in waiting {
             let worker = listed_incarnation(cell, listed, id);
             let elapsed = now.saturating_duration_since(under_way.started_at);
             let hurry = elapsed > EVACUATION_TIMEOUT;
--- a/lib/tests/test_box_list.rs
+++ b/lib/tests/test_box_list.rs
@@ -170,6 +170,19 @@
     assert!(fixture.is_known(0));
 }
 
+/// Guards against taking a worker whose box stands in a row that cannot be read for one that has
+/// ended: its runs would be started a second time.
+#[test]
+fn a_box_whose_row_cannot_be_read_says_nothing() {
+    let mut fixture = after_takeover();
+    for _ in 0..3 {
+        fixture.fail_poll(0);
+        fixture.list(vec![Machine::unreadable("m0")]);
+    }
+    assert_eq!(fixture.start(), []);
+    assert!(fixture.is_known(0));
+}
+
 /// The pages of a list are read one after another, and a box may be in none of them while it
 /// changes.
 #[test]
--- a/lib/tests/test_wave_plan.rs
+++ b/lib/tests/test_wave_plan.rs
@@ -45,6 +45,8 @@
 const CAPACITY: u32 = 8_000;
 /// How long a long-running task may be unavailable while a worker would take it.
 const MAX_UNAVAILABLE_TIME: Duration = Duration::from_millis(6_000);
+/// Number of steps for which the row of the same box cannot be read.
+const UNREADABLE_STEPS: usize = 20;
 /// Number of simulated steps: 90 s.
 const STEPS: usize = 600;
 
@@ -77,6 +79,8 @@
     down_until: HashMap<String, Instant>,
     started: HashSet<String>,
     unavailable_since: HashMap<TaskName, Instant>,
+    /// Boxes whose rows in the list cannot be read.
+    unreadable: HashSet<String>,
 }
 
 fn name(job: JobId, index: u32) -> TaskName {
@@ -112,6 +116,7 @@
             down_until: HashMap::new(),
             started: HashSet::new(),
             unavailable_since: HashMap::new(),
+            unreadable: HashSet::new(),
         };
         names.iter().for_each(|name| simulation.start_worker(name));
         simulation.admit(false);
@@ -235,6 +240,9 @@
     fn list(&self) -> Vec<Machine> {
         let capacity = Resources { cpu: CAPACITY, memory_mb: CAPACITY, gpu: 0 };
         let rows = self.boxes.iter().map(|(name, simulated)| {
+            if self.unreadable.contains(name) {
+                return Machine::unreadable(name.as_str());
+            }
             let status = if simulated.is_some() { Status::Up } else { Status::Maintenance };
             let worker = simulated.as_ref().map(|simulated| simulated.worker.as_str());
             Machine { capacity, ..batch::machine(name, status, worker) }
@@ -373,4 +381,20 @@
         let has_spare_boxes = used * 2 <= (boxes as u32).saturating_sub(2) * CAPACITY;
         prop_assert!(!has_spare_boxes || simulation.is_done(), "the wave is not done");
     }
+
+    /// Guards against taking a box whose row cannot be read for one on which nothing runs, or for
+    /// one that is up again after its maintenance.
+    #[test]
+    fn a_wave_keeps_its_limits_while_rows_of_the_list_cannot_be_read(
+        sizes in prop::collection::vec(size(), 1..6),
+        max_down in 1usize..3,
+        unreadable in prop::collection::vec(0usize..6, STEPS / UNREADABLE_STEPS),
+    ) {
+        let mut simulation = Simulation::new(6, sizes, max_down);
+        for step in 0..STEPS {
+            let number = unreadable[step / UNREADABLE_STEPS];
+            simulation.unreadable = [format!("m{number}")].into();
+            simulation.step()?;
+        }
+    }
 }
--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -17,6 +17,7 @@
 use serde_json::Value;
 use serde_json::json;
 use spokelift_lib::transport::dial::Body;
+use spokelift_lib::transport::dial::full;
 use spokelift_lib::transport::serve::serve;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -64,6 +65,8 @@
     busy_refusals: HashMap<String, usize>,
     /// Whether a new incarnation takes over the id of the last one on its machine in its service.
     reuses_ids: bool,
+    /// Rows that the list has beside those of the machines, as JSON texts.
+    odd_rows: Vec<String>,
     /// The IP address on which the workers listen; `None` for the default.
     worker_ip: Option<IpAddr>,
     /// The latest incarnation on each machine in each service.
@@ -138,6 +141,11 @@
         self.state().machines.values().filter_map(|machine| machine.worker.clone()).collect()
     }
 
+    /// Sets rows that the list has beside those of the machines, as JSON texts.
+    pub fn set_odd_rows(&self, rows: &[String]) {
+        self.state().odd_rows = rows.to_vec();
+    }
+
     /// Number of machines in a pool.
     pub fn count_in_pool(&self, pool: &str) -> usize {
         self.state().machines.values().filter(|machine| machine.shape.service == pool).count()
@@ -334,7 +342,10 @@
                 })
             })
             .collect();
-        json_response(200, &json!({ "machines": rows, "nextToken": null }))
+        // Odd rows are not values of the JSON library, which cannot hold all of them.
+        let rows = rows.iter().map(Value::to_string).chain(state.odd_rows.iter().cloned());
+        let rows: Vec<String> = rows.collect();
+        Response::new(full(format!("{{\"machines\":[{}],\"nextToken\":null}}", rows.join(","))))
     }
 
     fn handle_order(&self, path: &str, token: u64, body: &Value) -> Response<Body> {
--- a/testutils/src/platform/site/config.rs
+++ b/testutils/src/platform/site/config.rs
@@ -22,7 +22,7 @@
 
 /// Two queues of service `work`, `q` and `advised`, the latter with advice; service `spare` is the
 /// reserve.
-pub(super) fn config() -> Value {
+pub fn config() -> Value {
     json!({
         "version": 1,
         "routes": [queue("q", &Value::Null), queue("advised", &json!({ "decide_ms": 5 }))],
