pool: the load of a service saturates

What callers could see: a job with the largest numbers in its fields makes a leader built with overflow checks panic while it holds the lock of its state; it keeps the lease and answers nothing. In the release build the sum wraps, and what the service wants is an arbitrary number.

Cause: the load adds up requests and multiplies them by run times without saturating; a job's requests are not bounded.

Change: the sums of pool::load saturate.

Evidence: jobs_with_the_largest_numbers_stop_no_node failed on the code before (panic at load.rs:85, "attempt to add with overflow"; no other node leads within a minute), and passes.

--- a/cli/tests/test_odd_entries.rs
+++ b/cli/tests/test_odd_entries.rs
@@ -148,3 +148,32 @@
     }
     assert_served(&site).await;
 }
+
+/// Guards against a job whose numbers are too large to calculate with.
+#[tokio::test]
+async fn jobs_with_the_largest_numbers_stop_no_node() {
+    let site = Site::start(PROGRAM, NODES, 2, 2).await.unwrap();
+    let numbers = [u64::from(u32::MAX), u64::MAX];
+    let step_fields =
+        ["cpu", "memMb", "gpu", "estimateMs", "antiAffinity", "target_ms", "may_miss"];
+    let job_fields = ["firstRunMs", "intervalMs"];
+    let mut next = 100;
+    for number in numbers {
+        for field in step_fields {
+            let mut odd = job(2);
+            odd["steps"][0][field] = json!(number);
+            let status = site.submit(0, &id(next), odd).await;
+            assert!([200, 400, 503].contains(&status), "{field} {number}: {status}");
+            next += 1;
+        }
+        for field in job_fields {
+            let mut odd = job(2);
+            odd["repetitions"] = json!(2);
+            odd[field] = json!(number);
+            let status = site.submit(0, &id(next), odd).await;
+            assert!([200, 400, 503].contains(&status), "{field} {number}: {status}");
+            next += 1;
+        }
+    }
+    assert_served(&site).await;
+}
--- a/lib/src/batch/pool/load.rs
+++ b/lib/src/batch/pool/load.rs
@@ -81,9 +81,10 @@
     /// What a service should have for these tasks and those that last. Only a part of the running
     /// work counts, since it ends before a box would have left.
     fn wanted_with(&self, long_running: u64) -> u64 {
-        let running = self.running * FOLLOW_UP_PERCENT / 100;
-        let steady = long_running + self.arrival_rate.max(running);
-        (steady + self.backlog / BACKLOG_CLEAR_MS) * 100 / UTILIZATION_PERCENT
+        let running = self.running.saturating_mul(FOLLOW_UP_PERCENT) / 100;
+        let steady = long_running.saturating_add(self.arrival_rate.max(running));
+        let needed = steady.saturating_add(self.backlog / BACKLOG_CLEAR_MS);
+        needed.saturating_mul(100) / UTILIZATION_PERCENT
     }
 
     fn without(&self, other: &Batch) -> Batch {
@@ -118,7 +119,7 @@
 
     /// What its running and waiting tasks need.
     pub(super) fn need(&self) -> u64 {
-        self.used + self.waiting
+        self.used.saturating_add(self.waiting)
     }
 
     /// Ratio of a capacity to what is wanted.
@@ -137,12 +138,13 @@
 
     /// Whether the service has what it wants without a box of this size.
     pub fn can_spare(&self, size: u64) -> bool {
-        self.is_above_min_workers() && self.capacity >= self.wanted() + size
+        self.is_above_min_workers() && self.capacity >= self.wanted().saturating_add(size)
     }
 
     /// Whether the service has more than `spare` boxes of this size beyond what it wants.
     pub(super) fn has_excess(&self, size: u64, spare: u64) -> bool {
-        self.is_above_min_workers() && self.capacity >= self.wanted() + (spare + 1) * size
+        let kept = spare.saturating_add(1).saturating_mul(size);
+        self.is_above_min_workers() && self.capacity >= self.wanted().saturating_add(kept)
     }
 
     /// Subtracts a box of this size that is moved away.
@@ -176,7 +178,7 @@
 pub fn spare_machines(machines: u64, size: u64, rise: Option<u64>) -> u64 {
     let most = (machines * MAX_SPARE_PERCENT / 100).max(MIN_SPARE_MACHINES);
     let Some(rise) = rise else { return most };
-    let needed = rise * 100 / UTILIZATION_PERCENT;
+    let needed = rise.saturating_mul(100) / UTILIZATION_PERCENT;
     needed.div_ceil(size.max(1)).clamp(MIN_SPARE_MACHINES, most)
 }
 
@@ -285,21 +287,24 @@
         let tasks = run.map_or(0, |run| run.waiting.len() as u64);
         let waiting = budgets.count_startable(cell, entry, step, tasks) * u64::from(step.cpu);
         let load = loads.entry(entry.accepted.service.clone()).or_default();
-        load.waiting += waiting;
+        load.waiting = load.waiting.saturating_add(waiting);
         if step.gang && waiting > 0 {
             let long_running = load.long_running.div_ceil(load.mean_worker_cpu().max(1));
             let gang = workers_for_gang(cell, &entry.accepted.service, step);
             load.min_workers = load.min_workers.max(gang + long_running);
         }
         if let Some(label) = &step.requires {
-            *load.label_shortages.entry(label.clone()).or_default() += waiting;
+            let shortage = load.label_shortages.entry(label.clone()).or_default();
+            *shortage = shortage.saturating_add(waiting);
         }
         let run_time =
             cell.run_time(entry, rank.step).map_or(0, |run| run.mean().as_millis() as u64);
-        let work = waiting * if step.long_running { BACKLOG_CLEAR_MS } else { run_time };
-        load.backlog += work;
+        let work =
+            waiting.saturating_mul(if step.long_running { BACKLOG_CLEAR_MS } else { run_time });
+        load.backlog = load.backlog.saturating_add(work);
         if rank.is_over_rate && !step.long_running {
-            *over_rate.entry(entry.accepted.service.clone()).or_default() += work;
+            let over_rate = over_rate.entry(entry.accepted.service.clone()).or_default();
+            *over_rate = over_rate.saturating_add(work);
         }
     }
     over_rate
