submit: a job is accepted once the leader has said whose its id is

What callers saw: while there was no leader, two accounts handed in jobs under one id; both got 200, one of the jobs was deleted, and its account got 410 from then on (LOST).

Cause: no answer of the leader within 0.15 s counted as "the id is not in use".

Change: without the leader's word the answer is 504, which is what is known. On deployments with accounts this holds for every job; others are unchanged.

--- a/cli/tests/test_accounts.rs
+++ b/cli/tests/test_accounts.rs
@@ -179,3 +179,40 @@
     assert!(!explained.contains("key-of-first") && !format!("{view:?}").contains("key-of-first"));
     site.assert_no_violations();
 }
+
+/// Guards against accepting the jobs of two accounts under one id while no leader says whose the id
+/// is: one of the two jobs would be deleted.
+#[tokio::test]
+async fn a_job_that_is_accepted_without_a_leader_is_not_taken_for_another_accounts() {
+    let site = Site::start(PROGRAM, 3, 2, 0).await.unwrap();
+    site.publish_config(2, &accounts());
+    wait_until_keys_required(&site).await;
+    let leader = site.leader().expect("a node leads");
+    let callers = [("key-of-first", (leader + 1) % 3), ("key-of-other", (leader + 2) % 3)];
+    site.nodes[leader].kill();
+    for number in 1..=4 {
+        let path = path(number);
+        let submit = |(key, node)| site.call_as(key, node, Method::POST, &path, job(1, 10));
+        let (first, other) = tokio::join!(submit(callers[0]), submit(callers[1]));
+        let accepted = [first, other].map(|(status, _)| status == 200);
+        for ((key, node), _) in callers.into_iter().zip(accepted).filter(|(_, is)| *is) {
+            let status = async |site: &Site| {
+                site.call_as(key, node, Method::GET, &path, Value::Null).await.0
+            };
+            let is_known = async |site: &Site| [200, 410].contains(&status(site).await);
+            site.wait_until("a leader says whether the job exists", is_known).await;
+            assert_eq!(status(&site).await, 200, "{path} of {key} was accepted");
+        }
+    }
+    // Whoever was told nothing certain hands the job in again, and one of the two has it.
+    for (number, path) in (1..=4).map(|number| (number, path(number))) {
+        let mut owners = 0;
+        for (key, node) in callers {
+            let submit = async || site.call_as(key, node, Method::POST, &path, job(1, 10)).await.0;
+            site.wait_until("the answer is certain", async |_| submit().await != 504).await;
+            owners += u32::from(submit().await == 200);
+        }
+        assert_eq!(owners, 1, "job {number}");
+    }
+    site.assert_no_violations();
+}
--- a/lib/src/batch/commit.rs
+++ b/lib/src/batch/commit.rs
@@ -66,7 +66,7 @@
     /// The job is not accepted, since its id is in use by another account's job. The client gets the
     /// same answer as for [`WriteOutcome::Refused`], so it learns nothing of that job.
     IdInUse(Duration),
-    /// The job may have been written.
+    /// The job may have been written, or it was written and its id may be in use by another account's job.
     Unknown,
 }
 
@@ -248,13 +248,21 @@
         if outcome != WriteOutcome::Stored {
             return outcome;
         }
-        if accepted.account.is_none() {
+        if !self.has_accounts() && accepted.account.is_none() {
             self.report_submitted(id, accepted);
-        } else if self.is_id_in_use(id, accepted).await {
-            self.counters.count("batch.submit.refused.occupied");
-            return WriteOutcome::IdInUse(self.commit_queue.health().retry_after(now));
+            return WriteOutcome::Stored;
+        }
+        match self.is_id_in_use(id, accepted, deadline).await {
+            Some(false) => WriteOutcome::Stored,
+            Some(true) => {
+                self.counters.count("batch.submit.refused.occupied");
+                WriteOutcome::IdInUse(self.commit_queue.health().retry_after(now))
+            }
+            None => {
+                self.counters.count("batch.submit.owner-unknown");
+                WriteOutcome::Unknown
+            }
         }
-        WriteOutcome::Stored
     }
 }
 
--- a/lib/src/batch/node/leadership.rs
+++ b/lib/src/batch/node/leadership.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::MutexGuard;
 use std::time::Duration;
+use std::time::Instant;
 
 use spokelift_platform::job::JobId;
 use spokelift_platform::store::Offset;
@@ -25,9 +26,6 @@
 use crate::batch::watch::Group;
 use crate::transport::clock;
 
-/// How long the answer to a submission waits for the leader to check whether the job's id is in
-/// use; the check usually takes 3 ms.
-const ID_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long a request waits for the lease topic to be read where the leader that answered may have
 /// been replaced.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
@@ -162,13 +160,29 @@
         self.ask_leader(request).await
     }
 
-    /// Reports a job of an account like [`Node::report_submitted`], and returns whether its id is in
-    /// use by another account's job. `false` also if the leader does not answer within
-    /// `ID_CHECK_TIMEOUT`.
-    pub async fn is_id_in_use(self: &Arc<Self>, id: JobId, accepted: Accepted) -> bool {
+    /// Reports a job like [`Node::report_submitted`], and returns whether its id is in use by another
+    /// account's job; `None` if the leader does not say by `deadline`. Only the leader knows: two
+    /// accounts may hand in jobs under one id at two nodes at the same time.
+    pub async fn is_id_in_use(
+        self: &Arc<Self>,
+        id: JobId,
+        accepted: Accepted,
+        deadline: Instant,
+    ) -> Option<bool> {
         let (node, request) = (self.clone(), peer::Request::Submitted(id, Box::new(accepted)));
         // The task outlives the timeout, so that the report is sent again if nobody takes it.
         let reply = tokio::spawn(async move { node.report(request).await });
-        matches!(timeout(ID_CHECK_TIMEOUT, reply).await, Ok(Ok(Some(Reply::IdInUse))))
+        let left = deadline.saturating_duration_since(clock::now());
+        match timeout(left, reply).await.ok()?.ok()?? {
+            Reply::Done => Some(false),
+            Reply::IdInUse => Some(true),
+            _ => None,
+        }
+    }
+
+    /// Whether the configuration in force has accounts, so that an id may be in use by the job of
+    /// another one.
+    pub fn has_accounts(&self) -> bool {
+        self.config().is_some_and(|config| !config.accounts().is_empty())
     }
 }
