cell: a scheduled job ends also if its last end comes before its time is marked

What callers saw: the leader was lost while the last tasks of scheduled jobs ran; all ended done, and the jobs were shown as running for good (LOST).

Cause: only an end made the scheduler look whether a job is done, and a repetition counts as done only once it is marked as due. A new scheduler marks past ones 100 ms after its start, the ends come some milliseconds after it.

Change: Cell::end_if_done looks after an end and when a repetition is marked.

Both new tests of lib/tests/test_batch.rs fail without the second look.

--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -163,6 +163,9 @@
             let Some(entry) = self.jobs.get_mut(&id) else { continue };
             entry.repetitions[repetition as usize].due = true;
             self.open_steps(id, repetition);
+            // The tasks of a repetition whose time has passed may all be done: under an earlier
+            // scheduler, or by ends that were reported before the time was looked at.
+            self.end_if_done(id);
         }
     }
 
@@ -293,7 +296,6 @@
         let is_step_done = run.left == 0;
         // Other runs of the same task are stopped; the members of a gang end by themselves.
         let has_copies = !gang && run.tasks[name.index as usize].runs > 0;
-        let is_done = entry.is_done();
         self.dirty_jobs.insert(name.job);
         if has_copies {
             self.stop_where(|other| *other == name);
@@ -301,8 +303,13 @@
         if is_step_done {
             self.open_steps(name.job, name.repetition);
         }
-        if is_done && self.jobs[&name.job].is_active() {
-            self.end_job(name.job, JobState::Succeeded);
+        self.end_if_done(name.job);
+    }
+
+    /// Ends a job as succeeded if all its tasks are done.
+    fn end_if_done(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_some_and(|entry| entry.is_active() && entry.is_done()) {
+            self.end_job(id, JobState::Succeeded);
         }
     }
 }
--- a/lib/tests/test_batch.rs
+++ b/lib/tests/test_batch.rs
@@ -546,6 +546,43 @@
     assert_eq!(fixture.cell.cancel(2), None);
 }
 
+/// A job of two repetitions of one task each, both due within the first second.
+fn scheduled_job() -> Accepted {
+    let mut job = accepted(vec![step(1)]);
+    (job.job.repetitions, job.job.first_run_ms, job.job.interval_ms) = (2, 100, 100);
+    job
+}
+
+/// Guards against a scheduled job that is shown as running for ever: the last end is reported to a
+/// new scheduler before that has looked at which repetitions are due.
+#[test]
+fn a_scheduled_job_ends_though_its_last_end_comes_before_its_times_are_looked_at() {
+    let mut fixture = Fixture::new(1);
+    let progress = Progress { started: true, ..Progress::default() };
+    fixture.cell.admit(1, scheduled_job(), Some(&progress));
+    let tasks = [0, 1].map(|repetition| TaskName { repetition, ..task(1, 0, 0) });
+    fixture.poll("w0", &tasks.map(|task| (task, 5)), &[]);
+    let ends = [(1, tasks[0], 5, Outcome::Done), (2, tasks[1], 5, Outcome::Done)];
+    fixture.poll("w0", &[], &ends);
+    assert_eq!(fixture.cell.jobs[&1].end, None, "its times have not been looked at");
+    fixture.cell.open_due_repetitions(Duration::from_secs(1));
+    assert_eq!(fixture.cell.jobs[&1].end, Some(JobState::Succeeded));
+    assert_eq!(fixture.start(), []);
+}
+
+/// The same for a job all of whose tasks were done under an earlier scheduler, which did not end it.
+#[test]
+fn a_scheduled_job_whose_tasks_are_all_done_already_ends() {
+    let mut fixture = Fixture::new(1);
+    let done = vec![(0, 0, vec![1]), (1, 0, vec![1])];
+    let progress = Progress { started: true, done, ..Progress::default() };
+    fixture.cell.admit(1, scheduled_job(), Some(&progress));
+    fixture.cell.open_due_repetitions(Duration::from_millis(150));
+    assert_eq!(fixture.cell.jobs[&1].end, None, "its second time has not come");
+    fixture.cell.open_due_repetitions(Duration::from_secs(1));
+    assert_eq!(fixture.cell.jobs[&1].end, Some(JobState::Succeeded));
+}
+
 #[test]
 fn a_gang_starts_whole_or_not_at_all() {
     let mut fixture = Fixture::new(1);
