batch: a counter for cancels that are refused, names and comments

Cause: read as a newcomer, a cancel that finds the queue full or runs out of time was refused without a counter; a doc comment was too long, one said more than it explained, a name said before what.

No other behaviour.

--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -92,7 +92,7 @@
         }
         self.apply_early_ends(id, clock::now());
         if is_cancelled {
-            self.history.record_job(id, Decision::CancelledBefore);
+            self.history.record_job(id, Decision::CancelledEarly);
             self.cancel(id);
         }
         true
--- a/lib/src/batch/commit.rs
+++ b/lib/src/batch/commit.rs
@@ -66,7 +66,7 @@
     /// The job is not accepted, since its id is in use by another account's job. The client gets the
     /// same answer as for [`WriteOutcome::Refused`], so it learns nothing of that job.
     IdInUse(Duration),
-    /// The job may have been written, or it was written and its id may be in use by another account's job.
+    /// The job may have been written; if it was, its id may be in use by another account's job.
     Unknown,
 }
 
--- a/lib/src/batch/history.rs
+++ b/lib/src/batch/history.rs
@@ -82,8 +82,8 @@
     HeldByQuota,
     /// Its step comes after all others, since it cannot meet its objective any more.
     PutLast,
-    /// Its job was cancelled before it was known.
-    CancelledBefore,
+    /// Its job was cancelled before this leader knew it.
+    CancelledEarly,
     /// Its job has ended.
     Ended(JobState),
 }
@@ -116,7 +116,7 @@
             }
             Decision::HeldByQuota => f.write_str("its account is at its quota"),
             Decision::PutLast => f.write_str("put last: its objective is out of reach"),
-            Decision::CancelledBefore => f.write_str("cancelled before the job was known"),
+            Decision::CancelledEarly => f.write_str("cancelled before the job was known"),
             Decision::Ended(state) => write!(f, "job ended: {state:?}"),
         }
     }
--- a/lib/src/batch/scheduler/load.rs
+++ b/lib/src/batch/scheduler/load.rs
@@ -102,8 +102,8 @@
     loaded
 }
 
-/// Admits the jobs in the order in which they were accepted, then applies the cancels of clients. A job that was sent to several nodes may be in several partitions; the one
-/// accepted first counts.
+/// Admits the jobs in the order in which they were accepted, then applies the cancels of clients. A job that was sent
+/// to several nodes may be in several partitions; the one accepted first counts.
 fn apply_jobs(
     cell: &mut Cell,
     partitions: &[LatestRecords],
--- a/lib/src/batch/submit.rs
+++ b/lib/src/batch/submit.rs
@@ -83,8 +83,7 @@
 }
 
 /// Cancels a job of the caller. Unless the leader knows the job, the cancel is written to the store:
-/// the leader may not answer, or the job's record may still be on its way to the store, whoever was
-/// asked about it and whatever was answered.
+/// the leader may not have answered, or the job's record may still be on its way to the store.
 pub async fn cancel_job(node: &Node, id: JobId, caller: Caller, deadline: Instant) -> JobAnswer {
     let request = peer::Request::Cancel(id, caller.clone());
     let answer = match ask_leader_until(node, &request, deadline).await {
@@ -95,8 +94,9 @@
     if node.cancel_queue.write(record::cancel(id, &caller), WRITE_TIMEOUT).await {
         return answer;
     }
+    node.counters.count("batch.cancel.refused");
     let job = format!("{id:016x}");
-    log::info!(job = job.as_str(); "cancel request not written");
+    log::info!(job = job.as_str(); "cancel request not written in time");
     JobAnswer::NoAnswer
 }
 
