node: whether there are accounts is asked beside the configuration

Cause: read once more, has_accounts stood among what a node knows of the leader; the name of a test and a comment had to be read twice.

Change: the function moves to node/config.rs unchanged; the test is named a_job_accepted_without_a_leader_is_not_deleted_for_another_accounts_job, its checks are unchanged; one comment. No change of behaviour.

--- a/cli/tests/test_accounts.rs
+++ b/cli/tests/test_accounts.rs
@@ -183,7 +183,7 @@
 /// Guards against accepting the jobs of two accounts under one id while no leader says whose the id
 /// is: one of the two jobs would be deleted.
 #[tokio::test]
-async fn a_job_that_is_accepted_without_a_leader_is_not_taken_for_another_accounts() {
+async fn a_job_accepted_without_a_leader_is_not_deleted_for_another_accounts_job() {
     let site = Site::start(PROGRAM, 3, 2, 0).await.unwrap();
     site.publish_config(2, &accounts());
     wait_until_keys_required(&site).await;
--- a/lib/src/batch/node/config.rs
+++ b/lib/src/batch/node/config.rs
@@ -60,4 +60,10 @@
         self.announce_version(version);
         true
     }
+
+    /// Whether the configuration in force has accounts: then the id of a job may be in use by that of
+    /// another account.
+    pub fn has_accounts(&self) -> bool {
+        self.config().is_some_and(|config| !config.accounts().is_empty())
+    }
 }
--- a/lib/src/batch/node/leadership.rs
+++ b/lib/src/batch/node/leadership.rs
@@ -179,10 +179,4 @@
             _ => None,
         }
     }
-
-    /// Whether the configuration in force has accounts, so that an id may be in use by the job of
-    /// another one.
-    pub fn has_accounts(&self) -> bool {
-        self.config().is_some_and(|config| !config.accounts().is_empty())
-    }
 }
--- a/lib/tests/test_cancel_queue.rs
+++ b/lib/tests/test_cancel_queue.rs
@@ -12,7 +12,7 @@
 const CANCELS: u64 = 40;
 const LIMIT: Duration = Duration::from_secs(60);
 
-/// Starts to write so many cancels.
+/// Starts to write [`CANCELS`] cancels.
 async fn start_writes(queue: &Arc<Queue>) -> Vec<tokio::task::JoinHandle<bool>> {
     let write = |id| {
         let (queue, record) = (queue.clone(), record::cancel(id, &Caller::Operator));
