--- a/testutils/src/fixture.rs
+++ b/testutils/src/fixture.rs
@@ -92,6 +92,7 @@
     program: String,
     dialer: Dialer,
     flags: Vec<(&'static str, String)>,
+    variables: Vec<(&'static str, &'static str)>,
 }
 
 impl Fixture {
@@ -101,6 +102,16 @@
         program: &str,
         daemons: usize,
         flags: &[(&'static str, &str)],
+    ) -> io::Result<Fixture> {
+        Fixture::start_with_variables(program, daemons, flags, &[]).await
+    }
+
+    /// Starts the small site as [`Fixture::start`] does, with environment variables for the daemons.
+    pub async fn start_with_variables(
+        program: &str,
+        daemons: usize,
+        flags: &[(&'static str, &str)],
+        variables: &[(&'static str, &'static str)],
     ) -> io::Result<Fixture> {
         let site = SMALL_SITE;
         let ledger = Ledger::new(site.ledger_pools());
@@ -130,6 +141,7 @@
             program: program.to_owned(),
             dialer: Dialer::new(Duration::from_secs(1)),
             flags: flags.collect(),
+            variables: variables.to_vec(),
         };
         for id in 0..daemons {
             fixture.start_daemon(id)?;
@@ -158,7 +170,7 @@
             ("appends-per-s", "30".to_owned()),
         ];
         flags.extend(self.flags.clone());
-        let process = Process::start(&self.program, &flags)?;
+        let process = Process::start(&self.program, &flags, &self.variables)?;
         for link in self.peer_links.iter().filter_map(|links| links[id].as_ref()) {
             link.set_upstream(process.addrs.peer);
         }
@@ -182,6 +194,11 @@
         self.daemons[id].as_ref().expect("the test started this daemon").addrs
     }
 
+    /// The process id of a daemon.
+    pub fn pid(&self, id: usize) -> u32 {
+        self.daemons[id].as_ref().expect("the test started this daemon").pid()
+    }
+
     /// Kills a daemon.
     pub fn kill_daemon(&mut self, id: usize) {
         self.daemons[id] = None;
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -68,6 +68,21 @@
     _advice: Advice,
 }
 
+/// The limits of the machine that a daemon runs on, as its settings state them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Machine {
+    /// Memory of a process, in megabytes.
+    pub memory_mb: u64,
+    /// Open descriptors of a process.
+    pub max_descriptors: usize,
+}
+
+impl Default for Machine {
+    fn default() -> Machine {
+        Machine { memory_mb: 260, max_descriptors: 4_100 }
+    }
+}
+
 /// What a site consists of.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -86,6 +101,8 @@
     pub has_links: bool,
     /// Number of daemons, the last ones, that are not started.
     pub stopped_nodes: usize,
+    /// The `memoryMb` and `maxFds` settings of each daemon.
+    pub machine: Machine,
 }
 
 impl Options {
@@ -99,6 +116,7 @@
             workers_per_shard: None,
             has_links: false,
             stopped_nodes: 0,
+            machine: Machine::default(),
         }
     }
 }
@@ -152,6 +170,7 @@
             let node = NodeOptions {
                 number,
                 cpu_share,
+                machine: options.machine,
                 handover_gap: options.handover_gap,
                 workers_per_shard: options.workers_per_shard,
                 machines: machines_proxy.addr,
--- a/testutils/src/platform/site/node.rs
+++ b/testutils/src/platform/site/node.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 
 use crate::platform::site::CHECK_INTERVAL;
+use crate::platform::site::Machine;
 use crate::platform::store::Endpoint;
 use crate::platform::store::Store;
 use crate::ports;
@@ -35,6 +36,8 @@
     pub(super) number: usize,
     /// Its `cpuShare` setting: the fraction of a core that it may use.
     pub(super) cpu_share: f64,
+    /// Its `memoryMb` and `maxFds` settings.
+    pub(super) machine: Machine,
     /// Minimum time between the order windows of two schedulers.
     pub(super) handover_gap: Duration,
     /// Number of workers in a shard; `None` for the daemon's default.
@@ -53,10 +56,14 @@
     pub store_proxy: Proxy,
     /// The proxy between clients and it.
     pub client_proxy: Proxy,
+    /// The address for clients.
+    pub client_addr: SocketAddr,
+    /// The address for readiness probes.
+    pub readiness_addr: SocketAddr,
     /// The address for operators.
     pub operator_addr: SocketAddr,
     /// The address for other daemons.
-    pub(super) peer_addr: SocketAddr,
+    pub peer_addr: SocketAddr,
     settings_file: PathBuf,
     /// The file to which the process logs, unless it logs to the test's own output.
     log_file: PathBuf,
@@ -79,16 +86,18 @@
         let client_proxy = Proxy::start(front).await?;
         let (peer_addr, peers) = (peers, peers.port());
         let settings_file = std::env::temp_dir().join(format!("spokelift-{ip}.toml"));
-        let NodeOptions { number, cpu_share, handover_gap, workers_per_shard, machines, advice } =
-            options;
+        let NodeOptions { number, cpu_share, machine, .. } = options;
+        let NodeOptions { handover_gap, workers_per_shard, machines, advice, .. } = options;
         let text = format!(
             "node = \"node-{number}\"\nip = \"{ip}\"\nzone = \"hall-1\"\n\
              portRange = [{peers}, {operate}]\nheartbeatMs = 500\nadvice = \"{advice}\"\n\
              [listen]\nfront = \"{front}\"\nreadiness = \"{readiness}\"\n\
-             [limits]\ncpuShare = {cpu_share}\n\
+             [limits]\ncpuShare = {cpu_share}\nmemoryMb = {memory}\nmaxFds = {descriptors}\n\
              [platform]\naddress = \"{store}\"\nform = \"log\"\nparts = 12\n\
              [cloudApi]\naddress = \"{machines}\"\n\
              [bounds]\nleaseMs = {gap}\nupkeep_s = 0.6\nmove_s = 0.6\n",
+            memory = machine.memory_mb,
+            descriptors = machine.max_descriptors,
             gap = handover_gap.as_millis(),
             operate = peers + 1,
             store = store_proxy.addr,
@@ -101,6 +110,8 @@
             store_endpoint,
             store_proxy,
             client_proxy,
+            client_addr: front,
+            readiness_addr: readiness,
             operator_addr,
             peer_addr,
             settings_file,
