transport: the connections of all listeners have one bound

What callers saw: clients that open connections and send nothing take all descriptors of a node; then it reaches neither the store nor a worker, and accepts nobody.

Cause: each HTTP listener had a constant limit of its own (4,096 with 3,900 descriptors for sockets), the listener for other nodes none, and a connection without a request was kept for 120 s whoever waited.

Change: admission::Control bounds the accepted connections of all listeners together by half of the machine's descriptors for sockets. At the bound the connection that has waited longest for its client is closed.

--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -91,6 +91,9 @@
     /// largest request body, in bytes [8388608]
     #[argh(option)]
     body_limit: Option<String>,
+    /// open descriptors that the process may have; its connections take up to half [4100]
+    #[argh(option)]
+    max_descriptors: Option<String>,
     /// time between telling the balancer and closing the door [2000]
     #[argh(option)]
     stop_delay_ms: Option<String>,
@@ -137,6 +140,7 @@
             "queue-wait-ms" => &self.queue_wait_ms,
             "call-limit-ms" => &self.call_limit_ms,
             "body-limit" => &self.body_limit,
+            "max-descriptors" => &self.max_descriptors,
             "stop-delay-ms" => &self.stop_delay_ms,
             "snapshot-every" => &self.snapshot_every,
             "snapshot-s" => &self.snapshot_s,
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -58,7 +58,10 @@
 use crate::listen::StartError;
 use crate::listen::listen;
 use crate::metrics::Counters;
+use crate::metrics::count_admission;
 use crate::settings::NodeSettings;
+use crate::transport::admission;
+use crate::transport::admission::Limits;
 use crate::transport::clock;
 use crate::transport::dial::Body;
 use crate::transport::dial::Dialer;
@@ -243,8 +246,12 @@
     let peers = listen("peers", peer_addr).await?;
     log::info!(node = settings.node.as_str(), hall = settings.hall.as_str(); "node starts");
     let node = Node::new(settings, options, counters);
+    let admission = admission::Control::new(
+        Limits::of_machine(node.settings.max_descriptors),
+        count_admission(node.counters.clone()),
+    );
     let tasks = [
-        tokio::spawn(peer::serve(node.clone(), peers)),
+        tokio::spawn(peer::serve(node.clone(), peers, admission.clone())),
         tokio::spawn(operator::run(node.clone())),
         tokio::spawn(gossip::run(node.clone())),
         tokio::spawn(leader::run(node.clone())),
@@ -256,13 +263,16 @@
     ];
     let (close, closed) = watch::channel(false);
     let this = node.clone();
-    let clients =
-        serve(clients, closed.clone(), move |request| client_api::handle(this.clone(), request));
+    let clients = serve(clients, admission.clone(), closed.clone(), move |request| {
+        client_api::handle(this.clone(), request)
+    });
     let this = node.clone();
-    let probes =
-        serve(readiness, closed.clone(), move |request| answer_readiness(this.clone(), request));
+    let probes = serve(readiness, admission.clone(), closed.clone(), move |request| {
+        answer_readiness(this.clone(), request)
+    });
     let this = node.clone();
-    let views = serve(metrics, closed, move |request| handle_operator(this.clone(), request));
+    let views =
+        serve(metrics, admission, closed, move |request| handle_operator(this.clone(), request));
     let stopping = async {
         // A dropped sender is a stop as well.
         let _ = stop.wait_for(|stop| *stop).await;
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -39,6 +39,9 @@
 use crate::batch::record::Accepted;
 use crate::batch::relay;
 use crate::metrics::Counters;
+use crate::transport::admission;
+use crate::transport::admission::Client;
+use crate::transport::clock;
 use crate::transport::progress::Progress;
 use crate::transport::progress::timeout_without_progress;
 use crate::transport::socket;
@@ -287,12 +290,19 @@
 }
 
 /// Accepts connections of peers and answers their requests until the process ends.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve(node: Arc<Node>, listener: TcpListener, admission: admission::Control) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(node.clone(), stream));
+        match admission.accept(&listener).await {
+            Ok(Some((stream, admitted))) => {
+                let node = node.clone();
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = serve_connection(node, stream, admitted.client()) => {}
+                        () = admitted.client().closed() => {}
+                    }
+                });
             }
+            Ok(None) => {}
             Err(error) => {
                 log::warn!("cannot accept a connection of a peer: {error}");
                 tokio::time::sleep(CONNECT_TIMEOUT).await;
@@ -301,7 +311,8 @@
     }
 }
 
-async fn serve_connection(node: Arc<Node>, stream: TcpStream) {
+async fn serve_connection(node: Arc<Node>, stream: TcpStream, client: &Client) {
+    client.wait_since(clock::now());
     if let Err(error) = socket::set_options(&stream) {
         log::debug!("cannot set up a connection of a peer: {error}");
         return;
@@ -317,6 +328,7 @@
     };
     let read = async move {
         while let Some(Ok(frame)) = frames.next().await {
+            client.wait_since(clock::now());
             let (number, request) = match postcard::from_bytes::<(u64, Request)>(&frame) {
                 Ok(message) => message,
                 Err(error) => {
--- a/lib/src/coordination/catch_up.rs
+++ b/lib/src/coordination/catch_up.rs
@@ -31,6 +31,7 @@
 use crate::state::fleet::Fleet;
 use crate::state::id::Offset;
 use crate::state::snapshot;
+use crate::transport::admission;
 use crate::transport::clock;
 
 /// How often a daemon checks whether it should catch up.
@@ -191,18 +192,28 @@
 }
 
 /// Serves peers that catch up, for as long as the daemon runs.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve(node: Arc<Node>, listener: TcpListener, admission: admission::Control) {
     let permits = Arc::new(Semaphore::new(MAX_CLIENTS));
     loop {
         let permit = permits.clone().acquire_owned().await;
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(RETRY_DELAY).await;
-            continue;
+        let (stream, admitted) = match admission.accept(&listener).await {
+            Ok(Some(accepted)) => accepted,
+            Ok(None) => continue,
+            Err(_) => {
+                sleep(RETRY_DELAY).await;
+                continue;
+            }
         };
         let node = node.clone();
         tokio::spawn(async move {
             let _permit = permit;
-            match timeout(EXCHANGE_TIMEOUT, serve_peer(&node, stream)).await {
+            admitted.client().wait_since(clock::now());
+            let exchange = timeout(EXCHANGE_TIMEOUT, serve_peer(&node, stream));
+            let result = tokio::select! {
+                result = exchange => result,
+                () = admitted.client().closed() => return,
+            };
+            match result {
                 Ok(Ok(())) => node.counters.count("catch-up.served"),
                 Ok(Err(error)) => node.counters.count(served_counter(&error)),
                 Err(_) => node.counters.count("catch-up.refused.timeout"),
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -28,8 +28,11 @@
 use crate::listen::StartError;
 use crate::listen::listen;
 use crate::metrics::Counters;
+use crate::metrics::count_admission;
 use crate::operator_api;
 use crate::settings::Settings;
+use crate::transport::admission;
+use crate::transport::admission::Limits;
 use crate::transport::serve::serve;
 
 /// How often the basis on which the daemon serves is checked for changes.
@@ -106,11 +109,17 @@
     let counters = Counters::new(settings.statsd).map_err(StartError::Metrics)?;
     let node = Node::new(settings, counters);
     let mut tasks = JoinSet::new();
-    tasks.spawn(catch_up::serve(node.clone(), sockets.catch_up));
+    let admission = admission::Control::new(
+        Limits::of_machine(node.settings.max_descriptors),
+        count_admission(node.counters.clone()),
+    );
+    tasks.spawn(catch_up::serve(node.clone(), sockets.catch_up, admission.clone()));
     spawn_tasks(&node, sockets.peer, &mut tasks);
     let (close, closed) = watch::channel(false);
-    let calls = serve(sockets.call, closed.clone(), handler(&node, call::handle));
-    let operations = serve(sockets.operate, closed, handler(&node, operator_api::handle));
+    let calls =
+        serve(sockets.call, admission.clone(), closed.clone(), handler(&node, call::handle));
+    let operations =
+        serve(sockets.operate, admission, closed, handler(&node, operator_api::handle));
     let stopping = async {
         // A dropped sender stops the daemon as well.
         let _ = stop.wait_for(|stop| *stop).await;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -14,6 +14,8 @@
 use cadence::MetricSink;
 use cadence::StatsdClient;
 
+use crate::transport::admission;
+
 /// Prefix of every metric.
 const PREFIX: &str = "spokelift";
 
@@ -106,3 +108,8 @@
         totals.clone()
     }
 }
+
+/// Counts what happens at the limits of a process's accepted connections.
+pub fn count_admission(counters: Counters) -> admission::EventHandler {
+    Arc::new(move |event| counters.count(event.counter()))
+}
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -130,6 +130,6 @@
     let options = NodeSettings::resolve(|_| None).expect("every setting has a value");
     let options = NodeSettings { refuse_after_objectives: 3, ..options };
     let node = Node::new(settings, options, Counters::new(None).expect("no metrics are sent"));
-    tokio::spawn(peer::serve(node.clone(), listener));
+    tokio::spawn(peer::serve(node.clone(), listener, crate::serve::unlimited()));
     node
 }
--- a/testutils/src/boxes.rs
+++ b/testutils/src/boxes.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use crate::serve::serve;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use spokelift_lib::protocol::boxes::List;
 use spokelift_lib::protocol::boxes::ListedBox;
 use spokelift_lib::transport::dial::Body;
-use spokelift_lib::transport::serve::serve;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod process;
 pub mod proxy;
 pub mod scenario;
+pub mod serve;
 pub mod setting;
 pub mod site;
 pub mod temp_file;
--- a/testutils/src/log.rs
+++ b/testutils/src/log.rs
@@ -8,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use crate::serve::serve;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Method;
@@ -22,7 +23,6 @@
 use spokelift_lib::state::id::Offset;
 use spokelift_lib::transport::dial::Body;
 use spokelift_lib::transport::dial::full;
-use spokelift_lib::transport::serve::serve;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::sync::watch;
--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -11,6 +11,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use crate::serve::serve;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -18,7 +19,6 @@
 use serde_json::json;
 use spokelift_lib::transport::dial::Body;
 use spokelift_lib::transport::dial::full;
-use spokelift_lib::transport::serve::serve;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -11,6 +11,7 @@
 use std::sync::Weak;
 use std::time::Duration;
 
+use crate::serve::serve;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -22,7 +23,6 @@
 use serde_json::json;
 use spokelift_lib::transport::dial::Body;
 use spokelift_lib::transport::dial::full;
-use spokelift_lib::transport::serve::serve;
 use spokelift_platform::store::Partition;
 use spokelift_platform::store::Record;
 use spokelift_platform::store::WORKER_TOPIC;
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -17,13 +17,13 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use crate::serve::serve;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
 use spokelift_lib::transport::dial::Body;
-use spokelift_lib::transport::serve::serve;
 use spokelift_platform::store::Record;
 use spokelift_platform::store::WORKER_TOPIC;
 use tokio::net::TcpListener;
--- a/testutils/src/worker.rs
+++ b/testutils/src/worker.rs
@@ -8,6 +8,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use crate::serve::serve;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Request;
@@ -31,7 +32,6 @@
 use spokelift_lib::transport::dial::Body;
 use spokelift_lib::transport::dial::BodyError;
 use spokelift_lib::transport::dial::full;
-use spokelift_lib::transport::serve::serve;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
--- a/testutils/tests/test_idle.rs
+++ b/testutils/tests/test_idle.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use spokelift_lib::transport::dial::Body;
 use spokelift_lib::transport::dial::full;
-use spokelift_lib::transport::serve::serve;
+use spokelift_testutils::serve::serve;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
--- a/transport/src/serve.rs
+++ b/transport/src/serve.rs
@@ -1,10 +1,10 @@
-//! HTTP server with one task for each connection. On shutdown, requests in flight are completed.
+//! HTTP server with one task for each admitted connection. On shutdown, requests in flight are
+//! completed.
 
 mod phase;
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::Request;
@@ -15,11 +15,11 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep_until;
 
+use crate::admission;
 use crate::clock;
 use crate::dial::Body;
 use crate::serve::phase::Due;
@@ -27,8 +27,6 @@
 use crate::serve::phase::TrackedStream;
 use crate::socket;
 
-/// Maximum number of connections of a listener; further ones wait to be accepted.
-const MAX_CONNECTIONS: usize = 4096;
 /// Largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Pause after a failed accept, for example for lack of file descriptors.
@@ -36,41 +34,43 @@
 
 /// Serves `listener` until `stop` turns true, then completes the requests in flight.
 ///
-/// Dropping the future closes every connection at once.
-pub async fn serve<H, F>(listener: TcpListener, mut stop: watch::Receiver<bool>, handler: H)
-where
+/// Connections are closed or refused if `admission` says so. Dropping the future closes every
+/// connection at once.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    admission: admission::Control,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
-        let accept = async {
-            let permit = permits.clone().acquire_owned().await;
-            let accepted = listener.accept().await;
-            (permit, accepted)
-        };
-        let (permit, accepted) = tokio::select! {
-            accepted = accept => accepted,
+        let accepted = tokio::select! {
+            accepted = admission.accept(&listener) => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        let connection = serve_connection(stream, stop.clone(), handler.clone());
-        connections.spawn(async move {
-            connection.await;
-            drop(permit);
-        });
+        match accepted {
+            Ok(Some((stream, admitted))) => {
+                let (stop, handler) = (stop.clone(), handler.clone());
+                connections.spawn(serve_connection(stream, admitted, stop, handler));
+            }
+            Ok(None) => {}
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, mut stop: watch::Receiver<bool>, handler: H)
-where
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    admitted: admission::Connection,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
@@ -78,7 +78,7 @@
         // The caller has disconnected already.
         return;
     }
-    let phase = Phase::new();
+    let phase = Phase::new(admitted.client().clone());
     let service = service_fn(|request| {
         phase.start_response();
         let response = handler(request);
@@ -113,9 +113,13 @@
                 connection.as_mut().graceful_shutdown();
                 is_closing = true;
             }
+            () = admitted.client().closed() => return,
             () = sleep_until(clock::timer_instant(due_at)) => {}
         }
     }
     // The rest of a long response may still be in transit.
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = admitted.client().closed() => {}
+    }
 }
--- a/transport/src/serve/phase.rs
+++ b/transport/src/serve/phase.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -15,6 +16,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::admission::Client;
 use crate::clock;
 
 /// Time limit for receiving the head of a request.
@@ -49,22 +51,35 @@
 
 /// Activity of a connection, shared by its stream and its request handlers.
 #[derive(Clone)]
-pub(super) struct Phase(Arc<Mutex<Activity>>);
+pub(super) struct Phase {
+    activity: Arc<Mutex<Activity>>,
+    client: Client,
+}
 
 impl Phase {
-    pub(super) fn new() -> Phase {
-        Phase(Arc::new(Mutex::new(Activity::Idle(clock::now()))))
+    pub(super) fn new(client: Client) -> Phase {
+        let now = clock::now();
+        client.wait_since(now);
+        Phase { activity: Arc::new(Mutex::new(Activity::Idle(now))), client }
+    }
+
+    fn activity(&self) -> MutexGuard<'_, Activity> {
+        self.activity.lock().expect("no thread panics while it holds the phase lock")
     }
 
     fn set(&self, activity: Activity) {
-        *self.0.lock().expect("no thread panics while it holds the phase lock") = activity;
+        match activity {
+            Activity::Idle(since) | Activity::ReadingHead(since) => self.client.wait_since(since),
+            Activity::Responding => self.client.stop_waiting(),
+        }
+        *self.activity() = activity;
     }
 
     /// Records that bytes were received.
     fn on_bytes(&self) {
-        let mut activity = self.0.lock().expect("no thread panics while it holds the phase lock");
-        if matches!(*activity, Activity::Idle(_)) {
-            *activity = Activity::ReadingHead(clock::now());
+        let is_idle = matches!(*self.activity(), Activity::Idle(_));
+        if is_idle {
+            self.set(Activity::ReadingHead(clock::now()));
         }
     }
 
@@ -80,7 +95,7 @@
 
     /// What is to be done now.
     pub(super) fn due(&self) -> Due {
-        let activity = *self.0.lock().expect("no thread panics while it holds the phase lock");
+        let activity = *self.activity();
         match activity {
             Activity::Idle(since) if clock::since(since) >= IDLE_TIMEOUT => Due::Close,
             Activity::ReadingHead(since) if clock::since(since) >= HEAD_TIMEOUT => Due::Abort,
