transport: connections take at most a quarter of the memory

What callers saw: clients that send heads of requests which do not end make a node exceed the memory of its machine, and the platform kills it.

Cause: each head had a bound of 32 KiB, but the number of connections had none from the machine's memory, which was not read from the settings.

Change: the bound on connections is also a quarter of the memory at 64 KiB each; a head has 16 KiB at most.

--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -91,6 +91,9 @@
     /// largest request body, in bytes [8388608]
     #[argh(option)]
     body_limit: Option<String>,
+    /// memory that the process may have; connections take up to a quarter [260]
+    #[argh(option)]
+    memory_mb: Option<String>,
     /// open descriptors that the process may have; its connections take up to half [4100]
     #[argh(option)]
     max_descriptors: Option<String>,
@@ -140,6 +143,7 @@
             "queue-wait-ms" => &self.queue_wait_ms,
             "call-limit-ms" => &self.call_limit_ms,
             "body-limit" => &self.body_limit,
+            "memory-mb" => &self.memory_mb,
             "max-descriptors" => &self.max_descriptors,
             "stop-delay-ms" => &self.stop_delay_ms,
             "snapshot-every" => &self.snapshot_every,
--- a/cli/src/trial/testbed.rs
+++ b/cli/src/trial/testbed.rs
@@ -277,6 +277,7 @@
             queue_wait: Duration::from_millis(500),
             call_limit: Duration::from_secs(15),
             body_limit: 1024 * 1024,
+            memory: 260 << 20,
             max_descriptors: 4_100,
             stop_delay: Duration::from_secs(1),
             snapshot_every: 64,
--- a/cli/tests/test_misbehaving_clients.rs
+++ b/cli/tests/test_misbehaving_clients.rs
@@ -9,10 +9,13 @@
 use spokelift_testutils::platform::site::Machine;
 use spokelift_testutils::platform::site::Options;
 use spokelift_testutils::platform::site::Site;
+use spokelift_testutils::platform::site::config::HOST;
 use spokelift_testutils::process::Usage;
 use tokio::sync::Mutex;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
+/// The machine of a daemon with little memory.
+const SMALL_MEMORY: Machine = Machine { memory_mb: 64, max_descriptors: 4_100 };
 /// The machine of a daemon with few descriptors.
 const FEW_DESCRIPTORS: Machine = Machine { memory_mb: 260, max_descriptors: 400 };
 /// What an ordinary job is submitted under.
@@ -59,6 +62,18 @@
     assert_served(&site, FEW_DESCRIPTORS).await;
 }
 
+/// Heads of requests are held until they are complete.
+#[tokio::test]
+async fn heads_that_stop_short() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    let mut crowd = Crowd::connect(site.nodes[0].client_addr, 2_500).await;
+    let head = format!("GET /q/ HTTP/1.1\r\nhost: {HOST}\r\nx-long: {}", "x".repeat(31_000));
+    crowd.send(head).await;
+    crowd.wait_until_read().await;
+    assert_served(&site, SMALL_MEMORY).await;
+}
+
 /// Starts a daemon of a site of its own log on a machine.
 async fn start_daemon(variables: &[(&'static str, &'static str)]) -> Fixture {
     let fixture = Fixture::start_with_variables(PROGRAM, 1, &[], variables).await.unwrap();
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -247,7 +247,7 @@
     log::info!(node = settings.node.as_str(), hall = settings.hall.as_str(); "node starts");
     let node = Node::new(settings, options, counters);
     let admission = admission::Control::new(
-        Limits::of_machine(node.settings.max_descriptors),
+        Limits::of_machine(node.settings.memory, node.settings.max_descriptors),
         count_admission(node.counters.clone()),
     );
     let tasks = [
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -110,7 +110,7 @@
     let node = Node::new(settings, counters);
     let mut tasks = JoinSet::new();
     let admission = admission::Control::new(
-        Limits::of_machine(node.settings.max_descriptors),
+        Limits::of_machine(node.settings.memory, node.settings.max_descriptors),
         count_admission(node.counters.clone()),
     );
     tasks.spawn(catch_up::serve(node.clone(), sockets.catch_up, admission.clone()));
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -77,6 +77,7 @@
     "queue-wait-ms", "how long a request may wait for a slot", "0 to 60000", Some("500");
     "call-limit-ms", "how long a request may take in all", "100 to 3600000", Some("30000");
     "body-limit", "largest request body, in bytes", "1024 to 1073741824", Some("8388608");
+    "memory-mb", "memory that the process may have; connections take up to a quarter", "16 to 1000000", Some("260");
     "max-descriptors", "open descriptors that the process may have; its connections take up to half", "300 to 1000000", Some("4100");
     "stop-delay-ms", "time between telling the balancer and closing the door", "0 to 60000", Some("2000");
     "snapshot-every", "batches on the log between two snapshots", "16 to 1000000", Some("2000");
@@ -128,6 +129,8 @@
     pub call_limit: Duration,
     /// Largest request body, in bytes.
     pub body_limit: u64,
+    /// Memory of the process, in bytes.
+    pub memory: usize,
     /// Maximum number of open descriptors of the process.
     pub max_descriptors: usize,
     /// Time between reporting not ready to the balancer and closing the listeners.
@@ -363,6 +366,7 @@
     let queue_wait = reader.millis("queue-wait-ms", 0..=60_000);
     let call_limit = reader.millis("call-limit-ms", 100..=3_600_000);
     let body_limit = reader.number("body-limit", 1024..=1_073_741_824);
+    let memory_mb = reader.number::<usize>("memory-mb", 16..=1_000_000);
     let max_descriptors = reader.number("max-descriptors", 300..=1_000_000);
     let stop_delay = reader.millis("stop-delay-ms", 0..=60_000);
     let snapshot_every = reader.number("snapshot-every", 16..=1_000_000);
@@ -389,6 +393,7 @@
         queue_wait: queue_wait?,
         call_limit: call_limit?,
         body_limit: body_limit?,
+        memory: memory_mb? << 20,
         max_descriptors: max_descriptors?,
         stop_delay: stop_delay?,
         snapshot_every: snapshot_every?,
--- a/transport/src/admission.rs
+++ b/transport/src/admission.rs
@@ -19,6 +19,11 @@
 
 /// Descriptors that the platform keeps for files.
 const FILE_DESCRIPTORS: usize = 200;
+/// Memory of a connection without the bodies of its requests, in bytes: mostly the buffer for the
+/// head of a request, and the state of its handler.
+const CONNECTION_BYTES: usize = 64 * 1024;
+/// Connections may take one part in so many of the memory.
+const CONNECTIONS_DIVISOR: usize = 4;
 
 /// What all accepted connections of a process may use together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,17 +33,19 @@
 }
 
 impl Limits {
-    /// The limits on a machine on which a process may have this many descriptors. Half of those for
-    /// sockets are left for connections of the process's own.
+    /// The limits on a machine on which a process may have this much memory, in bytes, and this many
+    /// descriptors. Half of those for sockets are left for connections of the process's own.
     ///
     /// ```
     /// use spokelift_transport::admission::Limits;
-    /// assert_eq!(Limits::of_machine(4_100).connections, 1_950);
-    /// assert_eq!(Limits::of_machine(0).connections, 1);
+    /// assert_eq!(Limits::of_machine(160 << 20, 4_100).connections, 640);
+    /// assert_eq!(Limits::of_machine(160 << 20, 400).connections, 100);
+    /// assert_eq!(Limits::of_machine(0, 0).connections, 1);
     /// ```
-    pub fn of_machine(max_descriptors: usize) -> Limits {
-        let connections = max_descriptors.saturating_sub(FILE_DESCRIPTORS) / 2;
-        Limits { connections: connections.max(1) }
+    pub fn of_machine(memory: usize, max_descriptors: usize) -> Limits {
+        let by_memory = memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+        let by_descriptors = max_descriptors.saturating_sub(FILE_DESCRIPTORS) / 2;
+        Limits { connections: by_memory.min(by_descriptors).max(1) }
     }
 }
 
--- a/transport/src/serve.rs
+++ b/transport/src/serve.rs
@@ -27,8 +27,8 @@
 use crate::serve::phase::TrackedStream;
 use crate::socket;
 
-/// Largest request head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Largest request head, and largest piece of a body, in bytes.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
 /// Pause after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -90,7 +90,7 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(MAX_HEAD_BYTES);
+    builder.max_buf_size(MAX_BUFFER_BYTES);
     let stream = TrackedStream::new(stream, phase.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
