transport: bodies of all requests have one bound

What callers saw: many bodies of legal size that stop just short of their end make a node exceed the memory of its machine, and the platform kills it.

Cause: one body was bounded, all bodies together were not, and one that did not end was kept as long as its connection was open.

Change: admission counts the bytes of bodies until their requests are answered, against an eighth of the machine's memory. At the bound the waiting connection that has cost most, by bytes and time, is closed; if none has cost more than the request that needs room, that one is refused with 503.

--- a/cli/src/bin/spokeliftd.rs
+++ b/cli/src/bin/spokeliftd.rs
@@ -91,7 +91,7 @@
     /// largest request body, in bytes [8388608]
     #[argh(option)]
     body_limit: Option<String>,
-    /// memory that the process may have; connections take up to a quarter [260]
+    /// memory that the process may have; connections take up to a quarter, bodies an eighth [260]
     #[argh(option)]
     memory_mb: Option<String>,
     /// open descriptors that the process may have; its connections take up to half [4100]
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -115,6 +115,7 @@
         }
         ApiError::Refused { .. } => "nothing was changed; state the intent again to plan from now",
         ApiError::Unknown { .. } => "`spokelift record ID` asks what became of it",
+        ApiError::Overloaded => "try another daemon, or again in a second",
         ApiError::Stale | ApiError::Busy | ApiError::JobRefused => {
             "try another daemon, or wait for the log"
         }
--- a/cli/tests/test_misbehaving_clients.rs
+++ b/cli/tests/test_misbehaving_clients.rs
@@ -2,6 +2,7 @@
 //! within the memory and the descriptors of its machine, and answers an ordinary request while the
 //! crowd's connections are still open.
 
+use hyper::header::AUTHORIZATION;
 use serde_json::Value;
 use serde_json::json;
 use spokelift_testutils::crowd::Crowd;
@@ -12,6 +13,7 @@
 use spokelift_testutils::platform::site::Site;
 use spokelift_testutils::platform::site::config::HOST;
 use spokelift_testutils::process::Usage;
+use spokelift_testutils::site::caller_secret;
 use tokio::sync::Mutex;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
@@ -64,6 +66,29 @@
     format!("{length:x}\r\n{}\r\n", " ".repeat(length))
 }
 
+/// Bodies of legal size are held until they are complete: together they may not exceed the memory.
+#[tokio::test]
+async fn large_bodies_that_stop_short() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    let mut crowd = Crowd::connect(site.nodes[0].client_addr, 400).await;
+    crowd.send(with_length(MAX_BODY_BYTES) + &" ".repeat(MAX_BODY_BYTES - 1)).await;
+    crowd.wait_until_read().await;
+    assert_served(&site, SMALL_MEMORY).await;
+}
+
+/// As bodies of known length, bodies in large chunks may not exceed the memory together.
+#[tokio::test]
+async fn large_chunks_that_stop_short() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    let mut crowd = Crowd::connect(site.nodes[0].client_addr, 400).await;
+    let chunks = chunk(32_768).repeat(7) + &chunk(32_767);
+    crowd.send(post_head("transfer-encoding: chunked") + &chunks).await;
+    crowd.wait_until_read().await;
+    assert_served(&site, SMALL_MEMORY).await;
+}
+
 /// The bookkeeping of each piece of a body is memory, too: 200,000 chunks of one byte.
 #[tokio::test]
 async fn tiny_chunks_that_stop_short() {
@@ -158,3 +183,19 @@
     }
     assert_caller_served(&fixture, FEW_DESCRIPTORS).await;
 }
+
+/// As `large_bodies_that_stop_short`, on a site of its own log.
+#[tokio::test]
+async fn bodies_of_callers_that_stop_short() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let fixture = start_daemon(&[("SPOKELIFT_MEMORY_MB", "64")]).await;
+    let mut crowd = Crowd::connect(fixture.addrs(0).call, 1_500).await;
+    let credential = format!("clinics:{}", caller_secret("clinics"));
+    let head = format!(
+        "POST /v1/call/booking HTTP/1.1\r\nhost: x\r\n{AUTHORIZATION}: Bearer {credential}\r\n\
+         content-length: 65536\r\n\r\n"
+    );
+    crowd.send(head + &" ".repeat(65_535)).await;
+    crowd.wait_until_read().await;
+    assert_caller_served(&fixture, SMALL_MEMORY).await;
+}
--- a/lib/src/batch/client_api.rs
+++ b/lib/src/batch/client_api.rs
@@ -95,7 +95,7 @@
                 Ok(body) => body,
                 Err(error) => return refuse_body(id, &error),
             };
-            let job = match Job::decode(&body) {
+            let job = match Job::decode(&body.bytes) {
                 Ok(job) => job,
                 Err(error) => {
                     log::info!(job = format!("{id:016x}").as_str(); "cannot decode the job: {error}");
@@ -168,6 +168,7 @@
     log::info!(job = format!("{id:016x}").as_str(); "job refused: {error}");
     let mut response = match error {
         ReceiveError::TooLarge => empty_response(413),
+        ReceiveError::Exhausted(_) => retry_later(503, RETRY_DELAY),
         ReceiveError::Cut(_) => empty_response(400),
     };
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/lib/src/batch/node/operator_api.rs
+++ b/lib/src/batch/node/operator_api.rs
@@ -89,7 +89,7 @@
         (&Method::POST, ["queues", queue, "jobs", id]) => {
             let id = parse_id(id).ok_or(ApiError::Malformed)?;
             let body = body.receive(BODY_LIMIT_BYTES).await?;
-            submit_job(node, queue, id, &body, deadline).await
+            submit_job(node, queue, id, &body.bytes, deadline).await
         }
         (&Method::DELETE, ["jobs", id]) => {
             let id = parse_id(id).ok_or(ApiError::Malformed)?;
--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -44,6 +44,7 @@
 use crate::transport::dial::BodyError;
 use crate::transport::dial::full;
 use crate::transport::serve::Incoming;
+use crate::transport::serve::ReceiveError;
 
 /// Bodies up to this size are read whole before a target is chosen, so that a request whose body is
 /// incomplete does not run, and so that a repeatable request can be retried.
@@ -86,7 +87,7 @@
     if let Some(seconds) = refused.reason.retry_after_s() {
         response = response.header(RETRY_AFTER, seconds);
     }
-    if refused.reason == Reason::TooLarge {
+    if matches!(refused.reason, Reason::TooLarge | Reason::Overloaded) {
         // The connection is closed with the rest of the body unread; without this header, a caller
         // may send its next request on it.
         response = response.header(CONNECTION, "close");
@@ -169,7 +170,8 @@
         return Ok(Payload::Stream(limited_stream(node, body)));
     }
     match tokio::time::timeout(limit, body.receive(MAX_BUFFERED_BYTES as usize)).await {
-        Ok(Ok(bytes)) => Ok(Payload::Buffered(bytes)),
+        Ok(Ok(received)) => Ok(Payload::Buffered(received)),
+        Ok(Err(ReceiveError::Exhausted(_))) => Err(Refused::not_run(Reason::Overloaded)),
         _ => Err(Refused::not_run(Reason::Incomplete)),
     }
 }
@@ -194,9 +196,10 @@
     /// The body for one attempt; `None` if an earlier one has sent the stream.
     fn take_body(&mut self) -> Option<Body> {
         match std::mem::replace(self, Payload::Consumed) {
-            Payload::Buffered(bytes) => {
-                *self = Payload::Buffered(bytes.clone());
-                Some(full(bytes))
+            Payload::Buffered(received) => {
+                let body = full(received.bytes.clone());
+                *self = Payload::Buffered(received);
+                Some(body)
             }
             Payload::Stream(body) => Some(body),
             Payload::Consumed => None,
--- a/lib/src/call/attempt.rs
+++ b/lib/src/call/attempt.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use hyper::Response;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -27,6 +26,7 @@
 use crate::transport::dial::Body;
 use crate::transport::dial::ResponseBody;
 use crate::transport::dial::SendError;
+use crate::transport::serve::Received;
 
 /// Maximum number of targets that are tried for one request.
 const MAX_ATTEMPTS: usize = 3;
@@ -45,7 +45,7 @@
 /// The body of a caller's request.
 pub(super) enum Payload {
     /// Read whole; can be sent several times.
-    Buffered(Bytes),
+    Buffered(Received),
     /// Streamed; can be sent once.
     Stream(Body),
     /// A stream that was sent already.
--- a/lib/src/operator_api.rs
+++ b/lib/src/operator_api.rs
@@ -55,6 +55,7 @@
     let (head, body) = request.into_parts();
     let scope = authorize(node, &head)?;
     let body = body.receive(MAX_FILE_BYTES).await?;
+    let body = &body.bytes;
     let path: Vec<&str> = head.uri.path().trim_start_matches('/').split('/').collect();
     let resource = path.strip_prefix(&["v1"]).ok_or(ApiError::Malformed)?;
     match (&head.method, resource) {
@@ -73,9 +74,9 @@
             Ok(to_json(&change::record_status(node, id).await?))
         }
         (&Method::POST, ["publish"]) => {
-            Ok(to_json(&change::publish(node, &scope, body_text(&body)?).await?))
+            Ok(to_json(&change::publish(node, &scope, body_text(body)?).await?))
         }
-        (&Method::POST, ["intents"]) => Ok(to_json(&change::propose(node, &scope, &body).await?)),
+        (&Method::POST, ["intents"]) => Ok(to_json(&change::propose(node, &scope, body).await?)),
         (&Method::POST, ["plans", id, action]) => {
             let id = plan_id(id)?;
             let action = match *action {
--- a/lib/src/protocol/api.rs
+++ b/lib/src/protocol/api.rs
@@ -216,6 +216,9 @@
     /// Too many changes wait for the log; nothing was appended.
     #[error("too many changes wait for the log; nothing was changed")]
     Busy,
+    /// The daemon's memory for requests is used up; nothing was appended.
+    #[error("the daemon can hold no more requests now; nothing was changed")]
+    Overloaded,
 }
 
 impl From<CredentialError> for ApiError {
@@ -228,6 +231,7 @@
     fn from(error: ReceiveError) -> ApiError {
         match error {
             ReceiveError::TooLarge => ApiError::TooLarge,
+            ReceiveError::Exhausted(_) => ApiError::Overloaded,
             ReceiveError::Cut(_) => ApiError::Malformed,
         }
     }
@@ -244,7 +248,7 @@
             ApiError::Config { .. } | ApiError::Plan { .. } | ApiError::Job { .. } => 422,
             ApiError::Refused { .. } => 409,
             ApiError::Unknown { .. } | ApiError::JobUnknown { .. } => 504,
-            ApiError::Stale | ApiError::Busy | ApiError::JobRefused => 503,
+            ApiError::Stale | ApiError::Busy | ApiError::Overloaded | ApiError::JobRefused => 503,
         }
     }
 
@@ -264,6 +268,7 @@
             ApiError::JobRefused => "operate.refused.store",
             ApiError::Stale => "operate.refused.stale",
             ApiError::Busy => "operate.refused.busy",
+            ApiError::Overloaded => "operate.refused.overloaded",
         }
     }
 }
--- a/lib/src/protocol/call.rs
+++ b/lib/src/protocol/call.rs
@@ -71,6 +71,9 @@
     /// The daemon is stopping.
     #[error("this entry box is stopping")]
     Stopping,
+    /// The daemon's memory for requests is used up.
+    #[error("this entry box can hold no more requests now; another one may serve")]
+    Overloaded,
     /// The account's queue of waiting requests is full.
     #[error("too many requests of the account wait already")]
     QueueFull,
@@ -109,6 +112,7 @@
             Reason::Incomplete => "half-sent",
             Reason::Stale => "stale",
             Reason::Stopping => "stopping",
+            Reason::Overloaded => "overloaded",
             Reason::QueueFull => "queue-full",
             Reason::Busy => "busy",
             Reason::NoTarget => "no-target",
@@ -137,7 +141,11 @@
     /// Seconds after which the caller may retry; `None` if a retry is not advised.
     pub fn retry_after_s(self) -> Option<u32> {
         match self {
-            Reason::Stale | Reason::Stopping | Reason::QueueFull | Reason::Busy => Some(1),
+            Reason::Stale
+            | Reason::Stopping
+            | Reason::Overloaded
+            | Reason::QueueFull
+            | Reason::Busy => Some(1),
             Reason::NoTarget | Reason::Unreachable | Reason::TurnedAway => Some(2),
             _ => None,
         }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -77,7 +77,7 @@
     "queue-wait-ms", "how long a request may wait for a slot", "0 to 60000", Some("500");
     "call-limit-ms", "how long a request may take in all", "100 to 3600000", Some("30000");
     "body-limit", "largest request body, in bytes", "1024 to 1073741824", Some("8388608");
-    "memory-mb", "memory that the process may have; connections take up to a quarter", "16 to 1000000", Some("260");
+    "memory-mb", "memory that the process may have; connections take up to a quarter, bodies an eighth", "16 to 1000000", Some("260");
     "max-descriptors", "open descriptors that the process may have; its connections take up to half", "300 to 1000000", Some("4100");
     "stop-delay-ms", "time between telling the balancer and closing the door", "0 to 60000", Some("2000");
     "snapshot-every", "batches on the log between two snapshots", "16 to 1000000", Some("2000");
--- a/testutils/src/serve.rs
+++ b/testutils/src/serve.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 
 /// The limits of a stand-in.
-const LIMITS: Limits = Limits { connections: 4_096 };
+const LIMITS: Limits = Limits { connections: 4_096, bytes: 1 << 30 };
 
 /// Admits as many connections as the tests open.
 pub fn unlimited() -> Control {
--- a/transport/src/admission.rs
+++ b/transport/src/admission.rs
@@ -1,10 +1,11 @@
-//! Admission of connections: one bound on the accepted connections of all listeners of a process.
+//! Admission of connections and of what they send: one bound on the accepted connections of all
+//! listeners of a process, and one on the bytes that are held for them.
 //!
-//! A client may open any number of connections and leave them open. When the bound is reached, the
-//! connection that has waited longest for its client is closed in favour of the new one: it is
-//! either idle, or its client takes longest to send a request or to read an answer. A connection
-//! whose request is being handled is never closed for another one; if all are, the new one is
-//! refused.
+//! A client may open any number of connections, send a part of a request on each and leave them
+//! open. When a bound is reached, a connection that waits for its client is closed in favour of
+//! the one that needs room. For a place it is the one that has waited longest; for bytes, the one
+//! that has cost most so far, by its bytes and the time since it waits. A connection whose request
+//! is being handled is never closed for another one; if all are, the new request is refused.
 
 use std::collections::HashMap;
 use std::io;
@@ -13,10 +14,13 @@
 use std::sync::MutexGuard;
 use std::time::Instant;
 
+use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::clock;
+
 /// Descriptors that the platform keeps for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Memory of a connection without the bodies of its requests, in bytes: mostly the buffer for the
@@ -24,12 +28,16 @@
 const CONNECTION_BYTES: usize = 64 * 1024;
 /// Connections may take one part in so many of the memory.
 const CONNECTIONS_DIVISOR: usize = 4;
+/// The bytes of requests may take one part in so many of the memory.
+const BYTES_DIVISOR: usize = 8;
 
 /// What all accepted connections of a process may use together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Number of connections.
     pub connections: usize,
+    /// Bytes held for requests.
+    pub bytes: usize,
 }
 
 impl Limits {
@@ -38,14 +46,16 @@
     ///
     /// ```
     /// use spokelift_transport::admission::Limits;
-    /// assert_eq!(Limits::of_machine(160 << 20, 4_100).connections, 640);
+    /// let limits = Limits::of_machine(160 << 20, 4_100);
+    /// assert_eq!(limits, Limits { connections: 640, bytes: 20 << 20 });
     /// assert_eq!(Limits::of_machine(160 << 20, 400).connections, 100);
     /// assert_eq!(Limits::of_machine(0, 0).connections, 1);
     /// ```
     pub fn of_machine(memory: usize, max_descriptors: usize) -> Limits {
         let by_memory = memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
         let by_descriptors = max_descriptors.saturating_sub(FILE_DESCRIPTORS) / 2;
-        Limits { connections: by_memory.min(by_descriptors).max(1) }
+        let connections = by_memory.min(by_descriptors).max(1);
+        Limits { connections, bytes: memory / BYTES_DIVISOR }
     }
 }
 
@@ -56,6 +66,10 @@
     ConnectionClosed,
     /// A new connection was refused.
     ConnectionRefused,
+    /// A connection that waited for its client was closed in favour of another one's request.
+    RequestClosed,
+    /// Bytes of a request were refused.
+    RequestRefused,
 }
 
 impl Event {
@@ -64,6 +78,8 @@
         match self {
             Event::ConnectionClosed => "admission.connection-closed",
             Event::ConnectionRefused => "admission.connection-refused",
+            Event::RequestClosed => "admission.request-closed",
+            Event::RequestRefused => "admission.request-refused",
         }
     }
 }
@@ -77,46 +93,65 @@
     shared: Arc<Shared>,
 }
 
+/// No bytes are left for a request, and no other connection is to be closed for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the memory for requests is used up")]
+pub struct Exhausted;
+
 struct Shared {
     limits: Limits,
-    connections: Mutex<Connections>,
-    /// Notified whenever a connection has ended.
+    in_use: Mutex<InUse>,
+    /// Notified whenever a connection has ended or bytes were freed.
     freed: Notify,
     on_event: EventHandler,
 }
 
 #[derive(Default)]
-struct Connections {
-    open: HashMap<u64, Client>,
+struct InUse {
+    connections: HashMap<u64, Client>,
     /// Number of the last connection.
     last: u64,
+    /// Bytes held for all connections.
+    bytes: usize,
 }
 
-impl Connections {
+impl InUse {
     /// The connection that has waited longest for its client.
     fn longest_waiting(&self) -> Option<&Client> {
         let waiting =
-            self.open.values().filter_map(|client| Some((client.waiting_since()?, client)));
+            self.connections.values().filter_map(|client| Some((client.waiting_since()?, client)));
         waiting.min_by_key(|(since, _)| *since).map(|(_, client)| client)
     }
 
+    /// The connection that has cost most of those that wait for their clients, if it has cost more
+    /// than `cost`.
+    fn most_costly(&self, cost: Cost) -> Option<&Client> {
+        let waiting = self.connections.values().filter_map(|client| Some((client.cost()?, client)));
+        let most = waiting.max_by_key(|(cost, _)| *cost);
+        most.filter(|(most, _)| *most > cost).map(|(_, client)| client)
+    }
+
     fn is_one_closing(&self) -> bool {
-        self.open.values().any(|client| client.lock().is_closing)
+        self.connections.values().any(|client| client.lock().is_closing)
     }
 }
 
+/// What a request has cost: its bytes, times how long they are held, in microseconds.
+type Cost = u128;
+
+fn cost(bytes: usize, since: Instant) -> Cost {
+    bytes as Cost * clock::since(since).as_micros()
+}
+
 impl Control {
     /// Admits connections within `limits`.
     pub fn new(limits: Limits, on_event: EventHandler) -> Control {
-        let connections = Mutex::default();
-        Control { shared: Arc::new(Shared { limits, connections, freed: Notify::new(), on_event }) }
+        let in_use = Mutex::default();
+        Control { shared: Arc::new(Shared { limits, in_use, freed: Notify::new(), on_event }) }
     }
 
-    fn connections(&self) -> MutexGuard<'_, Connections> {
-        self.shared
-            .connections
-            .lock()
-            .expect("no thread panics while it holds the connections lock")
+    fn in_use(&self) -> MutexGuard<'_, InUse> {
+        self.shared.in_use.lock().expect("no thread panics while it holds the admission lock")
     }
 
     /// Accepts a connection; `None` if it was refused and closed.
@@ -141,7 +176,7 @@
     /// use std::time::Instant;
     /// use spokelift_transport::admission::Control;
     /// use spokelift_transport::admission::Limits;
-    /// let control = Control::new(Limits { connections: 1 }, Arc::new(|_| {}));
+    /// let control = Control::new(Limits { connections: 1, bytes: 0 }, Arc::new(|_| {}));
     /// let first = control.admit().await.unwrap();
     /// assert!(control.admit().await.is_none(), "the request of the first one is being handled");
     /// first.client().wait_since(Instant::now());
@@ -156,7 +191,7 @@
             if let Some(connection) = self.try_admit() {
                 return Some(connection);
             }
-            if !self.close_one() {
+            if !self.close_one(Event::ConnectionClosed, InUse::longest_waiting) {
                 (self.shared.on_event)(Event::ConnectionRefused);
                 return None;
             }
@@ -165,27 +200,43 @@
     }
 
     fn try_admit(&self) -> Option<Connection> {
-        let mut connections = self.connections();
-        if connections.open.len() >= self.shared.limits.connections {
+        let mut in_use = self.in_use();
+        if in_use.connections.len() >= self.shared.limits.connections {
             return None;
         }
-        connections.last += 1;
-        let (number, client) = (connections.last, Client::default());
-        connections.open.insert(number, client.clone());
+        in_use.last += 1;
+        let (number, client) = (in_use.last, Client::default());
+        in_use.connections.insert(number, client.clone());
         Some(Connection { control: self.clone(), number, client })
     }
 
     /// Has a connection closed, unless one is closing already. Returns whether one is.
-    fn close_one(&self) -> bool {
-        let connections = self.connections();
-        if connections.is_one_closing() {
+    fn close_one(&self, event: Event, choose: impl Fn(&InUse) -> Option<&Client>) -> bool {
+        let in_use = self.in_use();
+        if in_use.is_one_closing() {
             return true;
         }
-        let Some(client) = connections.longest_waiting() else { return false };
+        let Some(client) = choose(&in_use) else { return false };
         client.close();
-        (self.shared.on_event)(Event::ConnectionClosed);
+        (self.shared.on_event)(event);
         true
     }
+
+    fn free(&self, client: &Client, bytes: usize) {
+        client.lock().bytes -= bytes;
+        self.in_use().bytes -= bytes;
+        self.shared.freed.notify_waiters();
+    }
+
+    fn try_hold(&self, client: &Client, bytes: usize) -> bool {
+        let mut in_use = self.in_use();
+        let has_room = in_use.bytes.saturating_add(bytes) <= self.shared.limits.bytes;
+        if has_room {
+            in_use.bytes += bytes;
+            client.lock().bytes += bytes;
+        }
+        has_room
+    }
 }
 
 /// An admitted connection. Another one may take its place once it is dropped.
@@ -200,16 +251,87 @@
     pub fn client(&self) -> &Client {
         &self.client
     }
+
+    /// Bytes that are held for a request of the client, none at first.
+    pub fn hold(&self) -> Held {
+        let (control, client) = (self.control.clone(), self.client.clone());
+        Held { control, client, bytes: 0, since: clock::now() }
+    }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.control.connections().open.remove(&self.number);
+        self.control.in_use().connections.remove(&self.number);
         self.control.shared.freed.notify_waiters();
     }
 }
 
-/// Whether a connection waits for its client. Clones share the state.
+/// Bytes that are held for a request. They are free again once this is dropped.
+pub struct Held {
+    control: Control,
+    client: Client,
+    bytes: usize,
+    since: Instant,
+}
+
+impl Held {
+    /// Holds further bytes. At the limit, other connections are closed first.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`] if there is no room, and this request has cost more than each of those whose
+    /// clients are waited for.
+    ///
+    /// ```
+    /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+    /// use std::sync::Arc;
+    /// use spokelift_transport::admission::Control;
+    /// use spokelift_transport::admission::Exhausted;
+    /// use spokelift_transport::admission::Limits;
+    /// let control = Control::new(Limits { connections: 2, bytes: 100 }, Arc::new(|_| {}));
+    /// let connection = control.admit().await.unwrap();
+    /// let (mut first, mut second) = (connection.hold(), connection.hold());
+    /// assert_eq!(first.grow(80).await, Ok(()));
+    /// assert_eq!(second.grow(30).await, Err(Exhausted));
+    /// drop(first);
+    /// assert_eq!(second.grow(30).await, Ok(()));
+    /// # });
+    /// ```
+    pub async fn grow(&mut self, by: usize) -> Result<(), Exhausted> {
+        loop {
+            let freed = self.control.shared.freed.notified();
+            if self.control.try_hold(&self.client, by) {
+                self.bytes += by;
+                return Ok(());
+            }
+            let own = cost(self.bytes + by, self.since);
+            let is_one_closing =
+                self.control.close_one(Event::RequestClosed, |in_use| in_use.most_costly(own));
+            if !is_one_closing {
+                (self.control.shared.on_event)(Event::RequestRefused);
+                return Err(Exhausted);
+            }
+            freed.await;
+        }
+    }
+}
+
+impl Held {
+    /// Frees a part of the bytes.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let freed = self.bytes.saturating_sub(bytes);
+        self.bytes -= freed;
+        self.control.free(&self.client, freed);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.control.free(&self.client, self.bytes);
+    }
+}
+
+/// Whether a connection waits for its client, and what is held for it. Clones share the state.
 #[derive(Clone, Default)]
 pub struct Client {
     state: Arc<Mutex<State>>,
@@ -220,6 +342,8 @@
 struct State {
     waiting_since: Option<Instant>,
     is_closing: bool,
+    /// Bytes held for its requests.
+    bytes: usize,
 }
 
 impl Client {
@@ -233,6 +357,13 @@
         state.waiting_since.filter(|_| !state.is_closing)
     }
 
+    /// What its requests have cost so far; `None` if the connection does not wait for it, or is
+    /// closing.
+    fn cost(&self) -> Option<Cost> {
+        let since = self.waiting_since()?;
+        Some(cost(self.lock().bytes, since))
+    }
+
     /// Records that the connection has been waiting for its client since this time: to send a
     /// request or the rest of one, or to read an answer.
     pub fn wait_since(&self, since: Instant) {
--- a/transport/src/serve.rs
+++ b/transport/src/serve.rs
@@ -24,6 +24,7 @@
 use crate::dial::Body;
 pub use crate::serve::incoming::Incoming;
 pub use crate::serve::incoming::ReceiveError;
+pub use crate::serve::incoming::Received;
 use crate::serve::phase::Due;
 use crate::serve::phase::Phase;
 use crate::serve::phase::TrackedStream;
@@ -83,7 +84,7 @@
     let phase = Phase::new(admitted.client().clone());
     let service = service_fn(|request: Request<hyper::body::Incoming>| {
         phase.start_response();
-        let incoming = |body| Incoming::new(body, phase.clone());
+        let incoming = |body| Incoming::new(body, phase.clone(), admitted.hold());
         let response = handler(request.map(incoming));
         let phase = &phase;
         async move {
