peer: what nodes send counts against the memory for requests

What callers saw: whoever reaches a node's listener for other nodes can make it exceed the memory of its machine, and the platform kills it.

Cause: a message had a bound of 8 MB and their number none; each request was a task until its answer was read, and the number of tasks had no bound.

Change: peer::serve, moved to a file of its own, counts messages, tasks and answers against the bytes that admission allows for all listeners.

--- a/cli/tests/test_misbehaving_clients.rs
+++ b/cli/tests/test_misbehaving_clients.rs
@@ -142,6 +142,34 @@
     assert_served(&site, SMALL_MEMORY).await;
 }
 
+/// Messages between daemons are held until they are complete; anyone can reach their listener.
+#[tokio::test]
+async fn messages_to_a_peer_that_stop_short() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    let mut crowd = Crowd::connect(site.nodes[0].peer_addr, 20).await;
+    let length = 8_000_000_u32;
+    let mut frame = length.to_be_bytes().to_vec();
+    frame.resize(length as usize, 0);
+    crowd.send(frame).await;
+    crowd.wait_until_read().await;
+    assert_served(&site, SMALL_MEMORY).await;
+}
+
+/// Each request of a peer is a task until its answer is sent.
+#[tokio::test]
+async fn requests_to_a_peer_whose_answers_are_not_read() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    let mut crowd = Crowd::connect(site.nodes[0].peer_addr, 2).await;
+    let request = postcard::to_stdvec(&(7_u64, spokelift_lib::batch::peer::Request::Ping)).unwrap();
+    let mut frame = (request.len() as u32).to_be_bytes().to_vec();
+    frame.extend(request);
+    crowd.send(frame.repeat(20_000)).await;
+    crowd.wait_until_read().await;
+    assert_served(&site, SMALL_MEMORY).await;
+}
+
 /// A single request inside the limits is served while nothing else is asked.
 #[tokio::test]
 async fn a_body_of_the_largest_size_is_served() {
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -2,6 +2,7 @@
 //! each peer.
 
 mod connection;
+mod serve;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,8 +11,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::SinkExt;
-use futures_util::StreamExt;
 use serde::Deserialize;
 use serde::Serialize;
 use spokelift_platform::config::Version;
@@ -20,12 +19,8 @@
 use spokelift_platform::store::Offset;
 use spokelift_platform::worker::Token;
 use thiserror::Error;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio_util::codec::Framed;
-use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::batch::caller::Caller;
 use crate::batch::config::Config;
@@ -34,17 +29,13 @@
 use crate::batch::dispatch::remote::Commands;
 use crate::batch::dispatch::remote::Report;
 use crate::batch::leader::lease::LeaderLease;
-use crate::batch::node::Node;
 use crate::batch::outlook::Outlook;
+pub use crate::batch::peer::serve::serve;
 use crate::batch::record::Accepted;
 use crate::batch::relay;
 use crate::metrics::Counters;
-use crate::transport::admission;
-use crate::transport::admission::Client;
-use crate::transport::clock;
 use crate::transport::progress::Progress;
 use crate::transport::progress::timeout_without_progress;
-use crate::transport::socket;
 
 /// Timeout for opening a connection to a peer; halls are about 1 ms apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -288,64 +279,3 @@
 fn encode<T: Serialize>(value: &T) -> Bytes {
     postcard::to_stdvec(value).expect("messages can be encoded by postcard").into()
 }
-
-/// Accepts connections of peers and answers their requests until the process ends.
-pub async fn serve(node: Arc<Node>, listener: TcpListener, admission: admission::Control) {
-    loop {
-        match admission.accept(&listener).await {
-            Ok(Some((stream, admitted))) => {
-                let node = node.clone();
-                tokio::spawn(async move {
-                    tokio::select! {
-                        () = serve_connection(node, stream, admitted.client()) => {}
-                        () = admitted.client().closed() => {}
-                    }
-                });
-            }
-            Ok(None) => {}
-            Err(error) => {
-                log::warn!("cannot accept a connection of a peer: {error}");
-                tokio::time::sleep(CONNECT_TIMEOUT).await;
-            }
-        }
-    }
-}
-
-async fn serve_connection(node: Arc<Node>, stream: TcpStream, client: &Client) {
-    client.wait_since(clock::now());
-    if let Err(error) = socket::set_options(&stream) {
-        log::debug!("cannot set up a connection of a peer: {error}");
-        return;
-    }
-    let (mut sink, mut frames) = Framed::new(stream, LengthDelimitedCodec::new()).split();
-    let (answers, mut queue) = mpsc::channel::<Bytes>(QUEUE_CAPACITY);
-    let write = async move {
-        while let Some(frame) = queue.recv().await {
-            if sink.send(frame).await.is_err() {
-                return;
-            }
-        }
-    };
-    let read = async move {
-        while let Some(Ok(frame)) = frames.next().await {
-            client.wait_since(clock::now());
-            let (number, request) = match postcard::from_bytes::<(u64, Request)>(&frame) {
-                Ok(message) => message,
-                Err(error) => {
-                    log::warn!("cannot decode a request of a peer: {error}");
-                    return;
-                }
-            };
-            let (node, answers) = (node.clone(), answers.clone());
-            tokio::spawn(async move {
-                let reply = node.answer_peer(request).await;
-                // If the connection has ended, the peer sends the request again on another one.
-                let _ = answers.send(encode(&(number, reply))).await;
-            });
-        }
-    };
-    tokio::select! {
-        () = write => {}
-        () = read => {}
-    }
-}
--- a/transport/src/admission.rs
+++ b/transport/src/admission.rs
@@ -7,6 +7,8 @@
 //! that has cost most so far, by its bytes and the time since it waits. A connection whose request
 //! is being handled is never closed for another one; if all are, the new request is refused.
 
+mod buffer;
+
 use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
@@ -19,6 +21,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+pub use crate::admission::buffer::Buffer;
+pub use crate::admission::buffer::PushError;
 use crate::clock;
 
 /// Descriptors that the platform keeps for files.
@@ -205,9 +209,9 @@
             return None;
         }
         in_use.last += 1;
-        let (number, client) = (in_use.last, Client::default());
+        let (number, client) = (in_use.last, Client::new(self));
         in_use.connections.insert(number, client.clone());
-        Some(Connection { control: self.clone(), number, client })
+        Some(Connection { number, client })
     }
 
     /// Has a connection closed, unless one is closing already. Returns whether one is.
@@ -241,7 +245,6 @@
 
 /// An admitted connection. Another one may take its place once it is dropped.
 pub struct Connection {
-    control: Control,
     number: u64,
     client: Client,
 }
@@ -251,24 +254,18 @@
     pub fn client(&self) -> &Client {
         &self.client
     }
-
-    /// Bytes that are held for a request of the client, none at first.
-    pub fn hold(&self) -> Held {
-        let (control, client) = (self.control.clone(), self.client.clone());
-        Held { control, client, bytes: 0, since: clock::now() }
-    }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.control.in_use().connections.remove(&self.number);
-        self.control.shared.freed.notify_waiters();
+        let control = &self.client.control;
+        control.in_use().connections.remove(&self.number);
+        control.shared.freed.notify_waiters();
     }
 }
 
 /// Bytes that are held for a request. They are free again once this is dropped.
 pub struct Held {
-    control: Control,
     client: Client,
     bytes: usize,
     since: Instant,
@@ -290,7 +287,8 @@
     /// use spokelift_transport::admission::Limits;
     /// let control = Control::new(Limits { connections: 2, bytes: 100 }, Arc::new(|_| {}));
     /// let connection = control.admit().await.unwrap();
-    /// let (mut first, mut second) = (connection.hold(), connection.hold());
+    /// let client = connection.client();
+    /// let (mut first, mut second) = (client.hold(), client.hold());
     /// assert_eq!(first.grow(80).await, Ok(()));
     /// assert_eq!(second.grow(30).await, Err(Exhausted));
     /// drop(first);
@@ -298,17 +296,18 @@
     /// # });
     /// ```
     pub async fn grow(&mut self, by: usize) -> Result<(), Exhausted> {
+        let control = &self.client.control;
         loop {
-            let freed = self.control.shared.freed.notified();
-            if self.control.try_hold(&self.client, by) {
+            let freed = control.shared.freed.notified();
+            if control.try_hold(&self.client, by) {
                 self.bytes += by;
                 return Ok(());
             }
             let own = cost(self.bytes + by, self.since);
             let is_one_closing =
-                self.control.close_one(Event::RequestClosed, |in_use| in_use.most_costly(own));
+                control.close_one(Event::RequestClosed, |in_use| in_use.most_costly(own));
             if !is_one_closing {
-                (self.control.shared.on_event)(Event::RequestRefused);
+                (control.shared.on_event)(Event::RequestRefused);
                 return Err(Exhausted);
             }
             freed.await;
@@ -321,19 +320,20 @@
     pub fn shrink_to(&mut self, bytes: usize) {
         let freed = self.bytes.saturating_sub(bytes);
         self.bytes -= freed;
-        self.control.free(&self.client, freed);
+        self.client.control.free(&self.client, freed);
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.control.free(&self.client, self.bytes);
+        self.client.control.free(&self.client, self.bytes);
     }
 }
 
 /// Whether a connection waits for its client, and what is held for it. Clones share the state.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
+    control: Control,
     state: Arc<Mutex<State>>,
     closing: Arc<Notify>,
 }
@@ -347,6 +347,15 @@
 }
 
 impl Client {
+    fn new(control: &Control) -> Client {
+        Client { control: control.clone(), state: Arc::default(), closing: Arc::default() }
+    }
+
+    /// Bytes that are held for a request of the client, none at first.
+    pub fn hold(&self) -> Held {
+        Held { client: self.clone(), bytes: 0, since: clock::now() }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no thread panics while it holds the client lock")
     }
--- a/transport/src/serve.rs
+++ b/transport/src/serve.rs
@@ -84,7 +84,7 @@
     let phase = Phase::new(admitted.client().clone());
     let service = service_fn(|request: Request<hyper::body::Incoming>| {
         phase.start_response();
-        let incoming = |body| Incoming::new(body, phase.clone(), admitted.hold());
+        let incoming = |body| Incoming::new(body, phase.clone());
         let response = handler(request.map(incoming));
         let phase = &phase;
         async move {
--- a/transport/src/serve/incoming.rs
+++ b/transport/src/serve/incoming.rs
@@ -11,8 +11,10 @@
 use hyper::body::SizeHint;
 use thiserror::Error;
 
+use crate::admission::Buffer;
 use crate::admission::Exhausted;
 use crate::admission::Held;
+use crate::admission::PushError;
 use crate::serve::MAX_BUFFER_BYTES;
 use crate::serve::phase::Phase;
 
@@ -34,11 +36,19 @@
     Cut(#[from] hyper::Error),
 }
 
+impl From<PushError> for ReceiveError {
+    fn from(error: PushError) -> ReceiveError {
+        match error {
+            PushError::TooLarge => ReceiveError::TooLarge,
+            PushError::Exhausted(error) => ReceiveError::Exhausted(error),
+        }
+    }
+}
+
 /// The body of a request. While a part of it is awaited, the connection waits for its client.
 pub struct Incoming {
     body: hyper::body::Incoming,
     phase: Phase,
-    held: Held,
 }
 
 /// A body that was received whole. Its bytes count as held until it is dropped.
@@ -49,8 +59,8 @@
 }
 
 impl Incoming {
-    pub(super) fn new(body: hyper::body::Incoming, phase: Phase, held: Held) -> Incoming {
-        Incoming { body, phase, held }
+    pub(super) fn new(body: hyper::body::Incoming, phase: Phase) -> Incoming {
+        Incoming { body, phase }
     }
 
     /// Receives the whole body of at most `limit` bytes.
@@ -59,28 +69,17 @@
     ///
     /// [`ReceiveError`]; no part of the body is kept.
     pub async fn receive(mut self, limit: usize) -> Result<Received, ReceiveError> {
-        let buffered = self.body.size_hint().upper().map_or(BUFFERED_BYTES, |upper| {
-            usize::try_from(upper).unwrap_or(usize::MAX).min(BUFFERED_BYTES)
-        });
-        self.held.grow(buffered).await?;
-        let mut bytes = Vec::new();
+        let upper = self.body.size_hint().upper().and_then(|upper| usize::try_from(upper).ok());
+        let mut held = self.phase.client().hold();
+        held.grow(upper.map_or(BUFFERED_BYTES, |upper| upper.min(BUFFERED_BYTES))).await?;
+        let mut buffer = Buffer::new(limit, held);
         while let Some(frame) = self.frame().await {
-            let Ok(piece) = frame?.into_data() else { continue };
-            let length = bytes.len() + piece.len();
-            if length > limit {
-                return Err(ReceiveError::TooLarge);
-            }
-            let capacity = bytes.capacity();
-            if length > capacity {
-                let larger = length.max(2 * capacity).min(limit);
-                self.held.grow(larger - capacity).await?;
-                bytes.reserve_exact(larger - bytes.len());
+            if let Ok(piece) = frame?.into_data() {
+                buffer.push(&piece).await?;
             }
-            // The piece itself would keep the buffer that it was received in.
-            bytes.extend_from_slice(&piece);
         }
-        self.held.shrink_to(bytes.capacity());
-        Ok(Received { bytes: bytes.into(), _held: self.held })
+        let (bytes, held) = buffer.into_parts();
+        Ok(Received { bytes: bytes.into(), _held: held })
     }
 }
 
--- a/transport/src/serve/phase.rs
+++ b/transport/src/serve/phase.rs
@@ -68,6 +68,11 @@
         Phase { activity: Arc::new(Mutex::new(Activity::Idle(now))), client }
     }
 
+    /// The client of the connection.
+    pub(super) fn client(&self) -> &Client {
+        &self.client
+    }
+
     fn activity(&self) -> MutexGuard<'_, Activity> {
         self.activity.lock().expect("no thread panics while it holds the phase lock")
     }
