transport: answers that are not read count against the memory for requests

What callers saw: whoever reaches the operators' port can make a node exceed the memory of its machine by asking for views and not reading them.

Cause: what a connection still had to write was bounded for each one or by the kernel alone, which takes up to 4 MB; and any number of views existed at once.

Change: serve::Outgoing counts pieces of answers until they are written, the socket buffers of accepted connections are bounded, and a node asks for four views at a time.

--- a/cli/tests/test_misbehaving_clients.rs
+++ b/cli/tests/test_misbehaving_clients.rs
@@ -5,13 +5,16 @@
 use hyper::header::AUTHORIZATION;
 use serde_json::Value;
 use serde_json::json;
+use spokelift_lib::batch::view;
 use spokelift_testutils::crowd::Crowd;
 use spokelift_testutils::fixture::Fixture;
 use spokelift_testutils::ledger::Outcome;
 use spokelift_testutils::platform::site::Machine;
 use spokelift_testutils::platform::site::Options;
 use spokelift_testutils::platform::site::Site;
+use spokelift_testutils::platform::site::config::Account;
 use spokelift_testutils::platform::site::config::HOST;
+use spokelift_testutils::platform::site::config::config;
 use spokelift_testutils::process::Usage;
 use spokelift_testutils::site::caller_secret;
 use tokio::sync::Mutex;
@@ -53,6 +56,14 @@
     assert_within(machine, pid);
 }
 
+/// Waits until the view of accounts has the last of 5,000.
+async fn wait_until_accounts_are_shown(site: &Site) {
+    site.wait_until("the leader shows all accounts", async |site| {
+        site.view_of(0, "accounts").await.is_some_and(|view| view.contains("account-4999"))
+    })
+    .await;
+}
+
 /// The head of a submitted job, up to the headers that say how long the body is.
 fn post_head(framing: &str) -> String {
     format!("POST /q/00000000000000bb HTTP/1.1\r\nhost: {HOST}\r\n{framing}\r\n\r\n")
@@ -142,6 +153,44 @@
     assert_served(&site, SMALL_MEMORY).await;
 }
 
+/// Answers are held until their client reads them, so no further request is answered before.
+#[tokio::test]
+async fn answers_that_are_not_read() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    let node = &site.nodes[0];
+    let mut probes = Crowd::connect(node.readiness_addr, 2).await;
+    probes.send("GET / HTTP/1.1\r\n\r\n".repeat(600_000)).await;
+    let mut views = Crowd::connect(node.operator_addr, 2).await;
+    views.send("GET / HTTP/1.1\r\n\r\n".repeat(50_000)).await;
+    probes.wait_until_read().await;
+    views.wait_until_read().await;
+    assert_served(&site, SMALL_MEMORY).await;
+}
+
+/// A short request can have a long answer, which is held until its client has read it.
+#[tokio::test]
+async fn long_answers_that_are_not_read() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    let account = |number| Account::new(&format!("account-{number}"), "key");
+    let accounts: Vec<Account> = (0..5_000).map(account).collect();
+    site.publish_config(2, &accounts);
+    wait_until_accounts_are_shown(&site).await;
+    let mut crowd = Crowd::connect(site.nodes[0].operator_addr, 200).await;
+    crowd.send(format!("GET {}accounts HTTP/1.1\r\nhost: x\r\n\r\n", view::PATH)).await;
+    crowd.wait_until_read().await;
+    wait_until_accounts_are_shown(&site).await;
+    let mut without_accounts = config();
+    without_accounts["version"] = json!(3);
+    site.put_operator_record("config", &without_accounts.to_string());
+    site.wait_until("the node has no accounts", async |site| {
+        site.metrics(0).await.is_some_and(|text| text.contains("batch_config_version 3\n"))
+    })
+    .await;
+    assert_served(&site, SMALL_MEMORY).await;
+}
+
 /// Messages between daemons are held until they are complete; anyone can reach their listener.
 #[tokio::test]
 async fn messages_to_a_peer_that_stop_short() {
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -22,6 +22,7 @@
 use spokelift_platform::store::Store;
 use spokelift_platform::wave::Wave;
 use spokelift_platform::worker::WorkerClient;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -44,6 +45,7 @@
 use crate::batch::leader::claim::Claims;
 use crate::batch::leader::lease::KnownLease;
 use crate::batch::node::config::InForce;
+use crate::batch::node::operator_api::MAX_VIEWS;
 use crate::batch::node::operator_api::handle_operator;
 use crate::batch::operator;
 use crate::batch::outlook::known::Known;
@@ -116,6 +118,8 @@
     pub operator_turns: Turns,
     /// This node's turns to read the directory.
     pub directory_turns: Turns,
+    /// Permits to ask the leader for a view.
+    view_permits: Semaphore,
     /// Counters.
     pub counters: Counters,
     /// Latencies of answers to clients, waits of tasks and writes of jobs.
@@ -155,6 +159,7 @@
             lease_turns: Turns::default(),
             operator_turns: Turns::default(),
             directory_turns: Turns::default(),
+            view_permits: Semaphore::new(MAX_VIEWS),
             counters,
             latencies: Latencies::default(),
             config: Mutex::default(),
--- a/lib/src/batch/node/operator_api.rs
+++ b/lib/src/batch/node/operator_api.rs
@@ -32,6 +32,9 @@
 
 /// Timeout of a change; the operator's tool waits longer than that.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Views of the leader that a node asks for at a time. Each may be a megabyte, and is held while it
+/// is not certain that the leader has not been replaced.
+pub(super) const MAX_VIEWS: usize = 4;
 /// Largest body of a submitted job, in bytes.
 const BODY_LIMIT_BYTES: usize = 262_144;
 
@@ -62,6 +65,7 @@
         Some("costs") => return Ok(costs::to_json(&costs::of(&node.counters.totals()))),
         _ => {}
     }
+    let _permit = node.view_permits.acquire().await.map_err(|_| ApiError::Stale)?;
     match node.ask_leader(peer::Request::View(path)).await {
         Some(Reply::View(Some(view))) => Ok(view),
         Some(Reply::View(None)) => Err(ApiError::NotFound { what: "view or job".into() }),
--- a/lib/src/batch/peer/serve.rs
+++ b/lib/src/batch/peer/serve.rs
@@ -36,7 +36,8 @@
 
 /// Largest request, in bytes.
 const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
-/// Memory of a request that is being answered, beside its bytes: the state of its task.
+/// Memory of a request that is being answered, beside its bytes: the state of its task, or a short
+/// answer.
 const TASK_BYTES: usize = 16 * 1024;
 
 /// Why no further request is read from a connection.
@@ -157,7 +158,7 @@
     answers: mpsc::Sender<Answer>,
 ) {
     let frame = encode(&(number, node.answer_peer(request).await));
-    if held.grow(frame.len()).await.is_err() {
+    if frame.len() > TASK_BYTES && held.try_grow(frame.len()).is_err() {
         log::info!(bytes = frame.len(); "an answer to a peer is dropped for want of memory");
         return;
     }
--- a/testutils/src/platform/site.rs
+++ b/testutils/src/platform/site.rs
@@ -43,6 +43,8 @@
 
 /// How long a client waits for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest view that is read, in bytes.
+const MAX_VIEW_BYTES: usize = 1 << 20;
 /// Pause between checks of an awaited condition.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// The `cpuShare` setting of a node by default: the fraction of a core that it may use.
@@ -331,7 +333,8 @@
         let uri = format!("{}{path}", view::PATH);
         let request = Request::builder().uri(uri).header("host", HOST).body(full(""));
         let request = request.expect("the tests make valid requests");
-        let answer = self.dialer.exchange(addr, request, 65_536, ANSWER_TIMEOUT).await.ok()?;
+        let answer =
+            self.dialer.exchange(addr, request, MAX_VIEW_BYTES, ANSWER_TIMEOUT).await.ok()?;
         let body = (answer.status() == 200).then(|| answer.body().to_vec())?;
         String::from_utf8(body).ok()
     }
--- a/transport/src/admission.rs
+++ b/transport/src/admission.rs
@@ -24,6 +24,7 @@
 pub use crate::admission::buffer::Buffer;
 pub use crate::admission::buffer::PushError;
 use crate::clock;
+use crate::socket;
 
 /// Descriptors that the platform keeps for files.
 const FILE_DESCRIPTORS: usize = 200;
@@ -158,7 +159,7 @@
         self.shared.in_use.lock().expect("no thread panics while it holds the admission lock")
     }
 
-    /// Accepts a connection; `None` if it was refused and closed.
+    /// Accepts a connection; `None` if it was refused and closed, or has ended.
     ///
     /// # Errors
     ///
@@ -168,6 +169,10 @@
         listener: &TcpListener,
     ) -> io::Result<Option<(TcpStream, Connection)>> {
         let (stream, _) = listener.accept().await?;
+        if socket::limit_buffers(&stream).is_err() {
+            // The client has disconnected already.
+            return Ok(None);
+        }
         Ok(self.admit().await.map(|connection| (stream, connection)))
     }
 
@@ -296,26 +301,52 @@
     /// # });
     /// ```
     pub async fn grow(&mut self, by: usize) -> Result<(), Exhausted> {
-        let control = &self.client.control;
+        let control = self.client.control.clone();
         loop {
             let freed = control.shared.freed.notified();
-            if control.try_hold(&self.client, by) {
-                self.bytes += by;
+            if self.hold(by) {
                 return Ok(());
             }
-            let own = cost(self.bytes + by, self.since);
-            let is_one_closing =
-                control.close_one(Event::RequestClosed, |in_use| in_use.most_costly(own));
-            if !is_one_closing {
-                (control.shared.on_event)(Event::RequestRefused);
-                return Err(Exhausted);
+            if !self.make_room(by) {
+                return Err(self.refuse());
             }
             freed.await;
         }
     }
-}
 
-impl Held {
+    /// Holds further bytes without waiting for room: for bytes that exist already. At the limit,
+    /// another connection is closed, but these bytes are refused.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`] if there is no room.
+    pub fn try_grow(&mut self, by: usize) -> Result<(), Exhausted> {
+        if self.hold(by) {
+            return Ok(());
+        }
+        self.make_room(by);
+        Err(self.refuse())
+    }
+
+    fn hold(&mut self, by: usize) -> bool {
+        let has_room = self.client.control.try_hold(&self.client, by);
+        if has_room {
+            self.bytes += by;
+        }
+        has_room
+    }
+
+    /// Has a connection closed that has cost more than this request. Returns whether one is closing.
+    fn make_room(&self, by: usize) -> bool {
+        let own = cost(self.bytes + by, self.since);
+        self.client.control.close_one(Event::RequestClosed, |in_use| in_use.most_costly(own))
+    }
+
+    fn refuse(&self) -> Exhausted {
+        (self.client.control.shared.on_event)(Event::RequestRefused);
+        Exhausted
+    }
+
     /// Frees a part of the bytes.
     pub fn shrink_to(&mut self, bytes: usize) {
         let freed = self.bytes.saturating_sub(bytes);
--- a/transport/src/serve.rs
+++ b/transport/src/serve.rs
@@ -2,6 +2,7 @@
 //! completed.
 
 mod incoming;
+mod outgoing;
 mod phase;
 
 use std::convert::Infallible;
@@ -25,6 +26,7 @@
 pub use crate::serve::incoming::Incoming;
 pub use crate::serve::incoming::ReceiveError;
 pub use crate::serve::incoming::Received;
+use crate::serve::outgoing::Outgoing;
 use crate::serve::phase::Due;
 use crate::serve::phase::Phase;
 use crate::serve::phase::TrackedStream;
@@ -89,8 +91,7 @@
         let phase = &phase;
         async move {
             let response = response.await;
-            phase.finish_response();
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| Outgoing::new(body, phase.clone())))
         }
     });
     let mut builder = http1::Builder::new();
--- a/transport/src/serve/phase.rs
+++ b/transport/src/serve/phase.rs
@@ -108,7 +108,7 @@
         self.set(Activity::Responding);
     }
 
-    /// Records that the response is ready. Its body may still be in transit.
+    /// Records that the response is ready. The client may not have read it yet.
     pub(super) fn finish_response(&self) {
         self.set(Activity::Idle(clock::now()));
     }
--- a/transport/src/socket.rs
+++ b/transport/src/socket.rs
@@ -19,6 +19,23 @@
 /// delivered even if it is late.
 const USER_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Size of the kernel's send buffer, and of its receive buffer, of an accepted connection, in bytes.
+/// The kernel takes twice as much for its own records. Within a site this is enough for 16 MB a
+/// second.
+const ACCEPTED_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Limits what the kernel holds for an accepted connection: by itself, it would take megabytes of
+/// answers that a client does not read.
+///
+/// # Errors
+///
+/// Errors of the system; the connection has usually ended then.
+pub fn limit_buffers(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_send_buffer_size(ACCEPTED_BUFFER_BYTES)?;
+    socket.set_recv_buffer_size(ACCEPTED_BUFFER_BYTES)
+}
+
 /// Disables Nagle's algorithm, and has the kernel close a connection that has been dead for 30 s.
 ///
 /// ```
