client: what is decoded from a body counts as held

What callers saw: while the store answers late, jobs of legal size with many steps make a node exceed the memory of its machine, and the platform kills it.

Cause: only the text of a job was counted while it waits for the store; a step takes twelve bytes as text and 152 as decoded.

Change: Received::hold_decoded counts the job as well, and refuses it with 503 without room.

Evidence: many_jobs_of_many_steps_at_once failed before with 149 MB of 64 MB; it passes now.

--- a/cli/tests/test_misbehaving_clients.rs
+++ b/cli/tests/test_misbehaving_clients.rs
@@ -16,6 +16,8 @@
 use spokelift_testutils::platform::site::config::HOST;
 use spokelift_testutils::platform::site::config::config;
 use spokelift_testutils::process::Usage;
+use spokelift_testutils::proxy;
+use spokelift_testutils::proxy::Flow;
 use spokelift_testutils::site::caller_secret;
 use tokio::sync::Mutex;
 
@@ -236,6 +238,25 @@
     assert_served(&site, SMALL_MEMORY).await;
 }
 
+/// What is decoded from a body is held until the job is written, and takes more memory than its text.
+#[tokio::test]
+async fn many_jobs_of_many_steps_at_once() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    site.nodes[0].store_proxy.set_fault(proxy::Fault { answer: Flow::Hold, ..Default::default() });
+    let body =
+        format!("{{\"spec\":\"\",\"steps\":[{}{{\"count\":1}}]}}", "{\"count\":0},".repeat(20_000));
+    let mut crowd = Crowd::connect(site.nodes[0].client_addr, 60).await;
+    crowd.send(with_length(body.len()) + &body).await;
+    crowd.wait_until_read().await;
+    site.nodes[0].store_proxy.set_fault(proxy::Fault::default());
+    site.wait_until("the node has a leader again", async |site| {
+        site.pending_jobs(0).await.is_some()
+    })
+    .await;
+    assert_served(&site, SMALL_MEMORY).await;
+}
+
 /// A single request inside the limits is served while nothing else is asked.
 #[tokio::test]
 async fn a_body_of_the_largest_size_is_served() {
--- a/lib/src/batch/client_api.rs
+++ b/lib/src/batch/client_api.rs
@@ -101,7 +101,7 @@
                 0 => DEFAULT_BODY_LIMIT_BYTES,
                 limit => limit,
             };
-            let body = match body.receive(limit).await {
+            let mut body = match body.receive(limit).await {
                 Ok(body) => body,
                 Err(error) => return refuse_body(id, &error),
             };
@@ -112,6 +112,9 @@
                     return empty_response(400);
                 }
             };
+            if let Err(error) = body.hold_decoded(job.memory()) {
+                return refuse_body(id, &error);
+            }
             if let Err(error) = config.check_quota(&caller, &job) {
                 node.counters.count("batch.submit.refused.too-wide");
                 log::info!(job = format!("{id:016x}").as_str(); "job refused by the quota of its account: {error}");
--- a/transport/src/serve/incoming.rs
+++ b/transport/src/serve/incoming.rs
@@ -55,7 +55,18 @@
 pub struct Received {
     /// The bytes.
     pub bytes: Bytes,
-    _held: Held,
+    held: Held,
+}
+
+impl Received {
+    /// Counts as held in addition what was decoded from the bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`ReceiveError::Exhausted`] if there is no room for it.
+    pub fn hold_decoded(&mut self, bytes: usize) -> Result<(), ReceiveError> {
+        Ok(self.held.try_grow(bytes)?)
+    }
 }
 
 impl Incoming {
@@ -79,7 +90,7 @@
             }
         }
         let (bytes, held) = buffer.into_parts();
-        Ok(Received { bytes: bytes.into(), _held: held })
+        Ok(Received { bytes: bytes.into(), held })
     }
 }
 
