--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -49,7 +49,6 @@
 use crate::batch::node::operator_api::handle_operator;
 use crate::batch::operator;
 use crate::batch::outlook::known::Known;
-use crate::batch::peer;
 use crate::batch::peer::Peers;
 use crate::batch::relay::Route;
 use crate::batch::scheduler::Scheduler;
@@ -256,7 +255,7 @@
         count_admission(node.counters.clone()),
     );
     let tasks = [
-        tokio::spawn(peer::serve(node.clone(), peers, admission.clone())),
+        tokio::spawn(node.clone().serve_peers(peers, admission.clone())),
         tokio::spawn(operator::run(node.clone())),
         tokio::spawn(gossip::run(node.clone())),
         tokio::spawn(leader::run(node.clone())),
--- a/lib/src/batch/node/answer.rs
+++ b/lib/src/batch/node/answer.rs
@@ -2,11 +2,24 @@
 
 use std::sync::Arc;
 
+use tokio::net::TcpListener;
+
 use crate::batch::node::Node;
 use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
+use crate::batch::peer::serve::serve;
+use crate::transport::admission::Control;
 
 impl Node {
+    /// Answers requests of other nodes until the process ends.
+    pub async fn serve_peers(self: Arc<Self>, listener: TcpListener, admission: Control) {
+        let answer = move |request| {
+            let node = self.clone();
+            async move { node.answer_peer(request).await }
+        };
+        serve(listener, admission, answer).await;
+    }
+
     /// Answers a request of another node.
     pub async fn answer_peer(self: &Arc<Self>, request: Request) -> Reply {
         match request {
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -2,7 +2,7 @@
 //! each peer.
 
 mod connection;
-mod serve;
+pub mod serve;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -30,7 +30,6 @@
 use crate::batch::dispatch::remote::Report;
 use crate::batch::leader::lease::LeaderLease;
 use crate::batch::outlook::Outlook;
-pub use crate::batch::peer::serve::serve;
 use crate::batch::record::Accepted;
 use crate::batch::relay;
 use crate::metrics::Counters;
--- a/lib/src/batch/peer/serve.rs
+++ b/lib/src/batch/peer/serve.rs
@@ -4,10 +4,12 @@
 //! limits of the process: a request while it arrives and until its answer is written, and the answer.
 
 use std::io;
-use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::SinkExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 use tokio::io::AsyncBufReadExt;
 use tokio::io::AsyncReadExt;
@@ -20,11 +22,6 @@
 use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::batch::node::Node;
-use crate::batch::peer::CONNECT_TIMEOUT;
-use crate::batch::peer::QUEUE_CAPACITY;
-use crate::batch::peer::Request;
-use crate::batch::peer::encode;
 use crate::transport::admission::Buffer;
 use crate::transport::admission::Client;
 use crate::transport::admission::Control;
@@ -34,6 +31,10 @@
 use crate::transport::clock;
 use crate::transport::socket;
 
+/// Pause after a failed accept, for example for lack of descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Maximum number of answers queued for one connection.
+const QUEUE_CAPACITY: usize = 1_024;
 /// Largest request, in bytes.
 const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 /// Memory of a request that is being answered, beside its bytes: the state of its task, or a short
@@ -60,18 +61,27 @@
     }
 }
 
-/// An encoded answer, and what is held for it and its request.
+/// An encoded reply, and what is held for it and its request.
 type Answer = (Bytes, Held);
 
-/// Accepts connections of peers and answers their requests until the process ends.
-pub async fn serve(node: Arc<Node>, listener: TcpListener, admission: Control) {
+/// Accepts connections of peers and answers each request with what `answer` returns, until the
+/// process ends.
+pub async fn serve<Request, Reply, F>(
+    listener: TcpListener,
+    admission: Control,
+    answer: impl Fn(Request) -> F + Clone + Send + Sync + 'static,
+) where
+    Request: DeserializeOwned + Send + 'static,
+    Reply: Serialize + Send + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
     loop {
         match admission.accept(&listener).await {
             Ok(Some((stream, admitted))) => {
-                let node = node.clone();
+                let answer = answer.clone();
                 tokio::spawn(async move {
                     tokio::select! {
-                        () = serve_connection(node, stream, admitted.client()) => {}
+                        () = serve_connection(stream, admitted.client(), answer) => {}
                         () = admitted.client().closed() => {}
                     }
                 });
@@ -79,13 +89,21 @@
             Ok(None) => {}
             Err(error) => {
                 log::warn!("cannot accept a connection of a peer: {error}");
-                tokio::time::sleep(CONNECT_TIMEOUT).await;
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
-async fn serve_connection(node: Arc<Node>, stream: TcpStream, client: &Client) {
+async fn serve_connection<Request, Reply, F>(
+    stream: TcpStream,
+    client: &Client,
+    answer: impl Fn(Request) -> F,
+) where
+    Request: DeserializeOwned,
+    Reply: Serialize + Send + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
     if let Err(error) = socket::set_options(&stream) {
         log::debug!("cannot set up a connection of a peer: {error}");
         return;
@@ -94,7 +112,7 @@
     let (answers, queue) = mpsc::channel(QUEUE_CAPACITY);
     tokio::select! {
         () = write_answers(write_half, queue) => {}
-        Err(error) = answer_requests(&node, read_half, client, answers) => match error {
+        Err(error) = answer_requests(read_half, client, answers, answer) => match error {
             ReadError::Connection(error) => log::debug!("a connection of a peer ended: {error}"),
             error => log::warn!("closed a connection of a peer: {error}"),
         }
@@ -112,20 +130,24 @@
 }
 
 /// Reads requests and answers each in a task of its own, until the connection ends.
-async fn answer_requests(
-    node: &Arc<Node>,
+async fn answer_requests<Request, Reply, F>(
     read_half: OwnedReadHalf,
     client: &Client,
     answers: mpsc::Sender<Answer>,
-) -> Result<(), ReadError> {
+    answer: impl Fn(Request) -> F,
+) -> Result<(), ReadError>
+where
+    Request: DeserializeOwned,
+    Reply: Serialize + Send + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
     let mut reader = BufReader::new(read_half);
     loop {
         client.wait_since(clock::now());
         let (frame, mut held) = receive_frame(&mut reader, client).await?;
         held.grow(TASK_BYTES).await?;
         let (number, request) = postcard::from_bytes::<(u64, Request)>(&frame)?;
-        let (node, answers) = (node.clone(), answers.clone());
-        tokio::spawn(answer(node, number, request, held, answers));
+        tokio::spawn(send_answer(number, answer(request), held, answers.clone()));
     }
 }
 
@@ -150,14 +172,14 @@
     Ok(frame.into_parts())
 }
 
-async fn answer(
-    node: Arc<Node>,
+async fn send_answer<Reply: Serialize>(
     number: u64,
-    request: Request,
+    reply: impl Future<Output = Reply>,
     mut held: Held,
     answers: mpsc::Sender<Answer>,
 ) {
-    let frame = encode(&(number, node.answer_peer(request).await));
+    let frame = postcard::to_stdvec(&(number, reply.await));
+    let frame = Bytes::from(frame.expect("messages can be encoded by postcard"));
     if frame.len() > TASK_BYTES && held.try_grow(frame.len()).is_err() {
         log::info!(bytes = frame.len(); "an answer to a peer is dropped for want of memory");
         return;
--- a/testutils/src/batch.rs
+++ b/testutils/src/batch.rs
@@ -11,7 +11,6 @@
 use spokelift_lib::batch::cell::Cell;
 use spokelift_lib::batch::dispatch::lease::Lease;
 use spokelift_lib::batch::node::Node;
-use spokelift_lib::batch::peer;
 use spokelift_lib::batch::record::Accepted;
 use spokelift_lib::metrics::Counters;
 use spokelift_lib::settings::NodeSettings;
@@ -130,6 +129,6 @@
     let options = NodeSettings::resolve(|_| None).expect("every setting has a value");
     let options = NodeSettings { refuse_after_objectives: 3, ..options };
     let node = Node::new(settings, options, Counters::new(None).expect("no metrics are sent"));
-    tokio::spawn(peer::serve(node.clone(), listener, crate::serve::unlimited()));
+    tokio::spawn(node.clone().serve_peers(listener, crate::serve::unlimited()));
     node
 }
