batch: a job is accepted only if the leader has the memory to keep it

What callers saw: a few short jobs that state many tasks or steps make the leader exceed the memory of its machine; the platform kills it, and each leader after it, which reads the same jobs.

Cause: a job had a bound of 100,000 tasks, all jobs together had none.

What is refused was not written.

--- a/cli/tests/test_misbehaving_clients.rs
+++ b/cli/tests/test_misbehaving_clients.rs
@@ -238,6 +238,35 @@
     assert_served(&site, SMALL_MEMORY).await;
 }
 
+/// A short body can state a hundred thousand tasks, each of which the leader keeps.
+#[tokio::test]
+async fn jobs_of_many_tasks() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    let step = json!({ "count": 10_000, "cpu": 1_000_000, "memMb": 1, "estimateMs": 1 });
+    let job = json!({ "spec": "", "steps": vec![step; 10] });
+    for number in 0..20 {
+        // It may be refused.
+        site.submit(0, &format!("{:016x}", 0x100 + number), job.clone()).await;
+    }
+    assert_served(&site, SMALL_MEMORY).await;
+}
+
+/// A legal body can state many steps, each of which takes more memory than its text.
+#[tokio::test]
+async fn jobs_of_many_steps() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    let mut steps = vec![json!({ "count": 0 }); 20_000];
+    steps[0] = json!({ "count": 1, "cpu": 1_000_000, "memMb": 1, "estimateMs": 1 });
+    let job = json!({ "spec": "", "steps": steps });
+    for number in 0..40 {
+        // It may be refused.
+        site.submit(0, &format!("{:016x}", 0x100 + number), job.clone()).await;
+    }
+    assert_served(&site, SMALL_MEMORY).await;
+}
+
 /// What is decoded from a body is held until the job is written, and takes more memory than its text.
 #[tokio::test]
 async fn many_jobs_of_many_steps_at_once() {
@@ -270,6 +299,18 @@
     assert_served(&site, SMALL_MEMORY).await;
 }
 
+/// The largest job that clients may state is accepted by the smallest machine while it has no other.
+#[tokio::test]
+async fn a_job_of_the_most_tasks_is_accepted() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let machine = Machine { memory_mb: 160, max_descriptors: 4_100 };
+    let site = start_site(machine).await;
+    let step = json!({ "count": 10_000, "cpu": 1_000_000, "memMb": 1, "estimateMs": 1 });
+    let job = json!({ "spec": "", "steps": vec![step; 10] });
+    assert_eq!(site.submit(0, "00000000000000bb", job).await, 200);
+    assert_served(&site, machine).await;
+}
+
 /// Starts a daemon of a site of its own log on a machine.
 async fn start_daemon(variables: &[(&'static str, &'static str)]) -> Fixture {
     let fixture = Fixture::start_with_variables(PROGRAM, 1, &[], variables).await.unwrap();
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -30,6 +30,7 @@
 pub mod history;
 pub mod interference;
 pub mod job;
+pub mod job_memory;
 pub mod leader;
 pub mod maintenance;
 pub mod node;
--- a/lib/src/batch/cell.rs
+++ b/lib/src/batch/cell.rs
@@ -55,6 +55,7 @@
 use crate::batch::history::History;
 use crate::batch::job::Entry;
 use crate::batch::job::Task;
+use crate::batch::job_memory::Grants;
 use crate::batch::order_window::is_sole_leader;
 use crate::batch::place::fair::Allowances;
 use crate::batch::record::JobKey;
@@ -218,6 +219,10 @@
     pub token: Token,
     /// All known jobs.
     pub jobs: HashMap<JobId, Entry>,
+    /// Memory of these jobs, in bytes.
+    pub job_memory: u64,
+    /// What nodes were granted lately for jobs that they accept.
+    pub memory_grants: Grants,
     /// All known workers.
     pub workers: Table,
     /// Steps with tasks waiting to be placed.
@@ -333,6 +338,8 @@
         Cell {
             token,
             jobs: HashMap::new(),
+            job_memory: 0,
+            memory_grants: Grants::default(),
             workers: Table::default(),
             ready: BTreeSet::new(),
             quotas: Quotas::default(),
--- a/lib/src/batch/cell/caller_jobs.rs
+++ b/lib/src/batch/cell/caller_jobs.rs
@@ -11,6 +11,7 @@
 use crate::batch::cell::Cell;
 use crate::batch::cell::FinishedJob;
 use crate::batch::job::Entry;
+use crate::batch::job::memory_of;
 use crate::batch::record;
 use crate::batch::record::JobKey;
 use crate::state::id::AccountId;
@@ -93,6 +94,7 @@
     /// store forgot its end first, the next scheduler would run the job again.
     pub fn forget_job(&mut self, id: JobId) {
         if let Some(entry) = self.jobs.remove(&id) {
+            self.job_memory -= memory_of(&entry.accepted.job);
             self.advice.forget_job(id);
             self.pending_records.push(record::forget_progress(id));
             if entry.crashed_tasks().next().is_some() {
--- a/lib/src/batch/cell/jobs.rs
+++ b/lib/src/batch/cell/jobs.rs
@@ -17,6 +17,7 @@
 use crate::batch::cell::Rank;
 use crate::batch::history::Decision;
 use crate::batch::job::Entry;
+use crate::batch::job::memory_of;
 use crate::batch::record::Accepted;
 use crate::batch::record::Progress;
 use crate::batch::worker::Allocation;
@@ -85,6 +86,7 @@
         if entry.is_active() && entry.is_long_running() {
             self.long_running_jobs.insert(id);
         }
+        self.job_memory += memory_of(&entry.accepted.job);
         self.jobs.insert(id, entry);
         self.quotas.admitted_jobs += 1;
         for repetition in 0..repetitions {
--- a/lib/src/batch/commit.rs
+++ b/lib/src/batch/commit.rs
@@ -222,6 +222,10 @@
             self.counters.count("batch.submit.refused.pace");
             return WriteOutcome::Refused(health.retry_after(now));
         }
+        if !self.reserve_job_memory(id, &accepted.job).await {
+            self.counters.count("batch.submit.refused.memory");
+            return WriteOutcome::Refused(health.retry_after(now));
+        }
         let (answer, outcome) = oneshot::channel();
         let is_claimed = Arc::new(AtomicBool::new(false));
         let job = PendingJob {
--- a/lib/src/batch/job.rs
+++ b/lib/src/batch/job.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use spokelift_platform::ingress::JobState;
+use spokelift_platform::job::Job;
 use spokelift_platform::job::JobId;
 use spokelift_platform::job::Step;
 use spokelift_platform::job::TaskName;
@@ -169,6 +170,17 @@
     pub is_put_last: bool,
 }
 
+/// Memory that a scheduler takes for a job while it knows it, in bytes: the job itself, and its steps
+/// and tasks in all repetitions.
+pub fn memory_of(job: &Job) -> u64 {
+    let tasks: u64 = job.steps.iter().map(|step| u64::from(step.count)).sum();
+    let of_tasks = tasks * (size_of::<Task>() + size_of::<u32>()) as u64;
+    let of_steps = (job.steps.len() * size_of::<StepRun>()) as u64;
+    let of_repetition = size_of::<Repetition>() as u64 + of_steps + of_tasks;
+    let repetitions = u64::from(job.repetition_count());
+    (size_of::<Entry>() + job.memory()) as u64 + of_repetition.saturating_mul(repetitions)
+}
+
 impl Entry {
     /// A job of which nothing has run.
     pub fn new(id: JobId, accepted: Accepted) -> Entry {
--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod config;
 mod halls;
+mod job_memory;
 mod leadership;
 mod operator_api;
 mod outlook;
@@ -41,6 +42,7 @@
 use crate::batch::evacuated_halls::EvacuatedHalls;
 use crate::batch::gossip;
 use crate::batch::gossip::Gossip;
+use crate::batch::job_memory::Credit;
 use crate::batch::leader;
 use crate::batch::leader::claim::Claims;
 use crate::batch::leader::lease::KnownLease;
@@ -128,6 +130,8 @@
     evacuated_halls: Mutex<EvacuatedHalls>,
     known_lease: Mutex<KnownLease>,
     outlook: Mutex<Known>,
+    /// What this node may accept of jobs by the leader's last grant of memory.
+    job_credit: Mutex<Credit>,
     scheduler: Mutex<Option<Arc<Scheduler>>>,
     stopping: watch::Sender<bool>,
 }
@@ -166,6 +170,7 @@
             evacuated_halls: Mutex::default(),
             known_lease: Mutex::default(),
             outlook: Mutex::default(),
+            job_credit: Mutex::default(),
             scheduler: Mutex::default(),
             stopping: watch::Sender::new(false),
             settings,
--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -105,6 +105,8 @@
         /// Its CPU, in thousandths of a core.
         cpu: u32,
     },
+    /// To the leader: reserves this many bytes of its memory for a job that is to be accepted.
+    ReserveMemory(JobId, u64),
 }
 
 impl Request {
@@ -128,6 +130,7 @@
             Request::MayRefuse(..) => "may-refuse",
             Request::ClaimPromise { .. } => "claim-promise",
             Request::Joined { .. } => "joined",
+            Request::ReserveMemory(..) => "reserve-memory",
         }
     }
 }
@@ -166,6 +169,8 @@
     ClaimPromise(Duration),
     /// The report was received; for how long after it was sent the dispatcher may act.
     Reported(Duration),
+    /// How many bytes the leader has reserved, at least as many as were asked for; 0 if none.
+    MemoryReserved(u64),
 }
 
 /// Why a request to a peer has no answer.
--- a/lib/src/batch/scheduler/answer.rs
+++ b/lib/src/batch/scheduler/answer.rs
@@ -84,6 +84,7 @@
             Request::Report(report) => take_report(self, *report),
             Request::MayRefuse(id, caller, outlook) => self.may_refuse(id, &caller, outlook),
             Request::Joined { addr, cpu } => self.add_joined(addr, cpu),
+            Request::ReserveMemory(id, needed) => self.reserve_memory(id, needed),
             // Answered by the node itself.
             Request::Dispatch(_)
             | Request::Newer { .. }
@@ -96,6 +97,16 @@
         }
     }
 
+    /// Reserves memory for a job; one that is known already needs no more.
+    fn reserve_memory(&self, id: JobId, needed: u64) -> Reply {
+        let mut cell = self.cell();
+        if cell.jobs.contains_key(&id) {
+            return Reply::MemoryReserved(needed);
+        }
+        let (used, limit) = (cell.job_memory, self.node.job_memory_limit());
+        Reply::MemoryReserved(cell.memory_grants.grant(needed, used, limit, clock::now()))
+    }
+
     /// Takes note of a node that has joined. If this scheduler may have been replaced, the node is not
     /// known to the leader by that.
     fn add_joined(&self, addr: SocketAddr, cpu: u32) -> Reply {
