--- a/transport/src/admission.rs
+++ b/transport/src/admission.rs
@@ -8,13 +8,14 @@
 //! is being handled is never closed for another one; if all are, the new request is refused.
 
 mod buffer;
+mod client;
+mod held;
 
 use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::time::Instant;
 
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -23,7 +24,9 @@
 
 pub use crate::admission::buffer::Buffer;
 pub use crate::admission::buffer::PushError;
-use crate::clock;
+pub use crate::admission::client::Client;
+use crate::admission::client::Cost;
+pub use crate::admission::held::Held;
 use crate::socket;
 
 /// Descriptors that the platform keeps for files.
@@ -141,13 +144,6 @@
     }
 }
 
-/// What a request has cost: its bytes, times how long they are held, in microseconds.
-type Cost = u128;
-
-fn cost(bytes: usize, since: Instant) -> Cost {
-    bytes as Cost * clock::since(since).as_micros()
-}
-
 impl Control {
     /// Admits connections within `limits`.
     pub fn new(limits: Limits, on_event: EventHandler) -> Control {
@@ -268,160 +264,3 @@
         control.shared.freed.notify_waiters();
     }
 }
-
-/// Bytes that are held for a request. They are free again once this is dropped.
-pub struct Held {
-    client: Client,
-    bytes: usize,
-    since: Instant,
-}
-
-impl Held {
-    /// Holds further bytes. At the limit, other connections are closed first.
-    ///
-    /// # Errors
-    ///
-    /// [`Exhausted`] if there is no room, and this request has cost more than each of those whose
-    /// clients are waited for.
-    ///
-    /// ```
-    /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
-    /// use std::sync::Arc;
-    /// use spokelift_transport::admission::Control;
-    /// use spokelift_transport::admission::Exhausted;
-    /// use spokelift_transport::admission::Limits;
-    /// let control = Control::new(Limits { connections: 2, bytes: 100 }, Arc::new(|_| {}));
-    /// let connection = control.admit().await.unwrap();
-    /// let client = connection.client();
-    /// let (mut first, mut second) = (client.hold(), client.hold());
-    /// assert_eq!(first.grow(80).await, Ok(()));
-    /// assert_eq!(second.grow(30).await, Err(Exhausted));
-    /// drop(first);
-    /// assert_eq!(second.grow(30).await, Ok(()));
-    /// # });
-    /// ```
-    pub async fn grow(&mut self, by: usize) -> Result<(), Exhausted> {
-        let control = self.client.control.clone();
-        loop {
-            let freed = control.shared.freed.notified();
-            if self.hold(by) {
-                return Ok(());
-            }
-            if !self.make_room(by) {
-                return Err(self.refuse());
-            }
-            freed.await;
-        }
-    }
-
-    /// Holds further bytes without waiting for room: for bytes that exist already. At the limit,
-    /// another connection is closed, but these bytes are refused.
-    ///
-    /// # Errors
-    ///
-    /// [`Exhausted`] if there is no room.
-    pub fn try_grow(&mut self, by: usize) -> Result<(), Exhausted> {
-        if self.hold(by) {
-            return Ok(());
-        }
-        self.make_room(by);
-        Err(self.refuse())
-    }
-
-    fn hold(&mut self, by: usize) -> bool {
-        let has_room = self.client.control.try_hold(&self.client, by);
-        if has_room {
-            self.bytes += by;
-        }
-        has_room
-    }
-
-    /// Has a connection closed that has cost more than this request. Returns whether one is closing.
-    fn make_room(&self, by: usize) -> bool {
-        let own = cost(self.bytes + by, self.since);
-        self.client.control.close_one(Event::RequestClosed, |in_use| in_use.most_costly(own))
-    }
-
-    fn refuse(&self) -> Exhausted {
-        (self.client.control.shared.on_event)(Event::RequestRefused);
-        Exhausted
-    }
-
-    /// Frees a part of the bytes.
-    pub fn shrink_to(&mut self, bytes: usize) {
-        let freed = self.bytes.saturating_sub(bytes);
-        self.bytes -= freed;
-        self.client.control.free(&self.client, freed);
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.client.control.free(&self.client, self.bytes);
-    }
-}
-
-/// Whether a connection waits for its client, and what is held for it. Clones share the state.
-#[derive(Clone)]
-pub struct Client {
-    control: Control,
-    state: Arc<Mutex<State>>,
-    closing: Arc<Notify>,
-}
-
-#[derive(Clone, Copy, Default)]
-struct State {
-    waiting_since: Option<Instant>,
-    is_closing: bool,
-    /// Bytes held for its requests.
-    bytes: usize,
-}
-
-impl Client {
-    fn new(control: &Control) -> Client {
-        Client { control: control.clone(), state: Arc::default(), closing: Arc::default() }
-    }
-
-    /// Bytes that are held for a request of the client, none at first.
-    pub fn hold(&self) -> Held {
-        Held { client: self.clone(), bytes: 0, since: clock::now() }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no thread panics while it holds the client lock")
-    }
-
-    /// Since when the connection waits for its client; `None` if it does not, or is closing.
-    fn waiting_since(&self) -> Option<Instant> {
-        let state = self.lock();
-        state.waiting_since.filter(|_| !state.is_closing)
-    }
-
-    /// What its requests have cost so far; `None` if the connection does not wait for it, or is
-    /// closing.
-    fn cost(&self) -> Option<Cost> {
-        let since = self.waiting_since()?;
-        Some(cost(self.lock().bytes, since))
-    }
-
-    /// Records that the connection has been waiting for its client since this time: to send a
-    /// request or the rest of one, or to read an answer.
-    pub fn wait_since(&self, since: Instant) {
-        self.lock().waiting_since = Some(since);
-    }
-
-    /// Records that the client waits for the connection.
-    pub fn stop_waiting(&self) {
-        self.lock().waiting_since = None;
-    }
-
-    fn close(&self) {
-        self.lock().is_closing = true;
-        self.closing.notify_one();
-    }
-
-    /// Waits until the connection is to be closed in favour of another one.
-    pub async fn closed(&self) {
-        self.closing.notified().await;
-    }
-}
