--- a/cli/tests/test_misbehaving_clients.rs
+++ b/cli/tests/test_misbehaving_clients.rs
@@ -58,6 +58,11 @@
     assert_within(machine, pid);
 }
 
+/// Waits until the node has a leader again.
+async fn wait_for_leader(site: &Site) {
+    site.wait_until("there is a leader", async |site| site.pending_jobs(0).await.is_some()).await;
+}
+
 /// Waits until the view of accounts has the last of 5,000.
 async fn wait_until_accounts_are_shown(site: &Site) {
     site.wait_until("the leader shows all accounts", async |site| {
@@ -143,6 +148,29 @@
     assert_served(&site, FEW_DESCRIPTORS).await;
 }
 
+/// A client may name any deadline, and its connection is not closed while its request waits for a
+/// leader.
+#[tokio::test]
+async fn requests_that_may_wait_for_an_hour() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(FEW_DESCRIPTORS).await;
+    let hold = proxy::Fault { answer: Flow::Hold, ..proxy::Fault::default() };
+    site.nodes[0].store_proxy.set_fault(hold);
+    site.wait_until("there is no leader", async |site| {
+        site.job_state(0, ORDINARY_JOB).await == Err(503)
+    })
+    .await;
+    let mut crowd = Crowd::connect(site.nodes[0].client_addr, 300).await;
+    let head =
+        format!("GET /q/{ORDINARY_JOB} HTTP/1.1\r\nhost: {HOST}\r\nx-deadline-ms: 3600000\r\n\r\n");
+    crowd.send(head).await;
+    crowd.wait_until_read().await;
+    site.wait_until("the node answers", async |site| site.metrics(0).await.is_some()).await;
+    site.nodes[0].store_proxy.set_fault(proxy::Fault::default());
+    wait_for_leader(&site).await;
+    assert_served(&site, FEW_DESCRIPTORS).await;
+}
+
 /// Heads of requests are held until they are complete.
 #[tokio::test]
 async fn heads_that_stop_short() {
@@ -279,10 +307,7 @@
     crowd.send(with_length(body.len()) + &body).await;
     crowd.wait_until_read().await;
     site.nodes[0].store_proxy.set_fault(proxy::Fault::default());
-    site.wait_until("the node has a leader again", async |site| {
-        site.pending_jobs(0).await.is_some()
-    })
-    .await;
+    wait_for_leader(&site).await;
     assert_served(&site, SMALL_MEMORY).await;
 }
 
--- a/lib/src/batch/client_api.rs
+++ b/lib/src/batch/client_api.rs
@@ -37,6 +37,9 @@
 
 /// Deadline of a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_millis(3_000);
+/// Longest deadline of a request. A request that waits keeps its connection from being closed for
+/// another one.
+const MAX_DEADLINE: Duration = Duration::from_secs(15);
 /// Fraction of the client's deadline within which it gets an answer, whatever the answer is.
 const ANSWER_FRACTION: f64 = 0.6;
 /// Delay after which a client should retry a request that could not be answered; a change of leader
@@ -85,7 +88,11 @@
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(node, &config, &head, &refusal),
     };
-    let deadline = ingress::client_timeout(&head.headers).unwrap_or(DEFAULT_DEADLINE);
+    let mut deadline = ingress::client_timeout(&head.headers).unwrap_or(DEFAULT_DEADLINE);
+    if deadline > MAX_DEADLINE {
+        node.counters.count("batch.client.deadline-shortened");
+        deadline = MAX_DEADLINE;
+    }
     let answer_by = started + deadline.mul_f64(ANSWER_FRACTION);
     if rest.is_empty() && head.method == Method::GET {
         return count_pending(node, queue.name.clone(), caller, answer_by).await;
