catch-up: only peers that know the secret take a place

What callers saw: connections that send nothing keep a daemon that cannot read the log from catching up from another, so that it serves nobody.

Cause: one of eight places was taken when a connection was accepted, and kept for the 5 s of an exchange.

Change: it is taken once the request is authenticated; until then a peer may send 1 KiB.

Evidence: silent_connections_to_the_listener_for_catching_up failed before (48 exchanges timed out in 30 s); it passes now.

--- a/cli/tests/test_misbehaving_clients.rs
+++ b/cli/tests/test_misbehaving_clients.rs
@@ -380,3 +380,21 @@
     crowd.wait_until_read().await;
     assert_caller_served(&fixture, SMALL_MEMORY).await;
 }
+
+/// Daemons that cannot read the log catch up from others, whoever else has connected there.
+#[tokio::test]
+async fn silent_connections_to_the_listener_for_catching_up() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let mut fixture = Fixture::start(PROGRAM, 2, &[]).await.unwrap();
+    fixture.set_up().await;
+    let _crowd = Crowd::connect(fixture.addrs(0).peer, 200).await;
+    fixture.kill_daemon(1);
+    let hold = proxy::Fault { answer: Flow::Hold, ..proxy::Fault::default() };
+    fixture.log_links[1].set_fault(hold);
+    fixture.start_daemon(1).unwrap();
+    fixture
+        .wait_until("the daemon has caught up", async || {
+            fixture.counter(0, "catch-up.served").await > 0
+        })
+        .await;
+}
--- a/lib/src/coordination/catch_up.rs
+++ b/lib/src/coordination/catch_up.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_util::SinkExt;
+use futures_util::Stream;
 use futures_util::StreamExt;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -15,6 +17,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
+use tokio_util::codec::FramedRead;
+use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::coordination::follow;
@@ -32,6 +36,7 @@
 use crate::state::id::Offset;
 use crate::state::snapshot;
 use crate::transport::admission;
+use crate::transport::admission::Client;
 use crate::transport::clock;
 
 /// How often a daemon checks whether it should catch up.
@@ -44,6 +49,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Maximum number of peers served at a time.
 const MAX_CLIENTS: usize = 8;
+/// Largest request of a peer, in bytes.
+const MAX_REQUEST_BYTES: usize = 1024;
 /// Maximum size of the part of a state in one piece, in bytes.
 const STATE_PIECE_BYTES: usize = 1024 * 1024;
 /// Largest state taken from a peer, in bytes.
@@ -89,12 +96,10 @@
     }
 }
 
-type PeerStream = Framed<TcpStream, LengthDelimitedCodec>;
-
-fn peer_stream(stream: TcpStream) -> PeerStream {
+fn codec(max_frame_bytes: usize) -> LengthDelimitedCodec {
     let mut codec = LengthDelimitedCodec::new();
-    codec.set_max_frame_length(MAX_PIECE_BYTES);
-    Framed::new(stream, codec)
+    codec.set_max_frame_length(max_frame_bytes);
+    codec
 }
 
 /// Catches up from peers while the log cannot be read, for as long as the daemon runs.
@@ -150,7 +155,8 @@
     from: Offset,
     whole: bool,
 ) -> Result<Updates, CatchUpError> {
-    let mut stream = peer_stream(TcpStream::connect(peer).await?);
+    let stream = TcpStream::connect(peer).await?;
+    let mut stream = Framed::new(stream, codec(MAX_PIECE_BYTES));
     let key = &node.settings.peer_key;
     let greeting: Greeting = open(key, &receive_frame(&mut stream).await?)?;
     let client: Nonce = rand::random();
@@ -186,8 +192,10 @@
     Ok(Updates::State(Box::new(fleet)))
 }
 
-async fn receive_frame(stream: &mut PeerStream) -> Result<Bytes, CatchUpError> {
-    let frame = stream.next().await.ok_or(CatchUpError::ConnectionClosed)??;
+async fn receive_frame(
+    frames: &mut (impl Stream<Item = io::Result<BytesMut>> + Unpin),
+) -> Result<Bytes, CatchUpError> {
+    let frame = frames.next().await.ok_or(CatchUpError::ConnectionClosed)??;
     Ok(frame.freeze())
 }
 
@@ -195,7 +203,6 @@
 pub async fn serve(node: Arc<Node>, listener: TcpListener, admission: admission::Control) {
     let permits = Arc::new(Semaphore::new(MAX_CLIENTS));
     loop {
-        let permit = permits.clone().acquire_owned().await;
         let (stream, admitted) = match admission.accept(&listener).await {
             Ok(Some(accepted)) => accepted,
             Ok(None) => continue,
@@ -204,11 +211,10 @@
                 continue;
             }
         };
-        let node = node.clone();
+        let (node, permits) = (node.clone(), permits.clone());
         tokio::spawn(async move {
-            let _permit = permit;
-            admitted.client().wait_since(clock::now());
-            let exchange = timeout(EXCHANGE_TIMEOUT, serve_peer(&node, stream));
+            let exchange = serve_peer(&node, stream, admitted.client(), &permits);
+            let exchange = timeout(EXCHANGE_TIMEOUT, exchange);
             let result = tokio::select! {
                 result = exchange => result,
                 () = admitted.client().closed() => return,
@@ -231,21 +237,32 @@
     }
 }
 
-async fn serve_peer(node: &Node, stream: TcpStream) -> Result<(), CatchUpError> {
-    let mut stream = peer_stream(stream);
+async fn serve_peer(
+    node: &Node,
+    stream: TcpStream,
+    client: &Client,
+    permits: &Semaphore,
+) -> Result<(), CatchUpError> {
+    client.wait_since(clock::now());
+    let (read_half, write_half) = stream.into_split();
+    let mut requests = FramedRead::new(read_half, codec(MAX_REQUEST_BYTES));
+    let mut pieces = FramedWrite::new(write_half, codec(MAX_PIECE_BYTES));
     let key = &node.settings.peer_key;
     let server: Nonce = rand::random();
-    stream.send(Bytes::from(seal(key, &Greeting { server }))).await?;
-    let request: Request = open(key, &receive_frame(&mut stream).await?)?;
+    pieces.send(Bytes::from(seal(key, &Greeting { server }))).await?;
+    let request: Request = open(key, &receive_frame(&mut requests).await?)?;
     if request.server != server {
         return Err(CatchUpError::Mismatch);
     }
+    // Only a daemon of the site gets this far, so strangers take no permits.
+    client.stop_waiting();
+    let _permit = permits.acquire().await.expect("the semaphore is never closed");
     let payloads = build_payloads(node, &request);
     let count = payloads.len();
     for (index, payload) in payloads.into_iter().enumerate() {
         let last = index + 1 == count;
         let piece = Piece { client: request.client, index: index as u32, last, payload };
-        stream.send(Bytes::from(seal(key, &piece))).await?;
+        pieces.send(Bytes::from(seal(key, &piece))).await?;
     }
     Ok(())
 }
