peer: the future of an answer is kept once

An argument that is a future is kept by an async function as its argument and again while it is awaited, so each request of a peer that was being answered took its task twice since the answering side knows no node.

--- a/lib/src/batch/peer/serve.rs
+++ b/lib/src/batch/peer/serve.rs
@@ -98,9 +98,9 @@
 async fn serve_connection<Request, Reply, F>(
     stream: TcpStream,
     client: &Client,
-    answer: impl Fn(Request) -> F,
+    answer: impl Fn(Request) -> F + Clone + Send + 'static,
 ) where
-    Request: DeserializeOwned,
+    Request: DeserializeOwned + Send + 'static,
     Reply: Serialize + Send + 'static,
     F: Future<Output = Reply> + Send + 'static,
 {
@@ -134,10 +134,10 @@
     read_half: OwnedReadHalf,
     client: &Client,
     answers: mpsc::Sender<Answer>,
-    answer: impl Fn(Request) -> F,
+    answer: impl Fn(Request) -> F + Clone + Send + 'static,
 ) -> Result<(), ReadError>
 where
-    Request: DeserializeOwned,
+    Request: DeserializeOwned + Send + 'static,
     Reply: Serialize + Send + 'static,
     F: Future<Output = Reply> + Send + 'static,
 {
@@ -147,7 +147,8 @@
         let (frame, mut held) = receive_frame(&mut reader, client).await?;
         held.grow(TASK_BYTES).await?;
         let (number, request) = postcard::from_bytes::<(u64, Request)>(&frame)?;
-        tokio::spawn(send_answer(number, answer(request), held, answers.clone()));
+        let (answer, answers) = (answer.clone(), answers.clone());
+        tokio::spawn(send_answer(number, request, answer, held, answers));
     }
 }
 
@@ -172,13 +173,19 @@
     Ok(frame.into_parts())
 }
 
-async fn send_answer<Reply: Serialize>(
+/// Answers a request. The future of the answer is made here, since an argument would be kept twice.
+async fn send_answer<Request, Reply, F>(
     number: u64,
-    reply: impl Future<Output = Reply>,
+    request: Request,
+    answer: impl Fn(Request) -> F,
     mut held: Held,
     answers: mpsc::Sender<Answer>,
-) {
-    let frame = postcard::to_stdvec(&(number, reply.await));
+) where
+    Reply: Serialize,
+    F: Future<Output = Reply>,
+{
+    let reply = answer(request).await;
+    let frame = postcard::to_stdvec(&(number, reply));
     let frame = Bytes::from(frame.expect("messages can be encoded by postcard"));
     if frame.len() > TASK_BYTES && held.try_grow(frame.len()).is_err() {
         log::info!(bytes = frame.len(); "an answer to a peer is dropped for want of memory");
