testutils: imports in their groups

The imports of the stand-ins' server stood among those of other crates, and one test named a type by its whole path. No change of behaviour; clippy and the tests of the workspace's crates build.

--- a/cli/tests/test_misbehaving_clients.rs
+++ b/cli/tests/test_misbehaving_clients.rs
@@ -2,6 +2,8 @@
 //! within the memory and the descriptors of its machine, and answers an ordinary request while the
 //! crowd's connections are still open.
 
+use std::time::Duration;
+
 use hyper::header::AUTHORIZATION;
 use serde_json::Value;
 use serde_json::json;
@@ -20,6 +22,7 @@
 use spokelift_testutils::proxy::Flow;
 use spokelift_testutils::site::caller_secret;
 use tokio::sync::Mutex;
+use tokio::time::sleep;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_spokeliftd");
 /// The largest body that the stand-in's configuration allows, in bytes.
@@ -129,7 +132,7 @@
     for _ in 0..300 {
         crowd.send(" ").await;
         // Without a pause, the bytes would arrive as one piece.
-        tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+        sleep(Duration::from_millis(2)).await;
     }
     assert_served(&site, SMALL_MEMORY).await;
 }
--- a/testutils/src/boxes.rs
+++ b/testutils/src/boxes.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
-use crate::serve::serve;
 use hyper::Request;
 use hyper::Response;
 use spokelift_lib::protocol::boxes::List;
@@ -16,6 +15,7 @@
 
 use crate::log::json_response;
 use crate::log::query_number;
+use crate::serve::serve;
 
 /// A running box list. Clones share the same list.
 #[derive(Clone)]
--- a/testutils/src/log.rs
+++ b/testutils/src/log.rs
@@ -8,7 +8,6 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use crate::serve::serve;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Method;
@@ -29,6 +28,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::serve::serve;
+
 /// Largest size of the records in one answer.
 const MAX_PAGE_BYTES: usize = 8 * 1024 * 1024;
 
--- a/testutils/src/platform/advice.rs
+++ b/testutils/src/platform/advice.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::serve::serve;
 use hyper::Request;
 use hyper::Response;
 use serde_json::Value;
@@ -16,6 +15,7 @@
 use crate::platform::json_response;
 use crate::platform::machines::Machines;
 use crate::platform::read_json;
+use crate::serve::serve;
 
 /// The only machine whose workers may run steps of queues that need advice.
 pub const ADVISED_MACHINE: &str = "m-1";
--- a/testutils/src/platform/machines.rs
+++ b/testutils/src/platform/machines.rs
@@ -11,7 +11,6 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use crate::serve::serve;
 use hyper::Request;
 use hyper::Response;
 use serde_json::Value;
@@ -33,6 +32,7 @@
 use crate::platform::worker::Shape;
 use crate::platform::worker::StartOptions;
 use crate::platform::worker::Worker;
+use crate::serve::serve;
 
 /// How long a machine is down for a move or maintenance, or after a crash of its worker.
 const DOWNTIME: Duration = Duration::from_millis(600);
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -11,7 +11,6 @@
 use std::sync::Weak;
 use std::time::Duration;
 
-use crate::serve::serve;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -37,6 +36,7 @@
 use crate::platform::json_response;
 use crate::platform::network;
 use crate::platform::network::Network;
+use crate::serve::serve;
 
 /// A fault of an endpoint of the store. Each node has its own endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/testutils/src/platform/worker.rs
+++ b/testutils/src/platform/worker.rs
@@ -17,7 +17,6 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use crate::serve::serve;
 use hyper::Request;
 use hyper::Response;
 use serde_json::Value;
@@ -38,6 +37,7 @@
 use crate::platform::ledger::Ledger;
 use crate::platform::read_json;
 use crate::platform::store::Store;
+use crate::serve::serve;
 
 /// Word in a job's specification that makes workers require a ticket of the advice service.
 pub const NEEDS_TICKET: &str = "needs-ticket";
--- a/testutils/src/worker.rs
+++ b/testutils/src/worker.rs
@@ -8,7 +8,6 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use crate::serve::serve;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Request;
@@ -41,6 +40,7 @@
 use crate::ledger::Token;
 use crate::log::empty_response;
 use crate::log::json_response;
+use crate::serve::serve;
 
 /// Header with the caller's token, repeated in the answer.
 pub const TOKEN: &str = "x-token";
