transport: connections are accepted in one place

Cause: three listeners each had a loop that accepts, retries after a failure and passes over what was refused, with three pauses; two of them set the options of the connection, the third (catch-up) none, and two dropped a failed accept without a log line.

Change: admission::Control::accept does all of it and returns the next connection that is admitted. Held's two names for holding are told apart.

Result: a failed accept is retried after 50 ms everywhere (50, 200 and 300 ms before) and logged; connections for catch-up have the options of all others.

--- a/lib/src/batch/peer/serve.rs
+++ b/lib/src/batch/peer/serve.rs
@@ -4,7 +4,6 @@
 //! limits of the process: a request while it arrives and until its answer is written, and the answer.
 
 use std::io;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::SinkExt;
@@ -29,10 +28,7 @@
 use crate::transport::admission::Held;
 use crate::transport::admission::PushError;
 use crate::transport::clock;
-use crate::transport::socket;
 
-/// Pause after a failed accept, for example for lack of descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Maximum number of answers queued for one connection.
 const QUEUE_CAPACITY: usize = 1_024;
 /// Largest request, in bytes.
@@ -76,22 +72,14 @@
     F: Future<Output = Reply> + Send + 'static,
 {
     loop {
-        match admission.accept(&listener).await {
-            Ok(Some((stream, admitted))) => {
-                let answer = answer.clone();
-                tokio::spawn(async move {
-                    tokio::select! {
-                        () = serve_connection(stream, admitted.client(), answer) => {}
-                        () = admitted.client().closed() => {}
-                    }
-                });
+        let (stream, admitted) = admission.accept(&listener).await;
+        let answer = answer.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = serve_connection(stream, admitted.client(), answer) => {}
+                () = admitted.client().closed() => {}
             }
-            Ok(None) => {}
-            Err(error) => {
-                log::warn!("cannot accept a connection of a peer: {error}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        });
     }
 }
 
@@ -104,10 +92,6 @@
     Reply: Serialize + Send + 'static,
     F: Future<Output = Reply> + Send + 'static,
 {
-    if let Err(error) = socket::set_options(&stream) {
-        log::debug!("cannot set up a connection of a peer: {error}");
-        return;
-    }
     let (read_half, write_half) = stream.into_split();
     let (answers, queue) = mpsc::channel(QUEUE_CAPACITY);
     tokio::select! {
--- a/lib/src/coordination/catch_up.rs
+++ b/lib/src/coordination/catch_up.rs
@@ -45,7 +45,7 @@
 const MAX_LOG_AGE: Duration = Duration::from_millis(1300);
 /// How long one exchange may take.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Pause after a failed exchange or accept.
+/// Pause after a failed exchange.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Maximum number of peers served at a time.
 const MAX_CLIENTS: usize = 8;
@@ -203,14 +203,7 @@
 pub async fn serve(node: Arc<Node>, listener: TcpListener, admission: admission::Control) {
     let permits = Arc::new(Semaphore::new(MAX_CLIENTS));
     loop {
-        let (stream, admitted) = match admission.accept(&listener).await {
-            Ok(Some(accepted)) => accepted,
-            Ok(None) => continue,
-            Err(_) => {
-                sleep(RETRY_DELAY).await;
-                continue;
-            }
-        };
+        let (stream, admitted) = admission.accept(&listener).await;
         let (node, permits) = (node.clone(), permits.clone());
         tokio::spawn(async move {
             let exchange = serve_peer(&node, stream, admitted.client(), &permits);
@@ -254,7 +247,7 @@
     if request.server != server {
         return Err(CatchUpError::Mismatch);
     }
-    // Only a daemon of the site gets this far, so strangers take no permits.
+    // Only a peer that knows the site's secret gets this far, so others take no permits.
     client.stop_waiting();
     let _permit = permits.acquire().await.expect("the semaphore is never closed");
     let payloads = build_payloads(node, &request);
--- a/transport/src/admission.rs
+++ b/transport/src/admission.rs
@@ -12,15 +12,16 @@
 mod held;
 
 use std::collections::HashMap;
-use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::sleep;
 
 pub use crate::admission::buffer::Buffer;
 pub use crate::admission::buffer::PushError;
@@ -29,6 +30,8 @@
 pub use crate::admission::held::Held;
 use crate::socket;
 
+/// Pause after a failed accept, for example for lack of descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Descriptors that the platform keeps for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Memory of a connection without the bodies of its requests, in bytes: mostly the buffer for the
@@ -155,21 +158,25 @@
         self.shared.in_use.lock().expect("no thread panics while it holds the admission lock")
     }
 
-    /// Accepts a connection; `None` if it was refused and closed, or has ended.
-    ///
-    /// # Errors
-    ///
-    /// Errors of the system, for example for lack of descriptors.
-    pub async fn accept(
-        &self,
-        listener: &TcpListener,
-    ) -> io::Result<Option<(TcpStream, Connection)>> {
-        let (stream, _) = listener.accept().await?;
-        if socket::limit_buffers(&stream).is_err() {
-            // The client has disconnected already.
-            return Ok(None);
+    /// Accepts the next connection that is admitted, and sets its options.
+    pub async fn accept(&self, listener: &TcpListener) -> (TcpStream, Connection) {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!("cannot accept a connection: {error}");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                }
+            };
+            if socket::set_accepted_options(&stream).is_err() {
+                // The client has disconnected already.
+                continue;
+            }
+            if let Some(connection) = self.admit().await {
+                return (stream, connection);
+            }
         }
-        Ok(self.admit().await.map(|connection| (stream, connection)))
     }
 
     /// Admits a connection that was accepted; `None` if it is refused. At the limit, another
--- a/transport/src/admission/held.rs
+++ b/transport/src/admission/held.rs
@@ -47,7 +47,7 @@
         let control = self.client.control.clone();
         loop {
             let freed = control.shared.freed.notified();
-            if self.hold(by) {
+            if self.grow_now(by) {
                 return Ok(());
             }
             if !self.make_room(by) {
@@ -64,14 +64,15 @@
     ///
     /// [`Exhausted`] if there is no room.
     pub fn try_grow(&mut self, by: usize) -> Result<(), Exhausted> {
-        if self.hold(by) {
+        if self.grow_now(by) {
             return Ok(());
         }
         self.make_room(by);
         Err(self.refuse())
     }
 
-    fn hold(&mut self, by: usize) -> bool {
+    /// Holds further bytes if there is room.
+    fn grow_now(&mut self, by: usize) -> bool {
         let has_room = self.client.control.try_hold(&self.client, by);
         if has_room {
             self.bytes += by;
--- a/transport/src/serve.rs
+++ b/transport/src/serve.rs
@@ -7,7 +7,6 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::time::Duration;
 
 use hyper::Request;
 use hyper::Response;
@@ -30,12 +29,9 @@
 use crate::serve::phase::Due;
 use crate::serve::phase::Phase;
 use crate::serve::phase::TrackedStream;
-use crate::socket;
 
 /// Largest request head, and largest piece of a body, in bytes.
 const MAX_BUFFER_BYTES: usize = 16 * 1024;
-/// Pause after a failed accept, for example for lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Serves `listener` until `stop` turns true, then completes the requests in flight.
 ///
@@ -53,18 +49,12 @@
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
-        let accepted = tokio::select! {
+        let (stream, admitted) = tokio::select! {
             accepted = admission.accept(&listener) => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        match accepted {
-            Ok(Some((stream, admitted))) => {
-                let (stop, handler) = (stop.clone(), handler.clone());
-                connections.spawn(serve_connection(stream, admitted, stop, handler));
-            }
-            Ok(None) => {}
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
-        }
+        let (stop, handler) = (stop.clone(), handler.clone());
+        connections.spawn(serve_connection(stream, admitted, stop, handler));
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
@@ -79,10 +69,6 @@
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
-    if socket::set_options(&stream).is_err() {
-        // The caller has disconnected already.
-        return;
-    }
     let phase = Phase::new(admitted.client().clone());
     let service = service_fn(|request: Request<hyper::body::Incoming>| {
         phase.start_response();
--- a/transport/src/socket.rs
+++ b/transport/src/socket.rs
@@ -24,13 +24,14 @@
 /// second.
 const ACCEPTED_BUFFER_BYTES: usize = 32 * 1024;
 
-/// Limits what the kernel holds for an accepted connection: by itself, it would take megabytes of
-/// answers that a client does not read.
+/// Sets the options of an accepted connection: those of every connection, and limits of what the
+/// kernel holds for it, which by itself would take megabytes of answers that a client does not read.
 ///
 /// # Errors
 ///
 /// Errors of the system; the connection has usually ended then.
-pub fn limit_buffers(stream: &TcpStream) -> io::Result<()> {
+pub fn set_accepted_options(stream: &TcpStream) -> io::Result<()> {
+    set_options(stream)?;
     let socket = SockRef::from(stream);
     socket.set_send_buffer_size(ACCEPTED_BUFFER_BYTES)?;
     socket.set_recv_buffer_size(ACCEPTED_BUFFER_BYTES)
