listen: both homes get their admission from one function

Cause: the daemon and the node each put the limits of the machine and the counting together in the same four lines.

Change: listen::admission does; metrics knows nothing of admission again. No change of behaviour.

--- a/lib/src/batch/node.rs
+++ b/lib/src/batch/node.rs
@@ -58,12 +58,10 @@
 use crate::batch::watch::Turns;
 use crate::latency::Latencies;
 use crate::listen::StartError;
+use crate::listen::admission;
 use crate::listen::listen;
 use crate::metrics::Counters;
-use crate::metrics::count_admission;
 use crate::settings::NodeSettings;
-use crate::transport::admission;
-use crate::transport::admission::Limits;
 use crate::transport::clock;
 use crate::transport::dial::Body;
 use crate::transport::dial::Dialer;
@@ -255,10 +253,8 @@
     let peers = listen("peers", peer_addr).await?;
     log::info!(node = settings.node.as_str(), hall = settings.hall.as_str(); "node starts");
     let node = Node::new(settings, options, counters);
-    let admission = admission::Control::new(
-        Limits::of_machine(node.settings.memory, node.settings.max_descriptors),
-        count_admission(node.counters.clone()),
-    );
+    let (memory, max_descriptors) = (node.settings.memory, node.settings.max_descriptors);
+    let admission = admission(memory, max_descriptors, &node.counters);
     let tasks = [
         tokio::spawn(node.clone().serve_peers(peers, admission.clone())),
         tokio::spawn(operator::run(node.clone())),
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -25,13 +25,11 @@
 use crate::coordination::reconcile;
 use crate::coordination::snapshot;
 use crate::listen::StartError;
+use crate::listen::admission;
 use crate::listen::listen;
 use crate::metrics::Counters;
-use crate::metrics::count_admission;
 use crate::operator_api;
 use crate::settings::Settings;
-use crate::transport::admission;
-use crate::transport::admission::Limits;
 use crate::transport::serve::Incoming;
 use crate::transport::serve::serve;
 
@@ -109,10 +107,8 @@
     let counters = Counters::new(settings.statsd).map_err(StartError::Metrics)?;
     let node = Node::new(settings, counters);
     let mut tasks = JoinSet::new();
-    let admission = admission::Control::new(
-        Limits::of_machine(node.settings.memory, node.settings.max_descriptors),
-        count_admission(node.counters.clone()),
-    );
+    let (memory, max_descriptors) = (node.settings.memory, node.settings.max_descriptors);
+    let admission = admission(memory, max_descriptors, &node.counters);
     tasks.spawn(catch_up::serve(node.clone(), sockets.catch_up, admission.clone()));
     spawn_tasks(&node, sockets.peer, &mut tasks);
     let (close, closed) = watch::channel(false);
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -14,8 +14,6 @@
 use cadence::MetricSink;
 use cadence::StatsdClient;
 
-use crate::transport::admission;
-
 /// Prefix of every metric.
 const PREFIX: &str = "spokelift";
 
@@ -108,8 +106,3 @@
         totals.clone()
     }
 }
-
-/// Counts what happens at the limits of a process's accepted connections.
-pub fn count_admission(counters: Counters) -> admission::EventHandler {
-    Arc::new(move |event| counters.count(event.counter()))
-}
