operator: what is decoded from an operator's job counts as held

Cause: the client API counts the decoded job beside its text; the operators' API, its twin, counted only the text.

Change: the operators' API counts it in the same way and refuses with 503 (overloaded) without room.

--- a/cli/tests/test_misbehaving_clients.rs
+++ b/cli/tests/test_misbehaving_clients.rs
@@ -2,6 +2,7 @@
 //! within the memory and the descriptors of its machine, and answers an ordinary request while the
 //! crowd's connections are still open.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::header::AUTHORIZATION;
@@ -17,6 +18,7 @@
 use spokelift_testutils::platform::site::config::Account;
 use spokelift_testutils::platform::site::config::HOST;
 use spokelift_testutils::platform::site::config::config;
+use spokelift_testutils::platform::site::node::SITE_KEY;
 use spokelift_testutils::process::Usage;
 use spokelift_testutils::proxy;
 use spokelift_testutils::proxy::Flow;
@@ -87,6 +89,25 @@
     format!("{length:x}\r\n{}\r\n", " ".repeat(length))
 }
 
+/// A job of 20,000 steps without tasks and one with a task, where `count` names their number.
+fn body_of_many_steps(count: &str) -> String {
+    let empty = format!("{{\"{count}\":0}},").repeat(20_000);
+    format!("{{\"spec\":\"\",\"steps\":[{empty}{{\"{count}\":1}}]}}")
+}
+
+/// Checks that the daemon serves after 60 clients have sent a request while the store does not
+/// answer.
+async fn assert_served_after_late_store(site: &Site, addr: SocketAddr, request: String) {
+    let store = &site.nodes[0].store_proxy;
+    store.set_fault(proxy::Fault { answer: Flow::Hold, ..proxy::Fault::default() });
+    let mut crowd = Crowd::connect(addr, 60).await;
+    crowd.send(request).await;
+    crowd.wait_until_read().await;
+    store.set_fault(proxy::Fault::default());
+    wait_for_leader(site).await;
+    assert_served(site, SMALL_MEMORY).await;
+}
+
 /// Bodies of legal size are held until they are complete: together they may not exceed the memory.
 #[tokio::test]
 async fn large_bodies_that_stop_short() {
@@ -303,15 +324,24 @@
 async fn many_jobs_of_many_steps_at_once() {
     let _alone = ONE_AT_A_TIME.lock().await;
     let site = start_site(SMALL_MEMORY).await;
-    site.nodes[0].store_proxy.set_fault(proxy::Fault { answer: Flow::Hold, ..Default::default() });
-    let body =
-        format!("{{\"spec\":\"\",\"steps\":[{}{{\"count\":1}}]}}", "{\"count\":0},".repeat(20_000));
-    let mut crowd = Crowd::connect(site.nodes[0].client_addr, 60).await;
-    crowd.send(with_length(body.len()) + &body).await;
-    crowd.wait_until_read().await;
-    site.nodes[0].store_proxy.set_fault(proxy::Fault::default());
-    wait_for_leader(&site).await;
-    assert_served(&site, SMALL_MEMORY).await;
+    let body = body_of_many_steps("count");
+    let request = with_length(body.len()) + &body;
+    assert_served_after_late_store(&site, site.nodes[0].client_addr, request).await;
+}
+
+/// As `many_jobs_of_many_steps_at_once`, from operators.
+#[tokio::test]
+async fn many_jobs_of_many_steps_of_operators_at_once() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let site = start_site(SMALL_MEMORY).await;
+    let body = body_of_many_steps("tasks");
+    let request = format!(
+        "POST {}queues/q/jobs/00000000000000bb HTTP/1.1\r\nhost: x\r\n\
+         {AUTHORIZATION}: Bearer {SITE_KEY}\r\ncontent-length: {}\r\n\r\n{body}",
+        view::PATH,
+        body.len(),
+    );
+    assert_served_after_late_store(&site, site.nodes[0].operator_addr, request).await;
 }
 
 /// A single request inside the limits is served while nothing else is asked.
--- a/lib/src/batch/node/operator_api.rs
+++ b/lib/src/batch/node/operator_api.rs
@@ -29,6 +29,7 @@
 use crate::transport::dial::Body;
 use crate::transport::dial::full;
 use crate::transport::serve::Incoming;
+use crate::transport::serve::Received;
 
 /// Timeout of a change; the operator's tool waits longer than that.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(5_000);
@@ -65,7 +66,7 @@
         Some("costs") => return Ok(costs::to_json(&costs::of(&node.counters.totals()))),
         _ => {}
     }
-    let _permit = node.view_permits.acquire().await.map_err(|_| ApiError::Stale)?;
+    let _permit = node.view_permits.acquire().await.expect("the semaphore is never closed");
     match node.ask_leader(peer::Request::View(path)).await {
         Some(Reply::View(Some(view))) => Ok(view),
         Some(Reply::View(None)) => Err(ApiError::NotFound { what: "view or job".into() }),
@@ -93,7 +94,7 @@
         (&Method::POST, ["queues", queue, "jobs", id]) => {
             let id = parse_id(id).ok_or(ApiError::Malformed)?;
             let body = body.receive(BODY_LIMIT_BYTES).await?;
-            submit_job(node, queue, id, &body.bytes, deadline).await
+            submit_job(node, queue, id, body, deadline).await
         }
         (&Method::DELETE, ["jobs", id]) => {
             let id = parse_id(id).ok_or(ApiError::Malformed)?;
@@ -116,14 +117,15 @@
     node: &Arc<Node>,
     name: &str,
     id: JobId,
-    body: &[u8],
+    mut body: Received,
     deadline: Instant,
 ) -> Result<String, ApiError> {
     let config = node.config().ok_or(ApiError::Stale)?;
     let queue = config.queues.iter().find(|queue| queue.name == name);
     let queue = queue.ok_or(ApiError::NotFound { what: "queue".into() })?;
-    let job = Job::decode(body);
+    let job = Job::decode(&body.bytes);
     let job = job.map_err(|error| ApiError::Job { cause: error.to_string().into() })?;
+    body.hold_decoded(job.memory())?;
     match node.commit_job(id, submit::accepted_job(job, queue, &Caller::Operator), deadline).await {
         WriteOutcome::Stored => Ok(to_json(&view::Submitted { id: format!("{id:016x}") })),
         WriteOutcome::Refused(_) | WriteOutcome::IdInUse(_) => Err(ApiError::JobRefused),
