peer: one function encodes messages of both sides

Cause: the answering side, which may not import peer (import cycles), encoded its frames with lines of its own beside peer's function.

Change: the function stands in peer::frame, and both sides call it. No change of behaviour; test_imports and the tests of peers pass.

--- a/lib/src/batch/peer.rs
+++ b/lib/src/batch/peer.rs
@@ -2,6 +2,7 @@
 //! each peer.
 
 mod connection;
+mod frame;
 pub mod serve;
 
 use std::collections::HashMap;
@@ -10,7 +11,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use spokelift_platform::config::Version;
@@ -279,7 +279,3 @@
         sender
     }
 }
-
-fn encode<T: Serialize>(value: &T) -> Bytes {
-    postcard::to_stdvec(value).expect("messages can be encoded by postcard").into()
-}
--- a/lib/src/batch/peer/connection.rs
+++ b/lib/src/batch/peer/connection.rs
@@ -31,7 +31,7 @@
 use crate::batch::peer::PendingRequest;
 use crate::batch::peer::Reply;
 use crate::batch::peer::Request;
-use crate::batch::peer::encode;
+use crate::batch::peer::frame::encode;
 use crate::metrics::Counters;
 use crate::transport::socket;
 
--- a/lib/src/batch/peer/serve.rs
+++ b/lib/src/batch/peer/serve.rs
@@ -21,6 +21,7 @@
 use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::batch::peer::frame::encode;
 use crate::transport::admission::Buffer;
 use crate::transport::admission::Client;
 use crate::transport::admission::Control;
@@ -168,9 +169,7 @@
     Reply: Serialize,
     F: Future<Output = Reply>,
 {
-    let reply = answer(request).await;
-    let frame = postcard::to_stdvec(&(number, reply));
-    let frame = Bytes::from(frame.expect("messages can be encoded by postcard"));
+    let frame = encode(&(number, answer(request).await));
     if frame.len() > TASK_BYTES && held.try_grow(frame.len()).is_err() {
         log::info!(bytes = frame.len(); "an answer to a peer is dropped for want of memory");
         return;
